--- /dev/null
+++ b/.dependency-cruiser.cjs
@@ -0,0 +1,48 @@
+/** Layer rules: see docs/ARCHITECTURE.md. */
+module.exports = {
+  forbidden: [
+    {
+      name: 'no-cycles',
+      severity: 'error',
+      from: {},
+      to: {circular: true, dependencyTypesNot: ['type-only']},
+    },
+    {
+      name: 'core-knows-no-outside',
+      comment: 'Decisions reach the outside only through src/core/edges.',
+      severity: 'error',
+      from: {path: '^src/core'},
+      to: {path: '^src/(adapters|entry|agent|daemon|cli)'},
+    },
+    {
+      name: 'request-path-imports-no-adapter',
+      comment: 'Adapters are chosen by the daemon alone.',
+      severity: 'error',
+      from: {path: '^src/(entry|agent)'},
+      to: {path: '^src/(adapters|daemon|cli)'},
+    },
+    {
+      name: 'roles-are-separate',
+      severity: 'error',
+      from: {path: '^src/entry'},
+      to: {path: '^src/agent'},
+    },
+    {
+      name: 'roles-are-separate-agent',
+      severity: 'error',
+      from: {path: '^src/agent'},
+      to: {path: '^src/entry'},
+    },
+    {
+      name: 'product-knows-no-stand-in',
+      severity: 'error',
+      from: {path: '^src'},
+      to: {path: '^(stand-ins|test|tools|bench)'},
+    },
+  ],
+  options: {
+    tsPreCompilationDeps: true,
+    tsConfig: {fileName: 'tsconfig.json'},
+    doNotFollow: {path: 'node_modules'},
+  },
+};
--- /dev/null
+++ b/src/core/clock/system-clock.ts
@@ -0,0 +1,22 @@
+import type {Clock, TimerHandle} from './types.js';
+
+/** The clock of the machine. */
+export class SystemClock implements Clock {
+  now(): number {
+    return performance.now();
+  }
+
+  wallNow(): number {
+    return Date.now();
+  }
+
+  schedule(options: {delayMs: number; run: () => void}): TimerHandle {
+    const timer = setTimeout(options.run, options.delayMs);
+    return {cancel: () => clearTimeout(timer)};
+  }
+
+  repeat(options: {periodMs: number; run: () => void}): TimerHandle {
+    const timer = setInterval(options.run, options.periodMs);
+    return {cancel: () => clearInterval(timer)};
+  }
+}
--- /dev/null
+++ b/src/core/edges/index.ts
@@ -0,0 +1,5 @@
+/** The interfaces behind which the outside stands; adapters implement them. */
+export * from './engine-driver.js';
+export * from './object-store.js';
+export * from './service-driver.js';
+export * from './vm-list.js';
--- /dev/null
+++ b/src/core/protocol/index.ts
@@ -0,0 +1,5 @@
+/** Messages, frames and connections between the system's processes. */
+export * from './consts.js';
+export * from './frame-codec.js';
+export * from './messages.js';
+export * from './types.js';
--- /dev/null
+++ b/src/core/protocol/types.ts
@@ -0,0 +1,16 @@
+import type {Layer, LayerError} from '../errors/types.js';
+
+/** Why a connection was closed by this side; each has a counter. */
+export enum TransportErrorKind {
+  FRAME_TOO_LARGE = 'frame_too_large',
+  BAD_CBOR = 'bad_cbor',
+  BAD_MESSAGE = 'bad_message',
+  BAD_GREETING = 'bad_greeting',
+  WRONG_PROTOCOL = 'wrong_protocol',
+  GREETING_TIMEOUT = 'greeting_timeout',
+  CONNECT_FAILED = 'connect_failed',
+  CLOSED = 'closed',
+}
+
+/** An error of the transport layer. */
+export type TransportError = LayerError<Layer.TRANSPORT, TransportErrorKind>;
