--- /dev/null
+++ b/src/core/settings/types.ts
@@ -0,0 +1,51 @@
+/** Settings of one process, read at its start. */
+
+/** Which part a process plays. */
+export enum ProcessRole {
+  ENTRY = 'entry',
+  AGENT = 'agent',
+}
+
+/** What runs beside an agent. */
+export enum TargetKind {
+  ENGINE = 'engine',
+  SERVICE = 'service',
+}
+
+/** An address to listen on. */
+export interface ListenSettings {
+  /** IP number. */
+  readonly address: string;
+  /** Port; 0 lets the machine choose. */
+  readonly port: number;
+}
+
+/** The target beside an agent. */
+export interface TargetSettings {
+  readonly kind: TargetKind;
+  /** Base URL of the target. */
+  readonly url: string;
+  /** Name of the service that the target runs. */
+  readonly service: string;
+  /** Whether the target itself refuses an old fencing number. */
+  readonly checksFencing: boolean;
+}
+
+/** Everything a process learns from its settings. */
+export interface DaemonSettings {
+  readonly role: ProcessRole;
+  readonly vm: string;
+  readonly dataCentre: string;
+  /** Names the overlay that holds here. */
+  readonly site: string;
+  /** Base URL of the platform's API. */
+  readonly platformUrl: string;
+  /** Where peers connect. */
+  readonly peers: ListenSettings;
+  /** Where operators and probes connect. */
+  readonly operators: ListenSettings;
+  /** Where callers connect; an entry only. */
+  readonly callers?: ListenSettings;
+  /** The target; an agent only. */
+  readonly target?: TargetSettings;
+}
