Add stand-ins of the outside and the HTTP adapters

Tests and benches need engines, a platform and plain services that can be ordered to fail: die, stall, slow down, lose the answer of a write. The adapters put undici behind the interfaces of src/core/edges and turn every failure into an error value of their layer.

--- /dev/null
+++ b/src/adapters/driver-errors.ts
@@ -0,0 +1,35 @@
+/** Errors of the driver layer, as the HTTP drivers meet them. */
+import type {DriverError} from '../core/edges/index.js';
+import {DriverErrorKind} from '../core/edges/index.js';
+import {Layer} from '../core/errors/types.js';
+import type {HttpFailure} from './http-call.js';
+import {HttpFailureKind} from './http-call.js';
+
+const KINDS: Readonly<Record<HttpFailureKind, DriverErrorKind>> = {
+  [HttpFailureKind.NOT_SENT]: DriverErrorKind.NOT_SENT,
+  [HttpFailureKind.TIMEOUT]: DriverErrorKind.TIMEOUT,
+  [HttpFailureKind.BROKEN]: DriverErrorKind.LOST,
+};
+
+/**
+ * Builds an error of the driver layer.
+ *
+ * @example
+ * err(driverError(DriverErrorKind.REFUSED, 'status 503'));
+ */
+export function driverError(
+  kind: DriverErrorKind,
+  detail: string,
+): DriverError {
+  return {layer: Layer.DRIVER, kind, detail};
+}
+
+/**
+ * Turns a failed HTTP call into an error of the driver layer.
+ *
+ * @example
+ * callHttp(options).mapErr(toDriverError);
+ */
+export function toDriverError({kind, detail}: HttpFailure): DriverError {
+  return driverError(KINDS[kind], detail);
+}
--- /dev/null
+++ b/src/adapters/driver-probe.ts
@@ -0,0 +1,60 @@
+/** Asks a target for its report on itself. */
+import type {ResultAsync} from 'neverthrow';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {Codec} from 'purify-ts';
+import type {Dispatcher} from 'undici';
+
+import type {DriverError} from '../core/edges/index.js';
+import {DriverErrorKind} from '../core/edges/index.js';
+import {driverError, toDriverError} from './driver-errors.js';
+import type {HttpAnswer} from './http-call.js';
+import {callHttp, parseJson} from './http-call.js';
+
+/** First status that says that a call failed. */
+export const FIRST_ERROR_STATUS = 400;
+
+/**
+ * Reads `GET /health` of a target.
+ *
+ * @example
+ * fetchReport({dispatcher, baseUrl, codec, timeoutMs: 500});
+ */
+export function fetchReport<T>(options: {
+  dispatcher: Dispatcher;
+  baseUrl: string;
+  codec: Codec<T>;
+  timeoutMs: number;
+}): ResultAsync<T, DriverError> {
+  const {dispatcher, baseUrl, codec, timeoutMs} = options;
+  const url = `${baseUrl}/health`;
+  const call = {dispatcher, url, method: 'GET', headers: [], timeoutMs};
+  return callHttp(call)
+    .mapErr(toDriverError)
+    .andThen(checkStatus)
+    .andThen((answer) => decode(codec, answer));
+}
+
+/**
+ * Turns an error status into a REFUSED error.
+ *
+ * @example
+ * callHttp(options).mapErr(toDriverError).andThen(checkStatus);
+ */
+export function checkStatus(
+  answer: HttpAnswer,
+): Result<HttpAnswer, DriverError> {
+  if (answer.status < FIRST_ERROR_STATUS) return ok(answer);
+  const detail = `status ${answer.status}`;
+  return err(driverError(DriverErrorKind.REFUSED, detail));
+}
+
+function decode<T>(
+  codec: Codec<T>,
+  {body}: HttpAnswer,
+): Result<T, DriverError> {
+  return codec.decode(parseJson(body)).caseOf<Result<T, DriverError>>({
+    Left: (detail) => err(driverError(DriverErrorKind.MALFORMED, detail)),
+    Right: (report) => ok(report),
+  });
+}
--- /dev/null
+++ b/src/adapters/engine-http-stream.ts
@@ -0,0 +1,145 @@
+/** One generation as a stream of server-sent events. */
+import type {EventSourceMessage} from 'eventsource-parser';
+import {createParser} from 'eventsource-parser';
+import {
+  array,
+  Codec,
+  enumeration,
+  nullType,
+  number,
+  oneOf,
+  string,
+} from 'purify-ts';
+import type {Dispatcher} from 'undici';
+import {request} from 'undici';
+
+import type {
+  DriverError,
+  EngineSink,
+  EngineStream,
+  Token,
+} from '../core/edges/index.js';
+import {DriverErrorKind, FinishReason} from '../core/edges/index.js';
+import {driverError, toDriverError} from './driver-errors.js';
+import {FIRST_ERROR_STATUS} from './driver-probe.js';
+import {parseJson, toHttpFailure} from './http-call.js';
+
+/** Data of the event that ends a stream. */
+const DONE = '[DONE]';
+
+const CHUNK = Codec.interface({
+  choices: array(
+    Codec.interface({
+      index: number,
+      text: string,
+      token_ids: array(number),
+      finish_reason: oneOf([enumeration(FinishReason), nullType]),
+    }),
+  ),
+});
+
+/** What a stream needs. */
+export interface EngineHttpStreamOptions {
+  readonly dispatcher: Dispatcher;
+  readonly url: string;
+  readonly body: string;
+  /** Position of the first token that the engine writes. */
+  readonly position: number;
+  readonly sink: EngineSink;
+}
+
+/** Reads one answer and reports it to its sink. */
+export class EngineHttpStream implements EngineStream {
+  private readonly abort = new AbortController();
+  private readonly parser = createParser({
+    onEvent: (event) => this.onEvent(event),
+  });
+  private position: number;
+  private isOver = false;
+
+  constructor(private readonly options: EngineHttpStreamOptions) {
+    this.position = options.position;
+  }
+
+  /** Sends the request. */
+  start(): void {
+    this.run().catch((e: unknown) =>
+      this.fail(toDriverError(toHttpFailure(e))),
+    );
+  }
+
+  cancel(): void {
+    this.isOver = true;
+    this.abort.abort();
+  }
+
+  private async run(): Promise<void> {
+    const {dispatcher, url, body} = this.options;
+    const res = await request(url, {
+      dispatcher,
+      method: 'POST',
+      headers: {'content-type': 'application/json'},
+      body,
+      signal: this.abort.signal,
+    });
+    if (res.statusCode >= FIRST_ERROR_STATUS) {
+      return this.refuse(res.statusCode);
+    }
+    res.body.setEncoding('utf8');
+    for await (const text of res.body as AsyncIterable<string>) {
+      if (this.isOver) return;
+      this.parser.feed(text);
+    }
+    this.lose('the stream ended without a finish reason');
+  }
+
+  private onEvent({data}: EventSourceMessage): void {
+    if (this.isOver) return;
+    if (data === DONE) return this.lose('done without a finish reason');
+    CHUNK.decode(parseJson(data)).caseOf({
+      Left: (detail) =>
+        this.fail(driverError(DriverErrorKind.MALFORMED, detail)),
+      Right: ({choices}) => choices.forEach((choice) => this.take(choice)),
+    });
+  }
+
+  private take(choice: {
+    text: string;
+    token_ids: number[];
+    finish_reason: FinishReason | null;
+  }): void {
+    const tokens = toTokens(choice.token_ids, choice.text);
+    const {position} = this;
+    this.position += tokens.length;
+    const {sink} = this.options;
+    if (tokens.length > 0) sink.onTokens({position, tokens});
+    if (choice.finish_reason !== null) this.finish(choice.finish_reason);
+  }
+
+  private finish(reason: FinishReason): void {
+    // The sink may have cancelled the stream when it took the last tokens.
+    if (this.isOver) return;
+    this.cancel();
+    this.options.sink.onFinish(reason);
+  }
+
+  private refuse(status: number): void {
+    this.fail(driverError(DriverErrorKind.REFUSED, `status ${status}`));
+  }
+
+  private lose(detail: string): void {
+    this.fail(driverError(DriverErrorKind.LOST, detail));
+  }
+
+  private fail(err: DriverError): void {
+    if (this.isOver) return;
+    this.cancel();
+    this.options.sink.onFailure(err);
+  }
+}
+
+/** A chunk's text is complete with the last of its tokens. */
+function toTokens(ids: readonly number[], text: string): Token[] {
+  const last = ids.length - 1;
+  return ids.map((id, index) => ({id, text: index === last ? text : ''}));
+}
--- /dev/null
+++ b/src/adapters/http-call.ts
@@ -0,0 +1,157 @@
+/** One HTTP call with a time limit, whose failures are values. */
+import {ResultAsync} from 'neverthrow';
+import type {Dispatcher} from 'undici';
+import {Agent, request} from 'undici';
+
+import type {HeaderField} from '../core/edges/index.js';
+
+/** Time to open a connection, in milliseconds. */
+export const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Error codes of connections that were never open. */
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'UND_ERR_CONNECT_TIMEOUT',
+  'UND_ERR_INVALID_ARG',
+]);
+
+const TIMEOUT_CODES: ReadonlySet<string> = new Set([
+  'UND_ERR_HEADERS_TIMEOUT',
+  'UND_ERR_BODY_TIMEOUT',
+]);
+
+/** Why no whole answer came. */
+export enum HttpFailureKind {
+  /** The request certainly never reached the server. */
+  NOT_SENT = 'not_sent',
+  /** No whole answer within the time allowed. */
+  TIMEOUT = 'timeout',
+  /** The connection broke. */
+  BROKEN = 'broken',
+}
+
+/** A call without a whole answer. */
+export interface HttpFailure {
+  readonly kind: HttpFailureKind;
+  readonly detail: string;
+}
+
+/** A whole answer. */
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: readonly HeaderField[];
+  readonly body: Uint8Array;
+}
+
+/** What to call. */
+export interface HttpCallOptions {
+  readonly dispatcher: Dispatcher;
+  readonly url: string;
+  readonly method: string;
+  readonly headers: readonly HeaderField[];
+  readonly body?: Uint8Array | string;
+  readonly timeoutMs: number;
+}
+
+/**
+ * Builds a connection pool without a bound on connections, whose answers may
+ * take any time.
+ *
+ * @example
+ * const dispatcher = createPool({keepsAlive: true});
+ */
+export function createPool(options: {keepsAlive: boolean}): Dispatcher {
+  return new Agent({
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    // Without pipelining undici opens a new connection for each call.
+    pipelining: options.keepsAlive ? 1 : 0,
+  });
+}
+
+/**
+ * Makes a call and reads its whole answer.
+ *
+ * @example
+ * const answer = await callHttp({dispatcher, url, method: 'GET', ...rest});
+ */
+export function callHttp(
+  options: HttpCallOptions,
+): ResultAsync<HttpAnswer, HttpFailure> {
+  return ResultAsync.fromPromise(exchange(options), toHttpFailure);
+}
+
+/**
+ * Classifies what undici threw.
+ *
+ * @example
+ * if (toHttpFailure(e).kind === HttpFailureKind.NOT_SENT) retry();
+ */
+export function toHttpFailure(e: unknown): HttpFailure {
+  const detail = e instanceof Error ? e.message : String(e);
+  return {kind: failureKindOf(e), detail};
+}
+
+/**
+ * Parses JSON; undefined where it is malformed.
+ *
+ * @example
+ * codec.decode(parseJson(answer.body));
+ */
+export function parseJson(body: Uint8Array | string): unknown {
+  const text = typeof body === 'string' ? body : Buffer.from(body).toString();
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+async function exchange(options: HttpCallOptions): Promise<HttpAnswer> {
+  const {dispatcher, url, method, body, timeoutMs} = options;
+  const signal = AbortSignal.timeout(timeoutMs);
+  const headers = options.headers.flatMap(({name, value}) => [name, value]);
+  const settings = {dispatcher, method, headers, body, signal};
+  const res = await request(url, settings as Parameters<typeof request>[1]);
+  const bytes = await res.body.bytes();
+  return {
+    status: res.statusCode,
+    headers: Object.entries(res.headers).flatMap(toFields),
+    body: bytes,
+  };
+}
+
+function toFields([name, value]: [
+  string,
+  string | string[] | undefined,
+]): HeaderField[] {
+  const values = value === undefined ? [] : [value].flat();
+  return values.map((one) => ({name, value: one}));
+}
+
+function failureKindOf(e: unknown): HttpFailureKind {
+  if (e instanceof AggregateError && e.errors.every(isNotSent)) {
+    return HttpFailureKind.NOT_SENT;
+  }
+  if (isNotSent(e)) return HttpFailureKind.NOT_SENT;
+  if (isTimeout(e)) return HttpFailureKind.TIMEOUT;
+  return HttpFailureKind.BROKEN;
+}
+
+function isNotSent(e: unknown): boolean {
+  return NOT_SENT_CODES.has(codeOf(e));
+}
+
+function isTimeout(e: unknown): boolean {
+  if (e instanceof Error && e.name === 'TimeoutError') return true;
+  return TIMEOUT_CODES.has(codeOf(e));
+}
+
+function codeOf(e: unknown): string {
+  if (typeof e !== 'object' || e === null) return '';
+  return String(Reflect.get(e, 'code'));
+}
--- /dev/null
+++ b/src/adapters/http-engine-driver.ts
@@ -0,0 +1,103 @@
+/** Speaks to a model engine over its OpenAI-style HTTP API. */
+import type {ResultAsync} from 'neverthrow';
+import {array, Codec, number, string} from 'purify-ts';
+import type {Dispatcher} from 'undici';
+
+import type {
+  DriverError,
+  EngineDriver,
+  EngineOrder,
+  EngineReport,
+  EngineSink,
+  EngineStream,
+  GenerationSpec,
+  Token,
+} from '../core/edges/index.js';
+import {toDriverError} from './driver-errors.js';
+import {checkStatus, fetchReport} from './driver-probe.js';
+import {EngineHttpStream} from './engine-http-stream.js';
+import {callHttp, createPool} from './http-call.js';
+
+const ENGINE_REPORT = Codec.interface({
+  running: number,
+  waiting: number,
+  capacity: number,
+  instance: string,
+  cachedPrefixes: array(string),
+});
+
+/**
+ * The driver of one engine.
+ *
+ * @example
+ * const driver = new HttpEngineDriver({baseUrl: 'http://127.0.0.1:8000'});
+ */
+export class HttpEngineDriver implements EngineDriver {
+  private readonly baseUrl: string;
+  private readonly dispatcher: Dispatcher = createPool({keepsAlive: false});
+
+  constructor(options: {baseUrl: string}) {
+    this.baseUrl = options.baseUrl;
+  }
+
+  generate(options: {
+    requestId: string;
+    spec: GenerationSpec;
+    resumeFrom: readonly Token[];
+    sink: EngineSink;
+  }): EngineStream {
+    const stream = new EngineHttpStream({
+      dispatcher: this.dispatcher,
+      url: `${this.baseUrl}/v1/completions`,
+      body: JSON.stringify(toBody(options)),
+      position: options.resumeFrom.length,
+      sink: options.sink,
+    });
+    stream.start();
+    return stream;
+  }
+
+  probe(options: {timeoutMs: number}): ResultAsync<EngineReport, DriverError> {
+    const {dispatcher, baseUrl} = this;
+    const {timeoutMs} = options;
+    return fetchReport({dispatcher, baseUrl, codec: ENGINE_REPORT, timeoutMs});
+  }
+
+  order(options: {
+    order: EngineOrder;
+    timeoutMs: number;
+  }): ResultAsync<void, DriverError> {
+    const {order, timeoutMs} = options;
+    return callHttp({
+      dispatcher: this.dispatcher,
+      url: `${this.baseUrl}/orders`,
+      method: 'POST',
+      headers: [{name: 'content-type', value: 'application/json'}],
+      body: JSON.stringify(order),
+      timeoutMs,
+    })
+      .mapErr(toDriverError)
+      .andThen(checkStatus)
+      .map(() => undefined);
+  }
+}
+
+function toBody(options: {
+  requestId: string;
+  spec: GenerationSpec;
+  resumeFrom: readonly Token[];
+}): object {
+  const {requestId, spec, resumeFrom} = options;
+  return {
+    model: spec.model,
+    prompt: spec.prompt,
+    max_tokens: spec.maxTokens,
+    stop: spec.stop,
+    temperature: spec.temperature,
+    priority: spec.priority,
+    stream: true,
+    request_id: requestId,
+    resume_token_ids: resumeFrom.map((token) => token.id),
+    return_token_ids: true,
+  };
+}
--- /dev/null
+++ b/src/adapters/http-object-store.ts
@@ -0,0 +1,213 @@
+/** The platform's object API over HTTP. */
+import type {Result, ResultAsync} from 'neverthrow';
+import {err, errAsync, ok} from 'neverthrow';
+import type {Maybe} from 'purify-ts';
+import {
+  array,
+  Codec,
+  enumeration,
+  Just,
+  Nothing,
+  number,
+  string,
+  unknown,
+} from 'purify-ts';
+import type {Dispatcher} from 'undici';
+
+import type {
+  HeaderField,
+  ObjectKey,
+  ObjectStore,
+  StoredObject,
+  StoreError,
+  WatchEvent,
+  WatchHandle,
+} from '../core/edges/index.js';
+import {ObjectKind, StoreErrorKind} from '../core/edges/index.js';
+import type {HttpAnswer} from './http-call.js';
+import {callHttp, createPool, parseJson} from './http-call.js';
+import {HttpWatch} from './http-watch.js';
+import {
+  fromFailure,
+  fromMalformed,
+  fromStatus,
+  StoreCall,
+  storeError,
+} from './store-errors.js';
+
+/** Time for one call to the store, in milliseconds. */
+export const STORE_TIMEOUT_MS = 1_500;
+
+/** First status that says that a call failed. */
+const FIRST_ERROR_STATUS = 400;
+
+const STORED_OBJECT: Codec<StoredObject> = Codec.interface({
+  kind: enumeration(ObjectKind),
+  name: string,
+  version: number,
+  value: unknown,
+});
+
+const OBJECT_LIST = Codec.interface({objects: array(STORED_OBJECT)});
+
+interface StoreRequest {
+  readonly call: StoreCall;
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: readonly HeaderField[];
+  readonly body?: string;
+}
+
+/**
+ * A client of the platform's object API.
+ *
+ * @example
+ * const store = new HttpObjectStore({baseUrl: 'http://127.0.0.1:9000'});
+ */
+export class HttpObjectStore implements ObjectStore {
+  private readonly baseUrl: string;
+  private readonly timeoutMs: number;
+  private readonly dispatcher: Dispatcher = createPool({keepsAlive: true});
+
+  constructor(options: {baseUrl: string; timeoutMs?: number}) {
+    this.baseUrl = options.baseUrl;
+    this.timeoutMs = options.timeoutMs ?? STORE_TIMEOUT_MS;
+  }
+
+  create(
+    options: ObjectKey & {value: unknown},
+  ): ResultAsync<StoredObject, StoreError> {
+    const {value, ...key} = options;
+    const call = StoreCall.CREATE;
+    return this.write({call, method: 'POST', path: pathOf(key)}, value);
+  }
+
+  update(
+    options: ObjectKey & {value: unknown; expectedVersion: number},
+  ): ResultAsync<StoredObject, StoreError> {
+    const {value, expectedVersion, ...key} = options;
+    const call = StoreCall.CHANGE;
+    const headers = [ifMatch(expectedVersion)];
+    const req = {call, method: 'PUT', path: pathOf(key), headers};
+    return this.write(req, value);
+  }
+
+  remove(
+    options: ObjectKey & {expectedVersion: number},
+  ): ResultAsync<void, StoreError> {
+    const call = StoreCall.CHANGE;
+    const headers = [ifMatch(options.expectedVersion)];
+    const path = pathOf(options);
+    return this.send({call, method: 'DELETE', path, headers})
+      .andThen((answer) => checkStatus(call, answer))
+      .map(() => undefined);
+  }
+
+  read(key: ObjectKey): ResultAsync<Maybe<StoredObject>, StoreError> {
+    const call = StoreCall.READ;
+    return this.send({call, method: 'GET', path: pathOf(key)}).andThen(
+      (answer): Result<Maybe<StoredObject>, StoreError> =>
+        answer.status === 404
+          ? ok(Nothing)
+          : decodeAnswer({call, answer, codec: STORED_OBJECT}).map(Just),
+    );
+  }
+
+  list(options: {
+    kind: ObjectKind;
+    prefix?: string;
+  }): ResultAsync<StoredObject[], StoreError> {
+    const call = StoreCall.READ;
+    const prefix = encodeURIComponent(options.prefix ?? '');
+    const path = `/objects/${options.kind}?prefix=${prefix}`;
+    return this.send({call, method: 'GET', path})
+      .andThen((answer) => decodeAnswer({call, answer, codec: OBJECT_LIST}))
+      .map(({objects}) => objects);
+  }
+
+  watch(options: {
+    kind: ObjectKind;
+    since: number;
+    onEvent: (event: WatchEvent) => void;
+    onClosed: (err: StoreError) => void;
+  }): WatchHandle {
+    const {kind, since, onEvent, onClosed} = options;
+    const url = `${this.baseUrl}/watch/${kind}?since=${since}`;
+    const {dispatcher, timeoutMs} = this;
+    const watch = new HttpWatch({
+      dispatcher,
+      url,
+      timeoutMs,
+      onEvent,
+      onClosed,
+    });
+    watch.start();
+    return watch;
+  }
+
+  private write(
+    req: StoreRequest,
+    value: unknown,
+  ): ResultAsync<StoredObject, StoreError> {
+    const {call} = req;
+    const body = toJson(value);
+    if (body.isErr()) return errAsync(body.error);
+    return this.send({...req, body: body.value}).andThen((answer) =>
+      decodeAnswer({call, answer, codec: STORED_OBJECT}),
+    );
+  }
+
+  private send(req: StoreRequest): ResultAsync<HttpAnswer, StoreError> {
+    const {call, method, path, headers = [], body} = req;
+    const json = {name: 'content-type', value: 'application/json'};
+    return callHttp({
+      dispatcher: this.dispatcher,
+      url: `${this.baseUrl}${path}`,
+      method,
+      headers: body === undefined ? headers : [...headers, json],
+      body,
+      timeoutMs: this.timeoutMs,
+    }).mapErr((failure) => fromFailure(call, failure));
+  }
+}
+
+function pathOf({kind, name}: ObjectKey): string {
+  return `/objects/${kind}/${encodeURIComponent(name)}`;
+}
+
+function ifMatch(version: number): HeaderField {
+  return {name: 'if-match', value: `"${version}"`};
+}
+
+function toJson(value: unknown): Result<string, StoreError> {
+  try {
+    const text = JSON.stringify(value) as string | undefined;
+    if (text !== undefined) return ok(`{"value":${text}}`);
+  } catch (e) {
+    const detail = e instanceof Error ? e.message : String(e);
+    return err(storeError(StoreErrorKind.INVALID, detail));
+  }
+  return err(storeError(StoreErrorKind.INVALID, 'no JSON value'));
+}
+
+function checkStatus(
+  call: StoreCall,
+  answer: HttpAnswer,
+): Result<HttpAnswer, StoreError> {
+  if (answer.status < FIRST_ERROR_STATUS) return ok(answer);
+  return err(fromStatus(call, answer.status));
+}
+
+function decodeAnswer<T>(options: {
+  call: StoreCall;
+  answer: HttpAnswer;
+  codec: Codec<T>;
+}): Result<T, StoreError> {
+  const {call, answer, codec} = options;
+  return checkStatus(call, answer).andThen(({body}) =>
+    codec.decode(parseJson(body)).caseOf<Result<T, StoreError>>({
+      Left: (detail) => err(fromMalformed(call, detail)),
+      Right: (value) => ok(value),
+    }),
+  );
+}
--- /dev/null
+++ b/src/adapters/http-vm-list.ts
@@ -0,0 +1,76 @@
+/** The platform's VM list over HTTP. */
+import type {Result, ResultAsync} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import {array, Codec, enumeration, number, string} from 'purify-ts';
+import type {Dispatcher} from 'undici';
+
+import type {VmList, VmListError, VmRecord} from '../core/edges/index.js';
+import {VmListErrorKind, VmRole, VmState} from '../core/edges/index.js';
+import {Layer} from '../core/errors/types.js';
+import type {HttpAnswer} from './http-call.js';
+import {callHttp, createPool, parseJson} from './http-call.js';
+
+/** Time to read the list, in milliseconds. */
+export const VM_LIST_TIMEOUT_MS = 1_500;
+
+const STATUS_OK = 200;
+
+const VM_RECORDS = Codec.interface({
+  vms: array(
+    Codec.interface({
+      name: string,
+      role: enumeration(VmRole),
+      state: enumeration(VmState),
+      dataCentre: string,
+      address: string,
+      peerPort: number,
+      service: string,
+    }),
+  ),
+});
+
+/**
+ * A client of the platform's VM list.
+ *
+ * @example
+ * const vms = await new HttpVmList({baseUrl: 'http://127.0.0.1:9000'}).read();
+ */
+export class HttpVmList implements VmList {
+  private readonly baseUrl: string;
+  private readonly timeoutMs: number;
+  private readonly dispatcher: Dispatcher = createPool({keepsAlive: true});
+
+  constructor(options: {baseUrl: string; timeoutMs?: number}) {
+    this.baseUrl = options.baseUrl;
+    this.timeoutMs = options.timeoutMs ?? VM_LIST_TIMEOUT_MS;
+  }
+
+  read(): ResultAsync<VmRecord[], VmListError> {
+    return callHttp({
+      dispatcher: this.dispatcher,
+      url: `${this.baseUrl}/vms`,
+      method: 'GET',
+      headers: [],
+      timeoutMs: this.timeoutMs,
+    })
+      .mapErr(({detail}) => vmListError(VmListErrorKind.UNAVAILABLE, detail))
+      .andThen(decode);
+  }
+}
+
+function decode({status, body}: HttpAnswer): Result<VmRecord[], VmListError> {
+  if (status !== STATUS_OK) {
+    const detail = `status ${status}`;
+    return err(vmListError(VmListErrorKind.UNAVAILABLE, detail));
+  }
+  return VM_RECORDS.decode(parseJson(body)).caseOf<
+    Result<VmRecord[], VmListError>
+  >({
+    Left: (detail) => err(vmListError(VmListErrorKind.MALFORMED, detail)),
+    Right: ({vms}) => ok(vms),
+  });
+}
+
+function vmListError(kind: VmListErrorKind, detail: string): VmListError {
+  return {layer: Layer.VM_LIST, kind, detail};
+}
--- /dev/null
+++ b/src/adapters/http-watch.ts
@@ -0,0 +1,96 @@
+/** A watch of the platform's object API: one JSON document a line. */
+import {Codec, enumeration, number, optional, string, unknown} from 'purify-ts';
+import type {Dispatcher} from 'undici';
+import {request} from 'undici';
+
+import type {StoreError, WatchEvent, WatchHandle} from '../core/edges/index.js';
+import {ObjectKind, StoreErrorKind} from '../core/edges/index.js';
+import {parseJson, toHttpFailure} from './http-call.js';
+import {
+  fromFailure,
+  fromStatus,
+  StoreCall,
+  storeError,
+} from './store-errors.js';
+
+/** A watch that is silent for longer is taken for broken, in milliseconds. */
+export const WATCH_SILENCE_MS = 15_000;
+
+const STATUS_OK = 200;
+
+const WATCH_EVENT = Codec.interface({
+  kind: enumeration(ObjectKind),
+  name: string,
+  version: number,
+  value: optional(unknown),
+});
+
+/** What a watch needs. */
+export interface HttpWatchOptions {
+  readonly dispatcher: Dispatcher;
+  readonly url: string;
+  /** Time for the watch to be accepted. */
+  readonly timeoutMs: number;
+  readonly onEvent: (event: WatchEvent) => void;
+  readonly onClosed: (err: StoreError) => void;
+}
+
+/** One running watch. */
+export class HttpWatch implements WatchHandle {
+  private readonly abort = new AbortController();
+  private pending = '';
+  private isOver = false;
+
+  constructor(private readonly options: HttpWatchOptions) {}
+
+  /** Sends the request. */
+  start(): void {
+    this.run().catch((e: unknown) =>
+      this.end(fromFailure(StoreCall.READ, toHttpFailure(e))),
+    );
+  }
+
+  close(): void {
+    this.isOver = true;
+    this.abort.abort();
+  }
+
+  private async run(): Promise<void> {
+    const {dispatcher, url, timeoutMs} = this.options;
+    const res = await request(url, {
+      dispatcher,
+      headersTimeout: timeoutMs,
+      bodyTimeout: WATCH_SILENCE_MS,
+      signal: this.abort.signal,
+    });
+    if (res.statusCode !== STATUS_OK) {
+      return this.end(fromStatus(StoreCall.READ, res.statusCode));
+    }
+    res.body.setEncoding('utf8');
+    for await (const text of res.body as AsyncIterable<string>) {
+      this.take(text);
+    }
+    this.end(storeError(StoreErrorKind.UNAVAILABLE, 'the watch ended'));
+  }
+
+  private take(text: string): void {
+    const lines = (this.pending + text).split('\n');
+    this.pending = lines.pop() ?? '';
+    for (const line of lines) {
+      if (!this.isOver && line !== '') this.takeLine(line);
+    }
+  }
+
+  private takeLine(line: string): void {
+    WATCH_EVENT.decode(parseJson(line)).caseOf({
+      Left: (detail) => this.end(storeError(StoreErrorKind.INVALID, detail)),
+      Right: (event) => this.options.onEvent(event),
+    });
+  }
+
+  private end(err: StoreError): void {
+    if (this.isOver) return;
+    this.close();
+    this.options.onClosed(err);
+  }
+}
--- /dev/null
+++ b/src/adapters/store-errors.ts
@@ -0,0 +1,86 @@
+/** Errors of the store layer, as the HTTP store meets them. */
+import type {StoreError} from '../core/edges/index.js';
+import {StoreErrorKind} from '../core/edges/index.js';
+import {Layer} from '../core/errors/types.js';
+import type {HttpFailure} from './http-call.js';
+import {HttpFailureKind} from './http-call.js';
+
+/** What a call does, as far as its errors depend on it. */
+export enum StoreCall {
+  CREATE = 'create',
+  CHANGE = 'change',
+  READ = 'read',
+}
+
+const FIRST_SERVER_ERROR = 500;
+
+/**
+ * Builds an error of the store layer.
+ *
+ * @example
+ * err(storeError(StoreErrorKind.INVALID, 'no JSON value'));
+ */
+export function storeError(kind: StoreErrorKind, detail: string): StoreError {
+  return {layer: Layer.STORE, kind, detail};
+}
+
+/**
+ * Turns a call without an answer into an error; a write that was sent may
+ * have taken effect, a read has no effect.
+ *
+ * @example
+ * callHttp(options).mapErr((failure) => fromFailure(StoreCall.READ, failure));
+ */
+export function fromFailure(call: StoreCall, failure: HttpFailure): StoreError {
+  const isSettled =
+    call === StoreCall.READ || failure.kind === HttpFailureKind.NOT_SENT;
+  const kind = isSettled ? StoreErrorKind.UNAVAILABLE : StoreErrorKind.UNKNOWN;
+  return storeError(kind, failure.detail);
+}
+
+/**
+ * Turns an error status into an error.
+ *
+ * @example
+ * err(fromStatus(StoreCall.CREATE, 409));
+ */
+export function fromStatus(call: StoreCall, status: number): StoreError {
+  return storeError(kindOfStatus(call, status), `status ${status}`);
+}
+
+/**
+ * Builds the error for an answer that can't be read: a write of which it
+ * speaks may have taken effect.
+ *
+ * @example
+ * err(fromMalformed(StoreCall.READ, detail));
+ */
+export function fromMalformed(call: StoreCall, detail: string): StoreError {
+  const isRead = call === StoreCall.READ;
+  const kind = isRead ? StoreErrorKind.INVALID : StoreErrorKind.UNKNOWN;
+  return storeError(kind, detail);
+}
+
+function kindOfStatus(call: StoreCall, status: number): StoreErrorKind {
+  switch (status) {
+    case 404:
+    case 410:
+      return StoreErrorKind.NOT_FOUND;
+    case 409:
+    case 412:
+      return call === StoreCall.CREATE
+        ? StoreErrorKind.EXISTS
+        : StoreErrorKind.CONFLICT;
+    case 429:
+    case 503:
+      return StoreErrorKind.UNAVAILABLE;
+    default:
+      return kindOfOtherStatus(call, status);
+  }
+}
+
+function kindOfOtherStatus(call: StoreCall, status: number): StoreErrorKind {
+  if (status < FIRST_SERVER_ERROR) return StoreErrorKind.INVALID;
+  if (call === StoreCall.READ) return StoreErrorKind.UNAVAILABLE;
+  return StoreErrorKind.UNKNOWN;
+}
--- /dev/null
+++ b/stand-ins/engine/text.ts
@@ -0,0 +1,119 @@
+/**
+ * The text that the model engine writes. Token `i` depends on the prompt and
+ * on `i` alone, so that any answer can be checked whole.
+ */
+import {StringDecoder} from 'node:string_decoder';
+
+import xxhash from 'xxhash-wasm';
+
+import type {Token} from '../../src/core/edges/index.js';
+import {FinishReason} from '../../src/core/edges/index.js';
+import {bytesOf, PAIR_COUNT, tokenIdOf} from './vocabulary.js';
+
+const HASH = await xxhash();
+
+/** Length in tokens of an answer whose prompt names none. */
+export const DEFAULT_NATURAL_LENGTH = 200;
+
+const LENGTH_MARK = /\[length=(\d+)\]/;
+
+/** Multipliers of the MurmurHash3 finaliser. */
+const MIX_A = 0x85ebca6b;
+const MIX_B = 0xc2b2ae35;
+
+/** What decides an answer. */
+export interface AnswerSpec {
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly stop: readonly string[];
+}
+
+/** A whole answer. */
+export interface Answer {
+  readonly tokens: readonly Token[];
+  readonly finishReason: FinishReason;
+}
+
+/** Writes one answer, token by token, from any position on. */
+export class AnswerWriter {
+  private readonly decoder = new StringDecoder('utf8');
+  private readonly ids: number[] = [];
+  private readonly seed: number;
+  private readonly naturalLength: number;
+  private readonly stop: readonly string[];
+  private tail = '';
+  private stopped = false;
+
+  constructor(
+    private readonly spec: AnswerSpec,
+    resumeIds: readonly number[] = [],
+  ) {
+    this.seed = HASH.h32(spec.prompt);
+    this.naturalLength = naturalLengthOf(spec.prompt);
+    this.stop = spec.stop.filter((text) => text !== '');
+    for (const id of resumeIds) this.take(id);
+  }
+
+  /** Ids of the answer so far, the resumed ones included. */
+  get tokenIds(): readonly number[] {
+    return this.ids;
+  }
+
+  /** Why the answer is over; undefined while it goes on. */
+  get finishReason(): FinishReason | undefined {
+    if (this.stopped) return FinishReason.STOP;
+    if (this.ids.length >= this.naturalLength) return FinishReason.STOP;
+    if (this.ids.length >= this.spec.maxTokens) return FinishReason.LENGTH;
+    return undefined;
+  }
+
+  /** Writes the next token. */
+  next(): Token {
+    return this.take(tokenIdAt(this.seed, this.ids.length));
+  }
+
+  private take(id: number): Token {
+    const text = this.decoder.write(bytesOf(id));
+    this.ids.push(id);
+    this.tail += text;
+    this.stopped ||= this.stop.some((stop) => this.tail.includes(stop));
+    const longest = Math.max(1, ...this.stop.map((stop) => stop.length));
+    this.tail = this.tail.slice(-longest);
+    return {id, text};
+  }
+}
+
+/**
+ * Returns the whole answer. The token that completes a stop string is its
+ * last one.
+ *
+ * @example
+ * expectedAnswer({prompt: 'Draft a quote', maxTokens: 50, stop: []}).tokens;
+ */
+export function expectedAnswer(spec: AnswerSpec): Answer {
+  const writer = new AnswerWriter(spec);
+  const tokens: Token[] = [];
+  for (;;) {
+    const finishReason = writer.finishReason;
+    if (finishReason !== undefined) return {tokens, finishReason};
+    tokens.push(writer.next());
+  }
+}
+
+function naturalLengthOf(prompt: string): number {
+  const mark = LENGTH_MARK.exec(prompt);
+  return mark === null ? DEFAULT_NATURAL_LENGTH : Number(mark[1]);
+}
+
+function tokenIdAt(seed: number, position: number): number {
+  const pairIndex = Math.floor(position / 2);
+  const pair = mix(seed + pairIndex) % PAIR_COUNT;
+  return tokenIdOf({pair, half: position % 2});
+}
+
+function mix(value: number): number {
+  let h = value | 0;
+  h = Math.imul(h ^ (h >>> 16), MIX_A);
+  h = Math.imul(h ^ (h >>> 13), MIX_B);
+  return (h ^ (h >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/stand-ins/lib/fields.ts
@@ -0,0 +1,82 @@
+/** Reads fields of a JSON body that tests send to a stand-in. */
+import {HttpError} from './http-server.js';
+
+function fieldOf(body: unknown, name: string): unknown {
+  if (typeof body !== 'object' || body === null) return undefined;
+  return Reflect.get(body, name);
+}
+
+/**
+ * Returns a text field.
+ *
+ * @example
+ * textField(body, 'kind', 'none');
+ */
+export function textField(
+  body: unknown,
+  name: string,
+  fallback: string,
+): string {
+  const value = fieldOf(body, name) ?? fallback;
+  if (typeof value === 'string') return value;
+  throw new HttpError(400, `${name} must be a string`);
+}
+
+/**
+ * Returns a number field.
+ *
+ * @example
+ * numberField(body, 'max_tokens', 16);
+ */
+export function numberField(
+  body: unknown,
+  name: string,
+  fallback: number,
+): number {
+  const value = fieldOf(body, name) ?? fallback;
+  if (typeof value === 'number') return value;
+  throw new HttpError(400, `${name} must be a number`);
+}
+
+/**
+ * Returns a list field; empty where it is absent.
+ *
+ * @example
+ * listField(body, 'stop', isString);
+ */
+export function listField<T>(
+  body: unknown,
+  name: string,
+  accepts: (item: unknown) => item is T,
+): T[] {
+  const value = fieldOf(body, name) ?? [];
+  if (Array.isArray(value) && value.every(accepts)) return value;
+  throw new HttpError(400, `${name} must be a list`);
+}
+
+/**
+ * Returns a field as one of an enum's values, or throws 400.
+ *
+ * @example
+ * enumField(body, 'kind', FaultKind);
+ */
+export function enumField<T extends string>(
+  body: unknown,
+  name: string,
+  values: Readonly<Record<string, T>>,
+): T {
+  const value = fieldOf(body, name);
+  const found = Object.values(values).find((known) => known === value);
+  if (found !== undefined) return found;
+  throw new HttpError(400, `unknown ${name}`);
+}
+
+/** Whether an item is a string. */
+export function isString(item: unknown): item is string {
+  return typeof item === 'string';
+}
+
+/** Whether an item is an integer. */
+export function isInteger(item: unknown): item is number {
+  return Number.isInteger(item);
+}
--- /dev/null
+++ b/stand-ins/service/main.ts
@@ -0,0 +1,18 @@
+/** Runs a plain service as a program. */
+import {announce, readFlags} from '../lib/program.js';
+import {DEFAULT_SERVICE_OPTIONS, startService} from './server.js';
+
+const flags = readFlags({
+  values: ['address', 'port', 'delay-ms', 'capacity', 'ledger-url'],
+  switches: [],
+});
+
+const base = DEFAULT_SERVICE_OPTIONS;
+const server = await startService({
+  address: flags.text('address', base.address),
+  port: flags.number('port', base.port),
+  delayMs: flags.number('delay-ms', base.delayMs),
+  capacity: flags.number('capacity', base.capacity),
+  ledgerUrl: flags.text('ledger-url', base.ledgerUrl),
+});
+announce({port: server.port});
