Settings and configuration, checked on load

Operators write YAML and expect every fault at once, at its own line. A shared checker turns YAML into positioned nodes, merges overlays without losing the positions, and checks the result against declared schemas with rules for contradictions. An overlay that is valid alone and invalid merged is therefore reported in the overlay.

--- /dev/null
+++ b/src/core/config/config-error.ts
@@ -0,0 +1,29 @@
+import {Layer} from '../errors/index.js';
+import type {Problem} from '../yaml-check/index.js';
+import {formatProblem, uniqueProblems} from '../yaml-check/index.js';
+import type {ConfigError} from './types.js';
+import {ConfigErrorKind} from './types.js';
+
+/** Builds the error of a configuration with problems. */
+export function createInvalidConfig(problems: readonly Problem[]): ConfigError {
+  const unique = uniqueProblems(problems);
+  return {
+    layer: Layer.CONFIG,
+    kind: ConfigErrorKind.INVALID,
+    detail: unique.map(formatProblem).join('\n'),
+    problems: unique,
+  };
+}
+
+/** Builds the error of a site that has no overlay. */
+export function createUnknownSite(
+  site: string,
+  known: readonly string[],
+): ConfigError {
+  return {
+    layer: Layer.CONFIG,
+    kind: ConfigErrorKind.UNKNOWN_SITE,
+    detail: `no overlay for site "${site}"; there is ${known.join(', ')}`,
+    problems: [],
+  };
+}
--- /dev/null
+++ b/src/core/config/index.ts
@@ -0,0 +1,7 @@
+/** The configuration of a deployment: merged, checked and resolved. */
+export * from './check-deployment.js';
+export * from './consts.js';
+export * from './merge-overlay.js';
+export * from './resolve-site-config.js';
+export * from './stored-config.js';
+export * from './types.js';
--- /dev/null
+++ b/src/core/config/merge-overlay.ts
@@ -0,0 +1,21 @@
+import {createNode, mergeNodes, resolvePlain} from '../yaml-check/index.js';
+
+/** Plain values have no position. */
+const NOWHERE = {file: '', line: 0, column: 0};
+
+/**
+ * Lays an overlay over a base: maps merge deep, scalars and lists replace, and
+ * null removes a key. An empty overlay changes nothing.
+ *
+ * @example
+ * mergeOverlay({base: {a: 1, b: {c: 2}}, overlay: {a: null, b: {d: 3}}});
+ * // {b: {c: 2, d: 3}}
+ */
+export function mergeOverlay(options: {
+  base: unknown;
+  overlay: unknown;
+}): unknown {
+  const base = createNode({value: options.base, position: NOWHERE});
+  const overlay = createNode({value: options.overlay, position: NOWHERE});
+  return resolvePlain(mergeNodes({base, overlay}));
+}
--- a/src/core/config/types.ts
+++ b/src/core/config/types.ts
@@ -1,4 +1,6 @@
 /** The accepted configuration of a deployment. */
+import type {Layer, LayerError} from '../errors/index.js';
+import type {Problem} from '../yaml-check/index.js';
 
 /** What a deployment weighs when it recovers from a loss. */
 export enum Weigh {
@@ -89,3 +91,25 @@
   readonly version: number;
   readonly document: ConfigDocument;
 }
+
+/** What the platform holds as the accepted configuration. */
+export interface StoredConfig {
+  /** Identifies one write, so that a lost answer is settled by reading. */
+  readonly nonce: string;
+  /** Who accepted the document. */
+  readonly operator: string;
+  readonly document: ConfigDocument;
+}
+
+/** Why a configuration cannot be used. */
+export enum ConfigErrorKind {
+  /** It has problems. */
+  INVALID = 'invalid',
+  /** It has no overlay for the site. */
+  UNKNOWN_SITE = 'unknown_site',
+}
+
+/** An error of the configuration layer. */
+export interface ConfigError extends LayerError<Layer.CONFIG, ConfigErrorKind> {
+  readonly problems: readonly Problem[];
+}
--- a/src/core/settings/types.ts
+++ b/src/core/settings/types.ts
@@ -1,4 +1,6 @@
 /** Settings of one process, read at its start. */
+import type {Layer, LayerError} from '../errors/index.js';
+import type {Problem} from '../yaml-check/index.js';
 
 /** Which part a process plays. */
 export enum ProcessRole {
@@ -49,3 +51,19 @@
   /** The target; an agent only. */
   readonly target?: TargetSettings;
 }
+
+/** Why settings cannot be used. */
+export enum SettingsErrorKind {
+  /** A file cannot be read. */
+  UNREADABLE = 'unreadable',
+  /** They have problems. */
+  INVALID = 'invalid',
+}
+
+/** An error of the settings layer. */
+export interface SettingsError extends LayerError<
+  Layer.SETTINGS,
+  SettingsErrorKind
+> {
+  readonly problems: readonly Problem[];
+}
--- /dev/null
+++ b/src/core/yaml-check/format.ts
@@ -0,0 +1,70 @@
+import type {
+  PathSegment,
+  Problem,
+  SourceNode,
+  SourcePosition,
+} from './types.js';
+import {NodeKind} from './types.js';
+
+/** Longest scalar that a problem quotes, in characters. */
+const QUOTE_LENGTH = 60;
+
+/** Joins path segments as problems show them. */
+export function formatPath(path: readonly PathSegment[]): string {
+  return path.join('.');
+}
+
+/** Describes a node as the `found` part of a problem. */
+export function describeNode(node: SourceNode): string {
+  switch (node.kind) {
+    case NodeKind.MAP:
+      return 'a map';
+    case NodeKind.LIST:
+      return 'a list';
+    case NodeKind.SCALAR:
+      return describeScalar(node.value);
+  }
+}
+
+function describeScalar(value: string | number | boolean | null): string {
+  if (typeof value !== 'string') {
+    return String(value);
+  }
+  const cut = value.length > QUOTE_LENGTH;
+  const shown = cut ? `${value.slice(0, QUOTE_LENGTH)}…` : value;
+  return JSON.stringify(shown);
+}
+
+/** Builds a problem from its position and path. */
+export function createProblem(options: {
+  position: SourcePosition;
+  path: readonly PathSegment[];
+  expected: string;
+  found: string;
+}): Problem {
+  const {position, path, expected, found} = options;
+  const {file, line, column} = position;
+  return {file, line, column, path: formatPath(path), expected, found};
+}
+
+/**
+ * Writes a problem on one line.
+ *
+ * @example
+ * formatProblem(problem);
+ * // base.yaml:4:11 limits.maxTokens: expected an integer, found "many"
+ */
+export function formatProblem(problem: Problem): string {
+  const {file, line, column, path, expected, found} = problem;
+  const where = `${file}:${line}:${column}`;
+  const at = path === '' ? where : `${where} ${path}`;
+  return `${at}: expected ${expected}, found ${found}`;
+}
+
+/** Drops problems that were met more than once. */
+export function uniqueProblems(problems: readonly Problem[]): Problem[] {
+  const byText = new Map(
+    problems.map((problem) => [formatProblem(problem), problem]),
+  );
+  return [...byText.values()];
+}
--- /dev/null
+++ b/src/core/yaml-check/schemas/index.ts
@@ -0,0 +1,5 @@
+/** Schemas by kind of value. */
+export * from './list-schema.js';
+export * from './named-map-schema.js';
+export * from './object-schema.js';
+export * from './scalar-schemas.js';
--- /dev/null
+++ b/src/core/yaml-check/schemas/object-schema.ts
@@ -0,0 +1,125 @@
+import {createProblem} from '../format.js';
+import {resolveNearestKey} from '../nearest-key.js';
+import {resolvePosition} from '../nodes.js';
+import type {
+  CheckContext,
+  MapNode,
+  RuleContext,
+  Schema,
+  SourceNode,
+} from '../types.js';
+import {NodeKind} from '../types.js';
+import {createRuleContext, reportMismatch} from './report.js';
+
+/** A field of an object. */
+export interface Field<T> {
+  readonly schema: Schema<T>;
+  readonly isRequired: boolean;
+  /** Value of a field that is absent. */
+  readonly fallback?: T;
+}
+
+/** Fields by key. */
+export type Fields<T> = {readonly [K in keyof T]-?: Field<T[K]>};
+
+/**
+ * A rule over the fields of an object. Fields that are absent or faulty are
+ * undefined.
+ */
+export type ObjectRule<T> = (value: Partial<T>, ctx: RuleContext) => void;
+
+/** Declares a field that must be there. */
+export function requiredField<T>(schema: Schema<T>): Field<T> {
+  return {schema, isRequired: true};
+}
+
+/** Declares a field that may be absent. */
+export function optionalField<T>(schema: Schema<T>): Field<T | undefined> {
+  return {schema, isRequired: false};
+}
+
+/** Declares a field that has a value where it is absent. */
+export function defaultField<T>(
+  schema: Schema<T>,
+  fallback: NoInfer<T>,
+): Field<T> {
+  return {schema, isRequired: false, fallback};
+}
+
+/**
+ * Accepts maps with known keys.
+ *
+ * @example
+ * const schema = new ObjectSchema<{port: number}>({
+ *   fields: {port: requiredField(new IntegerSchema({min: 0, max: 65535}))},
+ * });
+ */
+export class ObjectSchema<T extends object> implements Schema<T> {
+  readonly description = 'a map';
+  private readonly fields: Fields<T>;
+  private readonly rules: readonly ObjectRule<T>[];
+
+  constructor(options: {fields: Fields<T>; rules?: readonly ObjectRule<T>[]}) {
+    this.fields = options.fields;
+    this.rules = options.rules ?? [];
+  }
+
+  check(node: SourceNode, ctx: CheckContext): T | undefined {
+    if (node.kind !== NodeKind.MAP) {
+      return reportMismatch(node, ctx, this.description);
+    }
+    const before = ctx.problems.length;
+    this.checkKeys(node, ctx);
+    const value = this.checkFields(node, ctx);
+    this.rules.forEach((rule) => rule(value, createRuleContext(node, ctx)));
+    return ctx.problems.length === before ? (value as T) : undefined;
+  }
+
+  private checkKeys(node: MapNode, ctx: CheckContext): void {
+    const known = Object.keys(this.fields);
+    for (const [key, {keyPosition}] of node.entries) {
+      if (known.includes(key)) {
+        continue;
+      }
+      const expected = resolveNearestKey(key, known)
+        .map((nearest) => `a known key (did you mean "${nearest}"?)`)
+        .orDefault(`a known key (${known.join(', ')})`);
+      const path = [...ctx.path, key];
+      const found = `unknown key ${JSON.stringify(key)}`;
+      ctx.problems.push(
+        createProblem({position: keyPosition, path, expected, found}),
+      );
+    }
+  }
+
+  private checkFields(node: MapNode, ctx: CheckContext): Partial<T> {
+    const value: Partial<T> = {};
+    for (const key of Object.keys(this.fields) as (keyof T & string)[]) {
+      const checked = this.checkField(key, node, ctx);
+      if (checked !== undefined) {
+        value[key] = checked;
+      }
+    }
+    return value;
+  }
+
+  private checkField<K extends keyof T & string>(
+    key: K,
+    node: MapNode,
+    ctx: CheckContext,
+  ): T[K] | undefined {
+    const field = this.fields[key];
+    const entry = node.entries.get(key);
+    const path = [...ctx.path, key];
+    if (entry !== undefined) {
+      return field.schema.check(entry.node, {...ctx, path});
+    }
+    if (field.isRequired) {
+      const position = resolvePosition(node, [key]);
+      const expected = field.schema.description;
+      const found = 'nothing';
+      ctx.problems.push(createProblem({position, path, expected, found}));
+    }
+    return field.fallback;
+  }
+}
--- /dev/null
+++ b/src/core/yaml-check/schemas/report.ts
@@ -0,0 +1,31 @@
+import {createProblem, describeNode} from '../format.js';
+import {resolvePosition} from '../nodes.js';
+import type {CheckContext, RuleContext, SourceNode} from '../types.js';
+import {NodeKind} from '../types.js';
+
+/** Reports that a node is not what its schema expects. */
+export function reportMismatch(
+  node: SourceNode,
+  ctx: CheckContext,
+  expected: string,
+): undefined {
+  const {path} = ctx;
+  const found = describeNode(node);
+  const {position} = node;
+  ctx.problems.push(createProblem({position, path, expected, found}));
+}
+
+/** Returns the context in which the rules of a node report. */
+export function createRuleContext(
+  node: SourceNode,
+  ctx: CheckContext,
+): RuleContext {
+  return {
+    isPresent: (key) => node.kind === NodeKind.MAP && node.entries.has(key),
+    report: ({path, expected, found}) => {
+      const position = resolvePosition(node, path);
+      const full = [...ctx.path, ...path];
+      ctx.problems.push(createProblem({position, path: full, expected, found}));
+    },
+  };
+}
