--- /dev/null
+++ b/src/adapters/callers/answer-stream.ts
@@ -0,0 +1,109 @@
+/** Turns an answer into server-sent events or into one document. */
+import type {Context} from 'hono';
+import {stream} from 'hono/streaming';
+
+import type {AnswerPart, AnswerReader} from '../../core/edges/index.js';
+import {AnswerPartKind} from '../../core/edges/index.js';
+import {createProblem, createProblemResponse} from './problem.js';
+import type {CompletionWriter} from './completion-writer.js';
+
+const EVENT_STREAM = 'text/event-stream; charset=utf-8';
+
+interface EventFields {
+  readonly event?: string;
+  readonly id?: string;
+  readonly data: string;
+}
+
+/** How an answer is written. */
+export interface AnswerOptions {
+  readonly ctx: Context;
+  readonly reader: AnswerReader;
+  readonly writer: CompletionWriter;
+  readonly includeUsage: boolean;
+}
+
+/** Answers with events, one for each part; a refusal at once is a problem. */
+export async function streamAnswer(options: AnswerOptions): Promise<Response> {
+  const {ctx, reader} = options;
+  const signal = ctx.req.raw.signal;
+  signal.addEventListener('abort', () => reader.close());
+  const first = await reader.next();
+  if (first.kind === AnswerPartKind.REFUSED) {
+    reader.close();
+    return createProblemResponse(first.refusal);
+  }
+  ctx.header('content-type', EVENT_STREAM);
+  ctx.header('cache-control', 'no-store');
+  return stream(ctx, async (out) => {
+    out.onAbort(() => reader.close());
+    if (reader.restarted) {
+      const data = JSON.stringify({discard: true});
+      await out.write(formatEvent({event: 'restart', data}));
+    }
+    let part: AnswerPart = first;
+    while (!out.aborted) {
+      await out.write(formatPart(part, options));
+      if (part.kind !== AnswerPartKind.TOKENS) break;
+      part = await reader.next();
+    }
+    reader.close();
+  });
+}
+
+/** Answers with one document once the answer is whole. */
+export async function sendAnswer(options: AnswerOptions): Promise<Response> {
+  const {ctx, reader, writer} = options;
+  ctx.req.raw.signal.addEventListener('abort', () => reader.close());
+  let text = '';
+  for (;;) {
+    const part = await reader.next();
+    if (part.kind === AnswerPartKind.TOKENS) {
+      text += textOf(part);
+      continue;
+    }
+    reader.close();
+    if (part.kind === AnswerPartKind.REFUSED) {
+      return createProblemResponse(part.refusal);
+    }
+    const {finishReason: reason, completionTokens} = part;
+    const usage = {completionTokens};
+    return ctx.json(writer.whole({text, reason, usage}) as object);
+  }
+}
+
+function formatPart(part: AnswerPart, options: AnswerOptions): string {
+  const {writer, includeUsage} = options;
+  switch (part.kind) {
+    case AnswerPartKind.TOKENS: {
+      const data = JSON.stringify(writer.delta(textOf(part)));
+      return formatEvent({id: part.eventId, data});
+    }
+    case AnswerPartKind.FINISHED: {
+      const {eventId, finishReason, completionTokens} = part;
+      const end = JSON.stringify(writer.end(finishReason));
+      const events = [formatEvent({id: eventId, data: end})];
+      if (includeUsage) {
+        const usage = writer.usage({completionTokens});
+        events.push(formatEvent({data: JSON.stringify(usage)}));
+      }
+      events.push(formatEvent({data: '[DONE]'}));
+      return events.join('');
+    }
+    case AnswerPartKind.REFUSED: {
+      const data = JSON.stringify(createProblem(part.refusal));
+      return formatEvent({event: 'error', data});
+    }
+  }
+}
+
+function textOf(part: AnswerPart): string {
+  if (part.kind !== AnswerPartKind.TOKENS) return '';
+  return part.tokens.map((token) => token.text).join('');
+}
+
+function formatEvent({event, id, data}: EventFields): string {
+  const eventLine = event === undefined ? '' : `event: ${event}\n`;
+  const idLine = id === undefined ? '' : `id: ${id}\n`;
+  return `${eventLine}${idLine}data: ${data}\n\n`;
+}
--- /dev/null
+++ b/src/adapters/callers/completion-codec.ts
@@ -0,0 +1,131 @@
+/** Bodies of completion requests, checked and turned into specs. */
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {GetType} from 'purify-ts';
+import {
+  array,
+  boolean,
+  Codec,
+  nullType,
+  number,
+  oneOf,
+  optional,
+  string,
+} from 'purify-ts';
+
+import type {GenerationSpec} from '../../core/edges/index.js';
+import type {Refusal} from '../../core/errors/index.js';
+import {Ran, RefusalReason} from '../../core/errors/index.js';
+
+const DEFAULT_MAX_TOKENS = 256;
+const DEFAULT_TEMPERATURE = 1;
+const MAX_STOP_STRINGS = 4;
+
+const STREAM_OPTIONS = Codec.interface({include_usage: optional(boolean)});
+
+const SHARED_FIELDS = {
+  model: string,
+  max_tokens: optional(oneOf([number, nullType])),
+  stop: optional(oneOf([string, array(string), nullType])),
+  stream: optional(oneOf([boolean, nullType])),
+  stream_options: optional(oneOf([STREAM_OPTIONS, nullType])),
+  temperature: optional(oneOf([number, nullType])),
+  n: optional(oneOf([number, nullType])),
+};
+
+const COMPLETION_BODY = Codec.interface({...SHARED_FIELDS, prompt: string});
+
+const CHAT_MESSAGE = Codec.interface({role: string, content: string});
+
+const CHAT_BODY = Codec.interface({
+  ...SHARED_FIELDS,
+  max_completion_tokens: optional(oneOf([number, nullType])),
+  messages: array(CHAT_MESSAGE),
+});
+
+type SharedBody = Omit<GetType<typeof COMPLETION_BODY>, 'prompt'>;
+
+/** What a completion request asks for. */
+export interface CompletionAsk {
+  readonly spec: GenerationSpec;
+  readonly stream: boolean;
+  readonly includeUsage: boolean;
+}
+
+/**
+ * Reads the body of `POST /v1/completions`.
+ *
+ * @example
+ * decodeCompletion({model: 'quote-writer', prompt: 'Pallets to Łódź'});
+ */
+export function decodeCompletion(
+  body: unknown,
+): Result<CompletionAsk, Refusal> {
+  return COMPLETION_BODY.decode(body).caseOf<Result<CompletionAsk, Refusal>>({
+    Left: (detail) => err(badRequest(detail)),
+    Right: (fields) => createAsk(fields, fields.prompt, fields.max_tokens),
+  });
+}
+
+/**
+ * Reads the body of `POST /v1/chat/completions`.
+ *
+ * @example
+ * decodeChat({model: 'm', messages: [{role: 'user', content: 'hoops?'}]});
+ */
+export function decodeChat(body: unknown): Result<CompletionAsk, Refusal> {
+  return CHAT_BODY.decode(body).caseOf<Result<CompletionAsk, Refusal>>({
+    Left: (detail) => err(badRequest(detail)),
+    Right: (fields) => {
+      const maxTokens = fields.max_completion_tokens ?? fields.max_tokens;
+      return createAsk(fields, renderChat(fields.messages), maxTokens);
+    },
+  });
+}
+
+/** Renders a conversation as the prompt that engines take. */
+export function renderChat(
+  messages: ReadonlyArray<GetType<typeof CHAT_MESSAGE>>,
+): string {
+  const lines = messages.map(({role, content}) => `${role}: ${content}\n`);
+  return `${lines.join('')}assistant:`;
+}
+
+function createAsk(
+  fields: SharedBody,
+  prompt: string,
+  asked: number | null | undefined,
+): Result<CompletionAsk, Refusal> {
+  const maxTokens = asked ?? DEFAULT_MAX_TOKENS;
+  const stop = stopStrings(fields.stop);
+  if (!Number.isInteger(maxTokens) || maxTokens < 1) {
+    return err(badRequest('max_tokens is a whole number of at least 1'));
+  }
+  if ((fields.n ?? 1) !== 1) return err(badRequest('n is 1'));
+  if (stop.length > MAX_STOP_STRINGS || stop.includes('')) {
+    const detail = `stop holds up to ${MAX_STOP_STRINGS} non-empty strings`;
+    return err(badRequest(detail));
+  }
+  const spec = {
+    model: fields.model,
+    prompt,
+    maxTokens,
+    stop,
+    temperature: fields.temperature ?? DEFAULT_TEMPERATURE,
+    priority: 0,
+  };
+  return ok({
+    spec,
+    stream: fields.stream ?? false,
+    includeUsage: fields.stream_options?.include_usage ?? false,
+  });
+}
+
+function stopStrings(stop: string | string[] | null | undefined): string[] {
+  if (stop == null) return [];
+  return typeof stop === 'string' ? [stop] : stop;
+}
+
+function badRequest(detail: string): Refusal {
+  return {reason: RefusalReason.BAD_REQUEST, ran: Ran.NO, detail};
+}
--- /dev/null
+++ b/src/adapters/callers/completion-writer.ts
@@ -0,0 +1,109 @@
+/** Answers in the shape of OpenAI completions, as events or whole. */
+import type {FinishReason} from '../../core/edges/index.js';
+
+const MS_PER_SECOND = 1_000;
+
+/** Tokens that an answer took. */
+export interface Usage {
+  readonly completionTokens: number;
+}
+
+/** Writes one answer in the shape of its endpoint. */
+export interface CompletionWriter {
+  /** A piece of text, as the data of one event. */
+  delta(text: string): unknown;
+  /** The end, as the data of one event. */
+  end(reason: FinishReason): unknown;
+  /** The usage, as the data of one event. */
+  usage(usage: Usage): unknown;
+  /** The whole answer. */
+  whole(options: {text: string; reason: FinishReason; usage: Usage}): unknown;
+}
+
+/** What every object of one answer carries. */
+export interface AnswerHead {
+  readonly requestId: string;
+  readonly model: string;
+  readonly createdMs: number;
+}
+
+/** Shape of `/v1/completions`. */
+export class TextCompletionWriter implements CompletionWriter {
+  constructor(private readonly head: AnswerHead) {}
+
+  delta(text: string): unknown {
+    return {...this.fields(), choices: [createTextChoice(text, null)]};
+  }
+
+  end(reason: FinishReason): unknown {
+    return {...this.fields(), choices: [createTextChoice('', reason)]};
+  }
+
+  usage(usage: Usage): unknown {
+    return {...this.fields(), choices: [], usage: createUsage(usage)};
+  }
+
+  whole(options: {text: string; reason: FinishReason; usage: Usage}): unknown {
+    return {
+      ...this.fields(),
+      choices: [createTextChoice(options.text, options.reason)],
+      usage: createUsage(options.usage),
+    };
+  }
+
+  private fields() {
+    const {requestId, model, createdMs} = this.head;
+    const created = Math.floor(createdMs / MS_PER_SECOND);
+    return {id: `cmpl-${requestId}`, object: 'text_completion', created, model};
+  }
+}
+
+/** Shape of `/v1/chat/completions`. */
+export class ChatCompletionWriter implements CompletionWriter {
+  constructor(private readonly head: AnswerHead) {}
+
+  delta(text: string): unknown {
+    const delta = {role: 'assistant', content: text};
+    return this.chunk([{index: 0, delta, finish_reason: null}]);
+  }
+
+  end(reason: FinishReason): unknown {
+    return this.chunk([{index: 0, delta: {}, finish_reason: reason}]);
+  }
+
+  usage(usage: Usage): unknown {
+    return {...this.chunk([]), usage: createUsage(usage)};
+  }
+
+  whole(options: {text: string; reason: FinishReason; usage: Usage}): unknown {
+    const {text, reason, usage} = options;
+    const message = {role: 'assistant', content: text};
+    return {
+      ...this.fields('chat.completion'),
+      choices: [{index: 0, message, finish_reason: reason}],
+      usage: createUsage(usage),
+    };
+  }
+
+  private chunk(choices: readonly unknown[]) {
+    return {...this.fields('chat.completion.chunk'), choices};
+  }
+
+  private fields(object: string) {
+    const {requestId, model, createdMs} = this.head;
+    const created = Math.floor(createdMs / MS_PER_SECOND);
+    return {id: `chatcmpl-${requestId}`, object, created, model};
+  }
+}
+
+function createTextChoice(text: string, reason: FinishReason | null) {
+  return {index: 0, text, logprobs: null, finish_reason: reason};
+}
+
+function createUsage({completionTokens}: Usage) {
+  return {
+    prompt_tokens: 0,
+    completion_tokens: completionTokens,
+    total_tokens: completionTokens,
+  };
+}
--- /dev/null
+++ b/src/adapters/callers/read-body.ts
@@ -0,0 +1,81 @@
+/** Reads request bodies within the limits of size and time. */
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+
+import type {LimitsConfig} from '../../core/config/types.js';
+import type {Refusal} from '../../core/errors/index.js';
+import {Ran, RefusalReason} from '../../core/errors/index.js';
+
+/**
+ * Reads a whole body, or refuses it as too large or too slow.
+ *
+ * @example
+ * const body = await readBody({req, limits});
+ */
+export async function readBody(options: {
+  req: Request;
+  limits: LimitsConfig;
+}): Promise<Result<Uint8Array, Refusal>> {
+  const {req, limits} = options;
+  const declared = Number(req.headers.get('content-length') ?? 0);
+  if (declared > limits.bodyBytes) return err(tooLarge(limits));
+  const reader = req.body?.getReader();
+  if (reader === undefined) return ok(new Uint8Array());
+  const expiry = createExpiry(limits.bodyTimeoutMs);
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  try {
+    for (;;) {
+      const step = await Promise.race([reader.read(), expiry.expired]);
+      if (step === undefined) return err(tooSlow(limits));
+      if (step.done) return ok(Buffer.concat(chunks));
+      const chunk = step.value as Uint8Array;
+      size += chunk.length;
+      if (size > limits.bodyBytes) return err(tooLarge(limits));
+      chunks.push(chunk);
+    }
+  } catch {
+    return err(refuse(RefusalReason.BAD_REQUEST, 'the body broke off'));
+  } finally {
+    expiry.cancel();
+  }
+}
+
+/** Reads a body as JSON. */
+export async function readJson(options: {
+  req: Request;
+  limits: LimitsConfig;
+}): Promise<Result<unknown, Refusal>> {
+  const body = await readBody(options);
+  return body.andThen(parseJson);
+}
+
+function parseJson(body: Uint8Array): Result<unknown, Refusal> {
+  try {
+    return ok(JSON.parse(Buffer.from(body).toString('utf8')) as unknown);
+  } catch {
+    return err(refuse(RefusalReason.BAD_REQUEST, 'the body is not JSON'));
+  }
+}
+
+function createExpiry(timeoutMs: number) {
+  let timer: NodeJS.Timeout | undefined;
+  const expired = new Promise<undefined>((resolve) => {
+    timer = setTimeout(() => resolve(undefined), timeoutMs);
+  });
+  return {expired, cancel: () => clearTimeout(timer)};
+}
+
+function tooLarge(limits: LimitsConfig): Refusal {
+  const detail = `a body is at most ${limits.bodyBytes} bytes`;
+  return refuse(RefusalReason.BODY_TOO_LARGE, detail);
+}
+
+function tooSlow(limits: LimitsConfig): Refusal {
+  const detail = `a body is sent within ${limits.bodyTimeoutMs} ms`;
+  return refuse(RefusalReason.BODY_TOO_SLOW, detail);
+}
+
+function refuse(reason: RefusalReason, detail: string): Refusal {
+  return {reason, ran: Ran.NO, detail};
+}
--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -113,7 +113,8 @@
 
 async function exchange(options: HttpCallOptions): Promise<HttpAnswer> {
   const {dispatcher, url, method, body, timeoutMs} = options;
-  const signal = AbortSignal.timeout(timeoutMs);
+  // A signal's time is whole milliseconds; a fraction would throw.
+  const signal = AbortSignal.timeout(Math.ceil(timeoutMs));
   const headers = options.headers.flatMap(({name, value}) => [name, value]);
   const settings = {dispatcher, method, headers, body, signal};
   const res = await request(url, settings as Parameters<typeof request>[1]);
--- /dev/null
+++ b/src/adapters/http-callers.ts
@@ -0,0 +1,190 @@
+/** The callers' edge: OpenAI-style completions and plain services. */
+import type {Context} from 'hono';
+import {Hono} from 'hono';
+import type {Result} from 'neverthrow';
+
+import type {CallerHandler, HeaderField} from '../core/edges/index.js';
+import type {Refusal} from '../core/errors/index.js';
+import {Ran, RefusalReason} from '../core/errors/index.js';
+import {sendAnswer, streamAnswer} from './callers/answer-stream.js';
+import type {CompletionAsk} from './callers/completion-codec.js';
+import {decodeChat, decodeCompletion} from './callers/completion-codec.js';
+import type {
+  AnswerHead,
+  CompletionWriter,
+} from './callers/completion-writer.js';
+import {
+  ChatCompletionWriter,
+  TextCompletionWriter,
+} from './callers/completion-writer.js';
+import {createProblemResponse} from './callers/problem.js';
+import {readBody, readJson} from './callers/read-body.js';
+
+/** Header with the time allowed for the whole answer, in milliseconds. */
+export const DEADLINE_HEADER = 'x-deadline-ms';
+
+const BEARER_PREFIX = 'Bearer ';
+const MAX_DEADLINE_MS = 24 * 60 * 60 * 1_000;
+
+/** Headers that stay on one hop or that the system itself uses. */
+const DROPPED_HEADERS = new Set([
+  'authorization',
+  'connection',
+  'content-length',
+  'expect',
+  'host',
+  'keep-alive',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  DEADLINE_HEADER,
+]);
+
+interface Endpoint {
+  decode(body: unknown): Result<CompletionAsk, Refusal>;
+  createWriter(head: AnswerHead): CompletionWriter;
+}
+
+const COMPLETIONS: Endpoint = {
+  decode: decodeCompletion,
+  createWriter: (head) => new TextCompletionWriter(head),
+};
+
+const CHAT: Endpoint = {
+  decode: decodeChat,
+  createWriter: (head) => new ChatCompletionWriter(head),
+};
+
+/**
+ * Creates the callers' HTTP application.
+ *
+ * @example
+ * serve({fetch: createCallersApp({handler}).fetch, port: 8080});
+ */
+export function createCallersApp(options: {handler: CallerHandler}): Hono {
+  const {handler} = options;
+  const app = new Hono();
+  app.post('/v1/completions', (ctx) => complete(ctx, handler, COMPLETIONS));
+  app.post('/v1/chat/completions', (ctx) => complete(ctx, handler, CHAT));
+  app.all('/services/:service/*', (ctx) => callService(ctx, handler));
+  app.notFound((ctx) => {
+    const detail = `nothing is served under ${ctx.req.path}`;
+    return refuse(handler, RefusalReason.UNKNOWN_SERVICE, detail);
+  });
+  return app;
+}
+
+async function complete(
+  ctx: Context,
+  handler: CallerHandler,
+  endpoint: Endpoint,
+): Promise<Response> {
+  const limits = handler.limits();
+  const body = await readJson({req: ctx.req.raw, limits});
+  const ask = body.andThen((value) => endpoint.decode(value));
+  if (ask.isErr()) return sendRefusal(handler, ask.error);
+  const deadlineMs = readDeadline(ctx);
+  if (Number.isNaN(deadlineMs)) return badDeadline(handler);
+  const {spec, stream, includeUsage} = ask.value;
+  const answer = await handler.generate({
+    bearer: readBearer(ctx),
+    spec,
+    deadlineMs,
+    lastEventId: ctx.req.header('last-event-id') ?? '',
+  });
+  if (answer.isErr()) return createProblemResponse(answer.error);
+  const reader = answer.value;
+  const writer = endpoint.createWriter({
+    requestId: reader.requestId,
+    model: spec.model,
+    createdMs: Date.now(),
+  });
+  const parts = {ctx, reader, writer, includeUsage};
+  return stream ? streamAnswer(parts) : sendAnswer(parts);
+}
+
+async function callService(
+  ctx: Context,
+  handler: CallerHandler,
+): Promise<Response> {
+  const limits = handler.limits();
+  const body = await readBody({req: ctx.req.raw, limits});
+  if (body.isErr()) return sendRefusal(handler, body.error);
+  const deadlineMs = readDeadline(ctx);
+  if (Number.isNaN(deadlineMs)) return badDeadline(handler);
+  const service = ctx.req.param('service') ?? '';
+  const answer = await handler.call({
+    bearer: readBearer(ctx),
+    service,
+    method: ctx.req.method,
+    path: servicePath(ctx, service),
+    headers: forwardedHeaders(ctx),
+    body: body.value,
+    idempotencyKey: ctx.req.header('idempotency-key') ?? '',
+    deadlineMs,
+  });
+  return answer.match(
+    (res) =>
+      new Response(hasBody(res.status) ? Buffer.from(res.body) : null, {
+        status: res.status,
+        headers: res.headers
+          .filter(({name}) => !DROPPED_HEADERS.has(name.toLowerCase()))
+          .map(({name, value}): [string, string] => [name, value]),
+      }),
+    (refusal) => createProblemResponse(refusal),
+  );
+}
+
+function hasBody(status: number): boolean {
+  return status !== 204 && status !== 304;
+}
+
+function servicePath(ctx: Context, service: string): string {
+  const url = new URL(ctx.req.url);
+  const prefix = `/services/${encodeURIComponent(service)}`;
+  return url.pathname.slice(prefix.length) + url.search;
+}
+
+function forwardedHeaders(ctx: Context): HeaderField[] {
+  const fields: HeaderField[] = [];
+  ctx.req.raw.headers.forEach((value, name) => {
+    if (!DROPPED_HEADERS.has(name)) fields.push({name, value});
+  });
+  return fields;
+}
+
+function readBearer(ctx: Context): string {
+  const value = ctx.req.header('authorization') ?? '';
+  return value.startsWith(BEARER_PREFIX)
+    ? value.slice(BEARER_PREFIX.length)
+    : '';
+}
+
+/** The deadline header's value; NaN where it is malformed. */
+function readDeadline(ctx: Context): number | undefined {
+  const text = ctx.req.header(DEADLINE_HEADER);
+  if (text === undefined) return undefined;
+  const value = Number(text);
+  const valid = Number.isInteger(value) && value > 0;
+  return valid && value <= MAX_DEADLINE_MS ? value : Number.NaN;
+}
+
+function badDeadline(handler: CallerHandler): Response {
+  const detail = `${DEADLINE_HEADER} is a number of milliseconds`;
+  return refuse(handler, RefusalReason.BAD_REQUEST, detail);
+}
+
+function refuse(
+  handler: CallerHandler,
+  reason: RefusalReason,
+  detail: string,
+): Response {
+  return sendRefusal(handler, {reason, ran: Ran.NO, detail});
+}
+
+function sendRefusal(handler: CallerHandler, refusal: Refusal): Response {
+  handler.countRefusal(refusal);
+  return createProblemResponse(refusal);
+}
--- /dev/null
+++ b/src/agent/agent-process.ts
@@ -0,0 +1,195 @@
+/** The agent role: one process beside each target. */
+import type {ResultAsync} from 'neverthrow';
+
+import type {Clock, RandomSource} from '../core/clock/index.js';
+import type {
+  EngineDriver,
+  OperatorHandler,
+  ProcessStatus,
+  ServiceDriver,
+} from '../core/edges/index.js';
+import type {Logger} from '../core/logs/index.js';
+import type {Metrics} from '../core/metrics/index.js';
+import type {HelloMessage, TransportError} from '../core/protocol/index.js';
+import {
+  MessageType,
+  PeerRole,
+  PeerServer,
+  PROTOCOL_VERSION,
+} from '../core/protocol/index.js';
+import type {DaemonSettings} from '../core/settings/types.js';
+import {AgentBoard} from './agent-board.js';
+import {AttemptTable} from './attempt-table.js';
+import {CallRunner} from './call-runner.js';
+import {DRAIN_POLL_MS, MAX_KEYS} from './consts.js';
+import type {TargetProbe} from './engine-monitor.js';
+import {EngineMonitor} from './engine-monitor.js';
+import type {SessionParts} from './entry-session.js';
+import {EntrySession} from './entry-session.js';
+import {KeyTable} from './key-table.js';
+
+/** The target's driver: an engine or a plain service. */
+export interface TargetDrivers {
+  readonly engine?: EngineDriver;
+  readonly service?: ServiceDriver;
+}
+
+/** What an agent is built of. */
+export interface AgentOptions {
+  readonly settings: DaemonSettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly drivers: TargetDrivers;
+  /** Called once a drain has ended and all work is done. */
+  readonly onDrained: () => void;
+}
+
+/** Ties the agent's controllers to its board. */
+export class AgentProcess implements OperatorHandler {
+  private readonly board = new AgentBoard();
+  private readonly incarnation: string;
+  private readonly attempts: AttemptTable | undefined;
+  private readonly calls: CallRunner | undefined;
+  private readonly monitor: EngineMonitor;
+  private readonly server: PeerServer;
+
+  constructor(private readonly options: AgentOptions) {
+    this.incarnation = options.random.id();
+    this.attempts = this.createAttempts();
+    this.calls = this.createCalls();
+    this.monitor = new EngineMonitor({
+      board: this.board,
+      clock: options.clock,
+      probe: createProbe(options.drivers),
+      logger: options.logger,
+    });
+    this.server = this.createServer();
+  }
+
+  /** Listens for entries and returns the port. */
+  start(): ResultAsync<number, TransportError> {
+    this.monitor.open();
+    this.attempts?.open();
+    return this.server.listen(this.options.settings.peers);
+  }
+
+  stop(): void {
+    this.monitor.close();
+    this.attempts?.close();
+    this.server.close();
+  }
+
+  status(): ProcessStatus {
+    const {settings} = this.options;
+    return {
+      vm: settings.vm,
+      role: settings.role,
+      dataCentre: settings.dataCentre,
+      incarnation: this.incarnation,
+      ready: this.isReady(),
+      leaving: this.board.leaving.get(),
+      configVersion: this.board.configVersion.get(),
+      configAgeMs: 0,
+      running: this.countRunning(),
+      peers: [],
+    };
+  }
+
+  isReady(): boolean {
+    return !this.board.leaving.get();
+  }
+
+  metrics(): Promise<string> {
+    return this.options.metrics.render();
+  }
+
+  drain(): void {
+    if (this.board.leaving.get()) return;
+    this.options.logger.info('leaving');
+    this.board.leaving.set(true);
+    this.awaitIdle();
+  }
+
+  private awaitIdle(): void {
+    if (this.countRunning() === 0) {
+      this.options.logger.info('drained');
+      this.options.onDrained();
+      return;
+    }
+    const run = (): void => this.awaitIdle();
+    this.options.clock.schedule({delayMs: DRAIN_POLL_MS, run});
+  }
+
+  private countRunning(): number {
+    const attempts = this.attempts?.countRunning() ?? 0;
+    return attempts + (this.calls?.countRunning() ?? 0);
+  }
+
+  private createAttempts(): AttemptTable | undefined {
+    const {clock, metrics, drivers} = this.options;
+    if (drivers.engine === undefined) return undefined;
+    return new AttemptTable({
+      board: this.board,
+      clock,
+      driver: drivers.engine,
+      metrics,
+    });
+  }
+
+  private createCalls(): CallRunner | undefined {
+    const {drivers} = this.options;
+    if (drivers.service === undefined) return undefined;
+    return new CallRunner({
+      board: this.board,
+      driver: drivers.service,
+      incarnation: this.incarnation,
+      keys: new KeyTable({capacity: MAX_KEYS}),
+    });
+  }
+
+  private createServer(): PeerServer {
+    const {clock, metrics} = this.options;
+    const parts: SessionParts = {
+      board: this.board,
+      clock,
+      metrics,
+      attempts: this.attempts,
+      calls: this.calls,
+      countRunning: () => this.countRunning(),
+    };
+    return new PeerServer({
+      hello: this.createHello(),
+      clock,
+      createListener: (connection) => new EntrySession(parts, connection),
+    });
+  }
+
+  private createHello(): HelloMessage {
+    const {vm, dataCentre} = this.options.settings;
+    return {
+      type: MessageType.HELLO,
+      protocol: PROTOCOL_VERSION,
+      role: PeerRole.AGENT,
+      vm,
+      incarnation: this.incarnation,
+      dataCentre,
+    };
+  }
+}
+
+function createProbe(drivers: TargetDrivers): TargetProbe {
+  if (drivers.engine !== undefined) return drivers.engine;
+  const {service} = drivers;
+  if (service === undefined) throw new Error('an agent needs a target');
+  return {
+    probe: (options) =>
+      service.probe(options).map((report) => ({
+        ...report,
+        waiting: 0,
+        instance: '',
+        cachedPrefixes: [],
+      })),
+  };
+}
--- /dev/null
+++ b/src/agent/attempt-reader.ts
@@ -0,0 +1,90 @@
+/** Sends one attempt's journal to one entry, from a position on. */
+import {DriverErrorKind} from '../core/edges/index.js';
+import {RetryReason} from '../core/errors/index.js';
+import {LogState} from '../core/generation/index.js';
+import type {Message, PeerConnection} from '../core/protocol/index.js';
+import {MessageType} from '../core/protocol/index.js';
+import type {Attempt} from './attempt.js';
+import {TOKENS_PER_MESSAGE} from './consts.js';
+
+/** A cursor into a journal; it sends only what the connection takes. */
+export class AttemptReader {
+  private readonly unsubscribe: () => void;
+  private flushing = false;
+  private done = false;
+
+  constructor(
+    private readonly options: {
+      attempt: Attempt;
+      connection: PeerConnection;
+      onDone: () => void;
+    },
+    private position: number,
+  ) {
+    const {attempt} = options;
+    attempt.addReader();
+    this.unsubscribe = attempt.journal.subscribe(() => this.schedule());
+    this.schedule();
+  }
+
+  /** Sends what is new, unless the connection is congested. */
+  flush(): void {
+    this.flushing = false;
+    if (this.done) return;
+    const {attempt, connection} = this.options;
+    while (this.position < attempt.journal.length) {
+      if (connection.isCongested()) return;
+      this.sendTokens();
+    }
+    if (attempt.journal.state === LogState.RUNNING) return;
+    connection.send(this.createLastMessage());
+    this.close();
+  }
+
+  /** Stops sending. */
+  close(): void {
+    if (this.done) return;
+    this.done = true;
+    this.unsubscribe();
+    this.options.attempt.removeReader();
+    this.options.onDone();
+  }
+
+  private schedule(): void {
+    if (this.flushing) return;
+    this.flushing = true;
+    setImmediate(() => this.flush());
+  }
+
+  private sendTokens(): void {
+    const {attempt, connection} = this.options;
+    const tokens = attempt.journal.slice({
+      from: this.position,
+      limit: TOKENS_PER_MESSAGE,
+    });
+    connection.send({
+      type: MessageType.TOKENS,
+      attemptId: attempt.order.attemptId,
+      position: this.position,
+      ids: tokens.map((token) => token.id),
+      texts: tokens.map((token) => token.text),
+    });
+    this.position += tokens.length;
+  }
+
+  private createLastMessage(): Message {
+    const {attempt} = this.options;
+    const attemptId = attempt.order.attemptId;
+    const {finishReason, length} = attempt.journal;
+    if (finishReason !== undefined) {
+      return {type: MessageType.END, attemptId, length, finishReason};
+    }
+    const {failure} = attempt;
+    const reason =
+      failure?.kind === DriverErrorKind.TIMEOUT
+        ? RetryReason.ENGINE_STALLED
+        : RetryReason.ENGINE_DIED;
+    const detail = failure?.detail ?? 'cancelled';
+    return {type: MessageType.FAILED, attemptId, reason, detail};
+  }
+}
--- /dev/null
+++ b/src/agent/attempt.ts
@@ -0,0 +1,68 @@
+/** One attempt at an answer, running at the engine beside this agent. */
+import type {Clock} from '../core/clock/index.js';
+import type {DriverError, EngineStream} from '../core/edges/index.js';
+import {TokenLog} from '../core/generation/index.js';
+import type {StartMessage} from '../core/protocol/index.js';
+
+/** An attempt with its journal. */
+export class Attempt {
+  /** The whole answer from position 0 on. */
+  readonly journal: TokenLog;
+  private stream: EngineStream | undefined;
+  private failureError: DriverError | undefined;
+  private readerCount = 0;
+  /** When the last reader left or the attempt ended. */
+  private unreadSinceMs: number;
+  private lastTokenMs: number;
+
+  constructor(
+    readonly order: StartMessage,
+    private readonly clock: Clock,
+  ) {
+    this.journal = new TokenLog(order.resumeFrom);
+    this.unreadSinceMs = clock.now();
+    this.lastTokenMs = clock.now();
+  }
+
+  /** Why the attempt broke; undefined while it runs or when it is whole. */
+  get failure(): DriverError | undefined {
+    return this.failureError;
+  }
+
+  get lastTokenAtMs(): number {
+    return this.lastTokenMs;
+  }
+
+  /** Time without a reader in milliseconds; 0 while there is one. */
+  unreadForMs(): number {
+    return this.readerCount > 0 ? 0 : this.clock.now() - this.unreadSinceMs;
+  }
+
+  run(stream: EngineStream): void {
+    this.stream = stream;
+  }
+
+  noteToken(): void {
+    this.lastTokenMs = this.clock.now();
+  }
+
+  fail(err: DriverError): void {
+    this.failureError = err;
+    this.stream?.cancel();
+    this.journal.break();
+  }
+
+  cancel(): void {
+    this.stream?.cancel();
+    this.journal.break();
+  }
+
+  addReader(): void {
+    this.readerCount++;
+  }
+
+  removeReader(): void {
+    this.readerCount--;
+    this.unreadSinceMs = this.clock.now();
+  }
+}
--- /dev/null
+++ b/src/agent/consts.ts
@@ -0,0 +1,32 @@
+/** A heartbeat follows this long after the last word to a busy entry. */
+export const HEARTBEAT_BUSY_MS = 100;
+
+/** A heartbeat follows this long after the last word to an idle entry. */
+export const HEARTBEAT_IDLE_MS = 1_000;
+
+/** How often the target is probed, in milliseconds. */
+export const PROBE_PERIOD_MS = 250;
+
+/** A probe without an answer in this time has failed, in milliseconds. */
+export const PROBE_TIMEOUT_MS = 250;
+
+/** Failed probes in a row after which the target counts as unresponsive. */
+export const PROBE_FAILURES_ALLOWED = 2;
+
+/** An attempt that nobody reads is cancelled after this, in milliseconds. */
+export const ORPHAN_GRACE_MS = 10_000;
+
+/** A finished journal is kept for this long, in milliseconds. */
+export const JOURNAL_RETENTION_MS = 60_000;
+
+/** How often journals are swept, in milliseconds. */
+export const SWEEP_PERIOD_MS = 1_000;
+
+/** Most tokens in one message. */
+export const TOKENS_PER_MESSAGE = 1_024;
+
+/** How often a drain looks whether all work is done, in milliseconds. */
+export const DRAIN_POLL_MS = 50;
+
+/** Keys that an agent remembers; more are refused. */
+export const MAX_KEYS = 200_000;
--- /dev/null
+++ b/src/agent/entry-session.ts
@@ -0,0 +1,179 @@
+/** One entry's connection at an agent. */
+import type {Clock, TimerHandle} from '../core/clock/index.js';
+import type {Refusal} from '../core/errors/index.js';
+import {Ran, RefusalReason} from '../core/errors/index.js';
+import {CounterName} from '../core/metrics/index.js';
+import type {Metrics} from '../core/metrics/index.js';
+import type {
+  AttachMessage,
+  ConnectionListener,
+  Message,
+  PeerConnection,
+  StartMessage,
+  TransportError,
+} from '../core/protocol/index.js';
+import {createRefused, MessageType} from '../core/protocol/index.js';
+import type {AgentBoard} from './agent-board.js';
+import type {AttemptTable} from './attempt-table.js';
+import type {Attempt} from './attempt.js';
+import {AttemptReader} from './attempt-reader.js';
+import type {CallRunner} from './call-runner.js';
+import {HEARTBEAT_BUSY_MS, HEARTBEAT_IDLE_MS} from './consts.js';
+
+/** What a session needs of its agent. */
+export interface SessionParts {
+  readonly board: AgentBoard;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  /** Present beside an engine. */
+  readonly attempts?: AttemptTable;
+  /** Present beside a plain service. */
+  readonly calls?: CallRunner;
+  countRunning(): number;
+}
+
+/** Answers one entry's messages and sends it heartbeats. */
+export class EntrySession implements ConnectionListener {
+  private readonly readers = new Map<string, AttemptReader>();
+  private readonly unsubscribes: Array<() => void> = [];
+  private pendingCalls = 0;
+  private sequence = 0;
+  private timer: TimerHandle | undefined;
+  private sentAtMs = 0;
+
+  constructor(
+    private readonly parts: SessionParts,
+    private readonly connection: () => PeerConnection,
+  ) {}
+
+  onReady(): void {
+    const {board, clock} = this.parts;
+    const beat = (): void => this.sendHeartbeat();
+    this.unsubscribes.push(board.leaving.subscribe(beat));
+    this.unsubscribes.push(board.phase.subscribe(beat));
+    this.sendHeartbeat();
+    this.timer = clock.repeat({
+      periodMs: HEARTBEAT_BUSY_MS,
+      run: () => this.beatIfDue(),
+    });
+  }
+
+  onMessage(message: Message): void {
+    switch (message.type) {
+      case MessageType.START:
+        this.handleStart(message);
+        return;
+      case MessageType.ATTACH:
+        this.handleAttach(message);
+        return;
+      case MessageType.DETACH:
+        this.readers.get(message.attemptId)?.close();
+        return;
+      case MessageType.CANCEL:
+        this.parts.attempts?.find(message.attemptId)?.cancel();
+        return;
+      case MessageType.CALL:
+        this.pendingCalls++;
+        this.parts.calls?.handleCall(message, (m) => this.respond(m));
+        return;
+      case MessageType.ASK_KEY:
+        this.pendingCalls++;
+        this.parts.calls?.handleAskKey(message, (m) => this.respond(m));
+        return;
+      default:
+        return;
+    }
+  }
+
+  onDrain(): void {
+    for (const reader of [...this.readers.values()]) reader.flush();
+  }
+
+  onClose(err: TransportError): void {
+    this.timer?.cancel();
+    for (const unsubscribe of this.unsubscribes) unsubscribe();
+    for (const reader of [...this.readers.values()]) reader.close();
+    this.parts.metrics.count(CounterName.CONNECTIONS_CLOSED, {
+      label: err.kind,
+    });
+  }
+
+  private handleStart(order: StartMessage): void {
+    const {attempts} = this.parts;
+    const refusal = attempts?.checkAdmission() ?? undefined;
+    if (attempts === undefined || refusal !== undefined) {
+      this.refuse(order.attemptId, refusal ?? noEngine());
+      return;
+    }
+    this.read(attempts.start(order), order.resumeFrom.length);
+  }
+
+  private handleAttach(attach: AttachMessage): void {
+    const attempt = this.parts.attempts?.find(attach.attemptId);
+    const known =
+      attempt?.order.clientAccount === attach.clientAccount &&
+      attempt.order.fingerprint === attach.fingerprint;
+    if (attempt === undefined || !known) {
+      const detail = 'this attempt is not known here';
+      const reason = RefusalReason.ANSWER_LOST;
+      this.refuse(attach.attemptId, {reason, ran: Ran.UNKNOWN, detail});
+      return;
+    }
+    this.read(attempt, attach.position);
+  }
+
+  private read(attempt: Attempt, position: number): void {
+    const {attemptId} = attempt.order;
+    this.readers.get(attemptId)?.close();
+    const reader = new AttemptReader(
+      {
+        attempt,
+        connection: this.connection(),
+        onDone: () => this.readers.delete(attemptId),
+      },
+      position,
+    );
+    this.readers.set(attemptId, reader);
+  }
+
+  private respond(message: Message): void {
+    this.pendingCalls--;
+    this.connection().send(message);
+  }
+
+  private refuse(id: string, refusal: Refusal): void {
+    this.connection().send(createRefused({id, refusal}));
+  }
+
+  private beatIfDue(): void {
+    const busy = this.readers.size > 0 || this.pendingCalls > 0;
+    const periodMs = busy ? HEARTBEAT_BUSY_MS : HEARTBEAT_IDLE_MS;
+    // A tick may come a little early against the period it closes.
+    const elapsedMs = this.parts.clock.now() - this.sentAtMs;
+    if (elapsedMs < periodMs - HEARTBEAT_BUSY_MS / 2) return;
+    this.sendHeartbeat();
+  }
+
+  private sendHeartbeat(): void {
+    const {board} = this.parts;
+    const report = board.report.get();
+    this.sentAtMs = this.parts.clock.now();
+    this.connection().send({
+      type: MessageType.HEARTBEAT,
+      sequence: this.sequence++,
+      phase: board.phase.get(),
+      leaving: board.leaving.get(),
+      running: this.parts.countRunning(),
+      waiting: report.waiting,
+      capacity: report.capacity,
+      targetInstance: report.instance,
+      cachedPrefixes: [...report.cachedPrefixes],
+      configVersion: board.configVersion.get(),
+    });
+  }
+}
+
+function noEngine(): Refusal {
+  const detail = 'no engine runs beside this agent';
+  return {reason: RefusalReason.NO_TARGET, ran: Ran.NO, detail};
+}
--- /dev/null
+++ b/src/core/generation/fingerprint.ts
@@ -0,0 +1,21 @@
+import {createHash} from 'node:crypto';
+
+const FINGERPRINT_CHARS = 32;
+
+/**
+ * Hashes what identifies a request's content, for one client account.
+ *
+ * @example
+ * fingerprintOf({clientAccount: 'demo', parts: ['POST', '/orders', body]});
+ */
+export function fingerprintOf(options: {
+  clientAccount: string;
+  parts: ReadonlyArray<string | Uint8Array>;
+}): string {
+  const hash = createHash('sha256');
+  for (const part of [options.clientAccount, ...options.parts]) {
+    hash.update(`${part.length}:`);
+    hash.update(part);
+  }
+  return hash.digest('hex').slice(0, FINGERPRINT_CHARS);
+}
--- /dev/null
+++ b/src/core/logs/create-logger.ts
@@ -0,0 +1,26 @@
+import winston from 'winston';
+
+import type {Logger} from './types.js';
+
+/**
+ * Creates the logger of a process; every line names the process.
+ *
+ * @example
+ * const logger = createLogger({vm: 'entry-1', role: 'entry'});
+ * logger.info('in force', {version: 12});
+ */
+export function createLogger(options: {vm: string; role: string}): Logger {
+  const {vm, role} = options;
+  const transport = new winston.transports.Console({
+    stderrLevels: ['error', 'warn', 'info'],
+  });
+  const format = winston.format.combine(
+    winston.format.timestamp(),
+    winston.format.json(),
+  );
+  return winston.createLogger({
+    defaultMeta: {vm, role},
+    format,
+    transports: [transport],
+  });
+}
--- /dev/null
+++ b/src/core/logs/silent-logger.ts
@@ -0,0 +1,8 @@
+import type {Logger} from './types.js';
+
+/** Drops every line; for tests and tools. */
+export const SILENT_LOGGER: Logger = {
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
--- /dev/null
+++ b/src/core/logs/types.ts
@@ -0,0 +1,11 @@
+/** Extra fields of a log line. */
+export interface LogFields {
+  readonly [name: string]: string | number | boolean | undefined;
+}
+
+/** Writes log lines; each tells of one change of state. */
+export interface Logger {
+  info(message: string, fields?: LogFields): void;
+  warn(message: string, fields?: LogFields): void;
+  error(message: string, fields?: LogFields): void;
+}
--- /dev/null
+++ b/src/core/metrics/types.ts
@@ -0,0 +1,24 @@
+/** Latencies that a process measures. */
+export enum LatencyName {
+  FIRST_TOKEN = 'first_token_seconds',
+  TOKEN_GAP = 'token_gap_seconds',
+  RESUME = 'resume_seconds',
+  BOOKING_CLAIM = 'booking_claim_seconds',
+  PLAIN_CALL = 'plain_call_seconds',
+}
+
+/** Counters besides those of refusals and retries. */
+export enum CounterName {
+  CONNECTIONS_CLOSED = 'connections_closed_total',
+  TOKENS_RELAYED = 'tokens_relayed_total',
+  TOKENS_DROPPED = 'tokens_dropped_total',
+  ATTEMPTS_STARTED = 'attempts_started_total',
+  ATTEMPTS_ORPHANED = 'attempts_orphaned_total',
+  STORE_CALLS = 'store_calls_total',
+  STORE_ERRORS = 'store_errors_total',
+  TARGETS_SUSPECTED = 'targets_suspected_total',
+  REQUESTS = 'requests_total',
+  HEARTBEATS = 'heartbeats_total',
+  PEER_BYTES = 'peer_bytes_total',
+  CONFIG_CHANGES = 'config_changes_total',
+}
--- a/src/core/protocol/index.ts
+++ b/src/core/protocol/index.ts
@@ -3,3 +3,7 @@
 export * from './frame-codec.js';
 export * from './messages.js';
 export * from './types.js';
+export * from './peer-client.js';
+export * from './peer-connection.js';
+export * from './peer-server.js';
+export * from './refused-message.js';
--- /dev/null
+++ b/src/core/protocol/peer-client.ts
@@ -0,0 +1,110 @@
+/** Keeps a connection to one peer, and connects anew when it breaks. */
+import {connect} from 'node:net';
+
+import type {Clock, RandomSource, TimerHandle} from '../clock/index.js';
+import {
+  CONNECT_TIMEOUT_MS,
+  RECONNECT_MAX_MS,
+  RECONNECT_MIN_MS,
+} from './consts.js';
+import type {HelloMessage, Message} from './messages.js';
+import type {ConnectionListener} from './peer-connection.js';
+import {PeerConnection} from './peer-connection.js';
+import type {TransportError} from './types.js';
+
+const BACKOFF_FACTOR = 2;
+
+/** Where a peer listens. */
+export interface PeerAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** A connection that comes back. */
+export class PeerClient {
+  private connection: PeerConnection | undefined;
+  private retryTimer: TimerHandle | undefined;
+  private backoffMs = RECONNECT_MIN_MS;
+  private ready = false;
+  private stopped = false;
+
+  constructor(
+    private readonly options: {
+      peer: PeerAddress;
+      hello: HelloMessage;
+      clock: Clock;
+      random: RandomSource;
+      listener: ConnectionListener;
+    },
+  ) {}
+
+  start(): void {
+    this.dial();
+  }
+
+  /** Sends if connected; returns false if not, or if the peer is slow. */
+  send(message: Message): boolean {
+    if (!this.ready || this.connection === undefined) return false;
+    return this.connection.send(message);
+  }
+
+  isReady(): boolean {
+    return this.ready;
+  }
+
+  /** Bytes of the present connection. */
+  bytes(): {received: number; sent: number} {
+    return this.connection?.bytes() ?? {received: 0, sent: 0};
+  }
+
+  /** Drops the present connection; another one follows. */
+  reset(detail: string): void {
+    this.connection?.destroy(detail);
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.retryTimer?.cancel();
+    this.connection?.destroy('stopped');
+  }
+
+  private dial(): void {
+    const {peer, hello, clock} = this.options;
+    const socket = connect({host: peer.address, port: peer.port});
+    socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
+      if (socket.connecting) socket.destroy(new Error('connect timeout'));
+    });
+    socket.once('connect', () => socket.setTimeout(0));
+    const listener: ConnectionListener = {
+      onReady: (message) => this.handleReady(message),
+      onMessage: (message) => this.options.listener.onMessage(message),
+      onDrain: () => this.options.listener.onDrain(),
+      onClose: (err) => this.handleClose(err),
+    };
+    this.connection = new PeerConnection({socket, hello, clock, listener});
+  }
+
+  private handleReady(message: HelloMessage): void {
+    this.ready = true;
+    this.backoffMs = RECONNECT_MIN_MS;
+    this.options.listener.onReady(message);
+  }
+
+  private handleClose(err: TransportError): void {
+    this.ready = false;
+    this.connection = undefined;
+    this.options.listener.onClose(err);
+    if (this.stopped) return;
+    this.retryTimer = this.options.clock.schedule({
+      delayMs: this.nextBackoffMs(),
+      run: () => this.dial(),
+    });
+  }
+
+  private nextBackoffMs(): number {
+    const delayMs = this.backoffMs * (0.5 + this.options.random.float() / 2);
+    const doubled = this.backoffMs * BACKOFF_FACTOR;
+    this.backoffMs = Math.min(doubled, RECONNECT_MAX_MS);
+    return delayMs;
+  }
+}
--- /dev/null
+++ b/src/core/protocol/peer-connection.ts
@@ -0,0 +1,151 @@
+/** One connection between two processes of the system. */
+import type {Socket} from 'node:net';
+
+import type {Clock, TimerHandle} from '../clock/index.js';
+import {
+  HELLO_TIMEOUT_MS,
+  MAX_SEND_BUFFER_BYTES,
+  PROTOCOL_VERSION,
+} from './consts.js';
+import {encodeFrame, FrameReader, transportError} from './frame-codec.js';
+import type {HelloMessage, Message} from './messages.js';
+import {MessageType} from './messages.js';
+import type {TransportError} from './types.js';
+import {TransportErrorKind} from './types.js';
+
+/** Hears what happens on a connection. */
+export interface ConnectionListener {
+  /** The peer has greeted; messages follow. */
+  onReady(hello: HelloMessage): void;
+  onMessage(message: Message): void;
+  /** The send buffer has emptied after `send` returned false. */
+  onDrain(): void;
+  /** The connection is closed; called once, and last. */
+  onClose(err: TransportError): void;
+}
+
+/**
+ * Sends and receives messages over a socket. Both sides greet first; a
+ * malformed frame closes this connection and nothing else.
+ */
+export class PeerConnection {
+  private readonly reader = new FrameReader();
+  private readonly greetingTimer: TimerHandle;
+  private greeted = false;
+  private closed = false;
+  private bytesIn = 0;
+  private bytesOut = 0;
+
+  constructor(
+    private readonly options: {
+      socket: Socket;
+      hello: HelloMessage;
+      clock: Clock;
+      listener: ConnectionListener;
+    },
+  ) {
+    const {socket, hello, clock} = options;
+    socket.setNoDelay(true);
+    socket.on('data', (chunk) => this.receive(chunk));
+    socket.on('drain', () => this.options.listener.onDrain());
+    socket.on('error', (cause) => this.closeWith(closedBy(cause)));
+    socket.on('close', () => this.closeWith(closedBy(undefined)));
+    this.greetingTimer = clock.schedule({
+      delayMs: HELLO_TIMEOUT_MS,
+      run: () => this.closeWith(greetingTimeout()),
+    });
+    this.send(hello);
+  }
+
+  /**
+   * Sends a message. Returns false when the peer reads too slowly; what can
+   * wait should then wait for `onDrain`.
+   */
+  send(message: Message): boolean {
+    if (this.closed) return false;
+    const frame = encodeFrame(message);
+    this.bytesOut += frame.length;
+    const flowing = this.options.socket.write(frame);
+    if (this.options.socket.writableLength > MAX_SEND_BUFFER_BYTES) {
+      const detail = 'the peer does not read';
+      this.closeWith(transportError(TransportErrorKind.PEER_TOO_SLOW, detail));
+    }
+    return flowing;
+  }
+
+  /** Whether the socket asks for a pause in sending. */
+  isCongested(): boolean {
+    return this.options.socket.writableNeedDrain;
+  }
+
+  isClosed(): boolean {
+    return this.closed;
+  }
+
+  /** Bytes received and sent so far. */
+  bytes(): {received: number; sent: number} {
+    return {received: this.bytesIn, sent: this.bytesOut};
+  }
+
+  /** Closes after all that was sent has left. */
+  end(): void {
+    this.options.socket.end();
+  }
+
+  /** Closes at once. */
+  destroy(detail: string): void {
+    this.closeWith(transportError(TransportErrorKind.CLOSED, detail));
+  }
+
+  private receive(chunk: Buffer): void {
+    if (this.closed) return;
+    this.bytesIn += chunk.length;
+    this.reader.push(chunk).match(
+      (messages) => messages.forEach((message) => this.dispatch(message)),
+      (err) => this.closeWith(err),
+    );
+  }
+
+  private dispatch(message: Message): void {
+    if (this.closed) return;
+    if (this.greeted) {
+      this.options.listener.onMessage(message);
+      return;
+    }
+    this.greet(message);
+  }
+
+  private greet(message: Message): void {
+    if (message.type !== MessageType.HELLO) {
+      const detail = `greeted with ${message.type}`;
+      this.closeWith(transportError(TransportErrorKind.BAD_GREETING, detail));
+      return;
+    }
+    if (message.protocol !== PROTOCOL_VERSION) {
+      const detail = `speaks ${message.protocol}, not ${PROTOCOL_VERSION}`;
+      this.closeWith(transportError(TransportErrorKind.WRONG_PROTOCOL, detail));
+      return;
+    }
+    this.greetingTimer.cancel();
+    this.greeted = true;
+    this.options.listener.onReady(message);
+  }
+
+  private closeWith(err: TransportError): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.greetingTimer.cancel();
+    this.options.socket.destroy();
+    this.options.listener.onClose(err);
+  }
+}
+
+function closedBy(cause: Error | undefined): TransportError {
+  const detail = cause?.message ?? 'closed by the peer';
+  return transportError(TransportErrorKind.CLOSED, detail);
+}
+
+function greetingTimeout(): TransportError {
+  const detail = `no greeting within ${HELLO_TIMEOUT_MS} ms`;
+  return transportError(TransportErrorKind.GREETING_TIMEOUT, detail);
+}
--- /dev/null
+++ b/src/core/protocol/peer-server.ts
@@ -0,0 +1,74 @@
+/** Takes connections of peers. */
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {createServer} from 'node:net';
+
+import {okAsync, ResultAsync} from 'neverthrow';
+
+import type {Clock} from '../clock/index.js';
+import {transportError} from './frame-codec.js';
+import type {HelloMessage} from './messages.js';
+import type {ConnectionListener} from './peer-connection.js';
+import {PeerConnection} from './peer-connection.js';
+import type {TransportError} from './types.js';
+import {TransportErrorKind} from './types.js';
+
+/** Makes the listener of a new connection. */
+export type ListenerFactory = (
+  connection: () => PeerConnection,
+) => ConnectionListener;
+
+/** Listens for peers and makes a PeerConnection of each. */
+export class PeerServer {
+  private readonly server: Server;
+  private readonly connections = new Set<PeerConnection>();
+
+  constructor(
+    private readonly options: {
+      hello: HelloMessage;
+      clock: Clock;
+      createListener: ListenerFactory;
+    },
+  ) {
+    this.server = createServer((socket) => this.accept(socket));
+  }
+
+  /** Starts to listen and returns the port. */
+  listen(options: {
+    address: string;
+    port: number;
+  }): ResultAsync<number, TransportError> {
+    const {address, port} = options;
+    const listening = new Promise<number>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, address, () => {
+        resolve((this.server.address() as AddressInfo).port);
+      });
+    });
+    return ResultAsync.fromPromise(listening, (cause) =>
+      transportError(TransportErrorKind.CONNECT_FAILED, String(cause)),
+    );
+  }
+
+  /** Stops listening and closes each connection once it is flushed. */
+  close(): ResultAsync<void, never> {
+    this.server.close();
+    for (const connection of this.connections) connection.end();
+    return okAsync(undefined);
+  }
+
+  private accept(socket: Socket): void {
+    const {hello, clock, createListener} = this.options;
+    const inner = createListener(() => connection);
+    const listener: ConnectionListener = {
+      onReady: (peer) => inner.onReady(peer),
+      onMessage: (message) => inner.onMessage(message),
+      onDrain: () => inner.onDrain(),
+      onClose: (err) => {
+        this.connections.delete(connection);
+        inner.onClose(err);
+      },
+    };
+    const connection = new PeerConnection({socket, hello, clock, listener});
+    this.connections.add(connection);
+  }
+}
--- /dev/null
+++ b/src/core/protocol/refused-message.ts
@@ -0,0 +1,18 @@
+import type {Refusal} from '../errors/refusals.js';
+import type {RefusedMessage} from './messages.js';
+import {MessageType} from './messages.js';
+
+/**
+ * Turns a refusal into the answer to the attempt or call `id`.
+ *
+ * @example
+ * connection.send(createRefused({id: callId, refusal}));
+ */
+export function createRefused(options: {
+  id: string;
+  refusal: Refusal;
+}): RefusedMessage {
+  const {reason, ran, detail, retryAfterMs} = options.refusal;
+  const type = MessageType.REFUSED;
+  return {type, id: options.id, reason, ran, detail, retryAfterMs};
+}
--- a/src/core/protocol/types.ts
+++ b/src/core/protocol/types.ts
@@ -9,6 +9,7 @@
   WRONG_PROTOCOL = 'wrong_protocol',
   GREETING_TIMEOUT = 'greeting_timeout',
   CONNECT_FAILED = 'connect_failed',
+  PEER_TOO_SLOW = 'peer_too_slow',
   CLOSED = 'closed',
 }
 
--- /dev/null
+++ b/src/daemon/run-agent.ts
@@ -0,0 +1,48 @@
+/** Composes an agent from its settings. */
+import {HttpEngineDriver, HttpServiceDriver} from '../adapters/index.js';
+import type {TargetDrivers} from '../agent/agent-process.js';
+import {AgentProcess} from '../agent/agent-process.js';
+import {SystemClock, SystemRandom} from '../core/clock/index.js';
+import {createLogger} from '../core/logs/index.js';
+import {Metrics} from '../core/metrics/index.js';
+import type {DaemonSettings, TargetSettings} from '../core/settings/index.js';
+import {TargetKind} from '../core/settings/index.js';
+import {
+  announceReady,
+  exitCannotListen,
+  exitSoon,
+  openOperators,
+} from './process-frame.js';
+
+/** Runs the agent role until it is stopped. */
+export async function runAgent(settings: DaemonSettings): Promise<void> {
+  const logger = createLogger(settings);
+  const agent = new AgentProcess({
+    settings,
+    clock: new SystemClock(),
+    random: new SystemRandom(),
+    metrics: new Metrics(),
+    logger,
+    drivers: createDrivers(settings.target!),
+    onDrained: () => exitSoon(() => agent.stop()),
+  });
+  const peers = await agent.start();
+  if (peers.isErr()) exitCannotListen(logger, peers.error.detail);
+  try {
+    const operators = await openOperators({handler: agent, settings});
+    announceReady({
+      vm: settings.vm,
+      operatorsPort: operators.port,
+      peersPort: peers._unsafeUnwrap(),
+    });
+  } catch (cause) {
+    exitCannotListen(logger, cause);
+  }
+}
+
+function createDrivers(target: TargetSettings): TargetDrivers {
+  const baseUrl = target.url;
+  return target.kind === TargetKind.ENGINE
+    ? {engine: new HttpEngineDriver({baseUrl})}
+    : {service: new HttpServiceDriver({baseUrl})};
+}
--- /dev/null
+++ b/src/daemon/run-entry.ts
@@ -0,0 +1,44 @@
+/** Composes an entry from its settings. */
+import {createCallersApp} from '../adapters/http-callers.js';
+import {listenHttp} from '../adapters/http-server.js';
+import {HttpObjectStore, HttpVmList} from '../adapters/index.js';
+import {SystemClock, SystemRandom} from '../core/clock/index.js';
+import {createLogger} from '../core/logs/index.js';
+import {Metrics} from '../core/metrics/index.js';
+import type {DaemonSettings} from '../core/settings/index.js';
+import {EntryProcess} from '../entry/entry-process.js';
+import {
+  announceReady,
+  exitCannotListen,
+  exitSoon,
+  openOperators,
+} from './process-frame.js';
+
+/** Runs the entry role until it is stopped. */
+export async function runEntry(settings: DaemonSettings): Promise<void> {
+  const logger = createLogger(settings);
+  const baseUrl = settings.platformUrl;
+  const entry = new EntryProcess({
+    settings,
+    clock: new SystemClock(),
+    random: new SystemRandom(),
+    metrics: new Metrics(),
+    logger,
+    store: new HttpObjectStore({baseUrl}),
+    vmList: new HttpVmList({baseUrl}),
+    onDrained: () => exitSoon(() => entry.stop()),
+  });
+  try {
+    const operators = await openOperators({handler: entry, settings});
+    const app = createCallersApp({handler: entry.callers});
+    const callers = await listenHttp({app, ...settings.callers!});
+    entry.start();
+    announceReady({
+      vm: settings.vm,
+      operatorsPort: operators.port,
+      callersPort: callers.port,
+    });
+  } catch (cause) {
+    exitCannotListen(logger, cause);
+  }
+}
--- /dev/null
+++ b/src/entry/agent-call.ts
@@ -0,0 +1,82 @@
+/** One question to one agent, and its answer. */
+import {err, ok, ResultAsync} from 'neverthrow';
+import type {Result} from 'neverthrow';
+
+import type {Clock} from '../core/clock/index.js';
+import type {PlainResponse} from '../core/edges/index.js';
+import type {Refusal} from '../core/errors/index.js';
+import type {
+  AskKeyMessage,
+  CallMessage,
+  KeyPhase,
+} from '../core/protocol/index.js';
+import type {AgentLink} from './agent-link.js';
+
+/** Why a question got no answer. */
+export enum CallErrorKind {
+  /** Nothing was sent. */
+  NOT_SENT = 'not_sent',
+  /** The agent refused; `refusal` tells whether it ran. */
+  REFUSED = 'refused',
+  /** Sent; the connection was lost before an answer. */
+  LOST = 'lost',
+  /** Sent; no answer in time. */
+  TIMEOUT = 'timeout',
+}
+
+/** An error of a call to an agent. */
+export interface CallError {
+  readonly kind: CallErrorKind;
+  readonly refusal?: Refusal;
+}
+
+/** An agent's answer: an outcome, or what it knows of a key. */
+export interface CallAnswer {
+  readonly response?: PlainResponse;
+  readonly keyPhase?: KeyPhase;
+}
+
+/**
+ * Asks an agent and waits for its answer.
+ *
+ * @example
+ * askAgent({link, message: call, timeoutMs: 500, clock}).map(use);
+ */
+export function askAgent(options: {
+  link: AgentLink;
+  message: CallMessage | AskKeyMessage;
+  timeoutMs: number;
+  clock: Clock;
+}): ResultAsync<CallAnswer, CallError> {
+  return new ResultAsync(new Promise((resolve) => ask(options, resolve)));
+}
+
+function ask(
+  options: Parameters<typeof askAgent>[0],
+  resolve: (result: Result<CallAnswer, CallError>) => void,
+): void {
+  const {link, message, timeoutMs, clock} = options;
+  const id = message.callId;
+  const settle = (result: Result<CallAnswer, CallError>): void => {
+    timer.cancel();
+    resolve(result);
+  };
+  const timer = clock.schedule({
+    delayMs: timeoutMs,
+    run: () => {
+      link.release(id);
+      settle(err({kind: CallErrorKind.TIMEOUT}));
+    },
+  });
+  const handler = {
+    onReply: (response: PlainResponse) => settle(ok({response})),
+    onKeyState: (state: {phase: KeyPhase}) =>
+      settle(ok({keyPhase: state.phase})),
+    onRefused: (refusal: Refusal) =>
+      settle(err({kind: CallErrorKind.REFUSED, refusal})),
+    onLost: () => settle(err({kind: CallErrorKind.LOST})),
+  };
+  if (!link.open({id, message, handler})) {
+    settle(err({kind: CallErrorKind.NOT_SENT}));
+  }
+}
--- /dev/null
+++ b/src/entry/agent-link.ts
@@ -0,0 +1,213 @@
+/** An entry's connection to one agent, shared by all its requests. */
+import type {Clock, RandomSource} from '../core/clock/index.js';
+import type {VmRecord} from '../core/edges/index.js';
+import {VmState} from '../core/edges/index.js';
+import {RetryReason} from '../core/errors/index.js';
+import type {Metrics} from '../core/metrics/index.js';
+import {CounterName} from '../core/metrics/index.js';
+import type {
+  ConnectionListener,
+  EndMessage,
+  FailedMessage,
+  HeartbeatMessage,
+  HelloMessage,
+  KeyStateMessage,
+  Message,
+  RefusedMessage,
+  ReplyMessage,
+  TokensMessage,
+  TransportError,
+} from '../core/protocol/index.js';
+import {MessageType, PeerClient, TargetPhase} from '../core/protocol/index.js';
+import type {TargetView} from '../core/routing/index.js';
+import {SUSPECT_BUSY_MS, SUSPECT_IDLE_MS} from './consts.js';
+
+/** Hears what becomes of one attempt or call at an agent. */
+export interface LinkHandler {
+  onTokens?(message: TokensMessage): void;
+  onEnd?(message: EndMessage): void;
+  onFailed?(message: FailedMessage): void;
+  onReply?(message: ReplyMessage): void;
+  onKeyState?(message: KeyStateMessage): void;
+  onRefused(message: RefusedMessage): void;
+  /** The agent is gone or silent; no other word comes. */
+  onLost(reason: RetryReason): void;
+  /** The agent has begun to leave. */
+  onLeaving?(): void;
+}
+
+/** Speaks to one agent and keeps the view of its target. */
+export class AgentLink implements ConnectionListener {
+  private readonly client: PeerClient;
+  private readonly handlers = new Map<string, LinkHandler>();
+  private incarnation = '';
+  private heartbeat: HeartbeatMessage | undefined;
+  private heardAtMs: number;
+  private suspected = false;
+
+  constructor(
+    private record: VmRecord,
+    private readonly options: {
+      hello: HelloMessage;
+      clock: Clock;
+      random: RandomSource;
+      metrics: Metrics;
+    },
+  ) {
+    const {hello, clock, random} = options;
+    this.heardAtMs = clock.now();
+    const peer = {address: record.address, port: record.peerPort};
+    this.client = new PeerClient({peer, hello, clock, random, listener: this});
+  }
+
+  get vm(): string {
+    return this.record.name;
+  }
+
+  start(): void {
+    this.client.start();
+  }
+
+  stop(): void {
+    this.client.stop();
+  }
+
+  /** Takes over what the VM list now says. */
+  updateRecord(record: VmRecord): void {
+    this.record = record;
+  }
+
+  /** What the entry knows of this target. */
+  view(): TargetView {
+    const {name, dataCentre, service, state} = this.record;
+    const beat = this.heartbeat;
+    const leaving = state === VmState.LEAVING || (beat?.leaving ?? false);
+    const healthy = beat?.phase === TargetPhase.HEALTHY;
+    const connected = this.client.isReady() && !this.suspected;
+    return {
+      vm: name,
+      dataCentre,
+      service,
+      incarnation: this.incarnation,
+      usable: connected && healthy && !leaving,
+      leaving,
+      ownInFlight: this.handlers.size,
+      running: beat?.running ?? 0,
+      waiting: beat?.waiting ?? 0,
+      capacity: beat?.capacity ?? 0,
+      cachedPrefixes: beat?.cachedPrefixes ?? [],
+    };
+  }
+
+  /** Whether the agent speaks and is not suspected. */
+  isConnected(): boolean {
+    return this.client.isReady() && !this.suspected;
+  }
+
+  /**
+   * Sends the first message of an attempt or call. Returns false when the
+   * agent is not connected, in which case nothing was sent.
+   */
+  open(options: {id: string; message: Message; handler: LinkHandler}): boolean {
+    const {id, message, handler} = options;
+    if (!this.isConnected()) return false;
+    this.handlers.set(id, handler);
+    this.client.send(message);
+    return true;
+  }
+
+  /** Sends a message that needs no answer. */
+  tell(message: Message): void {
+    this.client.send(message);
+  }
+
+  /** Forgets an attempt or call; later words of it are dropped. */
+  release(id: string): void {
+    this.handlers.delete(id);
+  }
+
+  /** Suspects the agent if it has been silent for too long. */
+  checkSilence(): void {
+    if (!this.client.isReady()) return;
+    const busy = this.handlers.size > 0;
+    const allowedMs = busy ? SUSPECT_BUSY_MS : SUSPECT_IDLE_MS;
+    const silentMs = this.options.clock.now() - this.heardAtMs;
+    if (silentMs <= allowedMs || this.suspected) return;
+    this.suspected = true;
+    this.options.metrics.count(CounterName.TARGETS_SUSPECTED);
+    this.loseAll(RetryReason.AGENT_SILENT);
+  }
+
+  /** Starts the measure of silence anew, after a pause of this process. */
+  forgiveSilence(): void {
+    this.heardAtMs = this.options.clock.now();
+  }
+
+  onReady(hello: HelloMessage): void {
+    this.incarnation = hello.incarnation;
+    this.heardAtMs = this.options.clock.now();
+    this.suspected = false;
+  }
+
+  onMessage(message: Message): void {
+    this.heardAtMs = this.options.clock.now();
+    this.suspected = false;
+    switch (message.type) {
+      case MessageType.HEARTBEAT:
+        this.handleHeartbeat(message);
+        return;
+      case MessageType.TOKENS:
+        this.handlers.get(message.attemptId)?.onTokens?.(message);
+        return;
+      case MessageType.END:
+        this.take(message.attemptId)?.onEnd?.(message);
+        return;
+      case MessageType.FAILED:
+        this.take(message.attemptId)?.onFailed?.(message);
+        return;
+      case MessageType.REFUSED:
+        this.take(message.id)?.onRefused(message);
+        return;
+      case MessageType.REPLY:
+        this.take(message.callId)?.onReply?.(message);
+        return;
+      case MessageType.KEY_STATE:
+        this.take(message.callId)?.onKeyState?.(message);
+        return;
+      default:
+        return;
+    }
+  }
+
+  onDrain(): void {
+    // An entry's own messages are few and small; nothing waits for a drain.
+  }
+
+  onClose(err: TransportError): void {
+    this.options.metrics.count(CounterName.CONNECTIONS_CLOSED, {
+      label: err.kind,
+    });
+    this.heartbeat = undefined;
+    this.loseAll(RetryReason.AGENT_GONE);
+  }
+
+  private handleHeartbeat(beat: HeartbeatMessage): void {
+    const wasLeaving = this.heartbeat?.leaving ?? false;
+    this.heartbeat = beat;
+    this.options.metrics.count(CounterName.HEARTBEATS);
+    if (!beat.leaving || wasLeaving) return;
+    for (const handler of [...this.handlers.values()]) handler.onLeaving?.();
+  }
+
+  private take(id: string): LinkHandler | undefined {
+    const handler = this.handlers.get(id);
+    this.handlers.delete(id);
+    return handler;
+  }
+
+  private loseAll(reason: RetryReason): void {
+    const handlers = [...this.handlers.values()];
+    this.handlers.clear();
+    for (const handler of handlers) handler.onLost(reason);
+  }
+}
--- /dev/null
+++ b/src/entry/agent-links.ts
@@ -0,0 +1,109 @@
+/** Keeps a link to each target of the VM list. */
+import type {Clock, RandomSource, TimerHandle} from '../core/clock/index.js';
+import type {VmList, VmRecord} from '../core/edges/index.js';
+import {VmRole} from '../core/edges/index.js';
+import type {Logger} from '../core/logs/index.js';
+import type {Metrics} from '../core/metrics/index.js';
+import type {HelloMessage} from '../core/protocol/index.js';
+import type {TargetView} from '../core/routing/index.js';
+import {AgentLink} from './agent-link.js';
+import {
+  PAUSE_EVIDENCE_MS,
+  SILENCE_CHECK_MS,
+  VM_LIST_PERIOD_MS,
+} from './consts.js';
+
+/** Follows the VM list and watches every link for silence. */
+export class AgentLinks {
+  private readonly links = new Map<string, AgentLink>();
+  private readonly timers: TimerHandle[] = [];
+  private checkedAtMs = 0;
+  private reading = false;
+
+  constructor(
+    private readonly options: {
+      vmList: VmList;
+      hello: HelloMessage;
+      clock: Clock;
+      random: RandomSource;
+      metrics: Metrics;
+      logger: Logger;
+    },
+  ) {}
+
+  open(): void {
+    const {clock} = this.options;
+    this.checkedAtMs = clock.now();
+    this.timers.push(
+      clock.repeat({periodMs: VM_LIST_PERIOD_MS, run: () => this.refresh()}),
+      clock.repeat({periodMs: SILENCE_CHECK_MS, run: () => this.check()}),
+    );
+    this.refresh();
+  }
+
+  close(): void {
+    for (const timer of this.timers) timer.cancel();
+    for (const link of this.links.values()) link.stop();
+  }
+
+  find(vm: string): AgentLink | undefined {
+    return this.links.get(vm);
+  }
+
+  /** The views of all targets. */
+  views(): TargetView[] {
+    return [...this.links.values()].map((link) => link.view());
+  }
+
+  private refresh(): void {
+    if (this.reading) return;
+    this.reading = true;
+    void this.options.vmList
+      .read()
+      .match(
+        (records) => this.follow(records),
+        // The last list stays in use; links tell what is alive.
+        () => undefined,
+      )
+      .then(() => {
+        this.reading = false;
+      });
+  }
+
+  private follow(records: readonly VmRecord[]): void {
+    const targets = records.filter((vm) => vm.role === VmRole.TARGET);
+    const names = new Set(targets.map((vm) => vm.name));
+    for (const vm of targets) this.addOrUpdate(vm);
+    for (const [name, link] of this.links) {
+      // The list lags: a target that still speaks is kept.
+      if (names.has(name) || link.isConnected()) continue;
+      link.stop();
+      this.links.delete(name);
+      this.options.logger.info('target removed', {target: name});
+    }
+  }
+
+  private addOrUpdate(record: VmRecord): void {
+    const known = this.links.get(record.name);
+    if (known !== undefined) {
+      known.updateRecord(record);
+      return;
+    }
+    const link = new AgentLink(record, this.options);
+    this.links.set(record.name, link);
+    link.start();
+    this.options.logger.info('target added', {target: record.name});
+  }
+
+  private check(): void {
+    const nowMs = this.options.clock.now();
+    const lateMs = nowMs - this.checkedAtMs - SILENCE_CHECK_MS;
+    this.checkedAtMs = nowMs;
+    const paused = lateMs > PAUSE_EVIDENCE_MS;
+    for (const link of this.links.values()) {
+      // After a pause of this process, silence says nothing of the others.
+      if (paused) link.forgiveSilence();
+      else link.checkSilence();
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/answer-copy.ts
@@ -0,0 +1,194 @@
+/** An entry's copy of one answer, which callers read. */
+import type {AnswerPart, AnswerReader, Token} from '../core/edges/index.js';
+import {AnswerPartKind} from '../core/edges/index.js';
+import type {Refusal} from '../core/errors/index.js';
+import {Ran, RefusalReason} from '../core/errors/index.js';
+import {encodeEventId, LogState, TokenLog} from '../core/generation/index.js';
+import {TOKENS_PER_PART} from './consts.js';
+
+/** Where an attempt runs. */
+export interface AttemptPlace {
+  readonly attemptId: string;
+  readonly agentVm: string;
+  readonly agentIncarnation: string;
+}
+
+/** An attempt of this answer and where the next one took over. */
+interface LineageStep {
+  readonly place: AttemptPlace;
+  /** Positions below this came from this attempt or one before it. */
+  endPosition: number;
+}
+
+/** The answer so far, the attempts it came from and its readers. */
+export class AnswerCopy {
+  readonly log: TokenLog;
+  private readonly lineage: LineageStep[] = [];
+  private givenUp: Refusal | undefined;
+  private readerCount = 0;
+  private unreadSinceMs: number;
+
+  constructor(
+    private readonly options: {
+      requestId: string;
+      clientAccount: string;
+      fingerprint: string;
+      entryVm: string;
+      now: () => number;
+    },
+    prefix: readonly Token[] = [],
+  ) {
+    this.log = new TokenLog(prefix);
+    this.unreadSinceMs = options.now();
+  }
+
+  get requestId(): string {
+    return this.options.requestId;
+  }
+
+  get refusal(): Refusal | undefined {
+    return this.givenUp;
+  }
+
+  /** The attempt that writes now. */
+  get place(): AttemptPlace | undefined {
+    return this.lineage.at(-1)?.place;
+  }
+
+  /** Time without a reader in milliseconds; 0 while there is one. */
+  unreadForMs(): number {
+    return this.readerCount > 0 ? 0 : this.options.now() - this.unreadSinceMs;
+  }
+
+  belongsTo(owner: {clientAccount: string; fingerprint: string}): boolean {
+    return (
+      owner.clientAccount === this.options.clientAccount &&
+      owner.fingerprint === this.options.fingerprint
+    );
+  }
+
+  /** A new attempt goes on from the end of the copy. */
+  beginAttempt(place: AttemptPlace): void {
+    const last = this.lineage.at(-1);
+    if (last !== undefined) last.endPosition = this.log.length;
+    this.lineage.push({place, endPosition: Number.POSITIVE_INFINITY});
+  }
+
+  /** Whether what a caller has of an attempt is the start of this copy. */
+  covers(options: {attemptId: string; position: number}): boolean {
+    const {attemptId, position} = options;
+    const step = this.lineage.find((s) => s.place.attemptId === attemptId);
+    if (step === undefined) return false;
+    return position <= Math.min(step.endPosition, this.log.length);
+  }
+
+  giveUp(refusal: Refusal): void {
+    this.givenUp = refusal;
+    this.log.break();
+  }
+
+  /** Opens a reader that begins at a position. */
+  read(options: {position: number; restarted: boolean}): AnswerReader {
+    this.readerCount++;
+    return new CopyReader({
+      copy: this,
+      restarted: options.restarted,
+      position: options.position,
+      onClose: () => {
+        this.readerCount--;
+        this.unreadSinceMs = this.options.now();
+      },
+    });
+  }
+
+  /** The event identity of a position. */
+  eventIdAt(position: number): string {
+    const {requestId, entryVm} = this.options;
+    const place = this.place ?? {
+      attemptId: 'none',
+      agentVm: 'none',
+      agentIncarnation: 'none',
+    };
+    return encodeEventId({requestId, entryVm, position, ...place});
+  }
+}
+
+/** What a reader that is closed reads. */
+const CLOSED_PART: AnswerPart = {
+  kind: AnswerPartKind.REFUSED,
+  refusal: {
+    reason: RefusalReason.ANSWER_LOST,
+    ran: Ran.UNKNOWN,
+    detail: 'the reader is closed',
+  },
+};
+
+class CopyReader implements AnswerReader {
+  readonly requestId: string;
+  readonly restarted: boolean;
+  private position: number;
+  private closed = false;
+  private wake: (() => void) | undefined;
+  private readonly unsubscribe: () => void;
+
+  constructor(
+    private readonly options: {
+      copy: AnswerCopy;
+      restarted: boolean;
+      position: number;
+      onClose: () => void;
+    },
+  ) {
+    this.requestId = options.copy.requestId;
+    this.restarted = options.restarted;
+    this.position = options.position;
+    this.unsubscribe = options.copy.log.subscribe(() => this.wake?.());
+  }
+
+  async next(): Promise<AnswerPart> {
+    for (;;) {
+      if (this.closed) return CLOSED_PART;
+      const part = this.takePart();
+      if (part !== undefined) return part;
+      await new Promise<void>((resolve) => {
+        this.wake = resolve;
+      });
+    }
+  }
+
+  close(): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.unsubscribe();
+    this.wake?.();
+    this.options.onClose();
+  }
+
+  private takePart(): AnswerPart | undefined {
+    const {copy} = this.options;
+    const {log} = copy;
+    if (this.position < log.length) return this.takeTokens();
+    if (log.state === LogState.RUNNING) return undefined;
+    if (log.finishReason !== undefined) {
+      return {
+        kind: AnswerPartKind.FINISHED,
+        finishReason: log.finishReason,
+        completionTokens: log.length,
+        eventId: copy.eventIdAt(this.position),
+      };
+    }
+    if (copy.refusal === undefined) return undefined;
+    return {kind: AnswerPartKind.REFUSED, refusal: copy.refusal};
+  }
+
+  private takeTokens(): AnswerPart {
+    const {copy} = this.options;
+    const tokens = copy.log.slice({
+      from: this.position,
+      limit: TOKENS_PER_PART,
+    });
+    this.position += tokens.length;
+    const eventId = copy.eventIdAt(this.position);
+    return {kind: AnswerPartKind.TOKENS, tokens, eventId};
+  }
+}
--- /dev/null
+++ b/src/entry/caller-gate.ts
@@ -0,0 +1,215 @@
+/** What callers ask of an entry, from the key to the answer. */
+import {createHash} from 'node:crypto';
+
+import type {Result} from 'neverthrow';
+import {err, errAsync, ok, ResultAsync} from 'neverthrow';
+
+import type {Admission} from '../core/admission/index.js';
+import type {Clock} from '../core/clock/index.js';
+import type {
+  ClientAccountConfig,
+  LimitsConfig,
+  ServiceConfig,
+  SiteConfig,
+} from '../core/config/index.js';
+import {DEFAULT_LIMITS, ServiceKind} from '../core/config/index.js';
+import type {
+  AnswerReader,
+  CallerHandler,
+  GenerationReq,
+  PlainReq,
+  PlainResponse,
+} from '../core/edges/index.js';
+import type {Refusal} from '../core/errors/index.js';
+import {Ran, RefusalReason} from '../core/errors/index.js';
+import {fingerprintOf} from '../core/generation/index.js';
+import type {Metrics} from '../core/metrics/index.js';
+import {CounterName, LatencyName} from '../core/metrics/index.js';
+import type {BookingService} from './booking-service.js';
+import {RETRY_AFTER_MS} from './consts.js';
+import type {EntryBoard} from './entry-board.js';
+import type {GenerationService} from './generation-service.js';
+import type {ResolvedPlain} from './plain-request.js';
+import type {PlainService} from './plain-service.js';
+
+const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
+
+/** What the gate hands requests on to. */
+export interface GateParts {
+  readonly board: EntryBoard;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly admission: Admission;
+  readonly generations: GenerationService;
+  readonly bookings: BookingService;
+  readonly plain: PlainService;
+}
+
+interface KnownCaller {
+  readonly cfg: SiteConfig;
+  readonly clientAccount: ClientAccountConfig;
+}
+
+/** Checks requests against the configuration and hands them on. */
+export class CallerGate implements CallerHandler {
+  private inFlight = 0;
+
+  constructor(private readonly parts: GateParts) {}
+
+  /** Plain calls that have no answer yet. */
+  countRunning(): number {
+    return this.inFlight;
+  }
+
+  limits(): LimitsConfig {
+    const inForce = this.parts.board.config.get().extract();
+    return inForce?.cfg.limits ?? DEFAULT_LIMITS;
+  }
+
+  countRefusal(refusal: Refusal): void {
+    this.parts.metrics.countRefusal(refusal.reason);
+  }
+
+  generate(req: GenerationReq): ResultAsync<AnswerReader, Refusal> {
+    this.parts.metrics.count(CounterName.REQUESTS, {label: 'generation'});
+    return this.identify(req.bearer)
+      .andThen((caller) => this.resolveGeneration(caller, req))
+      .asyncAndThen((request) => this.parts.generations.generate(request))
+      .mapErr((refusal) => this.counted(refusal));
+  }
+
+  call(req: PlainReq): ResultAsync<PlainResponse, Refusal> {
+    this.parts.metrics.count(CounterName.REQUESTS, {label: 'plain'});
+    const resolved = this.identify(req.bearer).andThen((caller) =>
+      this.resolvePlain(caller, req),
+    );
+    if (resolved.isErr()) return errAsync(this.counted(resolved.error));
+    const startedAtMs = this.parts.clock.now();
+    this.inFlight++;
+    return new ResultAsync(
+      this.admitAndCall(resolved.value).then((result) => {
+        this.inFlight--;
+        const ms = this.parts.clock.now() - startedAtMs;
+        this.parts.metrics.observe({name: LatencyName.PLAIN_CALL, ms});
+        return result.mapErr((refusal) => this.counted(refusal));
+      }),
+    );
+  }
+
+  private async admitAndCall(
+    request: ResolvedPlain,
+  ): Promise<Result<PlainResponse, Refusal>> {
+    const {clientAccount, service, deadlineAtMs} = request;
+    const ticket = await this.parts.admission.admit({
+      clientAccount,
+      service,
+      deadlineAtMs,
+      maxTokens: 0,
+    });
+    if (ticket.isErr()) return err(ticket.error);
+    const answering = service.idempotent
+      ? this.parts.plain.call(request)
+      : this.parts.bookings.call(request);
+    const result = await answering;
+    ticket.value.release();
+    return result;
+  }
+
+  private identify(bearer: string): Result<KnownCaller, Refusal> {
+    const {board} = this.parts;
+    if (board.leaving.get()) return err(leaving());
+    const inForce = board.config.get().extract();
+    if (inForce === undefined) return err(notReady());
+    const {cfg} = inForce;
+    const digest = createHash('sha256').update(bearer).digest('hex');
+    const clientAccount = cfg.clientAccounts.find(
+      (account) => account.keySha256 === digest,
+    );
+    if (bearer === '' || clientAccount === undefined) {
+      return err(refuse(RefusalReason.UNAUTHENTICATED, 'unknown key'));
+    }
+    return ok({cfg, clientAccount});
+  }
+
+  private resolveGeneration(
+    caller: KnownCaller,
+    req: GenerationReq,
+  ): Result<
+    {
+      req: GenerationReq;
+      clientAccount: ClientAccountConfig;
+      service: ServiceConfig;
+    },
+    Refusal
+  > {
+    const {cfg, clientAccount} = caller;
+    const {model, maxTokens} = req.spec;
+    const service = cfg.services.find(
+      (s) => s.kind === ServiceKind.GENERATION && s.models.includes(model),
+    );
+    if (service === undefined) {
+      const detail = `no service serves the model "${model}"`;
+      return err(refuse(RefusalReason.UNKNOWN_SERVICE, detail));
+    }
+    if (maxTokens > cfg.limits.maxTokens) {
+      const detail = `max_tokens is at most ${cfg.limits.maxTokens}`;
+      return err(refuse(RefusalReason.BAD_REQUEST, detail));
+    }
+    return ok({req, clientAccount, service});
+  }
+
+  private resolvePlain(
+    caller: KnownCaller,
+    req: PlainReq,
+  ): Result<ResolvedPlain, Refusal> {
+    const {cfg, clientAccount} = caller;
+    const service = cfg.services.find(
+      (s) => s.kind === ServiceKind.PLAIN && s.name === req.service,
+    );
+    if (service === undefined) {
+      const detail = `there is no service "${req.service}"`;
+      return err(refuse(RefusalReason.UNKNOWN_SERVICE, detail));
+    }
+    const keyRefusal = checkKey(service, req.idempotencyKey);
+    if (keyRefusal !== undefined) return err(keyRefusal);
+    const fingerprint = fingerprintOf({
+      clientAccount: clientAccount.name,
+      parts: [req.service, req.method, req.path, req.body],
+    });
+    const allowedMs = req.deadlineMs ?? service.deadlineMs;
+    const deadlineAtMs = this.parts.clock.now() + allowedMs;
+    return ok({req, clientAccount, service, fingerprint, deadlineAtMs});
+  }
+
+  private counted(refusal: Refusal): Refusal {
+    this.countRefusal(refusal);
+    return refusal;
+  }
+}
+
+function checkKey(service: ServiceConfig, key: string): Refusal | undefined {
+  if (service.idempotent) return undefined;
+  if (key === '') {
+    const detail = 'this service needs an Idempotency-Key';
+    return refuse(RefusalReason.KEY_MISSING, detail);
+  }
+  if (KEY_PATTERN.test(key)) return undefined;
+  const detail = 'the Idempotency-Key is 1 to 128 visible ASCII characters';
+  return refuse(RefusalReason.KEY_INVALID, detail);
+}
+
+function leaving(): Refusal {
+  const reason = RefusalReason.LEAVING;
+  const detail = 'this entry is leaving';
+  return {reason, ran: Ran.NO, detail, retryAfterMs: RETRY_AFTER_MS};
+}
+
+function notReady(): Refusal {
+  const reason = RefusalReason.NOT_READY;
+  const detail = 'no configuration is in force yet';
+  return {reason, ran: Ran.NO, detail, retryAfterMs: RETRY_AFTER_MS};
+}
+
+function refuse(reason: RefusalReason, detail: string): Refusal {
+  return {reason, ran: Ran.NO, detail};
+}
--- /dev/null
+++ b/src/entry/entry-board.ts
@@ -0,0 +1,19 @@
+import type {Maybe} from 'purify-ts';
+import {Nothing} from 'purify-ts';
+
+import {Cell} from '../core/blackboard/index.js';
+import type {SiteConfig} from '../core/config/types.js';
+
+/** A configuration in force at this process. */
+export interface ConfigInForce {
+  readonly version: number;
+  readonly cfg: SiteConfig;
+}
+
+/** The shared state of an entry. */
+export class EntryBoard {
+  readonly config = new Cell<Maybe<ConfigInForce>>(Nothing);
+  /** When the platform last confirmed the configuration. */
+  readonly configHeardAtMs = new Cell(0);
+  readonly leaving = new Cell(false);
+}
--- /dev/null
+++ b/src/entry/entry-process.ts
@@ -0,0 +1,186 @@
+/** The entry role: takes callers' requests and sees them through. */
+import type {Admission} from '../core/admission/index.js';
+import {AccountLimit} from '../core/admission/index.js';
+import type {Clock, RandomSource} from '../core/clock/index.js';
+import type {
+  CallerHandler,
+  ObjectStore,
+  OperatorHandler,
+  ProcessStatus,
+  VmList,
+} from '../core/edges/index.js';
+import type {Logger} from '../core/logs/index.js';
+import type {Metrics} from '../core/metrics/index.js';
+import type {HelloMessage} from '../core/protocol/index.js';
+import {
+  MessageType,
+  PeerRole,
+  PROTOCOL_VERSION,
+} from '../core/protocol/index.js';
+import {TwoChoices} from '../core/routing/index.js';
+import type {DaemonSettings} from '../core/settings/types.js';
+import {AgentLinks} from './agent-links.js';
+import {BookingService} from './booking-service.js';
+import {CallerGate} from './caller-gate.js';
+import {ConfigWatch} from './config-watch.js';
+import {DRAIN_POLL_MS} from './consts.js';
+import {EntryBoard} from './entry-board.js';
+import type {RunParts} from './generation-run.js';
+import {GenerationService} from './generation-service.js';
+import {PlainService} from './plain-service.js';
+
+/** What an entry is built of. */
+export interface EntryOptions {
+  readonly settings: DaemonSettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly store: ObjectStore;
+  readonly vmList: VmList;
+  /** Called once a drain has ended and all work is done. */
+  readonly onDrained: () => void;
+}
+
+/** Ties the entry's controllers to its board. */
+export class EntryProcess implements OperatorHandler {
+  private readonly board = new EntryBoard();
+  private readonly incarnation: string;
+  private readonly admission: Admission = new AccountLimit();
+  private readonly links: AgentLinks;
+  private readonly generations: GenerationService;
+  private readonly gate: CallerGate;
+  private readonly configWatch: ConfigWatch;
+
+  constructor(private readonly options: EntryOptions) {
+    this.incarnation = options.random.id();
+    this.links = new AgentLinks({...options, hello: this.createHello()});
+    const parts = this.createParts();
+    this.generations = new GenerationService({
+      parts,
+      admission: this.admission,
+      entryVm: options.settings.vm,
+    });
+    this.gate = this.createGate(parts);
+    this.configWatch = new ConfigWatch({
+      ...options,
+      board: this.board,
+      site: options.settings.site,
+    });
+    this.board.config.subscribe((inForce) => {
+      inForce.ifJust(({cfg}) => this.admission.configure(cfg));
+    });
+  }
+
+  /** What callers are served by. */
+  get callers(): CallerHandler {
+    return this.gate;
+  }
+
+  start(): void {
+    this.links.open();
+    this.generations.open();
+    this.configWatch.open();
+  }
+
+  stop(): void {
+    this.configWatch.close();
+    this.generations.close();
+    this.links.close();
+  }
+
+  status(): ProcessStatus {
+    const {settings, clock} = this.options;
+    const heardAtMs = this.board.configHeardAtMs.get();
+    return {
+      vm: settings.vm,
+      role: settings.role,
+      dataCentre: settings.dataCentre,
+      incarnation: this.incarnation,
+      ready: this.isReady(),
+      leaving: this.board.leaving.get(),
+      configVersion: this.board.config.get().extract()?.version ?? 0,
+      configAgeMs: Math.round(clock.now() - heardAtMs),
+      running: this.countRunning(),
+      peers: this.links.views().map((view) => ({
+        vm: view.vm,
+        dataCentre: view.dataCentre,
+        state: stateOf(view),
+        configVersion: 0,
+      })),
+    };
+  }
+
+  isReady(): boolean {
+    return !this.board.leaving.get() && this.board.config.get().isJust();
+  }
+
+  metrics(): Promise<string> {
+    return this.options.metrics.render();
+  }
+
+  drain(): void {
+    if (this.board.leaving.get()) return;
+    this.options.logger.info('leaving');
+    this.board.leaving.set(true);
+    this.awaitIdle();
+  }
+
+  private awaitIdle(): void {
+    if (this.countRunning() === 0) {
+      this.options.logger.info('drained');
+      this.options.onDrained();
+      return;
+    }
+    const run = (): void => this.awaitIdle();
+    this.options.clock.schedule({delayMs: DRAIN_POLL_MS, run});
+  }
+
+  private countRunning(): number {
+    return this.generations.countRunning() + this.gate.countRunning();
+  }
+
+  private createParts(): RunParts {
+    const {clock, random, metrics, settings} = this.options;
+    return {
+      clock,
+      random,
+      metrics,
+      links: this.links,
+      chooser: new TwoChoices({random}),
+      dataCentre: settings.dataCentre,
+    };
+  }
+
+  private createGate(parts: RunParts): CallerGate {
+    return new CallerGate({
+      ...parts,
+      board: this.board,
+      admission: this.admission,
+      generations: this.generations,
+      plain: new PlainService(parts),
+      bookings: new BookingService({
+        parts,
+        store: this.options.store,
+        incarnation: this.incarnation,
+      }),
+    });
+  }
+
+  private createHello(): HelloMessage {
+    const {vm, dataCentre} = this.options.settings;
+    return {
+      type: MessageType.HELLO,
+      protocol: PROTOCOL_VERSION,
+      role: PeerRole.ENTRY,
+      vm,
+      incarnation: this.incarnation,
+      dataCentre,
+    };
+  }
+}
+
+function stateOf(view: {usable: boolean; leaving: boolean}): string {
+  if (view.leaving) return 'leaving';
+  return view.usable ? 'usable' : 'unusable';
+}
--- /dev/null
+++ b/src/entry/plain-request.ts
@@ -0,0 +1,39 @@
+import type {ClientAccountConfig, ServiceConfig} from '../core/config/types.js';
+import type {PlainReq} from '../core/edges/index.js';
+import type {CallMessage} from '../core/protocol/index.js';
+import {MessageType} from '../core/protocol/index.js';
+
+/** A plain request whose account and service are known. */
+export interface ResolvedPlain {
+  readonly req: PlainReq;
+  readonly clientAccount: ClientAccountConfig;
+  readonly service: ServiceConfig;
+  readonly fingerprint: string;
+  /** On the process's clock. */
+  readonly deadlineAtMs: number;
+}
+
+/** Builds the call that an agent runs. */
+export function createCall(options: {
+  request: ResolvedPlain;
+  callId: string;
+  key: string;
+  incarnation: string;
+  deadlineMs: number;
+}): CallMessage {
+  const {request, callId, key, incarnation, deadlineMs} = options;
+  const {req, clientAccount, fingerprint} = request;
+  return {
+    type: MessageType.CALL,
+    callId,
+    clientAccount: clientAccount.name,
+    key,
+    fingerprint,
+    incarnation,
+    method: req.method,
+    path: req.path,
+    headers: [...req.headers],
+    body: req.body,
+    deadlineMs,
+  };
+}
--- /dev/null
+++ b/src/entry/plain-service.ts
@@ -0,0 +1,131 @@
+/** Calls to plain services that may be repeated freely. */
+import type {Result} from 'neverthrow';
+import {err, ok, ResultAsync} from 'neverthrow';
+
+import type {Clock, RandomSource} from '../core/clock/index.js';
+import type {PlainResponse} from '../core/edges/index.js';
+import type {Refusal} from '../core/errors/index.js';
+import {Ran, RefusalReason, RetryReason} from '../core/errors/index.js';
+import type {Metrics} from '../core/metrics/index.js';
+import type {TargetChooser, TargetView} from '../core/routing/index.js';
+import type {CallAnswer, CallError} from './agent-call.js';
+import {askAgent, CallErrorKind} from './agent-call.js';
+import type {AgentLinks} from './agent-links.js';
+import {NO_TARGET_RETRY_MS, RETRY_AFTER_MS} from './consts.js';
+import type {ResolvedPlain} from './plain-request.js';
+import {createCall} from './plain-request.js';
+
+/** Tries of one call, at most. */
+const MAX_TRIES = 3;
+
+/** What plain calls need of their entry. */
+export interface PlainParts {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly metrics: Metrics;
+  readonly links: AgentLinks;
+  readonly chooser: TargetChooser;
+  readonly dataCentre: string;
+}
+
+/** Sends a call, and sends it elsewhere when its target fails. */
+export class PlainService {
+  constructor(private readonly parts: PlainParts) {}
+
+  call(request: ResolvedPlain): ResultAsync<PlainResponse, Refusal> {
+    return new ResultAsync(this.tryTargets(request));
+  }
+
+  private async tryTargets(
+    request: ResolvedPlain,
+  ): Promise<Result<PlainResponse, Refusal>> {
+    const tried: string[] = [];
+    let ran = Ran.NO;
+    while (tried.length < MAX_TRIES) {
+      const leftMs = request.deadlineAtMs - this.parts.clock.now();
+      if (leftMs <= 0) return err(deadlineExceeded(ran));
+      const target = this.choose(request, tried);
+      if (target === undefined) {
+        await this.sleep(NO_TARGET_RETRY_MS);
+        continue;
+      }
+      const triesLeft = MAX_TRIES - tried.length;
+      const answer = await this.askTarget(request, target, leftMs / triesLeft);
+      if (answer.isOk() && answer.value.response !== undefined) {
+        return ok(answer.value.response);
+      }
+      if (answer.isErr() && mayHaveRun(answer.error)) ran = Ran.UNKNOWN;
+      if (answer.isErr()) this.countRetry(answer.error);
+      tried.push(target.vm);
+    }
+    return err(targetsFailed(ran));
+  }
+
+  private choose(
+    request: ResolvedPlain,
+    exclude: readonly string[],
+  ): TargetView | undefined {
+    const {chooser, links, dataCentre} = this.parts;
+    const service = request.service.name;
+    const query = {service, exclude, dataCentre, prefix: ''};
+    return chooser.choose({query, targets: links.views()}).extract();
+  }
+
+  private async askTarget(
+    request: ResolvedPlain,
+    target: TargetView,
+    timeoutMs: number,
+  ): Promise<Result<CallAnswer, CallError>> {
+    const link = this.parts.links.find(target.vm);
+    if (link === undefined) return err({kind: CallErrorKind.NOT_SENT});
+    const message = createCall({
+      request,
+      callId: this.parts.random.id(),
+      key: '',
+      incarnation: target.incarnation,
+      deadlineMs: timeoutMs,
+    });
+    const {clock} = this.parts;
+    return askAgent({link, message, timeoutMs, clock});
+  }
+
+  private countRetry(error: CallError): void {
+    this.parts.metrics.countRetry(RETRY_REASONS[error.kind]);
+  }
+
+  private sleep(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.parts.clock.schedule({delayMs, run: resolve});
+    });
+  }
+}
+
+const RETRY_REASONS: Readonly<Record<CallErrorKind, RetryReason>> = {
+  [CallErrorKind.NOT_SENT]: RetryReason.NOT_SENT,
+  [CallErrorKind.REFUSED]: RetryReason.TARGET_REFUSED,
+  [CallErrorKind.LOST]: RetryReason.CALL_LOST,
+  [CallErrorKind.TIMEOUT]: RetryReason.CALL_SLOW,
+};
+
+function mayHaveRun(error: CallError): boolean {
+  if (error.kind === CallErrorKind.NOT_SENT) return false;
+  return error.refusal?.ran !== Ran.NO;
+}
+
+function deadlineExceeded(ran: Ran): Refusal {
+  return {
+    reason: RefusalReason.DEADLINE_EXCEEDED,
+    ran,
+    detail: 'no target answered in time',
+    retryAfterMs: RETRY_AFTER_MS,
+  };
+}
+
+function targetsFailed(ran: Ran): Refusal {
+  return {
+    reason: RefusalReason.TARGET_FAILED,
+    ran,
+    detail: 'the targets that were tried failed',
+    retryAfterMs: RETRY_AFTER_MS,
+  };
+}
--- /dev/null
+++ b/tools/lab/caller.ts
@@ -0,0 +1,158 @@
+/** A caller that reads a stream and goes on where it broke. */
+import {createParser} from 'eventsource-parser';
+import {request} from 'undici';
+
+/** Bearer key of the quickstart's client account. */
+export const DEMO_KEY = 'demo-key';
+
+/** What a caller has seen of an answer. */
+export interface Transcript {
+  text: string;
+  /** Events that carried text. */
+  pieces: number;
+  /** Times that `[DONE]` came. */
+  ends: number;
+  finishReason: string;
+  lastEventId: string;
+  restarts: number;
+  /** Error documents in the stream or in place of it. */
+  errors: unknown[];
+  /** Arrival of each piece, in milliseconds. */
+  arrivalsMs: number[];
+  /** HTTP status of the last response. */
+  status: number;
+}
+
+/** What a caller asks. */
+export interface Ask {
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly model?: string;
+  readonly stop?: readonly string[];
+  readonly key?: string;
+}
+
+interface CompletionData {
+  readonly choices?: ReadonlyArray<{
+    readonly text: string;
+    readonly finish_reason: string | null;
+  }>;
+}
+
+/** Begins with nothing seen. */
+export function createTranscript(): Transcript {
+  return {
+    text: '',
+    pieces: 0,
+    ends: 0,
+    finishReason: '',
+    lastEventId: '',
+    restarts: 0,
+    errors: [],
+    arrivalsMs: [],
+    status: 0,
+  };
+}
+
+/**
+ * Reads a stream into a transcript until it ends or breaks. A transcript
+ * that holds an event identity goes on from there.
+ */
+export async function readStream(options: {
+  url: string;
+  ask: Ask;
+  transcript: Transcript;
+  signal?: AbortSignal;
+  onPiece?: (transcript: Transcript) => void;
+}): Promise<void> {
+  const {url, ask, transcript, signal, onPiece} = options;
+  const {lastEventId} = transcript;
+  const resume = lastEventId === '' ? {} : {'last-event-id': lastEventId};
+  const res = await request(`${url}/v1/completions`, {
+    method: 'POST',
+    signal,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    headers: {
+      'content-type': 'application/json',
+      authorization: `Bearer ${ask.key ?? DEMO_KEY}`,
+      ...resume,
+    },
+    body: JSON.stringify(createBody(ask)),
+  });
+  transcript.status = res.statusCode;
+  if (res.statusCode !== 200) {
+    transcript.errors.push(await res.body.json());
+    return;
+  }
+  const parser = createParser({
+    onEvent: (event) => {
+      takeEvent(transcript, event);
+      onPiece?.(transcript);
+    },
+  });
+  const decoder = new TextDecoder();
+  for await (const chunk of res.body) {
+    parser.feed(decoder.decode(chunk as Uint8Array, {stream: true}));
+  }
+}
+
+/**
+ * Reads an answer to its end, at the next entry whenever a stream breaks.
+ */
+export async function readWhole(options: {
+  urls: readonly string[];
+  ask: Ask;
+  transcript?: Transcript;
+  onPiece?: (transcript: Transcript) => void;
+}): Promise<Transcript> {
+  const {urls, ask, transcript = createTranscript(), onPiece} = options;
+  const maxTries = 40;
+  for (let i = 0; i < maxTries; i++) {
+    const url = urls[i % urls.length]!;
+    await readStream({url, ask, transcript, onPiece}).catch(() => undefined);
+    if (transcript.ends > 0 || transcript.errors.length > 0) return transcript;
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  return transcript;
+}
+
+function createBody(ask: Ask): unknown {
+  return {
+    model: ask.model ?? 'quote-writer',
+    prompt: ask.prompt,
+    max_tokens: ask.maxTokens,
+    stop: ask.stop,
+    stream: true,
+  };
+}
+
+function takeEvent(
+  transcript: Transcript,
+  event: {event?: string; id?: string; data: string},
+): void {
+  if (event.event === 'restart') {
+    transcript.text = '';
+    transcript.restarts++;
+    return;
+  }
+  if (event.event === 'error') {
+    transcript.errors.push(JSON.parse(event.data));
+    return;
+  }
+  if (event.data === '[DONE]') {
+    transcript.ends++;
+    return;
+  }
+  if (event.id !== undefined) transcript.lastEventId = event.id;
+  const data = JSON.parse(event.data) as CompletionData;
+  const choice = data.choices?.[0];
+  if (choice === undefined) return;
+  transcript.text += choice.text;
+  if (choice.finish_reason !== null) {
+    transcript.finishReason = choice.finish_reason;
+    return;
+  }
+  transcript.pieces++;
+  transcript.arrivalsMs.push(performance.now());
+}
--- /dev/null
+++ b/tools/lab/lab.ts
@@ -0,0 +1,144 @@
+/** Starts the stand-ins and the daemon as processes, and ends them all. */
+import {fileURLToPath} from 'node:url';
+
+import {request} from 'undici';
+
+import type {ReadyFields} from './proc.js';
+import {Proc} from './proc.js';
+
+const EXAMPLES = new URL('../../../examples/', import.meta.url);
+const ADDRESS = '127.0.0.1';
+
+/** A stand-in that listens on one port. */
+export interface StandIn {
+  readonly proc: Proc;
+  readonly url: string;
+  readonly port: number;
+  readonly controlPort: number;
+}
+
+/** A running daemon. */
+export interface Daemon {
+  readonly vm: string;
+  readonly proc: Proc;
+  readonly operatorsUrl: string;
+  /** Empty for an agent. */
+  readonly callersUrl: string;
+  /** 0 where the role listens for no peers. */
+  readonly peersPort: number;
+}
+
+/** Flags of a stand-in or settings of a daemon. */
+export interface NamedValues {
+  readonly [name: string]: string | number | boolean;
+}
+
+/** Holds child processes; whoever creates a lab must close it. */
+export class Lab {
+  private readonly procs: Proc[] = [];
+
+  /** Starts a stand-in by the name of its folder. */
+  async startStandIn(options: {
+    name: string;
+    flags?: NamedValues;
+  }): Promise<StandIn> {
+    const {name, flags = {}} = options;
+    const args = Object.entries(flags).flatMap(([flag, value]) =>
+      value === true ? [`--${flag}`] : [`--${flag}`, String(value)],
+    );
+    const script = `stand-ins/${name}/main.js`;
+    const {proc, ready} = await this.start(script, ['--port', '0', ...args]);
+    const port = ready.port ?? 0;
+    const controlPort = ready.controlPort ?? 0;
+    return {proc, port, controlPort, url: `http://${ADDRESS}:${port}`};
+  }
+
+  /** Starts the daemon with the quickstart's settings and overrides. */
+  async startDaemon(options: {
+    role: 'entry' | 'agent';
+    settings: NamedValues;
+  }): Promise<Daemon> {
+    const {role, settings} = options;
+    const overrides: NamedValues = {
+      'peers.port': 0,
+      'operators.port': 0,
+      ...(role === 'entry' ? {'callers.port': 0} : {}),
+      ...settings,
+    };
+    const path = `quickstart/processes/${role}.yaml`;
+    const base = fileURLToPath(new URL(path, EXAMPLES));
+    const args = Object.entries(overrides).flatMap(([name, value]) => [
+      '--set',
+      `${name}=${value}`,
+    ]);
+    const script = 'src/daemon/main.js';
+    const {proc, ready} = await this.start(script, [
+      '--settings',
+      base,
+      ...args,
+    ]);
+    return createDaemon(String(settings['vm']), proc, ready);
+  }
+
+  /** Ends all processes and waits until they are gone. */
+  async close(): Promise<void> {
+    for (const proc of this.procs) {
+      proc.kill();
+    }
+    await Promise.all(this.procs.map((proc) => proc.exited));
+  }
+
+  private async start(script: string, args: readonly string[]) {
+    const proc = Proc.start({script, args});
+    this.procs.push(proc);
+    const ready = await proc.ready.catch((cause: unknown) => {
+      throw new Error(`${String(cause)}: ${proc.log}`);
+    });
+    return {proc, ready};
+  }
+}
+
+/** Sends JSON to a control endpoint and reads JSON back. */
+export async function sendControl(options: {
+  url: string;
+  method?: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  body?: unknown;
+}): Promise<unknown> {
+  const {url, method = 'GET', body} = options;
+  const res = await request(url, {
+    method,
+    headers: {'content-type': 'application/json'},
+    body: body === undefined ? undefined : JSON.stringify(body),
+  });
+  const text = await res.body.text();
+  return text === '' ? undefined : (JSON.parse(text) as unknown);
+}
+
+/** Polls until `check` holds; fails after `timeoutMs`. */
+export async function waitUntil(options: {
+  what: string;
+  check: () => Promise<boolean>;
+  timeoutMs?: number;
+}): Promise<void> {
+  const {what, check, timeoutMs = 20_000} = options;
+  const endMs = performance.now() + timeoutMs;
+  while (!(await check().catch(() => false))) {
+    if (performance.now() > endMs) throw new Error(`timeout: ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+}
+
+function createDaemon(vm: string, proc: Proc, ready: ReadyFields): Daemon {
+  const {operatorsPort, callersPort, peersPort} = ready;
+  return {
+    vm,
+    proc,
+    operatorsUrl: `http://${ADDRESS}:${operatorsPort}`,
+    callersUrl: callersPort === undefined ? '' : urlOf(callersPort),
+    peersPort: peersPort ?? 0,
+  };
+}
+
+function urlOf(port: number): string {
+  return `http://${ADDRESS}:${port}`;
+}
--- /dev/null
+++ b/tools/lab/site.ts
@@ -0,0 +1,241 @@
+/** A whole small site: platform, targets with agents, and entries. */
+import {readdirSync, readFileSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+
+import {request} from 'undici';
+
+import {HttpObjectStore} from '../../src/adapters/index.js';
+import type {ConfigDocument} from '../../src/core/config/index.js';
+import {checkDeployment, CONFIG_OBJECT} from '../../src/core/config/index.js';
+import type {Daemon, NamedValues, StandIn} from './lab.js';
+import {Lab, sendControl, waitUntil} from './lab.js';
+
+const EXAMPLES = new URL('../../../examples/', import.meta.url);
+
+/** The data centres of the quickstart deployment. */
+export const DATA_CENTRES: readonly string[] = ['waw', 'poz'];
+
+/** A target with its agent. */
+export interface Target {
+  readonly vm: string;
+  readonly standIn: StandIn;
+  readonly agent: Daemon;
+}
+
+/** How large a site is and how its stand-ins behave. */
+export interface SiteOptions {
+  readonly entries?: number;
+  readonly engines?: number;
+  readonly orders?: number;
+  readonly stock?: number;
+  readonly engineFlags?: NamedValues;
+  readonly serviceFlags?: NamedValues;
+  readonly platformFlags?: NamedValues;
+  /** Changes the base of the quickstart's configuration before it applies. */
+  readonly editBase?: (base: Record<string, unknown>) => void;
+}
+
+/** A running site; whoever creates one must close it. */
+export class Site {
+  readonly lab = new Lab();
+  readonly engines: Target[] = [];
+  readonly orders: Target[] = [];
+  readonly stock: Target[] = [];
+  readonly entries: Daemon[] = [];
+  platform!: StandIn;
+  /** Counts bookings, also those of services that have died since. */
+  ledger!: StandIn;
+
+  private constructor(private readonly options: SiteOptions) {}
+
+  /** Starts everything and waits until each entry sees each target. */
+  static async create(options: SiteOptions = {}): Promise<Site> {
+    const site = new Site(options);
+    try {
+      await site.open();
+      return site;
+    } catch (cause) {
+      await site.close();
+      throw cause;
+    }
+  }
+
+  close(): Promise<void> {
+    return this.lab.close();
+  }
+
+  /** Starts one more engine with its agent. */
+  async addEngine(flags: NamedValues = {}): Promise<Target> {
+    const standIn = await this.lab.startStandIn({
+      name: 'engine',
+      flags: {...this.options.engineFlags, ...flags},
+    });
+    const vm = `engine-${this.engines.length + 1}`;
+    const target = await this.addTarget({
+      vm,
+      standIn,
+      kind: 'engine',
+      service: 'drafts',
+      index: this.engines.length,
+    });
+    this.engines.push(target);
+    return target;
+  }
+
+  /** Starts one more plain service with its agent. */
+  async addService(service: 'orders' | 'stock'): Promise<Target> {
+    const list = service === 'orders' ? this.orders : this.stock;
+    const standIn = await this.lab.startStandIn({
+      name: 'service',
+      flags: {
+        'ledger-url': this.ledger.url,
+        ...this.options.serviceFlags,
+      },
+    });
+    const target = await this.addTarget({
+      vm: `${service}-${list.length + 1}`,
+      standIn,
+      kind: 'service',
+      service,
+      index: list.length,
+    });
+    list.push(target);
+    return target;
+  }
+
+  /** Starts one more entry. */
+  async addEntry(): Promise<Daemon> {
+    const index = this.entries.length;
+    const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length]!;
+    const vm = `entry-${index + 1}`;
+    const entry = await this.lab.startDaemon({
+      role: 'entry',
+      settings: {
+        vm,
+        dataCentre,
+        site: dataCentre,
+        platformUrl: this.platform.url,
+      },
+    });
+    this.entries.push(entry);
+    await this.register({
+      name: vm,
+      role: 'entry',
+      dataCentre,
+      peerPort: entry.peersPort,
+      service: '',
+    });
+    return entry;
+  }
+
+  /** Starts another agent beside a target, on the same VM name. */
+  async restartAgent(target: Target, kind: string, service: string) {
+    const index = 0;
+    return this.addTarget({...target, kind, service, index});
+  }
+
+  /** Puts a VM on the platform's list. */
+  async register(vm: {
+    name: string;
+    role: string;
+    dataCentre: string;
+    peerPort: number;
+    service: string;
+    state?: string;
+  }): Promise<void> {
+    await sendControl({
+      url: `${this.platform.url}/vms/${vm.name}`,
+      method: 'PUT',
+      body: {state: 'live', address: '127.0.0.1', ...vm},
+    });
+  }
+
+  /** Waits until every entry can use every running target. */
+  async waitUntilUsable(): Promise<void> {
+    const targets = [...this.engines, ...this.orders, ...this.stock];
+    const expected = targets.filter((t) => t.agent.proc.isRunning).length;
+    for (const entry of this.entries) {
+      if (!entry.proc.isRunning) continue;
+      await waitUntil({
+        what: `${entry.vm} sees ${expected} targets`,
+        check: async () => (await countUsable(entry)) >= expected,
+      });
+    }
+  }
+
+  private async open(): Promise<void> {
+    const {entries = 2, engines = 2, orders = 0, stock = 0} = this.options;
+    this.platform = await this.lab.startStandIn({
+      name: 'platform',
+      flags: {'vm-lag-ms': 0, ...this.options.platformFlags},
+    });
+    this.ledger = await this.lab.startStandIn({name: 'ledger'});
+    await this.applyConfig();
+    for (let i = 0; i < engines; i++) await this.addEngine();
+    for (let i = 0; i < orders; i++) await this.addService('orders');
+    for (let i = 0; i < stock; i++) await this.addService('stock');
+    for (let i = 0; i < entries; i++) await this.addEntry();
+    await this.waitUntilUsable();
+  }
+
+  private async applyConfig(): Promise<void> {
+    const document = loadExample('quickstart');
+    this.options.editBase?.(document.base as Record<string, unknown>);
+    const store = new HttpObjectStore({baseUrl: this.platform.url});
+    const value = {nonce: 'lab', operator: 'lab', document};
+    const created = await store.create({...CONFIG_OBJECT, value});
+    created._unsafeUnwrap();
+  }
+
+  private async addTarget(options: {
+    vm: string;
+    standIn: StandIn;
+    kind: string;
+    service: string;
+    index: number;
+  }): Promise<Target> {
+    const {vm, standIn, kind, service, index} = options;
+    const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length]!;
+    const agent = await this.lab.startDaemon({
+      role: 'agent',
+      settings: {
+        vm,
+        dataCentre,
+        site: dataCentre,
+        platformUrl: this.platform.url,
+        'target.kind': kind,
+        'target.url': standIn.url,
+        'target.service': service,
+      },
+    });
+    const peerPort = agent.peersPort;
+    const name = vm;
+    await this.register({name, role: 'target', dataCentre, peerPort, service});
+    return {vm, standIn, agent};
+  }
+}
+
+/** Loads and checks an example deployment. */
+export function loadExample(name: string): ConfigDocument {
+  const root = fileURLToPath(new URL(`${name}/`, EXAMPLES));
+  const overlays = readdirSync(`${root}overlays`);
+  const read = (file: string) => ({
+    file,
+    text: readFileSync(file, 'utf8'),
+  });
+  const checked = checkDeployment({
+    baseFile: read(`${root}base.yaml`),
+    overlayFiles: overlays.map((file) => read(`${root}overlays/${file}`)),
+  });
+  return checked._unsafeUnwrap().document;
+}
+
+async function countUsable(entry: Daemon): Promise<number> {
+  const res = await request(`${entry.operatorsUrl}/status`);
+  const status = (await res.body.json()) as {
+    ready: boolean;
+    peers: Array<{state: string}>;
+  };
+  if (!status.ready) return 0;
+  return status.peers.filter((peer) => peer.state === 'usable').length;
+}
