Test the adapters against the stand-ins; decode streams rightly

They showed that undici's setEncoding does not reach the body's iterator: the engine driver lost every answer and a watch could break characters. Both now decode by TextDecoder.

--- a/src/adapters/engine-http-stream.ts
+++ b/src/adapters/engine-http-stream.ts
@@ -22,7 +22,7 @@
 import {DriverErrorKind, FinishReason} from '../core/edges/index.js';
 import {driverError, toDriverError} from './driver-errors.js';
 import {FIRST_ERROR_STATUS} from './driver-probe.js';
-import {parseJson, toHttpFailure} from './http-call.js';
+import {parseJson, textOf, toHttpFailure} from './http-call.js';
 
 /** Data of the event that ends a stream. */
 const DONE = '[DONE]';
@@ -85,8 +85,7 @@
     if (res.statusCode >= FIRST_ERROR_STATUS) {
       return this.refuse(res.statusCode);
     }
-    res.body.setEncoding('utf8');
-    for await (const text of res.body as AsyncIterable<string>) {
+    for await (const text of textOf(res.body)) {
       if (this.isOver) return;
       this.parser.feed(text);
     }
--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -111,6 +111,20 @@
   }
 }
 
+/**
+ * Decodes a body as UTF-8 while it arrives. The body's own `setEncoding` does
+ * not reach its iterator.
+ *
+ * @example
+ * for await (const text of textOf(res.body)) parser.feed(text);
+ */
+export async function* textOf(
+  body: AsyncIterable<Uint8Array>,
+): AsyncGenerator<string> {
+  const decoder = new TextDecoder();
+  for await (const chunk of body) yield decoder.decode(chunk, {stream: true});
+}
+
 async function exchange(options: HttpCallOptions): Promise<HttpAnswer> {
   const {dispatcher, url, method, body, timeoutMs} = options;
   const signal = AbortSignal.timeout(timeoutMs);
--- a/src/adapters/http-watch.ts
+++ b/src/adapters/http-watch.ts
@@ -5,7 +5,7 @@
 
 import type {StoreError, WatchEvent, WatchHandle} from '../core/edges/index.js';
 import {ObjectKind, StoreErrorKind} from '../core/edges/index.js';
-import {parseJson, toHttpFailure} from './http-call.js';
+import {parseJson, textOf, toHttpFailure} from './http-call.js';
 import {
   fromFailure,
   fromStatus,
@@ -66,8 +66,7 @@
     if (res.statusCode !== STATUS_OK) {
       return this.end(fromStatus(StoreCall.READ, res.statusCode));
     }
-    res.body.setEncoding('utf8');
-    for await (const text of res.body as AsyncIterable<string>) {
+    for await (const text of textOf(res.body)) {
       this.take(text);
     }
     this.end(storeError(StoreErrorKind.UNAVAILABLE, 'the watch ended'));
--- /dev/null
+++ b/test/adapters/http-service-driver.test.ts
@@ -0,0 +1,142 @@
+import {afterEach, describe, expect, it} from 'vitest';
+
+import {HttpServiceDriver} from '../../src/adapters/index.js';
+import {DriverErrorKind} from '../../src/core/edges/index.js';
+import type {RunningServer} from '../../stand-ins/lib/http-server.js';
+import {startService} from '../../stand-ins/service/server.js';
+import {getJson, NOWHERE, post, startScripted} from '../support/http.js';
+
+const TIMEOUT_MS = 10_000;
+const SHORT_TIMEOUT_MS = 100;
+
+const BOOKING = {
+  method: 'POST',
+  path: '/bookings',
+  headers: [
+    {name: 'Idempotency-Key', value: 'k1'},
+    {name: 'Connection', value: 'close'},
+    {name: 'Content-Length', value: '999'},
+  ],
+  body: Buffer.from('{"pallets":2}'),
+};
+
+const LOOKUP = {
+  method: 'GET',
+  path: '/stock/pumice?unit=bag',
+  headers: [],
+  body: Buffer.alloc(0),
+};
+
+const servers: RunningServer[] = [];
+
+async function open(server: Promise<RunningServer>): Promise<string> {
+  const opened = await server;
+  servers.push(opened);
+  return opened.url;
+}
+
+afterEach(async () => {
+  await Promise.all(servers.splice(0).map((server) => server.close()));
+});
+
+function textOf({body}: {body: Uint8Array}): string {
+  return Buffer.from(body).toString('utf8');
+}
+
+describe('HttpServiceDriver.call', () => {
+  it('passes on a booking and its answer', async () => {
+    const url = await open(startService({delayMs: 0}));
+    const driver = new HttpServiceDriver({baseUrl: url});
+    const called = await driver.call({req: BOOKING, timeoutMs: TIMEOUT_MS});
+    const res = called._unsafeUnwrap();
+    expect(res.status).toBe(201);
+    expect(JSON.parse(textOf(res))).toMatchObject({key: 'k1', execution: 1});
+    const type = {name: 'content-type', value: 'application/json'};
+    expect(res.headers).toContainEqual(type);
+    expect(await getJson(`${url}/counts`)).toEqual({
+      perKey: [{key: 'k1', count: 1}],
+      lookups: 0,
+    });
+  });
+
+  it('passes on a lookup', async () => {
+    const url = await open(startService({delayMs: 0}));
+    const driver = new HttpServiceDriver({baseUrl: url});
+    const called = await driver.call({req: LOOKUP, timeoutMs: TIMEOUT_MS});
+    const res = called._unsafeUnwrap();
+    expect([res.status, textOf(res)]).toEqual([
+      200,
+      expect.stringContaining('"item":"pumice"'),
+    ]);
+  });
+
+  it('passes on an error status as an answer', async () => {
+    const url = await open(startService());
+    await post(`${url}/faults`, {kind: 'fail_fast'});
+    const driver = new HttpServiceDriver({baseUrl: url});
+    const called = await driver.call({req: BOOKING, timeoutMs: TIMEOUT_MS});
+    expect(called._unsafeUnwrap().status).toBe(500);
+  });
+});
+
+const FAILURES = [
+  {
+    name: 'a refused connection',
+    target: () => Promise.resolve(NOWHERE),
+    timeoutMs: TIMEOUT_MS,
+    kind: DriverErrorKind.NOT_SENT,
+  },
+  {
+    name: 'a connection that breaks before the answer',
+    target: () => open(startScripted((res) => res.destroy())),
+    timeoutMs: TIMEOUT_MS,
+    kind: DriverErrorKind.LOST,
+  },
+  {
+    name: 'an answer that is cut off',
+    target: () =>
+      open(
+        startScripted((res) => {
+          res.writeHead(200, {'content-length': '100'});
+          res.write('{', () => res.destroy());
+        }),
+      ),
+    timeoutMs: TIMEOUT_MS,
+    kind: DriverErrorKind.LOST,
+  },
+  {
+    name: 'a stalled service',
+    target: async () => {
+      const url = await open(startService());
+      await post(`${url}/faults`, {kind: 'stall'});
+      return url;
+    },
+    timeoutMs: SHORT_TIMEOUT_MS,
+    kind: DriverErrorKind.TIMEOUT,
+  },
+];
+
+describe('HttpServiceDriver failures', () => {
+  it.each(FAILURES)('reports $name', async ({target, timeoutMs, kind}) => {
+    const driver = new HttpServiceDriver({baseUrl: await target()});
+    const called = await driver.call({req: BOOKING, timeoutMs});
+    expect(called._unsafeUnwrapErr().kind).toBe(kind);
+    const probed = await driver.probe({timeoutMs});
+    expect(probed._unsafeUnwrapErr().kind).toBe(kind);
+  });
+
+  it('probes a healthy service', async () => {
+    const url = await open(startService({capacity: 7}));
+    const driver = new HttpServiceDriver({baseUrl: url});
+    const probed = await driver.probe({timeoutMs: TIMEOUT_MS});
+    expect(probed._unsafeUnwrap()).toEqual({running: 0, capacity: 7});
+  });
+
+  it('reports a malformed probe', async () => {
+    const url = await open(startScripted((res) => res.end('[]')));
+    const driver = new HttpServiceDriver({baseUrl: url});
+    const probed = await driver.probe({timeoutMs: TIMEOUT_MS});
+    const {kind} = probed._unsafeUnwrapErr();
+    expect(kind).toBe(DriverErrorKind.MALFORMED);
+  });
+});
--- /dev/null
+++ b/test/adapters/http-vm-list.test.ts
@@ -0,0 +1,98 @@
+import {afterEach, describe, expect, it} from 'vitest';
+
+import {HttpVmList} from '../../src/adapters/index.js';
+import {VmListErrorKind, VmRole, VmState} from '../../src/core/edges/index.js';
+import type {RunningServer} from '../../stand-ins/lib/http-server.js';
+import {startPlatform} from '../../stand-ins/platform/server.js';
+import {NOWHERE, post, startScripted} from '../support/http.js';
+
+const VM = {
+  name: 't1',
+  role: VmRole.TARGET,
+  state: VmState.LIVE,
+  dataCentre: 'poznan-1',
+  address: '127.0.0.1',
+  peerPort: 7_000,
+  service: 'drafts',
+};
+
+const TIMEOUT_MS = 10_000;
+const SHORT_TIMEOUT_MS = 100;
+const LONG_LAG_MS = 600_000;
+
+const servers: RunningServer[] = [];
+
+async function open(server: Promise<RunningServer>): Promise<string> {
+  const opened = await server;
+  servers.push(opened);
+  return opened.url;
+}
+
+afterEach(async () => {
+  await Promise.all(servers.splice(0).map((server) => server.close()));
+});
+
+async function register(url: string, vm: typeof VM): Promise<void> {
+  const body = JSON.stringify(vm);
+  await fetch(`${url}/vms/${vm.name}`, {method: 'PUT', body});
+}
+
+describe('HttpVmList', () => {
+  it('reads live and leaving VMs, also those registered while down', async () => {
+    const url = await open(startPlatform({vmLagMs: 0}));
+    const leaving = {...VM, name: 't2', state: VmState.LEAVING};
+    await register(url, VM);
+    await post(`${url}/faults`, {mode: 'down'});
+    await register(url, leaving);
+    await post(`${url}/faults`, {mode: 'ok'});
+    const list = new HttpVmList({baseUrl: url});
+    expect((await list.read())._unsafeUnwrap()).toEqual([VM, leaving]);
+    await fetch(`${url}/vms/${VM.name}`, {method: 'DELETE'});
+    expect((await list.read())._unsafeUnwrap()).toEqual([leaving]);
+  });
+
+  it('shows the state of one lag ago', async () => {
+    const url = await open(startPlatform({vmLagMs: LONG_LAG_MS}));
+    await register(url, VM);
+    const list = new HttpVmList({baseUrl: url});
+    expect((await list.read())._unsafeUnwrap()).toEqual([]);
+  });
+});
+
+const FAILURES = [
+  {
+    name: 'a refused connection',
+    target: () => Promise.resolve(NOWHERE),
+    timeoutMs: TIMEOUT_MS,
+    kind: VmListErrorKind.UNAVAILABLE,
+  },
+  {
+    name: 'an error status',
+    target: () => open(startScripted((res) => res.writeHead(503).end())),
+    timeoutMs: TIMEOUT_MS,
+    kind: VmListErrorKind.UNAVAILABLE,
+  },
+  {
+    name: 'silence',
+    target: () => open(startScripted(() => undefined)),
+    timeoutMs: SHORT_TIMEOUT_MS,
+    kind: VmListErrorKind.UNAVAILABLE,
+  },
+  {
+    name: 'an unknown state',
+    target: () => {
+      const body = JSON.stringify({vms: [{...VM, state: 'asleep'}]});
+      return open(startScripted((res) => res.end(body)));
+    },
+    timeoutMs: TIMEOUT_MS,
+    kind: VmListErrorKind.MALFORMED,
+  },
+];
+
+describe('HttpVmList errors', () => {
+  it.each(FAILURES)('reports $name', async ({target, timeoutMs, kind}) => {
+    const baseUrl = await target();
+    const list = new HttpVmList({baseUrl, timeoutMs});
+    expect((await list.read())._unsafeUnwrapErr().kind).toBe(kind);
+  });
+});
--- /dev/null
+++ b/test/support/generation.ts
@@ -0,0 +1,50 @@
+/** Runs generations through a driver and collects what its sink gets. */
+import type {
+  DriverError,
+  EngineDriver,
+  FinishReason,
+  GenerationSpec,
+  Token,
+} from '../../src/core/edges/index.js';
+
+/** What became of one generation. */
+export interface Outcome {
+  readonly tokens: Token[];
+  readonly finishReason?: FinishReason;
+  readonly err?: DriverError;
+}
+
+/** A request with defaults for what a test leaves out. */
+export function specOf(fields: Partial<GenerationSpec>): GenerationSpec {
+  return {
+    model: 'm',
+    prompt: 'Draft a pallet quote',
+    maxTokens: 40,
+    stop: [],
+    temperature: 0,
+    priority: 0,
+    ...fields,
+  };
+}
+
+/** Runs a generation to its end; checks that positions have no gap. */
+export function generate(options: {
+  driver: EngineDriver;
+  spec: GenerationSpec;
+  requestId?: string;
+  resumeFrom?: readonly Token[];
+}): Promise<Outcome> {
+  const {driver, spec, requestId = 'r', resumeFrom = []} = options;
+  const tokens = [...resumeFrom];
+  return new Promise((resolve, reject) => {
+    const sink = {
+      onTokens: (batch: {position: number; tokens: readonly Token[]}) => {
+        if (batch.position !== tokens.length) reject(new Error('gap'));
+        tokens.push(...batch.tokens);
+      },
+      onFinish: (finishReason: FinishReason) => resolve({tokens, finishReason}),
+      onFailure: (err: DriverError) => resolve({tokens, err}),
+    };
+    driver.generate({requestId, spec, resumeFrom, sink});
+  });
+}
