--- a/src/adapters/driver-probe.ts
+++ b/src/adapters/driver-probe.ts
@@ -1,6 +1,5 @@
 /** Asks a target for its report on itself. */
-import type {ResultAsync} from 'neverthrow';
-import type {Result} from 'neverthrow';
+import type {Result, ResultAsync} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {Codec} from 'purify-ts';
 import type {Dispatcher} from 'undici';
--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -14,6 +14,7 @@
   'EHOSTUNREACH',
   'ENETUNREACH',
   'ENOTFOUND',
+  'ERR_INVALID_URL',
   'UND_ERR_CONNECT_TIMEOUT',
   'UND_ERR_INVALID_ARG',
 ]);
--- a/src/adapters/http-service-driver.ts
+++ b/src/adapters/http-service-driver.ts
@@ -57,7 +57,7 @@
     const {req, timeoutMs} = options;
     return callHttp({
       dispatcher: this.dispatcher,
-      url: `${this.baseUrl}${req.path}`,
+      url: urlOf(this.baseUrl, req.path),
       method: req.method,
       headers: req.headers.filter(isForwarded),
       body: req.body.length === 0 ? undefined : req.body,
@@ -77,6 +77,11 @@
   }
 }
 
+/** A path without its slash could otherwise name another host. */
+function urlOf(baseUrl: string, path: string): string {
+  return path.startsWith('/') ? `${baseUrl}${path}` : `${baseUrl}/${path}`;
+}
+
 function isForwarded({name}: {name: string}): boolean {
   return !CONNECTION_HEADERS.has(name.toLowerCase());
 }
--- a/stand-ins/relay/relay.ts
+++ b/stand-ins/relay/relay.ts
@@ -2,6 +2,9 @@
 import type {AddressInfo, Server, Socket} from 'node:net';
 import {connect, createServer} from 'node:net';
 
+import type {LinkState} from './pipe.js';
+import {Pipe} from './pipe.js';
+
 /** Where a relay listens and what it passes bytes to. */
 export interface RelayOptions {
   readonly address: string;
@@ -11,16 +14,20 @@
 }
 
 interface Pair {
-  readonly near: Socket;
-  readonly far: Socket;
+  readonly sockets: readonly Socket[];
+  readonly pipes: readonly Pipe[];
 }
 
-/** Passes bytes both ways between a listening port and one destination. */
+/**
+ * Passes bytes both ways between a listening port and one destination.
+ *
+ * @example
+ * const relay = new Relay({address, port: 0, toHost, toPort});
+ */
 export class Relay {
   private readonly pairs = new Set<Pair>();
+  private readonly link: LinkState = {isCut: false, delayMs: 0};
   private readonly server: Server;
-  private isCut = false;
-  private delayMs = 0;
 
   constructor(private readonly options: RelayOptions) {
     const settings = {allowHalfOpen: true, pauseOnConnect: true};
@@ -32,12 +39,7 @@
     return (this.server.address() as AddressInfo).port;
   }
 
-  /**
-   * Starts to listen.
-   *
-   * @example
-   * await relay.listen();
-   */
+  /** Starts to listen. */
   listen(): Promise<void> {
     const {address, port} = this.options;
     return new Promise((resolve, reject) => {
@@ -48,33 +50,29 @@
 
   /** Passes nothing on any more, but keeps and accepts connections. */
   cut(): void {
-    this.isCut = true;
-    for (const {near, far} of this.pairs) {
-      near.pause();
-      far.pause();
-    }
+    this.link.isCut = true;
+    this.pipes().forEach((pipe) => pipe.pause());
   }
 
-  /** Passes bytes again, those first that were held back by a cut. */
+  /** Ends a cut and a delay; what was held back goes first. */
   mend(): void {
-    this.isCut = false;
-    this.delayMs = 0;
-    for (const pair of this.pairs) resume(pair);
+    this.link.isCut = false;
+    this.link.delayMs = 0;
+    this.pipes().forEach((pipe) => pipe.resume());
   }
 
-  /** Resets all connections; new ones are passed on. */
+  /** Resets all connections; new ones are treated as before. */
   reset(): void {
-    for (const {near, far} of this.pairs) {
-      near.resetAndDestroy();
-      far.resetAndDestroy();
-    }
+    const sockets = [...this.pairs].flatMap((pair) => pair.sockets);
+    sockets.forEach((socket) => socket.resetAndDestroy());
   }
 
-  /** Delays each chunk, each way. */
+  /** Delays what is passed on, each way, in milliseconds. */
   delay(delayMs: number): void {
-    this.delayMs = delayMs;
+    this.link.delayMs = delayMs;
   }
 
+  /** Resets all connections and stops listening. */
   close(): Promise<void> {
     this.reset();
     return new Promise((resolve) => this.server.close(() => resolve()));
@@ -83,49 +81,24 @@
   private accept(near: Socket): void {
     const {toHost: host, toPort: port} = this.options;
     const far = connect({host, port, allowHalfOpen: true});
-    const pair = {near, far};
+    const pipes = [
+      new Pipe(near, far, this.link),
+      new Pipe(far, near, this.link),
+    ];
+    const pair = {sockets: [near, far], pipes};
     this.pairs.add(pair);
-    this.forward(pair, near, far);
-    this.forward(pair, far, near);
-    far.pause();
-    if (!this.isCut) resume(pair);
+    near.on('close', () => this.forget(pair));
+    far.on('close', () => this.forget(pair));
+    if (!this.link.isCut) pipes.forEach((pipe) => pipe.resume());
   }
 
-  private forward(pair: Pair, from: Socket, to: Socket): void {
-    from.on('data', (chunk) => this.pass(from, to, chunk));
-    from.on('end', () => this.later(() => to.end()));
-    from.on('error', () => from.destroy());
-    from.on('close', () => this.drop(pair, to));
-    from.pause();
-  }
-
-  private pass(from: Socket, to: Socket, chunk: Buffer): void {
-    this.later(() => {
-      if (to.destroyed || to.write(chunk)) return;
-      from.pause();
-      to.once('drain', () => {
-        if (!this.isCut) from.resume();
-      });
-    });
-  }
-
-  /** Timers of one delay fire in order, so chunks stay in order. */
-  private later(action: () => void): void {
-    if (this.delayMs === 0) action();
-    else setTimeout(action, this.delayMs);
+  private forget(pair: Pair): void {
+    if (pair.sockets.every((socket) => socket.destroyed)) {
+      this.pairs.delete(pair);
+    }
   }
 
-  private drop(pair: Pair, other: Socket): void {
-    // A cut hides from either side that the other one is gone.
-    if (this.isCut && !other.destroyed) return;
-    this.pairs.delete(pair);
-    this.later(() => other.destroy());
+  private pipes(): Pipe[] {
+    return [...this.pairs].flatMap((pair) => pair.pipes);
   }
 }
-
-function resume({near, far}: Pair): void {
-  if (near.destroyed) far.destroy();
-  if (far.destroyed) near.destroy();
-  near.resume();
-  far.resume();
-}
--- a/test/adapters/http-service-driver.test.ts
+++ b/test/adapters/http-service-driver.test.ts
@@ -70,6 +70,14 @@
     ]);
   });
 
+  it('never leaves the service for another host', async () => {
+    const url = await open(startService({delayMs: 0}));
+    const driver = new HttpServiceDriver({baseUrl: url});
+    const req = {...LOOKUP, path: '@127.0.0.1:1/stock/pumice'};
+    const called = await driver.call({req, timeoutMs: TIMEOUT_MS});
+    expect(called._unsafeUnwrap().status).toBe(404);
+  });
+
   it('passes on an error status as an answer', async () => {
     const url = await open(startService());
     await post(`${url}/faults`, {kind: 'fail_fast'});
