--- a/src/adapters/driver-probe.ts
+++ b/src/adapters/driver-probe.ts
@@ -8,10 +8,7 @@
 import {DriverErrorKind} from '../core/edges/index.js';
 import {driverError, toDriverError} from './driver-errors.js';
 import type {HttpAnswer} from './http-call.js';
-import {callHttp, parseJson} from './http-call.js';
-
-/** First status that says that a call failed. */
-export const FIRST_ERROR_STATUS = 400;
+import {callHttp, FIRST_ERROR_STATUS, parseJson} from './http-call.js';
 
 /**
  * Reads `GET /health` of a target.
--- a/src/adapters/engine-http-stream.ts
+++ b/src/adapters/engine-http-stream.ts
@@ -21,8 +21,12 @@
 } from '../core/edges/index.js';
 import {DriverErrorKind, FinishReason} from '../core/edges/index.js';
 import {driverError, toDriverError} from './driver-errors.js';
-import {FIRST_ERROR_STATUS} from './driver-probe.js';
-import {parseJson, textOf, toHttpFailure} from './http-call.js';
+import {
+  FIRST_ERROR_STATUS,
+  parseJson,
+  textOf,
+  toHttpFailure,
+} from './http-call.js';
 
 /** Data of the event that ends a stream. */
 const DONE = '[DONE]';
--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -8,6 +8,9 @@
 /** Time to open a connection, in milliseconds. */
 export const CONNECT_TIMEOUT_MS = 1_000;
 
+/** First status that says that a call failed. */
+export const FIRST_ERROR_STATUS = 400;
+
 /** Error codes of connections that were never open. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
--- a/src/adapters/http-object-store.ts
+++ b/src/adapters/http-object-store.ts
@@ -25,7 +25,12 @@
 } from '../core/edges/index.js';
 import {ObjectKind, StoreErrorKind} from '../core/edges/index.js';
 import type {HttpAnswer} from './http-call.js';
-import {callHttp, createPool, parseJson} from './http-call.js';
+import {
+  callHttp,
+  createPool,
+  FIRST_ERROR_STATUS,
+  parseJson,
+} from './http-call.js';
 import {HttpWatch} from './http-watch.js';
 import {
   fromFailure,
@@ -38,9 +43,6 @@
 /** Time for one call to the store, in milliseconds. */
 export const STORE_TIMEOUT_MS = 1_500;
 
-/** First status that says that a call failed. */
-const FIRST_ERROR_STATUS = 400;
-
 const STORED_OBJECT: Codec<StoredObject> = Codec.interface({
   kind: enumeration(ObjectKind),
   name: string,
