Command-line tool: check, diff, apply, status, drain, generate, call

Operators drive a deployment from files: apply accepts them with a conditional write that carries a nonce, so that a lost answer is settled by reading back and a race is told with the difference. generate goes on at the next entry after a broken connection. Each command's code is loaded when it runs.

Tables of cases check configuration and settings, and a naive twin the merge.

--- /dev/null
+++ b/src/cli/commands/check/types.ts
@@ -0,0 +1,5 @@
+/** Options of `check`. */
+export interface CheckOptions {
+  readonly files: string;
+  readonly json?: boolean;
+}
--- /dev/null
+++ b/src/cli/commands/drain/run-drain.ts
@@ -0,0 +1,61 @@
+import {
+  DRAIN_UNFINISHED,
+  PROCESS_UNREACHABLE,
+} from '../../../core/errors/index.js';
+import {DRAIN_PATH, OPERATORS_TIMEOUT_MS} from '../../consts.js';
+import {callHttp, formatRefusal, HttpErrorKind} from '../../http/index.js';
+import {readStatus} from '../../operators/index.js';
+import {reportError} from '../../output/index.js';
+import {sleep} from '../../sleep.js';
+import type {CliContext} from '../../types.js';
+import {ExitStatus} from '../../types.js';
+import type {DrainOptions} from './types.js';
+
+/** Time between two looks at a draining process, in milliseconds. */
+const POLL_PERIOD_MS = 250;
+
+/** First HTTP status that says that a call failed. */
+const FIRST_ERROR_STATUS = 400;
+
+/** Runs `drain`. */
+export async function runDrain(
+  ctx: CliContext,
+  options: DrainOptions,
+): Promise<ExitStatus> {
+  const answer = await callHttp({
+    url: `${options.operators}${DRAIN_PATH}`,
+    method: 'POST',
+    headers: {},
+    timeoutMs: OPERATORS_TIMEOUT_MS,
+  });
+  if (answer.isErr()) {
+    reportError(ctx, PROCESS_UNREACHABLE, answer.error.detail);
+    return ExitStatus.FAILED;
+  }
+  const {status, problem} = answer.value;
+  if (status >= FIRST_ERROR_STATUS) {
+    const refusal = problem && formatRefusal(problem);
+    ctx.err(`${refusal ?? `refused: status ${status}`}\n`);
+    return ExitStatus.REFUSED;
+  }
+  ctx.out('draining\n');
+  return options.wait === true ? waitUntilGone(ctx, options) : ExitStatus.OK;
+}
+
+/** Waits until nothing listens any more; silence alone is not enough. */
+async function waitUntilGone(
+  ctx: CliContext,
+  options: DrainOptions,
+): Promise<ExitStatus> {
+  const deadlineAt = ctx.clock.now() + options.deadline;
+  while (ctx.clock.now() < deadlineAt) {
+    const status = await readStatus(options.operators);
+    if (status.isErr() && status.error.kind === HttpErrorKind.NOT_SENT) {
+      ctx.out('gone\n');
+      return ExitStatus.OK;
+    }
+    await sleep(ctx.clock, POLL_PERIOD_MS);
+  }
+  reportError(ctx, DRAIN_UNFINISHED, `${options.operators} still listens`);
+  return ExitStatus.FAILED;
+}
--- /dev/null
+++ b/src/cli/commands/drain/types.ts
@@ -0,0 +1,6 @@
+/** Options of `drain`. */
+export interface DrainOptions {
+  readonly operators: string;
+  readonly wait?: boolean;
+  readonly deadline: number;
+}
--- /dev/null
+++ b/src/cli/commands/index.ts
@@ -0,0 +1,20 @@
+/** The commands; each loads its code when it runs. */
+import type {CommandFactory} from '../types.js';
+import {createApplyCommand} from './apply/index.js';
+import {createCallCommand} from './call/index.js';
+import {createCheckCommand} from './check/index.js';
+import {createDiffCommand} from './diff/index.js';
+import {createDrainCommand} from './drain/index.js';
+import {createGenerateCommand} from './generate/index.js';
+import {createStatusCommand} from './status/index.js';
+
+/** All commands in the order of the help. */
+export const COMMANDS: readonly CommandFactory[] = [
+  createCheckCommand,
+  createDiffCommand,
+  createApplyCommand,
+  createStatusCommand,
+  createDrainCommand,
+  createGenerateCommand,
+  createCallCommand,
+];
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,22 @@
+#!/usr/bin/env node
+/** The command-line tool. */
+import {userInfo} from 'node:os';
+
+import {SystemClock, SystemRandom} from '../core/clock/index.js';
+import {createStore} from './create-store.js';
+import {runCli} from './run-cli.js';
+
+const status = await runCli({
+  args: process.argv.slice(2),
+  ctx: {
+    out: (text) => process.stdout.write(text),
+    err: (text) => process.stderr.write(text),
+    createStore,
+    clock: new SystemClock(),
+    random: new SystemRandom(),
+    operator: userInfo().username,
+  },
+});
+
+// Idle connections of the HTTP client must not keep the tool running.
+process.stdout.write('', () => process.exit(status));
--- /dev/null
+++ b/src/cli/operators/index.ts
@@ -0,0 +1,3 @@
+/** What processes tell their operators. */
+export * from './read-status.js';
+export * from './types.js';
--- /dev/null
+++ b/src/cli/output/report-error.ts
@@ -0,0 +1,13 @@
+import type {ErrorData} from '../../core/errors/index.js';
+import type {CliContext} from '../types.js';
+
+/** Tells the operator of an error from the catalogue. */
+export function reportError(
+  ctx: CliContext,
+  data: ErrorData,
+  detail: string,
+): void {
+  ctx.err(`${data.title}: ${data.message}\n`);
+  ctx.err(`  ${detail}\n`);
+  ctx.err(`  ${data.hint}\n`);
+}
--- /dev/null
+++ b/src/cli/parse-options.ts
@@ -0,0 +1,33 @@
+/** Parsers of option values. */
+import {InvalidArgumentError} from 'commander';
+
+/** Parses a whole number that is not negative. */
+export function parseCount(text: string): number {
+  const value = Number(text);
+  if (!/^\d+$/.test(text) || !Number.isSafeInteger(value)) {
+    throw new InvalidArgumentError('It has to be a whole number.');
+  }
+  return value;
+}
+
+/** Parses a whole number above zero. */
+export function parsePositive(text: string): number {
+  const value = parseCount(text);
+  if (value === 0) {
+    throw new InvalidArgumentError('It has to be above zero.');
+  }
+  return value;
+}
+
+/** Parses a base URL; the result has no slash at its end. */
+export function parseUrl(text: string): string {
+  if (!URL.canParse(text) || !/^https?:$/.test(new URL(text).protocol)) {
+    throw new InvalidArgumentError('It has to be an http or https URL.');
+  }
+  return text.replace(/\/+$/, '');
+}
+
+/** Parses base URLs with commas between them. */
+export function parseUrls(text: string): readonly string[] {
+  return text.split(',').map((part) => parseUrl(part.trim()));
+}
