--- /dev/null
+++ b/test/cli/lib/memory-store.ts
@@ -0,0 +1,117 @@
+import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+import {type Maybe, Maybe as MaybeOf} from 'purify-ts';
+
+import type {
+  ObjectKey,
+  ObjectStore,
+  StoredObject,
+  StoreError,
+  WatchHandle,
+} from '../../../src/core/edges/index.js';
+import {StoreErrorKind} from '../../../src/core/edges/index.js';
+import {Layer} from '../../../src/core/errors/index.js';
+
+/** What happens to one write. */
+export enum WriteFault {
+  /** It takes effect and its answer is lost. */
+  ANSWER_LOST = 'answer_lost',
+  /** It is lost before it takes effect. */
+  WRITE_LOST = 'write_lost',
+  /** The store refuses it. */
+  UNAVAILABLE = 'unavailable',
+  /** Another operator's write takes effect just before it. */
+  OVERTAKEN = 'overtaken',
+  /** It takes effect, its answer is lost, and another write replaces it. */
+  REPLACED = 'replaced',
+}
+
+/** An object store in memory whose next writes can fail. */
+export class MemoryStore implements ObjectStore {
+  readonly faults: WriteFault[] = [];
+  /** Value that another operator writes. */
+  otherValue: unknown;
+  isReadable = true;
+  writes = 0;
+  private readonly objects = new Map<string, StoredObject>();
+  private version = 0;
+
+  create(
+    options: ObjectKey & {value: unknown},
+  ): ResultAsync<StoredObject, StoreError> {
+    return this.write(options, 0, options.value);
+  }
+
+  update(
+    options: ObjectKey & {value: unknown; expectedVersion: number},
+  ): ResultAsync<StoredObject, StoreError> {
+    return this.write(options, options.expectedVersion, options.value);
+  }
+
+  read(key: ObjectKey): ResultAsync<Maybe<StoredObject>, StoreError> {
+    return this.isReadable
+      ? okAsync(MaybeOf.fromNullable(this.objects.get(idOf(key))))
+      : errAsync(storeError(StoreErrorKind.UNAVAILABLE));
+  }
+
+  remove(): ResultAsync<void, StoreError> {
+    throw new Error('not used');
+  }
+
+  list(): ResultAsync<StoredObject[], StoreError> {
+    throw new Error('not used');
+  }
+
+  watch(): WatchHandle {
+    throw new Error('not used');
+  }
+
+  /** Writes without any condition. */
+  put(key: ObjectKey, value: unknown): StoredObject {
+    this.version++;
+    const {kind, name} = key;
+    // A value that was sent is JSON: undefined fields are gone.
+    const sent: unknown = JSON.parse(JSON.stringify(value));
+    const object = {kind, name, version: this.version, value: sent};
+    this.objects.set(idOf(key), object);
+    return object;
+  }
+
+  private write(
+    key: ObjectKey,
+    expectedVersion: number,
+    value: unknown,
+  ): ResultAsync<StoredObject, StoreError> {
+    this.writes++;
+    const fault = this.faults.shift();
+    switch (fault) {
+      case WriteFault.WRITE_LOST:
+        return errAsync(storeError(StoreErrorKind.UNKNOWN));
+      case WriteFault.UNAVAILABLE:
+        return errAsync(storeError(StoreErrorKind.UNAVAILABLE));
+      case WriteFault.OVERTAKEN:
+        this.put(key, this.otherValue);
+        break;
+    }
+    const current = this.objects.get(idOf(key))?.version ?? 0;
+    if (current !== expectedVersion) {
+      const isCreate = expectedVersion === 0;
+      const {EXISTS, CONFLICT} = StoreErrorKind;
+      return errAsync(storeError(isCreate ? EXISTS : CONFLICT));
+    }
+    const object = this.put(key, value);
+    if (fault === WriteFault.REPLACED) {
+      this.put(key, this.otherValue);
+    }
+    return fault === WriteFault.ANSWER_LOST || fault === WriteFault.REPLACED
+      ? errAsync(storeError(StoreErrorKind.UNKNOWN))
+      : okAsync(object);
+  }
+}
+
+function idOf({kind, name}: ObjectKey): string {
+  return `${kind}/${name}`;
+}
+
+function storeError(kind: StoreErrorKind): StoreError {
+  return {layer: Layer.STORE, kind, detail: `store: ${kind}`};
+}
--- /dev/null
+++ b/test/cli/lib/run-tool.ts
@@ -0,0 +1,38 @@
+import {SeededRandom, SystemClock} from '../../../src/core/clock/index.js';
+import {runCli} from '../../../src/cli/run-cli.js';
+import type {ExitStatus} from '../../../src/cli/types.js';
+import {MemoryStore} from './memory-store.js';
+
+const SEED = 20261204;
+
+/** What a run of the tool left behind. */
+export interface ToolRun {
+  readonly status: ExitStatus;
+  readonly out: string;
+  readonly err: string;
+}
+
+/** Runs the tool in this process. */
+export async function runTool(
+  args: readonly string[],
+  store: MemoryStore = new MemoryStore(),
+): Promise<ToolRun> {
+  let out = '';
+  let err = '';
+  const status = await runCli({
+    args,
+    ctx: {
+      out: (text) => {
+        out += text;
+      },
+      err: (text) => {
+        err += text;
+      },
+      createStore: () => Promise.resolve(store),
+      clock: new SystemClock(),
+      random: new SeededRandom(SEED),
+      operator: 'anna',
+    },
+  });
+  return {status, out, err};
+}
