--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -8,12 +8,16 @@
 /** Time to open a connection, in milliseconds. */
 export const CONNECT_TIMEOUT_MS = 1_000;
 
+/** First status that says that a call failed. */
+export const FIRST_ERROR_STATUS = 400;
+
 /** Error codes of connections that were never open. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
   'ENOTFOUND',
+  'ERR_INVALID_URL',
   'UND_ERR_CONNECT_TIMEOUT',
   'UND_ERR_INVALID_ARG',
 ]);
@@ -111,6 +115,20 @@
   }
 }
 
+/**
+ * Decodes a body as UTF-8 while it arrives. The body's own `setEncoding` does
+ * not reach its iterator.
+ *
+ * @example
+ * for await (const text of textOf(res.body)) parser.feed(text);
+ */
+export async function* textOf(
+  body: AsyncIterable<Uint8Array>,
+): AsyncGenerator<string> {
+  const decoder = new TextDecoder();
+  for await (const chunk of body) yield decoder.decode(chunk, {stream: true});
+}
+
 async function exchange(options: HttpCallOptions): Promise<HttpAnswer> {
   const {dispatcher, url, method, body, timeoutMs} = options;
   // A signal's time is whole milliseconds; a fraction would throw.
