--- a/src/core/protocol/index.ts
+++ b/src/core/protocol/index.ts
@@ -1,6 +1,7 @@
 /** Messages, frames and connections between the system's processes. */
 export * from './consts.js';
 export * from './frame-codec.js';
+export * from './message-router.js';
 export * from './messages.js';
 export * from './types.js';
 export * from './peer-client.js';
--- a/src/daemon/run-entry.ts
+++ b/src/daemon/run-entry.ts
@@ -28,15 +28,17 @@
     vmList: new HttpVmList({baseUrl}),
     onDrained: () => exitSoon(() => entry.stop()),
   });
+  const peers = await entry.start();
+  if (peers.isErr()) exitCannotListen(logger, peers.error.detail);
   try {
     const operators = await openOperators({handler: entry, settings});
     const app = createCallersApp({handler: entry.callers});
     const callers = await listenHttp({app, ...settings.callers!});
-    entry.start();
     announceReady({
       vm: settings.vm,
       operatorsPort: operators.port,
       callersPort: callers.port,
+      peersPort: peers._unsafeUnwrap(),
     });
   } catch (cause) {
     exitCannotListen(logger, cause);
--- a/src/entry/agent-links.ts
+++ b/src/entry/agent-links.ts
@@ -1,28 +1,24 @@
 /** Keeps a link to each target of the VM list. */
 import type {Clock, RandomSource, TimerHandle} from '../core/clock/index.js';
-import type {VmList, VmRecord} from '../core/edges/index.js';
+import type {VmRecord} from '../core/edges/index.js';
 import {VmRole} from '../core/edges/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import type {HelloMessage} from '../core/protocol/index.js';
 import type {TargetView} from '../core/routing/index.js';
 import {AgentLink} from './agent-link.js';
-import {
-  PAUSE_EVIDENCE_MS,
-  SILENCE_CHECK_MS,
-  VM_LIST_PERIOD_MS,
-} from './consts.js';
+import {PAUSE_EVIDENCE_MS, SILENCE_CHECK_MS} from './consts.js';
+import type {EntryBoard} from './entry-board.js';
 
 /** Follows the VM list and watches every link for silence. */
 export class AgentLinks {
   private readonly links = new Map<string, AgentLink>();
   private readonly timers: TimerHandle[] = [];
   private checkedAtMs = 0;
-  private reading = false;
 
   constructor(
     private readonly options: {
-      vmList: VmList;
+      board: EntryBoard;
       hello: HelloMessage;
       clock: Clock;
       random: RandomSource;
@@ -35,10 +31,9 @@
     const {clock} = this.options;
     this.checkedAtMs = clock.now();
     this.timers.push(
-      clock.repeat({periodMs: VM_LIST_PERIOD_MS, run: () => this.refresh()}),
       clock.repeat({periodMs: SILENCE_CHECK_MS, run: () => this.check()}),
     );
-    this.refresh();
+    this.options.board.vms.subscribe((records) => this.follow(records));
   }
 
   close(): void {
@@ -55,21 +50,6 @@
     return [...this.links.values()].map((link) => link.view());
   }
 
-  private refresh(): void {
-    if (this.reading) return;
-    this.reading = true;
-    void this.options.vmList
-      .read()
-      .match(
-        (records) => this.follow(records),
-        // The last list stays in use; links tell what is alive.
-        () => undefined,
-      )
-      .then(() => {
-        this.reading = false;
-      });
-  }
-
   private follow(records: readonly VmRecord[]): void {
     const targets = records.filter((vm) => vm.role === VmRole.TARGET);
     const names = new Set(targets.map((vm) => vm.name));
--- a/src/entry/entry-board.ts
+++ b/src/entry/entry-board.ts
@@ -3,6 +3,7 @@
 
 import {Cell} from '../core/blackboard/index.js';
 import type {SiteConfig} from '../core/config/types.js';
+import type {VmRecord} from '../core/edges/index.js';
 
 /** A configuration in force at this process. */
 export interface ConfigInForce {
@@ -15,5 +16,7 @@
   readonly config = new Cell<Maybe<ConfigInForce>>(Nothing);
   /** When the platform last confirmed the configuration. */
   readonly configHeardAtMs = new Cell(0);
+  /** The VM list as last read; it lags. */
+  readonly vms = new Cell<readonly VmRecord[]>([]);
   readonly leaving = new Cell(false);
 }
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -1,4 +1,6 @@
 /** The entry role: takes callers' requests and sees them through. */
+import type {ResultAsync} from 'neverthrow';
+
 import type {Admission} from '../core/admission/index.js';
 import {AccountLimit} from '../core/admission/index.js';
 import type {Clock, RandomSource} from '../core/clock/index.js';
@@ -11,10 +13,12 @@
 } from '../core/edges/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
-import type {HelloMessage} from '../core/protocol/index.js';
+import type {HelloMessage, TransportError} from '../core/protocol/index.js';
 import {
+  MessageRouter,
   MessageType,
   PeerRole,
+  PeerServer,
   PROTOCOL_VERSION,
 } from '../core/protocol/index.js';
 import {TwoChoices} from '../core/routing/index.js';
@@ -27,7 +31,9 @@
 import {EntryBoard} from './entry-board.js';
 import type {RunParts} from './generation-run.js';
 import {GenerationService} from './generation-service.js';
+import {PeerSession} from './peer-session.js';
 import {PlainService} from './plain-service.js';
+import {VmDirectory} from './vm-directory.js';
 
 /** What an entry is built of. */
 export interface EntryOptions {
@@ -47,6 +53,9 @@
   private readonly board = new EntryBoard();
   private readonly incarnation: string;
   private readonly admission: Admission = new AccountLimit();
+  private readonly router = new MessageRouter();
+  private readonly server: PeerServer;
+  private readonly directory: VmDirectory;
   private readonly links: AgentLinks;
   private readonly generations: GenerationService;
   private readonly gate: CallerGate;
@@ -54,7 +63,17 @@
 
   constructor(private readonly options: EntryOptions) {
     this.incarnation = options.random.id();
-    this.links = new AgentLinks({...options, hello: this.createHello()});
+    const hello = this.createHello();
+    const {board, router} = this;
+    const {clock, metrics} = options;
+    this.server = new PeerServer({
+      hello,
+      clock,
+      createListener: (connection) =>
+        new PeerSession({router, metrics}, connection),
+    });
+    this.directory = new VmDirectory({...options, board});
+    this.links = new AgentLinks({...options, board, hello});
     const parts = this.createParts();
     this.generations = new GenerationService({
       parts,
@@ -77,16 +96,21 @@
     return this.gate;
   }
 
-  start(): void {
+  /** Listens for peers and returns the port. */
+  start(): ResultAsync<number, TransportError> {
     this.links.open();
+    this.directory.open();
     this.generations.open();
     this.configWatch.open();
+    return this.server.listen(this.options.settings.peers);
   }
 
   stop(): void {
     this.configWatch.close();
     this.generations.close();
     this.links.close();
+    this.directory.close();
+    this.server.close();
   }
 
   status(): ProcessStatus {
