--- a/src/adapters/callers/completion-writer.ts
+++ b/src/adapters/callers/completion-writer.ts
@@ -60,10 +60,14 @@
 
 /** Shape of `/v1/chat/completions`. */
 export class ChatCompletionWriter implements CompletionWriter {
+  private begun = false;
+
   constructor(private readonly head: AnswerHead) {}
 
   delta(text: string): unknown {
-    const delta = {role: 'assistant', content: text};
+    const role = this.begun ? {} : {role: 'assistant'};
+    this.begun = true;
+    const delta = {...role, content: text};
     return this.chunk([{index: 0, delta, finish_reason: null}]);
   }
 
--- a/src/core/metrics/metrics.ts
+++ b/src/core/metrics/metrics.ts
@@ -2,7 +2,7 @@
 import {build} from 'hdr-histogram-js';
 import {Counter, Gauge, Registry} from 'prom-client';
 
-import type {RefusalReason, RetryReason} from '../errors/refusals.js';
+import {RefusalReason, RetryReason} from '../errors/refusals.js';
 import {
   HISTOGRAM_DIGITS,
   HISTOGRAM_MAX_US,
@@ -11,8 +11,7 @@
   QUANTILES,
   US_PER_MS,
 } from './consts.js';
-
-import type {CounterName, LatencyName} from './types.js';
+import {CounterName, LatencyName} from './types.js';
 
 const SECONDS_PER_US = 1e-6;
 
@@ -31,6 +30,22 @@
   private readonly gauges = new Map<string, Gauge>();
   private readonly histograms = new Map<LatencyName, Histogram>();
 
+  /** Every counter and histogram exists from the start, at 0. */
+  constructor() {
+    for (const reason of Object.values(RefusalReason)) {
+      this.refusals.inc({reason}, 0);
+    }
+    for (const reason of Object.values(RetryReason)) {
+      this.retries.inc({reason}, 0);
+    }
+    for (const name of Object.values(CounterName)) {
+      this.counters.set(name, this.createCounter(name, ['label']));
+    }
+    for (const name of Object.values(LatencyName)) {
+      this.histograms.set(name, createHistogram());
+    }
+  }
+
   countRefusal(reason: RefusalReason): void {
     this.refusals.inc({reason});
   }
@@ -42,12 +57,13 @@
   /** Adds to a counter, under a label where one is given. */
   count(name: CounterName, options: {label?: string; by?: number} = {}): void {
     const {label = '', by = 1} = options;
-    let counter = this.counters.get(name);
-    if (counter === undefined) {
-      counter = this.createCounter(name, ['label']);
-      this.counters.set(name, counter);
-    }
-    counter.inc({label}, by);
+    this.counters.get(name)?.inc({label}, by);
+  }
+
+  /** Lets labels of a counter exist at 0 before they first occur. */
+  declareLabels(options: {name: CounterName; labels: readonly string[]}): void {
+    const {name, labels} = options;
+    for (const label of labels) this.count(name, {label, by: 0});
   }
 
   /** Sets a gauge. */
@@ -65,7 +81,7 @@
   observe(options: {name: LatencyName; ms: number}): void {
     const us = Math.round(options.ms * US_PER_MS);
     const bounded = Math.min(Math.max(us, 1), HISTOGRAM_MAX_US);
-    this.histogram(options.name).recordValue(bounded);
+    this.histograms.get(options.name)?.recordValue(bounded);
   }
 
   /** All metrics in the Prometheus text format. */
@@ -75,18 +91,6 @@
     return counters + '\n' + summaries.join('');
   }
 
-  private histogram(name: LatencyName): Histogram {
-    let histogram = this.histograms.get(name);
-    if (histogram === undefined) {
-      histogram = build({
-        highestTrackableValue: HISTOGRAM_MAX_US,
-        numberOfSignificantValueDigits: HISTOGRAM_DIGITS,
-      });
-      this.histograms.set(name, histogram);
-    }
-    return histogram;
-  }
-
   private createCounter(suffix: string, labelNames: string[]): Counter {
     const name = METRIC_PREFIX + suffix;
     return new Counter({
@@ -98,14 +102,23 @@
   }
 }
 
+function createHistogram(): Histogram {
+  return build({
+    highestTrackableValue: HISTOGRAM_MAX_US,
+    numberOfSignificantValueDigits: HISTOGRAM_DIGITS,
+  });
+}
+
 function renderSummary([name, histogram]: [LatencyName, Histogram]): string {
   const full = METRIC_PREFIX + name;
+  const count = histogram.totalCount;
   const lines = QUANTILES.map((quantile) => {
     const us = histogram.getValueAtPercentile(quantile * PERCENT);
-    return `${full}{quantile="${quantile}"} ${us * SECONDS_PER_US}\n`;
+    // The quantiles of nothing are no numbers.
+    const value = count === 0 ? Number.NaN : us * SECONDS_PER_US;
+    return `${full}{quantile="${quantile}"} ${value}\n`;
   });
-  const count = histogram.totalCount;
-  const sum = histogram.mean * count * SECONDS_PER_US;
-  const head = `# TYPE ${full} summary\n`;
+  const sum = count === 0 ? 0 : histogram.mean * count * SECONDS_PER_US;
+  const head = `# HELP ${full} ${full}\n# TYPE ${full} summary\n`;
   return `${head}${lines.join('')}${full}_sum ${sum}\n${full}_count ${count}\n`;
 }
--- a/src/daemon/run-agent.ts
+++ b/src/daemon/run-agent.ts
@@ -4,9 +4,9 @@
 import {AgentProcess} from '../agent/agent-process.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
 import {createLogger} from '../core/logs/index.js';
-import {Metrics} from '../core/metrics/index.js';
 import type {DaemonSettings, TargetSettings} from '../core/settings/index.js';
 import {TargetKind} from '../core/settings/index.js';
+import {createMetrics} from './create-metrics.js';
 import {
   announceReady,
   exitCannotListen,
@@ -21,7 +21,7 @@
     settings,
     clock: new SystemClock(),
     random: new SystemRandom(),
-    metrics: new Metrics(),
+    metrics: createMetrics(),
     logger,
     drivers: createDrivers(settings.target!),
     onDrained: () => exitSoon(() => agent.stop()),
--- a/src/daemon/run-entry.ts
+++ b/src/daemon/run-entry.ts
@@ -4,9 +4,9 @@
 import {HttpObjectStore, HttpVmList} from '../adapters/index.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
 import {createLogger} from '../core/logs/index.js';
-import {Metrics} from '../core/metrics/index.js';
 import type {DaemonSettings} from '../core/settings/index.js';
 import {EntryProcess} from '../entry/entry-process.js';
+import {createMetrics} from './create-metrics.js';
 import {
   announceReady,
   exitCannotListen,
@@ -22,7 +22,7 @@
     settings,
     clock: new SystemClock(),
     random: new SystemRandom(),
-    metrics: new Metrics(),
+    metrics: createMetrics(),
     logger,
     store: new HttpObjectStore({baseUrl}),
     vmList: new HttpVmList({baseUrl}),
--- a/src/entry/agent-link.ts
+++ b/src/entry/agent-link.ts
@@ -43,6 +43,7 @@
   private incarnation = '';
   private heartbeat: HeartbeatMessage | undefined;
   private heardAtMs: number;
+  private busySinceMs = 0;
   private suspected = false;
 
   constructor(
@@ -111,6 +112,7 @@
   open(options: {id: string; message: Message; handler: LinkHandler}): boolean {
     const {id, message, handler} = options;
     if (!this.isConnected()) return false;
+    if (this.handlers.size === 0) this.busySinceMs = this.options.clock.now();
     this.handlers.set(id, handler);
     this.client.send(message);
     return true;
@@ -131,7 +133,9 @@
     if (!this.client.isReady()) return;
     const busy = this.handlers.size > 0;
     const allowedMs = busy ? SUSPECT_BUSY_MS : SUSPECT_IDLE_MS;
-    const silentMs = this.options.clock.now() - this.heardAtMs;
+    // An idle agent speaks seldom: its silence so far says nothing of it.
+    const sinceMs = Math.max(this.heardAtMs, busy ? this.busySinceMs : 0);
+    const silentMs = this.options.clock.now() - sinceMs;
     if (silentMs <= allowedMs || this.suspected) return;
     this.suspected = true;
     this.options.metrics.count(CounterName.TARGETS_SUSPECTED);
--- a/tools/lab/lab.ts
+++ b/tools/lab/lab.ts
@@ -4,9 +4,9 @@
 import {request} from 'undici';
 
 import type {ReadyFields} from './proc.js';
+import {EXAMPLES} from './paths.js';
 import {Proc} from './proc.js';
 
-const EXAMPLES = new URL('../../../examples/', import.meta.url);
 const ADDRESS = '127.0.0.1';
 
 /** A stand-in that listens on one port. */
@@ -36,6 +36,7 @@
 /** Holds child processes; whoever creates a lab must close it. */
 export class Lab {
   private readonly procs: Proc[] = [];
+  private closed = false;
 
   /** Starts a stand-in by the name of its folder. */
   async startStandIn(options: {
@@ -82,6 +83,7 @@
 
   /** Ends all processes and waits until they are gone. */
   async close(): Promise<void> {
+    this.closed = true;
     for (const proc of this.procs) {
       proc.kill();
     }
@@ -89,6 +91,8 @@
   }
 
   private async start(script: string, args: readonly string[]) {
+    // A start that another one's failure overtook must leave nothing behind.
+    if (this.closed) throw new Error('the lab is closed');
     const proc = Proc.start({script, args});
     this.procs.push(proc);
     const ready = await proc.ready.catch((cause: unknown) => {
--- /dev/null
+++ b/tools/lab/paths.ts
@@ -0,0 +1,18 @@
+/** Where the lab finds programs and examples, also when it is not compiled. */
+import {existsSync} from 'node:fs';
+
+/** Root of the repository. */
+const ROOT = findRoot(new URL('./', import.meta.url));
+
+/** Root of the compiled programs. */
+export const DIST = new URL('dist/', ROOT);
+
+/** The example deployments. */
+export const EXAMPLES = new URL('examples/', ROOT);
+
+function findRoot(folder: URL): URL {
+  if (existsSync(new URL('package.json', folder))) return folder;
+  const parent = new URL('../', folder);
+  if (parent.href === folder.href) throw new Error('no package.json found');
+  return findRoot(parent);
+}
--- a/tools/lab/proc.ts
+++ b/tools/lab/proc.ts
@@ -4,8 +4,7 @@
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
 
-/** Root of the compiled programs. */
-const DIST = new URL('../../', import.meta.url);
+import {DIST} from './paths.js';
 
 const READY_TIMEOUT_MS = 20_000;
 
--- a/tools/lab/site.ts
+++ b/tools/lab/site.ts
@@ -9,8 +9,7 @@
 import {checkDeployment, CONFIG_OBJECT} from '../../src/core/config/index.js';
 import type {Daemon, NamedValues, StandIn} from './lab.js';
 import {Lab, sendControl, waitUntil} from './lab.js';
-
-const EXAMPLES = new URL('../../../examples/', import.meta.url);
+import {EXAMPLES} from './paths.js';
 
 /** The data centres of the quickstart deployment. */
 export const DATA_CENTRES: readonly string[] = ['waw', 'poz'];
@@ -66,25 +65,40 @@
 
   /** Starts one more engine with its agent. */
   async addEngine(flags: NamedValues = {}): Promise<Target> {
+    const target = await this.startEngine(this.engines.length, flags);
+    this.engines.push(target);
+    return target;
+  }
+
+  private async startEngine(
+    index: number,
+    flags: NamedValues = {},
+  ): Promise<Target> {
     const standIn = await this.lab.startStandIn({
       name: 'engine',
       flags: {...this.options.engineFlags, ...flags},
     });
-    const vm = `engine-${this.engines.length + 1}`;
-    const target = await this.addTarget({
-      vm,
+    return this.addTarget({
+      vm: `engine-${index + 1}`,
       standIn,
       kind: 'engine',
       service: 'drafts',
-      index: this.engines.length,
+      index,
     });
-    this.engines.push(target);
-    return target;
   }
 
   /** Starts one more plain service with its agent. */
   async addService(service: 'orders' | 'stock'): Promise<Target> {
     const list = service === 'orders' ? this.orders : this.stock;
+    const target = await this.startService(service, list.length);
+    list.push(target);
+    return target;
+  }
+
+  private async startService(
+    service: 'orders' | 'stock',
+    index: number,
+  ): Promise<Target> {
     const standIn = await this.lab.startStandIn({
       name: 'service',
       flags: {
@@ -92,20 +106,23 @@
         ...this.options.serviceFlags,
       },
     });
-    const target = await this.addTarget({
-      vm: `${service}-${list.length + 1}`,
+    return this.addTarget({
+      vm: `${service}-${index + 1}`,
       standIn,
       kind: 'service',
       service,
-      index: list.length,
+      index,
     });
-    list.push(target);
-    return target;
   }
 
   /** Starts one more entry. */
   async addEntry(): Promise<Daemon> {
-    const index = this.entries.length;
+    const entry = await this.startEntry(this.entries.length);
+    this.entries.push(entry);
+    return entry;
+  }
+
+  private async startEntry(index: number): Promise<Daemon> {
     const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length]!;
     const vm = `entry-${index + 1}`;
     const entry = await this.lab.startDaemon({
@@ -117,7 +134,6 @@
         platformUrl: this.platform.url,
       },
     });
-    this.entries.push(entry);
     await this.register({
       name: vm,
       role: 'entry',
@@ -171,10 +187,12 @@
     });
     this.ledger = await this.lab.startStandIn({name: 'ledger'});
     await this.applyConfig();
-    for (let i = 0; i < engines; i++) await this.addEngine();
-    for (let i = 0; i < orders; i++) await this.addService('orders');
-    for (let i = 0; i < stock; i++) await this.addService('stock');
-    for (let i = 0; i < entries; i++) await this.addEntry();
+    await Promise.all([
+      fill(this.engines, engines, (i) => this.startEngine(i)),
+      fill(this.orders, orders, (i) => this.startService('orders', i)),
+      fill(this.stock, stock, (i) => this.startService('stock', i)),
+      fill(this.entries, entries, (i) => this.startEntry(i)),
+    ]);
     await this.waitUntilUsable();
   }
 
@@ -215,6 +233,16 @@
   }
 }
 
+/** Starts `count` members at once and lists them in order. */
+async function fill<T>(
+  list: T[],
+  count: number,
+  start: (index: number) => Promise<T>,
+): Promise<void> {
+  const starts = Array.from({length: count}, (_, index) => start(index));
+  list.push(...(await Promise.all(starts)));
+}
+
 /** Loads and checks an example deployment. */
 export function loadExample(name: string): ConfigDocument {
   const root = fileURLToPath(new URL(`${name}/`, EXAMPLES));
