--- a/src/adapters/http-callers.ts
+++ b/src/adapters/http-callers.ts
@@ -93,6 +93,7 @@
     spec,
     deadlineMs,
     lastEventId: ctx.req.header('last-event-id') ?? '',
+    signal: ctx.req.raw.signal,
   });
   if (answer.isErr()) return createProblemResponse(answer.error);
   const reader = answer.value;
@@ -124,6 +125,7 @@
     body: body.value,
     idempotencyKey: ctx.req.header('idempotency-key') ?? '',
     deadlineMs,
+    signal: ctx.req.raw.signal,
   });
   return answer.match(
     (res) =>
--- /dev/null
+++ b/src/core/admission/consts.ts
@@ -0,0 +1,32 @@
+/** Share of a service's slots that new work leaves free for resumes. */
+export const RESUME_SHARE = 0.1;
+
+/** Slots of a target whose capacity is not known. */
+export const UNKNOWN_CAPACITY = 8;
+
+/** Calls sent to a plain service per call that it runs at once. */
+export const PLAIN_SLOTS_PER_CAPACITY = 2;
+
+/** Time without any slot after which waiting work is refused. */
+export const NO_SLOTS_GRACE_MS = 5_000;
+
+/** Shortest time after which a refused caller is asked to come back. */
+export const MIN_RETRY_AFTER_MS = 500;
+
+/** Longest time after which a refused caller is asked to come back. */
+export const MAX_RETRY_AFTER_MS = 30_000;
+
+/** Retry-After is drawn from this share around its middle. */
+export const RETRY_AFTER_JITTER = 0.25;
+
+/** Weight of the newest sample in a running mean. */
+export const SAMPLE_WEIGHT = 0.1;
+
+/** Time without samples after which the shortest time halves, each time. */
+export const SHORTEST_HALF_LIFE_MS = 10_000;
+
+/** Deviations that a careful estimate adds to the mean. */
+export const CAREFUL_DEVIATIONS = 2;
+
+/** Share of the way by which a longer sample raises the shortest time. */
+export const SHORTEST_RISE = 0.05;
--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -1,3 +1,23 @@
 /** Which requests are let in, wait or are refused. */
-export {AccountLimit} from './account-limit.js';
-export type {Admission, AdmissionQuery, AdmissionTicket} from './types.js';
+export {resolveSlots, splitLimit} from './capacity.js';
+export type {CapacityQuery} from './capacity.js';
+export {PLAIN_SLOTS_PER_CAPACITY, RESUME_SHARE} from './consts.js';
+export {FairAdmission} from './fair-admission.js';
+export {FairQueue} from './fair-queue.js';
+export type {FairItem} from './fair-queue.js';
+export {
+  RETRY_FLOOR,
+  RETRY_WINDOW_MS,
+  RetryBudget,
+  RetryBudgets,
+} from './retry-budget.js';
+export type {PoolRequest} from './service-pool.js';
+export {ServicePool} from './service-pool.js';
+export {TicketOutcome, WorkKind} from './types.js';
+export type {
+  Admission,
+  AdmissionQuery,
+  AdmissionTicket,
+  EntryLoad,
+  ServiceSlots,
+} from './types.js';
--- /dev/null
+++ b/src/core/admission/service-pool.ts
@@ -0,0 +1,279 @@
+/** The requests of one service at this entry: waiting and in flight. */
+import type {Clock, RandomSource} from '../clock/index.js';
+import {PriorityClass} from '../config/types.js';
+import type {Refusal} from '../errors/refusals.js';
+import {Ran, RefusalReason} from '../errors/refusals.js';
+import {NO_SLOTS_GRACE_MS} from './consts.js';
+import type {FairItem} from './fair-queue.js';
+import {FairQueue} from './fair-queue.js';
+import {ReturnSchedule} from './return-schedule.js';
+import {ServiceTime} from './service-time.js';
+import {TicketOutcome, WorkKind} from './types.js';
+
+/** A request that waits or is in flight. */
+export interface PoolRequest extends FairItem {
+  readonly kind: WorkKind;
+  readonly priorityClass: PriorityClass;
+  readonly deadlineAtMs: number;
+  /** Time of dispatch; 0 while it waits. */
+  startedAtMs: number;
+  /** The request is let in. */
+  onStart(): void;
+  /** The request is refused; it is not in the pool any more. */
+  onRefuse(refusal: Refusal): void;
+}
+
+/** The request that gives way first when the queue is full. */
+export interface LastInLine {
+  readonly request: PoolRequest;
+  readonly lane: number;
+  readonly pressure: number;
+}
+
+const CLASSES: readonly PriorityClass[] = [
+  PriorityClass.HIGH,
+  PriorityClass.NORMAL,
+  PriorityClass.LOW,
+];
+
+/** Resumes of a class go before its new work. */
+const LANES_PER_CLASS = 2;
+
+/**
+ * Decides which requests of a service start, wait or are refused. It holds
+ * no request that cannot be answered by its deadline.
+ *
+ * @example
+ * const pool = new ServicePool({clock, random});
+ * pool.resize({slots: 16, resumeSlots: 1});
+ * if (pool.canBeMet(request)) pool.offer(request);
+ */
+export class ServicePool {
+  private readonly lanes: ReadonlyArray<FairQueue<PoolRequest>>;
+  private readonly times = new ServiceTime();
+  private readonly returns: ReturnSchedule;
+  private slots = 0;
+  private resumeSlots = 0;
+  /** Slots for new work when there last were any. */
+  private drainSlots = 1;
+  private inFlight = 0;
+  private noSlotsSinceMs: number;
+
+  constructor(private readonly options: {clock: Clock; random: RandomSource}) {
+    const count = CLASSES.length * LANES_PER_CLASS;
+    this.lanes = Array.from({length: count}, () => new FairQueue());
+    this.returns = new ReturnSchedule(options);
+    this.noSlotsSinceMs = options.clock.now();
+  }
+
+  /** Requests that wait. */
+  get waiting(): number {
+    return this.lanes.reduce((sum, lane) => sum + lane.size, 0);
+  }
+
+  /** Requests that were let in and have not ended. */
+  get running(): number {
+    return this.inFlight;
+  }
+
+  /** Takes over new capacity and checks all that waits against it. */
+  resize(options: {slots: number; resumeSlots: number}): void {
+    const {slots, resumeSlots} = options;
+    this.slots = slots;
+    this.resumeSlots = resumeSlots;
+    if (slots > 0) {
+      this.noSlotsSinceMs = this.options.clock.now();
+      this.drainSlots = Math.max(1, slots - resumeSlots);
+    }
+    this.drain();
+    this.refuseUnreachable();
+  }
+
+  /** Whether a new request can be answered in time, as far as is known. */
+  canBeMet(request: PoolRequest): boolean {
+    const nowMs = this.options.clock.now();
+    const leftMs = request.deadlineAtMs - nowMs;
+    const size = request.cost;
+    if (this.hasRoom(request)) {
+      return leftMs > 0 && leftMs >= this.times.shortestMs({size, nowMs});
+    }
+    const lane = laneOf(request);
+    const ahead = this.lanes.slice(0, lane);
+    const before =
+      ahead.reduce((sum, queue) => sum + queue.size, 0) +
+      this.lanes[lane]!.countBefore(request.flow);
+    const waitMs = (before + 1) * this.intervalMs();
+    return leftMs > 0 && waitMs + this.times.carefulMs(size) <= leftMs;
+  }
+
+  /** Starts a request or lets it wait; ask `canBeMet` first. */
+  offer(request: PoolRequest): void {
+    this.lanes[laneOf(request)]!.push(request);
+    this.drain();
+  }
+
+  /** Counts a request that runs already. */
+  enter(request: PoolRequest): void {
+    this.start(request);
+  }
+
+  /** Takes a request out of the queue; false where it does not wait. */
+  withdraw(request: PoolRequest): boolean {
+    return this.lanes[laneOf(request)]!.remove(request);
+  }
+
+  /** Refuses a request that waits, for want of room in the queue. */
+  evict(request: PoolRequest): void {
+    if (this.withdraw(request)) this.refuse(request, RefusalReason.OVERLOADED);
+  }
+
+  /** Frees the slot of a request that has ended. */
+  release(request: PoolRequest, outcome: TicketOutcome): void {
+    this.inFlight--;
+    this.learn(request, outcome);
+    this.drain();
+  }
+
+  /** The request that gives way first; undefined where none has to. */
+  lastInLine(): LastInLine | undefined {
+    for (let lane = this.lanes.length - 1; lane >= 0; lane--) {
+      if (isResumeLane(lane)) continue;
+      const longest = this.lanes[lane]!.longestFlow();
+      if (longest === undefined) continue;
+      return {request: longest.last, lane, pressure: longest.pressure};
+    }
+    return undefined;
+  }
+
+  /** What a request would be in the queue, if it waited. */
+  placeOf(request: PoolRequest): LastInLine {
+    const lane = laneOf(request);
+    const count = this.lanes[lane]!.countOf(request.flow) + 1;
+    return {request, lane, pressure: count / request.weight};
+  }
+
+  /** Whether a request would start at once. */
+  hasRoom(request: PoolRequest): boolean {
+    const lane = laneOf(request);
+    const ahead = this.lanes.slice(0, lane + 1).some((q) => q.size > 0);
+    return !ahead && this.inFlight < this.slotsOf(lane);
+  }
+
+  /** Time after which a refused caller should come back. */
+  retryAfterMs(): number {
+    const intervalMs = this.intervalMs();
+    const waitMs = this.waiting * intervalMs;
+    const nowMs = this.options.clock.now();
+    return this.returns.next({nowMs, waitMs, intervalMs});
+  }
+
+  /** Tells a request's caller that it is refused, and when to come back. */
+  refuse(request: PoolRequest, reason: RefusalReason): void {
+    request.onRefuse({
+      reason,
+      // A part of the answer that a resume continues was computed before.
+      ran: request.kind === WorkKind.NEW ? Ran.NO : Ran.UNKNOWN,
+      detail: `${this.waiting} requests wait for ${this.slots} slots`,
+      retryAfterMs: this.retryAfterMs(),
+    });
+  }
+
+  private drain(): void {
+    for (const [index, lane] of this.lanes.entries()) {
+      while (lane.size > 0 && this.inFlight < this.slotsOf(index)) {
+        this.startOrRefuse(lane);
+      }
+    }
+  }
+
+  private startOrRefuse(lane: FairQueue<PoolRequest>): void {
+    const request = lane.peek()!;
+    if (!this.isWorthStarting(request)) {
+      lane.remove(request);
+      this.refuse(request, RefusalReason.DEADLINE_UNREACHABLE);
+      return;
+    }
+    lane.shift();
+    this.start(request);
+    request.onStart();
+  }
+
+  private isWorthStarting(request: PoolRequest): boolean {
+    const nowMs = this.options.clock.now();
+    const leftMs = request.deadlineAtMs - nowMs;
+    const size = request.cost;
+    // Where nobody else wants the slot, trying costs little and shows
+    // whether the service has become faster.
+    const neededMs =
+      this.waiting > 1
+        ? this.times.carefulMs(size)
+        : this.times.shortestMs({size, nowMs});
+    return leftMs > 0 && leftMs >= neededMs;
+  }
+
+  private start(request: PoolRequest): void {
+    this.inFlight++;
+    request.startedAtMs = this.options.clock.now();
+  }
+
+  private learn(request: PoolRequest, outcome: TicketOutcome): void {
+    if (request.kind === WorkKind.RUNNING) return;
+    const nowMs = this.options.clock.now();
+    const heldMs = nowMs - request.startedAtMs;
+    const size = request.cost;
+    if (outcome !== TicketOutcome.FAILED) {
+      this.times.add({heldMs, size, nowMs});
+    }
+    const unitMs = this.times.typicalMs(1);
+    if (unitMs === 0) return;
+    const cost = heldMs / unitMs - size;
+    this.lanes[laneOf(request)]!.correct({...request, cost});
+  }
+
+  private refuseUnreachable(): void {
+    const nowMs = this.options.clock.now();
+    if (this.slots === 0) {
+      const withoutMs = nowMs - this.noSlotsSinceMs;
+      if (withoutMs > NO_SLOTS_GRACE_MS) this.refuseAll();
+    }
+    const intervalMs = this.intervalMs();
+    let waitMs = intervalMs;
+    for (const request of this.lanes.flatMap((lane) => lane.ordered())) {
+      const neededMs = waitMs + this.times.carefulMs(request.cost);
+      const leftMs = request.deadlineAtMs - nowMs;
+      if (leftMs > 0 && neededMs <= leftMs) {
+        waitMs += intervalMs;
+        continue;
+      }
+      this.withdraw(request);
+      this.refuse(request, RefusalReason.DEADLINE_UNREACHABLE);
+    }
+  }
+
+  private refuseAll(): void {
+    for (const request of this.lanes.flatMap((lane) => lane.ordered())) {
+      this.withdraw(request);
+      this.refuse(request, RefusalReason.NO_TARGET);
+    }
+  }
+
+  /** Time between two requests that leave the queue; 0 while unknown. */
+  private intervalMs(): number {
+    return this.times.meanHeldMs() / this.drainSlots;
+  }
+
+  /** Slots that a lane may use; new work leaves some for resumes. */
+  private slotsOf(lane: number): number {
+    if (isResumeLane(lane)) return this.slots;
+    return this.slots - this.resumeSlots;
+  }
+}
+
+function laneOf(request: PoolRequest): number {
+  const rank = CLASSES.indexOf(request.priorityClass) * LANES_PER_CLASS;
+  return request.kind === WorkKind.NEW ? rank + 1 : rank;
+}
+
+function isResumeLane(lane: number): boolean {
+  return lane % LANES_PER_CLASS === 0;
+}
--- a/src/core/edges/callers.ts
+++ b/src/core/edges/callers.ts
@@ -14,6 +14,8 @@
   readonly deadlineMs?: number;
   /** Value of `Last-Event-ID`; empty for a new request. */
   readonly lastEventId: string;
+  /** Aborted when the caller goes away. */
+  readonly signal?: AbortSignal;
 }
 
 /** A request to a plain service, as a caller made it. */
@@ -27,6 +29,8 @@
   /** Value of `Idempotency-Key`; empty when there was none. */
   readonly idempotencyKey: string;
   readonly deadlineMs?: number;
+  /** Aborted when the caller goes away. */
+  readonly signal?: AbortSignal;
 }
 
 /** What a caller reads next of its answer. */
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -190,6 +190,14 @@
   hint: 'Change the request; do not repeat it as it is.',
 } as const satisfies ErrorData;
 
+/** The caller went away while its request waited in the queue. */
+export const CALLER_GONE = {
+  name: 'caller_gone',
+  title: 'Caller gone',
+  message: 'The caller went away while its request waited in the queue.',
+  hint: 'Wait for the answer, or send the request again.',
+} as const satisfies ErrorData;
+
 /** The answer so far is gone and cannot be continued. */
 export const ANSWER_LOST = {
   name: 'answer_lost',
@@ -330,4 +338,5 @@
   [RefusalReason.RETRY_BUDGET_SPENT]: {data: RETRY_BUDGET_SPENT, status: 503},
   [RefusalReason.POISON]: {data: POISON, status: 422},
   [RefusalReason.ANSWER_LOST]: {data: ANSWER_LOST, status: 410},
+  [RefusalReason.CALLER_GONE]: {data: CALLER_GONE, status: 408},
 };
--- a/src/core/errors/refusals.ts
+++ b/src/core/errors/refusals.ts
@@ -33,6 +33,7 @@
   RETRY_BUDGET_SPENT = 'retry_budget_spent',
   POISON = 'poison',
   ANSWER_LOST = 'answer_lost',
+  CALLER_GONE = 'caller_gone',
 }
 
 /** Why a piece of work was sent again; each has its own counter. */
--- /dev/null
+++ b/src/core/routing/consts.ts
@@ -0,0 +1,32 @@
+/** Time by which targets' reports of load lag, in milliseconds. */
+export const REPORT_LAG_MS = 500;
+
+/** Time until a target that came back takes its full share. */
+export const SLOW_START_MS = 10_000;
+
+/** Share that a target takes when it has just come back. */
+export const SLOW_START_SHARE = 0.1;
+
+/** How far above the lighter choice a target with the prefix may be. */
+export const PREFIX_SLACK = 0.25;
+
+/** Reported load beyond this multiple of the capacity is not believed. */
+export const BELIEVED_LOAD = 2;
+
+/** Time over which a target's outcomes are counted, in milliseconds. */
+export const FAILURE_WINDOW_MS = 10_000;
+
+/** Outcomes before a target is judged by them. */
+export const MIN_OUTCOMES = 5;
+
+/** Share of failed outcomes at which a target is ejected. */
+export const FAILURE_SHARE = 0.5;
+
+/** First ejection; each further one in a row is twice as long. */
+export const EJECT_MS = 5_000;
+
+/** Longest ejection. */
+export const MAX_EJECT_MS = 60_000;
+
+/** Share of a service's usable targets that may be ejected at once. */
+export const MAX_EJECTED_SHARE = 0.5;
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -18,8 +18,12 @@
   readonly waiting: number;
   /** Requests it runs at once; 0 when not known. */
   readonly capacity: number;
-  /** Own requests that began or ended since the report. */
+  /** Prefixes that it reported as cached; late, with gaps. */
   readonly cachedPrefixes: readonly string[];
+  /** Own requests that the report counts; 0 where it is left out. */
+  readonly ownAtReport?: number;
+  /** Time since it became usable; without end where it is left out. */
+  readonly usableForMs?: number;
 }
 
 /** What a request asks of a choice. */
--- a/src/entry/agent-link.ts
+++ b/src/entry/agent-link.ts
@@ -20,6 +20,7 @@
 } from '../core/protocol/index.js';
 import {MessageType, PeerClient, TargetPhase} from '../core/protocol/index.js';
 import type {TargetView} from '../core/routing/index.js';
+import {OwnCounts, REPORT_LAG_MS} from '../core/routing/index.js';
 import {SUSPECT_BUSY_MS, SUSPECT_IDLE_MS} from './consts.js';
 
 /** Hears what becomes of one attempt or call at an agent. */
@@ -44,6 +45,9 @@
   private heartbeat: HeartbeatMessage | undefined;
   private heardAtMs: number;
   private suspected = false;
+  private readonly ownCounts = new OwnCounts({keepMs: 4 * REPORT_LAG_MS});
+  private ownAtReport = 0;
+  private usableSinceMs: number | undefined;
 
   constructor(
     private record: VmRecord,
@@ -84,18 +88,21 @@
     const leaving = state === VmState.LEAVING || (beat?.leaving ?? false);
     const healthy = beat?.phase === TargetPhase.HEALTHY;
     const connected = this.client.isReady() && !this.suspected;
+    const usable = connected && healthy && !leaving;
     return {
       vm: name,
       dataCentre,
       service,
       incarnation: this.incarnation,
-      usable: connected && healthy && !leaving,
+      usable,
       leaving,
       ownInFlight: this.handlers.size,
       running: beat?.running ?? 0,
       waiting: beat?.waiting ?? 0,
       capacity: beat?.capacity ?? 0,
       cachedPrefixes: beat?.cachedPrefixes ?? [],
+      ownAtReport: this.ownAtReport,
+      usableForMs: this.noteUsable(usable),
     };
   }
 
@@ -112,6 +119,7 @@
     const {id, message, handler} = options;
     if (!this.isConnected()) return false;
     this.handlers.set(id, handler);
+    this.noteCount();
     this.client.send(message);
     return true;
   }
@@ -124,6 +132,7 @@
   /** Forgets an attempt or call; later words of it are dropped. */
   release(id: string): void {
     this.handlers.delete(id);
+    this.noteCount();
   }
 
   /** Suspects the agent if it has been silent for too long. */
@@ -194,20 +203,37 @@
   private handleHeartbeat(beat: HeartbeatMessage): void {
     const wasLeaving = this.heartbeat?.leaving ?? false;
     this.heartbeat = beat;
+    const nowMs = this.options.clock.now();
+    this.ownAtReport = this.ownCounts.countAt(nowMs - REPORT_LAG_MS);
     this.options.metrics.count(CounterName.HEARTBEATS);
     if (!beat.leaving || wasLeaving) return;
     for (const handler of [...this.handlers.values()]) handler.onLeaving?.();
   }
 
+  private noteCount(): void {
+    const nowMs = this.options.clock.now();
+    this.ownCounts.note({nowMs, count: this.handlers.size});
+  }
+
+  /** Time since the target became usable; 0 while it is not. */
+  private noteUsable(usable: boolean): number {
+    const nowMs = this.options.clock.now();
+    if (!usable) this.usableSinceMs = undefined;
+    else this.usableSinceMs ??= nowMs;
+    return nowMs - (this.usableSinceMs ?? nowMs);
+  }
+
   private take(id: string): LinkHandler | undefined {
     const handler = this.handlers.get(id);
     this.handlers.delete(id);
+    this.noteCount();
     return handler;
   }
 
   private loseAll(reason: RetryReason): void {
     const handlers = [...this.handlers.values()];
     this.handlers.clear();
+    this.noteCount();
     for (const handler of handlers) handler.onLost(reason);
   }
 }
--- a/src/entry/caller-gate.ts
+++ b/src/entry/caller-gate.ts
@@ -5,6 +5,7 @@
 import {err, errAsync, ok, ResultAsync} from 'neverthrow';
 
 import type {Admission} from '../core/admission/index.js';
+import {TicketOutcome} from '../core/admission/index.js';
 import type {Clock} from '../core/clock/index.js';
 import type {
   ClientAccountConfig,
@@ -99,19 +100,20 @@
   private async admitAndCall(
     request: ResolvedPlain,
   ): Promise<Result<PlainResponse, Refusal>> {
-    const {clientAccount, service, deadlineAtMs} = request;
+    const {req, clientAccount, service, deadlineAtMs} = request;
     const ticket = await this.parts.admission.admit({
       clientAccount,
       service,
       deadlineAtMs,
       maxTokens: 0,
+      signal: req.signal,
     });
     if (ticket.isErr()) return err(ticket.error);
     const answering = service.idempotent
       ? this.parts.plain.call(request)
       : this.parts.bookings.call(request);
     const result = await answering;
-    ticket.value.release();
+    ticket.value.release(outcomeOf(result));
     return result;
   }
 
@@ -187,6 +189,13 @@
   }
 }
 
+function outcomeOf(result: Result<PlainResponse, Refusal>): TicketOutcome {
+  if (result.isOk()) return TicketOutcome.SERVED;
+  return result.error.reason === RefusalReason.DEADLINE_EXCEEDED
+    ? TicketOutcome.TIMED_OUT
+    : TicketOutcome.FAILED;
+}
+
 function checkKey(service: ServiceConfig, key: string): Refusal | undefined {
   if (service.idempotent) return undefined;
   if (key === '') {
--- a/src/entry/entry-board.ts
+++ b/src/entry/entry-board.ts
@@ -1,6 +1,7 @@
 import type {Maybe} from 'purify-ts';
 import {Nothing} from 'purify-ts';
 
+import type {EntryLoad} from '../core/admission/index.js';
 import {Cell} from '../core/blackboard/index.js';
 import type {SiteConfig} from '../core/config/types.js';
 import type {VmRecord} from '../core/edges/index.js';
@@ -19,4 +20,6 @@
   /** The VM list as last read; it lags. */
   readonly vms = new Cell<readonly VmRecord[]>([]);
   readonly leaving = new Cell(false);
+  /** This entry's share of the targets' capacity. */
+  readonly load = new Cell<EntryLoad>({liveEntries: 1, services: []});
 }
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -2,7 +2,7 @@
 import type {ResultAsync} from 'neverthrow';
 
 import type {Admission} from '../core/admission/index.js';
-import {AccountLimit} from '../core/admission/index.js';
+import {FairAdmission, RetryBudgets} from '../core/admission/index.js';
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {
   CallerHandler,
@@ -21,7 +21,7 @@
   PeerServer,
   PROTOCOL_VERSION,
 } from '../core/protocol/index.js';
-import {TwoChoices} from '../core/routing/index.js';
+import {FailureWatch, LoadAwareChoice} from '../core/routing/index.js';
 import type {DaemonSettings} from '../core/settings/types.js';
 import {AgentLinks} from './agent-links.js';
 import {BookingService} from './booking-service.js';
@@ -31,6 +31,7 @@
 import {EntryBoard} from './entry-board.js';
 import type {RunParts} from './generation-run.js';
 import {GenerationService} from './generation-service.js';
+import {LoadController} from './load-controller.js';
 import {PeerSession} from './peer-session.js';
 import {PlainService} from './plain-service.js';
 import {VmDirectory} from './vm-directory.js';
@@ -52,17 +53,19 @@
 export class EntryProcess implements OperatorHandler {
   private readonly board = new EntryBoard();
   private readonly incarnation: string;
-  private readonly admission: Admission = new AccountLimit();
+  private readonly admission: Admission;
   private readonly router = new MessageRouter();
   private readonly server: PeerServer;
   private readonly directory: VmDirectory;
   private readonly links: AgentLinks;
+  private readonly loadController: LoadController;
   private readonly generations: GenerationService;
   private readonly gate: CallerGate;
   private readonly configWatch: ConfigWatch;
 
   constructor(private readonly options: EntryOptions) {
     this.incarnation = options.random.id();
+    this.admission = new FairAdmission(options);
     const hello = this.createHello();
     const {board, router} = this;
     const {clock, metrics} = options;
@@ -74,6 +77,11 @@
     });
     this.directory = new VmDirectory({...options, board});
     this.links = new AgentLinks({...options, board, hello});
+    this.loadController = new LoadController({
+      ...options,
+      board,
+      views: () => this.links.views(),
+    });
     const parts = this.createParts();
     this.generations = new GenerationService({
       parts,
@@ -86,6 +94,7 @@
       board: this.board,
       site: options.settings.site,
     });
+    this.board.load.subscribe((load) => this.admission.resize(load));
     this.board.config.subscribe((inForce) => {
       inForce.ifJust(({cfg}) => this.admission.configure(cfg));
     });
@@ -100,6 +109,7 @@
   start(): ResultAsync<number, TransportError> {
     this.links.open();
     this.directory.open();
+    this.loadController.open();
     this.generations.open();
     this.configWatch.open();
     return this.server.listen(this.options.settings.peers);
@@ -108,6 +118,7 @@
   stop(): void {
     this.configWatch.close();
     this.generations.close();
+    this.loadController.close();
     this.links.close();
     this.directory.close();
     this.server.close();
@@ -166,12 +177,15 @@
 
   private createParts(): RunParts {
     const {clock, random, metrics, settings} = this.options;
+    const failures = new FailureWatch({clock});
     return {
       clock,
       random,
       metrics,
       links: this.links,
-      chooser: new TwoChoices({random}),
+      chooser: new LoadAwareChoice({random, failures}),
+      failures,
+      retryBudgets: new RetryBudgets({clock}),
       dataCentre: settings.dataCentre,
     };
   }
--- a/src/entry/generation-run.ts
+++ b/src/entry/generation-run.ts
@@ -1,4 +1,5 @@
 /** Brings one answer to its end, over as many attempts as it takes. */
+import type {RetryBudgets} from '../core/admission/index.js';
 import type {Clock, RandomSource, TimerHandle} from '../core/clock/index.js';
 import type {GenerationSpec, Token} from '../core/edges/index.js';
 import type {Refusal} from '../core/errors/index.js';
@@ -8,12 +9,17 @@
 import {CounterName, LatencyName} from '../core/metrics/index.js';
 import type {
   EndMessage,
+  FailedMessage,
   Message,
   RefusedMessage,
   TokensMessage,
 } from '../core/protocol/index.js';
 import {MessageType} from '../core/protocol/index.js';
-import type {TargetChooser, TargetView} from '../core/routing/index.js';
+import type {
+  FailureWatch,
+  TargetChooser,
+  TargetView,
+} from '../core/routing/index.js';
 import type {AgentLink, LinkHandler} from './agent-link.js';
 import type {AgentLinks} from './agent-links.js';
 import type {AnswerCopy, AttemptPlace} from './answer-copy.js';
@@ -25,6 +31,7 @@
   readonly clientAccount: string;
   readonly fingerprint: string;
   readonly service: string;
+  readonly retryRatio: number;
   readonly spec: GenerationSpec;
   /** On the process's clock. */
   readonly deadlineAtMs: number;
@@ -37,6 +44,8 @@
   readonly metrics: Metrics;
   readonly links: AgentLinks;
   readonly chooser: TargetChooser;
+  readonly failures: FailureWatch;
+  readonly retryBudgets: RetryBudgets;
   readonly dataCentre: string;
 }
 
@@ -45,6 +54,10 @@
   private attemptId = '';
   private link: AgentLink | undefined;
   private attempts = 0;
+  /** Attempts that ended in a refusal, of those so far. */
+  private refusals = 0;
+  /** The attempt whose outcome was noted last. */
+  private outcomeOf = '';
   private readonly excluded: string[] = [];
   private waiting: TimerHandle | undefined;
   private readonly deadlineTimer: TimerHandle;
@@ -145,7 +158,7 @@
     return {
       onTokens: (message) => ifCurrent(() => this.takeTokens(message)),
       onEnd: (message) => ifCurrent(() => this.takeEnd(message)),
-      onFailed: (message) => ifCurrent(() => this.recover(message.reason)),
+      onFailed: (message) => ifCurrent(() => this.takeFailure(message)),
       onRefused: (message) => ifCurrent(() => this.takeRefusal(message)),
       onLost: (reason) => ifCurrent(() => this.recover(reason)),
       onLeaving: () =>
@@ -168,6 +181,7 @@
   }
 
   private noteTokens(count: number): void {
+    this.noteOutcome(false);
     const {metrics, clock} = this.parts;
     const nowMs = clock.now();
     metrics.count(CounterName.TOKENS_RELAYED, {by: count});
@@ -192,14 +206,43 @@
     this.finish();
   }
 
+  private takeFailure(message: FailedMessage): void {
+    this.noteOutcome(true);
+    this.recover(message.reason);
+  }
+
+  /** An attempt counts once, by its first tokens or by having none. */
+  private noteOutcome(failed: boolean): void {
+    if (this.link === undefined || this.outcomeOf === this.attemptId) return;
+    this.outcomeOf = this.attemptId;
+    this.parts.failures.note({vm: this.link.vm, failed});
+  }
+
   private takeRefusal(message: RefusedMessage): void {
     if (message.reason === RefusalReason.POISON) {
       this.giveUp(message);
       return;
     }
+    if (!this.mayRetryRefused(message)) {
+      this.giveUp(retryBudgetSpent());
+      return;
+    }
     this.recover(RetryReason.TARGET_REFUSED);
   }
 
+  /**
+   * Whether a refused attempt may be made elsewhere. Answers that have begun
+   * and refusals of targets that leave cost no retry: the first replace lost
+   * work, and a target that leaves refuses each request once.
+   */
+  private mayRetryRefused(message: RefusedMessage): boolean {
+    this.refusals++;
+    if (message.reason === RefusalReason.LEAVING) return true;
+    if (this.attempts > this.refusals || this.copy.log.length > 0) return true;
+    const {service: name, retryRatio} = this.order;
+    return this.parts.retryBudgets.of({name, retryRatio}).tryRetry();
+  }
+
   private recover(reason: RetryReason): void {
     if (this.isOver()) return;
     this.parts.metrics.countRetry(reason);
@@ -274,6 +317,15 @@
   };
 }
 
+function retryBudgetSpent(): Refusal {
+  return {
+    reason: RefusalReason.RETRY_BUDGET_SPENT,
+    ran: Ran.NO,
+    detail: 'the target refused and the service has no retries left',
+    retryAfterMs: RETRY_AFTER_MS,
+  };
+}
+
 function tooManyAttempts(attempts: number): Refusal {
   return {
     reason: RefusalReason.TARGET_FAILED,
--- a/src/entry/generation-service.ts
+++ b/src/entry/generation-service.ts
@@ -3,13 +3,18 @@
 import {errAsync, okAsync} from 'neverthrow';
 
 import type {Admission, AdmissionTicket} from '../core/admission/index.js';
+import {TicketOutcome, WorkKind} from '../core/admission/index.js';
 import type {TimerHandle} from '../core/clock/index.js';
 import type {ClientAccountConfig, ServiceConfig} from '../core/config/types.js';
 import type {AnswerReader, GenerationReq} from '../core/edges/index.js';
 import type {Refusal} from '../core/errors/index.js';
 import {Ran, RefusalReason} from '../core/errors/index.js';
 import type {EventId} from '../core/generation/index.js';
-import {decodeEventId, fingerprintOf} from '../core/generation/index.js';
+import {
+  decodeEventId,
+  fingerprintOf,
+  LogState,
+} from '../core/generation/index.js';
 import {AnswerCopy} from './answer-copy.js';
 import {COPY_RETENTION_MS, COPY_SWEEP_MS} from './consts.js';
 import type {RunOrder, RunParts} from './generation-run.js';
@@ -73,8 +78,10 @@
     restarted: boolean,
   ): ResultAsync<AnswerReader, Refusal> {
     const order = this.createOrder(request, this.options.parts.random.id());
-    return this.admit(request, order).map((ticket) => {
-      const {copy, run} = this.hold(order, () => ticket.release());
+    const kind = restarted ? WorkKind.RESUME : WorkKind.NEW;
+    return this.admit({request, order, kind}).map((ticket) => {
+      this.options.parts.retryBudgets.of(request.service).noteFirstTry();
+      const {copy, run} = this.hold(order, ticket);
       const reader = copy.read({position: 0, restarted});
       run.start();
       return reader;
@@ -110,8 +117,9 @@
     if (!alive || link?.isConnected() !== true) {
       return this.begin(request, true);
     }
-    return this.admit(request, order).map((ticket) => {
-      const {copy, run} = this.hold(order, () => ticket.release());
+    const kind = WorkKind.RUNNING;
+    return this.admit({request, order, kind}).map((ticket) => {
+      const {copy, run} = this.hold(order, ticket);
       const {position} = id;
       const reader = copy.read({position, restarted: false});
       run.attach(id);
@@ -119,11 +127,13 @@
     });
   }
 
-  private admit(
-    request: ResolvedGeneration,
-    order: RunOrder,
-  ): ResultAsync<AdmissionTicket, Refusal> {
-    const {clientAccount, service} = request;
+  private admit(options: {
+    request: ResolvedGeneration;
+    order: RunOrder;
+    kind: WorkKind;
+  }): ResultAsync<AdmissionTicket, Refusal> {
+    const {request, order, kind} = options;
+    const {clientAccount, service, req} = request;
     const {deadlineAtMs, spec} = order;
     const {maxTokens} = spec;
     return this.options.admission.admit({
@@ -131,10 +141,12 @@
       service,
       deadlineAtMs,
       maxTokens,
+      kind,
+      signal: req.signal,
     });
   }
 
-  private hold(order: RunOrder, onDone: () => void): HeldAnswer {
+  private hold(order: RunOrder, ticket: AdmissionTicket): HeldAnswer {
     const {parts, entryVm} = this.options;
     const copy = new AnswerCopy({
       requestId: order.requestId,
@@ -143,6 +155,7 @@
       entryVm,
       now: () => parts.clock.now(),
     });
+    const onDone = (): void => ticket.release(outcomeOf(copy));
     const held = {copy, run: new GenerationRun(order, copy, parts, onDone)};
     this.held.set(order.requestId, held);
     return held;
@@ -162,6 +175,7 @@
         parts: [JSON.stringify(req.spec)],
       }),
       service: service.name,
+      retryRatio: service.retryRatio,
       spec: req.spec,
       deadlineAtMs: this.options.parts.clock.now() + allowedMs,
     };
@@ -176,6 +190,13 @@
   }
 }
 
+function outcomeOf(copy: AnswerCopy): TicketOutcome {
+  if (copy.log.state === LogState.FINISHED) return TicketOutcome.SERVED;
+  return copy.refusal?.reason === RefusalReason.DEADLINE_EXCEEDED
+    ? TicketOutcome.TIMED_OUT
+    : TicketOutcome.FAILED;
+}
+
 function badEventId(detail: string): Refusal {
   return {reason: RefusalReason.BAD_EVENT_ID, ran: Ran.NO, detail};
 }
--- /dev/null
+++ b/src/entry/load-controller.ts
@@ -0,0 +1,92 @@
+/** Works out this entry's share of the targets' capacity. */
+import type {EntryLoad, ServiceSlots} from '../core/admission/index.js';
+import {
+  PLAIN_SLOTS_PER_CAPACITY,
+  resolveSlots,
+  RESUME_SHARE,
+} from '../core/admission/index.js';
+import type {Clock, TimerHandle} from '../core/clock/index.js';
+import type {ServiceConfig} from '../core/config/index.js';
+import {ServiceKind} from '../core/config/index.js';
+import type {VmRecord} from '../core/edges/index.js';
+import {VmRole, VmState} from '../core/edges/index.js';
+import type {TargetView} from '../core/routing/index.js';
+import type {EntryBoard} from './entry-board.js';
+
+/** How often the share is worked out anew, in milliseconds. */
+export const LOAD_PERIOD_MS = 100;
+
+/** Writes the entry's load to the board from the views and the VM list. */
+export class LoadController {
+  private timer: TimerHandle | undefined;
+
+  constructor(
+    private readonly options: {
+      board: EntryBoard;
+      clock: Clock;
+      views: () => readonly TargetView[];
+    },
+  ) {}
+
+  open(): void {
+    this.timer = this.options.clock.repeat({
+      periodMs: LOAD_PERIOD_MS,
+      run: () => this.refresh(),
+    });
+  }
+
+  close(): void {
+    this.timer?.cancel();
+  }
+
+  private refresh(): void {
+    const {board, views} = this.options;
+    const services = board.config.get().extract()?.cfg.services ?? [];
+    const vms = board.vms.get();
+    board.load.set(resolveLoad({services, vms, views: views()}));
+  }
+}
+
+/**
+ * Gives an entry its slots for each service.
+ *
+ * @example
+ * resolveLoad({services, vms, views});
+ */
+export function resolveLoad(options: {
+  services: readonly ServiceConfig[];
+  vms: readonly VmRecord[];
+  views: readonly TargetView[];
+}): EntryLoad {
+  const {services, vms, views} = options;
+  const liveEntries = Math.max(1, vms.filter(isLiveEntry).length);
+  return {
+    liveEntries,
+    services: services.map((service) => {
+      const ofService = views.filter((view) => view.service === service.name);
+      const listed = vms.filter((vm) => vm.service === service.name).length;
+      return resolveService({service, views: ofService, listed, liveEntries});
+    }),
+  };
+}
+
+function resolveService(options: {
+  service: ServiceConfig;
+  views: readonly TargetView[];
+  listed: number;
+  liveEntries: number;
+}): ServiceSlots {
+  const {service, views, listed, liveEntries} = options;
+  // Where each entry watches a part of the targets, fewer entries share one.
+  const watchedShare = listed === 0 ? 1 : Math.min(1, views.length / listed);
+  const sharers = Math.max(1, liveEntries * watchedShare);
+  const isPlain = service.kind === ServiceKind.PLAIN;
+  const slotsPerCapacity = isPlain ? PLAIN_SLOTS_PER_CAPACITY : 1;
+  const slots = resolveSlots({views, sharers, slotsPerCapacity});
+  const resumeSlots = isPlain ? 0 : Math.floor(slots * RESUME_SHARE);
+  return {service: service.name, slots, resumeSlots};
+}
+
+function isLiveEntry(vm: VmRecord): boolean {
+  return vm.role === VmRole.ENTRY && vm.state === VmState.LIVE;
+}
--- a/src/entry/plain-service.ts
+++ b/src/entry/plain-service.ts
@@ -2,12 +2,17 @@
 import type {Result} from 'neverthrow';
 import {err, ok, ResultAsync} from 'neverthrow';
 
+import type {RetryBudgets} from '../core/admission/index.js';
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {PlainResponse} from '../core/edges/index.js';
 import type {Refusal} from '../core/errors/index.js';
 import {Ran, RefusalReason, RetryReason} from '../core/errors/index.js';
 import type {Metrics} from '../core/metrics/index.js';
-import type {TargetChooser, TargetView} from '../core/routing/index.js';
+import type {
+  FailureWatch,
+  TargetChooser,
+  TargetView,
+} from '../core/routing/index.js';
 import type {CallAnswer, CallError} from './agent-call.js';
 import {askAgent, CallErrorKind} from './agent-call.js';
 import type {AgentLinks} from './agent-links.js';
@@ -18,6 +23,9 @@
 /** Tries of one call, at most. */
 const MAX_TRIES = 3;
 
+/** Statuses from here on are failures of the target itself. */
+const SERVER_ERROR = 500;
+
 /** What plain calls need of their entry. */
 export interface PlainParts {
   readonly clock: Clock;
@@ -25,6 +33,8 @@
   readonly metrics: Metrics;
   readonly links: AgentLinks;
   readonly chooser: TargetChooser;
+  readonly failures: FailureWatch;
+  readonly retryBudgets: RetryBudgets;
   readonly dataCentre: string;
 }
 
@@ -40,6 +50,8 @@
     request: ResolvedPlain,
   ): Promise<Result<PlainResponse, Refusal>> {
     const tried: string[] = [];
+    const budget = this.parts.retryBudgets.of(request.service);
+    budget.noteFirstTry();
     let ran = Ran.NO;
     while (tried.length < MAX_TRIES) {
       const leftMs = request.deadlineAtMs - this.parts.clock.now();
@@ -51,12 +63,15 @@
       }
       const triesLeft = MAX_TRIES - tried.length;
       const answer = await this.askTarget(request, target, leftMs / triesLeft);
+      this.noteOutcome(target.vm, answer);
       if (answer.isOk() && answer.value.response !== undefined) {
         return ok(answer.value.response);
       }
       if (answer.isErr() && mayHaveRun(answer.error)) ran = Ran.UNKNOWN;
-      if (answer.isErr()) this.countRetry(answer.error);
       tried.push(target.vm);
+      if (tried.length === MAX_TRIES) break;
+      if (!budget.tryRetry()) return err(budgetSpent(ran));
+      if (answer.isErr()) this.countRetry(answer.error);
     }
     return err(targetsFailed(ran));
   }
@@ -89,6 +104,12 @@
     return askAgent({link, message, timeoutMs, clock});
   }
 
+  private noteOutcome(vm: string, answer: Result<CallAnswer, CallError>): void {
+    const status = answer.isOk() ? (answer.value.response?.status ?? 0) : 0;
+    const failed = answer.isErr() || status >= SERVER_ERROR;
+    this.parts.failures.note({vm, failed});
+  }
+
   private countRetry(error: CallError): void {
     this.parts.metrics.countRetry(RETRY_REASONS[error.kind]);
   }
@@ -121,6 +142,15 @@
   };
 }
 
+function budgetSpent(ran: Ran): Refusal {
+  return {
+    reason: RefusalReason.RETRY_BUDGET_SPENT,
+    ran,
+    detail: 'the target failed and the service has no retries left',
+    retryAfterMs: RETRY_AFTER_MS,
+  };
+}
+
 function targetsFailed(ran: Ran): Refusal {
   return {
     reason: RefusalReason.TARGET_FAILED,
--- /dev/null
+++ b/test/core/admission/capacity.test.ts
@@ -0,0 +1,117 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {resolveSlots, splitLimit} from '../../../src/core/admission/index.js';
+import type {TargetView} from '../../../src/core/routing/index.js';
+
+const SEED = 20261204;
+const LAG_STEPS = 6;
+
+function viewOf(fields: Partial<TargetView>): TargetView {
+  return {
+    vm: 'engine-1',
+    dataCentre: 'waw',
+    service: 'drafts',
+    incarnation: 'i',
+    usable: true,
+    leaving: false,
+    ownInFlight: 0,
+    running: 0,
+    waiting: 0,
+    capacity: 60,
+    cachedPrefixes: [],
+    ...fields,
+  };
+}
+
+/**
+ * Lets entries fill their slots at one target again and again, each seeing
+ * the others' load some steps late; returns the load of each at the end.
+ */
+function settleEntries(wanted: readonly number[], capacity: number): number[] {
+  let own = wanted.map(() => 0);
+  const history: number[][] = [];
+  for (let step = 0; step < 200; step++) {
+    history.push(own);
+    const seen = history[Math.max(0, step - LAG_STEPS)]!;
+    const total = seen.reduce((a, b) => a + b, 0);
+    own = own.map((ownInFlight, i) => {
+      const view = viewOf({
+        capacity,
+        ownInFlight,
+        running: Math.min(total, capacity),
+        waiting: Math.max(0, total - capacity),
+        ownAtReport: seen[i]!,
+      });
+      const sharers = wanted.length;
+      const slots = resolveSlots({views: [view], sharers, slotsPerCapacity: 1});
+      // One request ends in each step; others start up to the slots.
+      const left = Math.max(0, ownInFlight - 1);
+      return Math.max(left, Math.min(slots, wanted[i]!));
+    });
+  }
+  return own;
+}
+
+describe('resolveSlots', () => {
+  it.each([
+    {name: 'one entry', wanted: [100], expected: [60]},
+    {name: 'two busy entries', wanted: [100, 100], expected: [30, 30]},
+    {name: 'one busy, one idle', wanted: [100, 0], expected: [58, 0]},
+    {name: 'one busy, one nearly idle', wanted: [100, 5], expected: [53, 5]},
+  ])('shares a target: $name', ({wanted, expected}) => {
+    const got = settleEntries(wanted, 60);
+    got.forEach((load, i) => {
+      expect(load).toBeGreaterThanOrEqual(expected[i]! - 1);
+      expect(load).toBeLessThanOrEqual(expected[i]! + 3);
+    });
+  });
+
+  it('gives at least the fair part and at most all, whatever is reported', () => {
+    const viewArb = fc.record({
+      ownInFlight: fc.nat({max: 100}),
+      running: fc.nat({max: 10_000}),
+      waiting: fc.nat({max: 10_000}),
+      capacity: fc.integer({min: 1, max: 64}),
+      ownAtReport: fc.nat({max: 100}),
+    });
+    fc.assert(
+      fc.property(
+        fc.array(viewArb, {minLength: 1, maxLength: 8}),
+        fc.integer({min: 1, max: 6}),
+        (fields, sharers) => {
+          const views = fields.map((f) => viewOf(f));
+          const total = views.reduce((sum, v) => sum + v.capacity, 0);
+          const slots = resolveSlots({views, sharers, slotsPerCapacity: 1});
+          expect(slots).toBeGreaterThanOrEqual(
+            Math.max(1, Math.floor(total / sharers)),
+          );
+          expect(slots).toBeLessThanOrEqual(total);
+        },
+      ),
+      {seed: SEED, numRuns: 1_000},
+    );
+  });
+
+  it('gives nothing where no target is usable', () => {
+    const views = [viewOf({usable: false})];
+    expect(resolveSlots({views, sharers: 1, slotsPerCapacity: 1})).toBe(0);
+  });
+});
+
+describe('splitLimit', () => {
+  it('covers the limit and exceeds it by less than one per entry', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({min: 1, max: 100_000}),
+        fc.integer({min: 1, max: 900}),
+        (limit, liveEntries) => {
+          const each = splitLimit({limit, liveEntries});
+          expect(each * liveEntries).toBeGreaterThanOrEqual(limit);
+          expect(each * liveEntries).toBeLessThan(limit + liveEntries);
+        },
+      ),
+      {seed: SEED, numRuns: 1_000},
+    );
+  });
+});
--- /dev/null
+++ b/test/core/admission/fair-admission.test.ts
@@ -0,0 +1,316 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {
+  FairAdmission,
+  TicketOutcome,
+  WorkKind,
+} from '../../../src/core/admission/index.js';
+import {ManualClock, SeededRandom} from '../../../src/core/clock/index.js';
+import {PriorityClass} from '../../../src/core/config/index.js';
+import {Ran, RefusalReason} from '../../../src/core/errors/index.js';
+import type {Arrival} from './lib.js';
+import {
+  accountOf,
+  AdmissionRun,
+  evenly,
+  inTime,
+  queryOf,
+  serviceOf,
+  settle,
+  STEP_MS,
+  TICK_MS,
+} from './lib.js';
+
+const SEED = 20261204;
+const SLOTS = 4;
+const SERVICE_MS = 200;
+
+/** Requests a second that the slots can serve. */
+const CAPACITY = (SLOTS * 1_000) / SERVICE_MS;
+
+const arrivalArb = fc.record({
+  account: fc.constantFrom('a', 'b', 'c'),
+  weight: fc.constant(1),
+  atMs: fc.integer({min: 0, max: 2_000}),
+  serviceMs: fc.constant(SERVICE_MS),
+  deadlineMs: fc.integer({min: 100, max: 2_000}),
+});
+
+function createAdmission(slots: number, resumeSlots = 0, liveEntries = 1) {
+  const clock = new ManualClock();
+  const admission = new FairAdmission({clock, random: new SeededRandom(1)});
+  const resize = (now: number): void => {
+    const services = [{service: 'drafts', slots: now, resumeSlots}];
+    admission.resize({liveEntries, services});
+  };
+  resize(slots);
+  return {clock, admission, resize};
+}
+
+describe('FairAdmission, whatever comes', () => {
+  it('keeps its slots busy, never over, and gives each one true end', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(arrivalArb, {maxLength: 120}),
+        async (arrivals: Arrival[]) => {
+          const run = new AdmissionRun({slots: SLOTS});
+          const {admission, clock} = run;
+          const check = (): void => {
+            const running = admission.countRunning('drafts');
+            expect(running).toBeLessThanOrEqual(SLOTS);
+            if (admission.waiting > 0) expect(running).toBe(SLOTS);
+          };
+          await run.play({arrivals, untilMs: 6_000, check});
+          expect(clock.now()).toBeGreaterThanOrEqual(6_000);
+          for (const {startedAtMs, endedAtMs, refusal} of arrivals) {
+            // Either it ran and ended, or it was refused and never ran.
+            expect(endedAtMs !== undefined).toBe(startedAtMs !== undefined);
+            expect(refusal === undefined).toBe(startedAtMs !== undefined);
+            if (refusal !== undefined) expect(refusal.ran).toBe(Ran.NO);
+          }
+        },
+      ),
+      {seed: SEED, numRuns: 40},
+    );
+  });
+
+  it('never holds what cannot be met, and starts nothing too late', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(arrivalArb, {minLength: 30, maxLength: 120}),
+        async (arrivals: Arrival[]) => {
+          const run = new AdmissionRun({slots: SLOTS});
+          // The first requests teach the admission how long one takes.
+          const warm = evenly({
+            account: 'w',
+            perSecond: CAPACITY,
+            seconds: 1,
+            serviceMs: SERVICE_MS,
+            deadlineMs: 10_000,
+          });
+          const later = arrivals.map((a) => ({...a, atMs: a.atMs + 2_000}));
+          await run.play({arrivals: [...warm, ...later], untilMs: 8_000});
+          for (const arrival of later) {
+            const latestMs = arrival.atMs + arrival.deadlineMs - SERVICE_MS;
+            const {refusedAtMs, startedAtMs} = arrival;
+            const until = Math.max(arrival.atMs, latestMs + TICK_MS) + STEP_MS;
+            if (refusedAtMs !== undefined) {
+              expect(refusedAtMs).toBeLessThanOrEqual(until);
+            }
+            if (startedAtMs !== undefined) {
+              expect(startedAtMs).toBeLessThanOrEqual(latestMs + STEP_MS);
+            }
+          }
+        },
+      ),
+      {seed: SEED, numRuns: 40},
+    );
+  });
+});
+
+describe('FairAdmission under contention', () => {
+  it.each([
+    {name: 'equal weights', weights: [1, 1, 1, 1]},
+    {name: 'a large account', weights: [1, 1, 1, 5]},
+  ])('shares by weight: $name', async ({weights}) => {
+    const total = weights.reduce((a, b) => a + b, 0);
+    const run = new AdmissionRun({slots: SLOTS});
+    const ofAccounts = weights.map((weight, i) =>
+      evenly({
+        account: `account-${i}`,
+        weight,
+        perSecond: CAPACITY,
+        seconds: 20,
+        serviceMs: SERVICE_MS,
+        deadlineMs: 3_000,
+      }),
+    );
+    await run.play({arrivals: ofAccounts.flat(), untilMs: 24_000});
+    const served = ofAccounts.map((arrivals) => inTime(arrivals).length);
+    const all = served.reduce((a, b) => a + b, 0);
+    served.forEach((count, i) => {
+      const share = weights[i]! / total;
+      expect(count / all).toBeGreaterThan(0.9 * share);
+      expect(count / all).toBeLessThan(1.1 * share);
+    });
+  });
+
+  it('starves nobody when one account sends ten times its share', async () => {
+    const run = new AdmissionRun({slots: SLOTS});
+    const share = CAPACITY / 4;
+    const send = (account: string, perSecond: number): Arrival[] =>
+      evenly({
+        account,
+        perSecond,
+        seconds: 20,
+        serviceMs: SERVICE_MS,
+        deadlineMs: 3_000,
+      });
+    const small = ['b', 'c', 'd'].map((account) => send(account, share));
+    const large = send('a', 10 * share);
+    await run.play({arrivals: [...small.flat(), ...large], untilMs: 24_000});
+    for (const arrivals of small) {
+      expect(inTime(arrivals).length / arrivals.length).toBeGreaterThan(0.95);
+    }
+    const possible = CAPACITY * 20;
+    const served = inTime([...small.flat(), ...large]).length;
+    expect(served / possible).toBeGreaterThan(0.95);
+  });
+
+  it('serves in time at 3 times capacity what a plain queue does not', async () => {
+    const arrivals = evenly({
+      account: 'a',
+      perSecond: 3 * CAPACITY,
+      seconds: 20,
+      serviceMs: SERVICE_MS,
+      deadlineMs: 1_000,
+    });
+    const run = new AdmissionRun({slots: SLOTS});
+    await run.play({arrivals, untilMs: 24_000});
+    const possible = CAPACITY * 20;
+    expect(inTime(arrivals).length / possible).toBeGreaterThan(0.95);
+    expect(naiveInTime(arrivals) / possible).toBeLessThan(0.2);
+  });
+});
+
+/** First come, first served, with no bound and no look at deadlines. */
+function naiveInTime(arrivals: readonly Arrival[]): number {
+  const freeAtMs = Array.from({length: SLOTS}, () => 0);
+  let served = 0;
+  for (const {atMs, serviceMs, deadlineMs} of arrivals) {
+    const slot = freeAtMs.indexOf(Math.min(...freeAtMs));
+    const endMs = Math.max(atMs, freeAtMs[slot]!) + serviceMs;
+    freeAtMs[slot] = endMs;
+    if (endMs <= atMs + deadlineMs) served++;
+  }
+  return served;
+}
+
+describe('FairAdmission, case by case', () => {
+  it('puts a higher class before a lower one, and resumes before new work', async () => {
+    const {admission} = createAdmission(1);
+    const first = (await admission.admit(queryOf()))._unsafeUnwrap();
+    const order: string[] = [];
+    const ask = (name: string, priorityClass: PriorityClass, kind: WorkKind) =>
+      void admission
+        .admit(queryOf({service: serviceOf({priorityClass}), kind}))
+        .map((ticket) => {
+          order.push(name);
+          ticket.release();
+        });
+    ask('low', PriorityClass.LOW, WorkKind.NEW);
+    ask('normal', PriorityClass.NORMAL, WorkKind.NEW);
+    ask('normal resume', PriorityClass.NORMAL, WorkKind.RESUME);
+    ask('high', PriorityClass.HIGH, WorkKind.NEW);
+    first.release();
+    await settle();
+    await settle();
+    expect(order).toEqual(['high', 'normal resume', 'normal', 'low']);
+  });
+
+  it('keeps slots for resumes that new work may not take', async () => {
+    const {admission} = createAdmission(10, 2);
+    let started = 0;
+    const ask = (kind: WorkKind): void =>
+      void admission.admit(queryOf({kind})).map(() => started++);
+    for (let i = 0; i < 20; i++) ask(WorkKind.NEW);
+    await settle();
+    expect(started).toBe(8);
+    for (let i = 0; i < 20; i++) ask(WorkKind.RESUME);
+    await settle();
+    expect(started).toBe(10);
+    for (let i = 0; i < 3; i++) ask(WorkKind.RUNNING);
+    await settle();
+    expect(started).toBe(13);
+  });
+
+  it('splits the limit of an account over live entries, not for resumes', async () => {
+    const {admission} = createAdmission(100, 0, 3);
+    const clientAccount = accountOf({maxConcurrent: 9});
+    const ask = (kind: WorkKind) =>
+      admission.admit(queryOf({clientAccount, kind}));
+    for (let i = 0; i < 3; i++) {
+      expect((await ask(WorkKind.NEW)).isOk()).toBe(true);
+    }
+    const refusal = (await ask(WorkKind.NEW))._unsafeUnwrapErr();
+    expect(refusal.reason).toBe(RefusalReason.ACCOUNT_LIMIT);
+    expect(refusal.retryAfterMs).toBeGreaterThan(0);
+    expect((await ask(WorkKind.RUNNING)).isOk()).toBe(true);
+  });
+
+  it('bounds the queue and gives a full one fairly', async () => {
+    const {admission} = createAdmission(1);
+    const limits = {
+      bodyBytes: 1,
+      bodyTimeoutMs: 1,
+      maxTokens: 1,
+      queueLength: 4,
+    };
+    admission.configure({
+      deployment: 'd',
+      recovery: {weigh: 'latency' as never},
+      services: [],
+      clientAccounts: [],
+      limits,
+    });
+    const refused: string[] = [];
+    const ask = (name: string): void =>
+      void admission
+        .admit(queryOf({clientAccount: accountOf({name})}))
+        .mapErr(({reason}) => refused.push(`${name} ${reason}`));
+    for (let i = 0; i < 6; i++) ask('greedy');
+    await settle();
+    expect(admission.waiting).toBe(4);
+    expect(refused).toEqual(['greedy overloaded']);
+    ask('modest');
+    await settle();
+    expect(admission.waiting).toBe(4);
+    expect(refused).toEqual(['greedy overloaded', 'greedy overloaded']);
+  });
+
+  it('lets a caller that goes away leave the queue', async () => {
+    const {admission} = createAdmission(1);
+    await admission.admit(queryOf());
+    const leaving = new AbortController();
+    const waiting = admission.admit(queryOf({signal: leaving.signal}));
+    await settle();
+    expect(admission.waiting).toBe(1);
+    leaving.abort();
+    const refusal = (await waiting)._unsafeUnwrapErr();
+    expect(refusal.reason).toBe(RefusalReason.CALLER_GONE);
+    expect(admission.waiting).toBe(0);
+  });
+
+  it('refuses what waits when there is no target for long', async () => {
+    const {admission, clock, resize} = createAdmission(0);
+    const waiting = admission.admit(queryOf());
+    clock.advance(1_000);
+    resize(0);
+    expect(admission.waiting).toBe(1);
+    clock.advance(10_000);
+    resize(0);
+    const refusal = (await waiting)._unsafeUnwrapErr();
+    expect(refusal.reason).toBe(RefusalReason.NO_TARGET);
+    expect(refusal.ran).toBe(Ran.NO);
+  });
+
+  it('spreads the return of refused callers over the rate it drains at', async () => {
+    const {admission, clock} = createAdmission(1);
+    const ask = (deadlineMs: number) =>
+      admission.admit(queryOf({deadlineAtMs: clock.now() + deadlineMs}));
+    const first = (await ask(10_000))._unsafeUnwrap();
+    clock.advance(1_000);
+    first.release(TicketOutcome.SERVED);
+    await ask(10_000);
+    const returns: number[] = [];
+    for (let i = 0; i < 10; i++) {
+      const refusal = (await ask(1_500))._unsafeUnwrapErr();
+      expect(refusal.reason).toBe(RefusalReason.DEADLINE_UNREACHABLE);
+      returns.push(refusal.retryAfterMs!);
+    }
+    // One request a second leaves, so ten callers take about ten seconds.
+    expect(Math.max(...returns)).toBeGreaterThan(7_000);
+    expect(new Set(returns).size).toBe(10);
+  });
+});
--- /dev/null
+++ b/test/core/admission/fair-queue.test.ts
@@ -0,0 +1,140 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import type {FairItem} from '../../../src/core/admission/index.js';
+import {FairQueue} from '../../../src/core/admission/index.js';
+
+const SEED = 20261204;
+const RUNS = 500;
+const WEIGHTS = {a: 1, b: 2, c: 5} as const;
+type FlowName = keyof typeof WEIGHTS;
+
+interface Item extends FairItem {
+  readonly id: number;
+}
+
+enum StepKind {
+  PUSH,
+  SHIFT,
+  REMOVE,
+}
+
+/** The naive twin: one list; each item's start is set when it arrives. */
+class NaiveQueue {
+  private items: Array<{item: Item; start: number}> = [];
+  private readonly finish = new Map<string, number>();
+  private now = 0;
+
+  push(item: Item): void {
+    const last = this.items.findLast((q) => q.item.flow === item.flow);
+    const start =
+      last === undefined
+        ? Math.max(this.now, this.finish.get(item.flow) ?? 0)
+        : last.start + last.item.cost / last.item.weight;
+    this.items.push({item, start});
+  }
+
+  shift(): Item | undefined {
+    const starts = this.items.map((q) => q.start);
+    const at = starts.indexOf(Math.min(...starts));
+    if (at < 0) return undefined;
+    const [{item, start}] = this.items.splice(at, 1) as [
+      {item: Item; start: number},
+    ];
+    this.finish.set(item.flow, start + item.cost / item.weight);
+    this.now = Math.max(this.now, start);
+    return item;
+  }
+}
+
+const flowArb = fc.constantFrom<FlowName>('a', 'b', 'c');
+const stepArb = fc.record({
+  kind: fc.constantFrom(StepKind.PUSH, StepKind.PUSH, StepKind.SHIFT),
+  flow: flowArb,
+  cost: fc.integer({min: 1, max: 100}),
+});
+
+describe('FairQueue', () => {
+  it('serves in the order of the naive twin', () => {
+    fc.assert(
+      fc.property(fc.array(stepArb, {maxLength: 200}), (steps) => {
+        const queue = new FairQueue<Item>();
+        const naive = new NaiveQueue();
+        steps.forEach(({kind, flow, cost}, id) => {
+          if (kind === StepKind.PUSH) {
+            const item = {id, flow, cost, weight: WEIGHTS[flow]};
+            queue.push(item);
+            naive.push(item);
+          } else {
+            expect(queue.shift()?.id).toBe(naive.shift()?.id);
+          }
+        });
+        const order = queue.ordered().map(({id}) => id);
+        expect(order.map(() => queue.shift()?.id)).toEqual(order);
+      }),
+      {seed: SEED, numRuns: RUNS},
+    );
+  });
+
+  it('gives flows that wait their shares, to within one item each', () => {
+    const costs = fc.array(fc.integer({min: 1, max: 100}), {
+      minLength: 60,
+      maxLength: 60,
+    });
+    fc.assert(
+      fc.property(costs, costs, fc.nat({max: 40}), (ofA, ofC, served) => {
+        const queue = new FairQueue<Item>();
+        ofA.forEach((cost, id) => queue.push({id, flow: 'a', cost, weight: 1}));
+        ofC.forEach((cost, id) => queue.push({id, flow: 'c', cost, weight: 5}));
+        const got = {a: 0, c: 0};
+        for (let i = 0; i < served; i++) {
+          const {flow, cost, weight} = queue.shift()!;
+          got[flow as 'a' | 'c'] += cost / weight;
+        }
+        expect(Math.abs(got.a - got.c)).toBeLessThanOrEqual(100 / 1 + 100 / 5);
+      }),
+      {seed: SEED, numRuns: RUNS},
+    );
+  });
+
+  it('loses no item when some are taken out, and keeps count', () => {
+    fc.assert(
+      fc.property(
+        fc.array(flowArb, {maxLength: 60}),
+        fc.array(fc.nat({max: 59}), {maxLength: 20}),
+        (flows, removed) => {
+          const queue = new FairQueue<Item>();
+          const items = flows.map((flow, id): Item => {
+            return {id, flow, cost: 1 + id, weight: WEIGHTS[flow]};
+          });
+          items.forEach((item) => queue.push(item));
+          const left = new Set(items);
+          for (const at of removed) {
+            const item = items[at];
+            if (item === undefined) continue;
+            expect(queue.remove(item)).toBe(left.delete(item));
+          }
+          expect(queue.size).toBe(left.size);
+          for (let n = left.size; n > 0; n--) left.delete(queue.shift()!);
+          expect(left.size).toBe(0);
+        },
+      ),
+      {seed: SEED, numRuns: RUNS},
+    );
+  });
+
+  it('gives a flow that was idle no claim to the past', () => {
+    const queue = new FairQueue<Item>();
+    const item = (flow: string, id: number): Item => {
+      return {id, flow, cost: 10, weight: 1};
+    };
+    for (let id = 0; id < 50; id++) {
+      queue.push(item('a', id));
+      queue.shift();
+    }
+    queue.push(item('a', 50));
+    for (let id = 0; id < 5; id++) queue.push(item('b', id));
+    const order = [queue.shift(), queue.shift(), queue.shift()];
+    expect(order.filter((next) => next?.flow === 'a')).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/test/core/admission/lib.ts
@@ -0,0 +1,157 @@
+/** Drives an admission with arrivals on a clock that the test moves. */
+import {
+  FairAdmission,
+  TicketOutcome,
+} from '../../../src/core/admission/index.js';
+import type {AdmissionQuery} from '../../../src/core/admission/index.js';
+import {ManualClock, SeededRandom} from '../../../src/core/clock/index.js';
+import type {
+  ClientAccountConfig,
+  ServiceConfig,
+} from '../../../src/core/config/index.js';
+import {PriorityClass, ServiceKind} from '../../../src/core/config/index.js';
+import type {Refusal} from '../../../src/core/errors/index.js';
+
+/** Time between two resizes, as the load controller does it. */
+export const TICK_MS = 100;
+
+/** Time to which the end of a request is noted. */
+export const STEP_MS = 10;
+
+/** One request of a run, and what became of it. */
+export interface Arrival {
+  readonly account: string;
+  readonly weight: number;
+  readonly atMs: number;
+  readonly serviceMs: number;
+  readonly deadlineMs: number;
+  startedAtMs?: number;
+  endedAtMs?: number;
+  refusal?: Refusal;
+  refusedAtMs?: number;
+}
+
+/** A client account with no limit that matters. */
+export function accountOf(
+  fields: Partial<ClientAccountConfig>,
+): ClientAccountConfig {
+  const keySha256 = '';
+  const maxConcurrent = 100_000;
+  return {name: 'a', keySha256, weight: 1, maxConcurrent, ...fields};
+}
+
+/** A generation service. */
+export function serviceOf(fields: Partial<ServiceConfig> = {}): ServiceConfig {
+  return {
+    name: 'drafts',
+    kind: ServiceKind.GENERATION,
+    models: ['m'],
+    idempotent: true,
+    priorityClass: PriorityClass.NORMAL,
+    deadlineMs: 60_000,
+    retryRatio: 0.1,
+    ...fields,
+  };
+}
+
+/** A query for new work of ten tokens. */
+export function queryOf(fields: Partial<AdmissionQuery> = {}): AdmissionQuery {
+  return {
+    clientAccount: accountOf({}),
+    service: serviceOf(),
+    deadlineAtMs: 60_000,
+    maxTokens: 10,
+    ...fields,
+  };
+}
+
+/** Lets the promises of the last step settle. */
+export function settle(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+/** Runs arrivals against a number of slots, until all have their end. */
+export class AdmissionRun {
+  readonly clock = new ManualClock();
+  readonly admission = new FairAdmission({
+    clock: this.clock,
+    random: new SeededRandom(1),
+  });
+
+  constructor(private readonly options: {slots: number}) {
+    this.tick();
+  }
+
+  /** Plays the arrivals; `check` is called after each step. */
+  async play(options: {
+    arrivals: readonly Arrival[];
+    untilMs: number;
+    check?: () => void;
+  }): Promise<void> {
+    const {arrivals, untilMs, check} = options;
+    for (const arrival of arrivals) {
+      const run = (): void => this.ask(arrival);
+      this.clock.schedule({delayMs: arrival.atMs, run});
+    }
+    this.clock.repeat({periodMs: TICK_MS, run: () => this.tick()});
+    while (this.clock.now() < untilMs) {
+      this.clock.advance(STEP_MS);
+      await settle();
+      check?.();
+    }
+  }
+
+  private tick(): void {
+    const {slots} = this.options;
+    const service = 'drafts';
+    const services = [{service, slots, resumeSlots: 0}];
+    this.admission.resize({liveEntries: 1, services});
+  }
+
+  private ask(arrival: Arrival): void {
+    const {account: name, weight} = arrival;
+    const query = queryOf({
+      clientAccount: accountOf({name, weight}),
+      deadlineAtMs: arrival.atMs + arrival.deadlineMs,
+    });
+    void this.admission.admit(query).match(
+      (ticket) => {
+        arrival.startedAtMs = this.clock.now();
+        const run = (): void => {
+          arrival.endedAtMs = this.clock.now();
+          ticket.release(TicketOutcome.SERVED);
+        };
+        this.clock.schedule({delayMs: arrival.serviceMs, run});
+      },
+      (refusal) => {
+        arrival.refusal = refusal;
+        arrival.refusedAtMs = this.clock.now();
+      },
+    );
+  }
+}
+
+/** Arrivals of one account at an even rate. */
+export function evenly(options: {
+  account: string;
+  weight?: number;
+  perSecond: number;
+  seconds: number;
+  serviceMs: number;
+  deadlineMs: number;
+}): Arrival[] {
+  const {account, weight = 1, perSecond, seconds} = options;
+  const {serviceMs, deadlineMs} = options;
+  return Array.from({length: perSecond * seconds}, (_, i) => {
+    const atMs = (i * 1_000) / perSecond;
+    return {account, weight, atMs, serviceMs, deadlineMs};
+  });
+}
+
+/** Requests that were answered by their deadline. */
+export function inTime(arrivals: readonly Arrival[]): Arrival[] {
+  return arrivals.filter(
+    ({endedAtMs, atMs, deadlineMs}) =>
+      endedAtMs !== undefined && endedAtMs <= atMs + deadlineMs,
+  );
+}
