Experiment: goodput under overload, beside a plain round robin

Cause: no measurement said what is served in time when more is asked than the engines can give.

Change: bench/lib gains arrival processes with a seed, an open-loop load and plots as SVG (`--report DIR`). `overload` climbs from 0.5 to 3 times capacity through an entry and then straight to the engines in turn. The resume share is kept free only where the deployment weighs latency.

--- /dev/null
+++ b/bench/experiments/overload/index.ts
@@ -0,0 +1,198 @@
+/** Goodput against offered load, beside a plain round robin. */
+import type {RandomSource} from '../../../src/core/clock/index.js';
+import {SeededRandom} from '../../../src/core/clock/index.js';
+import {Site} from '../../../tools/lab/site.js';
+import {poissonArrivals, sleep} from '../../lib/arrivals.js';
+import type {RequestEnd} from '../../lib/load-run.js';
+import {runLoad} from '../../lib/load-run.js';
+import {Samples} from '../../lib/samples.js';
+import type {
+  CaseResult,
+  Experiment,
+  ExperimentResult,
+  PlotSeries,
+} from '../../lib/types.js';
+
+const ENGINES = 3;
+const SLOTS = 8;
+const PACE_MS = 10;
+const TOKENS = 20;
+const DEADLINE_MS = 1_000;
+const STEP_MS = 2_500;
+
+/** Start of each step that is not counted: the load builds up. */
+const RAMP_MS = 500;
+const SETTLE_MS = 300;
+/** Load before the first step, which is not counted. */
+const WARM_MS = 1_000;
+const WARM_FACTOR = 0.5;
+const FACTORS: readonly number[] = [0.5, 1, 1.5, 2, 3];
+const GOODPUT_TARGET = 0.95;
+
+/** Answers a second that the engines can give. */
+const CAPACITY = (ENGINES * SLOTS * 1_000) / (PACE_MS * TOKENS);
+
+/** One way of sending work to the engines. */
+interface Way {
+  readonly name: string;
+  readonly urls: readonly string[];
+}
+
+interface Step {
+  readonly factor: number;
+  readonly ends: readonly RequestEnd[];
+  /** Answers in time, over what the engines can give. */
+  readonly goodput: number;
+}
+
+/** Compares goodput under overload with that of a plain round robin. */
+export const experiment: Experiment = {
+  name: 'overload',
+  summary: 'answers in time against offered load, 0.5 to 3 times capacity',
+  starts: `a platform, ${ENGINES} engines, ${ENGINES} agents, 1 entry; about 40 s`,
+  flags: ['--step-ms N: length of each step of load, 2500 by default'],
+  run: async ({seed, flags}) => {
+    const stepMs = flags.number('step-ms', STEP_MS);
+    const site = await Site.create({
+      entries: 1,
+      engines: ENGINES,
+      engineFlags: {'pace-ms': PACE_MS, capacity: SLOTS},
+      editBase: liftAccountLimit,
+    });
+    try {
+      const urls = site.entries.map((entry) => entry.callersUrl);
+      const system = await climb({way: {name: 'system', urls}, seed, stepMs});
+      const engines = site.engines.map((target) => target.standIn.url);
+      const way = {name: 'round robin', urls: engines};
+      const naive = await climb({way, seed, stepMs});
+      return summarise(system, naive);
+    } finally {
+      await site.close();
+    }
+  },
+};
+
+/** The bound of the one account is not what is measured. */
+function liftAccountLimit(base: Record<string, unknown>): void {
+  const accounts = base['clientAccounts'] as Record<
+    string,
+    Record<string, unknown>
+  >;
+  accounts['demo']!['maxConcurrent'] = 10_000;
+}
+
+async function climb(options: {
+  way: Way;
+  seed: number;
+  stepMs: number;
+}): Promise<Step[]> {
+  const {way, seed, stepMs} = options;
+  const random = new SeededRandom(seed);
+  await sendStep({way, random, factor: WARM_FACTOR, forMs: WARM_MS});
+  const steps: Step[] = [];
+  for (const factor of FACTORS) {
+    const ends = await sendStep({way, random, factor, forMs: stepMs});
+    steps.push({factor, ends, goodput: goodputOf(ends, stepMs)});
+  }
+  return steps;
+}
+
+async function sendStep(options: {
+  way: Way;
+  random: RandomSource;
+  factor: number;
+  forMs: number;
+}): Promise<RequestEnd[]> {
+  const {way, random, factor, forMs} = options;
+  const perSecond = factor * CAPACITY;
+  const ends = await runLoad({
+    timesMs: poissonArrivals({perSecond, forMs, random}),
+    urlOf: (index) => way.urls[index % way.urls.length]!,
+    askOf: (index) => ({
+      prompt: `request ${factor} ${index} [length=${TOKENS}]`,
+      maxTokens: TOKENS,
+    }),
+    deadlineMs: DEADLINE_MS,
+  });
+  await sleep(SETTLE_MS);
+  return ends;
+}
+
+/** Answers in time while the load lasted, over what the engines can give. */
+function goodputOf(ends: readonly RequestEnd[], stepMs: number): number {
+  const counted = ends.filter(
+    ({inTime, endedAtMs}) =>
+      inTime && endedAtMs > RAMP_MS && endedAtMs <= stepMs,
+  );
+  const perMs = counted.length / (stepMs - RAMP_MS);
+  return (perMs * 1_000) / CAPACITY;
+}
+
+function summarise(
+  system: readonly Step[],
+  naive: readonly Step[],
+): ExperimentResult {
+  const measured = lastOverPeak(system);
+  return {
+    cases: [...casesOf('system', system), ...casesOf('round robin', naive)],
+    ratios: [
+      ...ratiosOf('system', system),
+      ...ratiosOf('round robin', naive),
+      {name: 'round robin: goodput at 3x / peak', value: lastOverPeak(naive)},
+    ],
+    bounds: [
+      {
+        name: 'system: goodput at 3x / peak, at least',
+        stated: GOODPUT_TARGET,
+        measured,
+        holds: measured >= GOODPUT_TARGET,
+      },
+    ],
+    plots: [
+      {
+        name: 'goodput',
+        title: 'Answers in time, over what the engines can give',
+        xLabel: 'offered load / capacity',
+        yLabel: 'goodput / capacity',
+        series: [seriesOf('system', system), seriesOf('round robin', naive)],
+      },
+    ],
+  };
+}
+
+function lastOverPeak(steps: readonly Step[]): number {
+  const peak = Math.max(...steps.map(({goodput}) => goodput));
+  return steps.at(-1)!.goodput / peak;
+}
+
+function casesOf(name: string, steps: readonly Step[]): CaseResult[] {
+  return steps.flatMap(({factor, ends}) => {
+    const answered = new Samples({
+      name: `${name} ${factor}x answered in time`,
+      unit: 'ms',
+    });
+    const refused = new Samples({
+      name: `${name} ${factor}x refused`,
+      unit: 'ms',
+    });
+    for (const end of ends) {
+      if (end.inTime) answered.add(end.tookMs);
+      if (end.refused) refused.add(end.tookMs);
+    }
+    return [answered, refused]
+      .filter(({count}) => count > 0)
+      .map((samples) => samples.result());
+  });
+}
+
+function ratiosOf(name: string, steps: readonly Step[]) {
+  return steps.map(({factor, goodput}) => ({
+    name: `${name}: goodput / capacity at ${factor}x`,
+    value: goodput,
+  }));
+}
+
+function seriesOf(name: string, steps: readonly Step[]): PlotSeries {
+  const points = steps.map(({factor, goodput}) => ({x: factor, y: goodput}));
+  return {name, points};
+}
--- a/bench/lib/report.ts
+++ b/bench/lib/report.ts
@@ -38,6 +38,13 @@
   return `${sections.filter((text) => text !== '').join('\n\n')}\n`;
 }
 
+/** Renders a report for programs: one line of JSON. */
+export function renderJson(report: Report): string {
+  const {experiment, seed, commit, cases, ratios, bounds} = report;
+  const shape = {experiment, seed, commit, cases, ratios, bounds};
+  return `${JSON.stringify(shape)}\n`;
+}
+
 function renderTable(head: string[], rows: string[][]): string {
   if (rows.length === 0) return '';
   const table = [head, ...rows];
--- a/bench/lib/types.ts
+++ b/bench/lib/types.ts
@@ -25,11 +25,34 @@
   readonly holds: boolean;
 }
 
+/** One point of a plot. */
+export interface PlotPoint {
+  readonly x: number;
+  readonly y: number;
+}
+
+/** One line of a plot. */
+export interface PlotSeries {
+  readonly name: string;
+  readonly points: readonly PlotPoint[];
+}
+
+/** A plot for the report; it is no part of the JSON. */
+export interface Plot {
+  /** Names its file. */
+  readonly name: string;
+  readonly title: string;
+  readonly xLabel: string;
+  readonly yLabel: string;
+  readonly series: readonly PlotSeries[];
+}
+
 /** What an experiment found. */
 export interface ExperimentResult {
   readonly cases: readonly CaseResult[];
   readonly ratios: readonly RatioResult[];
   readonly bounds: readonly BoundResult[];
+  readonly plots?: readonly Plot[];
 }
 
 /** Options of a run, beside the seed. */
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,7 +4,8 @@
 
 import {Command} from 'commander';
 
-import {renderReport} from './lib/report.js';
+import {writeReport} from './lib/plot.js';
+import {renderJson, renderReport} from './lib/report.js';
 import type {Experiment} from './lib/types.js';
 
 const EXPERIMENTS = new URL('./experiments/', import.meta.url);
@@ -15,9 +16,16 @@
   .argument('[name]', 'the experiment; without it all are listed')
   .option('--seed <n>', 'seed of all random numbers', DEFAULT_SEED)
   .option('--json', 'print JSON, last on standard output')
+  .option('--report <dir>', 'write a page with plots into this directory')
   .allowUnknownOption()
   .allowExcessArguments();
 
+interface BenchOptions {
+  readonly seed: string;
+  readonly json?: true;
+  readonly report?: string;
+}
+
 await main();
 
 async function main(): Promise<void> {
@@ -36,13 +44,17 @@
 }
 
 async function runExperiment(name: string): Promise<void> {
-  const {seed: seedText, json} = program.opts<{seed: string; json?: true}>();
+  const {
+    seed: seedText,
+    json,
+    report: directory,
+  } = program.opts<BenchOptions>();
   const seed = Number(seedText);
   const experiment = await loadExperiment(name);
   const result = await experiment.run({seed, flags: readFlags()});
   const report = {experiment: name, seed, commit: readCommit(), ...result};
-  const text =
-    json === true ? `${JSON.stringify(report)}\n` : renderReport(report);
+  if (directory !== undefined) writeReport({report, directory});
+  const text = json === true ? renderJson(report) : renderReport(report);
   process.stdout.write(text, () => process.exit(0));
 }
 
--- a/src/entry/load-controller.ts
+++ b/src/entry/load-controller.ts
@@ -6,8 +6,12 @@
   RESUME_SHARE,
 } from '../core/admission/index.js';
 import type {Clock, TimerHandle} from '../core/clock/index.js';
-import type {ServiceConfig} from '../core/config/index.js';
-import {ServiceKind} from '../core/config/index.js';
+import type {
+  RecoveryConfig,
+  ServiceConfig,
+  SiteConfig,
+} from '../core/config/index.js';
+import {ServiceKind, Weigh} from '../core/config/index.js';
 import type {VmRecord} from '../core/edges/index.js';
 import {VmRole, VmState} from '../core/edges/index.js';
 import type {TargetView} from '../core/routing/index.js';
@@ -41,9 +45,10 @@
 
   private refresh(): void {
     const {board, views} = this.options;
-    const services = board.config.get().extract()?.cfg.services ?? [];
+    const cfg = board.config.get().extract()?.cfg;
+    if (cfg === undefined) return;
     const vms = board.vms.get();
-    board.load.set(resolveLoad({services, vms, views: views()}));
+    board.load.set(resolveLoad({cfg, vms, views: views()}));
   }
 }
 
@@ -51,21 +56,29 @@
  * Gives an entry its slots for each service.
  *
  * @example
- * resolveLoad({services, vms, views});
+ * resolveLoad({cfg, vms, views});
  */
 export function resolveLoad(options: {
-  services: readonly ServiceConfig[];
+  cfg: Pick<SiteConfig, 'services' | 'recovery'>;
   vms: readonly VmRecord[];
   views: readonly TargetView[];
 }): EntryLoad {
-  const {services, vms, views} = options;
+  const {cfg, vms, views} = options;
+  const {services, recovery} = cfg;
   const liveEntries = Math.max(1, vms.filter(isLiveEntry).length);
   return {
     liveEntries,
     services: services.map((service) => {
       const ofService = views.filter((view) => view.service === service.name);
       const listed = vms.filter((vm) => vm.service === service.name).length;
-      return resolveService({service, views: ofService, listed, liveEntries});
+      const resumeShare = resumeShareOf({service, recovery});
+      return resolveService({
+        service,
+        views: ofService,
+        listed,
+        liveEntries,
+        resumeShare,
+      });
     }),
   };
 }
@@ -75,18 +88,32 @@
   views: readonly TargetView[];
   listed: number;
   liveEntries: number;
+  resumeShare: number;
 }): ServiceSlots {
-  const {service, views, listed, liveEntries} = options;
+  const {service, views, listed, liveEntries, resumeShare} = options;
   // Where each entry watches a part of the targets, fewer entries share one.
   const watchedShare = listed === 0 ? 1 : Math.min(1, views.length / listed);
   const sharers = Math.max(1, liveEntries * watchedShare);
   const isPlain = service.kind === ServiceKind.PLAIN;
   const slotsPerCapacity = isPlain ? PLAIN_SLOTS_PER_CAPACITY : 1;
   const slots = resolveSlots({views, sharers, slotsPerCapacity});
-  const resumeSlots = isPlain ? 0 : Math.floor(slots * RESUME_SHARE);
+  const resumeSlots = Math.floor(slots * resumeShare);
   return {service: service.name, slots, resumeSlots};
 }
 
+/**
+ * Plain calls are never resumed, and a deployment that weighs resources
+ * leaves no engine idle: there a resume takes the next slot that comes free.
+ */
+function resumeShareOf(options: {
+  service: ServiceConfig;
+  recovery: RecoveryConfig;
+}): number {
+  const {service, recovery} = options;
+  if (service.kind === ServiceKind.PLAIN) return 0;
+  return recovery.weigh === Weigh.LATENCY ? RESUME_SHARE : 0;
+}
+
 function isLiveEntry(vm: VmRecord): boolean {
   return vm.role === VmRole.ENTRY && vm.state === VmState.LIVE;
 }
--- a/tools/lab/caller.ts
+++ b/tools/lab/caller.ts
@@ -30,6 +30,8 @@
   readonly model?: string;
   readonly stop?: readonly string[];
   readonly key?: string;
+  /** Time allowed for the whole answer, in milliseconds. */
+  readonly deadlineMs?: number;
 }
 
 interface CompletionData {
@@ -68,6 +70,9 @@
   const {url, ask, transcript, signal, onPiece} = options;
   const {lastEventId} = transcript;
   const resume = lastEventId === '' ? {} : {'last-event-id': lastEventId};
+  const {deadlineMs} = ask;
+  const deadline =
+    deadlineMs === undefined ? {} : {'x-deadline-ms': String(deadlineMs)};
   const res = await request(`${url}/v1/completions`, {
     method: 'POST',
     signal,
@@ -77,6 +82,7 @@
       'content-type': 'application/json',
       authorization: `Bearer ${ask.key ?? DEMO_KEY}`,
       ...resume,
+      ...deadline,
     },
     body: JSON.stringify(createBody(ask)),
   });
