--- /dev/null
+++ b/bench/experiments/slopes/index.ts
@@ -0,0 +1,369 @@
+/** What each unit of work costs a process, for docs/CAPACITY.md. */
+import {setMaxListeners} from 'node:events';
+
+import {HttpObjectStore} from '../../../src/adapters/index.js';
+import {CONFIG_OBJECT} from '../../../src/core/config/index.js';
+import {encodeFrame} from '../../../src/core/protocol/index.js';
+import {
+  createTranscript,
+  DEMO_KEY,
+  readStream,
+} from '../../../tools/lab/caller.js';
+import {sendControl, waitUntil} from '../../../tools/lab/lab.js';
+import {Site} from '../../../tools/lab/site.js';
+import {sleep} from '../../lib/arrivals.js';
+import type {ProcessUsage} from '../../lib/process-usage.js';
+import {readUsage} from '../../lib/process-usage.js';
+import type {BoundResult, CaseResult, Experiment} from '../../lib/types.js';
+import {
+  BEATS_PER_SECOND,
+  BOOKINGS,
+  BUSY_PACE_MS,
+  BUSY_STREAMS,
+  BYTES_PER_KB,
+  CHANGES,
+  CONTROL_BYTES_PER_SECOND,
+  CONTROL_CORE_SHARE,
+  CONTROL_MEMORY_KB,
+  IDLE_MS,
+  MS_PER_SECOND,
+  PROMPT_CHARACTERS,
+  SLOW_FACTOR,
+  STREAMS,
+  US_PER_SECOND,
+  WATCHED,
+  WINDOW_MS,
+} from './consts.js';
+import {FakeTargets, SAMPLE_HEARTBEAT} from './fake-targets.js';
+
+/** Measures slopes; each case is one figure. */
+export const experiment: Experiment = {
+  name: 'slopes',
+  summary: 'memory, processor time and platform calls per unit of work',
+  starts: 'a platform, an engine, a service, 2 agents, 1 entry; about 35 s',
+  flags: [],
+  run: async () => {
+    const site = await Site.create({
+      entries: 1,
+      engines: 1,
+      orders: 1,
+      engineFlags: {'pace-ms': BUSY_PACE_MS, capacity: 1_000},
+      editBase: liftAccountLimit,
+    });
+    try {
+      const slopes = new Slopes(site);
+      const cases = await slopes.measure();
+      return {cases, ratios: [], bounds: slopes.bounds};
+    } finally {
+      await site.close();
+    }
+  },
+};
+
+function liftAccountLimit(base: Record<string, unknown>): void {
+  const accounts = base['clientAccounts'] as Record<
+    string,
+    Record<string, unknown>
+  >;
+  accounts['demo']!['maxConcurrent'] = 10_000;
+}
+
+/** Processor time per second of both roles with nothing to do. */
+interface IdleUse {
+  readonly entryUs: number;
+  readonly agentUs: number;
+}
+
+interface UsePair {
+  readonly entry: ProcessUsage;
+  readonly agent: ProcessUsage;
+}
+
+/** Measures one quantity after another at one site. */
+class Slopes {
+  readonly bounds: BoundResult[] = [];
+  private readonly cases: CaseResult[] = [];
+  private readonly targets = new FakeTargets();
+  private idle: IdleUse = {entryUs: 0, agentUs: 0};
+
+  constructor(private readonly site: Site) {}
+
+  async measure(): Promise<CaseResult[]> {
+    await this.warm();
+    await this.measureIdle();
+    await this.measureTokens();
+    await this.measureBookings();
+    await this.measureConfig();
+    await this.measureWatched();
+    await this.measureStreams();
+    this.targets.close();
+    return this.cases;
+  }
+
+  /** Lets the programs compile what they run often. */
+  private async warm(): Promise<void> {
+    await this.stream({streams: BUSY_STREAMS, tokens: 40, prompt: 'warm'});
+    for (let i = 0; i < BOOKINGS; i++) await this.book(`warm-${i}`);
+  }
+
+  private async measureIdle(): Promise<void> {
+    const callsBefore = await this.countCalls();
+    const before = this.read();
+    await sleep(IDLE_MS);
+    const after = this.read();
+    const calls = (await this.countCalls()) - callsBefore;
+    const seconds = IDLE_MS / MS_PER_SECOND;
+    this.idle = {
+      entryUs: (after.entry.cpuUs - before.entry.cpuUs) / seconds,
+      agentUs: (after.agent.cpuUs - before.agent.cpuUs) / seconds,
+    };
+    this.add('entry: idle', 'us/s', this.idle.entryUs);
+    this.add('agent: idle', 'us/s', this.idle.agentUs);
+    this.add('entry: resident memory, idle', 'kB', after.entry.residentKb);
+    this.add('agent: resident memory, idle', 'kB', after.agent.residentKb);
+    this.add('platform: object calls, idle', 'calls/s', calls / seconds);
+  }
+
+  private async measureTokens(): Promise<void> {
+    const tokens = Math.round(WINDOW_MS / BUSY_PACE_MS);
+    const startMs = performance.now();
+    const before = this.read();
+    await this.stream({streams: BUSY_STREAMS, tokens, prompt: 'busy'});
+    const after = this.read();
+    const seconds = (performance.now() - startMs) / MS_PER_SECOND;
+    const relayed = BUSY_STREAMS * tokens;
+    const entryUs = after.entry.cpuUs - before.entry.cpuUs;
+    const agentUs = after.agent.cpuUs - before.agent.cpuUs;
+    const perEntry = (entryUs - this.idle.entryUs * seconds) / relayed;
+    const perAgent = (agentUs - this.idle.agentUs * seconds) / relayed;
+    this.add('entry: per token relayed', 'us', perEntry);
+    this.add('agent: per token relayed', 'us', perAgent);
+  }
+
+  private async measureBookings(): Promise<void> {
+    const callsBefore = await this.countCalls();
+    const before = this.read();
+    const startMs = performance.now();
+    for (let i = 0; i < BOOKINGS; i++) await this.book(`slopes-${i}`);
+    const after = this.read();
+    const seconds = (performance.now() - startMs) / MS_PER_SECOND;
+    await sleep(WINDOW_MS / 4);
+    const calls = (await this.countCalls()) - callsBefore;
+    const us = after.entry.cpuUs - before.entry.cpuUs;
+    const perBooking = (us - this.idle.entryUs * seconds) / BOOKINGS;
+    this.add('entry: per booking', 'us', perBooking);
+    this.add('platform: object calls per booking', 'calls', calls / BOOKINGS);
+  }
+
+  private async measureConfig(): Promise<void> {
+    const store = new HttpObjectStore({baseUrl: this.site.platform.url});
+    const read = (await store.read(CONFIG_OBJECT))._unsafeUnwrap();
+    const stored = read.extract()!;
+    const callsBefore = await this.countCalls();
+    const before = this.read();
+    const startMs = performance.now();
+    let expectedVersion = stored.version;
+    for (let i = 0; i < CHANGES; i++) {
+      const {value} = stored;
+      const update = {...CONFIG_OBJECT, value, expectedVersion};
+      expectedVersion = (await store.update(update))._unsafeUnwrap().version;
+      await sleep(50);
+    }
+    const after = this.read();
+    const seconds = (performance.now() - startMs) / MS_PER_SECOND;
+    const calls = (await this.countCalls()) - callsBefore;
+    const us = after.entry.cpuUs - before.entry.cpuUs;
+    const perChange = (us - this.idle.entryUs * seconds) / CHANGES;
+    this.add('entry: per configuration change', 'us', perChange);
+    const perCall = calls / CHANGES;
+    this.add('platform: object calls per change', 'calls', perCall);
+  }
+
+  private async measureStreams(): Promise<void> {
+    await this.slowEngine();
+    const before = this.read();
+    const ended = new AbortController();
+    setMaxListeners(STREAMS + 1, ended.signal);
+    let started = 0;
+    const reading = Array.from({length: STREAMS}, async (_, i) => {
+      const prompt = `${i} ${'x'.repeat(PROMPT_CHARACTERS)} [length=4000]`;
+      const transcript = createTranscript();
+      let counted = false;
+      const onPiece = (): void => {
+        if (!counted) started++;
+        counted = true;
+      };
+      const ask = {prompt, maxTokens: 4_000};
+      const {signal} = ended;
+      const url = this.site.entries[0]!.callersUrl;
+      const options = {url, ask, transcript, signal, onPiece};
+      await readStream(options).catch(() => undefined);
+    });
+    const check = (): Promise<boolean> => Promise.resolve(started === STREAMS);
+    await waitUntil({what: 'all streams run', check});
+    await sleep(MS_PER_SECOND);
+    const after = this.read();
+    ended.abort();
+    await Promise.all(reading);
+    this.addMemory('entry: memory per stream', {before, after}, STREAMS);
+    this.addMemory('agent: memory per stream', {before, after}, STREAMS);
+  }
+
+  private async measureWatched(): Promise<void> {
+    const {targets} = this;
+    await targets.open();
+    const before = this.read();
+    for (let i = 0; i < WATCHED; i++) await this.registerFake(i, targets.port);
+    const check = (): Promise<boolean> =>
+      Promise.resolve(targets.connected >= WATCHED);
+    await waitUntil({what: 'the entry watches all', check});
+    targets.beat(MS_PER_SECOND);
+    await sleep(WINDOW_MS);
+    const quiet = this.read();
+    this.addMemory(
+      'entry: memory per watched target',
+      {before, after: quiet},
+      WATCHED,
+    );
+    const slow = await this.measureBeats(targets, MS_PER_SECOND);
+    const fast = await this.measureBeats(
+      targets,
+      MS_PER_SECOND / BEATS_PER_SECOND,
+    );
+    const perBeat = (fast.us - slow.us) / (fast.beats - slow.beats);
+    this.add('entry: per heartbeat', 'us', perBeat);
+    const perTarget =
+      (slow.us - slow.beats * perBeat - this.idle.entryUs) / WATCHED;
+    this.add('entry: per watched target beside heartbeats', 'us/s', perTarget);
+    const bytes = encodeFrame(SAMPLE_HEARTBEAT).length;
+    this.add('peer: bytes of a heartbeat', 'bytes', bytes);
+    this.bound({use: slow, residentKb: quiet.entry.residentKb, bytes});
+    targets.beat(MS_PER_SECOND);
+  }
+
+  /** Processor time and heartbeats a second at a period. */
+  private async measureBeats(
+    targets: FakeTargets,
+    periodMs: number,
+  ): Promise<{us: number; beats: number}> {
+    targets.beat(periodMs);
+    await sleep(periodMs);
+    const sent = targets.sent;
+    const before = this.read().entry.cpuUs;
+    await sleep(WINDOW_MS);
+    const seconds = WINDOW_MS / MS_PER_SECOND;
+    return {
+      us: (this.read().entry.cpuUs - before) / seconds,
+      beats: (targets.sent - sent) / seconds,
+    };
+  }
+
+  /** Whether control stays within the users' limits for a node. */
+  private bound(options: {
+    use: {us: number; beats: number};
+    residentKb: number;
+    bytes: number;
+  }): void {
+    const {use, residentKb, bytes} = options;
+    const rows: ReadonlyArray<Omit<BoundResult, 'holds'>> = [
+      {
+        name: `entry: control with ${WATCHED} watched targets, share of a core`,
+        stated: CONTROL_CORE_SHARE,
+        measured: use.us / US_PER_SECOND,
+      },
+      {
+        name: `entry: whole process with ${WATCHED} watched targets, kB`,
+        stated: CONTROL_MEMORY_KB,
+        measured: residentKb,
+      },
+      {
+        name: `entry: heartbeats of ${WATCHED} watched targets, bytes/s`,
+        stated: CONTROL_BYTES_PER_SECOND,
+        measured: use.beats * bytes,
+      },
+    ];
+    for (const row of rows) {
+      this.bounds.push({...row, holds: row.measured <= row.stated});
+    }
+  }
+
+  /** Slows the engine so that streams stay open and cost little. */
+  private async slowEngine(): Promise<void> {
+    const url = `${this.site.engines[0]!.standIn.url}/faults`;
+    const body = {kind: 'slow', factor: SLOW_FACTOR};
+    await sendControl({url, method: 'POST', body});
+  }
+
+  private async registerFake(index: number, peerPort: number): Promise<void> {
+    await this.site.register({
+      name: `fake-${index}`,
+      role: 'target',
+      dataCentre: 'waw',
+      peerPort,
+      service: 'stock',
+    });
+  }
+
+  private async stream(options: {
+    streams: number;
+    tokens: number;
+    prompt: string;
+  }): Promise<void> {
+    const {streams, tokens, prompt} = options;
+    const url = this.site.entries[0]!.callersUrl;
+    const reading = Array.from({length: streams}, (_, i) =>
+      readStream({
+        url,
+        ask: {
+          prompt: `${prompt} ${i} [length=${tokens}]`,
+          maxTokens: tokens,
+        },
+        transcript: createTranscript(),
+      }),
+    );
+    await Promise.all(reading);
+  }
+
+  private async book(key: string): Promise<void> {
+    const url = `${this.site.entries[0]!.callersUrl}/services/orders/bookings`;
+    const res = await fetch(url, {
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${DEMO_KEY}`,
+        'content-type': 'application/json',
+        'idempotency-key': key,
+      },
+      body: JSON.stringify({pallets: 1}),
+    });
+    if (!res.ok) throw new Error(`booking: ${res.status} ${await res.text()}`);
+    await res.arrayBuffer();
+  }
+
+  private async countCalls(): Promise<number> {
+    const url = `${this.site.platform.url}/counts`;
+    const counts = (await sendControl({url})) as {total: number};
+    return counts.total;
+  }
+
+  private read(): UsePair {
+    return {
+      entry: readUsage(this.site.entries[0]!.proc.pid),
+      agent: readUsage(this.site.engines[0]!.agent.proc.pid),
+    };
+  }
+
+  private addMemory(
+    name: string,
+    pair: {before: UsePair; after: UsePair},
+    count: number,
+  ): void {
+    const role = name.startsWith('entry') ? 'entry' : 'agent';
+    const kb = pair.after[role].residentKb - pair.before[role].residentKb;
+    this.add(name, 'bytes', (kb * BYTES_PER_KB) / count);
+  }
+
+  private add(name: string, unit: string, value: number): void {
+    const [p50, p95, p99, max] = [value, value, value, value];
+    this.cases.push({name, unit, n: 1, p50, p95, p99, max});
+  }
+}
--- a/tools/lab/proc.ts
+++ b/tools/lab/proc.ts
@@ -50,6 +50,11 @@
     return new Proc(child, ready);
   }
 
+  /** Identity of the process on this machine. */
+  get pid(): number {
+    return this.child.pid ?? 0;
+  }
+
   get isRunning(): boolean {
     return this.running;
   }
