Refuse bad input at both edges clearly, and at no cost

Cause: several kinds of bad input had no clear answer.

Change: - The bearer key and the deadline are checked before the body is read, so that a stranger makes an entry hold nothing and learns nothing of its limits. - The request target is taken as it was sent, since URL parsers resolve dot segments; a target that could leave its service's root is refused. A booking answers ran: unknown then, and its key does not run again. - limits.bodyBytes and limits.maxTokens can no longer exceed what one frame between entry and agent carries.

Ruled out: refusing at the peers' port needed no change. Twelve kinds of bad bytes close that connection with a counted reason at both roles, and a generation in flight stays whole (test/processes/edges-peers.test.ts).

--- a/src/adapters/callers/completion-codec.ts
+++ b/src/adapters/callers/completion-codec.ts
@@ -19,6 +19,7 @@
 
 const DEFAULT_MAX_TOKENS = 256;
 const DEFAULT_TEMPERATURE = 1;
+const MAX_TEMPERATURE = 2;
 const MAX_STOP_STRINGS = 4;
 
 const STREAM_OPTIONS = Codec.interface({include_usage: optional(boolean)});
@@ -77,6 +78,9 @@
   return CHAT_BODY.decode(body).caseOf<Result<CompletionAsk, Refusal>>({
     Left: (detail) => err(badRequest(detail)),
     Right: (fields) => {
+      if (fields.messages.length === 0) {
+        return err(badRequest('messages holds at least one message'));
+      }
       const maxTokens = fields.max_completion_tokens ?? fields.max_tokens;
       return createAsk(fields, renderChat(fields.messages), maxTokens);
     },
@@ -106,12 +110,16 @@
     const detail = `stop holds up to ${MAX_STOP_STRINGS} non-empty strings`;
     return err(badRequest(detail));
   }
+  const temperature = fields.temperature ?? DEFAULT_TEMPERATURE;
+  if (temperature < 0 || temperature > MAX_TEMPERATURE) {
+    return err(badRequest(`temperature is from 0 to ${MAX_TEMPERATURE}`));
+  }
   const spec = {
     model: fields.model,
     prompt,
     maxTokens,
     stop,
-    temperature: fields.temperature ?? DEFAULT_TEMPERATURE,
+    temperature,
     priority: 0,
   };
   return ok({
--- a/src/adapters/driver-errors.ts
+++ b/src/adapters/driver-errors.ts
@@ -9,6 +9,7 @@
   [HttpFailureKind.NOT_SENT]: DriverErrorKind.NOT_SENT,
   [HttpFailureKind.TIMEOUT]: DriverErrorKind.TIMEOUT,
   [HttpFailureKind.BROKEN]: DriverErrorKind.LOST,
+  [HttpFailureKind.TOO_LARGE]: DriverErrorKind.TOO_LARGE,
 };
 
 /**
--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -35,6 +35,8 @@
   TIMEOUT = 'timeout',
   /** The connection broke. */
   BROKEN = 'broken',
+  /** The answer came, with a body over the bound. */
+  TOO_LARGE = 'too_large',
 }
 
 /** A call without a whole answer. */
@@ -58,8 +60,13 @@
   readonly headers: readonly HeaderField[];
   readonly body?: Uint8Array | string;
   readonly timeoutMs: number;
+  /** Bound on the answer's body in bytes; none where it is left out. */
+  readonly maxBodyBytes?: number;
 }
 
+/** Thrown where an answer is over its bound; becomes a TOO_LARGE failure. */
+class BodyTooLargeError extends Error {}
+
 /**
  * Builds a connection pool without a bound on connections, whose answers may
  * take any time.
@@ -136,7 +143,7 @@
   const headers = options.headers.flatMap(({name, value}) => [name, value]);
   const settings = {dispatcher, method, headers, body, signal};
   const res = await request(url, settings as Parameters<typeof request>[1]);
-  const bytes = await res.body.bytes();
+  const bytes = await readBytes(res.body, options.maxBodyBytes);
   return {
     status: res.statusCode,
     headers: Object.entries(res.headers).flatMap(toFields),
@@ -144,6 +151,23 @@
   };
 }
 
+async function readBytes(
+  body: Dispatcher.ResponseData['body'],
+  maxBytes = Number.POSITIVE_INFINITY,
+): Promise<Uint8Array> {
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  for await (const chunk of body as AsyncIterable<Uint8Array>) {
+    size += chunk.length;
+    if (size > maxBytes) {
+      // Leaving the loop destroys the body and its connection.
+      throw new BodyTooLargeError(`the answer is over ${maxBytes} bytes`);
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
+
 function toFields([name, value]: [
   string,
   string | string[] | undefined,
@@ -153,6 +177,7 @@
 }
 
 function failureKindOf(e: unknown): HttpFailureKind {
+  if (e instanceof BodyTooLargeError) return HttpFailureKind.TOO_LARGE;
   if (e instanceof AggregateError && e.errors.every(isNotSent)) {
     return HttpFailureKind.NOT_SENT;
   }
--- a/src/adapters/http-callers.ts
+++ b/src/adapters/http-callers.ts
@@ -1,9 +1,15 @@
 /** The callers' edge: OpenAI-style completions and plain services. */
 import type {Context} from 'hono';
 import {Hono} from 'hono';
+import {createMiddleware} from 'hono/factory';
 import type {Result} from 'neverthrow';
 
 import type {CallerHandler, HeaderField} from '../core/edges/index.js';
+import {
+  DEADLINE_HEADER,
+  IDEMPOTENCY_KEY_HEADER,
+  LAST_EVENT_ID_HEADER,
+} from '../core/edges/index.js';
 import type {Refusal} from '../core/errors/index.js';
 import {Ran, RefusalReason} from '../core/errors/index.js';
 import {sendAnswer, streamAnswer} from './callers/answer-stream.js';
@@ -19,9 +25,11 @@
 } from './callers/completion-writer.js';
 import {createProblemResponse} from './callers/problem.js';
 import {readBody, readJson} from './callers/read-body.js';
-
-/** Header with the time allowed for the whole answer, in milliseconds. */
-export const DEADLINE_HEADER = 'x-deadline-ms';
+import {
+  cutServicePrefix,
+  isPlainTarget,
+  readTarget,
+} from './callers/service-path.js';
 
 const BEARER_PREFIX = 'Bearer ';
 const MAX_DEADLINE_MS = 24 * 60 * 60 * 1_000;
@@ -42,6 +50,9 @@
   DEADLINE_HEADER,
 ]);
 
+/** Statuses whose answers have no body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 205, 304]);
+
 interface Endpoint {
   decode(body: unknown): Result<CompletionAsk, Refusal>;
   createWriter(head: AnswerHead): CompletionWriter;
@@ -66,6 +77,9 @@
 export function createCallersApp(options: {handler: CallerHandler}): Hono {
   const {handler} = options;
   const app = new Hono();
+  app.use(checkTarget(handler));
+  app.use('/v1/*', checkHead(handler));
+  app.use('/services/*', checkHead(handler));
   app.post('/v1/completions', (ctx) => complete(ctx, handler, COMPLETIONS));
   app.post('/v1/chat/completions', (ctx) => complete(ctx, handler, CHAT));
   app.all('/services/:service/*', (ctx) => callService(ctx, handler));
@@ -73,9 +87,32 @@
     const detail = `nothing is served under ${ctx.req.path}`;
     return refuse(handler, RefusalReason.UNKNOWN_SERVICE, detail);
   });
+  app.onError((err) => sendRefusal(handler, unservable(err)));
   return app;
 }
 
+/** Refuses targets that could leave the root of their service. */
+function checkTarget(handler: CallerHandler) {
+  return createMiddleware(async (ctx, next) => {
+    if (isPlainTarget(readTarget(ctx))) return next();
+    const detail = 'the path has dot segments, backslashes or broken escapes';
+    return refuse(handler, RefusalReason.BAD_REQUEST, detail);
+  });
+}
+
+/**
+ * Checks the key and the deadline before the body is read, so that a stranger
+ * makes the entry hold nothing and learns nothing of its limits.
+ */
+function checkHead(handler: CallerHandler) {
+  return createMiddleware(async (ctx, next) => {
+    const known = handler.authenticate(readBearer(ctx));
+    if (known.isErr()) return createProblemResponse(known.error);
+    if (Number.isNaN(readDeadline(ctx))) return badDeadline(handler);
+    return next();
+  });
+}
+
 async function complete(
   ctx: Context,
   handler: CallerHandler,
@@ -85,14 +122,12 @@
   const body = await readJson({req: ctx.req.raw, limits});
   const ask = body.andThen((value) => endpoint.decode(value));
   if (ask.isErr()) return sendRefusal(handler, ask.error);
-  const deadlineMs = readDeadline(ctx);
-  if (Number.isNaN(deadlineMs)) return badDeadline(handler);
   const {spec, stream, includeUsage} = ask.value;
   const answer = await handler.generate({
     bearer: readBearer(ctx),
     spec,
-    deadlineMs,
-    lastEventId: ctx.req.header('last-event-id') ?? '',
+    deadlineMs: readDeadline(ctx),
+    lastEventId: ctx.req.header(LAST_EVENT_ID_HEADER) ?? '',
   });
   if (answer.isErr()) return createProblemResponse(answer.error);
   const reader = answer.value;
@@ -112,18 +147,16 @@
   const limits = handler.limits();
   const body = await readBody({req: ctx.req.raw, limits});
   if (body.isErr()) return sendRefusal(handler, body.error);
-  const deadlineMs = readDeadline(ctx);
-  if (Number.isNaN(deadlineMs)) return badDeadline(handler);
   const service = ctx.req.param('service') ?? '';
   const answer = await handler.call({
     bearer: readBearer(ctx),
     service,
     method: ctx.req.method,
-    path: servicePath(ctx, service),
+    path: cutServicePrefix(readTarget(ctx)),
     headers: forwardedHeaders(ctx),
     body: body.value,
-    idempotencyKey: ctx.req.header('idempotency-key') ?? '',
-    deadlineMs,
+    idempotencyKey: ctx.req.header(IDEMPOTENCY_KEY_HEADER) ?? '',
+    deadlineMs: readDeadline(ctx),
   });
   return answer.match(
     (res) =>
@@ -138,13 +171,7 @@
 }
 
 function hasBody(status: number): boolean {
-  return status !== 204 && status !== 304;
-}
-
-function servicePath(ctx: Context, service: string): string {
-  const url = new URL(ctx.req.url);
-  const prefix = `/services/${encodeURIComponent(service)}`;
-  return url.pathname.slice(prefix.length) + url.search;
+  return !BODILESS_STATUSES.has(status);
 }
 
 function forwardedHeaders(ctx: Context): HeaderField[] {
@@ -176,6 +203,12 @@
   return refuse(handler, RefusalReason.BAD_REQUEST, detail);
 }
 
+/** An answer of a service that HTTP cannot carry on. */
+function unservable(err: Error): Refusal {
+  const detail = `the answer cannot be passed on: ${err.message}`;
+  return {reason: RefusalReason.TARGET_FAILED, ran: Ran.UNKNOWN, detail};
+}
+
 function refuse(
   handler: CallerHandler,
   reason: RefusalReason,
--- a/src/adapters/http-service-driver.ts
+++ b/src/adapters/http-service-driver.ts
@@ -1,5 +1,5 @@
 /** Speaks to a plain service over HTTP. */
-import type {ResultAsync} from 'neverthrow';
+import {errAsync, type ResultAsync} from 'neverthrow';
 import {Codec, number} from 'purify-ts';
 import type {Dispatcher} from 'undici';
 
@@ -10,10 +10,17 @@
   ServiceDriver,
   ServiceReport,
 } from '../core/edges/index.js';
-import {toDriverError} from './driver-errors.js';
+import {DriverErrorKind} from '../core/edges/index.js';
+import {driverError, toDriverError} from './driver-errors.js';
 import {fetchReport} from './driver-probe.js';
 import {callHttp, createPool} from './http-call.js';
 
+/**
+ * Largest answer that is passed on, in bytes; with its headers it fits into
+ * one frame between agent and entry.
+ */
+export const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+
 /** Headers that belong to one connection, and those that undici sets. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
   'connection',
@@ -55,13 +62,19 @@
     timeoutMs: number;
   }): ResultAsync<PlainResponse, DriverError> {
     const {req, timeoutMs} = options;
+    const url = urlOf(this.baseUrl, req.path);
+    if (!staysBelow(this.baseUrl, url)) {
+      const detail = 'the path leaves the root of the service';
+      return errAsync(driverError(DriverErrorKind.NOT_SENT, detail));
+    }
     return callHttp({
       dispatcher: this.dispatcher,
-      url: urlOf(this.baseUrl, req.path),
+      url,
       method: req.method,
       headers: req.headers.filter(isForwarded),
       body: req.body.length === 0 ? undefined : req.body,
       timeoutMs,
+      maxBodyBytes: MAX_RESPONSE_BYTES,
     })
       .map((answer) => ({
         ...answer,
@@ -82,6 +95,16 @@
   return path.startsWith('/') ? `${baseUrl}${path}` : `${baseUrl}/${path}`;
 }
 
+/** Dot segments, which URL parsers resolve, could lead out of the root. */
+function staysBelow(baseUrl: string, url: string): boolean {
+  if (!URL.canParse(url)) return false;
+  const root = new URL(baseUrl);
+  const parsed = new URL(url);
+  const prefix = root.pathname.replace(/\/$/, '');
+  const isBelow = parsed.pathname.startsWith(`${prefix}/`);
+  return parsed.origin === root.origin && isBelow;
+}
+
 function isForwarded({name}: {name: string}): boolean {
   return !CONNECTION_HEADERS.has(name.toLowerCase());
 }
--- a/src/agent/call-runner.ts
+++ b/src/agent/call-runner.ts
@@ -188,6 +188,9 @@
 }
 
 function refusalOf(err: DriverError): Refusal {
+  if (err.kind === DriverErrorKind.TOO_LARGE) {
+    return refuse(RefusalReason.RESPONSE_TOO_LARGE, Ran.YES, err.detail);
+  }
   const sent = err.kind !== DriverErrorKind.NOT_SENT;
   const ran = sent ? Ran.UNKNOWN : Ran.NO;
   return refuse(RefusalReason.TARGET_FAILED, ran, err.detail);
--- a/src/core/config/consts.ts
+++ b/src/core/config/consts.ts
@@ -34,6 +34,12 @@
 /** Largest bound on the requests at once of a client account. */
 export const MAX_CONCURRENT = 100_000;
 
+/** Largest bound on bodies, in bytes; half of a frame between processes. */
+export const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Largest bound on `max_tokens`: a whole answer fits into one frame. */
+export const MAX_MAX_TOKENS = 131_072;
+
 /** Limits of a deployment that states none. */
 export const DEFAULT_LIMITS = {
   bodyBytes: 1_048_576,
--- a/src/core/config/schema.ts
+++ b/src/core/config/schema.ts
@@ -16,8 +16,10 @@
   DEFAULT_LIMITS,
   DEFAULT_RETRY_RATIO,
   DEFAULT_WEIGHT,
+  MAX_BODY_BYTES,
   MAX_CONCURRENT,
   MAX_DEADLINE_MS,
+  MAX_MAX_TOKENS,
   MAX_WEIGHT,
   MIN_DEADLINE_MS,
 } from './consts.js';
@@ -86,7 +88,7 @@
 const LIMITS = new ObjectSchema<LimitsConfig>({
   fields: {
     bodyBytes: defaultField(
-      new IntegerSchema({min: 1_024, max: 67_108_864, unit: 'bytes'}),
+      new IntegerSchema({min: 1_024, max: MAX_BODY_BYTES, unit: 'bytes'}),
       DEFAULT_LIMITS.bodyBytes,
     ),
     bodyTimeoutMs: defaultField(
@@ -94,7 +96,7 @@
       DEFAULT_LIMITS.bodyTimeoutMs,
     ),
     maxTokens: defaultField(
-      new IntegerSchema({min: 1, max: 1_000_000, unit: 'tokens'}),
+      new IntegerSchema({min: 1, max: MAX_MAX_TOKENS, unit: 'tokens'}),
       DEFAULT_LIMITS.maxTokens,
     ),
     queueLength: defaultField(
--- a/src/core/edges/callers.ts
+++ b/src/core/edges/callers.ts
@@ -1,10 +1,19 @@
-import type {ResultAsync} from 'neverthrow';
+import type {Result, ResultAsync} from 'neverthrow';
 
 import type {LimitsConfig} from '../config/types.js';
 import type {Refusal} from '../errors/refusals.js';
 import type {FinishReason, GenerationSpec, Token} from './engine-driver.js';
 import type {HeaderField, PlainResponse} from './service-driver.js';
 
+/** Header with the time allowed for the whole answer, in milliseconds. */
+export const DEADLINE_HEADER = 'x-deadline-ms';
+
+/** Header with the position from which a caller goes on. */
+export const LAST_EVENT_ID_HEADER = 'last-event-id';
+
+/** Header with the key under which a call runs at most once. */
+export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
+
 /** A request for a generation, as a caller made it. */
 export interface GenerationReq {
   /** Bearer key; empty when there was none. */
@@ -78,6 +87,8 @@
 export interface CallerHandler {
   /** Bounds to apply before a request is read. */
   limits(): LimitsConfig;
+  /** Checks a bearer key before anything else of its request is read. */
+  authenticate(bearer: string): Result<void, Refusal>;
   generate(req: GenerationReq): ResultAsync<AnswerReader, Refusal>;
   call(req: PlainReq): ResultAsync<PlainResponse, Refusal>;
   /** Counts a refusal that the adapter itself decided. */
--- a/src/core/edges/engine-driver.ts
+++ b/src/core/edges/engine-driver.ts
@@ -14,6 +14,8 @@
   TIMEOUT = 'timeout',
   /** The target answered with something malformed. */
   MALFORMED = 'malformed',
+  /** The target ran it and answered with more than can be passed on. */
+  TOO_LARGE = 'too_large',
 }
 
 /** An error of the driver layer. */
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -10,6 +10,22 @@
   hint: 'Correct the request; the detail names the fault.',
 } as const satisfies ErrorData;
 
+/** The request line and headers exceed what a process reads. */
+export const HEADERS_TOO_LARGE = {
+  name: 'headers_too_large',
+  title: 'Headers too large',
+  message: 'The request line and headers exceed what a process reads.',
+  hint: 'Send a shorter URL and fewer headers.',
+} as const satisfies ErrorData;
+
+/** The request did not arrive in the time allowed. */
+export const HEADERS_TOO_SLOW = {
+  name: 'headers_too_slow',
+  title: 'Headers too slow',
+  message: 'The request did not arrive in the time allowed.',
+  hint: 'Send the request again over a faster connection.',
+} as const satisfies ErrorData;
+
 /** The body exceeds limits.bodyBytes. */
 export const BODY_TOO_LARGE = {
   name: 'body_too_large',
@@ -174,6 +190,15 @@
   hint: 'See `ran`; repeat the request if it did not run.',
 } as const satisfies ErrorData;
 
+/** The target ran the request and answered with more than can be passed on. */
+export const RESPONSE_TOO_LARGE = {
+  name: 'response_too_large',
+  title: 'Response too large',
+  message:
+    'The target ran the request and answered with more than can be passed on.',
+  hint: 'Ask the service for less at a time; do not repeat the request as it is.',
+} as const satisfies ErrorData;
+
 /** The service has used up its retries for the moment. */
 export const RETRY_BUDGET_SPENT = {
   name: 'retry_budget_spent',
@@ -304,6 +329,8 @@
 /** Text and HTTP status of each refusal reason. */
 export const REFUSALS: Readonly<Record<RefusalReason, RefusalData>> = {
   [RefusalReason.BAD_REQUEST]: {data: BAD_REQUEST, status: 400},
+  [RefusalReason.HEADERS_TOO_LARGE]: {data: HEADERS_TOO_LARGE, status: 431},
+  [RefusalReason.HEADERS_TOO_SLOW]: {data: HEADERS_TOO_SLOW, status: 408},
   [RefusalReason.BODY_TOO_LARGE]: {data: BODY_TOO_LARGE, status: 413},
   [RefusalReason.BODY_TOO_SLOW]: {data: BODY_TOO_SLOW, status: 408},
   [RefusalReason.UNAUTHENTICATED]: {data: UNAUTHENTICATED, status: 401},
@@ -327,6 +354,7 @@
   [RefusalReason.CLAIM_UNCERTAIN]: {data: CLAIM_UNCERTAIN, status: 409},
   [RefusalReason.OUTCOME_UNKNOWN]: {data: OUTCOME_UNKNOWN, status: 502},
   [RefusalReason.TARGET_FAILED]: {data: TARGET_FAILED, status: 502},
+  [RefusalReason.RESPONSE_TOO_LARGE]: {data: RESPONSE_TOO_LARGE, status: 502},
   [RefusalReason.RETRY_BUDGET_SPENT]: {data: RETRY_BUDGET_SPENT, status: 503},
   [RefusalReason.POISON]: {data: POISON, status: 422},
   [RefusalReason.ANSWER_LOST]: {data: ANSWER_LOST, status: 410},
--- a/src/core/errors/refusals.ts
+++ b/src/core/errors/refusals.ts
@@ -10,6 +10,8 @@
 /** Every reason for a refusal; each has its own counter. */
 export enum RefusalReason {
   BAD_REQUEST = 'bad_request',
+  HEADERS_TOO_LARGE = 'headers_too_large',
+  HEADERS_TOO_SLOW = 'headers_too_slow',
   BODY_TOO_LARGE = 'body_too_large',
   BODY_TOO_SLOW = 'body_too_slow',
   UNAUTHENTICATED = 'unauthenticated',
@@ -30,6 +32,7 @@
   CLAIM_UNCERTAIN = 'claim_uncertain',
   OUTCOME_UNKNOWN = 'outcome_unknown',
   TARGET_FAILED = 'target_failed',
+  RESPONSE_TOO_LARGE = 'response_too_large',
   RETRY_BUDGET_SPENT = 'retry_budget_spent',
   POISON = 'poison',
   ANSWER_LOST = 'answer_lost',
--- a/src/daemon/run-entry.ts
+++ b/src/daemon/run-entry.ts
@@ -32,8 +32,13 @@
   if (peers.isErr()) exitCannotListen(logger, peers.error.detail);
   try {
     const operators = await openOperators({handler: entry, settings});
-    const app = createCallersApp({handler: entry.callers});
-    const callers = await listenHttp({app, ...settings.callers!});
+    const handler = entry.callers;
+    const app = createCallersApp({handler});
+    const callers = await listenHttp({
+      app,
+      ...settings.callers!,
+      counter: handler,
+    });
     announceReady({
       vm: settings.vm,
       operatorsPort: operators.port,
--- a/src/entry/caller-gate.ts
+++ b/src/entry/caller-gate.ts
@@ -66,6 +66,12 @@
     return inForce?.cfg.limits ?? DEFAULT_LIMITS;
   }
 
+  authenticate(bearer: string): Result<void, Refusal> {
+    return this.identify(bearer)
+      .map(() => undefined)
+      .mapErr((refusal) => this.counted(refusal));
+  }
+
   countRefusal(refusal: Refusal): void {
     this.parts.metrics.countRefusal(refusal.reason);
   }
--- a/src/entry/plain-service.ts
+++ b/src/entry/plain-service.ts
@@ -54,6 +54,8 @@
       if (answer.isOk() && answer.value.response !== undefined) {
         return ok(answer.value.response);
       }
+      const refusal = answer.isErr() ? answer.error.refusal : undefined;
+      if (refusal?.ran === Ran.YES) return err(refusal);
       if (answer.isErr() && mayHaveRun(answer.error)) ran = Ran.UNKNOWN;
       if (answer.isErr()) this.countRetry(answer.error);
       tried.push(target.vm);
--- a/test/adapters/http-service-driver.test.ts
+++ b/test/adapters/http-service-driver.test.ts
@@ -78,6 +78,17 @@
     expect(called._unsafeUnwrap().status).toBe(404);
   });
 
+  it.each(['/../admin', '/%2e%2e/admin', '/x/../../admin'])(
+    'sends nothing to %s, which leaves the root',
+    async (path) => {
+      const url = await open(startService({delayMs: 0}));
+      const driver = new HttpServiceDriver({baseUrl: `${url}/app`});
+      const req = {...BOOKING, path};
+      const called = await driver.call({req, timeoutMs: TIMEOUT_MS});
+      expect(called._unsafeUnwrapErr().kind).toBe(DriverErrorKind.NOT_SENT);
+    },
+  );
+
   it('passes on an error status as an answer', async () => {
     const url = await open(startService());
     await post(`${url}/faults`, {kind: 'fail_fast'});
--- /dev/null
+++ b/test/processes/edges-peers.test.ts
@@ -0,0 +1,186 @@
+/** Bad input at the peers' port: closes that connection, harms nothing else. */
+import {connect} from 'node:net';
+
+import {Encoder} from 'cbor-x';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+
+import type {Message} from '../../src/core/protocol/index.js';
+import {
+  encodeFrame,
+  LENGTH_BYTES,
+  MAX_FRAME_BYTES,
+  MessageType,
+  PeerRole,
+  PROTOCOL_VERSION,
+  TransportErrorKind,
+} from '../../src/core/protocol/index.js';
+import {createTranscript, readStream} from '../../tools/lab/caller.js';
+import type {Daemon} from '../../tools/lab/lab.js';
+import {waitUntil} from '../../tools/lab/lab.js';
+import {Site} from '../../tools/lab/site.js';
+import {expectedText, readCounts, send} from '../support/callers.js';
+
+const TOKENS = 400;
+
+let site: Site;
+
+beforeAll(async () => {
+  site = await Site.create({
+    entries: 1,
+    engines: 1,
+    engineFlags: {'pace-ms': 20},
+  });
+});
+
+afterAll(() => site?.close());
+
+const HELLO: Message = {
+  type: MessageType.HELLO,
+  protocol: PROTOCOL_VERSION,
+  role: PeerRole.ENTRY,
+  vm: 'stranger',
+  incarnation: 'stranger-1',
+  dataCentre: 'waw',
+};
+
+const CANCEL: Message = {type: MessageType.CANCEL, attemptId: 'a'};
+
+function lengthOf(bytes: number): Buffer {
+  const length = Buffer.alloc(LENGTH_BYTES);
+  length.writeUInt32BE(bytes);
+  return length;
+}
+
+function frameOf(value: unknown): Buffer {
+  const body = new Encoder({useRecords: false}).encode(value);
+  return Buffer.concat([lengthOf(body.length), body]);
+}
+
+const GREETING = encodeFrame(HELLO);
+
+const CASES = [
+  {
+    name: 'a frame over the limit',
+    bytes: lengthOf(MAX_FRAME_BYTES + 1),
+    kind: TransportErrorKind.FRAME_TOO_LARGE,
+  },
+  {
+    name: 'a frame over the limit after the greeting',
+    bytes: Buffer.concat([GREETING, lengthOf(0xffffffff)]),
+    kind: TransportErrorKind.FRAME_TOO_LARGE,
+  },
+  {
+    name: 'what is not CBOR',
+    bytes: Buffer.concat([GREETING, lengthOf(2), Buffer.from([0x5a, 0xff])]),
+    kind: TransportErrorKind.BAD_CBOR,
+  },
+  {
+    name: 'an empty frame',
+    bytes: Buffer.concat([GREETING, lengthOf(0)]),
+    kind: TransportErrorKind.BAD_CBOR,
+  },
+  {
+    name: 'a message of an unknown type',
+    bytes: Buffer.concat([GREETING, frameOf({type: 'nonsense'})]),
+    kind: TransportErrorKind.BAD_MESSAGE,
+  },
+  {
+    name: 'a message with a field of the wrong type',
+    bytes: Buffer.concat([GREETING, frameOf({...CANCEL, attemptId: 7})]),
+    kind: TransportErrorKind.BAD_MESSAGE,
+  },
+  {
+    name: 'an order before the greeting',
+    bytes: encodeFrame(CANCEL),
+    kind: TransportErrorKind.BAD_GREETING,
+  },
+  {
+    name: 'another version',
+    bytes: encodeFrame({...HELLO, protocol: PROTOCOL_VERSION + 1}),
+    kind: TransportErrorKind.WRONG_PROTOCOL,
+  },
+  {
+    name: 'a role that is none',
+    bytes: frameOf({...HELLO, role: 'router'}),
+    kind: TransportErrorKind.BAD_MESSAGE,
+  },
+  {
+    name: 'HTTP',
+    bytes: Buffer.from('GET / HTTP/1.1\r\nhost: agent\r\n\r\n'),
+    kind: TransportErrorKind.FRAME_TOO_LARGE,
+  },
+  {
+    name: 'silence',
+    bytes: Buffer.alloc(0),
+    kind: TransportErrorKind.GREETING_TIMEOUT,
+  },
+  {
+    name: 'half a frame',
+    bytes: Buffer.concat([lengthOf(1_000), Buffer.alloc(10)]),
+    kind: TransportErrorKind.GREETING_TIMEOUT,
+  },
+];
+
+/** Sends bytes to a process's peers port and waits until it hangs up. */
+function sendBytes(port: number, bytes: Buffer): Promise<void> {
+  return new Promise((resolve) => {
+    const socket = connect({host: '127.0.0.1', port});
+    socket.on('error', () => undefined);
+    socket.on('close', () => resolve());
+    socket.resume();
+    socket.write(bytes);
+  });
+}
+
+async function closedCount(
+  process: Daemon,
+  kind: TransportErrorKind,
+): Promise<number> {
+  const url = `${process.operatorsUrl}/metrics`;
+  const {text} = await send({url, method: 'GET'});
+  const line = `plantainrill_connections_closed_total{label="${kind}"} `;
+  const found = text.split('\n').find((row) => row.startsWith(line));
+  return Number(found?.slice(line.length));
+}
+
+describe.each(['entry', 'agent'])('the peers port of an %s', (role) => {
+  const find = (): Daemon =>
+    role === 'entry' ? site.entries[0]! : site.engines[0]!.agent;
+
+  it.each(CASES)('closes on $name, with its reason', async (row) => {
+    const before = await closedCount(find(), row.kind);
+    await sendBytes(find().peersPort, row.bytes);
+    expect(await closedCount(find(), row.kind)).toBe(before + 1);
+    expect(find().proc.isRunning).toBe(true);
+  });
+});
+
+describe('a generation in flight', () => {
+  it('goes on unharmed while strangers send nonsense', async () => {
+    const before = await readCounts(site);
+    const transcript = createTranscript();
+    const prompt = `Unharmed [length=${TOKENS}]`;
+    const reading = readStream({
+      url: site.entries[0]!.callersUrl,
+      ask: {prompt, maxTokens: TOKENS},
+      transcript,
+    });
+    await waitUntil({
+      what: 'the answer has begun',
+      check: () => Promise.resolve(transcript.pieces > 0),
+    });
+    const ports = [site.entries[0]!, site.engines[0]!.agent];
+    await Promise.all(
+      ports.flatMap(({peersPort}) =>
+        CASES.map(({bytes}) => sendBytes(peersPort, bytes)),
+      ),
+    );
+    expect(transcript.ends).toBe(0);
+    await reading;
+    expect(transcript.text).toBe(expectedText(prompt, TOKENS));
+    expect([transcript.ends, transcript.errors]).toEqual([1, []]);
+    const after = await readCounts(site);
+    expect(after.tokens - before.tokens).toBe(TOKENS);
+    expect(after.generations - before.generations).toBe(1);
+  });
+});
--- /dev/null
+++ b/test/processes/edges-responses.test.ts
@@ -0,0 +1,129 @@
+/** What comes back from a target is bounded, whole and told truthfully. */
+import type {ServerResponse} from 'node:http';
+
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+
+import {MAX_RESPONSE_BYTES} from '../../src/adapters/http-service-driver.js';
+import {RefusalReason} from '../../src/core/errors/index.js';
+import {MAX_FRAME_BYTES} from '../../src/core/protocol/index.js';
+import type {RunningServer} from '../../stand-ins/lib/http-server.js';
+import {startServer} from '../../stand-ins/lib/http-server.js';
+import {waitUntil} from '../../tools/lab/lab.js';
+import {Site} from '../../tools/lab/site.js';
+import {send} from '../support/callers.js';
+
+const OVER = MAX_RESPONSE_BYTES + 1;
+
+let site: Site;
+let target: RunningServer;
+let calls = 0;
+
+beforeAll(async () => {
+  target = await startServer({
+    address: '127.0.0.1',
+    port: 0,
+    handle: ({req, res, segments}) => {
+      req.resume();
+      answer(res, segments);
+    },
+  });
+  site = await Site.create({entries: 1, engines: 0});
+  for (const service of ['orders', 'stock']) await addTarget(service);
+  await waitUntil({
+    what: 'the entry can use both targets',
+    timeoutMs: 60_000,
+    check: async () => {
+      const url = `${site.entries[0]!.operatorsUrl}/status`;
+      const {text} = await send({url, method: 'GET'});
+      return text.split('"usable"').length === 3;
+    },
+  });
+});
+
+afterAll(async () => {
+  await site?.close();
+  await target?.close();
+});
+
+function answer(res: ServerResponse, segments: readonly string[]): void {
+  const [root = '', size = '0'] = segments;
+  if (root === 'health') {
+    res.end('{"running":0,"capacity":9}');
+    return;
+  }
+  calls += 1;
+  if (root === 'status') {
+    res.writeHead(Number(size), {'x-kept': 'yes'}).end();
+    return;
+  }
+  res.end(Buffer.alloc(Number(size), 'x'));
+}
+
+async function addTarget(service: string): Promise<void> {
+  const vm = `${service}-1`;
+  const agent = await site.lab.startDaemon({
+    role: 'agent',
+    settings: {
+      vm,
+      dataCentre: 'waw',
+      site: 'waw',
+      platformUrl: site.platform.url,
+      'target.kind': 'service',
+      'target.url': target.url,
+      'target.service': service,
+    },
+  });
+  await site.register({
+    name: vm,
+    role: 'target',
+    dataCentre: 'waw',
+    peerPort: agent.peersPort,
+    service,
+  });
+}
+
+function call(service: string, path: string, key = '') {
+  const url = `${site.entries[0]!.callersUrl}/services/${service}${path}`;
+  const headers = {'idempotency-key': key};
+  return send({url, headers, body: '{}'});
+}
+
+describe('a response of a plain service', () => {
+  it('is passed on up to its bound, which one frame holds', async () => {
+    expect(MAX_RESPONSE_BYTES).toBeLessThan(MAX_FRAME_BYTES);
+    const reply = await call('stock', `/bytes/${MAX_RESPONSE_BYTES}`);
+    expect([reply.status, reply.text.length]).toEqual([
+      200,
+      MAX_RESPONSE_BYTES,
+    ]);
+  });
+
+  it('over the bound is refused, and the call is not sent again', async () => {
+    const before = calls;
+    const reply = await call('stock', `/bytes/${OVER}`);
+    expect(reply.status).toBe(502);
+    expect(JSON.parse(reply.text)).toMatchObject({
+      reason: RefusalReason.RESPONSE_TOO_LARGE,
+      ran: 'yes',
+    });
+    expect(calls).toBe(before + 1);
+  });
+
+  it('over the bound never lets a booking run again', async () => {
+    const before = calls;
+    for (let i = 0; i < 2; i++) {
+      const reply = await call('orders', `/bytes/${OVER}`, 'large-1');
+      expect(reply.status).toBe(502);
+      expect(JSON.parse(reply.text)).not.toMatchObject({ran: 'no'});
+    }
+    expect(calls).toBe(before + 1);
+  });
+
+  it.each([204, 205, 304, 400, 404, 503, 799])(
+    'keeps status %i',
+    async (status) => {
+      const reply = await call('stock', `/status/${status}`);
+      expect([reply.status, reply.headers['x-kept']]).toEqual([status, 'yes']);
+    },
+  );
+});
--- /dev/null
+++ b/test/support/refusals.ts
@@ -0,0 +1,63 @@
+/** What callers read when they are refused. */
+import {connect} from 'node:net';
+
+import {expect} from 'vitest';
+
+import type {RefusalReason} from '../../src/core/errors/index.js';
+import type {Daemon} from '../../tools/lab/lab.js';
+import type {Reply} from './callers.js';
+import {send} from './callers.js';
+
+interface Problem {
+  readonly status: number;
+  readonly reason: RefusalReason;
+  readonly ran: string;
+  readonly hint: string;
+  readonly detail: string;
+}
+
+/** Checks that a reply is a whole problem document for a request that did not run. */
+export function expectRefusal(
+  reply: Reply,
+  {status, reason}: {status: number; reason: RefusalReason},
+): void {
+  expect([reply.status, reply.text]).toEqual([status, expect.any(String)]);
+  expect(reply.headers['content-type']).toBe('application/problem+json');
+  const problem = JSON.parse(reply.text) as Problem;
+  expect(problem).toMatchObject({status, reason, ran: 'no'});
+  expect(problem.hint).not.toBe('');
+  expect(problem.detail).not.toBe('');
+}
+
+/** Reads an entry's counter of a refusal. */
+export async function countOf(
+  entry: Daemon,
+  reason: RefusalReason,
+): Promise<number> {
+  const url = `${entry.operatorsUrl}/metrics`;
+  const {text} = await send({url, method: 'GET'});
+  const line = `plantainrill_refusals_total{reason="${reason}"} `;
+  const found = text.split('\n').find((row) => row.startsWith(line));
+  return Number(found?.slice(line.length));
+}
+
+/** Sends text as it is and reads until the connection closes. */
+export function sendRaw(entry: Daemon, text: string): Promise<Reply> {
+  const {port, hostname} = new URL(entry.callersUrl);
+  return new Promise((resolve, reject) => {
+    const socket = connect({host: hostname, port: Number(port)});
+    let received = '';
+    socket.on('data', (chunk) => (received += chunk.toString()));
+    socket.on('error', reject);
+    socket.on('close', () => resolve(parseReply(received)));
+    socket.write(text);
+  });
+}
+
+function parseReply(received: string): Reply {
+  const [head = '', text = ''] = received.split('\r\n\r\n', 2);
+  const [statusLine = '', ...lines] = head.split('\r\n');
+  const fields = lines.map((line) => line.split(': ', 2) as [string, string]);
+  const status = Number(statusLine.split(' ')[1]);
+  return {status, headers: Object.fromEntries(fields), text};
+}
