--- a/src/adapters/http-callers.ts
+++ b/src/adapters/http-callers.ts
@@ -128,6 +128,7 @@
     spec,
     deadlineMs: readDeadline(ctx),
     lastEventId: ctx.req.header(LAST_EVENT_ID_HEADER) ?? '',
+    signal: ctx.req.raw.signal,
   });
   if (answer.isErr()) return createProblemResponse(answer.error);
   const reader = answer.value;
@@ -157,6 +158,7 @@
     body: body.value,
     idempotencyKey: ctx.req.header(IDEMPOTENCY_KEY_HEADER) ?? '',
     deadlineMs: readDeadline(ctx),
+    signal: ctx.req.raw.signal,
   });
   return answer.match(
     (res) =>
--- a/src/cli/commands/drain/index.ts
+++ b/src/cli/commands/drain/index.ts
@@ -21,6 +21,7 @@
       parsePositive,
       DEFAULT_DEADLINE_MS,
     )
+    .option('--json', 'write JSON, a line for each step')
     .action(async (opts: DrainOptions) => {
       const {runDrain} = await import('./run-drain.js');
       finish(await runDrain(ctx, opts));
--- /dev/null
+++ b/test/tools/known-red.test.ts
@@ -0,0 +1,166 @@
+import {describe, expect, it} from 'vitest';
+
+import type {KnownRed} from '../../tools/ci/known-red.js';
+import {namesTest, parseKnownRed} from '../../tools/ci/known-red.js';
+import type {RunResult} from '../../tools/ci/verdict.js';
+import {formatVerdict, judge, TestState} from '../../tools/ci/verdict.js';
+import {parseReport} from '../../tools/ci/vitest-report.js';
+
+function entryOf(test: string): KnownRed {
+  return {test, command: 'npm test', seen: '503', issue: 'issue 4'};
+}
+
+function runOf(fields: Partial<RunResult> & {failed?: string[]}): RunResult {
+  const {failed = [], ...rest} = fields;
+  const tests = [
+    {test: 'a > passes', state: TestState.PASSED},
+    ...failed.map((test) => ({test, state: TestState.FAILED})),
+  ];
+  return {tests, failedFiles: [], isClean: failed.length === 0, ...rest};
+}
+
+const LISTS = [
+  {name: 'nothing', text: '', entries: 0, bad: 0},
+  {name: 'comments', text: '# mend first\n\n', entries: 0, bad: 0},
+  {name: 'an entry', text: 'a > b | npm test | 503 | 4', entries: 1, bad: 0},
+  {name: 'a field too few', text: 'a > b | npm test | 503', entries: 0, bad: 1},
+  {name: 'an empty field', text: 'a > b | | 503 | 4', entries: 0, bad: 1},
+  {
+    name: 'a pattern of all',
+    text: '* | npm test | 503 | 4',
+    entries: 0,
+    bad: 1,
+  },
+];
+
+describe('parseKnownRed', () => {
+  it.each(LISTS)('reads $name', ({text, entries, bad}) => {
+    const parsed = parseKnownRed(text);
+    expect(parsed.map((list) => list.length).unwrapOr(0)).toBe(entries);
+    expect(parsed.isErr() ? parsed.error.length : 0).toBe(bad);
+  });
+});
+
+const NAMES = [
+  {pattern: 'a > b', test: 'a > b', named: true},
+  {pattern: 'a > b', test: 'a > b c', named: false},
+  {pattern: 'a > *', test: 'a > b c', named: true},
+  {pattern: 'a.b', test: 'axb', named: false},
+];
+
+describe('namesTest', () => {
+  it.each(NAMES)('$pattern, $test: $named', ({pattern, test, named}) => {
+    expect(namesTest({entry: entryOf(pattern), test})).toBe(named);
+  });
+});
+
+const RUNS = [
+  {name: 'all pass', run: runOf({}), known: [], faults: 0, failed: 0},
+  {
+    name: 'one fails',
+    run: runOf({failed: ['b']}),
+    known: [],
+    faults: 1,
+    failed: 1,
+  },
+  {
+    name: 'a listed one fails',
+    run: runOf({failed: ['b']}),
+    known: ['b'],
+    faults: 0,
+    failed: 1,
+  },
+  {
+    name: 'a listed and another one fail',
+    run: runOf({failed: ['b', 'c']}),
+    known: ['b'],
+    faults: 1,
+    failed: 2,
+  },
+  {
+    name: 'a listed one passes',
+    run: runOf({}),
+    known: ['a > *'],
+    faults: 0,
+    failed: 0,
+  },
+  {
+    name: 'a listed one is none',
+    run: runOf({}),
+    known: ['z'],
+    faults: 1,
+    failed: 0,
+  },
+  {
+    name: 'a file fails outside of its tests',
+    run: runOf({failedFiles: ['x.test.ts'], isClean: false}),
+    known: ['a > *'],
+    faults: 1,
+    failed: 1,
+  },
+  {
+    name: 'one is skipped',
+    run: runOf({
+      tests: [
+        {test: 'a > passes', state: TestState.PASSED},
+        {test: 'b', state: TestState.NOT_RUN},
+      ],
+    }),
+    known: ['b'],
+    faults: 1,
+    failed: 0,
+  },
+  {
+    name: 'the runner complains of something else',
+    run: runOf({isClean: false}),
+    known: [],
+    faults: 1,
+    failed: 0,
+  },
+  {
+    name: 'nothing ran',
+    run: runOf({tests: []}),
+    known: [],
+    faults: 1,
+    failed: 0,
+  },
+];
+
+describe('judge', () => {
+  it.each(RUNS)('when $name', ({run, known, faults, failed}) => {
+    const verdict = judge({run, known: known.map(entryOf)});
+    expect(verdict.faults).toHaveLength(faults);
+    expect(verdict.failed).toBe(failed);
+  });
+
+  it('prints what it passes over, and the counts alone on the last line', () => {
+    const run = runOf({failed: ['b']});
+    const text = formatVerdict(judge({run, known: [entryOf('b')]}));
+    const lines = text.trimEnd().split('\n');
+    expect(lines[0]).toBe('known red: b (npm test; seen: 503; issue 4)');
+    expect(lines.at(-1)).toBe('Tests: 1 passed, 1 failed');
+  });
+});
+
+describe('parseReport', () => {
+  it('reads tests, and files that failed outside of them', () => {
+    const pass = {ancestorTitles: ['', 'a'], title: 'b', status: 'passed'};
+    const skipped = {ancestorTitles: [], title: 'c', status: 'skipped'};
+    const report = {
+      testResults: [
+        {name: 'x', status: 'passed', assertionResults: [pass]},
+        {name: 'y', status: 'failed', assertionResults: [skipped]},
+      ],
+    };
+    const run = parseReport({report, isClean: false})._unsafeUnwrap();
+    expect(run.tests).toEqual([
+      {test: 'a > b', state: TestState.PASSED},
+      {test: 'c', state: TestState.NOT_RUN},
+    ]);
+    expect(run.failedFiles).toEqual(['y']);
+  });
+
+  it('refuses another shape', () => {
+    expect(parseReport({report: {}, isClean: true}).isErr()).toBe(true);
+  });
+});
