Planned stops: refuse at once, finish what runs, then exit 0

Cause: an entry that had begun to leave answered on kept-alive connections without closing them, ended with a request body still on its way (the caller saw a reset), and was gone 100 ms after SIGTERM when idle, so callers of a balancer that lags met a refused connection. A target that left only by the VM list never drained and never exited; a VM that came back at another address was never found again; a VM taken off the list still got new work.

Change: one DrainController for both roles with a pure decision. Entries count answers until they have wholly left and refuse for 2 s at least; answers of a process that is not ready close their connection. Entries hand the list's word on with LEAVE, which is also their promise to send no more work; an agent ends once it has all promises, or 5 s after its last work when an entry is silent. A record that was never seen live is not taken for this process's own: it may mean its predecessor. Links follow a changed address and retire the old one when its work has ended. A list that lost every target at once is not believed.

Ruled out: agents reading the list themselves (6,000 agents at one read in 2 s are 3,000 reads a second, more than the platform gives).

--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -8,6 +8,7 @@
   ProcessStatus,
   ServiceDriver,
 } from '../core/edges/index.js';
+import {AGENT_DRAIN_LIMITS, DrainController} from '../core/drain/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import type {HelloMessage, TransportError} from '../core/protocol/index.js';
@@ -21,7 +22,8 @@
 import {AgentBoard} from './agent-board.js';
 import {AttemptTable} from './attempt-table.js';
 import {CallRunner} from './call-runner.js';
-import {DRAIN_POLL_MS, MAX_KEYS} from './consts.js';
+import {MAX_KEYS} from './consts.js';
+import {LeavePeers} from './drain-peers.js';
 import type {TargetProbe} from './engine-monitor.js';
 import {EngineMonitor} from './engine-monitor.js';
 import type {SessionParts} from './entry-session.js';
@@ -54,6 +56,8 @@
   private readonly calls: CallRunner | undefined;
   private readonly monitor: EngineMonitor;
   private readonly server: PeerServer;
+  private readonly peers = new LeavePeers({onLeave: () => this.drain()});
+  private readonly drainer: DrainController;
 
   constructor(private readonly options: AgentOptions) {
     this.incarnation = options.random.id();
@@ -66,6 +70,7 @@
       logger: options.logger,
     });
     this.server = this.createServer();
+    this.drainer = this.createDrainer();
   }
 
   /** Listens for entries and returns the port. */
@@ -106,20 +111,20 @@
   }
 
   drain(): void {
-    if (this.board.leaving.get()) return;
-    this.options.logger.info('leaving');
-    this.board.leaving.set(true);
-    this.awaitIdle();
+    this.drainer.begin();
   }
 
-  private awaitIdle(): void {
-    if (this.countRunning() === 0) {
-      this.options.logger.info('drained');
-      this.options.onDrained();
-      return;
-    }
-    const run = (): void => this.awaitIdle();
-    this.options.clock.schedule({delayMs: DRAIN_POLL_MS, run});
+  private createDrainer(): DrainController {
+    return new DrainController({
+      ...this.options,
+      leaving: this.board.leaving,
+      limits: AGENT_DRAIN_LIMITS,
+      work: {
+        countRunning: () => this.countRunning(),
+        countUnsentBytes: () => this.server.countUnsentBytes(),
+        countPeersToAnswer: () => this.peers.count(),
+      },
+    });
   }
 
   private countRunning(): number {
@@ -158,6 +163,7 @@
       attempts: this.attempts,
       calls: this.calls,
       countRunning: () => this.countRunning(),
+      peers: this.peers,
     };
     return new PeerServer({
       hello: this.createHello(),
--- a/src/agent/consts.ts
+++ b/src/agent/consts.ts
@@ -25,8 +25,5 @@
 /** Most tokens in one message. */
 export const TOKENS_PER_MESSAGE = 1_024;
 
-/** How often a drain looks whether all work is done, in milliseconds. */
-export const DRAIN_POLL_MS = 50;
-
 /** Keys that an agent remembers; more are refused. */
 export const MAX_KEYS = 200_000;
--- a/src/agent/entry-session.ts
+++ b/src/agent/entry-session.ts
@@ -18,6 +18,7 @@
 import type {Attempt} from './attempt.js';
 import {AttemptReader} from './attempt-reader.js';
 import type {CallRunner} from './call-runner.js';
+import type {LeavePeers} from './drain-peers.js';
 import {HEARTBEAT_BUSY_MS, HEARTBEAT_IDLE_MS} from './consts.js';
 
 /** What a session needs of its agent. */
@@ -30,6 +31,7 @@
   /** Present beside a plain service. */
   readonly calls?: CallRunner;
   countRunning(): number;
+  readonly peers: LeavePeers;
 }
 
 /** Answers one entry's messages and sends it heartbeats. */
@@ -49,6 +51,7 @@
   onReady(): void {
     const {board, clock} = this.parts;
     const beat = (): void => this.sendHeartbeat();
+    this.parts.peers.add(this);
     this.unsubscribes.push(board.leaving.subscribe(beat));
     this.unsubscribes.push(board.phase.subscribe(beat));
     this.sendHeartbeat();
@@ -76,6 +79,9 @@
         this.pendingCalls++;
         this.parts.calls?.handleCall(message, (m) => this.respond(m));
         return;
+      case MessageType.LEAVE:
+        this.parts.peers.acknowledge(this);
+        return;
       case MessageType.ASK_KEY:
         this.pendingCalls++;
         this.parts.calls?.handleAskKey(message, (m) => this.respond(m));
@@ -90,6 +96,7 @@
   }
 
   onClose(err: TransportError): void {
+    this.parts.peers.remove(this);
     this.timer?.cancel();
     for (const unsubscribe of this.unsubscribes) unsubscribe();
     for (const reader of [...this.readers.values()]) reader.close();
--- a/src/core/protocol/messages.ts
+++ b/src/core/protocol/messages.ts
@@ -35,6 +35,7 @@
   REPLY = 'reply',
   ASK_KEY = 'ask_key',
   KEY_STATE = 'key_state',
+  LEAVE = 'leave',
   CONFIG = 'config',
   CONFIG_REPORT = 'config_report',
 }
@@ -227,6 +228,13 @@
   incarnation: string,
 });
 
+/**
+ * Entry to agent: the target leaves, and this entry begins no more work
+ * there. Sent when the VM list says so, and as the answer to a heartbeat that
+ * says so.
+ */
+export const LEAVE = Codec.interface({type: exactly(MessageType.LEAVE)});
+
 /** Any process to any: an accepted configuration. */
 export const CONFIG = Codec.interface({
   type: exactly(MessageType.CONFIG),
@@ -256,6 +264,7 @@
 export type ReplyMessage = GetType<typeof REPLY>;
 export type AskKeyMessage = GetType<typeof ASK_KEY>;
 export type KeyStateMessage = GetType<typeof KEY_STATE>;
+export type LeaveMessage = GetType<typeof LEAVE>;
 export type ConfigMessage = GetType<typeof CONFIG>;
 export type ConfigReportMessage = GetType<typeof CONFIG_REPORT>;
 
@@ -275,6 +284,7 @@
   | ReplyMessage
   | AskKeyMessage
   | KeyStateMessage
+  | LeaveMessage
   | ConfigMessage
   | ConfigReportMessage;
 
@@ -294,6 +304,7 @@
   [MessageType.REPLY]: REPLY,
   [MessageType.ASK_KEY]: ASK_KEY,
   [MessageType.KEY_STATE]: KEY_STATE,
+  [MessageType.LEAVE]: LEAVE,
   [MessageType.CONFIG]: CONFIG,
   [MessageType.CONFIG_REPORT]: CONFIG_REPORT,
 } as unknown as Record<MessageType, Codec<Message>>;
--- a/src/core/protocol/peer-connection.ts
+++ b/src/core/protocol/peer-connection.ts
@@ -78,6 +78,11 @@
     return this.options.socket.writableNeedDrain;
   }
 
+  /** Bytes that wait for the peer to read. */
+  unsentBytes(): number {
+    return this.closed ? 0 : this.options.socket.writableLength;
+  }
+
   isClosed(): boolean {
     return this.closed;
   }
--- a/src/core/protocol/peer-server.ts
+++ b/src/core/protocol/peer-server.ts
@@ -49,6 +49,14 @@
     );
   }
 
+  /** Bytes that wait for peers to read. */
+  countUnsentBytes(): number {
+    let bytes = 0;
+    for (const connection of this.connections)
+      bytes += connection.unsentBytes();
+    return bytes;
+  }
+
   /** Stops listening and closes each connection once it is flushed. */
   close(): ResultAsync<void, never> {
     this.server.close();
--- a/src/daemon/process-frame.ts
+++ b/src/daemon/process-frame.ts
@@ -32,12 +32,25 @@
   process.stdout.write(`${JSON.stringify({ready: true, ...line})}\n`);
 }
 
-/** Ends the process after the last answers have left. */
-export function exitSoon(stop: () => void): void {
-  setTimeout(() => {
+/**
+ * Ends the process after the last answers have left. Callers that came in
+ * the last moment are waited for.
+ */
+export function exitSoon(options: {
+  stop: () => void;
+  callers?: HttpListener;
+}): void {
+  const {stop, callers} = options;
+  callers?.close();
+  const end = (): void => {
+    if (callers !== undefined && callers.countOpen() > 0) {
+      setTimeout(end, EXIT_FLUSH_MS);
+      return;
+    }
     stop();
     process.exit(0);
-  }, EXIT_FLUSH_MS);
+  };
+  setTimeout(end, EXIT_FLUSH_MS);
 }
 
 /** Ends the process because it cannot listen. */
--- a/src/daemon/run-agent.ts
+++ b/src/daemon/run-agent.ts
@@ -24,7 +24,7 @@
     metrics: createMetrics(),
     logger,
     drivers: createDrivers(settings.target!),
-    onDrained: () => exitSoon(() => agent.stop()),
+    onDrained: () => exitSoon({stop: () => agent.stop()}),
   });
   const peers = await agent.start();
   if (peers.isErr()) exitCannotListen(logger, peers.error.detail);
--- a/src/daemon/run-entry.ts
+++ b/src/daemon/run-entry.ts
@@ -1,5 +1,6 @@
 /** Composes an entry from its settings. */
 import {createCallersApp} from '../adapters/http-callers.js';
+import type {HttpListener} from '../adapters/http-server.js';
 import {listenHttp} from '../adapters/http-server.js';
 import {HttpObjectStore, HttpVmList} from '../adapters/index.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
@@ -18,6 +19,7 @@
 export async function runEntry(settings: DaemonSettings): Promise<void> {
   const logger = createLogger(settings);
   const baseUrl = settings.platformUrl;
+  let callers: HttpListener | undefined;
   const entry = new EntryProcess({
     settings,
     clock: new SystemClock(),
@@ -26,14 +28,19 @@
     logger,
     store: new HttpObjectStore({baseUrl}),
     vmList: new HttpVmList({baseUrl}),
-    onDrained: () => exitSoon(() => entry.stop()),
+    countOpenAnswers: () => callers?.countOpen() ?? 0,
+    onDrained: () => exitSoon({stop: () => entry.stop(), callers}),
   });
   const peers = await entry.start();
   if (peers.isErr()) exitCannotListen(logger, peers.error.detail);
   try {
     const operators = await openOperators({handler: entry, settings});
     const app = createCallersApp({handler: entry.callers});
-    const callers = await listenHttp({app, ...settings.callers!});
+    callers = await listenHttp({
+      app,
+      ...settings.callers!,
+      keepsAlive: () => entry.isReady(),
+    });
     announceReady({
       vm: settings.vm,
       operatorsPort: operators.port,
--- a/src/entry/agent-link.ts
+++ b/src/entry/agent-link.ts
@@ -45,6 +45,10 @@
   private heardAtMs: number;
   private busySinceMs = 0;
   private suspected = false;
+  private unlisted = false;
+  private toldLeave = false;
+  /** Incarnation that was connected while the VM list called it live. */
+  private liveIncarnation = '';
 
   constructor(
     private record: VmRecord,
@@ -76,13 +80,30 @@
   /** Takes over what the VM list now says. */
   updateRecord(record: VmRecord): void {
     this.record = record;
+    this.unlisted = false;
+    this.noteListed();
+  }
+
+  /** The VM list no longer has this target. */
+  markUnlisted(): void {
+    this.unlisted = true;
+  }
+
+  /** Whether the agent listens where a record says. */
+  isAt({address, peerPort}: VmRecord): boolean {
+    return this.record.address === address && this.record.peerPort === peerPort;
+  }
+
+  /** Whether an attempt or call still waits for this agent. */
+  isBusy(): boolean {
+    return this.handlers.size > 0;
   }
 
   /** What the entry knows of this target. */
   view(): TargetView {
-    const {name, dataCentre, service, state} = this.record;
+    const {name, dataCentre, service} = this.record;
     const beat = this.heartbeat;
-    const leaving = state === VmState.LEAVING || (beat?.leaving ?? false);
+    const leaving = this.isLeaving();
     const healthy = beat?.phase === TargetPhase.HEALTHY;
     const connected = this.client.isReady() && !this.suspected;
     return {
@@ -112,6 +133,7 @@
   open(options: {id: string; message: Message; handler: LinkHandler}): boolean {
     const {id, message, handler} = options;
     if (!this.isConnected()) return false;
+    if (message.type === MessageType.START && this.isLeaving()) return false;
     if (this.handlers.size === 0) this.busySinceMs = this.options.clock.now();
     this.handlers.set(id, handler);
     this.client.send(message);
@@ -151,6 +173,8 @@
     this.incarnation = hello.incarnation;
     this.heardAtMs = this.options.clock.now();
     this.suspected = false;
+    this.toldLeave = false;
+    this.noteListed();
   }
 
   onMessage(message: Message): void {
@@ -199,10 +223,36 @@
     const wasLeaving = this.heartbeat?.leaving ?? false;
     this.heartbeat = beat;
     this.options.metrics.count(CounterName.HEARTBEATS);
+    if (beat.leaving) this.tellLeave();
     if (!beat.leaving || wasLeaving) return;
     for (const handler of [...this.handlers.values()]) handler.onLeaving?.();
   }
 
+  private isLeaving(): boolean {
+    const listed = this.record.state === VmState.LIVE && !this.unlisted;
+    return !listed || (this.heartbeat?.leaving ?? false);
+  }
+
+  /**
+   * Hands on what the VM list says. The list lags, so a process that was
+   * never seen while its VM was live may be the successor of the one meant.
+   */
+  private noteListed(): void {
+    if (!this.client.isReady()) return;
+    if (this.record.state === VmState.LIVE) {
+      this.liveIncarnation = this.incarnation;
+      return;
+    }
+    if (this.liveIncarnation === this.incarnation) this.tellLeave();
+  }
+
+  /** Promises the agent that no new work follows. */
+  private tellLeave(): void {
+    if (this.toldLeave) return;
+    this.toldLeave = true;
+    this.client.send({type: MessageType.LEAVE});
+  }
+
   private take(id: string): LinkHandler | undefined {
     const handler = this.handlers.get(id);
     this.handlers.delete(id);
--- a/src/entry/agent-links.ts
+++ b/src/entry/agent-links.ts
@@ -13,6 +13,8 @@
 /** Follows the VM list and watches every link for silence. */
 export class AgentLinks {
   private readonly links = new Map<string, AgentLink>();
+  /** Links to earlier addresses of a VM, until their work has ended. */
+  private readonly retired = new Set<AgentLink>();
   private readonly timers: TimerHandle[] = [];
   private checkedAtMs = 0;
 
@@ -39,6 +41,7 @@
   close(): void {
     for (const timer of this.timers) timer.cancel();
     for (const link of this.links.values()) link.stop();
+    for (const link of this.retired) link.stop();
   }
 
   find(vm: string): AgentLink | undefined {
@@ -55,8 +58,10 @@
     const names = new Set(targets.map((vm) => vm.name));
     for (const vm of targets) this.addOrUpdate(vm);
     for (const [name, link] of this.links) {
-      // The list lags: a target that still speaks is kept.
-      if (names.has(name) || link.isConnected()) continue;
+      if (names.has(name)) continue;
+      // What it runs may end, but it gets no new work.
+      link.markUnlisted();
+      if (link.isConnected()) continue;
       link.stop();
       this.links.delete(name);
       this.options.logger.info('target removed', {target: name});
@@ -65,22 +70,37 @@
 
   private addOrUpdate(record: VmRecord): void {
     const known = this.links.get(record.name);
-    if (known !== undefined) {
+    if (known?.isAt(record) === true) {
       known.updateRecord(record);
       return;
     }
+    if (known !== undefined) this.retire(known);
     const link = new AgentLink(record, this.options);
     this.links.set(record.name, link);
     link.start();
     this.options.logger.info('target added', {target: record.name});
   }
 
+  private retire(link: AgentLink): void {
+    link.markUnlisted();
+    this.retired.add(link);
+  }
+
+  private dropRetired(): void {
+    for (const link of this.retired) {
+      if (link.isBusy() && link.isConnected()) continue;
+      link.stop();
+      this.retired.delete(link);
+    }
+  }
+
   private check(): void {
     const nowMs = this.options.clock.now();
     const lateMs = nowMs - this.checkedAtMs - SILENCE_CHECK_MS;
     this.checkedAtMs = nowMs;
     const paused = lateMs > PAUSE_EVIDENCE_MS;
-    for (const link of this.links.values()) {
+    this.dropRetired();
+    for (const link of [...this.links.values(), ...this.retired]) {
       // After a pause of this process, silence says nothing of the others.
       if (paused) link.forgiveSilence();
       else link.checkSilence();
--- a/src/entry/consts.ts
+++ b/src/entry/consts.ts
@@ -34,9 +34,6 @@
 /** Calls to an agent get no answer after the deadline and this. */
 export const CALL_GRACE_MS = 100;
 
-/** How often a drain looks whether all work is done, in milliseconds. */
-export const DRAIN_POLL_MS = 50;
-
 /** Wait before the configuration is read again, in milliseconds. */
 export const CONFIG_RETRY_MS = 500;
 
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -11,6 +11,7 @@
   ProcessStatus,
   VmList,
 } from '../core/edges/index.js';
+import {DrainController, ENTRY_DRAIN_LIMITS} from '../core/drain/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import type {HelloMessage, TransportError} from '../core/protocol/index.js';
@@ -27,10 +28,10 @@
 import {BookingService} from './booking-service.js';
 import {CallerGate} from './caller-gate.js';
 import {ConfigWatch} from './config-watch.js';
-import {DRAIN_POLL_MS} from './consts.js';
 import {EntryBoard} from './entry-board.js';
 import type {RunParts} from './generation-run.js';
 import {GenerationService} from './generation-service.js';
+import {OwnVmWatch} from './membership-own-vm.js';
 import {PeerSession} from './peer-session.js';
 import {PlainService} from './plain-service.js';
 import {VmDirectory} from './vm-directory.js';
@@ -44,6 +45,8 @@
   readonly logger: Logger;
   readonly store: ObjectStore;
   readonly vmList: VmList;
+  /** Answers that have not wholly left for their callers. */
+  readonly countOpenAnswers: () => number;
   /** Called once a drain has ended and all work is done. */
   readonly onDrained: () => void;
 }
@@ -60,6 +63,7 @@
   private readonly generations: GenerationService;
   private readonly gate: CallerGate;
   private readonly configWatch: ConfigWatch;
+  private readonly drainer: DrainController;
 
   constructor(private readonly options: EntryOptions) {
     this.incarnation = options.random.id();
@@ -86,6 +90,12 @@
       board: this.board,
       site: options.settings.site,
     });
+    this.drainer = this.createDrainer();
+    new OwnVmWatch({
+      board,
+      vm: options.settings.vm,
+      onLeaving: () => this.drain(),
+    }).open();
     this.board.config.subscribe((inForce) => {
       inForce.ifJust(({cfg}) => this.admission.configure(cfg));
     });
@@ -144,20 +154,21 @@
   }
 
   drain(): void {
-    if (this.board.leaving.get()) return;
-    this.options.logger.info('leaving');
-    this.board.leaving.set(true);
-    this.awaitIdle();
+    this.drainer.begin();
   }
 
-  private awaitIdle(): void {
-    if (this.countRunning() === 0) {
-      this.options.logger.info('drained');
-      this.options.onDrained();
-      return;
-    }
-    const run = (): void => this.awaitIdle();
-    this.options.clock.schedule({delayMs: DRAIN_POLL_MS, run});
+  private createDrainer(): DrainController {
+    const {countOpenAnswers} = this.options;
+    return new DrainController({
+      ...this.options,
+      leaving: this.board.leaving,
+      limits: ENTRY_DRAIN_LIMITS,
+      work: {
+        countRunning: () => this.countRunning() + countOpenAnswers(),
+        countUnsentBytes: () => 0,
+        countPeersToAnswer: () => 0,
+      },
+    });
   }
 
   private countRunning(): number {
--- /dev/null
+++ b/src/entry/membership-own-vm.ts
@@ -0,0 +1,32 @@
+/** Begins the drain of an entry whose VM leaves by the platform's list. */
+import type {VmRecord} from '../core/edges/index.js';
+import {VmState} from '../core/edges/index.js';
+import type {EntryBoard} from './entry-board.js';
+
+/**
+ * Watches the record of the entry's own VM. The list lags and may still show
+ * an earlier process of the same VM, so only a record that was live during
+ * this process's life can begin its drain.
+ */
+export class OwnVmWatch {
+  private wasLive = false;
+
+  constructor(
+    private readonly options: {
+      board: EntryBoard;
+      vm: string;
+      onLeaving: () => void;
+    },
+  ) {}
+
+  open(): void {
+    this.options.board.vms.subscribe((records) => this.check(records));
+  }
+
+  private check(records: readonly VmRecord[]): void {
+    const own = records.find(({name}) => name === this.options.vm);
+    if (own?.state === VmState.LIVE) this.wasLive = true;
+    if (own?.state !== VmState.LEAVING || !this.wasLive) return;
+    this.options.onLeaving();
+  }
+}
--- a/src/entry/vm-directory.ts
+++ b/src/entry/vm-directory.ts
@@ -1,6 +1,7 @@
 /** Reads the platform's VM list onto the board. */
 import type {Clock, TimerHandle} from '../core/clock/index.js';
-import type {VmList} from '../core/edges/index.js';
+import type {VmList, VmRecord} from '../core/edges/index.js';
+import {VmRole} from '../core/edges/index.js';
 import {VM_LIST_PERIOD_MS} from './consts.js';
 import type {EntryBoard} from './entry-board.js';
 
@@ -29,13 +30,21 @@
     this.timer?.cancel();
   }
 
+  private take(records: readonly VmRecord[]): void {
+    const {vms} = this.options.board;
+    const hadTargets = vms.get().some(isTarget);
+    // A list that lost every target at once is not believed: the links tell.
+    if (hadTargets && !records.some(isTarget)) return;
+    vms.set(records);
+  }
+
   private refresh(): void {
     if (this.reading) return;
     this.reading = true;
     void this.options.vmList
       .read()
       .match(
-        (records) => this.options.board.vms.set(records),
+        (records) => this.take(records),
         // The last list stays in use; links tell what is alive.
         () => undefined,
       )
@@ -44,3 +53,7 @@
       });
   }
 }
+
+function isTarget(vm: VmRecord): boolean {
+  return vm.role === VmRole.TARGET;
+}
--- a/tools/lab/site.ts
+++ b/tools/lab/site.ts
@@ -166,6 +166,24 @@
     });
   }
 
+  /** Takes a VM off the platform's list. */
+  async unregister(name: string): Promise<void> {
+    const url = `${this.platform.url}/vms/${name}`;
+    await sendControl({url, method: 'DELETE'});
+  }
+
+  /** Lets the platform's list say that a target leaves. */
+  async listAsLeaving(target: Target, service: string): Promise<void> {
+    await this.register({
+      name: target.vm,
+      role: 'target',
+      dataCentre: DATA_CENTRES[0]!,
+      peerPort: target.agent.peersPort,
+      service,
+      state: 'leaving',
+    });
+  }
+
   /** Waits until every entry can use every running target. */
   async waitUntilUsable(): Promise<void> {
     const targets = [...this.engines, ...this.orders, ...this.stock];
