--- a/src/adapters/http-server.ts
+++ b/src/adapters/http-server.ts
@@ -1,5 +1,10 @@
 /** Serves a hono application on an address. */
-import type {Server, ServerOptions} from 'node:http';
+import type {
+  IncomingMessage,
+  Server,
+  ServerOptions,
+  ServerResponse,
+} from 'node:http';
 import {createServer, STATUS_CODES} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 
@@ -47,6 +52,8 @@
 /** A listening HTTP server. */
 export interface HttpListener {
   readonly port: number;
+  /** Requests whose answer has not wholly left. */
+  countOpen(): number;
   /** Stops listening and drops idle connections. */
   close(): void;
 }
@@ -62,8 +69,10 @@
   address: string;
   port: number;
   counter?: RefusalCounter;
+  /** Whether an answer leaves its connection open; true by default. */
+  keepsAlive?: () => boolean;
 }): Promise<HttpListener> {
-  const {app, address, port, counter} = options;
+  const {app, address, port, counter, keepsAlive = () => true} = options;
   const listener = getRequestListener(app.fetch, {
     errorHandler: () => refuseTarget(counter),
   });
@@ -73,11 +82,16 @@
   server.on('clientError', (err: ClientError, socket: Socket) =>
     refuseSocket({err, socket, counter}),
   );
+  const open = followAnswers(server, keepsAlive);
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, address, () => {
       const bound = server.address() as AddressInfo;
-      resolve({port: bound.port, close: () => closeServer(server)});
+      resolve({
+        port: bound.port,
+        countOpen: () => open.size,
+        close: () => closeServer(server),
+      });
     });
   });
 }
@@ -148,3 +162,22 @@
   server.close();
   server.closeIdleConnections();
 }
+
+/** Keeps the answers that have not wholly left. */
+function followAnswers(
+  server: Server,
+  keepsAlive: () => boolean,
+): ReadonlySet<ServerResponse> {
+  const open = new Set<ServerResponse>();
+  const follow = (_: IncomingMessage, res: ServerResponse): void => {
+    open.add(res);
+    res.once('close', () => void open.delete(res));
+    const writeHead = res.writeHead.bind(res);
+    res.writeHead = ((...args: Parameters<typeof writeHead>) => {
+      if (!keepsAlive()) res.shouldKeepAlive = false;
+      return writeHead(...args);
+    }) as typeof writeHead;
+  };
+  server.prependListener('request', follow);
+  return open;
+}
