--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -4,6 +4,7 @@
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {
   EngineDriver,
+  ObjectStore,
   OperatorHandler,
   ProcessStatus,
   ServiceDriver,
@@ -27,6 +28,7 @@
 import type {SessionParts} from './entry-session.js';
 import {EntrySession} from './entry-session.js';
 import {KeyTable} from './key-table.js';
+import {OutcomeRecorder} from './outcome-recorder.js';
 
 /** The target's driver: an engine or a plain service. */
 export interface TargetDrivers {
@@ -42,6 +44,7 @@
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly drivers: TargetDrivers;
+  readonly store: ObjectStore;
   /** Called once a drain has ended and all work is done. */
   readonly onDrained: () => void;
 }
@@ -50,6 +53,7 @@
 export class AgentProcess implements OperatorHandler {
   private readonly board = new AgentBoard();
   private readonly incarnation: string;
+  private readonly recorder: OutcomeRecorder;
   private readonly attempts: AttemptTable | undefined;
   private readonly calls: CallRunner | undefined;
   private readonly monitor: EngineMonitor;
@@ -57,6 +61,10 @@
 
   constructor(private readonly options: AgentOptions) {
     this.incarnation = options.random.id();
+    this.recorder = new OutcomeRecorder({
+      ...options,
+      incarnation: this.incarnation,
+    });
     this.attempts = this.createAttempts();
     this.calls = this.createCalls();
     this.monitor = new EngineMonitor({
@@ -113,7 +121,7 @@
   }
 
   private awaitIdle(): void {
-    if (this.countRunning() === 0) {
+    if (this.countRunning() === 0 && this.recorder.isIdle()) {
       this.options.logger.info('drained');
       this.options.onDrained();
       return;
@@ -143,6 +151,8 @@
     if (drivers.service === undefined) return undefined;
     return new CallRunner({
       board: this.board,
+      clock: this.options.clock,
+      recorder: this.recorder,
       driver: drivers.service,
       incarnation: this.incarnation,
       keys: new KeyTable({capacity: MAX_KEYS}),
--- a/src/agent/call-runner.ts
+++ b/src/agent/call-runner.ts
@@ -1,4 +1,6 @@
 /** Runs calls to the plain service beside this agent. */
+import {decideAsk, decideCall, KeyAction} from '../core/booking/index.js';
+import type {Clock} from '../core/clock/index.js';
 import type {
   DriverError,
   PlainResponse,
@@ -20,6 +22,7 @@
 } from '../core/protocol/index.js';
 import type {AgentBoard} from './agent-board.js';
 import type {KeyRecord, KeyTable} from './key-table.js';
+import type {OutcomeRecorder} from './outcome-recorder.js';
 
 /** Sends an answer to the entry that asked. */
 export type Respond = (message: Message) => void;
@@ -31,9 +34,12 @@
   constructor(
     private readonly options: {
       board: AgentBoard;
+      clock: Clock;
       driver: ServiceDriver;
       incarnation: string;
       keys: KeyTable;
+      /** Keeps first outcomes where they outlive this process. */
+      recorder: OutcomeRecorder;
     },
   ) {}
 
@@ -46,54 +52,93 @@
       this.runIdempotent(call, respond);
       return;
     }
-    const record = this.options.keys.find(call);
-    if (record !== undefined) {
-      this.answerRepeat({call, record, respond});
-      return;
-    }
-    const refusal = this.checkAdmission(call);
-    if (refusal !== undefined) {
-      respond(refused(call.callId, refusal));
-      return;
-    }
-    this.runOnce(call, respond);
+    const {board, incarnation, keys} = this.options;
+    const known = keys.find(call);
+    const action = decideCall({
+      known,
+      fingerprint: call.fingerprint,
+      incarnation: call.incarnation,
+      ownIncarnation: incarnation,
+      takesWork: !board.leaving.get() && board.phase.get() !== TargetPhase.DOWN,
+      isFull: keys.isFull(),
+    });
+    this.carryOut({action, call, known, respond});
   }
 
   handleAskKey(ask: AskKeyMessage, respond: Respond): void {
     const {keys} = this.options;
-    let record = keys.find(ask);
-    if (record === undefined && ask.promiseNever) {
-      record = keys.admit(ask);
-      record.markNever();
+    const known = keys.find(ask);
+    const {promiseNever} = ask;
+    const action = decideAsk({known, promiseNever, isFull: keys.isFull()});
+    switch (action) {
+      case KeyAction.ANSWER_FIRST:
+        this.answerWhenSettled(ask, known!, respond);
+        return;
+      case KeyAction.PROMISE_NEVER:
+        keys.admit(ask).markNever();
+        respond(this.keyState(ask, KeyPhase.PROMISED_NEVER));
+        return;
+      default:
+        respond(this.keyState(ask, known?.phase ?? KeyPhase.UNSEEN));
     }
-    if (record?.phase === KeyPhase.DONE) {
-      this.answerRecord({callId: ask.callId, record, respond});
-      return;
+  }
+
+  private carryOut(options: {
+    action: KeyAction;
+    call: CallMessage;
+    known: KeyRecord | undefined;
+    respond: Respond;
+  }): void {
+    const {action, call, known, respond} = options;
+    const {callId} = call;
+    switch (action) {
+      case KeyAction.ADMIT:
+        this.runOnce(call, respond);
+        return;
+      case KeyAction.ANSWER_FIRST:
+        known!.whenSettled(() =>
+          this.answerRecord({callId, record: known!, respond}),
+        );
+        return;
+      case KeyAction.PROMISE_NEVER: {
+        const record = this.options.keys.admit(call);
+        record.markNever();
+        this.answerRecord({callId, record, respond});
+        return;
+      }
+      default:
+        respond(refused(callId, REFUSED_ACTIONS[action] ?? notAdmitted()));
     }
-    respond({
-      type: MessageType.KEY_STATE,
-      callId: ask.callId,
-      phase: record?.phase ?? KeyPhase.UNSEEN,
-      incarnation: this.options.incarnation,
+  }
+
+  /** Waits while the call runs, at most for as long as was asked. */
+  private answerWhenSettled(
+    ask: AskKeyMessage,
+    record: KeyRecord,
+    respond: Respond,
+  ): void {
+    let answered = false;
+    const answer = (): void => {
+      if (answered) return;
+      answered = true;
+      timer.cancel();
+      if (record.phase === KeyPhase.DONE) {
+        this.answerRecord({callId: ask.callId, record, respond});
+        return;
+      }
+      respond(this.keyState(ask, record.phase));
+    };
+    const timer = this.options.clock.schedule({
+      delayMs: ask.waitMs,
+      run: answer,
     });
+    record.whenSettled(answer);
   }
 
-  private checkAdmission(call: CallMessage): Refusal | undefined {
-    const {board, incarnation, keys} = this.options;
-    if (call.incarnation !== incarnation) {
-      const detail = 'the claim names another incarnation';
-      return refuse(RefusalReason.NO_TARGET, Ran.NO, detail);
-    }
-    if (board.leaving.get()) {
-      return refuse(RefusalReason.LEAVING, Ran.NO, 'this target is leaving');
-    }
-    if (board.phase.get() === TargetPhase.DOWN) {
-      return refuse(RefusalReason.NO_TARGET, Ran.NO, 'the service is down');
-    }
-    if (keys.isFull()) {
-      return refuse(RefusalReason.OVERLOADED, Ran.NO, 'too many keys');
-    }
-    return undefined;
+  private keyState(ask: AskKeyMessage, phase: KeyPhase): Message {
+    const {incarnation} = this.options;
+    const {callId} = ask;
+    return {type: MessageType.KEY_STATE, callId, phase, incarnation};
   }
 
   private runIdempotent(call: CallMessage, respond: Respond): void {
@@ -117,7 +162,10 @@
     );
     this.send({
       call,
-      onResponse: (res) => record.complete(res),
+      onResponse: (res) => {
+        record.complete(res);
+        this.options.recorder.add({call, response: res});
+      },
       onError: (err) => settleFailed(record, err),
     });
   }
@@ -139,23 +187,6 @@
       });
   }
 
-  private answerRepeat(options: {
-    call: CallMessage;
-    record: KeyRecord;
-    respond: Respond;
-  }): void {
-    const {call, record, respond} = options;
-    if (record.fingerprint !== call.fingerprint) {
-      const detail = 'this key came with another body before';
-      const refusal = refuse(RefusalReason.KEY_REUSED, Ran.NO, detail);
-      respond(refused(call.callId, refusal));
-      return;
-    }
-    record.whenSettled(() =>
-      this.answerRecord({callId: call.callId, record, respond}),
-    );
-  }
-
   private answerRecord(options: {
     callId: string;
     record: KeyRecord;
@@ -187,6 +218,24 @@
   record.markUncertain();
 }
 
+const REFUSED_ACTIONS: Readonly<Partial<Record<KeyAction, Refusal>>> = {
+  [KeyAction.REFUSE_OTHER_BODY]: {
+    reason: RefusalReason.KEY_REUSED,
+    ran: Ran.NO,
+    detail: 'this key came with another body before',
+  },
+  [KeyAction.REFUSE_FULL]: {
+    reason: RefusalReason.OVERLOADED,
+    ran: Ran.NO,
+    detail: 'this agent remembers as many keys as it can',
+  },
+};
+
+function notAdmitted(): Refusal {
+  const detail = 'the claim names another incarnation';
+  return refuse(RefusalReason.NO_TARGET, Ran.NO, detail);
+}
+
 function refusalOf(err: DriverError): Refusal {
   const sent = err.kind !== DriverErrorKind.NOT_SENT;
   const ran = sent ? Ran.UNKNOWN : Ran.NO;
--- a/src/agent/consts.ts
+++ b/src/agent/consts.ts
@@ -30,3 +30,21 @@
 
 /** Keys that an agent remembers; more are refused. */
 export const MAX_KEYS = 200_000;
+
+/** Outcomes that end within this time are recorded together. */
+export const OUTCOME_GROUP_MS = 250;
+
+/** Wait before a group that could not be written is tried again. */
+export const OUTCOME_RETRY_MS = 500;
+
+/** Largest group, in bytes of its bodies; the store takes a megabyte. */
+export const OUTCOME_GROUP_BYTES = 512 * 1024;
+
+/** Bytes of bodies that wait to be recorded; more are dropped. */
+export const OUTCOME_QUEUE_BYTES = 8 * 1024 * 1024;
+
+/** What an outcome counts for beside its body, in bytes. */
+export const OUTCOME_OVERHEAD_BYTES = 512;
+
+/** A leaving agent waits for its outcomes no longer than this. */
+export const OUTCOME_DRAIN_MS = 5_000;
--- /dev/null
+++ b/src/agent/outcome-recorder.ts
@@ -0,0 +1,154 @@
+/** Records first outcomes in the platform, in groups. */
+import type {RecordedOutcome} from '../core/booking/index.js';
+import {claimNameOf, outcomePrefixOf} from '../core/booking/index.js';
+import type {Clock} from '../core/clock/index.js';
+import type {
+  ObjectStore,
+  PlainResponse,
+  StoreError,
+} from '../core/edges/index.js';
+import {ObjectKind, StoreErrorKind} from '../core/edges/index.js';
+import type {Metrics} from '../core/metrics/index.js';
+import {CounterName} from '../core/metrics/index.js';
+import type {CallMessage} from '../core/protocol/index.js';
+import {
+  OUTCOME_DRAIN_MS,
+  OUTCOME_GROUP_BYTES,
+  OUTCOME_GROUP_MS,
+  OUTCOME_OVERHEAD_BYTES,
+  OUTCOME_QUEUE_BYTES,
+  OUTCOME_RETRY_MS,
+} from './consts.js';
+
+interface Waiting {
+  readonly outcome: RecordedOutcome;
+  /** Start of the name of its group. */
+  readonly prefix: string;
+  readonly bytes: number;
+}
+
+interface Group {
+  readonly name: string;
+  readonly members: readonly Waiting[];
+}
+
+/**
+ * Holds outcomes for a moment and writes those of one prefix as one object.
+ * A group's name is never used twice, so a write whose answer was lost is
+ * simply made again.
+ */
+export class OutcomeRecorder {
+  private waiting: Waiting[] = [];
+  private bytes = 0;
+  private sequence = 0;
+  private busy = false;
+  private lastChangeMs = 0;
+
+  constructor(
+    private readonly options: {
+      store: ObjectStore;
+      clock: Clock;
+      metrics: Metrics;
+      incarnation: string;
+    },
+  ) {}
+
+  /** Whether nothing waits, or what waits has waited for too long. */
+  isIdle(): boolean {
+    const idle = this.waiting.length === 0 && !this.busy;
+    const waitedMs = this.options.clock.now() - this.lastChangeMs;
+    return idle || waitedMs > OUTCOME_DRAIN_MS;
+  }
+
+  add(options: {call: CallMessage; response: PlainResponse}): void {
+    const {call, response} = options;
+    const bytes = response.body.length + OUTCOME_OVERHEAD_BYTES;
+    const fits = this.bytes + bytes <= OUTCOME_QUEUE_BYTES;
+    if (bytes > OUTCOME_GROUP_BYTES || !fits) {
+      this.options.metrics.count(CounterName.OUTCOMES_DROPPED);
+      return;
+    }
+    const {incarnation} = this.options;
+    const {claimedAtMs} = call;
+    this.waiting.push({
+      outcome: createOutcome(call, response),
+      prefix: outcomePrefixOf({incarnation, claimedAtMs}),
+      bytes,
+    });
+    this.bytes += bytes;
+    this.lastChangeMs = this.options.clock.now();
+    this.scheduleWrite();
+  }
+
+  private scheduleWrite(): void {
+    if (this.busy || this.waiting.length === 0) return;
+    this.busy = true;
+    this.options.clock.schedule({
+      delayMs: OUTCOME_GROUP_MS,
+      run: () => void this.write(this.takeGroup()),
+    });
+  }
+
+  private takeGroup(): Group {
+    const {prefix} = this.waiting[0]!;
+    const members: Waiting[] = [];
+    const rest: Waiting[] = [];
+    let bytes = 0;
+    for (const one of this.waiting) {
+      const joins =
+        one.prefix === prefix && bytes + one.bytes <= OUTCOME_GROUP_BYTES;
+      (joins ? members : rest).push(one);
+      if (joins) bytes += one.bytes;
+    }
+    this.waiting = rest;
+    return {name: `${prefix}${this.sequence++}`, members};
+  }
+
+  private async write(group: Group): Promise<void> {
+    const {store} = this.options;
+    const outcomes = group.members.map(({outcome}) => outcome);
+    const kind = ObjectKind.OUTCOME;
+    const {name} = group;
+    const written = await store.create({kind, name, value: {outcomes}});
+    if (written.isErr() && isWorthRetrying(written.error)) {
+      this.options.clock.schedule({
+        delayMs: OUTCOME_RETRY_MS,
+        run: () => void this.write(group),
+      });
+      return;
+    }
+    this.settle(group, written.isErr() ? written.error : undefined);
+  }
+
+  private settle(group: Group, error: StoreError | undefined): void {
+    const {metrics, clock} = this.options;
+    const isLost = error?.kind === StoreErrorKind.INVALID;
+    const name = isLost
+      ? CounterName.OUTCOMES_DROPPED
+      : CounterName.OUTCOMES_RECORDED;
+    metrics.count(name, {by: group.members.length});
+    for (const {bytes} of group.members) this.bytes -= bytes;
+    this.busy = false;
+    this.lastChangeMs = clock.now();
+    this.scheduleWrite();
+  }
+}
+
+/** EXISTS is the answer that was lost; INVALID stays so. */
+function isWorthRetrying({kind}: StoreError): boolean {
+  return kind !== StoreErrorKind.EXISTS && kind !== StoreErrorKind.INVALID;
+}
+
+function createOutcome(
+  call: CallMessage,
+  response: PlainResponse,
+): RecordedOutcome {
+  const {clientAccount, key, fingerprint} = call;
+  return {
+    name: claimNameOf({clientAccount, key}),
+    fingerprint,
+    status: response.status,
+    headers: [...response.headers],
+    body: Buffer.from(response.body).toString('base64'),
+  };
+}
--- /dev/null
+++ b/src/core/booking/booking-step.ts
@@ -0,0 +1,399 @@
+/**
+ * The entry's side of a booking as a pure step function: an event and the
+ * state give the next state and one effect. No clocks, sockets or store here,
+ * so that schedules can be run over it by the hundred thousand.
+ */
+import type {PlainResponse} from '../edges/index.js';
+import {MAX_MOVES, MAX_WRITE_TRIES} from './consts.js';
+import {EvidenceKind} from './decide-ran.js';
+import type {
+  AgentPlace,
+  AgentResult,
+  BookingEffect,
+  BookingEvent,
+  Claim,
+  StepContext,
+  StoredClaim,
+  WriteResult,
+} from './types.js';
+import {
+  AgentWord,
+  ClaimState,
+  EffectKind,
+  EventKind,
+  WriteOutcome,
+} from './types.js';
+
+/** What the last effect was for. */
+export enum BookingPhase {
+  NEW = 'new',
+  CLAIMING = 'claiming',
+  TAKING_OVER = 'taking_over',
+  MOVING = 'moving',
+  VOIDING = 'voiding',
+  ASKING = 'asking',
+  CALLING = 'calling',
+  LOOKING_UP = 'looking_up',
+  DONE = 'done',
+}
+
+/** One booking at one entry. */
+export interface BookingState {
+  readonly phase: BookingPhase;
+  readonly fingerprint: string;
+  readonly entryIncarnation: string;
+  /** The caller vouches that it has not used the key before. */
+  readonly firstUse: boolean;
+  /** The claim as it was last seen. */
+  readonly stored?: StoredClaim;
+  /** The claim that is being written. */
+  readonly pending?: Claim;
+  /** Nobody but this request may have sent under `stored`. */
+  readonly sole: boolean;
+  /** This request has sent under `stored`. */
+  readonly sent: boolean;
+  /** A write of this request is in doubt. */
+  readonly doubt: boolean;
+  /** The agent that `stored` names is gone. */
+  readonly gone: boolean;
+  readonly tries: number;
+  readonly moves: number;
+}
+
+/** A state and what it asks for. */
+export interface BookingStep {
+  readonly state: BookingState;
+  /** Undefined when the event changes nothing. */
+  readonly effect?: BookingEffect;
+}
+
+/** The state before the first step. */
+export function createBooking(options: {
+  fingerprint: string;
+  entryIncarnation: string;
+  firstUse: boolean;
+}): BookingState {
+  return {
+    ...options,
+    phase: BookingPhase.NEW,
+    sole: false,
+    sent: false,
+    doubt: false,
+    gone: false,
+    tries: 0,
+    moves: 0,
+  };
+}
+
+/**
+ * Takes one step.
+ *
+ * @example
+ * const {state, effect} = stepBooking(createBooking(request), begin, context);
+ */
+export function stepBooking(
+  state: BookingState,
+  event: BookingEvent,
+  context: StepContext,
+): BookingStep {
+  if (state.phase === BookingPhase.DONE) return {state};
+  switch (event.kind) {
+    case EventKind.BEGIN:
+      return begin(state, context);
+    case EventKind.GIVE_UP:
+      return finish(state, giveUpEvidence(state));
+    case EventKind.WRITE:
+      return afterWrite(state, event.result, context);
+    case EventKind.AGENT:
+      return afterAgent(state, event.result, context);
+    case EventKind.LOOK_UP:
+      return afterLookUp(state, event.response, context);
+  }
+}
+
+function begin(state: BookingState, context: StepContext): BookingStep {
+  const {nonce, target, wallMs} = context;
+  const claim: Claim = {
+    nonce,
+    // Without a target the key is voided at once, so that `no` stays true.
+    state: target === undefined ? ClaimState.VOIDED : ClaimState.HELD,
+    fingerprint: state.fingerprint,
+    agentVm: target?.vm ?? '',
+    agentIncarnation: target?.incarnation ?? '',
+    entryIncarnation: state.entryIncarnation,
+    claimedAtMs: wallMs,
+  };
+  return {
+    state: {...state, phase: BookingPhase.CLAIMING, pending: claim},
+    effect: {kind: EffectKind.CREATE, claim, again: false},
+  };
+}
+
+function afterWrite(
+  state: BookingState,
+  result: WriteResult,
+  context: StepContext,
+): BookingStep {
+  const {stored, outcome} = result;
+  switch (outcome) {
+    case WriteOutcome.WRITTEN:
+      return afterWritten(state, stored!, context);
+    case WriteOutcome.MET: {
+      const mine = stored!.claim.nonce === state.pending!.nonce;
+      if (mine) return afterWritten(state, stored!, context);
+      return afterMet(state, stored!, context);
+    }
+    case WriteOutcome.NO_EFFECT:
+      return finish(state, unwrittenEvidence(state));
+    case WriteOutcome.IN_DOUBT:
+      return writeAgain({...state, doubt: true}, context);
+  }
+}
+
+/** A write in doubt is settled by the same write: it can't happen twice. */
+function writeAgain(state: BookingState, context: StepContext): BookingStep {
+  const tries = state.tries + 1;
+  if (context.late || tries >= MAX_WRITE_TRIES) {
+    return finish(state, unwrittenEvidence(state));
+  }
+  const claim = state.pending!;
+  const next = {...state, tries};
+  const effect: BookingEffect =
+    state.phase === BookingPhase.CLAIMING
+      ? {kind: EffectKind.CREATE, claim, again: true}
+      : {kind: EffectKind.SWAP, expected: state.stored!, claim, again: true};
+  return {state: next, effect};
+}
+
+function afterWritten(
+  state: BookingState,
+  stored: StoredClaim,
+  context: StepContext,
+): BookingStep {
+  const next = {...state, stored, doubt: false, tries: 0};
+  switch (state.phase) {
+    case BookingPhase.CLAIMING:
+      if (stored.claim.state === ClaimState.VOIDED) {
+        return finish(next, EvidenceKind.VOIDED_NO_TARGET);
+      }
+      return send({...next, sole: true, sent: false}, context);
+    case BookingPhase.MOVING:
+      return send({...next, sole: true, sent: false, gone: false}, context);
+    case BookingPhase.TAKING_OVER:
+      return send({...next, sole: false}, context);
+    default:
+      return finish(next, voidedEvidence(context));
+  }
+}
+
+function afterMet(
+  state: BookingState,
+  stored: StoredClaim,
+  context: StepContext,
+): BookingStep {
+  const {claim} = stored;
+  if (claim.fingerprint !== state.fingerprint) {
+    return finish(state, EvidenceKind.OTHER_BODY);
+  }
+  if (claim.state === ClaimState.VOIDED) {
+    return finish(state, EvidenceKind.VOIDED_BEFORE);
+  }
+  const next = {...state, stored, sole: false, doubt: false, gone: false};
+  return ask({...next, tries: 0}, context, false);
+}
+
+function ask(
+  state: BookingState,
+  context: StepContext,
+  again: boolean,
+): BookingStep {
+  if (context.late) return finish(state, giveUpEvidence(state));
+  const place = placeOf(state.stored!.claim);
+  return {
+    state: {...state, phase: BookingPhase.ASKING},
+    effect: {kind: EffectKind.ASK, place, again},
+  };
+}
+
+/** The last moment at which a late entry can hold the booking back. */
+function send(state: BookingState, context: StepContext): BookingStep {
+  if (context.late) {
+    return state.sole
+      ? voidClaim(state, context)
+      : finish(state, giveUpEvidence(state));
+  }
+  const {claim} = state.stored!;
+  const {claimedAtMs} = claim;
+  return {
+    state: {...state, phase: BookingPhase.CALLING, sent: true},
+    effect: {kind: EffectKind.CALL, place: placeOf(claim), claimedAtMs},
+  };
+}
+
+function afterAgent(
+  state: BookingState,
+  result: AgentResult,
+  context: StepContext,
+): BookingStep {
+  const {word, response} = result;
+  switch (word) {
+    case AgentWord.RESPONSE:
+      return answer(state, response!);
+    case AgentWord.OTHER_BODY:
+      return finish(state, EvidenceKind.OTHER_BODY);
+    case AgentWord.UNCERTAIN:
+      return finish(state, EvidenceKind.TARGET_BROKE_OFF);
+    case AgentWord.PROMISED_NEVER:
+      return moveOrVoid(state, context);
+    case AgentWord.UNSEEN:
+      return takeOver(state, context);
+    case AgentWord.NOT_SENT:
+    case AgentWord.NOT_ADMITTED:
+      return afterNotAdmitted(state, context);
+    case AgentWord.GONE:
+      return lookUp({...state, gone: true});
+    case AgentWord.TIMEOUT:
+    case AgentWord.LOST:
+      return lookUp(state);
+  }
+}
+
+/** This request's message will not run; others' may, unless `sole`. */
+function afterNotAdmitted(
+  state: BookingState,
+  context: StepContext,
+): BookingStep {
+  const called = state.phase === BookingPhase.CALLING;
+  if (called && state.sole) {
+    return moveOrVoid({...state, sent: false}, context);
+  }
+  return lookUp(state);
+}
+
+function takeOver(state: BookingState, context: StepContext): BookingStep {
+  const {claim} = state.stored!;
+  if (claim.nonce === state.pending?.nonce) {
+    // An earlier message may still arrive: only the agent can tell them apart.
+    return send({...state, sole: false}, context);
+  }
+  if (context.late) return finish(state, giveUpEvidence(state));
+  const {nonce} = context;
+  const {entryIncarnation} = state;
+  return swap(state, BookingPhase.TAKING_OVER, {
+    ...claim,
+    nonce,
+    entryIncarnation,
+  });
+}
+
+/** Nothing runs under the claim as it stands: run it elsewhere or void it. */
+function moveOrVoid(state: BookingState, context: StepContext): BookingStep {
+  const {claim} = state.stored!;
+  const {target, nonce, late} = context;
+  const elsewhere = target?.incarnation !== claim.agentIncarnation;
+  const spent = state.moves >= MAX_MOVES;
+  if (late || spent || target === undefined || !elsewhere) {
+    return voidClaim(state, context);
+  }
+  const moved = {...state, moves: state.moves + 1};
+  return swap(moved, BookingPhase.MOVING, {
+    ...claim,
+    nonce,
+    agentVm: target.vm,
+    agentIncarnation: target.incarnation,
+    entryIncarnation: state.entryIncarnation,
+  });
+}
+
+function voidClaim(state: BookingState, context: StepContext): BookingStep {
+  const {claim} = state.stored!;
+  const {nonce} = context;
+  return swap(state, BookingPhase.VOIDING, {
+    ...claim,
+    nonce,
+    state: ClaimState.VOIDED,
+  });
+}
+
+function swap(
+  state: BookingState,
+  phase: BookingPhase,
+  claim: Claim,
+): BookingStep {
+  const expected = state.stored!;
+  return {
+    state: {...state, phase, pending: claim, tries: 0},
+    effect: {kind: EffectKind.SWAP, expected, claim, again: false},
+  };
+}
+
+function lookUp(state: BookingState): BookingStep {
+  const {claim} = state.stored!;
+  return {
+    state: {...state, phase: BookingPhase.LOOKING_UP},
+    effect: {kind: EffectKind.LOOK_UP, claim},
+  };
+}
+
+function afterLookUp(
+  state: BookingState,
+  response: PlainResponse | undefined,
+  context: StepContext,
+): BookingStep {
+  if (response !== undefined) return answer(state, response);
+  if (state.gone) return finish(state, EvidenceKind.AGENT_GONE);
+  return ask(state, context, true);
+}
+
+function answer(state: BookingState, response: PlainResponse): BookingStep {
+  return {
+    state: {...state, phase: BookingPhase.DONE},
+    effect: {kind: EffectKind.FINISH, response},
+  };
+}
+
+function finish(state: BookingState, kind: EvidenceKind): BookingStep {
+  return {
+    state: {...state, phase: BookingPhase.DONE},
+    effect: {kind: EffectKind.FINISH, evidence: {kind}},
+  };
+}
+
+/** What is known when a write certainly failed or stays in doubt. */
+function unwrittenEvidence(state: BookingState): EvidenceKind {
+  if (state.phase === BookingPhase.VOIDING) return EvidenceKind.VOID_IN_DOUBT;
+  if (state.phase === BookingPhase.TAKING_OVER) return giveUpEvidence(state);
+  if (state.phase === BookingPhase.MOVING) return EvidenceKind.VOID_IN_DOUBT;
+  if (state.doubt) return EvidenceKind.CLAIM_IN_DOUBT;
+  return state.firstUse
+    ? EvidenceKind.NOT_CLAIMED_FIRST_USE
+    : EvidenceKind.NOT_CLAIMED;
+}
+
+/** What is known when the caller is answered in the middle; never `no`. */
+function giveUpEvidence(state: BookingState): EvidenceKind {
+  if (state.sent) return EvidenceKind.NO_ANSWER;
+  switch (state.phase) {
+    case BookingPhase.NEW:
+      return EvidenceKind.NOT_CLAIMED;
+    case BookingPhase.CLAIMING:
+      return state.stored === undefined
+        ? EvidenceKind.CLAIM_IN_DOUBT
+        : EvidenceKind.HELD_BY_OTHER;
+    case BookingPhase.MOVING:
+    case BookingPhase.VOIDING:
+      return EvidenceKind.VOID_IN_DOUBT;
+    default:
+      return EvidenceKind.HELD_BY_OTHER;
+  }
+}
+
+function voidedEvidence(context: StepContext): EvidenceKind {
+  return context.late
+    ? EvidenceKind.VOIDED_LATE
+    : EvidenceKind.VOIDED_NO_TARGET;
+}
+
+function placeOf(claim: Claim): AgentPlace {
+  return {vm: claim.agentVm, incarnation: claim.agentIncarnation};
+}
--- /dev/null
+++ b/src/core/booking/decide-ran.ts
@@ -0,0 +1,134 @@
+/**
+ * Whether a refused booking ran: one pure function over typed evidence.
+ * `no` is said only for a reason that nothing can undo later.
+ */
+import {Ran, RefusalReason} from '../errors/refusals.js';
+
+/** What an entry knows at the end of a booking that has no outcome. */
+export enum EvidenceKind {
+  /** The key stands with another body; this body was never claimed. */
+  OTHER_BODY = 'other_body',
+  /** Voided for good: no target could be reached. */
+  VOIDED_NO_TARGET = 'voided_no_target',
+  /** Voided for good: the deadline passed before it was sent. */
+  VOIDED_LATE = 'voided_late',
+  /** Voided for good by an earlier request with this key. */
+  VOIDED_BEFORE = 'voided_before',
+  /** The store wrote nothing, and the caller vouches for a new key. */
+  NOT_CLAIMED_FIRST_USE = 'not_claimed_first_use',
+  /** The store wrote nothing; an earlier request may have run. */
+  NOT_CLAIMED = 'not_claimed',
+  /** A write of the claim may have taken effect, or still may. */
+  CLAIM_IN_DOUBT = 'claim_in_doubt',
+  /** Another request holds the claim and this one had no time to ask. */
+  HELD_BY_OTHER = 'held_by_other',
+  /** Not sent by this request, but the void is not certain. */
+  VOID_IN_DOUBT = 'void_in_doubt',
+  /** Sent; the deadline passed without an answer. */
+  NO_ANSWER = 'no_answer',
+  /** Sent to the target, which broke off. */
+  TARGET_BROKE_OFF = 'target_broke_off',
+  /** The agent that was sent it is gone and recorded no outcome. */
+  AGENT_GONE = 'agent_gone',
+}
+
+/** Typed evidence. */
+export interface Evidence {
+  readonly kind: EvidenceKind;
+}
+
+/** What a refusal says, and why. */
+export interface Verdict {
+  readonly ran: Ran;
+  readonly reason: RefusalReason;
+  readonly detail: string;
+  /** Whether it is of use to repeat the same key later. */
+  readonly comeBack: boolean;
+}
+
+/**
+ * Decides what the caller is told.
+ *
+ * @example
+ * decideRan({kind: EvidenceKind.AGENT_GONE}).ran; // Ran.UNKNOWN
+ */
+export function decideRan(evidence: Evidence): Verdict {
+  return VERDICTS[evidence.kind];
+}
+
+const VERDICTS: Readonly<Record<EvidenceKind, Verdict>> = {
+  [EvidenceKind.OTHER_BODY]: {
+    ran: Ran.NO,
+    reason: RefusalReason.KEY_REUSED,
+    detail: 'this key came with another request before; this one did not run',
+    comeBack: false,
+  },
+  [EvidenceKind.VOIDED_NO_TARGET]: {
+    ran: Ran.NO,
+    reason: RefusalReason.NO_TARGET,
+    detail: 'no target could be reached; the key is void, use a new one',
+    comeBack: true,
+  },
+  [EvidenceKind.VOIDED_LATE]: {
+    ran: Ran.NO,
+    reason: RefusalReason.DEADLINE_EXCEEDED,
+    detail: 'not sent in time; the key is void, use a new one',
+    comeBack: true,
+  },
+  [EvidenceKind.VOIDED_BEFORE]: {
+    ran: Ran.NO,
+    reason: RefusalReason.CLAIM_VOIDED,
+    detail: 'the key did not run and never will; use a new one',
+    comeBack: false,
+  },
+  [EvidenceKind.NOT_CLAIMED_FIRST_USE]: {
+    ran: Ran.NO,
+    reason: RefusalReason.STORE_UNAVAILABLE,
+    detail: 'the platform does not answer; no new booking starts',
+    comeBack: true,
+  },
+  [EvidenceKind.NOT_CLAIMED]: {
+    ran: Ran.UNKNOWN,
+    reason: RefusalReason.STORE_UNAVAILABLE,
+    detail:
+      'the platform does not answer; this request started nothing, an ' +
+      'earlier one with the same key may have run',
+    comeBack: true,
+  },
+  [EvidenceKind.CLAIM_IN_DOUBT]: {
+    ran: Ran.UNKNOWN,
+    reason: RefusalReason.CLAIM_UNCERTAIN,
+    detail: 'it is not known whether the claim was written; nothing was sent',
+    comeBack: true,
+  },
+  [EvidenceKind.HELD_BY_OTHER]: {
+    ran: Ran.UNKNOWN,
+    reason: RefusalReason.CLAIM_UNCERTAIN,
+    detail: 'another request holds this key at the moment',
+    comeBack: true,
+  },
+  [EvidenceKind.VOID_IN_DOUBT]: {
+    ran: Ran.UNKNOWN,
+    reason: RefusalReason.CLAIM_UNCERTAIN,
+    detail: 'not sent, but another request may still run this key',
+    comeBack: true,
+  },
+  [EvidenceKind.NO_ANSWER]: {
+    ran: Ran.UNKNOWN,
+    reason: RefusalReason.OUTCOME_UNKNOWN,
+    detail: 'sent; no answer came before the deadline',
+    comeBack: true,
+  },
+  [EvidenceKind.TARGET_BROKE_OFF]: {
+    ran: Ran.UNKNOWN,
+    reason: RefusalReason.OUTCOME_UNKNOWN,
+    detail: 'the target broke off while it ran the booking',
+    comeBack: false,
+  },
+  [EvidenceKind.AGENT_GONE]: {
+    ran: Ran.UNKNOWN,
+    reason: RefusalReason.OUTCOME_UNKNOWN,
+    detail: 'the agent that was sent the booking is gone',
+    comeBack: false,
+  },
+};
--- /dev/null
+++ b/src/core/booking/outcomes.ts
@@ -0,0 +1,78 @@
+/** Outcomes as agents record them in the platform, many to an object. */
+import type {GetType} from 'purify-ts';
+import {array, Codec, number, string} from 'purify-ts';
+
+import type {ObjectStore, PlainResponse} from '../edges/index.js';
+import {ObjectKind} from '../edges/index.js';
+import {HEADER_FIELD} from '../protocol/index.js';
+import {OUTCOME_BUCKET_MS} from './consts.js';
+
+/** The outcome of one booking. */
+export const RECORDED_OUTCOME = Codec.interface({
+  /** Name of the claim. */
+  name: string,
+  fingerprint: string,
+  status: number,
+  headers: array(HEADER_FIELD),
+  /** Base64. */
+  body: string,
+});
+
+/** A group of outcomes; it is written once and never changed. */
+export const OUTCOME_GROUP = Codec.interface({
+  outcomes: array(RECORDED_OUTCOME),
+});
+
+export type RecordedOutcome = GetType<typeof RECORDED_OUTCOME>;
+
+/**
+ * The start of the names of all groups that can hold the outcome of a claim:
+ * groups are named after the incarnation and the time of the claim.
+ *
+ * @example
+ * outcomePrefixOf({incarnation: 'a1', claimedAtMs: 120_000}); // 'a1.2.'
+ */
+export function outcomePrefixOf(options: {
+  incarnation: string;
+  claimedAtMs: number;
+}): string {
+  const bucket = Math.floor(options.claimedAtMs / OUTCOME_BUCKET_MS);
+  return `${options.incarnation}.${bucket}.`;
+}
+
+/** Finds recorded outcomes. */
+export interface OutcomeReader {
+  /** Undefined where none is recorded or the store does not answer. */
+  find(options: {
+    name: string;
+    incarnation: string;
+    claimedAtMs: number;
+  }): Promise<PlainResponse | undefined>;
+}
+
+/** Finds outcomes in the platform. */
+export class StoredOutcomes implements OutcomeReader {
+  constructor(private readonly options: {store: ObjectStore}) {}
+
+  async find(options: {
+    name: string;
+    incarnation: string;
+    claimedAtMs: number;
+  }): Promise<PlainResponse | undefined> {
+    const kind = ObjectKind.OUTCOME;
+    const prefix = outcomePrefixOf(options);
+    const listed = await this.options.store.list({kind, prefix});
+    if (listed.isErr()) return undefined;
+    for (const {value} of listed.value) {
+      const group = OUTCOME_GROUP.decode(value).toMaybe().extract();
+      const found = group?.outcomes.find(({name}) => name === options.name);
+      if (found !== undefined) return toResponse(found);
+    }
+    return undefined;
+  }
+}
+
+function toResponse(outcome: RecordedOutcome): PlainResponse {
+  const {status, headers, body} = outcome;
+  return {status, headers, body: Buffer.from(body, 'base64')};
+}
--- /dev/null
+++ b/src/core/booking/single-claims.ts
@@ -0,0 +1,83 @@
+/** Claims with an object of the platform for each. */
+import type {ObjectKey, ObjectStore, StoreError} from '../edges/index.js';
+import {ObjectKind, StoreErrorKind} from '../edges/index.js';
+import type {ClaimStore} from './claim-store.js';
+import type {Claim, StoredClaim, WriteResult} from './types.js';
+import {CLAIM, WriteOutcome} from './types.js';
+
+/**
+ * One object per claim: two writes a booking, and no waiting for others.
+ *
+ * @example
+ * const claims = new SingleClaims({store});
+ */
+export class SingleClaims implements ClaimStore {
+  constructor(private readonly options: {store: ObjectStore}) {}
+
+  create(options: {name: string; claim: Claim}): Promise<WriteResult> {
+    const {name, claim} = options;
+    const key = keyOf(name);
+    return this.settle(
+      key,
+      claim,
+      this.options.store.create({...key, value: claim}),
+    );
+  }
+
+  swap(options: {
+    name: string;
+    expected: StoredClaim;
+    claim: Claim;
+  }): Promise<WriteResult> {
+    const {name, expected, claim} = options;
+    const key = keyOf(name);
+    const expectedVersion = expected.version;
+    const updating = this.options.store.update({
+      ...key,
+      value: claim,
+      expectedVersion,
+    });
+    return this.settle(key, claim, updating);
+  }
+
+  private async settle(
+    key: ObjectKey,
+    claim: Claim,
+    writing: ReturnType<ObjectStore['create']>,
+  ): Promise<WriteResult> {
+    const written = await writing;
+    if (written.isErr()) return this.afterError(key, written.error);
+    const {version} = written.value;
+    return {outcome: WriteOutcome.WRITTEN, stored: {claim, version}};
+  }
+
+  private async afterError(
+    key: ObjectKey,
+    error: StoreError,
+  ): Promise<WriteResult> {
+    switch (error.kind) {
+      case StoreErrorKind.UNAVAILABLE:
+      case StoreErrorKind.INVALID:
+        return {outcome: WriteOutcome.NO_EFFECT};
+      case StoreErrorKind.UNKNOWN:
+        return {outcome: WriteOutcome.IN_DOUBT};
+      default:
+        return this.readStanding(key);
+    }
+  }
+
+  /** Reads the claim that stood in the way. */
+  private async readStanding(key: ObjectKey): Promise<WriteResult> {
+    const read = await this.options.store.read(key);
+    const object = read.isOk() ? read.value.extract() : undefined;
+    if (object === undefined) return {outcome: WriteOutcome.IN_DOUBT};
+    const claim = CLAIM.decode(object.value).toMaybe().extract();
+    if (claim === undefined) return {outcome: WriteOutcome.IN_DOUBT};
+    const stored = {claim, version: object.version};
+    return {outcome: WriteOutcome.MET, stored};
+  }
+}
+
+function keyOf(name: string): ObjectKey {
+  return {kind: ObjectKind.CLAIM, name};
+}
--- a/src/core/metrics/types.ts
+++ b/src/core/metrics/types.ts
@@ -20,5 +20,8 @@
   REQUESTS = 'requests_total',
   HEARTBEATS = 'heartbeats_total',
   PEER_BYTES = 'peer_bytes_total',
+  BOOKING_EVIDENCE = 'booking_evidence_total',
+  OUTCOMES_RECORDED = 'outcomes_recorded_total',
+  OUTCOMES_DROPPED = 'outcomes_dropped_total',
   CONFIG_CHANGES = 'config_changes_total',
 }
--- a/src/core/protocol/messages.ts
+++ b/src/core/protocol/messages.ts
@@ -185,6 +185,8 @@
   headers: array(HEADER_FIELD),
   body: byteString,
   deadlineMs: number,
+  /** When the key was claimed, in ms since the epoch; 0 without a key. */
+  claimedAtMs: number,
 });
 
 /** Agent to entry: the service's answer. */
--- a/src/daemon/run-agent.ts
+++ b/src/daemon/run-agent.ts
@@ -1,5 +1,9 @@
 /** Composes an agent from its settings. */
-import {HttpEngineDriver, HttpServiceDriver} from '../adapters/index.js';
+import {
+  HttpEngineDriver,
+  HttpObjectStore,
+  HttpServiceDriver,
+} from '../adapters/index.js';
 import type {TargetDrivers} from '../agent/agent-process.js';
 import {AgentProcess} from '../agent/agent-process.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
@@ -23,6 +27,7 @@
     random: new SystemRandom(),
     metrics: createMetrics(),
     logger,
+    store: new HttpObjectStore({baseUrl: settings.platformUrl}),
     drivers: createDrivers(settings.target!),
     onDrained: () => exitSoon(() => agent.stop()),
   });
--- a/src/entry/agent-call.ts
+++ b/src/entry/agent-call.ts
@@ -34,6 +34,8 @@
 export interface CallAnswer {
   readonly response?: PlainResponse;
   readonly keyPhase?: KeyPhase;
+  /** Incarnation that speaks of the key. */
+  readonly incarnation?: string;
 }
 
 /**
@@ -70,8 +72,8 @@
   });
   const handler = {
     onReply: (response: PlainResponse) => settle(ok({response})),
-    onKeyState: (state: {phase: KeyPhase}) =>
-      settle(ok({keyPhase: state.phase})),
+    onKeyState: (state: {phase: KeyPhase; incarnation: string}) =>
+      settle(ok({keyPhase: state.phase, incarnation: state.incarnation})),
     onRefused: (refusal: Refusal) =>
       settle(err({kind: CallErrorKind.REFUSED, refusal})),
     onLost: () => settle(err({kind: CallErrorKind.LOST})),
--- /dev/null
+++ b/src/entry/booking-run.ts
@@ -0,0 +1,228 @@
+/** One booking at this entry: carries out what the decisions ask for. */
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+
+import type {
+  BookingEffect,
+  BookingEvent,
+  BookingState,
+  CallEffect,
+  ClaimStore,
+  CreateEffect,
+  Evidence,
+  FinishEffect,
+  LookUpEffect,
+  OutcomeReader,
+  StepContext,
+  SwapEffect,
+  WriteResult,
+} from '../core/booking/index.js';
+import {
+  claimNameOf,
+  createBooking,
+  decideRan,
+  EffectKind,
+  EventKind,
+  stepBooking,
+  WriteOutcome,
+} from '../core/booking/index.js';
+import type {TimerHandle} from '../core/clock/index.js';
+import type {PlainResponse} from '../core/edges/index.js';
+import type {Refusal} from '../core/errors/index.js';
+import {RetryReason} from '../core/errors/index.js';
+import {CounterName, LatencyName} from '../core/metrics/index.js';
+import {BookingAgents} from './booking-agents.js';
+import {
+  ASK_RETRY_MAX_MS,
+  ASK_RETRY_MIN_MS,
+  FIRST_USE_HEADER,
+  RETRY_AFTER_MS,
+  WRITE_RETRY_MS,
+} from './consts.js';
+import type {ResolvedPlain} from './plain-request.js';
+import type {PlainParts} from './plain-service.js';
+
+/** What bookings need of their entry. */
+export interface BookingParts {
+  readonly parts: PlainParts;
+  readonly claims: ClaimStore;
+  readonly outcomes: OutcomeReader;
+  readonly incarnation: string;
+}
+
+type Answer = Result<PlainResponse, Refusal>;
+
+/** Holds a booking's state and answers its caller once. */
+export class BookingRun {
+  private state: BookingState;
+  private readonly name: string;
+  private readonly agents: BookingAgents;
+  private askDelayMs = ASK_RETRY_MIN_MS;
+  private timer: TimerHandle | undefined;
+  private resolve: (answer: Answer) => void = () => undefined;
+
+  constructor(
+    private readonly request: ResolvedPlain,
+    private readonly options: BookingParts,
+  ) {
+    this.state = createBooking({
+      fingerprint: request.fingerprint,
+      entryIncarnation: options.incarnation,
+      firstUse: isFirstUse(request),
+    });
+    this.name = claimNameOf({
+      clientAccount: request.clientAccount.name,
+      key: request.req.idempotencyKey,
+    });
+    this.agents = new BookingAgents(request, options.parts);
+  }
+
+  /** Settles at the deadline at the latest. */
+  run(): Promise<Answer> {
+    const {clock} = this.options.parts;
+    return new Promise((resolve) => {
+      this.resolve = resolve;
+      this.timer = clock.schedule({
+        delayMs: Math.max(0, this.leftMs()),
+        run: () => this.take({kind: EventKind.GIVE_UP}),
+      });
+      this.take({kind: EventKind.BEGIN});
+    });
+  }
+
+  private leftMs(): number {
+    return this.request.deadlineAtMs - this.options.parts.clock.now();
+  }
+
+  private take(event: BookingEvent): void {
+    const {state, effect} = stepBooking(this.state, event, this.readContext());
+    this.state = state;
+    if (effect !== undefined) this.perform(effect);
+  }
+
+  /** Read anew at each step: this process may have been paused. */
+  private readContext(): StepContext {
+    const {random, clock} = this.options.parts;
+    const named = this.state.stored?.claim.agentVm;
+    return {
+      nonce: random.id(),
+      target: this.agents.choose(named),
+      late: this.leftMs() <= 0,
+      wallMs: clock.wallNow(),
+    };
+  }
+
+  private perform(effect: BookingEffect): void {
+    switch (effect.kind) {
+      case EffectKind.CREATE:
+        void this.create(effect);
+        return;
+      case EffectKind.SWAP:
+        void this.swap(effect);
+        return;
+      case EffectKind.CALL:
+        void this.call(effect);
+        return;
+      case EffectKind.ASK:
+        void this.ask(effect);
+        return;
+      case EffectKind.LOOK_UP:
+        void this.lookUp(effect);
+        return;
+      case EffectKind.FINISH:
+        this.finish(effect);
+    }
+  }
+
+  private async create({claim, again}: CreateEffect): Promise<void> {
+    const {parts, claims} = this.options;
+    await this.waitIfAgain(again);
+    const startedAtMs = parts.clock.now();
+    const result = await claims.create({name: this.name, claim});
+    const ms = parts.clock.now() - startedAtMs;
+    parts.metrics.observe({name: LatencyName.BOOKING_CLAIM, ms});
+    this.takeWrite(result);
+  }
+
+  private async swap({expected, claim, again}: SwapEffect): Promise<void> {
+    await this.waitIfAgain(again);
+    const {name} = this;
+    const result = await this.options.claims.swap({name, expected, claim});
+    if (result.outcome === WriteOutcome.MET) {
+      this.countRetry(RetryReason.STORE_CONFLICT);
+    }
+    this.takeWrite(result);
+  }
+
+  private async waitIfAgain(again: boolean): Promise<void> {
+    if (!again) return;
+    this.countRetry(RetryReason.STORE_ANSWER_LOST);
+    await this.sleep(WRITE_RETRY_MS);
+  }
+
+  private takeWrite(result: WriteResult): void {
+    this.take({kind: EventKind.WRITE, result});
+  }
+
+  private async call({place, claimedAtMs}: CallEffect): Promise<void> {
+    const timeoutMs = this.leftMs();
+    const result = await this.agents.call({place, claimedAtMs, timeoutMs});
+    this.take({kind: EventKind.AGENT, result});
+  }
+
+  private async ask(
+    effect: Extract<BookingEffect, {kind: EffectKind.ASK}>,
+  ): Promise<void> {
+    if (effect.again) await this.waitToAsk();
+    const {place} = effect;
+    const result = await this.agents.ask({place, timeoutMs: this.leftMs()});
+    this.take({kind: EventKind.AGENT, result});
+  }
+
+  private async waitToAsk(): Promise<void> {
+    this.countRetry(RetryReason.CALL_LOST);
+    await this.sleep(this.askDelayMs);
+    this.askDelayMs = Math.min(this.askDelayMs * 2, ASK_RETRY_MAX_MS);
+  }
+
+  private async lookUp({claim}: LookUpEffect): Promise<void> {
+    const response = await this.options.outcomes.find({
+      name: this.name,
+      incarnation: claim.agentIncarnation,
+      claimedAtMs: claim.claimedAtMs,
+    });
+    this.take({kind: EventKind.LOOK_UP, response});
+  }
+
+  private finish({response, evidence}: FinishEffect): void {
+    this.timer?.cancel();
+    const answer: Answer =
+      response === undefined ? err(this.refuse(evidence!)) : ok(response);
+    this.resolve(answer);
+  }
+
+  private refuse(evidence: Evidence): Refusal {
+    const {ran, reason, detail, comeBack} = decideRan(evidence);
+    const label = evidence.kind;
+    this.options.parts.metrics.count(CounterName.BOOKING_EVIDENCE, {label});
+    const retryAfterMs = comeBack ? RETRY_AFTER_MS : undefined;
+    return {ran, reason, detail, retryAfterMs};
+  }
+
+  private countRetry(reason: RetryReason): void {
+    this.options.parts.metrics.countRetry(reason);
+  }
+
+  private sleep(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.options.parts.clock.schedule({delayMs, run: resolve});
+    });
+  }
+}
+
+function isFirstUse({req}: ResolvedPlain): boolean {
+  return req.headers.some(
+    ({name, value}) =>
+      name.toLowerCase() === FIRST_USE_HEADER && value === 'true',
+  );
+}
--- a/src/entry/consts.ts
+++ b/src/entry/consts.ts
@@ -42,3 +42,16 @@
 
 /** Entries open their doors only after a first look for this long. */
 export const FIRST_LOOK_MS = 300;
+
+/** Bounds of the wait before an agent is asked again, in milliseconds. */
+export const ASK_RETRY_MIN_MS = 100;
+export const ASK_RETRY_MAX_MS = 1_000;
+
+/** An agent says what it knows this long before the deadline. */
+export const ASK_ANSWER_MS = 50;
+
+/** Wait before a write that is in doubt is tried again, in milliseconds. */
+export const WRITE_RETRY_MS = 20;
+
+/** `true` where the caller vouches that it has not used the key before. */
+export const FIRST_USE_HEADER = 'idempotency-first-use';
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -3,6 +3,7 @@
 
 import type {Admission} from '../core/admission/index.js';
 import {FairAdmission, RetryBudgets} from '../core/admission/index.js';
+import {SingleClaims, StoredOutcomes} from '../core/booking/index.js';
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {
   CallerHandler,
@@ -199,7 +200,8 @@
       plain: new PlainService(parts),
       bookings: new BookingService({
         parts,
-        store: this.options.store,
+        claims: new SingleClaims({store: this.options.store}),
+        outcomes: new StoredOutcomes({store: this.options.store}),
         incarnation: this.incarnation,
       }),
     });
--- a/src/entry/plain-request.ts
+++ b/src/entry/plain-request.ts
@@ -35,5 +35,6 @@
     headers: [...req.headers],
     body: req.body,
     deadlineMs,
+    claimedAtMs: 0,
   };
 }
--- /dev/null
+++ b/test/core/booking/lib/behaviour.ts
@@ -0,0 +1,191 @@
+/** How the store, the agents and the service of a world behave. */
+import type {
+  AgentPlace,
+  AgentResult,
+  BookingEffect,
+  BookingState,
+  Claim,
+  FinishEffect,
+  WriteResult,
+} from '../../../../src/core/booking/index.js';
+import {
+  AgentWord,
+  decideAsk,
+  decideRan,
+  EffectKind,
+  KeyAction,
+  WriteOutcome,
+} from '../../../../src/core/booking/index.js';
+import {Ran} from '../../../../src/core/errors/index.js';
+import {KeyPhase} from '../../../../src/core/protocol/index.js';
+import type {
+  Action,
+  Flight,
+  RunId,
+  SimAgent,
+  SimRequest,
+  World,
+} from './world.js';
+
+export function createRequest(entry: number, state: BookingState): SimRequest {
+  return {
+    entry,
+    state,
+    late: false,
+    hungUp: false,
+    execution: 0,
+    ranWhenTold: 0,
+    writes: 0,
+  };
+}
+
+/** Whether a caller that vouches for its key still waits for the answer. */
+export function isAwaited(world: World, request: SimRequest): boolean {
+  const waits = request.told === undefined && !request.hungUp;
+  return request.state.firstUse && waits && world.entriesUp[request.entry]!;
+}
+
+export function isNewWrite(effect: BookingEffect | undefined): boolean {
+  const writes =
+    effect?.kind === EffectKind.CREATE || effect?.kind === EffectKind.SWAP;
+  return writes && !effect.again;
+}
+
+export function askAgent(agent: SimAgent, incarnation: string): AgentResult {
+  if (`i${agent.incarnation}` !== incarnation) return {word: AgentWord.GONE};
+  const {phase, fingerprint} = agent;
+  const known = phase === undefined ? undefined : {phase, fingerprint};
+  const action = decideAsk({known, promiseNever: false, isFull: false});
+  if (action === KeyAction.SAY_UNSEEN) return {word: AgentWord.UNSEEN};
+  return phase === KeyPhase.RUNNING ? {word: AgentWord.TIMEOUT} : wordOf(agent);
+}
+
+export function wordOf(agent: SimAgent): AgentResult {
+  switch (agent.phase) {
+    case KeyPhase.DONE: {
+      const response = responseOf(agent.execution);
+      return {word: AgentWord.RESPONSE, response};
+    }
+    case KeyPhase.PROMISED_NEVER:
+      return {word: AgentWord.PROMISED_NEVER};
+    default:
+      return {word: AgentWord.UNCERTAIN};
+  }
+}
+
+export function responseOf(execution: number) {
+  return {status: execution, headers: [], body: new Uint8Array()};
+}
+
+export function finishRequest(
+  world: World,
+  request: SimRequest,
+  effect: FinishEffect,
+): void {
+  const {response, evidence} = effect;
+  request.told = response === undefined ? decideRan(evidence!).ran : Ran.YES;
+  request.evidence = evidence?.kind;
+  request.execution = response?.status ?? 0;
+  abandonFlights(world, request);
+  request.ranWhenTold = world.executions[request.state.fingerprint] ?? 0;
+}
+
+export function applyWrite(world: World, effect: BookingEffect): WriteResult {
+  if (!world.storeUp) return {outcome: WriteOutcome.NO_EFFECT};
+  if (effect.kind === EffectKind.CREATE) {
+    return world.claim === undefined
+      ? putClaim(world, effect.claim)
+      : {outcome: WriteOutcome.MET, stored: world.claim};
+  }
+  if (effect.kind !== EffectKind.SWAP) throw new Error('not a write');
+  return world.claim?.version === effect.expected.version
+    ? putClaim(world, effect.claim)
+    : {outcome: WriteOutcome.MET, stored: world.claim};
+}
+
+export function putClaim(world: World, claim: Claim): WriteResult {
+  world.claim = {claim, version: ++world.version};
+  return {outcome: WriteOutcome.WRITTEN, stored: world.claim};
+}
+
+export function execute(world: World, fingerprint: string): number {
+  const count = (world.executions[fingerprint] ?? 0) + 1;
+  world.executions[fingerprint] = count;
+  return count;
+}
+
+export function settleAgent(
+  world: World,
+  index: number,
+  run: RunId,
+  phase: KeyPhase,
+  execution: number,
+): void {
+  const agent = world.agents[index]!;
+  const same = agent.incarnation === run.incarnation;
+  if (!same || agent.phase !== KeyPhase.RUNNING) return;
+  Object.assign(agent, {phase, execution});
+}
+
+export function restart(world: World, index: number): void {
+  const {incarnation} = world.agents[index]!;
+  world.agents[index] = {
+    incarnation: incarnation + 1,
+    takesWork: true,
+    fingerprint: '',
+    recorded: false,
+    execution: 0,
+  };
+}
+
+function killer(entry: number): (world: World) => void {
+  // What it has sent still arrives; it hears nothing any more.
+  return (world) => {
+    world.entriesUp[entry] = false;
+  };
+}
+
+/** What an answered request still has under way is awaited by nobody. */
+function abandonFlights(world: World, request: SimRequest): void {
+  const index = world.requests.indexOf(request);
+  world.flights = world.flights.flatMap((flight): Flight[] => {
+    const own = flight.at === 'request' || flight.at === 'reply';
+    if (!own || flight.request !== index) return [flight];
+    if (flight.at === 'reply') return [];
+    return abandoned(flight.effect, request.state.fingerprint);
+  });
+}
+
+function abandoned(effect: BookingEffect, fingerprint: string): Flight[] {
+  switch (effect.kind) {
+    case EffectKind.CREATE:
+    case EffectKind.SWAP:
+      return [{at: 'write', effect}];
+    case EffectKind.CALL:
+      return [{at: 'call', effect, fingerprint}];
+    default:
+      return [];
+  }
+}
+
+/** Faults of the store and of entries, which the exhaustive run leaves out. */
+export function outerFaults(world: World): Action[] {
+  const turn = (w: World): void => void (w.storeUp = !w.storeUp);
+  const faults: Action[] = [{name: 'store up or down', run: turn}];
+  world.entriesUp.forEach((up, entry) => {
+    if (up) faults.push({name: `kill entry ${entry}`, run: killer(entry)});
+  });
+  return faults;
+}
+
+/** The first agent that takes work and is not the named incarnation. */
+export function findTarget(
+  world: World,
+  named: string | undefined,
+): AgentPlace | undefined {
+  const vm = world.agents.findIndex(
+    (agent) => agent.takesWork && `i${agent.incarnation}` !== named,
+  );
+  if (vm < 0) return undefined;
+  return {vm: `${vm}`, incarnation: `i${world.agents[vm]!.incarnation}`};
+}
