--- a/src/cli/commands/call/index.ts
+++ b/src/cli/commands/call/index.ts
@@ -26,6 +26,7 @@
       parsePositive,
       DEFAULT_DEADLINE_MS,
     )
+    .option('--json', 'write the answer as JSON')
     .action(async (opts: CallOptions) => {
       const {runCall} = await import('./run-call.js');
       finish(await runCall(ctx, opts));
--- a/src/cli/commands/drain/run-drain.ts
+++ b/src/cli/commands/drain/run-drain.ts
@@ -1,3 +1,4 @@
+import {FIRST_ERROR_STATUS} from '../../../adapters/http-call.js';
 import {
   DRAIN_UNFINISHED,
   PROCESS_UNREACHABLE,
@@ -14,8 +15,11 @@
 /** Time between two looks at a draining process, in milliseconds. */
 const POLL_PERIOD_MS = 250;
 
-/** First HTTP status that says that a call failed. */
-const FIRST_ERROR_STATUS = 400;
+/** How far a planned stop has come. */
+enum DrainState {
+  DRAINING = 'draining',
+  GONE = 'gone',
+}
 
 /** Runs `drain`. */
 export async function runDrain(
@@ -38,10 +42,19 @@
     ctx.err(`${refusal ?? `refused: status ${status}`}\n`);
     return ExitStatus.REFUSED;
   }
-  ctx.out('draining\n');
+  report(ctx, options, DrainState.DRAINING);
   return options.wait === true ? waitUntilGone(ctx, options) : ExitStatus.OK;
 }
 
+function report(
+  ctx: CliContext,
+  {operators, json}: DrainOptions,
+  state: DrainState,
+): void {
+  const line = json === true ? JSON.stringify({operators, state}) : state;
+  ctx.out(`${line}\n`);
+}
+
 /** Waits until nothing listens any more; silence alone is not enough. */
 async function waitUntilGone(
   ctx: CliContext,
@@ -51,7 +64,7 @@
   while (ctx.clock.now() < deadlineAt) {
     const status = await readStatus(options.operators);
     if (status.isErr() && status.error.kind === HttpErrorKind.NOT_SENT) {
-      ctx.out('gone\n');
+      report(ctx, options, DrainState.GONE);
       return ExitStatus.OK;
     }
     await sleep(ctx.clock, POLL_PERIOD_MS);
