Capacity tables from measured slopes; bytes of a heartbeat without prefixes

Cause: the page's figures must follow from the measured JSON by a script. Change: tools/capacity reads docs/measurements/slopes.json and fills the tables of docs/CAPACITY.md; the page and the measurement follow.

--- a/bench/experiments/slopes/index.ts
+++ b/bench/experiments/slopes/index.ts
@@ -237,6 +237,8 @@
     this.add('entry: per watched target beside heartbeats', 'us/s', perTarget);
     const bytes = encodeFrame(SAMPLE_HEARTBEAT).length;
     this.add('peer: bytes of a heartbeat', 'bytes', bytes);
+    const bare = encodeFrame({...SAMPLE_HEARTBEAT, cachedPrefixes: []}).length;
+    this.add('peer: bytes of a heartbeat without prefixes', 'bytes', bare);
     this.bound({use: slow, residentKb: quiet.entry.residentKb, bytes});
     targets.beat(MS_PER_SECOND);
   }
--- /dev/null
+++ b/tools/capacity/tables.ts
@@ -0,0 +1,249 @@
+/** The tables of docs/CAPACITY.md. */
+import type {Report} from '../../bench/lib/report.js';
+import {
+  BYTES_PER_KB,
+  CONFIG_CHANGES_PER_DAY,
+  CONTROL_BYTES_PER_SECOND,
+  CONTROL_CORE_SHARE,
+  CONTROL_MEMORY_BYTES,
+  HEARTBEATS_PER_SECOND,
+  NODES,
+  PLATFORM_READS_PER_SECOND,
+  PLATFORM_WRITES_PER_SECOND,
+  REQUESTS_PER_SECOND,
+  SECONDS_PER_DAY,
+  TARGETS,
+  TOKEN_GAP_S,
+  TOKENS_PER_SECOND,
+  US_PER_SECOND,
+  VM_LIST_READS_PER_SECOND,
+} from './consts.js';
+import type {Slopes} from './slopes.js';
+
+const DIGITS = 3;
+
+/** A quantity at the letter's size. */
+interface Row {
+  readonly quantity: string;
+  readonly working: string;
+  readonly value: number;
+  readonly unit: string;
+  /** Undefined where no limit is stated. */
+  readonly limit?: number;
+}
+
+/** The slopes as measured. */
+export function renderSlopes(report: Report): string {
+  const rows = report.cases.map((row) => [row.name, format(row.p50), row.unit]);
+  return renderTable(['slope', 'measured', 'unit'], rows);
+}
+
+/** What an entry does at the letter's size. */
+export function renderEntry(slopes: Slopes): string {
+  const tokens = TOKENS_PER_SECOND / NODES;
+  const streams = tokens * TOKEN_GAP_S;
+  const subset = Math.floor(CONTROL_BYTES_PER_SECOND / slopes.heartbeatBytes);
+  const bare = Math.floor(CONTROL_BYTES_PER_SECOND / slopes.bareHeartbeatBytes);
+  const changes = CONFIG_CHANGES_PER_DAY / SECONDS_PER_DAY;
+  const perWatchedUs =
+    slopes.watchedUs + HEARTBEATS_PER_SECOND * slopes.heartbeatUs;
+  return renderRows([
+    {
+      quantity: 'requests',
+      working: `${REQUESTS_PER_SECOND} / ${NODES} entries`,
+      value: REQUESTS_PER_SECOND / NODES,
+      unit: '/s',
+    },
+    {
+      quantity: 'tokens relayed',
+      working: `${TOKENS_PER_SECOND} / ${NODES}`,
+      value: tokens,
+      unit: '/s',
+    },
+    {
+      quantity: 'cores for relaying; one process has one',
+      working: 'tokens x entry: per token relayed',
+      value: (tokens * slopes.entryTokenUs) / US_PER_SECOND,
+      unit: 'cores',
+      limit: 1,
+    },
+    {
+      quantity: 'open streams',
+      working: `tokens x ${TOKEN_GAP_S} s between tokens`,
+      value: streams,
+      unit: '',
+    },
+    {
+      quantity: 'memory of streams',
+      working: 'streams x entry: memory per stream',
+      value: streams * slopes.entryStreamBytes,
+      unit: 'bytes',
+    },
+    {
+      quantity: 'heartbeats, if every target is watched',
+      working: `${TARGETS} x ${HEARTBEATS_PER_SECOND}/s x bytes of a heartbeat`,
+      value: TARGETS * HEARTBEATS_PER_SECOND * slopes.heartbeatBytes,
+      unit: 'bytes/s',
+      limit: CONTROL_BYTES_PER_SECOND,
+    },
+    {
+      quantity: 'control time, if every target is watched',
+      working: `${TARGETS} x (per target + per heartbeat)`,
+      value: (TARGETS * perWatchedUs) / US_PER_SECOND,
+      unit: 'of a core',
+      limit: CONTROL_CORE_SHARE,
+    },
+    {
+      quantity: 'targets that may be watched within the limit of bytes',
+      working: `${CONTROL_BYTES_PER_SECOND} / bytes of a heartbeat`,
+      value: subset,
+      unit: 'targets',
+    },
+    {
+      quantity: 'the same, for heartbeats without prefixes',
+      working: `${CONTROL_BYTES_PER_SECOND} / bytes without prefixes`,
+      value: bare,
+      unit: 'targets',
+    },
+    {
+      quantity: 'control time at rest',
+      working: 'entry: idle',
+      value: slopes.entryIdleUs / US_PER_SECOND,
+      unit: 'of a core',
+      limit: CONTROL_CORE_SHARE,
+    },
+    {
+      quantity: 'memory of watched targets, that many',
+      working: 'entry: memory per watched target',
+      value: subset * slopes.watchedBytes,
+      unit: 'bytes',
+      limit: CONTROL_MEMORY_BYTES,
+    },
+    {
+      quantity: 'the whole process at rest',
+      working: 'entry: resident memory, idle',
+      value: slopes.entryBytes,
+      unit: 'bytes',
+      limit: CONTROL_MEMORY_BYTES,
+    },
+    {
+      quantity: 'configuration changes',
+      working: `${CONFIG_CHANGES_PER_DAY} a day x per configuration change`,
+      value: (changes * slopes.configUs) / US_PER_SECOND,
+      unit: 'of a core',
+      limit: CONTROL_CORE_SHARE,
+    },
+  ]);
+}
+
+/** What an agent does at the letter's size. */
+export function renderAgent(slopes: Slopes): string {
+  const tokens = TOKENS_PER_SECOND / TARGETS;
+  const streams = tokens * TOKEN_GAP_S;
+  return renderRows([
+    {
+      quantity: 'tokens passed on',
+      working: `${TOKENS_PER_SECOND} / ${TARGETS} targets`,
+      value: tokens,
+      unit: '/s',
+    },
+    {
+      quantity: 'cores for passing them on; one process has one',
+      working: 'tokens x agent: per token relayed',
+      value: (tokens * slopes.agentTokenUs) / US_PER_SECOND,
+      unit: 'cores',
+      limit: 1,
+    },
+    {
+      quantity: 'running journals',
+      working: `tokens x ${TOKEN_GAP_S} s between tokens`,
+      value: streams,
+      unit: '',
+    },
+    {
+      quantity: 'memory of running journals',
+      working: 'journals x agent: memory per stream',
+      value: streams * slopes.agentStreamBytes,
+      unit: 'bytes',
+    },
+    {
+      quantity: 'heartbeats sent, if every entry watches it',
+      working: `${NODES} x ${HEARTBEATS_PER_SECOND}/s x bytes of a heartbeat`,
+      value: NODES * HEARTBEATS_PER_SECOND * slopes.heartbeatBytes,
+      unit: 'bytes/s',
+      limit: CONTROL_BYTES_PER_SECOND,
+    },
+    {
+      quantity: 'control time at rest',
+      working: 'agent: idle',
+      value: slopes.agentIdleUs / US_PER_SECOND,
+      unit: 'of a core',
+      limit: CONTROL_CORE_SHARE,
+    },
+    {
+      quantity: 'the whole process at rest',
+      working: 'agent: resident memory, idle',
+      value: slopes.agentBytes,
+      unit: 'bytes',
+      limit: CONTROL_MEMORY_BYTES,
+    },
+  ]);
+}
+
+/** What the platform is asked at the letter's size. */
+export function renderPlatform(slopes: Slopes): string {
+  return renderRows([
+    {
+      quantity: 'reads of the VM list',
+      working: `${NODES} entries x ${VM_LIST_READS_PER_SECOND}/s`,
+      value: NODES * VM_LIST_READS_PER_SECOND,
+      unit: '/s',
+      limit: PLATFORM_READS_PER_SECOND,
+    },
+    {
+      quantity: 'bookings that the writes allow',
+      working: `${PLATFORM_WRITES_PER_SECOND} writes/s / calls per booking`,
+      value: PLATFORM_WRITES_PER_SECOND / slopes.bookingCalls,
+      unit: '/s',
+    },
+    {
+      quantity: 'bookings that one entry has time for',
+      working: '1 core / entry: per booking',
+      value: US_PER_SECOND / slopes.bookingUs,
+      unit: '/s',
+    },
+    {
+      quantity: 'writes of configuration changes',
+      working: `${CONFIG_CHANGES_PER_DAY} a day`,
+      value: CONFIG_CHANGES_PER_DAY / SECONDS_PER_DAY,
+      unit: '/s',
+      limit: PLATFORM_WRITES_PER_SECOND,
+    },
+  ]);
+}
+
+function renderRows(rows: readonly Row[]): string {
+  const head = ['quantity', 'worked out from', 'value', 'limit', 'within'];
+  const cells = rows.map((row) => [
+    row.quantity,
+    row.working,
+    `${format(row.value)} ${row.unit}`.trim(),
+    row.limit === undefined ? '' : format(row.limit),
+    row.limit === undefined ? '' : row.value <= row.limit ? 'yes' : 'NO',
+  ]);
+  return renderTable(head, cells);
+}
+
+function renderTable(head: string[], rows: string[][]): string {
+  const line = (cells: string[]): string => `| ${cells.join(' | ')} |`;
+  const rule = head.map(() => '---');
+  return [head, rule, ...rows].map(line).join('\n');
+}
+
+/** Three digits, with a unit of thousands where bytes are many. */
+function format(value: number): string {
+  const rounded = Number(value.toPrecision(DIGITS));
+  return rounded >= BYTES_PER_KB
+    ? Math.round(rounded).toLocaleString('en-US')
+    : String(rounded);
+}
