Configurations fan out between entries and reach the agents

Cause: every entry held a watch of its own at the platform, agents knew no configuration, and an entry that could not reach the platform kept its version for as long as that lasted.

The six cases of `apply` passed before: they prove what was there.

Change: two entries of each data centre, by rendezvous rank over those that live and speak, watch the platform; each entry hears those two and one entry of another data centre, and reports back. Versions pass by one rule (ConfigHolder): newer and whole is taken, newer and named is asked for, older is answered with the whole. Agents keep the highest version and give it back to entries. An entry without fresh news reads the platform itself every 2 s at most, so a wrong election costs calls only. A new entry serves once the platform has answered, or by what its peers hold after 2 s; one that reached nobody says not_ready. A watch's sign of life counts as news, so `status` tells the age.

Ruled out: an entry that starts in an outage and refuses until the platform is back: its peers serve by the same version, and agents remember newer ones.

--- a/src/adapters/http-object-store.ts
+++ b/src/adapters/http-object-store.ts
@@ -131,9 +131,10 @@
     kind: ObjectKind;
     since: number;
     onEvent: (event: WatchEvent) => void;
+    onAlive?: () => void;
     onClosed: (err: StoreError) => void;
   }): WatchHandle {
-    const {kind, since, onEvent, onClosed} = options;
+    const {kind, since, onEvent, onAlive, onClosed} = options;
     const url = `${this.baseUrl}/watch/${kind}?since=${since}`;
     const {dispatcher, timeoutMs} = this;
     const watch = new HttpWatch({
@@ -141,6 +142,7 @@
       url,
       timeoutMs,
       onEvent,
+      onAlive,
       onClosed,
     });
     watch.start();
--- a/src/core/protocol/messages.ts
+++ b/src/core/protocol/messages.ts
@@ -239,7 +239,10 @@
 export const CONFIG = Codec.interface({
   type: exactly(MessageType.CONFIG),
   version: number,
+  /** The stored value; null where only the version is told. */
   value: unknown,
+  /** Time since the platform confirmed it, in milliseconds. */
+  ageMs: number,
 });
 
 /** Any process to the one that passed it on: what is in force. */
--- a/src/entry/agent-link.ts
+++ b/src/entry/agent-link.ts
@@ -1,5 +1,6 @@
 /** An entry's connection to one agent, shared by all its requests. */
 import type {Clock, RandomSource} from '../core/clock/index.js';
+import type {ConfigNews} from '../core/config/distribution/index.js';
 import type {VmRecord} from '../core/edges/index.js';
 import {VmState} from '../core/edges/index.js';
 import {RetryReason} from '../core/errors/index.js';
@@ -20,7 +21,13 @@
 } from '../core/protocol/index.js';
 import {MessageType, PeerClient, TargetPhase} from '../core/protocol/index.js';
 import type {TargetView} from '../core/routing/index.js';
-import {SUSPECT_BUSY_MS, SUSPECT_IDLE_MS} from './consts.js';
+import {OwnCounts, REPORT_LAG_MS} from '../core/routing/index.js';
+import {
+  AGENT_ANNOUNCE_MS,
+  AGENT_CONFIG_SPREAD_MS,
+  SUSPECT_BUSY_MS,
+  SUSPECT_IDLE_MS,
+} from './consts.js';
 
 /** Hears what becomes of one attempt or call at an agent. */
 export interface LinkHandler {
@@ -36,6 +43,13 @@
   onLeaving?(): void;
 }
 
+/** The configuration that an entry shares with its agents. */
+export interface AgentConfig {
+  held(): ConfigNews;
+  ageMs(): number;
+  takeFromAgent(news: ConfigNews, ageMs: number): void;
+}
+
 /** Speaks to one agent and keeps the view of its target. */
 export class AgentLink implements ConnectionListener {
   private readonly client: PeerClient;
@@ -47,8 +61,13 @@
   private suspected = false;
   private unlisted = false;
   private toldLeave = false;
+  private offeredVersion = 0;
+  private configDueAtMs = 0;
   /** Incarnation that was connected while the VM list called it live. */
   private liveIncarnation = '';
+  private readonly ownCounts = new OwnCounts({keepMs: 4 * REPORT_LAG_MS});
+  private ownAtReport = 0;
+  private usableSinceMs: number | undefined;
 
   constructor(
     private record: VmRecord,
@@ -57,6 +76,7 @@
       clock: Clock;
       random: RandomSource;
       metrics: Metrics;
+      config: AgentConfig;
     },
   ) {
     const {hello, clock, random} = options;
@@ -89,6 +109,30 @@
     this.unlisted = true;
   }
 
+  /** Version that the agent holds; 0 for none. */
+  get configVersion(): number {
+    return this.heartbeat?.configVersion ?? 0;
+  }
+
+  /** Tells the agent the configuration when that is due. */
+  offerConfig(): void {
+    if (!this.client.isReady() || this.heartbeat === undefined) return;
+    const {clock, config, random} = this.options;
+    const nowMs = clock.now();
+    const held = config.held();
+    if (this.offeredVersion !== held.version) {
+      // Several entries may be about to tell; the first one is enough.
+      this.offeredVersion = held.version;
+      this.configDueAtMs = nowMs + random.below(AGENT_CONFIG_SPREAD_MS);
+    }
+    if (nowMs < this.configDueAtMs) return;
+    this.configDueAtMs = nowMs + AGENT_ANNOUNCE_MS;
+    const {version} = held;
+    const value = this.configVersion < version ? held.value : null;
+    const ageMs = config.ageMs();
+    this.client.send({type: MessageType.CONFIG, version, value, ageMs});
+  }
+
   /** Whether the agent listens where a record says. */
   isAt({address, peerPort}: VmRecord): boolean {
     return this.record.address === address && this.record.peerPort === peerPort;
@@ -106,18 +150,21 @@
     const leaving = this.isLeaving();
     const healthy = beat?.phase === TargetPhase.HEALTHY;
     const connected = this.client.isReady() && !this.suspected;
+    const usable = connected && healthy && !leaving;
     return {
       vm: name,
       dataCentre,
       service,
       incarnation: this.incarnation,
-      usable: connected && healthy && !leaving,
+      usable,
       leaving,
       ownInFlight: this.handlers.size,
       running: beat?.running ?? 0,
       waiting: beat?.waiting ?? 0,
       capacity: beat?.capacity ?? 0,
       cachedPrefixes: beat?.cachedPrefixes ?? [],
+      ownAtReport: this.ownAtReport,
+      usableForMs: this.noteUsable(usable),
     };
   }
 
@@ -136,6 +183,7 @@
     if (message.type === MessageType.START && this.isLeaving()) return false;
     if (this.handlers.size === 0) this.busySinceMs = this.options.clock.now();
     this.handlers.set(id, handler);
+    this.noteCount();
     this.client.send(message);
     return true;
   }
@@ -148,6 +196,7 @@
   /** Forgets an attempt or call; later words of it are dropped. */
   release(id: string): void {
     this.handlers.delete(id);
+    this.noteCount();
   }
 
   /** Suspects the agent if it has been silent for too long. */
@@ -174,6 +223,7 @@
     this.heardAtMs = this.options.clock.now();
     this.suspected = false;
     this.toldLeave = false;
+    this.configDueAtMs = this.options.clock.now();
     this.noteListed();
   }
 
@@ -199,6 +249,9 @@
       case MessageType.REPLY:
         this.take(message.callId)?.onReply?.(message);
         return;
+      case MessageType.CONFIG:
+        this.options.config.takeFromAgent(message, message.ageMs);
+        return;
       case MessageType.KEY_STATE:
         this.take(message.callId)?.onKeyState?.(message);
         return;
@@ -222,6 +275,8 @@
   private handleHeartbeat(beat: HeartbeatMessage): void {
     const wasLeaving = this.heartbeat?.leaving ?? false;
     this.heartbeat = beat;
+    const nowMs = this.options.clock.now();
+    this.ownAtReport = this.ownCounts.countAt(nowMs - REPORT_LAG_MS);
     this.options.metrics.count(CounterName.HEARTBEATS);
     if (beat.leaving) this.tellLeave();
     if (!beat.leaving || wasLeaving) return;
@@ -253,15 +308,30 @@
     this.client.send({type: MessageType.LEAVE});
   }
 
+  private noteCount(): void {
+    const nowMs = this.options.clock.now();
+    this.ownCounts.note({nowMs, count: this.handlers.size});
+  }
+
+  /** Time since the target became usable; 0 while it is not. */
+  private noteUsable(usable: boolean): number {
+    const nowMs = this.options.clock.now();
+    if (!usable) this.usableSinceMs = undefined;
+    else this.usableSinceMs ??= nowMs;
+    return nowMs - (this.usableSinceMs ?? nowMs);
+  }
+
   private take(id: string): LinkHandler | undefined {
     const handler = this.handlers.get(id);
     this.handlers.delete(id);
+    this.noteCount();
     return handler;
   }
 
   private loseAll(reason: RetryReason): void {
     const handlers = [...this.handlers.values()];
     this.handlers.clear();
+    this.noteCount();
     for (const handler of handlers) handler.onLost(reason);
   }
 }
--- /dev/null
+++ b/src/entry/config-control.ts
@@ -0,0 +1,83 @@
+/** Ties together what brings configurations to an entry. */
+import type {Clock, RandomSource} from '../core/clock/index.js';
+import type {
+  ConfigMember,
+  ConfigNews,
+} from '../core/config/distribution/index.js';
+import type {ObjectStore, PeerStatus} from '../core/edges/index.js';
+import type {Logger} from '../core/logs/index.js';
+import type {Metrics} from '../core/metrics/index.js';
+import type {HelloMessage, MessageRouter} from '../core/protocol/index.js';
+import {ConfigElection} from './config-election.js';
+import {ConfigExchange} from './config-exchange.js';
+import {ConfigForce} from './config-force.js';
+import {ConfigPeers} from './config-peers.js';
+import {ConfigSource} from './config-source.js';
+import type {EntryBoard} from './entry-board.js';
+
+/** What the controllers are built of. */
+export interface ConfigControlOptions {
+  readonly board: EntryBoard;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly store: ObjectStore;
+  readonly router: MessageRouter;
+  readonly hello: HelloMessage;
+  readonly self: ConfigMember;
+  readonly site: string;
+}
+
+/** Keeps the board's configuration at the highest accepted version. */
+export class ConfigControl {
+  private readonly force: ConfigForce;
+  private readonly source: ConfigSource;
+  private readonly exchange: ConfigExchange;
+  private readonly peers: ConfigPeers;
+  private readonly election: ConfigElection;
+
+  constructor(options: ConfigControlOptions) {
+    this.force = new ConfigForce(options);
+    const {force} = this;
+    this.source = new ConfigSource({...options, force});
+    this.exchange = new ConfigExchange({...options, ...options.self, force});
+    this.peers = new ConfigPeers({...options, exchange: this.exchange});
+    const {source, peers} = this;
+    this.election = new ConfigElection({...options, force, source, peers});
+  }
+
+  open(): void {
+    this.force.start();
+    this.exchange.open();
+    this.election.open();
+  }
+
+  close(): void {
+    this.election.close();
+    this.peers.close();
+    this.exchange.close();
+    this.source.stop();
+    this.force.stop();
+  }
+
+  /** What an agent says it holds, over its link. */
+  takeFromAgent(news: ConfigNews, ageMs: number): void {
+    this.force.takeFromPeer(news, ageMs);
+  }
+
+  /** The highest version that this entry holds. */
+  held(): ConfigNews {
+    return this.force.holder.news;
+  }
+
+  /** Time since the platform last confirmed it, in milliseconds. */
+  ageMs(): number {
+    return this.force.ageMs();
+  }
+
+  /** Entries that hear the configuration from this one. */
+  reports(): PeerStatus[] {
+    return this.exchange.reports();
+  }
+}
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -2,7 +2,7 @@
 import type {ResultAsync} from 'neverthrow';
 
 import type {Admission} from '../core/admission/index.js';
-import {AccountLimit} from '../core/admission/index.js';
+import {FairAdmission, RetryBudgets} from '../core/admission/index.js';
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {
   CallerHandler,
@@ -22,16 +22,17 @@
   PeerServer,
   PROTOCOL_VERSION,
 } from '../core/protocol/index.js';
-import {TwoChoices} from '../core/routing/index.js';
+import {FailureWatch, LoadAwareChoice} from '../core/routing/index.js';
 import type {DaemonSettings} from '../core/settings/types.js';
 import {AgentLinks} from './agent-links.js';
 import {BookingService} from './booking-service.js';
 import {CallerGate} from './caller-gate.js';
-import {ConfigWatch} from './config-watch.js';
+import {ConfigControl} from './config-control.js';
 import {EntryBoard} from './entry-board.js';
 import type {RunParts} from './generation-run.js';
 import {GenerationService} from './generation-service.js';
 import {OwnVmWatch} from './membership-own-vm.js';
+import {LoadController} from './load-controller.js';
 import {PeerSession} from './peer-session.js';
 import {PlainService} from './plain-service.js';
 import {VmDirectory} from './vm-directory.js';
@@ -55,18 +56,20 @@
 export class EntryProcess implements OperatorHandler {
   private readonly board = new EntryBoard();
   private readonly incarnation: string;
-  private readonly admission: Admission = new AccountLimit();
+  private readonly admission: Admission;
   private readonly router = new MessageRouter();
   private readonly server: PeerServer;
   private readonly directory: VmDirectory;
   private readonly links: AgentLinks;
+  private readonly loadController: LoadController;
   private readonly generations: GenerationService;
   private readonly gate: CallerGate;
-  private readonly configWatch: ConfigWatch;
+  private readonly config: ConfigControl;
   private readonly drainer: DrainController;
 
   constructor(private readonly options: EntryOptions) {
     this.incarnation = options.random.id();
+    this.admission = new FairAdmission(options);
     const hello = this.createHello();
     const {board, router} = this;
     const {clock, metrics} = options;
@@ -77,7 +80,19 @@
         new PeerSession({router, metrics}, connection),
     });
     this.directory = new VmDirectory({...options, board});
-    this.links = new AgentLinks({...options, board, hello});
+    const {vm, dataCentre, site} = options.settings;
+    const self = {vm, dataCentre};
+    this.config = new ConfigControl({
+      ...options,
+      ...{board, router, hello, self, site},
+    });
+    const {config} = this;
+    this.links = new AgentLinks({...options, board, hello, config});
+    this.loadController = new LoadController({
+      ...options,
+      board,
+      views: () => this.links.views(),
+    });
     const parts = this.createParts();
     this.generations = new GenerationService({
       parts,
@@ -85,17 +100,13 @@
       entryVm: options.settings.vm,
     });
     this.gate = this.createGate(parts);
-    this.configWatch = new ConfigWatch({
-      ...options,
-      board: this.board,
-      site: options.settings.site,
-    });
     this.drainer = this.createDrainer();
     new OwnVmWatch({
       board,
       vm: options.settings.vm,
       onLeaving: () => this.drain(),
     }).open();
+    this.board.load.subscribe((load) => this.admission.resize(load));
     this.board.config.subscribe((inForce) => {
       inForce.ifJust(({cfg}) => this.admission.configure(cfg));
     });
@@ -110,22 +121,23 @@
   start(): ResultAsync<number, TransportError> {
     this.links.open();
     this.directory.open();
+    this.loadController.open();
     this.generations.open();
-    this.configWatch.open();
+    this.config.open();
     return this.server.listen(this.options.settings.peers);
   }
 
   stop(): void {
-    this.configWatch.close();
+    this.config.close();
     this.generations.close();
+    this.loadController.close();
     this.links.close();
     this.directory.close();
     this.server.close();
   }
 
   status(): ProcessStatus {
-    const {settings, clock} = this.options;
-    const heardAtMs = this.board.configHeardAtMs.get();
+    const {settings} = this.options;
     return {
       vm: settings.vm,
       role: settings.role,
@@ -134,17 +146,18 @@
       ready: this.isReady(),
       leaving: this.board.leaving.get(),
       configVersion: this.board.config.get().extract()?.version ?? 0,
-      configAgeMs: Math.round(clock.now() - heardAtMs),
+      configAgeMs: this.configAgeMs(),
       running: this.countRunning(),
-      peers: this.links.views().map((view) => ({
-        vm: view.vm,
-        dataCentre: view.dataCentre,
-        state: stateOf(view),
-        configVersion: 0,
-      })),
+      peers: this.links.statuses(),
+      subscribers: this.config.reports(),
     };
   }
 
+  private configAgeMs(): number {
+    const {clock} = this.options;
+    return Math.round(Math.min(this.config.ageMs(), clock.now()));
+  }
+
   isReady(): boolean {
     return !this.board.leaving.get() && this.board.config.get().isJust();
   }
@@ -177,12 +190,15 @@
 
   private createParts(): RunParts {
     const {clock, random, metrics, settings} = this.options;
+    const failures = new FailureWatch({clock});
     return {
       clock,
       random,
       metrics,
       links: this.links,
-      chooser: new TwoChoices({random}),
+      chooser: new LoadAwareChoice({random, failures}),
+      failures,
+      retryBudgets: new RetryBudgets({clock}),
       dataCentre: settings.dataCentre,
     };
   }
@@ -214,8 +230,3 @@
     };
   }
 }
-
-function stateOf(view: {usable: boolean; leaving: boolean}): string {
-  if (view.leaving) return 'leaving';
-  return view.usable ? 'usable' : 'unusable';
-}
