--- a/src/adapters/http-watch.ts
+++ b/src/adapters/http-watch.ts
@@ -32,6 +32,7 @@
   /** Time for the watch to be accepted. */
   readonly timeoutMs: number;
   readonly onEvent: (event: WatchEvent) => void;
+  readonly onAlive?: () => void;
   readonly onClosed: (err: StoreError) => void;
 }
 
@@ -73,6 +74,7 @@
   }
 
   private take(text: string): void {
+    if (!this.isOver) this.options.onAlive?.();
     const lines = (this.pending + text).split('\n');
     this.pending = lines.pop() ?? '';
     for (const line of lines) {
--- /dev/null
+++ b/src/entry/config-election.ts
@@ -0,0 +1,93 @@
+/** Decides whether this entry watches the platform, and whom it hears. */
+import type {Clock, RandomSource, TimerHandle} from '../core/clock/index.js';
+import type {ConfigMember} from '../core/config/distribution/index.js';
+import {
+  electWatchers,
+  selectConfigPeers,
+} from '../core/config/distribution/index.js';
+import type {VmRecord} from '../core/edges/index.js';
+import {VmRole, VmState} from '../core/edges/index.js';
+import type {ConfigForce} from './config-force.js';
+import type {ConfigPeers} from './config-peers.js';
+import type {ConfigSource} from './config-source.js';
+import {
+  CONFIG_READ_MS,
+  CONFIG_STALE_MS,
+  ELECTION_MS,
+  PAUSE_EVIDENCE_MS,
+  SILENT_PEER_RETRY_MS,
+} from './consts.js';
+import type {EntryBoard} from './entry-board.js';
+
+/** Elects again and again from the VM list and the peers that speak. */
+export class ConfigElection {
+  private timer: TimerHandle | undefined;
+  private electedAtMs = 0;
+  private readDelayMs = CONFIG_READ_MS;
+
+  constructor(
+    private readonly options: {
+      board: EntryBoard;
+      clock: Clock;
+      random: RandomSource;
+      self: ConfigMember;
+      force: ConfigForce;
+      source: ConfigSource;
+      peers: ConfigPeers;
+    },
+  ) {}
+
+  open(): void {
+    const {clock, source, board} = this.options;
+    this.electedAtMs = clock.now();
+    this.timer = clock.repeat({
+      periodMs: ELECTION_MS,
+      run: () => this.check(),
+    });
+    board.vms.subscribe(() => this.elect());
+    source.refresh();
+  }
+
+  close(): void {
+    this.timer?.cancel();
+  }
+
+  private check(): void {
+    const {clock, peers} = this.options;
+    const lateMs = clock.now() - this.electedAtMs - ELECTION_MS;
+    this.electedAtMs = clock.now();
+    if (lateMs > PAUSE_EVIDENCE_MS) peers.forgiveSilence();
+    this.elect();
+    this.readIfStale();
+  }
+
+  private elect(): void {
+    const {board, self, peers, source} = this.options;
+    const entries = board.vms.get().filter(isLiveEntry);
+    const silent = peers.findSilent(SILENT_PEER_RETRY_MS);
+    const others = entries.filter(({name}) => name !== self.vm);
+    const heard = others.filter(({name}) => !silent.has(name));
+    const members = [self, ...heard.map(toMember)];
+    const watchers = electWatchers({dataCentre: self.dataCentre, members});
+    source.setWatching(watchers.includes(self.vm));
+    const chosen = new Set(selectConfigPeers({self, members}));
+    peers.follow(others.filter(({name}) => chosen.has(name)));
+  }
+
+  /** Where no watcher's word is fresh, this entry asks the platform itself. */
+  private readIfStale(): void {
+    const {force, source, random} = this.options;
+    if (force.ageMs() < CONFIG_STALE_MS) return;
+    if (source.sinceReadMs() < this.readDelayMs) return;
+    this.readDelayMs = CONFIG_READ_MS * (0.5 + random.float() / 2);
+    source.refresh();
+  }
+}
+
+function isLiveEntry(vm: VmRecord): boolean {
+  return vm.role === VmRole.ENTRY && vm.state === VmState.LIVE;
+}
+
+function toMember({name, dataCentre}: VmRecord): ConfigMember {
+  return {vm: name, dataCentre};
+}
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -28,12 +28,12 @@
 import {AgentLinks} from './agent-links.js';
 import {BookingService} from './booking-service.js';
 import {CallerGate} from './caller-gate.js';
-import {ConfigWatch} from './config-watch.js';
+import {ConfigControl} from './config-control.js';
 import {EntryBoard} from './entry-board.js';
 import type {RunParts} from './generation-run.js';
 import {GenerationService} from './generation-service.js';
-import {LoadController} from './load-controller.js';
 import {OwnVmWatch} from './membership-own-vm.js';
+import {LoadController} from './load-controller.js';
 import {PeerSession} from './peer-session.js';
 import {PlainService} from './plain-service.js';
 import {VmDirectory} from './vm-directory.js';
@@ -65,7 +65,7 @@
   private readonly loadController: LoadController;
   private readonly generations: GenerationService;
   private readonly gate: CallerGate;
-  private readonly configWatch: ConfigWatch;
+  private readonly config: ConfigControl;
   private readonly drainer: DrainController;
 
   constructor(private readonly options: EntryOptions) {
@@ -81,7 +81,14 @@
         new PeerSession({router, metrics}, connection),
     });
     this.directory = new VmDirectory({...options, board});
-    this.links = new AgentLinks({...options, board, hello});
+    const {vm, dataCentre, site} = options.settings;
+    const self = {vm, dataCentre};
+    this.config = new ConfigControl({
+      ...options,
+      ...{board, router, hello, self, site},
+    });
+    const {config} = this;
+    this.links = new AgentLinks({...options, board, hello, config});
     this.loadController = new LoadController({
       ...options,
       board,
@@ -94,18 +101,13 @@
       entryVm: options.settings.vm,
     });
     this.gate = this.createGate(parts);
-    this.configWatch = new ConfigWatch({
-      ...options,
-      board: this.board,
-      site: options.settings.site,
-    });
-    this.board.load.subscribe((load) => this.admission.resize(load));
     this.drainer = this.createDrainer();
     new OwnVmWatch({
       board,
       vm: options.settings.vm,
       onLeaving: () => this.drain(),
     }).open();
+    this.board.load.subscribe((load) => this.admission.resize(load));
     this.board.config.subscribe((inForce) => {
       inForce.ifJust(({cfg}) => this.admission.configure(cfg));
     });
@@ -122,12 +124,12 @@
     this.directory.open();
     this.loadController.open();
     this.generations.open();
-    this.configWatch.open();
+    this.config.open();
     return this.server.listen(this.options.settings.peers);
   }
 
   stop(): void {
-    this.configWatch.close();
+    this.config.close();
     this.generations.close();
     this.loadController.close();
     this.links.close();
@@ -136,8 +138,7 @@
   }
 
   status(): ProcessStatus {
-    const {settings, clock} = this.options;
-    const heardAtMs = this.board.configHeardAtMs.get();
+    const {settings} = this.options;
     return {
       vm: settings.vm,
       role: settings.role,
@@ -146,17 +147,18 @@
       ready: this.isReady(),
       leaving: this.board.leaving.get(),
       configVersion: this.board.config.get().extract()?.version ?? 0,
-      configAgeMs: Math.round(clock.now() - heardAtMs),
+      configAgeMs: this.configAgeMs(),
       running: this.countRunning(),
-      peers: this.links.views().map((view) => ({
-        vm: view.vm,
-        dataCentre: view.dataCentre,
-        state: stateOf(view),
-        configVersion: 0,
-      })),
+      peers: this.links.statuses(),
+      subscribers: this.config.reports(),
     };
   }
 
+  private configAgeMs(): number {
+    const {clock} = this.options;
+    return Math.round(Math.min(this.config.ageMs(), clock.now()));
+  }
+
   isReady(): boolean {
     return !this.board.leaving.get() && this.board.config.get().isJust();
   }
@@ -230,8 +232,3 @@
     };
   }
 }
-
-function stateOf(view: {usable: boolean; leaving: boolean}): string {
-  if (view.leaving) return 'leaving';
-  return view.usable ? 'usable' : 'unusable';
-}
