--- /dev/null
+++ b/bench/experiments/booking/index.ts
@@ -0,0 +1,121 @@
+/** What bookings cost in time and in calls to the platform. */
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {Site} from '../../../tools/lab/site.js';
+import type {CaseResult, Experiment, RatioResult} from '../../lib/types.js';
+import {countViolations, runFailures} from './failures.js';
+import {runDirect, runLoad} from './load.js';
+import {readPlatformCalls} from './platform-calls.js';
+import {runSingle} from './single.js';
+
+const RATES: readonly number[] = [1, 10, 100, 300];
+const FOR_MS = 1_500;
+const OUTCOMES_RECORDED_MS = 1_200;
+const MAX_WRITES_PER_BOOKING = 0.25;
+const TOP_RATE = 300;
+const MAX_CONCURRENT = 5_000;
+
+interface Measured {
+  readonly cases: CaseResult[];
+  readonly ratios: RatioResult[];
+  readonly writesPerBooking: number;
+  readonly violations: number;
+}
+
+/** Compares bookings through the system with direct calls. */
+export const experiment: Experiment = {
+  name: 'booking',
+  summary: 'added latency, platform calls and truth of bookings',
+  starts: '2 entries, 4 services with agents, then 2 for each failure; 50 s',
+  flags: [],
+  run: async () => {
+    const measured = await measureRates();
+    const failures = await runFailures();
+    const violations = failures.reduce(
+      (sum, one) => sum + one.violations,
+      measured.violations,
+    );
+    const shares = failures.map(({name, unknownShare}) => ({
+      name: `share of unknown: ${name}`,
+      value: unknownShare,
+    }));
+    return {
+      cases: measured.cases,
+      ratios: [...measured.ratios, ...shares],
+      bounds: [
+        {
+          name: `platform writes per booking at ${TOP_RATE}/s`,
+          stated: MAX_WRITES_PER_BOOKING,
+          measured: measured.writesPerBooking,
+          holds: measured.writesPerBooking <= MAX_WRITES_PER_BOOKING,
+        },
+        {
+          name: 'answers that the service contradicts',
+          stated: 0,
+          measured: violations,
+          holds: violations === 0,
+        },
+      ],
+    };
+  },
+};
+
+async function measureRates(): Promise<Measured> {
+  const site = await Site.create({
+    entries: 2,
+    engines: 0,
+    orders: 4,
+    editBase: allowMany,
+  });
+  try {
+    const cases: CaseResult[] = [];
+    const ratios: RatioResult[] = [];
+    let writesPerBooking = 0;
+    let violations = 0;
+    for (const rate of RATES) {
+      const one = await measureRate(site, rate);
+      cases.push(...one.cases);
+      ratios.push(...one.ratios);
+      writesPerBooking = one.writesPerBooking;
+      violations += one.violations;
+    }
+    return {cases, ratios, writesPerBooking, violations};
+  } finally {
+    await site.close();
+  }
+}
+
+async function measureRate(site: Site, rate: number): Promise<Measured> {
+  const load = {site, rate, forMs: FOR_MS};
+  const direct = await runDirect({...load, name: `direct, ${rate}/s`});
+  const before = await readPlatformCalls(site);
+  const keyPrefix = `rate-${rate}`;
+  const name = `booked, ${rate}/s`;
+  const {samples, told} = await runLoad({...load, name, keyPrefix});
+  await sleep(OUTCOMES_RECORDED_MS);
+  const after = await readPlatformCalls(site);
+  const single = await runSingle(load);
+  const writesPerBooking = (after.writes - before.writes) / told.length;
+  const readsPerBooking = (after.reads - before.reads) / told.length;
+  const refused = told.filter(({ran}) => ran !== 'yes').length;
+  return {
+    cases: [direct.result(), samples.result(), single.samples.result()],
+    ratios: [
+      {name: `platform writes per booking, ${rate}/s`, value: writesPerBooking},
+      {name: `platform reads per booking, ${rate}/s`, value: readsPerBooking},
+      {
+        name: `writes per claim without groups, ${rate}/s`,
+        value: single.writesPerClaim,
+      },
+      {name: `share not answered, ${rate}/s`, value: refused / told.length},
+    ],
+    writesPerBooking,
+    violations: await countViolations(site, told, keyPrefix),
+  };
+}
+
+/** Neither the account nor the queue is what this measures. */
+function allowMany(base: Record<string, unknown>): void {
+  const accounts = base['clientAccounts'] as Record<string, object>;
+  accounts['demo'] = {...accounts['demo'], maxConcurrent: MAX_CONCURRENT};
+}
--- /dev/null
+++ b/bench/experiments/booking/load.ts
@@ -0,0 +1,76 @@
+/** Bookings at a steady rate, straight to a service or through entries. */
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import type {Site} from '../../../tools/lab/site.js';
+import type {Told} from '../../../test/support/bookings.js';
+import {book} from '../../../test/support/bookings.js';
+import {Samples} from '../../lib/samples.js';
+
+const MS_PER_SECOND = 1_000;
+
+/** What a load came to. */
+export interface LoadResult {
+  readonly samples: Samples;
+  readonly told: readonly Told[];
+}
+
+/** Starts `rate` bookings a second for a time, however long each takes. */
+export async function runLoad(options: {
+  name: string;
+  site: Site;
+  rate: number;
+  forMs: number;
+  keyPrefix: string;
+  deadlineMs?: number;
+}): Promise<LoadResult> {
+  const {name, site, rate, forMs, keyPrefix, deadlineMs} = options;
+  const urls = site.entries.map((entry) => entry.callersUrl);
+  const started = await pace(rate, forMs, (i) =>
+    book({url: urls[i % urls.length]!, key: `${keyPrefix}-${i}`, deadlineMs}),
+  );
+  const told = await Promise.all(started);
+  const samples = new Samples({name, unit: 'ms'});
+  for (const {ran, tookMs} of told) if (ran === 'yes') samples.add(tookMs);
+  return {samples, told};
+}
+
+/** The same straight to the services, without the system. */
+export async function runDirect(options: {
+  name: string;
+  site: Site;
+  rate: number;
+  forMs: number;
+}): Promise<Samples> {
+  const {name, site, rate, forMs} = options;
+  const urls = site.orders.map(({standIn}) => standIn.url);
+  const samples = new Samples({name, unit: 'ms'});
+  const started = await pace(rate, forMs, async (i) => {
+    const startedMs = performance.now();
+    const res = await fetch(`${urls[i % urls.length]}/bookings`, {
+      method: 'POST',
+      headers: {'idempotency-key': `direct-${rate}-${i}`},
+      body: '{"pallets":3}',
+    });
+    await res.text();
+    samples.add(performance.now() - startedMs);
+  });
+  await Promise.all(started);
+  return samples;
+}
+
+async function pace<T>(
+  rate: number,
+  forMs: number,
+  start: (index: number) => Promise<T>,
+): Promise<Array<Promise<T>>> {
+  const started: Array<Promise<T>> = [];
+  const beganMs = performance.now();
+  const count = Math.max(1, Math.round((rate * forMs) / MS_PER_SECOND));
+  for (let i = 0; i < count; i++) {
+    const dueMs = beganMs + (i * MS_PER_SECOND) / rate;
+    const waitMs = dueMs - performance.now();
+    if (waitMs > 0) await sleep(waitMs);
+    started.push(start(i));
+  }
+  return started;
+}
--- a/src/agent/consts.ts
+++ b/src/agent/consts.ts
@@ -32,7 +32,7 @@
 export const MAX_KEYS = 200_000;
 
 /** Outcomes that end within this time are recorded together. */
-export const OUTCOME_GROUP_MS = 250;
+export const OUTCOME_GROUP_MS = 500;
 
 /** Wait before a group that could not be written is tried again. */
 export const OUTCOME_RETRY_MS = 500;
--- a/src/core/booking/booking-step.ts
+++ b/src/core/booking/booking-step.ts
@@ -258,6 +258,26 @@
   }
 }
 
+/**
+ * Whether a step may move the booking to another agent, so that a target has
+ * to be chosen for it.
+ *
+ * @example
+ * const target = mayMove(state, event) ? choose() : undefined;
+ */
+export function mayMove(state: BookingState, event: BookingEvent): boolean {
+  if (event.kind !== EventKind.AGENT) return false;
+  switch (event.result.word) {
+    case AgentWord.PROMISED_NEVER:
+      return true;
+    case AgentWord.NOT_SENT:
+    case AgentWord.NOT_ADMITTED:
+      return state.phase === BookingPhase.CALLING && state.sole;
+    default:
+      return false;
+  }
+}
+
 /** This request's message will not run; others' may, unless `sole`. */
 function afterNotAdmitted(
   state: BookingState,
--- a/src/entry/booking-run.ts
+++ b/src/entry/booking-run.ts
@@ -3,6 +3,7 @@
 import {err, ok} from 'neverthrow';
 
 import type {
+  AgentPlace,
   BookingEffect,
   BookingEvent,
   BookingState,
@@ -23,6 +24,7 @@
   decideRan,
   EffectKind,
   EventKind,
+  mayMove,
   stepBooking,
   WriteOutcome,
 } from '../core/booking/index.js';
@@ -35,12 +37,12 @@
 import {
   ASK_RETRY_MAX_MS,
   ASK_RETRY_MIN_MS,
-  FIRST_USE_HEADER,
   RETRY_AFTER_MS,
   WRITE_RETRY_MS,
 } from './consts.js';
 import type {ResolvedPlain} from './plain-request.js';
 import type {PlainParts} from './plain-service.js';
+import {isFirstUse} from './tell-of-key.js';
 
 /** What bookings need of their entry. */
 export interface BookingParts {
@@ -68,7 +70,7 @@
     this.state = createBooking({
       fingerprint: request.fingerprint,
       entryIncarnation: options.incarnation,
-      firstUse: isFirstUse(request),
+      firstUse: isFirstUse(request.req),
     });
     this.name = claimNameOf({
       clientAccount: request.clientAccount.name,
@@ -95,23 +97,39 @@
   }
 
   private take(event: BookingEvent): void {
-    const {state, effect} = stepBooking(this.state, event, this.readContext());
+    const {state, effect} = stepBooking(
+      this.state,
+      event,
+      this.readContext(event),
+    );
     this.state = state;
     if (effect !== undefined) this.perform(effect);
   }
 
   /** Read anew at each step: this process may have been paused. */
-  private readContext(): StepContext {
+  private readContext(event: BookingEvent): StepContext {
     const {random, clock} = this.options.parts;
-    const named = this.state.stored?.claim.agentVm;
     return {
       nonce: random.id(),
-      target: this.agents.choose(named),
+      target: this.chooseTarget(event),
       late: this.leftMs() <= 0,
       wallMs: clock.wallNow(),
     };
   }
 
+  /** A first target is free; another one draws on the retry budget. */
+  private chooseTarget(event: BookingEvent): AgentPlace | undefined {
+    const {request, options} = this;
+    const budget = options.parts.retryBudgets.of(request.service);
+    if (event.kind === EventKind.BEGIN) {
+      budget.noteFirstTry();
+      return this.agents.choose(undefined);
+    }
+    if (!mayMove(this.state, event) || !budget.tryRetry()) return undefined;
+    this.countRetry(RetryReason.TARGET_REFUSED);
+    return this.agents.choose(this.state.stored?.claim.agentVm);
+  }
+
   private perform(effect: BookingEffect): void {
     switch (effect.kind) {
       case EffectKind.CREATE:
@@ -219,10 +237,3 @@
     });
   }
 }
-
-function isFirstUse({req}: ResolvedPlain): boolean {
-  return req.headers.some(
-    ({name, value}) =>
-      name.toLowerCase() === FIRST_USE_HEADER && value === 'true',
-  );
-}
--- a/src/entry/caller-gate.ts
+++ b/src/entry/caller-gate.ts
@@ -32,6 +32,7 @@
 import type {GenerationService} from './generation-service.js';
 import type {ResolvedPlain} from './plain-request.js';
 import type {PlainService} from './plain-service.js';
+import {tellOfKey} from './tell-of-key.js';
 
 const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
 
@@ -84,7 +85,9 @@
     const resolved = this.identify(req.bearer).andThen((caller) =>
       this.resolvePlain(caller, req),
     );
-    if (resolved.isErr()) return errAsync(this.counted(resolved.error));
+    if (resolved.isErr()) {
+      return errAsync(this.counted(tellOfKey(req, resolved.error)));
+    }
     const startedAtMs = this.parts.clock.now();
     this.inFlight++;
     return new ResultAsync(
@@ -108,7 +111,7 @@
       maxTokens: 0,
       signal: req.signal,
     });
-    if (ticket.isErr()) return err(ticket.error);
+    if (ticket.isErr()) return this.afterNoTicket(request, ticket.error);
     const answering = service.idempotent
       ? this.parts.plain.call(request)
       : this.parts.bookings.call(request);
@@ -117,6 +120,18 @@
     return result;
   }
 
+  /** A repeat is answered with the first outcome, also with no target. */
+  private async afterNoTicket(
+    request: ResolvedPlain,
+    refusal: Refusal,
+  ): Promise<Result<PlainResponse, Refusal>> {
+    if (request.service.idempotent) return err(refusal);
+    if (refusal.reason === RefusalReason.NO_TARGET) {
+      return this.parts.bookings.call(request);
+    }
+    return err(tellOfKey(request.req, refusal));
+  }
+
   private identify(bearer: string): Result<KnownCaller, Refusal> {
     const {board} = this.parts;
     if (board.leaving.get()) return err(leaving());
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -3,7 +3,11 @@
 
 import type {Admission} from '../core/admission/index.js';
 import {FairAdmission, RetryBudgets} from '../core/admission/index.js';
-import {SingleClaims, StoredOutcomes} from '../core/booking/index.js';
+import {
+  CLAIM_PACE_MS,
+  GroupedClaims,
+  StoredOutcomes,
+} from '../core/booking/index.js';
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {
   CallerHandler,
@@ -200,7 +204,10 @@
       plain: new PlainService(parts),
       bookings: new BookingService({
         parts,
-        claims: new SingleClaims({store: this.options.store}),
+        claims: new GroupedClaims({
+          ...this.options,
+          paceMs: CLAIM_PACE_MS,
+        }),
         outcomes: new StoredOutcomes({store: this.options.store}),
         incarnation: this.incarnation,
       }),
--- /dev/null
+++ b/test/core/booking/grouped-claims.test.ts
@@ -0,0 +1,140 @@
+/** Claims in groups, over a store that loses writes and answers. */
+import fc from 'fast-check';
+import {okAsync} from 'neverthrow';
+import {describe, expect, it} from 'vitest';
+
+import type {Claim, ClaimStore} from '../../../src/core/booking/index.js';
+import {
+  CLAIM_RETENTION_MS,
+  ClaimState,
+  ClaimTable,
+  GroupedClaims,
+  WriteOutcome,
+} from '../../../src/core/booking/index.js';
+import {SeededRandom, SystemClock} from '../../../src/core/clock/index.js';
+import type {ObjectKey, StoredObject} from '../../../src/core/edges/index.js';
+import {MemoryStore, WriteFault} from '../../cli/lib/memory-store.js';
+
+const SEED = 5;
+const RUNS = 400;
+const TRIES = 6;
+const NAMES = ['a', 'b', 'c'];
+
+class LogStore extends MemoryStore {
+  private readonly all = new Map<string, StoredObject>();
+
+  override put(key: ObjectKey, value: unknown): StoredObject {
+    const object = super.put(key, value);
+    this.all.set(object.name, object);
+    return object;
+  }
+
+  override list() {
+    return okAsync([...this.all.values()]);
+  }
+}
+
+function createClaim(nonce: string, claimedAtMs = Date.now()): Claim {
+  return {
+    nonce,
+    state: ClaimState.HELD,
+    fingerprint: '',
+    agentVm: '',
+    agentIncarnation: '',
+    entryIncarnation: '',
+    claimedAtMs,
+  };
+}
+
+function open(store: MemoryStore, seed: number): ClaimStore {
+  const random = new SeededRandom(seed);
+  return new GroupedClaims({
+    store,
+    clock: new SystemClock(),
+    random,
+    paceMs: 0,
+  });
+}
+
+interface Ended {
+  readonly name: string;
+  readonly nonce: string;
+  /** Nonce of the claim that stands; undefined where it is not known. */
+  readonly holder?: string;
+}
+
+/** Claims a name as a booking does: a write in doubt is made again. */
+async function claim(
+  claims: ClaimStore,
+  name: string,
+  nonce: string,
+): Promise<Ended> {
+  for (let i = 0; i < TRIES; i++) {
+    const result = await claims.create({name, claim: createClaim(nonce)});
+    if (result.outcome === WriteOutcome.IN_DOUBT) continue;
+    return {name, nonce, holder: result.stored?.claim.nonce};
+  }
+  return {name, nonce};
+}
+
+const ASKS = fc.array(
+  fc.record({entry: fc.nat(1), name: fc.constantFrom(...NAMES)}),
+  {minLength: 1, maxLength: 12},
+);
+
+const FAULTS = fc.array(
+  fc.constantFrom(
+    undefined,
+    WriteFault.ANSWER_LOST,
+    WriteFault.WRITE_LOST,
+    WriteFault.UNAVAILABLE,
+  ),
+  {maxLength: 8},
+);
+
+describe('claims in groups', () => {
+  it('give each name one holder, on which all entries agree', async () => {
+    const property = fc.asyncProperty(ASKS, FAULTS, async (asks, faults) => {
+      const store = new LogStore();
+      store.faults.push(...(faults as WriteFault[]));
+      const entries = [open(store, 1), open(store, 2)];
+      const ended = await Promise.all(
+        asks.map(({entry, name}, i) => claim(entries[entry]!, name, `n${i}`)),
+      );
+      store.faults.length = 0;
+      const reader = open(store, 3);
+      for (const name of NAMES) {
+        const {holder} = await claim(reader, name, 'reader');
+        const told = ended
+          .filter((one) => one.name === name)
+          .flatMap((one) => one.holder ?? []);
+        expect([...new Set(told), holder]).toEqual(
+          told.length > 0 ? [holder, holder] : [holder],
+        );
+      }
+    });
+    await fc.assert(property, {seed: SEED, numRuns: RUNS});
+  });
+
+  it('take many claims with one write', async () => {
+    const store = new LogStore();
+    const entry = open(store, 1);
+    const count = 100;
+    await Promise.all(
+      Array.from({length: count}, (_, i) => claim(entry, `k${i}`, `n${i}`)),
+    );
+    expect(store.writes).toBe(1);
+  });
+
+  it('expire by the log alone, so that all entries agree', () => {
+    const table = new ClaimTable();
+    const change = {name: 'a', claim: createClaim('n', 0), expected: 0};
+    const segment = {nonce: '', writtenAtMs: 0, changes: [change]};
+    const later = {...segment, changes: []};
+    expect(table.apply(segment)[0]!.written).toBe(true);
+    table.apply({...later, writtenAtMs: CLAIM_RETENTION_MS});
+    expect(table.find('a')?.claim.nonce).toBe('n');
+    table.apply({...later, writtenAtMs: CLAIM_RETENTION_MS + 1});
+    expect(table.find('a')).toBeUndefined();
+  });
+});
