--- a/src/agent/call-runner.ts
+++ b/src/agent/call-runner.ts
@@ -237,6 +237,9 @@
 }
 
 function refusalOf(err: DriverError): Refusal {
+  if (err.kind === DriverErrorKind.TOO_LARGE) {
+    return refuse(RefusalReason.RESPONSE_TOO_LARGE, Ran.YES, err.detail);
+  }
   const sent = err.kind !== DriverErrorKind.NOT_SENT;
   const ran = sent ? Ran.UNKNOWN : Ran.NO;
   return refuse(RefusalReason.TARGET_FAILED, ran, err.detail);
--- a/src/cli/commands/drain/types.ts
+++ b/src/cli/commands/drain/types.ts
@@ -3,4 +3,5 @@
   readonly operators: string;
   readonly wait?: boolean;
   readonly deadline: number;
+  readonly json?: boolean;
 }
--- a/src/daemon/run-agent.ts
+++ b/src/daemon/run-agent.ts
@@ -29,7 +29,7 @@
     logger,
     store: new HttpObjectStore({baseUrl: settings.platformUrl}),
     drivers: createDrivers(settings.target!),
-    onDrained: () => exitSoon(() => agent.stop()),
+    onDrained: () => exitSoon({stop: () => agent.stop()}),
   });
   const peers = await agent.start();
   if (peers.isErr()) exitCannotListen(logger, peers.error.detail);
--- a/tools/lab/paths.ts
+++ b/tools/lab/paths.ts
@@ -2,7 +2,7 @@
 import {existsSync} from 'node:fs';
 
 /** Root of the repository. */
-const ROOT = findRoot(new URL('./', import.meta.url));
+export const ROOT = findRoot(new URL('./', import.meta.url));
 
 /** Root of the compiled programs. */
 export const DIST = new URL('dist/', ROOT);
