--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -64,6 +64,8 @@
       clock: options.clock,
       probe: createProbe(options.drivers),
       logger: options.logger,
+      lastTokenAtMs: () =>
+        this.attempts?.lastTokenAtMs() ?? Number.NEGATIVE_INFINITY,
     });
     this.server = this.createServer();
   }
@@ -128,11 +130,13 @@
   }
 
   private createAttempts(): AttemptTable | undefined {
-    const {clock, metrics, drivers} = this.options;
+    const {clock, metrics, drivers, random} = this.options;
     if (drivers.engine === undefined) return undefined;
     return new AttemptTable({
       board: this.board,
       clock,
+      random,
+      probeNow: () => this.monitor.checkNow(),
       driver: drivers.engine,
       metrics,
     });
--- a/src/agent/attempt-reader.ts
+++ b/src/agent/attempt-reader.ts
@@ -85,6 +85,8 @@
         ? RetryReason.ENGINE_STALLED
         : RetryReason.ENGINE_DIED;
     const detail = failure?.detail ?? 'cancelled';
-    return {type: MessageType.FAILED, attemptId, reason, detail};
+    const {id: crashId, isCulprit} = attempt.engineCrash ?? {};
+    const type = MessageType.FAILED;
+    return {type, attemptId, reason, detail, crashId, isCulprit};
   }
 }
--- a/src/agent/attempt-table.ts
+++ b/src/agent/attempt-table.ts
@@ -1,21 +1,24 @@
 /** The attempts of an agent, from their start to the end of retention. */
-import type {Clock, TimerHandle} from '../core/clock/index.js';
+import type {Clock, RandomSource, TimerHandle} from '../core/clock/index.js';
 import type {
   DriverError,
   EngineDriver,
   EngineSink,
 } from '../core/edges/index.js';
-import {DriverErrorKind} from '../core/edges/index.js';
+import {DriverErrorKind, FinishReason} from '../core/edges/index.js';
 import type {Refusal} from '../core/errors/index.js';
 import {Layer, Ran, RefusalReason} from '../core/errors/index.js';
 import {LogState} from '../core/generation/index.js';
 import {CounterName} from '../core/metrics/index.js';
 import type {Metrics} from '../core/metrics/index.js';
+import type {Suspect} from '../core/poison/index.js';
+import {findCulprits, isApart} from '../core/poison/index.js';
 import type {StartMessage} from '../core/protocol/index.js';
 import {TargetPhase} from '../core/protocol/index.js';
 import type {AgentBoard} from './agent-board.js';
 import {Attempt} from './attempt.js';
 import {
+  CRASH_PROBE_MS,
   JOURNAL_RETENTION_MS,
   ORPHAN_GRACE_MS,
   SWEEP_PERIOD_MS,
@@ -24,6 +27,7 @@
 /** Starts, finds and forgets attempts. */
 export class AttemptTable {
   private readonly attempts = new Map<string, Attempt>();
+  private tokenAtMs = Number.NEGATIVE_INFINITY;
   private sweeper: TimerHandle | undefined;
 
   constructor(
@@ -32,6 +36,9 @@
       clock: Clock;
       driver: EngineDriver;
       metrics: Metrics;
+      random: RandomSource;
+      /** Asks for a probe of the engine at once. */
+      probeNow: () => void;
     },
   ) {
     options.board.phase.subscribe((phase) => this.handlePhase(phase));
@@ -55,15 +62,18 @@
 
   /** Attempts that still produce tokens. */
   countRunning(): number {
-    let running = 0;
-    for (const attempt of this.attempts.values()) {
-      if (attempt.journal.state === LogState.RUNNING) running++;
-    }
-    return running;
+    return this.running().length;
+  }
+
+  /** When an engine's stream last brought a token; long ago for never. */
+  lastTokenAtMs(): number {
+    return this.tokenAtMs;
   }
 
   /** Why a new attempt would be refused now; undefined if it would not. */
-  checkAdmission(): Refusal | undefined {
+  checkAdmission(
+    order: Pick<StartMessage, 'crashes' | 'mayShare'>,
+  ): Refusal | undefined {
     const {board} = this.options;
     if (board.leaving.get()) {
       return refuse(RefusalReason.LEAVING, 'this target is leaving');
@@ -71,6 +81,12 @@
     if (board.phase.get() !== TargetPhase.HEALTHY) {
       return refuse(RefusalReason.NO_TARGET, 'the engine does not answer');
     }
+    const crashes = order.crashes ?? [];
+    if (order.mayShare === true) return undefined;
+    if (!isApart({crashes, beside: this.suspects()})) {
+      const detail = 'another request of the same crash runs here';
+      return refuse(RefusalReason.NO_TARGET, detail);
+    }
     return undefined;
   }
 
@@ -95,27 +111,55 @@
     return {
       onTokens: (part) => {
         attempt.noteToken();
+        this.tokenAtMs = attempt.lastTokenAtMs;
         const result = attempt.journal.append(part);
         if (result.gap) attempt.fail(gapError());
       },
-      onFinish: (reason) => attempt.journal.finish(reason),
-      onFailure: (err) => attempt.fail(err),
+      onFinish: (reason) => finish(attempt, reason),
+      onFailure: (err) => this.handleFailure(attempt, err),
     };
   }
 
+  /** A lost stream may mean that the engine crashed: a probe will tell. */
+  private handleFailure(attempt: Attempt, err: DriverError): void {
+    if (err.kind !== DriverErrorKind.LOST) {
+      attempt.fail(err);
+      return;
+    }
+    this.options.probeNow();
+    this.options.clock.schedule({
+      delayMs: CRASH_PROBE_MS,
+      run: () => attempt.fail(err),
+    });
+  }
+
   private handlePhase(phase: TargetPhase): void {
     if (phase === TargetPhase.HEALTHY) return;
-    const kind =
-      phase === TargetPhase.DOWN
-        ? DriverErrorKind.LOST
-        : DriverErrorKind.TIMEOUT;
+    const isCrash = phase === TargetPhase.DOWN;
+    const kind = isCrash ? DriverErrorKind.LOST : DriverErrorKind.TIMEOUT;
     const detail = `the engine is ${phase}`;
-    for (const attempt of this.attempts.values()) {
-      if (attempt.journal.state !== LogState.RUNNING) continue;
-      attempt.fail({layer: Layer.DRIVER, kind, detail});
+    const id = this.options.random.id();
+    const culprits = isCrash ? findCulprits(this.suspects()) : [];
+    for (const attempt of this.running()) {
+      const isCulprit = culprits.includes(attempt.order.attemptId);
+      const crash = isCrash ? {id, isCulprit} : undefined;
+      attempt.fail({layer: Layer.DRIVER, kind, detail}, crash);
     }
   }
 
+  private running(): Attempt[] {
+    return [...this.attempts.values()].filter(
+      (attempt) => attempt.journal.state === LogState.RUNNING,
+    );
+  }
+
+  private suspects(): Suspect[] {
+    return this.running().map(({order}) => ({
+      id: order.attemptId,
+      crashes: order.crashes ?? [],
+    }));
+  }
+
   private sweep(): void {
     for (const [id, attempt] of this.attempts) {
       const unreadMs = attempt.unreadForMs();
@@ -135,6 +179,19 @@
   return {reason, ran: Ran.NO, detail};
 }
 
+/** An engine that stops at a length which was not reached is not believed. */
+function finish(attempt: Attempt, reason: FinishReason): void {
+  const {journal, order} = attempt;
+  const isShort = journal.length < order.spec.maxTokens;
+  if (reason === FinishReason.LENGTH && isShort) {
+    const detail = 'the engine ended the answer early';
+    const kind = DriverErrorKind.MALFORMED;
+    attempt.fail({layer: Layer.DRIVER, kind, detail});
+    return;
+  }
+  journal.finish(reason);
+}
+
 function gapError(): DriverError {
   const detail = 'the engine left out a token';
   return {layer: Layer.DRIVER, kind: DriverErrorKind.MALFORMED, detail};
--- a/src/agent/attempt.ts
+++ b/src/agent/attempt.ts
@@ -1,14 +1,22 @@
 /** One attempt at an answer, running at the engine beside this agent. */
 import type {Clock} from '../core/clock/index.js';
 import type {DriverError, EngineStream} from '../core/edges/index.js';
-import {TokenLog} from '../core/generation/index.js';
+import {LogState, TokenLog} from '../core/generation/index.js';
 import type {StartMessage} from '../core/protocol/index.js';
 
+/** A crash of the engine under an attempt. */
+export interface EngineCrash {
+  readonly id: string;
+  /** This attempt's request alone can have caused it. */
+  readonly isCulprit: boolean;
+}
+
 /** An attempt with its journal. */
 export class Attempt {
   /** The whole answer from position 0 on. */
   readonly journal: TokenLog;
   private stream: EngineStream | undefined;
+  private crash: EngineCrash | undefined;
   private failureError: DriverError | undefined;
   private readerCount = 0;
   /** When the last reader left or the attempt ended. */
@@ -29,6 +37,15 @@
     return this.failureError;
   }
 
+  /** The crash that broke the attempt; undefined for any other end. */
+  get engineCrash(): EngineCrash | undefined {
+    return this.crash;
+  }
+
+  get hasReaders(): boolean {
+    return this.readerCount > 0;
+  }
+
   get lastTokenAtMs(): number {
     return this.lastTokenMs;
   }
@@ -46,7 +63,9 @@
     this.lastTokenMs = this.clock.now();
   }
 
-  fail(err: DriverError): void {
+  fail(err: DriverError, crash?: EngineCrash): void {
+    if (this.journal.state !== LogState.RUNNING) return;
+    this.crash = crash;
     this.failureError = err;
     this.stream?.cancel();
     this.journal.break();
--- a/src/agent/consts.ts
+++ b/src/agent/consts.ts
@@ -30,3 +30,12 @@
 
 /** Keys that an agent remembers; more are refused. */
 export const MAX_KEYS = 200_000;
+
+/** Time to find out whether an engine's process is gone, in milliseconds. */
+export const CRASH_PROBE_MS = 100;
+
+/** Most time that a probe is given under load, in milliseconds. */
+export const PROBE_TIMEOUT_MAX_MS = 800;
+
+/** A probe that ends this late shows that this process was paused. */
+export const PAUSE_EVIDENCE_MS = 150;
--- a/src/agent/engine-monitor.ts
+++ b/src/agent/engine-monitor.ts
@@ -4,12 +4,15 @@
 import type {Clock, TimerHandle} from '../core/clock/index.js';
 import type {DriverError} from '../core/edges/index.js';
 import {DriverErrorKind} from '../core/edges/index.js';
+import {SilenceLimit} from '../core/generation/index.js';
 import type {Logger} from '../core/logs/index.js';
 import {TargetPhase} from '../core/protocol/index.js';
 import type {AgentBoard, TargetReport} from './agent-board.js';
 import {
+  PAUSE_EVIDENCE_MS,
   PROBE_FAILURES_ALLOWED,
   PROBE_PERIOD_MS,
+  PROBE_TIMEOUT_MAX_MS,
   PROBE_TIMEOUT_MS,
 } from './consts.js';
 
@@ -23,6 +26,9 @@
   private timer: TimerHandle | undefined;
   private failures = 0;
   private probing = false;
+  /** Probe once more when the running probe has ended. */
+  private again = false;
+  private readonly answers = new SilenceLimit();
 
   constructor(
     private readonly options: {
@@ -30,6 +36,8 @@
       clock: Clock;
       probe: TargetProbe;
       logger: Logger;
+      /** When the target last wrote a token, on the clock. */
+      lastTokenAtMs: () => number;
     },
   ) {}
 
@@ -45,21 +53,39 @@
     this.timer?.cancel();
   }
 
+  /** Probes at once, for instance after a stream has broken. */
+  checkNow(): void {
+    this.again = this.probing;
+    this.check();
+  }
+
   private check(): void {
     if (this.probing) return;
     this.probing = true;
+    const startedAtMs = this.options.clock.now();
+    const timeoutMs = this.timeoutMs();
     void this.options.probe
-      .probe({timeoutMs: PROBE_TIMEOUT_MS})
+      .probe({timeoutMs})
       .match(
-        (report) => this.handleReport(report),
-        (err) => this.handleFailure(err),
+        (report) => this.handleReport(report, startedAtMs),
+        (err) => this.handleFailure(err, startedAtMs + timeoutMs),
       )
       .then(() => {
         this.probing = false;
+        if (!this.again) return;
+        this.again = false;
+        this.check();
       });
   }
 
-  private handleReport(report: TargetReport): void {
+  /** Probes that were slow before are given more time. */
+  private timeoutMs(): number {
+    const byObservation = this.answers.allowedMs(PROBE_TIMEOUT_MS);
+    return Math.min(byObservation, PROBE_TIMEOUT_MAX_MS);
+  }
+
+  private handleReport(report: TargetReport, startedAtMs: number): void {
+    this.answers.observe(this.options.clock.now() - startedAtMs);
     this.failures = 0;
     const {board} = this.options;
     const before = board.report.get().instance;
@@ -69,16 +95,28 @@
     this.setPhase(TargetPhase.HEALTHY);
   }
 
-  private handleFailure(err: DriverError): void {
+  private handleFailure(err: DriverError, dueAtMs: number): void {
     if (err.kind === DriverErrorKind.NOT_SENT) {
       this.setPhase(TargetPhase.DOWN);
       return;
     }
+    if (this.isExcused(dueAtMs)) return;
     this.failures++;
-    if (this.failures < PROBE_FAILURES_ALLOWED) return;
+    if (this.failures < PROBE_FAILURES_ALLOWED) {
+      this.again = true;
+      return;
+    }
     this.setPhase(TargetPhase.UNRESPONSIVE);
   }
 
+  /** Tokens show that the engine lives; a late timer, that we were paused. */
+  private isExcused(dueAtMs: number): boolean {
+    const nowMs = this.options.clock.now();
+    const tokenAgeMs = nowMs - this.options.lastTokenAtMs();
+    const lateMs = nowMs - dueAtMs;
+    return tokenAgeMs < PROBE_TIMEOUT_MS || lateMs > PAUSE_EVIDENCE_MS;
+  }
+
   private setPhase(phase: TargetPhase): void {
     const {board, logger} = this.options;
     if (board.phase.get() === phase) return;
--- a/src/agent/entry-session.ts
+++ b/src/agent/entry-session.ts
@@ -70,7 +70,7 @@
         this.readers.get(message.attemptId)?.close();
         return;
       case MessageType.CANCEL:
-        this.parts.attempts?.find(message.attemptId)?.cancel();
+        this.handleCancel(message.attemptId);
         return;
       case MessageType.CALL:
         this.pendingCalls++;
@@ -100,7 +100,7 @@
 
   private handleStart(order: StartMessage): void {
     const {attempts} = this.parts;
-    const refusal = attempts?.checkAdmission() ?? undefined;
+    const refusal = attempts?.checkAdmission(order) ?? undefined;
     if (attempts === undefined || refusal !== undefined) {
       this.refuse(order.attemptId, refusal ?? noEngine());
       return;
@@ -108,6 +108,13 @@
     this.read(attempts.start(order), order.resumeFrom.length);
   }
 
+  /** Another entry may follow the same attempt; then it goes on. */
+  private handleCancel(attemptId: string): void {
+    const attempt = this.parts.attempts?.find(attemptId);
+    this.readers.get(attemptId)?.close();
+    if (attempt?.hasReaders === false) attempt.cancel();
+  }
+
   private handleAttach(attach: AttachMessage): void {
     const attempt = this.parts.attempts?.find(attach.attemptId);
     const known =
--- a/src/core/errors/refusals.ts
+++ b/src/core/errors/refusals.ts
@@ -41,6 +41,12 @@
   ENGINE_STALLED = 'engine_stalled',
   AGENT_SILENT = 'agent_silent',
   AGENT_GONE = 'agent_gone',
+  /** An engine ended an answer against the request. */
+  END_EARLY = 'end_early',
+  /** An end shortly after a resume is confirmed by another engine. */
+  END_UNCONFIRMED = 'end_unconfirmed',
+  /** A second attempt beside one whose agent is quiet. */
+  HEDGED = 'hedged',
   TARGET_LEAVING = 'target_leaving',
   TARGET_REFUSED = 'target_refused',
   NOT_SENT = 'not_sent',
--- a/src/core/generation/index.ts
+++ b/src/core/generation/index.ts
@@ -1,5 +1,11 @@
 /** Positions, attempts and journals of long generations. */
+export * from './assembly.js';
 export * from './event-id.js';
 export * from './fingerprint.js';
+export * from './judge-end.js';
+export * from './known-finish.js';
+export * from './prompt-prefix.js';
+export * from './recovery-policy.js';
+export * from './silence-limit.js';
 export * from './token-log.js';
 export * from './types.js';
--- /dev/null
+++ b/src/core/poison/index.ts
@@ -0,0 +1,3 @@
+/** Requests that crash the engines that run them. */
+export * from './culprits.js';
+export * from './quarantine.js';
--- /dev/null
+++ b/src/core/poison/quarantine.ts
@@ -0,0 +1,62 @@
+/** Requests that are refused for good. */
+import {array, Codec, string} from 'purify-ts';
+import type {GetType} from 'purify-ts';
+
+/** Most entries kept; the oldest ones go first. */
+export const MAX_QUARANTINED = 10_000;
+
+/** What the object store holds of a culprit, under its fingerprint. */
+export const CULPRIT = Codec.interface({
+  clientAccount: string,
+  /** The crashes that it caused; the others in them are acquitted. */
+  crashes: array(string),
+});
+
+/** A request that crashed its engines. */
+export type Culprit = GetType<typeof CULPRIT>;
+
+/**
+ * The fingerprints that this process refuses.
+ *
+ * @example
+ * quarantine.add({fingerprint, culprit});
+ * quarantine.has(fingerprint);
+ */
+export class Quarantine {
+  private readonly culprits = new Map<string, Culprit>();
+  private readonly listeners = new Set<
+    (fingerprint: string, culprit: Culprit) => void
+  >();
+
+  has(fingerprint: string): boolean {
+    return this.culprits.has(fingerprint);
+  }
+
+  /** Adds a culprit and tells the listeners if it is new. */
+  add(options: {fingerprint: string; culprit: Culprit}): void {
+    const {fingerprint, culprit} = options;
+    if (this.culprits.has(fingerprint)) return;
+    this.culprits.set(fingerprint, culprit);
+    this.trim();
+    for (const listener of [...this.listeners]) listener(fingerprint, culprit);
+  }
+
+  /** Takes a culprit off the list, after operators deleted its object. */
+  remove(fingerprint: string): void {
+    this.culprits.delete(fingerprint);
+  }
+
+  /** Calls `listener` with each new culprit; the result removes it. */
+  subscribe(
+    listener: (fingerprint: string, culprit: Culprit) => void,
+  ): () => void {
+    this.listeners.add(listener);
+    return () => void this.listeners.delete(listener);
+  }
+
+  private trim(): void {
+    if (this.culprits.size <= MAX_QUARANTINED) return;
+    const oldest = this.culprits.keys().next().value;
+    if (oldest !== undefined) this.culprits.delete(oldest);
+  }
+}
--- a/src/core/protocol/messages.ts
+++ b/src/core/protocol/messages.ts
@@ -25,6 +25,7 @@
   HEARTBEAT = 'heartbeat',
   START = 'start',
   ATTACH = 'attach',
+  LINEAGE = 'lineage',
   DETACH = 'detach',
   CANCEL = 'cancel',
   TOKENS = 'tokens',
@@ -107,6 +108,10 @@
   resumeFrom: array(TOKEN),
   /** Time left for the whole answer, in milliseconds. */
   deadlineMs: number,
+  /** Engine crashes that this request was in. */
+  crashes: optional(array(string)),
+  /** Whether it may run beside another request of the same crash. */
+  mayShare: optional(boolean),
 });
 
 /** Entry to agent or entry: send an attempt's journal from a position on. */
@@ -119,6 +124,18 @@
   position: number,
 });
 
+/** Entry to entry: what the tokens from a position on are from. */
+export const LINEAGE = Codec.interface({
+  type: exactly(MessageType.LINEAGE),
+  /** The attempt that ATTACH named. */
+  attemptId: string,
+  /** The attempt that wrote, or was to write, from `position` on. */
+  writerId: string,
+  agentVm: string,
+  agentIncarnation: string,
+  position: number,
+});
+
 /** Entry to agent: no longer send this attempt's tokens. */
 export const DETACH = Codec.interface({
   type: exactly(MessageType.DETACH),
@@ -154,6 +171,10 @@
   attemptId: string,
   reason: enumeration(RetryReason),
   detail: string,
+  /** Identity of the engine's crash; absent where it did not crash. */
+  crashId: optional(string),
+  /** This request alone can have caused that crash and an earlier one. */
+  isCulprit: optional(boolean),
 });
 
 /** Answer to START, ATTACH or CALL that was not admitted. */
@@ -246,6 +267,7 @@
 export type HeartbeatMessage = GetType<typeof HEARTBEAT>;
 export type StartMessage = GetType<typeof START>;
 export type AttachMessage = GetType<typeof ATTACH>;
+export type LineageMessage = GetType<typeof LINEAGE>;
 export type DetachMessage = GetType<typeof DETACH>;
 export type CancelMessage = GetType<typeof CANCEL>;
 export type TokensMessage = GetType<typeof TOKENS>;
@@ -265,6 +287,7 @@
   | HeartbeatMessage
   | StartMessage
   | AttachMessage
+  | LineageMessage
   | DetachMessage
   | CancelMessage
   | TokensMessage
@@ -284,6 +307,7 @@
   [MessageType.HEARTBEAT]: HEARTBEAT,
   [MessageType.START]: START,
   [MessageType.ATTACH]: ATTACH,
+  [MessageType.LINEAGE]: LINEAGE,
   [MessageType.DETACH]: DETACH,
   [MessageType.CANCEL]: CANCEL,
   [MessageType.TOKENS]: TOKENS,
--- a/src/entry/agent-link.ts
+++ b/src/entry/agent-link.ts
@@ -3,6 +3,8 @@
 import type {VmRecord} from '../core/edges/index.js';
 import {VmState} from '../core/edges/index.js';
 import {RetryReason} from '../core/errors/index.js';
+import type {RecoveryPolicy} from '../core/generation/index.js';
+import {SilenceLimit} from '../core/generation/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import {CounterName} from '../core/metrics/index.js';
 import type {
@@ -12,6 +14,7 @@
   HeartbeatMessage,
   HelloMessage,
   KeyStateMessage,
+  LineageMessage,
   Message,
   RefusedMessage,
   ReplyMessage,
@@ -20,11 +23,14 @@
 } from '../core/protocol/index.js';
 import {MessageType, PeerClient, TargetPhase} from '../core/protocol/index.js';
 import type {TargetView} from '../core/routing/index.js';
-import {SUSPECT_BUSY_MS, SUSPECT_IDLE_MS} from './consts.js';
+import {MAX_PENDING_CANCELS, SUSPECT_IDLE_MS} from './consts.js';
+import type {AttemptLink} from './generation/attempt-link.js';
 
 /** Hears what becomes of one attempt or call at an agent. */
 export interface LinkHandler {
   onTokens?(message: TokensMessage): void;
+  /** Another entry tells which attempt the next tokens are of. */
+  onLineage?(message: LineageMessage): void;
   onEnd?(message: EndMessage): void;
   onFailed?(message: FailedMessage): void;
   onReply?(message: ReplyMessage): void;
@@ -34,16 +40,24 @@
   onLost(reason: RetryReason): void;
   /** The agent has begun to leave. */
   onLeaving?(): void;
+  /** The agent has been silent for a while, but is not suspected yet. */
+  onQuiet?(): void;
 }
 
 /** Speaks to one agent and keeps the view of its target. */
-export class AgentLink implements ConnectionListener {
+export class AgentLink implements AttemptLink, ConnectionListener {
   private readonly client: PeerClient;
   private readonly handlers = new Map<string, LinkHandler>();
   private incarnation = '';
   private heartbeat: HeartbeatMessage | undefined;
   private heardAtMs: number;
+  /** An idle agent speaks less often, so its silence before says little. */
+  private busySinceMs = 0;
   private suspected = false;
+  private quiet = false;
+  private readonly silence = new SilenceLimit();
+  /** Attempts to cancel once the agent is back. */
+  private readonly pendingCancels = new Set<string>();
 
   constructor(
     private record: VmRecord,
@@ -111,6 +125,7 @@
   open(options: {id: string; message: Message; handler: LinkHandler}): boolean {
     const {id, message, handler} = options;
     if (!this.isConnected()) return false;
+    if (this.handlers.size === 0) this.busySinceMs = this.options.clock.now();
     this.handlers.set(id, handler);
     this.client.send(message);
     return true;
@@ -118,7 +133,13 @@
 
   /** Sends a message that needs no answer. */
   tell(message: Message): void {
-    this.client.send(message);
+    if (this.client.isReady()) {
+      this.client.send(message);
+      return;
+    }
+    if (message.type !== MessageType.CANCEL) return;
+    if (this.pendingCancels.size >= MAX_PENDING_CANCELS) return;
+    this.pendingCancels.add(message.attemptId);
   }
 
   /** Forgets an attempt or call; later words of it are dropped. */
@@ -127,17 +148,45 @@
   }
 
   /** Suspects the agent if it has been silent for too long. */
-  checkSilence(): void {
-    if (!this.client.isReady()) return;
+  checkSilence(policy: RecoveryPolicy): void {
+    if (!this.client.isReady() || this.suspected) return;
     const busy = this.handlers.size > 0;
-    const allowedMs = busy ? SUSPECT_BUSY_MS : SUSPECT_IDLE_MS;
-    const silentMs = this.options.clock.now() - this.heardAtMs;
-    if (silentMs <= allowedMs || this.suspected) return;
+    const silentMs = this.silentForMs(busy);
+    if (busy) this.checkQuiet(policy, silentMs);
+    const allowedMs = busy
+      ? this.silence.allowedMs(policy.suspectBusyMs)
+      : SUSPECT_IDLE_MS;
+    if (silentMs <= allowedMs) return;
     this.suspected = true;
     this.options.metrics.count(CounterName.TARGETS_SUSPECTED);
     this.loseAll(RetryReason.AGENT_SILENT);
   }
 
+  private checkQuiet(policy: RecoveryPolicy, silentMs: number): void {
+    const {hedgeAfterMs} = policy;
+    if (hedgeAfterMs === undefined || this.quiet) return;
+    if (silentMs < this.silence.allowedMs(hedgeAfterMs)) return;
+    this.quiet = true;
+    for (const handler of [...this.handlers.values()]) handler.onQuiet?.();
+  }
+
+  private silentForMs(busy: boolean): number {
+    const sinceMs = busy
+      ? Math.max(this.heardAtMs, this.busySinceMs)
+      : this.heardAtMs;
+    return this.options.clock.now() - sinceMs;
+  }
+
+  /** Notes a word of the agent. */
+  private hear(): void {
+    const nowMs = this.options.clock.now();
+    const busy = this.handlers.size > 0;
+    if (busy) this.silence.observe(this.silentForMs(busy));
+    this.heardAtMs = nowMs;
+    this.suspected = false;
+    this.quiet = false;
+  }
+
   /** Starts the measure of silence anew, after a pause of this process. */
   forgiveSilence(): void {
     this.heardAtMs = this.options.clock.now();
@@ -147,11 +196,15 @@
     this.incarnation = hello.incarnation;
     this.heardAtMs = this.options.clock.now();
     this.suspected = false;
+    this.quiet = false;
+    for (const attemptId of this.pendingCancels) {
+      this.client.send({type: MessageType.CANCEL, attemptId});
+    }
+    this.pendingCancels.clear();
   }
 
   onMessage(message: Message): void {
-    this.heardAtMs = this.options.clock.now();
-    this.suspected = false;
+    this.hear();
     switch (message.type) {
       case MessageType.HEARTBEAT:
         this.handleHeartbeat(message);
--- a/src/entry/agent-links.ts
+++ b/src/entry/agent-links.ts
@@ -1,7 +1,10 @@
 /** Keeps a link to each target of the VM list. */
 import type {Clock, RandomSource, TimerHandle} from '../core/clock/index.js';
+import {Weigh} from '../core/config/index.js';
 import type {VmRecord} from '../core/edges/index.js';
 import {VmRole} from '../core/edges/index.js';
+import type {RecoveryPolicy} from '../core/generation/index.js';
+import {resolveRecoveryPolicy} from '../core/generation/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import type {HelloMessage} from '../core/protocol/index.js';
@@ -50,6 +53,12 @@
     return [...this.links.values()].map((link) => link.view());
   }
 
+  /** The policy of the configuration in force. */
+  policy(): RecoveryPolicy {
+    const inForce = this.options.board.config.get().extract();
+    return resolveRecoveryPolicy(inForce?.cfg.recovery.weigh ?? Weigh.LATENCY);
+  }
+
   private follow(records: readonly VmRecord[]): void {
     const targets = records.filter((vm) => vm.role === VmRole.TARGET);
     const names = new Set(targets.map((vm) => vm.name));
@@ -80,10 +89,11 @@
     const lateMs = nowMs - this.checkedAtMs - SILENCE_CHECK_MS;
     this.checkedAtMs = nowMs;
     const paused = lateMs > PAUSE_EVIDENCE_MS;
+    const policy = this.policy();
     for (const link of this.links.values()) {
       // After a pause of this process, silence says nothing of the others.
       if (paused) link.forgiveSilence();
-      else link.checkSilence();
+      else link.checkSilence(policy);
     }
   }
 }
--- a/src/entry/answer-copy.ts
+++ b/src/entry/answer-copy.ts
@@ -13,9 +13,10 @@
   readonly agentIncarnation: string;
 }
 
-/** An attempt of this answer and where the next one took over. */
-interface LineageStep {
+/** An attempt of this answer, where it took over and where the next did. */
+export interface LineageStep {
   readonly place: AttemptPlace;
+  readonly beginPosition: number;
   /** Positions below this came from this attempt or one before it. */
   endPosition: number;
 }
@@ -25,7 +26,8 @@
   readonly log: TokenLog;
   private readonly lineage: LineageStep[] = [];
   private givenUp: Refusal | undefined;
-  private readerCount = 0;
+  private readonly readers = new Set<CopyReader>();
+  private holders = 0;
   private unreadSinceMs: number;
 
   constructor(
@@ -57,7 +59,8 @@
 
   /** Time without a reader in milliseconds; 0 while there is one. */
   unreadForMs(): number {
-    return this.readerCount > 0 ? 0 : this.options.now() - this.unreadSinceMs;
+    const inUse = this.readers.size + this.holders > 0;
+    return inUse ? 0 : this.options.now() - this.unreadSinceMs;
   }
 
   belongsTo(owner: {clientAccount: string; fingerprint: string}): boolean {
@@ -69,15 +72,54 @@
 
   /** A new attempt goes on from the end of the copy. */
   beginAttempt(place: AttemptPlace): void {
+    this.addStep({place, position: this.log.length});
+  }
+
+  /** What the copy holds and will hold is from this attempt on. */
+  beginLineage(place: AttemptPlace): void {
+    this.lineage.length = 0;
+    this.addStep({place, position: 0});
+  }
+
+  /** An attempt that another entry recorded took over at a position. */
+  addStep(options: {place: AttemptPlace; position: number}): void {
+    const {place, position} = options;
     const last = this.lineage.at(-1);
-    if (last !== undefined) last.endPosition = this.log.length;
-    this.lineage.push({place, endPosition: Number.POSITIVE_INFINITY});
+    if (last !== undefined) last.endPosition = position;
+    const endPosition = Number.POSITIVE_INFINITY;
+    this.lineage.push({place, beginPosition: position, endPosition});
+  }
+
+  /** The attempts so far, in order. */
+  steps(): readonly LineageStep[] {
+    return this.lineage;
+  }
+
+  /** Keeps the copy in use until the result is called. */
+  hold(): () => void {
+    this.holders++;
+    return () => {
+      this.holders--;
+      this.unreadSinceMs = this.options.now();
+    };
+  }
+
+  /** Whether a reader stands beyond what the copy holds. */
+  hasReaderAhead(): boolean {
+    return [...this.readers].some((reader) => reader.isAhead());
+  }
+
+  /** Readers beyond the copy's end begin anew, told to discard. */
+  restartReadersAhead(): void {
+    for (const reader of this.readers) {
+      if (reader.isAhead()) reader.restart();
+    }
   }
 
   /** Whether what a caller has of an attempt is the start of this copy. */
   covers(options: {attemptId: string; position: number}): boolean {
     const {attemptId, position} = options;
-    const step = this.lineage.find((s) => s.place.attemptId === attemptId);
+    const step = this.lineage.findLast((s) => s.place.attemptId === attemptId);
     if (step === undefined) return false;
     return position <= Math.min(step.endPosition, this.log.length);
   }
@@ -89,16 +131,16 @@
 
   /** Opens a reader that begins at a position. */
   read(options: {position: number; restarted: boolean}): AnswerReader {
-    this.readerCount++;
-    return new CopyReader({
+    const reader: CopyReader = new CopyReader({
       copy: this,
-      restarted: options.restarted,
-      position: options.position,
+      ...options,
       onClose: () => {
-        this.readerCount--;
+        this.readers.delete(reader);
         this.unreadSinceMs = this.options.now();
       },
     });
+    this.readers.add(reader);
+    return reader;
   }
 
   /** The event identity of a position. */
@@ -123,9 +165,19 @@
   },
 };
 
+/** What a reader that claims more than the whole answer reads. */
+const BEYOND_END_PART: AnswerPart = {
+  kind: AnswerPartKind.REFUSED,
+  refusal: {
+    reason: RefusalReason.BAD_EVENT_ID,
+    ran: Ran.NO,
+    detail: 'the answer is shorter than this position',
+  },
+};
+
 class CopyReader implements AnswerReader {
   readonly requestId: string;
-  readonly restarted: boolean;
+  private isRestarted: boolean;
   private position: number;
   private closed = false;
   private wake: (() => void) | undefined;
@@ -140,11 +192,26 @@
     },
   ) {
     this.requestId = options.copy.requestId;
-    this.restarted = options.restarted;
+    this.isRestarted = options.restarted;
     this.position = options.position;
     this.unsubscribe = options.copy.log.subscribe(() => this.wake?.());
   }
 
+  get restarted(): boolean {
+    return this.isRestarted;
+  }
+
+  /** Only before the first part: the copy never shrinks. */
+  isAhead(): boolean {
+    return this.position > this.options.copy.log.length;
+  }
+
+  restart(): void {
+    this.position = 0;
+    this.isRestarted = true;
+    this.wake?.();
+  }
+
   async next(): Promise<AnswerPart> {
     for (;;) {
       if (this.closed) return CLOSED_PART;
@@ -170,6 +237,7 @@
     if (this.position < log.length) return this.takeTokens();
     if (log.state === LogState.RUNNING) return undefined;
     if (log.finishReason !== undefined) {
+      if (this.isAhead()) return BEYOND_END_PART;
       return {
         kind: AnswerPartKind.FINISHED,
         finishReason: log.finishReason,
--- a/src/entry/consts.ts
+++ b/src/entry/consts.ts
@@ -1,6 +1,3 @@
-/** Silence after which a busy agent is suspected, in milliseconds. */
-export const SUSPECT_BUSY_MS = 600;
-
 /** Silence after which an idle agent is suspected, in milliseconds. */
 export const SUSPECT_IDLE_MS = 2_500;
 
@@ -42,3 +39,6 @@
 
 /** Entries open their doors only after a first look for this long. */
 export const FIRST_LOOK_MS = 300;
+
+/** Cancels that a link keeps for an agent that is away. */
+export const MAX_PENDING_CANCELS = 1_000;
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -13,6 +13,7 @@
 } from '../core/edges/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
+import {Quarantine} from '../core/poison/index.js';
 import type {HelloMessage, TransportError} from '../core/protocol/index.js';
 import {
   MessageRouter,
@@ -30,6 +31,7 @@
 import {DRAIN_POLL_MS} from './consts.js';
 import {EntryBoard} from './entry-board.js';
 import type {RunParts} from './generation-run.js';
+import {QuarantineWatch} from './generation/quarantine-watch.js';
 import {GenerationService} from './generation-service.js';
 import {PeerSession} from './peer-session.js';
 import {PlainService} from './plain-service.js';
@@ -54,12 +56,14 @@
   private readonly incarnation: string;
   private readonly admission: Admission = new AccountLimit();
   private readonly router = new MessageRouter();
+  private readonly quarantine = new Quarantine();
   private readonly server: PeerServer;
   private readonly directory: VmDirectory;
   private readonly links: AgentLinks;
   private readonly generations: GenerationService;
   private readonly gate: CallerGate;
   private readonly configWatch: ConfigWatch;
+  private readonly quarantineWatch: QuarantineWatch;
 
   constructor(private readonly options: EntryOptions) {
     this.incarnation = options.random.id();
@@ -78,9 +82,13 @@
     this.generations = new GenerationService({
       parts,
       admission: this.admission,
-      entryVm: options.settings.vm,
+      board,
+      hello,
+      router,
     });
     this.gate = this.createGate(parts);
+    const {quarantine} = this;
+    this.quarantineWatch = new QuarantineWatch({...options, quarantine});
     this.configWatch = new ConfigWatch({
       ...options,
       board: this.board,
@@ -102,11 +110,13 @@
     this.directory.open();
     this.generations.open();
     this.configWatch.open();
+    this.quarantineWatch.open();
     return this.server.listen(this.options.settings.peers);
   }
 
   stop(): void {
     this.configWatch.close();
+    this.quarantineWatch.close();
     this.generations.close();
     this.links.close();
     this.directory.close();
@@ -173,6 +183,7 @@
       links: this.links,
       chooser: new TwoChoices({random}),
       dataCentre: settings.dataCentre,
+      quarantine: this.quarantine,
     };
   }
 
--- a/src/entry/generation-run.ts
+++ b/src/entry/generation-run.ts
@@ -1,56 +1,66 @@
 /** Brings one answer to its end, over as many attempts as it takes. */
-import type {Clock, RandomSource, TimerHandle} from '../core/clock/index.js';
-import type {GenerationSpec, Token} from '../core/edges/index.js';
+import type {TimerHandle} from '../core/clock/index.js';
+import type {Token} from '../core/edges/index.js';
 import type {Refusal} from '../core/errors/index.js';
-import {Ran, RefusalReason, RetryReason} from '../core/errors/index.js';
-import {LogState} from '../core/generation/index.js';
-import type {Metrics} from '../core/metrics/index.js';
-import {CounterName, LatencyName} from '../core/metrics/index.js';
+import {RefusalReason, RetryReason} from '../core/errors/index.js';
+import type {Step} from '../core/generation/index.js';
+import {
+  Assembly,
+  LogState,
+  resolveKnownFinish,
+  StepKind,
+} from '../core/generation/index.js';
+import {CounterName} from '../core/metrics/index.js';
+import type {Culprit} from '../core/poison/index.js';
 import type {
   EndMessage,
-  Message,
+  FailedMessage,
+  LineageMessage,
   RefusedMessage,
   TokensMessage,
 } from '../core/protocol/index.js';
 import {MessageType} from '../core/protocol/index.js';
-import type {TargetChooser, TargetView} from '../core/routing/index.js';
-import type {AgentLink, LinkHandler} from './agent-link.js';
-import type {AgentLinks} from './agent-links.js';
-import type {AnswerCopy, AttemptPlace} from './answer-copy.js';
-import {MAX_ATTEMPTS, NO_TARGET_RETRY_MS, RETRY_AFTER_MS} from './consts.js';
-
-/** What a run has to bring about. */
-export interface RunOrder {
-  readonly requestId: string;
-  readonly clientAccount: string;
-  readonly fingerprint: string;
-  readonly service: string;
-  readonly spec: GenerationSpec;
-  /** On the process's clock. */
-  readonly deadlineAtMs: number;
-}
+import type {TargetView} from '../core/routing/index.js';
+import type {LinkHandler} from './agent-link.js';
+import type {AnswerCopy} from './answer-copy.js';
+import {NO_TARGET_RETRY_MS} from './consts.js';
+import {AttemptHistory} from './generation/attempt-history.js';
+import type {TargetChoice} from './generation/choose-target.js';
+import {
+  chooseIdleTarget,
+  chooseTarget,
+  createChoice,
+} from './generation/choose-target.js';
+import {MOVE_RETRY_MS} from './generation/consts.js';
+import {
+  answerAbandoned,
+  deadlineExceeded,
+  poisonFound,
+  tooManyAttempts,
+} from './generation/run-refusals.js';
+import type {
+  AnswerSource,
+  OpenAttempt,
+  RunOrder,
+  RunParts,
+} from './generation/run-types.js';
+import {createAttach, createStart} from './generation/start-message.js';
+import {TokenMeter} from './generation/token-meter.js';
 
-/** What runs need of their entry. */
-export interface RunParts {
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly metrics: Metrics;
-  readonly links: AgentLinks;
-  readonly chooser: TargetChooser;
-  readonly dataCentre: string;
-}
+export type {RunOrder, RunParts} from './generation/run-types.js';
 
 /** Starts attempts, takes their tokens in order and replaces lost ones. */
 export class GenerationRun {
-  private attemptId = '';
-  private link: AgentLink | undefined;
-  private attempts = 0;
-  private readonly excluded: string[] = [];
+  private current: OpenAttempt | undefined;
+  /** A second attempt beside a quiet one; the first to speak goes on. */
+  private hedge: OpenAttempt | undefined;
+  private sources: AnswerSource[] = [];
+  private readonly assembly: Assembly;
+  private readonly history: AttemptHistory;
+  private started = false;
   private waiting: TimerHandle | undefined;
   private readonly deadlineTimer: TimerHandle;
-  private readonly startedAtMs: number;
-  private lastTokenAtMs: number;
-  private resuming = false;
+  private readonly meter: TokenMeter;
 
   constructor(
     private readonly order: RunOrder,
@@ -59,187 +69,320 @@
     private readonly onDone: () => void,
   ) {
     const {clock} = parts;
-    this.startedAtMs = clock.now();
-    this.lastTokenAtMs = this.startedAtMs;
+    const {spec} = order;
+    this.assembly = new Assembly({log: copy.log, spec});
+    this.history = new AttemptHistory({now: () => clock.now()});
+    this.meter = new TokenMeter(parts);
     this.deadlineTimer = clock.schedule({
-      delayMs: Math.max(0, order.deadlineAtMs - this.startedAtMs),
-      run: () => this.giveUp(deadlineExceeded()),
+      delayMs: Math.max(0, order.deadlineAtMs - clock.now()),
+      run: () => this.giveUp(deadlineExceeded(this.started)),
     });
   }
 
   /** Starts the first attempt, or the next one after a loss. */
   start(): void {
-    if (this.isOver()) return;
-    const choice = this.choose();
-    if (choice === undefined) {
+    if (this.isOver() || this.finishIfKnown()) return;
+    const target = chooseTarget(this.createChoice());
+    const attempt = target && this.createAttempt(target);
+    if (attempt === undefined) {
       this.waitForTarget();
       return;
     }
-    const link = this.parts.links.find(choice.vm);
-    const attemptId = this.parts.random.id();
-    const place: AttemptPlace = {
-      attemptId,
-      agentVm: choice.vm,
-      agentIncarnation: choice.incarnation,
-    };
-    this.openAttempt({link, place, message: this.createStart(attemptId)});
-  }
-
-  /** Goes on with an attempt that runs already. */
-  attach(place: AttemptPlace): void {
-    const link = this.parts.links.find(place.agentVm);
-    const {requestId, clientAccount, fingerprint} = this.order;
-    const message: Message = {
-      type: MessageType.ATTACH,
-      requestId,
-      attemptId: place.attemptId,
-      clientAccount,
-      fingerprint,
-      position: this.copy.log.length,
-    };
-    this.openAttempt({link, place, message});
+    this.begin(attempt);
+    const {attemptId} = attempt.place;
+    if (!this.sendStart(attempt)) this.lose(attemptId, RetryReason.AGENT_GONE);
+  }
+
+  /** Goes on with an answer that others hold, from the first that can. */
+  adopt(sources: readonly AnswerSource[]): void {
+    this.sources = [...sources];
+    this.adoptNext();
   }
 
   /** Stops the work; nobody reads the answer any more. */
   abandon(): void {
-    this.dropAttempt();
-    this.copy.log.break();
+    if (this.isOver()) return;
+    this.dropAttempts();
+    this.copy.giveUp(answerAbandoned());
     this.finish();
   }
 
-  private openAttempt(options: {
-    link: AgentLink | undefined;
-    place: AttemptPlace;
-    message: Message;
-  }): void {
-    const {link, place, message} = options;
-    this.attempts++;
-    this.attemptId = place.attemptId;
-    this.link = link;
-    this.copy.beginAttempt(place);
-    const handler = this.createHandler(place);
-    const opened = link?.open({id: place.attemptId, message, handler});
-    if (opened !== true) this.recover(RetryReason.AGENT_GONE);
-  }
-
-  private createStart(attemptId: string): Message {
-    const {requestId, clientAccount, fingerprint, spec} = this.order;
-    const {log} = this.copy;
-    return {
-      type: MessageType.START,
-      requestId,
+  /** Takes note of a request that was found to crash engines. */
+  noteCulprit(poisonKey: string, culprit: Culprit): void {
+    if (poisonKey === this.order.poisonKey) {
+      this.giveUp(poisonFound());
+      return;
+    }
+    this.history.acquit(culprit);
+  }
+
+  private adoptNext(): void {
+    const source = this.sources.shift();
+    if (source === undefined) {
+      // Nobody has what the caller has: it must discard, never mix.
+      this.copy.restartReadersAhead();
+      this.start();
+      return;
+    }
+    const {link, place, position} = source;
+    const {attemptId} = place;
+    this.current = source;
+    this.started = true;
+    this.copy.beginLineage(place);
+    this.assembly.begin(attemptId);
+    const message = createAttach(this.order, {attemptId, position});
+    const handler = this.createHandler(attemptId);
+    const opened = link.open({id: attemptId, message, handler});
+    if (!opened) this.lose(attemptId, RetryReason.AGENT_GONE);
+  }
+
+  private createAttempt(target: TargetView): OpenAttempt | undefined {
+    const link = this.parts.links.find(target.vm);
+    if (link === undefined) return undefined;
+    const attemptId = this.parts.random.id();
+    const {vm: agentVm, incarnation: agentIncarnation} = target;
+    return {link, place: {attemptId, agentVm, agentIncarnation}};
+  }
+
+  private begin(attempt: OpenAttempt): void {
+    this.current = attempt;
+    this.copy.beginAttempt(attempt.place);
+    this.assembly.begin(attempt.place.attemptId);
+  }
+
+  private sendStart({link, place}: OpenAttempt): boolean {
+    const {attemptId} = place;
+    const message = createStart(this.order, {
       attemptId,
-      clientAccount,
-      fingerprint,
-      spec: {...spec, stop: [...spec.stop]},
-      resumeFrom: [...log.slice({from: 0})],
+      resumeFrom: this.copy.log.slice({from: 0}),
       deadlineMs: this.order.deadlineAtMs - this.parts.clock.now(),
-    };
+      crashes: this.history.crashes,
+      mayShare: this.history.mayShare(),
+    });
+    const handler = this.createHandler(attemptId);
+    const opened = link.open({id: attemptId, message, handler});
+    this.started ||= opened;
+    return opened;
   }
 
-  private createHandler(place: AttemptPlace): LinkHandler {
-    const ifCurrent = (run: () => void): void => {
-      if (this.attemptId === place.attemptId) run();
-      else this.parts.metrics.count(CounterName.TOKENS_DROPPED);
-    };
+  private createHandler(attemptId: string): LinkHandler {
     return {
-      onTokens: (message) => ifCurrent(() => this.takeTokens(message)),
-      onEnd: (message) => ifCurrent(() => this.takeEnd(message)),
-      onFailed: (message) => ifCurrent(() => this.recover(message.reason)),
-      onRefused: (message) => ifCurrent(() => this.takeRefusal(message)),
-      onLost: (reason) => ifCurrent(() => this.recover(reason)),
-      onLeaving: () =>
-        ifCurrent(() => this.recover(RetryReason.TARGET_LEAVING)),
+      onTokens: (message) => this.takeTokens(attemptId, message),
+      onLineage: (message) => this.takeLineage(attemptId, message),
+      onEnd: (message) => this.takeEnd(attemptId, message),
+      onFailed: (message) => this.takeFailure(attemptId, message),
+      onRefused: (message) => this.takeRefusal(attemptId, message),
+      onLost: (reason) => this.lose(attemptId, reason),
+      onLeaving: () => this.move(attemptId),
+      onQuiet: () => this.startHedge(attemptId),
     };
   }
 
-  private takeTokens(message: TokensMessage): void {
+  private takeTokens(attemptId: string, message: TokensMessage): void {
     const tokens = message.ids.map((id, i): Token => ({
       id,
       text: message.texts[i] ?? '',
     }));
     const {position} = message;
-    const result = this.copy.log.append({position, tokens});
-    if (result.gap) {
-      this.recover(RetryReason.ENGINE_DIED);
-      return;
+    const isNew = position + tokens.length > this.copy.log.length;
+    if (isNew && this.isHedge(attemptId)) this.promoteHedge();
+    const step = this.assembly.takeTokens({attemptId, position, tokens});
+    this.follow(attemptId, step, RetryReason.ENGINE_DIED);
+    if (step.kind === StepKind.IGNORED && tokens.length > 0) {
+      this.parts.metrics.count(CounterName.TOKENS_DROPPED);
     }
-    if (result.appended > 0) this.noteTokens(result.appended);
   }
 
-  private noteTokens(count: number): void {
-    const {metrics, clock} = this.parts;
-    const nowMs = clock.now();
-    metrics.count(CounterName.TOKENS_RELAYED, {by: count});
-    const name = this.latencyName(count);
-    const sinceMs = nowMs - this.lastTokenAtMs;
-    metrics.observe({name, ms: sinceMs});
-    this.resuming = false;
-    this.lastTokenAtMs = nowMs;
+  private takeLineage(attemptId: string, message: LineageMessage): void {
+    if (attemptId !== this.assembly.attemptId) return;
+    const {writerId, agentVm, agentIncarnation, position} = message;
+    const place = {attemptId: writerId, agentVm, agentIncarnation};
+    if (position === 0) this.copy.beginLineage(place);
+    else this.copy.addStep({place, position});
   }
 
-  private latencyName(count: number): LatencyName {
-    if (this.copy.log.length === count) return LatencyName.FIRST_TOKEN;
-    return this.resuming ? LatencyName.RESUME : LatencyName.TOKEN_GAP;
+  private takeEnd(attemptId: string, message: EndMessage): void {
+    if (this.isHedge(attemptId)) this.promoteHedge();
+    const {length, finishReason} = message;
+    const step = this.assembly.takeEnd({attemptId, length, finishReason});
+    this.follow(attemptId, step, RetryReason.END_EARLY);
   }
 
-  private takeEnd(message: EndMessage): void {
-    if (message.length !== this.copy.log.length) {
-      this.recover(RetryReason.ENGINE_DIED);
+  private follow(attemptId: string, step: Step, reason: RetryReason): void {
+    switch (step.kind) {
+      case StepKind.APPENDED:
+        this.noteTokens(step.appended);
+        return;
+      case StepKind.FINISHED:
+        this.dropHedge();
+        this.finish();
+        return;
+      case StepKind.BROKEN:
+        this.lose(attemptId, reason);
+        return;
+      case StepKind.UNCONFIRMED:
+        this.lose(attemptId, RetryReason.END_UNCONFIRMED);
+        return;
+      case StepKind.IGNORED:
+        return;
+    }
+  }
+
+  private noteTokens(count: number): void {
+    this.meter.noteTokens(count);
+    this.dropHedge();
+    this.history.noteProgress();
+  }
+
+  private takeFailure(attemptId: string, message: FailedMessage): void {
+    const {crashId, isCulprit, reason} = message;
+    this.history.noteCrash(crashId);
+    if (isCulprit === true) {
+      this.condemn();
       return;
     }
-    this.copy.log.finish(message.finishReason);
-    this.finish();
+    this.lose(attemptId, reason);
   }
 
-  private takeRefusal(message: RefusedMessage): void {
+  private condemn(): void {
+    const {clientAccount, poisonKey} = this.order;
+    const culprit = {clientAccount, crashes: this.history.crashes};
+    this.giveUp(poisonFound());
+    this.parts.quarantine.add({fingerprint: poisonKey, culprit});
+  }
+
+  private takeRefusal(attemptId: string, message: RefusedMessage): void {
+    if (this.isHedge(attemptId)) {
+      this.dropHedge();
+      return;
+    }
+    if (attemptId !== this.assembly.attemptId) return;
     if (message.reason === RefusalReason.POISON) {
       this.giveUp(message);
       return;
     }
-    this.recover(RetryReason.TARGET_REFUSED);
+    if (this.copy.hasReaderAhead()) {
+      this.lose(attemptId, RetryReason.TARGET_REFUSED);
+      return;
+    }
+    this.parts.metrics.countRetry(RetryReason.TARGET_REFUSED);
+    this.history.noteRefusal(this.current?.link.vm);
+    this.dropCurrent();
+    this.start();
   }
 
-  private recover(reason: RetryReason): void {
+  private lose(attemptId: string, reason: RetryReason): void {
     if (this.isOver()) return;
+    if (this.isHedge(attemptId)) {
+      this.dropHedge();
+      return;
+    }
+    if (attemptId !== this.assembly.attemptId) return;
     this.parts.metrics.countRetry(reason);
-    this.resuming = true;
-    if (this.link !== undefined) this.excluded.push(this.link.vm);
-    this.dropAttempt();
-    if (this.attempts >= MAX_ATTEMPTS) {
-      this.giveUp(tooManyAttempts(this.attempts));
+    this.meter.noteLoss();
+    this.history.noteLoss(this.current?.link.vm);
+    if (this.hedge !== undefined) {
+      this.promoteHedge();
+      return;
+    }
+    this.dropCurrent();
+    if (this.copy.hasReaderAhead()) {
+      this.adoptNext();
+      return;
+    }
+    if (this.history.isHopeless()) {
+      this.giveUp(tooManyAttempts(this.history.fruitless));
       return;
     }
     this.start();
   }
 
+  /** Moves off a leaving target as soon as there is another one. */
+  private move(attemptId: string): void {
+    if (this.isOver() || attemptId !== this.assembly.attemptId) return;
+    if (chooseTarget(this.createChoice()) !== undefined) {
+      this.lose(attemptId, RetryReason.TARGET_LEAVING);
+      return;
+    }
+    this.waiting = this.parts.clock.schedule({
+      delayMs: MOVE_RETRY_MS,
+      run: () => this.move(attemptId),
+    });
+  }
+
+  private startHedge(attemptId: string): void {
+    if (this.isOver() || this.hedge !== undefined) return;
+    if (attemptId !== this.assembly.attemptId) return;
+    if (this.copy.hasReaderAhead() || this.history.crashes.length > 0) return;
+    const choice = this.createChoice();
+    const vm = this.current?.link.vm ?? '';
+    const query = {...choice.query, refused: [...choice.query.refused, vm]};
+    const target = chooseIdleTarget({...choice, query});
+    const attempt = target && this.createAttempt(target);
+    if (attempt === undefined || !this.sendStart(attempt)) return;
+    this.hedge = attempt;
+    this.parts.metrics.countRetry(RetryReason.HEDGED);
+  }
+
+  private isHedge(attemptId: string): boolean {
+    return this.hedge?.place.attemptId === attemptId;
+  }
+
+  private promoteHedge(): void {
+    const {hedge} = this;
+    if (hedge === undefined) return;
+    this.hedge = undefined;
+    this.meter.noteLoss();
+    this.dropCurrent();
+    this.begin(hedge);
+  }
+
+  private dropHedge(): void {
+    if (this.hedge !== undefined) this.cancel(this.hedge);
+    this.hedge = undefined;
+  }
+
   /** No word of the present attempt is taken from now on. */
-  private dropAttempt(): void {
-    const {attemptId} = this;
-    this.attemptId = '';
-    if (attemptId === '') return;
-    this.link?.release(attemptId);
-    this.link?.tell({type: MessageType.CANCEL, attemptId});
-    this.link = undefined;
-  }
-
-  private choose(): TargetView | undefined {
-    const {chooser, links, dataCentre} = this.parts;
-    const query = {
-      service: this.order.service,
-      exclude: this.excluded,
-      dataCentre,
-      prefix: '',
-    };
-    const targets = links.views();
-    const fresh = chooser.choose({query, targets});
-    // Where all were tried, any that works now is better than none.
-    const any = (): TargetView | undefined =>
-      chooser.choose({query: {...query, exclude: []}, targets}).extract();
-    return fresh.extract() ?? any();
+  private dropCurrent(): void {
+    this.assembly.drop();
+    if (this.current !== undefined) this.cancel(this.current);
+    this.current = undefined;
+  }
+
+  private dropAttempts(): void {
+    this.dropHedge();
+    this.dropCurrent();
+  }
+
+  private cancel({link, place}: OpenAttempt): void {
+    const {attemptId} = place;
+    link.release(attemptId);
+    link.tell({type: MessageType.CANCEL, attemptId});
+  }
+
+  private createChoice(): TargetChoice {
+    return createChoice({
+      order: this.order,
+      parts: this.parts,
+      lost: this.history.lost,
+      refused: this.history.refused,
+      resumes: this.copy.log.length > 0,
+    });
+  }
+
+  private finishIfKnown(): boolean {
+    const tokens = this.copy.log.slice({from: 0});
+    const {spec} = this.order;
+    const reason = resolveKnownFinish({spec, tokens});
+    if (tokens.length === 0 || reason === undefined) return false;
+    this.copy.log.finish(reason);
+    this.finish();
+    return true;
   }
 
   private waitForTarget(): void {
+    this.history.refused = [];
+    this.waiting?.cancel();
     this.waiting = this.parts.clock.schedule({
       delayMs: NO_TARGET_RETRY_MS,
       run: () => this.start(),
@@ -249,7 +392,7 @@
   private giveUp(refusal: Refusal): void {
     if (this.isOver()) return;
     this.parts.metrics.countRefusal(refusal.reason);
-    this.dropAttempt();
+    this.dropAttempts();
     this.copy.giveUp(refusal);
     this.finish();
   }
@@ -264,21 +407,3 @@
     this.onDone();
   }
 }
-
-function deadlineExceeded(): Refusal {
-  return {
-    reason: RefusalReason.DEADLINE_EXCEEDED,
-    ran: Ran.UNKNOWN,
-    detail: 'the answer was not whole in time',
-    retryAfterMs: RETRY_AFTER_MS,
-  };
-}
-
-function tooManyAttempts(attempts: number): Refusal {
-  return {
-    reason: RefusalReason.TARGET_FAILED,
-    ran: Ran.UNKNOWN,
-    detail: `${attempts} attempts were lost`,
-    retryAfterMs: RETRY_AFTER_MS,
-  };
-}
--- a/src/entry/generation-service.ts
+++ b/src/entry/generation-service.ts
@@ -5,14 +5,24 @@
 import type {Admission, AdmissionTicket} from '../core/admission/index.js';
 import type {TimerHandle} from '../core/clock/index.js';
 import type {ClientAccountConfig, ServiceConfig} from '../core/config/types.js';
-import type {AnswerReader, GenerationReq} from '../core/edges/index.js';
+import type {
+  AnswerReader,
+  GenerationReq,
+  VmRecord,
+} from '../core/edges/index.js';
+import {VmRole} from '../core/edges/index.js';
 import type {Refusal} from '../core/errors/index.js';
 import {Ran, RefusalReason} from '../core/errors/index.js';
 import type {EventId} from '../core/generation/index.js';
 import {decodeEventId, fingerprintOf} from '../core/generation/index.js';
+import type {HelloMessage, MessageRouter} from '../core/protocol/index.js';
 import {AnswerCopy} from './answer-copy.js';
 import {COPY_RETENTION_MS, COPY_SWEEP_MS} from './consts.js';
-import type {RunOrder, RunParts} from './generation-run.js';
+import type {EntryBoard} from './entry-board.js';
+import {CopyLink} from './generation/copy-link.js';
+import {CopyServer} from './generation/copy-server.js';
+import {poisonKnown} from './generation/run-refusals.js';
+import type {AnswerSource, RunOrder, RunParts} from './generation/run-types.js';
 import {GenerationRun} from './generation-run.js';
 
 /** A request whose account and service are known. */
@@ -36,11 +46,23 @@
     private readonly options: {
       parts: RunParts;
       admission: Admission;
-      entryVm: string;
+      board: EntryBoard;
+      hello: HelloMessage;
+      router: MessageRouter;
     },
   ) {}
 
   open(): void {
+    const {parts, router} = this.options;
+    const {clock, quarantine} = parts;
+    const findCopy = (id: string): AnswerCopy | undefined =>
+      this.held.get(id)?.copy;
+    new CopyServer({clock, findCopy}).register(router);
+    quarantine.subscribe((poisonKey, culprit) => {
+      for (const {run} of this.held.values()) {
+        run.noteCulprit(poisonKey, culprit);
+      }
+    });
     this.sweeper = this.options.parts.clock.repeat({
       periodMs: COPY_SWEEP_MS,
       run: () => this.sweep(),
@@ -62,6 +84,10 @@
 
   generate(request: ResolvedGeneration): ResultAsync<AnswerReader, Refusal> {
     const {lastEventId} = request.req;
+    const {poisonKey} = this.createOrder(request, '');
+    if (this.options.parts.quarantine.has(poisonKey)) {
+      return errAsync(poisonKnown());
+    }
     if (lastEventId === '') return this.begin(request, false);
     return decodeEventId(lastEventId)
       .mapErr((e) => badEventId(e.detail))
@@ -99,26 +125,45 @@
     return this.adopt(request, order, id);
   }
 
-  /** Takes over an answer whose journal is at an agent. */
+  /** Takes over an answer that an agent or another entry has. */
   private adopt(
     request: ResolvedGeneration,
     order: RunOrder,
     id: EventId,
   ): ResultAsync<AnswerReader, Refusal> {
-    const link = this.options.parts.links.find(id.agentVm);
-    const alive = link?.view().incarnation === id.agentIncarnation;
-    if (!alive || link?.isConnected() !== true) {
-      return this.begin(request, true);
-    }
+    const sources = this.findSources(id);
+    if (sources.length === 0) return this.begin(request, true);
     return this.admit(request, order).map((ticket) => {
+      this.held.get(order.requestId)?.run.abandon();
       const {copy, run} = this.hold(order, () => ticket.release());
       const {position} = id;
       const reader = copy.read({position, restarted: false});
-      run.attach(id);
+      run.adopt(sources);
       return reader;
     });
   }
 
+  /** The agent that journals the attempt, then the entry with a copy. */
+  private findSources(id: EventId): AnswerSource[] {
+    const {parts, hello, board} = this.options;
+    const {clock} = parts;
+    const sources: AnswerSource[] = [];
+    const link = parts.links.find(id.agentVm);
+    const isSame = link?.view().incarnation === id.agentIncarnation;
+    if (link?.isConnected() === true && isSame) {
+      sources.push({link, place: id, position: 0});
+    }
+    const isHolder = (vm: VmRecord): boolean =>
+      vm.role === VmRole.ENTRY && vm.name === id.entryVm;
+    const record = board.vms.get().find(isHolder);
+    if (record !== undefined && record.name !== hello.vm) {
+      const {position} = id;
+      const copyLink = new CopyLink({record, hello, clock});
+      sources.push({link: copyLink, place: id, position});
+    }
+    return sources;
+  }
+
   private admit(
     request: ResolvedGeneration,
     order: RunOrder,
@@ -135,12 +180,12 @@
   }
 
   private hold(order: RunOrder, onDone: () => void): HeldAnswer {
-    const {parts, entryVm} = this.options;
+    const {parts, hello} = this.options;
     const copy = new AnswerCopy({
       requestId: order.requestId,
       clientAccount: order.clientAccount,
       fingerprint: order.fingerprint,
-      entryVm,
+      entryVm: hello.vm,
       now: () => parts.clock.now(),
     });
     const held = {copy, run: new GenerationRun(order, copy, parts, onDone)};
@@ -161,6 +206,10 @@
         clientAccount: clientAccount.name,
         parts: [JSON.stringify(req.spec)],
       }),
+      poisonKey: fingerprintOf({
+        clientAccount: clientAccount.name,
+        parts: [req.spec.model, req.spec.prompt],
+      }),
       service: service.name,
       spec: req.spec,
       deadlineAtMs: this.options.parts.clock.now() + allowedMs,
--- /dev/null
+++ b/src/entry/generation/attempt-history.ts
@@ -0,0 +1,59 @@
+/** What became of the attempts on one answer. */
+import type {Culprit} from '../../core/poison/index.js';
+import {MAX_ATTEMPTS} from '../consts.js';
+import {SHARE_AFTER_MS} from './consts.js';
+
+/** Remembers where attempts were lost and refused, and in which crashes. */
+export class AttemptHistory {
+  /** Targets on which attempts were lost. */
+  readonly lost: string[] = [];
+  /** Targets that refused since the last token or wait. */
+  refused: string[] = [];
+  /** Engine crashes whose cause is not known yet. */
+  crashes: string[] = [];
+  private fruitlessCount = 0;
+  private conflictSinceMs: number | undefined;
+
+  constructor(private readonly options: {now: () => number}) {}
+
+  /** Attempts in a row that brought no token. */
+  get fruitless(): number {
+    return this.fruitlessCount;
+  }
+
+  /** Too many attempts in a row brought no token. */
+  isHopeless(): boolean {
+    return this.fruitlessCount >= MAX_ATTEMPTS;
+  }
+
+  noteLoss(vm: string | undefined): void {
+    this.fruitlessCount++;
+    if (vm !== undefined) this.lost.push(vm);
+  }
+
+  noteRefusal(vm: string | undefined): void {
+    if (vm !== undefined) this.refused.push(vm);
+    if (this.crashes.length === 0) return;
+    this.conflictSinceMs ??= this.options.now();
+  }
+
+  noteProgress(): void {
+    this.fruitlessCount = 0;
+    this.refused = [];
+  }
+
+  noteCrash(id: string | undefined): void {
+    if (id !== undefined) this.crashes.push(id);
+  }
+
+  /** The cause of some crashes is known: it is another request. */
+  acquit(culprit: Culprit): void {
+    this.crashes = this.crashes.filter((id) => !culprit.crashes.includes(id));
+  }
+
+  /** Whether no target without fellow suspects was found for long enough. */
+  mayShare(): boolean {
+    if (this.conflictSinceMs === undefined) return false;
+    return this.options.now() - this.conflictSinceMs >= SHARE_AFTER_MS;
+  }
+}
--- /dev/null
+++ b/src/entry/generation/copy-link.ts
@@ -0,0 +1,108 @@
+/** Follows the copy of one answer at another entry. */
+import {connect} from 'node:net';
+
+import type {Clock, TimerHandle} from '../../core/clock/index.js';
+import type {VmRecord} from '../../core/edges/index.js';
+import {RetryReason} from '../../core/errors/index.js';
+import type {
+  ConnectionListener,
+  HelloMessage,
+  Message,
+} from '../../core/protocol/index.js';
+import {MessageType, PeerConnection} from '../../core/protocol/index.js';
+import type {LinkHandler} from '../agent-link.js';
+import type {AttemptLink} from './attempt-link.js';
+import {COPY_SILENCE_MS} from './consts.js';
+
+/** A connection that is opened for one answer and closed with it. */
+export class CopyLink implements AttemptLink, ConnectionListener {
+  private connection: PeerConnection | undefined;
+  private handler: LinkHandler | undefined;
+  private request: Message | undefined;
+  private timer: TimerHandle | undefined;
+
+  constructor(
+    private readonly options: {
+      record: VmRecord;
+      hello: HelloMessage;
+      clock: Clock;
+    },
+  ) {}
+
+  get vm(): string {
+    return this.options.record.name;
+  }
+
+  open(options: {id: string; message: Message; handler: LinkHandler}): boolean {
+    const {record, hello, clock} = this.options;
+    this.handler = options.handler;
+    this.request = options.message;
+    const socket = connect({host: record.address, port: record.peerPort});
+    this.connection = new PeerConnection({
+      socket,
+      hello,
+      clock,
+      listener: this,
+    });
+    this.expectWord();
+    return true;
+  }
+
+  tell(): void {
+    // The other entry needs no word: the connection's end tells it all.
+  }
+
+  release(): void {
+    this.handler = undefined;
+    this.timer?.cancel();
+    this.connection?.destroy('the copy is no longer needed');
+  }
+
+  onReady(): void {
+    if (this.request !== undefined) this.connection?.send(this.request);
+  }
+
+  onMessage(message: Message): void {
+    const {handler} = this;
+    if (handler === undefined) return;
+    this.expectWord();
+    switch (message.type) {
+      case MessageType.LINEAGE:
+        handler.onLineage?.(message);
+        return;
+      case MessageType.TOKENS:
+        handler.onTokens?.(message);
+        return;
+      case MessageType.END:
+        handler.onEnd?.(message);
+        return;
+      case MessageType.REFUSED:
+        handler.onRefused(message);
+        return;
+      default:
+        return;
+    }
+  }
+
+  onDrain(): void {
+    // One small message is sent; nothing waits for a drain.
+  }
+
+  onClose(): void {
+    this.lose(RetryReason.AGENT_GONE);
+  }
+
+  private expectWord(): void {
+    this.timer?.cancel();
+    this.timer = this.options.clock.schedule({
+      delayMs: COPY_SILENCE_MS,
+      run: () => this.lose(RetryReason.AGENT_SILENT),
+    });
+  }
+
+  private lose(reason: RetryReason): void {
+    const {handler} = this;
+    this.release();
+    handler?.onLost(reason);
+  }
+}
--- /dev/null
+++ b/src/entry/generation/run-types.ts
@@ -0,0 +1,47 @@
+/** Shapes that the parts of a generation's run share. */
+import type {Clock, RandomSource} from '../../core/clock/index.js';
+import type {GenerationSpec} from '../../core/edges/index.js';
+import type {Metrics} from '../../core/metrics/index.js';
+import type {Quarantine} from '../../core/poison/index.js';
+import type {TargetChooser} from '../../core/routing/index.js';
+import type {AgentLinks} from '../agent-links.js';
+import type {AttemptPlace} from '../answer-copy.js';
+import type {AttemptLink} from './attempt-link.js';
+
+/** What a run has to bring about. */
+export interface RunOrder {
+  readonly requestId: string;
+  readonly clientAccount: string;
+  readonly fingerprint: string;
+  /** Fingerprint of what can crash an engine: account, model and prompt. */
+  readonly poisonKey: string;
+  readonly service: string;
+  readonly spec: GenerationSpec;
+  /** On the process's clock. */
+  readonly deadlineAtMs: number;
+}
+
+/** What runs need of their entry. */
+export interface RunParts {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly metrics: Metrics;
+  readonly links: AgentLinks;
+  readonly chooser: TargetChooser;
+  readonly dataCentre: string;
+  readonly quarantine: Quarantine;
+}
+
+/** An attempt and the link over which it is followed. */
+export interface OpenAttempt {
+  readonly place: AttemptPlace;
+  readonly link: AttemptLink;
+}
+
+/** Where the answer so far may be had from. */
+export interface AnswerSource {
+  readonly link: AttemptLink;
+  readonly place: AttemptPlace;
+  /** What the source is to have, or the position to send from. */
+  readonly position: number;
+}
--- /dev/null
+++ b/test/core/generation/judge-end.test.ts
@@ -0,0 +1,121 @@
+import {describe, expect, it} from 'vitest';
+
+import type {Token} from '../../../src/core/edges/index.js';
+import {FinishReason} from '../../../src/core/edges/index.js';
+import {
+  EARLY_END_WINDOW,
+  EndVerdict,
+  judgeEnd,
+  resolveKnownFinish,
+} from '../../../src/core/generation/index.js';
+
+function tokensOf(...texts: string[]): Token[] {
+  return texts.map((text, id) => ({id, text}));
+}
+
+const MANY = tokensOf(...Array.from({length: 40}, () => 'x'));
+
+const KNOWN = [
+  {name: 'nothing', texts: [], maxTokens: 4, stop: [], finish: undefined},
+  {name: 'fewer', texts: ['a'], maxTokens: 2, stop: ['b'], finish: undefined},
+  {
+    name: 'all tokens',
+    texts: ['a', 'b'],
+    maxTokens: 2,
+    stop: [],
+    finish: FinishReason.LENGTH,
+  },
+  {
+    name: 'a stop string over three tokens',
+    texts: ['xa', 'b', 'cy'],
+    maxTokens: 9,
+    stop: ['abc'],
+    finish: FinishReason.STOP,
+  },
+  {
+    name: 'a stop string with the last token',
+    texts: ['a', 'END'],
+    maxTokens: 2,
+    stop: ['END'],
+    finish: FinishReason.STOP,
+  },
+  {
+    name: 'an empty stop string',
+    texts: ['a'],
+    maxTokens: 2,
+    stop: [''],
+    finish: undefined,
+  },
+];
+
+describe('resolveKnownFinish', () => {
+  it.each(KNOWN)('knows $name', ({texts, maxTokens, stop, finish}) => {
+    const tokens = tokensOf(...texts);
+    const found = resolveKnownFinish({spec: {maxTokens, stop}, tokens});
+    expect(found).toBe(finish);
+  });
+});
+
+const ENDS = [
+  {
+    name: 'length at max_tokens',
+    reason: FinishReason.LENGTH,
+    maxTokens: 40,
+    verdict: EndVerdict.ACCEPT,
+  },
+  {
+    name: 'length before max_tokens',
+    reason: FinishReason.LENGTH,
+    maxTokens: 41,
+    verdict: EndVerdict.BROKEN,
+  },
+  {
+    name: 'an end at another length',
+    reason: FinishReason.STOP,
+    length: 39,
+    verdict: EndVerdict.BROKEN,
+  },
+  {
+    name: 'stop of a first attempt',
+    reason: FinishReason.STOP,
+    verdict: EndVerdict.ACCEPT,
+  },
+  {
+    name: 'stop shortly after a resume',
+    reason: FinishReason.STOP,
+    resumedAt: 40 - EARLY_END_WINDOW,
+    verdict: EndVerdict.CONFIRM,
+  },
+  {
+    name: 'stop long after a resume',
+    reason: FinishReason.STOP,
+    resumedAt: 39 - EARLY_END_WINDOW,
+    verdict: EndVerdict.ACCEPT,
+  },
+  {
+    name: 'stop of a resume that adds nothing',
+    reason: FinishReason.STOP,
+    resumedAt: 40,
+    verdict: EndVerdict.ACCEPT,
+  },
+  {
+    name: 'stop shortly after a resume, with its stop string',
+    reason: FinishReason.STOP,
+    resumedAt: 35,
+    stop: ['xx'],
+    verdict: EndVerdict.ACCEPT,
+  },
+];
+
+describe('judgeEnd', () => {
+  it.each(ENDS)('judges $name', (row) => {
+    const {reason, maxTokens = 99, length = 40, resumedAt = 0} = row;
+    const verdict = judgeEnd({
+      end: {finishReason: reason, length},
+      spec: {maxTokens, stop: row.stop ?? []},
+      tokens: MANY,
+      resumedAt,
+    });
+    expect(verdict).toBe(row.verdict);
+  });
+});
--- a/tools/lab/lab.ts
+++ b/tools/lab/lab.ts
@@ -3,10 +3,10 @@
 
 import {request} from 'undici';
 
+import {EXAMPLES_URL} from './paths.js';
 import type {ReadyFields} from './proc.js';
 import {Proc} from './proc.js';
 
-const EXAMPLES = new URL('../../../examples/', import.meta.url);
 const ADDRESS = '127.0.0.1';
 
 /** A stand-in that listens on one port. */
@@ -66,7 +66,7 @@
       ...settings,
     };
     const path = `quickstart/processes/${role}.yaml`;
-    const base = fileURLToPath(new URL(path, EXAMPLES));
+    const base = fileURLToPath(new URL(path, EXAMPLES_URL));
     const args = Object.entries(overrides).flatMap(([name, value]) => [
       '--set',
       `${name}=${value}`,
@@ -114,6 +114,15 @@
   return text === '' ? undefined : (JSON.parse(text) as unknown);
 }
 
+/** Cuts, mends or resets the connections of a relay. */
+export async function controlRelay(
+  relay: StandIn,
+  action: 'cut' | 'mend' | 'reset',
+): Promise<void> {
+  const url = `http://${ADDRESS}:${relay.controlPort}/${action}`;
+  await sendControl({url, method: 'POST', body: {}});
+}
+
 /** Polls until `check` holds; fails after `timeoutMs`. */
 export async function waitUntil(options: {
   what: string;
--- a/tools/lab/proc.ts
+++ b/tools/lab/proc.ts
@@ -4,8 +4,7 @@
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
 
-/** Root of the compiled programs. */
-const DIST = new URL('../../', import.meta.url);
+import {DIST_URL} from './paths.js';
 
 const READY_TIMEOUT_MS = 20_000;
 
@@ -42,7 +41,7 @@
 
   /** Starts `dist/<script>` and waits for nothing. */
   static start(options: {script: string; args: readonly string[]}): Proc {
-    const path = fileURLToPath(new URL(options.script, DIST));
+    const path = fileURLToPath(new URL(options.script, DIST_URL));
     const child = spawn(process.execPath, [path, ...options.args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
--- a/tools/lab/site.ts
+++ b/tools/lab/site.ts
@@ -9,8 +9,7 @@
 import {checkDeployment, CONFIG_OBJECT} from '../../src/core/config/index.js';
 import type {Daemon, NamedValues, StandIn} from './lab.js';
 import {Lab, sendControl, waitUntil} from './lab.js';
-
-const EXAMPLES = new URL('../../../examples/', import.meta.url);
+import {EXAMPLES_URL} from './paths.js';
 
 /** The data centres of the quickstart deployment. */
 export const DATA_CENTRES: readonly string[] = ['waw', 'poz'];
@@ -20,6 +19,10 @@
   readonly vm: string;
   readonly standIn: StandIn;
   readonly agent: Daemon;
+  /** Between the agent and its target; where the site has relays. */
+  readonly targetRelay?: StandIn;
+  /** Between entries and the agent; where the site has relays. */
+  readonly agentRelay?: StandIn;
 }
 
 /** How large a site is and how its stand-ins behave. */
@@ -31,6 +34,8 @@
   readonly engineFlags?: NamedValues;
   readonly serviceFlags?: NamedValues;
   readonly platformFlags?: NamedValues;
+  /** Puts relays in front of targets and agents, so that they can be cut. */
+  readonly relays?: boolean;
   /** Changes the base of the quickstart's configuration before it applies. */
   readonly editBase?: (base: Record<string, unknown>) => void;
 }
@@ -196,6 +201,7 @@
   }): Promise<Target> {
     const {vm, standIn, kind, service, index} = options;
     const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length]!;
+    const targetRelay = await this.addRelay(standIn.port);
     const agent = await this.lab.startDaemon({
       role: 'agent',
       settings: {
@@ -204,20 +210,27 @@
         site: dataCentre,
         platformUrl: this.platform.url,
         'target.kind': kind,
-        'target.url': standIn.url,
+        'target.url': targetRelay?.url ?? standIn.url,
         'target.service': service,
       },
     });
-    const peerPort = agent.peersPort;
+    const agentRelay = await this.addRelay(agent.peersPort);
+    const peerPort = agentRelay?.port ?? agent.peersPort;
     const name = vm;
     await this.register({name, role: 'target', dataCentre, peerPort, service});
-    return {vm, standIn, agent};
+    return {vm, standIn, agent, targetRelay, agentRelay};
+  }
+
+  private async addRelay(port: number): Promise<StandIn | undefined> {
+    if (this.options.relays !== true) return undefined;
+    const flags = {to: `127.0.0.1:${port}`};
+    return this.lab.startStandIn({name: 'relay', flags});
   }
 }
 
 /** Loads and checks an example deployment. */
 export function loadExample(name: string): ConfigDocument {
-  const root = fileURLToPath(new URL(`${name}/`, EXAMPLES));
+  const root = fileURLToPath(new URL(`${name}/`, EXAMPLES_URL));
   const overlays = readdirSync(`${root}overlays`);
   const read = (file: string) => ({
     file,
