--- a/src/entry/generation-run.ts
+++ b/src/entry/generation-run.ts
@@ -1,6 +1,5 @@
 /** Brings one answer to its end, over as many attempts as it takes. */
 import type {TimerHandle} from '../core/clock/index.js';
-import type {Token} from '../core/edges/index.js';
 import type {Refusal} from '../core/errors/index.js';
 import {RefusalReason, RetryReason} from '../core/errors/index.js';
 import type {Step} from '../core/generation/index.js';
@@ -19,7 +18,6 @@
   RefusedMessage,
   TokensMessage,
 } from '../core/protocol/index.js';
-import {MessageType} from '../core/protocol/index.js';
 import type {TargetView} from '../core/routing/index.js';
 import type {LinkHandler} from './agent-link.js';
 import type {AnswerCopy} from './answer-copy.js';
@@ -32,19 +30,21 @@
   createChoice,
 } from './generation/choose-target.js';
 import {MOVE_RETRY_MS} from './generation/consts.js';
-import {
-  answerAbandoned,
-  deadlineExceeded,
-  poisonFound,
-  tooManyAttempts,
-} from './generation/run-refusals.js';
+import * as refusals from './generation/run-refusals.js';
 import type {
   AnswerSource,
   OpenAttempt,
   RunOrder,
   RunParts,
 } from './generation/run-types.js';
-import {createAttach, createStart} from './generation/start-message.js';
+import {
+  cancelAttempt,
+  createAttach,
+  createStart,
+  readTokens,
+} from './generation/attempt-messages.js';
+import {mayRetryRefused} from './generation/may-retry-refused.js';
+import {TargetOutcomes} from './generation/target-outcomes.js';
 import {TokenMeter} from './generation/token-meter.js';
 
 export type {RunOrder, RunParts} from './generation/run-types.js';
@@ -61,6 +61,7 @@
   private waiting: TimerHandle | undefined;
   private readonly deadlineTimer: TimerHandle;
   private readonly meter: TokenMeter;
+  private readonly outcomes: TargetOutcomes;
 
   constructor(
     private readonly order: RunOrder,
@@ -73,9 +74,10 @@
     this.assembly = new Assembly({log: copy.log, spec});
     this.history = new AttemptHistory({now: () => clock.now()});
     this.meter = new TokenMeter(parts);
+    this.outcomes = new TargetOutcomes(parts.failures);
     this.deadlineTimer = clock.schedule({
       delayMs: Math.max(0, order.deadlineAtMs - clock.now()),
-      run: () => this.giveUp(deadlineExceeded(this.started)),
+      run: () => this.giveUp(refusals.deadlineExceeded(this.started)),
     });
   }
 
@@ -103,14 +105,14 @@
   abandon(): void {
     if (this.isOver()) return;
     this.dropAttempts();
-    this.copy.giveUp(answerAbandoned());
+    this.copy.giveUp(refusals.answerAbandoned());
     this.finish();
   }
 
   /** Takes note of a request that was found to crash engines. */
   noteCulprit(poisonKey: string, culprit: Culprit): void {
     if (poisonKey === this.order.poisonKey) {
-      this.giveUp(poisonFound());
+      this.giveUp(refusals.poisonFound());
       return;
     }
     this.history.acquit(culprit);
@@ -162,6 +164,7 @@
     const handler = this.createHandler(attemptId);
     const opened = link.open({id: attemptId, message, handler});
     this.started ||= opened;
+    this.meter.notePlaced();
     return opened;
   }
 
@@ -179,10 +182,7 @@
   }
 
   private takeTokens(attemptId: string, message: TokensMessage): void {
-    const tokens = message.ids.map((id, i): Token => ({
-      id,
-      text: message.texts[i] ?? '',
-    }));
+    const tokens = readTokens(message);
     const {position} = message;
     const isNew = position + tokens.length > this.copy.log.length;
     if (isNew && this.isHedge(attemptId)) this.promoteHedge();
@@ -230,12 +230,14 @@
 
   private noteTokens(count: number): void {
     this.meter.noteTokens(count);
+    this.outcomes.note(this.current, false);
     this.dropHedge();
     this.history.noteProgress();
   }
 
   private takeFailure(attemptId: string, message: FailedMessage): void {
     const {crashId, isCulprit, reason} = message;
+    if (!this.isHedge(attemptId)) this.outcomes.note(this.current, true);
     this.history.noteCrash(crashId);
     if (isCulprit === true) {
       this.condemn();
@@ -247,7 +249,7 @@
   private condemn(): void {
     const {clientAccount, poisonKey} = this.order;
     const culprit = {clientAccount, crashes: this.history.crashes};
-    this.giveUp(poisonFound());
+    this.giveUp(refusals.poisonFound());
     this.parts.quarantine.add({fingerprint: poisonKey, culprit});
   }
 
@@ -265,6 +267,12 @@
       this.lose(attemptId, RetryReason.TARGET_REFUSED);
       return;
     }
+    const {order, parts, history, copy} = this;
+    const begun = copy.log.length > 0 || history.anyLost;
+    if (!begun && !mayRetryRefused({message, order, parts})) {
+      this.giveUp(refusals.retryBudgetSpent());
+      return;
+    }
     this.parts.metrics.countRetry(RetryReason.TARGET_REFUSED);
     this.history.noteRefusal(this.current?.link.vm);
     this.dropCurrent();
@@ -291,7 +299,7 @@
       return;
     }
     if (this.history.isHopeless()) {
-      this.giveUp(tooManyAttempts(this.history.fruitless));
+      this.giveUp(refusals.tooManyAttempts(this.history.fruitless));
       return;
     }
     this.start();
@@ -321,6 +329,7 @@
     const attempt = target && this.createAttempt(target);
     if (attempt === undefined || !this.sendStart(attempt)) return;
     this.hedge = attempt;
+    this.meter.noteLoss();
     this.parts.metrics.countRetry(RetryReason.HEDGED);
   }
 
@@ -338,14 +347,14 @@
   }
 
   private dropHedge(): void {
-    if (this.hedge !== undefined) this.cancel(this.hedge);
+    if (this.hedge !== undefined) cancelAttempt(this.hedge);
     this.hedge = undefined;
   }
 
   /** No word of the present attempt is taken from now on. */
   private dropCurrent(): void {
     this.assembly.drop();
-    if (this.current !== undefined) this.cancel(this.current);
+    if (this.current !== undefined) cancelAttempt(this.current);
     this.current = undefined;
   }
 
@@ -354,20 +363,10 @@
     this.dropCurrent();
   }
 
-  private cancel({link, place}: OpenAttempt): void {
-    const {attemptId} = place;
-    link.release(attemptId);
-    link.tell({type: MessageType.CANCEL, attemptId});
-  }
-
   private createChoice(): TargetChoice {
-    return createChoice({
-      order: this.order,
-      parts: this.parts,
-      lost: this.history.lost,
-      refused: this.history.refused,
-      resumes: this.copy.log.length > 0,
-    });
+    const {order, parts, history, copy} = this;
+    const resumes = copy.log.length > 0;
+    return createChoice({order, parts, history, resumes});
   }
 
   private finishIfKnown(): boolean {
--- a/src/entry/generation/attempt-history.ts
+++ b/src/entry/generation/attempt-history.ts
@@ -11,6 +11,8 @@
   refused: string[] = [];
   /** Engine crashes whose cause is not known yet. */
   crashes: string[] = [];
+  /** Whether an attempt was admitted and then lost. */
+  anyLost = false;
   private fruitlessCount = 0;
   private conflictSinceMs: number | undefined;
 
@@ -28,6 +30,7 @@
 
   noteLoss(vm: string | undefined): void {
     this.fruitlessCount++;
+    this.anyLost = true;
     if (vm !== undefined) this.lost.push(vm);
   }
 
--- a/src/entry/generation/start-message.ts
+++ b/src/entry/generation/attempt-messages.ts
@@ -1,8 +1,12 @@
-/** The messages that open an attempt. */
+/** The messages of an attempt. */
 import type {Token} from '../../core/edges/index.js';
-import type {AttachMessage, StartMessage} from '../../core/protocol/index.js';
+import type {
+  AttachMessage,
+  StartMessage,
+  TokensMessage,
+} from '../../core/protocol/index.js';
 import {MessageType} from '../../core/protocol/index.js';
-import type {RunOrder} from './run-types.js';
+import type {OpenAttempt, RunOrder} from './run-types.js';
 
 /** Creates the order to run an attempt. */
 export function createStart(
@@ -42,3 +46,15 @@
     ...options,
   };
 }
+
+/** Reads the tokens of a message, which come in columns. */
+export function readTokens({ids, texts}: TokensMessage): Token[] {
+  return ids.map((id, i) => ({id, text: texts[i] ?? ''}));
+}
+
+/** Hears no more of an attempt, and has it stopped. */
+export function cancelAttempt({link, place}: OpenAttempt): void {
+  const {attemptId} = place;
+  link.release(attemptId);
+  link.tell({type: MessageType.CANCEL, attemptId});
+}
--- a/src/entry/generation/choose-target.ts
+++ b/src/entry/generation/choose-target.ts
@@ -2,6 +2,7 @@
 import {prefixFingerprintOf} from '../../core/generation/index.js';
 import type {RecoveryPolicy} from '../../core/generation/index.js';
 import type {TargetChooser, TargetView} from '../../core/routing/index.js';
+import type {AttemptHistory} from './attempt-history.js';
 import {IDLE_SHARE} from './consts.js';
 import type {RunOrder, RunParts} from './run-types.js';
 
@@ -30,14 +31,15 @@
 export function createChoice(options: {
   order: RunOrder;
   parts: RunParts;
-  lost: readonly string[];
-  refused: readonly string[];
+  history: Pick<AttemptHistory, 'lost' | 'refused'>;
   resumes: boolean;
 }): TargetChoice {
-  const {order, parts, ...rest} = options;
+  const {order, parts, history, resumes} = options;
+  const {lost, refused} = history;
   const {chooser, links, dataCentre} = parts;
   const {service, spec} = order;
-  const query = {service, dataCentre, prompt: spec.prompt, ...rest};
+  const {prompt} = spec;
+  const query = {service, dataCentre, prompt, lost, refused, resumes};
   return {query, targets: links.views(), chooser, policy: links.policy()};
 }
 
--- a/src/entry/generation/run-refusals.ts
+++ b/src/entry/generation/run-refusals.ts
@@ -40,3 +40,13 @@
   const detail = 'the answer is no longer kept here';
   return {reason: RefusalReason.ANSWER_LOST, ran: Ran.UNKNOWN, detail};
 }
+
+/** A target refused, and the service may not try again elsewhere. */
+export function retryBudgetSpent(): Refusal {
+  return {
+    reason: RefusalReason.RETRY_BUDGET_SPENT,
+    ran: Ran.NO,
+    detail: 'the target refused and the service has no retries left',
+    retryAfterMs: RETRY_AFTER_MS,
+  };
+}
--- a/src/entry/generation/run-types.ts
+++ b/src/entry/generation/run-types.ts
@@ -1,9 +1,10 @@
 /** Shapes that the parts of a generation's run share. */
+import type {RetryBudgets} from '../../core/admission/index.js';
 import type {Clock, RandomSource} from '../../core/clock/index.js';
 import type {GenerationSpec} from '../../core/edges/index.js';
 import type {Metrics} from '../../core/metrics/index.js';
 import type {Quarantine} from '../../core/poison/index.js';
-import type {TargetChooser} from '../../core/routing/index.js';
+import type {FailureWatch, TargetChooser} from '../../core/routing/index.js';
 import type {AgentLinks} from '../agent-links.js';
 import type {AttemptPlace} from '../answer-copy.js';
 import type {AttemptLink} from './attempt-link.js';
@@ -16,6 +17,7 @@
   /** Fingerprint of what can crash an engine: account, model and prompt. */
   readonly poisonKey: string;
   readonly service: string;
+  readonly retryRatio: number;
   readonly spec: GenerationSpec;
   /** On the process's clock. */
   readonly deadlineAtMs: number;
@@ -28,6 +30,8 @@
   readonly metrics: Metrics;
   readonly links: AgentLinks;
   readonly chooser: TargetChooser;
+  readonly failures: FailureWatch;
+  readonly retryBudgets: RetryBudgets;
   readonly dataCentre: string;
   readonly quarantine: Quarantine;
 }
--- a/test/processes/generation-moves.test.ts
+++ b/test/processes/generation-moves.test.ts
@@ -17,18 +17,6 @@
 
   afterAll(() => faultSite?.close());
 
-  it('is not given up on an engine that is slow', async () => {
-    const {engines} = faultSite.site;
-    const before = await countStarted(engines);
-    await setFault(engines, 'slow', 40);
-    const ask = createAsk('slow');
-    const transcript = await faultSite.read({ask: {...ask, maxTokens: 6}});
-    await setFault(engines, 'none', 1);
-    expect(transcript.text).toBe(expectedText({...ask, maxTokens: 6}));
-    expect(transcript.ends).toBe(1);
-    expect((await countStarted(engines)) - before).toBe(1);
-  });
-
   it('is cancelled at an agent that was frozen meanwhile', async () => {
     let victim: Promise<Target> | undefined;
     const transcript = createTranscript();
@@ -50,6 +38,7 @@
       what: 'the answer goes on elsewhere',
       check: async () => {
         const vm = transcript.lastEventId.split(':')[2];
+        expect(transcript.errors).toEqual([]);
         return victim !== undefined && vm !== (await victim).vm;
       },
     });
@@ -107,6 +96,19 @@
     expect(transcript.lastEventId.split(':')[2]).not.toBe(target.vm);
     expect(await target.agent.proc.exited).toBe(0);
   });
+
+  // Last: what the entry learns of slow engines bounds what it admits.
+  it('is not given up on an engine that is slow', async () => {
+    const {engines} = faultSite.site;
+    const before = await countStarted(engines);
+    await setFault(engines, 'slow', 40);
+    const ask = createAsk('slow');
+    const transcript = await faultSite.read({ask: {...ask, maxTokens: 6}});
+    await setFault(engines, 'none', 1);
+    expect(transcript.text).toBe(expectedText({...ask, maxTokens: 6}));
+    expect(transcript.ends).toBe(1);
+    expect((await countStarted(engines)) - before).toBe(1);
+  });
 });
 
 interface Counts {
--- a/tools/lab/lab.ts
+++ b/tools/lab/lab.ts
@@ -3,7 +3,7 @@
 
 import {request} from 'undici';
 
-import {EXAMPLES_URL} from './paths.js';
+import {EXAMPLES} from './paths.js';
 import type {ReadyFields} from './proc.js';
 import {Proc} from './proc.js';
 
@@ -36,6 +36,7 @@
 /** Holds child processes; whoever creates a lab must close it. */
 export class Lab {
   private readonly procs: Proc[] = [];
+  private closed = false;
 
   /** Starts a stand-in by the name of its folder. */
   async startStandIn(options: {
@@ -66,7 +67,7 @@
       ...settings,
     };
     const path = `quickstart/processes/${role}.yaml`;
-    const base = fileURLToPath(new URL(path, EXAMPLES_URL));
+    const base = fileURLToPath(new URL(path, EXAMPLES));
     const args = Object.entries(overrides).flatMap(([name, value]) => [
       '--set',
       `${name}=${value}`,
@@ -82,6 +83,7 @@
 
   /** Ends all processes and waits until they are gone. */
   async close(): Promise<void> {
+    this.closed = true;
     for (const proc of this.procs) {
       proc.kill();
     }
@@ -89,6 +91,8 @@
   }
 
   private async start(script: string, args: readonly string[]) {
+    // A start that another one's failure overtook must leave nothing behind.
+    if (this.closed) throw new Error('the lab is closed');
     const proc = Proc.start({script, args});
     this.procs.push(proc);
     const ready = await proc.ready.catch((cause: unknown) => {
--- a/tools/lab/paths.ts
+++ b/tools/lab/paths.ts
@@ -1,10 +1,18 @@
-/** Where the lab finds programs and examples, run from source or compiled. */
-const HERE = new URL('.', import.meta.url);
-const IS_COMPILED = HERE.pathname.endsWith('/dist/tools/lab/');
-const ROOT = new URL(IS_COMPILED ? '../../../' : '../../', HERE);
+/** Where the lab finds programs and examples, also when it is not compiled. */
+import {existsSync} from 'node:fs';
+
+/** Root of the repository. */
+const ROOT = findRoot(new URL('./', import.meta.url));
 
 /** Root of the compiled programs. */
-export const DIST_URL = new URL('dist/', ROOT);
+export const DIST = new URL('dist/', ROOT);
 
 /** The example deployments. */
-export const EXAMPLES_URL = new URL('examples/', ROOT);
+export const EXAMPLES = new URL('examples/', ROOT);
+
+function findRoot(folder: URL): URL {
+  if (existsSync(new URL('package.json', folder))) return folder;
+  const parent = new URL('../', folder);
+  if (parent.href === folder.href) throw new Error('no package.json found');
+  return findRoot(parent);
+}
--- a/tools/lab/proc.ts
+++ b/tools/lab/proc.ts
@@ -4,7 +4,7 @@
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
 
-import {DIST_URL} from './paths.js';
+import {DIST} from './paths.js';
 
 const READY_TIMEOUT_MS = 20_000;
 
@@ -41,7 +41,7 @@
 
   /** Starts `dist/<script>` and waits for nothing. */
   static start(options: {script: string; args: readonly string[]}): Proc {
-    const path = fileURLToPath(new URL(options.script, DIST_URL));
+    const path = fileURLToPath(new URL(options.script, DIST));
     const child = spawn(process.execPath, [path, ...options.args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
