--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -4,10 +4,12 @@
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {
   EngineDriver,
+  ObjectStore,
   OperatorHandler,
   ProcessStatus,
   ServiceDriver,
 } from '../core/edges/index.js';
+import {AGENT_DRAIN_LIMITS, DrainController} from '../core/drain/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import type {HelloMessage, TransportError} from '../core/protocol/index.js';
@@ -21,12 +23,14 @@
 import {AgentBoard} from './agent-board.js';
 import {AttemptTable} from './attempt-table.js';
 import {CallRunner} from './call-runner.js';
-import {DRAIN_POLL_MS, MAX_KEYS} from './consts.js';
+import {MAX_KEYS} from './consts.js';
+import {LeavePeers} from './drain-peers.js';
 import type {TargetProbe} from './engine-monitor.js';
 import {EngineMonitor} from './engine-monitor.js';
 import type {SessionParts} from './entry-session.js';
 import {EntrySession} from './entry-session.js';
 import {KeyTable} from './key-table.js';
+import {OutcomeRecorder} from './outcome-recorder.js';
 
 /** The target's driver: an engine or a plain service. */
 export interface TargetDrivers {
@@ -42,6 +46,7 @@
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly drivers: TargetDrivers;
+  readonly store: ObjectStore;
   /** Called once a drain has ended and all work is done. */
   readonly onDrained: () => void;
 }
@@ -50,13 +55,20 @@
 export class AgentProcess implements OperatorHandler {
   private readonly board = new AgentBoard();
   private readonly incarnation: string;
+  private readonly recorder: OutcomeRecorder;
   private readonly attempts: AttemptTable | undefined;
   private readonly calls: CallRunner | undefined;
   private readonly monitor: EngineMonitor;
   private readonly server: PeerServer;
+  private readonly peers = new LeavePeers({onLeave: () => this.drain()});
+  private readonly drainer: DrainController;
 
   constructor(private readonly options: AgentOptions) {
     this.incarnation = options.random.id();
+    this.recorder = new OutcomeRecorder({
+      ...options,
+      incarnation: this.incarnation,
+    });
     this.attempts = this.createAttempts();
     this.calls = this.createCalls();
     this.monitor = new EngineMonitor({
@@ -68,6 +80,7 @@
         this.attempts?.lastTokenAtMs() ?? Number.NEGATIVE_INFINITY,
     });
     this.server = this.createServer();
+    this.drainer = this.createDrainer();
   }
 
   /** Listens for entries and returns the port. */
@@ -108,20 +121,25 @@
   }
 
   drain(): void {
-    if (this.board.leaving.get()) return;
-    this.options.logger.info('leaving');
-    this.board.leaving.set(true);
-    this.awaitIdle();
+    this.drainer.begin();
+  }
+
+  private createDrainer(): DrainController {
+    return new DrainController({
+      ...this.options,
+      leaving: this.board.leaving,
+      limits: AGENT_DRAIN_LIMITS,
+      work: {
+        countRunning: () => this.countUnfinished(),
+        countUnsentBytes: () => this.server.countUnsentBytes(),
+        countPeersToAnswer: () => this.peers.count(),
+      },
+    });
   }
 
-  private awaitIdle(): void {
-    if (this.countRunning() === 0) {
-      this.options.logger.info('drained');
-      this.options.onDrained();
-      return;
-    }
-    const run = (): void => this.awaitIdle();
-    this.options.clock.schedule({delayMs: DRAIN_POLL_MS, run});
+  /** Work in flight, outcomes that are not recorded yet included. */
+  private countUnfinished(): number {
+    return this.countRunning() + (this.recorder.isIdle() ? 0 : 1);
   }
 
   private countRunning(): number {
@@ -147,6 +165,8 @@
     if (drivers.service === undefined) return undefined;
     return new CallRunner({
       board: this.board,
+      clock: this.options.clock,
+      recorder: this.recorder,
       driver: drivers.service,
       incarnation: this.incarnation,
       keys: new KeyTable({capacity: MAX_KEYS}),
@@ -162,6 +182,7 @@
       attempts: this.attempts,
       calls: this.calls,
       countRunning: () => this.countRunning(),
+      peers: this.peers,
     };
     return new PeerServer({
       hello: this.createHello(),
--- a/src/cli/commands/generate/run-generate.ts
+++ b/src/cli/commands/generate/run-generate.ts
@@ -79,7 +79,9 @@
     this.streams++;
     const {answer, body, signal} = this;
     const url = `${base}${COMPLETIONS_PATH}`;
-    return readStream({url, key, body, answer, signal});
+    const leftMs = this.deadlineAt - this.ctx.clock.now();
+    const deadlineMs = Math.max(1, Math.floor(leftMs));
+    return readStream({url, key, body, answer, deadlineMs, signal});
   }
 
   private canRetry(end: StreamEnd & {kind: StreamEndKind.REFUSED}): boolean {
--- a/src/cli/http/call-http.ts
+++ b/src/cli/http/call-http.ts
@@ -1,19 +1,21 @@
-import {err, ok, type Result} from 'neverthrow';
-import {request} from 'undici';
+import type {Result} from 'neverthrow';
 
+import type {
+  HttpAnswer as RawAnswer,
+  HttpFailure,
+} from '../../adapters/http-call.js';
+import {
+  callHttp as exchange,
+  createPool,
+  HttpFailureKind,
+} from '../../adapters/http-call.js';
 import {Layer} from '../../core/errors/index.js';
 import {hasProblem, parseProblem, parseRetryAfter} from './problem-document.js';
 import type {HttpAnswer, HttpError} from './types.js';
 import {HttpErrorKind} from './types.js';
 
-/** Codes of failures before anything was sent. */
-const NOT_SENT_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'ENOTFOUND',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
+/** A run of the tool makes few calls; each opens its own connection. */
+const POOL = createPool({keepsAlive: false});
 
 /**
  * Sends one request and reads its answer whole.
@@ -28,39 +30,33 @@
   body?: string;
   timeoutMs: number;
 }): Promise<Result<HttpAnswer, HttpError>> {
-  const {url, method, headers, body, timeoutMs} = options;
-  try {
-    const res = await request(url, {
-      method: method,
-      headers,
-      body,
-      headersTimeout: timeoutMs,
-      bodyTimeout: timeoutMs,
-      signal: AbortSignal.timeout(timeoutMs),
-    });
-    const text = await res.body.text();
-    return ok({
-      status: res.statusCode,
-      body: text,
-      problem: hasProblem(res.headers)
-        ? parseProblem(text).extract()
-        : undefined,
-      retryAfterMs: parseRetryAfter(res.headers),
-    });
-  } catch (thrown) {
-    return err(createHttpError(thrown));
-  }
+  const {headers, ...rest} = options;
+  const fields = Object.entries(headers);
+  const answer = await exchange({
+    dispatcher: POOL,
+    headers: fields.map(([name, value]) => ({name, value})),
+    ...rest,
+  });
+  return answer.map(toAnswer).mapErr(createHttpError);
 }
 
-/** Turns what the HTTP client throws into an error value. */
-export function createHttpError(thrown: unknown): HttpError {
-  const {code = '', message = String(thrown)} = thrown as {
-    code?: string;
-    message?: string;
+/** Turns a failed exchange into an error of the tool. */
+export function createHttpError({kind, detail}: HttpFailure): HttpError {
+  const isSent = kind !== HttpFailureKind.NOT_SENT;
+  return {
+    layer: Layer.CLI,
+    kind: isSent ? HttpErrorKind.LOST : HttpErrorKind.NOT_SENT,
+    detail,
+  };
+}
+
+function toAnswer({status, headers, body}: RawAnswer): HttpAnswer {
+  const text = Buffer.from(body).toString('utf8');
+  const map = Object.fromEntries(headers.map(({name, value}) => [name, value]));
+  return {
+    status,
+    body: text,
+    problem: hasProblem(map) ? parseProblem(text).extract() : undefined,
+    retryAfterMs: parseRetryAfter(map),
   };
-  const kind = NOT_SENT_CODES.has(String(code))
-    ? HttpErrorKind.NOT_SENT
-    : HttpErrorKind.LOST;
-  const detail = message === '' ? String(code) : message;
-  return {layer: Layer.CLI, kind, detail};
 }
