--- /dev/null
+++ b/bench/experiments/resume/index.ts
@@ -0,0 +1,101 @@
+/** How long callers wait after a loss, and what the recovery costs. */
+import type {Samples} from '../../lib/samples.js';
+import type {Experiment, ExperimentResult} from '../../lib/types.js';
+import type {BaselineResult} from './baselines.js';
+import {measureFixedTimeout, measureFromZero} from './baselines.js';
+import type {LossResult} from './losses.js';
+import {Loss, measureLoss} from './losses.js';
+
+/** Output goes on within this time of any single loss, always. */
+const ALWAYS_MS = 3_000;
+
+/** Aims at the 99th percentile, at `latency`. */
+const DEATH_P99_MS = 300;
+const SILENCE_P99_MS = 1_200;
+
+/** Aim at `resources`: one prefill of what was lost. */
+const EXTRA_PREFILLS = 1;
+
+const ROUNDS = 4;
+const STREAMS = 20;
+
+/** Loses engines and VMs under running answers. */
+export const experiment: Experiment = {
+  name: 'resume',
+  summary: 'wait of callers after a loss, and extra tokens computed for it',
+  starts: 'a platform, 8 engines with agents and relays, 1 entry; about 45 s',
+  flags: [
+    '--weigh latency|resources: what the deployment weighs, latency by default',
+    `--rounds N: losses of each kind, ${ROUNDS} by default`,
+    `--streams N: answers at once, ${STREAMS} by default`,
+  ],
+  run: async ({flags}) => {
+    const weigh = flags.text('weigh', 'latency');
+    const rounds = flags.number('rounds', ROUNDS);
+    const streams = flags.number('streams', STREAMS);
+    const baselines = Promise.all([measureFromZero(), measureFixedTimeout()]);
+    const losses: LossResult[] = [];
+    for (const loss of Object.values(Loss)) {
+      losses.push(await measureLoss({loss, weigh, rounds, streams}));
+    }
+    return createResult(weigh, losses, await baselines);
+  },
+};
+
+function createResult(
+  weigh: string,
+  losses: readonly LossResult[],
+  baselines: readonly BaselineResult[],
+): ExperimentResult {
+  return {
+    cases: [
+      ...losses.flatMap(({wait, parts}) => [wait.result(), ...parts]),
+      ...baselines.map(({wait}) => wait.result()),
+    ],
+    ratios: [
+      ...losses.flatMap(createCosts),
+      ...baselines.map(({name, decodedPerLost: value}) => ({
+        name: `${name}: decoded again per lost token`,
+        value,
+      })),
+      ...baselines.map(({name, prefilledPerLost: value}) => ({
+        name: `${name}: prefilled per lost token`,
+        value,
+      })),
+      ...losses.map(({name, wholeShare}) => ({
+        name: `${name}: share of answers that were whole`,
+        value: wholeShare,
+      })),
+    ],
+    bounds: losses.flatMap((loss) => createBounds(weigh, loss)),
+  };
+}
+
+function createCosts({name, cost}: LossResult) {
+  const {prefilled, decoded, decodedInVain, perPrefill} = cost;
+  return [
+    {name: `${name}: prefilled per lost token`, value: prefilled},
+    {name: `${name}: decoded again per lost token`, value: decoded},
+    {name: `${name}: decoded in vain at the lost VM`, value: decodedInVain},
+    {name: `${name}: extra, in prefills of what was lost`, value: perPrefill},
+  ];
+}
+
+function createBounds(weigh: string, loss: LossResult) {
+  const {name, wait, cost, kind} = loss;
+  const always = atMost(`${name}, max ms`, ALWAYS_MS, maxOf(wait));
+  if (weigh === 'resources') {
+    const label = `${name}, extra computation in prefills of what was lost`;
+    return [always, atMost(label, EXTRA_PREFILLS, cost.perPrefill)];
+  }
+  const aim = kind === Loss.DEATH ? DEATH_P99_MS : SILENCE_P99_MS;
+  return [always, atMost(`${name}, p99 ms`, aim, wait.percentile(99))];
+}
+
+function maxOf(samples: Samples): number {
+  return samples.percentile(100);
+}
+
+function atMost(name: string, stated: number, measured: number) {
+  return {name, stated, measured, holds: measured <= stated};
+}
--- /dev/null
+++ b/bench/experiments/resume/losses.ts
@@ -0,0 +1,311 @@
+/** Loses a target under running answers, again and again. */
+import {request} from 'undici';
+
+import {expectedAnswer} from '../../../stand-ins/engine/text.js';
+import type {Ask, Transcript} from '../../../tools/lab/caller.js';
+import {createTranscript, readWhole} from '../../../tools/lab/caller.js';
+import {controlRelay, sendControl, waitUntil} from '../../../tools/lab/lab.js';
+import type {Target} from '../../../tools/lab/site.js';
+import {Site} from '../../../tools/lab/site.js';
+import {Samples} from '../../lib/samples.js';
+import type {CaseResult} from '../../lib/types.js';
+
+const ENGINES = 8;
+const PACE_MS = 20;
+const TOKENS = 70;
+
+/** Tokens that each answer has when the loss comes. */
+const TOKENS_BEFORE = 30;
+
+/** Characters of a prompt that the engine counts as one token. */
+const CHARACTERS_PER_TOKEN = 4;
+
+const MS_PER_S = 1_000;
+
+/** What is lost. */
+export enum Loss {
+  DEATH = 'engine process dies',
+  FREEZE = 'VM freezes',
+  CUT = 'VM is cut off',
+}
+
+/** What losses of one kind did. */
+export interface LossResult {
+  readonly name: string;
+  readonly kind: Loss;
+  /** From the last token before to the first one after, at the caller. */
+  readonly wait: Samples;
+  /** The entry's own split of it. */
+  readonly parts: readonly CaseResult[];
+  readonly cost: ResumeCost;
+  readonly wholeShare: number;
+}
+
+/** Extra computation, per lost token that callers had. */
+export interface ResumeCost {
+  /** Tokens that other targets prefilled. */
+  readonly prefilled: number;
+  /** Tokens that other targets decoded and nobody got. */
+  readonly decoded: number;
+  /** Tokens that the lost target itself decoded and nobody got. */
+  readonly decodedInVain: number;
+  /** All extra tokens of other targets, per token of one prefill. */
+  readonly perPrefill: number;
+}
+
+interface EngineCounts {
+  readonly tokensProduced: number;
+  readonly prefillTokens: number;
+  readonly requests: ReadonlyArray<{
+    readonly requestId: string;
+    readonly resumedFrom: number;
+  }>;
+}
+
+interface Tally {
+  prefilled: number;
+  decoded: number;
+  decodedInVain: number;
+  lost: number;
+  onePrefill: number;
+  whole: number;
+  answers: number;
+}
+
+/** Measures `rounds` losses of one kind. */
+export async function measureLoss(options: {
+  loss: Loss;
+  weigh: string;
+  rounds: number;
+  streams: number;
+}): Promise<LossResult> {
+  const {loss, weigh, rounds, streams} = options;
+  const wait = new Samples({name: `${loss}: wait`, unit: 'ms'});
+  const tally = createTally();
+  const site = await Site.create({
+    entries: 1,
+    engines: ENGINES,
+    relays: true,
+    engineFlags: {'pace-ms': PACE_MS},
+    editBase: (base) => {
+      base['recovery'] = {weigh};
+    },
+  });
+  try {
+    for (let round = 0; round < rounds; round++) {
+      await runRound({site, loss, round, streams, wait, tally});
+    }
+    const parts = await readParts(site, loss);
+    const cost = costOf(tally);
+    const wholeShare = tally.whole / tally.answers;
+    return {name: loss, kind: loss, wait, parts, cost, wholeShare};
+  } finally {
+    await site.close();
+  }
+}
+
+async function runRound(options: {
+  site: Site;
+  loss: Loss;
+  round: number;
+  streams: number;
+  wait: Samples;
+  tally: Tally;
+}): Promise<void> {
+  const {site, loss, round, streams, wait, tally} = options;
+  const urls = site.entries.map((entry) => entry.callersUrl);
+  const asks = Array.from({length: streams}, (_, i) => ({
+    prompt: `round ${round} stream ${i} [length=${TOKENS}]`,
+    maxTokens: TOKENS,
+  }));
+  const alive = site.engines.filter((t) => t.standIn.proc.isRunning);
+  const transcripts = asks.map(() => createTranscript());
+  const before = await readAll(alive);
+  const reading = asks.map((ask, i) =>
+    readWhole({urls, ask, transcript: transcripts[i]!}),
+  );
+  const check = (): Promise<boolean> =>
+    Promise.resolve(transcripts.every((t) => positionOf(t) >= TOKENS_BEFORE));
+  await waitUntil({what: 'the answers have begun', check});
+  const victim = chooseVictim(alive, transcripts);
+  const isLost = transcripts.map((t) => vmOf(t) === victim.vm);
+  const atMs = performance.now();
+  const repair = await lose(victim, loss);
+  await Promise.all(reading);
+  await repair();
+  const others = alive.filter((t) => t !== victim);
+  const after = await readAll(others);
+  transcripts.forEach((transcript, i) => {
+    if (isLost[i]) wait.add(waitAround(transcript, atMs));
+    tally.whole += Number(isWhole(asks[i]!, transcript));
+    tally.answers++;
+    addAnswer({transcript, prompt: asks[i]!.prompt, after, tally});
+  });
+  const sums = {before, after, targets: others};
+  tally.decoded += growth(sums, (counts) => counts.tokensProduced);
+  tally.prefilled += growth(sums, (counts) => counts.prefillTokens);
+  if (loss === Loss.DEATH) return;
+  const own = {before, after: await readAll([victim]), targets: [victim]};
+  tally.decodedInVain += growth(own, (counts) => counts.tokensProduced);
+}
+
+function createTally(): Tally {
+  return {
+    prefilled: 0,
+    decoded: 0,
+    decodedInVain: 0,
+    lost: 0,
+    onePrefill: 0,
+    whole: 0,
+    answers: 0,
+  };
+}
+
+function costOf(tally: Tally): ResumeCost {
+  const {prefilled, decoded, decodedInVain, lost, onePrefill} = tally;
+  return {
+    prefilled: prefilled / lost,
+    decoded: decoded / lost,
+    decodedInVain: Math.max(0, decodedInVain) / lost,
+    perPrefill: (prefilled + decoded) / onePrefill,
+  };
+}
+
+/** Takes what an answer needed off what the targets computed. */
+function addAnswer(options: {
+  transcript: Transcript;
+  prompt: string;
+  after: ReadonlyMap<string, EngineCounts>;
+  tally: Tally;
+}): void {
+  const {transcript, prompt, after, tally} = options;
+  const requestId = transcript.lastEventId.split(':')[0];
+  const resumes = [...after.values()]
+    .flatMap((counts) => counts.requests)
+    .filter((request) => request.requestId === requestId)
+    .map((request) => request.resumedFrom);
+  const lost = Math.max(0, ...resumes);
+  const promptTokens = Math.ceil(prompt.length / CHARACTERS_PER_TOKEN);
+  tally.decoded -= TOKENS - lost;
+  tally.decodedInVain -= lost;
+  tally.lost += lost;
+  if (lost > 0) tally.onePrefill += lost + promptTokens;
+  else tally.prefilled -= promptTokens;
+}
+
+/** How much the targets computed between two readings. */
+function growth(
+  options: {
+    before: ReadonlyMap<string, EngineCounts>;
+    after: ReadonlyMap<string, EngineCounts>;
+    targets: readonly Target[];
+  },
+  read: (counts: EngineCounts) => number,
+): number {
+  const {before, after, targets} = options;
+  return targets.reduce(
+    (sum, {vm}) => sum + read(after.get(vm)!) - read(before.get(vm)!),
+    0,
+  );
+}
+
+async function lose(
+  {standIn, agent, targetRelay, agentRelay}: Target,
+  loss: Loss,
+): Promise<() => Promise<void>> {
+  switch (loss) {
+    case Loss.DEATH:
+      standIn.proc.kill();
+      return () => Promise.resolve();
+    case Loss.FREEZE:
+      agent.proc.freeze();
+      standIn.proc.freeze();
+      return () => {
+        standIn.proc.thaw();
+        agent.proc.thaw();
+        return Promise.resolve();
+      };
+    case Loss.CUT:
+      await Promise.all([
+        controlRelay(agentRelay!, 'cut'),
+        controlRelay(targetRelay!, 'cut'),
+      ]);
+      return async () => {
+        await controlRelay(agentRelay!, 'mend');
+        await controlRelay(targetRelay!, 'mend');
+      };
+  }
+}
+
+/** The target with the most of the answers. */
+function chooseVictim(
+  targets: readonly Target[],
+  transcripts: readonly Transcript[],
+): Target {
+  const countOf = (target: Target): number =>
+    transcripts.filter((t) => vmOf(t) === target.vm).length;
+  return targets.reduce((a, b) => (countOf(b) > countOf(a) ? b : a));
+}
+
+/** The widest gap between arrivals that ends after a moment. */
+function waitAround({arrivalsMs}: Transcript, atMs: number): number {
+  let widest = 0;
+  arrivalsMs.forEach((ms, i) => {
+    if (i > 0 && ms > atMs) widest = Math.max(widest, ms - arrivalsMs[i - 1]!);
+  });
+  return widest;
+}
+
+function isWhole(ask: Ask, transcript: Transcript): boolean {
+  const {tokens} = expectedAnswer({...ask, stop: []});
+  const text = tokens.map((token) => token.text).join('');
+  const {ends, restarts} = transcript;
+  return transcript.text === text && ends === 1 && restarts === 0;
+}
+
+function vmOf(transcript: Transcript): string {
+  return transcript.lastEventId.split(':')[2] ?? '';
+}
+
+function positionOf(transcript: Transcript): number {
+  return Number(transcript.lastEventId.split(':').at(-1));
+}
+
+async function readAll(
+  targets: readonly Target[],
+): Promise<Map<string, EngineCounts>> {
+  const read = async (target: Target): Promise<[string, EngineCounts]> => {
+    const url = `${target.standIn.url}/counts`;
+    return [target.vm, (await sendControl({url})) as EngineCounts];
+  };
+  return new Map(await Promise.all(targets.map(read)));
+}
+
+const PARTS = ['detection', 'placement', 'first_token'];
+
+/** Quantiles that the entry kept of each part of its resumes. */
+async function readParts(site: Site, loss: Loss): Promise<CaseResult[]> {
+  const url = `${site.entries[0]!.operatorsUrl}/metrics`;
+  const res = await request(url);
+  const lines = (await res.body.text()).split('\n');
+  return PARTS.map((part) => {
+    const read = (suffix: string): number => {
+      const name = `resume_${part}_seconds${suffix}`;
+      const line = lines.find((text) => text.includes(name));
+      return Number(line?.split(' ').at(-1) ?? 0);
+    };
+    const at = (q: string): number => read(`{quantile="${q}"}`) * MS_PER_S;
+    const name = `${loss}: ${part.replace('_', ' ')}`;
+    const n = read('_count');
+    const p99 = at('0.99');
+    return {
+      name,
+      unit: 'ms',
+      n,
+      p50: at('0.5'),
+      p95: at('0.95'),
+      p99,
+      max: p99,
+    };
+  });
+}
--- a/src/agent/consts.ts
+++ b/src/agent/consts.ts
@@ -28,6 +28,15 @@
 /** Keys that an agent remembers; more are refused. */
 export const MAX_KEYS = 200_000;
 
+/** Time to find out whether an engine's process is gone, in milliseconds. */
+export const CRASH_PROBE_MS = 100;
+
+/** Most time that a probe is given under load, in milliseconds. */
+export const PROBE_TIMEOUT_MAX_MS = 800;
+
+/** A probe that ends this late shows that this process was paused. */
+export const PAUSE_EVIDENCE_MS = 150;
+
 /** Outcomes that end within this time are recorded together. */
 export const OUTCOME_GROUP_MS = 500;
 
--- a/src/core/metrics/types.ts
+++ b/src/core/metrics/types.ts
@@ -3,6 +3,12 @@
   FIRST_TOKEN = 'first_token_seconds',
   TOKEN_GAP = 'token_gap_seconds',
   RESUME = 'resume_seconds',
+  /** From the last token until the loss was noticed. */
+  RESUME_DETECTION = 'resume_detection_seconds',
+  /** From then until another target was asked. */
+  RESUME_PLACEMENT = 'resume_placement_seconds',
+  /** From then until its first token. */
+  RESUME_FIRST_TOKEN = 'resume_first_token_seconds',
   BOOKING_CLAIM = 'booking_claim_seconds',
   PLAIN_CALL = 'plain_call_seconds',
 }
--- a/src/entry/consts.ts
+++ b/src/entry/consts.ts
@@ -1,6 +1,3 @@
-/** Silence after which a busy agent is suspected, in milliseconds. */
-export const SUSPECT_BUSY_MS = 600;
-
 /** Silence after which an idle agent is suspected, in milliseconds. */
 export const SUSPECT_IDLE_MS = 2_500;
 
@@ -37,6 +34,9 @@
 /** Wait before the configuration is read again, in milliseconds. */
 export const CONFIG_RETRY_MS = 500;
 
+/** Cancels that a link keeps for an agent that is away. */
+export const MAX_PENDING_CANCELS = 1_000;
+
 /** Bounds of the wait before an agent is asked again, in milliseconds. */
 export const ASK_RETRY_MIN_MS = 100;
 export const ASK_RETRY_MAX_MS = 1_000;
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -19,6 +19,7 @@
 import {DrainController, ENTRY_DRAIN_LIMITS} from '../core/drain/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
+import {Quarantine} from '../core/poison/index.js';
 import type {HelloMessage, TransportError} from '../core/protocol/index.js';
 import {
   MessageRouter,
@@ -35,6 +36,7 @@
 import {ConfigControl} from './config-control.js';
 import {EntryBoard} from './entry-board.js';
 import type {RunParts} from './generation-run.js';
+import {QuarantineWatch} from './generation/quarantine-watch.js';
 import {GenerationService} from './generation-service.js';
 import {OwnVmWatch} from './membership-own-vm.js';
 import {LoadController} from './load-controller.js';
@@ -63,6 +65,7 @@
   private readonly incarnation: string;
   private readonly admission: Admission;
   private readonly router = new MessageRouter();
+  private readonly quarantine = new Quarantine();
   private readonly server: PeerServer;
   private readonly directory: VmDirectory;
   private readonly links: AgentLinks;
@@ -70,6 +73,7 @@
   private readonly generations: GenerationService;
   private readonly gate: CallerGate;
   private readonly config: ConfigControl;
+  private readonly quarantineWatch: QuarantineWatch;
   private readonly drainer: DrainController;
 
   constructor(private readonly options: EntryOptions) {
@@ -102,9 +106,13 @@
     this.generations = new GenerationService({
       parts,
       admission: this.admission,
-      entryVm: options.settings.vm,
+      board,
+      hello,
+      router,
     });
     this.gate = this.createGate(parts);
+    const {quarantine} = this;
+    this.quarantineWatch = new QuarantineWatch({...options, quarantine});
     this.drainer = this.createDrainer();
     new OwnVmWatch({
       board,
@@ -129,11 +137,13 @@
     this.loadController.open();
     this.generations.open();
     this.config.open();
+    this.quarantineWatch.open();
     return this.server.listen(this.options.settings.peers);
   }
 
   stop(): void {
     this.config.close();
+    this.quarantineWatch.close();
     this.generations.close();
     this.loadController.close();
     this.links.close();
@@ -205,6 +215,7 @@
       failures,
       retryBudgets: new RetryBudgets({clock}),
       dataCentre: settings.dataCentre,
+      quarantine: this.quarantine,
     };
   }
 
--- a/tools/lab/lab.ts
+++ b/tools/lab/lab.ts
@@ -3,8 +3,8 @@
 
 import {request} from 'undici';
 
-import type {ReadyFields} from './proc.js';
 import {EXAMPLES} from './paths.js';
+import type {ReadyFields} from './proc.js';
 import {Proc} from './proc.js';
 
 const ADDRESS = '127.0.0.1';
@@ -118,6 +118,15 @@
   return text === '' ? undefined : (JSON.parse(text) as unknown);
 }
 
+/** Cuts, mends or resets the connections of a relay. */
+export async function controlRelay(
+  relay: StandIn,
+  action: 'cut' | 'mend' | 'reset',
+): Promise<void> {
+  const url = `http://${ADDRESS}:${relay.controlPort}/${action}`;
+  await sendControl({url, method: 'POST', body: {}});
+}
+
 /** Polls until `check` holds; fails after `timeoutMs`. */
 export async function waitUntil(options: {
   what: string;
