Learn suspicion from observed gaps; watch a deterministic subset of targets

Cause: silence was judged by two fixed thresholds, whatever the gaps were and whatever the deployment weighs; each entry kept a link to every target.

Change: any message counts as a sign of life; GapThreshold takes three times the longest of the last 64 gaps within bounds that follow recovery.weigh. Agents whose tokens flow send a report every 300 ms instead of a heartbeat every 100 ms; idle links hear one every 1.5 s. An entry watches, of each service, the first 32 targets of its rendezvous order and those that it covers; services of up to 32 targets are watched whole.

Process tests: pause and return, an agent back at another address, off the list and on it again, a list that loses all targets at once, no suspicion by an entry that was paused itself.

Ruled out: drawing subsets by the entry alone; with few entries in view some target of a large site is then watched by nobody.

--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -4,6 +4,7 @@
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {
   EngineDriver,
+  ObjectStore,
   OperatorHandler,
   ProcessStatus,
   ServiceDriver,
@@ -30,6 +31,7 @@
 import type {SessionParts} from './entry-session.js';
 import {EntrySession} from './entry-session.js';
 import {KeyTable} from './key-table.js';
+import {OutcomeRecorder} from './outcome-recorder.js';
 
 /** The target's driver: an engine or a plain service. */
 export interface TargetDrivers {
@@ -45,6 +47,7 @@
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly drivers: TargetDrivers;
+  readonly store: ObjectStore;
   /** Called once a drain has ended and all work is done. */
   readonly onDrained: () => void;
 }
@@ -53,6 +56,7 @@
 export class AgentProcess implements OperatorHandler {
   private readonly board = new AgentBoard();
   private readonly incarnation: string;
+  private readonly recorder: OutcomeRecorder;
   private readonly attempts: AttemptTable | undefined;
   private readonly calls: CallRunner | undefined;
   private readonly monitor: EngineMonitor;
@@ -63,6 +67,10 @@
 
   constructor(private readonly options: AgentOptions) {
     this.incarnation = options.random.id();
+    this.recorder = new OutcomeRecorder({
+      ...options,
+      incarnation: this.incarnation,
+    });
     this.attempts = this.createAttempts();
     this.calls = this.createCalls();
     this.monitor = new EngineMonitor({
@@ -130,13 +138,18 @@
       leaving: this.board.leaving,
       limits: AGENT_DRAIN_LIMITS,
       work: {
-        countRunning: () => this.countRunning(),
+        countRunning: () => this.countUnfinished(),
         countUnsentBytes: () => this.server.countUnsentBytes(),
         countPeersToAnswer: () => this.peers.count(),
       },
     });
   }
 
+  /** Work in flight, outcomes that are not recorded yet included. */
+  private countUnfinished(): number {
+    return this.countRunning() + (this.recorder.isIdle() ? 0 : 1);
+  }
+
   private countRunning(): number {
     const attempts = this.attempts?.countRunning() ?? 0;
     return attempts + (this.calls?.countRunning() ?? 0);
@@ -158,6 +171,8 @@
     if (drivers.service === undefined) return undefined;
     return new CallRunner({
       board: this.board,
+      clock: this.options.clock,
+      recorder: this.recorder,
       driver: drivers.service,
       incarnation: this.incarnation,
       keys: new KeyTable({capacity: MAX_KEYS}),
--- a/src/agent/entry-session.ts
+++ b/src/agent/entry-session.ts
@@ -21,7 +21,11 @@
 import type {CallRunner} from './call-runner.js';
 import type {ConfigReceiver} from './config-receiver.js';
 import type {LeavePeers} from './drain-peers.js';
-import {HEARTBEAT_BUSY_MS, HEARTBEAT_IDLE_MS} from './consts.js';
+import {
+  HEARTBEAT_BUSY_MS,
+  HEARTBEAT_IDLE_MS,
+  REPORT_BUSY_MS,
+} from './consts.js';
 
 /** What a session needs of its agent. */
 export interface SessionParts {
@@ -166,10 +170,15 @@
 
   private beatIfDue(): void {
     const busy = this.readers.size > 0 || this.pendingCalls > 0;
-    const periodMs = busy ? HEARTBEAT_BUSY_MS : HEARTBEAT_IDLE_MS;
+    const nowMs = this.parts.clock.now();
+    const sinceReportMs = nowMs - this.sentAtMs;
+    // Tokens and replies are signs of life too; reports are due less often.
+    const sinceWordMs = nowMs - this.connection().sentAtMs;
+    const dueMs = busy ? HEARTBEAT_BUSY_MS : HEARTBEAT_IDLE_MS;
+    const quietMs = busy ? sinceWordMs : sinceReportMs;
     // A tick may come a little early against the period it closes.
-    const elapsedMs = this.parts.clock.now() - this.sentAtMs;
-    if (elapsedMs < periodMs - HEARTBEAT_BUSY_MS / 2) return;
+    const isQuiet = quietMs >= dueMs - HEARTBEAT_BUSY_MS / 2;
+    if (!isQuiet && !(busy && sinceReportMs >= REPORT_BUSY_MS)) return;
     this.sendHeartbeat();
   }
 
--- a/src/cli/commands/call/run-call.ts
+++ b/src/cli/commands/call/run-call.ts
@@ -1,3 +1,8 @@
+import {FIRST_ERROR_STATUS} from '../../../adapters/http-call.js';
+import {
+  DEADLINE_HEADER,
+  IDEMPOTENCY_KEY_HEADER,
+} from '../../../core/edges/index.js';
 import {ENTRY_UNREACHABLE, Ran} from '../../../core/errors/index.js';
 import {SERVICES_PATH} from '../../consts.js';
 import type {HttpAnswer, HttpError} from '../../http/index.js';
@@ -7,8 +12,8 @@
 import {ExitStatus} from '../../types.js';
 import type {CallOptions} from './types.js';
 
-/** First HTTP status that says that a call failed. */
-const FIRST_ERROR_STATUS = 400;
+/** Time for an answer to arrive after the deadline, in milliseconds. */
+const ANSWER_GRACE_MS = 1_000;
 
 /** Runs `call`. */
 export async function runCall(
@@ -20,10 +25,12 @@
     method: options.method.toUpperCase(),
     headers: createHeaders(options),
     body: options.body,
-    timeoutMs: options.deadline,
+    // The entry's own refusal at the deadline should arrive.
+    timeoutMs: options.deadline + ANSWER_GRACE_MS,
   });
   return answer.match(
-    (value) => reportAnswer(ctx, value),
+    (value) =>
+      options.json === true ? reportJson(ctx, value) : reportAnswer(ctx, value),
     (error) => reportFailure(ctx, error),
   );
 }
@@ -37,13 +44,26 @@
 function createHeaders(options: CallOptions): Record<string, string> {
   const headers: Record<string, string> = {
     authorization: `Bearer ${options.key}`,
+    [DEADLINE_HEADER]: String(options.deadline),
   };
   if (options.idempotencyKey !== undefined) {
-    headers['idempotency-key'] = options.idempotencyKey;
+    headers[IDEMPOTENCY_KEY_HEADER] = options.idempotencyKey;
   }
   return headers;
 }
 
+function reportJson(ctx: CliContext, answer: HttpAnswer): ExitStatus {
+  const {status, body, problem, retryAfterMs} = answer;
+  const report = problem === undefined ? {status, body} : {status, problem};
+  ctx.out(`${JSON.stringify({...report, retryAfterMs})}\n`);
+  return resolveStatus(answer);
+}
+
+function resolveStatus({status, problem}: HttpAnswer): ExitStatus {
+  if (problem !== undefined) return ExitStatus.REFUSED;
+  return status < FIRST_ERROR_STATUS ? ExitStatus.OK : ExitStatus.FAILED;
+}
+
 function reportAnswer(ctx: CliContext, answer: HttpAnswer): ExitStatus {
   const {status, body, problem, retryAfterMs} = answer;
   if (problem !== undefined) {
@@ -51,11 +71,11 @@
     ctx.err(
       retryAfterMs === undefined ? '' : `retry after ${retryAfterMs} ms\n`,
     );
-    return ExitStatus.REFUSED;
+    return resolveStatus(answer);
   }
   ctx.err(`status ${status}\n`);
   ctx.out(body === '' || body.endsWith('\n') ? body : `${body}\n`);
-  return status < FIRST_ERROR_STATUS ? ExitStatus.OK : ExitStatus.FAILED;
+  return resolveStatus(answer);
 }
 
 function reportFailure(ctx: CliContext, error: HttpError): ExitStatus {
--- a/src/cli/commands/call/types.ts
+++ b/src/cli/commands/call/types.ts
@@ -8,4 +8,5 @@
   readonly idempotencyKey?: string;
   readonly body?: string;
   readonly deadline: number;
+  readonly json?: boolean;
 }
--- a/src/cli/commands/generate/read-stream.ts
+++ b/src/cli/commands/generate/read-stream.ts
@@ -2,6 +2,11 @@
 import type {Dispatcher} from 'undici';
 import {request} from 'undici';
 
+import {toHttpFailure} from '../../../adapters/http-call.js';
+import {
+  DEADLINE_HEADER,
+  LAST_EVENT_ID_HEADER,
+} from '../../../core/edges/index.js';
 import {Ran} from '../../../core/errors/index.js';
 import type {ProblemDocument} from '../../http/index.js';
 import {
@@ -31,6 +36,8 @@
   key: string;
   body: string;
   answer: Answer;
+  /** Time left for the whole answer. */
+  deadlineMs: number;
   signal: AbortSignal;
 }): Promise<StreamEnd> {
   const {url, body, answer, signal} = options;
@@ -47,7 +54,7 @@
       ? await readEvents(res, answer)
       : await readRefusal(res);
   } catch (thrown) {
-    const {detail} = createHttpError(thrown);
+    const {detail} = createHttpError(toHttpFailure(thrown));
     return {kind: StreamEndKind.BROKEN, detail};
   }
 }
@@ -55,15 +62,17 @@
 function createHeaders(options: {
   key: string;
   answer: Answer;
+  deadlineMs: number;
 }): Record<string, string> {
   const headers: Record<string, string> = {
     accept: 'text/event-stream',
     authorization: `Bearer ${options.key}`,
     'content-type': 'application/json',
+    [DEADLINE_HEADER]: String(options.deadlineMs),
   };
   const {lastEventId} = options.answer;
   if (lastEventId !== undefined) {
-    headers['last-event-id'] = lastEventId;
+    headers[LAST_EVENT_ID_HEADER] = lastEventId;
   }
   return headers;
 }
--- a/src/daemon/run-entry.ts
+++ b/src/daemon/run-entry.ts
@@ -35,10 +35,12 @@
   if (peers.isErr()) exitCannotListen(logger, peers.error.detail);
   try {
     const operators = await openOperators({handler: entry, settings});
-    const app = createCallersApp({handler: entry.callers});
+    const handler = entry.callers;
+    const app = createCallersApp({handler});
     callers = await listenHttp({
       app,
       ...settings.callers!,
+      counter: handler,
       keepsAlive: () => entry.isReady(),
     });
     announceReady({
--- a/src/entry/agent-link.ts
+++ b/src/entry/agent-link.ts
@@ -1,9 +1,15 @@
 /** An entry's connection to one agent, shared by all its requests. */
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {ConfigNews} from '../core/config/distribution/index.js';
+import {Weigh} from '../core/config/index.js';
 import type {VmRecord} from '../core/edges/index.js';
 import {VmState} from '../core/edges/index.js';
 import {RetryReason} from '../core/errors/index.js';
+import {
+  BUSY_BOUNDS,
+  GapThreshold,
+  IDLE_BOUNDS,
+} from '../core/membership/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import {CounterName} from '../core/metrics/index.js';
 import type {
@@ -22,12 +28,7 @@
 import {MessageType, PeerClient, TargetPhase} from '../core/protocol/index.js';
 import type {TargetView} from '../core/routing/index.js';
 import {OwnCounts, REPORT_LAG_MS} from '../core/routing/index.js';
-import {
-  AGENT_ANNOUNCE_MS,
-  AGENT_CONFIG_SPREAD_MS,
-  SUSPECT_BUSY_MS,
-  SUSPECT_IDLE_MS,
-} from './consts.js';
+import {AGENT_ANNOUNCE_MS, AGENT_CONFIG_SPREAD_MS} from './consts.js';
 
 /** Hears what becomes of one attempt or call at an agent. */
 export interface LinkHandler {
@@ -61,6 +62,8 @@
   private suspected = false;
   private unlisted = false;
   private toldLeave = false;
+  private readonly busyGaps = new GapThreshold(BUSY_BOUNDS[Weigh.LATENCY]);
+  private readonly idleGaps = new GapThreshold(IDLE_BOUNDS);
   private offeredVersion = 0;
   private configDueAtMs = 0;
   /** Incarnation that was connected while the VM list called it live. */
@@ -97,6 +100,11 @@
     this.client.stop();
   }
 
+  /** Takes over what the deployment weighs in recovery. */
+  setWeigh(weigh: Weigh): void {
+    this.busyGaps.setBounds(BUSY_BOUNDS[weigh]);
+  }
+
   /** Takes over what the VM list now says. */
   updateRecord(record: VmRecord): void {
     this.record = record;
@@ -203,7 +211,7 @@
   checkSilence(): void {
     if (!this.client.isReady()) return;
     const busy = this.handlers.size > 0;
-    const allowedMs = busy ? SUSPECT_BUSY_MS : SUSPECT_IDLE_MS;
+    const allowedMs = (busy ? this.busyGaps : this.idleGaps).allowedMs();
     // An idle agent speaks seldom: its silence so far says nothing of it.
     const sinceMs = Math.max(this.heardAtMs, busy ? this.busySinceMs : 0);
     const silentMs = this.options.clock.now() - sinceMs;
@@ -228,8 +236,7 @@
   }
 
   onMessage(message: Message): void {
-    this.heardAtMs = this.options.clock.now();
-    this.suspected = false;
+    this.noteHeard();
     switch (message.type) {
       case MessageType.HEARTBEAT:
         this.handleHeartbeat(message);
@@ -260,6 +267,16 @@
     }
   }
 
+  /** Any message is a sign of life; the gap before it is learned from. */
+  private noteHeard(): void {
+    const nowMs = this.options.clock.now();
+    const busy = this.handlers.size > 0;
+    const sinceMs = Math.max(this.heardAtMs, busy ? this.busySinceMs : 0);
+    (busy ? this.busyGaps : this.idleGaps).note(nowMs - sinceMs);
+    this.heardAtMs = nowMs;
+    this.suspected = false;
+  }
+
   onDrain(): void {
     // An entry's own messages are few and small; nothing waits for a drain.
   }
--- a/src/entry/agent-links.ts
+++ b/src/entry/agent-links.ts
@@ -1,14 +1,18 @@
 /** Keeps a link to each target of the VM list. */
+import type {Maybe} from 'purify-ts';
+
 import type {Clock, RandomSource, TimerHandle} from '../core/clock/index.js';
+import type {Weigh} from '../core/config/index.js';
 import type {PeerStatus, VmRecord} from '../core/edges/index.js';
-import {VmRole} from '../core/edges/index.js';
+import {VmRole, VmState} from '../core/edges/index.js';
+import {selectSubset} from '../core/membership/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import type {HelloMessage} from '../core/protocol/index.js';
 import type {TargetView} from '../core/routing/index.js';
 import type {AgentConfig} from './agent-link.js';
 import {AgentLink} from './agent-link.js';
-import {PAUSE_EVIDENCE_MS, SILENCE_CHECK_MS} from './consts.js';
+import {PAUSE_EVIDENCE_MS, PIN_MS, SILENCE_CHECK_MS} from './consts.js';
 import type {EntryBoard} from './entry-board.js';
 
 /** Follows the VM list and watches every link for silence. */
@@ -16,6 +20,7 @@
   private readonly links = new Map<string, AgentLink>();
   /** Links to earlier addresses of a VM, until their work has ended. */
   private readonly retired = new Set<AgentLink>();
+  private readonly pinnedUntilMs = new Map<string, number>();
   private readonly timers: TimerHandle[] = [];
   private checkedAtMs = 0;
 
@@ -37,7 +42,13 @@
     this.timers.push(
       clock.repeat({periodMs: SILENCE_CHECK_MS, run: () => this.check()}),
     );
-    this.options.board.vms.subscribe((records) => this.follow(records));
+    const {board} = this.options;
+    board.vms.subscribe((records) => this.follow(records));
+    board.config.subscribe(() => {
+      this.weigh().ifJust((weigh) => {
+        for (const link of this.links.values()) link.setWeigh(weigh);
+      });
+    });
   }
 
   close(): void {
@@ -47,7 +58,7 @@
   }
 
   find(vm: string): AgentLink | undefined {
-    return this.links.get(vm);
+    return this.links.get(vm) ?? this.pin(vm);
   }
 
   /** The targets as operators see them. */
@@ -65,10 +76,19 @@
     return [...this.links.values()].map((link) => link.view());
   }
 
+  private weigh(): Maybe<Weigh> {
+    const inForce = this.options.board.config.get();
+    return inForce.map(({cfg}) => cfg.recovery.weigh);
+  }
+
   private follow(records: readonly VmRecord[]): void {
     const targets = records.filter((vm) => vm.role === VmRole.TARGET);
     const names = new Set(targets.map((vm) => vm.name));
-    for (const vm of targets) this.addOrUpdate(vm);
+    const subset = this.selectSubset(records, targets);
+    for (const vm of targets) {
+      if (subset.has(vm.name) || this.isNeeded(vm.name)) this.addOrUpdate(vm);
+      else this.drop(vm.name);
+    }
     for (const [name, link] of this.links) {
       if (names.has(name)) continue;
       // What it runs may end, but it gets no new work.
@@ -80,6 +100,42 @@
     }
   }
 
+  private selectSubset(
+    records: readonly VmRecord[],
+    targets: readonly VmRecord[],
+  ): ReadonlySet<string> {
+    const live = records.filter(({state}) => state === VmState.LIVE);
+    const entries = live.filter(({role}) => role === VmRole.ENTRY);
+    return selectSubset({
+      self: this.options.hello.vm,
+      entries: entries.map(({name}) => name),
+      targets: targets.map(({name, service}) => ({vm: name, service})),
+    });
+  }
+
+  /** Whether a link out of the subset is still of use. */
+  private isNeeded(vm: string): boolean {
+    if (this.links.get(vm)?.isBusy() === true) return true;
+    return (this.pinnedUntilMs.get(vm) ?? 0) > this.options.clock.now();
+  }
+
+  private drop(vm: string): void {
+    this.pinnedUntilMs.delete(vm);
+    this.links.get(vm)?.stop();
+    this.links.delete(vm);
+  }
+
+  /** Links to a target out of the subset, for a claim or journal there. */
+  private pin(vm: string): AgentLink | undefined {
+    const record = this.options.board.vms
+      .get()
+      .find(({name, role}) => name === vm && role === VmRole.TARGET);
+    if (record === undefined) return undefined;
+    this.pinnedUntilMs.set(vm, this.options.clock.now() + PIN_MS);
+    this.addOrUpdate(record);
+    return this.links.get(vm);
+  }
+
   private addOrUpdate(record: VmRecord): void {
     const known = this.links.get(record.name);
     if (known?.isAt(record) === true) {
@@ -88,6 +144,7 @@
     }
     if (known !== undefined) this.retire(known);
     const link = new AgentLink(record, this.options);
+    this.weigh().ifJust((weigh) => link.setWeigh(weigh));
     this.links.set(record.name, link);
     link.start();
     this.options.logger.info('target added', {target: record.name});
--- a/src/entry/consts.ts
+++ b/src/entry/consts.ts
@@ -1,8 +1,5 @@
-/** Silence after which a busy agent is suspected, in milliseconds. */
-export const SUSPECT_BUSY_MS = 600;
-
-/** Silence after which an idle agent is suspected, in milliseconds. */
-export const SUSPECT_IDLE_MS = 2_500;
+/** A link out of the subset is kept for this long once it was needed. */
+export const PIN_MS = 60_000;
 
 /** How often silence is looked for, in milliseconds. */
 export const SILENCE_CHECK_MS = 50;
@@ -66,3 +63,16 @@
 
 /** Entries tell one agent a new version spread over this, in milliseconds. */
 export const AGENT_CONFIG_SPREAD_MS = 300;
+
+/** Bounds of the wait before an agent is asked again, in milliseconds. */
+export const ASK_RETRY_MIN_MS = 100;
+export const ASK_RETRY_MAX_MS = 1_000;
+
+/** An agent says what it knows this long before the deadline. */
+export const ASK_ANSWER_MS = 50;
+
+/** Wait before a write that is in doubt is tried again, in milliseconds. */
+export const WRITE_RETRY_MS = 20;
+
+/** `true` where the caller vouches that it has not used the key before. */
+export const FIRST_USE_HEADER = 'idempotency-first-use';
--- a/src/entry/plain-service.ts
+++ b/src/entry/plain-service.ts
@@ -67,6 +67,8 @@
       if (answer.isOk() && answer.value.response !== undefined) {
         return ok(answer.value.response);
       }
+      const refusal = answer.isErr() ? answer.error.refusal : undefined;
+      if (refusal?.ran === Ran.YES) return err(refusal);
       if (answer.isErr() && mayHaveRun(answer.error)) ran = Ran.UNKNOWN;
       tried.push(target.vm);
       if (tried.length === MAX_TRIES) break;
--- /dev/null
+++ b/test/processes/membership.test.ts
@@ -0,0 +1,137 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {request} from 'undici';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import type {Daemon} from '../../tools/lab/lab.js';
+import {sendControl, waitUntil} from '../../tools/lab/lab.js';
+import {MixedLoad} from '../../tools/lab/mixed-load.js';
+import type {Target} from '../../tools/lab/site.js';
+import {Site} from '../../tools/lab/site.js';
+
+const TEST_MS = 180_000;
+const WAIT_MS = 60_000;
+
+let site: Site;
+
+beforeEach(async () => {
+  site = await Site.create({
+    entries: 2,
+    engines: 2,
+    engineFlags: {'pace-ms': 5},
+  });
+});
+
+afterEach(() => site.close());
+
+async function stateOf(entry: Daemon, vm: string): Promise<string> {
+  const url = `${entry.operatorsUrl}/status`;
+  const status = (await sendControl({url})) as {
+    peers: Array<{vm: string; state: string}>;
+  };
+  return status.peers.find((peer) => peer.vm === vm)?.state ?? 'absent';
+}
+
+async function waitForState(target: Target, state: string): Promise<void> {
+  for (const entry of site.entries) {
+    await waitUntil({
+      what: `${target.vm} is ${state} at ${entry.vm}`,
+      timeoutMs: WAIT_MS,
+      check: async () => (await stateOf(entry, target.vm)) === state,
+    });
+  }
+}
+
+async function suspicions(entry: Daemon): Promise<number> {
+  const res = await request(`${entry.operatorsUrl}/metrics`);
+  const text = await res.body.text();
+  const found = /targets_suspected_total(?:\{[^}]*\})? (\d+)/.exec(text);
+  return Number(found?.[1] ?? 0);
+}
+
+async function started(target: Target): Promise<number> {
+  const url = `${target.standIn.url}/counts`;
+  return ((await sendControl({url})) as {started: number}).started;
+}
+
+async function runLoad(): Promise<void> {
+  const load = new MixedLoad({
+    site,
+    generations: 4,
+    tokens: 40,
+    bookings: 0,
+    lookups: 0,
+  });
+  await load.start();
+  await sleep(1_500);
+  const tally = await load.stop();
+  expect(tally).toMatchObject({generations: {wrong: []}, cutOff: []});
+  expect(tally.generations.done).toBeGreaterThan(0);
+}
+
+describe('targets', () => {
+  it(
+    'are used again after a pause, and after an agent restarts elsewhere',
+    async () => {
+      const [target] = site.engines as [Target];
+      target.agent.proc.freeze();
+      await waitForState(target, 'unusable');
+      target.agent.proc.thaw();
+      await waitForState(target, 'usable');
+      target.agent.proc.kill();
+      await target.agent.proc.exited;
+      await waitForState(target, 'unusable');
+      await site.restartAgent(target, 'engine', 'drafts');
+      await waitForState(target, 'usable');
+      await runLoad();
+    },
+    TEST_MS,
+  );
+
+  it(
+    'get no new work once they are off the list, and again when back on it',
+    async () => {
+      const [target] = site.engines as [Target];
+      await site.unregister(target.vm);
+      await waitForState(target, 'leaving');
+      const before = await started(target);
+      await runLoad();
+      expect(await started(target)).toBe(before);
+      expect(target.agent.proc.isRunning).toBe(true);
+      await site.register({
+        name: target.vm,
+        role: 'target',
+        dataCentre: 'waw',
+        peerPort: target.agent.peersPort,
+        service: 'drafts',
+      });
+      await waitForState(target, 'usable');
+    },
+    TEST_MS,
+  );
+
+  it(
+    'stay in use when the list loses them all at once',
+    async () => {
+      for (const {vm} of site.engines) await site.unregister(vm);
+      await sleep(2_000);
+      await runLoad();
+    },
+    TEST_MS,
+  );
+
+  it(
+    'are not suspected by an entry that was paused itself',
+    async () => {
+      const [entry] = site.entries as [Daemon];
+      await sleep(2_000);
+      const before = await suspicions(entry);
+      entry.proc.freeze();
+      await sleep(7_000);
+      entry.proc.thaw();
+      await runLoad();
+      expect(await suspicions(entry)).toBe(before);
+    },
+    TEST_MS,
+  );
+});
