--- a/src/agent/consts.ts
+++ b/src/agent/consts.ts
@@ -1,8 +1,11 @@
 /** A heartbeat follows this long after the last word to a busy entry. */
 export const HEARTBEAT_BUSY_MS = 100;
 
-/** A heartbeat follows this long after the last word to an idle entry. */
-export const HEARTBEAT_IDLE_MS = 1_000;
+/** Longest time between heartbeats to a busy entry that hears tokens. */
+export const REPORT_BUSY_MS = 300;
+
+/** A heartbeat follows this long after the last one to an idle entry. */
+export const HEARTBEAT_IDLE_MS = 1_500;
 
 /** How often the target is probed, in milliseconds. */
 export const PROBE_PERIOD_MS = 250;
--- a/src/core/generation/recovery-policy.ts
+++ b/src/core/generation/recovery-policy.ts
@@ -3,25 +3,24 @@
 
 /** Thresholds of a deployment's recovery. */
 export interface RecoveryPolicy {
-  /** Least silence after which a busy agent is suspected, in ms. */
-  readonly suspectBusyMs: number;
-  /** Silence after which a second attempt starts beside; undefined: never. */
-  readonly hedgeAfterMs: number | undefined;
+  /**
+   * A second attempt starts beside one that has been silent for this share
+   * of the silence that makes its agent suspect; Infinity for never.
+   */
+  readonly hedgeShare: number;
   /** Whether a resume prefers targets that have the prompt cached. */
   readonly prefersCached: boolean;
 }
 
-/** Short thresholds, and a second attempt where capacity is idle. */
+/** A second attempt where capacity is idle. */
 const LATENCY: RecoveryPolicy = {
-  suspectBusyMs: 450,
-  hedgeAfterMs: 300,
+  hedgeShare: 2 / 3,
   prefersCached: false,
 };
 
-/** Long thresholds, no second attempt, and cached prompts first. */
+/** No second attempt, and cached prompts first. */
 const RESOURCES: RecoveryPolicy = {
-  suspectBusyMs: 1_200,
-  hedgeAfterMs: undefined,
+  hedgeShare: Number.POSITIVE_INFINITY,
   prefersCached: true,
 };
 
@@ -29,7 +28,7 @@
  * Returns the policy for what a deployment weighs.
  *
  * @example
- * resolveRecoveryPolicy(cfg.recovery.weigh).suspectBusyMs;
+ * resolveRecoveryPolicy(cfg.recovery.weigh).prefersCached;
  */
 export function resolveRecoveryPolicy(weigh: Weigh): RecoveryPolicy {
   return weigh === Weigh.RESOURCES ? RESOURCES : LATENCY;
--- a/src/core/membership/rendezvous.ts
+++ b/src/core/membership/rendezvous.ts
@@ -24,11 +24,39 @@
   const {key, members} = options;
   const scored = members.map((member): Scored => ({
     member,
-    score: hasher.h32(key + SEPARATOR + member),
+    score: scoreOf(key, member),
   }));
   return scored.sort(compare).map(({member}) => member);
 }
 
+/**
+ * Whether a member is among the first `count` in a key's order; far cheaper
+ * than the whole order where it is not.
+ *
+ * @example
+ * isAmongFirst({key: 'engine-1', member: 'entry-1', rivals, count: 2});
+ */
+export function isAmongFirst(options: {
+  key: string;
+  member: string;
+  rivals: readonly string[];
+  count: number;
+}): boolean {
+  const {key, member, rivals, count} = options;
+  const own = {member, score: scoreOf(key, member)};
+  let ahead = 0;
+  for (const rival of rivals) {
+    if (rival === member) continue;
+    const other = {member: rival, score: scoreOf(key, rival)};
+    if (compare(other, own) < 0 && ++ahead >= count) return false;
+  }
+  return true;
+}
+
+function scoreOf(key: string, member: string): number {
+  return hasher.h32(key + SEPARATOR + member);
+}
+
 function compare(a: Scored, b: Scored): number {
   if (a.score !== b.score) return b.score - a.score;
   return a.member < b.member ? -1 : 1;
--- a/src/core/protocol/peer-connection.ts
+++ b/src/core/protocol/peer-connection.ts
@@ -35,6 +35,7 @@
   private closed = false;
   private bytesIn = 0;
   private bytesOut = 0;
+  private sentMs = 0;
 
   constructor(
     private readonly options: {
@@ -64,6 +65,7 @@
   send(message: Message): boolean {
     if (this.closed) return false;
     const frame = encodeFrame(message);
+    this.sentMs = this.options.clock.now();
     this.bytesOut += frame.length;
     const flowing = this.options.socket.write(frame);
     if (this.options.socket.writableLength > MAX_SEND_BUFFER_BYTES) {
@@ -83,6 +85,11 @@
     return this.closed ? 0 : this.options.socket.writableLength;
   }
 
+  /** When the last message was sent, on the process's clock. */
+  get sentAtMs(): number {
+    return this.sentMs;
+  }
+
   isClosed(): boolean {
     return this.closed;
   }
--- a/src/entry/agent-link.ts
+++ b/src/entry/agent-link.ts
@@ -1,11 +1,16 @@
 /** An entry's connection to one agent, shared by all its requests. */
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {ConfigNews} from '../core/config/distribution/index.js';
+import {Weigh} from '../core/config/index.js';
 import type {VmRecord} from '../core/edges/index.js';
 import {VmState} from '../core/edges/index.js';
 import {RetryReason} from '../core/errors/index.js';
 import type {RecoveryPolicy} from '../core/generation/index.js';
-import {SilenceLimit} from '../core/generation/index.js';
+import {
+  BUSY_BOUNDS,
+  GapThreshold,
+  IDLE_BOUNDS,
+} from '../core/membership/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import {CounterName} from '../core/metrics/index.js';
 import type {
@@ -29,7 +34,6 @@
   AGENT_ANNOUNCE_MS,
   AGENT_CONFIG_SPREAD_MS,
   MAX_PENDING_CANCELS,
-  SUSPECT_IDLE_MS,
 } from './consts.js';
 import type {AttemptLink} from './generation/attempt-link.js';
 
@@ -70,12 +74,13 @@
   private suspected = false;
   private unlisted = false;
   private toldLeave = false;
+  private readonly busyGaps = new GapThreshold(BUSY_BOUNDS[Weigh.LATENCY]);
+  private readonly idleGaps = new GapThreshold(IDLE_BOUNDS);
   private offeredVersion = 0;
   private configDueAtMs = 0;
   /** Incarnation that was connected while the VM list called it live. */
   private liveIncarnation = '';
   private quiet = false;
-  private readonly silence = new SilenceLimit();
   /** Attempts to cancel once the agent is back. */
   private readonly pendingCancels = new Set<string>();
   private readonly ownCounts = new OwnCounts({keepMs: 4 * REPORT_LAG_MS});
@@ -110,6 +115,11 @@
     this.client.stop();
   }
 
+  /** Takes over what the deployment weighs in recovery. */
+  setWeigh(weigh: Weigh): void {
+    this.busyGaps.setBounds(BUSY_BOUNDS[weigh]);
+  }
+
   /** Takes over what the VM list now says. */
   updateRecord(record: VmRecord): void {
     this.record = record;
@@ -223,20 +233,17 @@
     if (!this.client.isReady() || this.suspected) return;
     const busy = this.handlers.size > 0;
     const silentMs = this.silentForMs(busy);
-    if (busy) this.checkQuiet(policy, silentMs);
-    const allowedMs = busy
-      ? this.silence.allowedMs(policy.suspectBusyMs)
-      : SUSPECT_IDLE_MS;
+    const allowedMs = (busy ? this.busyGaps : this.idleGaps).allowedMs();
+    if (busy) this.checkQuiet(silentMs, allowedMs * policy.hedgeShare);
     if (silentMs <= allowedMs) return;
     this.suspected = true;
     this.options.metrics.count(CounterName.TARGETS_SUSPECTED);
     this.loseAll(RetryReason.AGENT_SILENT);
   }
 
-  private checkQuiet(policy: RecoveryPolicy, silentMs: number): void {
-    const {hedgeAfterMs} = policy;
-    if (hedgeAfterMs === undefined || this.quiet) return;
-    if (silentMs < this.silence.allowedMs(hedgeAfterMs)) return;
+  /** Tells once of a silence that is long, but not yet suspect. */
+  private checkQuiet(silentMs: number, quietMs: number): void {
+    if (this.quiet || silentMs < quietMs) return;
     this.quiet = true;
     for (const handler of [...this.handlers.values()]) handler.onQuiet?.();
   }
@@ -248,16 +255,6 @@
     return this.options.clock.now() - sinceMs;
   }
 
-  /** Notes a word of the agent. */
-  private hear(): void {
-    const nowMs = this.options.clock.now();
-    const busy = this.handlers.size > 0;
-    if (busy) this.silence.observe(this.silentForMs(busy));
-    this.heardAtMs = nowMs;
-    this.suspected = false;
-    this.quiet = false;
-  }
-
   /** Starts the measure of silence anew, after a pause of this process. */
   forgiveSilence(): void {
     this.heardAtMs = this.options.clock.now();
@@ -278,7 +275,7 @@
   }
 
   onMessage(message: Message): void {
-    this.hear();
+    this.noteHeard();
     switch (message.type) {
       case MessageType.HEARTBEAT:
         this.handleHeartbeat(message);
@@ -309,6 +306,16 @@
     }
   }
 
+  /** Any message is a sign of life; the gap before it is learned from. */
+  private noteHeard(): void {
+    const nowMs = this.options.clock.now();
+    const busy = this.handlers.size > 0;
+    (busy ? this.busyGaps : this.idleGaps).note(this.silentForMs(busy));
+    this.heardAtMs = nowMs;
+    this.suspected = false;
+    this.quiet = false;
+  }
+
   onDrain(): void {
     // An entry's own messages are few and small; nothing waits for a drain.
   }
--- a/src/entry/consts.ts
+++ b/src/entry/consts.ts
@@ -1,5 +1,5 @@
-/** Silence after which an idle agent is suspected, in milliseconds. */
-export const SUSPECT_IDLE_MS = 2_500;
+/** A link out of the subset is kept for this long once it was needed. */
+export const PIN_MS = 60_000;
 
 /** How often silence is looked for, in milliseconds. */
 export const SILENCE_CHECK_MS = 50;
