Refuse by the drain that is observed; a slow start queues nothing

Cause: waits were estimated from slots and mean times alone, so on a busy machine the queue held requests past their callers' deadlines; a slot stood idle for the turn between two short answers; and where all targets start slowly, one was filled beyond its slots while another had free ones.

Change: the interval between departures is the larger of the possible and the observed one. Slots grow by the requests that are under way to them (Little's law; nothing for long answers), in place of a fixed factor for plain calls. The choice among targets beyond their ramp takes one with a free slot first.

Not solved: an entry whose own processor is saturated reads requests late, and its admission does not see that delay.

--- /dev/null
+++ b/bench/experiments/balance/index.ts
@@ -0,0 +1,107 @@
+/** The choice of targets under lagged reports, against simpler ones. */
+import type {Maybe} from 'purify-ts';
+import {Just} from 'purify-ts';
+
+import {SeededRandom} from '../../../src/core/clock/index.js';
+import type {
+  ChoiceQuery,
+  TargetChooser,
+  TargetView,
+} from '../../../src/core/routing/index.js';
+import {
+  FailureWatch,
+  LoadAwareChoice,
+  TwoChoices,
+} from '../../../src/core/routing/index.js';
+import type {Experiment} from '../../lib/types.js';
+import type {SimOptions} from './sim.js';
+import {BalanceSim} from './sim.js';
+
+const TARGETS = 25;
+const CAPACITY = 16;
+const ENTRIES = 3;
+const MEAN_SERVICE_MS = 1_000;
+const FOR_MS = 20_000;
+const LOAD = 0.9;
+
+/** Takes the target whose report shows the least load. */
+class LeastReported implements TargetChooser {
+  choose(options: {
+    query: ChoiceQuery;
+    targets: readonly TargetView[];
+  }): Maybe<TargetView> {
+    const load = (t: TargetView): number => t.running + t.waiting;
+    const least = options.targets.reduce((a, b) => (load(b) < load(a) ? b : a));
+    return Just(least);
+  }
+}
+
+/** Takes the targets in turn. */
+class RoundRobin implements TargetChooser {
+  private next = 0;
+
+  choose(options: {targets: readonly TargetView[]}): Maybe<TargetView> {
+    const {targets} = options;
+    return Just(targets[this.next++ % targets.length]!);
+  }
+}
+
+/** Compares how long requests wait at targets while others are free. */
+export const experiment: Experiment = {
+  name: 'balance',
+  summary: 'waiting at targets under lagged reports, by the way of choosing',
+  starts: 'nothing; it simulates 3 entries and 25 targets, about 10 s',
+  flags: ['--load X: offered load over capacity, 0.9 by default'],
+  run: ({seed, flags}) => {
+    const load = flags.number('load', LOAD);
+    const ways: ReadonlyArray<{
+      name: string;
+      createChooser: SimOptions['createChooser'];
+    }> = [
+      {
+        name: 'corrected',
+        createChooser: (clock) => {
+          const failures = new FailureWatch({clock});
+          return new LoadAwareChoice({
+            random: new SeededRandom(seed),
+            failures,
+          });
+        },
+      },
+      {
+        name: 'two choices, uncorrected',
+        createChooser: () => new TwoChoices({random: new SeededRandom(seed)}),
+      },
+      {name: 'round robin', createChooser: () => new RoundRobin()},
+      {name: 'least reported', createChooser: () => new LeastReported()},
+    ];
+    const sims = ways.map(({name, createChooser}) => {
+      const sim = new BalanceSim({
+        targets: TARGETS,
+        capacity: CAPACITY,
+        entries: ENTRIES,
+        load,
+        meanServiceMs: MEAN_SERVICE_MS,
+        forMs: FOR_MS,
+        random: new SeededRandom(seed),
+        createChooser,
+      });
+      sim.run();
+      return {name, sim};
+    });
+    const p95 = sims.map(({sim}) => sim.waits.percentile(95));
+    return Promise.resolve({
+      cases: sims.flatMap(({name, sim}) =>
+        [sim.waits.result(), sim.idleWaits.result()].map((row) => ({
+          ...row,
+          name: `${name}: ${row.name}`,
+        })),
+      ),
+      ratios: sims.slice(1).map(({name}, i) => ({
+        name: `p95 wait, corrected / ${name}`,
+        value: p95[0]! / Math.max(p95[i + 1]!, Number.MIN_VALUE),
+      })),
+      bounds: [],
+    });
+  },
+};
--- a/bench/experiments/slopes/consts.ts
+++ b/bench/experiments/slopes/consts.ts
@@ -21,6 +21,9 @@
 /** How much slower the engine is while streams are held open. */
 export const SLOW_FACTOR = 20;
 
+/** Short generations whose cost is measured. */
+export const REQUESTS = 80;
+
 /** Configuration changes and bookings that are measured. */
 export const CHANGES = 40;
 export const BOOKINGS = 60;
--- a/bench/experiments/slopes/index.ts
+++ b/bench/experiments/slopes/index.ts
@@ -28,6 +28,7 @@
   IDLE_MS,
   MS_PER_SECOND,
   PROMPT_CHARACTERS,
+  REQUESTS,
   SLOW_FACTOR,
   STREAMS,
   US_PER_SECOND,
@@ -92,6 +93,7 @@
     await this.warm();
     await this.measureIdle();
     await this.measureTokens();
+    await this.measureRequests();
     await this.measureBookings();
     await this.measureConfig();
     await this.measureWatched();
@@ -140,6 +142,19 @@
     this.add('agent: per token relayed', 'us', perAgent);
   }
 
+  private async measureRequests(): Promise<void> {
+    const before = this.read();
+    const startMs = performance.now();
+    for (let i = 0; i < REQUESTS; i++) {
+      await this.stream({streams: 1, tokens: 1, prompt: `short ${i}`});
+    }
+    const after = this.read();
+    const seconds = (performance.now() - startMs) / MS_PER_SECOND;
+    const us = after.entry.cpuUs - before.entry.cpuUs;
+    const perRequest = (us - this.idle.entryUs * seconds) / REQUESTS;
+    this.add('entry: per generation of one token', 'us', perRequest);
+  }
+
   private async measureBookings(): Promise<void> {
     const callsBefore = await this.countCalls();
     const before = this.read();
--- a/src/core/admission/capacity.ts
+++ b/src/core/admission/capacity.ts
@@ -9,8 +9,6 @@
   readonly views: readonly TargetView[];
   /** Entries that send work to the same targets; at least 1. */
   readonly sharers: number;
-  /** Requests that a target takes per request that it runs at once. */
-  readonly slotsPerCapacity: number;
 }
 
 /**
@@ -19,13 +17,13 @@
  * requests wait at the targets it is the fair part alone.
  *
  * @example
- * resolveSlots({views, sharers: 2, slotsPerCapacity: 1});
+ * resolveSlots({views, sharers: 2});
  */
 export function resolveSlots(query: CapacityQuery): number {
-  const {sharers, slotsPerCapacity} = query;
+  const {sharers} = query;
   const views = query.views.filter((view) => view.usable);
   if (views.length === 0) return 0;
-  const total = sum(views, capacityOf) * slotsPerCapacity;
+  const total = sum(views, capacityOf);
   const own = sum(views, (view) => view.ownInFlight);
   const used = sum(views, estimateLoad);
   const fair = total / sharers;
--- a/src/core/admission/consts.ts
+++ b/src/core/admission/consts.ts
@@ -4,8 +4,11 @@
 /** Slots of a target whose capacity is not known. */
 export const UNKNOWN_CAPACITY = 8;
 
-/** Calls sent to a plain service per call that it runs at once. */
-export const PLAIN_SLOTS_PER_CAPACITY = 2;
+/** Time for which a slot stands idle between two requests, in milliseconds. */
+export const TURN_MS = 20;
+
+/** Time over which the drain of a queue is remembered, in milliseconds. */
+export const DRAIN_MEMORY_MS = 1_000;
 
 /** Time without any slot after which waiting work is refused. */
 export const NO_SLOTS_GRACE_MS = 5_000;
--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -1,7 +1,7 @@
 /** Which requests are let in, wait or are refused. */
 export {resolveSlots, splitLimit} from './capacity.js';
 export type {CapacityQuery} from './capacity.js';
-export {PLAIN_SLOTS_PER_CAPACITY, RESUME_SHARE} from './consts.js';
+export {RESUME_SHARE} from './consts.js';
 export {FairAdmission} from './fair-admission.js';
 export {FairQueue} from './fair-queue.js';
 export type {FairItem} from './fair-queue.js';
--- a/src/core/admission/service-pool.ts
+++ b/src/core/admission/service-pool.ts
@@ -3,7 +3,8 @@
 import {PriorityClass} from '../config/types.js';
 import type {Refusal} from '../errors/refusals.js';
 import {Ran, RefusalReason} from '../errors/refusals.js';
-import {NO_SLOTS_GRACE_MS} from './consts.js';
+import {NO_SLOTS_GRACE_MS, TURN_MS} from './consts.js';
+import {DrainRate} from './drain-rate.js';
 import type {FairItem} from './fair-queue.js';
 import {FairQueue} from './fair-queue.js';
 import {ReturnSchedule} from './return-schedule.js';
@@ -51,6 +52,7 @@
 export class ServicePool {
   private readonly lanes: ReadonlyArray<FairQueue<PoolRequest>>;
   private readonly times = new ServiceTime();
+  private readonly drainRate = new DrainRate();
   private readonly returns: ReturnSchedule;
   private slots = 0;
   private resumeSlots = 0;
@@ -110,6 +112,7 @@
   offer(request: PoolRequest): void {
     this.lanes[laneOf(request)]!.push(request);
     this.drain();
+    if (this.waiting > 0) this.drainRate.noteWaiting(this.options.clock.now());
   }
 
   /** Counts a request that runs already. */
@@ -119,7 +122,9 @@
 
   /** Takes a request out of the queue; false where it does not wait. */
   withdraw(request: PoolRequest): boolean {
-    return this.lanes[laneOf(request)]!.remove(request);
+    const removed = this.lanes[laneOf(request)]!.remove(request);
+    if (this.waiting === 0) this.drainRate.noteEmpty();
+    return removed;
   }
 
   /** Refuses a request that waits, for want of room in the queue. */
@@ -189,15 +194,22 @@
   private startOrRefuse(lane: FairQueue<PoolRequest>): void {
     const request = lane.peek()!;
     if (!this.isWorthStarting(request)) {
-      lane.remove(request);
+      this.withdraw(request);
       this.refuse(request, RefusalReason.DEADLINE_UNREACHABLE);
       return;
     }
     lane.shift();
+    this.noteDeparture();
     this.start(request);
     request.onStart();
   }
 
+  private noteDeparture(): void {
+    const nowMs = this.options.clock.now();
+    const stillWaiting = this.waiting > 0;
+    this.drainRate.noteDeparture({nowMs, stillWaiting});
+  }
+
   private isWorthStarting(request: PoolRequest): boolean {
     const nowMs = this.options.clock.now();
     const leftMs = request.deadlineAtMs - nowMs;
@@ -259,13 +271,22 @@
 
   /** Time between two requests that leave the queue; 0 while unknown. */
   private intervalMs(): number {
-    return this.times.meanHeldMs() / this.drainSlots;
+    const possibleMs = this.times.meanHeldMs() / this.drainSlots;
+    const nowMs = this.options.clock.now();
+    return Math.max(possibleMs, this.drainRate.intervalMs(nowMs));
   }
 
   /** Slots that a lane may use; new work leaves some for resumes. */
   private slotsOf(lane: number): number {
-    if (isResumeLane(lane)) return this.slots;
-    return this.slots - this.resumeSlots;
+    const slots = this.slots + this.turnSlots();
+    return isResumeLane(lane) ? slots : slots - this.resumeSlots;
+  }
+
+  /** Requests under way to a slot that comes free, by Little's law. */
+  private turnSlots(): number {
+    const heldMs = this.times.meanHeldMs();
+    if (heldMs === 0) return 0;
+    return Math.floor(this.slots * Math.min(1, TURN_MS / heldMs));
   }
 }
 
--- a/src/core/routing/load-aware-choice.ts
+++ b/src/core/routing/load-aware-choice.ts
@@ -7,9 +7,12 @@
 import type {FailureWatch} from './failure-watch.js';
 import type {ChoiceQuery, TargetChooser, TargetView} from './types.js';
 
-/** A target with the share of its capacity that counts as used. */
+/** A target with the shares of its capacity that are in use. */
 interface Candidate {
   readonly target: TargetView;
+  /** Of its whole capacity. */
+  readonly utilisation: number;
+  /** Of what it may take while it starts slowly. */
   readonly used: number;
 }
 
@@ -34,7 +37,7 @@
     const candidates = this.candidatesOf(query, targets);
     if (candidates.length === 0) return Nothing;
     const withRoom = candidates.filter(({used}) => used < 1);
-    if (withRoom.length === 0) return Just(lightestOf(candidates).target);
+    if (withRoom.length === 0) return Just(leastFull(candidates).target);
     const drawn = this.lighterOfTwo(withRoom);
     return Just(preferCached({query, withRoom, drawn}).target);
   }
@@ -52,7 +55,7 @@
     const healthy = usable.filter(({vm}) => kept.has(vm));
     // An ejected target is better than none.
     const chosen = healthy.length > 0 ? healthy : usable;
-    return chosen.map((target) => ({target, used: usedShare(target)}));
+    return chosen.map(createCandidate);
   }
 
   private lighterOfTwo(candidates: readonly Candidate[]): Candidate {
@@ -84,7 +87,14 @@
   return candidates.reduce((a, b) => (b.used < a.used ? b : a));
 }
 
-/** Share in use, of what a target may take while it starts slowly. */
-function usedShare(target: TargetView): number {
-  return utilisationOf(target) / slowStartShare(target);
+/** A slow start never sends work to wait while another has a free slot. */
+function leastFull(candidates: readonly Candidate[]): Candidate {
+  const free = candidates.filter(({utilisation}) => utilisation < 1);
+  if (free.length > 0) return lightestOf(free);
+  return candidates.reduce((a, b) => (b.utilisation < a.utilisation ? b : a));
+}
+
+function createCandidate(target: TargetView): Candidate {
+  const utilisation = utilisationOf(target);
+  return {target, utilisation, used: utilisation / slowStartShare(target)};
 }
--- a/src/entry/load-controller.ts
+++ b/src/entry/load-controller.ts
@@ -1,10 +1,6 @@
 /** Works out this entry's share of the targets' capacity. */
 import type {EntryLoad, ServiceSlots} from '../core/admission/index.js';
-import {
-  PLAIN_SLOTS_PER_CAPACITY,
-  resolveSlots,
-  RESUME_SHARE,
-} from '../core/admission/index.js';
+import {resolveSlots, RESUME_SHARE} from '../core/admission/index.js';
 import type {Clock, TimerHandle} from '../core/clock/index.js';
 import type {
   RecoveryConfig,
@@ -94,9 +90,7 @@
   // Where each entry watches a part of the targets, fewer entries share one.
   const watchedShare = listed === 0 ? 1 : Math.min(1, views.length / listed);
   const sharers = Math.max(1, liveEntries * watchedShare);
-  const isPlain = service.kind === ServiceKind.PLAIN;
-  const slotsPerCapacity = isPlain ? PLAIN_SLOTS_PER_CAPACITY : 1;
-  const slots = resolveSlots({views, sharers, slotsPerCapacity});
+  const slots = resolveSlots({views, sharers});
   const resumeSlots = Math.floor(slots * resumeShare);
   return {service: service.name, slots, resumeSlots};
 }
--- /dev/null
+++ b/test/core/admission/drain-rate.test.ts
@@ -0,0 +1,53 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {DrainRate} from '../../../src/core/admission/drain-rate.js';
+
+const SEED = 20261204;
+
+describe('DrainRate', () => {
+  it('finds the interval of an even drain, whatever came before', () => {
+    const gapsArb = fc.array(fc.integer({min: 0, max: 20_000}), {
+      maxLength: 20,
+    });
+    fc.assert(
+      fc.property(gapsArb, fc.integer({min: 1, max: 100}), (gaps, evenMs) => {
+        const rate = new DrainRate();
+        let nowMs = 0;
+        const depart = (gapMs: number): void => {
+          rate.noteWaiting(nowMs);
+          nowMs += gapMs;
+          rate.noteDeparture({nowMs, stillWaiting: true});
+        };
+        gaps.forEach(depart);
+        for (let ms = 0; ms < 20_000; ms += evenMs) depart(evenMs);
+        expect(rate.intervalMs(nowMs)).toBeCloseTo(evenMs, 1);
+      }),
+      {seed: SEED, numRuns: 200},
+    );
+  });
+
+  it.each([
+    {name: 'nothing has left yet', departures: 0, laterMs: 0, expected: 0},
+    {name: 'one has left', departures: 1, laterMs: 0, expected: 50},
+    {
+      name: 'the queue was empty long',
+      departures: 1,
+      laterMs: 5_000,
+      expected: 0,
+    },
+  ])('gives $expected where $name', ({departures, laterMs, expected}) => {
+    const rate = new DrainRate();
+    rate.noteWaiting(0);
+    for (let i = 1; i <= departures; i++) {
+      rate.noteDeparture({nowMs: 50 * i, stillWaiting: i < departures});
+    }
+    expect(rate.intervalMs(50 * departures + laterMs)).toBe(expected);
+  });
+
+  it('counts no request that did not wait', () => {
+    const rate = new DrainRate();
+    rate.noteDeparture({nowMs: 10, stillWaiting: false});
+    expect(rate.intervalMs(10)).toBe(0);
+  });
+});
--- a/tools/capacity/slopes.ts
+++ b/tools/capacity/slopes.ts
@@ -11,6 +11,7 @@
   readonly agentBytes: number;
   readonly entryTokenUs: number;
   readonly agentTokenUs: number;
+  readonly requestUs: number;
   readonly bookingUs: number;
   readonly bookingCalls: number;
   readonly configUs: number;
@@ -48,6 +49,7 @@
     agentBytes: of('agent: resident memory, idle') * bytesPerKb,
     entryTokenUs: of('entry: per token relayed'),
     agentTokenUs: of('agent: per token relayed'),
+    requestUs: of('entry: per generation of one token'),
     bookingUs: of('entry: per booking'),
     bookingCalls: of('platform: object calls per booking'),
     configUs: of('entry: per configuration change'),
--- a/tools/capacity/tables.ts
+++ b/tools/capacity/tables.ts
@@ -54,6 +54,13 @@
       value: REQUESTS_PER_SECOND / NODES,
       unit: '/s',
     },
+    {
+      quantity: 'cores for requests, beside their tokens',
+      working: 'requests x entry: per generation of one token',
+      value: ((REQUESTS_PER_SECOND / NODES) * slopes.requestUs) / US_PER_SECOND,
+      unit: 'cores',
+      limit: 1,
+    },
     {
       quantity: 'tokens relayed',
       working: `${TOKENS_PER_SECOND} / ${NODES}`,
