--- a/src/entry/agent-links.ts
+++ b/src/entry/agent-links.ts
@@ -1,11 +1,12 @@
 /** Keeps a link to each target of the VM list. */
 import type {Clock, RandomSource, TimerHandle} from '../core/clock/index.js';
-import type {VmRecord} from '../core/edges/index.js';
+import type {PeerStatus, VmRecord} from '../core/edges/index.js';
 import {VmRole} from '../core/edges/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import type {HelloMessage} from '../core/protocol/index.js';
 import type {TargetView} from '../core/routing/index.js';
+import type {AgentConfig} from './agent-link.js';
 import {AgentLink} from './agent-link.js';
 import {PAUSE_EVIDENCE_MS, SILENCE_CHECK_MS} from './consts.js';
 import type {EntryBoard} from './entry-board.js';
@@ -22,6 +23,7 @@
     private readonly options: {
       board: EntryBoard;
       hello: HelloMessage;
+      config: AgentConfig;
       clock: Clock;
       random: RandomSource;
       metrics: Metrics;
@@ -48,6 +50,16 @@
     return this.links.get(vm);
   }
 
+  /** The targets as operators see them. */
+  statuses(): PeerStatus[] {
+    return [...this.links.values()].map((link) => {
+      const view = link.view();
+      const {vm, dataCentre} = view;
+      const {configVersion} = link;
+      return {vm, dataCentre, state: stateOf(view), configVersion};
+    });
+  }
+
   /** The views of all targets. */
   views(): TargetView[] {
     return [...this.links.values()].map((link) => link.view());
@@ -104,6 +116,12 @@
       // After a pause of this process, silence says nothing of the others.
       if (paused) link.forgiveSilence();
       else link.checkSilence();
+      link.offerConfig();
     }
   }
 }
+
+function stateOf(view: TargetView): string {
+  if (view.leaving) return 'leaving';
+  return view.usable ? 'usable' : 'unusable';
+}
--- a/src/entry/entry-board.ts
+++ b/src/entry/entry-board.ts
@@ -16,7 +16,7 @@
 export class EntryBoard {
   readonly config = new Cell<Maybe<ConfigInForce>>(Nothing);
   /** When the platform last confirmed the configuration. */
-  readonly configHeardAtMs = new Cell(0);
+  readonly configHeardAtMs = new Cell(Number.NEGATIVE_INFINITY);
   /** The VM list as last read; it lags. */
   readonly vms = new Cell<readonly VmRecord[]>([]);
   readonly leaving = new Cell(false);
--- a/stand-ins/platform/fault-switch.ts
+++ b/stand-ins/platform/fault-switch.ts
@@ -1,5 +1,5 @@
 /** The fault in force, and for how many more writes. */
-import {enumField, numberField} from '../lib/fields.js';
+import {enumField, numberField, textField} from '../lib/fields.js';
 import {PlatformFault} from './types.js';
 
 /** Delay of the slow fault where none is given, in milliseconds. */
@@ -10,11 +10,17 @@
   private fault = PlatformFault.OK;
   private writesLeft = Infinity;
   private slowMs = 0;
+  private kind = '';
 
   get isDown(): boolean {
     return this.fault === PlatformFault.DOWN;
   }
 
+  /** Whether calls on a kind fail; a fault may name one kind alone. */
+  isDownFor(kind: string): boolean {
+    return this.isDown && (this.kind === '' || this.kind === kind);
+  }
+
   get delayMs(): number {
     return this.fault === PlatformFault.SLOW ? this.slowMs : 0;
   }
@@ -22,6 +28,7 @@
   set(body: unknown): PlatformFault {
     this.fault = enumField(body, 'mode', PlatformFault);
     this.writesLeft = numberField(body, 'count', Infinity);
+    this.kind = textField(body, 'kind', '');
     this.slowMs = numberField(body, 'delayMs', DEFAULT_SLOW_MS);
     return this.fault;
   }
