--- a/src/adapters/callers/completion-codec.ts
+++ b/src/adapters/callers/completion-codec.ts
@@ -6,6 +6,7 @@
   array,
   boolean,
   Codec,
+  exactly,
   nullType,
   number,
   oneOf,
@@ -36,7 +37,12 @@
 
 const COMPLETION_BODY = Codec.interface({...SHARED_FIELDS, prompt: string});
 
-const CHAT_MESSAGE = Codec.interface({role: string, content: string});
+const TEXT_PART = Codec.interface({type: exactly('text'), text: string});
+
+const CHAT_MESSAGE = Codec.interface({
+  role: string,
+  content: oneOf([string, array(TEXT_PART)]),
+});
 
 const CHAT_BODY = Codec.interface({
   ...SHARED_FIELDS,
@@ -91,10 +97,17 @@
 export function renderChat(
   messages: ReadonlyArray<GetType<typeof CHAT_MESSAGE>>,
 ): string {
-  const lines = messages.map(({role, content}) => `${role}: ${content}\n`);
+  const lines = messages.map(
+    ({role, content}) => `${role}: ${textOf(content)}\n`,
+  );
   return `${lines.join('')}assistant:`;
 }
 
+function textOf(content: GetType<typeof CHAT_MESSAGE>['content']): string {
+  if (typeof content === 'string') return content;
+  return content.map(({text}) => text).join('');
+}
+
 function createAsk(
   fields: SharedBody,
   prompt: string,
--- a/src/daemon/create-metrics.ts
+++ b/src/daemon/create-metrics.ts
@@ -1,3 +1,5 @@
+import {StoreVerb} from '../adapters/counted-store.js';
+import {StoreErrorKind} from '../core/edges/index.js';
 import {CounterName, Metrics} from '../core/metrics/index.js';
 import {TransportErrorKind} from '../core/protocol/index.js';
 
@@ -8,5 +10,13 @@
     name: CounterName.CONNECTIONS_CLOSED,
     labels: Object.values(TransportErrorKind),
   });
+  metrics.declareLabels({
+    name: CounterName.STORE_CALLS,
+    labels: Object.values(StoreVerb),
+  });
+  metrics.declareLabels({
+    name: CounterName.STORE_ERRORS,
+    labels: Object.values(StoreErrorKind),
+  });
   return metrics;
 }
--- a/src/daemon/run-entry.ts
+++ b/src/daemon/run-entry.ts
@@ -1,4 +1,5 @@
 /** Composes an entry from its settings. */
+import {CountedStore} from '../adapters/counted-store.js';
 import {createCallersApp} from '../adapters/http-callers.js';
 import type {HttpListener} from '../adapters/http-server.js';
 import {listenHttp} from '../adapters/http-server.js';
@@ -18,15 +19,19 @@
 /** Runs the entry role until it is stopped. */
 export async function runEntry(settings: DaemonSettings): Promise<void> {
   const logger = createLogger(settings);
+  const metrics = createMetrics();
   const baseUrl = settings.platformUrl;
   let callers: HttpListener | undefined;
   const entry = new EntryProcess({
     settings,
     clock: new SystemClock(),
     random: new SystemRandom(),
-    metrics: createMetrics(),
+    metrics,
     logger,
-    store: new HttpObjectStore({baseUrl}),
+    store: new CountedStore({
+      store: new HttpObjectStore({baseUrl}),
+      metrics,
+    }),
     vmList: new HttpVmList({baseUrl}),
     countOpenAnswers: () => callers?.countOpen() ?? 0,
     onDrained: () => exitSoon({stop: () => entry.stop(), callers}),
--- a/test/processes/edges.test.ts
+++ b/test/processes/edges.test.ts
@@ -77,6 +77,13 @@
   ['stream as text', COMPLETIONS, completion({stream: 'yes'})],
   ['a chat without messages', CHAT, completion({})],
   ['a message without content', CHAT, completion({messages: [{role: 'user'}]})],
+  [
+    'a picture in a message',
+    CHAT,
+    completion({
+      messages: [{role: 'user', content: [{type: 'image_url', text: 'x'}]}],
+    }),
+  ],
   ['a chat of no messages', CHAT, completion({messages: []})],
 ].map(([name, path, body]) => ({
   name: name!,
--- a/test/processes/whole-path.test.ts
+++ b/test/processes/whole-path.test.ts
@@ -170,6 +170,20 @@
   });
 });
 
+describe('a message in parts of text', () => {
+  it('is answered as the same text in one piece', async () => {
+    const [, chat] = SHAPES;
+    const texts = ['Fitting ', 'notes'];
+    const content = texts.map((text) => ({type: 'text', text}));
+    const messages = [{role: 'user', content}];
+    const reply = await ask(chat!, '', {messages});
+    const whole = JSON.parse(reply.text) as Chunk;
+    const prompt = chat!.prompt(texts.join(''));
+    const expected = expectedText(prompt, MAX_TOKENS);
+    expect(chat!.textOf(whole.choices[0]!)).toBe(expected);
+  });
+});
+
 describe('plain services', () => {
   it('runs a booking once for one key at two entries', async () => {
     const before = await readCounts(site);
@@ -245,6 +259,25 @@
     expect(Number(gaps?.[1])).toBeGreaterThan(0);
   });
 
+  it('counts its calls to the object store', async () => {
+    const {text} = await readMetrics(site.entries[0]!.operatorsUrl);
+    const claims = /store_calls_total\{label="create"\} (\d+)/.exec(text);
+    expect(Number(claims?.[1])).toBeGreaterThan(0);
+  });
+
+  it('writes no log line for a request', async () => {
+    const entry = site.entries[0]!;
+    const before = entry.proc.log;
+    const url = `${entry.callersUrl}/services/stock/stock/pumice`;
+    for (let i = 0; i < 20; i++) await send({url, method: 'GET'});
+    await send({url: `${entry.callersUrl}/nowhere`, method: 'GET'});
+    expect(entry.proc.log).toBe(before);
+    const lines = before.split('\n').filter((line) => line !== '');
+    for (const line of lines) {
+      expect(JSON.parse(line)).toMatchObject({vm: entry.vm, role: 'entry'});
+    }
+  });
+
   it('answers probes', async () => {
     for (const url of processUrls()) {
       const health = await send({url: `${url}/healthz`, method: 'GET'});
