--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -24,6 +24,7 @@
 import {AttemptTable} from './attempt-table.js';
 import {CallRunner} from './call-runner.js';
 import {MAX_KEYS} from './consts.js';
+import {ConfigReceiver} from './config-receiver.js';
 import {LeavePeers} from './drain-peers.js';
 import type {TargetProbe} from './engine-monitor.js';
 import {EngineMonitor} from './engine-monitor.js';
@@ -62,6 +63,7 @@
   private readonly server: PeerServer;
   private readonly peers = new LeavePeers({onLeave: () => this.drain()});
   private readonly drainer: DrainController;
+  private readonly config: ConfigReceiver;
 
   constructor(private readonly options: AgentOptions) {
     this.incarnation = options.random.id();
@@ -77,6 +79,8 @@
       probe: createProbe(options.drivers),
       logger: options.logger,
     });
+    const {board} = this;
+    this.config = new ConfigReceiver({...options, board});
     this.server = this.createServer();
     this.drainer = this.createDrainer();
   }
@@ -104,12 +108,18 @@
       ready: this.isReady(),
       leaving: this.board.leaving.get(),
       configVersion: this.board.configVersion.get(),
-      configAgeMs: 0,
+      configAgeMs: this.configAgeMs(),
       running: this.countRunning(),
       peers: [],
+      subscribers: [],
     };
   }
 
+  private configAgeMs(): number {
+    const {clock} = this.options;
+    return Math.round(Math.min(this.config.ageMs(), clock.now()));
+  }
+
   isReady(): boolean {
     return !this.board.leaving.get();
   }
@@ -179,6 +189,7 @@
       calls: this.calls,
       countRunning: () => this.countRunning(),
       peers: this.peers,
+      config: this.config,
     };
     return new PeerServer({
       hello: this.createHello(),
--- /dev/null
+++ b/src/agent/config-receiver.ts
@@ -0,0 +1,40 @@
+/** Holds the configuration that entries tell an agent. */
+import type {Clock} from '../core/clock/index.js';
+import {ConfigHolder, ExchangeStep} from '../core/config/distribution/index.js';
+import type {ConfigMessage, Message} from '../core/protocol/index.js';
+import {MessageType} from '../core/protocol/index.js';
+import type {AgentBoard} from './agent-board.js';
+
+/**
+ * Keeps the highest version for entries that start while the platform is
+ * out; its version goes out with every heartbeat.
+ */
+export class ConfigReceiver {
+  private readonly holder = new ConfigHolder();
+  private heardAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly options: {board: AgentBoard; clock: Clock}) {}
+
+  /** Time since the platform last confirmed the version, in milliseconds. */
+  ageMs(): number {
+    return this.options.clock.now() - this.heardAtMs;
+  }
+
+  /** Takes an entry's word; the answer is for an entry that knows less. */
+  hear(message: ConfigMessage): Message | undefined {
+    const {version, value, ageMs} = message;
+    const step = this.holder.resolveStep({version, value});
+    if (step === ExchangeStep.SEND) return this.createConfig();
+    if (step === ExchangeStep.ASK) return undefined;
+    this.holder.offer({version, value});
+    const heardAtMs = this.options.clock.now() - ageMs;
+    this.heardAtMs = Math.max(this.heardAtMs, heardAtMs);
+    this.options.board.configVersion.set(version);
+    return undefined;
+  }
+
+  private createConfig(): ConfigMessage {
+    const {version, value} = this.holder.news;
+    return {type: MessageType.CONFIG, version, value, ageMs: this.ageMs()};
+  }
+}
--- /dev/null
+++ b/src/core/config/distribution/consts.ts
@@ -0,0 +1,5 @@
+/** Entries of a data centre that watch the platform. */
+export const WATCHERS_PER_DATA_CENTRE = 2;
+
+/** Entries of other data centres whom an entry hears as well. */
+export const DISTANT_PEERS = 1;
--- a/src/core/edges/object-store.ts
+++ b/src/core/edges/object-store.ts
@@ -84,6 +84,8 @@
     kind: ObjectKind;
     since: number;
     onEvent: (event: WatchEvent) => void;
+    /** The platform was heard of, also where nothing changed. */
+    onAlive?: () => void;
     onClosed: (err: StoreError) => void;
   }): WatchHandle;
 }
--- /dev/null
+++ b/src/entry/config-exchange.ts
@@ -0,0 +1,122 @@
+/** Passes configurations between entries, and hears what each runs. */
+import type {Clock, TimerHandle} from '../core/clock/index.js';
+import {ExchangeStep} from '../core/config/distribution/index.js';
+import type {PeerStatus} from '../core/edges/index.js';
+import type {
+  ConfigMessage,
+  ConfigReportMessage,
+  Message,
+  MessageRouter,
+} from '../core/protocol/index.js';
+import {MessageType} from '../core/protocol/index.js';
+import type {ConfigForce} from './config-force.js';
+import {ANNOUNCE_MS} from './consts.js';
+import type {EntryBoard} from './entry-board.js';
+
+/** A connection to a process that takes part. */
+export interface ConfigPeer {
+  send(message: Message): boolean;
+}
+
+/** Tells what this entry holds and answers what others tell. */
+export class ConfigExchange {
+  private readonly subscribers = new Map<ConfigPeer, ConfigReportMessage>();
+  private readonly publishers = new Set<ConfigPeer>();
+  private timer: TimerHandle | undefined;
+
+  constructor(
+    private readonly options: {
+      board: EntryBoard;
+      clock: Clock;
+      router: MessageRouter;
+      force: ConfigForce;
+      vm: string;
+      dataCentre: string;
+    },
+  ) {
+    const {router, board} = options;
+    router.on(MessageType.CONFIG, (m, peer) => this.hearConfig(m, peer));
+    router.on(MessageType.CONFIG_REPORT, (m, peer) => this.hearReport(m, peer));
+    router.onClose((peer) => void this.subscribers.delete(peer));
+    board.config.subscribe(() => this.spread());
+  }
+
+  open(): void {
+    this.timer = this.options.clock.repeat({
+      periodMs: ANNOUNCE_MS,
+      run: () => this.announce(),
+    });
+  }
+
+  close(): void {
+    this.timer?.cancel();
+  }
+
+  /** Begins to hear the configuration from a peer. */
+  join(peer: ConfigPeer): void {
+    this.publishers.add(peer);
+    peer.send(this.createReport());
+  }
+
+  leave(peer: ConfigPeer): void {
+    this.publishers.delete(peer);
+  }
+
+  /** What a peer says it holds; sent whole where it is newer. */
+  hearConfig(message: ConfigMessage, peer: ConfigPeer): void {
+    const {force} = this.options;
+    const {version, value, ageMs} = message;
+    const step = force.holder.resolveStep({version, value});
+    force.takeFromPeer({version, value}, ageMs);
+    if (step === ExchangeStep.SEND) peer.send(this.createConfig());
+    if (step === ExchangeStep.ASK) peer.send(this.createReport());
+  }
+
+  /** What the subscribers last reported. */
+  reports(): PeerStatus[] {
+    return [...this.subscribers.values()].map((report) => ({
+      vm: report.vm,
+      dataCentre: report.dataCentre,
+      state: 'subscriber',
+      configVersion: report.version,
+    }));
+  }
+
+  private hearReport(report: ConfigReportMessage, peer: ConfigPeer): void {
+    this.subscribers.set(peer, report);
+    const {version: held} = this.options.force.holder;
+    if (report.version < held) peer.send(this.createConfig());
+    else peer.send(this.createAnnouncement());
+  }
+
+  /** Sends a new version down and reports it up. */
+  private spread(): void {
+    const config = this.createConfig();
+    for (const [peer, {version}] of this.subscribers) {
+      if (version < config.version) peer.send(config);
+    }
+    const report = this.createReport();
+    for (const peer of this.publishers) peer.send(report);
+  }
+
+  private announce(): void {
+    const announcement = this.createAnnouncement();
+    for (const peer of this.subscribers.keys()) peer.send(announcement);
+  }
+
+  private createConfig(): ConfigMessage {
+    const {version, value} = this.options.force.holder.news;
+    const ageMs = this.options.force.ageMs();
+    return {type: MessageType.CONFIG, version, value, ageMs};
+  }
+
+  private createAnnouncement(): ConfigMessage {
+    return {...this.createConfig(), value: null};
+  }
+
+  private createReport(): ConfigReportMessage {
+    const {vm, dataCentre, force} = this.options;
+    const type = MessageType.CONFIG_REPORT;
+    return {type, vm, dataCentre, version: force.holder.version};
+  }
+}
--- /dev/null
+++ b/src/entry/config-peers.ts
@@ -0,0 +1,95 @@
+/** Links to the entries from which this one hears the configuration. */
+import type {Clock, RandomSource} from '../core/clock/index.js';
+import type {VmRecord} from '../core/edges/index.js';
+import type {HelloMessage, Message} from '../core/protocol/index.js';
+import {MessageType, PeerClient} from '../core/protocol/index.js';
+import type {ConfigExchange} from './config-exchange.js';
+import {PEER_SILENT_MS} from './consts.js';
+
+interface PeerLink {
+  readonly record: VmRecord;
+  readonly client: PeerClient;
+  /** When it last spoke, or when the link was made. */
+  heardAtMs: number;
+}
+
+/** Follows a set of peers and tells which of them are silent. */
+export class ConfigPeers {
+  private readonly links = new Map<string, PeerLink>();
+  /** When a peer was found silent; it is tried again later. */
+  private readonly silentAtMs = new Map<string, number>();
+
+  constructor(
+    private readonly options: {
+      hello: HelloMessage;
+      clock: Clock;
+      random: RandomSource;
+      exchange: ConfigExchange;
+    },
+  ) {}
+
+  close(): void {
+    for (const {client} of this.links.values()) client.stop();
+  }
+
+  /** Peers that were silent within the last `withinMs`. */
+  findSilent(withinMs: number): ReadonlySet<string> {
+    const nowMs = this.options.clock.now();
+    for (const [vm, {heardAtMs}] of this.links) {
+      if (nowMs - heardAtMs > PEER_SILENT_MS) this.silentAtMs.set(vm, nowMs);
+    }
+    for (const [vm, atMs] of this.silentAtMs) {
+      if (nowMs - atMs > withinMs) this.silentAtMs.delete(vm);
+    }
+    return new Set(this.silentAtMs.keys());
+  }
+
+  /** Starts the measure of silence anew, after a pause of this process. */
+  forgiveSilence(): void {
+    const nowMs = this.options.clock.now();
+    for (const link of this.links.values()) link.heardAtMs = nowMs;
+  }
+
+  /** Keeps links to these peers and no others. */
+  follow(records: readonly VmRecord[]): void {
+    const wanted = new Map(records.map((record) => [record.name, record]));
+    for (const [vm, link] of this.links) {
+      const record = wanted.get(vm);
+      if (record !== undefined && isSamePlace(record, link.record)) continue;
+      link.client.stop();
+      this.links.delete(vm);
+    }
+    for (const record of records) {
+      if (!this.links.has(record.name)) this.add(record);
+    }
+  }
+
+  private add(record: VmRecord): void {
+    const {exchange, ...rest} = this.options;
+    const peer = {address: record.address, port: record.peerPort};
+    const client: PeerClient = new PeerClient({
+      ...rest,
+      peer,
+      listener: {
+        onReady: () => {
+          link.heardAtMs = rest.clock.now();
+          exchange.join(client);
+        },
+        onMessage: (message: Message) => {
+          link.heardAtMs = rest.clock.now();
+          if (message.type !== MessageType.CONFIG) return;
+          exchange.hearConfig(message, client);
+        },
+        onDrain: () => undefined,
+        onClose: () => exchange.leave(client),
+      },
+    });
+    const link: PeerLink = {record, client, heardAtMs: rest.clock.now()};
+    this.links.set(record.name, link);
+    client.start();
+  }
+}
+
+function isSamePlace(a: VmRecord, b: VmRecord): boolean {
+  return a.address === b.address && a.peerPort === b.peerPort;
+}
--- a/src/entry/consts.ts
+++ b/src/entry/consts.ts
@@ -37,9 +37,6 @@
 /** Wait before the configuration is read again, in milliseconds. */
 export const CONFIG_RETRY_MS = 500;
 
-/** Entries open their doors only after a first look for this long. */
-export const FIRST_LOOK_MS = 300;
-
 /** Bounds of the wait before an agent is asked again, in milliseconds. */
 export const ASK_RETRY_MIN_MS = 100;
 export const ASK_RETRY_MAX_MS = 1_000;
@@ -52,3 +49,33 @@
 
 /** `true` where the caller vouches that it has not used the key before. */
 export const FIRST_USE_HEADER = 'idempotency-first-use';
+
+/**
+ * Without an answer of the platform, an entry serves by what its peers hold
+ * only after it has heard them for this long, in milliseconds.
+ */
+export const FIRST_LOOK_MS = 2_000;
+
+/** How often an entry tells its subscribers what it holds. */
+export const ANNOUNCE_MS = 1_000;
+
+/** How often the watchers are elected anew, in milliseconds. */
+export const ELECTION_MS = 500;
+
+/** A peer that is silent for longer is passed over, in milliseconds. */
+export const PEER_SILENT_MS = 2_500;
+
+/** A silent peer is tried again after this, in milliseconds. */
+export const SILENT_PEER_RETRY_MS = 10_000;
+
+/** News older than this is looked after by reading, in milliseconds. */
+export const CONFIG_STALE_MS = 3_000;
+
+/** Longest time between such reads, in milliseconds. */
+export const CONFIG_READ_MS = 2_000;
+
+/** How often an entry tells its agents how old its news is. */
+export const AGENT_ANNOUNCE_MS = 5_000;
+
+/** Entries tell one agent a new version spread over this, in milliseconds. */
+export const AGENT_CONFIG_SPREAD_MS = 300;
--- /dev/null
+++ b/test/core/config/distribution.test.ts
@@ -0,0 +1,139 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import type {ConfigNews} from '../../../src/core/config/distribution/index.js';
+import {
+  ConfigHolder,
+  electWatchers,
+  ExchangeStep,
+  selectConfigPeers,
+  WATCHERS_PER_DATA_CENTRE,
+} from '../../../src/core/config/distribution/index.js';
+
+const SEED = 61;
+const PROCESSES = 4;
+const PLATFORM = -1;
+
+/** One delivery: of the platform's present version or of a peer's word. */
+const DELIVERY = fc.record({
+  from: fc.integer({min: PLATFORM, max: PROCESSES - 1}),
+  to: fc.integer({min: 0, max: PROCESSES - 1}),
+  named: fc.boolean(),
+  /** Deliver an old word of that sender instead of its present one. */
+  stale: fc.nat({max: 20}),
+  accepts: fc.boolean(),
+  restarts: fc.boolean(),
+});
+
+describe('ConfigHolder', () => {
+  it(`never goes back and agrees with the highest heard (seed ${SEED})`, () => {
+    fc.assert(
+      fc.property(fc.array(DELIVERY, {maxLength: 120}), (deliveries) => {
+        const holders = Array.from(
+          {length: PROCESSES},
+          () => new ConfigHolder(),
+        );
+        const highest = holders.map(() => 0);
+        const said: ConfigNews[] = [{version: 0, value: null}];
+        let accepted = 0;
+        for (const {from, to, named, stale, accepts, restarts} of deliveries) {
+          if (accepts) accepted++;
+          if (restarts) {
+            holders[to] = new ConfigHolder();
+            highest[to] = 0;
+          }
+          const present =
+            from === PLATFORM
+              ? {version: accepted, value: `v${accepted}`}
+              : holders[from]!.news;
+          said.push(present);
+          const word = said[Math.max(0, said.length - 1 - stale)]!;
+          const news = named ? {...word, value: null} : word;
+          const before = holders[to]!.version;
+          holders[to]!.offer(news);
+          if (news.value !== null) {
+            highest[to] = Math.max(highest[to]!, news.version);
+          }
+          expect(holders[to]!.version).toBeGreaterThanOrEqual(before);
+          expect(holders[to]!.version).toBe(highest[to]);
+          const {version, value} = holders[to]!.news;
+          if (version > 0) expect(value).toBe(`v${version}`);
+        }
+      }),
+      {seed: SEED},
+    );
+  });
+
+  it('brings two processes to one version in three messages', () => {
+    fc.assert(
+      fc.property(fc.nat({max: 9}), fc.nat({max: 9}), (a, b) => {
+        const [first, second] = [new ConfigHolder(), new ConfigHolder()];
+        first.offer({version: a, value: 'a'});
+        second.offer({version: b, value: 'b'});
+        let [speaker, hearer] = [first, second];
+        let word: ConfigNews | undefined = {version: a, value: null};
+        for (let i = 0; i < 3 && word !== undefined; i++) {
+          const step = hearer.resolveStep(word);
+          hearer.offer(word);
+          [speaker, hearer] = [hearer, speaker];
+          if (step === ExchangeStep.SEND) word = speaker.news;
+          else if (step === ExchangeStep.ASK) {
+            word = {version: speaker.version, value: null};
+          } else word = undefined;
+        }
+        expect(first.version).toBe(second.version);
+        expect(first.version).toBe(Math.max(a, b));
+      }),
+      {seed: SEED},
+    );
+  });
+});
+
+const MEMBERS = fc.uniqueArray(
+  fc.record({
+    vm: fc.integer({min: 1, max: 99}).map((n) => `entry-${n}`),
+    dataCentre: fc.constantFrom('waw', 'poz', 'krk'),
+  }),
+  {selector: ({vm}) => vm, minLength: 1, maxLength: 40},
+);
+
+describe('electWatchers', () => {
+  it(`is the same in any order and moves for the lost alone`, () => {
+    fc.assert(
+      fc.property(MEMBERS, (members) => {
+        const {dataCentre} = members[0]!;
+        const near = members.filter((m) => m.dataCentre === dataCentre);
+        const watchers = electWatchers({dataCentre, members});
+        const reversed = [...members].reverse();
+        expect(electWatchers({dataCentre, members: reversed})).toEqual(
+          watchers,
+        );
+        expect(watchers).toHaveLength(
+          Math.min(near.length, WATCHERS_PER_DATA_CENTRE),
+        );
+        const left = members.filter(({vm}) => vm !== watchers[0]);
+        const next = electWatchers({dataCentre, members: left});
+        expect(next).toEqual(expect.arrayContaining(watchers.slice(1)));
+      }),
+      {seed: SEED},
+    );
+  });
+
+  it('leaves no entry without a path to a watcher of its data centre', () => {
+    fc.assert(
+      fc.property(MEMBERS, (members) => {
+        for (const self of members) {
+          const {dataCentre} = self;
+          const peers = selectConfigPeers({self, members});
+          const watchers = electWatchers({dataCentre, members});
+          const near = watchers.filter((vm) => vm !== self.vm);
+          expect(peers).toEqual(expect.arrayContaining(near));
+          expect(peers).not.toContain(self.vm);
+          const isDistant = members.some((m) => m.dataCentre !== dataCentre);
+          expect(peers.length).toBe(near.length + Number(isDistant));
+        }
+      }),
+      {seed: SEED},
+    );
+  });
+});
--- /dev/null
+++ b/test/processes/config.test.ts
@@ -0,0 +1,316 @@
+import {spawn} from 'node:child_process';
+import {
+  cpSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import type {Daemon} from '../../tools/lab/lab.js';
+import {sendControl, waitUntil} from '../../tools/lab/lab.js';
+import {DIST, EXAMPLES} from '../../tools/lab/paths.js';
+import type {SiteOptions} from '../../tools/lab/site.js';
+import {Site} from '../../tools/lab/site.js';
+
+const TEST_MS = 180_000;
+const WAIT_MS = 60_000;
+const SAMPLE_MS = 50;
+const CONFLICT_STATUS = 3;
+
+interface Status {
+  readonly vm: string;
+  readonly incarnation: string;
+  readonly ready: boolean;
+  readonly configVersion: number;
+  readonly configAgeMs: number;
+}
+
+let site: Site;
+let folder: string;
+let sampling: Promise<void>;
+let sampled = false;
+/** The highest version that each process has shown. */
+const highest = new Map<string, number>();
+const reverts: string[] = [];
+
+beforeEach(() => {
+  folder = mkdtempSync(join(tmpdir(), 'config-'));
+  highest.clear();
+  reverts.length = 0;
+  sampled = false;
+});
+
+afterEach(async () => {
+  sampled = true;
+  await sampling;
+  await site.close();
+  rmSync(folder, {recursive: true});
+  expect(reverts).toEqual([]);
+});
+
+async function createSite(options: SiteOptions): Promise<void> {
+  site = await Site.create(options);
+  sampling = sample();
+}
+
+/** Looks at every process until the test ends: no version may fall. */
+async function sample(): Promise<void> {
+  while (!sampled) {
+    const statuses = await Promise.all(daemons().map(readStatus));
+    for (const status of statuses) {
+      if (status === undefined) continue;
+      const id = `${status.vm} ${status.incarnation}`;
+      const before = highest.get(id) ?? 0;
+      if (status.configVersion < before) {
+        reverts.push(`${id}: ${before} to ${status.configVersion}`);
+      }
+      highest.set(id, Math.max(before, status.configVersion));
+    }
+    await new Promise((resolve) => setTimeout(resolve, SAMPLE_MS));
+  }
+}
+
+function daemons(): Daemon[] {
+  const targets = [...site.engines, ...site.stock];
+  const all = [...site.entries, ...targets.map(({agent}) => agent)];
+  return all.filter((daemon) => daemon.proc.isRunning);
+}
+
+async function readStatus(daemon: Daemon): Promise<Status | undefined> {
+  const signal = AbortSignal.timeout(1_000);
+  try {
+    const res = await fetch(`${daemon.operatorsUrl}/status`, {signal});
+    return (await res.json()) as Status;
+  } catch {
+    return undefined;
+  }
+}
+
+async function versionOf(daemon: Daemon): Promise<number> {
+  return (await readStatus(daemon))?.configVersion ?? 0;
+}
+
+/** Runs `plantainrill apply` on a variant of the quickstart's files. */
+async function apply(variant: string): Promise<{status: number; text: string}> {
+  const files = join(folder, variant);
+  cpSync(fileURLToPath(new URL('quickstart', EXAMPLES)), files, {
+    recursive: true,
+  });
+  const base = join(files, 'base.yaml');
+  const text = readFileSync(base, 'utf8');
+  expect(text).toContain('deadlineMs:');
+  const deadlineMs = `deadlineMs: ${20_000 + Number(variant)}`;
+  writeFileSync(base, text.replace(/deadlineMs: \d+/, deadlineMs));
+  const main = fileURLToPath(new URL('src/cli/main.js', DIST));
+  const platform = site.platform.url;
+  const args = ['apply', '-f', files, '--platform', platform];
+  args.push('--operator', `operator-${variant}`);
+  const child = spawn(process.execPath, [main, ...args]);
+  let output = '';
+  child.stdout.on('data', (chunk: Buffer) => (output += chunk.toString()));
+  child.stderr.on('data', (chunk: Buffer) => (output += chunk.toString()));
+  const status = await new Promise<number>((resolve) =>
+    child.once('exit', (code) => resolve(code ?? -1)),
+  );
+  return {status, text: output};
+}
+
+async function storedVersion(): Promise<number> {
+  const url = `${site.platform.url}/objects/config/deployment`;
+  return ((await sendControl({url})) as {version: number}).version;
+}
+
+function setFault(body: object): Promise<unknown> {
+  return sendControl({
+    url: `${site.platform.url}/faults`,
+    method: 'POST',
+    body,
+  });
+}
+
+async function waitForVersion(
+  version: number,
+  of: () => Daemon[] = daemons,
+): Promise<void> {
+  await waitUntil({
+    what: `version ${version} everywhere`,
+    timeoutMs: WAIT_MS,
+    check: async () => {
+      const versions = await Promise.all(of().map(versionOf));
+      return versions.every((found) => found === version);
+    },
+  });
+}
+
+async function startEntry(platformUrl: string): Promise<Daemon> {
+  const vm = `entry-${site.entries.length + 1}`;
+  const settings = {vm, dataCentre: 'waw', site: 'waw', platformUrl};
+  const entry = await site.lab.startDaemon({role: 'entry', settings});
+  site.entries.push(entry);
+  await site.register({
+    name: vm,
+    role: 'entry',
+    dataCentre: 'waw',
+    peerPort: entry.peersPort,
+    service: '',
+  });
+  return entry;
+}
+
+describe('a configuration in force', () => {
+  it(
+    'reaches entries and agents, also those cut off from the platform',
+    async () => {
+      await createSite({entries: 3, engines: 2, stock: 1});
+      const relay = await site.lab.startStandIn({
+        name: 'relay',
+        flags: {to: `127.0.0.1:${site.platform.port}`},
+      });
+      const cut = await startEntry(relay.url);
+      await waitForVersion(await storedVersion());
+      const control = `http://127.0.0.1:${relay.controlPort}/cut`;
+      await sendControl({url: control, method: 'POST'});
+      expect((await apply('1')).status).toBe(0);
+      await waitForVersion(await storedVersion());
+      const status = await readStatus(cut);
+      expect(status!.configAgeMs).toBeLessThan(WAIT_MS);
+    },
+    TEST_MS,
+  );
+
+  it(
+    'is the newest after a pause during which others changed it',
+    async () => {
+      await createSite({entries: 3, engines: 1});
+      const [paused] = site.entries as [Daemon];
+      paused.proc.freeze();
+      expect((await apply('1')).status).toBe(0);
+      await waitForVersion(await storedVersion(), () =>
+        daemons().filter((daemon) => daemon !== paused),
+      );
+      paused.proc.thaw();
+      await waitForVersion(await storedVersion());
+    },
+    TEST_MS,
+  );
+
+  it(
+    'survives an outage in which only an old peer and the agents are left',
+    async () => {
+      await createSite({entries: 2, engines: 1});
+      const [old, current] = site.entries as [Daemon, Daemon];
+      old.proc.freeze();
+      expect((await apply('1')).status).toBe(0);
+      const version = await storedVersion();
+      await waitForVersion(version, () =>
+        daemons().filter((daemon) => daemon !== old),
+      );
+      await setFault({mode: 'down', kind: 'config'});
+      current.proc.kill();
+      await current.proc.exited;
+      old.proc.thaw();
+      const fresh = await startEntry(site.platform.url);
+      await waitForVersion(version);
+      const status = await readStatus(fresh);
+      expect(status).toMatchObject({ready: true, configVersion: version});
+    },
+    TEST_MS,
+  );
+
+  it(
+    'is not claimed by an entry that could ask nobody',
+    async () => {
+      await createSite({entries: 1, engines: 1});
+      await setFault({mode: 'down'});
+      const fresh = await startEntry(site.platform.url);
+      await new Promise((resolve) => setTimeout(resolve, 4_000));
+      const during = await readStatus(fresh);
+      expect(during).toMatchObject({ready: false, configVersion: 0});
+      const res = await fetch(`${fresh.callersUrl}/services/stock/stock/x`);
+      expect(await res.json()).toMatchObject({reason: 'not_ready', ran: 'no'});
+      expect(await readStatus(site.entries[0]!)).toMatchObject({ready: true});
+      await setFault({mode: 'ok'});
+      await waitForVersion(await storedVersion());
+    },
+    TEST_MS,
+  );
+});
+
+describe('apply', () => {
+  const faults: Array<{name: string; fault: object}> = [
+    {
+      name: 'the answer to the write is lost',
+      fault: {mode: 'lose_write_answer', count: 1},
+    },
+    {
+      name: 'two answers in a row are lost',
+      fault: {mode: 'lose_write_answer', count: 2},
+    },
+    {
+      name: 'the write fails before it has an effect',
+      fault: {mode: 'fail_before_effect', count: 1},
+    },
+    {name: 'the platform is slow', fault: {mode: 'slow', delayMs: 500}},
+  ];
+
+  it.each(faults)(
+    'is accepted once when $name',
+    async ({fault}) => {
+      await createSite({entries: 2, engines: 0});
+      const before = await storedVersion();
+      await setFault(fault);
+      expect((await apply('1')).status).toBe(0);
+      await setFault({mode: 'ok'});
+      expect(await storedVersion()).toBe(before + 1);
+      expect((await apply('1')).text).toContain('already accepted');
+      expect(await storedVersion()).toBe(before + 1);
+      await waitForVersion(before + 1);
+    },
+    TEST_MS,
+  );
+
+  it(
+    'says when the platform is down, and can be repeated afterwards',
+    async () => {
+      await createSite({entries: 2, engines: 0});
+      const before = await storedVersion();
+      await setFault({mode: 'down'});
+      expect((await apply('1')).status).not.toBe(0);
+      await setFault({mode: 'ok'});
+      expect((await apply('1')).status).toBe(0);
+      // The platform goes down right after it has accepted.
+      await setFault({mode: 'down'});
+      await setFault({mode: 'ok'});
+      expect(await storedVersion()).toBe(before + 1);
+      await waitForVersion(before + 1);
+    },
+    TEST_MS,
+  );
+
+  it(
+    'tells the loser of a race who won and how theirs differs',
+    async () => {
+      await createSite({entries: 2, engines: 0});
+      const before = await storedVersion();
+      // Both have read before either writes.
+      await setFault({mode: 'slow', delayMs: 800});
+      const outcomes = await Promise.all([apply('1'), apply('2')]);
+      await setFault({mode: 'ok'});
+      const lost = outcomes.findIndex(({status}) => status !== 0);
+      expect(outcomes[1 - lost]!.status).toBe(0);
+      expect(outcomes[lost]!.status).toBe(CONFLICT_STATUS);
+      const winner = `operator-${2 - lost}`;
+      expect(outcomes[lost]!.text).toContain(winner);
+      expect(outcomes[lost]!.text).toContain(`${20_000 + lost + 1}`);
+      expect(await storedVersion()).toBe(before + 1);
+      await waitForVersion(before + 1);
+    },
+    TEST_MS,
+  );
+});
