--- a/src/agent/entry-session.ts
+++ b/src/agent/entry-session.ts
@@ -6,6 +6,7 @@
 import type {Metrics} from '../core/metrics/index.js';
 import type {
   AttachMessage,
+  ConfigMessage,
   ConnectionListener,
   Message,
   PeerConnection,
@@ -18,6 +19,7 @@
 import type {Attempt} from './attempt.js';
 import {AttemptReader} from './attempt-reader.js';
 import type {CallRunner} from './call-runner.js';
+import type {ConfigReceiver} from './config-receiver.js';
 import type {LeavePeers} from './drain-peers.js';
 import {HEARTBEAT_BUSY_MS, HEARTBEAT_IDLE_MS} from './consts.js';
 
@@ -32,6 +34,7 @@
   readonly calls?: CallRunner;
   countRunning(): number;
   readonly peers: LeavePeers;
+  readonly config: ConfigReceiver;
 }
 
 /** Answers one entry's messages and sends it heartbeats. */
@@ -54,6 +57,7 @@
     this.parts.peers.add(this);
     this.unsubscribes.push(board.leaving.subscribe(beat));
     this.unsubscribes.push(board.phase.subscribe(beat));
+    this.unsubscribes.push(board.configVersion.subscribe(beat));
     this.sendHeartbeat();
     this.timer = clock.repeat({
       periodMs: HEARTBEAT_BUSY_MS,
@@ -79,6 +83,9 @@
         this.pendingCalls++;
         this.parts.calls?.handleCall(message, (m) => this.respond(m));
         return;
+      case MessageType.CONFIG:
+        this.hearConfig(message);
+        return;
       case MessageType.LEAVE:
         this.parts.peers.acknowledge(this);
         return;
@@ -105,6 +112,11 @@
     });
   }
 
+  private hearConfig(message: ConfigMessage): void {
+    const answer = this.parts.config.hear(message);
+    if (answer !== undefined) this.connection().send(answer);
+  }
+
   private handleStart(order: StartMessage): void {
     const {attempts} = this.parts;
     const refusal = attempts?.checkAdmission() ?? undefined;
--- a/stand-ins/platform/server.ts
+++ b/stand-ins/platform/server.ts
@@ -188,10 +188,10 @@
   /** Counts a call, lets its time pass and refuses it while down. */
   private async admit(kind: string, verb: Verb): Promise<void> {
     this.count(kind, verb);
-    if (this.faults.isDown) throw new HttpError(503, 'down');
+    if (this.faults.isDownFor(kind)) throw new HttpError(503, 'down');
     const waitMs = this.options.latencyMs + this.faults.delayMs;
     if (waitMs > 0) await sleep(waitMs);
-    if (this.faults.isDown) throw new HttpError(503, 'down');
+    if (this.faults.isDownFor(kind)) throw new HttpError(503, 'down');
   }
 
   private count(kind: string, verb: Verb): void {
