--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -163,7 +163,7 @@
   name: 'claim_voided',
   title: 'Claim voided',
   message: 'The claim on this booking was voided before anything was sent.',
-  hint: 'Repeat the booking; it did not run.',
+  hint: 'Repeat the booking under a new key; it did not run.',
 } as const satisfies ErrorData;
 
 /** Whether the claim on this booking was written is not known yet. */
