--- a/src/core/edges/operators.ts
+++ b/src/core/edges/operators.ts
@@ -8,12 +8,17 @@
   readonly leaving: boolean;
   /** Version of the configuration in force; 0 for none. */
   readonly configVersion: number;
-  /** Milliseconds since the platform was last heard of. */
+  /**
+   * Milliseconds since the platform last confirmed that version, here or to
+   * a peer; the age of the process where it never did.
+   */
   readonly configAgeMs: number;
   /** Work in flight. */
   readonly running: number;
   /** What else the role reports. */
   readonly peers: readonly PeerStatus[];
+  /** Processes that hear the configuration from this one. */
+  readonly subscribers: readonly PeerStatus[];
 }
 
 /** What a process knows of a peer. */
