--- /dev/null
+++ b/bench/experiments/config/index.ts
@@ -0,0 +1,173 @@
+/** Time from acceptance to in force everywhere; flat watching against fan-out. */
+import {HttpObjectStore} from '../../../src/adapters/index.js';
+import {CONFIG_OBJECT} from '../../../src/core/config/index.js';
+import type {StandIn} from '../../../tools/lab/lab.js';
+import {Lab, sendControl} from '../../../tools/lab/lab.js';
+import {loadExample} from '../../../tools/lab/site.js';
+import {Samples} from '../../lib/samples.js';
+import type {
+  BoundResult,
+  CaseResult,
+  Experiment,
+  RatioResult,
+} from '../../lib/types.js';
+import {LightEntry} from './light-entry.js';
+
+const DATA_CENTRES = ['waw', 'poz', 'krk', 'gdn'];
+const SIZES = [10, 50, 200];
+const CHANGES = 5;
+const IN_FORCE_MS = 6_000;
+const SETTLE_MS = 3_000;
+const GIVE_UP_MS = 15_000;
+const POLL_MS = 2;
+const FILLER = 'x'.repeat(20_000);
+
+interface Outcome {
+  readonly times: CaseResult;
+  readonly maxMs: number;
+  /** Calls for the configuration, of all processes, since their start. */
+  readonly calls: number;
+  readonly bytes: number;
+}
+
+/** Measures both ways for each size in one run. */
+export const experiment: Experiment = {
+  name: 'config',
+  summary: 'acceptance to in force everywhere, flat watching and fan-out',
+  starts:
+    'a platform; one process hosts the configuration controllers of 10, 50 ' +
+    'and 200 entries over real sockets; about 45 s',
+  flags: ['--size N: one size alone'],
+  run: async ({flags}) => {
+    const only = flags.number('size', 0);
+    const sizes = only > 0 ? [only] : SIZES;
+    const cases: CaseResult[] = [];
+    const ratios: RatioResult[] = [];
+    const bounds: BoundResult[] = [];
+    for (const size of sizes) {
+      const flat = await measure({size, flat: true});
+      const fanOut = await measure({size, flat: false});
+      cases.push(flat.times, fanOut.times);
+      cases.push(perProcess(size, 'flat', flat));
+      cases.push(perProcess(size, 'fan-out', fanOut));
+      ratios.push(
+        ratio(`${size}: calls fan-out / flat`, fanOut.calls, flat.calls),
+        ratio(`${size}: bytes fan-out / flat`, fanOut.bytes, flat.bytes),
+      );
+      bounds.push({
+        name: `${size} in force everywhere, fan-out, ms`,
+        stated: IN_FORCE_MS,
+        measured: fanOut.maxMs,
+        holds: fanOut.maxMs <= IN_FORCE_MS,
+      });
+    }
+    return {cases, ratios, bounds};
+  },
+};
+
+function ratio(name: string, over: number, under: number): RatioResult {
+  return {name, value: over / Math.max(under, 1)};
+}
+
+function perProcess(size: number, way: string, outcome: Outcome): CaseResult {
+  const name = `${size} ${way}: platform bytes per process and change`;
+  const samples = new Samples({name, unit: 'B'});
+  samples.add(outcome.bytes / size / CHANGES);
+  return samples.result();
+}
+
+async function measure(options: {
+  size: number;
+  flat: boolean;
+}): Promise<Outcome> {
+  const {size, flat} = options;
+  const lab = new Lab();
+  const entries: LightEntry[] = [];
+  try {
+    const platform = await lab.startStandIn({
+      name: 'platform',
+      flags: {'vm-lag-ms': 0},
+    });
+    const store = new HttpObjectStore({baseUrl: platform.url});
+    const created = await store.create({...CONFIG_OBJECT, value: variant(0)});
+    let {version} = created._unsafeUnwrap();
+    for (let i = 0; i < size; i++) {
+      entries.push(await startEntry({index: i, flat, platform}));
+    }
+    await waitFor(entries, version);
+    await sleep(SETTLE_MS);
+    const before = count(entries);
+    const way = flat ? 'flat' : 'fan-out';
+    const name = `${size} ${way}: accepted to in force everywhere`;
+    const times = new Samples({name, unit: 'ms'});
+    for (let change = 1; change <= CHANGES; change++) {
+      const updated = await store.update({
+        ...CONFIG_OBJECT,
+        value: variant(change),
+        expectedVersion: version,
+      });
+      const startMs = performance.now();
+      version = updated._unsafeUnwrap().version;
+      await waitFor(entries, version);
+      times.add(performance.now() - startMs);
+    }
+    const after = count(entries);
+    return {
+      times: times.result(),
+      maxMs: times.percentile(100),
+      calls: after.calls,
+      bytes: after.bytes - before.bytes,
+    };
+  } finally {
+    entries.forEach((entry) => entry.stop());
+    await lab.close();
+  }
+}
+
+async function startEntry(options: {
+  index: number;
+  flat: boolean;
+  platform: StandIn;
+}): Promise<LightEntry> {
+  const {index, flat, platform} = options;
+  const entry = new LightEntry({
+    vm: `entry-${index + 1}`,
+    dataCentre: DATA_CENTRES[index % DATA_CENTRES.length]!,
+    platformUrl: platform.url,
+    flat,
+  });
+  const record = await entry.start();
+  const url = `${platform.url}/vms/${record.name}`;
+  await sendControl({url, method: 'PUT', body: record});
+  return entry;
+}
+
+function count(entries: readonly LightEntry[]) {
+  const sum = (pick: (entry: LightEntry) => number): number =>
+    entries.reduce((total, entry) => total + pick(entry), 0);
+  return {
+    calls: sum(({store}) => store.calls),
+    bytes: sum(({store}) => store.bytes),
+  };
+}
+
+/** The quickstart's configuration with about 20 KB of comment. */
+function variant(change: number): object {
+  const document = loadExample('quickstart');
+  return {nonce: `n${change}`, operator: FILLER, document};
+}
+
+async function waitFor(
+  entries: readonly LightEntry[],
+  version: number,
+): Promise<void> {
+  const endMs = performance.now() + GIVE_UP_MS;
+  while (entries.some((entry) => entry.version() < version)) {
+    if (performance.now() > endMs) throw new Error(`no version ${version}`);
+    await sleep(POLL_MS);
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/bench/experiments/membership/index.ts
@@ -0,0 +1,176 @@
+/** Detection, false suspicions, planned stops and the cost of watching. */
+import {request} from 'undici';
+
+import type {Daemon} from '../../../tools/lab/lab.js';
+import {sendControl, waitUntil} from '../../../tools/lab/lab.js';
+import type {LoadTally} from '../../../tools/lab/mixed-load.js';
+import {MixedLoad} from '../../../tools/lab/mixed-load.js';
+import type {Target} from '../../../tools/lab/site.js';
+import {Site} from '../../../tools/lab/site.js';
+import {Samples} from '../../lib/samples.js';
+import type {BoundResult, Experiment} from '../../lib/types.js';
+
+const FREEZES = 4;
+const QUIET_MS = 5_000;
+const NO_NEW_WORK_MS = 3_000;
+const DETECTION_MS = 3_000;
+
+/** Measures one small site under load. */
+export const experiment: Experiment = {
+  name: 'membership',
+  summary: 'detection of frozen agents, false suspicions, stops under load',
+  starts: 'a platform, 3 engines, 2 stock services, 2 entries; about 45 s',
+  flags: [],
+  run: async () => {
+    const site = await Site.create({
+      entries: 2,
+      engines: 3,
+      stock: 2,
+      engineFlags: {'pace-ms': 20},
+    });
+    try {
+      const load = new MixedLoad({
+        ...{site, generations: 8, tokens: 60, bookings: 0, lookups: 4},
+      });
+      await load.start();
+      const falseOnes = await countFalseSuspicions(site);
+      const detection = await measureDetection(site);
+      const newWork = await measureLeaving(site);
+      await replaceAll(site);
+      const tally = await load.stop();
+      const lost = countLost(tally);
+      const bounds: BoundResult[] = [
+        bound('requests lost under freezes and stops', 0, lost),
+        bound('false suspicions in 5 s of load', 0, falseOnes),
+        bound('detection, max, ms', DETECTION_MS, detection.percentile(100)),
+        bound('work begun past 3 s of leaving', 0, newWork.late),
+      ];
+      return {
+        cases: [detection.result(), newWork.times.result()],
+        ratios: [],
+        bounds,
+      };
+    } finally {
+      await site.close();
+    }
+  },
+};
+
+function bound(name: string, stated: number, measured: number): BoundResult {
+  return {name, stated, measured, holds: measured <= stated};
+}
+
+function countLost(tally: LoadTally): number {
+  const {generations, stock, cutOff} = tally;
+  return generations.wrong.length + stock.wrong.length + cutOff.length;
+}
+
+async function countFalseSuspicions(site: Site): Promise<number> {
+  const before = await sumSuspicions(site);
+  await sleep(QUIET_MS);
+  return (await sumSuspicions(site)) - before;
+}
+
+async function sumSuspicions(site: Site): Promise<number> {
+  let sum = 0;
+  for (const entry of site.entries) {
+    const res = await request(`${entry.operatorsUrl}/metrics`);
+    const text = await res.body.text();
+    const found = /targets_suspected_total(?:\{[^}]*\})? (\d+)/.exec(text);
+    sum += Number(found?.[1] ?? 0);
+  }
+  return sum;
+}
+
+/** Freezes agents that work, and times until no entry uses them. */
+async function measureDetection(site: Site): Promise<Samples> {
+  const name = 'frozen to unused at both entries';
+  const samples = new Samples({name, unit: 'ms'});
+  for (let i = 0; i < FREEZES; i++) {
+    const target = site.engines[i % site.engines.length]!;
+    const startMs = performance.now();
+    target.agent.proc.freeze();
+    await waitForUse(site, target, false);
+    samples.add(performance.now() - startMs);
+    target.agent.proc.thaw();
+    await waitForUse(site, target, true);
+  }
+  return samples;
+}
+
+async function waitForUse(
+  site: Site,
+  target: Target,
+  used: boolean,
+): Promise<void> {
+  const check = async (): Promise<boolean> => {
+    const states = await Promise.all(
+      site.entries.map((entry) => stateOf(entry, target.vm)),
+    );
+    return states.every((state) => (state === 'usable') === used);
+  };
+  await waitUntil({what: `${target.vm} usable: ${used}`, check});
+}
+
+async function stateOf(entry: Daemon, vm: string): Promise<string> {
+  const url = `${entry.operatorsUrl}/status`;
+  const {peers} = (await sendControl({url})) as {
+    peers: Array<{vm: string; state: string}>;
+  };
+  return peers.find((peer) => peer.vm === vm)?.state ?? 'absent';
+}
+
+/** Lists a target as leaving, and times its last new generation. */
+async function measureLeaving(site: Site) {
+  const name = 'listed as leaving to its last new work';
+  const times = new Samples({name, unit: 'ms'});
+  const target = site.engines[0]!;
+  let seen = await countStarted(target);
+  const startMs = performance.now();
+  await site.listAsLeaving(target, 'drafts');
+  let lastMs = 0;
+  let late = 0;
+  while (performance.now() - startMs < 2 * NO_NEW_WORK_MS) {
+    const started = await countStarted(target);
+    const sinceMs = performance.now() - startMs;
+    if (started > seen) lastMs = sinceMs;
+    if (started > seen && sinceMs > NO_NEW_WORK_MS) late += started - seen;
+    seen = started;
+    await sleep(10);
+  }
+  times.add(lastMs);
+  await target.agent.proc.exited;
+  await restart(site, target);
+  return {times, late};
+}
+
+async function countStarted(target: Target): Promise<number> {
+  const url = `${target.standIn.url}/counts`;
+  return ((await sendControl({url})) as {started: number}).started;
+}
+
+/** Replaces every process, one after the other. */
+async function replaceAll(site: Site): Promise<void> {
+  for (const target of [...site.engines]) {
+    target.agent.proc.terminate();
+    await target.agent.proc.exited;
+    await restart(site, target);
+  }
+  for (const entry of [...site.entries]) {
+    await site.addEntry();
+    await site.waitUntilUsable();
+    entry.proc.terminate();
+    await entry.proc.exited;
+    await site.unregister(entry.vm);
+  }
+}
+
+async function restart(site: Site, target: Target): Promise<void> {
+  const next = await site.restartAgent(target, 'engine', 'drafts');
+  site.engines[site.engines.indexOf(target)] = next;
+  await site.waitUntilUsable();
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
