--- a/src/adapters/http-callers.ts
+++ b/src/adapters/http-callers.ts
@@ -106,7 +106,11 @@
  */
 function checkHead(handler: CallerHandler) {
   return createMiddleware(async (ctx, next) => {
-    const known = handler.authenticate(readBearer(ctx));
+    const known = handler.authenticate({
+      bearer: readBearer(ctx),
+      headers: forwardedHeaders(ctx),
+      idempotencyKey: ctx.req.header(IDEMPOTENCY_KEY_HEADER) ?? '',
+    });
     if (known.isErr()) return createProblemResponse(known.error);
     if (Number.isNaN(readDeadline(ctx))) return badDeadline(handler);
     return next();
--- a/src/core/edges/callers.ts
+++ b/src/core/edges/callers.ts
@@ -42,6 +42,12 @@
   readonly signal?: AbortSignal;
 }
 
+/** What is known of a request before its body is read. */
+export type RequestHead = Pick<
+  PlainReq,
+  'bearer' | 'headers' | 'idempotencyKey'
+>;
+
 /** What a caller reads next of its answer. */
 export enum AnswerPartKind {
   TOKENS = 'tokens',
@@ -91,8 +97,8 @@
 export interface CallerHandler {
   /** Bounds to apply before a request is read. */
   limits(): LimitsConfig;
-  /** Checks a bearer key before anything else of its request is read. */
-  authenticate(bearer: string): Result<void, Refusal>;
+  /** Checks a bearer key before the body of its request is read. */
+  authenticate(head: RequestHead): Result<void, Refusal>;
   generate(req: GenerationReq): ResultAsync<AnswerReader, Refusal>;
   call(req: PlainReq): ResultAsync<PlainResponse, Refusal>;
   /** Counts a refusal that the adapter itself decided. */
--- a/src/daemon/run-agent.ts
+++ b/src/daemon/run-agent.ts
@@ -1,9 +1,5 @@
 /** Composes an agent from its settings. */
-import {
-  HttpEngineDriver,
-  HttpObjectStore,
-  HttpServiceDriver,
-} from '../adapters/index.js';
+import {HttpEngineDriver, HttpServiceDriver} from '../adapters/index.js';
 import type {TargetDrivers} from '../agent/agent-process.js';
 import {AgentProcess} from '../agent/agent-process.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
@@ -11,6 +7,7 @@
 import type {DaemonSettings, TargetSettings} from '../core/settings/index.js';
 import {TargetKind} from '../core/settings/index.js';
 import {createMetrics} from './create-metrics.js';
+import {createStore} from './create-store.js';
 import {
   announceReady,
   exitCannotListen,
@@ -21,13 +18,14 @@
 /** Runs the agent role until it is stopped. */
 export async function runAgent(settings: DaemonSettings): Promise<void> {
   const logger = createLogger(settings);
+  const metrics = createMetrics();
   const agent = new AgentProcess({
     settings,
     clock: new SystemClock(),
     random: new SystemRandom(),
-    metrics: createMetrics(),
+    metrics,
     logger,
-    store: new HttpObjectStore({baseUrl: settings.platformUrl}),
+    store: createStore({baseUrl: settings.platformUrl, metrics}),
     drivers: createDrivers(settings.target!),
     onDrained: () => exitSoon({stop: () => agent.stop()}),
   });
--- a/src/daemon/run-entry.ts
+++ b/src/daemon/run-entry.ts
@@ -1,14 +1,14 @@
 /** Composes an entry from its settings. */
-import {CountedStore} from '../adapters/counted-store.js';
 import {createCallersApp} from '../adapters/http-callers.js';
 import type {HttpListener} from '../adapters/http-server.js';
 import {listenHttp} from '../adapters/http-server.js';
-import {HttpObjectStore, HttpVmList} from '../adapters/index.js';
+import {HttpVmList} from '../adapters/index.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
 import {createLogger} from '../core/logs/index.js';
 import type {DaemonSettings} from '../core/settings/index.js';
 import {EntryProcess} from '../entry/entry-process.js';
 import {createMetrics} from './create-metrics.js';
+import {createStore} from './create-store.js';
 import {
   announceReady,
   exitCannotListen,
@@ -28,10 +28,7 @@
     random: new SystemRandom(),
     metrics,
     logger,
-    store: new CountedStore({
-      store: new HttpObjectStore({baseUrl}),
-      metrics,
-    }),
+    store: createStore({baseUrl, metrics}),
     vmList: new HttpVmList({baseUrl}),
     countOpenAnswers: () => callers?.countOpen() ?? 0,
     onDrained: () => exitSoon({stop: () => entry.stop(), callers}),
--- a/src/entry/caller-gate.ts
+++ b/src/entry/caller-gate.ts
@@ -20,6 +20,7 @@
   GenerationReq,
   PlainReq,
   PlainResponse,
+  RequestHead,
 } from '../core/edges/index.js';
 import type {Refusal} from '../core/errors/index.js';
 import {Ran, RefusalReason} from '../core/errors/index.js';
@@ -68,10 +69,10 @@
     return inForce?.cfg.limits ?? DEFAULT_LIMITS;
   }
 
-  authenticate(bearer: string): Result<void, Refusal> {
-    return this.identify(bearer)
+  authenticate(head: RequestHead): Result<void, Refusal> {
+    return this.identify(head.bearer)
       .map(() => undefined)
-      .mapErr((refusal) => this.counted(refusal));
+      .mapErr((refusal) => this.counted(tellOfKey(head, refusal)));
   }
 
   countRefusal(refusal: Refusal): void {
--- a/src/entry/tell-of-key.ts
+++ b/src/entry/tell-of-key.ts
@@ -1,5 +1,5 @@
 /** Refusals of bookings whose key has not been looked up. */
-import type {PlainReq} from '../core/edges/index.js';
+import type {RequestHead} from '../core/edges/index.js';
 import type {Refusal} from '../core/errors/index.js';
 import {Ran, RefusalReason} from '../core/errors/index.js';
 import {FIRST_USE_HEADER} from './consts.js';
@@ -16,7 +16,7 @@
 ]);
 
 /** Whether the caller vouches that it has not used the key before. */
-export function isFirstUse(req: PlainReq): boolean {
+export function isFirstUse(req: RequestHead): boolean {
   return req.headers.some(
     ({name, value}) =>
       name.toLowerCase() === FIRST_USE_HEADER && value === 'true',
@@ -30,7 +30,7 @@
  * @example
  * return tellOfKey(req, {reason: RefusalReason.OVERLOADED, ran: Ran.NO, detail});
  */
-export function tellOfKey(req: PlainReq, refusal: Refusal): Refusal {
+export function tellOfKey(req: RequestHead, refusal: Refusal): Refusal {
   const looked = !SPEAKS_OF_REQUEST.has(refusal.reason);
   if (req.idempotencyKey === '' || looked || isFirstUse(req)) return refusal;
   return {...refusal, ran: Ran.UNKNOWN};
--- a/test/processes/whole-path.test.ts
+++ b/test/processes/whole-path.test.ts
@@ -315,6 +315,16 @@
       ran: 'no',
     });
     expect(reply.headers['retry-after']).toBeDefined();
+    const first = {'idempotency-key': 'k', 'idempotency-first-use': 'true'};
+    for (const [headers, ran] of [
+      // Another entry may have run an earlier request with the key.
+      [{'idempotency-key': 'k'}, 'unknown'],
+      [first, 'no'],
+    ] as const) {
+      const url = `${entry.callersUrl}/services/orders/bookings`;
+      const booking = await send({url, headers, body: '{}'});
+      expect(JSON.parse(booking.text)).toMatchObject({ran});
+    }
     entry.proc.kill();
   });
 });
--- a/tools/lab/mixed-load.ts
+++ b/tools/lab/mixed-load.ts
@@ -204,7 +204,7 @@
         headers: {
           authorization: `Bearer ${DEMO_KEY}`,
           'content-type': 'application/json',
-          ...(key === undefined ? {} : {'idempotency-key': key}),
+          ...(key === undefined ? {} : createKeyHeaders(key)),
         },
         body: method === 'POST' ? '{"pallets":1}' : undefined,
       });
@@ -225,3 +225,8 @@
 function pause(): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
 }
+
+/** Keys are new, so a refusal can say that nothing ran under them. */
+function createKeyHeaders(key: string): Record<string, string> {
+  return {'idempotency-key': key, 'idempotency-first-use': 'true'};
+}
