Count an entry's own requests by when a report was sent

Cause: an entry took an agent's report to be 500 ms old and counted its own requests of the last half second as other entries' on top of its own count. An agent counts its attempts when it sends, so a report is one way old. Since reports come each 300 ms while tokens flow, and no longer each 100 ms, the surplus lasted, all targets looked full, and one without a fresh report got more than its slots. test/processes/load.test.ts failed on it: 9 starts at an engine of 8 slots, in both cases of one whole run and one of a run alone.

Ruled out: second attempts beside quiet ones, and the slow start of targets (with the lag at 0 alone, three runs of three passed).

Change: own counts are taken a round trip before the report arrived.

--- a/bench/experiments/balance/sim.ts
+++ b/bench/experiments/balance/sim.ts
@@ -5,13 +5,16 @@
   TargetChooser,
   TargetView,
 } from '../../../src/core/routing/index.js';
-import {OwnCounts, REPORT_LAG_MS} from '../../../src/core/routing/index.js';
+import {OwnCounts} from '../../../src/core/routing/index.js';
 import {exponential} from '../../lib/arrivals.js';
 import {Samples} from '../../lib/samples.js';
 
 const SAMPLE_MS = 50;
 const REPORT_KEEP_MS = 2_000;
 
+/** Age of the reports that the simulated entries go by. */
+const REPORT_LAG_MS = 500;
+
 /** How large the simulated site is. */
 export interface SimOptions {
   readonly targets: number;
--- a/src/core/routing/consts.ts
+++ b/src/core/routing/consts.ts
@@ -1,5 +1,12 @@
-/** Time by which targets' reports of load lag, in milliseconds. */
-export const REPORT_LAG_MS = 500;
+/**
+ * Round trip between an entry and an agent, in milliseconds. An agent counts
+ * its requests when it sends a report, so a report holds those that were sent
+ * to it a round trip before the report arrives.
+ */
+export const REPORT_ROUND_TRIP_MS = 3;
+
+/** Time for which an entry's own counts are kept, in milliseconds. */
+export const OWN_COUNTS_KEEP_MS = 1_000;
 
 /** Time until a target that came back takes its full share. */
 export const SLOW_START_MS = 10_000;
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -1,5 +1,5 @@
 /** The choice of a target for a request. */
-export {REPORT_LAG_MS} from './consts.js';
+export {OWN_COUNTS_KEEP_MS, REPORT_ROUND_TRIP_MS} from './consts.js';
 export {estimateLoad, utilisationOf} from './estimate-load.js';
 export {FailureWatch} from './failure-watch.js';
 export {LoadAwareChoice} from './load-aware-choice.js';
--- a/src/entry/agent-link.ts
+++ b/src/entry/agent-link.ts
@@ -29,7 +29,11 @@
 } from '../core/protocol/index.js';
 import {MessageType, PeerClient, TargetPhase} from '../core/protocol/index.js';
 import type {TargetView} from '../core/routing/index.js';
-import {OwnCounts, REPORT_LAG_MS} from '../core/routing/index.js';
+import {
+  OWN_COUNTS_KEEP_MS,
+  OwnCounts,
+  REPORT_ROUND_TRIP_MS,
+} from '../core/routing/index.js';
 import {
   AGENT_ANNOUNCE_MS,
   AGENT_CONFIG_SPREAD_MS,
@@ -83,7 +87,7 @@
   private quiet = false;
   /** Attempts to cancel once the agent is back. */
   private readonly pendingCancels = new Set<string>();
-  private readonly ownCounts = new OwnCounts({keepMs: 4 * REPORT_LAG_MS});
+  private readonly ownCounts = new OwnCounts({keepMs: OWN_COUNTS_KEEP_MS});
   private ownAtReport = 0;
   private usableSinceMs: number | undefined;
 
@@ -332,7 +336,7 @@
     const wasLeaving = this.heartbeat?.leaving ?? false;
     this.heartbeat = beat;
     const nowMs = this.options.clock.now();
-    this.ownAtReport = this.ownCounts.countAt(nowMs - REPORT_LAG_MS);
+    this.ownAtReport = this.ownCounts.countAt(nowMs - REPORT_ROUND_TRIP_MS);
     this.options.metrics.count(CounterName.HEARTBEATS);
     if (beat.leaving) this.tellLeave();
     if (!beat.leaving || wasLeaving) return;
--- a/test/docs/pages.test.ts
+++ b/test/docs/pages.test.ts
@@ -85,26 +85,10 @@
     const missing = targets.filter(
       (link) => !existsSync(join(ROOT_PATH, link)),
     );
-    expect(missing.filter((link) => !LATER_PAGES.has(link))).toEqual([]);
+    expect(missing).toEqual([]);
   });
 });
 
-/** Pages that other work brings; a link to them may come first. */
-const LATER_PAGES: ReadonlySet<string> = new Set([
-  'docs/CAPACITY.md',
-  ...['bookings', 'configure', 'stops', 'overload'].map(
-    (name) => `docs/operators/${name}.md`,
-  ),
-  ...[
-    'generations',
-    'bookings',
-    'configuration',
-    'membership',
-    'drain',
-    'load',
-  ].map((name) => `docs/design/${name}.md`),
-]);
-
 /** Folders of a machine, put together so that this file holds none. */
 const MACHINE_PATHS = ['home', 'work', 'root', 'Users', 'tmp']
   .map((folder) => `(?<![\\w.\\-}])/${folder}/`)
