--- a/bench/experiments/config/light-entry.ts
+++ b/bench/experiments/config/light-entry.ts
@@ -17,10 +17,10 @@
   PeerServer,
   PROTOCOL_VERSION,
 } from '../../../src/core/protocol/index.js';
-import {ConfigControl} from '../../../src/entry/config-control.js';
+import {ConfigControl} from '../../../src/entry/config/config-control.js';
 import {EntryBoard} from '../../../src/entry/entry-board.js';
-import {PeerSession} from '../../../src/entry/peer-session.js';
-import {VmDirectory} from '../../../src/entry/vm-directory.js';
+import {PeerSession} from '../../../src/entry/links/peer-session.js';
+import {VmDirectory} from '../../../src/entry/links/vm-directory.js';
 
 const ADDRESS = '127.0.0.1';
 
--- a/src/entry/caller-gate.ts
+++ b/src/entry/caller-gate.ts
@@ -27,13 +27,13 @@
 import {fingerprintOf} from '../core/generation/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import {CounterName, LatencyName} from '../core/metrics/index.js';
-import type {BookingService} from './booking-service.js';
+import type {BookingService} from './calls/booking-service.js';
 import {RETRY_AFTER_MS} from './consts.js';
 import type {EntryBoard} from './entry-board.js';
-import type {GenerationService} from './generation-service.js';
-import type {ResolvedPlain} from './plain-request.js';
-import type {PlainService} from './plain-service.js';
-import {tellOfKey} from './tell-of-key.js';
+import type {GenerationService} from './generation/generation-service.js';
+import type {ResolvedPlain} from './calls/plain-request.js';
+import type {PlainService} from './calls/plain-service.js';
+import {tellOfKey} from './calls/tell-of-key.js';
 
 const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
 
--- a/src/entry/agent-call.ts
+++ b/src/entry/calls/agent-call.ts
@@ -2,15 +2,15 @@
 import {err, ok, ResultAsync} from 'neverthrow';
 import type {Result} from 'neverthrow';
 
-import type {Clock} from '../core/clock/index.js';
-import type {PlainResponse} from '../core/edges/index.js';
-import type {Refusal} from '../core/errors/index.js';
+import type {Clock} from '../../core/clock/index.js';
+import type {PlainResponse} from '../../core/edges/index.js';
+import type {Refusal} from '../../core/errors/index.js';
 import type {
   AskKeyMessage,
   CallMessage,
   KeyPhase,
-} from '../core/protocol/index.js';
-import type {AgentLink} from './agent-link.js';
+} from '../../core/protocol/index.js';
+import type {AgentLink} from '../links/agent-link.js';
 
 /** Why a question got no answer. */
 export enum CallErrorKind {
--- a/src/entry/booking-agents.ts
+++ b/src/entry/calls/booking-agents.ts
@@ -3,14 +3,14 @@
   AgentPlace,
   AgentResult,
   CallEffect,
-} from '../core/booking/index.js';
-import {AgentWord} from '../core/booking/index.js';
-import {RefusalReason} from '../core/errors/index.js';
-import {KeyPhase, MessageType} from '../core/protocol/index.js';
+} from '../../core/booking/index.js';
+import {AgentWord} from '../../core/booking/index.js';
+import {RefusalReason} from '../../core/errors/index.js';
+import {KeyPhase, MessageType} from '../../core/protocol/index.js';
 import type {CallAnswer, CallError} from './agent-call.js';
 import {askAgent, CallErrorKind} from './agent-call.js';
-import type {AgentLink} from './agent-link.js';
-import {ASK_ANSWER_MS} from './consts.js';
+import type {AgentLink} from '../links/agent-link.js';
+import {ASK_ANSWER_MS} from '../consts.js';
 import type {ResolvedPlain} from './plain-request.js';
 import {createCall} from './plain-request.js';
 import type {PlainParts} from './plain-service.js';
--- a/src/entry/booking-run.ts
+++ b/src/entry/calls/booking-run.ts
@@ -17,7 +17,7 @@
   StepContext,
   SwapEffect,
   WriteResult,
-} from '../core/booking/index.js';
+} from '../../core/booking/index.js';
 import {
   claimNameOf,
   createBooking,
@@ -27,19 +27,19 @@
   mayMove,
   stepBooking,
   WriteOutcome,
-} from '../core/booking/index.js';
-import type {TimerHandle} from '../core/clock/index.js';
-import type {PlainResponse} from '../core/edges/index.js';
-import type {Refusal} from '../core/errors/index.js';
-import {RetryReason} from '../core/errors/index.js';
-import {CounterName, LatencyName} from '../core/metrics/index.js';
+} from '../../core/booking/index.js';
+import type {TimerHandle} from '../../core/clock/index.js';
+import type {PlainResponse} from '../../core/edges/index.js';
+import type {Refusal} from '../../core/errors/index.js';
+import {RetryReason} from '../../core/errors/index.js';
+import {CounterName, LatencyName} from '../../core/metrics/index.js';
 import {BookingAgents} from './booking-agents.js';
 import {
   ASK_RETRY_MAX_MS,
   ASK_RETRY_MIN_MS,
   RETRY_AFTER_MS,
   WRITE_RETRY_MS,
-} from './consts.js';
+} from '../consts.js';
 import type {ResolvedPlain} from './plain-request.js';
 import type {PlainParts} from './plain-service.js';
 import {isFirstUse} from './tell-of-key.js';
--- a/src/entry/booking-service.ts
+++ b/src/entry/calls/booking-service.ts
@@ -1,8 +1,8 @@
 /** Calls that may run at most once: claimed in the platform, then sent. */
 import {ResultAsync} from 'neverthrow';
 
-import type {PlainResponse} from '../core/edges/index.js';
-import type {Refusal} from '../core/errors/index.js';
+import type {PlainResponse} from '../../core/edges/index.js';
+import type {Refusal} from '../../core/errors/index.js';
 import type {BookingParts} from './booking-run.js';
 import {BookingRun} from './booking-run.js';
 import type {ResolvedPlain} from './plain-request.js';
--- a/src/entry/plain-request.ts
+++ b/src/entry/calls/plain-request.ts
@@ -1,7 +1,10 @@
-import type {ClientAccountConfig, ServiceConfig} from '../core/config/types.js';
-import type {PlainReq} from '../core/edges/index.js';
-import type {CallMessage} from '../core/protocol/index.js';
-import {MessageType} from '../core/protocol/index.js';
+import type {
+  ClientAccountConfig,
+  ServiceConfig,
+} from '../../core/config/types.js';
+import type {PlainReq} from '../../core/edges/index.js';
+import type {CallMessage} from '../../core/protocol/index.js';
+import {MessageType} from '../../core/protocol/index.js';
 
 /** A plain request whose account and service are known. */
 export interface ResolvedPlain {
--- a/src/entry/plain-service.ts
+++ b/src/entry/calls/plain-service.ts
@@ -2,21 +2,21 @@
 import type {Result} from 'neverthrow';
 import {err, ok, ResultAsync} from 'neverthrow';
 
-import type {RetryBudgets} from '../core/admission/index.js';
-import type {Clock, RandomSource} from '../core/clock/index.js';
-import type {PlainResponse} from '../core/edges/index.js';
-import type {Refusal} from '../core/errors/index.js';
-import {Ran, RefusalReason, RetryReason} from '../core/errors/index.js';
-import type {Metrics} from '../core/metrics/index.js';
+import type {RetryBudgets} from '../../core/admission/index.js';
+import type {Clock, RandomSource} from '../../core/clock/index.js';
+import type {PlainResponse} from '../../core/edges/index.js';
+import type {Refusal} from '../../core/errors/index.js';
+import {Ran, RefusalReason, RetryReason} from '../../core/errors/index.js';
+import type {Metrics} from '../../core/metrics/index.js';
 import type {
   FailureWatch,
   TargetChooser,
   TargetView,
-} from '../core/routing/index.js';
+} from '../../core/routing/index.js';
 import type {CallAnswer, CallError} from './agent-call.js';
 import {askAgent, CallErrorKind} from './agent-call.js';
-import type {AgentLinks} from './agent-links.js';
-import {NO_TARGET_RETRY_MS, RETRY_AFTER_MS} from './consts.js';
+import type {AgentLinks} from '../links/agent-links.js';
+import {NO_TARGET_RETRY_MS, RETRY_AFTER_MS} from '../consts.js';
 import type {ResolvedPlain} from './plain-request.js';
 import {createCall} from './plain-request.js';
 
--- a/src/entry/tell-of-key.ts
+++ b/src/entry/calls/tell-of-key.ts
@@ -1,8 +1,8 @@
 /** Refusals of bookings whose key has not been looked up. */
-import type {RequestHead} from '../core/edges/index.js';
-import type {Refusal} from '../core/errors/index.js';
-import {Ran, RefusalReason} from '../core/errors/index.js';
-import {FIRST_USE_HEADER} from './consts.js';
+import type {RequestHead} from '../../core/edges/index.js';
+import type {Refusal} from '../../core/errors/index.js';
+import {Ran, RefusalReason} from '../../core/errors/index.js';
+import {FIRST_USE_HEADER} from '../consts.js';
 
 /** Reasons that say nothing of an earlier request with the same key. */
 const SPEAKS_OF_REQUEST: ReadonlySet<RefusalReason> = new Set([
--- a/src/entry/config-control.ts
+++ b/src/entry/config/config-control.ts
@@ -1,19 +1,19 @@
 /** Ties together what brings configurations to an entry. */
-import type {Clock, RandomSource} from '../core/clock/index.js';
+import type {Clock, RandomSource} from '../../core/clock/index.js';
 import type {
   ConfigMember,
   ConfigNews,
-} from '../core/config/distribution/index.js';
-import type {ObjectStore, PeerStatus} from '../core/edges/index.js';
-import type {Logger} from '../core/logs/index.js';
-import type {Metrics} from '../core/metrics/index.js';
-import type {HelloMessage, MessageRouter} from '../core/protocol/index.js';
+} from '../../core/config/distribution/index.js';
+import type {ObjectStore, PeerStatus} from '../../core/edges/index.js';
+import type {Logger} from '../../core/logs/index.js';
+import type {Metrics} from '../../core/metrics/index.js';
+import type {HelloMessage, MessageRouter} from '../../core/protocol/index.js';
 import {ConfigElection} from './config-election.js';
 import {ConfigExchange} from './config-exchange.js';
 import {ConfigForce} from './config-force.js';
 import {ConfigPeers} from './config-peers.js';
 import {ConfigSource} from './config-source.js';
-import type {EntryBoard} from './entry-board.js';
+import type {EntryBoard} from '../entry-board.js';
 
 /** What the controllers are built of. */
 export interface ConfigControlOptions {
--- a/src/entry/config-election.ts
+++ b/src/entry/config/config-election.ts
@@ -1,12 +1,12 @@
 /** Decides whether this entry watches the platform, and whom it hears. */
-import type {Clock, RandomSource, TimerHandle} from '../core/clock/index.js';
-import type {ConfigMember} from '../core/config/distribution/index.js';
+import type {Clock, RandomSource, TimerHandle} from '../../core/clock/index.js';
+import type {ConfigMember} from '../../core/config/distribution/index.js';
 import {
   electWatchers,
   selectConfigPeers,
-} from '../core/config/distribution/index.js';
-import type {VmRecord} from '../core/edges/index.js';
-import {VmRole, VmState} from '../core/edges/index.js';
+} from '../../core/config/distribution/index.js';
+import type {VmRecord} from '../../core/edges/index.js';
+import {VmRole, VmState} from '../../core/edges/index.js';
 import type {ConfigForce} from './config-force.js';
 import type {ConfigPeers} from './config-peers.js';
 import type {ConfigSource} from './config-source.js';
@@ -16,8 +16,8 @@
   ELECTION_MS,
   PAUSE_EVIDENCE_MS,
   SILENT_PEER_RETRY_MS,
-} from './consts.js';
-import type {EntryBoard} from './entry-board.js';
+} from '../consts.js';
+import type {EntryBoard} from '../entry-board.js';
 
 /** Elects again and again from the VM list and the peers that speak. */
 export class ConfigElection {
--- a/src/entry/config-exchange.ts
+++ b/src/entry/config/config-exchange.ts
@@ -1,17 +1,17 @@
 /** Passes configurations between entries, and hears what each runs. */
-import type {Clock, TimerHandle} from '../core/clock/index.js';
-import {ExchangeStep} from '../core/config/distribution/index.js';
-import type {PeerStatus} from '../core/edges/index.js';
+import type {Clock, TimerHandle} from '../../core/clock/index.js';
+import {ExchangeStep} from '../../core/config/distribution/index.js';
+import type {PeerStatus} from '../../core/edges/index.js';
 import type {
   ConfigMessage,
   ConfigReportMessage,
   Message,
   MessageRouter,
-} from '../core/protocol/index.js';
-import {MessageType} from '../core/protocol/index.js';
+} from '../../core/protocol/index.js';
+import {MessageType} from '../../core/protocol/index.js';
 import type {ConfigForce} from './config-force.js';
-import {ANNOUNCE_MS} from './consts.js';
-import type {EntryBoard} from './entry-board.js';
+import {ANNOUNCE_MS} from '../consts.js';
+import type {EntryBoard} from '../entry-board.js';
 
 /** A connection to a process that takes part. */
 export interface ConfigPeer {
--- a/src/entry/config-force.ts
+++ b/src/entry/config/config-force.ts
@@ -1,15 +1,18 @@
 /** Brings the highest version that this entry has met into force. */
 import {Just} from 'purify-ts';
 
-import type {Clock, TimerHandle} from '../core/clock/index.js';
-import type {ConfigNews} from '../core/config/distribution/index.js';
-import {ConfigHolder} from '../core/config/distribution/index.js';
-import {resolveSiteConfig, resolveStoredConfig} from '../core/config/index.js';
-import type {Logger} from '../core/logs/index.js';
-import type {Metrics} from '../core/metrics/index.js';
-import {CounterName} from '../core/metrics/index.js';
-import {FIRST_LOOK_MS} from './consts.js';
-import type {EntryBoard} from './entry-board.js';
+import type {Clock, TimerHandle} from '../../core/clock/index.js';
+import type {ConfigNews} from '../../core/config/distribution/index.js';
+import {ConfigHolder} from '../../core/config/distribution/index.js';
+import {
+  resolveSiteConfig,
+  resolveStoredConfig,
+} from '../../core/config/index.js';
+import type {Logger} from '../../core/logs/index.js';
+import type {Metrics} from '../../core/metrics/index.js';
+import {CounterName} from '../../core/metrics/index.js';
+import {FIRST_LOOK_MS} from '../consts.js';
+import type {EntryBoard} from '../entry-board.js';
 
 /**
  * Holds the highest version and puts it on the board. What peers tell comes
--- a/src/entry/config-peers.ts
+++ b/src/entry/config/config-peers.ts
@@ -1,10 +1,10 @@
 /** Links to the entries from which this one hears the configuration. */
-import type {Clock, RandomSource} from '../core/clock/index.js';
-import type {VmRecord} from '../core/edges/index.js';
-import type {HelloMessage, Message} from '../core/protocol/index.js';
-import {MessageType, PeerClient} from '../core/protocol/index.js';
+import type {Clock, RandomSource} from '../../core/clock/index.js';
+import type {VmRecord} from '../../core/edges/index.js';
+import type {HelloMessage, Message} from '../../core/protocol/index.js';
+import {MessageType, PeerClient} from '../../core/protocol/index.js';
 import type {ConfigExchange} from './config-exchange.js';
-import {PEER_SILENT_MS} from './consts.js';
+import {PEER_SILENT_MS} from '../consts.js';
 
 interface PeerLink {
   readonly record: VmRecord;
--- a/src/entry/config-source.ts
+++ b/src/entry/config/config-source.ts
@@ -1,9 +1,9 @@
 /** Hears the platform's configuration: by a watch, or by reading now and then. */
-import type {Clock, RandomSource, TimerHandle} from '../core/clock/index.js';
-import {CONFIG_OBJECT} from '../core/config/index.js';
-import type {ObjectStore, WatchHandle} from '../core/edges/index.js';
+import type {Clock, RandomSource, TimerHandle} from '../../core/clock/index.js';
+import {CONFIG_OBJECT} from '../../core/config/index.js';
+import type {ObjectStore, WatchHandle} from '../../core/edges/index.js';
 import type {ConfigForce} from './config-force.js';
-import {CONFIG_RETRY_MS} from './consts.js';
+import {CONFIG_RETRY_MS} from '../consts.js';
 
 /** Reads at the start; watches while it is elected to. */
 export class ConfigSource {
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -30,19 +30,19 @@
 } from '../core/protocol/index.js';
 import {FailureWatch, LoadAwareChoice} from '../core/routing/index.js';
 import type {DaemonSettings} from '../core/settings/types.js';
-import {AgentLinks} from './agent-links.js';
-import {BookingService} from './booking-service.js';
+import {AgentLinks} from './links/agent-links.js';
+import {BookingService} from './calls/booking-service.js';
 import {CallerGate} from './caller-gate.js';
-import {ConfigControl} from './config-control.js';
+import {ConfigControl} from './config/config-control.js';
 import {EntryBoard} from './entry-board.js';
-import type {RunParts} from './generation-run.js';
+import type {RunParts} from './generation/generation-run.js';
 import {QuarantineWatch} from './generation/quarantine-watch.js';
-import {GenerationService} from './generation-service.js';
-import {OwnVmWatch} from './membership-own-vm.js';
+import {GenerationService} from './generation/generation-service.js';
+import {OwnVmWatch} from './links/membership-own-vm.js';
 import {LoadController} from './load-controller.js';
-import {PeerSession} from './peer-session.js';
-import {PlainService} from './plain-service.js';
-import {VmDirectory} from './vm-directory.js';
+import {PeerSession} from './links/peer-session.js';
+import {PlainService} from './calls/plain-service.js';
+import {VmDirectory} from './links/vm-directory.js';
 
 /** What an entry is built of. */
 export interface EntryOptions {
--- a/src/entry/answer-copy.ts
+++ b/src/entry/generation/answer-copy.ts
@@ -1,10 +1,14 @@
 /** An entry's copy of one answer, which callers read. */
-import type {AnswerPart, AnswerReader, Token} from '../core/edges/index.js';
-import {AnswerPartKind} from '../core/edges/index.js';
-import type {Refusal} from '../core/errors/index.js';
-import {Ran, RefusalReason} from '../core/errors/index.js';
-import {encodeEventId, LogState, TokenLog} from '../core/generation/index.js';
-import {TOKENS_PER_PART} from './consts.js';
+import type {AnswerPart, AnswerReader, Token} from '../../core/edges/index.js';
+import {AnswerPartKind} from '../../core/edges/index.js';
+import type {Refusal} from '../../core/errors/index.js';
+import {Ran, RefusalReason} from '../../core/errors/index.js';
+import {
+  encodeEventId,
+  LogState,
+  TokenLog,
+} from '../../core/generation/index.js';
+import {TOKENS_PER_PART} from '../consts.js';
 
 /** Where an attempt runs. */
 export interface AttemptPlace {
--- a/src/entry/generation/copy-server.ts
+++ b/src/entry/generation/copy-server.ts
@@ -8,7 +8,7 @@
   PeerConnection,
 } from '../../core/protocol/index.js';
 import {createRefused, MessageType} from '../../core/protocol/index.js';
-import type {AnswerCopy} from '../answer-copy.js';
+import type {AnswerCopy} from './answer-copy.js';
 import {COPY_BEAT_MS, TOKENS_PER_MESSAGE} from './consts.js';
 
 /** Finds the copy of a request's answer. */
--- a/src/entry/generation-run.ts
+++ b/src/entry/generation/generation-run.ts
@@ -1,53 +1,49 @@
 /** Brings one answer to its end, over as many attempts as it takes. */
-import type {TimerHandle} from '../core/clock/index.js';
-import type {Refusal} from '../core/errors/index.js';
-import {RefusalReason, RetryReason} from '../core/errors/index.js';
-import type {Step} from '../core/generation/index.js';
+import type {TimerHandle} from '../../core/clock/index.js';
+import type {Refusal} from '../../core/errors/index.js';
+import {RefusalReason, RetryReason} from '../../core/errors/index.js';
+import type {Step} from '../../core/generation/index.js';
 import {
   Assembly,
   LogState,
   resolveKnownFinish,
   StepKind,
-} from '../core/generation/index.js';
-import {CounterName} from '../core/metrics/index.js';
-import type {Culprit} from '../core/poison/index.js';
+} from '../../core/generation/index.js';
+import {CounterName} from '../../core/metrics/index.js';
+import type {Culprit} from '../../core/poison/index.js';
 import type {
   EndMessage,
   FailedMessage,
   LineageMessage,
   RefusedMessage,
   TokensMessage,
-} from '../core/protocol/index.js';
-import type {TargetView} from '../core/routing/index.js';
-import type {LinkHandler} from './agent-link.js';
+} from '../../core/protocol/index.js';
+import type {TargetView} from '../../core/routing/index.js';
+import type {LinkHandler} from '../links/agent-link.js';
 import type {AnswerCopy} from './answer-copy.js';
-import {NO_TARGET_RETRY_MS} from './consts.js';
-import {AttemptHistory} from './generation/attempt-history.js';
-import type {TargetChoice} from './generation/choose-target.js';
-import {
-  chooseIdleTarget,
-  chooseTarget,
-  createChoice,
-} from './generation/choose-target.js';
-import {MOVE_RETRY_MS} from './generation/consts.js';
-import * as refusals from './generation/run-refusals.js';
+import {NO_TARGET_RETRY_MS} from '../consts.js';
+import {AttemptHistory} from './attempt-history.js';
+import type {TargetChoice} from './choose-target.js';
+import {chooseIdleTarget, chooseTarget, createChoice} from './choose-target.js';
+import {MOVE_RETRY_MS} from './consts.js';
+import * as refusals from './run-refusals.js';
 import type {
   AnswerSource,
   OpenAttempt,
   RunOrder,
   RunParts,
-} from './generation/run-types.js';
+} from './run-types.js';
 import {
   cancelAttempt,
   createAttach,
   createStart,
   readTokens,
-} from './generation/attempt-messages.js';
-import {mayRetryRefused} from './generation/may-retry-refused.js';
-import {TargetOutcomes} from './generation/target-outcomes.js';
-import {TokenMeter} from './generation/token-meter.js';
+} from './attempt-messages.js';
+import {mayRetryRefused} from './may-retry-refused.js';
+import {TargetOutcomes} from './target-outcomes.js';
+import {TokenMeter} from './token-meter.js';
 
-export type {RunOrder, RunParts} from './generation/run-types.js';
+export type {RunOrder, RunParts} from './run-types.js';
 
 /** Starts attempts, takes their tokens in order and replaces lost ones. */
 export class GenerationRun {
--- a/src/entry/generation-service.ts
+++ b/src/entry/generation/generation-service.ts
@@ -2,32 +2,35 @@
 import type {ResultAsync} from 'neverthrow';
 import {errAsync, okAsync} from 'neverthrow';
 
-import type {Admission, AdmissionTicket} from '../core/admission/index.js';
-import {TicketOutcome, WorkKind} from '../core/admission/index.js';
-import type {TimerHandle} from '../core/clock/index.js';
-import type {ClientAccountConfig, ServiceConfig} from '../core/config/types.js';
+import type {Admission, AdmissionTicket} from '../../core/admission/index.js';
+import {TicketOutcome, WorkKind} from '../../core/admission/index.js';
+import type {TimerHandle} from '../../core/clock/index.js';
+import type {
+  ClientAccountConfig,
+  ServiceConfig,
+} from '../../core/config/types.js';
 import type {
   AnswerReader,
   GenerationReq,
   VmRecord,
-} from '../core/edges/index.js';
-import {VmRole} from '../core/edges/index.js';
-import type {Refusal} from '../core/errors/index.js';
-import {Ran, RefusalReason} from '../core/errors/index.js';
-import type {EventId} from '../core/generation/index.js';
+} from '../../core/edges/index.js';
+import {VmRole} from '../../core/edges/index.js';
+import type {Refusal} from '../../core/errors/index.js';
+import {Ran, RefusalReason} from '../../core/errors/index.js';
+import type {EventId} from '../../core/generation/index.js';
 import {
   decodeEventId,
   fingerprintOf,
   LogState,
-} from '../core/generation/index.js';
-import type {HelloMessage, MessageRouter} from '../core/protocol/index.js';
+} from '../../core/generation/index.js';
+import type {HelloMessage, MessageRouter} from '../../core/protocol/index.js';
 import {AnswerCopy} from './answer-copy.js';
-import {COPY_RETENTION_MS, COPY_SWEEP_MS} from './consts.js';
-import type {EntryBoard} from './entry-board.js';
-import {CopyLink} from './generation/copy-link.js';
-import {CopyServer} from './generation/copy-server.js';
-import {poisonKnown} from './generation/run-refusals.js';
-import type {AnswerSource, RunOrder, RunParts} from './generation/run-types.js';
+import {COPY_RETENTION_MS, COPY_SWEEP_MS} from '../consts.js';
+import type {EntryBoard} from '../entry-board.js';
+import {CopyLink} from './copy-link.js';
+import {CopyServer} from './copy-server.js';
+import {poisonKnown} from './run-refusals.js';
+import type {AnswerSource, RunOrder, RunParts} from './run-types.js';
 import {GenerationRun} from './generation-run.js';
 
 /** A request whose account and service are known. */
--- a/src/entry/generation/run-types.ts
+++ b/src/entry/generation/run-types.ts
@@ -5,8 +5,8 @@
 import type {Metrics} from '../../core/metrics/index.js';
 import type {Quarantine} from '../../core/poison/index.js';
 import type {FailureWatch, TargetChooser} from '../../core/routing/index.js';
-import type {AgentLinks} from '../agent-links.js';
-import type {AttemptPlace} from '../answer-copy.js';
+import type {AgentLinks} from '../links/agent-links.js';
+import type {AttemptPlace} from './answer-copy.js';
 import type {AttemptLink} from './attempt-link.js';
 
 /** What a run has to bring about. */
--- a/src/entry/agent-link.ts
+++ b/src/entry/links/agent-link.ts
@@ -1,18 +1,18 @@
 /** An entry's connection to one agent, shared by all its requests. */
-import type {Clock, RandomSource} from '../core/clock/index.js';
-import type {ConfigNews} from '../core/config/distribution/index.js';
-import {Weigh} from '../core/config/index.js';
-import type {VmRecord} from '../core/edges/index.js';
-import {VmState} from '../core/edges/index.js';
-import {RetryReason} from '../core/errors/index.js';
-import type {RecoveryPolicy} from '../core/generation/index.js';
+import type {Clock, RandomSource} from '../../core/clock/index.js';
+import type {ConfigNews} from '../../core/config/distribution/index.js';
+import {Weigh} from '../../core/config/index.js';
+import type {VmRecord} from '../../core/edges/index.js';
+import {VmState} from '../../core/edges/index.js';
+import {RetryReason} from '../../core/errors/index.js';
+import type {RecoveryPolicy} from '../../core/generation/index.js';
 import {
   BUSY_BOUNDS,
   GapThreshold,
   IDLE_BOUNDS,
-} from '../core/membership/index.js';
-import type {Metrics} from '../core/metrics/index.js';
-import {CounterName} from '../core/metrics/index.js';
+} from '../../core/membership/index.js';
+import type {Metrics} from '../../core/metrics/index.js';
+import {CounterName} from '../../core/metrics/index.js';
 import type {
   ConnectionListener,
   EndMessage,
@@ -26,20 +26,24 @@
   ReplyMessage,
   TokensMessage,
   TransportError,
-} from '../core/protocol/index.js';
-import {MessageType, PeerClient, TargetPhase} from '../core/protocol/index.js';
-import type {TargetView} from '../core/routing/index.js';
+} from '../../core/protocol/index.js';
+import {
+  MessageType,
+  PeerClient,
+  TargetPhase,
+} from '../../core/protocol/index.js';
+import type {TargetView} from '../../core/routing/index.js';
 import {
   OWN_COUNTS_KEEP_MS,
   OwnCounts,
   REPORT_ROUND_TRIP_MS,
-} from '../core/routing/index.js';
+} from '../../core/routing/index.js';
 import {
   AGENT_ANNOUNCE_MS,
   AGENT_CONFIG_SPREAD_MS,
   MAX_PENDING_CANCELS,
-} from './consts.js';
-import type {AttemptLink} from './generation/attempt-link.js';
+} from '../consts.js';
+import type {AttemptLink} from '../generation/attempt-link.js';
 
 /** Hears what becomes of one attempt or call at an agent. */
 export interface LinkHandler {
--- a/src/entry/agent-links.ts
+++ b/src/entry/links/agent-links.ts
@@ -1,21 +1,21 @@
 /** Keeps a link to each target of the VM list. */
 import type {Maybe} from 'purify-ts';
 
-import type {Clock, RandomSource, TimerHandle} from '../core/clock/index.js';
-import {Weigh} from '../core/config/index.js';
-import type {PeerStatus, VmRecord} from '../core/edges/index.js';
-import {VmRole, VmState} from '../core/edges/index.js';
-import type {RecoveryPolicy} from '../core/generation/index.js';
-import {resolveRecoveryPolicy} from '../core/generation/index.js';
-import {selectSubset} from '../core/membership/index.js';
-import type {Logger} from '../core/logs/index.js';
-import type {Metrics} from '../core/metrics/index.js';
-import type {HelloMessage} from '../core/protocol/index.js';
-import type {TargetView} from '../core/routing/index.js';
+import type {Clock, RandomSource, TimerHandle} from '../../core/clock/index.js';
+import {Weigh} from '../../core/config/index.js';
+import type {PeerStatus, VmRecord} from '../../core/edges/index.js';
+import {VmRole, VmState} from '../../core/edges/index.js';
+import type {RecoveryPolicy} from '../../core/generation/index.js';
+import {resolveRecoveryPolicy} from '../../core/generation/index.js';
+import {selectSubset} from '../../core/membership/index.js';
+import type {Logger} from '../../core/logs/index.js';
+import type {Metrics} from '../../core/metrics/index.js';
+import type {HelloMessage} from '../../core/protocol/index.js';
+import type {TargetView} from '../../core/routing/index.js';
 import type {AgentConfig} from './agent-link.js';
 import {AgentLink} from './agent-link.js';
-import {PAUSE_EVIDENCE_MS, PIN_MS, SILENCE_CHECK_MS} from './consts.js';
-import type {EntryBoard} from './entry-board.js';
+import {PAUSE_EVIDENCE_MS, PIN_MS, SILENCE_CHECK_MS} from '../consts.js';
+import type {EntryBoard} from '../entry-board.js';
 
 /** Follows the VM list and watches every link for silence. */
 export class AgentLinks {
--- a/src/entry/membership-own-vm.ts
+++ b/src/entry/links/membership-own-vm.ts
@@ -1,7 +1,7 @@
 /** Begins the drain of an entry whose VM leaves by the platform's list. */
-import type {VmRecord} from '../core/edges/index.js';
-import {VmState} from '../core/edges/index.js';
-import type {EntryBoard} from './entry-board.js';
+import type {VmRecord} from '../../core/edges/index.js';
+import {VmState} from '../../core/edges/index.js';
+import type {EntryBoard} from '../entry-board.js';
 
 /**
  * Watches the record of the entry's own VM. The list lags and may still show
--- a/src/entry/peer-session.ts
+++ b/src/entry/links/peer-session.ts
@@ -1,13 +1,13 @@
 /** A connection that another process opened to this entry. */
-import type {Metrics} from '../core/metrics/index.js';
-import {CounterName} from '../core/metrics/index.js';
+import type {Metrics} from '../../core/metrics/index.js';
+import {CounterName} from '../../core/metrics/index.js';
 import type {
   ConnectionListener,
   Message,
   MessageRouter,
   PeerConnection,
   TransportError,
-} from '../core/protocol/index.js';
+} from '../../core/protocol/index.js';
 
 /** Hands what a peer says to the entry's router. */
 export class PeerSession implements ConnectionListener {
--- a/src/entry/vm-directory.ts
+++ b/src/entry/links/vm-directory.ts
@@ -1,9 +1,9 @@
 /** Reads the platform's VM list onto the board. */
-import type {Clock, TimerHandle} from '../core/clock/index.js';
-import type {VmList, VmRecord} from '../core/edges/index.js';
-import {VmRole} from '../core/edges/index.js';
-import {VM_LIST_PERIOD_MS} from './consts.js';
-import type {EntryBoard} from './entry-board.js';
+import type {Clock, TimerHandle} from '../../core/clock/index.js';
+import type {VmList, VmRecord} from '../../core/edges/index.js';
+import {VmRole} from '../../core/edges/index.js';
+import {VM_LIST_PERIOD_MS} from '../consts.js';
+import type {EntryBoard} from '../entry-board.js';
 
 /** Keeps the last list that could be read. */
 export class VmDirectory {
