Remove a type and a constant that nothing uses

VersionedConfig lost its last user with the fan-out of configurations, and CALL_GRACE_MS never had one.

--- a/src/core/config/types.ts
+++ b/src/core/config/types.ts
@@ -86,12 +86,6 @@
   readonly content: unknown;
 }
 
-/** An accepted configuration with the version the platform gave it. */
-export interface VersionedConfig {
-  readonly version: number;
-  readonly document: ConfigDocument;
-}
-
 /** What the platform holds as the accepted configuration. */
 export interface StoredConfig {
   /** Identifies one write, so that a lost answer is settled by reading. */
--- a/src/entry/consts.ts
+++ b/src/entry/consts.ts
@@ -28,9 +28,6 @@
 /** A refusal for want of targets asks to come back after this. */
 export const RETRY_AFTER_MS = 1_000;
 
-/** Calls to an agent get no answer after the deadline and this. */
-export const CALL_GRACE_MS = 100;
-
 /** Wait before the configuration is read again, in milliseconds. */
 export const CONFIG_RETRY_MS = 500;
 
