--- /dev/null
+++ b/src/core/placing/choose-engine.ts
@@ -0,0 +1,68 @@
+/** Chooses the engines of a generation: where it runs and where its copy goes. */
+import type {RandomSource} from '../clock/index.js';
+import type {Target} from '../targets/index.js';
+
+/** What a prompt that is being read slows others by, in running requests. */
+const READING_COST = 3;
+
+/** What a full memory adds, in running requests. */
+const MEMORY_COST = 100;
+
+/** Share of an engine's memory that may be planned for. */
+const MEMORY_SHARE = 0.9;
+
+const FULL_COST = 50;
+const PAUSED_COST = 1_000;
+
+/** Spread of the random tie-breaker, in running requests. */
+const JITTER = 1;
+
+/** What a choice is made from. */
+export interface EngineChoice {
+  readonly targets: readonly Target[];
+  /** Tokens that the generation needs at its end. */
+  readonly tokens: number;
+  readonly memoryTokens: number;
+  /** Targets that must not be chosen. */
+  readonly excluded: ReadonlySet<string>;
+  /** Data centres to stay out of, where another has room. */
+  readonly avoided?: ReadonlySet<string>;
+  readonly random: RandomSource;
+}
+
+/** What staying out of a data centre is worth, in running requests. */
+const AVOIDED_COST = 200;
+
+/**
+ * The engine on which a generation disturbs others least: few running, none
+ * reading a prompt, and memory for all of its tokens. Serves the load of long
+ * prompts, of which one blocks an engine for a second.
+ *
+ * @example
+ * const engine = chooseEngine({targets, tokens, memoryTokens, excluded, random});
+ */
+export function chooseEngine(choice: EngineChoice): Target | undefined {
+  let best: Target | undefined;
+  let bestCost = Number.POSITIVE_INFINITY;
+  for (const target of choice.targets) {
+    if (choice.excluded.has(target.id)) continue;
+    const cost = costOf(target, choice);
+    if (cost < bestCost) {
+      best = target;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+function costOf(target: Target, choice: EngineChoice): number {
+  const {tokens, memoryTokens, avoided, random} = choice;
+  let cost = target.estimatedRequests() + random.float() * JITTER;
+  cost += target.reading * READING_COST;
+  const planned = target.ownTokens() + tokens;
+  if (planned > memoryTokens * MEMORY_SHARE) cost += MEMORY_COST;
+  if (target.isFull()) cost += FULL_COST;
+  if (target.isPaused()) cost += PAUSED_COST;
+  if (avoided?.has(target.record.dataCentre)) cost += AVOIDED_COST;
+  return cost;
+}
--- /dev/null
+++ b/src/core/placing/index.ts
@@ -0,0 +1,5 @@
+/** Where requests are sent. */
+export type {CallChoice} from './choose-call-target.js';
+export {chooseCallTarget} from './choose-call-target.js';
+export type {EngineChoice} from './choose-engine.js';
+export {chooseEngine} from './choose-engine.js';
--- /dev/null
+++ b/src/core/retrying/decide-retry.ts
@@ -0,0 +1,126 @@
+/** What follows a call that has no good answer. */
+import {ExchangeFailure} from '../edges/direct-target.js';
+import {RefusalReason} from '../errors/refusals.js';
+import {OperationKind} from '../routes/index.js';
+
+/** First status of a target's own failures. */
+const FIRST_FAILURE_STATUS = 500;
+
+/** How one try of a call ended. */
+export interface TryEnd {
+  /** Present where there is no answer. */
+  readonly failure?: ExchangeFailure;
+  /** Present where the target answered. */
+  readonly status?: number;
+}
+
+/** What is known when a try has ended. */
+export interface RetryQuery {
+  readonly operation: OperationKind;
+  readonly end: TryEnd;
+  /** Targets to which the call was sent. */
+  readonly sent: number;
+  readonly maxAttempts: number;
+  /** Whether another target is there. */
+  readonly hasTarget: boolean;
+  /** Takes one repeat out of the service's budget, if one is left. */
+  readonly takeFromBudget: () => boolean;
+}
+
+/** What to do next. */
+export enum RetryVerdict {
+  /** Pass the target's answer on. */
+  PASS_ON = 'pass_on',
+  /** Send the call to another target. */
+  RETRY = 'retry',
+  /** Tell the caller that the call failed. */
+  GIVE_UP = 'give_up',
+}
+
+const NOT_RUN: ReadonlySet<ExchangeFailure> = new Set([
+  ExchangeFailure.NOT_SENT,
+  ExchangeFailure.REJECTED,
+  ExchangeFailure.WRONG_TARGET,
+]);
+
+const NOT_RECEIVED: ReadonlySet<ExchangeFailure> = new Set([
+  ExchangeFailure.NOT_SENT,
+  ExchangeFailure.WRONG_TARGET,
+]);
+
+/**
+ * Whether a failed try certainly had no effect.
+ *
+ * @example
+ * certainlyDidNotRun(ExchangeFailure.REJECTED); // true
+ */
+export function certainlyDidNotRun(failure: ExchangeFailure): boolean {
+  return NOT_RUN.has(failure);
+}
+
+/**
+ * Whether a try counts towards the targets that a call may be sent to.
+ *
+ * @example
+ * countsAsSent(ExchangeFailure.NOT_SENT); // false
+ */
+export function countsAsSent(failure: ExchangeFailure | undefined): boolean {
+  return failure === undefined || !NOT_RECEIVED.has(failure);
+}
+
+/**
+ * Decides what follows a try. An idempotent call is repeated after a failed
+ * answer too; any other only where the try had no effect.
+ *
+ * @example
+ * const verdict = decideRetry({operation, end: {status: 500}, ...rest});
+ */
+export function decideRetry(query: RetryQuery): RetryVerdict {
+  const {operation, end, sent, maxAttempts} = query;
+  const isAnswered = end.failure === undefined;
+  if (isAnswered && !isOwnFailure(end)) return RetryVerdict.PASS_ON;
+  const otherwise = isAnswered ? RetryVerdict.PASS_ON : RetryVerdict.GIVE_UP;
+  const isHarmless =
+    end.failure !== undefined && certainlyDidNotRun(end.failure);
+  if (operation === OperationKind.UNSAFE && !isHarmless) return otherwise;
+  if (sent >= maxAttempts || !query.hasTarget) return otherwise;
+  return query.takeFromBudget() ? RetryVerdict.RETRY : otherwise;
+}
+
+function isOwnFailure(end: TryEnd): boolean {
+  return end.status !== undefined && end.status >= FIRST_FAILURE_STATUS;
+}
+
+/** The status and reason with which a failed call is answered. */
+export interface FailureAnswer {
+  readonly status: number;
+  readonly reason: RefusalReason;
+}
+
+/** Why a call is given up. */
+export interface FailureQuery {
+  /** Some target may have run the call. */
+  readonly mayHaveRun: boolean;
+  readonly isTimedOut: boolean;
+}
+
+/**
+ * The answer to a call that is given up: 503 promises that it did not run,
+ * 502 and 504 promise nothing.
+ *
+ * @example
+ * answerFailure({mayHaveRun: true, isTimedOut: false}).status; // 502
+ */
+export function answerFailure(query: FailureQuery): FailureAnswer {
+  const {mayHaveRun, isTimedOut} = query;
+  if (!mayHaveRun) {
+    const reason = isTimedOut
+      ? RefusalReason.DEADLINE_EXCEEDED
+      : RefusalReason.NO_TARGET;
+    return {status: 503, reason};
+  }
+  if (isTimedOut) {
+    return {status: 504, reason: RefusalReason.DEADLINE_EXCEEDED};
+  }
+  return {status: 502, reason: RefusalReason.TARGET_FAILED};
+}
--- /dev/null
+++ b/src/core/retrying/index.ts
@@ -0,0 +1,14 @@
+/** Repeating calls by what they are. */
+export type {
+  FailureAnswer,
+  FailureQuery,
+  RetryQuery,
+  TryEnd,
+} from './decide-retry.js';
+export {
+  answerFailure,
+  certainlyDidNotRun,
+  countsAsSent,
+  decideRetry,
+  RetryVerdict,
+} from './decide-retry.js';
--- /dev/null
+++ b/src/core/routes/route-table.ts
@@ -0,0 +1,100 @@
+/** Finds what a configuration says of a request. */
+import type {
+  AccountKeys,
+  CallerLimits,
+  Route,
+  RoutedService,
+  RoutingConfig,
+} from './types.js';
+
+/**
+ * A configuration, indexed for look-ups.
+ *
+ * @example
+ * const table = new RouteTable(config);
+ * const route = table.findRoute({host: 'a.example', path: '/orders/7'});
+ */
+export class RouteTable {
+  readonly version: number;
+  readonly limits: CallerLimits;
+  private readonly routesOfHost = new Map<string, Route[]>();
+  private readonly services = new Map<string, RoutedService>();
+  private readonly accountOfKey = new Map<string, AccountKeys>();
+  private readonly needsKeys: boolean;
+
+  constructor(config: RoutingConfig) {
+    this.version = config.version;
+    this.limits = config.limits;
+    this.needsKeys = config.accounts !== undefined;
+    for (const service of config.services) {
+      this.services.set(service.name, service);
+    }
+    for (const account of config.accounts ?? []) {
+      for (const key of account.keys) this.accountOfKey.set(key, account);
+    }
+    for (const route of config.routes) this.addRoute(route);
+    for (const routes of this.routesOfHost.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+  }
+
+  /** The route of the longest prefix of a path; a query is ignored. */
+  findRoute(options: {host: string; path: string}): Route | undefined {
+    const path = withoutQuery(options.path);
+    const routes = this.routesOfHost.get(hostName(options.host));
+    return routes?.find((route) => path.startsWith(route.pathPrefix));
+  }
+
+  findService(name: string): RoutedService | undefined {
+    return this.services.get(name);
+  }
+
+  /** The account that holds a key. */
+  findAccount(key: string): AccountKeys | undefined {
+    return this.accountOfKey.get(key);
+  }
+
+  /** Whether requests on a route need a key. */
+  requiresKey(route: Route): boolean {
+    return this.needsKeys && !route.isPublic;
+  }
+
+  private addRoute(route: Route): void {
+    const host = hostName(route.host);
+    const routes = this.routesOfHost.get(host) ?? [];
+    routes.push(route);
+    this.routesOfHost.set(host, routes);
+  }
+}
+
+/**
+ * Picks the service of a request among a route's shares.
+ *
+ * @example
+ * const service = pickService({route, draw: random.float()});
+ */
+export function pickService(options: {
+  route: Route;
+  /** A random number in [0, 1). */
+  draw: number;
+}): string | undefined {
+  const {shares} = options.route;
+  const total = shares.reduce((sum, share) => sum + share.weight, 0);
+  let left = options.draw * total;
+  for (const share of shares) {
+    left -= share.weight;
+    if (left < 0) return share.service;
+  }
+  return shares.at(-1)?.service;
+}
+
+function hostName(host: string): string {
+  const colon = host.lastIndexOf(':');
+  const name = colon < 0 ? host : host.slice(0, colon);
+  return name.toLowerCase();
+}
+
+function withoutQuery(path: string): string {
+  const mark = path.indexOf('?');
+  return mark < 0 ? path : path.slice(0, mark);
+}
--- /dev/null
+++ b/src/core/sync/follower.ts
@@ -0,0 +1,121 @@
+/** Follows one kind of objects in the platform's store. */
+import type {Clock, RandomSource} from '../clock/index.js';
+import type {
+  SourceChange,
+  SourceError,
+  SourceItem,
+  StateSource,
+} from '../edges/state-source.js';
+import {SourceErrorKind} from '../edges/state-source.js';
+import {FIRST_BACKOFF_MS, LAST_BACKOFF_MS} from './consts.js';
+
+/** Hears what a follower learns. */
+export interface FollowerListener<T> {
+  /** All objects there are. */
+  onSnapshot(items: ReadonlyArray<SourceItem<T>>, afterOutage: boolean): void;
+  onChanges(changes: ReadonlyArray<SourceChange<T>>): void;
+  /** What is known was complete at a time on the process's clock. */
+  onConfirmed(atMs: number): void;
+  onLost(err: SourceError): void;
+}
+
+/**
+ * Lists a kind once and then waits for its changes; lists anew where changes
+ * may have been missed. Every call has a time limit, so that a connection
+ * which went silent is noticed.
+ *
+ * @example
+ * const follower = new Follower({source, listener, clock, random, waitMs});
+ * follower.start();
+ */
+export class Follower<T> {
+  private stopped = false;
+  private failures = 0;
+  private wasLost = false;
+
+  constructor(
+    private readonly options: {
+      source: StateSource<T>;
+      listener: FollowerListener<T>;
+      clock: Clock;
+      random: RandomSource;
+      /** Longest wait for a change, in milliseconds. */
+      waitMs: number;
+    },
+  ) {}
+
+  start(): void {
+    void this.run();
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stopped) {
+      const revision = await this.list();
+      if (revision !== undefined) await this.follow(revision);
+    }
+  }
+
+  private async list(): Promise<number | undefined> {
+    const {source, listener, clock} = this.options;
+    const startedMs = clock.now();
+    const snapshot = await source.list();
+    if (snapshot.isErr()) {
+      await this.fail(snapshot.error);
+      return undefined;
+    }
+    const {items, revision} = snapshot.value;
+    listener.onSnapshot(items, this.wasLost);
+    this.wasLost = false;
+    this.failures = 0;
+    listener.onConfirmed(startedMs);
+    return revision;
+  }
+
+  private async follow(from: number): Promise<void> {
+    const {source, listener, clock, waitMs} = this.options;
+    let since = from;
+    while (!this.stopped) {
+      const startedMs = clock.now();
+      const answer = await source.waitForChanges({since, waitMs});
+      if (answer.isErr()) {
+        await this.loseTrack(answer.error);
+        return;
+      }
+      const {changes, revision} = answer.value;
+      since = revision;
+      if (changes.length > 0) listener.onChanges(changes);
+      // A wait that ended for want of changes began no later than this.
+      const waited = clock.now() - startedMs >= waitMs;
+      const isQuiet = changes.length === 0 && waited;
+      listener.onConfirmed(isQuiet ? startedMs + waitMs : startedMs);
+    }
+  }
+
+  private async loseTrack(err: SourceError): Promise<void> {
+    if (err.kind === SourceErrorKind.HISTORY_LOST) {
+      this.options.listener.onLost(err);
+      return;
+    }
+    await this.fail(err);
+  }
+
+  private async fail(err: SourceError): Promise<void> {
+    this.wasLost = true;
+    this.options.listener.onLost(err);
+    await this.backOff();
+  }
+
+  private backOff(): Promise<void> {
+    const {clock, random} = this.options;
+    const limitMs = FIRST_BACKOFF_MS * 2 ** this.failures;
+    this.failures = Math.min(this.failures + 1, 10);
+    const delayMs = Math.min(limitMs, LAST_BACKOFF_MS) * (0.5 + random.float() / 2);
+    return new Promise((resolve) => {
+      clock.schedule({delayMs, run: resolve});
+    });
+  }
+}
--- /dev/null
+++ b/src/core/sync/index.ts
@@ -0,0 +1,4 @@
+/** Keeping a copy of the platform's state. */
+export type {FollowerListener} from './follower.js';
+export {Follower} from './follower.js';
+export {KeyTrust} from './key-trust.js';
--- /dev/null
+++ b/src/core/targets/consts.ts
@@ -0,0 +1,17 @@
+/** Age up to which a reported load is used, in milliseconds. */
+export const LOAD_FRESH_MS = 1_000;
+
+/** Failures in a row after which a target is left alone for a while. */
+export const FAILURES_BEFORE_PAUSE = 3;
+
+/** Time for which a failing target takes no work, in milliseconds. */
+export const PAUSE_AFTER_FAILURE_MS = 500;
+
+/** Time for which a target that had no room takes no work. */
+export const PAUSE_AFTER_REJECT_MS = 150;
+
+/**
+ * Time after an outage of the store in which a target whose registration
+ * is missing may register again, in milliseconds.
+ */
+export const LAPSE_GRACE_MS = 2_000;
--- /dev/null
+++ b/src/core/targets/target.ts
@@ -0,0 +1,137 @@
+/** A target with what this entry knows and expects of it. */
+import type {Clock} from '../clock/index.js';
+import {
+  FAILURES_BEFORE_PAUSE,
+  LOAD_FRESH_MS,
+  PAUSE_AFTER_FAILURE_MS,
+  PAUSE_AFTER_REJECT_MS,
+} from './consts.js';
+import type {TargetRecord} from './types.js';
+
+/** The load that a target tells of. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** Work that this entry gave to a target. */
+export interface TargetWork {
+  /** Tokens in the target's memory at the end of the work; 0 for a call. */
+  readonly tokens: number;
+  /** The prompt has not been read yet. */
+  isReading: boolean;
+}
+
+/**
+ * One target, as this entry sees it.
+ *
+ * @example
+ * const target = new Target({record, clock});
+ * const work = target.begin({tokens: 6_000});
+ * target.end(work);
+ */
+export class Target {
+  record: TargetRecord;
+  private readonly clock: Clock;
+  private readonly work = new Set<TargetWork>();
+  private copyTokens = 0;
+  private reported: ReportedLoad = {running: 0, waiting: 0};
+  private reportedMs = Number.NEGATIVE_INFINITY;
+  /** Own work that was under way when the report was taken. */
+  private ownWhenReported = 0;
+  private failures = 0;
+  private pausedUntilMs = Number.NEGATIVE_INFINITY;
+  private fullUntilMs = Number.NEGATIVE_INFINITY;
+
+  constructor(options: {record: TargetRecord; clock: Clock}) {
+    this.record = options.record;
+    this.clock = options.clock;
+  }
+
+  get id(): string {
+    return this.record.id;
+  }
+
+  /** Own requests under way. */
+  get running(): number {
+    return this.work.size;
+  }
+
+  /** Own requests whose prompts are still being read. */
+  get reading(): number {
+    let count = 0;
+    for (const work of this.work) if (work.isReading) count++;
+    return count;
+  }
+
+  begin(options: {tokens: number}): TargetWork {
+    const work: TargetWork = {tokens: options.tokens, isReading: true};
+    this.work.add(work);
+    return work;
+  }
+
+  end(work: TargetWork): void {
+    this.work.delete(work);
+  }
+
+  /** A copy of a run at another target takes memory here. */
+  addCopy(tokens: number): void {
+    this.copyTokens += tokens;
+  }
+
+  removeCopy(tokens: number): void {
+    this.copyTokens = Math.max(0, this.copyTokens - tokens);
+  }
+
+  noteLoad(load: ReportedLoad): void {
+    this.reported = load;
+    this.reportedMs = this.clock.now();
+    this.ownWhenReported = this.work.size;
+  }
+
+  /** Requests at the target from all entries, as far as is known. */
+  estimatedRequests(): number {
+    const ageMs = this.clock.now() - this.reportedMs;
+    if (ageMs > LOAD_FRESH_MS) return this.work.size;
+    const {running, waiting} = this.reported;
+    const others = Math.max(0, running + waiting - this.ownWhenReported);
+    return others + this.work.size;
+  }
+
+  /** Tokens that this entry's work and copies hold in the target's memory. */
+  ownTokens(): number {
+    let tokens = this.copyTokens;
+    for (const work of this.work) tokens += work.tokens;
+    return tokens;
+  }
+
+  noteSuccess(): void {
+    this.failures = 0;
+    this.pausedUntilMs = Number.NEGATIVE_INFINITY;
+  }
+
+  /** The target did not answer, or not as it should. */
+  noteFailure(): void {
+    this.failures++;
+    if (this.failures < FAILURES_BEFORE_PAUSE) return;
+    this.pause();
+  }
+
+  /** The target is not there: it takes no work for a while. */
+  pause(): void {
+    this.pausedUntilMs = this.clock.now() + PAUSE_AFTER_FAILURE_MS;
+  }
+
+  /** The target had no room for a request. */
+  noteRejected(): void {
+    this.fullUntilMs = this.clock.now() + PAUSE_AFTER_REJECT_MS;
+  }
+
+  isPaused(): boolean {
+    return this.clock.now() < this.pausedUntilMs;
+  }
+
+  isFull(): boolean {
+    return this.clock.now() < this.fullUntilMs;
+  }
+}
--- /dev/null
+++ b/src/core/targets/types.ts
@@ -0,0 +1,16 @@
+/** Shapes of registered targets. */
+
+/** A target as it registered itself. */
+export interface TargetRecord {
+  readonly id: string;
+  readonly service: string;
+  /** IP:PORT. */
+  readonly address: string;
+  readonly dataCentre: string;
+  /** Requests that it works on at once. */
+  readonly slots: number;
+  /** It finishes its work and takes no more. */
+  readonly isLeaving: boolean;
+  /** Unix milliseconds of its start: tells a restart under the same id. */
+  readonly bornMs?: number;
+}
--- /dev/null
+++ b/src/direct/call-run.ts
@@ -0,0 +1,231 @@
+/** Runs one plain call: at most once, or repeated where that is harmless. */
+import type {TimerHandle} from '../core/clock/index.js';
+import type {
+  AnswerHead,
+  Exchange,
+  ExchangeFailure,
+} from '../core/edges/direct-target.js';
+import {RetryReason} from '../core/errors/refusals.js';
+import {chooseCallTarget} from '../core/placing/index.js';
+import {
+  answerFailure,
+  certainlyDidNotRun,
+  countsAsSent,
+  decideRetry,
+  RetryVerdict,
+} from '../core/retrying/index.js';
+import type {TryEnd} from '../core/retrying/index.js';
+import {OperationKind} from '../core/routes/index.js';
+import type {Target, TargetWork} from '../core/targets/index.js';
+import {RETURN_AFTER_MS, SAFE_TRY_SHARE} from './consts.js';
+import type {DirectContext, DirectWork} from './context.js';
+import {toTargetRequest} from './target-request.js';
+
+/** A try under way. */
+interface CallTry {
+  readonly target: Target;
+  readonly work: TargetWork;
+  readonly exchange: Exchange;
+  readonly timer: TimerHandle;
+}
+
+/**
+ * One call. The whole answer of a target is collected before any of it goes
+ * to the caller, so that a broken one can be replaced.
+ *
+ * @example
+ * new CallRun({ctx, work}).start();
+ */
+export class CallRun {
+  private readonly ctx: DirectContext;
+  private readonly work: DirectWork;
+  private readonly tried = new Set<string>();
+  private readonly deadline: TimerHandle;
+  private current?: CallTry;
+  private head?: AnswerHead;
+  private body: Uint8Array[] = [];
+  private sent = 0;
+  private mayHaveRun = false;
+
+  constructor(options: {ctx: DirectContext; work: DirectWork}) {
+    this.ctx = options.ctx;
+    this.work = options.work;
+    const {clock} = this.ctx;
+    this.deadline = clock.schedule({
+      delayMs: Math.max(0, this.work.endMs - clock.now()),
+      run: () => this.giveUp(true),
+    });
+    this.work.res.onGone(() => this.stop());
+  }
+
+  start(): void {
+    const {service} = this.work;
+    this.budget().noteFirstTry();
+    const target = this.choose();
+    if (target === undefined) {
+      this.ctx.logger.warn('no target', {service: service.name});
+      this.giveUp(false);
+      return;
+    }
+    this.send(target);
+  }
+
+  private send(target: Target): void {
+    const {ctx, work} = this;
+    const {clock, client} = ctx;
+    this.tried.add(target.id);
+    this.head = undefined;
+    this.body = [];
+    const leftMs = work.endMs - clock.now();
+    const targetWork = target.begin({tokens: 0});
+    const exchange = client.send({
+      target: target.record,
+      maxConnections: work.service.maxConnections,
+      req: toTargetRequest({work, leftMs}),
+      listener: {
+        onHead: (head) => {
+          this.head = head;
+          if (head.load !== undefined) target.noteLoad(head.load);
+        },
+        onData: (chunk) => void this.body.push(chunk),
+        onComplete: () => this.onEnd({status: this.head!.status}),
+        onFailure: (failure, detail) => this.onFailure(failure, detail),
+      },
+    });
+    const timer = clock.schedule({
+      delayMs: Math.max(0, this.tryLimitMs(leftMs)),
+      run: () => this.onSilence(),
+    });
+    this.current = {target, work: targetWork, exchange, timer};
+  }
+
+  /** An idempotent call leaves time for another try. */
+  private tryLimitMs(leftMs: number): number {
+    const {operation, maxAttempts} = this.work.admitted.route;
+    const mayRepeat = operation === OperationKind.SAFE;
+    return mayRepeat && this.sent + 1 < maxAttempts
+      ? leftMs * SAFE_TRY_SHARE
+      : leftMs * 2;
+  }
+
+  private onSilence(): void {
+    const {current} = this;
+    if (current === undefined) return;
+    const next = this.choose();
+    if (next === undefined || !this.budget().tryRetry()) return;
+    current.exchange.cancel();
+    current.target.noteFailure();
+    this.closeTry();
+    this.sent++;
+    this.mayHaveRun = true;
+    this.noteRetry(RetryReason.CALL_SLOW, current.target);
+    this.send(next);
+  }
+
+  private onFailure(failure: ExchangeFailure, detail: string): void {
+    const {target} = this.current!;
+    if (!certainlyDidNotRun(failure)) this.mayHaveRun = true;
+    this.ctx.logger.info('try failed', {
+      id: this.work.req.attemptId,
+      target: target.id,
+      failure,
+      detail,
+    });
+    noteFailureAt(target, failure);
+    this.onEnd({failure});
+  }
+
+  private onEnd(end: TryEnd): void {
+    const {target} = this.current!;
+    this.closeTry();
+    if (countsAsSent(end.failure)) this.sent++;
+    const next = this.choose();
+    const {operation, maxAttempts} = this.work.admitted.route;
+    const verdict = decideRetry({
+      operation,
+      end,
+      sent: this.sent,
+      maxAttempts,
+      hasTarget: next !== undefined,
+      takeFromBudget: () => this.budget().tryRetry(),
+    });
+    if (verdict === RetryVerdict.PASS_ON) {
+      target.noteSuccess();
+      this.passOn();
+    } else if (verdict === RetryVerdict.RETRY) {
+      this.noteRetry(RetryReason.CALL_LOST, target);
+      this.send(next!);
+    } else {
+      this.giveUp(false);
+    }
+  }
+
+  private passOn(): void {
+    this.deadline.cancel();
+    const {status, headers} = this.head!;
+    const body =
+      this.body.length === 1 ? this.body[0]! : Buffer.concat(this.body);
+    this.work.res.sendWhole({status, headers}, body);
+  }
+
+  private giveUp(isTimedOut: boolean): void {
+    const wasUnderWay = this.current !== undefined;
+    this.stop();
+    const mayHaveRun = this.mayHaveRun || wasUnderWay;
+    const {status, reason} = answerFailure({mayHaveRun, isTimedOut});
+    this.ctx.metrics.countRefusal(reason);
+    this.ctx.logger.info('refused', {
+      id: this.work.req.attemptId,
+      status,
+      reason,
+      sent: this.sent,
+    });
+    const retryAfterMs = mayHaveRun ? undefined : RETURN_AFTER_MS;
+    this.work.res.sendOwn({status, reason, retryAfterMs});
+  }
+
+  private stop(): void {
+    this.deadline.cancel();
+    this.current?.exchange.cancel();
+    this.closeTry();
+  }
+
+  private closeTry(): void {
+    const {current} = this;
+    if (current === undefined) return;
+    current.timer.cancel();
+    current.target.end(current.work);
+    this.current = undefined;
+  }
+
+  private choose(): Target | undefined {
+    const {ctx, work, tried} = this;
+    return chooseCallTarget({
+      targets: ctx.targets.ofService(work.service.name),
+      dataCentre: ctx.dataCentre,
+      tried,
+      random: ctx.random,
+    });
+  }
+
+  private noteRetry(reason: RetryReason, from: Target): void {
+    this.ctx.metrics.countRetry(reason);
+    this.ctx.logger.info('retry', {
+      id: this.work.req.attemptId,
+      reason,
+      from: from.id,
+    });
+  }
+
+  private budget() {
+    const {name} = this.work.service;
+    return this.ctx.budgets.of({name, retryRatio: this.ctx.retryRatio});
+  }
+}
+
+/** Takes what a failed exchange says of its target into account. */
+export function noteFailureAt(target: Target, failure: ExchangeFailure): void {
+  if (failure === 'rejected') target.noteRejected();
+  else if (failure === 'not_sent') target.pause();
+  else target.noteFailure();
+}
--- /dev/null
+++ b/src/direct/consts.ts
@@ -0,0 +1,23 @@
+/** When a refused caller may come back, in milliseconds. */
+export const RETURN_AFTER_MS = 150;
+
+/** Share of the time left after which a silent safe call is repeated. */
+export const SAFE_TRY_SHARE = 0.45;
+
+/** Pause before a stream looks for a target again, in milliseconds. */
+export const STREAM_PAUSE_MS = 60;
+
+/** Targets that may break one stream before it is given up. */
+export const MAX_STREAM_TRIES = 12;
+
+/** Time by which work ends before the forced end of a stop, in milliseconds. */
+export const STOP_MARGIN_MS = 300;
+
+/** Longest wait for a change of the configuration, in milliseconds. */
+export const CONFIG_WAIT_MS = 1_800;
+
+/** Longest wait for a change of the targets, in milliseconds. */
+export const TARGETS_WAIT_MS = 1_800;
+
+/** Part of the shared retry budget that entries plan with. */
+export const RETRY_SHARE = 0.8;
--- /dev/null
+++ b/src/direct/context.ts
@@ -0,0 +1,36 @@
+/** What the parts of a direct entry share. */
+import type {RetryBudgets} from '../core/admission/index.js';
+import type {Clock, RandomSource} from '../core/clock/index.js';
+import type {
+  CallerRequest,
+  CallerResponse,
+} from '../core/edges/direct-caller.js';
+import type {DirectTargets} from '../core/edges/direct-target.js';
+import type {Logger} from '../core/logs/index.js';
+import type {Metrics} from '../core/metrics/index.js';
+import type {AdmittedRequest, RoutedService} from '../core/routes/index.js';
+import type {TargetSet} from '../core/targets/index.js';
+
+/** Shared by all requests of an entry. */
+export interface DirectContext {
+  readonly dataCentre: string;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly targets: TargetSet;
+  readonly client: DirectTargets;
+  readonly budgets: RetryBudgets;
+  /** Repeats that all requests of a service may cause, for each of them. */
+  readonly retryRatio: number;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+/** One request that was let in. */
+export interface DirectWork {
+  readonly req: CallerRequest;
+  readonly res: CallerResponse;
+  readonly admitted: AdmittedRequest;
+  readonly service: RoutedService;
+  /** When the caller's or the route's time is over, on the process's clock. */
+  readonly endMs: number;
+}
--- /dev/null
+++ b/src/direct/direct-process.ts
@@ -0,0 +1,214 @@
+/** An entry that calls its targets directly, without agents beside them. */
+import {RetryBudgets} from '../core/admission/index.js';
+import {Cell} from '../core/blackboard/index.js';
+import type {Clock, RandomSource} from '../core/clock/index.js';
+import type {
+  CallerRequest,
+  CallerResponse,
+  OwnAnswer,
+} from '../core/edges/direct-caller.js';
+import type {DirectTargets} from '../core/edges/direct-target.js';
+import type {SourceItem, StateSource} from '../core/edges/state-source.js';
+import {RefusalReason} from '../core/errors/refusals.js';
+import type {Logger} from '../core/logs/index.js';
+import type {Metrics} from '../core/metrics/index.js';
+import type {AdmittedRequest, RoutingConfig} from '../core/routes/index.js';
+import {
+  admitRequest,
+  OperationKind,
+  pickService,
+  RouteTable,
+} from '../core/routes/index.js';
+import type {DirectSettings} from '../core/settings/direct-settings.js';
+import {Follower, KeyTrust} from '../core/sync/index.js';
+import type {TargetRecord} from '../core/targets/index.js';
+import {TargetSet} from '../core/targets/index.js';
+import {CallRun} from './call-run.js';
+import {
+  CONFIG_WAIT_MS,
+  RETRY_SHARE,
+  RETURN_AFTER_MS,
+  TARGETS_WAIT_MS,
+} from './consts.js';
+import type {DirectContext} from './context.js';
+import {StreamRun} from './stream-run.js';
+
+/** What a direct entry is built from. */
+export interface DirectProcessOptions {
+  readonly settings: DirectSettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly configs: StateSource<RoutingConfig>;
+  readonly registrations: StateSource<TargetRecord>;
+  readonly client: DirectTargets;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+/**
+ * Follows the configuration and the registered targets, and serves requests
+ * by them.
+ *
+ * @example
+ * const entry = new DirectProcess(options);
+ * entry.start();
+ */
+export class DirectProcess {
+  /** The configuration in force. */
+  readonly routes = new Cell<RouteTable | undefined>(undefined);
+  /** Whether the process has been told to stop. */
+  readonly leaving = new Cell(false);
+  private readonly trust: KeyTrust;
+  private readonly ctx: DirectContext;
+  private readonly followers: Array<Follower<unknown>> = [];
+  private knowsTargets = false;
+  private underWay = 0;
+
+  constructor(private readonly options: DirectProcessOptions) {
+    const {settings, clock, random, client, metrics, logger} = options;
+    this.trust = new KeyTrust({clock, boundMs: settings.keyTrustMs});
+    this.ctx = {
+      dataCentre: settings.dataCentre,
+      clock,
+      random,
+      targets: new TargetSet({
+        clock,
+        onRemoved: (target) => client.forget(target.record),
+      }),
+      client,
+      budgets: new RetryBudgets({clock}),
+      retryRatio: settings.retryBudget.ratio * RETRY_SHARE,
+      metrics,
+      logger,
+    };
+  }
+
+  /** Requests that have no whole answer yet. */
+  get requestsUnderWay(): number {
+    return this.underWay;
+  }
+
+  start(): void {
+    const {configs, registrations} = this.options;
+    this.followConfigs(configs);
+    this.followTargets(registrations);
+  }
+
+  /** Whether the process may be given new connections. */
+  isReady(): boolean {
+    const isInformed = this.routes.get() !== undefined && this.knowsTargets;
+    return isInformed && !this.leaving.get() && this.trust.isSound();
+  }
+
+  /** Serves one request. */
+  handle(req: CallerRequest, res: CallerResponse): void {
+    const admitted = admitRequest({
+      table: this.routes.get(),
+      isTrusted: this.trust.isSound(),
+      host: req.host,
+      path: req.path,
+      key: req.key,
+    });
+    if (admitted.isErr()) this.refuse(req, res, admitted.error);
+    else this.run(req, res, admitted.value);
+  }
+
+  private run(
+    req: CallerRequest,
+    res: CallerResponse,
+    admitted: AdmittedRequest,
+  ): void {
+    const {ctx} = this;
+    const {route, table} = admitted;
+    const name = pickService({route, draw: ctx.random.float()});
+    const service = name === undefined ? undefined : table.findService(name);
+    if (service === undefined || !this.knowsTargets) {
+      const reason = RefusalReason.NO_TARGET;
+      this.refuse(req, res, {
+        status: 503,
+        reason,
+        retryAfterMs: RETURN_AFTER_MS,
+      });
+      return;
+    }
+    const limitMs = Math.min(req.deadlineMs ?? Infinity, route.timeoutMs);
+    const endMs = req.receivedMs + limitMs;
+    const work = {req, res, admitted, service, endMs};
+    if (route.operation === OperationKind.STREAM) {
+      new StreamRun({ctx, work}).start();
+    } else {
+      new CallRun({ctx, work}).start();
+    }
+  }
+
+  private refuse(
+    req: CallerRequest,
+    res: CallerResponse,
+    answer: OwnAnswer,
+  ): void {
+    this.ctx.metrics.countRefusal(answer.reason);
+    this.ctx.logger.info('refused', {
+      id: req.attemptId,
+      status: answer.status,
+      reason: answer.reason,
+      config: this.routes.get()?.version,
+      trustAgeMs: Math.round(this.trust.ageMs()),
+    });
+    res.sendOwn(answer);
+  }
+
+  private followConfigs(source: StateSource<RoutingConfig>): void {
+    const {clock, random, logger} = this.options;
+    const take = (items: ReadonlyArray<SourceItem<RoutingConfig>>) => {
+      for (const {value} of items) {
+        if (value !== undefined) this.takeConfig(value);
+      }
+    };
+    const follower = new Follower({
+      source,
+      clock,
+      random,
+      waitMs: CONFIG_WAIT_MS,
+      listener: {
+        onSnapshot: take,
+        onChanges: take,
+        onConfirmed: (atMs) => this.trust.confirm(atMs),
+        onLost: (err) => logger.warn('configuration: lost track', {...err}),
+      },
+    });
+    this.followers.push(follower as Follower<unknown>);
+    follower.start();
+  }
+
+  private followTargets(source: StateSource<TargetRecord>): void {
+    const {clock, random, logger} = this.options;
+    const {targets} = this.ctx;
+    const follower = new Follower({
+      source,
+      clock,
+      random,
+      waitMs: TARGETS_WAIT_MS,
+      listener: {
+        onSnapshot: (items, afterOutage) => {
+          targets.replaceAll(items, afterOutage);
+          this.knowsTargets = true;
+        },
+        onChanges: (changes) => targets.applyChanges(changes),
+        onConfirmed: () => undefined,
+        onLost: (err) => logger.warn('targets: lost track', {...err}),
+      },
+    });
+    this.followers.push(follower as Follower<unknown>);
+    follower.start();
+  }
+
+  private takeConfig(config: RoutingConfig): void {
+    const known = this.routes.get()?.version ?? Number.NEGATIVE_INFINITY;
+    if (config.version <= known) return;
+    this.options.logger.info('configuration in force', {
+      version: config.version,
+      routes: config.routes.length,
+    });
+    this.routes.set(new RouteTable(config));
+  }
+}
--- /dev/null
+++ b/src/direct/stream-run.ts
@@ -0,0 +1,355 @@
+/** Runs one event stream, across as many targets as it takes. */
+import type {TimerHandle} from '../core/clock/index.js';
+import type {
+  AnswerHead,
+  Exchange,
+  ExchangeFailure,
+} from '../core/edges/direct-target.js';
+import {RetryReason} from '../core/errors/refusals.js';
+import {chooseEngine} from '../core/placing/index.js';
+import {answerFailure, certainlyDidNotRun} from '../core/retrying/index.js';
+import {
+  EventSequence,
+  EventSplitter,
+  EventVerdict,
+  stallLimitMs,
+  toPosition,
+} from '../core/streams/index.js';
+import type {RawEvent} from '../core/streams/index.js';
+import type {Target, TargetWork} from '../core/targets/index.js';
+import {noteFailureAt} from './call-run.js';
+import {MAX_STREAM_TRIES, RETURN_AFTER_MS, STREAM_PAUSE_MS} from './consts.js';
+import type {DirectContext, DirectWork} from './context.js';
+import {toTargetRequest} from './target-request.js';
+
+const OK = 200;
+const FIRST_FAILURE_STATUS = 500;
+
+/** A try under way. */
+interface StreamTry {
+  readonly target: Target;
+  readonly work: TargetWork;
+  readonly exchange: Exchange;
+  readonly splitter: EventSplitter;
+  /** Where the run's memory is copied to. */
+  readonly copy?: Target;
+  head?: AnswerHead;
+  /** Bytes of an answer that is no stream. */
+  readonly body: Uint8Array[];
+  events: number;
+  lastEventMs: number;
+  widestGapMs: number;
+}
+
+/**
+ * One stream. Its events go to the caller as they come; when a target is
+ * lost, another goes on after the last one.
+ *
+ * @example
+ * new StreamRun({ctx, work}).start();
+ */
+export class StreamRun {
+  private readonly ctx: DirectContext;
+  private readonly work: DirectWork;
+  private readonly sequence: EventSequence;
+  private readonly tokens: number;
+  private readonly deadline: TimerHandle;
+  private readonly excluded = new Set<string>();
+  private watchdog?: TimerHandle;
+  private pause?: TimerHandle;
+  private current?: StreamTry;
+  /** Holds a copy of what the lost run had in memory. */
+  private copyHolder?: Target;
+  private isOpen = false;
+  private isOver = false;
+  private tries = 0;
+  private mayHaveRun = false;
+
+  constructor(options: {ctx: DirectContext; work: DirectWork}) {
+    this.ctx = options.ctx;
+    this.work = options.work;
+    const {clock} = this.ctx;
+    const {generation, lastEventId} = this.work.req;
+    this.sequence = new EventSequence({lastId: toPosition(lastEventId)});
+    this.tokens =
+      (generation?.promptTokens ?? 0) + (generation?.maxOutputTokens ?? 0);
+    this.deadline = clock.schedule({
+      delayMs: Math.max(0, this.work.endMs - clock.now()),
+      run: () => this.giveUp(true),
+    });
+    this.work.res.onGone(() => this.stop());
+  }
+
+  start(): void {
+    this.budget().noteFirstTry();
+    this.place();
+  }
+
+  private place(): void {
+    const {copyHolder} = this;
+    if (copyHolder !== undefined && isUsable(copyHolder)) {
+      this.send(copyHolder, copyHolder.record.address);
+      return;
+    }
+    this.copyHolder = undefined;
+    const target = this.choose(this.excluded);
+    if (target === undefined || target.isPaused()) this.wait();
+    else this.send(target);
+  }
+
+  private wait(): void {
+    this.excluded.clear();
+    this.pause = this.ctx.clock.schedule({
+      delayMs: STREAM_PAUSE_MS,
+      run: () => this.place(),
+    });
+  }
+
+  private send(target: Target, copyFrom?: string): void {
+    const {ctx, work} = this;
+    const {clock} = ctx;
+    const copy = this.chooseCopy(target);
+    const targetWork = target.begin({tokens: this.tokens});
+    copy?.addCopy(this.tokens);
+    const exchange = ctx.client.send({
+      target: target.record,
+      maxConnections: work.service.maxConnections,
+      req: toTargetRequest({
+        work,
+        leftMs: work.endMs - clock.now(),
+        lastEventId: this.sequence.lastId?.toString(),
+        copyTo: copy?.record.address,
+        copyFrom,
+      }),
+      listener: {
+        onHead: (head) => this.onHead(head),
+        onData: (chunk) => this.onData(chunk),
+        onComplete: () => this.onComplete(),
+        onFailure: (failure, detail) => this.onFailure(failure, detail),
+      },
+    });
+    this.tries++;
+    this.copyHolder = undefined;
+    this.current = {
+      target,
+      work: targetWork,
+      exchange,
+      copy,
+      splitter: new EventSplitter(),
+      body: [],
+      events: 0,
+      lastEventMs: clock.now(),
+      widestGapMs: 0,
+    };
+  }
+
+  private onHead(head: AnswerHead): void {
+    const {current} = this;
+    if (current === undefined) return;
+    current.head = head;
+    if (head.load !== undefined) current.target.noteLoad(head.load);
+  }
+
+  private onData(chunk: Uint8Array): void {
+    const {current} = this;
+    if (current?.head === undefined) return;
+    if (current.head.status !== OK) {
+      current.body.push(chunk);
+      return;
+    }
+    for (const event of current.splitter.push(chunk)) {
+      if (this.current !== current) return;
+      this.onEvent(current, event);
+    }
+  }
+
+  private onEvent(current: StreamTry, event: RawEvent): void {
+    const verdict = this.sequence.judge(event.id);
+    if (verdict === EventVerdict.GAP) {
+      this.lose(RetryReason.ENGINE_DIED, `event ${event.id} out of order`);
+      return;
+    }
+    this.noteEvent(current);
+    if (verdict === EventVerdict.SKIP) return;
+    if (!this.isOpen) {
+      this.isOpen = true;
+      this.work.res.open(current.head!);
+    }
+    this.work.res.write(event.bytes);
+  }
+
+  private noteEvent(current: StreamTry): void {
+    const nowMs = this.ctx.clock.now();
+    if (current.events > 0) {
+      const gapMs = nowMs - current.lastEventMs;
+      current.widestGapMs = Math.max(current.widestGapMs * 0.98, gapMs);
+    }
+    current.events++;
+    current.lastEventMs = nowMs;
+    current.work.isReading = false;
+    if (this.watchdog === undefined) this.watchSilence();
+  }
+
+  private watchSilence(): void {
+    const {current} = this;
+    if (current === undefined || this.isOver) return;
+    const {maxPauseMs, isResumable} = this.work.admitted.route;
+    if (!isResumable) return;
+    const {widestGapMs} = current;
+    const limitMs = stallLimitMs({maxPauseMs, widestGapMs});
+    const silentMs = this.ctx.clock.now() - current.lastEventMs;
+    if (silentMs >= limitMs) {
+      this.watchdog = undefined;
+      current.target.noteFailure();
+      this.lose(RetryReason.ENGINE_STALLED, `silent for ${silentMs} ms`);
+      return;
+    }
+    this.watchdog = this.ctx.clock.schedule({
+      delayMs: limitMs - silentMs,
+      run: () => this.watchSilence(),
+    });
+  }
+
+  private onComplete(): void {
+    const {current} = this;
+    if (current?.head === undefined) return;
+    const {head, splitter, target} = current;
+    if (head.status !== OK) {
+      this.onPlainAnswer(current, head);
+      return;
+    }
+    if (splitter.pendingBytes > 0) {
+      this.lose(RetryReason.ENGINE_DIED, 'ended within an event');
+      return;
+    }
+    target.noteSuccess();
+    this.stop();
+    if (!this.isOpen) this.work.res.open(head);
+    this.work.res.end();
+  }
+
+  private onPlainAnswer(current: StreamTry, head: AnswerHead): void {
+    if (head.status >= FIRST_FAILURE_STATUS || this.isOpen) {
+      this.lose(RetryReason.TARGET_REFUSED, `status ${head.status}`);
+      return;
+    }
+    this.stop();
+    this.work.res.sendWhole(head, Buffer.concat(current.body));
+  }
+
+  private onFailure(failure: ExchangeFailure, detail: string): void {
+    const {current} = this;
+    if (current === undefined) return;
+    noteFailureAt(current.target, failure);
+    if (!certainlyDidNotRun(failure)) this.mayHaveRun = true;
+    else this.excluded.add(current.target.id);
+    this.lose(RetryReason.ENGINE_DIED, `${failure}: ${detail}`);
+  }
+
+  /** The present target is of no more use: another goes on, if it may. */
+  private lose(reason: RetryReason, detail: string): void {
+    const {current} = this;
+    if (current === undefined) return;
+    current.exchange.cancel();
+    this.closeTry();
+    const {isResumable} = this.work.admitted.route;
+    this.ctx.logger.info('stream lost its target', {
+      id: this.work.req.attemptId,
+      target: current.target.id,
+      copy: current.copy?.id,
+      events: this.sequence.count,
+      reason,
+      detail,
+    });
+    const mayGoOn = isResumable && this.sequence.isResumable;
+    const hasTries = this.tries < MAX_STREAM_TRIES;
+    if ((this.mayHaveRun && !mayGoOn) || !hasTries) {
+      this.giveUp(false);
+      return;
+    }
+    if (!this.budget().tryRetry()) {
+      this.giveUp(false);
+      return;
+    }
+    if (current.events > 0) this.copyHolder = current.copy;
+    this.ctx.metrics.countRetry(reason);
+    this.place();
+  }
+
+  private giveUp(isTimedOut: boolean): void {
+    if (this.isOver) return;
+    const mayHaveRun =
+      this.mayHaveRun || this.current !== undefined || this.isOpen;
+    this.stop();
+    const {status, reason} = answerFailure({mayHaveRun, isTimedOut});
+    this.ctx.metrics.countRefusal(reason);
+    this.ctx.logger.info('stream given up', {
+      id: this.work.req.attemptId,
+      status,
+      reason,
+      events: this.sequence.count,
+      tries: this.tries,
+    });
+    if (this.isOpen) {
+      this.work.res.abort();
+      return;
+    }
+    const retryAfterMs = mayHaveRun ? undefined : RETURN_AFTER_MS;
+    this.work.res.sendOwn({status, reason, retryAfterMs});
+  }
+
+  private stop(): void {
+    this.isOver = true;
+    this.deadline.cancel();
+    this.pause?.cancel();
+    this.current?.exchange.cancel();
+    this.closeTry();
+  }
+
+  private closeTry(): void {
+    this.watchdog?.cancel();
+    this.watchdog = undefined;
+    const {current} = this;
+    if (current === undefined) return;
+    current.target.end(current.work);
+    current.copy?.removeCopy(this.tokens);
+    this.current = undefined;
+  }
+
+  private choose(excluded: ReadonlySet<string>): Target | undefined {
+    const {ctx, work, tokens} = this;
+    return chooseEngine({
+      targets: ctx.targets.ofService(work.service.name),
+      tokens,
+      memoryTokens: work.service.engine?.memoryTokens ?? Infinity,
+      excluded,
+      random: ctx.random,
+    });
+  }
+
+  private chooseCopy(runner: Target): Target | undefined {
+    const {ctx, work, tokens} = this;
+    const {engine} = work.service;
+    const {isResumable} = work.admitted.route;
+    if (engine === undefined || !engine.canCopy || !isResumable) {
+      return undefined;
+    }
+    return chooseEngine({
+      targets: ctx.targets.ofService(work.service.name),
+      tokens,
+      memoryTokens: engine.memoryTokens,
+      excluded: new Set([runner.id]),
+      avoided: new Set([runner.record.dataCentre]),
+      random: ctx.random,
+    });
+  }
+
+  private budget() {
+    const {name} = this.work.service;
+    return this.ctx.budgets.of({name, retryRatio: this.ctx.retryRatio});
+  }
+}
+
+function isUsable(target: Target): boolean {
+  return !target.record.isLeaving && !target.isPaused();
+}
--- /dev/null
+++ b/src/direct/target-request.ts
@@ -0,0 +1,24 @@
+/** What a target is told of a caller's request. */
+import type {TargetRequest} from '../core/edges/direct-target.js';
+import type {DirectWork} from './context.js';
+
+/** What differs between the tries of one request. */
+export type TryFields = Pick<
+  TargetRequest,
+  'lastEventId' | 'copyTo' | 'copyFrom' | 'priority'
+>;
+
+/**
+ * Builds the request for one try.
+ *
+ * @example
+ * const req = toTargetRequest({work, leftMs: 800});
+ */
+export function toTargetRequest(
+  options: {work: DirectWork; leftMs: number} & Partial<TryFields>,
+): TargetRequest {
+  const {work, ...fields} = options;
+  const {attemptId, method, path, headers, body} = work.req;
+  const clientAccount = work.admitted.account?.clientAccount;
+  return {attemptId, method, path, headers, body, clientAccount, ...fields};
+}
