Probe silent targets and their neighbours; a budget floor for each service

Cause: streams on targets that went dark were left after 300 to 1,700 ms, and repeats ran out of a floor of three.

--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -74,9 +74,12 @@
  * @example
  * const dispatcher = createPool({keepsAlive: true});
  */
-export function createPool(options: {keepsAlive: boolean}): Dispatcher {
+export function createPool(options: {
+  keepsAlive: boolean;
+  connectTimeoutMs?: number;
+}): Dispatcher {
   return new Agent({
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connect: {timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS},
     headersTimeout: 0,
     bodyTimeout: 0,
     // Without pipelining undici opens a new connection for each call.
--- a/src/core/admission/retry-budget.ts
+++ b/src/core/admission/retry-budget.ts
@@ -31,7 +31,14 @@
   private ratio: number;
   private slices: Slice[] = [];
 
-  constructor(private readonly options: {clock: Clock; ratio: number}) {
+  constructor(
+    private readonly options: {
+      clock: Clock;
+      ratio: number;
+      /** Retries in a window however few first tries there are. */
+      floor?: number;
+    },
+  ) {
     this.ratio = options.ratio;
   }
 
@@ -49,7 +56,8 @@
     const slice = this.current();
     const firstTries = sumOf(this.slices, (s) => s.firstTries);
     const retries = sumOf(this.slices, (s) => s.retries);
-    const allowed = Math.max(RETRY_FLOOR, Math.floor(this.ratio * firstTries));
+    const floor = this.options.floor ?? RETRY_FLOOR;
+    const allowed = Math.max(floor, Math.floor(this.ratio * firstTries));
     if (retries >= allowed) return false;
     slice.retries++;
     return true;
@@ -76,7 +84,7 @@
 export class RetryBudgets {
   private readonly budgets = new Map<string, RetryBudget>();
 
-  constructor(private readonly options: {clock: Clock}) {}
+  constructor(private readonly options: {clock: Clock; floor?: number}) {}
 
   of(service: {
     readonly name: string;
@@ -85,7 +93,7 @@
     const {name, retryRatio: ratio} = service;
     let budget = this.budgets.get(name);
     if (budget === undefined) {
-      budget = new RetryBudget({clock: this.options.clock, ratio});
+      budget = new RetryBudget({...this.options, ratio});
       this.budgets.set(name, budget);
     }
     budget.setRatio(ratio);
--- a/src/core/edges/direct-target.ts
+++ b/src/core/edges/direct-target.ts
@@ -1,4 +1,6 @@
 /** A target that is called without an agent beside it. */
+import type {ResultAsync} from 'neverthrow';
+
 import type {ReportedLoad, TargetRecord} from '../targets/index.js';
 import type {HeaderField} from './service-driver.js';
 
@@ -63,6 +65,12 @@
   cancel(): void;
 }
 
+/** What a target says of its load and memory. */
+export interface TargetReport extends ReportedLoad {
+  /** Tokens in memory that cannot yield. */
+  readonly memoryUsed: number;
+}
+
 /** Sends requests to targets. */
 export interface DirectTargets {
   send(options: {
@@ -72,6 +80,11 @@
     req: TargetRequest;
     listener: ExchangeListener;
   }): Exchange;
+  /** Asks a target how it is; an error if it does not say in time. */
+  report(
+    target: TargetRecord,
+    timeoutMs: number,
+  ): ResultAsync<TargetReport, string>;
   /** Closes the idle connections to a target. */
   forget(target: TargetRecord): void;
 }
--- a/src/core/streams/event-splitter.ts
+++ b/src/core/streams/event-splitter.ts
@@ -35,7 +35,8 @@
 
   push(chunk: Uint8Array): RawEvent[] {
     const view = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength);
-    let bytes = this.rest.length === 0 ? view : Buffer.concat([this.rest, view]);
+    let bytes =
+      this.rest.length === 0 ? view : Buffer.concat([this.rest, view]);
     const events: RawEvent[] = [];
     for (;;) {
       const at = bytes.indexOf(BLANK_LINE);
--- a/src/core/streams/index.ts
+++ b/src/core/streams/index.ts
@@ -2,4 +2,4 @@
 export {EventSequence, EventVerdict} from './event-sequence.js';
 export type {RawEvent} from './event-splitter.js';
 export {EventSplitter, toPosition} from './event-splitter.js';
-export {stallLimitMs} from './stall-limit.js';
+export {stallLimitMs, suspectLimitMs} from './stall-limit.js';
--- a/src/core/streams/stall-limit.ts
+++ b/src/core/streams/stall-limit.ts
@@ -29,3 +29,23 @@
   const ceilingMs = Math.max(FLOOR_MS, maxPauseMs * PAUSE_SHARE);
   return Math.min(Math.max(FLOOR_MS, widestGapMs * ALLOWED_GAPS), ceilingMs);
 }
+
+/** Shortest silence that is looked into, in milliseconds. */
+const SUSPECT_FLOOR_MS = 130;
+
+/** Silence that is looked into, as a multiple of the widest gap seen. */
+const SUSPECT_GAPS = 1.6;
+
+/**
+ * The silence after which a target is asked whether it is there at all.
+ *
+ * @example
+ * suspectLimitMs({maxPauseMs: 700, widestGapMs: 60}); // 130
+ */
+export function suspectLimitMs(options: {
+  maxPauseMs?: number;
+  widestGapMs: number;
+}): number {
+  const byGapsMs = options.widestGapMs * SUSPECT_GAPS;
+  return Math.min(Math.max(SUSPECT_FLOOR_MS, byGapsMs), stallLimitMs(options));
+}
--- a/src/core/sync/follower.ts
+++ b/src/core/sync/follower.ts
@@ -113,7 +113,8 @@
     const {clock, random} = this.options;
     const limitMs = FIRST_BACKOFF_MS * 2 ** this.failures;
     this.failures = Math.min(this.failures + 1, 10);
-    const delayMs = Math.min(limitMs, LAST_BACKOFF_MS) * (0.5 + random.float() / 2);
+    const delayMs =
+      Math.min(limitMs, LAST_BACKOFF_MS) * (0.5 + random.float() / 2);
     return new Promise((resolve) => {
       clock.schedule({delayMs, run: resolve});
     });
--- a/src/core/targets/consts.ts
+++ b/src/core/targets/consts.ts
@@ -7,6 +7,9 @@
 /** Time for which a failing target takes no work, in milliseconds. */
 export const PAUSE_AFTER_FAILURE_MS = 500;
 
+/** Longest time for which a target takes no work, in milliseconds. */
+export const LONGEST_PAUSE_MS = 4_000;
+
 /** Time for which a target that had no room takes no work. */
 export const PAUSE_AFTER_REJECT_MS = 150;
 
--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -3,6 +3,7 @@
 import {
   FAILURES_BEFORE_PAUSE,
   LOAD_FRESH_MS,
+  LONGEST_PAUSE_MS,
   PAUSE_AFTER_FAILURE_MS,
   PAUSE_AFTER_REJECT_MS,
 } from './consts.js';
@@ -40,6 +41,7 @@
   /** Own work that was under way when the report was taken. */
   private ownWhenReported = 0;
   private failures = 0;
+  private pauses = 0;
   private pausedUntilMs = Number.NEGATIVE_INFINITY;
   private fullUntilMs = Number.NEGATIVE_INFINITY;
 
@@ -107,6 +109,7 @@
 
   noteSuccess(): void {
     this.failures = 0;
+    this.pauses = 0;
     this.pausedUntilMs = Number.NEGATIVE_INFINITY;
   }
 
@@ -117,9 +120,20 @@
     this.pause();
   }
 
-  /** The target is not there: it takes no work for a while. */
+  /**
+   * The target is not there: it takes no work for a while, which grows with
+   * each time that it is still not there.
+   */
   pause(): void {
-    this.pausedUntilMs = this.clock.now() + PAUSE_AFTER_FAILURE_MS;
+    if (this.isPaused()) return;
+    const pauseMs = PAUSE_AFTER_FAILURE_MS * 2 ** this.pauses;
+    this.pauses++;
+    this.pausedUntilMs = this.clock.now() + Math.min(pauseMs, LONGEST_PAUSE_MS);
+  }
+
+  /** This life of the target is over; another will register itself. */
+  noteGone(): void {
+    this.pausedUntilMs = this.clock.now() + LONGEST_PAUSE_MS;
   }
 
   /** The target had no room for a request. */
--- a/src/direct/call-run.ts
+++ b/src/direct/call-run.ts
@@ -19,6 +19,7 @@
 import type {Target, TargetWork} from '../core/targets/index.js';
 import {RETURN_AFTER_MS, SAFE_TRY_SHARE} from './consts.js';
 import type {DirectContext, DirectWork} from './context.js';
+import {noteFailureAt} from './note-failure.js';
 import {toTargetRequest} from './target-request.js';
 
 /** A try under way. */
@@ -222,10 +223,3 @@
     return this.ctx.budgets.of({name, retryRatio: this.ctx.retryRatio});
   }
 }
-
-/** Takes what a failed exchange says of its target into account. */
-export function noteFailureAt(target: Target, failure: ExchangeFailure): void {
-  if (failure === 'rejected') target.noteRejected();
-  else if (failure === 'not_sent') target.pause();
-  else target.noteFailure();
-}
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -21,3 +21,18 @@
 
 /** Part of the shared retry budget that entries plan with. */
 export const RETRY_SHARE = 0.8;
+
+/** Repeats in a window that an entry allows however few requests it has. */
+export const RETRY_FLOOR = 16;
+
+/** Time for a target to say that it is there, in milliseconds. */
+export const PROBE_TIMEOUT_MS = 120;
+
+/** Time for which the outcome of a probe is used again, in milliseconds. */
+export const PROBE_FRESH_MS = 150;
+
+/** Time between two looks at all targets of a data centre. */
+export const SWEEP_PAUSE_MS = 400;
+
+/** Time after which a run has copied some of its memory, in milliseconds. */
+export const COPY_STARTED_MS = 300;
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -10,6 +10,7 @@
 import type {Metrics} from '../core/metrics/index.js';
 import type {AdmittedRequest, RoutedService} from '../core/routes/index.js';
 import type {TargetSet} from '../core/targets/index.js';
+import type {Prober} from './prober.js';
 
 /** Shared by all requests of an entry. */
 export interface DirectContext {
@@ -18,6 +19,7 @@
   readonly random: RandomSource;
   readonly targets: TargetSet;
   readonly client: DirectTargets;
+  readonly prober: Prober;
   readonly budgets: RetryBudgets;
   /** Repeats that all requests of a service may cause, for each of them. */
   readonly retryRatio: number;
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -26,11 +26,13 @@
 import {CallRun} from './call-run.js';
 import {
   CONFIG_WAIT_MS,
+  RETRY_FLOOR,
   RETRY_SHARE,
   RETURN_AFTER_MS,
   TARGETS_WAIT_MS,
 } from './consts.js';
 import type {DirectContext} from './context.js';
+import {Prober} from './prober.js';
 import {StreamRun} from './stream-run.js';
 
 /** What a direct entry is built from. */
@@ -67,16 +69,18 @@
   constructor(private readonly options: DirectProcessOptions) {
     const {settings, clock, random, client, metrics, logger} = options;
     this.trust = new KeyTrust({clock, boundMs: settings.keyTrustMs});
+    const targets = new TargetSet({
+      clock,
+      onRemoved: (target) => client.forget(target.record),
+    });
     this.ctx = {
       dataCentre: settings.dataCentre,
       clock,
       random,
-      targets: new TargetSet({
-        clock,
-        onRemoved: (target) => client.forget(target.record),
-      }),
+      targets,
+      prober: new Prober({clock, client, targets, logger}),
       client,
-      budgets: new RetryBudgets({clock}),
+      budgets: new RetryBudgets({clock, floor: RETRY_FLOOR}),
       retryRatio: settings.retryBudget.ratio * RETRY_SHARE,
       metrics,
       logger,
--- /dev/null
+++ b/src/direct/note-failure.ts
@@ -0,0 +1,25 @@
+/** What a failed exchange tells of its target. */
+import {ExchangeFailure} from '../core/edges/direct-target.js';
+import type {Target} from '../core/targets/index.js';
+
+/**
+ * Takes a failed exchange into account when targets are chosen.
+ *
+ * @example
+ * noteFailureAt(target, ExchangeFailure.REJECTED);
+ */
+export function noteFailureAt(target: Target, failure: ExchangeFailure): void {
+  switch (failure) {
+    case ExchangeFailure.REJECTED:
+      target.noteRejected();
+      break;
+    case ExchangeFailure.WRONG_TARGET:
+      target.noteGone();
+      break;
+    case ExchangeFailure.NOT_SENT:
+      target.pause();
+      break;
+    default:
+      target.noteFailure();
+  }
+}
--- /dev/null
+++ b/src/direct/prober.ts
@@ -0,0 +1,94 @@
+/** Asks targets whether they are there, when there is reason to doubt it. */
+import type {Result} from 'neverthrow';
+import {err} from 'neverthrow';
+
+import type {Clock} from '../core/clock/index.js';
+import type {DirectTargets, TargetReport} from '../core/edges/direct-target.js';
+import type {Logger} from '../core/logs/index.js';
+import type {Target, TargetSet} from '../core/targets/index.js';
+import {PROBE_FRESH_MS, PROBE_TIMEOUT_MS, SWEEP_PAUSE_MS} from './consts.js';
+
+interface Probe {
+  readonly startedMs: number;
+  readonly outcome: Promise<boolean>;
+}
+
+/**
+ * Probes targets. Data centres fail as a whole, so a target that is lost
+ * casts doubt on its neighbours: they are probed before they are given work.
+ *
+ * @example
+ * if (!(await prober.isAlive(target))) leave(target);
+ */
+export class Prober {
+  private readonly probes = new WeakMap<Target, Probe>();
+  private readonly sweptMs = new Map<string, number>();
+
+  constructor(
+    private readonly options: {
+      clock: Clock;
+      client: DirectTargets;
+      targets: TargetSet;
+      logger: Logger;
+    },
+  ) {}
+
+  /** Whether a target answers; one that does not is paused. */
+  isAlive(target: Target): Promise<boolean> {
+    const nowMs = this.options.clock.now();
+    const earlier = this.probes.get(target);
+    if (earlier !== undefined && nowMs - earlier.startedMs < PROBE_FRESH_MS) {
+      return earlier.outcome;
+    }
+    const outcome = this.probe(target);
+    this.probes.set(target, {startedMs: nowMs, outcome});
+    return outcome;
+  }
+
+  /** Looks at the other targets beside one that was lost. */
+  sweepAround(lost: Target): void {
+    const {clock, targets} = this.options;
+    const {dataCentre, service} = lost.record;
+    const key = `${dataCentre} ${service}`;
+    const nowMs = clock.now();
+    const lastMs = this.sweptMs.get(key) ?? Number.NEGATIVE_INFINITY;
+    if (nowMs - lastMs < SWEEP_PAUSE_MS) return;
+    this.sweptMs.set(key, nowMs);
+    for (const target of targets.ofService(service)) {
+      const isBeside = target.record.dataCentre === dataCentre;
+      if (isBeside && !target.isPaused()) void this.isAlive(target);
+    }
+  }
+
+  /** The time limit also covers the opening of a connection. */
+  private reportInTime(target: Target): Promise<Result<TargetReport, string>> {
+    const {client, clock} = this.options;
+    return new Promise((resolve) => {
+      const timer = clock.schedule({
+        delayMs: PROBE_TIMEOUT_MS,
+        run: () => resolve(err(`no answer in ${PROBE_TIMEOUT_MS} ms`)),
+      });
+      void client.report(target.record, PROBE_TIMEOUT_MS).then((report) => {
+        timer.cancel();
+        resolve(report);
+      });
+    });
+  }
+
+  private async probe(target: Target): Promise<boolean> {
+    const {logger} = this.options;
+    const report = await this.reportInTime(target);
+    if (report.isOk()) {
+      target.noteLoad(report.value);
+      return true;
+    }
+    target.pause();
+    logger.info('target does not answer', {
+      target: target.id,
+      dataCentre: target.record.dataCentre,
+      detail: report.error,
+    });
+    this.sweepAround(target);
+    return false;
+  }
+}
--- a/src/direct/stream-run.ts
+++ b/src/direct/stream-run.ts
@@ -1,10 +1,7 @@
 /** Runs one event stream, across as many targets as it takes. */
 import type {TimerHandle} from '../core/clock/index.js';
-import type {
-  AnswerHead,
-  Exchange,
-  ExchangeFailure,
-} from '../core/edges/direct-target.js';
+import type {AnswerHead, Exchange} from '../core/edges/direct-target.js';
+import {ExchangeFailure} from '../core/edges/direct-target.js';
 import {RetryReason} from '../core/errors/refusals.js';
 import {chooseEngine} from '../core/placing/index.js';
 import {answerFailure, certainlyDidNotRun} from '../core/retrying/index.js';
@@ -13,13 +10,19 @@
   EventSplitter,
   EventVerdict,
   stallLimitMs,
+  suspectLimitMs,
   toPosition,
 } from '../core/streams/index.js';
 import type {RawEvent} from '../core/streams/index.js';
 import type {Target, TargetWork} from '../core/targets/index.js';
-import {noteFailureAt} from './call-run.js';
-import {MAX_STREAM_TRIES, RETURN_AFTER_MS, STREAM_PAUSE_MS} from './consts.js';
+import {
+  COPY_STARTED_MS,
+  MAX_STREAM_TRIES,
+  RETURN_AFTER_MS,
+  STREAM_PAUSE_MS,
+} from './consts.js';
 import type {DirectContext, DirectWork} from './context.js';
+import {noteFailureAt} from './note-failure.js';
 import {toTargetRequest} from './target-request.js';
 
 const OK = 200;
@@ -36,6 +39,7 @@
   head?: AnswerHead;
   /** Bytes of an answer that is no stream. */
   readonly body: Uint8Array[];
+  readonly startedMs: number;
   events: number;
   lastEventMs: number;
   widestGapMs: number;
@@ -64,6 +68,9 @@
   private isOver = false;
   private tries = 0;
   private mayHaveRun = false;
+  private firstEventMs = 0;
+  private longestPauseMs = 0;
+  private lastWrittenMs?: number;
 
   constructor(options: {ctx: DirectContext; work: DirectWork}) {
     this.ctx = options.ctx;
@@ -128,7 +135,7 @@
         onFailure: (failure, detail) => this.onFailure(failure, detail),
       },
     });
-    this.tries++;
+    if (copyFrom === undefined) this.tries++;
     this.copyHolder = undefined;
     this.current = {
       target,
@@ -137,6 +144,7 @@
       copy,
       splitter: new EventSplitter(),
       body: [],
+      startedMs: clock.now(),
       events: 0,
       lastEventMs: clock.now(),
       widestGapMs: 0,
@@ -176,6 +184,32 @@
       this.work.res.open(current.head!);
     }
     this.work.res.write(event.bytes);
+    this.notePause();
+  }
+
+  /** Measures the pauses that the caller sees. */
+  private notePause(): void {
+    const nowMs = this.ctx.clock.now();
+    if (this.lastWrittenMs === undefined) {
+      this.firstEventMs = nowMs - this.work.req.receivedMs;
+    } else {
+      const pauseMs = nowMs - this.lastWrittenMs;
+      this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
+    }
+    this.lastWrittenMs = nowMs;
+  }
+
+  private noteLate(): void {
+    const {objectiveMs, maxPauseMs = Infinity} = this.work.admitted.route;
+    const isOnTime =
+      this.firstEventMs <= objectiveMs && this.longestPauseMs <= maxPauseMs;
+    if (isOnTime) return;
+    this.ctx.logger.info('stream was late', {
+      id: this.work.req.attemptId,
+      firstEventMs: Math.round(this.firstEventMs),
+      longestPauseMs: Math.round(this.longestPauseMs),
+      tries: this.tries,
+    });
   }
 
   private noteEvent(current: StreamTry): void {
@@ -190,18 +224,15 @@
     if (this.watchdog === undefined) this.watchSilence();
   }
 
+  /** Looks into a silence when it has become long for this target. */
   private watchSilence(): void {
     const {current} = this;
-    if (current === undefined || this.isOver) return;
-    const {maxPauseMs, isResumable} = this.work.admitted.route;
-    if (!isResumable) return;
-    const {widestGapMs} = current;
-    const limitMs = stallLimitMs({maxPauseMs, widestGapMs});
-    const silentMs = this.ctx.clock.now() - current.lastEventMs;
+    if (current === undefined || !this.work.admitted.route.isResumable) return;
+    const limitMs = suspectLimitMs(this.silenceFacts(current));
+    const silentMs = this.silenceOf(current);
     if (silentMs >= limitMs) {
       this.watchdog = undefined;
-      current.target.noteFailure();
-      this.lose(RetryReason.ENGINE_STALLED, `silent for ${silentMs} ms`);
+      void this.lookInto(current);
       return;
     }
     this.watchdog = this.ctx.clock.schedule({
@@ -210,6 +241,49 @@
     });
   }
 
+  private async lookInto(suspect: StreamTry): Promise<void> {
+    const isAlive = await this.ctx.prober.isAlive(suspect.target);
+    if (this.current !== suspect) return;
+    if (!isAlive) this.loseSilent(suspect);
+    else this.awaitStall(suspect);
+  }
+
+  /** The target is there, but it writes nothing. */
+  private awaitStall(suspect: StreamTry): void {
+    if (this.current !== suspect || this.watchdog !== undefined) return;
+    const leftMs =
+      stallLimitMs(this.silenceFacts(suspect)) - this.silenceOf(suspect);
+    if (leftMs <= 0) {
+      this.loseSilent(suspect);
+      return;
+    }
+    const {events} = suspect;
+    this.watchdog = this.ctx.clock.schedule({
+      delayMs: leftMs,
+      run: () => {
+        this.watchdog = undefined;
+        if (this.current !== suspect) return;
+        if (suspect.events > events) this.watchSilence();
+        else this.awaitStall(suspect);
+      },
+    });
+  }
+
+  private loseSilent(suspect: StreamTry): void {
+    suspect.target.noteFailure();
+    const silentMs = Math.round(this.silenceOf(suspect));
+    this.lose(RetryReason.ENGINE_STALLED, `silent for ${silentMs} ms`);
+  }
+
+  private silenceOf(current: StreamTry): number {
+    return this.ctx.clock.now() - current.lastEventMs;
+  }
+
+  private silenceFacts(current: StreamTry) {
+    const {maxPauseMs} = this.work.admitted.route;
+    return {maxPauseMs, widestGapMs: current.widestGapMs};
+  }
+
   private onComplete(): void {
     const {current} = this;
     if (current?.head === undefined) return;
@@ -224,6 +298,7 @@
     }
     target.noteSuccess();
     this.stop();
+    this.noteLate();
     if (!this.isOpen) this.work.res.open(head);
     this.work.res.end();
   }
@@ -241,9 +316,14 @@
     const {current} = this;
     if (current === undefined) return;
     noteFailureAt(current.target, failure);
+    this.ctx.prober.sweepAround(current.target);
     if (!certainlyDidNotRun(failure)) this.mayHaveRun = true;
     else this.excluded.add(current.target.id);
-    this.lose(RetryReason.ENGINE_DIED, `${failure}: ${detail}`);
+    const reason =
+      failure === ExchangeFailure.NOT_SENT
+        ? RetryReason.NOT_SENT
+        : RetryReason.ENGINE_DIED;
+    this.lose(reason, `${failure}: ${detail}`);
   }
 
   /** The present target is of no more use: another goes on, if it may. */
@@ -267,15 +347,21 @@
       this.giveUp(false);
       return;
     }
-    if (!this.budget().tryRetry()) {
+    if (reason !== RetryReason.NOT_SENT && !this.budget().tryRetry()) {
       this.giveUp(false);
       return;
     }
-    if (current.events > 0) this.copyHolder = current.copy;
+    this.copyHolder = this.copyLeftBy(current);
     this.ctx.metrics.countRetry(reason);
     this.place();
   }
 
+  /** The target that may hold a copy of a lost run's memory. */
+  private copyLeftBy(lost: StreamTry): Target | undefined {
+    const ranMs = this.ctx.clock.now() - lost.startedMs;
+    return ranMs >= COPY_STARTED_MS ? lost.copy : undefined;
+  }
+
   private giveUp(isTimedOut: boolean): void {
     if (this.isOver) return;
     const mayHaveRun =
