A target that is not there stays down until it answers

Cause: copies of runs went to targets that had died seconds before, since their pause had run out before their registration lapsed.

--- a/src/core/targets/consts.ts
+++ b/src/core/targets/consts.ts
@@ -5,7 +5,7 @@
 export const FAILURES_BEFORE_PAUSE = 3;
 
 /** Time for which a failing target takes no work, in milliseconds. */
-export const PAUSE_AFTER_FAILURE_MS = 500;
+export const PAUSE_AFTER_FAILURE_MS = 600;
 
 /** Longest time for which a target takes no work, in milliseconds. */
 export const LONGEST_PAUSE_MS = 4_000;
--- a/src/core/targets/target-set.ts
+++ b/src/core/targets/target-set.ts
@@ -25,6 +25,8 @@
       clock: Clock;
       /** The target is gone, leaves, or has started anew. */
       onRemoved: (target: Target) => void;
+      /** The target takes no work for a time. */
+      onPaused?: (target: Target, pauseMs: number) => void;
     },
   ) {}
 
@@ -87,7 +89,8 @@
       return;
     }
     if (known !== undefined) this.remove(record.id);
-    const target = new Target({record, clock: this.options.clock});
+    const {clock, onPaused} = this.options;
+    const target = new Target({record, clock, onPaused});
     this.targets.set(record.id, target);
   }
 
--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -34,6 +34,7 @@
 export class Target {
   record: TargetRecord;
   private readonly clock: Clock;
+  private readonly onPaused: (target: Target, pauseMs: number) => void;
   private readonly work = new Set<TargetWork>();
   private copyTokens = 0;
   private reported: ReportedLoad = {running: 0, waiting: 0};
@@ -45,9 +46,15 @@
   private pausedUntilMs = Number.NEGATIVE_INFINITY;
   private fullUntilMs = Number.NEGATIVE_INFINITY;
 
-  constructor(options: {record: TargetRecord; clock: Clock}) {
+  constructor(options: {
+    record: TargetRecord;
+    clock: Clock;
+    /** Told of each pause and of its length in milliseconds. */
+    onPaused?: (target: Target, pauseMs: number) => void;
+  }) {
     this.record = options.record;
     this.clock = options.clock;
+    this.onPaused = options.onPaused ?? (() => undefined);
   }
 
   get id(): string {
@@ -125,15 +132,14 @@
    * each time that it is still not there.
    */
   pause(): void {
-    if (this.isPaused()) return;
     const pauseMs = PAUSE_AFTER_FAILURE_MS * 2 ** this.pauses;
     this.pauses++;
-    this.pausedUntilMs = this.clock.now() + Math.min(pauseMs, LONGEST_PAUSE_MS);
+    this.pauseFor(Math.min(pauseMs, LONGEST_PAUSE_MS));
   }
 
   /** This life of the target is over; another will register itself. */
   noteGone(): void {
-    this.pausedUntilMs = this.clock.now() + LONGEST_PAUSE_MS;
+    this.pauseFor(LONGEST_PAUSE_MS);
   }
 
   /** The target had no room for a request. */
@@ -148,4 +154,11 @@
   isFull(): boolean {
     return this.clock.now() < this.fullUntilMs;
   }
+
+  private pauseFor(pauseMs: number): void {
+    const untilMs = this.clock.now() + pauseMs;
+    if (untilMs <= this.pausedUntilMs) return;
+    this.pausedUntilMs = untilMs;
+    this.onPaused(this, pauseMs);
+  }
 }
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -34,5 +34,5 @@
 /** Time between two looks at all targets of a data centre. */
 export const SWEEP_PAUSE_MS = 400;
 
-/** Time after which a run has copied some of its memory, in milliseconds. */
-export const COPY_STARTED_MS = 300;
+/** Events after which a run may have copied its memory. */
+export const EVENTS_BEFORE_COPY = 2;
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -72,13 +72,21 @@
     const targets = new TargetSet({
       clock,
       onRemoved: (target) => client.forget(target.record),
+      onPaused: (target, pauseMs) => prober.recheckPaused(target, pauseMs),
+    });
+    const prober = new Prober({
+      clock,
+      client,
+      targets,
+      logger,
+      isEngine: ({record}) => this.isEngineService(record.service),
     });
     this.ctx = {
       dataCentre: settings.dataCentre,
       clock,
       random,
       targets,
-      prober: new Prober({clock, client, targets, logger}),
+      prober,
       client,
       budgets: new RetryBudgets({clock, floor: RETRY_FLOOR}),
       retryRatio: settings.retryBudget.ratio * RETRY_SHARE,
@@ -206,6 +214,10 @@
     follower.start();
   }
 
+  private isEngineService(name: string): boolean {
+    return this.routes.get()?.findService(name)?.engine !== undefined;
+  }
+
   private takeConfig(config: RoutingConfig): void {
     const known = this.routes.get()?.version ?? Number.NEGATIVE_INFINITY;
     if (config.version <= known) return;
--- a/src/direct/prober.ts
+++ b/src/direct/prober.ts
@@ -30,6 +30,8 @@
       client: DirectTargets;
       targets: TargetSet;
       logger: Logger;
+      /** Whether a target can be asked: only engines tell of themselves. */
+      isEngine: (target: Target) => boolean;
     },
   ) {}
 
@@ -48,6 +50,7 @@
   /** Looks at the other targets beside one that was lost. */
   sweepAround(lost: Target): void {
     const {clock, targets} = this.options;
+    if (!this.options.isEngine(lost)) return;
     const {dataCentre, service} = lost.record;
     const key = `${dataCentre} ${service}`;
     const nowMs = clock.now();
@@ -75,11 +78,24 @@
     });
   }
 
+  /** Asks a paused target again before its pause ends. */
+  recheckPaused(target: Target, pauseMs: number): void {
+    const delayMs = pauseMs - PROBE_TIMEOUT_MS * 2;
+    if (!this.options.isEngine(target) || delayMs <= 0) return;
+    this.options.clock.schedule({
+      delayMs,
+      run: () => {
+        if (!target.record.isLeaving) void this.isAlive(target);
+      },
+    });
+  }
+
   private async probe(target: Target): Promise<boolean> {
     const {logger} = this.options;
     const report = await this.reportInTime(target);
     if (report.isOk()) {
       target.noteLoad(report.value);
+      target.noteSuccess();
       return true;
     }
     target.pause();
--- a/src/direct/stream-run.ts
+++ b/src/direct/stream-run.ts
@@ -16,7 +16,7 @@
 import type {RawEvent} from '../core/streams/index.js';
 import type {Target, TargetWork} from '../core/targets/index.js';
 import {
-  COPY_STARTED_MS,
+  EVENTS_BEFORE_COPY,
   MAX_STREAM_TRIES,
   RETURN_AFTER_MS,
   STREAM_PAUSE_MS,
@@ -39,7 +39,6 @@
   head?: AnswerHead;
   /** Bytes of an answer that is no stream. */
   readonly body: Uint8Array[];
-  readonly startedMs: number;
   events: number;
   lastEventMs: number;
   widestGapMs: number;
@@ -144,7 +143,6 @@
       copy,
       splitter: new EventSplitter(),
       body: [],
-      startedMs: clock.now(),
       events: 0,
       lastEventMs: clock.now(),
       widestGapMs: 0,
@@ -358,8 +356,7 @@
 
   /** The target that may hold a copy of a lost run's memory. */
   private copyLeftBy(lost: StreamTry): Target | undefined {
-    const ranMs = this.ctx.clock.now() - lost.startedMs;
-    return ranMs >= COPY_STARTED_MS ? lost.copy : undefined;
+    return lost.events >= EVENTS_BEFORE_COPY ? lost.copy : undefined;
   }
 
   private giveUp(isTimedOut: boolean): void {
