--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -36,3 +36,6 @@
 
 /** Events after which a run may have copied its memory. */
 export const EVENTS_BEFORE_COPY = 2;
+
+/** Time for which a data centre that lost a target is avoided. */
+export const DOUBT_MS = 2_000;
--- a/src/direct/stream-run.ts
+++ b/src/direct/stream-run.ts
@@ -16,6 +16,7 @@
 import type {RawEvent} from '../core/streams/index.js';
 import type {Target, TargetWork} from '../core/targets/index.js';
 import {
+  DOUBT_MS,
   EVENTS_BEFORE_COPY,
   MAX_STREAM_TRIES,
   RETURN_AFTER_MS,
@@ -28,6 +29,14 @@
 const OK = 200;
 const FIRST_FAILURE_STATUS = 500;
 
+const REASONS: Readonly<Record<ExchangeFailure, RetryReason>> = {
+  [ExchangeFailure.NOT_SENT]: RetryReason.NOT_SENT,
+  [ExchangeFailure.REJECTED]: RetryReason.TARGET_REFUSED,
+  [ExchangeFailure.WRONG_TARGET]: RetryReason.TARGET_REFUSED,
+  [ExchangeFailure.BROKEN]: RetryReason.ENGINE_DIED,
+  [ExchangeFailure.FOREIGN_ANSWER]: RetryReason.ENGINE_DIED,
+};
+
 /** A try under way. */
 interface StreamTry {
   readonly target: Target;
@@ -58,6 +67,8 @@
   private readonly tokens: number;
   private readonly deadline: TimerHandle;
   private readonly excluded = new Set<string>();
+  /** Data centres in which this stream has just lost a target. */
+  private readonly doubtful = new Set<string>();
   private watchdog?: TimerHandle;
   private pause?: TimerHandle;
   private current?: StreamTry;
@@ -97,12 +108,36 @@
       this.send(copyHolder, copyHolder.record.address);
       return;
     }
+    if (copyHolder !== undefined) this.noteCopyLost(copyHolder);
     this.copyHolder = undefined;
     const target = this.choose(this.excluded);
     if (target === undefined || target.isPaused()) this.wait();
     else this.send(target);
   }
 
+  private noteCopyLost(holder: Target): void {
+    this.ctx.logger.info('copy of a stream is lost', {
+      id: this.work.req.attemptId,
+      holder: holder.id,
+      dataCentre: holder.record.dataCentre,
+      isLeaving: holder.record.isLeaving,
+      isPaused: holder.isPaused(),
+    });
+  }
+
+  private notePlaced(current: StreamTry, usesCopy: boolean): void {
+    const {target, copy} = current;
+    this.ctx.logger.info('stream goes on', {
+      id: this.work.req.attemptId,
+      target: target.id,
+      dataCentre: target.record.dataCentre,
+      requests: target.estimatedRequests(),
+      reading: target.reading,
+      usesCopy,
+      copyAt: copy?.record.dataCentre,
+    });
+  }
+
   private wait(): void {
     this.excluded.clear();
     this.pause = this.ctx.clock.schedule({
@@ -147,6 +182,9 @@
       lastEventMs: clock.now(),
       widestGapMs: 0,
     };
+    if (this.tries > 1 || copyFrom !== undefined) {
+      this.notePlaced(this.current, copyFrom !== undefined);
+    }
   }
 
   private onHead(head: AnswerHead): void {
@@ -317,11 +355,7 @@
     this.ctx.prober.sweepAround(current.target);
     if (!certainlyDidNotRun(failure)) this.mayHaveRun = true;
     else this.excluded.add(current.target.id);
-    const reason =
-      failure === ExchangeFailure.NOT_SENT
-        ? RetryReason.NOT_SENT
-        : RetryReason.ENGINE_DIED;
-    this.lose(reason, `${failure}: ${detail}`);
+    this.lose(REASONS[failure], `${failure}: ${detail}`);
   }
 
   /** The present target is of no more use: another goes on, if it may. */
@@ -330,6 +364,7 @@
     if (current === undefined) return;
     current.exchange.cancel();
     this.closeTry();
+    if (reason !== RetryReason.TARGET_REFUSED) this.doubt(current.target);
     const {isResumable} = this.work.admitted.route;
     this.ctx.logger.info('stream lost its target', {
       id: this.work.req.attemptId,
@@ -354,6 +389,16 @@
     this.place();
   }
 
+  /** Data centres fail as a whole: none that was just lost is chosen. */
+  private doubt(lost: Target): void {
+    const {dataCentre} = lost.record;
+    this.doubtful.add(dataCentre);
+    this.ctx.clock.schedule({
+      delayMs: DOUBT_MS,
+      run: () => void this.doubtful.delete(dataCentre),
+    });
+  }
+
   /** The target that may hold a copy of a lost run's memory. */
   private copyLeftBy(lost: StreamTry): Target | undefined {
     return lost.events >= EVENTS_BEFORE_COPY ? lost.copy : undefined;
@@ -406,6 +451,7 @@
       tokens,
       memoryTokens: work.service.engine?.memoryTokens ?? Infinity,
       excluded,
+      avoided: this.doubtful,
       random: ctx.random,
     });
   }
@@ -422,7 +468,7 @@
       tokens,
       memoryTokens: engine.memoryTokens,
       excluded: new Set([runner.id]),
-      avoided: new Set([runner.record.dataCentre]),
+      avoided: new Set([...this.doubtful, runner.record.dataCentre]),
       random: ctx.random,
     });
   }
