--- a/src/core/edges/direct-caller.ts
+++ b/src/core/edges/direct-caller.ts
@@ -49,6 +49,8 @@
   readonly isClosed: boolean;
   /** Sends a whole answer. */
   sendWhole(head: ResponseHead, body: Uint8Array): void;
+  /** Sends an answer that ends with its connection, as its target did. */
+  sendUnframed(head: ResponseHead, body: Uint8Array): void;
   /** Sends an answer of the entry's own. */
   sendOwn(answer: OwnAnswer): void;
   /** Opens an answer whose body follows in parts. */
--- a/src/core/edges/direct-target.ts
+++ b/src/core/edges/direct-target.ts
@@ -25,6 +25,8 @@
   readonly headers: readonly HeaderField[];
   /** Whether the target proved that the answer is its own. */
   readonly isProven: boolean;
+  /** Whether the answer tells its own end; else the connection's end is it. */
+  readonly hasLength: boolean;
   readonly load?: ReportedLoad;
 }
 
--- a/src/daemon/direct-main.ts
+++ b/src/daemon/direct-main.ts
@@ -14,7 +14,7 @@
 import {Metrics} from '../core/metrics/index.js';
 import type {DirectSettings} from '../core/settings/direct-settings.js';
 import {DirectProcess} from '../direct/direct-process.js';
-import {STOP_MARGIN_MS} from '../direct/consts.js';
+import {PlannedStop} from '../direct/planned-stop.js';
 import {EXIT_BAD_SETTINGS} from './consts.js';
 
 await main();
@@ -62,17 +62,17 @@
   await server.listen(settings.callers);
   logger.info('started');
   process.on('SIGHUP', () => logger.info('reload'));
+  const stop = new PlannedStop({
+    clock,
+    logger,
+    listener: server,
+    graceMs: settings.stopGraceMs,
+    onStopped: () => process.exit(0),
+  });
   process.on('SIGTERM', () => {
-    logger.info('stopping');
-    entry.leaving.set(true);
-    clock.schedule({
-      delayMs: settings.stopGraceMs - STOP_MARGIN_MS,
-      run: () => {
-        server.closeAll();
-        logger.info('stopped');
-        process.exit(0);
-      },
-    });
+    logger.info('stopping', {open: server.openRequests});
+    entry.leave();
+    stop.begin();
   });
 }
 
--- a/src/direct/call-run.ts
+++ b/src/direct/call-run.ts
@@ -163,10 +163,12 @@
 
   private passOn(): void {
     this.deadline.cancel();
-    const {status, headers} = this.head!;
+    const {status, headers, hasLength} = this.head!;
     const body =
       this.body.length === 1 ? this.body[0]! : Buffer.concat(this.body);
-    this.work.res.sendWhole({status, headers}, body);
+    const {res} = this.work;
+    if (hasLength) res.sendWhole({status, headers}, body);
+    else res.sendUnframed({status, headers}, body);
   }
 
   private giveUp(isTimedOut: boolean): void {
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -10,9 +10,6 @@
 /** Targets that may break one stream before it is given up. */
 export const MAX_STREAM_TRIES = 12;
 
-/** Time by which work ends before the forced end of a stop, in milliseconds. */
-export const STOP_MARGIN_MS = 300;
-
 /** Longest wait for a change of the configuration, in milliseconds. */
 export const CONFIG_WAIT_MS = 1_800;
 
@@ -39,3 +36,9 @@
 
 /** Time for which a data centre that lost a target is avoided. */
 export const DOUBT_MS = 2_000;
+
+/** Share of a stop's grace that must be left for a new stream. */
+export const STREAM_GRACE_SHARE = 0.78;
+
+/** Share of a stop's grace that must be left for a new call. */
+export const CALL_GRACE_SHARE = 0.2;
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -25,10 +25,12 @@
 import {TargetSet} from '../core/targets/index.js';
 import {CallRun} from './call-run.js';
 import {
+  CALL_GRACE_SHARE,
   CONFIG_WAIT_MS,
   RETRY_FLOOR,
   RETRY_SHARE,
   RETURN_AFTER_MS,
+  STREAM_GRACE_SHARE,
   TARGETS_WAIT_MS,
 } from './consts.js';
 import type {DirectContext} from './context.js';
@@ -64,7 +66,7 @@
   private readonly ctx: DirectContext;
   private readonly followers: Array<Follower<unknown>> = [];
   private knowsTargets = false;
-  private underWay = 0;
+  private killedAtMs = Number.POSITIVE_INFINITY;
 
   constructor(private readonly options: DirectProcessOptions) {
     const {settings, clock, random, client, metrics, logger} = options;
@@ -95,17 +97,19 @@
     };
   }
 
-  /** Requests that have no whole answer yet. */
-  get requestsUnderWay(): number {
-    return this.underWay;
-  }
-
   start(): void {
     const {configs, registrations} = this.options;
     this.followConfigs(configs);
     this.followTargets(registrations);
   }
 
+  /** Begins a planned stop. */
+  leave(): void {
+    const {clock, settings} = this.options;
+    this.killedAtMs = clock.now() + settings.stopGraceMs;
+    this.leaving.set(true);
+  }
+
   /** Whether the process may be given new connections. */
   isReady(): boolean {
     const isInformed = this.routes.get() !== undefined && this.knowsTargets;
@@ -143,6 +147,14 @@
       });
       return;
     }
+    if (!this.hasTimeFor(route.operation)) {
+      this.refuse(req, res, {
+        status: 503,
+        reason: RefusalReason.LEAVING,
+        retryAfterMs: RETURN_AFTER_MS,
+      });
+      return;
+    }
     const limitMs = Math.min(req.deadlineMs ?? Infinity, route.timeoutMs);
     const endMs = req.receivedMs + limitMs;
     const work = {req, res, admitted, service, endMs};
@@ -153,6 +165,16 @@
     }
   }
 
+  /** Whether work that starts now can end before the process does. */
+  private hasTimeFor(operation: OperationKind): boolean {
+    const leftMs = this.killedAtMs - this.options.clock.now();
+    const share =
+      operation === OperationKind.STREAM
+        ? STREAM_GRACE_SHARE
+        : CALL_GRACE_SHARE;
+    return leftMs >= this.options.settings.stopGraceMs * share;
+  }
+
   private refuse(
     req: CallerRequest,
     res: CallerResponse,
