Ask a shortlist of engines for their load before placing a generation

Cause: entries know only their own work, so prompts met on one engine (first event after 5 s), and copies went to engines that had died unseen. Also: keys are trusted up to the bound, with proofs that are younger.

--- a/src/core/edges/direct-target.ts
+++ b/src/core/edges/direct-target.ts
@@ -67,12 +67,6 @@
   cancel(): void;
 }
 
-/** What a target says of its load and memory. */
-export interface TargetReport extends ReportedLoad {
-  /** Tokens in memory that cannot yield. */
-  readonly memoryUsed: number;
-}
-
 /** Sends requests to targets. */
 export interface DirectTargets {
   send(options: {
@@ -86,7 +80,7 @@
   report(
     target: TargetRecord,
     timeoutMs: number,
-  ): ResultAsync<TargetReport, string>;
+  ): ResultAsync<ReportedLoad, string>;
   /** Closes the idle connections to a target. */
   forget(target: TargetRecord): void;
 }
--- a/src/core/placing/choose-engine.ts
+++ b/src/core/placing/choose-engine.ts
@@ -27,9 +27,17 @@
   readonly excluded: ReadonlySet<string>;
   /** Data centres to stay out of, where another has room. */
   readonly avoided?: ReadonlySet<string>;
+  /** Prefer engines that were heard of lately. */
+  readonly isSeenLately?: boolean;
   readonly random: RandomSource;
 }
 
+/** Time for which an engine that was heard of is held to be there. */
+const SEEN_LATELY_MS = 1_500;
+
+/** Added where an engine was not heard of lately, in running requests. */
+const UNSEEN_COST = 20;
+
 /** What staying out of a data centre is worth, in running requests. */
 const AVOIDED_COST = 200;
 
@@ -42,27 +50,36 @@
  * const engine = chooseEngine({targets, tokens, memoryTokens, excluded, random});
  */
 export function chooseEngine(choice: EngineChoice): Target | undefined {
-  let best: Target | undefined;
-  let bestCost = Number.POSITIVE_INFINITY;
-  for (const target of choice.targets) {
-    if (choice.excluded.has(target.id)) continue;
-    const cost = costOf(target, choice);
-    if (cost < bestCost) {
-      best = target;
-      bestCost = cost;
-    }
-  }
-  return best;
+  return shortlistEngines(choice, 1)[0];
+}
+
+/**
+ * The best engines for a generation, best first.
+ *
+ * @example
+ * await prober.refresh(shortlistEngines(choice, 3));
+ */
+export function shortlistEngines(
+  choice: EngineChoice,
+  count: number,
+): Target[] {
+  return choice.targets
+    .filter((target) => !choice.excluded.has(target.id))
+    .map((target) => ({target, cost: costOf(target, choice)}))
+    .sort((a, b) => a.cost - b.cost)
+    .slice(0, count)
+    .map(({target}) => target);
 }
 
 function costOf(target: Target, choice: EngineChoice): number {
-  const {tokens, memoryTokens, avoided, random} = choice;
+  const {tokens, memoryTokens, avoided, random, isSeenLately} = choice;
   let cost = target.estimatedRequests() + random.float() * JITTER;
-  cost += target.reading * READING_COST;
-  const planned = target.ownTokens() + tokens;
+  cost += Math.max(target.reading, target.estimatedWaiting()) * READING_COST;
+  const planned = target.plannedTokens() + tokens;
   if (planned > memoryTokens * MEMORY_SHARE) cost += MEMORY_COST;
   if (target.isFull()) cost += FULL_COST;
   if (target.isPaused()) cost += PAUSED_COST;
   if (avoided?.has(target.record.dataCentre)) cost += AVOIDED_COST;
+  if (isSeenLately && target.unseenMs() > SEEN_LATELY_MS) cost += UNSEEN_COST;
   return cost;
 }
--- a/src/core/placing/index.ts
+++ b/src/core/placing/index.ts
@@ -2,4 +2,4 @@
 export type {CallChoice} from './choose-call-target.js';
 export {chooseCallTarget} from './choose-call-target.js';
 export type {EngineChoice} from './choose-engine.js';
-export {chooseEngine} from './choose-engine.js';
+export {chooseEngine, shortlistEngines} from './choose-engine.js';
--- a/src/core/sync/consts.ts
+++ b/src/core/sync/consts.ts
@@ -3,3 +3,9 @@
 
 /** Longest pause after failed calls, in milliseconds. */
 export const LAST_BACKOFF_MS = 700;
+
+/**
+ * Time for which a store that drops its history may keep changes from those
+ * who wait for them, in milliseconds.
+ */
+export const DEAF_MS = 1_000;
--- a/src/core/sync/follower.ts
+++ b/src/core/sync/follower.ts
@@ -7,7 +7,7 @@
   StateSource,
 } from '../edges/state-source.js';
 import {SourceErrorKind} from '../edges/state-source.js';
-import {FIRST_BACKOFF_MS, LAST_BACKOFF_MS} from './consts.js';
+import {DEAF_MS, FIRST_BACKOFF_MS, LAST_BACKOFF_MS} from './consts.js';
 
 /** Hears what a follower learns. */
 export interface FollowerListener<T> {
@@ -88,10 +88,10 @@
       const {changes, revision} = answer.value;
       since = revision;
       if (changes.length > 0) listener.onChanges(changes);
-      // A wait that ended for want of changes began no later than this.
       const waited = clock.now() - startedMs >= waitMs;
       const isQuiet = changes.length === 0 && waited;
-      listener.onConfirmed(isQuiet ? startedMs + waitMs : startedMs);
+      const quietMs = Math.max(0, waitMs - DEAF_MS);
+      listener.onConfirmed(isQuiet ? startedMs + quietMs : startedMs);
     }
   }
 
--- a/src/core/sync/key-trust.ts
+++ b/src/core/sync/key-trust.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '../clock/index.js';
 
 /** Part of the time to a revocation's bound for which keys are relied on. */
-const TRUSTED_SHARE = 0.7;
+const TRUSTED_SHARE = 0.96;
 
 /** Difference between two clocks' progress that shows a stop or a step. */
 const CLOCK_TOLERANCE_MS = 150;
@@ -39,6 +39,7 @@
       this.distrust();
       return;
     }
+    this.wallOffsetMs = this.currentOffset();
     this.confirmedMs = Math.max(this.confirmedMs, atMs);
   }
 
--- a/src/core/targets/consts.ts
+++ b/src/core/targets/consts.ts
@@ -18,3 +18,6 @@
  * is missing may register again, in milliseconds.
  */
 export const LAPSE_GRACE_MS = 2_000;
+
+/** Age of what a target reports of itself, in milliseconds. */
+export const REPORT_LAG_MS = 200;
--- a/src/core/targets/index.ts
+++ b/src/core/targets/index.ts
@@ -1,4 +1,5 @@
 /** Registered targets and what is known of their load. */
+export {REPORT_LAG_MS} from './consts.js';
 export type {ReportedLoad, TargetWork} from './target.js';
 export {Target} from './target.js';
 export {TargetSet} from './target-set.js';
--- a/src/core/targets/target-set.ts
+++ b/src/core/targets/target-set.ts
@@ -85,7 +85,10 @@
     if (known !== undefined && isSameLife(known.record, record)) {
       const wasLeaving = known.record.isLeaving;
       known.record = record;
-      if (record.isLeaving && !wasLeaving) this.options.onRemoved(known);
+      if (record.isLeaving && !wasLeaving) {
+        known.noteLeaving();
+        this.options.onRemoved(known);
+      }
       return;
     }
     if (known !== undefined) this.remove(record.id);
@@ -112,7 +115,7 @@
     const target = this.targets.get(id);
     if (target === undefined) return;
     this.targets.delete(id);
-    target.record = {...target.record, isLeaving: true};
+    target.noteLeaving();
     this.options.onRemoved(target);
   }
 }
--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -6,6 +6,7 @@
   LONGEST_PAUSE_MS,
   PAUSE_AFTER_FAILURE_MS,
   PAUSE_AFTER_REJECT_MS,
+  REPORT_LAG_MS,
 } from './consts.js';
 import type {TargetRecord} from './types.js';
 
@@ -13,12 +14,15 @@
 export interface ReportedLoad {
   readonly running: number;
   readonly waiting: number;
+  /** Tokens in memory that cannot yield; undefined where it is not told. */
+  readonly memoryUsed?: number;
 }
 
 /** Work that this entry gave to a target. */
 export interface TargetWork {
   /** Tokens in the target's memory at the end of the work; 0 for a call. */
   readonly tokens: number;
+  readonly begunMs: number;
   /** The prompt has not been read yet. */
   isReading: boolean;
 }
@@ -41,6 +45,8 @@
   private reportedMs = Number.NEGATIVE_INFINITY;
   /** Own work that was under way when the report was taken. */
   private ownWhenReported = 0;
+  private seenMs = Number.NEGATIVE_INFINITY;
+  private leftMs?: number;
   private failures = 0;
   private pauses = 0;
   private pausedUntilMs = Number.NEGATIVE_INFINITY;
@@ -74,7 +80,8 @@
   }
 
   begin(options: {tokens: number}): TargetWork {
-    const work: TargetWork = {tokens: options.tokens, isReading: true};
+    const {tokens} = options;
+    const work = {tokens, begunMs: this.clock.now(), isReading: true};
     this.work.add(work);
     return work;
   }
@@ -92,29 +99,76 @@
     this.copyTokens = Math.max(0, this.copyTokens - tokens);
   }
 
-  noteLoad(load: ReportedLoad): void {
+  /** Takes over what the target said of its load, `lagMs` ago. */
+  noteLoad(load: ReportedLoad, lagMs = 0): void {
     this.reported = load;
     this.reportedMs = this.clock.now();
-    this.ownWhenReported = this.work.size;
+    const takenMs = this.reportedMs - lagMs;
+    this.ownWhenReported = 0;
+    for (const work of this.work) {
+      if (work.begunMs <= takenMs) this.ownWhenReported++;
+    }
+    this.noteSeen();
+  }
+
+  /** The target has just shown that it is there. */
+  noteSeen(): void {
+    this.seenMs = this.clock.now();
+  }
+
+  /** Milliseconds since the target last showed that it is there. */
+  unseenMs(): number {
+    return this.clock.now() - this.seenMs;
+  }
+
+  /** Milliseconds since the target last told of its load. */
+  reportAgeMs(): number {
+    return this.clock.now() - this.reportedMs;
   }
 
   /** Requests at the target from all entries, as far as is known. */
   estimatedRequests(): number {
-    const ageMs = this.clock.now() - this.reportedMs;
-    if (ageMs > LOAD_FRESH_MS) return this.work.size;
-    const {running, waiting} = this.reported;
-    const others = Math.max(0, running + waiting - this.ownWhenReported);
-    return others + this.work.size;
+    return this.othersRequests() + this.work.size;
+  }
+
+  /** Requests that wait at the target, as far as is known. */
+  estimatedWaiting(): number {
+    return this.reportAgeMs() > LOAD_FRESH_MS ? 0 : this.reported.waiting;
+  }
+
+  /** Tokens in the target's memory, with those that own work will need. */
+  plannedTokens(): number {
+    const own = this.ownTokens();
+    const {memoryUsed} = this.reported;
+    if (memoryUsed === undefined || this.reportAgeMs() > LOAD_FRESH_MS) {
+      return own;
+    }
+    return Math.max(own, memoryUsed + this.tokensBegunSince(this.reportedMs));
   }
 
   /** Tokens that this entry's work and copies hold in the target's memory. */
-  ownTokens(): number {
+  private ownTokens(): number {
     let tokens = this.copyTokens;
     for (const work of this.work) tokens += work.tokens;
     return tokens;
   }
 
+  private othersRequests(): number {
+    if (this.reportAgeMs() > LOAD_FRESH_MS) return 0;
+    const {running, waiting} = this.reported;
+    return Math.max(0, running + waiting - this.ownWhenReported);
+  }
+
+  private tokensBegunSince(sinceMs: number): number {
+    let tokens = 0;
+    for (const work of this.work) {
+      if (work.begunMs > sinceMs - REPORT_LAG_MS) tokens += work.tokens;
+    }
+    return tokens;
+  }
+
   noteSuccess(): void {
+    this.noteSeen();
     this.failures = 0;
     this.pauses = 0;
     this.pausedUntilMs = Number.NEGATIVE_INFINITY;
@@ -147,6 +201,19 @@
     this.fullUntilMs = this.clock.now() + PAUSE_AFTER_REJECT_MS;
   }
 
+  /** The target takes no new work: it leaves, or is gone. */
+  noteLeaving(): void {
+    this.leftMs ??= this.clock.now();
+    this.record = {...this.record, isLeaving: true};
+  }
+
+  /** Milliseconds since the target was found to leave; undefined if not. */
+  leavingForMs(): number | undefined {
+    return this.leftMs === undefined
+      ? undefined
+      : this.clock.now() - this.leftMs;
+  }
+
   isPaused(): boolean {
     return this.clock.now() < this.pausedUntilMs;
   }
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -11,7 +11,7 @@
 export const MAX_STREAM_TRIES = 12;
 
 /** Longest wait for a change of the configuration, in milliseconds. */
-export const CONFIG_WAIT_MS = 1_800;
+export const CONFIG_WAIT_MS = 1_200;
 
 /** Longest wait for a change of the targets, in milliseconds. */
 export const TARGETS_WAIT_MS = 1_800;
@@ -38,7 +38,16 @@
 export const DOUBT_MS = 2_000;
 
 /** Share of a stop's grace that must be left for a new stream. */
-export const STREAM_GRACE_SHARE = 0.78;
+export const STREAM_GRACE_SHARE = 0.9;
 
 /** Share of a stop's grace that must be left for a new call. */
 export const CALL_GRACE_SHARE = 0.2;
+
+/** Age up to which a report serves a placement, in milliseconds. */
+export const REPORT_REUSE_MS = 120;
+
+/** Engines that are asked for their load before a generation is placed. */
+export const SHORTLIST = 3;
+
+/** Work that a leaving target still ends by itself, in milliseconds. */
+export const LEAVING_WORK_MS = 1_200;
--- a/src/direct/prober.ts
+++ b/src/direct/prober.ts
@@ -3,10 +3,16 @@
 import {err} from 'neverthrow';
 
 import type {Clock} from '../core/clock/index.js';
-import type {DirectTargets, TargetReport} from '../core/edges/direct-target.js';
+import type {DirectTargets} from '../core/edges/direct-target.js';
 import type {Logger} from '../core/logs/index.js';
-import type {Target, TargetSet} from '../core/targets/index.js';
-import {PROBE_FRESH_MS, PROBE_TIMEOUT_MS, SWEEP_PAUSE_MS} from './consts.js';
+import type {ReportedLoad, Target, TargetSet} from '../core/targets/index.js';
+import {REPORT_LAG_MS} from '../core/targets/index.js';
+import {
+  PROBE_FRESH_MS,
+  PROBE_TIMEOUT_MS,
+  REPORT_REUSE_MS,
+  SWEEP_PAUSE_MS,
+} from './consts.js';
 
 interface Probe {
   readonly startedMs: number;
@@ -47,6 +53,12 @@
     return outcome;
   }
 
+  /** Asks those of some targets that were not asked lately. */
+  async refresh(targets: readonly Target[]): Promise<void> {
+    const stale = targets.filter((t) => t.reportAgeMs() > REPORT_REUSE_MS);
+    await Promise.all(stale.map((target) => this.isAlive(target)));
+  }
+
   /** Looks at the other targets beside one that was lost. */
   sweepAround(lost: Target): void {
     const {clock, targets} = this.options;
@@ -64,7 +76,7 @@
   }
 
   /** The time limit also covers the opening of a connection. */
-  private reportInTime(target: Target): Promise<Result<TargetReport, string>> {
+  private reportInTime(target: Target): Promise<Result<ReportedLoad, string>> {
     const {client, clock} = this.options;
     return new Promise((resolve) => {
       const timer = clock.schedule({
@@ -94,7 +106,7 @@
     const {logger} = this.options;
     const report = await this.reportInTime(target);
     if (report.isOk()) {
-      target.noteLoad(report.value);
+      target.noteLoad(report.value, REPORT_LAG_MS);
       target.noteSuccess();
       return true;
     }
--- a/src/direct/stream-run.ts
+++ b/src/direct/stream-run.ts
@@ -3,7 +3,8 @@
 import type {AnswerHead, Exchange} from '../core/edges/direct-target.js';
 import {ExchangeFailure} from '../core/edges/direct-target.js';
 import {RetryReason} from '../core/errors/refusals.js';
-import {chooseEngine} from '../core/placing/index.js';
+import {chooseEngine, shortlistEngines} from '../core/placing/index.js';
+import type {EngineChoice} from '../core/placing/index.js';
 import {answerFailure, certainlyDidNotRun} from '../core/retrying/index.js';
 import {
   EventSequence,
@@ -20,6 +21,7 @@
   EVENTS_BEFORE_COPY,
   MAX_STREAM_TRIES,
   RETURN_AFTER_MS,
+  SHORTLIST,
   STREAM_PAUSE_MS,
 } from './consts.js';
 import type {DirectContext, DirectWork} from './context.js';
@@ -110,8 +112,16 @@
     }
     if (copyHolder !== undefined) this.noteCopyLost(copyHolder);
     this.copyHolder = undefined;
-    const target = this.choose(this.excluded);
-    if (target === undefined || target.isPaused()) this.wait();
+    void this.placeAnew();
+  }
+
+  /** Asks the best engines for their load, then takes the best of them. */
+  private async placeAnew(): Promise<void> {
+    const candidates = shortlistEngines(this.choice(), SHORTLIST);
+    await this.ctx.prober.refresh(candidates);
+    if (this.isOver) return;
+    const target = chooseEngine({...this.choice(), targets: candidates});
+    if (target === undefined || !isUsable(target)) this.wait();
     else this.send(target);
   }
 
@@ -257,6 +267,7 @@
     current.events++;
     current.lastEventMs = nowMs;
     current.work.isReading = false;
+    current.target.noteSeen();
     if (this.watchdog === undefined) this.watchSilence();
   }
 
@@ -444,32 +455,29 @@
     this.current = undefined;
   }
 
-  private choose(excluded: ReadonlySet<string>): Target | undefined {
+  private choice(): EngineChoice {
     const {ctx, work, tokens} = this;
-    return chooseEngine({
+    return {
       targets: ctx.targets.ofService(work.service.name),
       tokens,
       memoryTokens: work.service.engine?.memoryTokens ?? Infinity,
-      excluded,
+      excluded: this.excluded,
       avoided: this.doubtful,
       random: ctx.random,
-    });
+    };
   }
 
   private chooseCopy(runner: Target): Target | undefined {
-    const {ctx, work, tokens} = this;
-    const {engine} = work.service;
-    const {isResumable} = work.admitted.route;
+    const {engine} = this.work.service;
+    const {isResumable} = this.work.admitted.route;
     if (engine === undefined || !engine.canCopy || !isResumable) {
       return undefined;
     }
     return chooseEngine({
-      targets: ctx.targets.ofService(work.service.name),
-      tokens,
-      memoryTokens: engine.memoryTokens,
+      ...this.choice(),
       excluded: new Set([runner.id]),
       avoided: new Set([...this.doubtful, runner.record.dataCentre]),
-      random: ctx.random,
+      isSeenLately: true,
     });
   }
 
