Stand-in store and targets; tests of the direct path; look at targets that have written nothing yet

Found by the new tests: a run that goes on from a copy at a silent target was never left (no event, no watch); keys were refused between two confirmations where the bound is short. Both fixed; the tests failed first.

--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -13,6 +13,9 @@
 /** Longest wait for a change of the configuration, in milliseconds. */
 export const CONFIG_WAIT_MS = 1_200;
 
+/** Longest such wait, as a share of the time for which keys are trusted. */
+export const WAIT_SHARE = 0.4;
+
 /** Longest wait for a change of the targets, in milliseconds. */
 export const TARGETS_WAIT_MS = 1_800;
 
@@ -51,3 +54,9 @@
 
 /** Work that a leaving target still ends by itself, in milliseconds. */
 export const LEAVING_WORK_MS = 1_200;
+
+/** Time for a run that goes on from a copy to write, in milliseconds. */
+export const COPY_ANSWER_MS = 350;
+
+/** Time between two looks at a target that reads a prompt. */
+export const READING_CHECK_MS = 700;
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -32,6 +32,7 @@
   RETURN_AFTER_MS,
   STREAM_GRACE_SHARE,
   TARGETS_WAIT_MS,
+  WAIT_SHARE,
 } from './consts.js';
 import type {DirectContext} from './context.js';
 import {Prober} from './prober.js';
@@ -110,6 +111,18 @@
     this.leaving.set(true);
   }
 
+  /** Stops following the platform. */
+  stop(): void {
+    for (const follower of this.followers) follower.stop();
+  }
+
+  /** Ids of the targets that may be given work. */
+  knownTargets(): string[] {
+    return [...this.ctx.targets.all()]
+      .filter((target) => !target.record.isLeaving)
+      .map((target) => target.id);
+  }
+
   /** Whether the process may be given new connections. */
   isReady(): boolean {
     const isInformed = this.routes.get() !== undefined && this.knowsTargets;
@@ -202,7 +215,7 @@
       source,
       clock,
       random,
-      waitMs: CONFIG_WAIT_MS,
+      waitMs: this.configWaitMs(),
       listener: {
         onSnapshot: take,
         onChanges: take,
@@ -214,6 +227,12 @@
     follower.start();
   }
 
+  /** Two waits in a row must fit into the time for which keys are trusted. */
+  private configWaitMs(): number {
+    const {keyTrustMs = Infinity} = this.options.settings;
+    return Math.min(CONFIG_WAIT_MS, Math.floor(keyTrustMs * WAIT_SHARE));
+  }
+
   private followTargets(source: StateSource<TargetRecord>): void {
     const {clock, random, logger} = this.options;
     const {targets} = this.ctx;
--- a/src/direct/stream-run.ts
+++ b/src/direct/stream-run.ts
@@ -17,9 +17,11 @@
 import type {RawEvent} from '../core/streams/index.js';
 import type {Target, TargetWork} from '../core/targets/index.js';
 import {
+  COPY_ANSWER_MS,
   DOUBT_MS,
   EVENTS_BEFORE_COPY,
   MAX_STREAM_TRIES,
+  READING_CHECK_MS,
   RETURN_AFTER_MS,
   SHORTLIST,
   STREAM_PAUSE_MS,
@@ -192,6 +194,8 @@
       lastEventMs: clock.now(),
       widestGapMs: 0,
     };
+    const checkMs = copyFrom === undefined ? READING_CHECK_MS : COPY_ANSWER_MS;
+    this.watchReading(this.current, checkMs);
     if (this.tries > 1 || copyFrom !== undefined) {
       this.notePlaced(this.current, copyFrom !== undefined);
     }
@@ -268,7 +272,29 @@
     current.lastEventMs = nowMs;
     current.work.isReading = false;
     current.target.noteSeen();
-    if (this.watchdog === undefined) this.watchSilence();
+    if (current.events === 1) this.watchdog?.cancel();
+    if (current.events === 1 || this.watchdog === undefined) {
+      this.watchSilence();
+    }
+  }
+
+  /** Asks a target now and then whether it is there, until it writes. */
+  private watchReading(current: StreamTry, checkMs: number): void {
+    if (!this.work.admitted.route.isResumable) return;
+    this.watchdog = this.ctx.clock.schedule({
+      delayMs: checkMs,
+      run: () => {
+        this.watchdog = undefined;
+        void this.checkReading(current);
+      },
+    });
+  }
+
+  private async checkReading(current: StreamTry): Promise<void> {
+    const isAlive = await this.ctx.prober.isAlive(current.target);
+    if (this.current !== current || current.events > 0) return;
+    if (isAlive) this.watchReading(current, READING_CHECK_MS);
+    else this.loseSilent(current);
   }
 
   /** Looks into a silence when it has become long for this target. */
--- /dev/null
+++ b/stand-ins/site/store.ts
@@ -0,0 +1,172 @@
+/** The platform's store, as an entry sees it: objects, waits, faults. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import {Path} from '../../platform/names.js';
+import type {RunningServer} from '../lib/http-server.js';
+import {startServer} from '../lib/http-server.js';
+
+/** How the store answers. */
+export enum StoreMode {
+  UP = 'up',
+  /** Refuses each call. */
+  BUSY = 'busy',
+  /** Takes calls and never answers. */
+  SILENT = 'silent',
+  /** Resets each connection. */
+  RESET = 'reset',
+}
+
+interface StoredChange {
+  readonly revision: number;
+  readonly kind: string;
+  readonly name: string;
+  readonly spec?: unknown;
+}
+
+interface Waiter {
+  readonly kind: string;
+  readonly since: number;
+  answer(): void;
+}
+
+const FIRST_REVISION = 100;
+
+/**
+ * Holds objects in memory. Waiting calls end at the first change.
+ *
+ * @example
+ * const store = new StandInStore();
+ * await store.start();
+ * store.put({kind: 'config', name: 'main', spec});
+ */
+export class StandInStore {
+  mode = StoreMode.UP;
+  /** Calls that were answered, refused or left waiting. */
+  calls = 0;
+  private revision = FIRST_REVISION;
+  private oldestRevision = FIRST_REVISION;
+  private readonly objects = new Map<string, StoredChange>();
+  private readonly changes: StoredChange[] = [];
+  private readonly waiters = new Set<Waiter>();
+  private server?: RunningServer;
+
+  async start(): Promise<void> {
+    this.server = await startServer({
+      address: '127.0.0.1',
+      port: 0,
+      handle: ({req, res, segments, query}) =>
+        this.handle({req, res, kind: segments.at(-1) ?? '', query}),
+    });
+  }
+
+  get url(): string {
+    return this.server!.url;
+  }
+
+  async stop(): Promise<void> {
+    await this.server?.close();
+  }
+
+  put(options: {kind: string; name: string; spec: unknown}): void {
+    this.change(options);
+  }
+
+  remove(options: {kind: string; name: string}): void {
+    this.change({...options, spec: undefined});
+  }
+
+  /** Forgets which changes led to the present state. */
+  dropHistory(): void {
+    this.oldestRevision = this.revision;
+    this.changes.length = 0;
+  }
+
+  /** Ends all waiting calls as a fault of the store would. */
+  cutWaiters(): void {
+    for (const waiter of [...this.waiters]) waiter.answer();
+  }
+
+  private change(options: {kind: string; name: string; spec?: unknown}): void {
+    const {kind, name} = options;
+    this.revision++;
+    const change = {...options, revision: this.revision};
+    this.changes.push(change);
+    if (options.spec === undefined) this.objects.delete(`${kind}/${name}`);
+    else this.objects.set(`${kind}/${name}`, change);
+    for (const waiter of [...this.waiters]) {
+      if (waiter.kind === kind) waiter.answer();
+    }
+  }
+
+  private handle(call: {
+    req: IncomingMessage;
+    res: ServerResponse;
+    kind: string;
+    query: URLSearchParams;
+  }): void {
+    const {req, res, kind, query} = call;
+    this.calls++;
+    if (this.mode === StoreMode.SILENT) return;
+    if (this.mode === StoreMode.RESET) {
+      req.socket.resetAndDestroy();
+      return;
+    }
+    if (this.mode === StoreMode.BUSY || !req.url?.startsWith(Path.OBJECTS)) {
+      reply(res, 503, {});
+      return;
+    }
+    const watch = query.get('watch');
+    if (watch === null) this.list(res, kind);
+    else this.wait({res, kind, since: Number(watch), query});
+  }
+
+  private list(res: ServerResponse, kind: string): void {
+    const entries = [...this.objects.values()]
+      .filter((object) => object.kind === kind)
+      .map(toEntry);
+    reply(res, 200, {entries, has_more: false, at: this.revision});
+  }
+
+  private wait(call: {
+    res: ServerResponse;
+    kind: string;
+    since: number;
+    query: URLSearchParams;
+  }): void {
+    const {res, kind, since, query} = call;
+    if (since < this.oldestRevision) {
+      reply(res, 410, {});
+      return;
+    }
+    const answer = () => {
+      clearTimeout(timer);
+      this.waiters.delete(waiter);
+      if (this.mode === StoreMode.SILENT) return;
+      const events = this.changes
+        .filter((change) => change.kind === kind && change.revision > since)
+        .map((change) => ({
+          object: toEntry(change),
+          deleted: change.spec === undefined,
+        }));
+      reply(res, 200, {events, at: this.revision});
+    };
+    const timer = setTimeout(answer, Number(query.get('wait_ms')));
+    const waiter = {kind, since, answer};
+    this.waiters.add(waiter);
+    const hasNews = this.changes.some(
+      (change) => change.kind === kind && change.revision > since,
+    );
+    if (hasNews) answer();
+  }
+}
+
+function toEntry(change: StoredChange) {
+  const {name, revision, spec} = change;
+  return {metadata: {name, revision}, spec: spec ?? null, status: null};
+}
+
+function reply(res: ServerResponse, status: number, body: unknown): void {
+  if (res.writableEnded) return;
+  res.writeHead(status, {'Content-Type': 'application/json'});
+  res.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/test/direct/calls.test.ts
@@ -0,0 +1,103 @@
+/** Plain calls through a direct entry, with targets that fail in each way. */
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {Fault} from '../../stand-ins/site/target.js';
+import type {StandInTarget} from '../../stand-ins/site/target.js';
+import {DirectSite, SitePath, SiteService} from '../support/direct-site.js';
+
+interface Case {
+  readonly fault: Fault;
+  readonly path: SitePath;
+  readonly status: number;
+  /** Times that the call ran, at all targets together. */
+  readonly runs: number;
+  readonly isWhole?: boolean;
+}
+
+const {SAFE, UNSAFE} = SitePath;
+
+/** One target has the fault, the other is sound and farther away. */
+const CASES: readonly Case[] = [
+  {fault: Fault.NONE, path: SAFE, status: 200, runs: 1},
+  {fault: Fault.NONE, path: UNSAFE, status: 200, runs: 1},
+  {fault: Fault.ERROR, path: SAFE, status: 200, runs: 2},
+  {fault: Fault.ERROR, path: UNSAFE, status: 500, runs: 1},
+  {fault: Fault.REJECT, path: SAFE, status: 200, runs: 1},
+  {fault: Fault.REJECT, path: UNSAFE, status: 503, runs: 0},
+  {fault: Fault.CUT, path: SAFE, status: 200, runs: 2},
+  {fault: Fault.CUT, path: UNSAFE, status: 502, runs: 1},
+  {fault: Fault.SHORT, path: SAFE, status: 200, runs: 2},
+  {fault: Fault.SHORT, path: UNSAFE, status: 502, runs: 1},
+  {fault: Fault.UNFRAMED_RESET, path: SAFE, status: 200, runs: 2},
+  {fault: Fault.UNFRAMED_RESET, path: UNSAFE, status: 502, runs: 1},
+  {fault: Fault.FOREIGN, path: SAFE, status: 200, runs: 2},
+  {fault: Fault.FOREIGN, path: UNSAFE, status: 502, runs: 1},
+  {fault: Fault.HANG, path: SAFE, status: 200, runs: 2},
+  {fault: Fault.HANG, path: UNSAFE, status: 504, runs: 1},
+];
+
+describe('a plain call', () => {
+  let site: DirectSite;
+  let near: StandInTarget;
+  let far: StandInTarget;
+
+  beforeEach(async () => {
+    site = await DirectSite.start();
+    const service = SiteService.DESK;
+    near = await site.addTarget({service, zone: 'a'});
+    far = await site.addTarget({service, zone: 'b'});
+  });
+
+  afterEach(() => site.stop());
+
+  it.each(CASES)('$path meets $fault: $status', async (row) => {
+    near.fault = row.fault;
+    const reply = await site.call({path: row.path, body: 'order'});
+    expect(reply.status).toBe(row.status);
+    expect(near.runs.length + far.runs.length).toBe(row.runs);
+    expect(reply.isWhole).toBe(true);
+    if (reply.status === 200) expect(reply.text).toMatch(/^answer to try-\d+$/);
+    const isRefusal = reply.status === 503;
+    expect(reply.headers['retry-after'] !== undefined).toBe(isRefusal);
+  });
+
+  it('passes an answer without a length on without one', async () => {
+    near.fault = Fault.UNFRAMED;
+    const reply = await site.call({path: UNSAFE});
+    expect(reply.status).toBe(200);
+    expect(reply.headers['content-length']).toBeUndefined();
+    expect(reply.headers['transfer-encoding']).toBeUndefined();
+    expect(reply.text).toBe('answer to try-1');
+  });
+
+  it('never gives a late second answer to the next call', async () => {
+    far.crash();
+    near.fault = Fault.TWICE;
+    for (let i = 1; i <= 8; i++) {
+      const reply = await site.call({path: UNSAFE});
+      if (reply.status === 200) expect(reply.text).toBe(`answer to try-${i}`);
+      await new Promise((resolve) => setTimeout(resolve, i * 4));
+    }
+  });
+
+  it('tells the target who calls, and never the key', async () => {
+    await site.call({
+      path: SAFE,
+      headers: {Tenant: 'someone', 'Kv-Hold': 'x', 'X-Own': 'kept'},
+    });
+    const {headers} = near.runs[0]!;
+    expect(headers['tenant']).toBe('account-a');
+    expect(headers['authorization']).toBeUndefined();
+    expect(headers['kv-hold']).toBeUndefined();
+    expect(headers['x-own']).toBe('kept');
+    expect(headers['expect-instance']).toBe(near.id);
+    expect(Number(headers['deadline-ms'])).toBeLessThanOrEqual(3_000);
+  });
+
+  it('sends nothing to a target that another one has replaced', async () => {
+    far.crash();
+    near.crash();
+    const reply = await site.call({path: UNSAFE});
+    expect(reply.status).toBe(503);
+  });
+});
--- /dev/null
+++ b/test/direct/control.test.ts
@@ -0,0 +1,139 @@
+/** Configuration, keys, registrations and stops of a direct entry. */
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {Kind} from '../../platform/names.js';
+import {StoreMode} from '../../stand-ins/site/store.js';
+import {
+  DirectSite,
+  KEY,
+  siteConfig,
+  SitePath,
+  SiteService,
+  waitFor,
+} from '../support/direct-site.js';
+
+const REVOKE_MS = 1_500;
+/** The entry's longest wait for a change, and its slack, in milliseconds. */
+const LOST_WAIT_MS = 2_500;
+
+const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
+describe('a direct entry', () => {
+  let site: DirectSite;
+
+  beforeEach(async () => {
+    site = await DirectSite.start({revokeMs: REVOKE_MS});
+    await site.addTarget({service: SiteService.DESK, zone: 'a'});
+  });
+
+  afterEach(() => site.stop());
+
+  const status = async (key = KEY, path: string = SitePath.SAFE) =>
+    (await site.call({path, key})).status;
+
+  const putConfig = (version: number, keys?: string[]) =>
+    site.store.put({
+      kind: Kind.CONFIG,
+      name: 'main',
+      spec: siteConfig({version, keys}),
+    });
+
+  const versionInForce = () => site.entry.routes.get()?.version;
+
+  it.each([
+    {name: 'a known key', key: KEY, path: SitePath.SAFE, expected: 200},
+    {name: 'no such key', key: 'other', path: SitePath.SAFE, expected: 401},
+    {name: 'no such route', key: KEY, path: '/none/1', expected: 404},
+  ])('answers $expected for $name', async ({key, path, expected}) => {
+    expect(await status(key, path)).toBe(expected);
+  });
+
+  it('takes a key away at once, and never goes back', async () => {
+    putConfig(7, ['new']);
+    await waitFor(() => versionInForce() === 7);
+    expect(await status()).toBe(401);
+    putConfig(3);
+    await sleep(50);
+    expect(versionInForce()).toBe(7);
+  });
+
+  it('refuses keys, not routes, once the store is silent for long', async () => {
+    site.store.mode = StoreMode.SILENT;
+    expect(await status()).toBe(200);
+    await sleep(REVOKE_MS);
+    const reply = await site.call({path: SitePath.SAFE});
+    expect(reply.status).toBe(503);
+    expect(reply.headers['retry-after']).toBeDefined();
+    expect(await status(KEY, '/none/1')).toBe(503);
+    site.store.mode = StoreMode.UP;
+    await waitFor(() => site.entry.isReady());
+    expect(await status()).toBe(200);
+  });
+
+  it('lists anew when the store has dropped its history', async () => {
+    site.store.dropHistory();
+    putConfig(9);
+    site.store.dropHistory();
+    await waitFor(() => versionInForce() === 9);
+  });
+
+  it.each([StoreMode.SILENT, StoreMode.RESET, StoreMode.BUSY])(
+    'keeps serving known targets while the store is %s',
+    async (mode) => {
+      site.store.mode = mode;
+      site.store.cutWaiters();
+      expect(await status()).toBe(200);
+    },
+  );
+
+  it('gives a leaving target no more work', async () => {
+    const options = {service: SiteService.DESK, zone: 'a'};
+    const next = await site.addTarget(options);
+    const [first] = site.targets;
+    site.register(first!, {...options, state: 'draining'});
+    await waitFor(() => !site.entry.knownTargets().includes(first!.id));
+    for (let i = 0; i < 5; i++) expect(await status()).toBe(200);
+    expect(first!.runs).toHaveLength(0);
+    expect(next.runs).toHaveLength(5);
+  });
+
+  it.each([
+    {name: 'a foreign state', spec: {state: 'resting'}},
+    {name: 'a missing address', spec: {address: undefined}},
+    {name: 'slots that are no number', spec: {slots: 'many'}},
+    {name: 'an address that is none', spec: {address: 'somewhere'}},
+  ])('ignores a registration with $name', async ({spec}) => {
+    const [first] = site.targets;
+    const sound = first!.registration({service: SiteService.DESK, zone: 'a'});
+    site.store.put({
+      kind: Kind.TARGETS,
+      name: 'i-forged',
+      spec: {...sound, ...spec},
+    });
+    await sleep(50);
+    expect(site.entry.knownTargets()).toEqual([first!.id]);
+  });
+
+  it('holds on to targets whose registrations lapse in an outage', async () => {
+    const [first] = site.targets;
+    site.store.mode = StoreMode.RESET;
+    site.store.cutWaiters();
+    await sleep(LOST_WAIT_MS);
+    site.store.remove({kind: Kind.TARGETS, name: first!.id});
+    site.store.mode = StoreMode.UP;
+    await waitFor(() => site.entry.isReady());
+    expect(await status()).toBe(200);
+    await sleep(2_200);
+    expect(await status()).toBe(503);
+  });
+
+  it('closes callers’ connections with their answers when it stops', async () => {
+    const before = await site.call({path: SitePath.SAFE});
+    expect(before.headers.connection).not.toBe('close');
+    site.entry.leave();
+    expect(site.entry.isReady()).toBe(false);
+    const after = await site.call({path: SitePath.SAFE});
+    expect(after.status).toBe(200);
+    expect(after.headers.connection).toBe('close');
+  });
+});
--- /dev/null
+++ b/test/direct/streams.test.ts
@@ -0,0 +1,118 @@
+/** Event streams through a direct entry, whose targets are lost on the way. */
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import type {StandInTarget} from '../../stand-ins/site/target.js';
+import {
+  DirectSite,
+  SitePath,
+  SiteService,
+  waitFor,
+} from '../support/direct-site.js';
+
+const EVENTS = 60;
+const PACE = {events: EVENTS, firstMs: 30, gapMs: 8};
+
+/** How a target is lost. */
+enum Loss {
+  CRASH = 'crash',
+  DARK = 'dark',
+}
+
+/** What the loss takes with it. */
+enum Extent {
+  RUNNER = 'runner',
+  DATA_CENTRE = 'data centre',
+  RUNNER_AND_COPY = 'runner and copy',
+}
+
+const CASES = Object.values(Loss).flatMap((loss) =>
+  Object.values(Extent).map((extent) => ({loss, extent})),
+);
+
+describe('a stream', () => {
+  let site: DirectSite;
+
+  beforeEach(async () => {
+    site = await DirectSite.start();
+    for (const zone of ['a', 'a', 'b', 'b', 'c']) {
+      await site.addTarget({service: SiteService.WRITERS, zone, pace: PACE});
+    }
+  });
+
+  afterEach(() => site.stop());
+
+  const zoneOf = (target: StandInTarget) =>
+    ['a', 'a', 'b', 'b', 'c'][site.targets.indexOf(target)];
+
+  const runner = () => site.targets.find((t) => t.runs.length > 0)!;
+
+  const holder = () => site.targets.find((t) => t.copies.size > 0)!;
+
+  function lose(target: StandInTarget, loss: Loss): void {
+    if (loss === Loss.CRASH) target.crash();
+    else target.isDark = true;
+  }
+
+  function loseExtent(extent: Extent, loss: Loss): void {
+    const first = runner();
+    const lost = site.targets.filter(
+      (target) =>
+        target === first ||
+        (extent === Extent.DATA_CENTRE && zoneOf(target) === zoneOf(first)) ||
+        (extent === Extent.RUNNER_AND_COPY && target === holder()),
+    );
+    for (const target of lost) lose(target, loss);
+  }
+
+  const expected = (id: string) =>
+    Array.from(
+      {length: EVENTS},
+      (_, i) => `id: ${i + 1}\ndata: piece ${i + 1} of ${id}\n\n`,
+    ).join('');
+
+  it('passes on whole, with a copy in another data centre', async () => {
+    const reply = await site.call({path: SitePath.STREAM});
+    expect(reply.text).toBe(expected('try-1'));
+    expect(zoneOf(holder())).not.toBe(zoneOf(runner()));
+  });
+
+  it.each(CASES)('goes on whole after $loss of $extent', async (row) => {
+    let isLost = false;
+    const reply = await site.call({
+      path: SitePath.STREAM,
+      onData: (text) => {
+        if (isLost || !text.includes('id: 20\n')) return;
+        isLost = true;
+        loseExtent(row.extent, row.loss);
+      },
+    });
+    expect(isLost).toBe(true);
+    expect(reply.status).toBe(200);
+    expect(reply.isWhole).toBe(true);
+    expect(reply.text).toBe(expected('try-1'));
+    const readAnew = site.targets
+      .flatMap((target) => target.runs)
+      .filter((run) => run.isReadAnew).length;
+    const hasCopy = row.extent !== Extent.RUNNER_AND_COPY;
+    expect(readAnew).toBe(hasCopy ? 1 : 2);
+  });
+
+  it('goes on after the last event that the caller has', async () => {
+    const reply = await site.call({
+      path: SitePath.STREAM,
+      headers: {'Last-Event-Id': '58'},
+    });
+    expect(reply.text.startsWith('id: 59\n')).toBe(true);
+    expect(reply.text).toContain(`id: ${EVENTS}\n`);
+  });
+
+  it('ends the work at the target when its caller goes', async () => {
+    const call = site.call({
+      path: SitePath.STREAM,
+      onData: () => site.agent.destroy(),
+    });
+    await call.catch(() => undefined);
+    await waitFor(() => runner().cancelled === 1);
+    expect(site.targets.flatMap((t) => t.runs)).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/test/support/direct-site.ts
@@ -0,0 +1,255 @@
+/** A direct entry between a stand-in store and stand-in targets. */
+import type {IncomingHttpHeaders} from 'node:http';
+import {Agent, request} from 'node:http';
+
+import {CallerServer} from '../../platform/caller-server.js';
+import {decodeConfig} from '../../platform/config-codec.js';
+import {Kind} from '../../platform/names.js';
+import {StoreSource} from '../../platform/store-client.js';
+import {TargetClient} from '../../platform/target-client.js';
+import {decodeTarget} from '../../platform/target-codec.js';
+import {SeededRandom, SystemClock} from '../../src/core/clock/index.js';
+import {SILENT_LOGGER} from '../../src/core/logs/index.js';
+import {Metrics} from '../../src/core/metrics/index.js';
+import {DirectProcess} from '../../src/direct/direct-process.js';
+import {StandInStore} from '../../stand-ins/site/store.js';
+import type {StreamPace} from '../../stand-ins/site/target.js';
+import {StandInTarget, TargetWorld} from '../../stand-ins/site/target.js';
+
+export const HOST = 'shop.example';
+export const KEY = 'key-of-a';
+const SEED = 20261204;
+const DEADLINE_MS = 4_000;
+
+/** Services of the site. */
+export enum SiteService {
+  DESK = 'desk',
+  WRITERS = 'writers',
+}
+
+/** Paths of the site's routes. */
+export enum SitePath {
+  SAFE = '/stock/1',
+  UNSAFE = '/orders/1',
+  STREAM = '/drafts/1',
+}
+
+/** What a caller got. */
+export interface Reply {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly text: string;
+  /** Whether the answer ended as its framing says. */
+  readonly isWhole: boolean;
+}
+
+const ROUTES = [
+  {path: '/stock/', type: 'safe', service: SiteService.DESK, attempts: 2},
+  {path: '/orders/', type: 'unsafe', service: SiteService.DESK, attempts: 1},
+  {
+    path: '/drafts/',
+    type: 'streaming',
+    service: SiteService.WRITERS,
+    attempts: 5,
+  },
+] as const;
+
+/** The configuration of the site, as an operator writes it. */
+export function siteConfig(options: {version: number; keys?: string[]}) {
+  const {version, keys = [KEY]} = options;
+  return {
+    version,
+    routes: ROUTES.map(({path, type, service, attempts}) => ({
+      name: path,
+      hostname: HOST,
+      path_prefix: path,
+      route_type: type,
+      timeout_ms: 3_000,
+      target_latency_ms: 300,
+      priority: 1,
+      service,
+      max_attempts: attempts,
+      public: false,
+      stream_resume: type === 'streaming',
+      itl_target_ms: 700,
+    })),
+    services: [
+      {name: SiteService.DESK, health_check: '/healthz', max_connections: 20},
+      {
+        name: SiteService.WRITERS,
+        health_check: '/healthz',
+        max_connections: 20,
+        engine: {slots: 8, kv_capacity_tokens: 55_000, backups: true},
+      },
+    ],
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 100_000,
+      header_timeout_ms: 3_000,
+      idle_timeout_ms: 15_000,
+    },
+    tenants: [{name: 'account-a', api_keys: keys}],
+  };
+}
+
+/** The whole site in this process. */
+export class DirectSite {
+  readonly store: StandInStore;
+  readonly targets: StandInTarget[] = [];
+  readonly entry: DirectProcess;
+  readonly server: CallerServer;
+  readonly agent = new Agent({keepAlive: true, maxSockets: 1});
+  port = 0;
+  private readonly world = new TargetWorld();
+  private attempts = 0;
+
+  private constructor(store: StandInStore, revokeMs?: number) {
+    this.store = store;
+    const clock = new SystemClock();
+    const {url} = store;
+    this.entry = new DirectProcess({
+      settings: {
+        vm: 'entry-1',
+        dataCentre: 'a',
+        callers: {host: '127.0.0.1', port: 0},
+        readiness: {host: '127.0.0.1', port: 0},
+        storeUrl: url,
+        maxFiles: 1_000,
+        stopGraceMs: 2_000,
+        keyTrustMs: revokeMs,
+        retryBudget: {ratio: 0.8, windowMs: 10_000, slack: 150},
+      },
+      clock,
+      random: new SeededRandom(SEED),
+      configs: new StoreSource({url, kind: Kind.CONFIG, decode: decodeConfig}),
+      registrations: new StoreSource({
+        url,
+        kind: Kind.TARGETS,
+        decode: decodeTarget,
+      }),
+      client: new TargetClient(),
+      metrics: new Metrics(),
+      logger: SILENT_LOGGER,
+    });
+    this.server = new CallerServer({
+      clock,
+      handler: {
+        handle: (req, res) => this.entry.handle(req, res),
+        isLeaving: () => this.entry.leaving.get(),
+      },
+    });
+  }
+
+  static async start(options: {revokeMs?: number} = {}): Promise<DirectSite> {
+    const store = new StandInStore();
+    await store.start();
+    store.put({
+      kind: Kind.CONFIG,
+      name: 'main',
+      spec: siteConfig({version: 1}),
+    });
+    const site = new DirectSite(store, options.revokeMs);
+    site.entry.start();
+    site.port = await site.server.listen({host: '127.0.0.1', port: 0});
+    await waitFor(() => site.entry.isReady());
+    return site;
+  }
+
+  /** Starts a target and waits until the entry knows it. */
+  async addTarget(options: {
+    service: SiteService;
+    zone: string;
+    pace?: StreamPace;
+  }): Promise<StandInTarget> {
+    const id = `i-${this.targets.length + 1}`;
+    const target = new StandInTarget({
+      id,
+      world: this.world,
+      pace: options.pace,
+    });
+    await target.start();
+    this.targets.push(target);
+    this.register(target, options);
+    await waitFor(() => this.entry.knownTargets().includes(id));
+    return target;
+  }
+
+  register(
+    target: StandInTarget,
+    options: {service: SiteService; zone: string; state?: string},
+  ): void {
+    const {service, zone, state} = options;
+    this.store.put({
+      kind: Kind.TARGETS,
+      name: target.id,
+      spec: target.registration({service, zone, state}),
+    });
+  }
+
+  /** Sends a request and reads what comes until the connection's end. */
+  call(options: {
+    path: SitePath | string;
+    method?: string;
+    key?: string;
+    headers?: Record<string, string>;
+    body?: string;
+    onData?: (text: string) => void;
+  }): Promise<Reply> {
+    const {path, method = 'POST', key = KEY, headers, body, onData} = options;
+    const attemptId = `try-${++this.attempts}`;
+    return new Promise((resolve, reject) => {
+      const req = request(
+        {
+          host: '127.0.0.1',
+          port: this.port,
+          method,
+          path,
+          agent: this.agent,
+          headers: {
+            Host: HOST,
+            'Attempt-Id': attemptId,
+            'Deadline-Ms': String(DEADLINE_MS),
+            Authorization: `Token ${key}`,
+            ...headers,
+          },
+        },
+        (res) => {
+          let text = '';
+          res.on('data', (chunk) => {
+            text += String(chunk);
+            onData?.(text);
+          });
+          res.on('error', () => undefined);
+          res.on('close', () =>
+            resolve({
+              status: res.statusCode!,
+              headers: res.headers,
+              text,
+              isWhole: res.complete,
+            }),
+          );
+        },
+      );
+      req.on('error', reject);
+      req.end(body);
+    });
+  }
+
+  async stop(): Promise<void> {
+    this.entry.stop();
+    this.agent.destroy();
+    this.server.closeListener();
+    this.server.closeAll();
+    for (const target of this.targets) target.crash();
+    await this.store.stop();
+  }
+}
+
+/** Waits until a condition holds, for at most two seconds. */
+export async function waitFor(condition: () => boolean): Promise<void> {
+  for (let i = 0; i < 400; i++) {
+    if (condition()) return;
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  throw new Error('the condition did not come to hold');
+}
