--- a/src/daemon/direct-main.ts
+++ b/src/daemon/direct-main.ts
@@ -17,7 +17,7 @@
 import {PlannedStop} from '../direct/planned-stop.js';
 import {EXIT_BAD_SETTINGS} from './consts.js';
 
-await main();
+void main();
 
 async function main(): Promise<void> {
   const path = process.env[BOOT_VARIABLE] ?? '';
