Prefer fast engines, avoid targets that fail more than usual

Cause: a third of the engines need 1.3 times as long for a token, and were chosen as often as others.

--- a/src/core/placing/choose-call-target.ts
+++ b/src/core/placing/choose-call-target.ts
@@ -1,6 +1,8 @@
 /** Chooses the target of a plain call. */
 import type {RandomSource} from '../clock/index.js';
 import type {Target} from '../targets/index.js';
+import type {Usual} from './compare.js';
+import {describeUsual, excessFailuresOf} from './compare.js';
 
 /** Load in requests that a target in another data centre must be lower by. */
 const DISTANCE_COST = 0.5;
@@ -8,6 +10,9 @@
 /** Spread of the random tie-breaker, in requests. */
 const JITTER = 0.4;
 
+/** Added where all answers fail that others give, in requests. */
+const FAILING_COST = 20;
+
 /** Added where a target had no room a moment ago, in requests. */
 const FULL_COST = 50;
 
@@ -31,11 +36,12 @@
  * const target = chooseCallTarget({targets, dataCentre, tried, random});
  */
 export function chooseCallTarget(choice: CallChoice): Target | undefined {
+  const usual = describeUsual(choice.targets);
   let best: Target | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const target of choice.targets) {
     if (choice.tried.has(target.id)) continue;
-    const cost = costOf(target, choice);
+    const cost = costOf(target, choice, usual);
     if (cost < bestCost) {
       best = target;
       bestCost = cost;
@@ -44,12 +50,13 @@
   return best;
 }
 
-function costOf(target: Target, choice: CallChoice): number {
+function costOf(target: Target, choice: CallChoice, usual: Usual): number {
   const {slots, dataCentre} = target.record;
   const requests = target.estimatedRequests();
   let cost = requests + choice.random.float() * JITTER;
   if (requests >= slots) cost += requests - slots + 1;
   if (dataCentre !== choice.dataCentre) cost += DISTANCE_COST;
+  cost += excessFailuresOf(target, usual) * FAILING_COST;
   if (target.isFull()) cost += FULL_COST;
   if (target.isPaused()) cost += PAUSED_COST;
   return cost;
--- a/src/core/placing/choose-engine.ts
+++ b/src/core/placing/choose-engine.ts
@@ -1,10 +1,18 @@
 /** Chooses the engines of a generation: where it runs and where its copy goes. */
 import type {RandomSource} from '../clock/index.js';
 import type {Target} from '../targets/index.js';
+import type {Usual} from './compare.js';
+import {describeUsual, excessFailuresOf, slownessOf} from './compare.js';
 
 /** What a prompt that is being read slows others by, in running requests. */
 const READING_COST = 3;
 
+/** Added where streams take twice as long as usual, in running requests. */
+const SLOW_COST = 4;
+
+/** Added where all answers fail that others give, in running requests. */
+const FAILING_COST = 30;
+
 /** What a full memory adds, in running requests. */
 const MEMORY_COST = 100;
 
@@ -63,18 +71,21 @@
   choice: EngineChoice,
   count: number,
 ): Target[] {
+  const usual = describeUsual(choice.targets);
   return choice.targets
     .filter((target) => !choice.excluded.has(target.id))
-    .map((target) => ({target, cost: costOf(target, choice)}))
+    .map((target) => ({target, cost: costOf(target, choice, usual)}))
     .sort((a, b) => a.cost - b.cost)
     .slice(0, count)
     .map(({target}) => target);
 }
 
-function costOf(target: Target, choice: EngineChoice): number {
+function costOf(target: Target, choice: EngineChoice, usual: Usual): number {
   const {tokens, memoryTokens, avoided, random, isSeenLately} = choice;
   let cost = target.estimatedRequests() + random.float() * JITTER;
   cost += Math.max(target.reading, target.estimatedWaiting()) * READING_COST;
+  cost += slownessOf(target, usual) * SLOW_COST;
+  cost += excessFailuresOf(target, usual) * FAILING_COST;
   const planned = target.plannedTokens() + tokens;
   if (planned > memoryTokens * MEMORY_SHARE) cost += MEMORY_COST;
   if (target.isFull()) cost += FULL_COST;
--- a/src/core/retrying/decide-retry.ts
+++ b/src/core/retrying/decide-retry.ts
@@ -68,6 +68,18 @@
   return failure === undefined || !NOT_RECEIVED.has(failure);
 }
 
+/**
+ * Whether a try shows the target to fail: it answered with a failure of its
+ * own, or with none.
+ *
+ * @example
+ * isTargetFailure({status: 500}); // true
+ */
+export function isTargetFailure({failure, status = 0}: TryEnd): boolean {
+  if (failure !== undefined) return !certainlyDidNotRun(failure);
+  return status >= FIRST_FAILURE_STATUS;
+}
+
 /**
  * Decides what follows a try. An idempotent call is repeated after a failed
  * answer too; any other only where the try had no effect.
@@ -78,7 +90,7 @@
 export function decideRetry(query: RetryQuery): RetryVerdict {
   const {operation, end, sent, maxAttempts} = query;
   const isAnswered = end.failure === undefined;
-  if (isAnswered && !isOwnFailure(end)) return RetryVerdict.PASS_ON;
+  if (isAnswered && !isTargetFailure(end)) return RetryVerdict.PASS_ON;
   const otherwise = isAnswered ? RetryVerdict.PASS_ON : RetryVerdict.GIVE_UP;
   const isHarmless =
     end.failure !== undefined && certainlyDidNotRun(end.failure);
@@ -87,10 +99,6 @@
   return query.takeFromBudget() ? RetryVerdict.RETRY : otherwise;
 }
 
-function isOwnFailure(end: TryEnd): boolean {
-  return end.status !== undefined && end.status >= FIRST_FAILURE_STATUS;
-}
-
 /** The status and reason with which a failed call is answered. */
 export interface FailureAnswer {
   readonly status: number;
--- a/src/core/retrying/index.ts
+++ b/src/core/retrying/index.ts
@@ -10,5 +10,6 @@
   certainlyDidNotRun,
   countsAsSent,
   decideRetry,
+  isTargetFailure,
   RetryVerdict,
 } from './decide-retry.js';
--- a/src/core/targets/consts.ts
+++ b/src/core/targets/consts.ts
@@ -21,3 +21,15 @@
 
 /** Age of what a target reports of itself, in milliseconds. */
 export const REPORT_LAG_MS = 200;
+
+/** Events over which the pace of a stream is averaged. */
+export const PACE_EVENTS = 6;
+
+/** Growth of a known pace with each average, so that slowing shows. */
+export const PACE_AGING = 1.03;
+
+/** Weight of the newest answer in the share of failures. */
+export const FAILURE_WEIGHT = 0.08;
+
+/** Addresses of former targets whose pace is remembered. */
+export const MAX_PACES = 4_096;
--- a/src/core/targets/target-set.ts
+++ b/src/core/targets/target-set.ts
@@ -1,7 +1,7 @@
 /** All targets that are registered, as this entry knows them. */
 import type {Clock} from '../clock/index.js';
 import type {SourceChange, SourceItem} from '../edges/state-source.js';
-import {LAPSE_GRACE_MS} from './consts.js';
+import {LAPSE_GRACE_MS, MAX_PACES} from './consts.js';
 import {Target} from './target.js';
 import type {TargetRecord} from './types.js';
 
@@ -17,6 +17,8 @@
  */
 export class TargetSet {
   private readonly targets = new Map<string, Target>();
+  /** Paces of targets that are gone, by address. */
+  private readonly paces = new Map<string, number>();
   /** When the registration of a target was found missing. */
   private readonly missingSinceMs = new Map<string, number>();
 
@@ -93,7 +95,8 @@
     }
     if (known !== undefined) this.remove(record.id);
     const {clock, onPaused} = this.options;
-    const target = new Target({record, clock, onPaused});
+    const paceMs = this.paces.get(record.address);
+    const target = new Target({record, clock, onPaused, paceMs});
     this.targets.set(record.id, target);
   }
 
@@ -110,11 +113,19 @@
     }
   }
 
+  /** A restarted target runs on the same machine as before. */
+  private rememberPace({record, paceMs}: Target): void {
+    if (paceMs === undefined) return;
+    if (this.paces.size >= MAX_PACES) this.paces.clear();
+    this.paces.set(record.address, paceMs);
+  }
+
   private remove(id: string): void {
     this.missingSinceMs.delete(id);
     const target = this.targets.get(id);
     if (target === undefined) return;
     this.targets.delete(id);
+    this.rememberPace(target);
     target.noteLeaving();
     this.options.onRemoved(target);
   }
--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -1,9 +1,12 @@
 /** A target with what this entry knows and expects of it. */
 import type {Clock} from '../clock/index.js';
 import {
+  FAILURE_WEIGHT,
   FAILURES_BEFORE_PAUSE,
   LOAD_FRESH_MS,
   LONGEST_PAUSE_MS,
+  PACE_AGING,
+  PACE_EVENTS,
   PAUSE_AFTER_FAILURE_MS,
   PAUSE_AFTER_REJECT_MS,
   REPORT_LAG_MS,
@@ -47,6 +50,10 @@
   private ownWhenReported = 0;
   private seenMs = Number.NEGATIVE_INFINITY;
   private leftMs?: number;
+  private pace?: number;
+  private gapsMs = 0;
+  private gapCount = 0;
+  private failing = 0;
   private failures = 0;
   private pauses = 0;
   private pausedUntilMs = Number.NEGATIVE_INFINITY;
@@ -57,7 +64,10 @@
     clock: Clock;
     /** Told of each pause and of its length in milliseconds. */
     onPaused?: (target: Target, pauseMs: number) => void;
+    /** The pace of an earlier life at the same address. */
+    paceMs?: number;
   }) {
+    this.pace = options.paceMs;
     this.record = options.record;
     this.clock = options.clock;
     this.onPaused = options.onPaused ?? (() => undefined);
@@ -167,6 +177,34 @@
     return tokens;
   }
 
+  /** Notes the time between two events of a stream, in milliseconds. */
+  noteGap(gapMs: number): void {
+    this.gapsMs += gapMs;
+    this.gapCount++;
+    if (this.gapCount < PACE_EVENTS) return;
+    const meanMs = this.gapsMs / this.gapCount;
+    this.gapsMs = 0;
+    this.gapCount = 0;
+    const agedMs = (this.pace ?? Number.POSITIVE_INFINITY) * PACE_AGING;
+    this.pace = Math.min(agedMs, meanMs);
+  }
+
+  /** Shortest mean time between events seen lately; undefined if unknown. */
+  get paceMs(): number | undefined {
+    return this.pace;
+  }
+
+  /** Notes whether an answer was a failure of the target's own. */
+  noteAnswer(isFailure: boolean): void {
+    const sample = isFailure ? 1 : 0;
+    this.failing += (sample - this.failing) * FAILURE_WEIGHT;
+  }
+
+  /** Share of recent answers that were failures. */
+  get failureShare(): number {
+    return this.failing;
+  }
+
   noteSuccess(): void {
     this.noteSeen();
     this.failures = 0;
--- a/src/direct/call-run.ts
+++ b/src/direct/call-run.ts
@@ -12,6 +12,7 @@
   certainlyDidNotRun,
   countsAsSent,
   decideRetry,
+  isTargetFailure,
   RetryVerdict,
 } from '../core/retrying/index.js';
 import type {TryEnd} from '../core/retrying/index.js';
@@ -138,6 +139,7 @@
 
   private onEnd(end: TryEnd): void {
     const {target} = this.current!;
+    target.noteAnswer(isTargetFailure(end));
     this.closeTry();
     if (countsAsSent(end.failure)) this.sent++;
     const next = this.choose();
--- a/src/direct/stream-run.ts
+++ b/src/direct/stream-run.ts
@@ -266,6 +266,7 @@
     const nowMs = this.ctx.clock.now();
     if (current.events > 0) {
       const gapMs = nowMs - current.lastEventMs;
+      current.target.noteGap(gapMs);
       current.widestGapMs = Math.max(current.widestGapMs * 0.98, gapMs);
     }
     current.events++;
