--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -59,4 +59,4 @@
 export const COPY_ANSWER_MS = 350;
 
 /** Time between two looks at a target that reads a prompt. */
-export const READING_CHECK_MS = 700;
+export const READING_CHECK_MS = 400;
--- a/src/direct/stream-run.ts
+++ b/src/direct/stream-run.ts
@@ -20,6 +20,7 @@
   COPY_ANSWER_MS,
   DOUBT_MS,
   EVENTS_BEFORE_COPY,
+  LEAVING_WORK_MS,
   MAX_STREAM_TRIES,
   READING_CHECK_MS,
   RETURN_AFTER_MS,
@@ -108,7 +109,7 @@
 
   private place(): void {
     const {copyHolder} = this;
-    if (copyHolder !== undefined && isUsable(copyHolder)) {
+    if (copyHolder !== undefined && isReachable(copyHolder)) {
       this.send(copyHolder, copyHolder.record.address);
       return;
     }
@@ -514,6 +515,12 @@
   }
 }
 
+/** A target that began to leave a moment ago still takes what it knows. */
+function isReachable(target: Target): boolean {
+  const leavingForMs = target.leavingForMs() ?? 0;
+  return leavingForMs < LEAVING_WORK_MS && !target.isPaused();
+}
+
 function isUsable(target: Target): boolean {
   return !target.record.isLeaving && !target.isPaused();
 }
