Place by unread prompts; pace the reads of changed targets

Engines read one prompt at a time; their reports show how many are unread. Each change of a registration woke every entry: reads that bring changes are now 700 ms apart at least.

--- a/src/core/placing/choose-engine.ts
+++ b/src/core/placing/choose-engine.ts
@@ -4,11 +4,11 @@
 import type {Usual} from './compare.js';
 import {describeUsual, excessFailuresOf, slownessOf} from './compare.js';
 
-/** What a prompt that is being read slows others by, in running requests. */
-const READING_COST = 3;
+/** What a prompt that is yet to be read delays others by, in running requests. */
+const UNREAD_COST = 5;
 
 /** Added where streams take twice as long as usual, in running requests. */
-const SLOW_COST = 4;
+const SLOW_COST = 8;
 
 /** Added where all answers fail that others give, in running requests. */
 const FAILING_COST = 30;
@@ -83,7 +83,7 @@
 function costOf(target: Target, choice: EngineChoice, usual: Usual): number {
   const {tokens, memoryTokens, avoided, random, isSeenLately} = choice;
   let cost = target.estimatedRequests() + random.float() * JITTER;
-  cost += Math.max(target.reading, target.estimatedWaiting()) * READING_COST;
+  cost += target.estimatedUnread() * UNREAD_COST;
   cost += slownessOf(target, usual) * SLOW_COST;
   cost += excessFailuresOf(target, usual) * FAILING_COST;
   const planned = target.plannedTokens() + tokens;
--- a/src/core/sync/follower.ts
+++ b/src/core/sync/follower.ts
@@ -41,6 +41,8 @@
       random: RandomSource;
       /** Longest wait for a change, in milliseconds. */
       waitMs: number;
+      /** Least time between two calls that bring changes, in milliseconds. */
+      paceMs?: number;
     },
   ) {}
 
@@ -92,6 +94,7 @@
       const isQuiet = changes.length === 0 && waited;
       const quietMs = Math.max(0, waitMs - DEAF_MS);
       listener.onConfirmed(isQuiet ? startedMs + quietMs : startedMs);
+      if (changes.length > 0) await this.keepPace(startedMs);
     }
   }
 
@@ -109,14 +112,25 @@
     await this.backOff();
   }
 
+  /** Lets changes gather where one follows the other. */
+  private async keepPace(startedMs: number): Promise<void> {
+    const {clock, paceMs = 0} = this.options;
+    const leftMs = startedMs + paceMs - clock.now();
+    if (leftMs > 0) await this.sleep(leftMs);
+  }
+
   private backOff(): Promise<void> {
-    const {clock, random} = this.options;
+    const {random} = this.options;
     const limitMs = FIRST_BACKOFF_MS * 2 ** this.failures;
     this.failures = Math.min(this.failures + 1, 10);
     const delayMs =
       Math.min(limitMs, LAST_BACKOFF_MS) * (0.5 + random.float() / 2);
+    return this.sleep(delayMs);
+  }
+
+  private sleep(delayMs: number): Promise<void> {
     return new Promise((resolve) => {
-      clock.schedule({delayMs, run: resolve});
+      this.options.clock.schedule({delayMs, run: resolve});
     });
   }
 }
--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -9,7 +9,6 @@
   PACE_EVENTS,
   PAUSE_AFTER_FAILURE_MS,
   PAUSE_AFTER_REJECT_MS,
-  REPORT_LAG_MS,
 } from './consts.js';
 import type {TargetRecord} from './types.js';
 
@@ -17,6 +16,8 @@
 export interface ReportedLoad {
   readonly running: number;
   readonly waiting: number;
+  /** Running requests whose prompts are being read; undefined if not told. */
+  readonly reading?: number;
   /** Tokens in memory that cannot yield; undefined where it is not told. */
   readonly memoryUsed?: number;
 }
@@ -46,6 +47,8 @@
   private copyTokens = 0;
   private reported: ReportedLoad = {running: 0, waiting: 0};
   private reportedMs = Number.NEGATIVE_INFINITY;
+  /** When the load was as reported. */
+  private takenMs = Number.NEGATIVE_INFINITY;
   /** Own work that was under way when the report was taken. */
   private ownWhenReported = 0;
   private seenMs = Number.NEGATIVE_INFINITY;
@@ -113,10 +116,10 @@
   noteLoad(load: ReportedLoad, lagMs = 0): void {
     this.reported = load;
     this.reportedMs = this.clock.now();
-    const takenMs = this.reportedMs - lagMs;
+    this.takenMs = this.reportedMs - lagMs;
     this.ownWhenReported = 0;
     for (const work of this.work) {
-      if (work.begunMs <= takenMs) this.ownWhenReported++;
+      if (work.begunMs <= this.takenMs) this.ownWhenReported++;
     }
     this.noteSeen();
   }
@@ -141,9 +144,15 @@
     return this.othersRequests() + this.work.size;
   }
 
-  /** Requests that wait at the target, as far as is known. */
-  estimatedWaiting(): number {
-    return this.reportAgeMs() > LOAD_FRESH_MS ? 0 : this.reported.waiting;
+  /** Prompts that are read or wait to be, as far as is known. */
+  estimatedUnread(): number {
+    if (this.reportAgeMs() > LOAD_FRESH_MS) return this.reading;
+    const {reading = 0, waiting} = this.reported;
+    let unread = reading + waiting;
+    for (const work of this.work) {
+      if (work.isReading && work.begunMs > this.takenMs) unread++;
+    }
+    return unread;
   }
 
   /** Tokens in the target's memory, with those that own work will need. */
@@ -153,7 +162,7 @@
     if (memoryUsed === undefined || this.reportAgeMs() > LOAD_FRESH_MS) {
       return own;
     }
-    return Math.max(own, memoryUsed + this.tokensBegunSince(this.reportedMs));
+    return Math.max(own, memoryUsed + this.tokensBegunSinceReport());
   }
 
   /** Tokens that this entry's work and copies hold in the target's memory. */
@@ -169,10 +178,10 @@
     return Math.max(0, running + waiting - this.ownWhenReported);
   }
 
-  private tokensBegunSince(sinceMs: number): number {
+  private tokensBegunSinceReport(): number {
     let tokens = 0;
     for (const work of this.work) {
-      if (work.begunMs > sinceMs - REPORT_LAG_MS) tokens += work.tokens;
+      if (work.begunMs > this.takenMs) tokens += work.tokens;
     }
     return tokens;
   }
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -17,7 +17,10 @@
 export const WAIT_SHARE = 0.4;
 
 /** Longest wait for a change of the targets, in milliseconds. */
-export const TARGETS_WAIT_MS = 1_800;
+export const TARGETS_WAIT_MS = 2_400;
+
+/** Least time between two reads of changed targets, in milliseconds. */
+export const TARGETS_PACE_MS = 700;
 
 /** Part of the shared retry budget that entries plan with. */
 export const RETRY_SHARE = 0.8;
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -31,6 +31,7 @@
   RETRY_SHARE,
   RETURN_AFTER_MS,
   STREAM_GRACE_SHARE,
+  TARGETS_PACE_MS,
   TARGETS_WAIT_MS,
   WAIT_SHARE,
 } from './consts.js';
@@ -241,6 +242,7 @@
       clock,
       random,
       waitMs: TARGETS_WAIT_MS,
+      paceMs: TARGETS_PACE_MS,
       listener: {
         onSnapshot: (items, afterOutage) => {
           targets.replaceAll(items, afterOutage);
