Refuse at once a generation that no engine can end in the time left

Cause: callers that return after a power loss have two or three seconds left; their prompts were read and their answers cut at the deadline.

--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -11,6 +11,7 @@
 import type {AdmittedRequest, RoutedService} from '../core/routes/index.js';
 import type {TargetSet} from '../core/targets/index.js';
 import type {Prober} from './prober.js';
+import type {StreamTimes} from './stream-times.js';
 
 /** Shared by all requests of an entry. */
 export interface DirectContext {
@@ -20,6 +21,8 @@
   readonly targets: TargetSet;
   readonly client: DirectTargets;
   readonly prober: Prober;
+  /** How long generations take, by service. */
+  readonly streamTimes: StreamTimes;
   readonly budgets: RetryBudgets;
   /** Repeats that all requests of a service may cause, for each of them. */
   readonly retryRatio: number;
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -37,6 +37,7 @@
 } from './consts.js';
 import type {DirectContext} from './context.js';
 import {Prober} from './prober.js';
+import {StreamTimes} from './stream-times.js';
 import {StreamRun} from './stream-run.js';
 
 /** What a direct entry is built from. */
@@ -91,6 +92,7 @@
       random,
       targets,
       prober,
+      streamTimes: new StreamTimes(),
       client,
       budgets: new RetryBudgets({clock, floor: RETRY_FLOOR}),
       retryRatio: settings.retryBudget.ratio * RETRY_SHARE,
--- a/src/direct/stream-run.ts
+++ b/src/direct/stream-run.ts
@@ -2,7 +2,7 @@
 import type {TimerHandle} from '../core/clock/index.js';
 import type {AnswerHead, Exchange} from '../core/edges/direct-target.js';
 import {ExchangeFailure} from '../core/edges/direct-target.js';
-import {RetryReason} from '../core/errors/refusals.js';
+import {RefusalReason, RetryReason} from '../core/errors/refusals.js';
 import {chooseEngine, shortlistEngines} from '../core/placing/index.js';
 import type {EngineChoice} from '../core/placing/index.js';
 import {answerFailure, certainlyDidNotRun} from '../core/retrying/index.js';
@@ -29,6 +29,7 @@
 } from './consts.js';
 import type {DirectContext, DirectWork} from './context.js';
 import {noteFailureAt} from './note-failure.js';
+import {needOf} from './stream-times.js';
 import {toTargetRequest} from './target-request.js';
 
 const OK = 200;
@@ -103,10 +104,48 @@
   }
 
   start(): void {
+    if (this.isHopeless()) {
+      this.refuse(RefusalReason.DEADLINE_UNREACHABLE);
+      return;
+    }
     this.budget().noteFirstTry();
     this.place();
   }
 
+  /** Whether the time left is too short for any engine. */
+  private isHopeless(): boolean {
+    const {req, service, endMs} = this.work;
+    const need = needOf(req, service);
+    if (need === undefined) return false;
+    const leftMs = endMs - this.ctx.clock.now();
+    return this.ctx.streamTimes.of(service.name).isHopeless({need, leftMs});
+  }
+
+  private refuse(reason: RefusalReason): void {
+    this.stop();
+    this.ctx.metrics.countRefusal(reason);
+    this.ctx.logger.info('refused', {
+      id: this.work.req.attemptId,
+      status: 503,
+      reason,
+      leftMs: Math.round(this.work.endMs - this.ctx.clock.now()),
+    });
+    this.work.res.sendOwn({status: 503, reason});
+  }
+
+  private learnTimes(): void {
+    const {req, service} = this.work;
+    const need = needOf(req, service);
+    if (need === undefined || need.hasEvents > 0 || this.tries > 1) return;
+    const takenMs = this.ctx.clock.now() - req.receivedMs;
+    this.ctx.streamTimes.of(service.name).learn({
+      ...need,
+      events: this.sequence.count,
+      firstEventMs: this.firstEventMs,
+      writingMs: takenMs - this.firstEventMs,
+    });
+  }
+
   private place(): void {
     const {copyHolder} = this;
     if (copyHolder !== undefined && isReachable(copyHolder)) {
@@ -373,6 +412,7 @@
     }
     target.noteSuccess();
     this.stop();
+    this.learnTimes();
     this.noteLate();
     if (!this.isOpen) this.work.res.open(head);
     this.work.res.end();
--- /dev/null
+++ b/src/direct/stream-times.ts
@@ -0,0 +1,44 @@
+/** How long the generations of each service take. */
+import type {CallerRequest} from '../core/edges/direct-caller.js';
+import type {RoutedService} from '../core/routes/index.js';
+import type {GenerationNeed} from '../core/streams/index.js';
+import {StreamTime, toPosition} from '../core/streams/index.js';
+
+/**
+ * One `StreamTime` for each service.
+ *
+ * @example
+ * times.of('drafts').isHopeless({need, leftMs});
+ */
+export class StreamTimes {
+  private readonly times = new Map<string, StreamTime>();
+
+  of(service: string): StreamTime {
+    let time = this.times.get(service);
+    if (time === undefined) {
+      time = new StreamTime();
+      this.times.set(service, time);
+    }
+    return time;
+  }
+}
+
+/**
+ * What a request for a generation needs; undefined where it does not say.
+ *
+ * @example
+ * const need = needOf(req, service);
+ */
+export function needOf(
+  req: CallerRequest,
+  service: RoutedService,
+): GenerationNeed | undefined {
+  const {generation, lastEventId} = req;
+  const {engine} = service;
+  if (generation === undefined || engine === undefined) return undefined;
+  return {
+    promptTokens: generation.promptTokens,
+    maxEvents: generation.maxOutputTokens / engine.tokensPerEvent,
+    hasEvents: toPosition(lastEventId) ?? 0,
+  };
+}
