--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -11,7 +11,7 @@
 import type {AdmittedRequest, RoutedService} from '../core/routes/index.js';
 import type {TargetSet} from '../core/targets/index.js';
 import type {Prober} from './prober.js';
-import type {StreamTimes} from './stream-times.js';
+import type {StreamTimes} from './streams/stream-times.js';
 
 /** Shared by all requests of an entry. */
 export interface DirectContext {
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -37,8 +37,8 @@
 } from './consts.js';
 import type {DirectContext} from './context.js';
 import {Prober} from './prober.js';
-import {StreamTimes} from './stream-times.js';
-import {StreamRun} from './stream-run.js';
+import {StreamTimes} from './streams/stream-times.js';
+import {StreamRun} from './streams/stream-run.js';
 
 /** What a direct entry is built from. */
 export interface DirectProcessOptions {
@@ -226,7 +226,7 @@
         onLost: (err) => logger.warn('configuration: lost track', {...err}),
       },
     });
-    this.followers.push(follower as Follower<unknown>);
+    this.followers.push(follower);
     follower.start();
   }
 
@@ -255,7 +255,7 @@
         onLost: (err) => logger.warn('targets: lost track', {...err}),
       },
     });
-    this.followers.push(follower as Follower<unknown>);
+    this.followers.push(follower);
     follower.start();
   }
 
--- /dev/null
+++ b/src/direct/streams/silence-watch.ts
@@ -0,0 +1,127 @@
+/** Notices that the target of a stream has fallen silent. */
+import type {TimerHandle} from '../../core/clock/index.js';
+import {stallLimitMs, suspectLimitMs} from '../../core/streams/index.js';
+import type {Target} from '../../core/targets/index.js';
+import {READING_CHECK_MS} from '../consts.js';
+import type {DirectContext} from '../context.js';
+
+/** Part of the widest gap that remains after another gap. */
+const GAP_DECAY = 0.98;
+
+/** Told once, when the target counts as lost. */
+export type SilenceListener = (silentMs: number) => void;
+
+/**
+ * Watches one target of a stream. Until the first event the target is asked
+ * now and then whether it is there; after it, a silence that is long for
+ * this target is looked into, and ends the watch if it lasts.
+ *
+ * @example
+ * const watch = new SilenceWatch({ctx, target, onLost});
+ * watch.start(400);
+ * watch.noteEvent();
+ */
+export class SilenceWatch {
+  private events = 0;
+  private lastMs: number;
+  private widestGapMs = 0;
+  private timer?: TimerHandle;
+  private isOver = false;
+
+  constructor(
+    private readonly options: {
+      ctx: DirectContext;
+      target: Target;
+      /** Longest pause between events that is on time, in milliseconds. */
+      maxPauseMs?: number;
+      onLost: SilenceListener;
+    },
+  ) {
+    this.lastMs = options.ctx.clock.now();
+  }
+
+  /** Begins to watch; the target is first asked after `firstCheckMs`. */
+  start(firstCheckMs: number): void {
+    this.waitFor(firstCheckMs, () => void this.checkReading());
+  }
+
+  noteEvent(): void {
+    const nowMs = this.options.ctx.clock.now();
+    if (this.events > 0) this.noteGap(nowMs - this.lastMs);
+    this.events++;
+    this.lastMs = nowMs;
+    if (this.events === 1) this.watchGap();
+  }
+
+  stop(): void {
+    this.isOver = true;
+    this.timer?.cancel();
+  }
+
+  private noteGap(gapMs: number): void {
+    this.options.target.noteGap(gapMs);
+    this.widestGapMs = Math.max(this.widestGapMs * GAP_DECAY, gapMs);
+  }
+
+  private async checkReading(): Promise<void> {
+    const isAlive = await this.askTarget();
+    if (this.isOver || this.events > 0) return;
+    if (isAlive) this.start(READING_CHECK_MS);
+    else this.lose();
+  }
+
+  /** Waits until the present gap has become suspicious. */
+  private watchGap(): void {
+    const leftMs = suspectLimitMs(this.facts()) - this.silentMs();
+    if (leftMs <= 0) void this.lookInto();
+    else this.waitFor(leftMs, () => this.watchGap());
+  }
+
+  private async lookInto(): Promise<void> {
+    const {events} = this;
+    const isAlive = await this.askTarget();
+    if (this.isOver) return;
+    if (this.events > events) this.watchGap();
+    else if (isAlive) this.awaitStall(events);
+    else this.lose();
+  }
+
+  /** The target is there, but it writes nothing. */
+  private awaitStall(events: number): void {
+    const leftMs = stallLimitMs(this.facts()) - this.silentMs();
+    if (this.events > events) this.watchGap();
+    else if (leftMs <= 0) this.lose();
+    else this.waitFor(leftMs, () => this.awaitStall(events));
+  }
+
+  private askTarget(): Promise<boolean> {
+    const {ctx, target} = this.options;
+    return ctx.prober.isAlive(target);
+  }
+
+  private lose(): void {
+    const silentMs = Math.round(this.silentMs());
+    this.stop();
+    this.options.target.noteFailure();
+    this.options.onLost(silentMs);
+  }
+
+  private waitFor(delayMs: number, run: () => void): void {
+    this.timer?.cancel();
+    this.timer = this.options.ctx.clock.schedule({
+      delayMs,
+      run: () => {
+        if (!this.isOver) run();
+      },
+    });
+  }
+
+  private silentMs(): number {
+    return this.options.ctx.clock.now() - this.lastMs;
+  }
+
+  private facts() {
+    const {maxPauseMs} = this.options;
+    return {maxPauseMs, widestGapMs: this.widestGapMs};
+  }
+}
--- /dev/null
+++ b/src/direct/streams/stream-delivery.ts
@@ -0,0 +1,79 @@
+/** What the caller of a stream gets, and when. */
+import type {AnswerHead} from '../../core/edges/direct-target.js';
+import type {RawEvent} from '../../core/streams/index.js';
+import type {DirectContext, DirectWork} from '../context.js';
+
+/**
+ * Writes the events of a stream to its caller under the head of the first
+ * target, and measures the pauses that the caller sees.
+ *
+ * @example
+ * const delivery = new StreamDelivery({ctx, work});
+ * delivery.pass(head, event);
+ * delivery.finish(head);
+ */
+export class StreamDelivery {
+  private readonly ctx: DirectContext;
+  private readonly work: DirectWork;
+  private opened = false;
+  private firstMs = 0;
+  private longestPauseMs = 0;
+  private lastWrittenMs?: number;
+
+  constructor(options: {ctx: DirectContext; work: DirectWork}) {
+    this.ctx = options.ctx;
+    this.work = options.work;
+  }
+
+  /** Whether the caller has got a part of the answer. */
+  get isOpen(): boolean {
+    return this.opened;
+  }
+
+  /** Time from the request to its first event, in milliseconds. */
+  get firstEventMs(): number {
+    return this.firstMs;
+  }
+
+  pass(head: AnswerHead, event: RawEvent): void {
+    this.open(head);
+    this.work.res.write(event.bytes);
+    this.notePause();
+  }
+
+  /** Ends the answer as a whole one. */
+  finish(head: AnswerHead): void {
+    this.open(head);
+    this.work.res.end();
+    this.noteLate();
+  }
+
+  private open(head: AnswerHead): void {
+    if (this.opened) return;
+    this.opened = true;
+    this.work.res.open(head);
+  }
+
+  private notePause(): void {
+    const nowMs = this.ctx.clock.now();
+    if (this.lastWrittenMs === undefined) {
+      this.firstMs = nowMs - this.work.req.receivedMs;
+    } else {
+      const pauseMs = nowMs - this.lastWrittenMs;
+      this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
+    }
+    this.lastWrittenMs = nowMs;
+  }
+
+  private noteLate(): void {
+    const {objectiveMs, maxPauseMs = Infinity} = this.work.admitted.route;
+    const isOnTime =
+      this.firstMs <= objectiveMs && this.longestPauseMs <= maxPauseMs;
+    if (isOnTime) return;
+    this.ctx.logger.info('stream was late', {
+      id: this.work.req.attemptId,
+      firstEventMs: Math.round(this.firstMs),
+      longestPauseMs: Math.round(this.longestPauseMs),
+    });
+  }
+}
--- /dev/null
+++ b/src/direct/streams/stream-placer.ts
@@ -0,0 +1,103 @@
+/** Where a stream runs next, and where its copy goes. */
+import type {EngineChoice} from '../../core/placing/index.js';
+import {chooseEngine, shortlistEngines} from '../../core/placing/index.js';
+import type {Target} from '../../core/targets/index.js';
+import {DOUBT_MS, LEAVING_WORK_MS, SHORTLIST} from '../consts.js';
+import type {DirectContext, DirectWork} from '../context.js';
+
+/**
+ * Chooses targets for one stream, with what it has met so far.
+ *
+ * @example
+ * const target = await placer.findTarget();
+ * const copy = placer.chooseCopy(target);
+ */
+export class StreamPlacer {
+  /** Tokens that the stream holds in a target's memory at its end. */
+  readonly tokens: number;
+  private readonly ctx: DirectContext;
+  private readonly work: DirectWork;
+  /** Targets that did not take the stream. */
+  private readonly excluded = new Set<string>();
+  /** Data centres in which the stream has just lost a target. */
+  private readonly doubtful = new Set<string>();
+
+  constructor(options: {ctx: DirectContext; work: DirectWork}) {
+    this.ctx = options.ctx;
+    this.work = options.work;
+    const {generation} = this.work.req;
+    this.tokens =
+      (generation?.promptTokens ?? 0) + (generation?.maxOutputTokens ?? 0);
+  }
+
+  /** Asks the best engines for their load, then takes the best of them. */
+  async findTarget(): Promise<Target | undefined> {
+    const candidates = shortlistEngines(this.choice(), SHORTLIST);
+    await this.ctx.prober.refresh(candidates);
+    const target = chooseEngine({...this.choice(), targets: candidates});
+    const isUsable = target !== undefined && isHere(target);
+    return isUsable ? target : undefined;
+  }
+
+  /** Where the memory of a run is copied to; undefined if nowhere. */
+  chooseCopy(runner: Target): Target | undefined {
+    const {engine} = this.work.service;
+    const {isResumable} = this.work.admitted.route;
+    if (engine === undefined || !engine.canCopy || !isResumable) {
+      return undefined;
+    }
+    return chooseEngine({
+      ...this.choice(),
+      excluded: new Set([runner.id]),
+      avoided: new Set([...this.doubtful, runner.record.dataCentre]),
+      isSeenLately: true,
+    });
+  }
+
+  exclude(target: Target): void {
+    this.excluded.add(target.id);
+  }
+
+  /** Lets all targets be tried again. */
+  forgetExcluded(): void {
+    this.excluded.clear();
+  }
+
+  /** Data centres fail as a whole: none that was just lost is chosen. */
+  doubt(lost: Target): void {
+    const {dataCentre} = lost.record;
+    this.doubtful.add(dataCentre);
+    this.ctx.clock.schedule({
+      delayMs: DOUBT_MS,
+      run: () => void this.doubtful.delete(dataCentre),
+    });
+  }
+
+  private choice(): EngineChoice {
+    const {ctx, work, tokens} = this;
+    return {
+      targets: ctx.targets.ofService(work.service.name),
+      tokens,
+      memoryTokens: work.service.engine?.memoryTokens ?? Infinity,
+      excluded: this.excluded,
+      avoided: this.doubtful,
+      random: ctx.random,
+    };
+  }
+}
+
+/**
+ * Whether a target still takes a stream of which it holds a copy: one that
+ * began to leave a moment ago does.
+ *
+ * @example
+ * if (canGoOnAt(holder)) goOnAt(holder);
+ */
+export function canGoOnAt(holder: Target): boolean {
+  const leavingForMs = holder.leavingForMs() ?? 0;
+  return leavingForMs < LEAVING_WORK_MS && !holder.isPaused();
+}
+
+function isHere(target: Target): boolean {
+  return !target.record.isLeaving && !target.isPaused();
+}
--- /dev/null
+++ b/src/direct/streams/stream-run.ts
@@ -0,0 +1,277 @@
+/** Runs one event stream, across as many targets as it takes. */
+import type {TimerHandle} from '../../core/clock/index.js';
+import type {AnswerHead} from '../../core/edges/direct-target.js';
+import {RefusalReason, RetryReason} from '../../core/errors/refusals.js';
+import {answerFailure, certainlyDidNotRun} from '../../core/retrying/index.js';
+import type {RawEvent} from '../../core/streams/index.js';
+import {
+  EventSequence,
+  EventVerdict,
+  toPosition,
+} from '../../core/streams/index.js';
+import type {Target} from '../../core/targets/index.js';
+import {
+  EVENTS_BEFORE_COPY,
+  MAX_STREAM_TRIES,
+  RETURN_AFTER_MS,
+  STREAM_PAUSE_MS,
+} from '../consts.js';
+import type {DirectContext, DirectWork} from '../context.js';
+import {StreamDelivery} from './stream-delivery.js';
+import {canGoOnAt, StreamPlacer} from './stream-placer.js';
+import {needOf} from './stream-times.js';
+import type {TargetLoss} from './stream-try.js';
+import {StreamTry} from './stream-try.js';
+
+/** First status that says that the target failed. */
+const FIRST_FAILURE_STATUS = 500;
+
+/**
+ * One stream. Its events go to the caller as they come; when a target is
+ * lost, another goes on after the last one.
+ *
+ * @example
+ * new StreamRun({ctx, work}).start();
+ */
+export class StreamRun {
+  private readonly ctx: DirectContext;
+  private readonly work: DirectWork;
+  private readonly sequence: EventSequence;
+  private readonly delivery: StreamDelivery;
+  private readonly placer: StreamPlacer;
+  private readonly deadline: TimerHandle;
+  private pause?: TimerHandle;
+  private current?: StreamTry;
+  /** Holds a copy of what the lost run had in memory. */
+  private copyHolder?: Target;
+  private isOver = false;
+  /** Targets that began with the prompt. */
+  private tries = 0;
+  private mayHaveRun = false;
+
+  constructor(options: {ctx: DirectContext; work: DirectWork}) {
+    this.ctx = options.ctx;
+    this.work = options.work;
+    this.delivery = new StreamDelivery(options);
+    this.placer = new StreamPlacer(options);
+    const {clock} = this.ctx;
+    const {lastEventId} = this.work.req;
+    this.sequence = new EventSequence({lastId: toPosition(lastEventId)});
+    this.deadline = clock.schedule({
+      delayMs: Math.max(0, this.work.endMs - clock.now()),
+      run: () => this.giveUp(true),
+    });
+    this.work.res.onGone(() => this.stop());
+  }
+
+  start(): void {
+    if (this.isHopeless()) {
+      this.refuse(RefusalReason.DEADLINE_UNREACHABLE);
+      return;
+    }
+    this.budget().noteFirstTry();
+    void this.place();
+  }
+
+  /** Whether the time left is too short for any engine. */
+  private isHopeless(): boolean {
+    const {req, service, endMs} = this.work;
+    const need = needOf(req, service);
+    if (need === undefined) return false;
+    const leftMs = endMs - this.ctx.clock.now();
+    return this.ctx.streamTimes.of(service.name).isHopeless({need, leftMs});
+  }
+
+  private refuse(reason: RefusalReason): void {
+    this.stop();
+    this.ctx.metrics.countRefusal(reason);
+    this.ctx.logger.info('refused', {
+      id: this.work.req.attemptId,
+      status: 503,
+      reason,
+      leftMs: Math.round(this.work.endMs - this.ctx.clock.now()),
+    });
+    this.work.res.sendOwn({status: 503, reason});
+  }
+
+  private async place(): Promise<void> {
+    const {copyHolder} = this;
+    this.copyHolder = undefined;
+    if (copyHolder !== undefined && canGoOnAt(copyHolder)) {
+      this.send(copyHolder, true);
+      return;
+    }
+    if (copyHolder !== undefined) this.noteCopyLost(copyHolder);
+    const target = await this.placer.findTarget();
+    if (this.isOver) return;
+    if (target === undefined) this.wait();
+    else this.send(target, false);
+  }
+
+  private wait(): void {
+    this.placer.forgetExcluded();
+    this.pause = this.ctx.clock.schedule({
+      delayMs: STREAM_PAUSE_MS,
+      run: () => void this.place(),
+    });
+  }
+
+  private send(target: Target, usesCopy: boolean): void {
+    if (!usesCopy) this.tries++;
+    this.current = new StreamTry({
+      ctx: this.ctx,
+      work: this.work,
+      target,
+      copy: this.placer.chooseCopy(target),
+      tokens: this.placer.tokens,
+      lastEventId: this.sequence.lastId,
+      usesCopy,
+      listener: {
+        onEvent: (head, event) => this.onEvent(head, event),
+        onEnd: (head) => this.finish(head),
+        onOtherAnswer: (head, body) => this.onOtherAnswer(head, body),
+        onLost: (loss) => this.onLost(loss),
+      },
+    });
+    if (usesCopy || this.tries > 1) this.notePlaced(this.current, usesCopy);
+  }
+
+  private onEvent(head: AnswerHead, event: RawEvent): void {
+    const verdict = this.sequence.judge(event.id);
+    if (verdict === EventVerdict.PASS) this.delivery.pass(head, event);
+    if (verdict !== EventVerdict.GAP) return;
+    this.current?.cancel();
+    const reason = RetryReason.ENGINE_DIED;
+    this.onLost({reason, detail: `event ${event.id} is out of order`});
+  }
+
+  private finish(head: AnswerHead): void {
+    this.stop();
+    this.learnTimes();
+    this.delivery.finish(head);
+  }
+
+  private onOtherAnswer(head: AnswerHead, body: Uint8Array): void {
+    const isFailure = head.status >= FIRST_FAILURE_STATUS;
+    if (isFailure || this.delivery.isOpen) {
+      const reason = RetryReason.TARGET_REFUSED;
+      this.mayHaveRun = true;
+      this.onLost({reason, detail: `status ${head.status}`});
+      return;
+    }
+    this.stop();
+    this.work.res.sendWhole(head, body);
+  }
+
+  /** The present target is of no more use: another goes on, if it may. */
+  private onLost(loss: TargetLoss): void {
+    const lost = this.current;
+    if (lost === undefined || this.isOver) return;
+    this.current = undefined;
+    this.noteLoss(lost, loss);
+    const {failure, reason} = loss;
+    const didNotRun = failure !== undefined && certainlyDidNotRun(failure);
+    if (didNotRun) this.placer.exclude(lost.target);
+    else this.mayHaveRun = true;
+    if (reason !== RetryReason.TARGET_REFUSED) this.placer.doubt(lost.target);
+    if (!this.mayGoOn(reason)) {
+      this.giveUp(false);
+      return;
+    }
+    if (lost.events >= EVENTS_BEFORE_COPY) this.copyHolder = lost.copy;
+    this.ctx.metrics.countRetry(reason);
+    void this.place();
+  }
+
+  private mayGoOn(reason: RetryReason): boolean {
+    const {isResumable} = this.work.admitted.route;
+    const mayRepeat = isResumable && this.sequence.isResumable;
+    if (this.mayHaveRun && !mayRepeat) return false;
+    if (this.tries >= MAX_STREAM_TRIES) return false;
+    return reason === RetryReason.NOT_SENT || this.budget().tryRetry();
+  }
+
+  private giveUp(isTimedOut: boolean): void {
+    if (this.isOver) return;
+    const {isOpen} = this.delivery;
+    const mayHaveRun = this.mayHaveRun || this.current !== undefined || isOpen;
+    this.stop();
+    const {status, reason} = answerFailure({mayHaveRun, isTimedOut});
+    this.ctx.metrics.countRefusal(reason);
+    this.ctx.logger.info('stream given up', {
+      id: this.work.req.attemptId,
+      status,
+      reason,
+      events: this.sequence.count,
+      tries: this.tries,
+    });
+    if (isOpen) {
+      this.work.res.abort();
+      return;
+    }
+    const retryAfterMs = mayHaveRun ? undefined : RETURN_AFTER_MS;
+    this.work.res.sendOwn({status, reason, retryAfterMs});
+  }
+
+  private stop(): void {
+    this.isOver = true;
+    this.deadline.cancel();
+    this.pause?.cancel();
+    this.current?.cancel();
+    this.current = undefined;
+  }
+
+  private learnTimes(): void {
+    const {req, service} = this.work;
+    const need = needOf(req, service);
+    if (need === undefined || need.hasEvents > 0 || this.tries > 1) return;
+    const takenMs = this.ctx.clock.now() - req.receivedMs;
+    const {firstEventMs} = this.delivery;
+    this.ctx.streamTimes.of(service.name).learn({
+      ...need,
+      events: this.sequence.count,
+      firstEventMs,
+      writingMs: takenMs - firstEventMs,
+    });
+  }
+
+  private noteLoss(lost: StreamTry, loss: TargetLoss): void {
+    this.ctx.logger.info('stream lost its target', {
+      id: this.work.req.attemptId,
+      target: lost.target.id,
+      dataCentre: lost.target.record.dataCentre,
+      copy: lost.copy?.id,
+      events: this.sequence.count,
+      reason: loss.reason,
+      detail: loss.detail,
+    });
+  }
+
+  private noteCopyLost(holder: Target): void {
+    this.ctx.logger.info('copy of a stream is lost', {
+      id: this.work.req.attemptId,
+      holder: holder.id,
+      dataCentre: holder.record.dataCentre,
+      isLeaving: holder.record.isLeaving,
+      isPaused: holder.isPaused(),
+    });
+  }
+
+  private notePlaced({target, copy}: StreamTry, usesCopy: boolean): void {
+    this.ctx.logger.info('stream goes on', {
+      id: this.work.req.attemptId,
+      target: target.id,
+      dataCentre: target.record.dataCentre,
+      requests: target.estimatedRequests(),
+      unread: target.estimatedUnread(),
+      reportAgeMs: Math.round(Math.min(target.reportAgeMs(), 1e6)),
+      usesCopy,
+      copyAt: copy?.record.dataCentre,
+    });
+  }
+
+  private budget() {
+    const {name} = this.work.service;
+    return this.ctx.budgets.of({name, retryRatio: this.ctx.retryRatio});
+  }
+}
--- a/src/direct/stream-times.ts
+++ b/src/direct/streams/stream-times.ts
@@ -1,8 +1,8 @@
 /** How long the generations of each service take. */
-import type {CallerRequest} from '../core/edges/direct-caller.js';
-import type {RoutedService} from '../core/routes/index.js';
-import type {GenerationNeed} from '../core/streams/index.js';
-import {StreamTime, toPosition} from '../core/streams/index.js';
+import type {CallerRequest} from '../../core/edges/direct-caller.js';
+import type {RoutedService} from '../../core/routes/index.js';
+import type {GenerationNeed} from '../../core/streams/index.js';
+import {StreamTime, toPosition} from '../../core/streams/index.js';
 
 /**
  * One `StreamTime` for each service.
--- /dev/null
+++ b/src/direct/streams/stream-try.ts
@@ -0,0 +1,195 @@
+/** One target's part in a stream. */
+import type {AnswerHead, Exchange} from '../../core/edges/direct-target.js';
+import {ExchangeFailure} from '../../core/edges/direct-target.js';
+import {RetryReason} from '../../core/errors/refusals.js';
+import type {RawEvent} from '../../core/streams/index.js';
+import {EventSplitter} from '../../core/streams/index.js';
+import type {Target, TargetWork} from '../../core/targets/index.js';
+import {COPY_ANSWER_MS, READING_CHECK_MS} from '../consts.js';
+import type {DirectContext, DirectWork} from '../context.js';
+import {noteFailureAt} from '../note-failure.js';
+import {toTargetRequest} from '../target-request.js';
+import {SilenceWatch} from './silence-watch.js';
+
+const OK = 200;
+
+const REASONS: Readonly<Record<ExchangeFailure, RetryReason>> = {
+  [ExchangeFailure.NOT_SENT]: RetryReason.NOT_SENT,
+  [ExchangeFailure.REJECTED]: RetryReason.TARGET_REFUSED,
+  [ExchangeFailure.WRONG_TARGET]: RetryReason.TARGET_REFUSED,
+  [ExchangeFailure.BROKEN]: RetryReason.ENGINE_DIED,
+  [ExchangeFailure.FOREIGN_ANSWER]: RetryReason.ENGINE_DIED,
+};
+
+/** Why a target is of no more use to a stream. */
+export interface TargetLoss {
+  readonly reason: RetryReason;
+  readonly detail: string;
+  /** Present where the exchange itself failed. */
+  readonly failure?: ExchangeFailure;
+}
+
+/** Hears what a target writes. */
+export interface TryListener {
+  onEvent(head: AnswerHead, event: RawEvent): void;
+  /** The target has ended its stream. */
+  onEnd(head: AnswerHead): void;
+  /** The target answered with something else than a stream. */
+  onOtherAnswer(head: AnswerHead, body: Uint8Array): void;
+  onLost(loss: TargetLoss): void;
+}
+
+/** What a target is given to do. */
+export interface TryOptions {
+  readonly ctx: DirectContext;
+  readonly work: DirectWork;
+  readonly target: Target;
+  /** Where the run's memory is copied to. */
+  readonly copy?: Target;
+  /** Tokens that the run holds in memory at its end. */
+  readonly tokens: number;
+  /** The last event that the caller has. */
+  readonly lastEventId?: number;
+  /** Whether the target holds a copy to go on from. */
+  readonly usesCopy: boolean;
+  readonly listener: TryListener;
+}
+
+/**
+ * A stream at one target, from the request to its end or its loss. After
+ * either, the listener hears nothing more.
+ *
+ * @example
+ * const run = new StreamTry(options);
+ * run.cancel();
+ */
+export class StreamTry {
+  readonly target: Target;
+  readonly copy?: Target;
+  private readonly work: TargetWork;
+  private readonly exchange: Exchange;
+  private readonly watch: SilenceWatch;
+  private readonly splitter = new EventSplitter();
+  private readonly body: Uint8Array[] = [];
+  private head?: AnswerHead;
+  private count = 0;
+  private isOver = false;
+
+  constructor(private readonly options: TryOptions) {
+    const {ctx, target, copy, tokens, usesCopy} = options;
+    this.target = target;
+    this.copy = copy;
+    this.work = target.begin({tokens});
+    copy?.addCopy(tokens);
+    const {isResumable, maxPauseMs} = options.work.admitted.route;
+    this.watch = new SilenceWatch({
+      ctx,
+      target,
+      maxPauseMs,
+      onLost: (silentMs) =>
+        this.lose({
+          reason: RetryReason.ENGINE_STALLED,
+          detail: `silent for ${silentMs} ms`,
+        }),
+    });
+    if (isResumable) {
+      this.watch.start(usesCopy ? COPY_ANSWER_MS : READING_CHECK_MS);
+    }
+    this.exchange = this.send();
+  }
+
+  /** Events that this target has written. */
+  get events(): number {
+    return this.count;
+  }
+
+  /** Ends the work at the target. */
+  cancel(): void {
+    if (this.isOver) return;
+    this.close();
+    this.exchange.cancel();
+  }
+
+  private send(): Exchange {
+    const {ctx, work, target, copy, lastEventId, usesCopy} = this.options;
+    return ctx.client.send({
+      target: target.record,
+      maxConnections: work.service.maxConnections,
+      req: toTargetRequest({
+        work,
+        leftMs: work.endMs - ctx.clock.now(),
+        lastEventId: lastEventId?.toString(),
+        copyTo: copy?.record.address,
+        copyFrom: usesCopy ? target.record.address : undefined,
+      }),
+      listener: {
+        onHead: (head) => this.onHead(head),
+        onData: (chunk) => this.onData(chunk),
+        onComplete: () => this.onComplete(),
+        onFailure: (failure, detail) => this.onFailure(failure, detail),
+      },
+    });
+  }
+
+  private onHead(head: AnswerHead): void {
+    this.head = head;
+    if (head.load !== undefined) this.target.noteLoad(head.load);
+  }
+
+  private onData(chunk: Uint8Array): void {
+    if (this.isOver || this.head === undefined) return;
+    if (this.head.status !== OK) {
+      this.body.push(chunk);
+      return;
+    }
+    for (const event of this.splitter.push(chunk)) {
+      this.noteEvent();
+      this.options.listener.onEvent(this.head, event);
+      // The listener may have left this target.
+      if (this.isOver) return;
+    }
+  }
+
+  private noteEvent(): void {
+    this.count++;
+    this.work.isReading = false;
+    this.target.noteSeen();
+    if (this.options.work.admitted.route.isResumable) this.watch.noteEvent();
+  }
+
+  private onComplete(): void {
+    const {head} = this;
+    if (this.isOver || head === undefined) return;
+    if (head.status !== OK) {
+      this.close();
+      this.options.listener.onOtherAnswer(head, Buffer.concat(this.body));
+    } else if (this.splitter.pendingBytes > 0) {
+      const reason = RetryReason.ENGINE_DIED;
+      this.lose({reason, detail: 'ended within an event'});
+    } else {
+      this.close();
+      this.target.noteSuccess();
+      this.options.listener.onEnd(head);
+    }
+  }
+
+  private onFailure(failure: ExchangeFailure, detail: string): void {
+    if (this.isOver) return;
+    noteFailureAt(this.target, failure);
+    this.options.ctx.prober.sweepAround(this.target);
+    const reason = REASONS[failure];
+    this.lose({reason, failure, detail: `${failure}: ${detail}`});
+  }
+
+  private lose(loss: TargetLoss): void {
+    this.cancel();
+    this.options.listener.onLost(loss);
+  }
+
+  private close(): void {
+    this.isOver = true;
+    this.watch.stop();
+    this.target.end(this.work);
+    this.copy?.removeCopy(this.options.tokens);
+  }
+}
