--- a/src/core/logs/create-logger.ts
+++ b/src/core/logs/create-logger.ts
@@ -1,3 +1,5 @@
+import type {Writable} from 'node:stream';
+
 import winston from 'winston';
 
 import type {Logger} from './types.js';
@@ -9,11 +11,19 @@
  * const logger = createLogger({vm: 'entry-1', role: 'entry'});
  * logger.info('in force', {version: 12});
  */
-export function createLogger(options: {vm: string; role: string}): Logger {
-  const {vm, role} = options;
-  const transport = new winston.transports.Console({
-    stderrLevels: ['error', 'warn', 'info'],
-  });
+export function createLogger(options: {
+  vm: string;
+  role: string;
+  /** Where the lines go; standard error where it is left out. */
+  sink?: Writable;
+}): Logger {
+  const {vm, role, sink} = options;
+  const transport =
+    sink === undefined
+      ? new winston.transports.Console({
+          stderrLevels: ['error', 'warn', 'info'],
+        })
+      : new winston.transports.Stream({stream: sink, eol: '\n'});
   const format = winston.format.combine(
     winston.format.timestamp(),
     winston.format.json(),
--- a/src/core/metrics/types.ts
+++ b/src/core/metrics/types.ts
@@ -11,6 +11,8 @@
   RESUME_FIRST_TOKEN = 'resume_first_token_seconds',
   BOOKING_CLAIM = 'booking_claim_seconds',
   PLAIN_CALL = 'plain_call_seconds',
+  /** From an event to the next that the caller got from another target. */
+  STREAM_RESUME = 'stream_resume_seconds',
 }
 
 /** Counters besides those of refusals and retries. */
@@ -30,4 +32,5 @@
   OUTCOMES_RECORDED = 'outcomes_recorded_total',
   OUTCOMES_DROPPED = 'outcomes_dropped_total',
   CONFIG_CHANGES = 'config_changes_total',
+  LOG_LINES_DROPPED = 'log_lines_dropped_total',
 }
--- a/src/core/settings/direct-settings.ts
+++ b/src/core/settings/direct-settings.ts
@@ -19,6 +19,8 @@
 export interface DirectSettings {
   /** Name of this VM. */
   readonly vm: string;
+  /** IP number of this VM. */
+  readonly address: string;
   readonly dataCentre: string;
   readonly callers: ListenAddress;
   readonly readiness: ListenAddress;
--- a/src/core/sync/key-trust.ts
+++ b/src/core/sync/key-trust.ts
@@ -22,6 +22,7 @@
 export class KeyTrust {
   private confirmedMs = Number.NEGATIVE_INFINITY;
   private wallOffsetMs: number;
+  private boundMs?: number;
 
   constructor(
     private readonly options: {
@@ -30,9 +31,14 @@
       boundMs?: number;
     },
   ) {
+    this.boundMs = options.boundMs;
     this.wallOffsetMs = this.currentOffset();
   }
 
+  setBound(boundMs: number | undefined): void {
+    this.boundMs = boundMs;
+  }
+
   /** The configuration was current at a time on the monotonic clock. */
   confirm(atMs: number): void {
     if (this.hasClockMoved()) {
@@ -49,7 +55,7 @@
   }
 
   isSound(): boolean {
-    const {boundMs} = this.options;
+    const {boundMs} = this;
     if (boundMs === undefined) return true;
     if (this.hasClockMoved()) this.distrust();
     return this.ageMs() <= boundMs * TRUSTED_SHARE;
--- a/src/daemon/direct-main.ts
+++ b/src/daemon/direct-main.ts
@@ -1,37 +1,90 @@
 #!/usr/bin/env node
 /** The daemon of an entry on the platform, which calls its targets directly. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 
-import {BOOT_VARIABLE, Kind, Path} from '../../platform/names.js';
-import {loadBootSettings} from '../../platform/boot-settings.js';
+import {Command, InvalidArgumentError} from 'commander';
+
+import {
+  loadBootSettings,
+  parseBootSettings,
+} from '../../platform/boot-settings.js';
 import {CallerServer} from '../../platform/caller-server.js';
 import {decodeConfig} from '../../platform/config-codec.js';
+import {BOOT_VARIABLE, Kind, Path} from '../../platform/names.js';
 import {StoreSource} from '../../platform/store-client.js';
 import {TargetClient} from '../../platform/target-client.js';
 import {decodeTarget} from '../../platform/target-codec.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
-import {createLogger} from '../core/logs/index.js';
-import {Metrics} from '../core/metrics/index.js';
-import type {DirectSettings} from '../core/settings/direct-settings.js';
+import {BoundedSink, createLogger} from '../core/logs/index.js';
+import {CounterName, Metrics} from '../core/metrics/index.js';
+import type {
+  DirectSettings,
+  ListenAddress,
+} from '../core/settings/direct-settings.js';
 import {DirectProcess} from '../direct/direct-process.js';
 import {PlannedStop} from '../direct/planned-stop.js';
+import {SettingsWatch} from '../direct/settings-watch.js';
 import {EXIT_BAD_SETTINGS} from './consts.js';
 
+const STDOUT = 1;
+const MAX_PORT = 65_535;
+
+/** Metrics are served here where the command line names no port. */
+const DEFAULT_METRICS_PORT = 9_464;
+
+/** Time for the last log lines to be written, in milliseconds. */
+const LAST_LINES_MS = 20;
+
+const METRICS_PATH = '/metrics';
+
+interface Flags {
+  readonly metricsPort: number;
+}
+
+const program = new Command('plantainrill-direct')
+  .description('Runs an entry that calls its targets directly.')
+  .option(
+    '--metrics-port <port>',
+    'port on which metrics are served',
+    toPort,
+    DEFAULT_METRICS_PORT,
+  )
+  .addHelpText(
+    'after',
+    `
+The settings file is named by ${BOOT_VARIABLE}.
+Signals: SIGTERM begins a planned stop, SIGHUP reads the settings anew.
+Exit statuses: 0 stopped as planned, 2 bad settings.`,
+  );
+
 void main();
 
 async function main(): Promise<void> {
+  const flags = program.parse().opts<Flags>();
   const path = process.env[BOOT_VARIABLE] ?? '';
   const settings = loadBootSettings(path);
   if (settings.isErr()) {
     process.stderr.write(`${settings.error}\n`);
     process.exit(EXIT_BAD_SETTINGS);
   }
-  await run(settings.value);
+  await run({path, settings: settings.value, metricsPort: flags.metricsPort});
 }
 
-async function run(settings: DirectSettings): Promise<void> {
+async function run(options: {
+  path: string;
+  settings: DirectSettings;
+  metricsPort: number;
+}): Promise<void> {
+  const {path, settings, metricsPort} = options;
   const clock = new SystemClock();
-  const logger = createLogger({vm: settings.vm, role: 'direct'});
+  const metrics = new Metrics();
+  const sink = new BoundedSink({
+    fd: STDOUT,
+    clock,
+    onDropped: () => metrics.count(CounterName.LOG_LINES_DROPPED),
+  });
+  const logger = createLogger({vm: settings.vm, role: 'direct', sink});
   const url = settings.storeUrl;
   const entry = new DirectProcess({
     settings,
@@ -44,7 +97,7 @@
       decode: decodeTarget,
     }),
     client: new TargetClient(),
-    metrics: new Metrics(),
+    metrics,
     logger,
   });
   const server = new CallerServer({
@@ -58,16 +111,37 @@
     if (table !== undefined) server.applyLimits(table.limits);
   });
   entry.start();
-  await serveReadiness(settings, entry);
+  await listen(settings.readiness, (req, res) => {
+    const isKnown = req.url === (Path.READY as string);
+    res.statusCode = isKnown ? (entry.isReady() ? 200 : 503) : 404;
+    res.end();
+  });
   await server.listen(settings.callers);
-  logger.info('started');
-  process.on('SIGHUP', () => logger.info('reload'));
+  const metricsAddress = {host: settings.address, port: metricsPort};
+  await listen(metricsAddress, (req, res) => {
+    void serveMetrics({req, res, metrics});
+  });
+  logger.info('started', {callers: settings.callers.port, metricsPort});
+  const watch = new SettingsWatch({
+    path,
+    parse: parseBootSettings,
+    onSettings: (changed) => entry.applySettings(changed),
+    clock,
+    logger,
+  });
+  await watch.check();
+  watch.start();
   const stop = new PlannedStop({
     clock,
     logger,
     listener: server,
     graceMs: settings.stopGraceMs,
-    onStopped: () => process.exit(0),
+    // The last log lines are written in the background.
+    onStopped: () => setTimeout(() => process.exit(0), LAST_LINES_MS),
+  });
+  process.on('SIGHUP', () => {
+    logger.info('reload');
+    void watch.check();
   });
   process.on('SIGTERM', () => {
     logger.info('stopping', {open: server.openRequests});
@@ -76,16 +150,34 @@
   });
 }
 
-function serveReadiness(
-  settings: DirectSettings,
-  entry: DirectProcess,
+async function serveMetrics(options: {
+  req: IncomingMessage;
+  res: ServerResponse;
+  metrics: Metrics;
+}): Promise<void> {
+  const {req, res, metrics} = options;
+  if (req.url !== METRICS_PATH) {
+    res.writeHead(404).end();
+    return;
+  }
+  res.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'});
+  res.end(await metrics.render());
+}
+
+function listen(
+  address: ListenAddress,
+  serve: (req: IncomingMessage, res: ServerResponse) => void,
 ): Promise<void> {
-  const server = createServer((req, res) => {
-    const isKnown = req.url === (Path.READY as string);
-    res.statusCode = isKnown ? (entry.isReady() ? 200 : 503) : 404;
-    res.end();
-  });
-  return new Promise((resolve) => {
-    server.listen(settings.readiness, () => resolve());
+  const server = createServer(serve);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(address, () => resolve());
   });
 }
+
+function toPort(text: string): number {
+  const port = Number(text);
+  const isPort = Number.isInteger(port) && port > 0 && port <= MAX_PORT;
+  if (!isPort) throw new InvalidArgumentError(`expected 1 to ${MAX_PORT}`);
+  return port;
+}
--- a/src/direct/call-run.ts
+++ b/src/direct/call-run.ts
@@ -6,6 +6,7 @@
   ExchangeFailure,
 } from '../core/edges/direct-target.js';
 import {RetryReason} from '../core/errors/refusals.js';
+import {LatencyName} from '../core/metrics/index.js';
 import {chooseCallTarget} from '../core/placing/index.js';
 import {
   answerFailure,
@@ -165,6 +166,8 @@
 
   private passOn(): void {
     this.deadline.cancel();
+    const ms = this.ctx.clock.now() - this.work.req.receivedMs;
+    this.ctx.metrics.observe({name: LatencyName.PLAIN_CALL, ms});
     const {status, headers, hasLength} = this.head!;
     const body =
       this.body.length === 1 ? this.body[0]! : Buffer.concat(this.body);
@@ -224,6 +227,6 @@
 
   private budget() {
     const {name} = this.work.service;
-    return this.ctx.budgets.of({name, retryRatio: this.ctx.retryRatio});
+    return this.ctx.budgets.of({name, retryRatio: this.ctx.retryRatio()});
   }
 }
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -25,7 +25,7 @@
   readonly streamTimes: StreamTimes;
   readonly budgets: RetryBudgets;
   /** Repeats that all requests of a service may cause, for each of them. */
-  readonly retryRatio: number;
+  readonly retryRatio: () => number;
   readonly metrics: Metrics;
   readonly logger: Logger;
 }
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -12,6 +12,7 @@
 import {RefusalReason} from '../core/errors/refusals.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
+import {CounterName} from '../core/metrics/index.js';
 import type {AdmittedRequest, RoutingConfig} from '../core/routes/index.js';
 import {
   admitRequest,
@@ -66,6 +67,7 @@
   /** Whether the process has been told to stop. */
   readonly leaving = new Cell(false);
   private readonly trust: KeyTrust;
+  private settings: DirectSettings;
   private readonly ctx: DirectContext;
   private readonly followers: Array<Follower<unknown>> = [];
   private knowsTargets = false;
@@ -73,6 +75,7 @@
 
   constructor(private readonly options: DirectProcessOptions) {
     const {settings, clock, random, client, metrics, logger} = options;
+    this.settings = settings;
     this.trust = new KeyTrust({clock, boundMs: settings.keyTrustMs});
     const targets = new TargetSet({
       clock,
@@ -95,7 +98,7 @@
       streamTimes: new StreamTimes(),
       client,
       budgets: new RetryBudgets({clock, floor: RETRY_FLOOR}),
-      retryRatio: settings.retryBudget.ratio * RETRY_SHARE,
+      retryRatio: () => this.settings.retryBudget.ratio * RETRY_SHARE,
       metrics,
       logger,
     };
@@ -107,10 +110,16 @@
     this.followTargets(registrations);
   }
 
+  /** Takes over settings that may change while the process runs. */
+  applySettings(settings: DirectSettings): void {
+    this.settings = settings;
+    this.trust.setBound(settings.keyTrustMs);
+  }
+
   /** Begins a planned stop. */
   leave(): void {
-    const {clock, settings} = this.options;
-    this.killedAtMs = clock.now() + settings.stopGraceMs;
+    const {clock} = this.options;
+    this.killedAtMs = clock.now() + this.settings.stopGraceMs;
     this.leaving.set(true);
   }
 
@@ -141,6 +150,7 @@
       path: req.path,
       key: req.key,
     });
+    this.ctx.metrics.count(CounterName.REQUESTS);
     if (admitted.isErr()) this.refuse(req, res, admitted.error);
     else this.run(req, res, admitted.value);
   }
@@ -188,7 +198,7 @@
       operation === OperationKind.STREAM
         ? STREAM_GRACE_SHARE
         : CALL_GRACE_SHARE;
-    return leftMs >= this.options.settings.stopGraceMs * share;
+    return leftMs >= this.settings.stopGraceMs * share;
   }
 
   private refuse(
@@ -232,7 +242,7 @@
 
   /** Two waits in a row must fit into the time for which keys are trusted. */
   private configWaitMs(): number {
-    const {keyTrustMs = Infinity} = this.options.settings;
+    const {keyTrustMs = Infinity} = this.settings;
     return Math.min(CONFIG_WAIT_MS, Math.floor(keyTrustMs * WAIT_SHARE));
   }
 
--- a/src/direct/streams/stream-delivery.ts
+++ b/src/direct/streams/stream-delivery.ts
@@ -1,5 +1,6 @@
 /** What the caller of a stream gets, and when. */
 import type {AnswerHead} from '../../core/edges/direct-target.js';
+import {LatencyName} from '../../core/metrics/index.js';
 import type {RawEvent} from '../../core/streams/index.js';
 import type {DirectContext, DirectWork} from '../context.js';
 
@@ -16,6 +17,7 @@
   private readonly ctx: DirectContext;
   private readonly work: DirectWork;
   private opened = false;
+  private isResuming = false;
   private firstMs = 0;
   private longestPauseMs = 0;
   private lastWrittenMs?: number;
@@ -35,6 +37,11 @@
     return this.firstMs;
   }
 
+  /** The next event comes from another target. */
+  noteResume(): void {
+    this.isResuming = this.opened;
+  }
+
   pass(head: AnswerHead, event: RawEvent): void {
     this.open(head);
     this.work.res.write(event.bytes);
@@ -58,13 +65,20 @@
     const nowMs = this.ctx.clock.now();
     if (this.lastWrittenMs === undefined) {
       this.firstMs = nowMs - this.work.req.receivedMs;
+      this.observe(LatencyName.FIRST_TOKEN, this.firstMs);
     } else {
       const pauseMs = nowMs - this.lastWrittenMs;
       this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
+      if (this.isResuming) this.observe(LatencyName.STREAM_RESUME, pauseMs);
     }
+    this.isResuming = false;
     this.lastWrittenMs = nowMs;
   }
 
+  private observe(name: LatencyName, ms: number): void {
+    this.ctx.metrics.observe({name, ms});
+  }
+
   private noteLate(): void {
     const {objectiveMs, maxPauseMs = Infinity} = this.work.admitted.route;
     const isOnTime =
--- a/src/direct/streams/stream-run.ts
+++ b/src/direct/streams/stream-run.ts
@@ -180,6 +180,7 @@
     }
     if (lost.events >= EVENTS_BEFORE_COPY) this.copyHolder = lost.copy;
     this.ctx.metrics.countRetry(reason);
+    this.delivery.noteResume();
     void this.place();
   }
 
@@ -272,6 +273,6 @@
 
   private budget() {
     const {name} = this.work.service;
-    return this.ctx.budgets.of({name, retryRatio: this.ctx.retryRatio});
+    return this.ctx.budgets.of({name, retryRatio: this.ctx.retryRatio()});
   }
 }
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -110,6 +110,7 @@
     this.entry = new DirectProcess({
       settings: {
         vm: 'entry-1',
+        address: '127.0.0.1',
         dataCentre: 'a',
         callers: {host: '127.0.0.1', port: 0},
         readiness: {host: '127.0.0.1', port: 0},
