--- /dev/null
+++ b/test/core/logs.test.ts
@@ -0,0 +1,75 @@
+import {describe, expect, it} from 'vitest';
+
+import {ManualClock} from '../../src/core/clock/index.js';
+import type {WriteBytes} from '../../src/core/logs/index.js';
+import {BoundedSink, createLogger} from '../../src/core/logs/index.js';
+
+/** A reader that takes nothing until it is told to. */
+class StoppedReader {
+  text = '';
+  private resume?: () => void;
+  private isStopped = true;
+
+  readonly writeBytes: WriteBytes = (_fd, bytes, callback) => {
+    const take = () => {
+      this.text += Buffer.from(bytes).toString();
+      callback(null, bytes.length);
+    };
+    if (this.isStopped) this.resume = take;
+    else take();
+  };
+
+  start(): void {
+    this.isStopped = false;
+    this.resume?.();
+  }
+}
+
+describe('BoundedSink', () => {
+  function start() {
+    const clock = new ManualClock();
+    const reader = new StoppedReader();
+    let dropped = 0;
+    const sink = new BoundedSink({
+      fd: 1,
+      clock,
+      onDropped: () => dropped++,
+      writeBytes: reader.writeBytes,
+    });
+    const logger = createLogger({vm: 'entry-1', role: 'direct', sink});
+    return {clock, reader, logger, dropped: () => dropped};
+  }
+
+  it('writes one JSON line for each message, in order', () => {
+    const {reader, logger} = start();
+    reader.start();
+    logger.info('one', {id: 'a'});
+    logger.warn('two');
+    const lines = reader.text.trim().split('\n');
+    const messages = lines.map((line) => JSON.parse(line) as object);
+    expect(messages).toMatchObject([
+      {message: 'one', id: 'a', vm: 'entry-1', level: 'info'},
+      {message: 'two', level: 'warn'},
+    ]);
+  });
+
+  it('holds nobody up when the reader stops, and counts what is lost', () => {
+    const {clock, reader, logger, dropped} = start();
+    const detail = 'x'.repeat(1_000);
+    for (let i = 0; i < 2_000; i++) {
+      clock.advance(10);
+      logger.info('line', {i, detail});
+    }
+    expect(dropped()).toBeGreaterThan(1_000);
+    reader.start();
+    const written = reader.text.trim().split('\n').length;
+    expect(written + dropped()).toBe(2_000);
+  });
+
+  it('bounds the lines of a second', () => {
+    const {reader, logger, dropped} = start();
+    reader.start();
+    for (let i = 0; i < 1_000; i++) logger.info('burst');
+    expect(dropped()).toBe(400);
+  });
+});
--- /dev/null
+++ b/test/core/placing/placing.test.ts
@@ -0,0 +1,171 @@
+/** Plays loads on the choice of targets and checks what callers get. */
+import {describe, expect, it} from 'vitest';
+
+import {ManualClock, SeededRandom} from '../../../src/core/clock/index.js';
+import {
+  chooseCallTarget,
+  chooseEngine,
+  shortlistEngines,
+} from '../../../src/core/placing/index.js';
+import {Target} from '../../../src/core/targets/index.js';
+
+const SEED = 20261204;
+const MEMORY = 55_000;
+const TOKENS = 6_000;
+
+function site(dataCentres: readonly string[]) {
+  const clock = new ManualClock();
+  const targets = dataCentres.map(
+    (dataCentre, index) =>
+      new Target({
+        clock,
+        record: {
+          id: `i-${index}`,
+          service: 's',
+          address: `127.0.0.1:${index}`,
+          dataCentre,
+          slots: 6,
+          isLeaving: false,
+        },
+      }),
+  );
+  return {clock, targets};
+}
+
+const choice = (
+  targets: readonly Target[],
+  random = new SeededRandom(SEED),
+) => ({
+  targets,
+  tokens: TOKENS,
+  memoryTokens: MEMORY,
+  excluded: new Set<string>(),
+  random,
+});
+
+describe('chooseEngine', () => {
+  it.each([
+    {
+      name: 'an engine that reads a prompt',
+      spoil: (t: Target) => void t.begin({tokens: TOKENS}),
+    },
+    {name: 'an engine that is not there', spoil: (t: Target) => t.pause()},
+    {name: 'an engine without room', spoil: (t: Target) => t.noteRejected()},
+    {
+      name: 'an engine whose memory is full of copies',
+      spoil: (t: Target) => t.addCopy(MEMORY),
+    },
+    {
+      name: 'an engine whose others wait',
+      spoil: (t: Target) => t.noteLoad({running: 1, waiting: 2, reading: 1}),
+    },
+  ])('stays away from $name', ({spoil}) => {
+    const {targets} = site(['a', 'a', 'b']);
+    spoil(targets[0]!);
+    spoil(targets[1]!);
+    for (let seed = 0; seed < 50; seed++) {
+      const random = new SeededRandom(seed);
+      expect(chooseEngine(choice(targets, random))).toBe(targets[2]);
+    }
+  });
+
+  it('stays out of a data centre while another has engines', () => {
+    const {targets} = site(['a', 'b']);
+    targets[1]!.begin({tokens: TOKENS});
+    const avoided = new Set(['a']);
+    const query = {...choice(targets), avoided};
+    expect(chooseEngine(query)).toBe(targets[1]);
+    expect(chooseEngine({...query, targets: targets.slice(0, 1)})).toBe(
+      targets[0],
+    );
+  });
+
+  it('prefers fast engines until they are busy', () => {
+    const {targets} = site(['a', 'a', 'a']);
+    for (const [index, target] of targets.entries()) {
+      for (let i = 0; i < 6; i++) target.noteGap(index === 0 ? 40 : 31);
+    }
+    const random = new SeededRandom(SEED);
+    const picks = Array.from({length: 3}, () => {
+      const target = chooseEngine(choice(targets, random))!;
+      target.begin({tokens: TOKENS});
+      return target.id;
+    });
+    expect(picks.slice(0, 2).sort()).toEqual(['i-1', 'i-2']);
+    expect(picks[2]).toBe('i-0');
+  });
+
+  it('reads prompts sooner than a choice at random, at two thirds load', () => {
+    const waits = {chosen: playPrompts(true), random: playPrompts(false)};
+    expect(waits.chosen).toBeLessThan(waits.random / 2);
+  });
+});
+
+/**
+ * Plays 600 prompts of a second each on 12 engines, 8 a second, from four
+ * entries that see reports 200 ms late. Returns the mean wait in ms.
+ */
+function playPrompts(usesChoice: boolean): number {
+  const entries = Array.from({length: 4}, () => site(Array(12).fill('a')));
+  const random = new SeededRandom(SEED);
+  const freeAtMs = Array<number>(12).fill(0);
+  let nowMs = 0;
+  let waitedMs = 0;
+  const count = 600;
+  for (let i = 0; i < count; i++) {
+    const stepMs = -Math.log(1 - random.float()) * 125;
+    nowMs += stepMs;
+    for (const {clock} of entries) clock.advance(stepMs);
+    const {targets} = entries[i % 4]!;
+    const candidates = shortlistEngines(choice(targets, random), 3);
+    for (const target of candidates) {
+      const index = targets.indexOf(target);
+      const backlogMs = Math.max(0, freeAtMs[index]! - (nowMs - 200));
+      const unread = Math.ceil(backlogMs / 1_000);
+      const reading = Math.min(1, unread);
+      target.noteLoad(
+        {running: reading, waiting: unread - reading, reading},
+        200,
+      );
+    }
+    const chosen = chooseEngine({
+      ...choice(targets, random),
+      targets: candidates,
+    });
+    const index = usesChoice ? targets.indexOf(chosen!) : random.below(12);
+    const startMs = Math.max(nowMs, freeAtMs[index]!);
+    waitedMs += startMs - nowMs;
+    freeAtMs[index] = startMs + 1_000;
+  }
+  return waitedMs / count;
+}
+
+describe('chooseCallTarget', () => {
+  const query = (targets: readonly Target[], tried: string[] = []) => ({
+    targets,
+    dataCentre: 'a',
+    tried: new Set(tried),
+    random: new SeededRandom(SEED),
+  });
+
+  it('takes the nearer of two idle targets', () => {
+    const {targets} = site(['b', 'a']);
+    expect(chooseCallTarget(query(targets))).toBe(targets[1]);
+  });
+
+  it('tries no target twice', () => {
+    const {targets} = site(['a', 'b']);
+    expect(chooseCallTarget(query(targets, ['i-0']))).toBe(targets[1]);
+    expect(chooseCallTarget(query(targets, ['i-0', 'i-1']))).toBeUndefined();
+  });
+
+  it('leaves a target whose answers fail more than usual', () => {
+    const {targets} = site(['a', 'b', 'b']);
+    for (let i = 0; i < 30; i++) {
+      targets[0]!.noteAnswer(i % 2 === 0);
+      targets[1]!.noteAnswer(i % 10 === 0);
+      targets[2]!.noteAnswer(i % 10 === 0);
+    }
+    expect(chooseCallTarget(query(targets))).not.toBe(targets[0]);
+  });
+});
--- /dev/null
+++ b/test/core/sync/follower.test.ts
@@ -0,0 +1,128 @@
+import {errAsync, okAsync, ResultAsync} from 'neverthrow';
+import {describe, expect, it} from 'vitest';
+
+import {ManualClock, SeededRandom} from '../../../src/core/clock/index.js';
+import type {
+  ChangeSet,
+  Snapshot,
+  SourceError,
+  StateSource,
+} from '../../../src/core/edges/state-source.js';
+import {SourceErrorKind} from '../../../src/core/edges/state-source.js';
+import {Follower} from '../../../src/core/sync/index.js';
+
+const WAIT_MS = 1_500;
+const PACE_MS = 700;
+
+type Step =
+  | {readonly waitMs: number; readonly changes: readonly string[]}
+  | {readonly fails: SourceErrorKind};
+
+/** Plays answers in turn, and notes the calls. */
+class ScriptedSource implements StateSource<string> {
+  readonly calls: Array<{call: string; atMs: number}> = [];
+  private revision = 10;
+
+  constructor(
+    private readonly clock: ManualClock,
+    private readonly steps: Step[],
+  ) {}
+
+  list(): ResultAsync<Snapshot<string>, SourceError> {
+    this.calls.push({call: 'list', atMs: this.clock.now()});
+    const items = [{name: 'x', value: `as of ${this.revision}`}];
+    return okAsync({items, revision: this.revision});
+  }
+
+  waitForChanges(options: {
+    since: number;
+  }): ResultAsync<ChangeSet<string>, SourceError> {
+    this.calls.push({call: `wait ${options.since}`, atMs: this.clock.now()});
+    const step = this.steps.shift();
+    if (step === undefined) return neverAsync();
+    if ('fails' in step) return errAsync({kind: step.fails, detail: 'told to'});
+    this.clock.advance(step.waitMs);
+    const changes = step.changes.map((value) => ({
+      name: 'x',
+      value,
+      isDeleted: false,
+    }));
+    return okAsync({changes, revision: ++this.revision});
+  }
+}
+
+function neverAsync(): ResultAsync<ChangeSet<string>, SourceError> {
+  return ResultAsync.fromSafePromise(
+    new Promise<ChangeSet<string>>(() => undefined),
+  );
+}
+
+async function play(steps: Step[]) {
+  const clock = new ManualClock();
+  const source = new ScriptedSource(clock, steps);
+  const values: string[] = [];
+  const confirmed: number[] = [];
+  const outages: boolean[] = [];
+  const follower = new Follower<string>({
+    source,
+    clock,
+    random: new SeededRandom(1),
+    waitMs: WAIT_MS,
+    paceMs: PACE_MS,
+    listener: {
+      onSnapshot: (items, afterOutage) => {
+        values.push(...items.map((item) => item.value!));
+        outages.push(afterOutage);
+      },
+      onChanges: (changes) => values.push(...changes.map((c) => c.value!)),
+      onConfirmed: (atMs) => confirmed.push(atMs),
+      onLost: () => undefined,
+    },
+  });
+  follower.start();
+  for (let i = 0; i < 60; i++) {
+    await Promise.resolve();
+    if (i % 6 === 5) clock.advance(100);
+  }
+  follower.stop();
+  return {calls: source.calls, values, confirmed, outages};
+}
+
+describe('Follower', () => {
+  it('lists, then waits from the revision of the list', async () => {
+    const {calls, values} = await play([{waitMs: 5, changes: ['new']}]);
+    expect(calls[0]!.call).toBe('list');
+    expect(calls[1]!.call).toBe('wait 10');
+    expect(values).toEqual(['as of 10', 'new']);
+  });
+
+  it('lets changes gather where one follows the other', async () => {
+    const {calls} = await play([
+      {waitMs: 5, changes: ['a']},
+      {waitMs: 5, changes: ['b']},
+    ]);
+    const waits = calls.filter(({call}) => call.startsWith('wait'));
+    expect(waits[1]!.atMs - waits[0]!.atMs).toBeGreaterThanOrEqual(PACE_MS);
+  });
+
+  it('trusts a quiet wait less than its end, as changes may be held back', async () => {
+    const {confirmed} = await play([{waitMs: WAIT_MS, changes: []}]);
+    expect(confirmed[1]).toBe(WAIT_MS - 1_000);
+  });
+
+  it('trusts a wait that was cut short only from its begin', async () => {
+    const {confirmed} = await play([{waitMs: 100, changes: []}]);
+    expect(confirmed[1]).toBe(0);
+  });
+
+  it.each([
+    {fails: SourceErrorKind.HISTORY_LOST, afterOutage: false},
+    {fails: SourceErrorKind.UNAVAILABLE, afterOutage: true},
+    {fails: SourceErrorKind.MALFORMED, afterOutage: true},
+  ])('lists anew after $fails', async ({fails, afterOutage}) => {
+    const {calls, outages} = await play([{fails}]);
+    const lists = calls.filter(({call}) => call === 'list');
+    expect(lists).toHaveLength(2);
+    expect(outages).toEqual([false, afterOutage]);
+  });
+});
--- /dev/null
+++ b/test/core/targets/targets.test.ts
@@ -0,0 +1,140 @@
+import {beforeEach, describe, expect, it} from 'vitest';
+
+import {ManualClock} from '../../../src/core/clock/index.js';
+import type {TargetRecord} from '../../../src/core/targets/index.js';
+import {Target, TargetSet} from '../../../src/core/targets/index.js';
+
+const LAPSE_MS = 2_000;
+
+function record(fields: Partial<TargetRecord> = {}): TargetRecord {
+  return {
+    id: 'i-1',
+    service: 's',
+    address: '127.0.0.1:1',
+    dataCentre: 'a',
+    slots: 4,
+    isLeaving: false,
+    bornMs: 1,
+    ...fields,
+  };
+}
+
+const item = (value?: TargetRecord, name = 'i-1') => ({name, value});
+
+describe('TargetSet', () => {
+  let clock: ManualClock;
+  let removed: string[];
+  let targets: TargetSet;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    removed = [];
+    targets = new TargetSet({
+      clock,
+      onRemoved: (target) => removed.push(target.id),
+    });
+    targets.replaceAll([item(record())], false);
+  });
+
+  const usable = () => targets.ofService('s').map((target) => target.id);
+
+  const change = (value?: TargetRecord, isDeleted = false) =>
+    targets.applyChanges([{name: 'i-1', value, isDeleted}]);
+
+  it.each([
+    {name: 'leaves', value: record({isLeaving: true}), isDeleted: false},
+    {name: 'is deleted', value: undefined, isDeleted: true},
+    {name: 'cannot be read any more', value: undefined, isDeleted: false},
+  ])('gives no work to one that $name', ({value, isDeleted}) => {
+    change(value, isDeleted);
+    expect(usable()).toEqual([]);
+    expect(removed).toEqual(['i-1']);
+  });
+
+  it('starts afresh with one that was born anew under its id', () => {
+    const [before] = targets.ofService('s');
+    before!.begin({tokens: 9});
+    change(record({bornMs: 2}));
+    const [after] = targets.ofService('s');
+    expect(after).not.toBe(before);
+    expect(after!.running).toBe(0);
+    expect(removed).toEqual(['i-1']);
+  });
+
+  it('remembers the pace of a machine over restarts', () => {
+    const [before] = targets.ofService('s');
+    for (let i = 0; i < 6; i++) before!.noteGap(40);
+    change(record({bornMs: 2}));
+    expect(targets.ofService('s')[0]!.paceMs).toBeCloseTo(40);
+  });
+
+  it.each([
+    {afterOutage: false, waitMs: 0, expected: []},
+    {afterOutage: true, waitMs: LAPSE_MS - 1, expected: ['i-1']},
+    {afterOutage: true, waitMs: LAPSE_MS, expected: []},
+  ])(
+    'missing, after an outage $afterOutage, for $waitMs ms: $expected',
+    ({afterOutage, waitMs, expected}) => {
+      targets.replaceAll([], afterOutage);
+      clock.advance(waitMs);
+      expect(usable()).toEqual(expected);
+    },
+  );
+
+  it('takes back one that registers again in time', () => {
+    targets.replaceAll([], true);
+    clock.advance(LAPSE_MS / 2);
+    change(record());
+    clock.advance(LAPSE_MS);
+    expect(usable()).toEqual(['i-1']);
+  });
+});
+
+describe('Target', () => {
+  let clock: ManualClock;
+  let target: Target;
+  let pauses: number[];
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    pauses = [];
+    target = new Target({
+      record: record(),
+      clock,
+      onPaused: (_, pauseMs) => pauses.push(pauseMs),
+    });
+  });
+
+  it('pauses longer each time that it is not there', () => {
+    for (let i = 0; i < 5; i++) {
+      target.pause();
+      expect(target.isPaused()).toBe(true);
+      clock.advance(pauses.at(-1)!);
+      expect(target.isPaused()).toBe(false);
+    }
+    expect(pauses).toEqual([600, 1_200, 2_400, 4_000, 4_000]);
+    target.noteSuccess();
+    target.pause();
+    expect(pauses.at(-1)).toBe(600);
+  });
+
+  it('counts the work of others by reports, and its own at once', () => {
+    target.begin({tokens: 1});
+    clock.advance(300);
+    target.noteLoad({running: 3, waiting: 1, reading: 1}, 200);
+    expect(target.estimatedRequests()).toBe(4);
+    target.begin({tokens: 1});
+    expect(target.estimatedRequests()).toBe(5);
+    expect(target.estimatedUnread()).toBe(3);
+    clock.advance(1_001);
+    expect(target.estimatedRequests()).toBe(2);
+  });
+
+  it('plans memory for work that a report does not show yet', () => {
+    clock.advance(1_000);
+    target.noteLoad({running: 0, waiting: 0, memoryUsed: 10_000}, 200);
+    target.begin({tokens: 6_000});
+    target.addCopy(1_000);
+    expect(target.plannedTokens()).toBe(16_000);
+  });
+});
