--- /dev/null
+++ b/src/cli/commands/explain/types.ts
@@ -0,0 +1,4 @@
+/** Options of `explain`. */
+export interface ExplainOptions {
+  readonly json?: boolean;
+}
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -5,6 +5,7 @@
 import {createCheckCommand} from './check/index.js';
 import {createDiffCommand} from './diff/index.js';
 import {createDrainCommand} from './drain/index.js';
+import {createExplainCommand} from './explain/index.js';
 import {createGenerateCommand} from './generate/index.js';
 import {createStatusCommand} from './status/index.js';
 
@@ -17,4 +18,5 @@
   createDrainCommand,
   createGenerateCommand,
   createCallCommand,
+  createExplainCommand,
 ];
--- /dev/null
+++ b/src/core/story/tell-story.ts
@@ -0,0 +1,115 @@
+/** Puts together what a site's log lines tell of one request. */
+
+/** One line of a structured log. */
+export interface LogLine {
+  /** ISO 8601. */
+  readonly timestamp: string;
+  readonly level: string;
+  readonly message: string;
+  readonly vm: string;
+  /** All other fields. */
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** Why a line belongs to a story. */
+export enum Relation {
+  /** It names the request. */
+  REQUEST = 'request',
+  /** It tells of a target that the request was at. */
+  TARGET = 'target',
+  /** It tells what the entry believed at the time. */
+  BELIEF = 'belief',
+}
+
+/** A line with its part in the story. */
+export interface StoryLine {
+  readonly relation: Relation;
+  readonly line: LogLine;
+}
+
+/** Time around a request's own lines in which others belong to its story. */
+const CONTEXT_MS = 3_000;
+
+/** Fields that name targets. */
+const TARGET_FIELDS = ['target', 'from', 'copy', 'holder'] as const;
+
+/**
+ * The story of a request, in order: its own lines, and what its entry found
+ * out about its targets and itself around them.
+ *
+ * @example
+ * const story = tellStory({lines, id: '9c41d07be2a35f68'});
+ */
+export function tellStory(options: {
+  lines: readonly LogLine[];
+  id: string;
+}): StoryLine[] {
+  const {lines, id} = options;
+  const own = lines.filter((line) => line.fields['id'] === id);
+  const vms = new Set(own.map((line) => line.vm));
+  const targets = new Set(own.flatMap(targetsOf));
+  const times = own.map(timeOf);
+  const fromMs = Math.min(...times) - CONTEXT_MS;
+  const untilMs = Math.max(...times) + CONTEXT_MS;
+  const story: StoryLine[] = [];
+  for (const line of lines) {
+    const isNear = timeOf(line) >= fromMs && timeOf(line) <= untilMs;
+    const isOwn = line.fields['id'] === id;
+    if (!isOwn && (!isNear || !vms.has(line.vm))) continue;
+    const relation = isOwn ? Relation.REQUEST : relationOf(line, targets);
+    if (relation !== undefined) story.push({relation, line});
+  }
+  return story.sort((a, b) => timeOf(a.line) - timeOf(b.line));
+}
+
+function relationOf(
+  line: LogLine,
+  targets: ReadonlySet<string>,
+): Relation | undefined {
+  // Lines of other requests are their own stories.
+  if (line.fields['id'] !== undefined) return undefined;
+  const named = targetsOf(line);
+  if (named.length === 0) return Relation.BELIEF;
+  return named.some((name) => targets.has(name)) ? Relation.TARGET : undefined;
+}
+
+function targetsOf(line: LogLine): string[] {
+  return TARGET_FIELDS.flatMap((field) => {
+    const value = line.fields[field];
+    return typeof value === 'string' ? value : [];
+  });
+}
+
+function timeOf(line: LogLine): number {
+  return Date.parse(line.timestamp);
+}
+
+/**
+ * Reads one line of a log; undefined where it is none. Text before the JSON
+ * is skipped.
+ *
+ * @example
+ * const line = parseLogLine('{"message":"started","vm":"entry-1", ...}');
+ */
+export function parseLogLine(text: string): LogLine | undefined {
+  const at = text.indexOf('{');
+  if (at < 0) return undefined;
+  let value: unknown;
+  try {
+    value = JSON.parse(text.slice(at));
+  } catch {
+    // Logs hold lines of other programs too.
+    return undefined;
+  }
+  if (typeof value !== 'object' || value === null) return undefined;
+  const {timestamp, level, message, vm, ...fields} = value as Record<
+    string,
+    unknown
+  >;
+  const isLine =
+    typeof timestamp === 'string' &&
+    typeof level === 'string' &&
+    typeof message === 'string' &&
+    typeof vm === 'string';
+  return isLine ? {timestamp, level, message, vm, fields} : undefined;
+}
--- a/src/direct/call-run.ts
+++ b/src/direct/call-run.ts
@@ -178,6 +178,7 @@
 
   private giveUp(isTimedOut: boolean): void {
     const wasUnderWay = this.current !== undefined;
+    const target = this.current?.target;
     this.stop();
     const mayHaveRun = this.mayHaveRun || wasUnderWay;
     const {status, reason} = answerFailure({mayHaveRun, isTimedOut});
@@ -187,6 +188,9 @@
       status,
       reason,
       sent: this.sent,
+      target: target?.id,
+      heldMs: Math.round(this.ctx.clock.now() - this.work.req.receivedMs),
+      deadlineMs: this.work.req.deadlineMs,
     });
     const retryAfterMs = mayHaveRun ? undefined : RETURN_AFTER_MS;
     this.work.res.sendOwn({status, reason, retryAfterMs});
--- /dev/null
+++ b/src/direct/contact-log.ts
@@ -0,0 +1,44 @@
+/** Logs when a dependency is lost and when it is back. */
+import type {Clock} from '../core/clock/index.js';
+import type {SourceError} from '../core/edges/state-source.js';
+import type {Logger} from '../core/logs/index.js';
+
+/**
+ * Writes one line for each loss of the store and one for its end, however
+ * many calls fail between them.
+ *
+ * @example
+ * const contact = new ContactLog({what: 'targets', clock, logger});
+ * contact.noteLost(err);
+ * contact.noteHeard();
+ */
+export class ContactLog {
+  private lostMs?: number;
+  private failures = 0;
+
+  constructor(
+    private readonly options: {
+      /** What is read from the store. */
+      what: string;
+      clock: Clock;
+      logger: Logger;
+    },
+  ) {}
+
+  noteLost(err: SourceError): void {
+    const {what, clock, logger} = this.options;
+    this.failures++;
+    if (this.lostMs !== undefined) return;
+    this.lostMs = clock.now();
+    logger.warn('store lost', {what, kind: err.kind, detail: err.detail});
+  }
+
+  noteHeard(): void {
+    const {what, clock, logger} = this.options;
+    if (this.lostMs === undefined) return;
+    const lostForMs = Math.round(clock.now() - this.lostMs);
+    logger.info('store is back', {what, lostForMs, failures: this.failures});
+    this.lostMs = undefined;
+    this.failures = 0;
+  }
+}
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -25,6 +25,7 @@
 import type {TargetRecord} from '../core/targets/index.js';
 import {TargetSet} from '../core/targets/index.js';
 import {CallRun} from './call-run.js';
+import {ContactLog} from './contact-log.js';
 import {
   CALL_GRACE_SHARE,
   CONFIG_WAIT_MS,
@@ -219,6 +220,7 @@
 
   private followConfigs(source: StateSource<RoutingConfig>): void {
     const {clock, random, logger} = this.options;
+    const contact = new ContactLog({what: 'configuration', clock, logger});
     const take = (items: ReadonlyArray<SourceItem<RoutingConfig>>) => {
       for (const {value} of items) {
         if (value !== undefined) this.takeConfig(value);
@@ -232,8 +234,11 @@
       listener: {
         onSnapshot: take,
         onChanges: take,
-        onConfirmed: (atMs) => this.trust.confirm(atMs),
-        onLost: (err) => logger.warn('configuration: lost track', {...err}),
+        onConfirmed: (atMs) => {
+          this.trust.confirm(atMs);
+          contact.noteHeard();
+        },
+        onLost: (err) => contact.noteLost(err),
       },
     });
     this.followers.push(follower);
@@ -249,6 +254,7 @@
   private followTargets(source: StateSource<TargetRecord>): void {
     const {clock, random, logger} = this.options;
     const {targets} = this.ctx;
+    const contact = new ContactLog({what: 'targets', clock, logger});
     const follower = new Follower({
       source,
       clock,
@@ -261,8 +267,8 @@
           this.knowsTargets = true;
         },
         onChanges: (changes) => targets.applyChanges(changes),
-        onConfirmed: () => undefined,
-        onLost: (err) => logger.warn('targets: lost track', {...err}),
+        onConfirmed: () => contact.noteHeard(),
+        onLost: (err) => contact.noteLost(err),
       },
     });
     this.followers.push(follower);
--- a/src/direct/streams/stream-run.ts
+++ b/src/direct/streams/stream-run.ts
@@ -196,6 +196,7 @@
     if (this.isOver) return;
     const {isOpen} = this.delivery;
     const mayHaveRun = this.mayHaveRun || this.current !== undefined || isOpen;
+    const target = this.current?.target;
     this.stop();
     const {status, reason} = answerFailure({mayHaveRun, isTimedOut});
     this.ctx.metrics.countRefusal(reason);
@@ -205,6 +206,10 @@
       reason,
       events: this.sequence.count,
       tries: this.tries,
+      target: target?.id,
+      unread: target?.estimatedUnread(),
+      heldMs: Math.round(this.ctx.clock.now() - this.work.req.receivedMs),
+      deadlineMs: this.work.req.deadlineMs,
     });
     if (isOpen) {
       this.work.res.abort();
