Stop requests that crash engines; a retry budget that holds over many entries

A stream went on over twelve engines whatever it did to them: now three, and its repeats are refused at once. Losses of a whole data centre are not held against a request. The floor of the budget, 16 for each entry, added up to 448 over 28 entries where 150 are allowed: now a reserve of slack / 24.

--- a/src/core/admission/retry-budget.ts
+++ b/src/core/admission/retry-budget.ts
@@ -37,6 +37,8 @@
       ratio: number;
       /** Retries in a window however few first tries there are. */
       floor?: number;
+      /** Retries in a window beyond those that the ratio allows. */
+      reserve?: number;
     },
   ) {
     this.ratio = options.ratio;
@@ -57,7 +59,9 @@
     const firstTries = sumOf(this.slices, (s) => s.firstTries);
     const retries = sumOf(this.slices, (s) => s.retries);
     const floor = this.options.floor ?? RETRY_FLOOR;
-    const allowed = Math.max(floor, Math.floor(this.ratio * firstTries));
+    const byRatio = Math.floor(this.ratio * firstTries);
+    const reserve = this.options.reserve ?? 0;
+    const allowed = Math.max(floor, byRatio + reserve);
     if (retries >= allowed) return false;
     slice.retries++;
     return true;
@@ -84,7 +88,9 @@
 export class RetryBudgets {
   private readonly budgets = new Map<string, RetryBudget>();
 
-  constructor(private readonly options: {clock: Clock; floor?: number}) {}
+  constructor(
+    private readonly options: {clock: Clock; floor?: number; reserve?: number},
+  ) {}
 
   of(service: {
     readonly name: string;
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -25,8 +25,8 @@
 /** Part of the shared retry budget that entries plan with. */
 export const RETRY_SHARE = 0.8;
 
-/** Repeats in a window that an entry allows however few requests it has. */
-export const RETRY_FLOOR = 16;
+/** Entries among which the repeats beyond the ratio are divided. */
+export const PLANNED_ENTRIES = 24;
 
 /** Time for a target to say that it is there, in milliseconds. */
 export const PROBE_TIMEOUT_MS = 120;
@@ -63,3 +63,6 @@
 
 /** Time between two looks at a target that reads a prompt. */
 export const READING_CHECK_MS = 400;
+
+/** Time after which the cause of a loss is known, in milliseconds. */
+export const ACQUITTAL_MS = 250;
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -7,6 +7,7 @@
 } from '../core/edges/direct-caller.js';
 import type {DirectTargets} from '../core/edges/direct-target.js';
 import type {Logger} from '../core/logs/index.js';
+import type {CrashRecord} from '../core/poison/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import type {AdmittedRequest, RoutedService} from '../core/routes/index.js';
 import type {TargetSet} from '../core/targets/index.js';
@@ -24,6 +25,8 @@
   /** How long generations take, by service. */
   readonly streamTimes: StreamTimes;
   readonly budgets: RetryBudgets;
+  /** Requests under which engines were lost. */
+  readonly crashes: CrashRecord;
   /** Repeats that all requests of a service may cause, for each of them. */
   readonly retryRatio: () => number;
   readonly metrics: Metrics;
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -13,6 +13,7 @@
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import {CounterName} from '../core/metrics/index.js';
+import {CrashRecord} from '../core/poison/index.js';
 import type {AdmittedRequest, RoutingConfig} from '../core/routes/index.js';
 import {
   admitRequest,
@@ -29,7 +30,7 @@
 import {
   CALL_GRACE_SHARE,
   CONFIG_WAIT_MS,
-  RETRY_FLOOR,
+  PLANNED_ENTRIES,
   RETRY_SHARE,
   RETURN_AFTER_MS,
   STREAM_GRACE_SHARE,
@@ -98,7 +99,11 @@
       prober,
       streamTimes: new StreamTimes(),
       client,
-      budgets: new RetryBudgets({clock, floor: RETRY_FLOOR}),
+      budgets: new RetryBudgets({
+        clock,
+        reserve: Math.floor(settings.retryBudget.slack / PLANNED_ENTRIES),
+      }),
+      crashes: new CrashRecord({clock}),
       retryRatio: () => this.settings.retryBudget.ratio * RETRY_SHARE,
       metrics,
       logger,
--- a/src/direct/streams/stream-run.ts
+++ b/src/direct/streams/stream-run.ts
@@ -17,6 +17,7 @@
   STREAM_PAUSE_MS,
 } from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
+import {PoisonWatch} from './poison-watch.js';
 import {StreamDelivery} from './stream-delivery.js';
 import {canGoOnAt, StreamPlacer} from './stream-placer.js';
 import {needOf} from './stream-times.js';
@@ -39,6 +40,7 @@
   private readonly sequence: EventSequence;
   private readonly delivery: StreamDelivery;
   private readonly placer: StreamPlacer;
+  private readonly poison: PoisonWatch;
   private readonly deadline: TimerHandle;
   private pause?: TimerHandle;
   private current?: StreamTry;
@@ -54,6 +56,7 @@
     this.work = options.work;
     this.delivery = new StreamDelivery(options);
     this.placer = new StreamPlacer(options);
+    this.poison = new PoisonWatch(options);
     const {clock} = this.ctx;
     const {lastEventId} = this.work.req;
     this.sequence = new EventSequence({lastId: toPosition(lastEventId)});
@@ -65,6 +68,10 @@
   }
 
   start(): void {
+    if (this.poison.isPoison()) {
+      this.refuse(RefusalReason.POISON);
+      return;
+    }
     if (this.isHopeless()) {
       this.refuse(RefusalReason.DEADLINE_UNREACHABLE);
       return;
@@ -138,7 +145,10 @@
 
   private onEvent(head: AnswerHead, event: RawEvent): void {
     const verdict = this.sequence.judge(event.id);
-    if (verdict === EventVerdict.PASS) this.delivery.pass(head, event);
+    if (verdict === EventVerdict.PASS) {
+      if (!this.delivery.isOpen) this.poison.noteWritten();
+      this.delivery.pass(head, event);
+    }
     if (verdict !== EventVerdict.GAP) return;
     this.current?.cancel();
     const reason = RetryReason.ENGINE_DIED;
@@ -173,6 +183,7 @@
     const didNotRun = failure !== undefined && certainlyDidNotRun(failure);
     if (didNotRun) this.placer.exclude(lost.target);
     else this.mayHaveRun = true;
+    if (!didNotRun && lost.events === 0) this.poison.noteLoss(lost.target);
     if (reason !== RetryReason.TARGET_REFUSED) this.placer.doubt(lost.target);
     if (!this.mayGoOn(reason)) {
       this.giveUp(false);
@@ -188,7 +199,7 @@
     const {isResumable} = this.work.admitted.route;
     const mayRepeat = isResumable && this.sequence.isResumable;
     if (this.mayHaveRun && !mayRepeat) return false;
-    if (this.tries >= MAX_STREAM_TRIES) return false;
+    if (this.tries >= MAX_STREAM_TRIES || this.poison.isPoison()) return false;
     return reason === RetryReason.NOT_SENT || this.budget().tryRetry();
   }
 
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -26,6 +26,8 @@
   TWICE = 'twice',
   /** Runs and never answers. */
   HANG = 'hang',
+  /** Breaks the connections of what runs, and stays up. */
+  DROP_RUNS = 'drop_runs',
 }
 
 /** A request that a target worked on. */
@@ -198,6 +200,10 @@
       return;
     }
     this.note(req, body, !usesCopy);
+    if (this.fault === Fault.DROP_RUNS) {
+      req.socket.destroy();
+      return;
+    }
     const copyTo = req.headers[Header.COPY_TO];
     let next = Number(req.headers[Header.LAST_EVENT_ID] ?? 0) + 1;
     let timer: NodeJS.Timeout | undefined;
--- a/test/direct/streams.test.ts
+++ b/test/direct/streams.test.ts
@@ -1,7 +1,9 @@
 /** Event streams through a direct entry, whose targets are lost on the way. */
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
+import {POISON_CRASHES} from '../../src/core/poison/index.js';
 import type {StandInTarget} from '../../stand-ins/site/target.js';
+import {Fault} from '../../stand-ins/site/target.js';
 import {
   DirectSite,
   SitePath,
@@ -106,6 +108,20 @@
     expect(reply.text).toContain(`id: ${EVENTS}\n`);
   });
 
+  it('reaches three engines if it crashes them, and none when it comes again', async () => {
+    for (const target of site.targets) target.fault = Fault.DROP_RUNS;
+    const runs = () => site.targets.flatMap((target) => target.runs).length;
+    const first = await site.call({path: SitePath.STREAM, body: 'poison'});
+    expect(first.status).toBe(502);
+    expect(runs()).toBe(POISON_CRASHES);
+    const again = await site.call({path: SitePath.STREAM, body: 'poison'});
+    expect(again.status).toBe(503);
+    expect(runs()).toBe(POISON_CRASHES);
+    for (const target of site.targets) target.fault = Fault.NONE;
+    const other = await site.call({path: SitePath.STREAM, body: 'other'});
+    expect(other.isWhole).toBe(true);
+  });
+
   it('ends the work at the target when its caller goes', async () => {
     const call = site.call({
       path: SitePath.STREAM,
