--- a/src/core/edges/direct-target.ts
+++ b/src/core/edges/direct-target.ts
@@ -57,8 +57,16 @@
   readonly lastEventId?: string;
   /** Address of the target that keeps a copy of the run's memory. */
   readonly copyTo?: string;
-  /** Address of the target whose copy the run goes on from. */
-  readonly copyFrom?: string;
+  /** The copy of a lost run from which this one goes on. */
+  readonly copyFrom?: CopyReference;
+}
+
+/** Names the copy of a run's memory. */
+export interface CopyReference {
+  /** Address of the target that made or holds the copy. */
+  readonly address: string;
+  /** The id of the run, or of the copy. */
+  readonly id: string;
 }
 
 /** An exchange under way. */
@@ -81,6 +89,16 @@
     target: TargetRecord,
     timeoutMs: number,
   ): ResultAsync<ReportedLoad, string>;
+  /**
+   * Asks the target that runs a request to copy the run's memory to another
+   * target; the id of the copy, or an error if there is none.
+   */
+  copyRun(options: {
+    runner: TargetRecord;
+    attemptId: string;
+    /** Address of the target that keeps the copy. */
+    to: string;
+  }): ResultAsync<string, string>;
   /** Closes the idle connections to a target. */
   forget(target: TargetRecord): void;
 }
--- a/src/direct/call-run.ts
+++ b/src/direct/call-run.ts
@@ -1,10 +1,7 @@
 /** Runs one plain call: at most once, or repeated where that is harmless. */
 import type {TimerHandle} from '../core/clock/index.js';
-import type {
-  AnswerHead,
-  Exchange,
-  ExchangeFailure,
-} from '../core/edges/direct-target.js';
+import type {AnswerHead, Exchange} from '../core/edges/direct-target.js';
+import {ExchangeFailure} from '../core/edges/direct-target.js';
 import {RetryReason} from '../core/errors/refusals.js';
 import {LatencyName} from '../core/metrics/index.js';
 import {chooseCallTarget} from '../core/placing/index.js';
@@ -63,7 +60,7 @@
 
   start(): void {
     const {service} = this.work;
-    this.budget().noteFirstTry();
+    this.ctx.budgets.noteFirstTry(service.name);
     const target = this.choose();
     if (target === undefined) {
       this.ctx.logger.warn('no target', {service: service.name});
@@ -115,7 +112,9 @@
     const {current} = this;
     if (current === undefined) return;
     const next = this.choose();
-    if (next === undefined || !this.budget().tryRetry()) return;
+    if (next === undefined || !this.takeFromBudget(RetryReason.CALL_SLOW)) {
+      return;
+    }
     current.exchange.cancel();
     current.target.noteFailure();
     this.closeTry();
@@ -151,13 +150,13 @@
       sent: this.sent,
       maxAttempts,
       hasTarget: next !== undefined,
-      takeFromBudget: () => this.budget().tryRetry(),
+      takeFromBudget: () => this.takeFromBudget(reasonOf(end)),
     });
     if (verdict === RetryVerdict.PASS_ON) {
       target.noteSuccess();
       this.passOn();
     } else if (verdict === RetryVerdict.RETRY) {
-      this.noteRetry(RetryReason.CALL_LOST, target);
+      this.noteRetry(reasonOf(end), target);
       this.send(next!);
     } else {
       this.giveUp(false);
@@ -229,8 +228,13 @@
     });
   }
 
-  private budget() {
-    const {name} = this.work.service;
-    return this.ctx.budgets.of({name, retryRatio: this.ctx.retryRatio()});
+  private takeFromBudget(reason: RetryReason): boolean {
+    return this.ctx.budgets.tryRetry(this.work.service.name, reason);
   }
 }
+
+function reasonOf({failure}: TryEnd): RetryReason {
+  if (failure === ExchangeFailure.NOT_SENT) return RetryReason.NOT_SENT;
+  const isRefused = failure !== undefined && certainlyDidNotRun(failure);
+  return isRefused ? RetryReason.TARGET_REFUSED : RetryReason.CALL_LOST;
+}
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -23,7 +23,10 @@
 export const TARGETS_PACE_MS = 700;
 
 /** Part of the shared retry budget that entries plan with. */
-export const RETRY_SHARE = 0.8;
+export const RETRY_SHARE = 0.9;
+
+/** Repeats after losses that an entry always allows in a window. */
+export const LOSS_FLOOR = 14;
 
 /** Entries among which the repeats beyond the ratio are divided. */
 export const PLANNED_ENTRIES = 24;
@@ -66,3 +69,12 @@
 
 /** Time after which the cause of a loss is known, in milliseconds. */
 export const ACQUITTAL_MS = 250;
+
+/** Time between two tries to have a run copied, in milliseconds. */
+export const COPY_PAUSE_MS = 400;
+
+/** Age at which a copy that was asked for is brought up to date. */
+export const COPY_REFRESH_MS = 2_000;
+
+/** Part of the retry budget for requests that a target had no room for. */
+export const REJECTED_RATIO = 0.3;
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -1,5 +1,4 @@
 /** What the parts of a direct entry share. */
-import type {RetryBudgets} from '../core/admission/index.js';
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {
   CallerRequest,
@@ -12,6 +11,7 @@
 import type {AdmittedRequest, RoutedService} from '../core/routes/index.js';
 import type {TargetSet} from '../core/targets/index.js';
 import type {Prober} from './prober.js';
+import type {RepeatBudgets} from './repeat-budgets.js';
 import type {StreamTimes} from './streams/stream-times.js';
 
 /** Shared by all requests of an entry. */
@@ -24,11 +24,9 @@
   readonly prober: Prober;
   /** How long generations take, by service. */
   readonly streamTimes: StreamTimes;
-  readonly budgets: RetryBudgets;
+  readonly budgets: RepeatBudgets;
   /** Requests under which engines were lost. */
   readonly crashes: CrashRecord;
-  /** Repeats that all requests of a service may cause, for each of them. */
-  readonly retryRatio: () => number;
   readonly metrics: Metrics;
   readonly logger: Logger;
 }
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -1,5 +1,4 @@
 /** An entry that calls its targets directly, without agents beside them. */
-import {RetryBudgets} from '../core/admission/index.js';
 import {Cell} from '../core/blackboard/index.js';
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {
@@ -30,8 +29,6 @@
 import {
   CALL_GRACE_SHARE,
   CONFIG_WAIT_MS,
-  PLANNED_ENTRIES,
-  RETRY_SHARE,
   RETURN_AFTER_MS,
   STREAM_GRACE_SHARE,
   TARGETS_PACE_MS,
@@ -40,6 +37,7 @@
 } from './consts.js';
 import type {DirectContext} from './context.js';
 import {Prober} from './prober.js';
+import {RepeatBudgets} from './repeat-budgets.js';
 import {StreamTimes} from './streams/stream-times.js';
 import {StreamRun} from './streams/stream-run.js';
 
@@ -99,12 +97,11 @@
       prober,
       streamTimes: new StreamTimes(),
       client,
-      budgets: new RetryBudgets({
+      budgets: new RepeatBudgets({
         clock,
-        reserve: Math.floor(settings.retryBudget.slack / PLANNED_ENTRIES),
+        settings: () => this.settings.retryBudget,
       }),
       crashes: new CrashRecord({clock}),
-      retryRatio: () => this.settings.retryBudget.ratio * RETRY_SHARE,
       metrics,
       logger,
     };
--- /dev/null
+++ b/src/direct/streams/copy-keeper.ts
@@ -0,0 +1,111 @@
+/** Keeps a copy of a run's memory at another target while the run goes on. */
+import type {CopyReference} from '../../core/edges/direct-target.js';
+import type {Target} from '../../core/targets/index.js';
+import {COPY_PAUSE_MS, COPY_REFRESH_MS} from '../consts.js';
+import type {DirectContext, DirectWork} from '../context.js';
+import {canGoOnAt} from './stream-placer.js';
+
+/** A copy from which a lost run can go on. */
+export interface RunCopy {
+  readonly holder: Target;
+  readonly reference: CopyReference;
+}
+
+/** What a copy keeper works for. */
+export interface CopyKeeperOptions {
+  readonly ctx: DirectContext;
+  readonly work: DirectWork;
+  readonly runner: Target;
+  /** Tokens that the run holds in memory at its end. */
+  readonly tokens: number;
+  /** Chooses a target for a copy; undefined where there is none. */
+  readonly choose: () => Target | undefined;
+}
+
+/**
+ * The first copy is made by the runner itself, as it was told with the
+ * request. When its holder is lost or leaves, the runner is asked for another
+ * copy, which is brought up to date now and then. Serves the load of data
+ * centres that fail in turn while generations run.
+ *
+ * @example
+ * const keeper = new CopyKeeper(options);
+ * keeper.check();
+ * const copy = keeper.copy;
+ */
+export class CopyKeeper {
+  private current?: RunCopy;
+  /** Whether the copy has to be brought up to date by calls. */
+  private isAsked = false;
+  private isBusy = false;
+  private isOver = false;
+  private askedMs: number;
+
+  constructor(private readonly options: CopyKeeperOptions) {
+    const {ctx, work, choose} = options;
+    this.askedMs = ctx.clock.now();
+    const holder = choose();
+    if (holder === undefined) return;
+    const reference = {address: holder.record.address, id: work.req.attemptId};
+    this.take({holder, reference});
+  }
+
+  /** The newest copy, wherever it is. */
+  get copy(): RunCopy | undefined {
+    return this.current;
+  }
+
+  /** Looks after the copy; to be called while the run writes. */
+  check(): void {
+    if (this.isBusy || this.current === undefined) return;
+    const {holder} = this.current;
+    const ageMs = this.options.ctx.clock.now() - this.askedMs;
+    const isSound = canGoOnAt(holder) && !holder.record.isLeaving;
+    if (isSound) {
+      if (this.isAsked && ageMs >= COPY_REFRESH_MS) void this.ask(holder);
+      return;
+    }
+    if (ageMs < COPY_PAUSE_MS) return;
+    const next = this.options.choose();
+    if (next !== undefined && canGoOnAt(next)) void this.ask(next);
+  }
+
+  /** The run is over, or lost. */
+  close(): void {
+    this.isOver = true;
+    this.current?.holder.removeCopy(this.options.tokens);
+  }
+
+  private async ask(holder: Target): Promise<void> {
+    const {ctx, work, runner} = this.options;
+    this.isBusy = true;
+    this.askedMs = ctx.clock.now();
+    const {attemptId} = work.req;
+    const handle = await ctx.client.copyRun({
+      runner: runner.record,
+      attemptId,
+      to: holder.record.address,
+    });
+    this.isBusy = false;
+    if (this.isOver) return;
+    if (handle.isErr()) {
+      const detail = handle.error;
+      ctx.logger.info('copy refused', {
+        id: attemptId,
+        holder: holder.id,
+        detail,
+      });
+      return;
+    }
+    this.isAsked = true;
+    const {address} = runner.record;
+    this.take({holder, reference: {address, id: handle.value}});
+  }
+
+  private take(copy: RunCopy): void {
+    const {tokens} = this.options;
+    this.current?.holder.removeCopy(tokens);
+    copy.holder.addCopy(tokens);
+    this.current = copy;
+  }
+}
--- a/src/direct/streams/stream-run.ts
+++ b/src/direct/streams/stream-run.ts
@@ -1,6 +1,9 @@
 /** Runs one event stream, across as many targets as it takes. */
 import type {TimerHandle} from '../../core/clock/index.js';
-import type {AnswerHead} from '../../core/edges/direct-target.js';
+import type {
+  AnswerHead,
+  CopyReference,
+} from '../../core/edges/direct-target.js';
 import {RefusalReason, RetryReason} from '../../core/errors/refusals.js';
 import {answerFailure, certainlyDidNotRun} from '../../core/retrying/index.js';
 import type {RawEvent} from '../../core/streams/index.js';
@@ -17,6 +20,7 @@
   STREAM_PAUSE_MS,
 } from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
+import type {RunCopy} from './copy-keeper.js';
 import {PoisonWatch} from './poison-watch.js';
 import {StreamDelivery} from './stream-delivery.js';
 import {canGoOnAt, StreamPlacer} from './stream-placer.js';
@@ -44,8 +48,8 @@
   private readonly deadline: TimerHandle;
   private pause?: TimerHandle;
   private current?: StreamTry;
-  /** Holds a copy of what the lost run had in memory. */
-  private copyHolder?: Target;
+  /** The copy of what the lost run had in memory. */
+  private copy?: RunCopy;
   private isOver = false;
   /** Targets that began with the prompt. */
   private tries = 0;
@@ -76,7 +80,7 @@
       this.refuse(RefusalReason.DEADLINE_UNREACHABLE);
       return;
     }
-    this.budget().noteFirstTry();
+    this.ctx.budgets.noteFirstTry(this.work.service.name);
     void this.place();
   }
 
@@ -102,17 +106,17 @@
   }
 
   private async place(): Promise<void> {
-    const {copyHolder} = this;
-    this.copyHolder = undefined;
-    if (copyHolder !== undefined && canGoOnAt(copyHolder)) {
-      this.send(copyHolder, true);
+    const {copy} = this;
+    this.copy = undefined;
+    if (copy !== undefined && canGoOnAt(copy.holder)) {
+      this.send(copy.holder, copy.reference);
       return;
     }
-    if (copyHolder !== undefined) this.noteCopyLost(copyHolder);
+    if (copy !== undefined) this.noteCopyLost(copy.holder);
     const target = await this.placer.findTarget();
     if (this.isOver) return;
     if (target === undefined) this.wait();
-    else this.send(target, false);
+    else this.send(target);
   }
 
   private wait(): void {
@@ -123,16 +127,17 @@
     });
   }
 
-  private send(target: Target, usesCopy: boolean): void {
+  private send(target: Target, copyFrom?: CopyReference): void {
+    const usesCopy = copyFrom !== undefined;
     if (!usesCopy) this.tries++;
     this.current = new StreamTry({
       ctx: this.ctx,
       work: this.work,
       target,
-      copy: this.placer.chooseCopy(target),
+      chooseCopy: () => this.placer.chooseCopy(target),
       tokens: this.placer.tokens,
       lastEventId: this.sequence.lastId,
-      usesCopy,
+      copyFrom,
       listener: {
         onEvent: (head, event) => this.onEvent(head, event),
         onEnd: (head) => this.finish(head),
@@ -189,7 +194,7 @@
       this.giveUp(false);
       return;
     }
-    if (lost.events >= EVENTS_BEFORE_COPY) this.copyHolder = lost.copy;
+    if (lost.events >= EVENTS_BEFORE_COPY) this.copy = lost.copy;
     this.ctx.metrics.countRetry(reason);
     this.delivery.noteResume();
     void this.place();
@@ -200,7 +205,8 @@
     const mayRepeat = isResumable && this.sequence.isResumable;
     if (this.mayHaveRun && !mayRepeat) return false;
     if (this.tries >= MAX_STREAM_TRIES || this.poison.isPoison()) return false;
-    return reason === RetryReason.NOT_SENT || this.budget().tryRetry();
+    const {name} = this.work.service;
+    return this.ctx.budgets.tryRetry(name, reason);
   }
 
   private giveUp(isTimedOut: boolean): void {
@@ -257,7 +263,7 @@
       id: this.work.req.attemptId,
       target: lost.target.id,
       dataCentre: lost.target.record.dataCentre,
-      copy: lost.copy?.id,
+      copy: lost.copy?.holder.id,
       events: this.sequence.count,
       reason: loss.reason,
       detail: loss.detail,
@@ -283,12 +289,7 @@
       unread: target.estimatedUnread(),
       reportAgeMs: Math.round(Math.min(target.reportAgeMs(), 1e6)),
       usesCopy,
-      copyAt: copy?.record.dataCentre,
+      copyAt: copy?.holder.record.dataCentre,
     });
   }
-
-  private budget() {
-    const {name} = this.work.service;
-    return this.ctx.budgets.of({name, retryRatio: this.ctx.retryRatio()});
-  }
 }
--- a/src/direct/streams/stream-try.ts
+++ b/src/direct/streams/stream-try.ts
@@ -1,5 +1,9 @@
 /** One target's part in a stream. */
-import type {AnswerHead, Exchange} from '../../core/edges/direct-target.js';
+import type {
+  AnswerHead,
+  CopyReference,
+  Exchange,
+} from '../../core/edges/direct-target.js';
 import {ExchangeFailure} from '../../core/edges/direct-target.js';
 import {RetryReason} from '../../core/errors/refusals.js';
 import type {RawEvent} from '../../core/streams/index.js';
@@ -9,6 +13,8 @@
 import type {DirectContext, DirectWork} from '../context.js';
 import {noteFailureAt} from '../note-failure.js';
 import {toTargetRequest} from '../target-request.js';
+import type {RunCopy} from './copy-keeper.js';
+import {CopyKeeper} from './copy-keeper.js';
 import {SilenceWatch} from './silence-watch.js';
 
 const OK = 200;
@@ -44,14 +50,14 @@
   readonly ctx: DirectContext;
   readonly work: DirectWork;
   readonly target: Target;
-  /** Where the run's memory is copied to. */
-  readonly copy?: Target;
+  /** Chooses where the run's memory is copied to. */
+  readonly chooseCopy: () => Target | undefined;
   /** Tokens that the run holds in memory at its end. */
   readonly tokens: number;
   /** The last event that the caller has. */
   readonly lastEventId?: number;
-  /** Whether the target holds a copy to go on from. */
-  readonly usesCopy: boolean;
+  /** The copy from which the target goes on. */
+  readonly copyFrom?: CopyReference;
   readonly listener: TryListener;
 }
 
@@ -65,7 +71,7 @@
  */
 export class StreamTry {
   readonly target: Target;
-  readonly copy?: Target;
+  private readonly keeper: CopyKeeper;
   private readonly work: TargetWork;
   private readonly exchange: Exchange;
   private readonly watch: SilenceWatch;
@@ -76,11 +82,16 @@
   private isOver = false;
 
   constructor(private readonly options: TryOptions) {
-    const {ctx, target, copy, tokens, usesCopy} = options;
+    const {ctx, target, tokens, copyFrom, chooseCopy} = options;
     this.target = target;
-    this.copy = copy;
     this.work = target.begin({tokens});
-    copy?.addCopy(tokens);
+    this.keeper = new CopyKeeper({
+      ctx,
+      work: options.work,
+      runner: target,
+      tokens,
+      choose: chooseCopy,
+    });
     const {isResumable, maxPauseMs} = options.work.admitted.route;
     this.watch = new SilenceWatch({
       ctx,
@@ -93,11 +104,18 @@
         }),
     });
     if (isResumable) {
-      this.watch.start(usesCopy ? COPY_ANSWER_MS : READING_CHECK_MS);
+      this.watch.start(
+        copyFrom === undefined ? READING_CHECK_MS : COPY_ANSWER_MS,
+      );
     }
     this.exchange = this.send();
   }
 
+  /** The newest copy of the run's memory. */
+  get copy(): RunCopy | undefined {
+    return this.keeper.copy;
+  }
+
   /** Events that this target has written. */
   get events(): number {
     return this.count;
@@ -111,7 +129,7 @@
   }
 
   private send(): Exchange {
-    const {ctx, work, target, copy, lastEventId, usesCopy} = this.options;
+    const {ctx, work, target, lastEventId, copyFrom} = this.options;
     return ctx.client.send({
       target: target.record,
       maxConnections: work.service.maxConnections,
@@ -119,8 +137,8 @@
         work,
         leftMs: work.endMs - ctx.clock.now(),
         lastEventId: lastEventId?.toString(),
-        copyTo: copy?.record.address,
-        copyFrom: usesCopy ? target.record.address : undefined,
+        copyTo: this.copy?.holder.record.address,
+        copyFrom,
       }),
       listener: {
         onHead: (head) => this.onHead(head),
@@ -154,7 +172,9 @@
     this.count++;
     this.work.isReading = false;
     this.target.noteSeen();
-    if (this.options.work.admitted.route.isResumable) this.watch.noteEvent();
+    if (!this.options.work.admitted.route.isResumable) return;
+    this.watch.noteEvent();
+    this.keeper.check();
   }
 
   private onComplete(): void {
@@ -190,6 +210,6 @@
     this.isOver = true;
     this.watch.stop();
     this.target.end(this.work);
-    this.copy?.removeCopy(this.options.tokens);
+    this.keeper.close();
   }
 }
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -123,6 +123,10 @@
       res.end(JSON.stringify({active: 0, queued: 0, kv_used: 0}));
       return;
     }
+    if (req.url === (Path.COPY_RUN as string)) {
+      this.copyRun(res, body);
+      return;
+    }
     const expected = req.headers[Header.EXPECTED_TARGET];
     if (expected !== undefined && expected !== this.id) {
       res.writeHead(421, {'Instance-Id': this.id}).end();
@@ -136,6 +140,18 @@
     else this.answer(req, res, body);
   }
 
+  private copyRun(res: ServerResponse, body: string): void {
+    const {id, target} = JSON.parse(body) as {id: string; target: string};
+    const holder = this.world.byAddress.get(target);
+    if (holder === undefined || holder.isDark) {
+      res.writeHead(503).end('{}');
+      return;
+    }
+    const handle = `copy-of-${id}`;
+    holder.copies.add(handle);
+    res.end(JSON.stringify({handle, created: 1}));
+  }
+
   private note(req: IncomingMessage, body: string, isReadAnew: boolean): void {
     const attemptId = String(req.headers[Header.ATTEMPT_ID] ?? '');
     this.runs.push({attemptId, headers: req.headers, body, isReadAnew});
@@ -194,8 +210,10 @@
 
   private stream(req: IncomingMessage, res: ServerResponse, body: string) {
     const attemptId = String(req.headers[Header.ATTEMPT_ID] ?? '');
-    const usesCopy = req.headers[Header.COPY_FROM] !== undefined;
-    if (usesCopy && !this.copies.has(attemptId)) {
+    const copyFrom = req.headers[Header.COPY_FROM];
+    const usesCopy = copyFrom !== undefined;
+    const copyId = String(copyFrom).split('/').at(-1) ?? '';
+    if (usesCopy && !this.copies.has(copyId)) {
       res.writeHead(503, {'Not-Executed': '1'}).end();
       return;
     }
--- a/test/direct/streams.test.ts
+++ b/test/direct/streams.test.ts
@@ -1,6 +1,7 @@
 /** Event streams through a direct entry, whose targets are lost on the way. */
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
+import {Kind} from '../../platform/names.js';
 import {POISON_CRASHES} from '../../src/core/poison/index.js';
 import type {StandInTarget} from '../../stand-ins/site/target.js';
 import {Fault} from '../../stand-ins/site/target.js';
@@ -11,8 +12,8 @@
   waitFor,
 } from '../support/direct-site.js';
 
-const EVENTS = 60;
-const PACE = {events: EVENTS, firstMs: 30, gapMs: 8};
+const EVENTS = 50;
+const PACE = {events: EVENTS, firstMs: 30, gapMs: 16};
 
 /** How a target is lost. */
 enum Loss {
@@ -99,12 +100,38 @@
     expect(readAnew).toBe(hasCopy ? 1 : 2);
   });
 
+  it('has another copy made when the holder of the first is gone', async () => {
+    let first: StandInTarget | undefined;
+    let isLost = false;
+    const reply = await site.call({
+      path: SitePath.STREAM,
+      onData: (text) => {
+        if (first === undefined && text.includes('id: 5\n')) {
+          first = holder();
+          first.crash();
+          site.store.remove({kind: Kind.TARGETS, name: first.id});
+        }
+        const hasAnother = site.targets.some(
+          (target) => target !== first && target.copies.size > 0,
+        );
+        if (isLost || !hasAnother) return;
+        isLost = true;
+        // The entry has to hear of the copy first.
+        setTimeout(() => runner().crash(), 100);
+      },
+    });
+    expect(isLost).toBe(true);
+    expect(reply.text).toBe(expected('try-1'));
+    const runs = site.targets.flatMap((target) => target.runs);
+    expect(runs.filter((run) => run.isReadAnew)).toHaveLength(1);
+  });
+
   it('goes on after the last event that the caller has', async () => {
     const reply = await site.call({
       path: SitePath.STREAM,
-      headers: {'Last-Event-Id': '58'},
+      headers: {'Last-Event-Id': '48'},
     });
-    expect(reply.text.startsWith('id: 59\n')).toBe(true);
+    expect(reply.text.startsWith('id: 49\n')).toBe(true);
     expect(reply.text).toContain(`id: ${EVENTS}\n`);
   });
 
