--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -28,6 +28,9 @@
 /** Repeats after losses that an entry always allows in a window. */
 export const LOSS_FLOOR = 14;
 
+/** Repeats after rejections that an entry always allows in a window. */
+export const REJECTION_FLOOR = 4;
+
 /** Entries among which the repeats beyond the ratio are divided. */
 export const PLANNED_ENTRIES = 24;
 
@@ -77,4 +80,4 @@
 export const COPY_REFRESH_MS = 2_000;
 
 /** Part of the retry budget for requests that a target had no room for. */
-export const REJECTED_RATIO = 0.3;
+export const REJECTED_RATIO = 0.5;
--- a/src/direct/repeat-budgets.ts
+++ b/src/direct/repeat-budgets.ts
@@ -7,6 +7,7 @@
   LOSS_FLOOR,
   PLANNED_ENTRIES,
   REJECTED_RATIO,
+  REJECTION_FLOOR,
   RETRY_SHARE,
 } from './consts.js';
 
@@ -33,7 +34,7 @@
     const {clock, settings} = options;
     const reserve = Math.floor(settings().slack / PLANNED_ENTRIES);
     this.losses = new RetryBudgets({clock, floor: LOSS_FLOOR, reserve});
-    this.rejections = new RetryBudgets({clock, floor: 1});
+    this.rejections = new RetryBudgets({clock, floor: REJECTION_FLOOR});
   }
 
   /** Counts a request that is sent for the first time. */
