--- /dev/null
+++ b/test/direct/planned-stop.test.ts
@@ -0,0 +1,87 @@
+import {beforeEach, describe, expect, it} from 'vitest';
+
+import {ManualClock} from '../../src/core/clock/index.js';
+import {SILENT_LOGGER} from '../../src/core/logs/index.js';
+import {PlannedStop} from '../../src/direct/planned-stop.js';
+
+const GRACE_MS = 8_000;
+
+/** Notes what a stop asks of the listener for callers. */
+class NotingListener {
+  openRequests = 0;
+  readonly calls: string[] = [];
+
+  closeIdle(): void {
+    this.note('closeIdle');
+  }
+
+  closeListener(): void {
+    this.note('closeListener');
+  }
+
+  closeAll(): void {
+    this.note('closeAll');
+  }
+
+  private note(call: string): void {
+    if (this.calls.at(-1) !== call) this.calls.push(call);
+  }
+}
+
+describe('PlannedStop', () => {
+  let clock: ManualClock;
+  let listener: NotingListener;
+  let stoppedMs: number | undefined;
+  let stop: PlannedStop;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    listener = new NotingListener();
+    stoppedMs = undefined;
+    stop = new PlannedStop({
+      clock,
+      logger: SILENT_LOGGER,
+      listener,
+      graceMs: GRACE_MS,
+      onStopped: () => (stoppedMs = clock.now()),
+    });
+  });
+
+  it('leaves connections alone until the balancer has noticed', () => {
+    stop.begin();
+    clock.advance(2_500);
+    expect(listener.calls).toEqual([]);
+  });
+
+  it('ends soon after that where nothing is open', () => {
+    stop.begin();
+    clock.advance(3_000);
+    expect(stoppedMs).toBeLessThan(3_000);
+    expect(listener.calls).toEqual(['closeIdle', 'closeListener', 'closeAll']);
+  });
+
+  it('waits for open requests, and closes what becomes idle', () => {
+    listener.openRequests = 1;
+    stop.begin();
+    clock.advance(6_000);
+    expect(stoppedMs).toBeUndefined();
+    listener.openRequests = 0;
+    clock.advance(100);
+    expect(stoppedMs).toBeDefined();
+  });
+
+  it('ends before it is killed, whatever is open', () => {
+    listener.openRequests = 1;
+    stop.begin();
+    clock.advance(GRACE_MS);
+    expect(stoppedMs).toBeLessThan(GRACE_MS);
+  });
+
+  it('takes a second signal for the first', () => {
+    stop.begin();
+    clock.advance(1_000);
+    stop.begin();
+    clock.advance(2_000);
+    expect(stoppedMs).toBeDefined();
+  });
+});
--- /dev/null
+++ b/test/direct/repeat-budgets.test.ts
@@ -0,0 +1,56 @@
+/** Plays many entries on the budgets and counts what reaches the targets. */
+import {describe, expect, it} from 'vitest';
+
+import {ManualClock} from '../../src/core/clock/index.js';
+import {RetryReason} from '../../src/core/errors/refusals.js';
+import {RepeatBudgets} from '../../src/direct/repeat-budgets.js';
+
+const SETTINGS = {ratio: 0.8, windowMs: 10_000, slack: 150};
+
+interface Case {
+  readonly entries: number;
+  /** Requests of one entry in the window. */
+  readonly requests: number;
+  readonly reason: RetryReason;
+}
+
+const CASES: readonly Case[] = [
+  {entries: 4, requests: 8, reason: RetryReason.TARGET_REFUSED},
+  {entries: 5, requests: 13, reason: RetryReason.TARGET_REFUSED},
+  {entries: 28, requests: 8, reason: RetryReason.TARGET_REFUSED},
+  {entries: 28, requests: 0, reason: RetryReason.TARGET_REFUSED},
+  {entries: 4, requests: 8, reason: RetryReason.ENGINE_DIED},
+  {entries: 5, requests: 130, reason: RetryReason.CALL_LOST},
+];
+
+describe('RepeatBudgets', () => {
+  it.each(CASES)(
+    '$entries entries with $requests requests each keep to the bound: $reason',
+    ({entries, requests, reason}) => {
+      const clock = new ManualClock();
+      let repeats = 0;
+      for (let entry = 0; entry < entries; entry++) {
+        const budgets = new RepeatBudgets({clock, settings: () => SETTINGS});
+        for (let i = 0; i < requests; i++) budgets.noteFirstTry('s');
+        while (budgets.tryRetry('s', reason)) repeats++;
+      }
+      const bound = SETTINGS.ratio * entries * requests + SETTINGS.slack;
+      expect(repeats).toBeLessThanOrEqual(bound);
+    },
+  );
+
+  it('does not let rejections spend what losses need', () => {
+    const clock = new ManualClock();
+    const budgets = new RepeatBudgets({clock, settings: () => SETTINGS});
+    while (budgets.tryRetry('s', RetryReason.TARGET_REFUSED));
+    expect(budgets.tryRetry('s', RetryReason.ENGINE_DIED)).toBe(true);
+  });
+
+  it('counts nothing that never reached a target', () => {
+    const clock = new ManualClock();
+    const budgets = new RepeatBudgets({clock, settings: () => SETTINGS});
+    for (let i = 0; i < 1_000; i++) {
+      expect(budgets.tryRetry('s', RetryReason.NOT_SENT)).toBe(true);
+    }
+  });
+});
--- /dev/null
+++ b/test/direct/settings-watch.test.ts
@@ -0,0 +1,55 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {err, ok} from 'neverthrow';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {ManualClock} from '../../src/core/clock/index.js';
+import {SILENT_LOGGER} from '../../src/core/logs/index.js';
+import type {DirectSettings} from '../../src/core/settings/direct-settings.js';
+import {SettingsWatch} from '../../src/direct/settings-watch.js';
+
+describe('SettingsWatch', () => {
+  let folder: string;
+  let path: string;
+  let taken: string[];
+  let watch: SettingsWatch;
+
+  beforeEach(async () => {
+    folder = mkdtempSync(join(tmpdir(), 'plantainrill-settings-'));
+    path = join(folder, 'boot.yaml');
+    taken = [];
+    writeFileSync(path, 'one');
+    watch = new SettingsWatch({
+      path,
+      parse: (text) =>
+        text === 'bad' ? err('bad') : ok({vm: text} as DirectSettings),
+      onSettings: ({vm}) => taken.push(vm),
+      clock: new ManualClock(),
+      logger: SILENT_LOGGER,
+    });
+    await watch.check();
+  });
+
+  afterEach(() => rmSync(folder, {recursive: true}));
+
+  it.each([
+    {name: 'the same text', texts: ['one'], expected: []},
+    {name: 'another text', texts: ['two'], expected: ['two']},
+    {name: 'a wrong file', texts: ['bad'], expected: []},
+    {name: 'a mended file', texts: ['bad', 'two'], expected: ['two']},
+  ])('takes $expected from $name', async ({texts, expected}) => {
+    for (const text of texts) {
+      writeFileSync(path, text);
+      await watch.check();
+    }
+    expect(taken).toEqual(expected);
+  });
+
+  it('keeps what is in force while there is no file', async () => {
+    rmSync(path);
+    await watch.check();
+    expect(taken).toEqual([]);
+  });
+});
--- /dev/null
+++ b/test/platform/codecs.test.ts
@@ -0,0 +1,170 @@
+/** What lies in the store and on the wire, decoded into our own types. */
+import {describe, expect, it} from 'vitest';
+
+import {decodeConfig} from '../../platform/config-codec.js';
+import {
+  decodeCallerHeaders,
+  decodeTargetHeaders,
+  encodeTargetHeaders,
+} from '../../platform/headers.js';
+import {decodeTarget} from '../../platform/target-codec.js';
+import {OperationKind} from '../../src/core/routes/index.js';
+import {siteConfig} from '../support/direct-site.js';
+
+describe('decodeConfig', () => {
+  it('decodes routes, splits, services, limits and keys', () => {
+    const wire = siteConfig({version: 7});
+    const [first, ...others] = wire.routes;
+    const split = [
+      {service: 'desk', weight: 9},
+      {service: 'desk-2', weight: 1},
+    ];
+    const routes = [{...first, traffic_split: split}, ...others];
+    const config = decodeConfig('main', {...wire, routes}).unsafeCoerce();
+    expect(config.version).toBe(7);
+    expect(config.routes[0]).toMatchObject({
+      operation: OperationKind.SAFE,
+      shares: split,
+      maxAttempts: 2,
+      isResumable: false,
+    });
+    expect(config.routes[2]).toMatchObject({
+      operation: OperationKind.STREAM,
+      isResumable: true,
+      maxPauseMs: 700,
+    });
+    expect(config.services[1]!.engine).toMatchObject({canCopy: true});
+    expect(config.accounts).toHaveLength(1);
+  });
+
+  it('repeats no operation of a kind that it does not know', () => {
+    const wire = siteConfig({version: 1});
+    const routes = wire.routes.map((r) => ({...r, route_type: 'new'}));
+    const config = decodeConfig('main', {...wire, routes}).unsafeCoerce();
+    expect(config.routes[0]!.operation).toBe(OperationKind.UNSAFE);
+  });
+
+  it.each([
+    {name: 'another object', object: 'other', spec: siteConfig({version: 1})},
+    {name: 'half a configuration', object: 'main', spec: {version: 1}},
+    {name: 'none', object: 'main', spec: null},
+  ])('takes nothing from $name', ({object, spec}) => {
+    expect(decodeConfig(object, spec).isNothing()).toBe(true);
+  });
+});
+
+describe('decodeTarget', () => {
+  const sound = {
+    service: 's',
+    address: '10.0.0.1:80',
+    zone: 'a',
+    slots: 4,
+    state: 'ready',
+    born: 5,
+  };
+
+  it.each([
+    {name: 'a ready one', spec: sound, isLeaving: false},
+    {
+      name: 'a leaving one',
+      spec: {...sound, state: 'draining'},
+      isLeaving: true,
+    },
+    {name: 'one with new fields', spec: {...sound, x: 1}, isLeaving: false},
+  ])('decodes $name', ({spec, isLeaving}) => {
+    const target = decodeTarget('i-1', spec).unsafeCoerce();
+    expect(target).toMatchObject({id: 'i-1', dataCentre: 'a', isLeaving});
+  });
+
+  it.each([
+    {...sound, slots: 0},
+    {...sound, slots: '4'},
+    {...sound, address: '10.0.0.1'},
+    {...sound, state: 7},
+    {...sound, state: 'asleep'},
+    {...sound, zone: undefined},
+    'text',
+    null,
+  ])('names no target: %j', (spec) => {
+    expect(decodeTarget('i-1', spec).isNothing()).toBe(true);
+  });
+});
+
+describe('headers', () => {
+  const raw = [
+    ...['Host', 'x.example'],
+    ...['Attempt-Id', 'a1'],
+    ...['Authorization', 'Token k1'],
+    ...['Deadline-Ms', '1500'],
+    ...['Token-Count', '1460,80'],
+    ...['Tenant', 'forged'],
+    ...['Kv-Backup', '10.0.0.9:80'],
+    ...['Connection', 'close, X-Hop'],
+    ...['X-Hop', '1'],
+    ...['X-Twice', '1'],
+    ...['X-Twice', '2'],
+  ];
+
+  it('of callers are decoded once, and what is ours to set is dropped', () => {
+    const head = decodeCallerHeaders(raw);
+    expect(head).toMatchObject({
+      attemptId: 'a1',
+      host: 'x.example',
+      deadlineMs: 1_500,
+      key: 'k1',
+      generation: {promptTokens: 1_460, maxOutputTokens: 80},
+    });
+    const names = head.headers.map(({name}) => name);
+    const kept = ['Host', 'Attempt-Id', 'Token-Count', 'X-Twice', 'X-Twice'];
+    expect(names).toEqual(kept);
+  });
+
+  it.each(['-1', '1e3', '', 'soon', '9999999999999'])(
+    'with a deadline of %j name none',
+    (text) => {
+      const head = decodeCallerHeaders(['Deadline-Ms', text]);
+      expect(head.deadlineMs).toBeUndefined();
+    },
+  );
+
+  it('towards targets carry what we set', () => {
+    const flat = encodeTargetHeaders({
+      target: decodeTarget('i-1', {
+        service: 's',
+        address: '10.0.0.1:80',
+        zone: 'a',
+        slots: 1,
+        state: 'ready',
+      }).unsafeCoerce(),
+      req: {
+        attemptId: 'a1',
+        method: 'POST',
+        path: '/',
+        headers: [{name: 'Last-Event-Id', value: '3'}],
+        body: Buffer.alloc(0),
+        leftMs: 99.9,
+        clientAccount: 'acc',
+        lastEventId: '12',
+        copyFrom: {address: '10.0.0.2:80', id: 'a1'},
+      },
+    });
+    const pairs = flat.flatMap((name, i) =>
+      i % 2 === 0 ? [[name, flat[i + 1]]] : [],
+    );
+    expect(pairs).toEqual([
+      ['Deadline-Ms', '99'],
+      ['Expect-Instance', 'i-1'],
+      ['Tenant', 'acc'],
+      ['Last-Event-Id', '12'],
+      ['Kv-From', '10.0.0.2:80/a1'],
+    ]);
+  });
+
+  it.each([
+    {raw: ['Instance-Load', '3,1,8'], load: {running: 3, waiting: 1}},
+    {raw: ['Instance-Load', 'much'], load: undefined},
+    {raw: [], load: undefined},
+  ])('of answers tell the load: $raw', ({raw: answer, load}) => {
+    expect(decodeTargetHeaders(answer).load).toEqual(load);
+  });
+});
