--- a/src/core/booking/booking-step.ts
+++ b/src/core/booking/booking-step.ts
@@ -5,7 +5,14 @@
  */
 import type {PlainResponse} from '../edges/index.js';
 import {MAX_MOVES, MAX_WRITE_TRIES} from './consts.js';
+import type {BookingState} from './booking-state.js';
+import {BookingPhase} from './booking-state.js';
 import {EvidenceKind} from './decide-ran.js';
+import {
+  giveUpEvidence,
+  unwrittenEvidence,
+  voidedEvidence,
+} from './step-evidence.js';
 import type {
   AgentPlace,
   AgentResult,
@@ -24,42 +31,6 @@
   WriteOutcome,
 } from './types.js';
 
-/** What the last effect was for. */
-export enum BookingPhase {
-  NEW = 'new',
-  CLAIMING = 'claiming',
-  TAKING_OVER = 'taking_over',
-  MOVING = 'moving',
-  VOIDING = 'voiding',
-  ASKING = 'asking',
-  CALLING = 'calling',
-  LOOKING_UP = 'looking_up',
-  DONE = 'done',
-}
-
-/** One booking at one entry. */
-export interface BookingState {
-  readonly phase: BookingPhase;
-  readonly fingerprint: string;
-  readonly entryIncarnation: string;
-  /** The caller vouches that it has not used the key before. */
-  readonly firstUse: boolean;
-  /** The claim as it was last seen. */
-  readonly stored?: StoredClaim;
-  /** The claim that is being written. */
-  readonly pending?: Claim;
-  /** Nobody but this request may have sent under `stored`. */
-  readonly sole: boolean;
-  /** This request has sent under `stored`. */
-  readonly sent: boolean;
-  /** A write of this request is in doubt. */
-  readonly doubt: boolean;
-  /** The agent that `stored` names is gone. */
-  readonly gone: boolean;
-  readonly tries: number;
-  readonly moves: number;
-}
-
 /** A state and what it asks for. */
 export interface BookingStep {
   readonly state: BookingState;
@@ -379,41 +350,6 @@
   };
 }
 
-/** What is known when a write certainly failed or stays in doubt. */
-function unwrittenEvidence(state: BookingState): EvidenceKind {
-  if (state.phase === BookingPhase.VOIDING) return EvidenceKind.VOID_IN_DOUBT;
-  if (state.phase === BookingPhase.TAKING_OVER) return giveUpEvidence(state);
-  if (state.phase === BookingPhase.MOVING) return EvidenceKind.VOID_IN_DOUBT;
-  if (state.doubt) return EvidenceKind.CLAIM_IN_DOUBT;
-  return state.firstUse
-    ? EvidenceKind.NOT_CLAIMED_FIRST_USE
-    : EvidenceKind.NOT_CLAIMED;
-}
-
-/** What is known when the caller is answered in the middle; never `no`. */
-function giveUpEvidence(state: BookingState): EvidenceKind {
-  if (state.sent) return EvidenceKind.NO_ANSWER;
-  switch (state.phase) {
-    case BookingPhase.NEW:
-      return EvidenceKind.NOT_CLAIMED;
-    case BookingPhase.CLAIMING:
-      return state.stored === undefined
-        ? EvidenceKind.CLAIM_IN_DOUBT
-        : EvidenceKind.HELD_BY_OTHER;
-    case BookingPhase.MOVING:
-    case BookingPhase.VOIDING:
-      return EvidenceKind.VOID_IN_DOUBT;
-    default:
-      return EvidenceKind.HELD_BY_OTHER;
-  }
-}
-
-function voidedEvidence(context: StepContext): EvidenceKind {
-  return context.late
-    ? EvidenceKind.VOIDED_LATE
-    : EvidenceKind.VOIDED_NO_TARGET;
-}
-
 function placeOf(claim: Claim): AgentPlace {
   return {vm: claim.agentVm, incarnation: claim.agentIncarnation};
 }
--- a/src/core/booking/index.ts
+++ b/src/core/booking/index.ts
@@ -1,5 +1,6 @@
 /** Claims, by which a booking runs at most once. */
 export * from './admit-key.js';
+export * from './booking-state.js';
 export * from './booking-step.js';
 export * from './claim-log.js';
 export * from './claim-name.js';
--- a/src/entry/generation/attempt-link.ts
+++ b/src/entry/generation/attempt-link.ts
@@ -1,6 +1,6 @@
 /** Where an attempt's words come from. */
 import type {Message} from '../../core/protocol/index.js';
-import type {LinkHandler} from '../links/agent-link.js';
+import type {LinkHandler} from '../links/link-handler.js';
 
 /** A link over which one or many attempts are followed. */
 export interface AttemptLink {
--- a/src/entry/generation/copy-link.ts
+++ b/src/entry/generation/copy-link.ts
@@ -10,7 +10,7 @@
   Message,
 } from '../../core/protocol/index.js';
 import {MessageType, PeerConnection} from '../../core/protocol/index.js';
-import type {LinkHandler} from '../links/agent-link.js';
+import type {LinkHandler} from '../links/link-handler.js';
 import type {AttemptLink} from './attempt-link.js';
 import {COPY_SILENCE_MS} from './consts.js';
 
--- a/src/entry/generation/generation-run.ts
+++ b/src/entry/generation/generation-run.ts
@@ -19,7 +19,7 @@
   TokensMessage,
 } from '../../core/protocol/index.js';
 import type {TargetView} from '../../core/routing/index.js';
-import type {LinkHandler} from '../links/agent-link.js';
+import type {LinkHandler} from '../links/link-handler.js';
 import type {AnswerCopy} from './answer-copy.js';
 import {NO_TARGET_RETRY_MS} from '../consts.js';
 import {AttemptHistory} from './attempt-history.js';
--- a/src/entry/links/agent-link.ts
+++ b/src/entry/links/agent-link.ts
@@ -1,6 +1,5 @@
 /** An entry's connection to one agent, shared by all its requests. */
 import type {Clock, RandomSource} from '../../core/clock/index.js';
-import type {ConfigNews} from '../../core/config/distribution/index.js';
 import {Weigh} from '../../core/config/index.js';
 import type {VmRecord} from '../../core/edges/index.js';
 import {VmState} from '../../core/edges/index.js';
@@ -15,16 +14,9 @@
 import {CounterName} from '../../core/metrics/index.js';
 import type {
   ConnectionListener,
-  EndMessage,
-  FailedMessage,
   HeartbeatMessage,
   HelloMessage,
-  KeyStateMessage,
-  LineageMessage,
   Message,
-  RefusedMessage,
-  ReplyMessage,
-  TokensMessage,
   TransportError,
 } from '../../core/protocol/index.js';
 import {
@@ -44,31 +36,7 @@
   MAX_PENDING_CANCELS,
 } from '../consts.js';
 import type {AttemptLink} from '../generation/attempt-link.js';
-
-/** Hears what becomes of one attempt or call at an agent. */
-export interface LinkHandler {
-  onTokens?(message: TokensMessage): void;
-  /** Another entry tells which attempt the next tokens are of. */
-  onLineage?(message: LineageMessage): void;
-  onEnd?(message: EndMessage): void;
-  onFailed?(message: FailedMessage): void;
-  onReply?(message: ReplyMessage): void;
-  onKeyState?(message: KeyStateMessage): void;
-  onRefused(message: RefusedMessage): void;
-  /** The agent is gone or silent; no other word comes. */
-  onLost(reason: RetryReason): void;
-  /** The agent has begun to leave. */
-  onLeaving?(): void;
-  /** The agent has been silent for a while, but is not suspected yet. */
-  onQuiet?(): void;
-}
-
-/** The configuration that an entry shares with its agents. */
-export interface AgentConfig {
-  held(): ConfigNews;
-  ageMs(): number;
-  takeFromAgent(news: ConfigNews, ageMs: number): void;
-}
+import type {AgentConfig, LinkHandler} from './link-handler.js';
 
 /** Speaks to one agent and keeps the view of its target. */
 export class AgentLink implements AttemptLink, ConnectionListener {
--- a/src/entry/links/agent-links.ts
+++ b/src/entry/links/agent-links.ts
@@ -12,7 +12,7 @@
 import type {Metrics} from '../../core/metrics/index.js';
 import type {HelloMessage} from '../../core/protocol/index.js';
 import type {TargetView} from '../../core/routing/index.js';
-import type {AgentConfig} from './agent-link.js';
+import type {AgentConfig} from './link-handler.js';
 import {AgentLink} from './agent-link.js';
 import {PAUSE_EVIDENCE_MS, PIN_MS, SILENCE_CHECK_MS} from '../consts.js';
 import type {EntryBoard} from '../entry-board.js';
