--- a/src/core/edges/direct-target.ts
+++ b/src/core/edges/direct-target.ts
@@ -99,6 +99,11 @@
     /** Address of the target that keeps the copy. */
     to: string;
   }): ResultAsync<string, string>;
+  /** Frees the copy that a target was asked for. */
+  freeCopy(options: {
+    runner: TargetRecord;
+    id: string;
+  }): ResultAsync<void, string>;
   /** Closes the idle connections to a target. */
   forget(target: TargetRecord): void;
 }
--- a/src/direct/streams/copy-keeper.ts
+++ b/src/direct/streams/copy-keeper.ts
@@ -70,10 +70,22 @@
     if (next !== undefined && canGoOnAt(next)) void this.ask(next);
   }
 
-  /** The run is over, or lost. */
-  close(): void {
+  /** The run is over; or it is lost, and its copy is needed. */
+  close(options: {isNeeded: boolean}): void {
     this.isOver = true;
-    this.current?.holder.removeCopy(this.options.tokens);
+    if (this.current === undefined) return;
+    this.current.holder.removeCopy(this.options.tokens);
+    // The runner itself frees the copy that it made with the request.
+    const isLeftOver = this.isAsked && !options.isNeeded;
+    if (isLeftOver) this.free(this.current.reference.id);
+  }
+
+  private free(id: string): void {
+    const {ctx, runner, work} = this.options;
+    void ctx.client.freeCopy({runner: runner.record, id}).mapErr((detail) => {
+      const {attemptId} = work.req;
+      ctx.logger.info('copy is not freed', {id: attemptId, copy: id, detail});
+    });
   }
 
   private async ask(holder: Target): Promise<void> {
@@ -87,7 +99,10 @@
       to: holder.record.address,
     });
     this.isBusy = false;
-    if (this.isOver) return;
+    if (this.isOver) {
+      if (handle.isOk()) this.free(handle.value);
+      return;
+    }
     if (handle.isErr()) {
       const detail = handle.error;
       ctx.logger.info('copy refused', {
--- a/src/direct/streams/stream-try.ts
+++ b/src/direct/streams/stream-try.ts
@@ -123,8 +123,12 @@
 
   /** Ends the work at the target. */
   cancel(): void {
+    this.leave({copyIsNeeded: false});
+  }
+
+  private leave(options: {copyIsNeeded: boolean}): void {
     if (this.isOver) return;
-    this.close();
+    this.close(options);
     this.exchange.cancel();
   }
 
@@ -181,13 +185,13 @@
     const {head} = this;
     if (this.isOver || head === undefined) return;
     if (head.status !== OK) {
-      this.close();
+      this.close({copyIsNeeded: false});
       this.options.listener.onOtherAnswer(head, Buffer.concat(this.body));
     } else if (this.splitter.pendingBytes > 0) {
       const reason = RetryReason.ENGINE_DIED;
       this.lose({reason, detail: 'ended within an event'});
     } else {
-      this.close();
+      this.close({copyIsNeeded: false});
       this.target.noteSuccess();
       this.options.listener.onEnd(head);
     }
@@ -202,14 +206,14 @@
   }
 
   private lose(loss: TargetLoss): void {
-    this.cancel();
+    this.leave({copyIsNeeded: true});
     this.options.listener.onLost(loss);
   }
 
-  private close(): void {
+  private close({copyIsNeeded}: {copyIsNeeded: boolean}): void {
     this.isOver = true;
     this.watch.stop();
     this.target.end(this.work);
-    this.keeper.close();
+    this.keeper.close({isNeeded: copyIsNeeded});
   }
 }
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -67,6 +67,8 @@
   fault = Fault.NONE;
   /** Takes connections and bytes, and answers nothing. */
   isDark = false;
+  /** Ids of copies that were freed. */
+  readonly freed: string[] = [];
   /** Ids of runs of which a copy is kept here. */
   readonly copies = new Set<string>();
   readonly id: string;
@@ -127,6 +129,11 @@
       this.copyRun(res, body);
       return;
     }
+    if (req.url?.startsWith(Path.COPIES) === true) {
+      this.freed.push(req.url.slice(Path.COPIES.length + 1));
+      res.end();
+      return;
+    }
     const expected = req.headers[Header.EXPECTED_TARGET];
     if (expected !== undefined && expected !== this.id) {
       res.writeHead(421, {'Instance-Id': this.id}).end();
--- a/test/direct/streams.test.ts
+++ b/test/direct/streams.test.ts
@@ -127,6 +127,22 @@
     expect(runs.filter((run) => run.isReadAnew)).toHaveLength(1);
   });
 
+  it('frees a copy that was not needed', async () => {
+    let first: StandInTarget | undefined;
+    await site.call({
+      path: SitePath.STREAM,
+      onData: (text) => {
+        if (first !== undefined || !text.includes('id: 5\n')) return;
+        first = holder();
+        first.crash();
+        site.store.remove({kind: Kind.TARGETS, name: first.id});
+      },
+    });
+    const freed = () => site.targets.flatMap((target) => target.freed);
+    await waitFor(() => freed().length > 0);
+    expect(freed()).toEqual(['copy-of-try-1']);
+  });
+
   it('goes on after the last event that the caller has', async () => {
     const reply = await site.call({
       path: SitePath.STREAM,
