--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -62,7 +62,7 @@
 export const SHORTLIST = 3;
 
 /** Work that a leaving target still ends by itself, in milliseconds. */
-export const LEAVING_WORK_MS = 1_200;
+export const LEAVING_WORK_MS = 800;
 
 /** Time for a run that goes on from a copy to write, in milliseconds. */
 export const COPY_ANSWER_MS = 350;
