Pass on no success without the target's proof; drop what nothing uses

A garbled answer with the right id and no stamp would have been taken for the target's own. Test: calls meet an unproven answer (failed first).

--- a/src/core/edges/direct-target.ts
+++ b/src/core/edges/direct-target.ts
@@ -14,7 +14,7 @@
   WRONG_TARGET = 'wrong_target',
   /** The connection broke, or carried what is no answer. */
   BROKEN = 'broken',
-  /** The answer belongs to another request. */
+  /** The answer belongs to another request, or is not the target's. */
   FOREIGN_ANSWER = 'foreign_answer',
 }
 
@@ -23,8 +23,6 @@
   readonly status: number;
   /** Headers for the caller, as the target spelled them. */
   readonly headers: readonly HeaderField[];
-  /** Whether the target proved that the answer is its own. */
-  readonly isProven: boolean;
   /** Whether the answer tells its own end; else the connection's end is it. */
   readonly hasLength: boolean;
   readonly load?: ReportedLoad;
--- a/src/core/settings/direct-settings.ts
+++ b/src/core/settings/direct-settings.ts
@@ -25,7 +25,6 @@
   readonly callers: ListenAddress;
   readonly readiness: ListenAddress;
   readonly storeUrl: string;
-  readonly maxFiles: number;
   /** Time between the signal to stop and the forced end. */
   readonly stopGraceMs: number;
   /** Time after which a key that was taken away must not serve any more. */
--- a/src/core/targets/target-set.ts
+++ b/src/core/targets/target-set.ts
@@ -32,19 +32,11 @@
     },
   ) {}
 
-  get size(): number {
-    return this.targets.size;
-  }
-
   /** All known targets. */
   all(): Iterable<Target> {
     return this.targets.values();
   }
 
-  find(id: string): Target | undefined {
-    return this.targets.get(id);
-  }
-
   /** Targets of a service that may be given work. */
   ofService(service: string): Target[] {
     this.forgetLapsed();
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -22,6 +22,8 @@
   SHORT = 'short',
   /** Answers with the id of another request. */
   FOREIGN = 'foreign',
+  /** Answers without proof that the answer is its own. */
+  UNPROVEN = 'unproven',
   /** Answers twice on one connection. */
   TWICE = 'twice',
   /** Runs and never answers. */
@@ -200,6 +202,10 @@
       case Fault.FOREIGN:
         socket.write(sized('another'));
         break;
+      case Fault.UNPROVEN:
+        res.writeHead(200, {[Header.ATTEMPT_ID]: attemptId});
+        res.end(text);
+        break;
       case Fault.TWICE:
         socket.write(sized(attemptId));
         setTimeout(() => socket.write(sized(attemptId)), 20);
--- a/test/direct/calls.test.ts
+++ b/test/direct/calls.test.ts
@@ -32,6 +32,8 @@
   {fault: Fault.UNFRAMED_RESET, path: UNSAFE, status: 502, runs: 1},
   {fault: Fault.FOREIGN, path: SAFE, status: 200, runs: 2},
   {fault: Fault.FOREIGN, path: UNSAFE, status: 502, runs: 1},
+  {fault: Fault.UNPROVEN, path: SAFE, status: 200, runs: 2},
+  {fault: Fault.UNPROVEN, path: UNSAFE, status: 502, runs: 1},
   {fault: Fault.HANG, path: SAFE, status: 200, runs: 2},
   {fault: Fault.HANG, path: UNSAFE, status: 504, runs: 1},
 ];
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -122,7 +122,6 @@
         callers: {host: '127.0.0.1', port: 0},
         readiness: {host: '127.0.0.1', port: 0},
         storeUrl: url,
-        maxFiles: 1_000,
         stopGraceMs: 2_000,
         keyTrustMs: revokeMs,
         retryBudget: {ratio: 0.8, windowMs: 10_000, slack: 150},
