--- a/test/direct/calls.test.ts
+++ b/test/direct/calls.test.ts
@@ -1,9 +1,18 @@
 /** Plain calls through a direct entry, with targets that fail in each way. */
+import {once} from 'node:events';
+import {Worker} from 'node:worker_threads';
+
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {Fault} from '../../stand-ins/site/target.js';
 import type {StandInTarget} from '../../stand-ins/site/target.js';
-import {DirectSite, SitePath, SiteService} from '../support/direct-site.js';
+import {
+  DirectSite,
+  HOST,
+  KEY,
+  SitePath,
+  SiteService,
+} from '../support/direct-site.js';
 
 interface Case {
   readonly fault: Fault;
@@ -38,6 +47,27 @@
   {fault: Fault.HANG, path: UNSAFE, status: 504, runs: 1},
 ];
 
+/** Connects, tells so, then sends its request and leaves. */
+const HASTY_CALLER = `
+const {connect} = require('node:net');
+const {parentPort, workerData} = require('node:worker_threads');
+const {port, text} = workerData;
+const socket = connect({host: '127.0.0.1', port}, () => {
+  parentPort.postMessage('connected');
+  setTimeout(() => socket.end(text), 50);
+});
+socket.on('error', () => undefined);
+socket.resume();
+`;
+
+/** Time for which the entry is too busy to read, in milliseconds. */
+const BUSY_MS = 250;
+
+function blockFor(ms: number): void {
+  const untilMs = performance.now() + ms;
+  while (performance.now() < untilMs);
+}
+
 describe('a plain call', () => {
   let site: DirectSite;
   let near: StandInTarget;
@@ -97,6 +127,29 @@
     expect(Number(headers['deadline-ms'])).toBeLessThanOrEqual(3_000);
   });
 
+  it.each(['GET', 'POST'])(
+    'sends no %s on whose caller has hung up',
+    async (method) => {
+      const head = [
+        `${method} ${UNSAFE} HTTP/1.1`,
+        `Host: ${HOST}`,
+        'Attempt-Id: gone',
+        `Authorization: Token ${KEY}`,
+        'Content-Length: 0',
+      ];
+      const text = `${head.join('\r\n')}\r\n\r\n`;
+      const worker = new Worker(HASTY_CALLER, {
+        eval: true,
+        workerData: {port: site.port, text},
+      });
+      await once(worker, 'message');
+      blockFor(BUSY_MS);
+      await once(worker, 'exit');
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      expect([...near.runs, ...far.runs]).toEqual([]);
+    },
+  );
+
   it('sends nothing to a target that another one has replaced', async () => {
     far.crash();
     near.crash();
