--- a/src/core/placing/index.ts
+++ b/src/core/placing/index.ts
@@ -3,3 +3,5 @@
 export {chooseCallTarget} from './choose-call-target.js';
 export type {EngineChoice} from './choose-engine.js';
 export {chooseEngine, shortlistEngines} from './choose-engine.js';
+export type {UrgencyFacts} from './urgency.js';
+export {urgencyClass} from './urgency.js';
--- a/src/core/retrying/decide-retry.ts
+++ b/src/core/retrying/decide-retry.ts
@@ -1,6 +1,6 @@
 /** What follows a call that has no good answer. */
 import {ExchangeFailure} from '../edges/direct-target.js';
-import {RefusalReason} from '../errors/refusals.js';
+import {RefusalReason, RetryReason} from '../errors/refusals.js';
 import {OperationKind} from '../routes/index.js';
 
 /** First status of a target's own failures. */
@@ -58,6 +58,23 @@
   return NOT_RUN.has(failure);
 }
 
+/**
+ * Why work is sent again after a failed try, or after a failed answer.
+ *
+ * @example
+ * retryReasonOf(ExchangeFailure.REJECTED, RetryReason.CALL_LOST);
+ * // RetryReason.TARGET_REFUSED
+ */
+export function retryReasonOf(
+  failure: ExchangeFailure | undefined,
+  /** The reason where the try may have had an effect. */
+  whenLost: RetryReason,
+): RetryReason {
+  if (failure === ExchangeFailure.NOT_SENT) return RetryReason.NOT_SENT;
+  const isRefused = failure !== undefined && certainlyDidNotRun(failure);
+  return isRefused ? RetryReason.TARGET_REFUSED : whenLost;
+}
+
 /**
  * Whether a try counts towards the targets that a call may be sent to.
  *
--- a/src/core/retrying/index.ts
+++ b/src/core/retrying/index.ts
@@ -11,5 +11,6 @@
   countsAsSent,
   decideRetry,
   isTargetFailure,
+  retryReasonOf,
   RetryVerdict,
 } from './decide-retry.js';
--- a/src/daemon/direct-main.ts
+++ b/src/daemon/direct-main.ts
@@ -1,5 +1,8 @@
 #!/usr/bin/env node
 /** The daemon of an entry on the platform, which calls its targets directly. */
+// Signals may come while the other modules are loaded.
+import {liftStartGuard} from './guarded-start.js';
+
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 
@@ -110,18 +113,6 @@
   entry.routes.subscribe((table) => {
     if (table !== undefined) server.applyLimits(table.limits);
   });
-  entry.start();
-  await listen(settings.readiness, (req, res) => {
-    const isKnown = req.url === (Path.READY as string);
-    res.statusCode = isKnown ? (entry.isReady() ? 200 : 503) : 404;
-    res.end();
-  });
-  await server.listen(settings.callers);
-  const metricsAddress = {host: settings.address, port: metricsPort};
-  await listen(metricsAddress, (req, res) => {
-    void serveMetrics({req, res, metrics});
-  });
-  logger.info('started', {callers: settings.callers.port, metricsPort});
   const watch = new SettingsWatch({
     path,
     parse: parseBootSettings,
@@ -129,8 +120,6 @@
     clock,
     logger,
   });
-  await watch.check();
-  watch.start();
   const stop = new PlannedStop({
     clock,
     logger,
@@ -148,6 +137,21 @@
     entry.leave();
     stop.begin();
   });
+  liftStartGuard();
+  entry.start();
+  await listen(settings.readiness, (req, res) => {
+    const isKnown = req.url === (Path.READY as string);
+    res.statusCode = isKnown ? (entry.isReady() ? 200 : 503) : 404;
+    res.end();
+  });
+  await server.listen(settings.callers);
+  const metricsAddress = {host: settings.address, port: metricsPort};
+  await listen(metricsAddress, (req, res) => {
+    void serveMetrics({req, res, metrics});
+  });
+  logger.info('started', {callers: settings.callers.port, metricsPort});
+  await watch.check();
+  watch.start();
 }
 
 async function serveMetrics(options: {
--- a/src/direct/call-run.ts
+++ b/src/direct/call-run.ts
@@ -1,7 +1,10 @@
 /** Runs one plain call: at most once, or repeated where that is harmless. */
 import type {TimerHandle} from '../core/clock/index.js';
-import type {AnswerHead, Exchange} from '../core/edges/direct-target.js';
-import {ExchangeFailure} from '../core/edges/direct-target.js';
+import type {
+  AnswerHead,
+  Exchange,
+  ExchangeFailure,
+} from '../core/edges/direct-target.js';
 import {RetryReason} from '../core/errors/refusals.js';
 import {LatencyName} from '../core/metrics/index.js';
 import {chooseCallTarget} from '../core/placing/index.js';
@@ -11,6 +14,7 @@
   countsAsSent,
   decideRetry,
   isTargetFailure,
+  retryReasonOf,
   RetryVerdict,
 } from '../core/retrying/index.js';
 import type {TryEnd} from '../core/retrying/index.js';
@@ -144,19 +148,20 @@
     if (countsAsSent(end.failure)) this.sent++;
     const next = this.choose();
     const {operation, maxAttempts} = this.work.admitted.route;
+    const reason = retryReasonOf(end.failure, RetryReason.CALL_LOST);
     const verdict = decideRetry({
       operation,
       end,
       sent: this.sent,
       maxAttempts,
       hasTarget: next !== undefined,
-      takeFromBudget: () => this.takeFromBudget(reasonOf(end)),
+      takeFromBudget: () => this.takeFromBudget(reason),
     });
     if (verdict === RetryVerdict.PASS_ON) {
       target.noteSuccess();
       this.passOn();
     } else if (verdict === RetryVerdict.RETRY) {
-      this.noteRetry(reasonOf(end), target);
+      this.noteRetry(reason, target);
       this.send(next!);
     } else {
       this.giveUp(false);
@@ -232,9 +237,3 @@
     return this.ctx.budgets.tryRetry(this.work.service.name, reason);
   }
 }
-
-function reasonOf({failure}: TryEnd): RetryReason {
-  if (failure === ExchangeFailure.NOT_SENT) return RetryReason.NOT_SENT;
-  const isRefused = failure !== undefined && certainlyDidNotRun(failure);
-  return isRefused ? RetryReason.TARGET_REFUSED : RetryReason.CALL_LOST;
-}
--- a/src/direct/streams/stream-run.ts
+++ b/src/direct/streams/stream-run.ts
@@ -137,6 +137,7 @@
       chooseCopy: () => this.placer.chooseCopy(target),
       tokens: this.placer.tokens,
       lastEventId: this.sequence.lastId,
+      isUnderWay: this.delivery.isOpen,
       copyFrom,
       listener: {
         onEvent: (head, event) => this.onEvent(head, event),
--- a/src/direct/streams/stream-try.ts
+++ b/src/direct/streams/stream-try.ts
@@ -3,9 +3,11 @@
   AnswerHead,
   CopyReference,
   Exchange,
+  ExchangeFailure,
 } from '../../core/edges/direct-target.js';
-import {ExchangeFailure} from '../../core/edges/direct-target.js';
 import {RetryReason} from '../../core/errors/refusals.js';
+import {urgencyClass} from '../../core/placing/index.js';
+import {retryReasonOf} from '../../core/retrying/index.js';
 import type {RawEvent} from '../../core/streams/index.js';
 import {EventSplitter} from '../../core/streams/index.js';
 import type {Target, TargetWork} from '../../core/targets/index.js';
@@ -19,14 +21,6 @@
 
 const OK = 200;
 
-const REASONS: Readonly<Record<ExchangeFailure, RetryReason>> = {
-  [ExchangeFailure.NOT_SENT]: RetryReason.NOT_SENT,
-  [ExchangeFailure.REJECTED]: RetryReason.TARGET_REFUSED,
-  [ExchangeFailure.WRONG_TARGET]: RetryReason.TARGET_REFUSED,
-  [ExchangeFailure.BROKEN]: RetryReason.ENGINE_DIED,
-  [ExchangeFailure.FOREIGN_ANSWER]: RetryReason.ENGINE_DIED,
-};
-
 /** Why a target is of no more use to a stream. */
 export interface TargetLoss {
   readonly reason: RetryReason;
@@ -56,6 +50,8 @@
   readonly tokens: number;
   /** The last event that the caller has. */
   readonly lastEventId?: number;
+  /** Whether the caller has got events from another target before. */
+  readonly isUnderWay: boolean;
   /** The copy from which the target goes on. */
   readonly copyFrom?: CopyReference;
   readonly listener: TryListener;
@@ -134,12 +130,15 @@
 
   private send(): Exchange {
     const {ctx, work, target, lastEventId, copyFrom} = this.options;
+    const {isUnderWay} = this.options;
+    const {route, account} = work.admitted;
     return ctx.client.send({
       target: target.record,
       maxConnections: work.service.maxConnections,
       req: toTargetRequest({
         work,
         leftMs: work.endMs - ctx.clock.now(),
+        priority: urgencyClass({route, account, isUnderWay}),
         lastEventId: lastEventId?.toString(),
         copyTo: this.copy?.holder.record.address,
         copyFrom,
@@ -201,7 +200,7 @@
     if (this.isOver) return;
     noteFailureAt(this.target, failure);
     this.options.ctx.prober.sweepAround(this.target);
-    const reason = REASONS[failure];
+    const reason = retryReasonOf(failure, RetryReason.ENGINE_DIED);
     this.lose({reason, failure, detail: `${failure}: ${detail}`});
   }
 
--- a/stand-ins/relay/relay.ts
+++ b/stand-ins/relay/relay.ts
@@ -5,6 +5,14 @@
 import type {LinkState} from './pipe.js';
 import {Pipe} from './pipe.js';
 
+/** Which way bytes go through a relay. */
+export enum Direction {
+  TO_DESTINATION = 'to_destination',
+  TO_CALLER = 'to_caller',
+}
+
+const BOTH_WAYS = [Direction.TO_DESTINATION, Direction.TO_CALLER];
+
 /** Where a relay listens and what it passes bytes to. */
 export interface RelayOptions {
   readonly address: string;
@@ -15,7 +23,7 @@
 
 interface Pair {
   readonly sockets: readonly Socket[];
-  readonly pipes: readonly Pipe[];
+  readonly pipes: Readonly<Record<Direction, Pipe>>;
 }
 
 /**
@@ -26,7 +34,10 @@
  */
 export class Relay {
   private readonly pairs = new Set<Pair>();
-  private readonly link: LinkState = {isCut: false, delayMs: 0};
+  private readonly links: Readonly<Record<Direction, LinkState>> = {
+    [Direction.TO_DESTINATION]: {isCut: false, delayMs: 0},
+    [Direction.TO_CALLER]: {isCut: false, delayMs: 0},
+  };
   private readonly server: Server;
 
   constructor(private readonly options: RelayOptions) {
@@ -49,16 +60,19 @@
   }
 
   /** Passes nothing on any more, but keeps and accepts connections. */
-  cut(): void {
-    this.link.isCut = true;
-    this.pipes().forEach((pipe) => pipe.pause());
+  cut(directions: readonly Direction[] = BOTH_WAYS): void {
+    for (const direction of directions) {
+      this.links[direction].isCut = true;
+      this.pipes(direction).forEach((pipe) => pipe.pause());
+    }
   }
 
-  /** Ends a cut and a delay; what was held back goes first. */
+  /** Ends cuts and delays; what was held back goes first. */
   mend(): void {
-    this.link.isCut = false;
-    this.link.delayMs = 0;
-    this.pipes().forEach((pipe) => pipe.resume());
+    for (const direction of BOTH_WAYS) {
+      Object.assign(this.links[direction], {isCut: false, delayMs: 0});
+      this.pipes(direction).forEach((pipe) => pipe.resume());
+    }
   }
 
   /** Resets all connections; new ones are treated as before. */
@@ -69,7 +83,7 @@
 
   /** Delays what is passed on, each way, in milliseconds. */
   delay(delayMs: number): void {
-    this.link.delayMs = delayMs;
+    for (const link of Object.values(this.links)) link.delayMs = delayMs;
   }
 
   /** Resets all connections and stops listening. */
@@ -81,15 +95,18 @@
   private accept(near: Socket): void {
     const {toHost: host, toPort: port} = this.options;
     const far = connect({host, port, allowHalfOpen: true});
-    const pipes = [
-      new Pipe(near, far, this.link),
-      new Pipe(far, near, this.link),
-    ];
+    const {TO_DESTINATION, TO_CALLER} = Direction;
+    const pipes = {
+      [TO_DESTINATION]: new Pipe(near, far, this.links[TO_DESTINATION]),
+      [TO_CALLER]: new Pipe(far, near, this.links[TO_CALLER]),
+    };
     const pair = {sockets: [near, far], pipes};
     this.pairs.add(pair);
     near.on('close', () => this.forget(pair));
     far.on('close', () => this.forget(pair));
-    if (!this.link.isCut) pipes.forEach((pipe) => pipe.resume());
+    for (const direction of BOTH_WAYS) {
+      if (!this.links[direction].isCut) pipes[direction].resume();
+    }
   }
 
   private forget(pair: Pair): void {
@@ -98,7 +115,7 @@
     }
   }
 
-  private pipes(): Pipe[] {
-    return [...this.pairs].flatMap((pair) => pair.pipes);
+  private pipes(direction: Direction): Pipe[] {
+    return [...this.pairs].map((pair) => pair.pipes[direction]);
   }
 }
--- /dev/null
+++ b/stand-ins/site/config.ts
@@ -0,0 +1,99 @@
+/** The configuration of a site of stand-ins, as an operator writes it. */
+
+/** Host name of all routes. */
+export const HOST = 'shop.example';
+
+/** The key that callers use where nothing else is said. */
+export const KEY = 'key-of-a';
+
+const ROUTE_TIMEOUT_MS = 3_000;
+
+/** Services of the site. */
+export enum SiteService {
+  DESK = 'desk',
+  /** Serves nothing until a route is moved to it. */
+  SPARE = 'spare',
+  WRITERS = 'writers',
+}
+
+/** Paths of the site's routes. */
+export enum SitePath {
+  SAFE = '/stock/1',
+  UNSAFE = '/orders/1',
+  STREAM = '/drafts/1',
+  /** Moves between services with the configuration. */
+  MOVING = '/moving/1',
+}
+
+/** What differs between configurations of a site. */
+export interface SiteConfigOptions {
+  readonly version: number;
+  readonly keys?: readonly string[];
+  /** Service of the route that moves. */
+  readonly movingTo?: SiteService;
+  /** Longest time for a stream, in milliseconds. */
+  readonly streamTimeoutMs?: number;
+}
+
+/**
+ * The configuration of the site.
+ *
+ * @example
+ * store.put({kind: 'config', name: 'main', spec: siteConfig({version: 1})});
+ */
+export function siteConfig(options: SiteConfigOptions) {
+  const {version, keys = [KEY], movingTo = SiteService.DESK} = options;
+  const {streamTimeoutMs = ROUTE_TIMEOUT_MS} = options;
+  const common = {timeout_ms: ROUTE_TIMEOUT_MS, stream_resume: false};
+  const {DESK, SPARE, WRITERS} = SiteService;
+  return {
+    version,
+    routes: [
+      {path: '/stock/', type: 'safe', service: DESK, attempts: 2, ...common},
+      {path: '/orders/', type: 'unsafe', service: DESK, attempts: 1, ...common},
+      {
+        path: '/drafts/',
+        type: 'streaming',
+        service: WRITERS,
+        attempts: 5,
+        timeout_ms: streamTimeoutMs,
+        stream_resume: true,
+      },
+      {
+        path: '/moving/',
+        type: 'safe',
+        service: movingTo,
+        attempts: 2,
+        ...common,
+      },
+    ].map(({path, type, attempts, ...route}) => ({
+      name: path,
+      hostname: HOST,
+      path_prefix: path,
+      route_type: type,
+      target_latency_ms: 300,
+      priority: 1,
+      max_attempts: attempts,
+      public: false,
+      itl_target_ms: 700,
+      ...route,
+    })),
+    services: [
+      {name: DESK, health_check: '/healthz', max_connections: 20},
+      {
+        name: WRITERS,
+        health_check: '/healthz',
+        max_connections: 20,
+        engine: {slots: 8, kv_capacity_tokens: 55_000, backups: true},
+      },
+      {name: SPARE, health_check: '/healthz', max_connections: 20},
+    ],
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 100_000,
+      header_timeout_ms: 3_000,
+      idle_timeout_ms: 15_000,
+    },
+    tenants: [{name: 'account-a', api_keys: keys}],
+  };
+}
--- /dev/null
+++ b/stand-ins/site/target-main.ts
@@ -0,0 +1,55 @@
+/** Runs a target as a program that its parent steers and hears from. */
+import {announce, readFlags} from '../lib/program.js';
+import {followParent} from './steering.js';
+import type {Fault} from './target.js';
+import {RemoteCopies, StandInTarget} from './target.js';
+
+/** What a target tells its parent; times are Unix milliseconds. */
+export type TargetReport =
+  | {
+      readonly type: 'arrived';
+      readonly atMs: number;
+      readonly attemptId: string;
+      readonly key: string;
+      /** False where the request was rejected. */
+      readonly hasRun: boolean;
+    }
+  | {
+      readonly type: 'ended';
+      readonly atMs: number;
+      readonly attemptId: string;
+    };
+
+const flags = readFlags({
+  values: ['id', 'events', 'first-ms', 'gap-ms', 'work-ms'],
+  switches: [],
+});
+
+const report = (event: TargetReport): void => void process.send?.(event);
+
+const target = new StandInTarget({
+  id: flags.text('id', 'i-1'),
+  copyNetwork: new RemoteCopies(),
+  pace: {
+    events: flags.number('events', 0),
+    firstMs: flags.number('first-ms', 0),
+    gapMs: flags.number('gap-ms', 0),
+  },
+  workMs: flags.number('work-ms', 0),
+  observer: {
+    onArrived: (arrival) =>
+      report({type: 'arrived', atMs: Date.now(), ...arrival}),
+    onEnded: (attemptId) =>
+      report({type: 'ended', atMs: Date.now(), attemptId}),
+  },
+});
+await target.start();
+followParent({
+  setFault: (fault: Fault) => {
+    target.fault = fault;
+  },
+  setDark: (isDark: boolean) => {
+    target.isDark = isDark;
+  },
+});
+announce({port: Number(target.listensAt.split(':')[1])});
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -3,8 +3,13 @@
 import {createServer} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 
+import {request} from 'undici';
+
 import {Header, Path} from '../../platform/names.js';
 
+/** Longest wait for a target that takes a copy, in milliseconds. */
+const COPY_TIMEOUT_MS = 1_000;
+
 /** What a target does with its next requests. */
 export enum Fault {
   NONE = 'none',
@@ -48,18 +53,94 @@
   readonly gapMs: number;
 }
 
+/** Header in which callers repeat the key that they use, for checks. */
+export const KEY_HEADER = 'used-key';
+
 const NO_STREAM: StreamPace = {events: 0, firstMs: 0, gapMs: 0};
 
-/** Targets of one site; copies of runs travel between them. */
-export class TargetWorld {
+/** Path at which a target of another process takes a copy of a run. */
+const TAKE_COPY = '/stand-in/copies';
+
+/** How a target hands copies of its runs to other targets. */
+export interface CopyNetwork {
+  /** Tells whether the target at an address now holds the copy. */
+  hold(address: string, copyId: string): Promise<boolean>;
+}
+
+/** Targets of one process; copies of runs travel between them. */
+export class TargetWorld implements CopyNetwork {
   readonly byAddress = new Map<string, StandInTarget>();
+
+  hold(address: string, copyId: string): Promise<boolean> {
+    const holder = this.byAddress.get(address);
+    if (holder === undefined || holder.isDark) return Promise.resolve(false);
+    holder.copies.add(copyId);
+    return Promise.resolve(true);
+  }
+}
+
+/** Hands copies to targets of other processes. */
+export class RemoteCopies implements CopyNetwork {
+  async hold(address: string, copyId: string): Promise<boolean> {
+    const url = `http://${address}${TAKE_COPY}/${copyId}`;
+    const options = {method: 'PUT', headersTimeout: COPY_TIMEOUT_MS} as const;
+    try {
+      const {statusCode, body} = await request(url, options);
+      await body.dump();
+      return statusCode === 200;
+    } catch {
+      // The other target cannot be reached, so it holds nothing.
+      return false;
+    }
+  }
 }
 
+/**
+ * What a target at an address says of itself in the store.
+ *
+ * @example
+ * const spec = registrationOf({service: 'desk', zone: 'a', address});
+ */
+export function registrationOf(options: {
+  service: string;
+  zone: string;
+  address: string;
+  state?: string;
+  /** Start of the target, as a Unix time in milliseconds. */
+  bornMs?: number;
+}) {
+  const {service, zone, address, state = 'ready', bornMs = 1_000} = options;
+  return {
+    service,
+    zone,
+    address,
+    state,
+    version: 'v1',
+    slots: 8,
+    warmup_left_ms: 0,
+    sequence: 1,
+    born: bornMs,
+  };
+}
+
+/** Told of what a target does. */
+export interface TargetObserver {
+  /** A request arrived; `hasRun` is false where it was rejected. */
+  onArrived(arrival: {attemptId: string; hasRun: boolean; key: string}): void;
+  /** Work on a request has ended, for whatever reason. */
+  onEnded(attemptId: string): void;
+}
+
+const NO_OBSERVER: TargetObserver = {
+  onArrived: () => undefined,
+  onEnded: () => undefined,
+};
+
 /**
  * One target on a loopback port.
  *
  * @example
- * const target = new StandInTarget({id: 'i-1', world});
+ * const target = new StandInTarget({id: 'i-1', copyNetwork});
  * await target.start();
  */
 export class StandInTarget {
@@ -75,15 +156,26 @@
   readonly copies = new Set<string>();
   readonly id: string;
   private readonly pace: StreamPace;
-  private readonly world: TargetWorld;
+  private readonly workMs: number;
+  private readonly copyNetwork: CopyNetwork;
+  private readonly observer: TargetObserver;
   private readonly sockets = new Set<Socket>();
   private readonly server: Server;
   private address = '';
 
-  constructor(options: {id: string; world: TargetWorld; pace?: StreamPace}) {
+  constructor(options: {
+    id: string;
+    copyNetwork: CopyNetwork;
+    pace?: StreamPace;
+    /** Time for a plain answer. */
+    workMs?: number;
+    observer?: TargetObserver;
+  }) {
     this.id = options.id;
-    this.world = options.world;
+    this.copyNetwork = options.copyNetwork;
     this.pace = options.pace ?? NO_STREAM;
+    this.workMs = options.workMs ?? 0;
+    this.observer = options.observer ?? NO_OBSERVER;
     this.server = createServer((req, res) => void this.serve(req, res));
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
@@ -97,21 +189,16 @@
     });
     const {port} = this.server.address() as AddressInfo;
     this.address = `127.0.0.1:${port}`;
-    this.world.byAddress.set(this.address, this);
+  }
+
+  /** Where the target listens, as HOST:PORT. */
+  get listensAt(): string {
+    return this.address;
   }
 
   /** What the target says of itself in the store. */
   registration(options: {service: string; zone: string; state?: string}) {
-    return {
-      ...options,
-      address: this.address,
-      state: options.state ?? 'ready',
-      version: 'v1',
-      slots: 8,
-      warmup_left_ms: 0,
-      sequence: 1,
-      born: 1_000,
-    };
+    return registrationOf({...options, address: this.address});
   }
 
   /** Dies: connections break and new ones are refused. */
@@ -128,7 +215,12 @@
       return;
     }
     if (req.url === (Path.COPY_RUN as string)) {
-      this.copyRun(res, body);
+      await this.copyRun(res, body);
+      return;
+    }
+    if (req.url?.startsWith(TAKE_COPY) === true) {
+      this.copies.add(req.url.slice(TAKE_COPY.length + 1));
+      res.end();
       return;
     }
     if (req.url?.startsWith(Path.COPIES) === true) {
@@ -142,32 +234,45 @@
       return;
     }
     if (this.fault === Fault.REJECT) {
-      res.writeHead(503, {'Not-Executed': '1'}).end();
+      this.reject(req, res);
       return;
     }
     if (this.pace.events > 0) this.stream(req, res, body);
     else this.answer(req, res, body);
   }
 
-  private copyRun(res: ServerResponse, body: string): void {
+  private async copyRun(res: ServerResponse, body: string): Promise<void> {
     const {id, target} = JSON.parse(body) as {id: string; target: string};
-    const holder = this.world.byAddress.get(target);
-    if (holder === undefined || holder.isDark) {
-      res.writeHead(503).end('{}');
-      return;
-    }
     const handle = `copy-of-${id}`;
-    holder.copies.add(handle);
-    res.end(JSON.stringify({handle, created: 1}));
+    const isHeld = await this.copyNetwork.hold(target, handle);
+    if (isHeld) res.end(JSON.stringify({handle, created: 1}));
+    else res.writeHead(503).end('{}');
   }
 
-  private note(req: IncomingMessage, body: string, isReadAnew: boolean): void {
-    const attemptId = String(req.headers[Header.ATTEMPT_ID] ?? '');
+  private reject(req: IncomingMessage, res: ServerResponse): void {
+    this.observer.onArrived({...arrivalOf(req), hasRun: false});
+    res.writeHead(503, {'Not-Executed': '1'}).end();
+  }
+
+  private note(options: {
+    req: IncomingMessage;
+    res: ServerResponse;
+    body: string;
+    isReadAnew: boolean;
+  }): void {
+    const {req, res, body, isReadAnew} = options;
+    const {attemptId, key} = arrivalOf(req);
     this.runs.push({attemptId, headers: req.headers, body, isReadAnew});
+    this.observer.onArrived({attemptId, key, hasRun: true});
+    res.on('close', () => this.observer.onEnded(attemptId));
   }
 
   private answer(req: IncomingMessage, res: ServerResponse, body: string) {
-    this.note(req, body, true);
+    this.note({req, res, body, isReadAnew: true});
+    setTimeout(() => this.finish(req, res), this.workMs);
+  }
+
+  private finish(req: IncomingMessage, res: ServerResponse): void {
     const attemptId = String(req.headers[Header.ATTEMPT_ID] ?? '');
     const text = `answer to ${attemptId}`;
     const head = `Attempt-Id: ${attemptId}\r\nServer-Stamp: s-${this.id}\r\n`;
@@ -226,11 +331,11 @@
     const copyFrom = req.headers[Header.COPY_FROM];
     const usesCopy = copyFrom !== undefined;
     const copyId = String(copyFrom).split('/').at(-1) ?? '';
-    if (usesCopy && !this.copies.has(copyId)) {
-      res.writeHead(503, {'Not-Executed': '1'}).end();
+    if (usesCopy && !this.copies.delete(copyId)) {
+      this.reject(req, res);
       return;
     }
-    this.note(req, body, !usesCopy);
+    this.note({req, res, body, isReadAnew: !usesCopy});
     if (this.fault === Fault.DROP_RUNS) {
       req.socket.destroy();
       return;
@@ -252,7 +357,9 @@
         });
       }
       res.write(`id: ${next}\ndata: piece ${next} of ${attemptId}\n\n`);
-      this.world.byAddress.get(String(copyTo))?.copies.add(attemptId);
+      if (typeof copyTo === 'string') {
+        void this.copyNetwork.hold(copyTo, attemptId);
+      }
       if (next++ >= this.pace.events) res.end();
       else timer = setTimeout(step, this.pace.gapMs);
     };
@@ -260,6 +367,11 @@
   }
 }
 
+function arrivalOf(req: IncomingMessage): {attemptId: string; key: string} {
+  const attemptId = String(req.headers[Header.ATTEMPT_ID] ?? '');
+  return {attemptId, key: String(req.headers[KEY_HEADER] ?? '')};
+}
+
 async function readText(req: IncomingMessage): Promise<string> {
   let text = '';
   for await (const chunk of req) text += String(chunk);
--- a/test/direct/calls.test.ts
+++ b/test/direct/calls.test.ts
@@ -4,15 +4,10 @@
 
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
+import {HOST, KEY, SitePath, SiteService} from '../../stand-ins/site/config.js';
 import {Fault} from '../../stand-ins/site/target.js';
 import type {StandInTarget} from '../../stand-ins/site/target.js';
-import {
-  DirectSite,
-  HOST,
-  KEY,
-  SitePath,
-  SiteService,
-} from '../support/direct-site.js';
+import {DirectSite} from '../support/direct-site.js';
 
 interface Case {
   readonly fault: Fault;
--- a/test/direct/control.test.ts
+++ b/test/direct/control.test.ts
@@ -2,15 +2,14 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {Kind} from '../../platform/names.js';
-import {StoreMode} from '../../stand-ins/site/store.js';
 import {
-  DirectSite,
   KEY,
   siteConfig,
   SitePath,
   SiteService,
-  waitFor,
-} from '../support/direct-site.js';
+} from '../../stand-ins/site/config.js';
+import {StoreMode} from '../../stand-ins/site/store.js';
+import {DirectSite, waitFor} from '../support/direct-site.js';
 
 const REVOKE_MS = 1_500;
 /** The entry's longest wait for a change, and its slack, in milliseconds. */
--- a/test/direct/streams.test.ts
+++ b/test/direct/streams.test.ts
@@ -1,16 +1,12 @@
 /** Event streams through a direct entry, whose targets are lost on the way. */
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
-import {Kind} from '../../platform/names.js';
+import {Header, Kind} from '../../platform/names.js';
 import {POISON_CRASHES} from '../../src/core/poison/index.js';
+import {SitePath, SiteService} from '../../stand-ins/site/config.js';
 import type {StandInTarget} from '../../stand-ins/site/target.js';
 import {Fault} from '../../stand-ins/site/target.js';
-import {
-  DirectSite,
-  SitePath,
-  SiteService,
-  waitFor,
-} from '../support/direct-site.js';
+import {DirectSite, waitFor} from '../support/direct-site.js';
 
 /** Long enough for a change of the targets to be read in between. */
 const EVENTS = 100;
@@ -100,6 +96,22 @@
     expect(readAnew).toBe(hasCopy ? 1 : 2);
   });
 
+  it('goes on a class more urgent than it began', async () => {
+    let isLost = false;
+    await site.call({
+      path: SitePath.STREAM,
+      onData: (text) => {
+        if (isLost || !text.includes('id: 20\n')) return;
+        isLost = true;
+        runner().crash();
+      },
+    });
+    const classes = site.targets
+      .flatMap((target) => target.runs)
+      .map(({headers}) => headers[Header.PRIORITY]);
+    expect(classes.sort()).toEqual(['0', '1']);
+  });
+
   it('has another copy made when the holder of the first is gone', async () => {
     let first: StandInTarget | undefined;
     let isLost = false;
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -9,7 +9,7 @@
 } from '../../platform/headers.js';
 import {decodeTarget} from '../../platform/target-codec.js';
 import {OperationKind} from '../../src/core/routes/index.js';
-import {siteConfig} from '../support/direct-site.js';
+import {siteConfig} from '../../stand-ins/site/config.js';
 
 describe('decodeConfig', () => {
   it('decodes routes, splits, services, limits and keys', () => {
--- /dev/null
+++ b/test/processes/soak.test.ts
@@ -0,0 +1,35 @@
+/** A short run of the soak, and all seeds that it ever failed on. */
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {describe, expect, it} from 'vitest';
+
+import {REGRESSIONS} from '../../tools/soak/regressions.js';
+import {runSoak} from '../../tools/soak/run.js';
+
+const SIZE = {entries: 3, targets: 1};
+const SHORT_MS = 14_000;
+
+/** Starting the processes, and faults that outlast the plan. */
+const MARGIN_MS = 60_000;
+
+const CASES = [
+  {seed: 7, durationMs: SHORT_MS, cause: 'none: a short run'},
+  ...REGRESSIONS,
+];
+
+describe('the soak', () => {
+  it.each(CASES)(
+    'keeps all promises with seed $seed ($cause)',
+    async ({seed, durationMs}) => {
+      const folder = mkdtempSync(join(tmpdir(), `soak-${seed}-`));
+      const result = await runSoak({seed, durationMs, size: SIZE, folder});
+      expect(result.violations, `kept in ${folder}`).toEqual([]);
+      expect(result.served).toBeGreaterThan(0);
+      // Only what a failure needs to be traced is left behind.
+      rmSync(folder, {recursive: true});
+    },
+    SHORT_MS + MARGIN_MS,
+  );
+});
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -1,6 +1,5 @@
 /** A direct entry between a stand-in store and stand-in targets. */
-import type {IncomingHttpHeaders} from 'node:http';
-import {Agent, request} from 'node:http';
+import {Agent} from 'node:http';
 
 import {CallerServer} from '../../platform/caller-server.js';
 import {decodeConfig} from '../../platform/config-codec.js';
@@ -12,86 +11,17 @@
 import {SILENT_LOGGER} from '../../src/core/logs/index.js';
 import {Metrics} from '../../src/core/metrics/index.js';
 import {DirectProcess} from '../../src/direct/direct-process.js';
+import type {SitePath, SiteService} from '../../stand-ins/site/config.js';
+import {KEY, siteConfig} from '../../stand-ins/site/config.js';
 import {StandInStore} from '../../stand-ins/site/store.js';
 import type {StreamPace} from '../../stand-ins/site/target.js';
 import {StandInTarget, TargetWorld} from '../../stand-ins/site/target.js';
+import type {Reply} from '../../tools/lab/site-caller.js';
+import {callSite} from '../../tools/lab/site-caller.js';
 
-export const HOST = 'shop.example';
-export const KEY = 'key-of-a';
 const SEED = 20261204;
 const DEADLINE_MS = 4_000;
 
-/** Services of the site. */
-export enum SiteService {
-  DESK = 'desk',
-  WRITERS = 'writers',
-}
-
-/** Paths of the site's routes. */
-export enum SitePath {
-  SAFE = '/stock/1',
-  UNSAFE = '/orders/1',
-  STREAM = '/drafts/1',
-}
-
-/** What a caller got. */
-export interface Reply {
-  readonly status: number;
-  readonly headers: IncomingHttpHeaders;
-  readonly text: string;
-  /** Whether the answer ended as its framing says. */
-  readonly isWhole: boolean;
-}
-
-const ROUTES = [
-  {path: '/stock/', type: 'safe', service: SiteService.DESK, attempts: 2},
-  {path: '/orders/', type: 'unsafe', service: SiteService.DESK, attempts: 1},
-  {
-    path: '/drafts/',
-    type: 'streaming',
-    service: SiteService.WRITERS,
-    attempts: 5,
-  },
-] as const;
-
-/** The configuration of the site, as an operator writes it. */
-export function siteConfig(options: {version: number; keys?: string[]}) {
-  const {version, keys = [KEY]} = options;
-  return {
-    version,
-    routes: ROUTES.map(({path, type, service, attempts}) => ({
-      name: path,
-      hostname: HOST,
-      path_prefix: path,
-      route_type: type,
-      timeout_ms: 3_000,
-      target_latency_ms: 300,
-      priority: 1,
-      service,
-      max_attempts: attempts,
-      public: false,
-      stream_resume: type === 'streaming',
-      itl_target_ms: 700,
-    })),
-    services: [
-      {name: SiteService.DESK, health_check: '/healthz', max_connections: 20},
-      {
-        name: SiteService.WRITERS,
-        health_check: '/healthz',
-        max_connections: 20,
-        engine: {slots: 8, kv_capacity_tokens: 55_000, backups: true},
-      },
-    ],
-    limits: {
-      max_header_bytes: 16_384,
-      max_body_bytes: 100_000,
-      header_timeout_ms: 3_000,
-      idle_timeout_ms: 15_000,
-    },
-    tenants: [{name: 'account-a', api_keys: keys}],
-  };
-}
-
 /** A target of the site. */
 export interface TargetOptions {
   readonly service: SiteService;
@@ -107,7 +37,7 @@
   readonly server: CallerServer;
   readonly agent = new Agent({keepAlive: true, maxSockets: 1});
   port = 0;
-  private readonly world = new TargetWorld();
+  private readonly copyNetwork = new TargetWorld();
   private attempts = 0;
 
   private constructor(store: StandInStore, revokeMs?: number) {
@@ -173,8 +103,13 @@
     const added: StandInTarget[] = [];
     for (const {service, zone, pace} of options) {
       const id = `i-${this.targets.length + 1}`;
-      const target = new StandInTarget({id, world: this.world, pace});
+      const target = new StandInTarget({
+        id,
+        copyNetwork: this.copyNetwork,
+        pace,
+      });
       await target.start();
+      this.copyNetwork.byAddress.set(target.listensAt, target);
       this.targets.push(target);
       added.push(target);
       this.register(target, {service, zone});
@@ -207,43 +142,15 @@
     body?: string;
     onData?: (text: string) => void;
   }): Promise<Reply> {
-    const {path, method = 'POST', key = KEY, headers, body, onData} = options;
-    const attemptId = `try-${++this.attempts}`;
-    return new Promise((resolve, reject) => {
-      const req = request(
-        {
-          host: '127.0.0.1',
-          port: this.port,
-          method,
-          path,
-          agent: this.agent,
-          headers: {
-            Host: HOST,
-            'Attempt-Id': attemptId,
-            'Deadline-Ms': String(DEADLINE_MS),
-            Authorization: `Token ${key}`,
-            ...headers,
-          },
-        },
-        (res) => {
-          let text = '';
-          res.on('data', (chunk) => {
-            text += String(chunk);
-            onData?.(text);
-          });
-          res.on('error', () => undefined);
-          res.on('close', () =>
-            resolve({
-              status: res.statusCode!,
-              headers: res.headers,
-              text,
-              isWhole: res.complete,
-            }),
-          );
-        },
-      );
-      req.on('error', reject);
-      req.end(body);
+    const {key = KEY, ...call} = options;
+    return callSite({
+      ...call,
+      key,
+      host: '127.0.0.1',
+      port: this.port,
+      agent: this.agent,
+      attemptId: `try-${++this.attempts}`,
+      deadlineMs: DEADLINE_MS,
     });
   }
 
--- /dev/null
+++ b/test/tools/soak/checks.test.ts
@@ -0,0 +1,360 @@
+/** Each check of the soak finds the promise that it stands for broken. */
+import {describe, expect, it} from 'vitest';
+
+import {entryPart, findViolations} from '../../../tools/soak/checks/index.js';
+import {
+  APPLY_MS,
+  CALL_DEADLINE_MS,
+  CANCEL_MS,
+  CONTACT_MS,
+  LATE_MS,
+  LEAVE_MS,
+  OVERLAP_MS,
+  RETRY_SLACK,
+  REVOKE_MS,
+  STREAM_EVENTS,
+} from '../../../tools/soak/consts.js';
+import type {Arrival, Attempt} from '../../../tools/soak/history.js';
+import {History, RequestKind} from '../../../tools/soak/history.js';
+
+const START_MS = 1_000_000;
+const ENTRY = 'entry-1';
+
+/** Late enough for all that was accepted at the start to hold. */
+const LATER_MS = START_MS + 60_000;
+
+function attempt(over: Partial<Attempt> = {}): Attempt {
+  const {id = 'r1', kind = RequestKind.SAFE, sentMs = LATER_MS} = over;
+  return {
+    id,
+    kind,
+    entry: ENTRY,
+    lifetime: 1,
+    keyVersion: 0,
+    sentMs,
+    endMs: sentMs + 50,
+    status: 200,
+    text: kind === RequestKind.STREAM ? stream(id) : `answer to ${id}`,
+    isWhole: true,
+    isProven: true,
+    ...over,
+  };
+}
+
+function arrival(over: Partial<Arrival> = {}): Arrival {
+  const {atMs = LATER_MS + 5} = over;
+  return {
+    attemptId: 'r1',
+    target: 'i-1',
+    service: 'desk',
+    keyVersion: 0,
+    atMs,
+    hasRun: true,
+    endedMs: atMs + 20,
+    ...over,
+  };
+}
+
+function stream(id: string, pieces = STREAM_EVENTS): string {
+  const texts = Array.from({length: pieces}, (_, index) =>
+    piece(id, index + 1),
+  );
+  return texts.join('');
+}
+
+function piece(id: string, number: number): string {
+  return `id: ${number}\ndata: piece ${number} of ${id}\n\n`;
+}
+
+/** A run in which nothing went wrong, before the case adds to it. */
+function calmHistory(): History {
+  const history = new History();
+  history.calmFromMs = LATER_MS + 100_000;
+  for (let i = 0; i < 20; i++) {
+    const sentMs = history.calmFromMs + 10 + i;
+    history.attempts.push(attempt({id: `last-${i}`, sentMs}));
+  }
+  history.configs.push(config(1, START_MS));
+  return history;
+}
+
+function config(version: number, ackMs: number) {
+  const movingTo = version % 2 === 0 ? 'spare' : 'desk';
+  return {version, movingTo, sentMs: ackMs - 5, ackMs};
+}
+
+interface Case {
+  readonly name: string;
+  /** Part of the promise that must be found broken. */
+  readonly promise: string;
+  readonly add: (history: History) => void;
+}
+
+const streamCase = (name: string, text: string, isWhole = true): Case => ({
+  name,
+  promise: 'no piece of a stream',
+  add: ({attempts}) =>
+    attempts.push(attempt({kind: RequestKind.STREAM, text, isWhole})),
+});
+
+const CASES: readonly Case[] = [
+  {
+    name: 'the answer to another request',
+    promise: 'own whole answer',
+    add: ({attempts}) => attempts.push(attempt({text: 'answer to r2'})),
+  },
+  {
+    name: 'an answer without proof',
+    promise: 'own whole answer',
+    add: ({attempts}) => attempts.push(attempt({isProven: false})),
+  },
+  streamCase('a missing piece', piece('r1', 1) + piece('r1', 3), false),
+  streamCase('a repeated piece', piece('r1', 1) + piece('r1', 1), false),
+  streamCase('a piece of another run', piece('r2', 1), false),
+  streamCase('an early end that looks whole', stream('r1', 3)),
+  {
+    name: 'a second run of a booking',
+    promise: 'at most once',
+    add: ({attempts, arrivals}) => {
+      attempts.push(attempt({kind: RequestKind.UNSAFE}));
+      arrivals.push(arrival(), arrival({target: 'i-2'}));
+    },
+  },
+  {
+    name: 'a refusal of what ran',
+    promise: 'has not run',
+    add: ({attempts, arrivals}) => {
+      attempts.push(attempt({kind: RequestKind.UNSAFE, status: 503}));
+      arrivals.push(arrival());
+    },
+  },
+  {
+    name: 'a late answer',
+    promise: 'by its deadline',
+    add: ({attempts}) => {
+      const endMs = LATER_MS + CALL_DEADLINE_MS + LATE_MS + 1;
+      attempts.push(attempt({endMs}));
+    },
+  },
+  {
+    name: 'a connection that ends without an answer',
+    promise: 'answers each request',
+    add: ({attempts}) =>
+      attempts.push(attempt({status: undefined, isWhole: false})),
+  },
+  {
+    name: 'an answer that a planned stop cut off',
+    promise: 'cuts nothing off',
+    add: ({attempts, entryEnds}) => {
+      attempts.push(attempt({isWhole: false}));
+      entryEnds.push({
+        entry: ENTRY,
+        lifetime: 1,
+        code: 0,
+        wasKilled: false,
+        hasListened: true,
+        stopMs: LATER_MS + 10,
+        endedMs: LATER_MS + 50,
+      });
+    },
+  },
+  {
+    name: 'failures after the faults',
+    promise: 'back after the faults',
+    add: ({attempts, calmFromMs}) => {
+      for (let i = 0; i < 5; i++) {
+        const sentMs = calmFromMs + 1 + i;
+        attempts.push(attempt({id: `f${i}`, sentMs, status: 503, text: ''}));
+      }
+    },
+  },
+  {
+    name: 'a run with a key that was taken away',
+    promise: 'refused in time',
+    add: ({configs, attempts, arrivals}) => {
+      configs.push(config(2, START_MS), config(3, START_MS));
+      const sentMs = START_MS + REVOKE_MS + 1;
+      attempts.push(attempt({sentMs, keyVersion: 1, status: 500}));
+      arrivals.push(arrival({atMs: sentMs + 1, keyVersion: 1}));
+    },
+  },
+  {
+    name: 'a refusal of a key that is there',
+    promise: 'in force in seconds',
+    add: ({attempts}) => {
+      const sentMs = START_MS + APPLY_MS + 1;
+      attempts.push(attempt({sentMs, keyVersion: 1, status: 401}));
+    },
+  },
+  {
+    name: 'a refusal of the key that is always there',
+    promise: 'in force in seconds',
+    add: ({attempts}) => attempts.push(attempt({status: 401})),
+  },
+  {
+    name: 'a process that forgets a version',
+    promise: 'never reverts',
+    add: ({configs, attempts, arrivals}) => {
+      configs.push(config(2, LATER_MS));
+      const sentMs = LATER_MS + 1_000;
+      attempts.push(
+        attempt({keyVersion: 2}),
+        attempt({id: 'r2', sentMs, keyVersion: 2, status: 401}),
+      );
+      arrivals.push(arrival({keyVersion: 2}));
+    },
+  },
+  {
+    name: 'a process that uses a key it has seen taken away',
+    promise: 'never reverts',
+    add: ({configs, attempts, arrivals}) => {
+      configs.push(config(2, LATER_MS), config(3, LATER_MS));
+      const sentMs = LATER_MS + 1_000;
+      attempts.push(
+        attempt({keyVersion: 3}),
+        attempt({id: 'r2', sentMs, keyVersion: 1}),
+      );
+      arrivals.push(
+        arrival({keyVersion: 3}),
+        arrival({attemptId: 'r2', atMs: sentMs + 1, keyVersion: 1}),
+      );
+    },
+  },
+  {
+    name: 'a moved route at its old service',
+    promise: 'moved to',
+    add: ({configs, attempts, arrivals}) => {
+      configs.push(config(2, LATER_MS - APPLY_MS - 100));
+      attempts.push(attempt({kind: RequestKind.MOVING}));
+      arrivals.push(arrival());
+    },
+  },
+  {
+    name: 'work for a target that leaves',
+    promise: 'leaving target',
+    add: ({attempts, arrivals, leavings}) => {
+      attempts.push(attempt());
+      leavings.push({target: 'i-1', ackMs: LATER_MS - LEAVE_MS});
+      arrivals.push(arrival());
+    },
+  },
+  {
+    name: 'runs that go on without their callers',
+    promise: 'ends when its caller goes',
+    add: ({attempts, arrivals}) => {
+      for (const id of ['a', 'b', 'c', 'd']) {
+        const hungUpMs = LATER_MS + 500;
+        attempts.push(
+          attempt({id, kind: RequestKind.STREAM, hungUpMs, isWhole: false}),
+        );
+        const endedMs = hungUpMs + CANCEL_MS + 1;
+        arrivals.push(arrival({attemptId: id, service: 'writers', endedMs}));
+      }
+    },
+  },
+  {
+    name: 'two runs of a stream at once',
+    promise: 'do not overlap',
+    add: ({attempts, arrivals}) => {
+      attempts.push(attempt({kind: RequestKind.STREAM}));
+      const nextMs = LATER_MS + 100;
+      const endedMs = nextMs + OVERLAP_MS + 1;
+      const run = {endedMs, service: 'writers'};
+      arrivals.push(
+        arrival(run),
+        arrival({...run, target: 'i-2', atMs: nextMs}),
+      );
+    },
+  },
+  {
+    name: 'a storm of retries',
+    promise: 'within their budget',
+    add: ({attempts, arrivals}) => {
+      attempts.push(attempt());
+      for (let i = 0; i < RETRY_SLACK + 5; i++) arrivals.push(arrival());
+    },
+  },
+  {
+    name: 'a process that ends by itself',
+    promise: 'ends by itself',
+    add: ({entryEnds}) =>
+      entryEnds.push({
+        entry: ENTRY,
+        lifetime: 1,
+        code: 1,
+        wasKilled: false,
+        hasListened: true,
+        endedMs: LATER_MS,
+      }),
+  },
+  {
+    name: 'a line that is no JSON',
+    promise: 'JSON lines only',
+    add: ({strayLines}) => strayLines.push('Error: oops'),
+  },
+];
+
+describe('findViolations', () => {
+  it('finds nothing in a calm run', () => {
+    expect(findViolations(calmHistory())).toEqual([]);
+  });
+
+  it.each(CASES)('finds $name', ({promise, add}) => {
+    const history = calmHistory();
+    add(history);
+    const found = findViolations(history);
+    const promises = new Set(found.map((violation) => violation.promise));
+    expect([...promises]).toEqual([expect.stringContaining(promise)]);
+  });
+
+  it('excuses a late answer of an entry that was just under a fault', () => {
+    const history = calmHistory();
+    const endMs = LATER_MS + CALL_DEADLINE_MS + LATE_MS + 1;
+    history.attempts.push(attempt({endMs}));
+    history.disturbances.push({
+      part: entryPart(ENTRY),
+      kind: 'entry_pause',
+      fromMs: LATER_MS - CONTACT_MS - 100,
+      toMs: LATER_MS - CONTACT_MS + 100,
+    });
+    expect(findViolations(history)).toEqual([]);
+  });
+
+  it('excuses a run that began late and ended at once', () => {
+    const history = calmHistory();
+    history.attempts.push(attempt({kind: RequestKind.STREAM}));
+    const nextMs = LATER_MS + 100;
+    const endedMs = nextMs + OVERLAP_MS + 1;
+    history.arrivals.push(
+      arrival({endedMs, service: 'writers'}),
+      arrival({
+        target: 'i-2',
+        service: 'writers',
+        atMs: nextMs,
+        endedMs: nextMs + 2,
+      }),
+    );
+    expect(findViolations(history)).toEqual([]);
+  });
+
+  it('excuses a process that was stopped before it ran', () => {
+    const history = calmHistory();
+    const end = {entry: ENTRY, lifetime: 1, code: null, wasKilled: false};
+    history.entryEnds.push({
+      ...end,
+      hasListened: false,
+      stopMs: LATER_MS,
+      endedMs: LATER_MS + 5,
+    });
+    expect(findViolations(history)).toEqual([]);
+  });
+
+  it('excuses no second run of a booking, whatever was under a fault', () => {
+    const history = calmHistory();
+    history.attempts.push(attempt({kind: RequestKind.UNSAFE}));
+    history.arrivals.push(arrival(), arrival({target: 'i-2'}));
+    const fault = {kind: 'entry_pause', fromMs: 0, toMs: Infinity};
+    history.disturbances.push({part: entryPart(ENTRY), ...fault});
+    expect(findViolations(history)).toHaveLength(1);
+  });
+});
--- a/tools/lab/proc.ts
+++ b/tools/lab/proc.ts
@@ -1,6 +1,7 @@
 /** One child process of a lab. */
 import type {ChildProcess} from 'node:child_process';
 import {spawn} from 'node:child_process';
+import type {Interface} from 'node:readline';
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
 
@@ -17,6 +18,20 @@
   readonly callersPort?: number;
 }
 
+/** How a program is started. */
+export interface ProcOptions {
+  /** Path of the program below `dist/`. */
+  readonly script: string;
+  readonly args: readonly string[];
+  /** Modules that are loaded before the program, below `dist/`. */
+  readonly preload?: readonly string[];
+  readonly env?: Readonly<Record<string, string>>;
+  /** Opens a channel for messages and takes what comes on it. */
+  readonly onMessage?: (message: unknown) => void;
+  /** Takes each line of standard output. */
+  readonly onLine?: (line: string) => void;
+}
+
 /** A running program that can be stopped in several ways. */
 export class Proc {
   /** Settles with the exit status; null after a signal. */
@@ -40,12 +55,19 @@
   }
 
   /** Starts `dist/<script>` and waits for nothing. */
-  static start(options: {script: string; args: readonly string[]}): Proc {
-    const path = fileURLToPath(new URL(options.script, DIST));
-    const child = spawn(process.execPath, [path, ...options.args], {
-      stdio: ['ignore', 'pipe', 'pipe'],
+  static start(options: ProcOptions): Proc {
+    const {script, args, preload = [], env, onMessage, onLine} = options;
+    const imports = preload.flatMap((module) => ['--import', toPath(module)]);
+    const channel = onMessage === undefined ? [] : ['ipc' as const];
+    const argv = [...imports, toPath(script), ...args];
+    const child = spawn(process.execPath, argv, {
+      stdio: ['ignore', 'pipe', 'pipe', ...channel],
+      env: {...process.env, ...env},
     });
-    const ready = readReadyLine(child, options.script);
+    if (onMessage !== undefined) child.on('message', onMessage);
+    const lines = createInterface({input: child.stdout!});
+    if (onLine !== undefined) lines.on('line', onLine);
+    const ready = readReadyLine({child, lines, script});
     ready.catch(() => undefined);
     return new Proc(child, ready);
   }
@@ -64,6 +86,18 @@
     return this.errText;
   }
 
+  /** Sends a message to a process that was started with a channel. */
+  send(message: object): void {
+    if (!this.running || !this.child.connected) return;
+    // A process that has just ended gets no message; its end is seen.
+    this.child.send(message, () => undefined);
+  }
+
+  /** Has the process read its settings anew. */
+  reload(): void {
+    this.signal('SIGHUP');
+  }
+
   /** Ends the process with no notice. */
   kill(): void {
     this.signal('SIGKILL');
@@ -89,10 +123,16 @@
   }
 }
 
-function readReadyLine(
-  child: ChildProcess,
-  script: string,
-): Promise<ReadyFields> {
+function toPath(module: string): string {
+  return fileURLToPath(new URL(module, DIST));
+}
+
+function readReadyLine(options: {
+  child: ChildProcess;
+  lines: Interface;
+  script: string;
+}): Promise<ReadyFields> {
+  const {child, lines, script} = options;
   return new Promise((resolve, reject) => {
     const timer = setTimeout(() => {
       reject(new Error(`${script} did not get ready`));
@@ -101,7 +141,7 @@
       clearTimeout(timer);
       reject(new Error(`${script} ended with status ${code}`));
     });
-    createInterface({input: child.stdout!}).once('line', (line) => {
+    lines.once('line', (line) => {
       clearTimeout(timer);
       resolve(JSON.parse(line) as ReadyFields);
     });
--- /dev/null
+++ b/tools/soak/callers.ts
@@ -0,0 +1,191 @@
+/** Callers that keep their connections until the entry's process is gone. */
+import {Agent} from 'node:http';
+
+import type {RandomSource} from '../../src/core/clock/index.js';
+import {SeededRandom} from '../../src/core/clock/index.js';
+import {SitePath} from '../../stand-ins/site/config.js';
+import {KEY_HEADER} from '../../stand-ins/site/target.js';
+import type {Reply} from '../lab/site-caller.js';
+import {callSite} from '../lab/site-caller.js';
+import {CALL_DEADLINE_MS, OVERDUE_MS, STREAM_DEADLINE_MS} from './consts.js';
+import type {Attempt} from './history.js';
+import {RequestKind} from './history.js';
+import type {SoakSite} from './site.js';
+import {keyOf} from './site.js';
+import type {SoakEntry} from './soak-entry.js';
+import {sleep} from './timing.js';
+
+const PATHS: Readonly<Record<RequestKind, SitePath>> = {
+  [RequestKind.SAFE]: SitePath.SAFE,
+  [RequestKind.UNSAFE]: SitePath.UNSAFE,
+  [RequestKind.STREAM]: SitePath.STREAM,
+  [RequestKind.MOVING]: SitePath.MOVING,
+};
+
+/** Shares of the kinds of requests: each entry of the list is as likely. */
+const MIX = [
+  RequestKind.SAFE,
+  RequestKind.UNSAFE,
+  RequestKind.UNSAFE,
+  RequestKind.STREAM,
+  RequestKind.MOVING,
+];
+
+/** Share of the streams that callers give up. */
+const HANG_UP_SHARE = 0.1;
+const MAX_HANG_UP_MS = 1_500;
+
+/** Share of the requests with a key that comes and goes. */
+const CHANGING_KEY_SHARE = 0.4;
+
+/** Pause between two requests of a caller, in milliseconds. */
+const MAX_PAUSE_MS = 120;
+
+/** Pause of a caller that finds no entry, in milliseconds. */
+const NO_ENTRY_PAUSE_MS = 100;
+
+const BALANCER_STEP_MS = 200;
+
+/** Questions without a yes that take an entry out. */
+const MISSES_TO_LEAVE = 2;
+
+/** Knows which entries take new connections. */
+export class Balancer {
+  private readonly misses = new Map<SoakEntry, number>();
+  private isStopped = false;
+
+  constructor(private readonly entries: readonly SoakEntry[]) {}
+
+  /** Asks all entries again and again until it is stopped. */
+  async run(): Promise<void> {
+    while (!this.isStopped) {
+      await Promise.all(this.entries.map((entry) => this.ask(entry)));
+      await sleep(BALANCER_STEP_MS);
+    }
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Entries that take new connections. */
+  open(): SoakEntry[] {
+    return this.entries.filter((entry) => {
+      return (this.misses.get(entry) ?? 0) < MISSES_TO_LEAVE;
+    });
+  }
+
+  private async ask(entry: SoakEntry): Promise<void> {
+    const misses = (this.misses.get(entry) ?? 0) + 1;
+    this.misses.set(entry, (await entry.isReady()) ? 0 : misses);
+  }
+}
+
+/** Sends one request after the other until it is stopped. */
+export class SoakCaller {
+  private readonly random: RandomSource;
+  private agent = new Agent({keepAlive: true, maxSockets: 1});
+  private entry?: SoakEntry;
+  private sent = 0;
+  private isStopped = false;
+
+  constructor(
+    private readonly name: string,
+    seed: number,
+    private readonly site: SoakSite,
+    private readonly balancer: Balancer,
+  ) {
+    this.random = new SeededRandom(seed);
+  }
+
+  async run(): Promise<void> {
+    while (!this.isStopped) {
+      this.entry ??= this.pick(this.balancer.open());
+      if (this.entry === undefined) {
+        await sleep(NO_ENTRY_PAUSE_MS);
+        continue;
+      }
+      const isKept = await this.request(this.entry);
+      if (!isKept) this.disconnect();
+      await sleep(this.random.below(MAX_PAUSE_MS));
+    }
+    this.agent.destroy();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Sends a request; tells whether its connection may be used again. */
+  private async request(entry: SoakEntry): Promise<boolean> {
+    const kind = this.pick(MIX)!;
+    const isStream = kind === RequestKind.STREAM;
+    const deadlineMs = isStream ? STREAM_DEADLINE_MS : CALL_DEADLINE_MS;
+    const keyVersion = this.drawKeyVersion();
+    const hangUpMs = isStream ? this.drawHangUp() : undefined;
+    const sentMs = Date.now();
+    const about = {
+      id: `${this.name}-${++this.sent}`,
+      kind,
+      entry: entry.name,
+      lifetime: entry.lifetime,
+      keyVersion,
+      sentMs,
+    };
+    const signal = AbortSignal.timeout(hangUpMs ?? deadlineMs + OVERDUE_MS);
+    const reply = await callSite({
+      ...entry.callers,
+      agent: this.agent,
+      path: PATHS[kind],
+      key: keyOf(keyVersion),
+      attemptId: about.id,
+      deadlineMs,
+      headers: {[KEY_HEADER]: String(keyVersion)},
+      signal,
+    }).catch(() => undefined);
+    const endMs = Date.now();
+    const hasHungUp = hangUpMs !== undefined && signal.aborted;
+    const attempt: Attempt = {
+      ...about,
+      endMs,
+      ...outcomeOf(reply, about.id),
+      hungUpMs: hasHungUp ? sentMs + hangUpMs : undefined,
+    };
+    this.site.history.attempts.push(attempt);
+    return attempt.isWhole && reply?.headers.connection !== 'close';
+  }
+
+  private disconnect(): void {
+    this.agent.destroy();
+    this.agent = new Agent({keepAlive: true, maxSockets: 1});
+    this.entry = undefined;
+  }
+
+  private drawHangUp(): number | undefined {
+    if (this.random.float() >= HANG_UP_SHARE) return undefined;
+    return 1 + this.random.below(MAX_HANG_UP_MS);
+  }
+
+  /** Mostly a key that is there; at times one that was taken away. */
+  private drawKeyVersion(): number {
+    if (this.random.float() >= CHANGING_KEY_SHARE) return 0;
+    const accepted = this.site.history.configs.filter(
+      ({ackMs}) => ackMs < Infinity,
+    );
+    const newest = accepted.at(-1)?.version ?? 0;
+    const back = this.pick([0, 0, 0, 1, 2])!;
+    return Math.max(0, newest - back);
+  }
+
+  private pick<T>(choices: readonly T[]): T | undefined {
+    return choices[this.random.below(choices.length)];
+  }
+}
+
+function outcomeOf(reply: Reply | undefined, id: string) {
+  if (reply === undefined) return {text: '', isWhole: false, isProven: false};
+  const {status, text, isWhole, headers} = reply;
+  const hasOwnId = headers['attempt-id'] === id;
+  const isProven = hasOwnId && headers['server-stamp'] !== undefined;
+  return {status, text, isWhole, isProven};
+}
--- /dev/null
+++ b/tools/soak/checks/answers.ts
@@ -0,0 +1,171 @@
+/** Promises about what callers get. */
+import {createParser} from 'eventsource-parser';
+
+import {
+  CALL_DEADLINE_MS,
+  LATE_MS,
+  RECOVERED_SHARE,
+  STREAM_DEADLINE_MS,
+  STREAM_EVENTS,
+} from '../consts.js';
+import type {Attempt} from '../history.js';
+import {RequestKind} from '../history.js';
+import type {PromiseCheck} from './types.js';
+import {entryPart, isServed, partsOf} from './types.js';
+
+/** Statuses that say that a request has not run and will not run. */
+const NOT_RUN_STATUSES = [408, 421, 429, 503];
+
+/** Fewest requests by which the recovery is judged. */
+const MIN_LAST_REQUESTS = 10;
+
+/** A success is the caller's own answer, with its proof, to the last byte. */
+export const OWN_ANSWERS: PromiseCheck = {
+  promise: 'each caller gets its own whole answer',
+  find: (history) =>
+    history.attempts
+      .filter(({kind}) => kind !== RequestKind.STREAM)
+      .filter(isServed)
+      .filter(({id, text, isProven}) => !isProven || text !== `answer to ${id}`)
+      .map(({id, text}) => ({id, detail: `got ${JSON.stringify(text)}`})),
+};
+
+/** Streams have each piece once and in order, and end after the last. */
+export const WHOLE_STREAMS: PromiseCheck = {
+  promise: 'no piece of a stream is missing, repeated or from another run',
+  find: (history) =>
+    history.attempts
+      .filter(({kind, status}) => kind === RequestKind.STREAM && status === 200)
+      .flatMap((attempt) => {
+        const detail = streamFault(attempt);
+        return detail === undefined ? [] : [{id: attempt.id, detail}];
+      }),
+};
+
+/** What cannot be repeated runs once at most. */
+export const AT_MOST_ONCE: PromiseCheck = {
+  promise: 'a request that must not be repeated runs at most once',
+  find: (history) => {
+    const arrivals = history.arrivalsById();
+    return history.attempts
+      .filter(({kind}) => kind === RequestKind.UNSAFE)
+      .flatMap(({id}) => {
+        const runs = (arrivals.get(id) ?? []).filter(({hasRun}) => hasRun);
+        if (runs.length <= 1) return [];
+        const places = runs.map(({target}) => target).join(', ');
+        return [{id, detail: `ran at ${places}`}];
+      });
+  },
+};
+
+/** A refusal that says so means that nothing ran. */
+export const TRUE_REFUSALS: PromiseCheck = {
+  promise: 'a request that was refused as not run has not run',
+  find: (history) => {
+    const arrivals = history.arrivalsById();
+    return history.attempts
+      .filter(({kind}) => kind === RequestKind.UNSAFE)
+      .filter(({status = 0}) => NOT_RUN_STATUSES.includes(status))
+      .filter(({id}) => arrivals.get(id)?.some(({hasRun}) => hasRun) === true)
+      .map(({id, status}) => ({id, detail: `answered ${status}, but ran`}));
+  },
+};
+
+/** Whatever happens to targets and store, an answer comes in time. */
+export const IN_TIME: PromiseCheck = {
+  promise: 'each request has a final answer by its deadline',
+  find: (history) =>
+    history.attempts
+      .filter(({kind, sentMs, endMs}) => {
+        const limitMs =
+          kind === RequestKind.STREAM ? STREAM_DEADLINE_MS : CALL_DEADLINE_MS;
+        return endMs - sentMs > limitMs + LATE_MS + history.lagMs;
+      })
+      .filter(({entry, sentMs, endMs}) =>
+        history.isCalm([entryPart(entry)], sentMs, endMs),
+      )
+      .map(({id, sentMs, endMs}) => ({
+        id,
+        detail: `took ${endMs - sentMs} ms`,
+      })),
+};
+
+/** Connections end without an answer only where something broke them. */
+export const ANSWERED: PromiseCheck = {
+  promise: 'a calm entry answers each request',
+  find: (history) => {
+    const arrivals = history.arrivalsById();
+    return history.attempts
+      .filter(({status, hungUpMs}) => status === undefined && !hungUpMs)
+      .filter((attempt) => {
+        const parts = partsOf(attempt, arrivals.get(attempt.id) ?? []);
+        const isCalm = history.isCalm(parts, attempt.sentMs, attempt.endMs);
+        return isCalm && !endedAround(attempt, history.entryEnds);
+      })
+      .map(({id, entry}) => ({id, detail: `no answer from ${entry}`}));
+  },
+};
+
+/** A planned stop lets open requests end. */
+export const STOPS_CUT_NOTHING: PromiseCheck = {
+  promise: 'a planned stop cuts nothing off',
+  find: (history) => {
+    const arrivals = history.arrivalsById();
+    return history.entryEnds.flatMap((end) => {
+      const {stopMs} = end;
+      if (stopMs === undefined) return [];
+      return history.attempts
+        .filter(({entry}) => entry === end.entry)
+        .filter(({lifetime}) => lifetime === end.lifetime)
+        .filter(({endMs}) => endMs >= stopMs)
+        .filter(({isWhole, hungUpMs}) => !isWhole && hungUpMs === undefined)
+        .filter((attempt) => {
+          const seen = arrivals.get(attempt.id) ?? [];
+          const wasTaken = seen.length > 0 || attempt.sentMs < stopMs;
+          const parts = partsOf(attempt, seen);
+          const {sentMs, endMs} = attempt;
+          return wasTaken && history.isCalm(parts, sentMs, endMs);
+        })
+        .map(({id, entry}) => ({id, detail: `cut off as ${entry} stopped`}));
+    });
+  },
+};
+
+/** Once the faults are over, requests succeed again. */
+export const RECOVERED: PromiseCheck = {
+  promise: 'service is back after the faults',
+  find: (history) => {
+    const last = history.attempts.filter(
+      ({sentMs, hungUpMs, keyVersion}) =>
+        sentMs > history.calmFromMs && !hungUpMs && keyVersion === 0,
+    );
+    const served = last.filter(isServed).length;
+    const isEnough = served >= last.length * RECOVERED_SHARE;
+    if (isEnough && last.length >= MIN_LAST_REQUESTS) return [];
+    return [{id: 'site', detail: `${served} of ${last.length} were served`}];
+  },
+};
+
+function streamFault(attempt: Attempt): string | undefined {
+  const pieces: Array<{id?: string; data: string}> = [];
+  const parser = createParser({
+    onEvent: ({id, data}) => pieces.push({id, data}),
+  });
+  parser.feed(attempt.text);
+  for (const [index, {id, data}] of pieces.entries()) {
+    const expected = `piece ${index + 1} of ${attempt.id}`;
+    if (id !== String(index + 1) || data !== expected) {
+      return `piece ${index + 1} is ${JSON.stringify(data)}, id ${id}`;
+    }
+  }
+  const isEarly = attempt.isWhole && pieces.length !== STREAM_EVENTS;
+  return isEarly ? `ended as whole after ${pieces.length}` : undefined;
+}
+
+function endedAround(
+  attempt: Attempt,
+  ends: ReadonlyArray<{entry: string; lifetime: number}>,
+): boolean {
+  const {entry, lifetime} = attempt;
+  return ends.some((end) => end.entry === entry && end.lifetime === lifetime);
+}
--- /dev/null
+++ b/tools/soak/checks/control.ts
@@ -0,0 +1,309 @@
+/** Promises about configurations, keys, targets and processes. */
+import {
+  APPLY_MS,
+  CANCEL_MS,
+  LEAVE_MS,
+  OVERLAP_MS,
+  RETRY_RATIO,
+  RETRY_SLACK,
+  RETRY_WINDOW_MS,
+  REVOKE_MS,
+} from '../consts.js';
+import type {Arrival, Attempt, History} from '../history.js';
+import {RequestKind, STORE} from '../history.js';
+import type {PromiseCheck} from './types.js';
+import {entryPart, targetPart} from './types.js';
+
+/** Statuses by which a configuration is said to allow no such request. */
+const UNKNOWN_STATUSES = [401, 403, 404];
+
+/** A version takes away the key that came this many versions before. */
+export const KEY_LIFE_VERSIONS = 2;
+
+/** Time in which an answer may cross a newer configuration. */
+const DOWNGRADE_SLACK_MS = 500;
+
+/** Share of the cancelled streams whose runs may go on. */
+const LEFT_RUNNING_SHARE = 0.25;
+
+/** Fewest cancelled streams by which that share is judged. */
+const MIN_CANCELLED = 4;
+
+/** Arrivals at model servers and plain services have budgets of their own. */
+const WRITERS = 'writers';
+
+/** A key that was taken away opens nothing, whatever else has failed. */
+export const REVOKED_KEYS: PromiseCheck = {
+  promise: 'a key that was taken away is refused in time',
+  find: (history) => {
+    const attempts = attemptsById(history);
+    return history.arrivals.flatMap(({attemptId, keyVersion, hasRun}) => {
+      const taken = versionOf(history, keyVersion + KEY_LIFE_VERSIONS);
+      const sentMs = attempts.get(attemptId)?.sentMs ?? 0;
+      if (!hasRun || keyVersion === 0 || taken === undefined) return [];
+      const lateMs = sentMs - taken.ackMs - REVOKE_MS;
+      if (lateMs <= 0) return [];
+      return [{id: attemptId, detail: `ran ${lateMs} ms too late`}];
+    });
+  },
+};
+
+/** An accepted configuration is in force in seconds. */
+export const IN_FORCE: PromiseCheck = {
+  promise: 'an accepted configuration is in force in seconds',
+  find: (history) =>
+    history.attempts
+      .filter(({status = 0}) => UNKNOWN_STATUSES.includes(status))
+      .filter((attempt) => {
+        const {keyVersion, entry, sentMs, endMs} = attempt;
+        if (keyVersion === 0) return true;
+        const came = versionOf(history, keyVersion);
+        const goes = versionOf(history, keyVersion + KEY_LIFE_VERSIONS);
+        const isThere =
+          came !== undefined &&
+          sentMs > came.ackMs + APPLY_MS &&
+          endMs < (goes?.sentMs ?? Number.POSITIVE_INFINITY);
+        const parts = [STORE, entryPart(entry)];
+        return isThere && history.isCalm(parts, came.ackMs, endMs);
+      })
+      .map(({id, status, keyVersion}) => ({
+        id,
+        detail: `answered ${status} with key ${keyVersion}`,
+      })),
+};
+
+/** A process that has used a configuration uses no older one later. */
+export const NO_REVERT: PromiseCheck = {
+  promise: 'a configuration never reverts',
+  find: (history) => {
+    const ran = new Set(
+      history.arrivals
+        .filter(({hasRun}) => hasRun)
+        .map(({attemptId}) => attemptId),
+    );
+    return history.attempts
+      .filter(({keyVersion}) => keyVersion > 0)
+      .filter((attempt) => {
+        const newest = newestSeen(history, attempt, ran);
+        const {id, keyVersion, status = 0} = attempt;
+        const usesOld = ran.has(id) && keyVersion <= newest - KEY_LIFE_VERSIONS;
+        const next = versionOf(history, keyVersion + KEY_LIFE_VERSIONS);
+        const isTaken = next !== undefined && next.sentMs < attempt.endMs;
+        const forgets =
+          UNKNOWN_STATUSES.includes(status) && keyVersion <= newest && !isTaken;
+        return usesOld || forgets;
+      })
+      .map(({id, entry, keyVersion}) => ({
+        id,
+        detail: `${entry} went back behind version ${keyVersion}`,
+      }));
+  },
+};
+
+/** A route that was moved is served by its new service. */
+export const MOVED_ROUTES: PromiseCheck = {
+  promise: 'a moved route is served where it was moved to',
+  find: (history) => {
+    const attempts = attemptsById(history);
+    return history.arrivals.flatMap(({attemptId, service, atMs}) => {
+      const attempt = attempts.get(attemptId);
+      if (attempt?.kind !== RequestKind.MOVING) return [];
+      const parts = [STORE, entryPart(attempt.entry)];
+      if (!history.isCalm(parts, attempt.sentMs - APPLY_MS, atMs)) return [];
+      const allowed = servicesInForce(history, attempt.sentMs, atMs);
+      if (allowed.has(service)) return [];
+      return [{id: attemptId, detail: `arrived at ${service}`}];
+    });
+  },
+};
+
+/** A target that leaves gets no new work. */
+export const LEAVING_TARGETS: PromiseCheck = {
+  promise: 'a leaving target gets no new work after seconds',
+  find: (history) => {
+    const attempts = attemptsById(history);
+    return history.leavings.flatMap(({target, ackMs}) =>
+      history.arrivals
+        .filter((arrival) => arrival.target === target)
+        .filter(({atMs}) => atMs > ackMs + LEAVE_MS)
+        .filter(({attemptId, atMs}) => {
+          const {entry = ''} = attempts.get(attemptId) ?? {};
+          return history.isCalm([STORE, entryPart(entry)], ackMs, atMs);
+        })
+        .map(({attemptId, atMs}) => ({
+          id: attemptId,
+          detail: `reached ${target} ${atMs - ackMs} ms after it left`,
+        })),
+    );
+  },
+};
+
+/** Runs end soon after their callers went. */
+export const CANCELLED_RUNS: PromiseCheck = {
+  promise: 'work ends when its caller goes',
+  find: (history) => {
+    const arrivals = history.arrivalsById();
+    const cancelled = history.attempts.flatMap(({id, entry, hungUpMs}) => {
+      const run = arrivals.get(id)?.at(-1);
+      if (hungUpMs === undefined || run === undefined) return [];
+      const parts = [entryPart(entry), targetPart(run.target)];
+      const limitMs = hungUpMs + CANCEL_MS;
+      if (!history.isCalm(parts, run.atMs, limitMs)) return [];
+      return [{id, isLeft: (run.endedMs ?? Infinity) > limitMs}];
+    });
+    const left = cancelled.filter(({isLeft}) => isLeft);
+    const isFine =
+      cancelled.length < MIN_CANCELLED ||
+      left.length <= cancelled.length * LEFT_RUNNING_SHARE;
+    if (isFine) return [];
+    return left.map(({id}) => ({id, detail: 'its run went on'}));
+  },
+};
+
+/** A stream goes on elsewhere only once its former run has ended. */
+export const ONE_RUN_AT_A_TIME: PromiseCheck = {
+  promise: 'two runs of one stream do not overlap',
+  find: (history) => {
+    const attempts = attemptsById(history);
+    return [...history.arrivalsById()].flatMap(([id, arrivals]) => {
+      const attempt = attempts.get(id);
+      if (attempt?.kind !== RequestKind.STREAM) return [];
+      const runs = arrivals.filter(({hasRun}) => hasRun);
+      return runs.slice(1).flatMap((next, index) => {
+        const before = runs[index]!;
+        const overlapMs = endOf(before, next) - next.atMs;
+        const targets = [before.target, next.target].map(targetPart);
+        const parts = [entryPart(attempt.entry), ...targets];
+        const isCalm = history.isCalm(parts, before.atMs, next.atMs);
+        if (!isCalm || overlapMs <= OVERLAP_MS) return [];
+        return [{id, detail: `two runs for ${overlapMs} ms`}];
+      });
+    });
+  },
+};
+
+/** Retries stay a bounded share of the requests. */
+export const RETRY_BUDGET: PromiseCheck = {
+  promise: 'retries stay within their budget',
+  find: (history) => {
+    const kinds = [
+      {service: WRITERS, isOfService: isWriters},
+      {service: 'plain services', isOfService: isPlain},
+    ];
+    return kinds.flatMap(({service, isOfService}) => {
+      const repeats = repeatsOf(history.arrivals.filter(isOfService));
+      const sent = history.attempts
+        .filter((attempt) => isOfService(serviceOf(attempt)))
+        .map(({sentMs}) => sentMs);
+      const broken = repeats.find((endMs) => {
+        const extra = countBetween(repeats, endMs - RETRY_WINDOW_MS, endMs);
+        const most = mostRequests(sent, endMs);
+        return extra > most * RETRY_RATIO + RETRY_SLACK;
+      });
+      if (broken === undefined) return [];
+      return [{id: service, detail: `too many retries until ${broken}`}];
+    });
+  },
+};
+
+/** Processes end only when they are told to, and in time. */
+export const OWN_ENDS: PromiseCheck = {
+  promise: 'no process ends by itself; planned stops end as planned',
+  find: (history) =>
+    history.entryEnds
+      .filter(({wasKilled}) => !wasKilled)
+      // Node itself ends on a signal that comes before it runs any code.
+      .filter(({stopMs, hasListened}) => hasListened || stopMs === undefined)
+      .filter(({code, stopMs}) => stopMs === undefined || code !== 0)
+      .map(({entry, code}) => ({id: entry, detail: `ended with ${code}`})),
+};
+
+/** Logs are JSON lines, and nothing else is written. */
+export const CLEAN_LOGS: PromiseCheck = {
+  promise: 'processes write JSON lines only',
+  find: ({strayLines}) => strayLines.map((line) => ({id: 'log', detail: line})),
+};
+
+/** When the first of two runs ended. */
+function endOf(a: Arrival, b: Arrival): number {
+  return Math.min(a.endedMs ?? Infinity, b.endedMs ?? Infinity);
+}
+
+function attemptsById(history: History): Map<string, Attempt> {
+  return new Map(history.attempts.map((attempt) => [attempt.id, attempt]));
+}
+
+function versionOf(history: History, version: number) {
+  return history.configs.find((config) => config.version === version);
+}
+
+/** The newest version that the process is known to have used before. */
+function newestSeen(
+  history: History,
+  attempt: Attempt,
+  ran: ReadonlySet<string>,
+): number {
+  const versions = history.attempts
+    .filter(({entry}) => entry === attempt.entry)
+    .filter(({lifetime}) => lifetime === attempt.lifetime)
+    .filter(({id, endMs}) => {
+      return ran.has(id) && endMs + DOWNGRADE_SLACK_MS < attempt.sentMs;
+    })
+    .map(({keyVersion}) => keyVersion);
+  return Math.max(0, ...versions);
+}
+
+function servicesInForce(
+  history: History,
+  fromMs: number,
+  toMs: number,
+): Set<string> {
+  const {configs} = history;
+  const allowed = configs.filter(({sentMs}, index) => {
+    const endMs = configs[index + 1]?.ackMs ?? Number.POSITIVE_INFINITY;
+    return sentMs <= toMs && endMs + APPLY_MS >= fromMs;
+  });
+  return new Set(allowed.map(({movingTo}) => movingTo));
+}
+
+function isWriters({service}: {service: string}): boolean {
+  return service === WRITERS;
+}
+
+function isPlain({service}: {service: string}): boolean {
+  return service !== WRITERS;
+}
+
+function serviceOf({kind}: Attempt): {service: string} {
+  return {service: kind === RequestKind.STREAM ? WRITERS : 'desk'};
+}
+
+/** Times of the arrivals beyond the first of each request. */
+function repeatsOf(arrivals: readonly Arrival[]): number[] {
+  const seen = new Set<string>();
+  return arrivals
+    .filter(({attemptId}) => {
+      const isRepeat = seen.has(attemptId);
+      seen.add(attemptId);
+      return isRepeat;
+    })
+    .map(({atMs}) => atMs);
+}
+
+/** The most requests of the window, the one before, or half before. */
+function mostRequests(sentMs: readonly number[], endMs: number): number {
+  const ends = [0, RETRY_WINDOW_MS / 2, RETRY_WINDOW_MS];
+  const counts = ends.map((shiftMs) => {
+    const lastMs = endMs - shiftMs;
+    return countBetween(sentMs, lastMs - RETRY_WINDOW_MS, lastMs);
+  });
+  return Math.max(...counts);
+}
+
+function countBetween(
+  times: readonly number[],
+  fromMs: number,
+  toMs: number,
+): number {
+  return times.filter((time) => time > fromMs && time <= toMs).length;
+}
--- /dev/null
+++ b/tools/soak/main.ts
@@ -0,0 +1,84 @@
+/** Runs the soak: real processes under faults drawn from seeds. */
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {Command, InvalidArgumentError} from 'commander';
+
+import type {SoakResult} from './run.js';
+import {runSoak} from './run.js';
+
+const MS_PER_S = 1_000;
+const DEFAULT_SEEDS = 5;
+const DEFAULT_SECONDS = 20;
+const DEFAULT_ENTRIES = 3;
+const DEFAULT_TARGETS = 1;
+
+/** Seeds are drawn below this where none is given. */
+const SEED_RANGE = 1_000_000_000;
+
+interface Flags {
+  readonly seeds: number;
+  readonly seed?: number;
+  readonly seconds: number;
+  readonly entries: number;
+  readonly targets: number;
+  readonly json: boolean;
+}
+
+const program = new Command('soak')
+  .description('Plays faults on a site of real processes and checks promises.')
+  .option('--seeds <count>', 'runs to play', toCount, DEFAULT_SEEDS)
+  .option('--seed <seed>', 'first seed; drawn where missing', toCount)
+  .option('--seconds <time>', 'length of a run', toCount, DEFAULT_SECONDS)
+  .option('--entries <count>', 'entries', toCount, DEFAULT_ENTRIES)
+  .option(
+    '--targets <count>',
+    'targets of each service in each zone',
+    toCount,
+    DEFAULT_TARGETS,
+  )
+  .option('--json', 'one JSON line for each run', false)
+  .addHelpText(
+    'after',
+    '\nExit statuses: 0 all promises held, 1 one was broken.',
+  );
+
+process.exitCode = await main();
+
+async function main(): Promise<number> {
+  const flags = program.parse().opts<Flags>();
+  const first = flags.seed ?? Math.floor(Math.random() * SEED_RANGE);
+  let broken = 0;
+  for (let seed = first; seed < first + flags.seeds; seed++) {
+    const folder = mkdtempSync(join(tmpdir(), `soak-${seed}-`));
+    const {entries, targets} = flags;
+    const durationMs = flags.seconds * MS_PER_S;
+    const size = {entries, targets};
+    const result = await runSoak({seed, durationMs, size, folder});
+    const isRed = result.violations.length > 0;
+    if (isRed) broken++;
+    else rmSync(folder, {recursive: true});
+    const text = flags.json ? JSON.stringify(result) : describe(result);
+    process.stdout.write(`${text}\n`);
+    if (isRed) process.stdout.write(`  kept in ${folder}\n`);
+  }
+  process.stdout.write(`${flags.seeds - broken} green, ${broken} red\n`);
+  return broken > 0 ? 1 : 0;
+}
+
+function describe(result: SoakResult): string {
+  const {seed, violations, requests, served, faults, lagMs} = result;
+  const verdict = violations.length === 0 ? 'green' : 'RED';
+  const figures = `${faults} faults, ${served} of ${requests} served, lag ${lagMs} ms`;
+  const lines = violations.map(
+    ({promise, id, detail}) => `  ${promise}: ${id}: ${detail}`,
+  );
+  return [`seed ${seed}: ${verdict}; ${figures}`, ...lines].join('\n');
+}
+
+function toCount(text: string): number {
+  const count = Number(text);
+  if (Number.isInteger(count) && count > 0) return count;
+  throw new InvalidArgumentError('expected a whole number above 0');
+}
--- /dev/null
+++ b/tools/soak/plan.ts
@@ -0,0 +1,97 @@
+/** Which faults come when: drawn from a seed before anything starts. */
+import {SeededRandom} from '../../src/core/clock/index.js';
+import {QUIET_MS} from './consts.js';
+
+/** A fault that comes from outside the processes, or a planned change. */
+export enum FaultKind {
+  ENTRY_KILL = 'entry_kill',
+  ENTRY_PAUSE = 'entry_pause',
+  ENTRY_STOP = 'entry_stop',
+  ENTRY_CLOCK_STEP = 'entry_clock_step',
+  ENTRY_SETTINGS_TORN = 'entry_settings_torn',
+  ENTRY_STORE_CUT = 'entry_store_cut',
+  ENTRY_STORE_ONE_WAY = 'entry_store_one_way',
+  ENTRY_STORE_RESET = 'entry_store_reset',
+  STORE_BUSY = 'store_busy',
+  STORE_SILENT = 'store_silent',
+  STORE_RESET = 'store_reset',
+  STORE_PAUSE = 'store_pause',
+  STORE_HISTORY_LOST = 'store_history_lost',
+  STORE_WAITERS_CUT = 'store_waiters_cut',
+  STORE_JUNK = 'store_junk',
+  TARGET_KILL = 'target_kill',
+  TARGET_PAUSE = 'target_pause',
+  TARGET_LEAVE = 'target_leave',
+  TARGET_FAULTY = 'target_faulty',
+  TARGET_CUT = 'target_cut',
+  TARGET_ONE_WAY = 'target_one_way',
+  TARGET_RESET = 'target_reset',
+  TARGET_DELAY = 'target_delay',
+  ZONE_KILL = 'zone_kill',
+  ZONE_CUT = 'zone_cut',
+  CONFIG_CHANGE = 'config_change',
+}
+
+/** One fault of a plan. */
+export interface Episode {
+  readonly kind: FaultKind;
+  /** Time since the start of the run, in milliseconds. */
+  readonly atMs: number;
+  readonly durationMs: number;
+  /** Chooses the part that is hit, 0 to 1. */
+  readonly part: number;
+  /** Chooses how it is hit, 0 to 1. */
+  readonly variant: number;
+}
+
+const MIN_DURATION_MS = 150;
+const MAX_DURATION_MS = 4_000;
+
+/** Pauses between faults; short ones make faults overlap. */
+const SHORT_GAP_MS = 150;
+const LONG_GAP_MS = 2_200;
+const SHORT_GAP_SHARE = 0.45;
+
+/** Time for a first calm. */
+const START_MS = 500;
+
+/** Changes of the configuration are this many times as frequent as a fault. */
+const CONFIG_WEIGHT = 4;
+
+/**
+ * Draws the faults of one run.
+ *
+ * @example
+ * const episodes = drawPlan({seed: 7, durationMs: 20_000});
+ */
+export function drawPlan(options: {
+  seed: number;
+  durationMs: number;
+}): Episode[] {
+  const random = new SeededRandom(options.seed);
+  const kinds = weightedKinds();
+  const endMs = options.durationMs - QUIET_MS;
+  const episodes: Episode[] = [];
+  let atMs = START_MS;
+  while (atMs < endMs) {
+    const longestMs = Math.min(MAX_DURATION_MS, endMs - atMs);
+    const shape = random.float() ** 2;
+    episodes.push({
+      kind: kinds[random.below(kinds.length)]!,
+      atMs,
+      durationMs: Math.round(MIN_DURATION_MS + shape * longestMs),
+      part: random.float(),
+      variant: random.float(),
+    });
+    const isShort = random.float() < SHORT_GAP_SHARE;
+    const gapMs = isShort ? SHORT_GAP_MS : LONG_GAP_MS;
+    atMs += Math.round(random.float() * gapMs);
+  }
+  return episodes;
+}
+
+function weightedKinds(): FaultKind[] {
+  const kinds = Object.values(FaultKind);
+  const more = Array<FaultKind>(CONFIG_WEIGHT - 1);
+  return [...kinds, ...more.fill(FaultKind.CONFIG_CHANGE)];
+}
--- /dev/null
+++ b/tools/soak/regressions.ts
@@ -0,0 +1,28 @@
+/** Seeds that once failed; CI plays them again. */
+
+/** A seed with what it showed. */
+export interface Regression {
+  readonly seed: number;
+  readonly durationMs: number;
+  /** What was wrong when the seed failed. */
+  readonly cause: string;
+}
+
+/** All seeds that ever failed, oldest first. */
+export const REGRESSIONS: readonly Regression[] = [
+  {
+    seed: 100,
+    durationMs: 20_000,
+    cause: 'the soak registered new targets without their service',
+  },
+  {
+    seed: 203,
+    durationMs: 20_000,
+    cause: 'a stop of an entry that was still starting ended it by the signal',
+  },
+  {
+    seed: 207,
+    durationMs: 20_000,
+    cause: 'a request that arrived late and was dropped was taken for a run',
+  },
+];
--- /dev/null
+++ b/tools/soak/run.ts
@@ -0,0 +1,114 @@
+/** One run of the soak: a site, callers and faults, then the checks. */
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+
+import {Balancer, SoakCaller} from './callers.js';
+import type {Violation} from './checks/index.js';
+import {findViolations} from './checks/index.js';
+import {CALLERS_PER_ENTRY, CONTACT_MS} from './consts.js';
+import {playEpisode} from './faults.js';
+import {History} from './history.js';
+import type {Episode} from './plan.js';
+import {drawPlan} from './plan.js';
+import type {SiteSize} from './site.js';
+import {SoakSite} from './site.js';
+import {sleep, watchLag} from './timing.js';
+
+/** What one run is made from. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly size: SiteSize;
+  /** Folder for settings, logs and the history. */
+  readonly folder: string;
+}
+
+/** What one run showed. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly violations: readonly Violation[];
+  readonly requests: number;
+  readonly served: number;
+  readonly faults: number;
+  /** Longest time for which the soak's own process was late. */
+  readonly lagMs: number;
+}
+
+/** Seeds of callers must not repeat those of other runs. */
+const SEEDS_PER_RUN = 10_000;
+
+/**
+ * Plays one seed from start to end.
+ *
+ * @example
+ * const {violations} = await runSoak({seed: 7, durationMs, size, folder});
+ */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const {seed, durationMs, size, folder} = options;
+  mkdirSync(folder, {recursive: true});
+  const plan = drawPlan({seed, durationMs});
+  const history = new History();
+  const site = new SoakSite(history, {folder, size});
+  try {
+    await site.start();
+    await play({site, plan, durationMs, seed});
+  } finally {
+    await site.close();
+    keep(folder, {plan, history});
+  }
+  const {attempts, lagMs} = history;
+  return {
+    seed,
+    violations: findViolations(history),
+    requests: attempts.length,
+    served: attempts.filter(({status}) => status === 200).length,
+    faults: plan.length,
+    lagMs: Math.round(lagMs),
+  };
+}
+
+async function play(options: {
+  site: SoakSite;
+  plan: readonly Episode[];
+  durationMs: number;
+  seed: number;
+}): Promise<void> {
+  const {site, plan, durationMs, seed} = options;
+  const {history} = site;
+  const stopWatch = watchLag((lagMs) => {
+    history.lagMs = Math.max(history.lagMs, lagMs);
+  });
+  const balancer = new Balancer(site.entries);
+  const count = site.entries.length * CALLERS_PER_ENTRY;
+  const callers = Array.from({length: count}, (_, index) => {
+    const callerSeed = seed * SEEDS_PER_RUN + index;
+    return new SoakCaller(`c${index}`, callerSeed, site, balancer);
+  });
+  const asking = balancer.run();
+  const calling = callers.map((caller) => caller.run());
+  const startMs = Date.now();
+  const episodes = plan.map(async (episode) => {
+    await sleep(episode.atMs);
+    await playEpisode(site, episode);
+  });
+  await Promise.all(episodes);
+  history.calmFromMs = Date.now() + CONTACT_MS;
+  const endMs = Math.max(startMs + durationMs, history.calmFromMs + CONTACT_MS);
+  await sleep(endMs - Date.now());
+  for (const caller of callers) caller.stop();
+  await Promise.all(calling);
+  balancer.stop();
+  await asking;
+  stopWatch();
+}
+
+/** Leaves what is needed to trace a broken promise. */
+function keep(
+  folder: string,
+  evidence: {plan: readonly Episode[]; history: History},
+): void {
+  for (const [name, content] of Object.entries(evidence)) {
+    const text = JSON.stringify(content, null, 1);
+    writeFileSync(join(folder, `${name}.json`), text);
+  }
+}
--- /dev/null
+++ b/tools/soak/site.ts
@@ -0,0 +1,170 @@
+/** The site of one run: a store, entries and targets, and who steers them. */
+import {Kind} from '../../platform/names.js';
+import type {Direction} from '../../stand-ins/relay/relay.js';
+import {KEY, SiteService, siteConfig} from '../../stand-ins/site/config.js';
+import type {Fault} from '../../stand-ins/site/target.js';
+import {KEY_LIFE_VERSIONS} from './checks/control.js';
+import {STREAM_DEADLINE_MS, ZONES} from './consts.js';
+import type {History} from './history.js';
+import {SoakEntry} from './soak-entry.js';
+import {SoakTarget} from './soak-target.js';
+import {SteeredStandIn} from './stand-in.js';
+import {sleep} from './timing.js';
+
+/** Loopback networks, of which each soak process takes one. */
+const FIRST_NETWORK = 20;
+const NETWORKS = 200;
+const SUBNETS = 250;
+const FIRST_HOST = 10;
+
+const READY_TIMEOUT_MS = 20_000;
+const READY_STEP_MS = 100;
+
+/** How many of each there are. */
+export interface SiteSize {
+  readonly entries: number;
+  /** Targets of each service in each zone. */
+  readonly targets: number;
+}
+
+/** The key that came with a version; 0 names the key that is always there. */
+export function keyOf(version: number): string {
+  return version === 0 ? KEY : `key-${version}`;
+}
+
+/** Holds all processes of a run; whoever starts a site must close it. */
+export class SoakSite {
+  readonly entries: SoakEntry[] = [];
+  targets: SoakTarget[] = [];
+  store!: SteeredStandIn;
+  private targetNumber = 0;
+  private version = 0;
+  private isClosed = false;
+
+  constructor(
+    readonly history: History,
+    private readonly options: {folder: string; size: SiteSize},
+  ) {}
+
+  /** Starts everything and waits until all entries are ready. */
+  async start(): Promise<void> {
+    const {size, folder} = this.options;
+    this.store = await SteeredStandIn.start({script: 'store-main.js'});
+    await this.changeConfig();
+    const services = Object.values(SiteService);
+    const places = ZONES.flatMap((zone) =>
+      services.flatMap((service) =>
+        Array.from({length: size.targets}, () => ({zone, service})),
+      ),
+    );
+    await Promise.all(places.map((place) => this.addTarget(place)));
+    const network = `127.${FIRST_NETWORK + (process.pid % NETWORKS)}`;
+    const subnet = Math.floor(process.pid / NETWORKS) % SUBNETS;
+    const starts = Array.from({length: size.entries}, (_, index) =>
+      SoakEntry.start({
+        name: `entry-${index + 1}`,
+        address: `${network}.${subnet}.${FIRST_HOST + index}`,
+        zone: ZONES[index % ZONES.length]!,
+        storePort: this.store.port,
+        folder,
+        history: this.history,
+      }),
+    );
+    this.entries.push(...(await Promise.all(starts)));
+    await this.waitUntilReady();
+  }
+
+  /** Starts one more target. */
+  async addTarget(place: {zone: string; service: SiteService}): Promise<void> {
+    if (this.isClosed) return;
+    const {zone, service} = place;
+    const target = await SoakTarget.start({
+      zone,
+      service,
+      id: `i-${++this.targetNumber}`,
+      store: this.store,
+      history: this.history,
+    });
+    this.targets.push(target);
+    // A start may cross the end of the run.
+    if (this.isClosed) target.standIn.proc.kill();
+  }
+
+  /** Kills a target and starts another in its place. */
+  async replaceTarget(target: SoakTarget, downMs: number): Promise<void> {
+    this.targets = this.targets.filter((other) => other !== target);
+    const gone = target.kill();
+    await sleep(downMs);
+    await this.addTarget(target);
+    await gone;
+  }
+
+  /** Writes the next version, which moves a route and changes keys. */
+  async changeConfig(): Promise<void> {
+    const version = ++this.version;
+    const {DESK, SPARE} = SiteService;
+    const movingTo = version % 2 === 0 ? SPARE : DESK;
+    const oldest = Math.max(1, version - KEY_LIFE_VERSIONS + 1);
+    const keys = [0, oldest, version].map(keyOf);
+    const spec = siteConfig({
+      version,
+      keys: [...new Set(keys)],
+      movingTo,
+      streamTimeoutMs: STREAM_DEADLINE_MS,
+    });
+    const sentMs = Date.now();
+    const change = {version, movingTo, sentMs, ackMs: Infinity};
+    this.history.configs.push(change);
+    await this.store.ask('put', {kind: Kind.CONFIG, name: 'main', spec});
+    change.ackMs = Date.now();
+  }
+
+  /** Puts a fault on targets for a time. */
+  async withFault(
+    targets: readonly SoakTarget[],
+    fault: Fault,
+    none: Fault,
+    durationMs: number,
+  ): Promise<void> {
+    const set = (value: Fault) =>
+      targets.map((target) => target.standIn.ask('setFault', value));
+    await Promise.all(set(fault));
+    await sleep(durationMs);
+    await Promise.all(set(none));
+  }
+
+  /** Cuts the connections to targets for a time. */
+  async withCut(
+    targets: readonly SoakTarget[],
+    durationMs: number,
+    directions?: readonly Direction[],
+  ): Promise<void> {
+    for (const {relay} of targets) relay.cut(directions);
+    await sleep(durationMs);
+    for (const {relay} of targets) relay.mend();
+  }
+
+  /** Ends all processes and waits until they are gone. */
+  async close(): Promise<void> {
+    this.isClosed = true;
+    const entries = this.entries.map((entry) => entry.kill());
+    const standIns = [this.store, ...this.targets.map(({standIn}) => standIn)];
+    for (const {proc} of standIns) proc.kill();
+    await Promise.all([...entries, ...standIns.map(({proc}) => proc.exited)]);
+    const relays = [
+      ...this.targets.map(({relay}) => relay),
+      ...this.entries.map(({storeRelay}) => storeRelay),
+    ];
+    await Promise.all(relays.map((relay) => relay.close()));
+  }
+
+  private async waitUntilReady(): Promise<void> {
+    const endMs = Date.now() + READY_TIMEOUT_MS;
+    for (const entry of this.entries) {
+      while (!(await entry.isReady())) {
+        if (Date.now() > endMs) throw new Error(`${entry.name} is not ready`);
+        await sleep(READY_STEP_MS);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/tools/soak/soak-target.ts
@@ -0,0 +1,117 @@
+/** A target of the soak: its process, and the relay in front of it. */
+import {Kind} from '../../platform/names.js';
+import {Relay} from '../../stand-ins/relay/relay.js';
+import {SiteService} from '../../stand-ins/site/config.js';
+import type {TargetReport} from '../../stand-ins/site/target-main.js';
+import {registrationOf} from '../../stand-ins/site/target.js';
+import {
+  LAPSE_MS,
+  STREAM_EVENTS,
+  STREAM_FIRST_MS,
+  STREAM_GAP_MS,
+  WORK_MS,
+} from './consts.js';
+import type {Arrival, History} from './history.js';
+import {SteeredStandIn} from './stand-in.js';
+import {sleep} from './timing.js';
+
+const HOST = '127.0.0.1';
+
+/** What a target is started with. */
+export interface SoakTargetOptions {
+  readonly id: string;
+  readonly service: SiteService;
+  readonly zone: string;
+  readonly store: SteeredStandIn;
+  readonly history: History;
+}
+
+/** One lifetime of a target. */
+export class SoakTarget {
+  private readonly running = new Map<string, Arrival>();
+
+  private constructor(
+    private readonly options: SoakTargetOptions,
+    readonly standIn: SteeredStandIn,
+    readonly relay: Relay,
+  ) {}
+
+  /** Starts the target and registers it. */
+  static async start(options: SoakTargetOptions): Promise<SoakTarget> {
+    const isWriter = options.service === SiteService.WRITERS;
+    const standIn = await SteeredStandIn.start({
+      script: 'target-main.js',
+      args: [
+        ['--id', options.id],
+        ['--events', String(isWriter ? STREAM_EVENTS : 0)],
+        ['--first-ms', String(STREAM_FIRST_MS)],
+        ['--gap-ms', String(STREAM_GAP_MS)],
+        ['--work-ms', String(WORK_MS)],
+      ].flat(),
+      onReport: (report) => target.note(report as TargetReport),
+    });
+    const relay = new Relay({
+      address: HOST,
+      port: 0,
+      toHost: HOST,
+      toPort: standIn.port,
+    });
+    await relay.listen();
+    const target = new SoakTarget(options, standIn, relay);
+    await target.register('ready');
+    return target;
+  }
+
+  get id(): string {
+    return this.options.id;
+  }
+
+  get service(): SiteService {
+    return this.options.service;
+  }
+
+  get zone(): string {
+    return this.options.zone;
+  }
+
+  /** Writes the target's state to the store. */
+  async register(state: string): Promise<void> {
+    const {id, service, zone, store} = this.options;
+    const address = `${HOST}:${this.relay.port}`;
+    const spec = registrationOf({service, zone, address, state});
+    await store.ask('put', {kind: Kind.TARGETS, name: id, spec});
+  }
+
+  /** Takes the target's registration away. */
+  async unregister(): Promise<void> {
+    const {id, store} = this.options;
+    await store.ask('remove', {kind: Kind.TARGETS, name: id});
+  }
+
+  /** Kills the process; its registration lapses later. */
+  async kill(): Promise<void> {
+    this.standIn.proc.kill();
+    const endedMs = Date.now();
+    for (const arrival of this.running.values()) arrival.endedMs = endedMs;
+    this.running.clear();
+    await sleep(LAPSE_MS);
+    await this.unregister();
+    await this.relay.close();
+  }
+
+  private note(report: TargetReport): void {
+    const {attemptId, atMs} = report;
+    if (report.type === 'ended') {
+      const arrival = this.running.get(attemptId);
+      if (arrival !== undefined) arrival.endedMs = atMs;
+      this.running.delete(attemptId);
+      return;
+    }
+    const {id: target, service, history} = this.options;
+    const {hasRun} = report;
+    const keyVersion = Number(report.key);
+    const arrival = {attemptId, target, service, keyVersion, atMs, hasRun};
+    history.arrivals.push(arrival);
+    if (hasRun) this.running.set(attemptId, arrival);
+  }
+}
