Equal requests are not held for poison; start with half-written settings; check-platform

Change: a loss counts once an engine, only before anything was written, and never for a request that an engine has written for. Tests fail first (direct/streams: 502 for a healthy stream). Besides: plantainrill check-platform checks a settings file and a configuration in the platform's formats, with the mistakes that decoding cannot see; a test plays a log reader that has stopped, on a real pipe.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -35,9 +35,10 @@
     },
     {
       name: 'only-the-daemon-knows-the-platform',
-      comment: 'Wire names and formats stay in platform/.',
+      comment:
+        'Wire names and formats stay in platform/; programs hand them in.',
       severity: 'error',
-      from: {path: '^src/(?!daemon)'},
+      from: {path: '^src/(?!daemon|cli/main\\.ts)'},
       to: {path: '^platform'},
     },
     {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,6 +2,8 @@
 /** The command-line tool. */
 import {userInfo} from 'node:os';
 
+import {parseBootSettings} from '../../platform/boot-settings.js';
+import {parseConfig} from '../../platform/config-codec.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
 import {createStore} from './create-store.js';
 import {runCli} from './run-cli.js';
@@ -12,6 +14,7 @@
     out: (text) => process.stdout.write(text),
     err: (text) => process.stderr.write(text),
     createStore,
+    platform: {readSettings: parseBootSettings, readConfig: parseConfig},
     clock: new SystemClock(),
     random: new SystemRandom(),
     operator: userInfo().username,
--- a/src/cli/types.ts
+++ b/src/cli/types.ts
@@ -1,8 +1,11 @@
 /** Shapes shared by all commands. */
 import type {Command} from 'commander';
+import type {Result} from 'neverthrow';
 
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {ObjectStore} from '../core/edges/index.js';
+import type {RoutingConfig} from '../core/routes/index.js';
+import type {DirectSettings} from '../core/settings/direct-settings.js';
 
 /** What the tool tells the shell. */
 export enum ExitStatus {
@@ -13,6 +16,12 @@
   REFUSED = 4,
 }
 
+/** Reads texts in the platform's formats; errors are one line. */
+export interface PlatformTexts {
+  readonly readSettings: (text: string) => Result<DirectSettings, string>;
+  readonly readConfig: (text: string) => Result<RoutingConfig, string>;
+}
+
 /** What commands need from the outside. */
 export interface CliContext {
   /** Writes to the standard output. */
@@ -20,6 +29,7 @@
   /** Writes to the standard error. */
   err(text: string): void;
   createStore(options: {baseUrl: string}): Promise<ObjectStore>;
+  readonly platform: PlatformTexts;
   readonly clock: Clock;
   readonly random: RandomSource;
   /** Name of the operator where the command line gives none. */
--- a/src/core/poison/crash-record.ts
+++ b/src/core/poison/crash-record.ts
@@ -10,22 +10,28 @@
 /** Requests that are remembered; the oldest ones go first. */
 const MAX_REQUESTS = 4_096;
 
-interface Record {
-  crashes: number;
+const NONE: ReadonlySet<string> = new Set();
+
+interface CrashEntry {
+  /** Ids of the engines that were lost; each has one life. */
+  readonly engines: Set<string>;
   lastMs: number;
 }
 
 /**
  * Counts the engines that were lost under each request. Serves the load of a
- * request that crashes every engine which begins it, and comes again.
+ * request that crashes every engine which begins it, and comes again; an
+ * engine that is lost under many equal requests counts once.
  *
  * @example
  * const crashes = new CrashRecord({clock});
- * crashes.note(fingerprint);
+ * crashes.note(fingerprint, engineId);
  * if (crashes.isPoison(fingerprint)) refuse();
  */
 export class CrashRecord {
-  private readonly records = new Map<string, Record>();
+  private readonly records = new Map<string, CrashEntry>();
+  /** Requests for which an engine has written: they crash none. */
+  private readonly harmless = new Set<string>();
 
   constructor(private readonly options: {clock: Clock}) {}
 
@@ -33,41 +39,45 @@
     return this.records.size === 0;
   }
 
-  note(fingerprint: string): void {
-    const nowMs = this.options.clock.now();
-    const crashes = this.crashesOf(fingerprint) + 1;
+  /** An engine was lost under a request before it wrote anything. */
+  note(fingerprint: string, engineId: string): void {
+    if (this.harmless.has(fingerprint)) return;
+    const engines = new Set(this.enginesOf(fingerprint)).add(engineId);
     this.records.delete(fingerprint);
-    this.records.set(fingerprint, {crashes, lastMs: nowMs});
-    this.trim();
+    this.records.set(fingerprint, {engines, lastMs: this.options.clock.now()});
+    trim(this.records);
   }
 
-  /** A loss had another cause: the whole data centre went. */
-  acquit(fingerprint: string): void {
+  /** An engine was lost for another cause: the whole data centre went. */
+  acquit(fingerprint: string, engineId: string): void {
     const record = this.records.get(fingerprint);
     if (record === undefined) return;
-    record.crashes--;
-    if (record.crashes <= 0) this.records.delete(fingerprint);
+    record.engines.delete(engineId);
+    if (record.engines.size === 0) this.records.delete(fingerprint);
   }
 
   /** An engine has written something for the request. */
-  clear(fingerprint: string): void {
+  noteWritten(fingerprint: string): void {
     this.records.delete(fingerprint);
+    this.harmless.delete(fingerprint);
+    this.harmless.add(fingerprint);
+    trim(this.harmless);
   }
 
   isPoison(fingerprint: string): boolean {
-    return this.crashesOf(fingerprint) >= POISON_CRASHES;
+    return this.enginesOf(fingerprint).size >= POISON_CRASHES;
   }
 
-  private crashesOf(fingerprint: string): number {
+  private enginesOf(fingerprint: string): ReadonlySet<string> {
     const record = this.records.get(fingerprint);
-    if (record === undefined) return 0;
+    if (record === undefined) return NONE;
     const ageMs = this.options.clock.now() - record.lastMs;
-    return ageMs > MEMORY_MS ? 0 : record.crashes;
+    return ageMs > MEMORY_MS ? NONE : record.engines;
   }
+}
 
-  private trim(): void {
-    if (this.records.size <= MAX_REQUESTS) return;
-    const oldest = this.records.keys().next().value;
-    if (oldest !== undefined) this.records.delete(oldest);
-  }
+function trim(requests: Map<string, unknown> | Set<string>): void {
+  if (requests.size <= MAX_REQUESTS) return;
+  const oldest = requests.keys().next().value;
+  if (oldest !== undefined) requests.delete(oldest);
 }
--- a/src/core/routes/index.ts
+++ b/src/core/routes/index.ts
@@ -10,5 +10,7 @@
   RoutingConfig,
 } from './types.js';
 export {OperationKind} from './types.js';
+export type {RoutingProblem} from './check-routing.js';
+export {findRoutingProblems, RoutingProblemKind} from './check-routing.js';
 export type {AdmissionFacts, AdmittedRequest} from './admit-request.js';
 export {admitRequest} from './admit-request.js';
--- a/src/daemon/direct-main.ts
+++ b/src/daemon/direct-main.ts
@@ -29,6 +29,7 @@
 import {PlannedStop} from '../direct/planned-stop.js';
 import {SettingsWatch} from '../direct/settings-watch.js';
 import {EXIT_BAD_SETTINGS} from './consts.js';
+import {readPatiently} from './read-patiently.js';
 
 const STDOUT = 1;
 const MAX_PORT = 65_535;
@@ -66,7 +67,10 @@
 async function main(): Promise<void> {
   const flags = program.parse().opts<Flags>();
   const path = process.env[BOOT_VARIABLE] ?? '';
-  const settings = loadBootSettings(path);
+  const settings = await readPatiently({
+    read: () => loadBootSettings(path),
+    clock: new SystemClock(),
+  });
   if (settings.isErr()) {
     process.stderr.write(`${settings.error}\n`);
     process.exit(EXIT_BAD_SETTINGS);
--- a/src/direct/streams/poison-watch.ts
+++ b/src/direct/streams/poison-watch.ts
@@ -30,21 +30,21 @@
     return this.crashes.isPoison(this.identify());
   }
 
-  /** An engine was lost before it wrote anything. */
+  /** An engine was lost, and none has written anything. */
   noteLoss(lost: Target): void {
     const fingerprint = this.identify();
-    this.crashes.note(fingerprint);
+    this.crashes.note(fingerprint, lost.id);
     this.ctx.clock.schedule({
       delayMs: ACQUITTAL_MS,
       run: () => {
-        if (this.isCommonLoss(lost)) this.crashes.acquit(fingerprint);
+        if (this.isCommonLoss(lost)) this.crashes.acquit(fingerprint, lost.id);
       },
     });
   }
 
   /** An engine has written for the request. */
   noteWritten(): void {
-    if (!this.crashes.isEmpty) this.crashes.clear(this.identify());
+    this.crashes.noteWritten(this.identify());
   }
 
   private get crashes(): CrashRecord {
--- a/src/direct/streams/stream-run.ts
+++ b/src/direct/streams/stream-run.ts
@@ -189,7 +189,8 @@
     const didNotRun = failure !== undefined && certainlyDidNotRun(failure);
     if (didNotRun) this.placer.exclude(lost.target);
     else this.mayHaveRun = true;
-    if (!didNotRun && lost.events === 0) this.poison.noteLoss(lost.target);
+    const hasWritten = this.delivery.isOpen;
+    if (!didNotRun && !hasWritten) this.poison.noteLoss(lost.target);
     if (reason !== RetryReason.TARGET_REFUSED) this.placer.doubt(lost.target);
     if (!this.mayGoOn(reason)) {
       this.giveUp(false);
--- a/test/cli/lib/run-tool.ts
+++ b/test/cli/lib/run-tool.ts
@@ -1,4 +1,6 @@
 import {SeededRandom, SystemClock} from '../../../src/core/clock/index.js';
+import {parseBootSettings} from '../../../platform/boot-settings.js';
+import {parseConfig} from '../../../platform/config-codec.js';
 import {runCli} from '../../../src/cli/run-cli.js';
 import type {ExitStatus} from '../../../src/cli/types.js';
 import {MemoryStore} from './memory-store.js';
@@ -29,6 +31,7 @@
         err += text;
       },
       createStore: () => Promise.resolve(store),
+      platform: {readSettings: parseBootSettings, readConfig: parseConfig},
       clock: new SystemClock(),
       random: new SeededRandom(SEED),
       operator: 'anna',
--- /dev/null
+++ b/test/daemon/read-patiently.test.ts
@@ -0,0 +1,37 @@
+/** Settings that are being written while a process starts. */
+import {err, ok} from 'neverthrow';
+import {describe, expect, it} from 'vitest';
+
+import {ManualClock} from '../../src/core/clock/index.js';
+import {PATIENCE_MS, readPatiently} from '../../src/daemon/read-patiently.js';
+
+const STEP_MS = 50;
+
+describe('readPatiently', () => {
+  async function readUntilSound(soundAtMs: number) {
+    const clock = new ManualClock();
+    const read = () =>
+      clock.now() >= soundAtMs ? ok('settings') : err('half a file');
+    let isDone = false;
+    const settings = readPatiently({read, clock}).finally(() => {
+      isDone = true;
+    });
+    while (!isDone) {
+      clock.advance(STEP_MS);
+      // Lets what the timers began go on.
+      await Promise.resolve();
+      await new Promise(setImmediate);
+    }
+    return {settings: await settings, tookMs: clock.now()};
+  }
+
+  it.each([
+    {name: 'at once', soundAtMs: 0, isOk: true},
+    {name: 'once they are whole', soundAtMs: 2_000, isOk: true},
+    {name: 'in vain', soundAtMs: PATIENCE_MS * 10, isOk: false},
+  ])('reads $name', async ({soundAtMs, isOk}) => {
+    const {settings, tookMs} = await readUntilSound(soundAtMs);
+    expect(settings.isOk()).toBe(isOk);
+    expect(tookMs).toBeLessThan(PATIENCE_MS * 2);
+  });
+});
--- a/test/direct/streams.test.ts
+++ b/test/direct/streams.test.ts
@@ -1,4 +1,6 @@
 /** Event streams through a direct entry, whose targets are lost on the way. */
+import {Agent} from 'node:http';
+
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {Header, Kind} from '../../platform/names.js';
@@ -178,6 +180,22 @@
     expect(other.isWhole).toBe(true);
   });
 
+  it('does not hold equal requests for poison that one engine took with it', async () => {
+    const [first] = site.targets;
+    for (const target of site.targets.slice(1)) target.fault = Fault.REJECT;
+    const calls = Array.from({length: POISON_CRASHES}, () =>
+      site.call({path: SitePath.STREAM, body: 'the same', agent: new Agent()}),
+    );
+    await waitFor(() => first!.runs.length === POISON_CRASHES);
+    for (const target of site.targets) target.fault = Fault.NONE;
+    first!.crash();
+    for (const reply of await Promise.all(calls)) {
+      expect(reply.status).toBe(200);
+    }
+    const again = await site.call({path: SitePath.STREAM, body: 'the same'});
+    expect(again.status).toBe(200);
+  });
+
   it('ends the work at the target when its caller goes', async () => {
     const call = site.call({
       path: SitePath.STREAM,
--- a/test/docs/pages.test.ts
+++ b/test/docs/pages.test.ts
@@ -66,7 +66,7 @@
 
   it('tells of each command', async () => {
     const {out} = await runTool(['--help']);
-    const commands = [...out.matchAll(/^ {2}([a-z]+) \[/gm)].map((m) => m[1]);
+    const commands = [...out.matchAll(/^ {2}([a-z-]+) \[/gm)].map((m) => m[1]);
     const own = commands.filter((name) => name !== 'help');
     expect(own).toHaveLength(COMMANDS.length);
     for (const name of own) expect(page).toContain(`| \`${name}\` |`);
--- /dev/null
+++ b/test/processes/direct-logs.test.ts
@@ -0,0 +1,109 @@
+/** The log of a direct entry whose reader has stopped. */
+import type {ChildProcess} from 'node:child_process';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {Agent} from 'node:http';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {request} from 'undici';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {BOOT_VARIABLE, Kind} from '../../platform/names.js';
+import {SitePath, siteConfig} from '../../stand-ins/site/config.js';
+import {StandInStore} from '../../stand-ins/site/store.js';
+import {waitUntil} from '../../tools/lab/lab.js';
+import {callSite} from '../../tools/lab/site-caller.js';
+
+/** An address on which nothing else listens. */
+const ADDRESS = '127.9.0.1';
+const CALLERS_PORT = 8_080;
+const METRICS_URL = `http://${ADDRESS}:9464/metrics`;
+const GRACE_S = 2;
+
+/** Each refusal writes a line with its id: far more than a pipe holds. */
+const REFUSALS = 900;
+const ID_LENGTH = 2_000;
+
+/** A request that waits for the log would wait for ever. */
+const PROMPT_MS = 1_000;
+
+describe('a direct entry whose log is not read', () => {
+  const store = new StandInStore();
+  const agent = new Agent({keepAlive: true, maxSockets: 1});
+  let folder: string;
+  let entry: ChildProcess;
+
+  beforeEach(async () => {
+    await store.start();
+    const spec = siteConfig({version: 1});
+    store.put({kind: Kind.CONFIG, name: 'main', spec});
+    folder = mkdtempSync(join(tmpdir(), 'direct-logs-'));
+    const path = join(folder, 'boot.json');
+    writeFileSync(path, bootFile(new URL(store.url).host));
+    entry = spawn(process.execPath, ['dist/src/daemon/direct-main.js'], {
+      // Nothing is ever read from this pipe.
+      stdio: ['ignore', 'pipe', 'inherit'],
+      env: {...process.env, [BOOT_VARIABLE]: path},
+    });
+    await waitUntil({what: 'the entry serves', check: isKnownKeyAccepted});
+  });
+
+  afterEach(async () => {
+    entry.kill('SIGKILL');
+    agent.destroy();
+    await store.stop();
+    rmSync(folder, {recursive: true});
+  });
+
+  async function refuse(number: number): Promise<number> {
+    const startMs = performance.now();
+    const reply = await callSite({
+      host: ADDRESS,
+      port: CALLERS_PORT,
+      agent,
+      path: SitePath.SAFE,
+      key: 'no key of ours',
+      attemptId: `${number}-`.padEnd(ID_LENGTH, 'x'),
+      deadlineMs: 1_000,
+    });
+    expect(reply.status).toBe(401);
+    return performance.now() - startMs;
+  }
+
+  async function isKnownKeyAccepted(): Promise<boolean> {
+    return (await refuse(0)) < PROMPT_MS;
+  }
+
+  it('slows no request, counts what it drops, and stops as planned', async () => {
+    let longestMs = 0;
+    for (let number = 1; number <= REFUSALS; number++) {
+      longestMs = Math.max(longestMs, await refuse(number));
+    }
+    expect(longestMs).toBeLessThan(PROMPT_MS);
+    expect(entry.stdout?.readableFlowing).toBeNull();
+
+    const metrics = await (await request(METRICS_URL)).body.text();
+    const dropped = /^plantainrill_log_lines_dropped\S* (\d+)$/m.exec(metrics);
+    expect(Number(dropped?.[1])).toBeGreaterThan(0);
+
+    const exited = once(entry, 'exit');
+    entry.kill('SIGTERM');
+    expect(await exited).toEqual([0, null]);
+  });
+});
+
+function bootFile(platformAddress: string): string {
+  return JSON.stringify({
+    node_name: 'entry-1',
+    ip: ADDRESS,
+    zone: 'a',
+    listen: {
+      frontend: `${ADDRESS}:${CALLERS_PORT}`,
+      readiness: `${ADDRESS}:8081`,
+    },
+    bounds: {grace_s: GRACE_S},
+    platform: {address: platformAddress},
+  });
+}
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -141,14 +141,16 @@
     headers?: Record<string, string>;
     body?: string;
     onData?: (text: string) => void;
+    /** Holds another connection than the usual one. */
+    agent?: Agent;
   }): Promise<Reply> {
     const {key = KEY, ...call} = options;
     return callSite({
+      agent: this.agent,
       ...call,
       key,
       host: '127.0.0.1',
       port: this.port,
-      agent: this.agent,
       attemptId: `try-${++this.attempts}`,
       deadlineMs: DEADLINE_MS,
     });
--- a/tools/soak/regressions.ts
+++ b/tools/soak/regressions.ts
@@ -25,4 +25,14 @@
     durationMs: 20_000,
     cause: 'a request that arrived late and was dropped was taken for a run',
   },
+  {
+    seed: 2001,
+    durationMs: 20_000,
+    cause: 'equal requests that one lost engine had begun were held for poison',
+  },
+  {
+    seed: 2006,
+    durationMs: 20_000,
+    cause: 'an entry that started while its settings were half written ended',
+  },
 ];
