Entries tell each other of requests that crash engines

Cause: each entry let a poison request crash three engines of its own; with 28 entries that is 84. Change: the entry that finds a culprit leaves a note in the store, once the loss of a whole data centre is ruled out as its cause; the others follow that kind (a wait of 30 s, so about two calls a minute each) and refuse the request. Notes are taken away after ten minutes. Tests: direct/streams (told, refused elsewhere, released).

--- a/src/core/poison/crash-record.ts
+++ b/src/core/poison/crash-record.ts
@@ -68,7 +68,8 @@
     return this.enginesOf(fingerprint).size >= POISON_CRASHES;
   }
 
-  private enginesOf(fingerprint: string): ReadonlySet<string> {
+  /** Ids of the engines that were lost lately. */
+  enginesOf(fingerprint: string): ReadonlySet<string> {
     const record = this.records.get(fingerprint);
     if (record === undefined) return NONE;
     const ageMs = this.options.clock.now() - record.lastMs;
--- a/src/core/poison/quarantine.ts
+++ b/src/core/poison/quarantine.ts
@@ -28,6 +28,10 @@
     (fingerprint: string, culprit: Culprit) => void
   >();
 
+  get isEmpty(): boolean {
+    return this.culprits.size === 0;
+  }
+
   has(fingerprint: string): boolean {
     return this.culprits.has(fingerprint);
   }
--- a/src/daemon/direct-main.ts
+++ b/src/daemon/direct-main.ts
@@ -15,7 +15,8 @@
 import {CallerServer} from '../../platform/caller-server.js';
 import {decodeConfig} from '../../platform/config-codec.js';
 import {BOOT_VARIABLE, Kind, Path} from '../../platform/names.js';
-import {StoreSource} from '../../platform/store-client.js';
+import {decodeCulprit} from '../../platform/quarantine-codec.js';
+import {StoreNotes, StoreSource} from '../../platform/store-client.js';
 import {TargetClient} from '../../platform/target-client.js';
 import {decodeTarget} from '../../platform/target-codec.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
@@ -103,6 +104,12 @@
       kind: Kind.TARGETS,
       decode: decodeTarget,
     }),
+    culprits: new StoreSource({
+      url,
+      kind: Kind.QUARANTINE,
+      decode: decodeCulprit,
+    }),
+    culpritNotes: new StoreNotes({url, kind: Kind.QUARANTINE}),
     client: new TargetClient(),
     metrics,
     logger,
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -73,6 +73,15 @@
 /** Time after which the cause of a loss is known, in milliseconds. */
 export const ACQUITTAL_MS = 250;
 
+/** Time for which a request that crashes engines is kept from them. */
+export const QUARANTINE_MS = 600_000;
+
+/** Longest wait for news of such requests, in milliseconds. */
+export const QUARANTINE_WAIT_MS = 30_000;
+
+/** Time until such a request is written to the store again. */
+export const SHARE_PAUSE_MS = 500;
+
 /** Time between two tries to have a run copied, in milliseconds. */
 export const COPY_PAUSE_MS = 400;
 
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -6,7 +6,7 @@
 } from '../core/edges/direct-caller.js';
 import type {DirectTargets} from '../core/edges/direct-target.js';
 import type {Logger} from '../core/logs/index.js';
-import type {CrashRecord} from '../core/poison/index.js';
+import type {CrashRecord, Quarantine} from '../core/poison/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import type {AdmittedRequest, RoutedService} from '../core/routes/index.js';
 import type {TargetSet} from '../core/targets/index.js';
@@ -27,6 +27,8 @@
   readonly budgets: RepeatBudgets;
   /** Requests under which engines were lost. */
   readonly crashes: CrashRecord;
+  /** Requests that this entry, or another, found to crash engines. */
+  readonly quarantine: Quarantine;
   readonly metrics: Metrics;
   readonly logger: Logger;
 }
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -7,12 +7,14 @@
   OwnAnswer,
 } from '../core/edges/direct-caller.js';
 import type {DirectTargets} from '../core/edges/direct-target.js';
+import type {SharedNotes} from '../core/edges/shared-notes.js';
 import type {SourceItem, StateSource} from '../core/edges/state-source.js';
 import {RefusalReason} from '../core/errors/refusals.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import {CounterName} from '../core/metrics/index.js';
-import {CrashRecord} from '../core/poison/index.js';
+import type {Culprit} from '../core/poison/index.js';
+import {CrashRecord, Quarantine} from '../core/poison/index.js';
 import type {AdmittedRequest, RoutingConfig} from '../core/routes/index.js';
 import {
   admitRequest,
@@ -37,6 +39,7 @@
 } from './consts.js';
 import type {DirectContext} from './context.js';
 import {Prober} from './prober.js';
+import {QuarantineShare} from './quarantine-share.js';
 import {RepeatBudgets} from './repeat-budgets.js';
 import {StreamTimes} from './streams/stream-times.js';
 import {StreamRun} from './streams/stream-run.js';
@@ -48,6 +51,8 @@
   readonly random: RandomSource;
   readonly configs: StateSource<RoutingConfig>;
   readonly registrations: StateSource<TargetRecord>;
+  readonly culprits: StateSource<Culprit>;
+  readonly culpritNotes: SharedNotes<Culprit>;
   readonly client: DirectTargets;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -69,6 +74,7 @@
   private readonly trust: KeyTrust;
   private settings: DirectSettings;
   private readonly ctx: DirectContext;
+  private readonly quarantineShare: QuarantineShare;
   private readonly followers: Array<Follower<unknown>> = [];
   private configs?: Follower<RoutingConfig>;
   private knowsTargets = false;
@@ -110,15 +116,25 @@
         settings: () => this.settings.retryBudget,
       }),
       crashes: new CrashRecord({clock}),
+      quarantine: new Quarantine(),
       metrics,
       logger,
     };
+    this.quarantineShare = new QuarantineShare({
+      quarantine: this.ctx.quarantine,
+      notes: options.culpritNotes,
+      source: options.culprits,
+      clock,
+      random,
+      logger,
+    });
   }
 
   start(): void {
     const {configs, registrations} = this.options;
     this.followConfigs(configs);
     this.followTargets(registrations);
+    this.quarantineShare.start();
   }
 
   /** Takes over settings that may change while the process runs. */
@@ -137,6 +153,7 @@
   /** Stops following the platform. */
   stop(): void {
     for (const follower of this.followers) follower.stop();
+    this.quarantineShare.stop();
   }
 
   /** Ids of the targets that may be given work. */
--- a/src/direct/streams/poison-watch.ts
+++ b/src/direct/streams/poison-watch.ts
@@ -1,6 +1,5 @@
 /** Keeps requests that crash engines away from them. */
 import {fingerprintOf} from '../../core/generation/fingerprint.js';
-import type {CrashRecord} from '../../core/poison/index.js';
 import type {Target} from '../../core/targets/index.js';
 import {ACQUITTAL_MS} from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
@@ -26,29 +25,39 @@
   }
 
   isPoison(): boolean {
-    if (this.crashes.isEmpty) return false;
-    return this.crashes.isPoison(this.identify());
+    const {crashes, quarantine} = this.ctx;
+    if (crashes.isEmpty && quarantine.isEmpty) return false;
+    const fingerprint = this.identify();
+    return crashes.isPoison(fingerprint) || quarantine.has(fingerprint);
   }
 
   /** An engine was lost, and none has written anything. */
   noteLoss(lost: Target): void {
+    const {crashes} = this.ctx;
     const fingerprint = this.identify();
-    this.crashes.note(fingerprint, lost.id);
+    crashes.note(fingerprint, lost.id);
     this.ctx.clock.schedule({
       delayMs: ACQUITTAL_MS,
       run: () => {
-        if (this.isCommonLoss(lost)) this.crashes.acquit(fingerprint, lost.id);
+        if (this.isCommonLoss(lost)) crashes.acquit(fingerprint, lost.id);
+        else this.quarantineIfPoison(fingerprint);
       },
     });
   }
 
   /** An engine has written for the request. */
   noteWritten(): void {
-    this.crashes.noteWritten(this.identify());
+    this.ctx.crashes.noteWritten(this.identify());
   }
 
-  private get crashes(): CrashRecord {
-    return this.ctx.crashes;
+  /** Once the cause of the last loss is known, the others are told. */
+  private quarantineIfPoison(fingerprint: string): void {
+    const {crashes, quarantine} = this.ctx;
+    if (!crashes.isPoison(fingerprint)) return;
+    const clientAccount = this.work.admitted.account?.clientAccount ?? '';
+    const engines = crashes.enginesOf(fingerprint);
+    const culprit = {clientAccount, crashes: [...engines]};
+    quarantine.add({fingerprint, culprit});
   }
 
   private isCommonLoss({record}: Target): boolean {
--- a/stand-ins/site/store.ts
+++ b/stand-ins/site/store.ts
@@ -3,7 +3,7 @@
 
 import {Path} from '../../platform/names.js';
 import type {RunningServer} from '../lib/http-server.js';
-import {startServer} from '../lib/http-server.js';
+import {readJson, startServer} from '../lib/http-server.js';
 
 /** How the store answers. */
 export enum StoreMode {
@@ -29,8 +29,20 @@
   answer(): void;
 }
 
+/** One call, with the kind and the name in its path. */
+interface StoreCall {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly kind: string;
+  readonly name: string;
+  readonly query: URLSearchParams;
+}
+
 const FIRST_REVISION = 100;
 
+/** Segments of a path before the kind. */
+const KIND_SEGMENT = Path.OBJECTS.split('/').length - 1;
+
 /**
  * Holds objects in memory. Waiting calls end at the first change.
  *
@@ -54,8 +66,10 @@
     this.server = await startServer({
       address: '127.0.0.1',
       port: 0,
-      handle: ({req, res, segments, query}) =>
-        this.handle({req, res, kind: segments.at(-1) ?? '', query}),
+      handle: ({req, res, segments, query}) => {
+        const [kind = '', name = ''] = segments.slice(KIND_SEGMENT);
+        this.handle({req, res, kind, name, query});
+      },
     });
   }
 
@@ -98,12 +112,14 @@
     }
   }
 
-  private handle(call: {
-    req: IncomingMessage;
-    res: ServerResponse;
-    kind: string;
-    query: URLSearchParams;
-  }): void {
+  /** Names of the objects of a kind. */
+  namesOf(kind: string): string[] {
+    return [...this.objects.values()]
+      .filter((object) => object.kind === kind)
+      .map(({name}) => name);
+  }
+
+  private handle(call: StoreCall): void {
     const {req, res, kind, query} = call;
     this.calls++;
     if (this.mode === StoreMode.SILENT) return;
@@ -115,11 +131,34 @@
       reply(res, 503, {});
       return;
     }
+    if (req.method !== 'GET') {
+      void this.write(call);
+      return;
+    }
     const watch = query.get('watch');
     if (watch === null) this.list(res, kind);
     else this.wait({res, kind, since: Number(watch), query});
   }
 
+  private async write({req, res, kind, name}: StoreCall): Promise<void> {
+    if (req.method === 'DELETE') {
+      this.remove({kind, name});
+      reply(res, 200, {});
+      return;
+    }
+    const object = (await readJson({req})) as {
+      metadata: {name: string};
+      spec: unknown;
+    };
+    const {metadata, spec} = object;
+    if (this.objects.has(`${kind}/${metadata.name}`)) {
+      reply(res, 409, {});
+      return;
+    }
+    this.put({kind, name: metadata.name, spec});
+    reply(res, 201, {});
+  }
+
   private list(res: ServerResponse, kind: string): void {
     const entries = [...this.objects.values()]
       .filter((object) => object.kind === kind)
--- a/test/direct/streams.test.ts
+++ b/test/direct/streams.test.ts
@@ -15,6 +15,9 @@
 const ZONES = ['a', 'a', 'b', 'b', 'c'];
 const PACE = {events: EVENTS, firstMs: 30, gapMs: 16};
 
+/** Time for a change in the store to reach an entry, in milliseconds. */
+const NEWS_MS = 300;
+
 /** How a target is lost. */
 enum Loss {
   CRASH = 'crash',
@@ -180,6 +183,41 @@
     expect(other.isWhole).toBe(true);
   });
 
+  it('tells the other entries of a request that crashes engines', async () => {
+    for (const target of site.targets) target.fault = Fault.DROP_RUNS;
+    await site.call({path: SitePath.STREAM, body: 'poison'});
+    const culprits = () => site.store.namesOf(Kind.QUARANTINE);
+    await waitFor(() => culprits().length === 1);
+  });
+
+  it('refuses a request that crashed engines at another entry', async () => {
+    for (const target of site.targets) target.fault = Fault.DROP_RUNS;
+    await site.call({path: SitePath.STREAM, body: 'poison'});
+    await waitFor(() => site.store.namesOf(Kind.QUARANTINE).length === 1);
+    const other = await DirectSite.start();
+    try {
+      const [name = ''] = site.store.namesOf(Kind.QUARANTINE);
+      const spec = {clientAccount: 'account-a', crashes: ['i-1']};
+      const [target] = await other.addTargets([
+        {service: SiteService.WRITERS, zone: 'a', pace: PACE},
+      ]);
+      other.store.put({kind: Kind.QUARANTINE, name, spec});
+      await new Promise((resolve) => setTimeout(resolve, NEWS_MS));
+      const reply = await other.call({path: SitePath.STREAM, body: 'poison'});
+      expect(reply.status).toBe(503);
+      expect(target!.runs).toHaveLength(0);
+      other.store.remove({kind: Kind.QUARANTINE, name});
+      await new Promise((resolve) => setTimeout(resolve, NEWS_MS));
+      const released = await other.call({
+        path: SitePath.STREAM,
+        body: 'poison',
+      });
+      expect(released.status).toBe(200);
+    } finally {
+      await other.stop();
+    }
+  });
+
   it('does not hold equal requests for poison that one engine took with it', async () => {
     const [first] = site.targets;
     for (const target of site.targets.slice(1)) target.fault = Fault.REJECT;
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -4,7 +4,8 @@
 import {CallerServer} from '../../platform/caller-server.js';
 import {decodeConfig} from '../../platform/config-codec.js';
 import {Kind} from '../../platform/names.js';
-import {StoreSource} from '../../platform/store-client.js';
+import {decodeCulprit} from '../../platform/quarantine-codec.js';
+import {StoreNotes, StoreSource} from '../../platform/store-client.js';
 import {TargetClient} from '../../platform/target-client.js';
 import {decodeTarget} from '../../platform/target-codec.js';
 import {SeededRandom, SystemClock} from '../../src/core/clock/index.js';
@@ -64,6 +65,12 @@
         kind: Kind.TARGETS,
         decode: decodeTarget,
       }),
+      culprits: new StoreSource({
+        url,
+        kind: Kind.QUARANTINE,
+        decode: decodeCulprit,
+      }),
+      culpritNotes: new StoreNotes({url, kind: Kind.QUARANTINE}),
       client: new TargetClient(),
       metrics: new Metrics(),
       logger: SILENT_LOGGER,
