Fewer calls to the store: reads paced by what a leaving target allows

Change: targets are read again after 0.4 of the time that a leaving target has (it stands in the settings); a wait for a new configuration is 2 s, of which two and a lost call still fit into the time for which keys are trusted. The test of lapsed registrations measured from when the entry was ready, which is later than the return of the store by a drawn pause; it measures from the return now, with the same bounds.

--- a/src/core/settings/direct-settings.ts
+++ b/src/core/settings/direct-settings.ts
@@ -27,6 +27,8 @@
   readonly storeUrl: string;
   /** Time between the signal to stop and the forced end. */
   readonly stopGraceMs: number;
+  /** Time after which a target that leaves must get no new work. */
+  readonly targetLeaveMs: number;
   /** Time after which a key that was taken away must not serve any more. */
   readonly keyTrustMs?: number;
   readonly retryBudget: RetryBudgetSettings;
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -11,7 +11,7 @@
 export const MAX_STREAM_TRIES = 12;
 
 /** Longest wait for a change of the configuration, in milliseconds. */
-export const CONFIG_WAIT_MS = 1_200;
+export const CONFIG_WAIT_MS = 2_000;
 
 /** Longest such wait, as a share of the time for which keys are trusted. */
 export const WAIT_SHARE = 0.4;
@@ -19,8 +19,11 @@
 /** Longest wait for a change of the targets, in milliseconds. */
 export const TARGETS_WAIT_MS = 2_400;
 
-/** Least time between two reads of changed targets, in milliseconds. */
-export const TARGETS_PACE_MS = 700;
+/**
+ * Least time between two reads of changed targets, as a share of the time
+ * after which a leaving target must get no new work.
+ */
+export const TARGETS_PACE_SHARE = 0.4;
 
 /** Part of the shared retry budget that entries plan with. */
 export const RETRY_SHARE = 0.9;
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -33,7 +33,7 @@
   CONFIG_WAIT_MS,
   RETURN_AFTER_MS,
   STREAM_GRACE_SHARE,
-  TARGETS_PACE_MS,
+  TARGETS_PACE_SHARE,
   TARGETS_WAIT_MS,
   WAIT_SHARE,
 } from './consts.js';
@@ -288,7 +288,7 @@
       clock,
       random,
       waitMs: TARGETS_WAIT_MS,
-      paceMs: TARGETS_PACE_MS,
+      paceMs: this.settings.targetLeaveMs * TARGETS_PACE_SHARE,
       listener: {
         onSnapshot: (items, afterOutage) => {
           targets.replaceAll(items, afterOutage);
--- a/test/direct/control.test.ts
+++ b/test/direct/control.test.ts
@@ -125,8 +125,8 @@
     await sleep(LOST_WAIT_MS);
     site.store.remove({kind: Kind.TARGETS, name: first!.id});
     site.store.mode = StoreMode.UP;
-    await waitFor(() => site.entry.isReady());
     const backMs = performance.now();
+    await waitFor(() => site.entry.isReady());
     let last = await status();
     while (last === 200 && performance.now() - backMs < LAPSE_LATEST_MS) {
       await sleep(50);
--- a/test/platform/boot-settings.test.ts
+++ b/test/platform/boot-settings.test.ts
@@ -16,6 +16,7 @@
 limits: {memory_mb: 200, max_fds: 4100}
 bounds:
   grace_s: 8
+  drain_ms: 3000
   strict_revocation: true
   revoke_ms: 5000
   retry_budget_ratio: 0.8
@@ -32,6 +33,7 @@
       callers: {host: '127.0.0.1', port: 8740},
       storeUrl: 'http://127.0.0.1:8742',
       stopGraceMs: 8_000,
+      targetLeaveMs: 3_000,
       keyTrustMs: 5_000,
       retryBudget: {ratio: 0.8, windowMs: 10_000, slack: 150},
     });
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -54,6 +54,7 @@
         readiness: {host: '127.0.0.1', port: 0},
         storeUrl: url,
         stopGraceMs: 2_000,
+        targetLeaveMs: 2_000,
         keyTrustMs: revokeMs,
         retryBudget: {ratio: 0.8, windowMs: 10_000, slack: 150},
       },
