--- a/src/daemon/direct-main.ts
+++ b/src/daemon/direct-main.ts
@@ -13,12 +13,8 @@
   parseBootSettings,
 } from '../../platform/boot-settings.js';
 import {CallerServer} from '../../platform/caller-server.js';
-import {decodeConfig} from '../../platform/config-codec.js';
-import {BOOT_VARIABLE, Kind, Path} from '../../platform/names.js';
-import {decodeCulprit} from '../../platform/quarantine-codec.js';
-import {StoreNotes, StoreSource} from '../../platform/store-client.js';
-import {TargetClient} from '../../platform/target-client.js';
-import {decodeTarget} from '../../platform/target-codec.js';
+import {BOOT_VARIABLE, Path} from '../../platform/names.js';
+import {createPlatformEdges} from '../../platform/platform-edges.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
 import {BoundedSink, createLogger} from '../core/logs/index.js';
 import {CounterName, Metrics} from '../core/metrics/index.js';
@@ -93,24 +89,11 @@
     onDropped: () => metrics.count(CounterName.LOG_LINES_DROPPED),
   });
   const logger = createLogger({vm: settings.vm, role: 'direct', sink});
-  const url = settings.storeUrl;
   const entry = new DirectProcess({
     settings,
     clock,
     random: new SystemRandom(),
-    configs: new StoreSource({url, kind: Kind.CONFIG, decode: decodeConfig}),
-    registrations: new StoreSource({
-      url,
-      kind: Kind.TARGETS,
-      decode: decodeTarget,
-    }),
-    culprits: new StoreSource({
-      url,
-      kind: Kind.QUARANTINE,
-      decode: decodeCulprit,
-    }),
-    culpritNotes: new StoreNotes({url, kind: Kind.QUARANTINE}),
-    client: new TargetClient(),
+    ...createPlatformEdges({url: settings.storeUrl}),
     metrics,
     logger,
   });
--- a/test/processes/generation-engine.test.ts
+++ b/test/processes/generation-engine.test.ts
@@ -1,32 +1,5 @@
 /** The engine is lost under a generation. */
-import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {Victim} from '../support/fault-site.js';
+import {describeLoss} from '../support/generation-loss.js';
 
-import {
-  createAsk,
-  createFaultCases,
-  expectedText,
-  FaultSite,
-  Victim,
-} from '../support/fault-site.js';
-
-const CASES = createFaultCases([Victim.ENGINE]);
-
-describe('a generation that loses its engine', () => {
-  let faultSite: FaultSite;
-
-  beforeAll(async () => {
-    faultSite = await FaultSite.create();
-  });
-
-  afterAll(() => faultSite?.close());
-
-  it.each(CASES)('is whole after $name', async ({name, ...faultCase}) => {
-    const ask = createAsk(name);
-    const transcript = await faultSite.run({ask, faultCase});
-    expect(transcript.errors).toEqual([]);
-    expect(transcript.text).toBe(expectedText(ask));
-    expect(transcript.ends).toBe(1);
-    expect(transcript.finishReason).toBe('length');
-    expect(transcript.restarts).toBe(0);
-  });
-});
+describeLoss({loses: 'its engine', victims: [Victim.ENGINE]});
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -2,12 +2,8 @@
 import {Agent} from 'node:http';
 
 import {CallerServer} from '../../platform/caller-server.js';
-import {decodeConfig} from '../../platform/config-codec.js';
 import {Kind} from '../../platform/names.js';
-import {decodeCulprit} from '../../platform/quarantine-codec.js';
-import {StoreNotes, StoreSource} from '../../platform/store-client.js';
-import {TargetClient} from '../../platform/target-client.js';
-import {decodeTarget} from '../../platform/target-codec.js';
+import {createPlatformEdges} from '../../platform/platform-edges.js';
 import {SeededRandom, SystemClock} from '../../src/core/clock/index.js';
 import {SILENT_LOGGER} from '../../src/core/logs/index.js';
 import {Metrics} from '../../src/core/metrics/index.js';
@@ -44,7 +40,6 @@
   private constructor(store: StandInStore, revokeMs?: number) {
     this.store = store;
     const clock = new SystemClock();
-    const {url} = store;
     this.entry = new DirectProcess({
       settings: {
         vm: 'entry-1',
@@ -52,7 +47,7 @@
         dataCentre: 'a',
         callers: {host: '127.0.0.1', port: 0},
         readiness: {host: '127.0.0.1', port: 0},
-        storeUrl: url,
+        storeUrl: store.url,
         stopGraceMs: 2_000,
         targetLeaveMs: 2_000,
         keyTrustMs: revokeMs,
@@ -60,19 +55,7 @@
       },
       clock,
       random: new SeededRandom(SEED),
-      configs: new StoreSource({url, kind: Kind.CONFIG, decode: decodeConfig}),
-      registrations: new StoreSource({
-        url,
-        kind: Kind.TARGETS,
-        decode: decodeTarget,
-      }),
-      culprits: new StoreSource({
-        url,
-        kind: Kind.QUARANTINE,
-        decode: decodeCulprit,
-      }),
-      culpritNotes: new StoreNotes({url, kind: Kind.QUARANTINE}),
-      client: new TargetClient(),
+      ...createPlatformEdges({url: store.url}),
       metrics: new Metrics(),
       logger: SILENT_LOGGER,
     });
