Requests that find their target replaced go on

Ruled out: no other target was there (others of the same second went on). Change: target_replaced is a reason of its own and draws on the budget for losses. Test fails first: direct/repeat-budgets.

--- a/src/core/errors/refusals.ts
+++ b/src/core/errors/refusals.ts
@@ -53,6 +53,8 @@
   HEDGED = 'hedged',
   TARGET_LEAVING = 'target_leaving',
   TARGET_REFUSED = 'target_refused',
+  /** Another target has started at the address; nothing ran. */
+  TARGET_REPLACED = 'target_replaced',
   NOT_SENT = 'not_sent',
   CALL_SLOW = 'call_slow',
   CALL_LOST = 'call_lost',
--- a/src/core/retrying/decide-retry.ts
+++ b/src/core/retrying/decide-retry.ts
@@ -70,9 +70,16 @@
   /** The reason where the try may have had an effect. */
   whenLost: RetryReason,
 ): RetryReason {
-  if (failure === ExchangeFailure.NOT_SENT) return RetryReason.NOT_SENT;
-  const isRefused = failure !== undefined && certainlyDidNotRun(failure);
-  return isRefused ? RetryReason.TARGET_REFUSED : whenLost;
+  switch (failure) {
+    case ExchangeFailure.NOT_SENT:
+      return RetryReason.NOT_SENT;
+    case ExchangeFailure.REJECTED:
+      return RetryReason.TARGET_REFUSED;
+    case ExchangeFailure.WRONG_TARGET:
+      return RetryReason.TARGET_REPLACED;
+    default:
+      return whenLost;
+  }
 }
 
 /**
--- a/src/direct/repeat-budgets.ts
+++ b/src/direct/repeat-budgets.ts
@@ -13,9 +13,9 @@
 
 /**
  * Two budgets for each service. Repeats after a loss are bounded by the
- * losses there are, so one entry may have many at a time. Repeats after a
- * rejection are not: when all targets are full, all entries have them at
- * once, so each has a small share.
+ * losses there are, so one entry may have many at a time; so are those after
+ * a target was found replaced. Repeats after a rejection are not: when all
+ * targets are full, all entries have them at once, so each has a small share.
  *
  * @example
  * budgets.noteFirstTry('drafts');
--- a/src/direct/streams/stream-run.ts
+++ b/src/direct/streams/stream-run.ts
@@ -28,6 +28,12 @@
 import type {TargetLoss} from './stream-try.js';
 import {StreamTry} from './stream-try.js';
 
+/** Losses by which the data centre is seen to be there. */
+const SIGNS_OF_LIFE: ReadonlySet<RetryReason> = new Set([
+  RetryReason.TARGET_REFUSED,
+  RetryReason.TARGET_REPLACED,
+]);
+
 /** First status that says that the target failed. */
 const FIRST_FAILURE_STATUS = 500;
 
@@ -191,7 +197,7 @@
     else this.mayHaveRun = true;
     const hasWritten = this.delivery.isOpen;
     if (!didNotRun && !hasWritten) this.poison.noteLoss(lost.target);
-    if (reason !== RetryReason.TARGET_REFUSED) this.placer.doubt(lost.target);
+    if (!SIGNS_OF_LIFE.has(reason)) this.placer.doubt(lost.target);
     if (!this.mayGoOn(reason)) {
       this.giveUp(false);
       return;
--- a/test/direct/repeat-budgets.test.ts
+++ b/test/direct/repeat-budgets.test.ts
@@ -2,7 +2,9 @@
 import {describe, expect, it} from 'vitest';
 
 import {ManualClock} from '../../src/core/clock/index.js';
+import {ExchangeFailure} from '../../src/core/edges/direct-target.js';
 import {RetryReason} from '../../src/core/errors/refusals.js';
+import {retryReasonOf} from '../../src/core/retrying/index.js';
 import {RepeatBudgets} from '../../src/direct/repeat-budgets.js';
 
 const SETTINGS = {ratio: 0.8, windowMs: 10_000, slack: 150};
@@ -20,6 +22,7 @@
   {entries: 28, requests: 8, reason: RetryReason.TARGET_REFUSED},
   {entries: 28, requests: 0, reason: RetryReason.TARGET_REFUSED},
   {entries: 4, requests: 8, reason: RetryReason.ENGINE_DIED},
+  {entries: 5, requests: 13, reason: RetryReason.TARGET_REPLACED},
   {entries: 5, requests: 130, reason: RetryReason.CALL_LOST},
 ];
 
@@ -46,6 +49,21 @@
     expect(budgets.tryRetry('s', RetryReason.ENGINE_DIED)).toBe(true);
   });
 
+  it('lets requests go on that meet many replaced targets', () => {
+    // After an outage of the store each request meets a target of before.
+    const clock = new ManualClock();
+    const budgets = new RepeatBudgets({clock, settings: () => SETTINGS});
+    for (let i = 0; i < 10; i++) budgets.noteFirstTry('s');
+    const reason = retryReasonOf(
+      ExchangeFailure.WRONG_TARGET,
+      RetryReason.ENGINE_DIED,
+    );
+    const requests = Array.from({length: 10}, () =>
+      budgets.tryRetry('s', reason),
+    );
+    expect(requests).not.toContain(false);
+  });
+
   it('counts nothing that never reached a target', () => {
     const clock = new ManualClock();
     const budgets = new RepeatBudgets({clock, settings: () => SETTINGS});
