--- /dev/null
+++ b/bench/experiments/platform-slopes/index.ts
@@ -0,0 +1,167 @@
+/** What one call, one event and one registration cost a direct entry. */
+import {mkdtempSync, rmSync} from 'node:fs';
+import {Agent} from 'node:http';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {Kind} from '../../../platform/names.js';
+import {KEY, SitePath} from '../../../stand-ins/site/config.js';
+import {registrationOf} from '../../../stand-ins/site/target.js';
+import {callSite} from '../../../tools/lab/site-caller.js';
+import {STREAM_EVENTS} from '../../../tools/soak/consts.js';
+import {History} from '../../../tools/soak/history.js';
+import {SoakSite} from '../../../tools/soak/site.js';
+import {sleep} from '../../../tools/soak/timing.js';
+import type {ProcessUsage} from '../../lib/process-usage.js';
+import {readUsage} from '../../lib/process-usage.js';
+import {Samples} from '../../lib/samples.js';
+import type {Experiment} from '../../lib/types.js';
+
+const ROUNDS = 5;
+const CALLERS = 8;
+const CALLS_PER_CALLER = 100;
+const STREAMS_PER_CALLER = 3;
+const REGISTRATIONS = 1_000;
+const DEADLINE_MS = 20_000;
+
+/** Longer than the entry lets changes gather. */
+const SETTLE_MS = 2_500;
+
+/** Where nothing listens; no work is sent to a service without a route. */
+const NOWHERE = '127.0.0.1:9';
+const UNROUTED = 'unrouted';
+
+/** Compares the entry's usage before and after each kind of load. */
+export const experiment: Experiment = {
+  name: 'platform-slopes',
+  summary: 'processor and memory of a direct entry a call, event, registration',
+  starts: 'a store, 9 targets, 1 entry; about 60 s',
+  flags: ['--rounds N: repeats of each load, 5 by default'],
+  run: async ({flags}) => {
+    const rounds = flags.number('rounds', ROUNDS);
+    const folder = mkdtempSync(join(tmpdir(), 'platform-slopes-'));
+    const size = {entries: 1, targets: 1};
+    const site = new SoakSite(new History(), {folder, size});
+    try {
+      await site.start();
+      const load = new SlopeLoad(site);
+      // The first round warms the code up.
+      await load.callAll();
+      await load.streamAll();
+      const cases = [
+        await load.measureIdle(rounds),
+        await load.measureCalls(rounds),
+        await load.measureEvents(rounds),
+        ...(await load.measureRegistrations(rounds)),
+      ];
+      return {cases: cases.map((c) => c.result()), ratios: [], bounds: []};
+    } finally {
+      await site.close();
+      rmSync(folder, {recursive: true});
+    }
+  },
+};
+
+/** Puts load on the only entry of a site and reads its usage. */
+class SlopeLoad {
+  private attempts = 0;
+
+  constructor(private readonly site: SoakSite) {}
+
+  async measureIdle(rounds: number): Promise<Samples> {
+    const samples = new Samples({name: 'processor, idle', unit: 'us a s'});
+    const seconds = SETTLE_MS / 1_000;
+    for (let i = 0; i < rounds; i++) {
+      const used = await this.measure(() => sleep(SETTLE_MS));
+      samples.add(used.cpuUs / seconds);
+    }
+    return samples;
+  }
+
+  async measureCalls(rounds: number): Promise<Samples> {
+    const samples = new Samples({name: 'processor, a call', unit: 'us'});
+    for (let i = 0; i < rounds; i++) {
+      const used = await this.measure(() => this.callAll());
+      samples.add(used.cpuUs / (CALLERS * CALLS_PER_CALLER));
+    }
+    return samples;
+  }
+
+  async measureEvents(rounds: number): Promise<Samples> {
+    const samples = new Samples({name: 'processor, an event', unit: 'us'});
+    const events = CALLERS * STREAMS_PER_CALLER * STREAM_EVENTS;
+    for (let i = 0; i < rounds; i++) {
+      const used = await this.measure(() => this.streamAll());
+      samples.add(used.cpuUs / events);
+    }
+    return samples;
+  }
+
+  /** The first of many registrations, and then changes of them. */
+  async measureRegistrations(rounds: number): Promise<Samples[]> {
+    const memory = new Samples({name: 'memory, a registration', unit: 'KB'});
+    const added = new Samples({name: 'processor, one added', unit: 'us'});
+    const changed = new Samples({name: 'processor, one changed', unit: 'us'});
+    const first = await this.measure(() => this.register('ready'));
+    memory.add(first.residentKb / REGISTRATIONS);
+    added.add(first.cpuUs / REGISTRATIONS);
+    for (let i = 0; i < rounds; i++) {
+      const state = i % 2 === 0 ? 'draining' : 'ready';
+      const used = await this.measure(() => this.register(state));
+      changed.add(used.cpuUs / REGISTRATIONS);
+    }
+    return [memory, added, changed];
+  }
+
+  async callAll(): Promise<void> {
+    await this.eachCaller(SitePath.SAFE, CALLS_PER_CALLER);
+  }
+
+  async streamAll(): Promise<void> {
+    await this.eachCaller(SitePath.STREAM, STREAMS_PER_CALLER);
+  }
+
+  private async register(state: string): Promise<void> {
+    const {store} = this.site;
+    const place = {service: UNROUTED, zone: 'a', address: NOWHERE, state};
+    const spec = registrationOf(place);
+    const puts = Array.from({length: REGISTRATIONS}, (_, i) =>
+      store.ask('put', {kind: Kind.TARGETS, name: `extra-${i}`, spec}),
+    );
+    await Promise.all(puts);
+    await sleep(SETTLE_MS);
+  }
+
+  private async eachCaller(path: SitePath, requests: number): Promise<void> {
+    const callers = Array.from({length: CALLERS}, async () => {
+      const agent = new Agent({keepAlive: true, maxSockets: 1});
+      for (let i = 0; i < requests; i++) await this.call(path, agent);
+      agent.destroy();
+    });
+    await Promise.all(callers);
+  }
+
+  private async call(path: SitePath, agent: Agent): Promise<void> {
+    const [entry] = this.site.entries;
+    const reply = await callSite({
+      ...entry!.callers,
+      agent,
+      path,
+      key: KEY,
+      attemptId: `try-${++this.attempts}`,
+      deadlineMs: DEADLINE_MS,
+    });
+    if (reply.status !== 200) throw new Error(`status ${reply.status}`);
+  }
+
+  private async measure(load: () => Promise<void>): Promise<ProcessUsage> {
+    const [entry] = this.site.entries;
+    const before = readUsage(entry!.pid);
+    await load();
+    const after = readUsage(entry!.pid);
+    return {
+      cpuUs: after.cpuUs - before.cpuUs,
+      residentKb: after.residentKb - before.residentKb,
+    };
+  }
+}
--- a/tools/soak/soak-entry.ts
+++ b/tools/soak/soak-entry.ts
@@ -81,6 +81,11 @@
     return {host: this.options.address, port: CALLERS_PORT};
   }
 
+  /** Identity of the present process on this machine. */
+  get pid(): number {
+    return this.proc?.pid ?? 0;
+  }
+
   /** Starts a process and waits until it listens or ends. */
   async run(): Promise<void> {
     this.lifetime++;
