--- a/tools/soak/faults.ts
+++ b/tools/soak/faults.ts
@@ -117,7 +117,7 @@
     const faults = Object.values(Fault);
     const fault = faults[Math.floor(episode.variant * faults.length)]!;
     return disturbTargets({site, episode}, [target], () =>
-      site.withFault([target], fault, Fault.NONE, episode.durationMs),
+      site.withFault(target, fault, episode.durationMs),
     );
   },
   [FaultKind.TARGET_CUT]: ({site, target, episode}) =>
--- a/tools/soak/site.ts
+++ b/tools/soak/site.ts
@@ -2,7 +2,7 @@
 import {Kind} from '../../platform/names.js';
 import type {Direction} from '../../stand-ins/relay/relay.js';
 import {KEY, SiteService, siteConfig} from '../../stand-ins/site/config.js';
-import type {Fault} from '../../stand-ins/site/target.js';
+import {Fault} from '../../stand-ins/site/target.js';
 import {KEY_LIFE_VERSIONS} from './checks/control.js';
 import {STREAM_DEADLINE_MS, ZONES} from './consts.js';
 import type {History} from './history.js';
@@ -119,18 +119,15 @@
     change.ackMs = Date.now();
   }
 
-  /** Puts a fault on targets for a time. */
+  /** Has a target answer wrongly for a time. */
   async withFault(
-    targets: readonly SoakTarget[],
+    target: SoakTarget,
     fault: Fault,
-    none: Fault,
     durationMs: number,
   ): Promise<void> {
-    const set = (value: Fault) =>
-      targets.map((target) => target.standIn.ask('setFault', value));
-    await Promise.all(set(fault));
+    await target.standIn.ask('setFault', fault);
     await sleep(durationMs);
-    await Promise.all(set(none));
+    await target.standIn.ask('setFault', Fault.NONE);
   }
 
   /** Cuts the connections to targets for a time. */
