--- a/bench/experiments/config/index.ts
+++ b/bench/experiments/config/index.ts
@@ -1,4 +1,6 @@
 /** Time from acceptance to in force everywhere; flat watching against fan-out. */
+import {setTimeout as sleep} from 'node:timers/promises';
+
 import {HttpObjectStore} from '../../../src/adapters/index.js';
 import {CONFIG_OBJECT} from '../../../src/core/config/index.js';
 import type {StandIn} from '../../../tools/lab/lab.js';
@@ -167,7 +169,3 @@
     await sleep(POLL_MS);
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/bench/experiments/membership/index.ts
+++ b/bench/experiments/membership/index.ts
@@ -1,4 +1,6 @@
 /** Detection, false suspicions, planned stops and the cost of watching. */
+import {setTimeout as sleep} from 'node:timers/promises';
+
 import {request} from 'undici';
 
 import type {Daemon} from '../../../tools/lab/lab.js';
@@ -170,7 +172,3 @@
   site.engines[site.engines.indexOf(target)] = next;
   await site.waitUntilUsable();
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/bench/experiments/platform-slopes/index.ts
+++ b/bench/experiments/platform-slopes/index.ts
@@ -3,6 +3,7 @@
 import {Agent} from 'node:http';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 import {Kind} from '../../../platform/names.js';
 import {KEY, SitePath} from '../../../stand-ins/site/config.js';
@@ -11,7 +12,6 @@
 import {STREAM_EVENTS} from '../../../tools/soak/consts.js';
 import {History} from '../../../tools/soak/history.js';
 import {SoakSite} from '../../../tools/soak/site.js';
-import {sleep} from '../../../tools/soak/timing.js';
 import type {ProcessUsage} from '../../lib/process-usage.js';
 import {readUsage} from '../../lib/process-usage.js';
 import {Samples} from '../../lib/samples.js';
--- a/src/adapters/driver-probe.ts
+++ b/src/adapters/driver-probe.ts
@@ -4,6 +4,7 @@
 import type {Codec} from 'purify-ts';
 import type {Dispatcher} from 'undici';
 
+import {decodeValue} from '../core/codec/decode-value.js';
 import type {DriverError} from '../core/edges/index.js';
 import {DriverErrorKind} from '../core/edges/index.js';
 import {driverError, toDriverError} from './driver-errors.js';
@@ -49,8 +50,7 @@
   codec: Codec<T>,
   {body}: HttpAnswer,
 ): Result<T, DriverError> {
-  return codec.decode(parseJson(body)).caseOf<Result<T, DriverError>>({
-    Left: (detail) => err(driverError(DriverErrorKind.MALFORMED, detail)),
-    Right: (report) => ok(report),
-  });
+  return decodeValue(codec, parseJson(body)).mapErr((detail) =>
+    driverError(DriverErrorKind.MALFORMED, detail),
+  );
 }
--- a/src/adapters/http-object-store.ts
+++ b/src/adapters/http-object-store.ts
@@ -14,6 +14,7 @@
 } from 'purify-ts';
 import type {Dispatcher} from 'undici';
 
+import {decodeValue} from '../core/codec/decode-value.js';
 import type {
   HeaderField,
   ObjectKey,
@@ -209,9 +210,8 @@
 }): Result<T, StoreError> {
   const {call, answer, codec} = options;
   return checkStatus(call, answer).andThen(({body}) =>
-    codec.decode(parseJson(body)).caseOf<Result<T, StoreError>>({
-      Left: (detail) => err(fromMalformed(call, detail)),
-      Right: (value) => ok(value),
-    }),
+    decodeValue(codec, parseJson(body)).mapErr((detail) =>
+      fromMalformed(call, detail),
+    ),
   );
 }
--- a/src/adapters/http-vm-list.ts
+++ b/src/adapters/http-vm-list.ts
@@ -1,9 +1,10 @@
 /** The platform's VM list over HTTP. */
 import type {Result, ResultAsync} from 'neverthrow';
-import {err, ok} from 'neverthrow';
+import {err} from 'neverthrow';
 import {array, Codec, enumeration, number, string} from 'purify-ts';
 import type {Dispatcher} from 'undici';
 
+import {decodeValue} from '../core/codec/decode-value.js';
 import type {VmList, VmListError, VmRecord} from '../core/edges/index.js';
 import {VmListErrorKind, VmRole, VmState} from '../core/edges/index.js';
 import {Layer} from '../core/errors/types.js';
@@ -63,12 +64,9 @@
     const detail = `status ${status}`;
     return err(vmListError(VmListErrorKind.UNAVAILABLE, detail));
   }
-  return VM_RECORDS.decode(parseJson(body)).caseOf<
-    Result<VmRecord[], VmListError>
-  >({
-    Left: (detail) => err(vmListError(VmListErrorKind.MALFORMED, detail)),
-    Right: ({vms}) => ok(vms),
-  });
+  return decodeValue(VM_RECORDS, parseJson(body))
+    .map(({vms}) => vms)
+    .mapErr((detail) => vmListError(VmListErrorKind.MALFORMED, detail));
 }
 
 function vmListError(kind: VmListErrorKind, detail: string): VmListError {
--- a/test/direct/control.test.ts
+++ b/test/direct/control.test.ts
@@ -1,4 +1,6 @@
 /** Configuration, keys, registrations and stops of a direct entry. */
+import {setTimeout as sleep} from 'node:timers/promises';
+
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {Kind} from '../../platform/names.js';
@@ -20,8 +22,6 @@
 /** Those two seconds, and the entry's longest pause between two calls. */
 const LAPSE_LATEST_MS = 2_900;
 
-const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
-
 describe('a direct entry', () => {
   let site: DirectSite;
 
--- a/tools/soak/callers.ts
+++ b/tools/soak/callers.ts
@@ -1,5 +1,6 @@
 /** Callers that keep their connections until the entry's process is gone. */
 import {Agent} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 import type {RandomSource} from '../../src/core/clock/index.js';
 import {SeededRandom} from '../../src/core/clock/index.js';
@@ -13,7 +14,6 @@
 import type {SoakSite} from './site.js';
 import {keyOf} from './site.js';
 import type {SoakEntry} from './soak-entry.js';
-import {sleep} from './timing.js';
 
 const PATHS: Readonly<Record<RequestKind, SitePath>> = {
   [RequestKind.SAFE]: SitePath.SAFE,
--- a/tools/soak/faults.ts
+++ b/tools/soak/faults.ts
@@ -1,4 +1,6 @@
 /** Plays the faults of a plan on a site. */
+import {setTimeout as sleep} from 'node:timers/promises';
+
 import {Kind} from '../../platform/names.js';
 import {Direction} from '../../stand-ins/relay/relay.js';
 import {StoreMode} from '../../stand-ins/site/store.js';
@@ -11,7 +13,6 @@
 import type {SoakSite} from './site.js';
 import type {SoakEntry} from './soak-entry.js';
 import type {SoakTarget} from './soak-target.js';
-import {sleep} from './timing.js';
 
 /** Largest step of a wall clock, either way, in milliseconds. */
 const MAX_CLOCK_STEP_MS = 120_000;
--- a/tools/soak/run.ts
+++ b/tools/soak/run.ts
@@ -1,6 +1,7 @@
 /** One run of the soak: a site, callers and faults, then the checks. */
 import {mkdirSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 import {Balancer, SoakCaller} from './callers.js';
 import type {Violation} from './checks/index.js';
@@ -12,7 +13,7 @@
 import {drawPlan} from './plan.js';
 import type {SiteSize} from './site.js';
 import {SoakSite} from './site.js';
-import {sleep, watchLag} from './timing.js';
+import {watchLag} from './watch-lag.js';
 
 /** What one run is made from. */
 export interface SoakOptions {
--- a/tools/soak/site.ts
+++ b/tools/soak/site.ts
@@ -1,4 +1,6 @@
 /** The site of one run: a store, entries and targets, and who steers them. */
+import {setTimeout as sleep} from 'node:timers/promises';
+
 import {Kind} from '../../platform/names.js';
 import type {Direction} from '../../stand-ins/relay/relay.js';
 import {KEY, SiteService, siteConfig} from '../../stand-ins/site/config.js';
@@ -9,7 +11,6 @@
 import {SoakEntry} from './soak-entry.js';
 import {SoakTarget} from './soak-target.js';
 import {SteeredStandIn} from './stand-in.js';
-import {sleep} from './timing.js';
 
 /** Loopback networks, of which each soak process takes one. */
 const FIRST_NETWORK = 20;
--- a/tools/soak/soak-target.ts
+++ b/tools/soak/soak-target.ts
@@ -1,4 +1,6 @@
 /** A target of the soak: its process, and the relay in front of it. */
+import {setTimeout as sleep} from 'node:timers/promises';
+
 import {Kind} from '../../platform/names.js';
 import {Relay} from '../../stand-ins/relay/relay.js';
 import {SiteService} from '../../stand-ins/site/config.js';
@@ -13,7 +15,6 @@
 } from './consts.js';
 import type {Arrival, History} from './history.js';
 import {SteeredStandIn} from './stand-in.js';
-import {sleep} from './timing.js';
 
 const HOST = '127.0.0.1';
 
--- a/tools/soak/timing.ts
+++ b/tools/soak/watch-lag.ts
@@ -1,9 +1,4 @@
-/** Waiting in the soak. */
-
-/** Waits for a time in milliseconds. */
-export function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
+/** How late this process is. */
 
 const PROBE_MS = 20;
 
