The settings file of a stand-in entry is written in one place

Twins: the soak, the test of the log and the test of check-platform each spelled the platform's settings out. Behaviour and assertions unchanged.

--- a/test/cli/check-platform.test.ts
+++ b/test/cli/check-platform.test.ts
@@ -8,16 +8,16 @@
 import {parseConfig} from '../../platform/config-codec.js';
 import {runCheckPlatform} from '../../src/cli/commands/check-platform/run-check-platform.js';
 import {ExitStatus} from '../../src/cli/types.js';
+import {bootFile} from '../../stand-ins/site/boot-file.js';
 import {siteConfig} from '../../stand-ins/site/config.js';
 
-const SETTINGS = {
-  node_name: 'entry-1',
-  ip: '127.0.0.1',
+const SETTINGS = bootFile({
+  name: 'entry-1',
+  address: '127.0.0.1',
   zone: 'a',
-  listen: {frontend: '127.0.0.1:1', readiness: '127.0.0.1:2'},
+  store: '127.0.0.1:3',
   bounds: {grace_s: 8},
-  platform: {address: '127.0.0.1:3'},
-};
+});
 
 describe('plantainrill check-platform', () => {
   let folder: string;
--- a/test/processes/direct-logs.test.ts
+++ b/test/processes/direct-logs.test.ts
@@ -11,6 +11,7 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {BOOT_VARIABLE, Kind} from '../../platform/names.js';
+import {bootFile, callersOf} from '../../stand-ins/site/boot-file.js';
 import {SitePath, siteConfig} from '../../stand-ins/site/config.js';
 import {StandInStore} from '../../stand-ins/site/store.js';
 import {waitUntil} from '../../tools/lab/lab.js';
@@ -18,7 +19,6 @@
 
 /** An address on which nothing else listens. */
 const ADDRESS = '127.9.0.1';
-const CALLERS_PORT = 8_080;
 const METRICS_URL = `http://${ADDRESS}:9464/metrics`;
 const GRACE_S = 2;
 
@@ -41,7 +41,14 @@
     store.put({kind: Kind.CONFIG, name: 'main', spec});
     folder = mkdtempSync(join(tmpdir(), 'direct-logs-'));
     const path = join(folder, 'boot.json');
-    writeFileSync(path, bootFile(new URL(store.url).host));
+    const settings = bootFile({
+      name: 'entry-1',
+      address: ADDRESS,
+      zone: 'a',
+      store: new URL(store.url).host,
+      bounds: {grace_s: GRACE_S},
+    });
+    writeFileSync(path, JSON.stringify(settings));
     entry = spawn(process.execPath, ['dist/src/daemon/direct-main.js'], {
       // Nothing is ever read from this pipe.
       stdio: ['ignore', 'pipe', 'inherit'],
@@ -60,8 +67,7 @@
   async function refuse(number: number): Promise<number> {
     const startMs = performance.now();
     const reply = await callSite({
-      host: ADDRESS,
-      port: CALLERS_PORT,
+      ...callersOf(ADDRESS),
       agent,
       path: SitePath.SAFE,
       key: 'no key of ours',
@@ -93,17 +99,3 @@
     expect(await exited).toEqual([0, null]);
   });
 });
-
-function bootFile(platformAddress: string): string {
-  return JSON.stringify({
-    node_name: 'entry-1',
-    ip: ADDRESS,
-    zone: 'a',
-    listen: {
-      frontend: `${ADDRESS}:${CALLERS_PORT}`,
-      readiness: `${ADDRESS}:8081`,
-    },
-    bounds: {grace_s: GRACE_S},
-    platform: {address: platformAddress},
-  });
-}
--- a/tools/soak/soak-entry.ts
+++ b/tools/soak/soak-entry.ts
@@ -7,6 +7,11 @@
 
 import {BOOT_VARIABLE, Path} from '../../platform/names.js';
 import {Relay} from '../../stand-ins/relay/relay.js';
+import {
+  bootFile,
+  callersOf,
+  readinessOf,
+} from '../../stand-ins/site/boot-file.js';
 import {Proc} from '../lab/proc.js';
 import {
   GRACE_MS,
@@ -18,8 +23,6 @@
 import type {History} from './history.js';
 
 const MS_PER_S = 1_000;
-const CALLERS_PORT = 8_080;
-const READINESS_PORT = 8_081;
 const READINESS_TIMEOUT_MS = 400;
 
 /** Time from SIGTERM to SIGKILL beyond the grace, in milliseconds. */
@@ -78,7 +81,7 @@
   }
 
   get callers(): {host: string; port: number} {
-    return {host: this.options.address, port: CALLERS_PORT};
+    return callersOf(this.options.address);
   }
 
   /** Identity of the present process on this machine. */
@@ -150,7 +153,7 @@
 
   /** Whether the entry says that it takes new connections. */
   async isReady(): Promise<boolean> {
-    const url = `http://${this.options.address}:${READINESS_PORT}${Path.READY}`;
+    const url = `http://${readinessOf(this.options.address)}${Path.READY}`;
     const signal = AbortSignal.timeout(READINESS_TIMEOUT_MS);
     try {
       const {statusCode, body} = await request(url, {signal});
@@ -194,14 +197,11 @@
 
   private settingsText(): string {
     const {address, zone} = this.options;
-    return JSON.stringify({
-      node_name: this.name,
-      ip: address,
+    const settings = bootFile({
+      name: this.name,
+      address,
       zone,
-      listen: {
-        frontend: `${address}:${CALLERS_PORT}`,
-        readiness: `${address}:${READINESS_PORT}`,
-      },
+      store: `${address}:${this.storeRelay.port}`,
       bounds: {
         grace_s: GRACE_MS / MS_PER_S,
         strict_revocation: true,
@@ -210,7 +210,7 @@
         retry_window_s: RETRY_WINDOW_MS / MS_PER_S,
         retry_slack: RETRY_SLACK,
       },
-      platform: {address: `${address}:${this.storeRelay.port}`},
     });
+    return JSON.stringify(settings);
   }
 }
