--- a/stand-ins/site/store.ts
+++ b/stand-ins/site/store.ts
@@ -16,6 +16,14 @@
   RESET = 'reset',
 }
 
+/** An address of the store, with troubles of its own. */
+export interface StoreDoor {
+  readonly url: string;
+  mode: StoreMode;
+  /** Time by which each answer is late, in milliseconds. */
+  delayMs: number;
+}
+
 interface StoredChange {
   readonly revision: number;
   readonly kind: string;
@@ -36,6 +44,7 @@
   readonly kind: string;
   readonly name: string;
   readonly query: URLSearchParams;
+  readonly door: StoreDoor;
 }
 
 const FIRST_REVISION = 100;
@@ -52,7 +61,10 @@
  * store.put({kind: 'config', name: 'main', spec});
  */
 export class StandInStore {
+  /** Holds at all addresses; a door's own mode holds besides. */
   mode = StoreMode.UP;
+  /** Time by which each answer is late, in milliseconds. */
+  delayMs = 0;
   /** Calls that were answered, refused or left waiting. */
   calls = 0;
   private revision = FIRST_REVISION;
@@ -60,25 +72,34 @@
   private readonly objects = new Map<string, StoredChange>();
   private readonly changes: StoredChange[] = [];
   private readonly waiters = new Set<Waiter>();
-  private server?: RunningServer;
+  private readonly servers: RunningServer[] = [];
 
   async start(): Promise<void> {
-    this.server = await startServer({
+    await this.openDoor();
+  }
+
+  /** Opens another address, at which some callers can be turned away. */
+  async openDoor(): Promise<StoreDoor> {
+    const server = await startServer({
       address: '127.0.0.1',
       port: 0,
       handle: ({req, res, segments, query}) => {
         const [kind = '', name = ''] = segments.slice(KIND_SEGMENT);
-        this.handle({req, res, kind, name, query});
+        const call = {req, res, kind, name, query, door};
+        setTimeout(() => this.handle(call), this.delayMs + door.delayMs);
       },
     });
+    const door = {url: server.url, mode: StoreMode.UP, delayMs: 0};
+    this.servers.push(server);
+    return door;
   }
 
   get url(): string {
-    return this.server!.url;
+    return this.servers[0]!.url;
   }
 
   async stop(): Promise<void> {
-    await this.server?.close();
+    for (const server of this.servers) await server.close();
   }
 
   put(options: {kind: string; name: string; spec: unknown}): void {
@@ -122,12 +143,13 @@
   private handle(call: StoreCall): void {
     const {req, res, kind, query} = call;
     this.calls++;
-    if (this.mode === StoreMode.SILENT) return;
-    if (this.mode === StoreMode.RESET) {
+    const mode = this.modeAt(call.door);
+    if (mode === StoreMode.SILENT) return;
+    if (mode === StoreMode.RESET) {
       req.socket.resetAndDestroy();
       return;
     }
-    if (this.mode === StoreMode.BUSY || !req.url?.startsWith(Path.OBJECTS)) {
+    if (mode === StoreMode.BUSY || !req.url?.startsWith(Path.OBJECTS)) {
       reply(res, 503, {});
       return;
     }
@@ -137,7 +159,11 @@
     }
     const watch = query.get('watch');
     if (watch === null) this.list(res, kind);
-    else this.wait({res, kind, since: Number(watch), query});
+    else this.wait(call);
+  }
+
+  private modeAt(door: StoreDoor): StoreMode {
+    return this.mode === StoreMode.UP ? door.mode : this.mode;
   }
 
   private async write({req, res, kind, name}: StoreCall): Promise<void> {
@@ -151,8 +177,10 @@
       spec: unknown;
     };
     const {metadata, spec} = object;
-    if (this.objects.has(`${kind}/${metadata.name}`)) {
-      reply(res, 409, {});
+    const isKnown = this.objects.has(`${kind}/${metadata.name}`);
+    const isWanted = req.method === 'PUT';
+    if (isKnown !== isWanted) {
+      reply(res, isWanted ? 404 : 409, {});
       return;
     }
     this.put({kind, name: metadata.name, spec});
@@ -166,13 +194,8 @@
     reply(res, 200, {entries, has_more: false, at: this.revision});
   }
 
-  private wait(call: {
-    res: ServerResponse;
-    kind: string;
-    since: number;
-    query: URLSearchParams;
-  }): void {
-    const {res, kind, since, query} = call;
+  private wait({res, kind, query, door}: StoreCall): void {
+    const since = Number(query.get('watch'));
     if (since < this.oldestRevision) {
       reply(res, 410, {});
       return;
@@ -180,7 +203,7 @@
     const answer = () => {
       clearTimeout(timer);
       this.waiters.delete(waiter);
-      if (this.mode === StoreMode.SILENT) return;
+      if (this.modeAt(door) === StoreMode.SILENT) return;
       const events = this.changes
         .filter((change) => change.kind === kind && change.revision > since)
         .map((change) => ({
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -44,6 +44,8 @@
   readonly body: string;
   /** Prompts that were read anew, as no copy was there. */
   readonly isReadAnew: boolean;
+  /** On the clock of the process, in milliseconds. */
+  readonly atMs: number;
 }
 
 /** How an engine writes its streams. */
@@ -56,10 +58,27 @@
 /** Header in which callers repeat the key that they use, for checks. */
 export const KEY_HEADER = 'used-key';
 
+/** Which requests end the target that runs them. */
+export interface CrashTrigger {
+  /** Part of their bodies. */
+  readonly mark: string;
+  /** Events of a stream that are written before; a call writes nothing. */
+  readonly afterEvents: number;
+}
+
+/** A time at which a target was ended by a request. */
+export interface CrashRecord {
+  readonly attemptId: string;
+  readonly body: string;
+  readonly atMs: number;
+}
+
 const DEFAULT_BORN_MS = 1_000;
 
 const NO_STREAM: StreamPace = {events: 0, firstMs: 0, gapMs: 0};
 
+const HEALTH_PATH = '/healthz';
+
 /** Path at which a target of another process takes a copy of a run. */
 const TAKE_COPY = '/stand-in/copies';
 
@@ -155,6 +174,12 @@
   bornMs = DEFAULT_BORN_MS;
   /** Takes connections and bytes, and answers nothing. */
   isDark = false;
+  /** Requests that end this target. */
+  crashOn?: CrashTrigger;
+  /** Times at which a request ended this target, over all its lives. */
+  readonly crashes: CrashRecord[] = [];
+  /** Told when a request has ended the target. */
+  onCrash: () => void = () => undefined;
   /** Ids of copies that were freed. */
   readonly freed: string[] = [];
   /** Ids of runs of which a copy is kept here. */
@@ -196,6 +221,16 @@
     this.address = `127.0.0.1:${port}`;
   }
 
+  /** Starts anew where it was, knowing nothing of its earlier life. */
+  async restart(): Promise<void> {
+    this.bornMs++;
+    this.copies.clear();
+    const port = Number(this.address.split(':').at(-1));
+    await new Promise<void>((resolve) => {
+      this.server.listen(port, '127.0.0.1', resolve);
+    });
+  }
+
   /** Where the target listens, as HOST:PORT. */
   get listensAt(): string {
     return this.address;
@@ -203,7 +238,8 @@
 
   /** What the target says of itself in the store. */
   registration(options: {service: string; zone: string; state?: string}) {
-    return registrationOf({...options, address: this.address});
+    const {address, bornMs} = this;
+    return registrationOf({...options, address, bornMs});
   }
 
   /** Dies: connections break and new ones are refused. */
@@ -220,6 +256,10 @@
       res.end(JSON.stringify({active: 0, queued: 0, kv_used: 0, born}));
       return;
     }
+    if (req.url === HEALTH_PATH) {
+      res.writeHead(200, {'Instance-Id': this.id}).end();
+      return;
+    }
     if (req.url === (Path.COPY_RUN as string)) {
       await this.copyRun(res, body);
       return;
@@ -247,6 +287,18 @@
     else this.answer(req, res, body);
   }
 
+  private isEndedBy(body: string): boolean {
+    return this.crashOn !== undefined && body.includes(this.crashOn.mark);
+  }
+
+  private crashUnder(req: IncomingMessage, body: string): void {
+    if (!this.server.listening) return;
+    const {attemptId} = arrivalOf(req);
+    this.crashes.push({attemptId, body, atMs: performance.now()});
+    this.crash();
+    this.onCrash();
+  }
+
   private async copyRun(res: ServerResponse, body: string): Promise<void> {
     const {id, target} = JSON.parse(body) as {id: string; target: string};
     const handle = `copy-of-${id}`;
@@ -268,14 +320,19 @@
   }): void {
     const {req, res, body, isReadAnew} = options;
     const {attemptId, key} = arrivalOf(req);
-    this.runs.push({attemptId, headers: req.headers, body, isReadAnew});
+    const {headers} = req;
+    const atMs = performance.now();
+    this.runs.push({attemptId, headers, body, isReadAnew, atMs});
     this.observer.onArrived({attemptId, key, hasRun: true});
     res.on('close', () => this.observer.onEnded(attemptId));
   }
 
   private answer(req: IncomingMessage, res: ServerResponse, body: string) {
     this.note({req, res, body, isReadAnew: true});
-    setTimeout(() => this.finish(req, res), this.workMs);
+    setTimeout(() => {
+      if (this.isEndedBy(body)) this.crashUnder(req, body);
+      else this.finish(req, res);
+    }, this.workMs);
   }
 
   private finish(req: IncomingMessage, res: ServerResponse): void {
@@ -353,8 +410,14 @@
       clearTimeout(timer);
       if (!res.writableFinished) this.cancelled++;
     });
+    let written = 0;
     const step = () => {
       if (this.isDark) return;
+      if (this.isEndedBy(body) && written >= this.crashOn!.afterEvents) {
+        this.crashUnder(req, body);
+        return;
+      }
+      written++;
       if (next === 1 || !res.headersSent) {
         res.writeHead(200, {
           'Attempt-Id': attemptId,
--- /dev/null
+++ b/test/support/direct-entry.ts
@@ -0,0 +1,78 @@
+/** One direct entry in this process, with a caller's connection to it. */
+import {Agent} from 'node:http';
+
+import {CallerServer} from '../../platform/caller-server.js';
+import {createPlatformEdges} from '../../platform/platform-edges.js';
+import {SeededRandom, SystemClock} from '../../src/core/clock/index.js';
+import {SILENT_LOGGER} from '../../src/core/logs/index.js';
+import type {Logger} from '../../src/core/logs/index.js';
+import {Metrics} from '../../src/core/metrics/index.js';
+import {DirectProcess} from '../../src/direct/direct-process.js';
+
+const SEED = 20261204;
+
+/** What an entry is started with. */
+export interface DirectEntryOptions {
+  readonly vm: string;
+  readonly storeUrl: string;
+  readonly revokeMs?: number;
+  readonly logger?: Logger;
+}
+
+/**
+ * An entry that listens on a port of its own.
+ *
+ * @example
+ * const entry = await DirectEntry.start({vm: 'entry-1', storeUrl: store.url});
+ */
+export class DirectEntry {
+  readonly process: DirectProcess;
+  readonly server: CallerServer;
+  readonly agent = new Agent({keepAlive: true, maxSockets: 1});
+  port = 0;
+
+  private constructor({vm, storeUrl, revokeMs, logger}: DirectEntryOptions) {
+    const clock = new SystemClock();
+    this.process = new DirectProcess({
+      settings: {
+        vm,
+        address: '127.0.0.1',
+        dataCentre: 'a',
+        callers: {host: '127.0.0.1', port: 0},
+        readiness: {host: '127.0.0.1', port: 0},
+        storeUrl,
+        stopGraceMs: 2_000,
+        targetLeaveMs: 2_000,
+        keyTrustMs: revokeMs,
+        retryBudget: {ratio: 0.8, windowMs: 10_000, slack: 150},
+      },
+      clock,
+      random: new SeededRandom(SEED),
+      ...createPlatformEdges({url: storeUrl}),
+      metrics: new Metrics(),
+      logger: logger ?? SILENT_LOGGER,
+    });
+    this.server = new CallerServer({
+      clock,
+      handler: {
+        handle: (req, res) => this.process.handle(req, res),
+        isLeaving: () => this.process.leaving.get(),
+      },
+    });
+  }
+
+  static async start(options: DirectEntryOptions): Promise<DirectEntry> {
+    const entry = new DirectEntry(options);
+    entry.process.start();
+    entry.port = await entry.server.listen({host: '127.0.0.1', port: 0});
+    return entry;
+  }
+
+  /** Ends as a killed process does: its connections break, nothing is said. */
+  stop(): void {
+    this.process.stop();
+    this.agent.destroy();
+    this.server.closeListener();
+    this.server.closeAll();
+  }
+}
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -1,22 +1,20 @@
-/** A direct entry between a stand-in store and stand-in targets. */
-import {Agent} from 'node:http';
+/** Direct entries between a stand-in store and stand-in targets. */
+import type {Agent} from 'node:http';
 
-import {CallerServer} from '../../platform/caller-server.js';
+import type {CallerServer} from '../../platform/caller-server.js';
 import {Kind} from '../../platform/names.js';
-import {createPlatformEdges} from '../../platform/platform-edges.js';
-import {SeededRandom, SystemClock} from '../../src/core/clock/index.js';
-import {SILENT_LOGGER} from '../../src/core/logs/index.js';
-import {Metrics} from '../../src/core/metrics/index.js';
-import {DirectProcess} from '../../src/direct/direct-process.js';
+import type {Logger} from '../../src/core/logs/index.js';
+import type {DirectProcess} from '../../src/direct/direct-process.js';
 import type {SitePath, SiteService} from '../../stand-ins/site/config.js';
 import {KEY, siteConfig} from '../../stand-ins/site/config.js';
+import type {StoreDoor} from '../../stand-ins/site/store.js';
 import {StandInStore} from '../../stand-ins/site/store.js';
 import type {StreamPace} from '../../stand-ins/site/target.js';
 import {StandInTarget, TargetWorld} from '../../stand-ins/site/target.js';
 import type {Reply} from '../../tools/lab/site-caller.js';
 import {callSite} from '../../tools/lab/site-caller.js';
+import {DirectEntry} from './direct-entry.js';
 
-const SEED = 20261204;
 const DEADLINE_MS = 4_000;
 
 /** A target of the site. */
@@ -26,49 +24,33 @@
   readonly pace?: StreamPace;
 }
 
+/** What a site is started with. */
+export interface SiteOptions {
+  readonly revokeMs?: number;
+  /** Entries before the same targets; one where it is left out. */
+  readonly entries?: number;
+  readonly logger?: Logger;
+}
+
 /** The whole site in this process. */
 export class DirectSite {
   readonly store: StandInStore;
   readonly targets: StandInTarget[] = [];
-  readonly entry: DirectProcess;
-  readonly server: CallerServer;
-  readonly agent = new Agent({keepAlive: true, maxSockets: 1});
-  port = 0;
+  readonly entries: DirectEntry[] = [];
+  /** The address of the store for each entry. */
+  readonly doors: StoreDoor[] = [];
+  private readonly places = new Map<StandInTarget, TargetOptions>();
   private readonly copyNetwork = new TargetWorld();
   private attempts = 0;
 
-  private constructor(store: StandInStore, revokeMs?: number) {
+  private constructor(
+    store: StandInStore,
+    private readonly options: SiteOptions,
+  ) {
     this.store = store;
-    const clock = new SystemClock();
-    this.entry = new DirectProcess({
-      settings: {
-        vm: 'entry-1',
-        address: '127.0.0.1',
-        dataCentre: 'a',
-        callers: {host: '127.0.0.1', port: 0},
-        readiness: {host: '127.0.0.1', port: 0},
-        storeUrl: store.url,
-        stopGraceMs: 2_000,
-        targetLeaveMs: 2_000,
-        keyTrustMs: revokeMs,
-        retryBudget: {ratio: 0.8, windowMs: 10_000, slack: 150},
-      },
-      clock,
-      random: new SeededRandom(SEED),
-      ...createPlatformEdges({url: store.url}),
-      metrics: new Metrics(),
-      logger: SILENT_LOGGER,
-    });
-    this.server = new CallerServer({
-      clock,
-      handler: {
-        handle: (req, res) => this.entry.handle(req, res),
-        isLeaving: () => this.entry.leaving.get(),
-      },
-    });
   }
 
-  static async start(options: {revokeMs?: number} = {}): Promise<DirectSite> {
+  static async start(options: SiteOptions = {}): Promise<DirectSite> {
     const store = new StandInStore();
     await store.start();
     store.put({
@@ -76,13 +58,43 @@
       name: 'main',
       spec: siteConfig({version: 1}),
     });
-    const site = new DirectSite(store, options.revokeMs);
-    site.entry.start();
-    site.port = await site.server.listen({host: '127.0.0.1', port: 0});
-    await waitFor(() => site.entry.isReady());
+    const site = new DirectSite(store, options);
+    for (let i = 0; i < (options.entries ?? 1); i++) {
+      site.doors.push(await store.openDoor());
+      await site.startEntry(i);
+    }
+    await waitFor(() => site.entries.every((e) => e.process.isReady()));
     return site;
   }
 
+  /** The first entry. */
+  get entry(): DirectProcess {
+    return this.entries[0]!.process;
+  }
+
+  get server(): CallerServer {
+    return this.entries[0]!.server;
+  }
+
+  get agent(): Agent {
+    return this.entries[0]!.agent;
+  }
+
+  get port(): number {
+    return this.entries[0]!.port;
+  }
+
+  /** Starts an entry, also in place of one that was killed. */
+  async startEntry(i: number): Promise<void> {
+    const {revokeMs, logger} = this.options;
+    this.entries[i] = await DirectEntry.start({
+      vm: `entry-${i + 1}`,
+      storeUrl: this.doors[i]!.url,
+      revokeMs,
+      logger,
+    });
+  }
+
   /** Starts a target and waits until the entry knows it. */
   async addTarget(options: TargetOptions): Promise<StandInTarget> {
     const [target] = await this.addTargets([options]);
@@ -102,16 +114,25 @@
       await target.start();
       this.copyNetwork.byAddress.set(target.listensAt, target);
       this.targets.push(target);
+      this.places.set(target, {service, zone, pace});
       added.push(target);
       this.register(target, {service, zone});
     }
-    await waitFor(() => {
-      const known = this.entry.knownTargets();
-      return added.every((target) => known.includes(target.id));
-    });
+    await waitFor(() =>
+      this.entries.every(({process}) => {
+        const known = process.knownTargets();
+        return added.every((target) => known.includes(target.id));
+      }),
+    );
     return added;
   }
 
+  /** Has a target start again as another life, and register itself. */
+  async revive(target: StandInTarget): Promise<void> {
+    await target.restart();
+    this.register(target, this.places.get(target)!);
+  }
+
   register(
     target: StandInTarget,
     options: {service: SiteService; zone: string; state?: string},
@@ -134,24 +155,27 @@
     onData?: (text: string) => void;
     /** Holds another connection than the usual one. */
     agent?: Agent;
+    /** The entry that is called; the first where it is left out. */
+    entry?: number;
+    deadlineMs?: number;
+    /** Has the caller hang up. */
+    signal?: AbortSignal;
   }): Promise<Reply> {
-    const {key = KEY, ...call} = options;
+    const {key = KEY, entry = 0, ...call} = options;
+    const {agent, port} = this.entries[entry]!;
     return callSite({
-      agent: this.agent,
+      agent,
+      deadlineMs: DEADLINE_MS,
       ...call,
       key,
       host: '127.0.0.1',
-      port: this.port,
+      port,
       attemptId: `try-${++this.attempts}`,
-      deadlineMs: DEADLINE_MS,
     });
   }
 
   async stop(): Promise<void> {
-    this.entry.stop();
-    this.agent.destroy();
-    this.server.closeListener();
-    this.server.closeAll();
+    for (const entry of this.entries) entry.stop();
     for (const target of this.targets) target.crash();
     await this.store.stop();
   }
--- /dev/null
+++ b/test/support/poison-play.ts
@@ -0,0 +1,159 @@
+/** Plays a request that ends its targets against a site, and its callers. */
+import {Agent} from 'node:http';
+
+import {SitePath, SiteService} from '../../stand-ins/site/config.js';
+import type {CrashRecord} from '../../stand-ins/site/target.js';
+import type {Reply} from '../../tools/lab/site-caller.js';
+import {DirectSite} from './direct-site.js';
+
+/** Requests with this mark end the targets that run them. */
+export const MARK = 'ends-its-target';
+
+/** Entries of the site, all before the same targets. */
+export const ENTRIES = 3;
+
+/** Time after which an ended target is there again, in milliseconds. */
+const REVIVAL_MS = 400;
+
+/** Time between two visits of a caller, in milliseconds. */
+const VISIT_PAUSE_MS = 60;
+
+/** Time from a loss until its caller hangs up, in milliseconds. */
+const HANG_UP_MS = 15;
+
+/** Deadline of callers that run out of time, in milliseconds. */
+const SHORT_DEADLINE_MS = 130;
+
+const VISITS = 12;
+
+const PACE = {events: 40, firstMs: 30, gapMs: 5};
+
+const ZONES = ['a', 'a', 'a', 'b', 'b', 'b', 'c', 'c', 'c'];
+
+/** How a caller goes on after each loss. */
+export enum Caller {
+  /** Waits for an answer, then comes again at another entry. */
+  WAITS = 'waits',
+  HANGS_UP = 'hangs up',
+  TIMES_OUT = 'runs out of time',
+  /** Comes at all entries at once, again and again. */
+  AT_ONCE = 'comes at all at once',
+}
+
+/**
+ * Starts a site of several entries and three data centres.
+ *
+ * @example
+ * const site = await startPoisonSite(SitePath.STREAM);
+ */
+export async function startPoisonSite(path: SitePath): Promise<DirectSite> {
+  const site = await DirectSite.start({entries: ENTRIES});
+  const isStream = path === SitePath.STREAM;
+  const service = isStream ? SiteService.WRITERS : SiteService.DESK;
+  const pace = isStream ? PACE : undefined;
+  await site.addTargets(ZONES.map((zone) => ({service, zone, pace})));
+  return site;
+}
+
+/** What a play is made of. */
+export interface PlayOptions {
+  readonly site: DirectSite;
+  readonly path: SitePath;
+  readonly caller: Caller;
+  /** Bodies that are sent, each by a caller of its own. */
+  readonly bodies?: readonly string[];
+  /** Events that a target writes before it is ended. */
+  readonly afterEvents?: number;
+  /** Done before each visit, numbered from 0. */
+  readonly beforeVisit?: (visit: number) => Promise<void> | void;
+}
+
+/**
+ * Has callers come again and again; targets that are ended come back.
+ *
+ * @example
+ * await playPoison({site, path, caller: Caller.HANGS_UP});
+ */
+export async function playPoison(options: PlayOptions): Promise<void> {
+  const {site, bodies = [MARK], afterEvents = 0} = options;
+  for (const target of site.targets) {
+    target.crashOn = {mark: MARK, afterEvents};
+    target.onCrash = () => {
+      setTimeout(() => void site.revive(target), REVIVAL_MS);
+    };
+  }
+  await Promise.all(bodies.map((body) => visitAll(options, body)));
+  await sleep(REVIVAL_MS * 2);
+}
+
+/** All losses under requests with a body, in order. */
+export function lossesOf(site: DirectSite, body = MARK): CrashRecord[] {
+  return site.targets
+    .flatMap((target) => target.crashes)
+    .filter((crash) => crash.body === body)
+    .sort((a, b) => a.atMs - b.atMs);
+}
+
+/** Requests that reached targets later than `slackMs` after the third loss. */
+export function sendsAfterThird(
+  site: DirectSite,
+  slackMs: number,
+  body = MARK,
+): number {
+  const third = lossesOf(site, body)[2];
+  if (third === undefined) return 0;
+  return site.targets
+    .flatMap((target) => target.runs)
+    .filter((run) => run.body === body && run.atMs > third.atMs + slackMs)
+    .length;
+}
+
+async function visitAll(options: PlayOptions, body: string): Promise<void> {
+  const {caller, beforeVisit} = options;
+  for (let visit = 0; visit < VISITS; visit++) {
+    await beforeVisit?.(visit);
+    const entries =
+      caller === Caller.AT_ONCE
+        ? Array.from({length: ENTRIES}, (_, i) => i)
+        : [visit % ENTRIES];
+    await Promise.all(entries.map((entry) => callOnce(options, body, entry)));
+    await sleep(VISIT_PAUSE_MS);
+  }
+}
+
+async function callOnce(
+  {site, path, caller}: PlayOptions,
+  body: string,
+  entry: number,
+): Promise<Reply | undefined> {
+  const leaving = new AbortController();
+  const lost = lossesOf(site, body).length;
+  const watch = setInterval(() => {
+    if (caller !== Caller.HANGS_UP) return;
+    if (lossesOf(site, body).length === lost) return;
+    clearInterval(watch);
+    setTimeout(() => leaving.abort(), HANG_UP_MS);
+  }, 2);
+  const deadlineMs =
+    caller === Caller.TIMES_OUT ? SHORT_DEADLINE_MS : undefined;
+  try {
+    return await site.call({
+      path,
+      body,
+      entry,
+      agent: new Agent(),
+      signal: leaving.signal,
+      ...(deadlineMs === undefined ? {} : {deadlineMs}),
+    });
+  } catch {
+    // The caller left, or its entry is gone.
+    return undefined;
+  } finally {
+    clearInterval(watch);
+  }
+}
+
+/** Waits for a time in milliseconds. */
+export function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
