--- a/src/direct/streams/poison-watch.ts
+++ b/src/direct/streams/poison-watch.ts
@@ -1,5 +1,6 @@
 /** Keeps requests that crash engines away from them. */
 import {fingerprintOf} from '../../core/generation/fingerprint.js';
+import type {LogFields} from '../../core/logs/index.js';
 import type {Target} from '../../core/targets/index.js';
 import {ACQUITTAL_MS} from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
@@ -36,18 +37,43 @@
     const {crashes} = this.ctx;
     const fingerprint = this.identify();
     crashes.note(fingerprint, lost.id);
+    this.tell('loss held against request', lost, {
+      held: crashes.enginesOf(fingerprint).size,
+    });
     this.ctx.clock.schedule({
       delayMs: ACQUITTAL_MS,
       run: () => {
-        if (this.isCommonLoss(lost)) crashes.acquit(fingerprint, lost.id);
+        if (this.isCommonLoss(lost)) this.acquit(fingerprint, lost);
         else this.quarantineIfPoison(fingerprint);
       },
     });
   }
 
+  private acquit(fingerprint: string, lost: Target): void {
+    this.ctx.crashes.acquit(fingerprint, lost.id);
+    this.tell('loss has another cause', lost, {cause: 'data_centre'});
+  }
+
+  private tell(message: string, lost: Target, fields: LogFields): void {
+    this.ctx.logger.info(message, {
+      id: this.work.req.attemptId,
+      fingerprint: this.identify(),
+      target: lost.id,
+      bornMs: lost.record.bornMs,
+      dataCentre: lost.record.dataCentre,
+      ...fields,
+    });
+  }
+
   /** An engine has written for the request. */
   noteWritten(): void {
-    this.ctx.crashes.noteWritten(this.identify());
+    const {crashes, logger} = this.ctx;
+    const fingerprint = this.identify();
+    const held = crashes.enginesOf(fingerprint).size;
+    crashes.noteWritten(fingerprint);
+    if (held === 0) return;
+    const {attemptId: id} = this.work.req;
+    logger.info('request counts as harmless', {id, fingerprint, held});
   }
 
   /** Once the cause of the last loss is known, the others are told. */
--- a/test/direct/poison.test.ts
+++ b/test/direct/poison.test.ts
@@ -149,10 +149,8 @@
       const isHeard = trouble !== Trouble.STORE_AWAY;
       const losses = lossesOf(site).length;
       const late = sendsAfterThird(site, NEWS_MS);
-      expect({losses, late}).toEqual({
-        losses: expect.toSatisfy((n: number) => n <= mostLosses),
-        late: isHeard ? 0 : expect.any(Number),
-      });
+      if (isHeard) expect({losses, late}).toEqual({losses, late: 0});
+      expect(losses).toBeLessThanOrEqual(mostLosses);
       // What is known by now holds at each entry, whatever came before.
       const before = lossesOf(site).length;
       site.store.mode = StoreMode.UP;
--- a/test/support/poison-play.ts
+++ b/test/support/poison-play.ts
@@ -1,6 +1,7 @@
 /** Plays a request that ends its targets against a site, and its callers. */
 import {Agent} from 'node:http';
 
+import type {Logger} from '../../src/core/logs/index.js';
 import {SitePath, SiteService} from '../../stand-ins/site/config.js';
 import type {CrashRecord} from '../../stand-ins/site/target.js';
 import type {Reply} from '../../tools/lab/site-caller.js';
@@ -46,8 +47,11 @@
  * @example
  * const site = await startPoisonSite(SitePath.STREAM);
  */
-export async function startPoisonSite(path: SitePath): Promise<DirectSite> {
-  const site = await DirectSite.start({entries: ENTRIES});
+export async function startPoisonSite(
+  path: SitePath,
+  logger?: Logger,
+): Promise<DirectSite> {
+  const site = await DirectSite.start({entries: ENTRIES, logger});
   const isStream = path === SitePath.STREAM;
   const service = isStream ? SiteService.WRITERS : SiteService.DESK;
   const pace = isStream ? PACE : undefined;
