Watch plain calls for the targets that they end

What callers saw: a call that ends its target came again and ended another each time (18 targets under a safe call, 12 under an unsafe one in twelve visits); targets were missing for everybody else.

Cause: only streams were watched. A safe call was repeated within one request too.

Change: a call notes its losses in the same ledger, is refused at once where it is known to end targets, and waits like a stream where it is suspect. A target that was silent when a call or stream was taken from it counts if its life turns out to have ended then.

Why it works: both paths share one count, so a request cannot come past it by its kind.

--- a/src/direct/call-run.ts
+++ b/src/direct/call-run.ts
@@ -1,11 +1,8 @@
 /** Runs one plain call: at most once, or repeated where that is harmless. */
 import type {TimerHandle} from '../core/clock/index.js';
-import type {
-  AnswerHead,
-  Exchange,
-  ExchangeFailure,
-} from '../core/edges/direct-target.js';
-import {RetryReason} from '../core/errors/refusals.js';
+import type {AnswerHead, Exchange} from '../core/edges/direct-target.js';
+import {ExchangeFailure} from '../core/edges/direct-target.js';
+import {RefusalReason, RetryReason} from '../core/errors/refusals.js';
 import {LatencyName} from '../core/metrics/index.js';
 import {chooseCallTarget} from '../core/placing/index.js';
 import {
@@ -23,6 +20,7 @@
 import {RETURN_AFTER_MS, SAFE_TRY_SHARE} from './consts.js';
 import type {DirectContext, DirectWork} from './context.js';
 import {noteFailureAt} from './note-failure.js';
+import {PoisonWatch} from './poison/index.js';
 import {toTargetRequest} from './target-request.js';
 
 /** A try under way. */
@@ -45,24 +43,44 @@
   private readonly work: DirectWork;
   private readonly tried = new Set<string>();
   private readonly deadline: TimerHandle;
+  private readonly poison: PoisonWatch;
   private current?: CallTry;
   private head?: AnswerHead;
   private body: Uint8Array[] = [];
   private sent = 0;
+  private isOver = false;
   private mayHaveRun = false;
 
   constructor(options: {ctx: DirectContext; work: DirectWork}) {
     this.ctx = options.ctx;
     this.work = options.work;
+    this.poison = new PoisonWatch({
+      ...options,
+      onNamed: () => this.endAsPoison(),
+    });
     const {clock} = this.ctx;
     this.deadline = clock.schedule({
       delayMs: Math.max(0, this.work.endMs - clock.now()),
       run: () => this.giveUp(true),
     });
-    this.work.res.onGone(() => this.stop());
+    this.work.res.onGone(() => this.leave());
   }
 
   start(): void {
+    if (this.poison.isPoison()) this.refuse(RefusalReason.POISON);
+    else if (this.poison.mayBePoison()) void this.beginWithCare();
+    else this.begin();
+  }
+
+  /** The request lost targets before, here or at other entries. */
+  private async beginWithCare(): Promise<void> {
+    const mayGo = await this.poison.mayGo();
+    if (this.isOver) return;
+    if (mayGo) this.begin();
+    else this.refuse(RefusalReason.POISON);
+  }
+
+  private begin(): void {
     const {service} = this.work;
     this.ctx.budgets.noteFirstTry(service.name);
     const target = this.choose();
@@ -119,6 +137,7 @@
     if (next === undefined || !this.takeFromBudget(RetryReason.CALL_SLOW)) {
       return;
     }
+    this.poison.noteSilent(current.target);
     current.exchange.cancel();
     current.target.noteFailure();
     this.closeTry();
@@ -131,6 +150,7 @@
   private onFailure(failure: ExchangeFailure, detail: string): void {
     const {target} = this.current!;
     if (!certainlyDidNotRun(failure)) this.mayHaveRun = true;
+    if (failure === ExchangeFailure.BROKEN) this.poison.noteLoss(target);
     this.ctx.logger.info('try failed', {
       id: this.work.req.attemptId,
       target: target.id,
@@ -162,14 +182,36 @@
       this.passOn();
     } else if (verdict === RetryVerdict.RETRY) {
       this.noteRetry(reason, target);
-      this.send(next!);
+      if (this.poison.isSuspect()) void this.goOnWithCare();
+      else this.send(next!);
     } else {
       this.giveUp(false);
     }
   }
 
+  /** A call that lost several targets waits until their causes are known. */
+  private async goOnWithCare(): Promise<void> {
+    const mayGoOn = await this.poison.mayGoOn();
+    if (this.isOver) return;
+    const target = mayGoOn ? this.choose() : undefined;
+    if (target === undefined) this.giveUp(false);
+    else this.send(target);
+  }
+
+  private refuse(reason: RefusalReason): void {
+    this.stop();
+    this.ctx.metrics.countRefusal(reason);
+    this.ctx.logger.info('refused', {
+      id: this.work.req.attemptId,
+      status: 503,
+      reason,
+    });
+    this.work.res.sendOwn({status: 503, reason});
+  }
+
   private passOn(): void {
-    this.deadline.cancel();
+    if (!isTargetFailure({status: this.head!.status})) this.poison.noteServed();
+    this.stop();
     const ms = this.ctx.clock.now() - this.work.req.receivedMs;
     this.ctx.metrics.observe({name: LatencyName.PLAIN_CALL, ms});
     const {status, headers, hasLength} = this.head!;
@@ -181,9 +223,10 @@
   }
 
   private giveUp(isTimedOut: boolean): void {
+    if (this.isOver) return;
     const wasUnderWay = this.current !== undefined;
     const target = this.current?.target;
-    this.stop();
+    this.leave();
     const mayHaveRun = this.mayHaveRun || wasUnderWay;
     const {status, reason} = answerFailure({mayHaveRun, isTimedOut});
     this.ctx.metrics.countRefusal(reason);
@@ -200,7 +243,25 @@
     this.work.res.sendOwn({status, reason, retryAfterMs});
   }
 
+  /** The request has just turned out to be poison. */
+  private endAsPoison(): void {
+    if (this.isOver) return;
+    const isUntried = !this.mayHaveRun && this.current === undefined;
+    if (isUntried) this.refuse(RefusalReason.POISON);
+    else this.giveUp(false);
+  }
+
+  /** Ends without an answer; the caller may come again elsewhere. */
+  private leave(): void {
+    const {current} = this;
+    if (this.isOver) return;
+    if (current !== undefined) this.poison.noteSilent(current.target);
+    this.stop();
+  }
+
   private stop(): void {
+    this.isOver = true;
+    this.poison.noteLeft();
     this.deadline.cancel();
     this.current?.exchange.cancel();
     this.closeTry();
