A stay at a target that a caller left is looked into; falls need other witnesses

Cause: a call had lost one target and was sent to a second when its caller left; the end of the second was not seen, so at the next entry it stood as a witness that the data centre had fallen, and the loss there was let go.

Change: what was under way when a caller leaves after a loss is looked into as well, and told. Only a target that the request cannot have ended before it came to the lost one is a witness. A target taken for silent is not held against a request that was served, or where the data centre fell.

A second fault showed in test/direct/streams (four targets for three): the time of a stay was lost by spreading an object with getters; mended.

--- a/src/core/poison/common-cause.ts
+++ b/src/core/poison/common-cause.ts
@@ -14,26 +14,26 @@
   readonly lostAtMs: number;
   /** All targets that are known. */
   readonly targets: Iterable<Target>;
-  /** Lives lost under the request itself: it may have ended them. */
-  readonly livesOfRequest: ReadonlySet<string>;
+  /** Lives that the request may have ended before it came to this one. */
+  readonly endedBefore: ReadonlySet<string>;
 }
 
 /**
- * Whether most of the targets beside a lost one went at the same time though
- * the request never was there. Serves the load of a data centre that fails
+ * Whether most of the targets beside a lost one went at the same time, though
+ * the request cannot have ended them one after the other. Serves the load of a data centre that fails
  * with all that runs in it; a request which ends several targets of one data
  * centre, one after the other, is not taken for that.
  *
  * @example
- * if (fellTogether({lost, lostAtMs, targets, livesOfRequest})) acquit();
+ * if (fellTogether({lost, lostAtMs, targets, endedBefore})) acquit();
  */
 export function fellTogether(query: FallQuery): boolean {
-  const {lost, lostAtMs, targets, livesOfRequest} = query;
+  const {lost, lostAtMs, targets, endedBefore} = query;
   const witnesses = [...targets].filter(
     (target) =>
       target !== lost &&
       target.record.dataCentre === lost.record.dataCentre &&
-      !livesOfRequest.has(lifeOf(target.record)) &&
+      !endedBefore.has(lifeOf(target.record)) &&
       wasThere(target, lostAtMs),
   );
   const peers = witnesses.filter(
--- a/src/core/poison/loss-ledger.ts
+++ b/src/core/poison/loss-ledger.ts
@@ -72,7 +72,8 @@
 
   /** No other cause was found: the loss is held against the request. */
   settle(key: LossKey): void {
-    if (this.own.of(key.request).has(key.life)) this.putOwn(key, true);
+    const loss = this.own.of(key.request).get(key.life);
+    if (loss !== undefined) this.own.put({...loss, isSettled: true});
   }
 
   /** The loss had another cause. */
@@ -159,6 +160,18 @@
     return this.collect(request, () => true);
   }
 
+  /**
+   * Lives that were lost under a request before a time, and those of which
+   * other entries tell: the request may have gone from one to the next.
+   */
+  livesBefore(request: string, beforeMs: number): ReadonlySet<string> {
+    const own = this.own.of(request);
+    return this.collect(request, (loss) => {
+      const isOwn = own.get(loss.life) === loss;
+      return !isOwn || loss.atMs <= beforeMs;
+    });
+  }
+
   /** Whether a request is to be sent on with care. */
   isSuspect(request: string): boolean {
     return this.livesOf(request).size >= SUSPECT_LOSSES;
--- a/src/direct/call-run.ts
+++ b/src/direct/call-run.ts
@@ -137,7 +137,7 @@
     if (next === undefined || !this.takeFromBudget(RetryReason.CALL_SLOW)) {
       return;
     }
-    this.poison.noteSilent(current.target);
+    this.noteTaken(current);
     current.exchange.cancel();
     current.target.noteFailure();
     this.closeTry();
@@ -148,9 +148,11 @@
   }
 
   private onFailure(failure: ExchangeFailure, detail: string): void {
-    const {target} = this.current!;
+    const {target, work} = this.current!;
+    const beganMs = work.begunMs;
     if (!certainlyDidNotRun(failure)) this.mayHaveRun = true;
-    if (failure === ExchangeFailure.BROKEN) this.poison.noteLoss(target);
+    const isLost = failure === ExchangeFailure.BROKEN;
+    if (isLost) this.poison.noteLoss({target, beganMs});
     this.ctx.logger.info('try failed', {
       id: this.work.req.attemptId,
       target: target.id,
@@ -255,10 +257,14 @@
   private leave(): void {
     const {current} = this;
     if (this.isOver) return;
-    if (current !== undefined) this.poison.noteSilent(current.target);
+    if (current !== undefined) this.noteTaken(current);
     this.stop();
   }
 
+  private noteTaken({target, work}: CallTry): void {
+    this.poison.noteTaken({target, beganMs: work.begunMs});
+  }
+
   private stop(): void {
     this.isOver = true;
     this.poison.noteLeft();
--- a/src/direct/poison/loss-inquest.ts
+++ b/src/direct/poison/loss-inquest.ts
@@ -33,6 +33,8 @@
   readonly request: string;
   readonly clientAccount: string;
   readonly target: Target;
+  /** When the request came to the target, on the process's clock. */
+  readonly beganMs: number;
 }
 
 /** The losses that this entry holds against a request. */
@@ -60,7 +62,7 @@
  * the request is put into quarantine.
  *
  * @example
- * inquest.open({id, request, clientAccount, target});
+ * inquest.open({id, request, clientAccount, target, beganMs});
  * if (await inquest.isPoison({request, clientAccount})) giveUp();
  */
 export class LossInquest {
@@ -69,8 +71,16 @@
   /** Own losses that are held against requests, by request. */
   private readonly held = new Map<string, HeldLosses>();
 
+  /** Requests that were taken from silent targets not long ago. */
+  private readonly silent = new Set<LossCase>();
+
   constructor(private readonly options: LossInquestOptions) {}
 
+  /** Whether nothing is looked into or held. */
+  get isIdle(): boolean {
+    return this.inquests.size + this.silent.size + this.held.size === 0;
+  }
+
   /** A target was lost under a request that it may have begun. */
   open(loss: LossCase): void {
     const {ledger} = this.options;
@@ -91,20 +101,8 @@
    * out to have ended then, it was lost under the request.
    */
   watchSilent(loss: LossCase): void {
-    const {clock, targets, ledger, onNews} = this.options;
-    const {request, target} = loss;
-    const atMs = clock.now();
-    const wasLeaving = target.record.isLeaving;
-    clock.schedule({
-      delayMs: LIFE_CHECK_MS,
-      run: () => {
-        const hasEnded = !targets.knows(target) && target.lastSeenMs < atMs;
-        if (!hasEnded || wasLeaving) return;
-        ledger.note({request, life: lifeOf(target.record)});
-        this.hold(loss);
-        onNews();
-      },
-    });
+    this.silent.add(loss);
+    void this.awaitLifeEnd(loss).finally(() => this.silent.delete(loss));
   }
 
   /**
@@ -144,6 +142,24 @@
   /** A request was served, or released from quarantine. */
   release(request: string): void {
     this.held.delete(request);
+    for (const loss of [...this.silent]) {
+      if (loss.request === request) this.silent.delete(loss);
+    }
+  }
+
+  private async awaitLifeEnd(loss: LossCase): Promise<void> {
+    const {clock, targets, ledger} = this.options;
+    const {request, target} = loss;
+    const atMs = clock.now();
+    const wasLeaving = target.record.isLeaving;
+    await this.sleep(INQUEST_MS);
+    const cause = this.causeOf(loss, atMs);
+    if (wasLeaving || cause !== LossCause.UNEXPLAINED) return;
+    await this.sleep(LIFE_CHECK_MS - INQUEST_MS);
+    const hasEnded = !targets.knows(target) && target.lastSeenMs < atMs;
+    if (!hasEnded || !this.silent.has(loss)) return;
+    ledger.note({request, life: lifeOf(target.record)});
+    this.close(loss, LossCause.UNEXPLAINED);
   }
 
   private async settled(request: string): Promise<void> {
@@ -166,14 +182,15 @@
     this.close(loss, this.causeOf(loss, atMs));
   }
 
-  private causeOf({request, target}: LossCase, atMs: number): LossCause {
+  private causeOf(loss: LossCase, atMs: number): LossCause {
+    const {request, target, beganMs} = loss;
     const {ledger, targets} = this.options;
     if (target.lastSeenMs > atMs + SEEN_AFTER_MS) return LossCause.TARGET_LIVES;
     const isFall = fellTogether({
       lost: target,
       lostAtMs: atMs,
       targets: targets.all(),
-      livesOfRequest: ledger.livesOf(request),
+      endedBefore: ledger.livesBefore(request, beganMs),
     });
     return isFall ? LossCause.DATA_CENTRE : LossCause.UNEXPLAINED;
   }
--- a/src/direct/poison/poison-watch.ts
+++ b/src/direct/poison/poison-watch.ts
@@ -3,6 +3,14 @@
 import type {Target} from '../../core/targets/index.js';
 import {FLUSH_LIMIT_MS, HEARING_MS} from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
+import type {LossCase} from './loss-inquest.js';
+
+/** A request's stay at a target. */
+export interface TargetRun {
+  readonly target: Target;
+  /** When the request came to the target, on the process's clock. */
+  readonly beganMs: number;
+}
 
 /**
  * Watches one request, a stream or a call, for the losses that it may cause.
@@ -55,21 +63,25 @@
   }
 
   /** A target was lost that may have begun the request. */
-  noteLoss(target: Target): void {
+  noteLoss(run: TargetRun): void {
     this.hasLost = true;
-    this.ctx.losses.inquest.open({...this.describe(), target});
+    this.ctx.losses.inquest.open(this.toLoss(run));
   }
 
-  /** The request is taken from a target that is silent. */
-  noteSilent(target: Target): void {
-    this.ctx.losses.inquest.watchSilent({...this.describe(), target});
+  /** The request is taken from a target that has not answered. */
+  noteTaken(run: TargetRun): void {
+    const {inquest} = this.ctx.losses;
+    const loss = this.toLoss(run);
+    // Its end may not have been seen yet, as that of the one before was.
+    if (this.hasLost) inquest.open(loss);
+    else inquest.watchSilent(loss);
   }
 
   /** One target has served the whole request, and lives on. */
   noteServed(): void {
     this.unsubscribe();
     const {ledger, inquest} = this.ctx.losses;
-    if (ledger.isEmpty) return;
+    if (ledger.isEmpty && inquest.isIdle) return;
     const request = this.identify();
     ledger.noteServed(request);
     inquest.release(request);
@@ -101,6 +113,10 @@
     return !this.mayBePoison() || this.mayGo();
   }
 
+  private toLoss({target, beganMs}: TargetRun): LossCase {
+    return {...this.describe(), target, beganMs};
+  }
+
   private describe() {
     const {req, admitted} = this.work;
     const clientAccount = admitted.account?.clientAccount ?? '';
--- a/src/direct/streams/stream-run.ts
+++ b/src/direct/streams/stream-run.ts
@@ -221,7 +221,7 @@
     if (didNotRun) this.placer.exclude(lost.target);
     else this.mayHaveRun = true;
     const mayBeCause = !didNotRun && UNEXPLAINED.has(reason);
-    if (mayBeCause) this.poison.noteLoss(lost.target);
+    if (mayBeCause) this.poison.noteLoss(lost);
     if (!SIGNS_OF_LIFE.has(reason)) this.placer.doubt(lost.target);
     if (!this.mayGoOn(reason, lost.events > 0)) {
       this.giveUp(false);
@@ -290,7 +290,7 @@
   private leave(): void {
     const {current} = this;
     if (this.isOver) return;
-    if (current !== undefined) this.poison.noteSilent(current.target);
+    if (current !== undefined) this.poison.noteTaken(current);
     this.stop();
   }
 
--- a/src/direct/streams/stream-try.ts
+++ b/src/direct/streams/stream-try.ts
@@ -112,6 +112,11 @@
     return this.keeper.copy;
   }
 
+  /** When the request came to the target, on the process's clock. */
+  get beganMs(): number {
+    return this.work.begunMs;
+  }
+
   /** Events that this target has written. */
   get events(): number {
     return this.count;
