--- a/src/direct/call-run.ts
+++ b/src/direct/call-run.ts
@@ -17,6 +17,7 @@
 import type {TryEnd} from '../core/retrying/index.js';
 import {OperationKind} from '../core/routes/index.js';
 import type {Target, TargetWork} from '../core/targets/index.js';
+import {AnswerBody, TOO_LARGE} from './answer-body.js';
 import {RETURN_AFTER_MS, SAFE_TRY_SHARE} from './consts.js';
 import type {DirectContext, DirectWork} from './context.js';
 import {noteFailureAt} from './note-failure.js';
@@ -46,7 +47,7 @@
   private readonly poison: PoisonWatch;
   private current?: CallTry;
   private head?: AnswerHead;
-  private body: Uint8Array[] = [];
+  private body = new AnswerBody();
   private sent = 0;
   private isOver = false;
   private mayHaveRun = false;
@@ -97,7 +98,7 @@
     const {clock, client} = ctx;
     this.tried.add(target.id);
     this.head = undefined;
-    this.body = [];
+    this.body = new AnswerBody();
     const leftMs = work.endMs - clock.now();
     const targetWork = target.begin({tokens: 0});
     const exchange = client.send({
@@ -109,7 +110,7 @@
           this.head = head;
           if (head.load !== undefined) target.noteLoad(head.load);
         },
-        onData: (chunk) => void this.body.push(chunk),
+        onData: (chunk) => this.onData(chunk),
         onComplete: () => this.onEnd({status: this.head!.status}),
         onFailure: (failure, detail) => this.onFailure(failure, detail),
       },
@@ -121,6 +122,13 @@
     this.current = {target, work: targetWork, exchange, timer};
   }
 
+  private onData(chunk: Uint8Array): void {
+    this.body.push(chunk);
+    if (!this.body.isTooLarge) return;
+    this.current!.exchange.cancel();
+    this.onFailure(ExchangeFailure.BROKEN, TOO_LARGE);
+  }
+
   /** An idempotent call leaves time for another try. */
   private tryLimitMs(leftMs: number): number {
     const {operation, maxAttempts} = this.work.admitted.route;
@@ -217,8 +225,7 @@
     const ms = this.ctx.clock.now() - this.work.req.receivedMs;
     this.ctx.metrics.observe({name: LatencyName.PLAIN_CALL, ms});
     const {status, headers, hasLength} = this.head!;
-    const body =
-      this.body.length === 1 ? this.body[0]! : Buffer.concat(this.body);
+    const body = this.body.toBytes();
     const {res} = this.work;
     if (hasLength) res.sendWhole({status, headers}, body);
     else res.sendUnframed({status, headers}, body);
--- a/src/direct/streams/stream-try.ts
+++ b/src/direct/streams/stream-try.ts
@@ -3,14 +3,15 @@
   AnswerHead,
   CopyReference,
   Exchange,
-  ExchangeFailure,
 } from '../../core/edges/direct-target.js';
+import {ExchangeFailure} from '../../core/edges/direct-target.js';
 import {RetryReason} from '../../core/errors/refusals.js';
 import {urgencyClass} from '../../core/placing/index.js';
 import {retryReasonOf} from '../../core/retrying/index.js';
 import type {RawEvent} from '../../core/streams/index.js';
 import {EventSplitter} from '../../core/streams/index.js';
 import type {Target, TargetWork} from '../../core/targets/index.js';
+import {AnswerBody, MAX_ANSWER_BYTES, TOO_LARGE} from '../answer-body.js';
 import {COPY_ANSWER_MS, READING_CHECK_MS} from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
 import {noteFailureAt} from '../note-failure.js';
@@ -72,7 +73,8 @@
   private readonly exchange: Exchange;
   private readonly watch: SilenceWatch;
   private readonly splitter = new EventSplitter();
-  private readonly body: Uint8Array[] = [];
+  /** The body of an answer that is no stream. */
+  private readonly body = new AnswerBody();
   private head?: AnswerHead;
   private count = 0;
   private isOver = false;
@@ -166,6 +168,7 @@
     if (this.isOver || this.head === undefined) return;
     if (this.head.status !== OK) {
       this.body.push(chunk);
+      if (this.body.isTooLarge) this.loseEndless();
       return;
     }
     for (const event of this.splitter.push(chunk)) {
@@ -174,6 +177,14 @@
       // The listener may have left this target.
       if (this.isOver) return;
     }
+    if (this.splitter.pendingBytes > MAX_ANSWER_BYTES) this.loseEndless();
+  }
+
+  /** The target sends without end what is no event and no answer. */
+  private loseEndless(): void {
+    const failure = ExchangeFailure.BROKEN;
+    noteFailureAt(this.target, failure);
+    this.lose({reason: RetryReason.ENGINE_DIED, failure, detail: TOO_LARGE});
   }
 
   private noteEvent(): void {
@@ -190,7 +201,7 @@
     if (this.isOver || head === undefined) return;
     if (head.status !== OK) {
       this.close({copyIsNeeded: false});
-      this.options.listener.onOtherAnswer(head, Buffer.concat(this.body));
+      this.options.listener.onOtherAnswer(head, this.body.toBytes());
     } else if (this.splitter.pendingBytes > 0) {
       const reason = RetryReason.ENGINE_DIED;
       this.lose({reason, detail: 'ended within an event'});
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -33,6 +33,14 @@
   TWICE = 'twice',
   /** Runs and never answers. */
   HANG = 'hang',
+  /** Sends a head without end. */
+  ENDLESS_HEAD = 'endless_head',
+  /** Sends a body without end, whatever it is asked. */
+  ENDLESS_BODY = 'endless_body',
+  /** The same as a failure of its own. */
+  ENDLESS_FAILURE = 'endless_failure',
+  /** Sends bytes that are no answer, without end. */
+  ENDLESS_NOISE = 'endless_noise',
   /** Breaks the connections of what runs, and stays up. */
   DROP_RUNS = 'drop_runs',
 }
@@ -77,6 +85,16 @@
 
 const NO_STREAM: StreamPace = {events: 0, firstMs: 0, gapMs: 0};
 
+const ENDLESS: ReadonlySet<Fault> = new Set([
+  Fault.ENDLESS_HEAD,
+  Fault.ENDLESS_BODY,
+  Fault.ENDLESS_FAILURE,
+  Fault.ENDLESS_NOISE,
+]);
+
+/** Bytes that an endless answer sends at a time. */
+const PIECE_BYTES = 65_536;
+
 const HEALTH_PATH = '/healthz';
 
 /** Path at which a target of another process takes a copy of a run. */
@@ -180,6 +198,8 @@
   readonly crashes: CrashRecord[] = [];
   /** Told when a request has ended the target. */
   onCrash: () => void = () => undefined;
+  /** Bytes that were sent of answers without end. */
+  endlessBytes = 0;
   /** Ids of copies that were freed. */
   readonly freed: string[] = [];
   /** Ids of runs of which a copy is kept here. */
@@ -280,6 +300,11 @@
       res.writeHead(421, {'Instance-Id': this.id}).end();
       return;
     }
+    if (ENDLESS.has(this.fault)) {
+      this.note({req, res, body, isReadAnew: true});
+      this.sendEndless(req);
+      return;
+    }
     if (this.fault === Fault.REJECT) {
       this.reject(req, res);
       return;
@@ -390,6 +415,25 @@
     }
   }
 
+  /** Writes as fast as it is read, until the caller closes. */
+  private sendEndless({socket, headers}: IncomingMessage): void {
+    const attemptId = String(headers[Header.ATTEMPT_ID] ?? '');
+    const proof = `Attempt-Id: ${attemptId}\r\nServer-Stamp: s\r\n`;
+    const starts: Partial<Record<Fault, string>> = {
+      [Fault.ENDLESS_HEAD]: `HTTP/1.1 200 OK\r\n${proof}X: `,
+      [Fault.ENDLESS_BODY]: `HTTP/1.1 200 OK\r\n${proof}\r\n`,
+      [Fault.ENDLESS_FAILURE]: `HTTP/1.1 500 Failed\r\n${proof}\r\n`,
+    };
+    socket.write(starts[this.fault] ?? '');
+    const piece = Buffer.alloc(PIECE_BYTES, 'x');
+    const step = () => {
+      if (socket.destroyed) return;
+      this.endlessBytes += piece.length;
+      socket.write(piece, () => setImmediate(step));
+    };
+    step();
+  }
+
   private stream(req: IncomingMessage, res: ServerResponse, body: string) {
     const attemptId = String(req.headers[Header.ATTEMPT_ID] ?? '');
     const copyFrom = req.headers[Header.COPY_FROM];
--- /dev/null
+++ b/test/direct/endless.test.ts
@@ -0,0 +1,67 @@
+/** Targets that send bytes without end, until the entry closes. */
+import {Agent} from 'node:http';
+
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {SitePath, SiteService} from '../../stand-ins/site/config.js';
+import {Fault} from '../../stand-ins/site/target.js';
+import {DirectSite} from '../support/direct-site.js';
+
+const {SAFE, UNSAFE, STREAM} = SitePath;
+
+/** Most that an entry may take of one answer, with what is on its way. */
+const MOST_BYTES = 16 * 1024 * 1024;
+
+/** Calls until the target without end has been chosen. */
+const MOST_CALLS = 50;
+
+const EVENTS = 20;
+const PACE = {events: EVENTS, firstMs: 5, gapMs: 2};
+
+const FAULTS = [
+  Fault.ENDLESS_HEAD,
+  Fault.ENDLESS_BODY,
+  Fault.ENDLESS_FAILURE,
+  Fault.ENDLESS_NOISE,
+];
+
+/** The target near the entry never ends; another is sound. */
+const CASES = FAULTS.flatMap((fault) => [
+  {fault, path: SAFE, status: 200},
+  {fault, path: UNSAFE, status: 502},
+  {fault, path: STREAM, status: 200},
+]);
+
+describe('an answer without end', () => {
+  let site: DirectSite;
+
+  beforeEach(async () => {
+    site = await DirectSite.start();
+  });
+
+  afterEach(() => site.stop());
+
+  it.each(CASES)('of $fault to $path is closed', async (row) => {
+    const {fault, path, status} = row;
+    const isStream = path === STREAM;
+    const service = isStream ? SiteService.WRITERS : SiteService.DESK;
+    const pace = isStream ? PACE : undefined;
+    const [endless] = await site.addTargets([
+      {service, zone: 'a', pace},
+      {service, zone: 'c', pace},
+    ]);
+    endless!.fault = fault;
+    // Either target may be chosen first.
+    let reply = await site.call({path, agent: new Agent()});
+    for (let i = 0; i < MOST_CALLS && endless!.runs.length === 0; i++) {
+      reply = await site.call({path, agent: new Agent()});
+    }
+    expect(endless!.runs).toHaveLength(1);
+    expect(reply.status).toBe(status);
+    if (isStream) expect(reply.text).toContain(`id: ${EVENTS}\n`);
+    const sent = endless!.endlessBytes;
+    expect(sent).toBeLessThan(MOST_BYTES);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    expect(endless!.endlessBytes).toBe(sent);
+  });
+});
