--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -6,45 +6,11 @@
 import {request} from 'undici';
 
 import {Header, Path} from '../../platform/names.js';
+import {answerWith, Fault, isEndless, sendEndless} from './target-fault.js';
 
 /** Longest wait for a target that takes a copy, in milliseconds. */
 const COPY_TIMEOUT_MS = 1_000;
 
-/** What a target does with its next requests. */
-export enum Fault {
-  NONE = 'none',
-  /** Answers 500 after it ran. */
-  ERROR = 'error',
-  /** Says that it has no room. */
-  REJECT = 'reject',
-  /** Runs, then breaks the connection. */
-  CUT = 'cut',
-  /** Breaks off half an answer that has no length, with a reset. */
-  UNFRAMED_RESET = 'unframed_reset',
-  /** Answers without a length, whole. */
-  UNFRAMED = 'unframed',
-  /** Claims a longer body than it sends. */
-  SHORT = 'short',
-  /** Answers with the id of another request. */
-  FOREIGN = 'foreign',
-  /** Answers without proof that the answer is its own. */
-  UNPROVEN = 'unproven',
-  /** Answers twice on one connection. */
-  TWICE = 'twice',
-  /** Runs and never answers. */
-  HANG = 'hang',
-  /** Sends a head without end. */
-  ENDLESS_HEAD = 'endless_head',
-  /** Sends a body without end, whatever it is asked. */
-  ENDLESS_BODY = 'endless_body',
-  /** The same as a failure of its own. */
-  ENDLESS_FAILURE = 'endless_failure',
-  /** Sends bytes that are no answer, without end. */
-  ENDLESS_NOISE = 'endless_noise',
-  /** Breaks the connections of what runs, and stays up. */
-  DROP_RUNS = 'drop_runs',
-}
-
 /** A request that a target worked on. */
 export interface RunRecord {
   readonly attemptId: string;
@@ -85,16 +51,6 @@
 
 const NO_STREAM: StreamPace = {events: 0, firstMs: 0, gapMs: 0};
 
-const ENDLESS: ReadonlySet<Fault> = new Set([
-  Fault.ENDLESS_HEAD,
-  Fault.ENDLESS_BODY,
-  Fault.ENDLESS_FAILURE,
-  Fault.ENDLESS_NOISE,
-]);
-
-/** Bytes that an endless answer sends at a time. */
-const PIECE_BYTES = 65_536;
-
 const HEALTH_PATH = '/healthz';
 
 /** Path at which a target of another process takes a copy of a run. */
@@ -300,9 +256,13 @@
       res.writeHead(421, {'Instance-Id': this.id}).end();
       return;
     }
-    if (ENDLESS.has(this.fault)) {
+    if (isEndless(this.fault)) {
       this.note({req, res, body, isReadAnew: true});
-      this.sendEndless(req);
+      sendEndless({
+        req,
+        fault: this.fault,
+        onBytes: (n) => (this.endlessBytes += n),
+      });
       return;
     }
     if (this.fault === Fault.REJECT) {
@@ -357,83 +317,10 @@
     this.note({req, res, body, isReadAnew: true});
     setTimeout(() => {
       if (this.isEndedBy(body)) this.crashUnder(req, body);
-      else this.finish(req, res);
+      else answerWith({req, res, fault: this.fault, id: this.id});
     }, this.workMs);
   }
 
-  private finish(req: IncomingMessage, res: ServerResponse): void {
-    const attemptId = String(req.headers[Header.ATTEMPT_ID] ?? '');
-    const text = `answer to ${attemptId}`;
-    const head = `Attempt-Id: ${attemptId}\r\nServer-Stamp: s-${this.id}\r\n`;
-    const {socket} = req;
-    const sized = (id: string) =>
-      `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: s\r\n` +
-      `Content-Length: ${text.length}\r\n\r\n${text}`;
-    switch (this.fault) {
-      case Fault.ERROR:
-        res.writeHead(500, {
-          [Header.ATTEMPT_ID]: attemptId,
-          'Server-Stamp': 's',
-        });
-        res.end('failed');
-        break;
-      case Fault.CUT:
-        socket.destroy();
-        break;
-      case Fault.UNFRAMED_RESET:
-        socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n${text.slice(0, 5)}`, () =>
-          setTimeout(() => socket.resetAndDestroy(), 10),
-        );
-        break;
-      case Fault.UNFRAMED:
-        socket.end(`HTTP/1.1 200 OK\r\n${head}\r\n${text}`);
-        break;
-      case Fault.SHORT:
-        socket.end(
-          `HTTP/1.1 200 OK\r\n${head}Content-Length: 900\r\n\r\n${text}`,
-        );
-        break;
-      case Fault.FOREIGN:
-        socket.write(sized('another'));
-        break;
-      case Fault.UNPROVEN:
-        res.writeHead(200, {[Header.ATTEMPT_ID]: attemptId});
-        res.end(text);
-        break;
-      case Fault.TWICE:
-        socket.write(sized(attemptId));
-        setTimeout(() => socket.write(sized(attemptId)), 20);
-        break;
-      case Fault.HANG:
-        break;
-      default:
-        res.writeHead(200, {
-          'Attempt-Id': attemptId,
-          'Server-Stamp': `s-${this.id}`,
-        });
-        res.end(text);
-    }
-  }
-
-  /** Writes as fast as it is read, until the caller closes. */
-  private sendEndless({socket, headers}: IncomingMessage): void {
-    const attemptId = String(headers[Header.ATTEMPT_ID] ?? '');
-    const proof = `Attempt-Id: ${attemptId}\r\nServer-Stamp: s\r\n`;
-    const starts: Partial<Record<Fault, string>> = {
-      [Fault.ENDLESS_HEAD]: `HTTP/1.1 200 OK\r\n${proof}X: `,
-      [Fault.ENDLESS_BODY]: `HTTP/1.1 200 OK\r\n${proof}\r\n`,
-      [Fault.ENDLESS_FAILURE]: `HTTP/1.1 500 Failed\r\n${proof}\r\n`,
-    };
-    socket.write(starts[this.fault] ?? '');
-    const piece = Buffer.alloc(PIECE_BYTES, 'x');
-    const step = () => {
-      if (socket.destroyed) return;
-      this.endlessBytes += piece.length;
-      socket.write(piece, () => setImmediate(step));
-    };
-    step();
-  }
-
   private stream(req: IncomingMessage, res: ServerResponse, body: string) {
     const attemptId = String(req.headers[Header.ATTEMPT_ID] ?? '');
     const copyFrom = req.headers[Header.COPY_FROM];
--- a/test/direct/calls.test.ts
+++ b/test/direct/calls.test.ts
@@ -5,7 +5,7 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {HOST, KEY, SitePath, SiteService} from '../../stand-ins/site/config.js';
-import {Fault} from '../../stand-ins/site/target.js';
+import {Fault} from '../../stand-ins/site/target-fault.js';
 import type {StandInTarget} from '../../stand-ins/site/target.js';
 import {DirectSite} from '../support/direct-site.js';
 
--- a/test/direct/endless.test.ts
+++ b/test/direct/endless.test.ts
@@ -4,7 +4,7 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {SitePath, SiteService} from '../../stand-ins/site/config.js';
-import {Fault} from '../../stand-ins/site/target.js';
+import {Fault} from '../../stand-ins/site/target-fault.js';
 import {DirectSite} from '../support/direct-site.js';
 
 const {SAFE, UNSAFE, STREAM} = SitePath;
--- a/test/direct/poison-innocent.test.ts
+++ b/test/direct/poison-innocent.test.ts
@@ -5,7 +5,7 @@
 
 import {SitePath, SiteService} from '../../stand-ins/site/config.js';
 import type {StandInTarget} from '../../stand-ins/site/target.js';
-import {Fault} from '../../stand-ins/site/target.js';
+import {Fault} from '../../stand-ins/site/target-fault.js';
 import {waitFor} from '../support/direct-site.js';
 import type {DirectSite} from '../support/direct-site.js';
 import {
--- a/test/direct/streams.test.ts
+++ b/test/direct/streams.test.ts
@@ -7,7 +7,7 @@
 import {POISON_LOSSES} from '../../src/core/poison/index.js';
 import {SitePath, SiteService} from '../../stand-ins/site/config.js';
 import type {StandInTarget} from '../../stand-ins/site/target.js';
-import {Fault} from '../../stand-ins/site/target.js';
+import {Fault} from '../../stand-ins/site/target-fault.js';
 import {DirectSite, waitFor} from '../support/direct-site.js';
 
 /** Long enough for a change of the targets to be read in between. */
--- a/tools/soak/faults.ts
+++ b/tools/soak/faults.ts
@@ -4,7 +4,7 @@
 import {Kind} from '../../platform/names.js';
 import {Direction} from '../../stand-ins/relay/relay.js';
 import {StoreMode} from '../../stand-ins/site/store.js';
-import {Fault} from '../../stand-ins/site/target.js';
+import {Fault} from '../../stand-ins/site/target-fault.js';
 import {entryPart, targetPart} from './checks/index.js';
 import {LEAVE_MS, ZONES} from './consts.js';
 import {STORE} from './history.js';
--- a/tools/soak/site.ts
+++ b/tools/soak/site.ts
@@ -4,7 +4,7 @@
 import {Kind} from '../../platform/names.js';
 import type {Direction} from '../../stand-ins/relay/relay.js';
 import {KEY, SiteService, siteConfig} from '../../stand-ins/site/config.js';
-import {Fault} from '../../stand-ins/site/target.js';
+import {Fault} from '../../stand-ins/site/target-fault.js';
 import {KEY_LIFE_VERSIONS} from './checks/control.js';
 import {STREAM_DEADLINE_MS, ZONES} from './consts.js';
 import type {History} from './history.js';
