--- a/stand-ins/site/target-main.ts
+++ b/stand-ins/site/target-main.ts
@@ -1,7 +1,7 @@
 /** Runs a target as a program that its parent steers and hears from. */
 import {announce, readFlags} from '../lib/program.js';
 import {followParent} from './steering.js';
-import type {Fault} from './target.js';
+import type {Fault} from './target-fault.js';
 import {RemoteCopies, StandInTarget} from './target.js';
 
 /** What a target tells its parent; times are Unix milliseconds. */
