An attempt whose stream broke waits for the probe, not for a timer

Beside load the probe that finds the crash takes longer, so the attempts had left the table when it came, and nobody was blamed for the crash.

Change: the attempt waits until a probe that began after the break has ended, at most 800 ms. A break without a crash goes on sooner than before, as soon as the engine has answered.

--- a/src/agent/attempt-table.ts
+++ b/src/agent/attempt-table.ts
@@ -37,8 +37,8 @@
       driver: EngineDriver;
       metrics: Metrics;
       random: RandomSource;
-      /** Asks for a probe of the engine at once. */
-      probeNow: () => void;
+      /** Probes the engine at once; resolves when it has been probed. */
+      probeNow: () => Promise<void>;
     },
   ) {
     options.board.phase.subscribe((phase) => this.handlePhase(phase));
@@ -126,11 +126,10 @@
       attempt.fail(err);
       return;
     }
-    this.options.probeNow();
-    this.options.clock.schedule({
-      delayMs: CRASH_PROBE_MS,
-      run: () => attempt.fail(err),
-    });
+    const fail = () => attempt.fail(err);
+    // A crash that the probe finds has failed the attempt before.
+    void this.options.probeNow().then(fail);
+    this.options.clock.schedule({delayMs: CRASH_PROBE_MS, run: fail});
   }
 
   private handlePhase(phase: TargetPhase): void {
--- a/src/agent/consts.ts
+++ b/src/agent/consts.ts
@@ -31,8 +31,8 @@
 /** Keys that an agent remembers; more are refused. */
 export const MAX_KEYS = 200_000;
 
-/** Time to find out whether an engine's process is gone, in milliseconds. */
-export const CRASH_PROBE_MS = 100;
+/** Longest time to find out whether an engine crashed, in milliseconds. */
+export const CRASH_PROBE_MS = 800;
 
 /** Most time that a probe is given under load, in milliseconds. */
 export const PROBE_TIMEOUT_MAX_MS = 800;
--- a/src/agent/engine-monitor.ts
+++ b/src/agent/engine-monitor.ts
@@ -28,6 +28,8 @@
   private probing = false;
   /** Probe once more when the running probe has ended. */
   private again = false;
+  /** Those who wait until no probe runs. */
+  private readonly waiting: Array<() => void> = [];
   private readonly answers = new SilenceLimit();
 
   constructor(
@@ -53,10 +55,14 @@
     this.timer?.cancel();
   }
 
-  /** Probes at once, for instance after a stream has broken. */
-  checkNow(): void {
+  /**
+   * Probes at once, for instance after a stream has broken; resolves when a
+   * probe that began after this has ended.
+   */
+  checkNow(): Promise<void> {
     this.again = this.probing;
     this.check();
+    return new Promise((resolve) => this.waiting.push(resolve));
   }
 
   private check(): void {
@@ -72,9 +78,12 @@
       )
       .then(() => {
         this.probing = false;
-        if (!this.again) return;
-        this.again = false;
-        this.check();
+        if (this.again) {
+          this.again = false;
+          this.check();
+        } else {
+          for (const resolve of this.waiting.splice(0)) resolve();
+        }
       });
   }
 
--- /dev/null
+++ b/test/agent/crash-attribution.test.ts
@@ -0,0 +1,120 @@
+/** Attempts whose streams broke learn whether their engine crashed. */
+import {errAsync, ResultAsync} from 'neverthrow';
+import {beforeEach, describe, expect, it} from 'vitest';
+
+import {AgentBoard} from '../../src/agent/agent-board.js';
+import type {TargetReport} from '../../src/agent/agent-board.js';
+import {AttemptTable} from '../../src/agent/attempt-table.js';
+import {EngineMonitor} from '../../src/agent/engine-monitor.js';
+import {ManualClock, SeededRandom} from '../../src/core/clock/index.js';
+import type {DriverError, EngineSink} from '../../src/core/edges/index.js';
+import {DriverErrorKind} from '../../src/core/edges/index.js';
+import {Layer} from '../../src/core/errors/index.js';
+import {SILENT_LOGGER} from '../../src/core/logs/index.js';
+import {Metrics} from '../../src/core/metrics/index.js';
+import {TargetPhase} from '../../src/core/protocol/index.js';
+import type {StartMessage} from '../../src/core/protocol/index.js';
+
+const REPORT: TargetReport = {
+  running: 0,
+  waiting: 0,
+  capacity: 8,
+  instance: 'first',
+  cachedPrefixes: [],
+};
+
+const lost = (kind: DriverErrorKind): DriverError => {
+  return {layer: Layer.DRIVER, kind, detail: 'lost'};
+};
+
+const CASES = [
+  {
+    name: 'at once',
+    probeMs: 1,
+    answer: DriverErrorKind.NOT_SENT,
+    isCrash: true,
+  },
+  {
+    name: 'after a probe that is slow beside load',
+    probeMs: 240,
+    answer: DriverErrorKind.NOT_SENT,
+    isCrash: true,
+  },
+  {name: 'never: it lives', probeMs: 1, answer: undefined, isCrash: false},
+];
+
+describe('an attempt whose stream broke', () => {
+  let clock: ManualClock;
+  let probes: Array<(answer: DriverErrorKind | undefined) => void>;
+  let sinks: EngineSink[];
+  let table: AttemptTable;
+  let monitor: EngineMonitor;
+
+  beforeEach(async () => {
+    clock = new ManualClock();
+    probes = [];
+    sinks = [];
+    const board = new AgentBoard();
+    monitor = new EngineMonitor({
+      board,
+      clock,
+      logger: SILENT_LOGGER,
+      lastTokenAtMs: () => Number.NEGATIVE_INFINITY,
+      probe: {
+        probe: () =>
+          ResultAsync.fromPromise(
+            new Promise<TargetReport>((resolve, reject) => {
+              probes.push((kind) => {
+                if (kind === undefined) resolve(REPORT);
+                else reject(new Error(kind));
+              });
+            }),
+            (e) => lost((e as Error).message as DriverErrorKind),
+          ),
+      },
+    });
+    table = new AttemptTable({
+      board,
+      clock,
+      metrics: new Metrics(),
+      random: new SeededRandom(1),
+      probeNow: () => monitor.checkNow(),
+      driver: {
+        generate: ({sink}) => {
+          sinks.push(sink);
+          return {cancel: () => undefined};
+        },
+        probe: () => errAsync(lost(DriverErrorKind.LOST)),
+        order: () => errAsync(lost(DriverErrorKind.LOST)),
+      },
+    });
+    monitor.open();
+    await answer(undefined);
+    expect(board.phase.get()).toBe(TargetPhase.HEALTHY);
+  });
+
+  async function answer(kind: DriverErrorKind | undefined): Promise<void> {
+    for (const end of probes.splice(0)) end(kind);
+    // Lets what waits for the probe go on.
+    for (let i = 0; i < 20; i++) await Promise.resolve();
+  }
+
+  it.each(CASES)('learns of the crash $name', async (row) => {
+    const order = {
+      attemptId: 'a',
+      requestId: 'r',
+      spec: {maxTokens: 10},
+      resumeFrom: [],
+      crashes: ['earlier'],
+    } as unknown as StartMessage;
+    const attempt = table.start(order);
+    sinks[0]!.onFailure(lost(DriverErrorKind.LOST));
+    clock.advance(row.probeMs);
+    await answer(row.answer);
+    clock.advance(1_000);
+    await answer(row.answer);
+    expect(attempt.failure?.kind).toBe(DriverErrorKind.LOST);
+    expect(attempt.engineCrash !== undefined).toBe(row.isCrash);
+    if (row.isCrash) expect(attempt.engineCrash?.isCulprit).toBe(true);
+  });
+});
