--- a/src/core/poison/common-cause.ts
+++ b/src/core/poison/common-cause.ts
@@ -25,7 +25,7 @@
  * centre, one after the other, is not taken for that.
  *
  * @example
- * if (fellTogether({lost, lostAtMs, targets, endedBefore})) acquit();
+ * if (fellTogether({lost, lostAtMs, targets, endedBefore})) dismiss();
  */
 export function fellTogether(query: FallQuery): boolean {
   const {lost, lostAtMs, targets, endedBefore} = query;
--- a/src/core/poison/loss-ledger.ts
+++ b/src/core/poison/loss-ledger.ts
@@ -77,14 +77,14 @@
   }
 
   /** The loss had another cause. */
-  acquit(key: LossKey): void {
+  dismiss(key: LossKey): void {
     this.own.remove(key);
   }
 
   /** The target was lost with its data centre. */
   noteFall(key: LossKey): void {
     const {request} = key;
-    this.acquit(key);
+    this.dismiss(key);
     const lastMs = this.options.clock.now();
     const earlier = this.falls.get(request);
     const isSame =
@@ -139,7 +139,7 @@
   }
 
   /** A request is let go: what was held against it counts no more. */
-  pardon(request: string): void {
+  reset(request: string): void {
     this.explained.delete(request);
     this.falls.delete(request);
     for (const table of this.tables()) table.removeAll(request);
--- a/src/core/poison/quarantine.ts
+++ b/src/core/poison/quarantine.ts
@@ -8,7 +8,7 @@
 /** What the object store holds of a culprit, under its fingerprint. */
 export const CULPRIT = Codec.interface({
   clientAccount: string,
-  /** The crashes that it caused; the others in them are acquitted. */
+  /** The crashes that it caused; the others in them are not held against the requests. */
   crashes: array(string),
 });
 
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -77,10 +77,10 @@
 export const READING_CHECK_MS = 400;
 
 /** Time after which the cause of a loss is known, in milliseconds. */
-export const INQUEST_MS = 250;
+export const DIAGNOSIS_MS = 250;
 
 /** Time in which another entry finds out the cause of a loss of its own. */
-export const OTHERS_INQUEST_MS = 350;
+export const OTHERS_DIAGNOSIS_MS = 350;
 
 /** What was on its way before a loss has come by then, in milliseconds. */
 export const SEEN_AFTER_MS = 50;
--- a/src/direct/poison/loss-inquest.ts
+++ b/src/direct/poison/loss-diagnosis.ts
@@ -9,14 +9,17 @@
 import type {Target, TargetSet} from '../../core/targets/index.js';
 import {lifeOf} from '../../core/targets/index.js';
 import {
-  INQUEST_MS,
+  DIAGNOSIS_MS,
   LIFE_CHECK_MS,
-  OTHERS_INQUEST_MS,
+  OTHERS_DIAGNOSIS_MS,
   SEEN_AFTER_MS,
 } from '../consts.js';
 import type {Prober} from '../prober.js';
 
-/** What became of a loss. */
+/** Requests with own losses that are remembered; the oldest ones go first. */
+const MAX_HELD = 4_096;
+
+/** Why a target was lost. */
 export enum LossCause {
   /** The target lives on: it only broke the connection. */
   TARGET_LIVES = 'target_lives',
@@ -44,8 +47,8 @@
   readonly targets: Set<Target>;
 }
 
-/** What an inquest is made from. */
-export interface LossInquestOptions {
+/** What a diagnosis is made from. */
+export interface LossDiagnosisOptions {
   readonly ledger: LossLedger;
   readonly quarantine: Quarantine;
   readonly targets: TargetSet;
@@ -63,23 +66,22 @@
  * the request is put into quarantine.
  *
  * @example
- * inquest.open({id, request, clientAccount, target, beganMs});
- * if (await inquest.isPoison({request, clientAccount})) giveUp();
+ * diagnosis.open({id, request, clientAccount, target, beganMs});
+ * if (await diagnosis.isPoison({request, clientAccount})) giveUp();
  */
-export class LossInquest {
+export class LossDiagnosis {
   /** Losses that are looked into, by request and life. */
-  private readonly inquests = new Map<string, Promise<void>>();
+  private readonly diagnoses = new Map<string, Promise<void>>();
   /** Own losses that are held against requests, by request. */
   private readonly held = new Map<string, HeldLosses>();
-
   /** Requests that were taken from silent targets not long ago. */
   private readonly silent = new Set<LossCase>();
 
-  constructor(private readonly options: LossInquestOptions) {}
+  constructor(private readonly options: LossDiagnosisOptions) {}
 
   /** Whether nothing is looked into or held. */
   get isIdle(): boolean {
-    return this.inquests.size + this.silent.size + this.held.size === 0;
+    return this.diagnoses.size + this.silent.size + this.held.size === 0;
   }
 
   /** A target was lost under a request that it may have begun. */
@@ -88,13 +90,13 @@
     const {request, target} = loss;
     const life = lifeOf(target.record);
     const key = `${request} ${life}`;
-    if (this.inquests.has(key) || this.isHeld(loss)) return;
+    if (this.diagnoses.has(key) || this.isHeld(loss)) return;
     ledger.note({request, life});
     this.tell('loss held against request', loss, {
       held: ledger.livesOf(request).size,
     });
-    const end = this.lookInto(loss).finally(() => this.inquests.delete(key));
-    this.inquests.set(key, end);
+    const end = this.lookInto(loss).finally(() => this.diagnoses.delete(key));
+    this.diagnoses.set(key, end);
   }
 
   /**
@@ -122,7 +124,7 @@
     await this.askHeldAgain(request);
     if (ledger.mayBePoison(request) && !ledger.isPoison(request)) {
       // Another entry may still look into a loss of its own.
-      await sleep(this.options.clock, OTHERS_INQUEST_MS);
+      await sleep(this.options.clock, OTHERS_DIAGNOSIS_MS);
     }
     if (!ledger.isPoison(request)) return quarantine.has(request);
     const crashes = [...ledger.livesOf(request)];
@@ -153,10 +155,10 @@
     const {request, target} = loss;
     const atMs = clock.now();
     const wasLeaving = target.record.isLeaving;
-    await sleep(this.options.clock, INQUEST_MS);
+    await sleep(this.options.clock, DIAGNOSIS_MS);
     const cause = this.causeOf(loss, atMs);
     if (wasLeaving || cause !== LossCause.UNEXPLAINED) return;
-    await sleep(this.options.clock, LIFE_CHECK_MS - INQUEST_MS);
+    await sleep(this.options.clock, LIFE_CHECK_MS - DIAGNOSIS_MS);
     const hasEnded = !targets.knows(target) && target.lastSeenMs < atMs;
     if (!hasEnded || !this.silent.has(loss)) return;
     ledger.note({request, life: lifeOf(target.record)});
@@ -164,7 +166,7 @@
   }
 
   private async settled(request: string): Promise<void> {
-    const open = [...this.inquests].filter(([key]) => key.startsWith(request));
+    const open = [...this.diagnoses].filter(([key]) => key.startsWith(request));
     await Promise.all(open.map(([, end]) => end));
   }
 
@@ -173,7 +175,7 @@
     const atMs = clock.now();
     const lives = await Promise.race([
       prober.showsLifeSince(loss.target, atMs),
-      sleep(this.options.clock, INQUEST_MS).then(() => false),
+      sleep(this.options.clock, DIAGNOSIS_MS).then(() => false),
     ]);
     if (lives) {
       this.close(loss, LossCause.TARGET_LIVES);
@@ -181,7 +183,7 @@
     }
     await sleep(
       this.options.clock,
-      Math.max(0, atMs + INQUEST_MS - clock.now()),
+      Math.max(0, atMs + DIAGNOSIS_MS - clock.now()),
     );
     this.close(loss, this.causeOf(loss, atMs));
   }
@@ -205,7 +207,7 @@
     metrics.count(CounterName.TARGET_LOSSES, {label: cause});
     this.tell('cause of loss', loss, {cause});
     if (cause === LossCause.DATA_CENTRE) ledger.noteFall(key);
-    else if (cause === LossCause.TARGET_LIVES) ledger.acquit(key);
+    else if (cause === LossCause.TARGET_LIVES) ledger.dismiss(key);
     else this.hold(loss);
     onNews();
   }
@@ -235,7 +237,7 @@
       known.map(async (target) => {
         if (!(await prober.showsLifeSince(target, nowMs))) return;
         this.held.get(request)?.targets.delete(target);
-        ledger.acquit({request, life: lifeOf(target.record)});
+        ledger.dismiss({request, life: lifeOf(target.record)});
       }),
     );
   }
@@ -256,6 +258,3 @@
     });
   }
 }
-
-/** Requests with own losses that are remembered; the oldest ones go first. */
-const MAX_HELD = 4_096;
--- a/src/direct/poison/losses.ts
+++ b/src/direct/poison/losses.ts
@@ -8,7 +8,7 @@
 import {LossLedger} from '../../core/poison/index.js';
 import type {TargetSet} from '../../core/targets/index.js';
 import type {Prober} from '../prober.js';
-import {LossInquest} from './loss-inquest.js';
+import {LossDiagnosis} from './loss-diagnosis.js';
 import {LossShare} from './loss-share.js';
 
 /** What it is built from. */
@@ -26,7 +26,7 @@
 }
 
 /**
- * Puts the ledger of losses, their inquest and their sharing together.
+ * Puts the ledger of losses, their diagnosis and their sharing together.
  *
  * @example
  * const losses = new Losses(options);
@@ -34,13 +34,13 @@
  */
 export class Losses {
   readonly ledger: LossLedger;
-  readonly inquest: LossInquest;
+  readonly diagnosis: LossDiagnosis;
   readonly share: LossShare;
 
   constructor(private readonly options: LossesOptions) {
     const {clock, quarantine} = options;
     this.ledger = new LossLedger({clock});
-    this.inquest = new LossInquest({
+    this.diagnosis = new LossDiagnosis({
       ...options,
       ledger: this.ledger,
       onNews: () => this.share.publish(),
@@ -54,8 +54,8 @@
       this.ledger.explain(fingerprint, crashes);
     });
     quarantine.onRemoved((fingerprint) => {
-      this.ledger.pardon(fingerprint);
-      this.inquest.release(fingerprint);
+      this.ledger.reset(fingerprint);
+      this.diagnosis.release(fingerprint);
       this.share.publish();
     });
   }
@@ -72,11 +72,11 @@
   private judge(requests: readonly string[]): void {
     const {quarantine} = this.options;
     for (const request of new Set(requests)) {
-      const isOwn = this.inquest.holds(request);
+      const isOwn = this.diagnosis.holds(request);
       if (!isOwn || quarantine.has(request)) continue;
       if (!this.ledger.mayBePoison(request)) continue;
-      const clientAccount = this.inquest.accountOf(request);
-      void this.inquest.isPoison({request, clientAccount});
+      const clientAccount = this.diagnosis.accountOf(request);
+      void this.diagnosis.isPoison({request, clientAccount});
     }
   }
 }
--- a/src/direct/poison/poison-watch.ts
+++ b/src/direct/poison/poison-watch.ts
@@ -4,7 +4,7 @@
 import type {Target} from '../../core/targets/index.js';
 import {FLUSH_LIMIT_MS, HEARING_MS} from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
-import type {LossCase} from './loss-inquest.js';
+import type {LossCase} from './loss-diagnosis.js';
 
 /** A request's stay at a target. */
 export interface TargetRun {
@@ -66,26 +66,26 @@
   /** A target was lost that may have begun the request. */
   noteLoss(run: TargetRun): void {
     this.hasLost = true;
-    this.ctx.losses.inquest.open(this.toLoss(run));
+    this.ctx.losses.diagnosis.open(this.toLoss(run));
   }
 
   /** The request is taken from a target that has not answered. */
   noteTaken(run: TargetRun): void {
-    const {inquest} = this.ctx.losses;
+    const {diagnosis} = this.ctx.losses;
     const loss = this.toLoss(run);
     // Its end may not have been seen yet, as that of the one before was.
-    if (this.hasLost) inquest.open(loss);
-    else inquest.watchSilent(loss);
+    if (this.hasLost) diagnosis.open(loss);
+    else diagnosis.watchSilent(loss);
   }
 
   /** One target has served the whole request, and lives on. */
   noteServed(): void {
     this.unsubscribe();
-    const {ledger, inquest} = this.ctx.losses;
-    if (ledger.isEmpty && inquest.isIdle) return;
+    const {ledger, diagnosis} = this.ctx.losses;
+    if (ledger.isEmpty && diagnosis.isIdle) return;
     const request = this.identify();
     ledger.noteServed(request);
-    inquest.release(request);
+    diagnosis.release(request);
     if (this.hasLost) this.ctx.losses.share.publish();
   }
 
@@ -97,8 +97,8 @@
 
   /** Whether the request may be sent, once the causes are known. */
   async mayGo(): Promise<boolean> {
-    const {inquest} = this.ctx.losses;
-    return !(await inquest.isPoison(this.describe()));
+    const {diagnosis} = this.ctx.losses;
+    return !(await diagnosis.isPoison(this.describe()));
   }
 
   /**
--- a/test/core/poison/loss-ledger.test.ts
+++ b/test/core/poison/loss-ledger.test.ts
@@ -76,7 +76,7 @@
     },
     {
       name: 'one loss had another cause',
-      act: () => ledger.acquit({request: REQUEST, life: LIVES[0]!}),
+      act: () => ledger.dismiss({request: REQUEST, life: LIVES[0]!}),
     },
     {
       name: 'a target fell with its data centre',
@@ -86,7 +86,7 @@
       name: 'another is known to have ended its targets',
       act: () => ledger.explain('another', LIVES),
     },
-    {name: 'it was pardoned', act: () => ledger.pardon(REQUEST)},
+    {name: 'it was released', act: () => ledger.reset(REQUEST)},
     {name: 'it was long ago', act: () => clock.advance(LONG_MS)},
   ])('lets a request go once $name', ({act}) => {
     loseAll();
