--- a/src/cli/commands/drain/run-drain.ts
+++ b/src/cli/commands/drain/run-drain.ts
@@ -1,5 +1,5 @@
-import {sleep} from '../../../core/clock/index.js';
 import {FIRST_ERROR_STATUS} from '../../../adapters/http-call.js';
+import {sleep} from '../../../core/clock/index.js';
 import {
   DRAIN_UNFINISHED,
   PROCESS_UNREACHABLE,
--- /dev/null
+++ b/src/core/poison/drop-oldest.ts
@@ -0,0 +1,17 @@
+/** Bounds what is remembered. */
+
+/**
+ * Drops the oldest entry where there are more than `most`.
+ *
+ * @example
+ * dropOldest({entries: culprits, most: 10_000});
+ */
+export function dropOldest<K>(options: {
+  entries: Map<K, unknown> | Set<K>;
+  most: number;
+}): void {
+  const {entries, most} = options;
+  if (entries.size <= most) return;
+  const [oldest] = entries.keys();
+  entries.delete(oldest!);
+}
--- a/src/core/poison/loss-ledger.ts
+++ b/src/core/poison/loss-ledger.ts
@@ -1,5 +1,6 @@
 /** Targets that were lost under requests, as all entries saw it. */
 import type {Clock} from '../clock/index.js';
+import {dropOldest} from './drop-oldest.js';
 import type {LossNote, LossNotes} from './loss-notes.js';
 import type {Loss} from './loss-table.js';
 import {LossTable} from './loss-table.js';
@@ -92,7 +93,7 @@
     const count = (earlier?.count ?? 0) + (isSame ? 0 : 1);
     this.falls.delete(request);
     this.falls.set(request, {count, lastMs});
-    trim(this.falls);
+    dropOldest({entries: this.falls, most: MAX_REQUESTS});
   }
 
   /** One target has served the whole request: it ends none. */
@@ -100,7 +101,7 @@
     this.falls.delete(request);
     this.own.removeAll(request);
     if (this.isKnownToOthers(request)) this.ownHarmless.add(request);
-    trim(this.ownHarmless);
+    dropOldest({entries: this.ownHarmless, most: MAX_REQUESTS});
   }
 
   /** Takes over what another entry has to tell. */
@@ -135,7 +136,7 @@
   /** A request is known to have ended some lives, so others did not. */
   explain(request: string, lives: readonly string[]): void {
     this.explained.set(request, new Set(lives));
-    trim(this.explained);
+    dropOldest({entries: this.explained, most: MAX_REQUESTS});
   }
 
   /** A request is let go: what was held against it counts no more. */
@@ -265,9 +266,3 @@
     return false;
   }
 }
-
-function trim(entries: Map<string, unknown> | Set<string>): void {
-  if (entries.size <= MAX_REQUESTS) return;
-  const oldest = entries.keys().next().value;
-  if (oldest !== undefined) entries.delete(oldest);
-}
--- a/src/core/poison/loss-table.ts
+++ b/src/core/poison/loss-table.ts
@@ -1,4 +1,5 @@
 /** Losses of one entry, by request and life of the lost target. */
+import {dropOldest} from './drop-oldest.js';
 
 /** One target that was lost under a request. */
 export interface Loss {
@@ -44,7 +45,7 @@
     // The newest requests stand last.
     this.byRequest.delete(request);
     this.byRequest.set(request, lives);
-    if (this.byRequest.size > MAX_REQUESTS) this.dropOldest();
+    dropOldest({entries: this.byRequest, most: MAX_REQUESTS});
   }
 
   remove({request, life}: {request: string; life: string}): void {
@@ -60,9 +61,4 @@
   *all(): Iterable<Loss> {
     for (const lives of this.byRequest.values()) yield* lives.values();
   }
-
-  private dropOldest(): void {
-    const oldest = this.byRequest.keys().next().value;
-    if (oldest !== undefined) this.byRequest.delete(oldest);
-  }
 }
--- a/src/core/poison/quarantine.ts
+++ b/src/core/poison/quarantine.ts
@@ -2,6 +2,8 @@
 import {array, Codec, string} from 'purify-ts';
 import type {GetType} from 'purify-ts';
 
+import {dropOldest} from './drop-oldest.js';
+
 /** Most entries kept; the oldest ones go first. */
 export const MAX_QUARANTINED = 10_000;
 
@@ -42,7 +44,7 @@
     const {fingerprint, culprit} = options;
     if (this.culprits.has(fingerprint)) return;
     this.culprits.set(fingerprint, culprit);
-    this.trim();
+    dropOldest({entries: this.culprits, most: MAX_QUARANTINED});
     for (const listener of [...this.listeners]) listener(fingerprint, culprit);
   }
 
@@ -64,10 +66,4 @@
     this.listeners.add(listener);
     return () => void this.listeners.delete(listener);
   }
-
-  private trim(): void {
-    if (this.culprits.size <= MAX_QUARANTINED) return;
-    const oldest = this.culprits.keys().next().value;
-    if (oldest !== undefined) this.culprits.delete(oldest);
-  }
 }
--- a/src/direct/poison/loss-diagnosis.ts
+++ b/src/direct/poison/loss-diagnosis.ts
@@ -5,7 +5,7 @@
 import type {Metrics} from '../../core/metrics/index.js';
 import {CounterName} from '../../core/metrics/index.js';
 import type {LossLedger, Quarantine} from '../../core/poison/index.js';
-import {fellTogether} from '../../core/poison/index.js';
+import {dropOldest, fellTogether} from '../../core/poison/index.js';
 import type {Target, TargetSet} from '../../core/targets/index.js';
 import {lifeOf} from '../../core/targets/index.js';
 import {
@@ -155,10 +155,10 @@
     const {request, target} = loss;
     const atMs = clock.now();
     const wasLeaving = target.record.isLeaving;
-    await sleep(this.options.clock, DIAGNOSIS_MS);
+    await sleep(clock, DIAGNOSIS_MS);
     const cause = this.causeOf(loss, atMs);
     if (wasLeaving || cause !== LossCause.UNEXPLAINED) return;
-    await sleep(this.options.clock, LIFE_CHECK_MS - DIAGNOSIS_MS);
+    await sleep(clock, LIFE_CHECK_MS - DIAGNOSIS_MS);
     const hasEnded = !targets.knows(target) && target.lastSeenMs < atMs;
     if (!hasEnded || !this.silent.has(loss)) return;
     ledger.note({request, life: lifeOf(target.record)});
@@ -173,18 +173,16 @@
   private async lookInto(loss: LossCase): Promise<void> {
     const {clock, prober} = this.options;
     const atMs = clock.now();
+    const timeIsOver = sleep(clock, DIAGNOSIS_MS);
     const lives = await Promise.race([
       prober.showsLifeSince(loss.target, atMs),
-      sleep(this.options.clock, DIAGNOSIS_MS).then(() => false),
+      timeIsOver.then(() => false),
     ]);
     if (lives) {
       this.close(loss, LossCause.TARGET_LIVES);
       return;
     }
-    await sleep(
-      this.options.clock,
-      Math.max(0, atMs + DIAGNOSIS_MS - clock.now()),
-    );
+    await timeIsOver;
     this.close(loss, this.causeOf(loss, atMs));
   }
 
@@ -220,9 +218,7 @@
     this.options.ledger.settle({request, life: lifeOf(target.record)});
     const targets = this.held.get(request)?.targets ?? new Set<Target>();
     this.held.set(request, {clientAccount, targets: targets.add(target)});
-    if (this.held.size <= MAX_HELD) return;
-    const oldest = this.held.keys().next().value;
-    if (oldest !== undefined) this.held.delete(oldest);
+    dropOldest({entries: this.held, most: MAX_HELD});
   }
 
   /** A target that still lives was not ended by the request. */
--- a/src/direct/poison/losses.ts
+++ b/src/direct/poison/losses.ts
@@ -1,29 +1,13 @@
 /** What an entry knows of targets that requests lost. */
-import type {Clock, RandomSource} from '../../core/clock/index.js';
-import type {SharedNotes} from '../../core/edges/shared-notes.js';
-import type {StateSource} from '../../core/edges/state-source.js';
-import type {Logger} from '../../core/logs/index.js';
-import type {Metrics} from '../../core/metrics/index.js';
-import type {LossNotes, Quarantine} from '../../core/poison/index.js';
 import {LossLedger} from '../../core/poison/index.js';
-import type {TargetSet} from '../../core/targets/index.js';
-import type {Prober} from '../prober.js';
+import type {LossDiagnosisOptions} from './loss-diagnosis.js';
 import {LossDiagnosis} from './loss-diagnosis.js';
+import type {LossShareOptions} from './loss-share.js';
 import {LossShare} from './loss-share.js';
 
-/** What it is built from. */
-export interface LossesOptions {
-  readonly vm: string;
-  readonly quarantine: Quarantine;
-  readonly targets: TargetSet;
-  readonly prober: Prober;
-  readonly notes: SharedNotes<LossNotes>;
-  readonly source: StateSource<LossNotes>;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly metrics: Metrics;
-  readonly logger: Logger;
-}
+/** What it is built from: all that its parts do not get from each other. */
+export type LossesOptions = Omit<LossDiagnosisOptions, 'ledger' | 'onNews'> &
+  Omit<LossShareOptions, 'ledger' | 'onLearned'>;
 
 /**
  * Puts the ledger of losses, their diagnosis and their sharing together.
--- a/src/direct/poison/poison-watch.ts
+++ b/src/direct/poison/poison-watch.ts
@@ -80,16 +80,14 @@
 
   /** One target has served the whole request, and lives on. */
   noteServed(): void {
-    this.unsubscribe();
     const {ledger, diagnosis} = this.ctx.losses;
     if (ledger.isEmpty && diagnosis.isIdle) return;
     const request = this.identify();
     ledger.noteServed(request);
     diagnosis.release(request);
-    if (this.hasLost) this.ctx.losses.share.publish();
   }
 
-  /** The request ends here without an answer, and may come elsewhere. */
+  /** The request ends here; without an answer it may come elsewhere. */
   noteLeft(): void {
     this.unsubscribe();
     if (this.hasLost) this.ctx.losses.share.publish();
--- a/test/direct/poison-innocent.test.ts
+++ b/test/direct/poison-innocent.test.ts
@@ -10,11 +10,13 @@
 import type {DirectSite} from '../support/direct-site.js';
 import {
   Caller,
+  dataCentre,
   ENTRIES,
   MARK,
   playPoison,
   sleep,
   startPoisonSite,
+  TARGETS_A_DATA_CENTRE,
 } from '../support/poison-play.js';
 
 const {STREAM, SAFE} = SitePath;
@@ -22,7 +24,6 @@
 /** Events that the targets of the site write for a stream. */
 const LAST_EVENT = 'id: 40\n';
 
-const TARGETS_A_DATA_CENTRE = 3;
 const DATA_CENTRES = 3;
 
 /** Time after which a fallen target is there again, in milliseconds. */
@@ -57,11 +58,9 @@
   const dataCentreOf = (target: StandInTarget) =>
     Math.floor(site.targets.indexOf(target) / TARGETS_A_DATA_CENTRE);
 
-  function fell(dataCentre: number): void {
+  function fell(i: number): void {
     const here = site;
-    const first = dataCentre * TARGETS_A_DATA_CENTRE;
-    const lost = site.targets.slice(first, first + TARGETS_A_DATA_CENTRE);
-    for (const target of lost) {
+    for (const target of dataCentre(site, i)) {
       target.crash();
       setTimeout(() => void here.revive(target), REVIVAL_MS);
     }
--- a/test/direct/poison.test.ts
+++ b/test/direct/poison.test.ts
@@ -6,6 +6,7 @@
 import type {DirectSite} from '../support/direct-site.js';
 import {
   Caller,
+  dataCentre,
   ENTRIES,
   lossesOf,
   MARK,
@@ -118,11 +119,8 @@
   while (!site.entries.every(({process}) => process.isReady())) await sleep(5);
 }
 
-const TARGETS_A_DATA_CENTRE = 3;
-
 function fell(site: DirectSite, visit: number): void {
-  const first = (visit % 3) * TARGETS_A_DATA_CENTRE;
-  for (const target of site.targets.slice(first, first + 3)) {
+  for (const target of dataCentre(site, visit % 3)) {
     target.crash();
     target.onCrash();
   }
--- a/test/support/poison-play.ts
+++ b/test/support/poison-play.ts
@@ -3,7 +3,7 @@
 
 import type {Logger} from '../../src/core/logs/index.js';
 import {SitePath, SiteService} from '../../stand-ins/site/config.js';
-import type {CrashRecord} from '../../stand-ins/site/target.js';
+import type {CrashRecord, StandInTarget} from '../../stand-ins/site/target.js';
 import type {Reply} from '../../tools/lab/site-caller.js';
 import {DirectSite} from './direct-site.js';
 
@@ -35,6 +35,9 @@
 /** Time that an event takes where timers are late, in milliseconds. */
 const EVENT_MS = 6;
 
+/** Targets in each of the site's data centres. */
+export const TARGETS_A_DATA_CENTRE = 3;
+
 const ZONES = ['a', 'a', 'a', 'b', 'b', 'b', 'c', 'c', 'c'];
 
 /** How a caller goes on after each loss. */
@@ -96,6 +99,12 @@
   await sleep(REVIVAL_MS * 2);
 }
 
+/** The targets of one of the site's data centres, numbered from 0. */
+export function dataCentre(site: DirectSite, i: number): StandInTarget[] {
+  const first = i * TARGETS_A_DATA_CENTRE;
+  return site.targets.slice(first, first + TARGETS_A_DATA_CENTRE);
+}
+
 /** All losses under requests with a body, in order. */
 export function lossesOf(site: DirectSite, body = MARK): CrashRecord[] {
   return site.targets
