Tell the others at once that a request was served whole

What callers would see: an innocent request that one entry holds losses against stays held there, though another entry has served it whole, until that other entry has some loss of its own to write.

The ledger now says whether a served request is news, and that is written. Test: core/poison/ loss-ledger, 'has news for the others ...', failed before.

--- a/src/core/poison/loss-ledger.ts
+++ b/src/core/poison/loss-ledger.ts
@@ -96,12 +96,18 @@
     dropOldest({entries: this.falls, most: MAX_REQUESTS});
   }
 
-  /** One target has served the whole request: it ends none. */
-  noteServed(request: string): void {
+  /**
+   * One target has served the whole request: it ends none. Whether that is
+   * news to other entries, which hold losses against it.
+   */
+  noteServed(request: string): boolean {
     this.falls.delete(request);
     this.own.removeAll(request);
-    if (this.isKnownToOthers(request)) this.ownHarmless.add(request);
+    const isNews =
+      this.isKnownToOthers(request) && !this.ownHarmless.has(request);
+    if (isNews) this.ownHarmless.add(request);
     dropOldest({entries: this.ownHarmless, most: MAX_REQUESTS});
+    return isNews;
   }
 
   /** Takes over what another entry has to tell. */
--- a/src/direct/poison/poison-watch.ts
+++ b/src/direct/poison/poison-watch.ts
@@ -80,10 +80,10 @@
 
   /** One target has served the whole request, and lives on. */
   noteServed(): void {
-    const {ledger, diagnosis} = this.ctx.losses;
+    const {ledger, diagnosis, share} = this.ctx.losses;
     if (ledger.isEmpty && diagnosis.isIdle) return;
     const request = this.identify();
-    ledger.noteServed(request);
+    if (ledger.noteServed(request)) share.publish();
     diagnosis.release(request);
   }
 
--- a/test/core/poison/loss-ledger.test.ts
+++ b/test/core/poison/loss-ledger.test.ts
@@ -105,6 +105,13 @@
     expect(third.isPoison(REQUEST)).toBe(false);
   });
 
+  it('has news for the others only where they hold what was served', () => {
+    expect(ledger.noteServed(REQUEST)).toBe(false);
+    ledger.learn('entry-2', notesOf(LIVES));
+    expect(ledger.noteServed(REQUEST)).toBe(true);
+    expect(ledger.noteServed(REQUEST)).toBe(false);
+  });
+
   it('awaits one more loss where another request lost the same targets', () => {
     loseAll();
     loseAll('beside it');
