Forget the losses of entries whose notes are gone from the list

What callers would see: a request stays suspect by the notes of an entry that an operator took out of the store, if that change was missed (history dropped).

Cause: a list taken anew added what it held and dropped nothing, unlike its twin for the quarantine. Found by reading, seen in no run. Test: direct/loss-share, 'forgets what an entry told ...', failed before.

--- a/src/core/poison/loss-ledger.ts
+++ b/src/core/poison/loss-ledger.ts
@@ -110,6 +110,11 @@
     return isNews;
   }
 
+  /** Entries of whose notes something is known. */
+  get toldBy(): readonly string[] {
+    return [...this.othersHarmless.keys()];
+  }
+
   /** Takes over what another entry has to tell. */
   learn(entry: string, notes: LossNotes): void {
     const earlier = this.others.get(entry);
--- a/src/direct/poison/loss-share.ts
+++ b/src/direct/poison/loss-share.ts
@@ -156,6 +156,10 @@
       this.written = JSON.stringify(own);
     }
     this.hasAdopted = true;
+    const present = new Set(items.map(({name}) => name));
+    for (const name of ledger.toldBy) {
+      if (!present.has(name)) ledger.forget(name);
+    }
     for (const item of items) this.take(item);
   }
 
--- /dev/null
+++ b/test/direct/loss-share.test.ts
@@ -0,0 +1,107 @@
+/** What an entry tells the others of losses, and what it hears. */
+import {errAsync, okAsync, ResultAsync} from 'neverthrow';
+import {beforeEach, describe, expect, it} from 'vitest';
+
+import {ManualClock, SeededRandom} from '../../src/core/clock/index.js';
+import type {
+  Snapshot,
+  SourceItem,
+  StateSource,
+} from '../../src/core/edges/state-source.js';
+import {SourceErrorKind} from '../../src/core/edges/state-source.js';
+import {SILENT_LOGGER} from '../../src/core/logs/index.js';
+import type {LossNotes} from '../../src/core/poison/index.js';
+import {LossLedger} from '../../src/core/poison/index.js';
+import {LossShare} from '../../src/direct/poison/loss-share.js';
+
+const VM = 'entry-1';
+const OTHER = 'entry-2';
+const REQUEST = 'a request';
+const LIFE = 'i-1@1000';
+
+const notesOf = (...lives: string[]): LossNotes => ({
+  losses: lives.map((life) => ({request: REQUEST, life, isSettled: true})),
+  harmless: [],
+});
+
+/** Lists what it is given, when it is told to. */
+class Source implements StateSource<LossNotes> {
+  private waiting: Array<(items: Array<SourceItem<LossNotes>>) => void> = [];
+
+  list() {
+    const items = new Promise<Array<SourceItem<LossNotes>>>((resolve) => {
+      this.waiting.push(resolve);
+    });
+    return ResultAsync.fromSafePromise(
+      items.then((all): Snapshot<LossNotes> => ({items: all, revision: 1})),
+    );
+  }
+
+  waitForChanges() {
+    const kind = SourceErrorKind.HISTORY_LOST;
+    return errAsync({kind, detail: 'status 410'});
+  }
+
+  async answer(items: Record<string, LossNotes>): Promise<void> {
+    const all = Object.entries(items).map(([name, value]) => ({name, value}));
+    for (const resolve of this.waiting.splice(0)) resolve(all);
+    await turns();
+  }
+}
+
+async function turns(): Promise<void> {
+  for (let i = 0; i < 30; i++) await Promise.resolve();
+}
+
+describe('LossShare', () => {
+  let clock: ManualClock;
+  let ledger: LossLedger;
+  let source: Source;
+  let written: LossNotes[];
+  let share: LossShare;
+
+  beforeEach(async () => {
+    clock = new ManualClock();
+    ledger = new LossLedger({clock});
+    source = new Source();
+    written = [];
+    share = new LossShare({
+      vm: VM,
+      ledger,
+      source,
+      clock,
+      random: new SeededRandom(1),
+      logger: SILENT_LOGGER,
+      onLearned: () => undefined,
+      notes: {
+        put: () => okAsync(undefined),
+        remove: () => okAsync(undefined),
+        replace: (_name, value) => {
+          written.push(value);
+          return okAsync(undefined);
+        },
+      },
+    });
+    share.start();
+    await turns();
+  });
+
+  const pass = async () => {
+    clock.advance(1_000);
+    await turns();
+  };
+
+  it('forgets what an entry told whose notes are gone', async () => {
+    await source.answer({[OTHER]: notesOf(LIFE)});
+    expect(ledger.livesOf(REQUEST).size).toBe(1);
+    await source.answer({});
+    expect(ledger.livesOf(REQUEST).size).toBe(0);
+  });
+
+  it('writes nothing where nothing is lost', async () => {
+    await source.answer({});
+    share.publish();
+    await pass();
+    expect(written).toEqual([]);
+  });
+});
