A started entry reads its own losses before it writes them

What callers would see: after a loss of power, an entry that loses a target before it has read the store overwrites what it had left there, so a request may end that many targets more.

Cause: writing did not wait for the first list. Found by reading, seen in no run. Now nothing is written before it, and what is known is written right after. Test: direct/loss-share, 'keeps what an earlier life ...', failed before.

--- a/src/direct/poison/loss-share.ts
+++ b/src/direct/poison/loss-share.ts
@@ -83,7 +83,9 @@
 
   /** Writes what is known now, soon. */
   publish(): void {
-    if (this.isStopped || this.isWriting || this.timer !== undefined) return;
+    // What an earlier life of this entry had left must not be overwritten.
+    if (this.isStopped || !this.hasAdopted) return;
+    if (this.isWriting || this.timer !== undefined) return;
     const dueMs = this.lastMs + LOSS_WRITE_PACE_MS - this.options.clock.now();
     this.writeIn(Math.max(0, dueMs));
   }
@@ -150,17 +152,21 @@
 
   private takeAll(items: ReadonlyArray<SourceItem<LossNotes>>): void {
     const {vm, ledger} = this.options;
-    const own = items.find(({name}) => name === vm)?.value;
-    if (own !== undefined && !this.hasAdopted) {
-      ledger.adopt(own);
-      this.written = JSON.stringify(own);
-    }
-    this.hasAdopted = true;
     const present = new Set(items.map(({name}) => name));
     for (const name of ledger.toldBy) {
       if (!present.has(name)) ledger.forget(name);
     }
     for (const item of items) this.take(item);
+    if (this.hasAdopted) return;
+    this.hasAdopted = true;
+    const own = items.find(({name}) => name === vm)?.value;
+    if (own !== undefined) this.adopt(own);
+    this.publish();
+  }
+
+  private adopt(own: LossNotes): void {
+    this.options.ledger.adopt(own);
+    this.written = JSON.stringify(own);
   }
 
   private take({name, value}: SourceItem<LossNotes>): void {
--- a/test/direct/loss-share.test.ts
+++ b/test/direct/loss-share.test.ts
@@ -86,11 +86,28 @@
     await turns();
   });
 
+  const lose = (life: string) => {
+    ledger.note({request: REQUEST, life});
+    ledger.settle({request: REQUEST, life});
+    share.publish();
+  };
+
   const pass = async () => {
     clock.advance(1_000);
     await turns();
   };
 
+  it('keeps what an earlier life of the entry had left', async () => {
+    lose('i-2@1000');
+    await pass();
+    await source.answer({[VM]: notesOf(LIFE)});
+    await pass();
+    const lives = written.map(({losses}) =>
+      losses.map(({life}) => life).sort(),
+    );
+    expect(lives).toEqual([[LIFE, 'i-2@1000']]);
+  });
+
   it('forgets what an entry told whose notes are gone', async () => {
     await source.answer({[OTHER]: notesOf(LIFE)});
     expect(ledger.livesOf(REQUEST).size).toBe(1);
