Read target losses of other entries on demand

Cause: each entry watched the losses of all entries. Writing less: what is written are losses that must be told. Change: losses are written before those of the others are read, and read only by an entry that has lost a target itself. Of several entries, the last to write reads the losses of all. A request that may be poison raises an alert, one object for each request, which all entries watch; an entry that has served the request refutes it. One lost neighbour no longer shows an outage to a request that may have crashed two targets, as another entry may have lost that neighbour to it.

--- a/src/core/poison/data-centre-outage.ts
+++ b/src/core/poison/data-centre-outage.ts
@@ -1,6 +1,7 @@
 /** Detects targets that were lost in a data-centre outage. */
 import type {Target} from '../targets/index.js';
 import {incarnationOf} from '../targets/index.js';
+import {SUSPECT_LOSSES} from './consts.js';
 
 /** Targets lost in one outage are lost within this time, in milliseconds. */
 const OUTAGE_WINDOW_MS = 600;
@@ -8,6 +9,15 @@
 /** Minimum share of the other targets that are lost in an outage. */
 const MIN_LOST_SHARE = 0.75;
 
+/** Minimum number of other targets that are lost in an outage. */
+const MIN_LOST = 1;
+
+/**
+ * The same for a request that may have crashed several targets, as another
+ * entry may have lost the only other target to the same request.
+ */
+const MIN_LOST_FOR_SUSPECT = 2;
+
 /** A lost target, and what decides whether its data centre has failed. */
 export interface OutageQuery {
   readonly lost: Target;
@@ -48,8 +58,11 @@
   const alsoLost = considered.filter(
     (target) => target.unavailableSinceMs !== undefined,
   );
+  const isSuspect = crashedBefore.size >= SUSPECT_LOSSES;
+  const minLost = isSuspect ? MIN_LOST_FOR_SUSPECT : MIN_LOST;
   return (
-    alsoLost.length > 0 && alsoLost.length >= considered.length * MIN_LOST_SHARE
+    alsoLost.length >= minLost &&
+    alsoLost.length >= considered.length * MIN_LOST_SHARE
   );
 }
 
--- a/src/core/poison/index.ts
+++ b/src/core/poison/index.ts
@@ -1,8 +1,10 @@
 /** Detection and quarantine of requests that crash their targets. */
+export {POISON_LOSSES, SUSPECT_LOSSES} from './consts.js';
 export * from './crash-causes.js';
 export * from './quarantine.js';
 export {isDataCentreOutage} from './data-centre-outage.js';
 export {dropOldest} from './drop-oldest.js';
-export {LossLedger, POISON_LOSSES} from './loss-ledger.js';
+export {LossLedger} from './loss-ledger.js';
 export type {RecordedLoss, RecordedLosses} from './recorded-losses.js';
 export {RECORDED_LOSSES} from './recorded-losses.js';
+export {ServedRequests} from './served-requests.js';
--- a/src/core/poison/loss-ledger.ts
+++ b/src/core/poison/loss-ledger.ts
@@ -1,16 +1,11 @@
 /** Counts, over all entries, the targets lost while they ran a request. */
 import type {Clock} from '../clock/index.js';
+import {POISON_LOSSES, SUSPECT_LOSSES} from './consts.js';
 import {dropOldest} from './drop-oldest.js';
 import type {RecordedLoss, RecordedLosses} from './recorded-losses.js';
 import type {Loss} from './loss-table.js';
 import {LossTable} from './loss-table.js';
 
-/** Number of lost targets from which a request counts as their cause. */
-export const POISON_LOSSES = 3;
-
-/** Number of lost targets from which a request is a suspect. */
-export const SUSPECT_LOSSES = 2;
-
 /**
  * Number of data-centre outages from which a request that ran in all of them
  * counts as their cause, as chance no longer explains them.
@@ -20,6 +15,12 @@
 /** Time for which a loss counts against a request, in milliseconds. */
 const LOSS_RETENTION_MS = 600_000;
 
+/**
+ * Time after which a loss that another entry has not settled counts as settled,
+ * as that entry may be gone or cut off from the store, in milliseconds.
+ */
+const UNSETTLED_RETENTION_MS = 600;
+
 /** Maximum interval between two losses in the same outage, in milliseconds. */
 const SAME_OUTAGE_MS = 2_000;
 
@@ -62,6 +63,10 @@
   private readonly outages = new Map<string, Outages>();
   /** Requests that this entry served and that others recorded losses of. */
   private readonly ownServed = new Set<string>();
+  /** Losses of requests that any entry has raised alerts for, by request. */
+  private readonly alerts = new Map<string, LossTable>();
+  /** Requests whose alerts were refuted, as an entry has served them. */
+  private readonly refuted = new Set<string>();
   /** Requests that other entries published as served, by entry. */
   private readonly othersServed = new Map<string, ReadonlySet<string>>();
   /** Target incarnations that quarantined requests crashed, by request. */
@@ -71,9 +76,8 @@
 
   /** Whether no losses and no outages are recorded. */
   get isEmpty(): boolean {
-    return (
-      this.ownLosses.isEmpty && this.otherLosses.size + this.outages.size === 0
-    );
+    const others = this.otherLosses.size + this.alerts.size;
+    return this.ownLosses.isEmpty && others + this.outages.size === 0;
   }
 
   /** Records a lost target before the cause is diagnosed. */
@@ -147,6 +151,75 @@
     this.othersServed.delete(entry);
   }
 
+  /** The requests for which alerts were received. */
+  get alertedRequests(): readonly string[] {
+    return [...this.alerts.keys()];
+  }
+
+  /** The requests of which this entry holds losses. */
+  get ownRequests(): ReadonlySet<string> {
+    return new Set([...this.ownLosses.all()].map(({request}) => request));
+  }
+
+  /** Returns what an alert tells the other entries of a request. */
+  toAlert(request: string): RecordedLosses {
+    const settled = new Map<string, boolean>();
+    for (const table of this.tables()) {
+      for (const loss of table.lossesOf(request).values()) {
+        const {incarnation, isSettled} = loss;
+        if (this.isCounted(loss))
+          settled.set(incarnation, isSettled || !!settled.get(incarnation));
+      }
+    }
+    const losses = [...settled]
+      .sort(([a], [b]) => (a < b ? -1 : 1))
+      .map(([life, isSettled]) => ({request, life, isSettled}));
+    return {losses, harmless: []};
+  }
+
+  /** Returns whether this entry knows losses that no alert has told yet. */
+  hasUnalerted(request: string): boolean {
+    const alerted = this.alerts.get(request)?.lossesOf(request);
+    return this.toAlert(request).losses.some(({life, isSettled}) => {
+      const known = alerted?.get(life);
+      return known === undefined || (isSettled && !known.isSettled);
+    });
+  }
+
+  /** Adds what an alert tells; alerts of several entries add up. */
+  addAlert(request: string, recorded: RecordedLosses): void {
+    if (recorded.harmless.includes(request)) this.refuted.add(request);
+    dropOldest({entries: this.refuted, maxSize: MAX_REQUESTS});
+    const table = this.alerts.get(request) ?? new LossTable();
+    const atMs = this.options.clock.now();
+    for (const {life: incarnation, isSettled} of recorded.losses) {
+      const known = table.lossesOf(request).get(incarnation);
+      table.put({
+        request,
+        incarnation,
+        atMs: known?.atMs ?? atMs,
+        isSettled: isSettled || known?.isSettled === true,
+      });
+    }
+    this.alerts.set(request, table);
+    dropOldest({entries: this.alerts, maxSize: MAX_REQUESTS});
+  }
+
+  /** Removes an alert whose object in the store was deleted. */
+  removeAlert(request: string): void {
+    this.alerts.delete(request);
+    this.refuted.delete(request);
+  }
+
+  hasAlert(request: string): boolean {
+    return this.alerts.has(request);
+  }
+
+  /** Returns whether an entry has refuted the alert of a request. */
+  isRefuted(request: string): boolean {
+    return this.refuted.has(request);
+  }
+
   /** Restores the losses that an earlier incarnation of this entry stored. */
   restore(recorded: RecordedLosses): void {
     for (const {request, life: incarnation} of recorded.losses) {
@@ -220,9 +293,8 @@
    */
   isPoison(request: string): boolean {
     if ((this.outages.get(request)?.count ?? 0) >= POISON_OUTAGES) return true;
-    const incarnations = this.collectIncarnations(
-      request,
-      ({isSettled}) => isSettled,
+    const incarnations = this.collectIncarnations(request, (loss) =>
+      this.isSettled(loss),
     );
     if (incarnations.size < POISON_LOSSES) return false;
     return (
@@ -275,12 +347,20 @@
   private *tables(): Iterable<LossTable> {
     yield this.ownLosses;
     yield* this.otherLosses.values();
+    yield* this.alerts.values();
   }
 
   private isCounted(loss: Loss): boolean {
     return this.isFresh(loss) && !this.isAttributedToOther(loss);
   }
 
+  private isSettled(loss: Loss): boolean {
+    if (loss.isSettled) return true;
+    const own = this.ownLosses.lossesOf(loss.request).get(loss.incarnation);
+    const ageMs = this.options.clock.now() - loss.atMs;
+    return own === undefined && ageMs > UNSETTLED_RETENTION_MS;
+  }
+
   private isFresh({atMs}: Loss): boolean {
     return this.options.clock.now() - atMs <= LOSS_RETENTION_MS;
   }
@@ -293,7 +373,7 @@
   }
 
   private wasServed(request: string): boolean {
-    if (this.ownServed.has(request)) return true;
+    if (this.ownServed.has(request) || this.refuted.has(request)) return true;
     for (const requests of this.othersServed.values()) {
       if (requests.has(request)) return true;
     }
@@ -301,6 +381,7 @@
   }
 
   private isRecordedByOthers(request: string): boolean {
+    if (this.alerts.has(request)) return true;
     for (const table of this.otherLosses.values()) {
       if (table.lossesOf(request).size > 0) return true;
     }
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -98,17 +98,26 @@
 /** Time until the store shows that an incarnation ended, in milliseconds. */
 export const INCARNATION_CHECK_MS = 6_000;
 
-/** Least time between two writes of this entry's losses, in milliseconds. */
-export const LOSS_WRITE_INTERVAL_MS = 100;
+/** Least time between two synchronizations of losses, in milliseconds. */
+export const LOSS_SYNC_INTERVAL_MS = 100;
 
-/** Least time between two reads of other entries' losses, in milliseconds. */
-export const LOSS_READ_INTERVAL_MS = 40;
+/**
+ * Longest wait until this entry's losses are written and those of the others
+ * are read, in milliseconds.
+ */
+export const FLUSH_TIMEOUT_MS = 300;
+
+/** Time in which entries that served a request refute its alert, in ms. */
+export const REFUTE_WAIT_MS = 150;
 
-/** Longest wait for the write of this entry's losses, in milliseconds. */
-export const FLUSH_TIMEOUT_MS = 200;
+/**
+ * Longest random delay of a refutation, so that one of many entries sends it,
+ * in milliseconds.
+ */
+export const MAX_REFUTE_DELAY_MS = 60;
 
-/** Time to wait for losses recorded by other entries, in milliseconds. */
-export const REMOTE_LOSSES_WAIT_MS = 60;
+/** Time for which an alert is kept in the store, in milliseconds. */
+export const ALERT_RETENTION_MS = 600_000;
 
 /** Longest wait for recorded losses after the start, in milliseconds. */
 export const STARTUP_LOSSES_WAIT_MS = 1_500;
@@ -116,11 +125,11 @@
 /** Time for which a poison request is quarantined, in milliseconds. */
 export const QUARANTINE_MS = 600_000;
 
-/** Longest long poll for quarantined requests and losses, in milliseconds. */
+/** Longest long poll for quarantined requests and alerts, in milliseconds. */
 export const POISON_LONG_POLL_MS = 30_000;
 
-/** Time until a failed write to the store is retried, in milliseconds. */
-export const STORE_WRITE_RETRY_MS = 500;
+/** Time until a failed call to the store is retried, in milliseconds. */
+export const STORE_RETRY_MS = 500;
 
 /** Least time between two requests for a KV cache copy, in milliseconds. */
 export const COPY_RETRY_MS = 400;
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -56,6 +56,8 @@
   readonly quarantineWriter: StateWriter<QuarantineRecord>;
   readonly lossSource: StateSource<RecordedLosses>;
   readonly lossWriter: StateWriter<RecordedLosses>;
+  readonly alertSource: StateSource<RecordedLosses>;
+  readonly alertWriter: StateWriter<RecordedLosses>;
   readonly client: DirectTargets;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -132,6 +134,8 @@
         prober,
         writer: options.lossWriter,
         source: options.lossSource,
+        alertWriter: options.alertWriter,
+        alertSource: options.alertSource,
         clock,
         random,
         metrics,
--- /dev/null
+++ b/src/direct/poison/loss-alerts.ts
@@ -0,0 +1,177 @@
+/** Alerts all entries to requests that may crash their targets. */
+import type {Clock, RandomSource, TimerHandle} from '../../core/clock/index.js';
+import {sleep} from '../../core/clock/index.js';
+import type {StateWriter} from '../../core/edges/state-writer.js';
+import type {
+  SourceError,
+  SourceItem,
+  StateSource,
+} from '../../core/edges/state-source.js';
+import type {Logger} from '../../core/logs/index.js';
+import type {
+  LossLedger,
+  RecordedLosses,
+  ServedRequests,
+} from '../../core/poison/index.js';
+import {dropOldest} from '../../core/poison/index.js';
+import {Follower} from '../../core/sync/index.js';
+import {
+  ALERT_RETENTION_MS,
+  MAX_REFUTE_DELAY_MS,
+  POISON_LONG_POLL_MS,
+} from '../consts.js';
+import {StoreOutageLog} from '../store-outage-log.js';
+
+/**
+ * Factor by which an entry that only read an alert keeps it longer, so that the
+ * entry that raised the alert removes it first.
+ */
+const REMOTE_RETENTION_FACTOR = 2;
+
+/** Most alerts whose time is kept; the oldest are dropped. */
+const MAX_ALERTS = 1_024;
+
+/** Dependencies of the alerts. */
+export interface LossAlertsOptions {
+  readonly ledger: LossLedger;
+  readonly served: ServedRequests;
+  readonly writer: StateWriter<RecordedLosses>;
+  readonly source: StateSource<RecordedLosses>;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+}
+
+/**
+ * Watches one object for each request that may be poison, with its losses over
+ * all entries. Entries that hold no losses of the request thus hold it back too,
+ * and an entry that has served it refutes the alert.
+ *
+ * @example
+ * const alerts = new LossAlerts(options);
+ * alerts.start();
+ * await alerts.raise(request);
+ */
+export class LossAlerts {
+  private readonly follower: Follower<RecordedLosses>;
+  /** When each request's first alert was known, on the monotonic clock. */
+  private readonly firstKnownMs = new Map<string, number>();
+  /** Removals of expired alerts, by request. */
+  private readonly removals = new Map<string, TimerHandle>();
+  private isStopped = false;
+
+  constructor(private readonly options: LossAlertsOptions) {
+    const {source, clock, random, logger} = options;
+    const outageLog = new StoreOutageLog({what: 'loss alerts', clock, logger});
+    this.follower = new Follower({
+      source,
+      clock,
+      random,
+      waitMs: POISON_LONG_POLL_MS,
+      listener: {
+        onSnapshot: (items) => this.applySnapshot(items),
+        onChanges: (changes) =>
+          changes.forEach((change) => this.applyItem(change)),
+        onConfirmed: () => outageLog.recordSuccess(),
+        onError: (err) => outageLog.recordFailure(err),
+      },
+    });
+  }
+
+  start(): void {
+    this.follower.start();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    this.follower.stop();
+    for (const timer of this.removals.values()) timer.cancel();
+  }
+
+  /**
+   * Writes what is known of a request's losses, unless an alert tells it
+   * already. Returns when the first alert of the request was known, on the
+   * monotonic clock; undefined if there is none.
+   */
+  async raise(request: string): Promise<number | undefined> {
+    const {ledger, writer, logger} = this.options;
+    if (ledger.hasUnalerted(request)) {
+      const value = ledger.toAlert(request);
+      const written = await writer.upsert(request, value);
+      if (written.isErr()) {
+        this.logFailure(request, written.error);
+      } else {
+        const losses = value.losses.length;
+        logger.info('loss alert raised', {fingerprint: request, losses});
+        ledger.addAlert(request, value);
+        this.recordKnown(request);
+        this.removeAfter(request, ALERT_RETENTION_MS);
+      }
+    }
+    return this.firstKnownMs.get(request);
+  }
+
+  /** Tells the other entries that a request was served, unless one has. */
+  async refute(request: string): Promise<void> {
+    const {ledger, writer, clock, random, logger} = this.options;
+    await sleep(clock, random.float() * MAX_REFUTE_DELAY_MS);
+    if (this.isStopped || ledger.isRefuted(request)) return;
+    logger.info('loss alert refuted', {fingerprint: request});
+    const written = await writer.upsert(request, {
+      losses: [],
+      harmless: [request],
+    });
+    if (written.isErr()) this.logFailure(request, written.error);
+  }
+
+  private applySnapshot(
+    items: ReadonlyArray<SourceItem<RecordedLosses>>,
+  ): void {
+    const {ledger} = this.options;
+    const present = new Set(items.map(({name}) => name));
+    for (const request of ledger.alertedRequests) {
+      if (!present.has(request)) ledger.removeAlert(request);
+    }
+    for (const item of items) this.applyItem(item);
+  }
+
+  private applyItem({name: request, value}: SourceItem<RecordedLosses>): void {
+    const {ledger, served} = this.options;
+    if (value === undefined) {
+      ledger.removeAlert(request);
+      return;
+    }
+    ledger.addAlert(request, value);
+    this.recordKnown(request);
+    if (!this.removals.has(request))
+      this.removeAfter(request, ALERT_RETENTION_MS * REMOTE_RETENTION_FACTOR);
+    if (served.has(request)) void this.refute(request);
+  }
+
+  private recordKnown(request: string): void {
+    if (this.firstKnownMs.has(request)) return;
+    this.firstKnownMs.set(request, this.options.clock.now());
+    dropOldest({entries: this.firstKnownMs, maxSize: MAX_ALERTS});
+  }
+
+  private logFailure(fingerprint: string, {kind, detail}: SourceError): void {
+    this.options.logger.warn('loss alert not written to store', {
+      fingerprint,
+      kind,
+      detail,
+    });
+  }
+
+  private removeAfter(request: string, delayMs: number): void {
+    const {clock, writer} = this.options;
+    this.removals.get(request)?.cancel();
+    const timer = clock.schedule({
+      delayMs,
+      run: () => {
+        this.removals.delete(request);
+        void writer.remove(request);
+      },
+    });
+    this.removals.set(request, timer);
+  }
+}
--- a/src/direct/poison/loss-diagnosis.ts
+++ b/src/direct/poison/loss-diagnosis.ts
@@ -56,8 +56,15 @@
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly logger: Logger;
+  /** Called when a target is lost, before the diagnosis. */
+  readonly onLost: () => void;
   /** Called when the losses to share with other entries have changed. */
   readonly onChanged: () => void;
+  /**
+   * Alerts the other entries to a request that may be poison, and waits for
+   * those that have served it to refute that.
+   */
+  readonly raiseAlert: (request: string) => Promise<void>;
 }
 
 /**
@@ -97,6 +104,7 @@
     this.log('target lost during request, diagnosis started', loss, {
       held: ledger.incarnationsOf(request).size,
     });
+    this.options.onLost();
     const diagnosis = this.findCause(loss).finally(() =>
       this.diagnoses.delete(key),
     );
@@ -129,6 +137,7 @@
     if (quarantine.has(request)) return true;
     if (!ledger.mayBePoison(request)) return false;
     await this.probeAttributed(request);
+    await this.options.raiseAlert(request);
     if (ledger.mayBePoison(request) && !ledger.isPoison(request)) {
       // Another entry may still be diagnosing one of its losses.
       await sleep(this.options.clock, REMOTE_DIAGNOSIS_MS);
--- a/src/direct/poison/loss-sync.ts
+++ b/src/direct/poison/loss-sync.ts
@@ -1,16 +1,15 @@
 /** Shares target losses with the other entries through the store. */
 import type {Clock, RandomSource, TimerHandle} from '../../core/clock/index.js';
+import {sleep} from '../../core/clock/index.js';
 import type {StateWriter} from '../../core/edges/state-writer.js';
-import type {SourceItem, StateSource} from '../../core/edges/state-source.js';
+import type {
+  SourceError,
+  SourceItem,
+  StateSource,
+} from '../../core/edges/state-source.js';
 import type {Logger} from '../../core/logs/index.js';
 import type {LossLedger, RecordedLosses} from '../../core/poison/index.js';
-import {Follower} from '../../core/sync/index.js';
-import {
-  LOSS_READ_INTERVAL_MS,
-  LOSS_WRITE_INTERVAL_MS,
-  POISON_LONG_POLL_MS,
-  STORE_WRITE_RETRY_MS,
-} from '../consts.js';
+import {LOSS_SYNC_INTERVAL_MS, STORE_RETRY_MS} from '../consts.js';
 import {StoreOutageLog} from '../store-outage-log.js';
 
 /** Dependencies of the synchronization. */
@@ -23,14 +22,17 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
-  /** Called with the requests for which another entry recorded losses. */
-  readonly onReceived: (requests: readonly string[]) => void;
+  /** Called after the losses of all entries were read. */
+  readonly onRead: () => void;
 }
 
 /**
  * Writes the losses recorded by this entry to one object in the store, and
- * reads the objects of other entries. An entry that restarts first restores
- * its own object.
+ * reads the objects of all entries when this entry has lost a target. An entry
+ * without losses makes no calls, however many the others have.
+ *
+ * The losses are written before the others are read. Of several entries that
+ * lose targets to one request, the last to write thus reads the losses of all.
  *
  * @example
  * const sync = new LossSync(options);
@@ -38,32 +40,21 @@
  * sync.publish();
  */
 export class LossSync {
-  private readonly follower: Follower<RecordedLosses>;
+  private readonly outageLog: StoreOutageLog;
   private timer?: TimerHandle;
-  private flushWaiters: Array<() => void> = [];
+  private waiters: Array<() => void> = [];
   private lastWritten = '';
   private lastWriteMs = Number.NEGATIVE_INFINITY;
+  private lastReadMs = Number.NEGATIVE_INFINITY;
   private hasLoadedAll = false;
-  private isWriting = false;
+  private isSyncing = false;
   private isStopped = false;
+  private mustWrite = false;
+  private mustRead = false;
 
   constructor(private readonly options: LossSyncOptions) {
-    const {source, clock, random, logger} = options;
-    const outageLog = new StoreOutageLog({what: 'losses', clock, logger});
-    this.follower = new Follower({
-      source,
-      clock,
-      random,
-      waitMs: POISON_LONG_POLL_MS,
-      minIntervalMs: LOSS_READ_INTERVAL_MS,
-      listener: {
-        onSnapshot: (items) => this.applySnapshot(items),
-        onChanges: (changes) =>
-          changes.forEach((change) => this.applyItem(change)),
-        onConfirmed: () => outageLog.recordSuccess(),
-        onError: (err) => outageLog.recordFailure(err),
-      },
-    });
+    const {clock, logger} = options;
+    this.outageLog = new StoreOutageLog({what: 'losses', clock, logger});
   }
 
   /** Whether the recorded losses of all entries have been read once. */
@@ -72,79 +63,131 @@
   }
 
   start(): void {
-    this.follower.start();
+    void this.load();
   }
 
   stop(): void {
     this.isStopped = true;
-    this.follower.stop();
     this.timer?.cancel();
-    this.resolveFlushes();
+    this.resolve(this.waiters.splice(0));
   }
 
-  /** Schedules a write of the current losses. */
+  /** Schedules a write of the current losses, then a read if they are new. */
   publish(): void {
-    // A write before the first read would overwrite the losses that an earlier
-    // incarnation of this entry stored.
-    if (this.isStopped || !this.hasLoadedAll) return;
-    if (this.isWriting || this.timer !== undefined) return;
-    const dueMs =
-      this.lastWriteMs + LOSS_WRITE_INTERVAL_MS - this.options.clock.now();
-    this.scheduleWrite(Math.max(0, dueMs));
+    this.mustWrite = true;
+    this.schedule();
+  }
+
+  /** Schedules a read of the losses of all entries. */
+  refresh(): void {
+    this.mustRead = true;
+    this.schedule();
   }
 
-  /** Waits until the current losses are stored, for at most `limitMs`. */
+  /**
+   * Waits until the current losses are stored and the losses of all entries
+   * are read, for at most `limitMs`.
+   */
   flush(limitMs: number): Promise<void> {
-    this.publish();
-    if (this.timer === undefined && !this.isWriting) return Promise.resolve();
+    if (this.isStopped || !this.hasLoadedAll) return Promise.resolve();
     return new Promise((resolve) => {
       const limit = this.options.clock.schedule({
         delayMs: limitMs,
         run: resolve,
       });
-      this.flushWaiters.push(() => {
+      this.waiters.push(() => {
         limit.cancel();
         resolve();
       });
+      this.mustRead = true;
+      this.publish();
     });
   }
 
-  private scheduleWrite(delayMs: number): void {
+  private async load(): Promise<void> {
+    while (!this.isStopped && !(await this.read()))
+      await sleep(this.options.clock, this.retryDelayMs());
+    if (this.mustWrite || this.mustRead) this.schedule();
+  }
+
+  private schedule(): void {
+    // A write before the first read would overwrite the losses that an earlier
+    // incarnation of this entry stored.
+    if (this.isStopped || !this.hasLoadedAll) return;
+    if (this.isSyncing) return;
+    // A write is not delayed by an earlier read, as other entries need it.
+    const lastMs = this.mustWrite ? this.lastWriteMs : this.lastReadMs;
+    const dueMs = lastMs + LOSS_SYNC_INTERVAL_MS - this.options.clock.now();
+    this.scheduleIn(Math.max(0, dueMs));
+  }
+
+  private scheduleIn(delayMs: number): void {
+    this.timer?.cancel();
     this.timer = this.options.clock.schedule({
       delayMs,
       run: () => {
         this.timer = undefined;
-        void this.write();
+        void this.sync();
       },
     });
   }
 
-  private async write(): Promise<void> {
+  private async sync(): Promise<void> {
+    const waiters = this.waiters.splice(0);
+    this.isSyncing = true;
+    const isSynced = await this.writeThenRead();
+    this.isSyncing = false;
+    if (isSynced || this.isStopped) this.resolve(waiters);
+    else this.waiters.unshift(...waiters);
+    if (this.isStopped) return;
+    if (!isSynced) this.scheduleIn(this.retryDelayMs());
+    else if (this.mustWrite || this.mustRead) this.schedule();
+  }
+
+  /** Returns whether all calls that were due have succeeded. */
+  private async writeThenRead(): Promise<boolean> {
+    if (this.mustWrite && !(await this.write())) return false;
+    return !this.mustRead || (await this.read());
+  }
+
+  private async write(): Promise<boolean> {
     const {vm, ledger, writer, clock, logger} = this.options;
+    this.mustWrite = false;
     const value = ledger.toRecordedLosses();
     const text = JSON.stringify(value);
-    if (text === this.lastWritten || this.hasNothingToWrite(value)) {
-      this.resolveFlushes();
-      return;
-    }
-    this.isWriting = true;
+    if (text === this.lastWritten || this.hasNothingToWrite(value)) return true;
     this.lastWriteMs = clock.now();
     const written = await writer.upsert(vm, value);
-    this.isWriting = false;
-    if (this.isStopped) return;
     if (written.isErr()) {
+      this.mustWrite = true;
       const {kind, detail} = written.error;
       logger.warn('target losses not written to store, will retry', {
         kind,
         detail,
       });
-      this.scheduleWrite(STORE_WRITE_RETRY_MS);
-      return;
+      return false;
     }
     this.lastWritten = text;
-    const hasChanged = JSON.stringify(ledger.toRecordedLosses()) !== text;
-    if (hasChanged) this.publish();
-    else this.resolveFlushes();
+    if (value.losses.length > 0) this.mustRead = true;
+    return true;
+  }
+
+  private async read(): Promise<boolean> {
+    this.mustRead = false;
+    this.lastReadMs = this.options.clock.now();
+    const snapshot = await this.options.source.list();
+    return snapshot.match(
+      ({items}) => {
+        this.outageLog.recordSuccess();
+        this.applyItems(items);
+        return true;
+      },
+      (err: SourceError) => {
+        this.mustRead = true;
+        this.outageLog.recordFailure(err);
+        return false;
+      },
+    );
   }
 
   /** Whether nothing was ever written and there is nothing to write. */
@@ -152,39 +195,37 @@
     return this.lastWritten === '' && losses.length + harmless.length === 0;
   }
 
-  private resolveFlushes(): void {
-    for (const resolve of this.flushWaiters.splice(0)) resolve();
+  /** A random delay, as a returning store would else draw all entries at once. */
+  private retryDelayMs(): number {
+    return STORE_RETRY_MS * (0.5 + this.options.random.float());
   }
 
-  private applySnapshot(
-    items: ReadonlyArray<SourceItem<RecordedLosses>>,
-  ): void {
-    const {vm, ledger} = this.options;
+  private resolve(waiters: ReadonlyArray<() => void>): void {
+    for (const resolve of waiters) resolve();
+  }
+
+  private applyItems(items: ReadonlyArray<SourceItem<RecordedLosses>>): void {
+    const {vm, ledger, onRead} = this.options;
+    if (this.isStopped) return;
     const present = new Set(items.map(({name}) => name));
     for (const name of ledger.knownEntries) {
       if (!present.has(name)) ledger.removeEntry(name);
     }
-    for (const item of items) this.applyItem(item);
-    if (this.hasLoadedAll) return;
-    this.hasLoadedAll = true;
-    const own = items.find(({name}) => name === vm)?.value;
-    if (own !== undefined) this.restoreOwn(own);
-    this.publish();
+    for (const {name, value} of items) {
+      if (name === vm) continue;
+      if (value === undefined) ledger.removeEntry(name);
+      else ledger.updateEntry(name, value);
+    }
+    if (!this.hasLoadedAll) {
+      const own = items.find(({name}) => name === vm)?.value;
+      if (own !== undefined) this.restoreOwn(own);
+      this.hasLoadedAll = true;
+    }
+    onRead();
   }
 
   private restoreOwn(own: RecordedLosses): void {
     this.options.ledger.restore(own);
     this.lastWritten = JSON.stringify(own);
   }
-
-  private applyItem({name, value}: SourceItem<RecordedLosses>): void {
-    const {vm, ledger, onReceived} = this.options;
-    if (name === vm) return;
-    if (value === undefined) {
-      ledger.removeEntry(name);
-      return;
-    }
-    ledger.updateEntry(name, value);
-    onReceived(value.losses.map(({request}) => request));
-  }
 }
--- a/src/direct/poison/loss-tracker.ts
+++ b/src/direct/poison/loss-tracker.ts
@@ -1,5 +1,11 @@
 /** Tracks the targets lost while they ran requests. */
-import {LossLedger} from '../../core/poison/index.js';
+import {sleep} from '../../core/clock/index.js';
+import type {StateWriter} from '../../core/edges/state-writer.js';
+import type {StateSource} from '../../core/edges/state-source.js';
+import type {RecordedLosses} from '../../core/poison/index.js';
+import {LossLedger, ServedRequests} from '../../core/poison/index.js';
+import {REFUTE_WAIT_MS} from '../consts.js';
+import {LossAlerts} from './loss-alerts.js';
 import type {LossDiagnosisOptions} from './loss-diagnosis.js';
 import {LossDiagnosis} from './loss-diagnosis.js';
 import type {LossSyncOptions} from './loss-sync.js';
@@ -8,9 +14,12 @@
 /** Dependencies of the parts, except those that `LossTracker` creates. */
 export type LossTrackerOptions = Omit<
   LossDiagnosisOptions,
-  'ledger' | 'onChanged'
+  'ledger' | 'onLost' | 'onChanged' | 'raiseAlert'
 > &
-  Omit<LossSyncOptions, 'ledger' | 'onReceived'>;
+  Omit<LossSyncOptions, 'ledger' | 'onRead'> & {
+    readonly alertWriter: StateWriter<RecordedLosses>;
+    readonly alertSource: StateSource<RecordedLosses>;
+  };
 
 /**
  * Connects the ledger of losses, their diagnosis and their synchronization.
@@ -23,19 +32,31 @@
   readonly ledger: LossLedger;
   readonly diagnosis: LossDiagnosis;
   readonly sync: LossSync;
+  private readonly alerts: LossAlerts;
+  private readonly served: ServedRequests;
 
   constructor(private readonly options: LossTrackerOptions) {
-    const {clock, quarantine} = options;
+    const {clock, quarantine, alertWriter, alertSource} = options;
     this.ledger = new LossLedger({clock});
+    this.served = new ServedRequests({clock});
+    this.alerts = new LossAlerts({
+      ...options,
+      ledger: this.ledger,
+      served: this.served,
+      writer: alertWriter,
+      source: alertSource,
+    });
     this.diagnosis = new LossDiagnosis({
       ...options,
       ledger: this.ledger,
+      onLost: () => this.sync.refresh(),
       onChanged: () => this.sync.publish(),
+      raiseAlert: (request) => this.raiseAlert(request),
     });
     this.sync = new LossSync({
       ...options,
       ledger: this.ledger,
-      onReceived: (requests) => this.diagnoseOwn(requests),
+      onRead: () => this.checkOwnRequests(),
     });
     quarantine.subscribe((fingerprint, {crashes}) => {
       this.ledger.attribute(fingerprint, crashes);
@@ -49,24 +70,44 @@
 
   start(): void {
     this.sync.start();
+    this.alerts.start();
   }
 
   stop(): void {
     this.sync.stop();
+    this.alerts.stop();
+  }
+
+  /** Records that one target served a whole request and still runs. */
+  recordServed(request: string): void {
+    this.served.add(request);
+    if (this.ledger.isEmpty && this.diagnosis.isIdle) return;
+    this.diagnosis.clear(request);
+    if (!this.ledger.recordServed(request)) return;
+    this.sync.publish();
+    if (this.ledger.hasAlert(request)) void this.alerts.refute(request);
+  }
+
+  private async raiseAlert(request: string): Promise<void> {
+    const {clock} = this.options;
+    const firstAtMs = await this.alerts.raise(request);
+    if (firstAtMs === undefined) return;
+    const leftMs = firstAtMs + REFUTE_WAIT_MS - clock.now();
+    if (leftMs > 0) await sleep(clock, leftMs);
   }
 
   /**
-   * Checks the requests to which this entry has attributed losses again, as the
-   * losses received from another entry may show that one of them is poison.
+   * Checks the requests of which this entry holds losses again, as the losses
+   * read from other entries may show that one of them is poison.
    */
-  private diagnoseOwn(requests: readonly string[]): void {
-    const {quarantine} = this.options;
-    for (const request of new Set(requests)) {
-      const isOwn = this.diagnosis.hasAttributed(request);
-      if (!isOwn || quarantine.has(request)) continue;
-      if (!this.ledger.mayBePoison(request)) continue;
+  private checkOwnRequests(): void {
+    for (const request of this.ledger.ownRequests) {
+      const isQuarantined = this.options.quarantine.has(request);
+      if (isQuarantined || !this.ledger.mayBePoison(request)) continue;
       const clientAccount = this.diagnosis.clientAccountOf(request);
-      void this.diagnosis.isPoison({request, clientAccount});
+      if (this.diagnosis.hasAttributed(request))
+        void this.diagnosis.isPoison({request, clientAccount});
+      else void this.alerts.raise(request);
     }
   }
 }
--- a/src/direct/poison/poison-detector.ts
+++ b/src/direct/poison/poison-detector.ts
@@ -1,8 +1,7 @@
 /** Detects whether a request crashes its targets. */
-import {sleep} from '../../core/clock/index.js';
 import {fingerprintOf} from '../../core/generation/fingerprint.js';
 import type {Target} from '../../core/targets/index.js';
-import {FLUSH_TIMEOUT_MS, REMOTE_LOSSES_WAIT_MS} from '../consts.js';
+import {FLUSH_TIMEOUT_MS} from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
 import type {RequestLoss} from './loss-diagnosis.js';
 
@@ -81,11 +80,7 @@
 
   /** Records that one target served the whole request and still runs. */
   recordServed(): void {
-    const {ledger, diagnosis, sync} = this.ctx.lossTracker;
-    if (ledger.isEmpty && diagnosis.isIdle) return;
-    const request = this.computeFingerprint();
-    if (ledger.recordServed(request)) sync.publish();
-    diagnosis.clear(request);
+    this.ctx.lossTracker.recordServed(this.computeFingerprint());
   }
 
   /**
@@ -105,14 +100,13 @@
 
   /**
    * Whether a suspect may be sent again. Its losses are first written to the
-   * store, and losses recorded by other entries are awaited.
+   * store, and the losses recorded by other entries are read.
    */
   async mayRetry(): Promise<boolean> {
     const {sync} = this.ctx.lossTracker;
     if (!(await this.maySend())) return false;
     if (!this.isSuspect()) return true;
     await sync.flush(FLUSH_TIMEOUT_MS);
-    await sleep(this.ctx.clock, REMOTE_LOSSES_WAIT_MS);
     return !this.mayBePoison() || this.maySend();
   }
 
--- a/src/direct/poison/quarantine-sync.ts
+++ b/src/direct/poison/quarantine-sync.ts
@@ -9,11 +9,7 @@
 import type {Logger} from '../../core/logs/index.js';
 import type {QuarantineRecord, Quarantine} from '../../core/poison/index.js';
 import {Follower} from '../../core/sync/index.js';
-import {
-  QUARANTINE_MS,
-  POISON_LONG_POLL_MS,
-  STORE_WRITE_RETRY_MS,
-} from '../consts.js';
+import {QUARANTINE_MS, POISON_LONG_POLL_MS, STORE_RETRY_MS} from '../consts.js';
 import {StoreOutageLog} from '../store-outage-log.js';
 
 /**
@@ -154,7 +150,7 @@
         kind,
         detail,
       });
-      await this.sleep(STORE_WRITE_RETRY_MS);
+      await this.sleep(STORE_RETRY_MS);
     }
   }
 
--- a/stand-ins/site/store.ts
+++ b/stand-ins/site/store.ts
@@ -67,8 +67,8 @@
   mode = StoreMode.UP;
   /** Delay of each response at all endpoints, in milliseconds. */
   delayMs = 0;
-  /** Number of calls received, whatever their outcome. */
-  calls = 0;
+  /** Number of calls received for each kind, whatever their outcome. */
+  private readonly callsByKind = new Map<string, number>();
   private revision = FIRST_REVISION;
   private oldestRevision = FIRST_REVISION;
   private readonly objects = new Map<string, StoredChange>();
@@ -142,9 +142,15 @@
       .map(({name}) => name);
   }
 
+  /** Number of calls received, of one kind or of all. */
+  callCount(kind?: string): number {
+    if (kind !== undefined) return this.callsByKind.get(kind) ?? 0;
+    return [...this.callsByKind.values()].reduce((sum, n) => sum + n, 0);
+  }
+
   private async handle(call: StoreCall): Promise<void> {
     const {req, res, kind, query} = call;
-    this.calls++;
+    this.callsByKind.set(kind, this.callCount(kind) + 1);
     const mode = this.modeAt(call.endpoint);
     if (mode === StoreMode.SILENT) return;
     if (mode === StoreMode.RESET) {
--- a/test/core/poison/data-centre-outage.test.ts
+++ b/test/core/poison/data-centre-outage.test.ts
@@ -62,6 +62,25 @@
     neighbours: [{...LOST, wasCrashed: true}, {}],
     isOutage: false,
   },
+  {
+    name: 'the request may have crashed two, and the last other one was lost too',
+    neighbours: [
+      {...LOST, wasCrashed: true},
+      {...LOST, wasCrashed: true},
+      LOST,
+    ],
+    isOutage: false,
+  },
+  {
+    name: 'the request may have crashed two, and two others were lost too',
+    neighbours: [
+      {...LOST, wasCrashed: true},
+      {...LOST, wasCrashed: true},
+      LOST,
+      LOST,
+    ],
+    isOutage: true,
+  },
   {
     name: 'a target of another data centre was lost',
     neighbours: [{...LOST, dataCentre: 'b'}],
--- a/test/core/poison/loss-ledger.test.ts
+++ b/test/core/poison/loss-ledger.test.ts
@@ -13,6 +13,9 @@
 );
 const SEED = 20261204;
 
+/** Longer than a loss may stay unsettled, in milliseconds. */
+const AFTER_DIAGNOSIS_MS = 10_000;
+
 /** Longer than losses are kept, in milliseconds. */
 const AFTER_RETENTION_MS = 601_000;
 
@@ -83,6 +86,44 @@
     expect(ledger.isPoison(REQUEST)).toBe(true);
   });
 
+  it.each([
+    {ageMs: 600, isPoison: false},
+    {ageMs: 601, isPoison: true},
+  ])(
+    'counts losses that another entry left unsettled for $ageMs ms: $isPoison',
+    ({ageMs, isPoison}) => {
+      ledger.updateEntry('entry-2', recordedOf(INCARNATIONS, false));
+      clock.advance(ageMs);
+      expect(ledger.isPoison(REQUEST)).toBe(isPoison);
+    },
+  );
+
+  it('never counts losses that this entry has not settled', () => {
+    for (const incarnation of INCARNATIONS)
+      ledger.recordLoss({request: REQUEST, incarnation});
+    clock.advance(AFTER_DIAGNOSIS_MS);
+    expect(ledger.isPoison(REQUEST)).toBe(false);
+  });
+
+  it('adds up the alerts of several entries', () => {
+    const [first, ...others] = INCARNATIONS;
+    ledger.addAlert(REQUEST, recordedOf([first!]));
+    ledger.addAlert(REQUEST, recordedOf(others));
+    // An older alert may arrive later.
+    ledger.addAlert(REQUEST, recordedOf(others, false));
+    expect(ledger.isPoison(REQUEST)).toBe(true);
+    expect(ledger.hasUnalerted(REQUEST)).toBe(false);
+    lose('i-9@1000');
+    expect(ledger.hasUnalerted(REQUEST)).toBe(true);
+  });
+
+  it('counts a request as harmless once its alert was refuted', () => {
+    loseAll();
+    ledger.addAlert(REQUEST, {losses: [], harmless: [REQUEST]});
+    expect(ledger.mayBePoison(REQUEST)).toBe(false);
+    expect(ledger.isRefuted(REQUEST)).toBe(true);
+  });
+
   it.each([
     {
       name: 'it was served',
--- a/test/direct/loss-sync.test.ts
+++ b/test/direct/loss-sync.test.ts
@@ -19,6 +19,9 @@
 const REQUEST = 'a request';
 const INCARNATION = 'i-1@1000';
 
+/** Limit of a flush, in milliseconds. */
+const FLUSH_LIMIT_MS = 300;
+
 const recordedLossesOf = (...incarnations: string[]): RecordedLosses => ({
   losses: incarnations.map((incarnation) => ({
     request: REQUEST,
@@ -51,6 +54,10 @@
     return errAsync({kind, detail: 'status 410'});
   }
 
+  get pendingCount(): number {
+    return this.pendingLists.length;
+  }
+
   async respond(items: Record<string, RecordedLosses>): Promise<void> {
     const all = Object.entries(items).map(([name, value]) => ({name, value}));
     for (const resolve of this.pendingLists.splice(0)) resolve(all);
@@ -81,7 +88,7 @@
       clock,
       random: new SeededRandom(1),
       logger: SILENT_LOGGER,
-      onReceived: () => undefined,
+      onRead: () => undefined,
       writer: {
         createIfAbsent: () => okAsync(undefined),
         remove: () => okAsync(undefined),
@@ -120,10 +127,42 @@
   it('forgets the losses of entries whose objects were removed', async () => {
     await source.respond({[OTHER_VM]: recordedLossesOf(INCARNATION)});
     expect(ledger.incarnationsOf(REQUEST).size).toBe(1);
+    sync.refresh();
+    await advance();
     await source.respond({});
     expect(ledger.incarnationsOf(REQUEST).size).toBe(0);
   });
 
+  it('reads the others only after its own losses are written', async () => {
+    await source.respond({});
+    recordLoss(INCARNATION);
+    await advance();
+    expect(written).toHaveLength(1);
+    expect(source.pendingCount).toBe(1);
+  });
+
+  it('reads nothing while this entry has lost no target', async () => {
+    await source.respond({[OTHER_VM]: recordedLossesOf(INCARNATION)});
+    for (let i = 0; i < 10; i++) await advance();
+    expect(source.pendingCount).toBe(0);
+  });
+
+  it('flushes once the losses are written and the others are read', async () => {
+    await source.respond({});
+    ledger.recordLoss({request: REQUEST, incarnation: INCARNATION});
+    let isFlushed = false;
+    void sync.flush(FLUSH_LIMIT_MS).then(() => (isFlushed = true));
+    clock.advance(0);
+    await flushMicrotasks();
+    expect({isFlushed, writes: written.length}).toEqual({
+      isFlushed: false,
+      writes: 1,
+    });
+    await source.respond({[OTHER_VM]: recordedLossesOf('i-2@1000')});
+    expect(isFlushed).toBe(true);
+    expect(ledger.incarnationsOf(REQUEST).size).toBe(2);
+  });
+
   it('writes nothing without losses', async () => {
     await source.respond({});
     sync.publish();
