Pause after changes of the configuration, and count calls by kind

Cause: each change of the configuration woke every entry at once, also 25 changes in 1.5 s; and the interval between reads of registrations counted from the start of a call, so that a late change was followed by a call at once. Ruled out: a longer wait for the configuration. Keys are trusted from the confirmation on, so it would refuse keyed requests sooner in an outage. Change: a follower pauses after a change (a quarter of the time within which a configuration must be applied, 0.4 of a draining target's time) and shortens the wait that follows, so that an outage is noticed as early as before. `store_calls_total` of a direct entry has labels such as `losses list`.

--- a/src/core/settings/direct-settings.ts
+++ b/src/core/settings/direct-settings.ts
@@ -32,6 +32,8 @@
   readonly storeUrl: string;
   /** Grace period between the signal to stop and the forced exit. */
   readonly shutdownGraceMs: number;
+  /** Time within which a changed configuration must be applied. */
+  readonly configApplyMs: number;
   /** Time within which a draining target must stop receiving new work. */
   readonly targetDrainMs: number;
   /**
--- a/src/core/sync/consts.ts
+++ b/src/core/sync/consts.ts
@@ -12,3 +12,6 @@
 
 /** Delay before a requested refresh lists again, in milliseconds. */
 export const REFRESH_DELAY_MS = 5;
+
+/** Shortest wait for changes, in milliseconds. */
+export const MIN_WAIT_MS = 200;
--- a/src/core/sync/follower.ts
+++ b/src/core/sync/follower.ts
@@ -13,6 +13,7 @@
   MAX_CHANGE_DELAY_MS,
   MIN_BACKOFF_MS,
   MAX_BACKOFF_MS,
+  MIN_WAIT_MS,
   REFRESH_DELAY_MS,
 } from './consts.js';
 
@@ -52,9 +53,10 @@
       /** Maximum wait for a change, in milliseconds. */
       waitMs: number;
       /**
-       * Minimum time between two calls that return changes, in milliseconds.
+       * Pause after each change, in which further ones gather for one call, in
+       * milliseconds. It shortens the wait that follows.
        */
-      minIntervalMs?: number;
+      pauseMs?: number;
     },
   ) {}
 
@@ -96,8 +98,9 @@
   }
 
   private async follow(from: number): Promise<void> {
-    const {source, listener, clock, waitMs} = this.options;
+    const {source, listener, clock} = this.options;
     let since = from;
+    let {waitMs} = this.options;
     while (!this.stopped) {
       const startedMs = clock.now();
       const response = await source.waitForChanges({since, waitMs});
@@ -115,10 +118,18 @@
       const coveredMs = Math.max(0, waitMs - MAX_CHANGE_DELAY_MS);
       const atMs = isQuiet ? startedMs + coveredMs : startedMs;
       listener.onConfirmed({atMs, startedMs});
-      if (changes.length > 0) await this.throttle(startedMs);
+      waitMs = await this.pauseAfter(changes);
     }
   }
 
+  /** Pauses if there were changes; returns how long the next call waits. */
+  private async pauseAfter(changes: readonly unknown[]): Promise<number> {
+    const {clock, waitMs, pauseMs = 0} = this.options;
+    if (changes.length === 0 || pauseMs === 0) return waitMs;
+    await sleep(clock, pauseMs);
+    return Math.max(waitMs - pauseMs, MIN_WAIT_MS);
+  }
+
   private async handleWaitError(err: SourceError): Promise<void> {
     if (err.kind === SourceErrorKind.HISTORY_LOST) {
       this.options.listener.onError(err);
@@ -133,13 +144,6 @@
     await this.backOff();
   }
 
-  /** Waits until `minIntervalMs` has passed, so that changes are batched. */
-  private async throttle(startedMs: number): Promise<void> {
-    const {clock, minIntervalMs = 0} = this.options;
-    const leftMs = startedMs + minIntervalMs - clock.now();
-    if (leftMs > 0) await sleep(this.options.clock, leftMs);
-  }
-
   private backOff(): Promise<void> {
     const {random} = this.options;
     const limitMs = MIN_BACKOFF_MS * 2 ** this.failures;
--- a/src/daemon/direct-main.ts
+++ b/src/daemon/direct-main.ts
@@ -97,7 +97,7 @@
     settings,
     clock,
     random: new SystemRandom(),
-    ...createPlatformEdges({url: settings.storeUrl}),
+    ...createPlatformEdges({url: settings.storeUrl, metrics}),
     metrics,
     logger,
   });
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -16,14 +16,20 @@
 /** Longest such poll, as a share of the bound on the revocation of keys. */
 export const CONFIG_LONG_POLL_SHARE = 0.4;
 
+/**
+ * Pause after a changed configuration, as a share of the time within which the
+ * next change must be applied.
+ */
+export const CONFIG_PAUSE_SHARE = 0.25;
+
 /** Longest long poll for changes of the targets, in milliseconds. */
 export const TARGETS_LONG_POLL_MS = 2_400;
 
 /**
- * Least time between two reads of changed targets, as a share of the time
- * after which a draining target must get no new work.
+ * Pause after changes of the targets, as a share of the time after which a
+ * draining target must get no new work.
  */
-export const TARGETS_READ_INTERVAL_SHARE = 0.4;
+export const TARGETS_PAUSE_SHARE = 0.4;
 
 /** Share of the configured retry ratio for retries after losses. */
 export const LOSS_BUDGET_SHARE = 0.9;
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -34,9 +34,10 @@
   STARTUP_LOSSES_WAIT_MS,
   RETRY_AFTER_MS,
   MIN_STREAM_GRACE_SHARE,
-  TARGETS_READ_INTERVAL_SHARE,
+  TARGETS_PAUSE_SHARE,
   TARGETS_LONG_POLL_MS,
   CONFIG_LONG_POLL_SHARE,
+  CONFIG_PAUSE_SHARE,
 } from './consts.js';
 import type {DirectContext} from './context.js';
 import {LossTracker, QuarantineSync} from './poison/index.js';
@@ -303,6 +304,7 @@
       clock,
       random,
       waitMs: this.configLongPollMs(),
+      pauseMs: this.settings.configApplyMs * CONFIG_PAUSE_SHARE,
       listener: {
         onSnapshot: apply,
         onChanges: apply,
@@ -336,7 +338,7 @@
       clock,
       random,
       waitMs: TARGETS_LONG_POLL_MS,
-      minIntervalMs: this.settings.targetDrainMs * TARGETS_READ_INTERVAL_SHARE,
+      pauseMs: this.settings.targetDrainMs * TARGETS_PAUSE_SHARE,
       listener: {
         onSnapshot: (items, afterOutage) => {
           targets.replaceAll(items, afterOutage);
--- a/test/platform/boot-settings.test.ts
+++ b/test/platform/boot-settings.test.ts
@@ -17,6 +17,7 @@
 bounds:
   grace_s: 8
   drain_ms: 3000
+  config_apply_ms: 4000
   strict_revocation: true
   revoke_ms: 5000
   retry_budget_ratio: 0.8
@@ -33,6 +34,7 @@
       callers: {host: '127.0.0.1', port: 8740},
       storeUrl: 'http://127.0.0.1:8742',
       shutdownGraceMs: 8_000,
+      configApplyMs: 4_000,
       targetDrainMs: 3_000,
       keyRevocationMs: 5_000,
       retryBudget: {ratio: 0.8, windowMs: 10_000, slack: 150},
--- a/test/stand-ins/site-store.test.ts
+++ b/test/stand-ins/site-store.test.ts
@@ -4,9 +4,10 @@
 
 import {afterEach, beforeEach, expect, it} from 'vitest';
 
-import {StoreSource} from '../../platform/store-client.js';
 import {StoreObjectKind} from '../../platform/names.js';
 import {decodeRecordedLosses} from '../../platform/poison-codec.js';
+import {StoreSource} from '../../platform/store-client.js';
+import {Metrics} from '../../src/core/metrics/index.js';
 import {StandInStore} from '../../stand-ins/site/store.js';
 
 let store: StandInStore;
@@ -35,6 +36,7 @@
       url,
       kind: StoreObjectKind.LOSSES,
       decode: decodeRecordedLosses,
+      metrics: new Metrics(),
     });
     const list = await source.list();
     expect(list._unsafeUnwrap().items).toEqual([]);
