Take arriving bytes of a large frame for life

Joining the frame at each chunk copied it many times, which made the transit longer. Ruled out: a longer silence, which would find dead agents later. Change: each 16 KiB of an incomplete frame counts as a sign of life; a sender that stalls and sends a byte now and then does not reach them. Chunks are joined once, when the frame is complete. The link between entries likewise. Test that failed first: test/entry/agent-link.

--- a/src/core/protocol/consts.ts
+++ b/src/core/protocol/consts.ts
@@ -10,6 +10,12 @@
  */
 export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
+/**
+ * Bytes of an incomplete frame that show that its sender is alive. A sender that
+ * stalls and sends a byte now and then does not reach them.
+ */
+export const FRAME_PROGRESS_BYTES = 16 * 1024;
+
 /** Time within which a connection must send HELLO, in milliseconds. */
 export const HELLO_TIMEOUT_MS = 2_000;
 
--- a/src/core/protocol/frame-codec.ts
+++ b/src/core/protocol/frame-codec.ts
@@ -29,7 +29,14 @@
 
 /** Splits a byte stream into frames and decodes their messages. */
 export class FrameReader {
-  private pending: Buffer = Buffer.alloc(0);
+  /** Received bytes that no frame has used yet, in order. */
+  private chunks: Buffer[] = [];
+  private pendingLength = 0;
+
+  /** Size of the incomplete frame received so far, in bytes. */
+  get pendingBytes(): number {
+    return this.pendingLength;
+  }
 
   /**
    * Adds a chunk and returns the messages that it completes, or the first
@@ -39,8 +46,8 @@
    * reader.push(chunk).map((messages) => messages.forEach(handle));
    */
   push(chunk: Buffer): Result<Message[], TransportError> {
-    this.pending =
-      this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    this.chunks.push(chunk);
+    this.pendingLength += chunk.length;
     const messages: Message[] = [];
     for (;;) {
       const body = this.takeBody();
@@ -53,8 +60,8 @@
   }
 
   private takeBody(): Result<Buffer | undefined, TransportError> {
-    if (this.pending.length < LENGTH_BYTES) return ok(undefined);
-    const length = this.pending.readUInt32BE(0);
+    if (this.pendingLength < LENGTH_BYTES) return ok(undefined);
+    const length = this.readLength();
     if (length > MAX_FRAME_BYTES) {
       const detail = `frame body of ${length} bytes exceeds ${MAX_FRAME_BYTES} bytes`;
       return err(
@@ -62,10 +69,23 @@
       );
     }
     const end = LENGTH_BYTES + length;
-    if (this.pending.length < end) return ok(undefined);
-    const body = this.pending.subarray(LENGTH_BYTES, end);
-    this.pending = this.pending.subarray(end);
-    return ok(body);
+    if (this.pendingLength < end) return ok(undefined);
+    // Joined only here, as joining at each chunk would copy a frame many times.
+    const pending = this.joinChunks();
+    this.chunks = [pending.subarray(end)];
+    this.pendingLength -= end;
+    return ok(pending.subarray(LENGTH_BYTES, end));
+  }
+
+  private readLength(): number {
+    if (this.chunks[0]!.length < LENGTH_BYTES)
+      this.chunks = [this.joinChunks()];
+    return this.chunks[0]!.readUInt32BE(0);
+  }
+
+  private joinChunks(): Buffer {
+    const [first] = this.chunks;
+    return this.chunks.length === 1 ? first! : Buffer.concat(this.chunks);
   }
 }
 
--- a/src/core/protocol/peer-client.ts
+++ b/src/core/protocol/peer-client.ts
@@ -87,6 +87,7 @@
     const listener: ConnectionListener = {
       onReady: (message) => this.handleReady(message),
       onMessage: (message) => this.options.listener.onMessage(message),
+      onFrameProgress: () => this.options.listener.onFrameProgress?.(),
       onDrain: () => this.options.listener.onDrain(),
       onClose: (err) => this.handleClose(err),
     };
--- a/src/core/protocol/peer-connection.ts
+++ b/src/core/protocol/peer-connection.ts
@@ -3,6 +3,7 @@
 
 import type {Clock, TimerHandle} from '../clock/index.js';
 import {
+  FRAME_PROGRESS_BYTES,
   HELLO_TIMEOUT_MS,
   MAX_SEND_BUFFER_BYTES,
   PROTOCOL_VERSION,
@@ -18,6 +19,8 @@
   /** The peer has sent HELLO; other messages follow. */
   onReady(hello: HelloMessage): void;
   onMessage(message: Message): void;
+  /** Another `FRAME_PROGRESS_BYTES` of a large frame have arrived. */
+  onFrameProgress?(): void;
   /** The send buffer has emptied after `send` returned false. */
   onDrain(): void;
   /** The connection is closed; called once, and last. */
@@ -40,6 +43,8 @@
   private bytesIn = 0;
   private bytesOut = 0;
   private sentMs = 0;
+  /** Bytes of the incomplete frame at the last `onFrameProgress`. */
+  private reportedBytes = 0;
 
   constructor(
     private readonly options: {
@@ -122,6 +127,16 @@
       (messages) => messages.forEach((message) => this.dispatch(message)),
       (err) => this.closeWith(err),
     );
+    this.reportProgress();
+  }
+
+  private reportProgress(): void {
+    const {pendingBytes} = this.reader;
+    if (pendingBytes < this.reportedBytes) this.reportedBytes = 0;
+    if (this.closed || !this.isHelloReceived) return;
+    if (pendingBytes - this.reportedBytes < FRAME_PROGRESS_BYTES) return;
+    this.reportedBytes = pendingBytes;
+    this.options.listener.onFrameProgress?.();
   }
 
   private dispatch(message: Message): void {
--- a/src/core/protocol/peer-server.ts
+++ b/src/core/protocol/peer-server.ts
@@ -79,6 +79,7 @@
     const listener: ConnectionListener = {
       onReady: (peer) => inner.onReady(peer),
       onMessage: (message) => inner.onMessage(message),
+      onFrameProgress: () => inner.onFrameProgress?.(),
       onDrain: () => inner.onDrain(),
       onClose: (err) => {
         this.connections.delete(connection);
--- a/src/entry/generation/remote-output-link.ts
+++ b/src/entry/generation/remote-output-link.ts
@@ -84,6 +84,10 @@
     }
   }
 
+  onFrameProgress(): void {
+    if (this.handler !== undefined) this.resetSilenceTimer();
+  }
+
   onDrain(): void {
     // Only one small message is sent, so no send waits for a drain.
   }
--- a/src/entry/links/agent-link.ts
+++ b/src/entry/links/agent-link.ts
@@ -44,7 +44,7 @@
   private readonly handlers = new Map<string, LinkHandler>();
   private incarnation = '';
   private heartbeat: HeartbeatMessage | undefined;
-  /** When the last message arrived; reset after a pause of this process. */
+  /** When the agent last sent anything; reset after a pause of this process. */
   private lastReceivedAtMs: number;
   /**
    * When the link last became busy. Idle agents send less often, so silence
@@ -298,7 +298,7 @@
     }
   }
 
-  /** Records that a message arrived, and the gap before it. */
+  /** Records that the agent sends, and the gap before it. */
   private recordReceived(): void {
     const nowMs = this.options.clock.now();
     const busy = this.handlers.size > 0;
@@ -308,6 +308,10 @@
     this.hasNotifiedHedge = false;
   }
 
+  onFrameProgress(): void {
+    this.recordReceived();
+  }
+
   onDrain(): void {
     // Messages of an entry are few and small, so no send waits for a drain.
   }
