Let one follower retry while the store is away

Cause: in an outage each entry retried with four followers, each up to every 0.7 s; refused calls are paid and press on a store that returns. Change: the follower of the configuration leads; once it fails, the others wait for its success, for 3 s at most, as only its calls may be failing. Ruled out: longer backoffs, which would also delay the return. Tests: core/sync/outage-gate (an outage of 9 s: at most 5 calls of a waiting follower; all return within 0.75 s of the store; the leader fails alone).

--- a/src/core/sync/consts.ts
+++ b/src/core/sync/consts.ts
@@ -15,3 +15,6 @@
 
 /** Shortest wait for changes, in milliseconds. */
 export const MIN_WAIT_MS = 200;
+
+/** Longest wait for the leading follower in an outage, in milliseconds. */
+export const MAX_OUTAGE_WAIT_MS = 3_000;
--- a/src/core/sync/follower.ts
+++ b/src/core/sync/follower.ts
@@ -9,6 +9,7 @@
 } from '../edges/state-source.js';
 import {SourceErrorKind} from '../edges/state-source.js';
 import type {Confirmation} from './key-trust.js';
+import type {OutageGate} from './outage-gate.js';
 import {
   MAX_CHANGE_DELAY_MS,
   MIN_BACKOFF_MS,
@@ -30,6 +31,14 @@
   onError(err: SourceError): void;
 }
 
+/** Place of a follower among those that share a gate. */
+export enum FollowerRole {
+  /** Retries during an outage. */
+  LEADER = 'leader',
+  /** Waits for the leader during an outage. */
+  WAITING = 'waiting',
+}
+
 /**
  * Lists a kind once and then waits for its changes; lists again if changes
  * may have been missed. Every call has a time limit, so that a connection
@@ -57,6 +66,10 @@
        * milliseconds. It shortens the wait that follows.
        */
       pauseMs?: number;
+      /** Shared with the other followers of the store. */
+      gate?: OutageGate;
+      /** Role at the gate; `WAITING` by default. */
+      role?: FollowerRole;
     },
   ) {}
 
@@ -89,6 +102,7 @@
       await this.reportAndBackOff(snapshot.error);
       return undefined;
     }
+    this.recordOutcome(true);
     const {items, revision} = snapshot.value;
     listener.onSnapshot(items, this.wasUnavailable);
     this.wasUnavailable = false;
@@ -108,6 +122,7 @@
         await this.handleWaitError(response.error);
         return;
       }
+      this.recordOutcome(true);
       const {changes, revision} = response.value;
       since = revision;
       if (changes.length > 0) listener.onChanges(changes);
@@ -141,7 +156,18 @@
   private async reportAndBackOff(err: SourceError): Promise<void> {
     this.wasUnavailable = true;
     this.options.listener.onError(err);
-    await this.backOff();
+    this.recordOutcome(err.kind !== SourceErrorKind.UNAVAILABLE);
+    const {gate} = this.options;
+    if (gate?.isClosed === true && !this.isLeader) await gate.waitForLeader();
+    else await this.backOff();
+  }
+
+  private get isLeader(): boolean {
+    return this.options.role === FollowerRole.LEADER;
+  }
+
+  private recordOutcome(isSuccess: boolean): void {
+    if (this.isLeader) this.options.gate?.recordLeader(isSuccess);
   }
 
   private backOff(): Promise<void> {
--- a/src/core/sync/index.ts
+++ b/src/core/sync/index.ts
@@ -1,5 +1,6 @@
 /** Keeps a local copy of the platform's state and tracks its age. */
 export type {FollowerListener} from './follower.js';
-export {Follower} from './follower.js';
+export {Follower, FollowerRole} from './follower.js';
 export type {Confirmation} from './key-trust.js';
 export {KeyTrust} from './key-trust.js';
+export {OutageGate} from './outage-gate.js';
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -23,7 +23,12 @@
   RouteTable,
 } from '../core/routes/index.js';
 import type {DirectSettings} from '../core/settings/direct-settings.js';
-import {Follower, KeyTrust} from '../core/sync/index.js';
+import {
+  Follower,
+  FollowerRole,
+  KeyTrust,
+  OutageGate,
+} from '../core/sync/index.js';
 import type {TargetRecord} from '../core/targets/index.js';
 import {TargetSet} from '../core/targets/index.js';
 import {CallHandler} from './call-handler.js';
@@ -80,6 +85,7 @@
   private readonly keyTrust: KeyTrust;
   private settings: DirectSettings;
   private readonly ctx: DirectContext;
+  private readonly gate: OutageGate;
   private readonly quarantineSync: QuarantineSync;
   private readonly followers: Array<Follower<unknown>> = [];
   private configFollower?: Follower<RoutingConfig>;
@@ -91,6 +97,7 @@
   constructor(private readonly options: DirectProcessOptions) {
     const {settings, clock, random, client, metrics, logger} = options;
     this.settings = settings;
+    this.gate = new OutageGate({clock});
     this.keyTrust = new KeyTrust({
       clock,
       boundMs: settings.keyRevocationMs,
@@ -137,6 +144,7 @@
         source: options.lossSource,
         alertWriter: options.alertWriter,
         alertSource: options.alertSource,
+        gate: this.gate,
         clock,
         random,
         metrics,
@@ -150,6 +158,7 @@
       quarantine: this.ctx.quarantine,
       writer: options.quarantineWriter,
       source: options.quarantineSource,
+      gate: this.gate,
       clock,
       random,
       logger,
@@ -305,6 +314,8 @@
       random,
       waitMs: this.configLongPollMs(),
       pauseMs: this.settings.configApplyMs * CONFIG_PAUSE_SHARE,
+      gate: this.gate,
+      role: FollowerRole.LEADER,
       listener: {
         onSnapshot: apply,
         onChanges: apply,
@@ -339,6 +350,7 @@
       random,
       waitMs: TARGETS_LONG_POLL_MS,
       pauseMs: this.settings.targetDrainMs * TARGETS_PAUSE_SHARE,
+      gate: this.gate,
       listener: {
         onSnapshot: (items, afterOutage) => {
           targets.replaceAll(items, afterOutage);
--- a/src/direct/poison/loss-alerts.ts
+++ b/src/direct/poison/loss-alerts.ts
@@ -14,6 +14,7 @@
   ServedRequests,
 } from '../../core/poison/index.js';
 import {dropOldest} from '../../core/poison/index.js';
+import type {OutageGate} from '../../core/sync/index.js';
 import {Follower} from '../../core/sync/index.js';
 import {
   ALERT_RETENTION_MS,
@@ -37,6 +38,7 @@
   readonly served: ServedRequests;
   readonly writer: StateWriter<RecordedLosses>;
   readonly source: StateSource<RecordedLosses>;
+  readonly gate?: OutageGate;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
@@ -61,10 +63,11 @@
   private isStopped = false;
 
   constructor(private readonly options: LossAlertsOptions) {
-    const {source, clock, random, logger} = options;
+    const {source, gate, clock, random, logger} = options;
     const outageLog = new StoreOutageLog({what: 'loss alerts', clock, logger});
     this.follower = new Follower({
       source,
+      gate,
       clock,
       random,
       waitMs: POISON_LONG_POLL_MS,
--- a/src/direct/poison/loss-tracker.ts
+++ b/src/direct/poison/loss-tracker.ts
@@ -4,6 +4,7 @@
 import type {StateSource} from '../../core/edges/state-source.js';
 import type {RecordedLosses} from '../../core/poison/index.js';
 import {LossLedger, ServedRequests} from '../../core/poison/index.js';
+import type {OutageGate} from '../../core/sync/index.js';
 import {REFUTE_WAIT_MS} from '../consts.js';
 import {LossAlerts} from './loss-alerts.js';
 import type {LossDiagnosisOptions} from './loss-diagnosis.js';
@@ -19,6 +20,7 @@
   Omit<LossSyncOptions, 'ledger' | 'onRead'> & {
     readonly alertWriter: StateWriter<RecordedLosses>;
     readonly alertSource: StateSource<RecordedLosses>;
+    readonly gate?: OutageGate;
   };
 
 /**
--- a/src/direct/poison/quarantine-sync.ts
+++ b/src/direct/poison/quarantine-sync.ts
@@ -8,6 +8,7 @@
 } from '../../core/edges/state-source.js';
 import type {Logger} from '../../core/logs/index.js';
 import type {QuarantineRecord, Quarantine} from '../../core/poison/index.js';
+import type {OutageGate} from '../../core/sync/index.js';
 import {Follower} from '../../core/sync/index.js';
 import {QUARANTINE_MS, POISON_LONG_POLL_MS, STORE_RETRY_MS} from '../consts.js';
 import {StoreOutageLog} from '../store-outage-log.js';
@@ -23,6 +24,7 @@
   readonly quarantine: Quarantine;
   readonly writer: StateWriter<QuarantineRecord>;
   readonly source: StateSource<QuarantineRecord>;
+  readonly gate?: OutageGate;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
@@ -43,10 +45,11 @@
   private isStopped = false;
 
   constructor(private readonly options: QuarantineSyncOptions) {
-    const {source, clock, random, logger} = options;
+    const {source, gate, clock, random, logger} = options;
     const outageLog = new StoreOutageLog({what: 'quarantine', clock, logger});
     this.follower = new Follower({
       source,
+      gate,
       clock,
       random,
       waitMs: POISON_LONG_POLL_MS,
