Prefer the engines that may have a prompt cached

Cause: prompts were placed by load alone. Change: each prompt prefers two engines by rendezvous hashing, the same at all entries. The advantage of a new generation is less than the cost of an engine in prefill; that of a returning one is more. Ruled out: asking engines for what they have cached (lists delay their work), and sharing placements between entries.

--- a/src/core/edges/direct-caller.ts
+++ b/src/core/edges/direct-caller.ts
@@ -8,6 +8,13 @@
   readonly maxOutputTokens: number;
 }
 
+/** A part of a prompt, which targets keep in their KV cache. */
+export interface PromptPart {
+  /** Equal parts of several prompts have the same id. */
+  readonly id: string;
+  readonly tokens: number;
+}
+
 /** A request whose body was read completely. */
 export interface CallerRequest {
   /** Identifies this attempt; a retry by the caller has another id. */
@@ -31,6 +38,8 @@
   readonly key?: string;
   /** Size of the generation; undefined if the caller declared none. */
   readonly generation?: GenerationSize;
+  /** Parts of the prompt in order; empty if the caller declared none. */
+  readonly promptParts: readonly PromptPart[];
   /** Id of the last event that the caller received in an earlier attempt. */
   readonly lastEventId?: string;
 }
--- a/src/core/placing/choose-engine.ts
+++ b/src/core/placing/choose-engine.ts
@@ -47,6 +47,8 @@
   readonly avoidedDataCentres?: ReadonlySet<string>;
   /** Whether to prefer engines from which a message was received recently. */
   readonly preferRecentlySeen?: boolean;
+  /** Advantage of engines for the prompt, in running requests. */
+  readonly affinity?: ReadonlyMap<Target, number>;
   readonly random: RandomSource;
 }
 
@@ -101,9 +103,11 @@
     avoidedDataCentres,
     random,
     preferRecentlySeen,
+    affinity,
   } = query;
   let cost = target.estimatedRequests() + random.float() * JITTER;
   cost += target.estimatedPrefills() * PREFILL_COST;
+  cost -= affinity?.get(target) ?? 0;
   cost += relativeSlowness(target, baseline) * SLOW_COST;
   cost += excessFailureShare(target, baseline) * FAILURE_COST;
   const plannedTokens = target.plannedTokens() + tokens;
--- a/src/core/placing/index.ts
+++ b/src/core/placing/index.ts
@@ -6,3 +6,4 @@
 export {rankByFingerprint} from './rank-by-fingerprint.js';
 export type {EnginePriorityQuery} from './engine-priority.js';
 export {enginePriority} from './engine-priority.js';
+export {promptAffinity} from './prompt-affinity.js';
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -2,6 +2,7 @@
 import type {EngineQuery} from '../../core/placing/index.js';
 import {
   chooseEngine,
+  promptAffinity,
   rankByFingerprint,
   shortlistEngines,
 } from '../../core/placing/index.js';
@@ -109,8 +110,14 @@
 
   private engineQuery(): EngineQuery {
     const {ctx, work, tokens} = this;
+    const targets = ctx.targets.ofService(work.service.name);
     return {
-      targets: ctx.targets.ofService(work.service.name),
+      targets,
+      affinity: promptAffinity({
+        promptParts: work.req.promptParts,
+        isReturning: work.req.lastEventId !== undefined,
+        targets: targets.filter(isAvailable),
+      }),
       tokens,
       kvCapacityTokens: work.service.engine?.kvCapacityTokens ?? Infinity,
       excluded: this.excluded,
--- a/test/core/placing/placing.test.ts
+++ b/test/core/placing/placing.test.ts
@@ -5,6 +5,7 @@
 import {
   chooseCallTarget,
   chooseEngine,
+  promptAffinity,
   shortlistEngines,
 } from '../../../src/core/placing/index.js';
 import {Target} from '../../../src/core/targets/index.js';
@@ -193,3 +194,63 @@
     expect(chooseCallTarget(createCallQuery(targets))).not.toBe(targets[0]);
   });
 });
+
+describe('promptAffinity', () => {
+  const {targets} = createTargets(Array.from({length: 60}, () => 'a'));
+  const promptOf = (id: string) => [
+    {id: 'shared', tokens: 200},
+    {id, tokens: 5_000},
+  ];
+  const choose = (
+    prompt: string,
+    options: {isReturning?: boolean; among?: readonly Target[]; seed?: number},
+  ) => {
+    const {isReturning = false, among = targets, seed = SEED} = options;
+    const affinity = promptAffinity({
+      promptParts: promptOf(prompt),
+      isReturning,
+      targets: among,
+    });
+    const query = createQuery(among, new SeededRandom(seed));
+    return chooseEngine({...query, affinity});
+  };
+
+  it('prefers the same engine at every entry', () => {
+    const chosen = [1, 2, 3].map((seed) => choose('p-1', {seed})?.id);
+    expect(new Set(chosen).size).toBe(1);
+  });
+
+  it('spreads prompts over the engines', () => {
+    const prompts = Array.from({length: 600}, (_, i) => `p-${i}`);
+    const counts = new Map<string, number>();
+    for (const prompt of prompts) {
+      const id = choose(prompt, {})!.id;
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+    expect(counts.size).toBeGreaterThan(55);
+    expect(Math.max(...counts.values())).toBeLessThan(30);
+  });
+
+  it('keeps its choice when another engine leaves', () => {
+    const chosen = choose('p-1', {})!;
+    const other = targets.find((target) => target !== chosen)!;
+    const among = targets.filter((target) => target !== other);
+    expect(choose('p-1', {among})).toBe(chosen);
+  });
+
+  it.each([
+    {name: 'a new generation', isReturning: false, isKept: false},
+    {name: 'one that returns', isReturning: true, isKept: true},
+  ])('sends $name to an engine in prefill: $isKept', (row) => {
+    const {isReturning, isKept} = row;
+    const among = createTargets(Array.from({length: 20}, () => 'a')).targets;
+    const preferred = choose('p-2', {isReturning, among})!;
+    preferred.begin({tokens: GENERATION_TOKENS});
+    expect(choose('p-2', {isReturning, among}) === preferred).toBe(isKept);
+  });
+
+  it('prefers none for a prompt without parts', () => {
+    const query = {promptParts: [], isReturning: true, targets};
+    expect(promptAffinity(query).size).toBe(0);
+  });
+});
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -123,6 +123,23 @@
     expect(names).toEqual(kept);
   });
 
+  it.each([
+    {
+      text: '5e1c:800, 91bd:410',
+      expected: [
+        {id: '5e1c', tokens: 800},
+        {id: '91bd', tokens: 410},
+      ],
+    },
+    {text: '5e1c', expected: []},
+    {text: '5e1c:800,:10', expected: []},
+    {text: '5e1c:800:1', expected: []},
+    {text: '', expected: []},
+  ])('with the prompt parts $text have $expected', ({text, expected}) => {
+    const head = decodeCallerHeaders(['Prefix-Hash', text]);
+    expect(head.promptParts).toEqual(expected);
+  });
+
   it.each(['-1', '1e3', '', 'soon', '9999999999999'])(
     'with the malformed deadline %j have no deadline',
     (text) => {
