Count unsettled losses of other entries only as they are read

Cause: a loss that another entry had not settled counted as settled 600 ms after it was read, although that entry had dismissed it meanwhile and nobody had read that. Change: a loss counts as settled if it is read unsettled that late; a request that is held is decided on losses that were read anew; an alert of unsettled losses holds for 600 ms only. Tests: core/poison/loss-ledger (read again in time, too late, not at all; alerts that were not settled).

--- a/src/core/poison/loss-ledger.ts
+++ b/src/core/poison/loss-ledger.ts
@@ -16,10 +16,11 @@
 const LOSS_RETENTION_MS = 600_000;
 
 /**
- * Time after which a loss that another entry has not settled counts as settled,
- * as that entry may be gone or cut off from the store, in milliseconds.
+ * Time in which an entry settles or dismisses a loss, in milliseconds. A loss
+ * that is read unsettled after it counts as settled, as the entry may be gone or
+ * cut off from the store. An alert of unsettled losses holds for this time.
  */
-const UNSETTLED_RETENTION_MS = 600;
+const SETTLING_MS = 600;
 
 /** Maximum interval between two losses in the same outage, in milliseconds. */
 const SAME_OUTAGE_MS = 2_000;
@@ -138,7 +139,13 @@
     for (const {request, life: incarnation, isSettled} of recorded.losses) {
       const known = earlier?.lossesOf(request).get(incarnation);
       const atMs = known?.atMs ?? nowMs;
-      table.put({request, incarnation, atMs, isSettled});
+      const isOverdue = nowMs - atMs > SETTLING_MS;
+      table.put({
+        request,
+        incarnation,
+        atMs,
+        isSettled: isSettled || isOverdue,
+      });
     }
     if (table.isEmpty) this.otherLosses.delete(entry);
     else this.otherLosses.set(entry, table);
@@ -164,12 +171,9 @@
   /** Returns what an alert tells the other entries of a request. */
   toAlert(request: string): RecordedLosses {
     const settled = new Map<string, boolean>();
-    for (const table of this.tables()) {
-      for (const loss of table.lossesOf(request).values()) {
-        const {incarnation, isSettled} = loss;
-        if (this.isCounted(loss))
-          settled.set(incarnation, isSettled || !!settled.get(incarnation));
-      }
+    for (const {incarnation, isSettled} of this.lossesOf(request)) {
+      const wasSettled = settled.get(incarnation) === true;
+      settled.set(incarnation, isSettled || wasSettled);
     }
     const losses = [...settled]
       .sort(([a], [b]) => (a < b ? -1 : 1))
@@ -293,8 +297,9 @@
    */
   isPoison(request: string): boolean {
     if ((this.outages.get(request)?.count ?? 0) >= POISON_OUTAGES) return true;
-    const incarnations = this.collectIncarnations(request, (loss) =>
-      this.isSettled(loss),
+    const incarnations = this.collectIncarnations(
+      request,
+      ({isSettled}) => isSettled,
     );
     if (incarnations.size < POISON_LOSSES) return false;
     return (
@@ -314,11 +319,8 @@
   ): ReadonlySet<string> {
     if (this.isEmpty || this.wasServed(request)) return NONE;
     const incarnations = new Set<string>();
-    for (const table of this.tables()) {
-      for (const loss of table.lossesOf(request).values()) {
-        if (this.isCounted(loss) && matches(loss))
-          incarnations.add(loss.incarnation);
-      }
+    for (const loss of this.lossesOf(request)) {
+      if (matches(loss)) incarnations.add(loss.incarnation);
     }
     return incarnations;
   }
@@ -344,6 +346,25 @@
     );
   }
 
+  /** The losses of a request that count, over all entries. */
+  private *lossesOf(request: string): Iterable<Loss> {
+    for (const table of this.tables()) {
+      for (const loss of table.lossesOf(request).values()) {
+        const hasExpired = this.hasAlertExpired(table, loss);
+        if (this.isCounted(loss) && !hasExpired) yield loss;
+      }
+    }
+  }
+
+  /**
+   * Returns whether a loss is known only from an alert that was not settled in
+   * time, so that its entry has dismissed it or will write it to the store.
+   */
+  private hasAlertExpired(table: LossTable, loss: Loss): boolean {
+    if (loss.isSettled || table !== this.alerts.get(loss.request)) return false;
+    return this.options.clock.now() - loss.atMs > SETTLING_MS;
+  }
+
   private *tables(): Iterable<LossTable> {
     yield this.ownLosses;
     yield* this.otherLosses.values();
@@ -354,13 +375,6 @@
     return this.isFresh(loss) && !this.isAttributedToOther(loss);
   }
 
-  private isSettled(loss: Loss): boolean {
-    if (loss.isSettled) return true;
-    const own = this.ownLosses.lossesOf(loss.request).get(loss.incarnation);
-    const ageMs = this.options.clock.now() - loss.atMs;
-    return own === undefined && ageMs > UNSETTLED_RETENTION_MS;
-  }
-
   private isFresh({atMs}: Loss): boolean {
     return this.options.clock.now() - atMs <= LOSS_RETENTION_MS;
   }
--- a/src/direct/poison/loss-diagnosis.ts
+++ b/src/direct/poison/loss-diagnosis.ts
@@ -65,6 +65,8 @@
    * those that have served it to refute that.
    */
   readonly raiseAlert: (request: string) => Promise<void>;
+  /** Writes the losses of this entry and reads those of the others. */
+  readonly syncLosses: () => Promise<void>;
 }
 
 /**
@@ -141,6 +143,7 @@
     if (ledger.mayBePoison(request) && !ledger.isPoison(request)) {
       // Another entry may still be diagnosing one of its losses.
       await sleep(this.options.clock, REMOTE_DIAGNOSIS_MS);
+      await this.options.syncLosses();
     }
     if (!ledger.isPoison(request)) return quarantine.has(request);
     const crashes = [...ledger.incarnationsOf(request)];
--- a/src/direct/poison/loss-tracker.ts
+++ b/src/direct/poison/loss-tracker.ts
@@ -5,7 +5,7 @@
 import type {RecordedLosses} from '../../core/poison/index.js';
 import {LossLedger, ServedRequests} from '../../core/poison/index.js';
 import type {OutageGate} from '../../core/sync/index.js';
-import {REFUTE_WAIT_MS} from '../consts.js';
+import {FLUSH_TIMEOUT_MS, REFUTE_WAIT_MS} from '../consts.js';
 import {LossAlerts} from './loss-alerts.js';
 import type {LossDiagnosisOptions} from './loss-diagnosis.js';
 import {LossDiagnosis} from './loss-diagnosis.js';
@@ -15,7 +15,7 @@
 /** Dependencies of the parts, except those that `LossTracker` creates. */
 export type LossTrackerOptions = Omit<
   LossDiagnosisOptions,
-  'ledger' | 'onLost' | 'onChanged' | 'raiseAlert'
+  'ledger' | 'onLost' | 'onChanged' | 'raiseAlert' | 'syncLosses'
 > &
   Omit<LossSyncOptions, 'ledger' | 'onRead'> & {
     readonly alertWriter: StateWriter<RecordedLosses>;
@@ -54,6 +54,7 @@
       onLost: () => this.sync.refresh(),
       onChanged: () => this.sync.publish(),
       raiseAlert: (request) => this.raiseAlert(request),
+      syncLosses: () => this.sync.flush(FLUSH_TIMEOUT_MS),
     });
     this.sync = new LossSync({
       ...options,
--- a/test/core/poison/loss-ledger.test.ts
+++ b/test/core/poison/loss-ledger.test.ts
@@ -87,17 +87,33 @@
   });
 
   it.each([
-    {ageMs: 600, isPoison: false},
-    {ageMs: 601, isPoison: true},
+    {name: 'reads them unsettled again in time', ageMs: 600, isPoison: false},
+    {name: 'reads them unsettled again too late', ageMs: 601, isPoison: true},
+    {name: 'does not read them again', ageMs: undefined, isPoison: false},
   ])(
-    'counts losses that another entry left unsettled for $ageMs ms: $isPoison',
+    'counts losses of another entry as poison if this one $name: $isPoison',
     ({ageMs, isPoison}) => {
       ledger.updateEntry('entry-2', recordedOf(INCARNATIONS, false));
-      clock.advance(ageMs);
+      clock.advance(ageMs ?? AFTER_DIAGNOSIS_MS);
+      if (ageMs !== undefined)
+        ledger.updateEntry('entry-2', recordedOf(INCARNATIONS, false));
       expect(ledger.isPoison(REQUEST)).toBe(isPoison);
     },
   );
 
+  it.each([
+    {isSettled: false, mayBePoison: false},
+    {isSettled: true, mayBePoison: true},
+  ])(
+    'holds an alert of losses, settled: $isSettled, for long: $mayBePoison',
+    ({isSettled, mayBePoison}) => {
+      ledger.addAlert(REQUEST, recordedOf(INCARNATIONS, isSettled));
+      expect(ledger.mayBePoison(REQUEST)).toBe(true);
+      clock.advance(AFTER_DIAGNOSIS_MS);
+      expect(ledger.mayBePoison(REQUEST)).toBe(mayBePoison);
+    },
+  );
+
   it('never counts losses that this entry has not settled', () => {
     for (const incarnation of INCARNATIONS)
       ledger.recordLoss({request: REQUEST, incarnation});
