Move a generation whose response was lost to another target

Cause: a target ran a generation and its response was lost on the way; the connection stayed open. Ruled out: a limit on the time to the first event, which cuts sound prefills behind others. Change: reports name the requests that generate, and count those in prefill. A request that is in neither, twice in a row, was lost; the stream goes on elsewhere.

--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -24,6 +24,11 @@
   readonly kvUsedTokens?: number;
   /** Start of the reporting incarnation, as a Unix time in milliseconds. */
   readonly startedAtMs?: number;
+  /**
+   * Attempt ids of the requests that have generated tokens; undefined if not
+   * reported.
+   */
+  readonly generatingIds?: readonly string[];
 }
 
 /** Work that this entry sent to a target. */
@@ -134,6 +139,19 @@
     this.recordSeen();
   }
 
+  /**
+   * Whether the last report, taken after `sinceMs`, shows that the target does
+   * not hold a request: none is in prefill or waits, and it is not among those
+   * that generate.
+   */
+  isMissingRequest(attemptId: string, sinceMs: number): boolean {
+    const {generatingIds, prefilling, waiting} = this.reported ?? {};
+    if (generatingIds === undefined || this.reportTakenAtMs < sinceMs)
+      return false;
+    const isOther = prefilling === 0 && waiting === 0;
+    return isOther && !generatingIds.includes(attemptId);
+  }
+
   /** Records that a message or response of the target has arrived. */
   recordSeen(): void {
     this.seenAtMs = this.clock.now();
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -86,6 +86,9 @@
  */
 export const RESUME_CHECK_MS = 350;
 
+/** Time in which a sent request arrives at its target, in milliseconds. */
+export const REQUEST_ARRIVAL_MS = 200;
+
 /** Time between two probes of a target during prefill, in milliseconds. */
 export const PREFILL_CHECK_MS = 400;
 
--- a/src/direct/streams/stall-detector.ts
+++ b/src/direct/streams/stall-detector.ts
@@ -2,12 +2,18 @@
 import type {TimerHandle} from '../../core/clock/index.js';
 import {stallTimeoutMs, probeDelayMs} from '../../core/streams/index.js';
 import type {Target} from '../../core/targets/index.js';
-import {PREFILL_CHECK_MS} from '../consts.js';
+import {PREFILL_CHECK_MS, REQUEST_ARRIVAL_MS} from '../consts.js';
 import type {DirectContext} from '../context.js';
 
 /** Factor by which the widest gap decays with each further gap. */
 const GAP_DECAY = 0.98;
 
+/**
+ * Successive reports without a request from which its response counts as lost,
+ * as one report may be older than assumed.
+ */
+const REPORTS_WITHOUT_REQUEST = 2;
+
 /**
  * Called once, when the target counts as lost; `silentMs` is the time since its
  * last event.
@@ -16,7 +22,8 @@
 
 /**
  * Watches one target of a stream. Until the first event the target is probed at
- * intervals. After it, the target is probed when a gap between events is
+ * intervals, and counts as lost if it fails or no longer holds the request: the
+ * request has run, and its response was lost. After the first event, the target is probed when a gap between events is
  * unusually long, and counts as lost if the probe fails or the gap lasts.
  *
  * @example
@@ -30,17 +37,21 @@
   private widestGapMs = 0;
   private timer?: TimerHandle;
   private isOver = false;
+  private reportsWithoutRequest = 0;
+  private readonly startedMs: number;
 
   constructor(
     private readonly options: {
       ctx: DirectContext;
       target: Target;
+      attemptId: string;
       /** Longest allowed pause between events, in milliseconds. */
       maxPauseMs?: number;
       onStalled: StallListener;
     },
   ) {
-    this.lastEventMs = options.ctx.clock.now();
+    this.startedMs = options.ctx.clock.now();
+    this.lastEventMs = this.startedMs;
   }
 
   /** Starts to watch; the target is first probed after `firstCheckMs`. */
@@ -69,10 +80,19 @@
   private async checkPrefill(): Promise<void> {
     const isAlive = await this.probeTarget();
     if (this.isOver || this.eventCount > 0) return;
-    if (isAlive) this.start(PREFILL_CHECK_MS);
+    if (isAlive && this.holdsRequest()) this.start(PREFILL_CHECK_MS);
     else this.reportStall();
   }
 
+  /** Whether the target may still prefill the prompt, by its last reports. */
+  private holdsRequest(): boolean {
+    const {target, attemptId} = this.options;
+    const sinceMs = this.startedMs + REQUEST_ARRIVAL_MS;
+    const isMissing = target.isMissingRequest(attemptId, sinceMs);
+    this.reportsWithoutRequest = isMissing ? this.reportsWithoutRequest + 1 : 0;
+    return this.reportsWithoutRequest < REPORTS_WITHOUT_REQUEST;
+  }
+
   /** Waits until the current gap is long enough for a probe. */
   private watchSilence(): void {
     const leftMs = probeDelayMs(this.timeoutOptions()) - this.silentMs();
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -99,6 +99,7 @@
     this.stallDetector = new StallDetector({
       ctx,
       target,
+      attemptId: options.work.req.attemptId,
       maxPauseMs,
       onStalled: (silentMs) =>
         this.reportLoss({
--- a/stand-ins/site/target-fault.ts
+++ b/stand-ins/site/target-fault.ts
@@ -34,6 +34,8 @@
   ENDLESS_FAILURE = 'endless_failure',
   /** Sends bytes that are not HTTP and never end. */
   ENDLESS_INVALID = 'endless_noise',
+  /** Runs each stream and loses its response; the connection stays open. */
+  LOSE_STREAMS = 'lose_runs',
   /** Closes the connection of each stream; the target stays up. */
   DROP_STREAMS = 'drop_runs',
 }
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -153,6 +153,10 @@
   /** Number of streams whose connection closed before their end. */
   cancelled = 0;
   fault = TargetFault.NONE;
+  /** Attempt ids of the streams in prefill. */
+  private readonly prefilling = new Set<string>();
+  /** Attempt ids of the streams that have sent events. */
+  private readonly generating = new Set<string>();
   /** Start of its incarnation as a Unix time in milliseconds. */
   bornMs = DEFAULT_BORN_MS;
   /** Accepts connections and requests but never responds. */
@@ -235,12 +239,22 @@
     for (const socket of this.sockets) socket.destroy();
   }
 
+  private report() {
+    const {bornMs, prefilling, generating} = this;
+    return {
+      active: prefilling.size + generating.size,
+      queued: 0,
+      kv_used: 0,
+      born: bornMs,
+      runs: [...generating].map((attemptId) => [attemptId, 0, 0, 0]),
+    };
+  }
+
   private async serve(req: IncomingMessage, res: ServerResponse) {
     const body = await readText(req);
     if (this.isUnresponsive) return;
     if (req.url === (Path.REPORT as string)) {
-      const {bornMs: born} = this;
-      res.end(JSON.stringify({active: 0, queued: 0, kv_used: 0, born}));
+      res.end(JSON.stringify(this.report()));
       return;
     }
     if (req.url === HEALTH_PATH) {
@@ -354,8 +368,11 @@
     const copyTo = req.headers[Header.KV_COPY_TO];
     let next = Number(req.headers[Header.LAST_EVENT_ID] ?? 0) + 1;
     let timer: NodeJS.Timeout | undefined;
+    this.prefilling.add(attemptId);
     res.on('close', () => {
       clearTimeout(timer);
+      this.prefilling.delete(attemptId);
+      this.generating.delete(attemptId);
       if (!res.writableFinished) this.cancelled++;
     });
     let written = 0;
@@ -365,6 +382,9 @@
         this.crashOnRequest(req, body);
         return;
       }
+      this.prefilling.delete(attemptId);
+      if (this.fault === TargetFault.LOSE_STREAMS) return;
+      this.generating.add(attemptId);
       written++;
       if (next === 1 || !res.headersSent) {
         res.writeHead(200, {
