Split what alerts tell off the loss ledger

AlertedLosses keeps the alerts, their refutations and how long unsettled ones hold; no change of behaviour.

--- a/src/core/poison/consts.ts
+++ b/src/core/poison/consts.ts
@@ -5,3 +5,10 @@
 
 /** Number of lost targets from which a request is a suspect. */
 export const SUSPECT_LOSSES = 2;
+
+/**
+ * Time in which an entry settles or dismisses a loss, in milliseconds. A loss
+ * that is read unsettled after it counts as settled, as the entry may be gone or
+ * cut off from the store.
+ */
+export const SETTLING_MS = 600;
--- a/src/core/poison/loss-ledger.ts
+++ b/src/core/poison/loss-ledger.ts
@@ -1,6 +1,7 @@
 /** Counts, over all entries, the targets lost while they ran a request. */
 import type {Clock} from '../clock/index.js';
-import {POISON_LOSSES, SUSPECT_LOSSES} from './consts.js';
+import {AlertedLosses} from './alerted-losses.js';
+import {POISON_LOSSES, SETTLING_MS, SUSPECT_LOSSES} from './consts.js';
 import {dropOldest} from './drop-oldest.js';
 import type {RecordedLoss, RecordedLosses} from './recorded-losses.js';
 import type {Loss} from './loss-table.js';
@@ -15,13 +16,6 @@
 /** Time for which a loss counts against a request, in milliseconds. */
 const LOSS_RETENTION_MS = 600_000;
 
-/**
- * Time in which an entry settles or dismisses a loss, in milliseconds. A loss
- * that is read unsettled after it counts as settled, as the entry may be gone or
- * cut off from the store. An alert of unsettled losses holds for this time.
- */
-const SETTLING_MS = 600;
-
 /** Maximum interval between two losses in the same outage, in milliseconds. */
 const SAME_OUTAGE_MS = 2_000;
 
@@ -59,26 +53,26 @@
  * if (ledger.isPoison(fingerprint)) refuse();
  */
 export class LossLedger {
+  /** Losses that alerts of other entries or of this one have told. */
+  readonly alerts: AlertedLosses;
   private readonly ownLosses = new LossTable();
   private readonly otherLosses = new Map<string, LossTable>();
   private readonly outages = new Map<string, Outages>();
   /** Requests that this entry served and that others recorded losses of. */
   private readonly ownServed = new Set<string>();
-  /** Losses of requests that any entry has raised alerts for, by request. */
-  private readonly alerts = new Map<string, LossTable>();
-  /** Requests whose alerts were refuted, as an entry has served them. */
-  private readonly refuted = new Set<string>();
   /** Requests that other entries published as served, by entry. */
   private readonly othersServed = new Map<string, ReadonlySet<string>>();
   /** Target incarnations that quarantined requests crashed, by request. */
   private readonly attributed = new Map<string, ReadonlySet<string>>();
 
-  constructor(private readonly options: {clock: Clock}) {}
+  constructor(private readonly options: {clock: Clock}) {
+    this.alerts = new AlertedLosses(options);
+  }
 
   /** Whether no losses and no outages are recorded. */
   get isEmpty(): boolean {
-    const others = this.otherLosses.size + this.alerts.size;
-    return this.ownLosses.isEmpty && others + this.outages.size === 0;
+    const hasNone = this.ownLosses.isEmpty && this.alerts.isEmpty;
+    return hasNone && this.otherLosses.size + this.outages.size === 0;
   }
 
   /** Records a lost target before the cause is diagnosed. */
@@ -158,11 +152,6 @@
     this.othersServed.delete(entry);
   }
 
-  /** The requests for which alerts were received. */
-  get alertedRequests(): readonly string[] {
-    return [...this.alerts.keys()];
-  }
-
   /** The requests of which this entry holds losses. */
   get ownRequests(): ReadonlySet<string> {
     return new Set([...this.ownLosses.all()].map(({request}) => request));
@@ -183,45 +172,7 @@
 
   /** Returns whether this entry knows losses that no alert has told yet. */
   hasUnalerted(request: string): boolean {
-    const alerted = this.alerts.get(request)?.lossesOf(request);
-    return this.toAlert(request).losses.some(({life, isSettled}) => {
-      const known = alerted?.get(life);
-      return known === undefined || (isSettled && !known.isSettled);
-    });
-  }
-
-  /** Adds what an alert tells; alerts of several entries add up. */
-  addAlert(request: string, recorded: RecordedLosses): void {
-    if (recorded.harmless.includes(request)) this.refuted.add(request);
-    dropOldest({entries: this.refuted, maxSize: MAX_REQUESTS});
-    const table = this.alerts.get(request) ?? new LossTable();
-    const atMs = this.options.clock.now();
-    for (const {life: incarnation, isSettled} of recorded.losses) {
-      const known = table.lossesOf(request).get(incarnation);
-      table.put({
-        request,
-        incarnation,
-        atMs: known?.atMs ?? atMs,
-        isSettled: isSettled || known?.isSettled === true,
-      });
-    }
-    this.alerts.set(request, table);
-    dropOldest({entries: this.alerts, maxSize: MAX_REQUESTS});
-  }
-
-  /** Removes an alert whose object in the store was deleted. */
-  removeAlert(request: string): void {
-    this.alerts.delete(request);
-    this.refuted.delete(request);
-  }
-
-  hasAlert(request: string): boolean {
-    return this.alerts.has(request);
-  }
-
-  /** Returns whether an entry has refuted the alert of a request. */
-  isRefuted(request: string): boolean {
-    return this.refuted.has(request);
+    return [...this.lossesOf(request)].some((loss) => !this.alerts.tells(loss));
   }
 
   /** Restores the losses that an earlier incarnation of this entry stored. */
@@ -244,6 +195,7 @@
     this.attributed.delete(request);
     this.outages.delete(request);
     for (const table of this.tables()) table.removeAll(request);
+    this.alerts.remove(request);
   }
 
   /** Returns what this entry publishes to the others. */
@@ -331,14 +283,12 @@
     incarnations: ReadonlySet<string>,
   ): boolean {
     const shared = new Map<string, Set<string>>();
-    for (const table of this.tables()) {
-      for (const loss of table.all()) {
-        const isSharedLoss =
-          loss.request !== request && incarnations.has(loss.incarnation);
-        if (!isSharedLoss || !this.isCounted(loss)) continue;
-        const lost = shared.get(loss.request) ?? new Set<string>();
-        shared.set(loss.request, lost.add(loss.incarnation));
-      }
+    for (const loss of this.allLosses()) {
+      const isSharedLoss =
+        loss.request !== request && incarnations.has(loss.incarnation);
+      if (!isSharedLoss || !this.isCounted(loss)) continue;
+      const lost = shared.get(loss.request) ?? new Set<string>();
+      shared.set(loss.request, lost.add(loss.incarnation));
     }
     return [...shared].some(
       ([other, lost]) =>
@@ -349,26 +299,21 @@
   /** The losses of a request that count, over all entries. */
   private *lossesOf(request: string): Iterable<Loss> {
     for (const table of this.tables()) {
-      for (const loss of table.lossesOf(request).values()) {
-        const hasExpired = this.hasAlertExpired(table, loss);
-        if (this.isCounted(loss) && !hasExpired) yield loss;
-      }
+      for (const loss of table.lossesOf(request).values())
+        if (this.isCounted(loss)) yield loss;
     }
+    for (const loss of this.alerts.lossesOf(request))
+      if (this.isCounted(loss)) yield loss;
   }
 
-  /**
-   * Returns whether a loss is known only from an alert that was not settled in
-   * time, so that its entry has dismissed it or will write it to the store.
-   */
-  private hasAlertExpired(table: LossTable, loss: Loss): boolean {
-    if (loss.isSettled || table !== this.alerts.get(loss.request)) return false;
-    return this.options.clock.now() - loss.atMs > SETTLING_MS;
+  private *allLosses(): Iterable<Loss> {
+    for (const table of this.tables()) yield* table.all();
+    yield* this.alerts.all();
   }
 
   private *tables(): Iterable<LossTable> {
     yield this.ownLosses;
     yield* this.otherLosses.values();
-    yield* this.alerts.values();
   }
 
   private isCounted(loss: Loss): boolean {
@@ -387,7 +332,8 @@
   }
 
   private wasServed(request: string): boolean {
-    if (this.ownServed.has(request) || this.refuted.has(request)) return true;
+    if (this.ownServed.has(request) || this.alerts.isRefuted(request))
+      return true;
     for (const requests of this.othersServed.values()) {
       if (requests.has(request)) return true;
     }
--- a/src/direct/poison/loss-alerts.ts
+++ b/src/direct/poison/loss-alerts.ts
@@ -106,7 +106,7 @@
       } else {
         const losses = value.losses.length;
         logger.info('loss alert raised', {fingerprint: request, losses});
-        ledger.addAlert(request, value);
+        ledger.alerts.add(request, value);
         this.recordKnown(request);
         this.removeAfter(request, ALERT_RETENTION_MS);
       }
@@ -118,7 +118,7 @@
   async refute(request: string): Promise<void> {
     const {ledger, writer, clock, random, logger} = this.options;
     await sleep(clock, random.float() * MAX_REFUTE_DELAY_MS);
-    if (this.isStopped || ledger.isRefuted(request)) return;
+    if (this.isStopped || ledger.alerts.isRefuted(request)) return;
     logger.info('loss alert refuted', {fingerprint: request});
     const written = await writer.upsert(request, {
       losses: [],
@@ -132,8 +132,8 @@
   ): void {
     const {ledger} = this.options;
     const present = new Set(items.map(({name}) => name));
-    for (const request of ledger.alertedRequests) {
-      if (!present.has(request)) ledger.removeAlert(request);
+    for (const request of ledger.alerts.requests) {
+      if (!present.has(request)) ledger.alerts.remove(request);
     }
     for (const item of items) this.applyItem(item);
   }
@@ -141,10 +141,10 @@
   private applyItem({name: request, value}: SourceItem<RecordedLosses>): void {
     const {ledger, served} = this.options;
     if (value === undefined) {
-      ledger.removeAlert(request);
+      ledger.alerts.remove(request);
       return;
     }
-    ledger.addAlert(request, value);
+    ledger.alerts.add(request, value);
     this.recordKnown(request);
     if (!this.removals.has(request))
       this.removeAfter(request, ALERT_RETENTION_MS * REMOTE_RETENTION_FACTOR);
--- a/src/direct/poison/loss-tracker.ts
+++ b/src/direct/poison/loss-tracker.ts
@@ -88,7 +88,7 @@
     this.diagnosis.clear(request);
     if (!this.ledger.recordServed(request)) return;
     this.sync.publish();
-    if (this.ledger.hasAlert(request)) void this.alerts.refute(request);
+    if (this.ledger.alerts.has(request)) void this.alerts.refute(request);
   }
 
   private async raiseAlert(request: string): Promise<void> {
--- a/test/core/poison/loss-ledger.test.ts
+++ b/test/core/poison/loss-ledger.test.ts
@@ -107,7 +107,7 @@
   ])(
     'holds an alert of losses, settled: $isSettled, for long: $mayBePoison',
     ({isSettled, mayBePoison}) => {
-      ledger.addAlert(REQUEST, recordedOf(INCARNATIONS, isSettled));
+      ledger.alerts.add(REQUEST, recordedOf(INCARNATIONS, isSettled));
       expect(ledger.mayBePoison(REQUEST)).toBe(true);
       clock.advance(AFTER_DIAGNOSIS_MS);
       expect(ledger.mayBePoison(REQUEST)).toBe(mayBePoison);
@@ -123,10 +123,10 @@
 
   it('adds up the alerts of several entries', () => {
     const [first, ...others] = INCARNATIONS;
-    ledger.addAlert(REQUEST, recordedOf([first!]));
-    ledger.addAlert(REQUEST, recordedOf(others));
+    ledger.alerts.add(REQUEST, recordedOf([first!]));
+    ledger.alerts.add(REQUEST, recordedOf(others));
     // An older alert may arrive later.
-    ledger.addAlert(REQUEST, recordedOf(others, false));
+    ledger.alerts.add(REQUEST, recordedOf(others, false));
     expect(ledger.isPoison(REQUEST)).toBe(true);
     expect(ledger.hasUnalerted(REQUEST)).toBe(false);
     lose('i-9@1000');
@@ -135,9 +135,9 @@
 
   it('counts a request as harmless once its alert was refuted', () => {
     loseAll();
-    ledger.addAlert(REQUEST, {losses: [], harmless: [REQUEST]});
+    ledger.alerts.add(REQUEST, {losses: [], harmless: [REQUEST]});
     expect(ledger.mayBePoison(REQUEST)).toBe(false);
-    expect(ledger.isRefuted(REQUEST)).toBe(true);
+    expect(ledger.alerts.isRefuted(REQUEST)).toBe(true);
   });
 
   it.each([
--- a/test/direct/loss-alerts.test.ts
+++ b/test/direct/loss-alerts.test.ts
@@ -172,6 +172,6 @@
     clock.advance(ALERT_RETENTION_MS);
     await flushMicrotasks();
     expect(store.size).toBe(0);
-    expect(other.ledger.hasAlert(REQUEST)).toBe(false);
+    expect(other.ledger.alerts.has(REQUEST)).toBe(false);
   });
 });
