--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -23,16 +23,11 @@
   RouteTable,
 } from '../core/routes/index.js';
 import type {DirectSettings} from '../core/settings/direct-settings.js';
-import {
-  Follower,
-  FollowerRole,
-  KeyTrust,
-  OutageGate,
-} from '../core/sync/index.js';
+import type {Follower} from '../core/sync/index.js';
+import {FollowerRole, KeyTrust, OutageGate} from '../core/sync/index.js';
 import type {TargetRecord} from '../core/targets/index.js';
 import {TargetSet} from '../core/targets/index.js';
 import {CallHandler} from './call-handler.js';
-import {StoreOutageLog} from './store-outage-log.js';
 import {
   MIN_CALL_GRACE_SHARE,
   CONFIG_LONG_POLL_MS,
@@ -48,6 +43,7 @@
 import {LossTracker, QuarantineSync} from './poison/index.js';
 import {Prober} from './prober.js';
 import {ServiceRetryBudgets} from './service-retry-budgets.js';
+import {createStoreFollower} from './store-follower.js';
 import {MinGenerationTimes} from './streams/min-generation-times.js';
 import {StreamHandler} from './streams/stream-handler.js';
 
@@ -297,34 +293,22 @@
   }
 
   private followConfigs(source: StateSource<RoutingConfig>): void {
-    const {clock, random, logger} = this.options;
-    const outageLog = new StoreOutageLog({
-      what: 'configuration',
-      clock,
-      logger,
-    });
     const apply = (items: ReadonlyArray<SourceItem<RoutingConfig>>) => {
       for (const {value} of items) {
         if (value !== undefined) this.applyConfig(value);
       }
     };
-    const follower = new Follower({
+    const follower = createStoreFollower({
+      ...this.options,
+      what: 'configuration',
       source,
-      clock,
-      random,
       waitMs: this.configLongPollMs(),
       pauseMs: this.settings.configApplyMs * CONFIG_PAUSE_SHARE,
       gate: this.gate,
       role: FollowerRole.LEADER,
-      listener: {
-        onSnapshot: apply,
-        onChanges: apply,
-        onConfirmed: (confirmation) => {
-          this.keyTrust.confirm(confirmation);
-          outageLog.recordSuccess();
-        },
-        onError: (err) => outageLog.recordFailure(err),
-      },
+      onSnapshot: apply,
+      onChanges: apply,
+      onConfirmed: (confirmation) => this.keyTrust.confirm(confirmation),
     });
     this.configFollower = follower;
     this.followers.push(follower);
@@ -341,25 +325,19 @@
   }
 
   private followTargets(source: StateSource<TargetRecord>): void {
-    const {clock, random, logger} = this.options;
     const {targets} = this.ctx;
-    const outageLog = new StoreOutageLog({what: 'targets', clock, logger});
-    const follower = new Follower({
+    const follower = createStoreFollower({
+      ...this.options,
+      what: 'targets',
       source,
-      clock,
-      random,
       waitMs: TARGETS_LONG_POLL_MS,
       pauseMs: this.settings.targetDrainMs * TARGETS_PAUSE_SHARE,
       gate: this.gate,
-      listener: {
-        onSnapshot: (items, afterOutage) => {
-          targets.replaceAll(items, afterOutage);
-          this.hasLoadedTargets = true;
-        },
-        onChanges: (changes) => targets.applyChanges(changes),
-        onConfirmed: () => outageLog.recordSuccess(),
-        onError: (err) => outageLog.recordFailure(err),
+      onSnapshot: (items, afterOutage) => {
+        targets.replaceAll(items, afterOutage);
+        this.hasLoadedTargets = true;
       },
+      onChanges: (changes) => targets.applyChanges(changes),
     });
     this.followers.push(follower);
     follower.start();
--- a/src/direct/poison/loss-alerts.ts
+++ b/src/direct/poison/loss-alerts.ts
@@ -14,14 +14,13 @@
   ServedRequests,
 } from '../../core/poison/index.js';
 import {dropOldest} from '../../core/poison/index.js';
-import type {OutageGate} from '../../core/sync/index.js';
-import {Follower} from '../../core/sync/index.js';
+import type {Follower, OutageGate} from '../../core/sync/index.js';
 import {
   ALERT_RETENTION_MS,
   MAX_REFUTE_DELAY_MS,
   POISON_LONG_POLL_MS,
 } from '../consts.js';
-import {StoreOutageLog} from '../store-outage-log.js';
+import {createStoreFollower} from '../store-follower.js';
 
 /**
  * Factor by which an entry that only read an alert keeps it longer, so that the
@@ -63,21 +62,13 @@
   private isStopped = false;
 
   constructor(private readonly options: LossAlertsOptions) {
-    const {source, gate, clock, random, logger} = options;
-    const outageLog = new StoreOutageLog({what: 'loss alerts', clock, logger});
-    this.follower = new Follower({
-      source,
-      gate,
-      clock,
-      random,
+    this.follower = createStoreFollower({
+      ...options,
+      what: 'loss alerts',
       waitMs: POISON_LONG_POLL_MS,
-      listener: {
-        onSnapshot: (items) => this.applySnapshot(items),
-        onChanges: (changes) =>
-          changes.forEach((change) => this.applyItem(change)),
-        onConfirmed: () => outageLog.recordSuccess(),
-        onError: (err) => outageLog.recordFailure(err),
-      },
+      onSnapshot: (items) => this.applySnapshot(items),
+      onChanges: (changes) =>
+        changes.forEach((change) => this.applyItem(change)),
     });
   }
 
--- a/src/direct/poison/quarantine-sync.ts
+++ b/src/direct/poison/quarantine-sync.ts
@@ -8,10 +8,9 @@
 } from '../../core/edges/state-source.js';
 import type {Logger} from '../../core/logs/index.js';
 import type {QuarantineRecord, Quarantine} from '../../core/poison/index.js';
-import type {OutageGate} from '../../core/sync/index.js';
-import {Follower} from '../../core/sync/index.js';
+import type {Follower, OutageGate} from '../../core/sync/index.js';
 import {QUARANTINE_MS, POISON_LONG_POLL_MS, STORE_RETRY_MS} from '../consts.js';
-import {StoreOutageLog} from '../store-outage-log.js';
+import {createStoreFollower} from '../store-follower.js';
 
 /**
  * Factor by which an entry that only read a record keeps it longer, so that the
@@ -45,20 +44,12 @@
   private isStopped = false;
 
   constructor(private readonly options: QuarantineSyncOptions) {
-    const {source, gate, clock, random, logger} = options;
-    const outageLog = new StoreOutageLog({what: 'quarantine', clock, logger});
-    this.follower = new Follower({
-      source,
-      gate,
-      clock,
-      random,
+    this.follower = createStoreFollower({
+      ...options,
+      what: 'quarantine',
       waitMs: POISON_LONG_POLL_MS,
-      listener: {
-        onSnapshot: (items) => this.applySnapshot(items),
-        onChanges: (changes) => this.applyChanges(changes),
-        onConfirmed: () => outageLog.recordSuccess(),
-        onError: (err) => outageLog.recordFailure(err),
-      },
+      onSnapshot: (items) => this.applySnapshot(items),
+      onChanges: (changes) => this.applyChanges(changes),
     });
   }
 
