--- a/src/core/poison/alerted-losses.ts
+++ b/src/core/poison/alerted-losses.ts
@@ -43,7 +43,7 @@
     return this.refuted.has(request);
   }
 
-  /** Returns whether an alert has told a loss, and that it is settled. */
+  /** Returns whether an alert has told a loss, as settled if it is settled. */
   tells({request, incarnation, isSettled}: Omit<Loss, 'atMs'>): boolean {
     const known = this.tables.get(request)?.lossesOf(request).get(incarnation);
     return known !== undefined && (known.isSettled || !isSettled);
--- a/src/core/poison/loss-ledger.ts
+++ b/src/core/poison/loss-ledger.ts
@@ -108,16 +108,18 @@
   /**
    * Records that a target served a request completely, so that the request is
    * harmless. Returns whether the losses of this entry must be published again:
-   * other entries have losses of the request and do not know this yet.
+   * it had recorded losses of the request, or other entries have and do not know
+   * yet that it is harmless.
    */
   recordServed(request: string): boolean {
+    const hadLosses = this.ownLosses.lossesOf(request).size > 0;
+    const isNew =
+      this.isRecordedByOthers(request) && !this.ownServed.has(request);
     this.outages.delete(request);
     this.ownLosses.removeAll(request);
-    const mustPublish =
-      this.isRecordedByOthers(request) && !this.ownServed.has(request);
-    if (mustPublish) this.ownServed.add(request);
+    if (isNew) this.ownServed.add(request);
     dropOldest({entries: this.ownServed, maxSize: MAX_REQUESTS});
-    return mustPublish;
+    return isNew || hadLosses;
   }
 
   /** The other entries from which losses were received, even if none. */
--- a/src/direct/poison/loss-alerts.ts
+++ b/src/direct/poison/loss-alerts.ts
@@ -124,7 +124,7 @@
     const {ledger} = this.options;
     const present = new Set(items.map(({name}) => name));
     for (const request of ledger.alerts.requests) {
-      if (!present.has(request)) ledger.alerts.remove(request);
+      if (!present.has(request)) this.forget(request);
     }
     for (const item of items) this.applyItem(item);
   }
@@ -132,7 +132,7 @@
   private applyItem({name: request, value}: SourceItem<RecordedLosses>): void {
     const {ledger, served} = this.options;
     if (value === undefined) {
-      ledger.alerts.remove(request);
+      this.forget(request);
       return;
     }
     ledger.alerts.add(request, value);
@@ -142,6 +142,15 @@
     if (served.has(request)) void this.refute(request);
   }
 
+  /** Forgets an alert that is no longer in the store. */
+  private forget(request: string): void {
+    this.options.ledger.alerts.remove(request);
+    this.firstKnownMs.delete(request);
+    // Otherwise every entry would remove it once more, or a newer one.
+    this.removals.get(request)?.cancel();
+    this.removals.delete(request);
+  }
+
   private recordKnown(request: string): void {
     if (this.firstKnownMs.has(request)) return;
     this.firstKnownMs.set(request, this.options.clock.now());
@@ -157,15 +166,17 @@
   }
 
   private removeAfter(request: string, delayMs: number): void {
-    const {clock, writer} = this.options;
     this.removals.get(request)?.cancel();
-    const timer = clock.schedule({
+    const timer = this.options.clock.schedule({
       delayMs,
-      run: () => {
-        this.removals.delete(request);
-        void writer.remove(request);
-      },
+      run: () => void this.remove(request),
     });
     this.removals.set(request, timer);
   }
+
+  private async remove(request: string): Promise<void> {
+    this.removals.delete(request);
+    const removed = await this.options.writer.remove(request);
+    if (removed.isErr()) this.logFailure(request, removed.error);
+  }
 }
--- a/test/core/poison/loss-ledger.test.ts
+++ b/test/core/poison/loss-ledger.test.ts
@@ -188,6 +188,12 @@
     expect(ledger.recordServed(REQUEST)).toBe(false);
   });
 
+  it('publishes that its own losses of a served request are gone', () => {
+    lose(INCARNATIONS[0]!);
+    expect(ledger.recordServed(REQUEST)).toBe(true);
+    expect(ledger.toRecordedLosses().losses).toEqual([]);
+  });
+
   it('requires one more loss if the targets also ran another request', () => {
     loseAll();
     loseAll('other suspect');
--- a/test/direct/loss-alerts.test.ts
+++ b/test/direct/loss-alerts.test.ts
@@ -28,6 +28,7 @@
 /** A store of alerts in memory, which tells its followers each change. */
 class AlertStore {
   readonly writes: RecordedLosses[] = [];
+  removals = 0;
   isAvailable = true;
   private readonly objects = new Map<string, RecordedLosses>();
   private waiting: Array<(changes: SourceChange<RecordedLosses>[]) => void> =
@@ -46,6 +47,7 @@
   }
 
   remove(name: string) {
+    this.removals++;
     this.objects.delete(name);
     this.notify([{name, isDeleted: true}]);
     return okAsync(undefined);
@@ -173,5 +175,9 @@
     await flushMicrotasks();
     expect(store.size).toBe(0);
     expect(other.ledger.alerts.has(REQUEST)).toBe(false);
+    // The other entry does not remove it once more.
+    clock.advance(ALERT_RETENTION_MS);
+    await flushMicrotasks();
+    expect(store.removals).toBe(1);
   });
 });
