Verify the losses of a request before it is quarantined

Cause: a loss was attributed to its request when the target's probe timed out (120 ms) in the diagnosis (250 ms). On a machine whose processes are late by a second, several sound engines in several data centres were taken for crashed at once, and a request that harms none was quarantined for 600 s. The entry probed only the engines that it had lost itself, with the same 120 ms, and never those that other entries had lost.

Ruled out: that the entry alone was late (all three entries recorded the same losses in the same 50 ms), and a crash (the incarnation responded).

Change: before the verdict, all lost incarnations that are still registered are probed once more, with 1 s of patience, whichever entry lost them. One that responds under the same start time was not lost: its earlier losses count against no request. A crashed engine refuses the connection or answers as another incarnation, so the verdict on poison waits only if the engines are silent. Requests are held in the meantime, as before.

--- a/src/core/poison/loss-ledger.ts
+++ b/src/core/poison/loss-ledger.ts
@@ -6,6 +6,7 @@
 import type {RecordedLoss, RecordedLosses} from './recorded-losses.js';
 import type {Loss} from './loss-table.js';
 import {LossTable} from './loss-table.js';
+import {RunningIncarnations} from './running-incarnations.js';
 
 /**
  * Number of data-centre outages from which a request that ran in all of them
@@ -64,9 +65,11 @@
   private readonly othersServed = new Map<string, ReadonlySet<string>>();
   /** Target incarnations that quarantined requests crashed, by request. */
   private readonly attributed = new Map<string, ReadonlySet<string>>();
+  private readonly running: RunningIncarnations;
 
   constructor(private readonly options: {clock: Clock}) {
     this.alerts = new AlertedLosses(options);
+    this.running = new RunningIncarnations(options);
   }
 
   /** Whether no losses and no outages are recorded. */
@@ -91,6 +94,14 @@
     this.ownLosses.remove(key);
   }
 
+  /**
+   * Records that an incarnation responded: losses of it that were recorded until
+   * now, by any entry, count against no request.
+   */
+  recordRunning(incarnation: string): void {
+    this.running.add(incarnation);
+  }
+
   /** Records that a target was lost in an outage of its data centre. */
   recordOutage(key: LossKey): void {
     const {request} = key;
@@ -264,6 +275,7 @@
 
   private putOwn({request, incarnation}: LossKey, isSettled: boolean): void {
     const atMs = this.options.clock.now();
+    this.running.remove(incarnation);
     this.ownLosses.put({request, incarnation, atMs, isSettled});
   }
 
@@ -319,7 +331,8 @@
   }
 
   private isCounted(loss: Loss): boolean {
-    return this.isFresh(loss) && !this.isAttributedToOther(loss);
+    if (!this.isFresh(loss) || this.running.contradicts(loss)) return false;
+    return !this.isAttributedToOther(loss);
   }
 
   private isFresh({atMs}: Loss): boolean {
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -95,6 +95,12 @@
 /** Time in which this entry determines the cause of a loss, in milliseconds. */
 export const LOSS_DIAGNOSIS_MS = 250;
 
+/**
+ * Time in which a target that was lost may still show that it runs, before a
+ * request is quarantined for it, in milliseconds.
+ */
+export const LOSS_VERIFICATION_MS = 1_000;
+
 /** Time in which other entries diagnose and share a loss, in milliseconds. */
 export const REMOTE_DIAGNOSIS_MS = 350;
 
--- a/src/direct/poison/loss-diagnosis.ts
+++ b/src/direct/poison/loss-diagnosis.ts
@@ -11,6 +11,7 @@
 import {
   LOSS_DIAGNOSIS_MS,
   INCARNATION_CHECK_MS,
+  LOSS_VERIFICATION_MS,
   REMOTE_DIAGNOSIS_MS,
   IN_FLIGHT_DATA_MS,
 } from '../consts.js';
@@ -145,6 +146,7 @@
       await sleep(this.options.clock, REMOTE_DIAGNOSIS_MS);
       await this.options.syncLosses();
     }
+    if (ledger.isPoison(request)) await this.verifyLosses(request);
     if (!ledger.isPoison(request)) return quarantine.has(request);
     const crashes = [...ledger.incarnationsOf(request)];
     quarantine.add({fingerprint: request, record: {clientAccount, crashes}});
@@ -267,6 +269,25 @@
     );
   }
 
+  /**
+   * Probes, with patience, the lost targets that are still registered. An
+   * incarnation that responds was not lost, whichever entry has recorded it.
+   */
+  private async verifyLosses(request: string): Promise<void> {
+    const {ledger, prober, targets} = this.options;
+    const lost = ledger.incarnationsOf(request);
+    const registered = [...targets.all()].filter(
+      (target) =>
+        lost.has(incarnationOf(target.record)) &&
+        prober.reportsStartTime(target),
+    );
+    const verify = async (target: Target) => {
+      if (!(await prober.isRunning(target, LOSS_VERIFICATION_MS))) return;
+      ledger.recordRunning(incarnationOf(target.record));
+    };
+    await Promise.all(registered.map(verify));
+  }
+
   private log(
     message: string,
     {id, request, target}: RequestLoss,
--- a/src/direct/prober.ts
+++ b/src/direct/prober.ts
@@ -69,6 +69,15 @@
     return this.isAlive(target);
   }
 
+  /**
+   * Whether the incarnation of an engine responds within a time. Unlike
+   * `isAlive`, it changes nothing if it does not.
+   */
+  async isRunning(target: Target, timeoutMs: number): Promise<boolean> {
+    const report = await this.requestReport(target, timeoutMs);
+    return report.isOk() && !isOtherIncarnation(target, report.value);
+  }
+
   /** Whether a target reports its start time, so that restarts are detected. */
   reportsStartTime(target: Target): boolean {
     return (
@@ -99,14 +108,17 @@
   }
 
   /** Queries the load of an engine; the timeout covers the connection setup. */
-  private requestReport(target: Target): Promise<Result<ReportedLoad, string>> {
+  private requestReport(
+    target: Target,
+    timeoutMs: number,
+  ): Promise<Result<ReportedLoad, string>> {
     const {client, clock} = this.options;
     return new Promise((resolve) => {
       const timer = clock.schedule({
-        delayMs: PROBE_TIMEOUT_MS,
-        run: () => resolve(err(`no response within ${PROBE_TIMEOUT_MS} ms`)),
+        delayMs: timeoutMs,
+        run: () => resolve(err(`no response within ${timeoutMs} ms`)),
       });
-      void client.queryLoad(target.record, PROBE_TIMEOUT_MS).then((report) => {
+      void client.queryLoad(target.record, timeoutMs).then((report) => {
         timer.cancel();
         resolve(report);
       });
@@ -138,7 +150,7 @@
 
   private async probe(target: Target): Promise<boolean> {
     const {logger} = this.options;
-    const report = await this.requestReport(target);
+    const report = await this.requestReport(target, PROBE_TIMEOUT_MS);
     if (report.isOk() && isOtherIncarnation(target, report.value)) {
       target.recordIncarnationEnded();
       logger.info('target replaced by another incarnation', {
