--- a/bench/experiments/platform-slopes/index.ts
+++ b/bench/experiments/platform-slopes/index.ts
@@ -7,7 +7,7 @@
 
 import {StoreObjectKind} from '../../../platform/names.js';
 import {API_KEY, SitePath} from '../../../stand-ins/site/config.js';
-import {registrationOf} from '../../../stand-ins/site/target.js';
+import {registrationOf} from '../../../stand-ins/site/registration.js';
 import {sendSiteRequest} from '../../../tools/lab/site-caller.js';
 import {STREAM_EVENTS} from '../../../tools/soak/consts.js';
 import {History} from '../../../tools/soak/history.js';
--- a/stand-ins/site/target-main.ts
+++ b/stand-ins/site/target-main.ts
@@ -2,7 +2,8 @@
 import {announceReady, readFlags} from '../lib/program.js';
 import {handleParentCommands} from './parent-commands.js';
 import type {TargetFault} from './target-fault.js';
-import {RemoteCopyNetwork, StandInTarget} from './target.js';
+import {RemoteCopyNetwork} from './copy-network.js';
+import {StandInTarget} from './target.js';
 
 /** Message to the parent; times are Unix times in milliseconds. */
 export type TargetReport =
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -3,9 +3,10 @@
 import {createServer} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 
-import {request} from 'undici';
-
 import {Header, Path} from '../../platform/names.js';
+import type {CopyNetwork} from './copy-network.js';
+import {COPIES_PATH} from './copy-network.js';
+import {DEFAULT_BORN_MS, registrationOf} from './registration.js';
 import {
   sendResponse,
   TargetFault,
@@ -13,9 +14,6 @@
   sendEndlessResponse,
 } from './target-fault.js';
 
-/** Timeout of storing a KV cache copy at another target, in milliseconds. */
-const COPY_TIMEOUT_MS = 1_000;
-
 /** A request that a target ran. */
 export interface RunRecord {
   readonly attemptId: string;
@@ -55,79 +53,10 @@
   readonly atMs: number;
 }
 
-const DEFAULT_BORN_MS = 1_000;
-
 const NO_STREAM: StreamPace = {events: 0, firstMs: 0, gapMs: 0};
 
 const HEALTH_PATH = '/healthz';
 
-/** Path where targets of other processes store KV cache copies. */
-const COPIES_PATH = '/stand-in/copies';
-
-/** Stores copies of KV caches at other targets. */
-export interface CopyNetwork {
-  /** Resolves to whether the target at the address stored the copy. */
-  storeCopy(address: string, copyId: string): Promise<boolean>;
-}
-
-/** Copies KV caches between targets of one process. */
-export class LocalCopyNetwork implements CopyNetwork {
-  readonly targetsByAddress = new Map<string, StandInTarget>();
-
-  storeCopy(address: string, copyId: string): Promise<boolean> {
-    const holder = this.targetsByAddress.get(address);
-    if (holder === undefined || holder.isUnresponsive)
-      return Promise.resolve(false);
-    holder.copies.add(copyId);
-    return Promise.resolve(true);
-  }
-}
-
-/** Copies KV caches to targets of other processes over HTTP. */
-export class RemoteCopyNetwork implements CopyNetwork {
-  async storeCopy(address: string, copyId: string): Promise<boolean> {
-    const url = `http://${address}${COPIES_PATH}/${copyId}`;
-    const options = {method: 'PUT', headersTimeout: COPY_TIMEOUT_MS} as const;
-    try {
-      const {statusCode, body} = await request(url, options);
-      await body.dump();
-      return statusCode === 200;
-    } catch {
-      // The other target is unreachable, so the copy is not stored.
-      return false;
-    }
-  }
-}
-
-/**
- * Returns the registration of a target in the store.
- *
- * @example
- * const spec = registrationOf({service: 'desk', zone: 'a', address});
- */
-export function registrationOf(options: {
-  service: string;
-  zone: string;
-  address: string;
-  state?: string;
-  /** Start of the incarnation as a Unix time in milliseconds. */
-  bornMs?: number;
-}) {
-  const {service, zone, address, state = 'ready'} = options;
-  const {bornMs = DEFAULT_BORN_MS} = options;
-  return {
-    service,
-    zone,
-    address,
-    state,
-    version: 'v1',
-    slots: 8,
-    warmup_left_ms: 0,
-    sequence: 1,
-    born: bornMs,
-  };
-}
-
 /** Callbacks for the requests of a target. */
 export interface TargetObserver {
   /** A request arrived; `hasRun` is false if it was rejected. */
--- a/tools/soak/soak-target.ts
+++ b/tools/soak/soak-target.ts
@@ -5,7 +5,7 @@
 import {Relay} from '../../stand-ins/relay/relay.js';
 import {SiteService} from '../../stand-ins/site/config.js';
 import type {TargetReport} from '../../stand-ins/site/target-main.js';
-import {registrationOf} from '../../stand-ins/site/target.js';
+import {registrationOf} from '../../stand-ins/site/registration.js';
 import {
   REGISTRATION_EXPIRY_MS,
   STREAM_EVENTS,
