Read the store through a few entries of a fleet

Cause: calls to the store grew with entries times changes.

Ruled out: reads that may be stale (their age has no bound on the store's page, so neither keys nor drains can rest on them); longer pauses and waits (a constant factor, and the bounds of configuration and drain end it); readers agreed on in the store (a second reader does no harm, so there is nothing to agree on).

Change: entries register in the store, order those of their data centre by rendezvous hashing, and ask the first for the changes of each kind over the peer protocol (WATCH, CHANGES, ALIVE). One that is asked reads the store. A change set carries until when it is complete as a span on the reader's monotonic clock, from which the asking entry computes a time that is never later than the truth; keys rest on it as on own reads. An entry whose reader is silent for 1 s, cannot read, or tells no age reads the store itself, after a random delay, and avoids that reader for a random time that doubles. An entry that the store turns away asks others. A reader waits at the store for a quarter of a kind's bound, and pauses for a fifth after changes, so that whoever follows it still keeps the bound when it is cut off.

--- a/src/core/clock/index.ts
+++ b/src/core/clock/index.ts
@@ -2,5 +2,6 @@
 export {ManualClock} from './manual-clock.js';
 export {SeededRandom, SystemRandom} from './random.js';
 export {sleep} from './sleep.js';
+export {SuspensionDetector} from './suspension-detector.js';
 export {SystemClock} from './system-clock.js';
 export type {Clock, RandomSource, TimerHandle} from './types.js';
--- a/src/core/edges/state-source.ts
+++ b/src/core/edges/state-source.ts
@@ -39,14 +39,23 @@
   readonly changes: ReadonlyArray<SourceChange<T>>;
   /** The revision from which the next wait starts. */
   readonly revision: number;
+  /**
+   * Until when the changes are complete, on the monotonic clock; present if
+   * another process has read them.
+   */
+  readonly currentAtMs?: number;
+}
+
+/** A wait for changes after a revision. */
+export interface ChangeQuery {
+  readonly since: number;
+  /** Maximum wait, in milliseconds. */
+  readonly waitMs: number;
 }
 
 /** Lists and watches one kind of objects. */
 export interface StateSource<T> {
   list(): ResultAsync<Snapshot<T>, SourceError>;
   /** Resolves at the first change, or with no changes after `waitMs`. */
-  waitForChanges(options: {
-    since: number;
-    waitMs: number;
-  }): ResultAsync<ChangeSet<T>, SourceError>;
+  waitForChanges(query: ChangeQuery): ResultAsync<ChangeSet<T>, SourceError>;
 }
--- a/src/core/metrics/types.ts
+++ b/src/core/metrics/types.ts
@@ -32,6 +32,8 @@
   ATTEMPTS_ORPHANED = 'attempts_orphaned_total',
   /** Calls to the object store, by operation. */
   STORE_CALLS = 'store_calls_total',
+  /** Waits for changes that another entry was asked to answer, by outcome. */
+  RELAYED_READS = 'relayed_reads_total',
   /** Failed calls to the object store, by `StoreErrorKind`. */
   STORE_ERRORS = 'store_errors_total',
   /** Targets that were suspected because their agents were silent. */
--- a/src/core/protocol/frame-codec.ts
+++ b/src/core/protocol/frame-codec.ts
@@ -5,8 +5,9 @@
 
 import {Layer} from '../errors/types.js';
 import {LENGTH_BYTES, MAX_FRAME_BYTES} from './consts.js';
+import {MessageType} from './message-type.js';
 import type {Message} from './messages.js';
-import {MESSAGE_CODECS, MessageType} from './messages.js';
+import {MESSAGE_CODECS} from './messages.js';
 import type {TransportError} from './types.js';
 import {TransportErrorKind} from './types.js';
 
--- a/src/core/protocol/message-router.ts
+++ b/src/core/protocol/message-router.ts
@@ -1,4 +1,5 @@
-import type {Message, MessageType} from './messages.js';
+import type {MessageType} from './message-type.js';
+import type {Message} from './messages.js';
 import type {PeerConnection} from './peer-connection.js';
 
 /** Handles one type of message; responses are sent on `connection`. */
--- a/src/core/protocol/messages.ts
+++ b/src/core/protocol/messages.ts
@@ -18,28 +18,13 @@
 import {FinishReason} from '../edges/engine-driver.js';
 import {Executed, RefusalReason, RetryReason} from '../errors/refusals.js';
 import {byteString} from './byte-codec.js';
-
-/** Value of the `type` field of a message, which selects its Codec. */
-export enum MessageType {
-  HELLO = 'hello',
-  HEARTBEAT = 'heartbeat',
-  START = 'start',
-  ATTACH = 'attach',
-  LINEAGE = 'lineage',
-  DETACH = 'detach',
-  CANCEL = 'cancel',
-  TOKENS = 'tokens',
-  END = 'end',
-  FAILED = 'failed',
-  REFUSED = 'refused',
-  CALL = 'call',
-  REPLY = 'reply',
-  ASK_KEY = 'ask_key',
-  KEY_STATE = 'key_state',
-  LEAVE = 'leave',
-  CONFIG = 'config',
-  CONFIG_REPORT = 'config_report',
-}
+import {MessageType} from './message-type.js';
+import type {
+  AliveMessage,
+  ChangesMessage,
+  WatchMessage,
+} from './watch-messages.js';
+import {ALIVE, CHANGES, WATCH} from './watch-messages.js';
 
 /** Role that a process sends in HELLO. */
 export enum PeerRole {
@@ -354,7 +339,10 @@
   | KeyStateMessage
   | LeaveMessage
   | ConfigMessage
-  | ConfigReportMessage;
+  | ConfigReportMessage
+  | WatchMessage
+  | ChangesMessage
+  | AliveMessage;
 
 /** The Codec of each message. */
 export const MESSAGE_CODECS: Readonly<Record<MessageType, Codec<Message>>> = {
@@ -376,4 +364,7 @@
   [MessageType.LEAVE]: LEAVE,
   [MessageType.CONFIG]: CONFIG,
   [MessageType.CONFIG_REPORT]: CONFIG_REPORT,
+  [MessageType.WATCH]: WATCH,
+  [MessageType.CHANGES]: CHANGES,
+  [MessageType.ALIVE]: ALIVE,
 } as unknown as Record<MessageType, Codec<Message>>;
--- a/src/core/protocol/peer-connection.ts
+++ b/src/core/protocol/peer-connection.ts
@@ -10,7 +10,7 @@
 } from './consts.js';
 import {encodeFrame, FrameReader, createTransportError} from './frame-codec.js';
 import type {HelloMessage, Message} from './messages.js';
-import {MessageType} from './messages.js';
+import {MessageType} from './message-type.js';
 import type {TransportError} from './types.js';
 import {TransportErrorKind} from './types.js';
 
--- a/src/core/protocol/refused-message.ts
+++ b/src/core/protocol/refused-message.ts
@@ -1,6 +1,6 @@
 import type {Refusal} from '../errors/refusals.js';
 import type {RefusedMessage} from './messages.js';
-import {MessageType} from './messages.js';
+import {MessageType} from './message-type.js';
 
 /**
  * Converts a refusal into the response to the attempt or call `id`.
--- a/src/core/settings/direct-settings.ts
+++ b/src/core/settings/direct-settings.ts
@@ -28,6 +28,11 @@
   readonly callers: ListenAddress;
   /** Address of the readiness probe. */
   readonly readiness: ListenAddress;
+  /**
+   * Port on which other entries connect; undefined if entries do not connect to
+   * each other.
+   */
+  readonly peerPort?: number;
   /** Base URL of the platform's store. */
   readonly storeUrl: string;
   /** Grace period between the signal to stop and the forced exit. */
--- a/src/core/sync/follower.ts
+++ b/src/core/sync/follower.ts
@@ -10,8 +10,8 @@
 import {SourceErrorKind} from '../edges/state-source.js';
 import type {Confirmation} from './key-trust.js';
 import type {OutageGate} from './outage-gate.js';
+import {confirmedUntilMs} from './confirmed-until.js';
 import {
-  MAX_CHANGE_DELAY_MS,
   MIN_BACKOFF_MS,
   MAX_BACKOFF_MS,
   MIN_WAIT_MS,
@@ -123,24 +123,23 @@
         return;
       }
       this.recordOutcome(true);
-      const {changes, revision} = response.value;
+      const {changes, revision, currentAtMs} = response.value;
       since = revision;
       if (changes.length > 0) listener.onChanges(changes);
-      // The store may have withheld changes at the end of an idle wait, so the
-      // wait confirms the state only until MAX_CHANGE_DELAY_MS before its end.
-      const hasTimedOut = clock.now() - startedMs >= waitMs;
-      const isQuiet = changes.length === 0 && hasTimedOut;
-      const coveredMs = Math.max(0, waitMs - MAX_CHANGE_DELAY_MS);
-      const atMs = isQuiet ? startedMs + coveredMs : startedMs;
+      const hasChanges = changes.length > 0;
+      const wait = {startedMs, waitMs, endedMs: clock.now(), hasChanges};
+      const atMs = currentAtMs ?? confirmedUntilMs(wait);
       listener.onConfirmed({atMs, startedMs});
-      waitMs = await this.pauseAfter(changes);
+      // Another process has paused already, and its answers cost the store none.
+      const mustPause = hasChanges && currentAtMs === undefined;
+      waitMs = mustPause ? await this.pause() : this.options.waitMs;
     }
   }
 
-  /** Pauses if there were changes; returns how long the next call waits. */
-  private async pauseAfter(changes: readonly unknown[]): Promise<number> {
+  /** Pauses after changes; returns how long the next call waits. */
+  private async pause(): Promise<number> {
     const {clock, waitMs, pauseMs = 0} = this.options;
-    if (changes.length === 0 || pauseMs === 0) return waitMs;
+    if (pauseMs === 0) return waitMs;
     await sleep(clock, pauseMs);
     return Math.max(waitMs - pauseMs, MIN_WAIT_MS);
   }
--- a/src/core/sync/index.ts
+++ b/src/core/sync/index.ts
@@ -1,4 +1,5 @@
 /** Keeps a local copy of the platform's state and tracks its age. */
+export {confirmedUntilMs} from './confirmed-until.js';
 export type {FollowerListener} from './follower.js';
 export {Follower, FollowerRole} from './follower.js';
 export type {Confirmation} from './key-trust.js';
--- a/src/core/sync/key-trust.ts
+++ b/src/core/sync/key-trust.ts
@@ -1,5 +1,6 @@
 /** Decides whether the cached keys of client accounts may still be accepted. */
 import type {Clock} from '../clock/index.js';
+import {SuspensionDetector} from '../clock/index.js';
 
 /**
  * Share of the revocation bound for which cached keys are accepted; the rest is
@@ -7,13 +8,6 @@
  */
 const TRUSTED_SHARE = 0.96;
 
-/**
- * Difference between the progress of the monotonic clock and of the time of
- * day, in milliseconds, beyond which the machine was suspended or its time of
- * day was set.
- */
-const CLOCK_TOLERANCE_MS = 150;
-
 /**
  * Resolution of the monotonic clock, in milliseconds. A call that starts in the
  * same tick in which a suspension ends is not trusted.
@@ -44,8 +38,8 @@
   private confirmedMs = Number.NEGATIVE_INFINITY;
   /** Calls that started before this time confirm nothing. */
   private rejectBeforeMs = Number.NEGATIVE_INFINITY;
-  /** Time of day minus monotonic time, at the last confirmation or jump. */
-  private wallOffsetMs: number;
+  /** Reset at each confirmation and at each jump. */
+  private readonly suspension: SuspensionDetector;
   private boundMs?: number;
 
   constructor(
@@ -60,7 +54,7 @@
     },
   ) {
     this.boundMs = options.boundMs;
-    this.wallOffsetMs = this.currentOffset();
+    this.suspension = new SuspensionDetector(options.clock);
   }
 
   setBound(boundMs: number | undefined): void {
@@ -73,9 +67,9 @@
    * is ignored, since the time that has passed since then is unknown.
    */
   confirm({atMs, startedMs}: Confirmation): void {
-    if (this.hasClockJumped()) this.distrust();
+    if (this.suspension.hasJumped()) this.distrust();
     if (startedMs < this.rejectBeforeMs) return;
-    this.wallOffsetMs = this.currentOffset();
+    this.suspension.reset();
     this.confirmedMs = Math.max(this.confirmedMs, atMs);
   }
 
@@ -87,24 +81,14 @@
   isTrusted(): boolean {
     const {boundMs} = this;
     if (boundMs === undefined) return true;
-    if (this.hasClockJumped()) this.distrust();
+    if (this.suspension.hasJumped()) this.distrust();
     return this.ageMs() <= boundMs * TRUSTED_SHARE;
   }
 
   private distrust(): void {
-    this.wallOffsetMs = this.currentOffset();
+    this.suspension.reset();
     this.confirmedMs = Number.NEGATIVE_INFINITY;
     this.rejectBeforeMs = this.options.clock.now() + CLOCK_RESOLUTION_MS;
     this.options.onDistrusted?.();
   }
-
-  private hasClockJumped(): boolean {
-    const driftMs = Math.abs(this.currentOffset() - this.wallOffsetMs);
-    return driftMs > CLOCK_TOLERANCE_MS;
-  }
-
-  private currentOffset(): number {
-    const {clock} = this.options;
-    return clock.wallNow() - clock.now();
-  }
 }
--- a/src/daemon/direct-main.ts
+++ b/src/daemon/direct-main.ts
@@ -23,6 +23,7 @@
   ListenAddress,
 } from '../core/settings/direct-settings.js';
 import {DirectProcess} from '../direct/direct-process.js';
+import {ChangeRelay} from '../direct/relay/index.js';
 import {GracefulShutdown} from '../direct/graceful-shutdown.js';
 import {SettingsWatcher} from '../direct/settings-watcher.js';
 import {EXIT_BAD_SETTINGS} from './consts.js';
@@ -93,11 +94,26 @@
     onDropped: () => metrics.count(CounterName.LOG_LINES_DROPPED),
   });
   const logger = createLogger({vm: settings.vm, role: 'direct', sink});
+  const random = new SystemRandom();
+  const relay = new ChangeRelay({
+    ...settings,
+    port: settings.peerPort,
+    limits: settings,
+    clock,
+    random,
+    metrics,
+    logger,
+  });
+  const edges = createPlatformEdges({
+    url: settings.storeUrl,
+    metrics,
+    relay: (kind) => relay.relayed(kind),
+  });
   const entry = new DirectProcess({
+    ...edges,
     settings,
     clock,
-    random: new SystemRandom(),
-    ...createPlatformEdges({url: settings.storeUrl, metrics}),
+    random,
     metrics,
     logger,
   });
@@ -133,10 +149,15 @@
   process.on('SIGTERM', () => {
     logger.info('stopping', {open: server.openRequests});
     entry.startDraining();
+    void relay.leave();
     shutdown.begin();
   });
   removeStartupHandlers();
   entry.start();
+  await relay.start({
+    writer: edges.entryWriter,
+    source: edges.entrySource,
+  });
   await listen(settings.readiness, (req, res) => {
     const isReadinessPath = req.url === (Path.READY as string);
     res.statusCode = isReadinessPath ? (entry.isReady() ? 200 : 503) : 404;
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -20,7 +20,7 @@
  * Pause after a changed configuration, as a share of the time within which the
  * next change must be applied.
  */
-export const CONFIG_PAUSE_SHARE = 0.25;
+export const CONFIG_PAUSE_SHARE = 0.2;
 
 /** Longest long poll for changes of the targets, in milliseconds. */
 export const TARGETS_LONG_POLL_MS = 2_400;
@@ -29,7 +29,7 @@
  * Pause after changes of the targets, as a share of the time after which a
  * draining target must get no new work.
  */
-export const TARGETS_PAUSE_SHARE = 0.4;
+export const TARGETS_PAUSE_SHARE = 0.2;
 
 /** Share of the configured retry ratio for retries after losses. */
 export const LOSS_BUDGET_SHARE = 0.9;
--- /dev/null
+++ b/src/direct/relay/change-relay.ts
@@ -0,0 +1,250 @@
+/** Shares what one entry reads from the store with the others. */
+import type {Clock, RandomSource} from '../../core/clock/index.js';
+import type {ChangeQuery, StateSource} from '../../core/edges/state-source.js';
+import type {StateWriter} from '../../core/edges/state-writer.js';
+import type {Logger} from '../../core/logs/index.js';
+import type {Metrics} from '../../core/metrics/index.js';
+import {CounterName} from '../../core/metrics/index.js';
+import type {HelloMessage} from '../../core/protocol/index.js';
+import {
+  MessageType,
+  PeerRole,
+  PROTOCOL_VERSION,
+  WatchOutcome,
+} from '../../core/protocol/index.js';
+import type {AgeBound, AgeLimits, EntryRecord} from '../../core/relay/index.js';
+import {
+  ChangeLog,
+  longestWaitMs,
+  ReaderChoice,
+} from '../../core/relay/index.js';
+import {DEMAND_MS, MAX_ASKS, MAX_UNKNOWN_MS} from './consts.js';
+import {EntryDirectory} from './entry-directory.js';
+import type {AskResult} from './relayed-source.js';
+import {AskOutcome, RelayedSource} from './relayed-source.js';
+import type {WatchAnswer} from './watch-client.js';
+import {WatchClient} from './watch-client.js';
+import {WatchServer} from './watch-server.js';
+
+/** Dependencies of the relay. */
+export interface ChangeRelayOptions {
+  /** Name of this entry's VM. */
+  readonly vm: string;
+  readonly dataCentre: string;
+  /** IP address of this VM. */
+  readonly address: string;
+  /**
+   * Port on which other entries connect; undefined if entries do not connect to
+   * each other.
+   */
+  readonly port?: number;
+  readonly limits: AgeLimits;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+const NONE: AskResult = {outcome: AskOutcome.NONE};
+const FAILED: AskResult = {outcome: AskOutcome.FAILED};
+
+/**
+ * Lets a few entries read the changes of the store for all. Any entry can be
+ * asked, and then reads the store itself; so two readers at once, or entries that
+ * know different ones, do no harm. An entry whose reader fails reads
+ * the store itself, and later asks the next.
+ *
+ * @example
+ * const relay = new ChangeRelay(options);
+ * const configs = relay.relayed({kind: 'config', store, bound: AgeBound.NONE});
+ * await relay.start({writer, source});
+ */
+export class ChangeRelay {
+  private readonly logs = new Map<string, ChangeLog>();
+  private readonly choice: ReaderChoice;
+  private readonly hello: HelloMessage;
+  private readonly server: WatchServer;
+  private directory?: EntryDirectory;
+  private client?: {readonly vm: string; readonly connection: WatchClient};
+  private lastReader?: string;
+  private lastAskedMs = Number.NEGATIVE_INFINITY;
+  private isStopped = false;
+  /** Resolves once the other entries are known, or after a limit. */
+  private readonly whenKnown: Promise<void>;
+  private setKnown: () => void = () => undefined;
+
+  constructor(private readonly options: ChangeRelayOptions) {
+    const {vm, dataCentre, clock, random} = options;
+    this.choice = new ReaderChoice({vm, dataCentre, clock, random});
+    this.hello = {
+      type: MessageType.HELLO,
+      protocol: PROTOCOL_VERSION,
+      role: PeerRole.ENTRY,
+      vm,
+      incarnation: random.id(),
+      dataCentre,
+    };
+    this.server = new WatchServer({
+      hello: this.hello,
+      logs: this.logs,
+      clock,
+      onAsked: () => this.handleAsked(),
+      mayRead: () => !this.choice.isAvoided(vm),
+    });
+    this.whenKnown = new Promise((resolve) => (this.setKnown = resolve));
+    if (options.port === undefined) this.setKnown();
+    else clock.schedule({delayMs: MAX_UNKNOWN_MS, run: this.setKnown});
+  }
+
+  /** Returns a source of a kind that reads through other entries. */
+  relayed(options: {
+    kind: string;
+    store: StateSource<unknown>;
+    bound: AgeBound;
+  }): StateSource<unknown> {
+    const {kind, store, bound} = options;
+    const {clock, random, limits} = this.options;
+    const maxWaitMs = longestWaitMs(bound, limits);
+    const log = new ChangeLog({clock});
+    this.logs.set(kind, log);
+    return new RelayedSource({
+      store,
+      log,
+      maxAsks: Number.isFinite(maxWaitMs) ? 1 : MAX_ASKS,
+      storeWaitMs: ({waitMs}) =>
+        this.choice.hasOthers ? Math.min(waitMs, maxWaitMs) : waitMs,
+      clock,
+      random,
+      ask: (query) => this.ask(kind, query),
+      onLogChanged: () => this.server.publish(kind),
+      onStoreOutcome: (isSuccess) => {
+        if (isSuccess) this.choice.recordSuccess(this.options.vm);
+        else this.handleStoreFailure();
+      },
+    });
+  }
+
+  /**
+   * Listens for other entries and registers this one. If it cannot listen, it
+   * still asks the others.
+   */
+  async start(options: {
+    writer: StateWriter<EntryRecord>;
+    source: StateSource<EntryRecord>;
+  }): Promise<void> {
+    const {writer, source} = options;
+    const {vm, dataCentre, address, port, logger} = this.options;
+    if (port === undefined) return;
+    const listening = await this.server.listen({address, port});
+    if (listening.isErr()) {
+      logger.warn('not listening for other entries', {
+        detail: listening.error.detail,
+      });
+      return;
+    }
+    this.directory = new EntryDirectory({
+      ...this.options,
+      own: {vm, dataCentre, address: `${address}:${listening.value}`},
+      writer,
+      source,
+      onEntries: (entries) => {
+        this.choice.update(entries);
+        this.setKnown();
+      },
+    });
+    this.directory.start();
+  }
+
+  /** Stops answering other entries, before a planned stop. */
+  async leave(): Promise<void> {
+    this.isStopped = true;
+    this.server.close();
+    await this.directory?.leave();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    this.server.close();
+    this.directory?.stop();
+    this.client?.connection.close();
+  }
+
+  private async ask(kind: string, query: ChangeQuery): Promise<AskResult> {
+    await this.whenKnown;
+    const reader = this.isDemanded ? undefined : this.choice.next();
+    this.logReader(reader);
+    if (reader === undefined) return NONE;
+    const answer = await this.connectionTo(reader).watch(kind, query);
+    if (answer === undefined && this.isDemanded) return NONE;
+    const result = toResult(answer);
+    this.options.metrics.count(CounterName.RELAYED_READS, {
+      label: answer?.message.outcome ?? 'no_answer',
+    });
+    if (result.outcome === AskOutcome.FAILED)
+      this.choice.recordFailure(reader.vm);
+    else this.choice.recordSuccess(reader.vm);
+    return result;
+  }
+
+  private connectionTo(reader: EntryRecord): WatchClient {
+    if (this.client?.vm === reader.vm && !this.client.connection.isClosed)
+      return this.client.connection;
+    this.client?.connection.close();
+    const connection = new WatchClient({
+      ...this.options,
+      hello: this.hello,
+      entry: reader,
+    });
+    this.client = {vm: reader.vm, connection};
+    return connection;
+  }
+
+  /** Whether other entries want this one to read the store. */
+  private get isDemanded(): boolean {
+    const sinceAskedMs = this.options.clock.now() - this.lastAskedMs;
+    return this.server.isAwaited || sinceAskedMs < DEMAND_MS;
+  }
+
+  /** An entry that is asked reads the store, whomever it would have asked. */
+  private handleAsked(): void {
+    this.lastAskedMs = this.options.clock.now();
+    this.client?.connection.close();
+  }
+
+  /** All kinds are read from one store, so none is current if one fails. */
+  private handleStoreFailure(): void {
+    this.choice.recordFailure(this.options.vm);
+    for (const [kind, log] of this.logs) {
+      if (!log.isReading) continue;
+      log.stopReading();
+      this.server.publish(kind);
+    }
+  }
+
+  private logReader(reader: EntryRecord | undefined): void {
+    if (reader?.vm === this.lastReader || this.isStopped) return;
+    this.lastReader = reader?.vm;
+    const message =
+      reader === undefined
+        ? 'changes are read from the store'
+        : 'changes are read through another entry';
+    this.options.logger.info(message, {reader: reader?.vm});
+  }
+}
+
+/** An answer without a confirmation of its age is of no use. */
+function toResult(answer: WatchAnswer | undefined): AskResult {
+  if (answer === undefined) return FAILED;
+  const {message, sentAtMs} = answer;
+  const {outcome, changes, revision, currentOffsetMs} = message;
+  const isApart =
+    outcome === WatchOutcome.TOO_OLD || outcome === WatchOutcome.BEHIND;
+  if (isApart) return NONE;
+  if (outcome !== WatchOutcome.OK || currentOffsetMs === undefined)
+    return FAILED;
+  const currentAtMs = sentAtMs + currentOffsetMs;
+  return {
+    outcome: AskOutcome.ANSWERED,
+    changes: {changes, revision, currentAtMs},
+  };
+}
--- /dev/null
+++ b/src/direct/relay/entry-directory.ts
@@ -0,0 +1,123 @@
+/** Registers this entry in the store and follows the others. */
+import type {Clock, RandomSource, TimerHandle} from '../../core/clock/index.js';
+import type {StateSource} from '../../core/edges/state-source.js';
+import type {StateWriter} from '../../core/edges/state-writer.js';
+import type {Logger} from '../../core/logs/index.js';
+import type {EntryRecord} from '../../core/relay/index.js';
+import type {Follower} from '../../core/sync/index.js';
+import {createStoreFollower} from '../store-follower.js';
+import {
+  ENTRIES_LONG_POLL_MS,
+  ENTRIES_PAUSE_MS,
+  FIRST_LIST_DELAY_MS,
+  REGISTRATION_RETRY_MS,
+} from './consts.js';
+
+/** Dependencies of the directory. */
+export interface EntryDirectoryOptions {
+  readonly own: EntryRecord;
+  readonly writer: StateWriter<EntryRecord>;
+  readonly source: StateSource<EntryRecord>;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly onEntries: (entries: readonly EntryRecord[]) => void;
+}
+
+/**
+ * Knows the entries that answer others. Each registers an object under the name
+ * of its VM, and removes it when it stops as planned. The object of an entry that
+ * was killed stays; whoever asks that entry finds out.
+ *
+ * @example
+ * const directory = new EntryDirectory(options);
+ * directory.start();
+ */
+export class EntryDirectory {
+  private readonly entries = new Map<string, EntryRecord>();
+  private readonly follower: Follower<EntryRecord>;
+  private timer?: TimerHandle;
+  private isStopped = false;
+
+  constructor(private readonly options: EntryDirectoryOptions) {
+    this.follower = createStoreFollower({
+      ...options,
+      what: 'entries',
+      waitMs: ENTRIES_LONG_POLL_MS,
+      pauseMs: ENTRIES_PAUSE_MS,
+      onSnapshot: (items) => {
+        this.entries.clear();
+        for (const {name, value} of items) this.put(name, value);
+        void this.correctOwn();
+        this.publish();
+      },
+      onChanges: (changes) => {
+        for (const {name, value, isDeleted} of changes)
+          this.put(name, isDeleted ? undefined : value);
+        this.publish();
+      },
+    });
+  }
+
+  start(): void {
+    const {clock, random} = this.options;
+    void this.register();
+    // The entries of a fleet start together: later, one list has most of them.
+    const delayMs = FIRST_LIST_DELAY_MS * (1 + random.float());
+    clock.schedule({delayMs, run: () => this.follow()});
+  }
+
+  /** Removes this entry, so that no other one asks it. */
+  async leave(): Promise<void> {
+    this.isStopped = true;
+    this.timer?.cancel();
+    const {writer, own, logger} = this.options;
+    const removed = await writer.remove(own.vm);
+    if (removed.isErr())
+      logger.warn('entry not removed from store', {...removed.error});
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    this.timer?.cancel();
+    this.follower.stop();
+  }
+
+  private follow(): void {
+    if (!this.isStopped) this.follower.start();
+  }
+
+  private async register(): Promise<void> {
+    const {writer, own, clock, random} = this.options;
+    const written = await writer.createIfAbsent(own.vm, own);
+    if (written.isOk() || this.isStopped) return;
+    this.timer = clock.schedule({
+      delayMs: REGISTRATION_RETRY_MS * (0.5 + random.float()),
+      run: () => void this.register(),
+    });
+  }
+
+  /** Replaces the record that an earlier process left, if it differs. */
+  private async correctOwn(): Promise<void> {
+    const {writer, own, logger} = this.options;
+    const stored = this.entries.get(own.vm);
+    const isCorrect = stored === undefined || isEqual(stored, own);
+    if (isCorrect || this.isStopped) return;
+    const written = await writer.upsert(own.vm, own);
+    if (written.isErr())
+      logger.warn('entry not written to store', {...written.error});
+  }
+
+  private put(name: string, record: EntryRecord | undefined): void {
+    if (record?.vm === name) this.entries.set(name, record);
+    else this.entries.delete(name);
+  }
+
+  private publish(): void {
+    this.options.onEntries([...this.entries.values()]);
+  }
+}
+
+function isEqual(a: EntryRecord, b: EntryRecord): boolean {
+  return a.address === b.address && a.dataCentre === b.dataCentre;
+}
--- /dev/null
+++ b/src/direct/relay/index.ts
@@ -0,0 +1,2 @@
+/** Reading the store through other entries. */
+export {ChangeRelay} from './change-relay.js';
--- /dev/null
+++ b/src/direct/relay/watch-client.ts
@@ -0,0 +1,163 @@
+/** Asks one entry for the changes that it reads from the store. */
+import type {Clock, RandomSource, TimerHandle} from '../../core/clock/index.js';
+import type {ChangeQuery} from '../../core/edges/state-source.js';
+import type {
+  ChangesMessage,
+  HelloMessage,
+  Message,
+} from '../../core/protocol/index.js';
+import {MessageType, PeerClient} from '../../core/protocol/index.js';
+import type {EntryRecord} from '../../core/relay/index.js';
+import {CONNECT_LIMIT_MS, MAX_SILENCE_MS, WATCH_MARGIN_MS} from './consts.js';
+
+/** Interval at which the silence of the entry is checked, in milliseconds. */
+const SILENCE_CHECK_MS = 250;
+
+/** An answer and when its question was sent. */
+export interface WatchAnswer {
+  readonly message: ChangesMessage;
+  /** On the monotonic clock. */
+  readonly sentAtMs: number;
+}
+
+type Settle = (message: ChangesMessage | undefined) => void;
+
+/**
+ * A connection to an entry that reads the store. It fails as a whole: when the
+ * entry is silent, another one answers, or the connection breaks, all watches
+ * end without an answer and the client stays closed.
+ *
+ * @example
+ * const client = new WatchClient({entry, hello, clock, random});
+ * const answer = await client.watch('config', {since: 41, waitMs: 2_000});
+ */
+export class WatchClient {
+  private readonly client: PeerClient;
+  private readonly pending = new Map<number, Settle>();
+  private readonly silenceTimer: TimerHandle;
+  private readonly waitingForReady: Array<(isReady: boolean) => void> = [];
+  private lastHeardMs: number;
+  private nextId = 1;
+  private isClosedState = false;
+
+  constructor(
+    private readonly options: {
+      entry: EntryRecord;
+      hello: HelloMessage;
+      clock: Clock;
+      random: RandomSource;
+    },
+  ) {
+    const {entry, hello, clock, random} = options;
+    const colon = entry.address.lastIndexOf(':');
+    this.client = new PeerClient({
+      peer: {
+        address: entry.address.slice(0, colon),
+        port: Number(entry.address.slice(colon + 1)),
+      },
+      hello,
+      clock,
+      random,
+      listener: {
+        onReady: (peer) => this.handleReady(peer),
+        onMessage: (message) => this.receive(message),
+        onDrain: () => undefined,
+        onClose: () => this.close(),
+      },
+    });
+    this.lastHeardMs = clock.now();
+    this.silenceTimer = clock.repeat({
+      periodMs: SILENCE_CHECK_MS,
+      run: () => this.checkSilence(),
+    });
+    this.client.start();
+  }
+
+  /** Whether the connection has failed or was closed. */
+  get isClosed(): boolean {
+    return this.isClosedState;
+  }
+
+  /** Resolves to undefined if the entry does not answer in time. */
+  async watch(
+    kind: string,
+    query: ChangeQuery,
+  ): Promise<WatchAnswer | undefined> {
+    if (!(await this.whenReady())) return undefined;
+    const sentAtMs = this.options.clock.now();
+    const message = await this.request(kind, query);
+    return message === undefined ? undefined : {message, sentAtMs};
+  }
+
+  close(): void {
+    if (this.isClosedState) return;
+    this.isClosedState = true;
+    this.silenceTimer.cancel();
+    this.client.stop();
+    this.settleReady(false);
+    for (const settle of [...this.pending.values()]) settle(undefined);
+  }
+
+  private request(
+    kind: string,
+    {since, waitMs}: ChangeQuery,
+  ): Promise<ChangesMessage | undefined> {
+    const watchId = this.nextId++;
+    return new Promise((resolve) => {
+      const limit = this.options.clock.schedule({
+        delayMs: waitMs + WATCH_MARGIN_MS,
+        run: () => settle(undefined),
+      });
+      const settle: Settle = (message) => {
+        limit.cancel();
+        this.pending.delete(watchId);
+        resolve(message);
+      };
+      this.pending.set(watchId, settle);
+      this.client.send({
+        type: MessageType.WATCH,
+        watchId,
+        kind,
+        since,
+        waitMs,
+      });
+    });
+  }
+
+  private whenReady(): Promise<boolean> {
+    if (this.isClosedState) return Promise.resolve(false);
+    if (this.client.isReady()) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      const limit = this.options.clock.schedule({
+        delayMs: CONNECT_LIMIT_MS,
+        run: () => this.close(),
+      });
+      this.waitingForReady.push((isReady) => {
+        limit.cancel();
+        resolve(isReady);
+      });
+    });
+  }
+
+  private handleReady({vm}: HelloMessage): void {
+    this.lastHeardMs = this.options.clock.now();
+    // Another VM may have been given the address.
+    if (vm === this.options.entry.vm) this.settleReady(true);
+    else this.close();
+  }
+
+  private settleReady(isReady: boolean): void {
+    for (const resolve of this.waitingForReady.splice(0)) resolve(isReady);
+  }
+
+  private receive(message: Message): void {
+    this.lastHeardMs = this.options.clock.now();
+    if (message.type !== MessageType.CHANGES) return;
+    this.pending.get(message.watchId)?.(message);
+  }
+
+  private checkSilence(): void {
+    const silentMs = this.options.clock.now() - this.lastHeardMs;
+    if (silentMs > MAX_SILENCE_MS) this.close();
+  }
+}
--- /dev/null
+++ b/src/direct/relay/watch-server.ts
@@ -0,0 +1,199 @@
+/** Answers the watches of other entries from what this entry has read. */
+import type {Clock, TimerHandle} from '../../core/clock/index.js';
+import type {
+  ChangesMessage,
+  HelloMessage,
+  Message,
+  PeerConnection,
+  WatchMessage,
+} from '../../core/protocol/index.js';
+import {
+  MessageType,
+  PeerServer,
+  WatchOutcome,
+} from '../../core/protocol/index.js';
+import type {ChangeLog} from '../../core/relay/index.js';
+import {LogAnswer} from '../../core/relay/index.js';
+import {ALIVE_INTERVAL_MS, MAX_WAITING_WATCHES} from './consts.js';
+
+/** A watch of another entry that waits for an answer. */
+interface WaitingWatch {
+  readonly message: WatchMessage;
+  readonly connection: PeerConnection;
+  readonly receivedAtMs: number;
+  readonly limit: TimerHandle;
+}
+
+/** The answer to a watch, without the fields that every answer has. */
+type Answer = Pick<ChangesMessage, 'outcome' | 'changes'>;
+
+/**
+ * Serves entries that ask this one for changes. A watch is answered with the
+ * changes that it lacks, or else at the end of the next read, which the question
+ * itself may cause. While an entry
+ * waits it is shown at intervals that this one is alive.
+ *
+ * @example
+ * const server = new WatchServer({hello, logs, clock, onAsked, mayRead});
+ * await server.listen({address: '10.0.0.7', port: 7_200});
+ * server.publish('config'); // after a read
+ */
+export class WatchServer {
+  private readonly server: PeerServer;
+  private readonly connections = new Set<PeerConnection>();
+  private readonly waiting = new Set<WaitingWatch>();
+  private aliveTimer?: TimerHandle;
+
+  constructor(
+    private readonly options: {
+      hello: HelloMessage;
+      /** The logs of the kinds that this entry may read. */
+      logs: ReadonlyMap<string, ChangeLog>;
+      clock: Clock;
+      /** Called when another entry asks for changes. */
+      onAsked: () => void;
+      /** Whether the store answers this entry, as far as it knows. */
+      mayRead: () => boolean;
+    },
+  ) {
+    const {hello, clock} = options;
+    this.server = new PeerServer({
+      hello,
+      clock,
+      createListener: (connection) => ({
+        onReady: () => this.connections.add(connection()),
+        onMessage: (message) => this.receive(message, connection()),
+        onDrain: () => undefined,
+        onClose: () => this.forget(connection()),
+      }),
+    });
+  }
+
+  /** Whether other entries wait for changes. */
+  get isAwaited(): boolean {
+    return this.waiting.size > 0;
+  }
+
+  /** Starts listening; returns the port. */
+  listen(at: {address: string; port: number}) {
+    this.aliveTimer = this.options.clock.repeat({
+      periodMs: ALIVE_INTERVAL_MS,
+      run: () => this.showAlive(),
+    });
+    return this.server.listen(at);
+  }
+
+  /** Answers the watches of a kind after a read, or once it is not read. */
+  publish(kind: string): void {
+    for (const watch of [...this.waiting]) {
+      if (watch.message.kind === kind) this.answerAfterRead(watch);
+    }
+  }
+
+  /** Closes all connections, which moves the entries to other readers. */
+  close(): void {
+    this.aliveTimer?.cancel();
+    for (const {limit} of this.waiting) limit.cancel();
+    this.waiting.clear();
+    this.server.close();
+    for (const connection of this.connections) connection.destroy('stopped');
+  }
+
+  private receive(message: Message, connection: PeerConnection): void {
+    if (message.type !== MessageType.WATCH) return;
+    this.options.onAsked();
+    const answer = this.answerOf(message);
+    const watch: WaitingWatch = {
+      message,
+      connection,
+      receivedAtMs: this.options.clock.now(),
+      limit: this.options.clock.schedule({
+        delayMs: message.waitMs,
+        run: () => this.answerAtLimit(watch),
+      }),
+    };
+    this.waiting.add(watch);
+    if (answer !== undefined) this.send(watch, answer);
+    else if (this.countWaiting(connection) > MAX_WAITING_WATCHES)
+      connection.destroy('too many watches');
+  }
+
+  private answerAfterRead(watch: WaitingWatch): void {
+    const {message} = watch;
+    const answer = this.answerOf(message);
+    if (answer !== undefined) this.send(watch, answer);
+    // The read may have begun before the entry reached its revision elsewhere.
+    else if (this.hasRead(message)) this.send(watch, NO_CHANGES);
+  }
+
+  private answerAtLimit(watch: WaitingWatch): void {
+    this.send(watch, this.hasRead(watch.message) ? NO_CHANGES : BEHIND);
+  }
+
+  /** Whether this entry reads the kind and has reached the revision. */
+  private hasRead({kind, since}: WatchMessage): boolean {
+    const log = this.options.logs.get(kind);
+    return log !== undefined && log.isReading && log.revision >= since;
+  }
+
+  /** The answer to a watch that needs no further read. */
+  private answerOf({kind, since}: WatchMessage): Answer | undefined {
+    const log = this.options.logs.get(kind);
+    if (log === undefined || !this.options.mayRead()) return NOT_READING;
+    const answer = log.answer(since);
+    if (answer === LogAnswer.TOO_OLD) return TOO_OLD;
+    if (answer !== LogAnswer.CHANGES) return undefined;
+    const changes = log.changesSince(since).map(({name, value, isDeleted}) => ({
+      name,
+      value: value ?? null,
+      isDeleted,
+    }));
+    return {outcome: WatchOutcome.OK, changes};
+  }
+
+  private send(watch: WaitingWatch, answer: Answer): void {
+    const {message, connection, receivedAtMs} = watch;
+    watch.limit.cancel();
+    this.waiting.delete(watch);
+    const log = this.options.logs.get(message.kind);
+    const confirmedAtMs = log?.confirmedAtMs;
+    connection.send({
+      type: MessageType.CHANGES,
+      watchId: message.watchId,
+      ...answer,
+      // Never takes the entry back.
+      revision: Math.max(log?.revision ?? 0, message.since),
+      currentOffsetMs:
+        confirmedAtMs === undefined ? undefined : confirmedAtMs - receivedAtMs,
+    });
+  }
+
+  private countWaiting(connection: PeerConnection): number {
+    return [...this.waiting].filter((w) => w.connection === connection).length;
+  }
+
+  private showAlive(): void {
+    const dueMs = this.options.clock.now() - ALIVE_INTERVAL_MS / 2;
+    for (const connection of this.connections) {
+      if (connection.sentAtMs <= dueMs)
+        connection.send({type: MessageType.ALIVE});
+    }
+  }
+
+  private forget(connection: PeerConnection): void {
+    this.connections.delete(connection);
+    for (const watch of [...this.waiting]) {
+      if (watch.connection !== connection) continue;
+      watch.limit.cancel();
+      this.waiting.delete(watch);
+    }
+  }
+}
+
+const NO_CHANGES: Answer = {outcome: WatchOutcome.OK, changes: []};
+const NOT_READING: Answer = {
+  outcome: WatchOutcome.NOT_READING,
+  changes: [],
+};
+const TOO_OLD: Answer = {outcome: WatchOutcome.TOO_OLD, changes: []};
+const BEHIND: Answer = {outcome: WatchOutcome.BEHIND, changes: []};
--- a/stand-ins/site/boot-file.ts
+++ b/stand-ins/site/boot-file.ts
@@ -3,6 +3,9 @@
 const CALLERS_PORT = 8_080;
 const READINESS_PORT = 8_081;
 
+/** First and last port for connections between entries. */
+const PEER_PORTS = [7_200, 7_215];
+
 /** Settings that differ between entries. */
 export interface BootFileOptions {
   readonly name: string;
@@ -45,6 +48,7 @@
       frontend: `${host}:${port}`,
       readiness: readinessAddressOf(address),
     },
+    port_range: PEER_PORTS,
     bounds,
     platform: {address: store},
   };
--- a/test/core/sync/follower.test.ts
+++ b/test/core/sync/follower.test.ts
@@ -16,7 +16,12 @@
 
 /** A scripted response to a wait for changes. */
 type Step =
-  | {readonly waitMs: number; readonly changes: readonly string[]}
+  | {
+      readonly waitMs: number;
+      readonly changes: readonly string[];
+      /** Set if another process has read the changes. */
+      readonly currentAtMs?: number;
+    }
   | {readonly fails: SourceErrorKind};
 
 /** Returns scripted responses in order and records the calls. */
@@ -53,7 +58,8 @@
       value,
       isDeleted: false,
     }));
-    return okAsync({changes, revision: ++this.revision});
+    const {currentAtMs} = step;
+    return okAsync({changes, revision: ++this.revision, currentAtMs});
   }
 }
 
@@ -116,6 +122,16 @@
     },
   );
 
+  it('does not pause after changes that another process has read', async () => {
+    const {calls, confirmed} = await runFollower([
+      {waitMs: 5, changes: ['a'], currentAtMs: 3},
+      {waitMs: 5, changes: ['b'], currentAtMs: 8},
+    ]);
+    const waits = calls.filter(({call}) => call.startsWith('wait'));
+    expect(waits[1]!.atMs - waits[0]!.atMs).toBeLessThan(PAUSE_MS);
+    expect(confirmed.slice(1)).toEqual([3, 8]);
+  });
+
   it('shortens the wait after a pause, so that outages are noticed in time', async () => {
     const {waits} = await runFollower([
       {waitMs: 5, changes: ['a']},
--- /dev/null
+++ b/test/direct/change-relay.test.ts
@@ -0,0 +1,129 @@
+/** Entries read the changes of the store through one of them. */
+import {afterEach, describe, expect, it} from 'vitest';
+
+import {StoreObjectKind} from '../../platform/names.js';
+import {
+  SitePath,
+  SiteService,
+  siteConfig,
+} from '../../stand-ins/site/config.js';
+import {StoreMode} from '../../stand-ins/site/store.js';
+import {DirectSite, waitFor} from '../support/direct-site.js';
+import {sleep} from '../support/poison-scenario.js';
+
+/** Until every entry knows all others and has moved to its reader. */
+const SETTLE_MS = 4_500;
+
+/** Bound of the site on the application of a configuration. */
+const CONFIG_APPLY_MS = 2_000;
+
+/** Changes of the configuration, further apart than a reader's pause. */
+const CHANGES = 6;
+const CHANGE_INTERVAL_MS = 600;
+
+/** Two reads for each change, and the idle ones in between. */
+const MAX_CALLS = 40;
+
+const TIMEOUT_MS = 30_000;
+
+describe('entries that read through each other', () => {
+  let site: DirectSite;
+
+  afterEach(() => site.stop());
+
+  const start = async (entries: number) => {
+    site = await DirectSite.start({entries, hasRelay: true, revokeMs: 5_000});
+    await sleep(SETTLE_MS);
+  };
+
+  const putConfig = (version: number) =>
+    site.store.put({
+      kind: StoreObjectKind.CONFIG,
+      name: 'main',
+      spec: siteConfig({version}),
+    });
+
+  const versions = () =>
+    site.entries.map(({process}) => process.routes.get()?.version);
+
+  const expectVersion = async (version: number, boundMs: number) => {
+    const startedMs = performance.now();
+    while (performance.now() - startedMs < boundMs) {
+      if (versions().every((v) => v === version)) return;
+      await sleep(10);
+    }
+    expect(versions()).toEqual(versions().map(() => version));
+  };
+
+  it.each([{entries: 4}, {entries: 16}])(
+    'make as many calls for changes with $entries entries',
+    {timeout: TIMEOUT_MS},
+    async ({entries}) => {
+      await start(entries);
+      const before = site.store.callCount(StoreObjectKind.CONFIG);
+      for (let version = 2; version < 2 + CHANGES; version++) {
+        putConfig(version);
+        await expectVersion(version, CONFIG_APPLY_MS);
+        await sleep(CHANGE_INTERVAL_MS);
+      }
+      const made = site.store.callCount(StoreObjectKind.CONFIG) - before;
+      expect(made).toBeLessThanOrEqual(MAX_CALLS);
+    },
+  );
+
+  it.each([
+    {fault: 'killed', act: (i: number) => site.entries[i]!.stop()},
+    {
+      fault: 'stopped as planned',
+      act: (i: number) => void site.entries[i]!.leave(),
+    },
+    {
+      fault: 'cut off from the store',
+      act: (i: number) => {
+        site.storeEndpoints[i]!.mode = StoreMode.SILENT;
+      },
+    },
+    {
+      fault: 'turned away by the store',
+      act: (i: number) => {
+        site.storeEndpoints[i]!.mode = StoreMode.BUSY;
+      },
+    },
+  ])(
+    'learn of a change in time whichever entry is $fault',
+    {timeout: TIMEOUT_MS},
+    async ({act}) => {
+      await start(6);
+      let version = 2;
+      for (let i = 0; i < 3; i++) {
+        act(i);
+        putConfig(version);
+        const isAffected = (_: unknown, j: number) => j <= i;
+        const current = () =>
+          versions().filter((v, j) => !isAffected(v, j) && v === version);
+        const startedMs = performance.now();
+        while (current().length < 5 - i) {
+          expect(performance.now() - startedMs).toBeLessThan(CONFIG_APPLY_MS);
+          await sleep(10);
+        }
+        version++;
+      }
+    },
+  );
+
+  it(
+    'serve callers while the store is down and after it has returned',
+    {timeout: TIMEOUT_MS},
+    async () => {
+      await start(5);
+      await site.addTarget({service: SiteService.DESK, zone: 'a'});
+      site.store.mode = StoreMode.RESET;
+      await sleep(1_500);
+      site.store.mode = StoreMode.UP;
+      putConfig(2);
+      await waitFor(() => versions().every((v) => v === 2));
+      const reply = await site.call({path: SitePath.SAFE, entry: 4});
+      expect(reply.status).toBe(200);
+    },
+  );
+});
--- a/test/platform/boot-settings.test.ts
+++ b/test/platform/boot-settings.test.ts
@@ -22,6 +22,7 @@
   revoke_ms: 5000
   retry_budget_ratio: 0.8
   retry_slack: 150
+port_range: [7200, 7215]
 platform: {address: "127.0.0.1:8742"}
 `;
 
@@ -33,6 +34,7 @@
       dataCentre: 'a',
       callers: {host: '127.0.0.1', port: 8740},
       storeUrl: 'http://127.0.0.1:8742',
+      peerPort: 7_200,
       shutdownGraceMs: 8_000,
       configApplyMs: 4_000,
       targetDrainMs: 3_000,
@@ -41,6 +43,11 @@
     });
   });
 
+  it('have no port for other entries without a range of ports', () => {
+    const text = FILE.replace(/port_range.*\n/, '');
+    expect(parseBootSettings(text)._unsafeUnwrap().peerPort).toBeUndefined();
+  });
+
   it('have no revocation bound without strict revocation', () => {
     const text = FILE.replace('strict_revocation: true', '');
     expect(
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -2,7 +2,6 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {StoreObjectKind} from '../../platform/names.js';
-import {decodeRecordedLosses} from '../../platform/poison-codec.js';
 import {StoreSource, StoreWriter} from '../../platform/store-client.js';
 import {Metrics} from '../../src/core/metrics/index.js';
 import type {RecordedLosses} from '../../src/core/poison/index.js';
@@ -27,7 +26,6 @@
     new StoreSource({
       url: store.url,
       kind: KIND,
-      decode: decodeRecordedLosses,
       metrics,
     });
 
--- a/test/stand-ins/site-store.test.ts
+++ b/test/stand-ins/site-store.test.ts
@@ -5,7 +5,6 @@
 import {afterEach, beforeEach, expect, it} from 'vitest';
 
 import {StoreObjectKind} from '../../platform/names.js';
-import {decodeRecordedLosses} from '../../platform/poison-codec.js';
 import {StoreSource} from '../../platform/store-client.js';
 import {Metrics} from '../../src/core/metrics/index.js';
 import {StandInStore} from '../../stand-ins/site/store.js';
@@ -35,7 +34,6 @@
     const source = new StoreSource({
       url,
       kind: StoreObjectKind.LOSSES,
-      decode: decodeRecordedLosses,
       metrics: new Metrics(),
     });
     const list = await source.list();
--- a/test/support/direct-entry.ts
+++ b/test/support/direct-entry.ts
@@ -1,15 +1,19 @@
 /** A direct entry in the test process, with an HTTP agent for its callers. */
+import {createHash} from 'node:crypto';
 import {Agent} from 'node:http';
 
 import {CallerServer} from '../../platform/caller-server.js';
+import type {PlatformEdges} from '../../platform/platform-edges.js';
 import {createPlatformEdges} from '../../platform/platform-edges.js';
 import {SeededRandom, SystemClock} from '../../src/core/clock/index.js';
 import {SILENT_LOGGER} from '../../src/core/logs/index.js';
 import type {Logger} from '../../src/core/logs/index.js';
 import {Metrics} from '../../src/core/metrics/index.js';
+import {ChangeRelay} from '../../src/direct/relay/index.js';
 import {DirectProcess} from '../../src/direct/direct-process.js';
 
-const SEED = 20261204;
+const CONFIG_APPLY_MS = 2_000;
+const TARGET_DRAIN_MS = 2_000;
 
 /** Options of a test entry. */
 export interface DirectEntryOptions {
@@ -17,6 +21,8 @@
   readonly storeUrl: string;
   /** Time within which a revoked key must be refused; undefined for no bound. */
   readonly revokeMs?: number;
+  /** Whether entries read the store through each other. */
+  readonly hasRelay?: boolean;
   /** By default nothing is logged. */
   readonly logger?: Logger;
 }
@@ -34,9 +40,30 @@
   readonly agent = new Agent({keepAlive: true, maxSockets: 1});
   port = 0;
 
-  private constructor({vm, storeUrl, revokeMs, logger}: DirectEntryOptions) {
+  private readonly relay: ChangeRelay;
+  private readonly edges: PlatformEdges;
+
+  private constructor(options: DirectEntryOptions) {
+    const {vm, storeUrl, revokeMs, logger = SILENT_LOGGER} = options;
     const clock = new SystemClock();
+    const random = new SeededRandom(hashOf(vm));
     const metrics = new Metrics();
+    this.relay = new ChangeRelay({
+      vm,
+      dataCentre: 'a',
+      address: '127.0.0.1',
+      port: options.hasRelay === true ? 0 : undefined,
+      limits: {configApplyMs: CONFIG_APPLY_MS, targetDrainMs: TARGET_DRAIN_MS},
+      clock,
+      random,
+      metrics,
+      logger,
+    });
+    this.edges = createPlatformEdges({
+      url: storeUrl,
+      metrics,
+      relay: (kind) => this.relay.relayed(kind),
+    });
     this.process = new DirectProcess({
       settings: {
         vm,
@@ -46,16 +73,16 @@
         readiness: {host: '127.0.0.1', port: 0},
         storeUrl,
         shutdownGraceMs: 2_000,
-        configApplyMs: 2_000,
-        targetDrainMs: 2_000,
+        configApplyMs: CONFIG_APPLY_MS,
+        targetDrainMs: TARGET_DRAIN_MS,
         keyRevocationMs: revokeMs,
         retryBudget: {ratio: 0.8, windowMs: 10_000, slack: 150},
       },
       clock,
-      random: new SeededRandom(SEED),
-      ...createPlatformEdges({url: storeUrl, metrics}),
+      random,
+      ...this.edges,
       metrics,
-      logger: logger ?? SILENT_LOGGER,
+      logger,
     });
     this.server = new CallerServer({
       clock,
@@ -69,15 +96,32 @@
   static async start(options: DirectEntryOptions): Promise<DirectEntry> {
     const entry = new DirectEntry(options);
     entry.process.start();
+    await entry.startRelay();
     entry.port = await entry.server.listen({host: '127.0.0.1', port: 0});
     return entry;
   }
 
+  /** Withdraws the entry from the others, as at the begin of a planned stop. */
+  leave(): Promise<void> {
+    return this.relay.leave();
+  }
+
   /** Simulates a killed process: all connections break without a response. */
   stop(): void {
     this.process.stop();
+    this.relay.stop();
     this.agent.destroy();
     this.server.closeListener();
     this.server.closeAll();
   }
+
+  private startRelay(): Promise<void> {
+    const {entryWriter: writer, entrySource: source} = this.edges;
+    return this.relay.start({writer, source});
+  }
+}
+
+/** Entries draw different random numbers. */
+function hashOf(text: string): number {
+  return createHash('sha1').update(text).digest().readUInt32BE(0);
 }
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -31,6 +31,8 @@
   readonly revokeMs?: number;
   /** Number of entries, all with the same targets; 1 by default. */
   readonly entries?: number;
+  /** Whether entries read the store through each other. */
+  readonly hasRelay?: boolean;
   readonly logger?: Logger;
 }
 
@@ -88,11 +90,12 @@
 
   /** Starts an entry, or restarts one that was killed. */
   async startEntry(i: number): Promise<void> {
-    const {revokeMs, logger} = this.options;
+    const {revokeMs, hasRelay, logger} = this.options;
     this.entries[i] = await DirectEntry.start({
       vm: `entry-${i + 1}`,
       storeUrl: this.storeEndpoints[i]!.url,
       revokeMs,
+      hasRelay,
       logger,
     });
   }
