Follow the other entries also without a port of one's own

An entry whose port for other entries was taken read the store by itself and waited 1.5 s for entries that it never followed. It now registers nothing but asks the others (direct/change-relay, whose new case failed before).

--- a/src/direct/relay/change-relay.ts
+++ b/src/direct/relay/change-relay.ts
@@ -137,14 +137,18 @@
     if (port === undefined) return;
     const listening = await this.server.listen({address, port});
     if (listening.isErr()) {
-      logger.warn('not listening for other entries', {
-        detail: listening.error.detail,
-      });
-      return;
+      const {detail} = listening.error;
+      logger.warn('not listening for other entries', {detail});
     }
     this.directory = new EntryDirectory({
       ...this.options,
-      own: {vm, dataCentre, address: `${address}:${listening.value}`},
+      own: listening
+        .map((boundPort) => ({
+          vm,
+          dataCentre,
+          address: `${address}:${boundPort}`,
+        }))
+        .unwrapOr(undefined),
       writer,
       source,
       onEntries: (entries) => {
--- a/src/direct/relay/entry-directory.ts
+++ b/src/direct/relay/entry-directory.ts
@@ -15,7 +15,8 @@
 
 /** Dependencies of the directory. */
 export interface EntryDirectoryOptions {
-  readonly own: EntryRecord;
+  /** Undefined if this entry answers nobody, and only follows the others. */
+  readonly own?: EntryRecord;
   readonly writer: StateWriter<EntryRecord>;
   readonly source: StateSource<EntryRecord>;
   readonly clock: Clock;
@@ -72,6 +73,7 @@
     this.isStopped = true;
     this.timer?.cancel();
     const {writer, own, logger} = this.options;
+    if (own === undefined) return;
     const removed = await writer.remove(own.vm);
     if (removed.isErr())
       logger.warn('entry not removed from store', {...removed.error});
@@ -89,6 +91,7 @@
 
   private async register(): Promise<void> {
     const {writer, own, clock, random} = this.options;
+    if (own === undefined) return;
     const written = await writer.createIfAbsent(own.vm, own);
     if (written.isOk() || this.isStopped) return;
     this.timer = clock.schedule({
@@ -100,9 +103,9 @@
   /** Replaces the record that an earlier process left, if it differs. */
   private async correctOwn(): Promise<void> {
     const {writer, own, logger} = this.options;
+    if (own === undefined || this.isStopped) return;
     const stored = this.entries.get(own.vm);
-    const isCorrect = stored === undefined || isEqual(stored, own);
-    if (isCorrect || this.isStopped) return;
+    if (stored === undefined || isEqual(stored, own)) return;
     const written = await writer.upsert(own.vm, own);
     if (written.isErr())
       logger.warn('entry not written to store', {...written.error});
--- a/test/direct/change-relay.test.ts
+++ b/test/direct/change-relay.test.ts
@@ -1,4 +1,8 @@
 /** Entries read the changes of the store through one of them. */
+import {once} from 'node:events';
+import type {AddressInfo} from 'node:net';
+import {createServer} from 'node:net';
+
 import {afterEach, describe, expect, it} from 'vitest';
 
 import {StoreObjectKind} from '../../platform/names.js';
@@ -8,6 +12,7 @@
   siteConfig,
 } from '../../stand-ins/site/config.js';
 import {StoreMode} from '../../stand-ins/site/store.js';
+import {DirectEntry} from '../support/direct-entry.js';
 import {DirectSite, waitFor} from '../support/direct-site.js';
 import {sleep} from '../support/poison-scenario.js';
 
@@ -111,6 +116,31 @@
     },
   );
 
+  it(
+    'include one whose port is taken, which answers nobody',
+    {timeout: TIMEOUT_MS},
+    async () => {
+      site = await DirectSite.start({entries: 3, hasRelay: true});
+      const taken = createServer().listen(0, '127.0.0.1');
+      await once(taken, 'listening');
+      const {port} = taken.address() as AddressInfo;
+      const late = await DirectEntry.start({
+        vm: 'entry-9',
+        storeUrl: site.storeEndpoints[0]!.url,
+        peerPort: port,
+      });
+      await sleep(SETTLE_MS);
+      const before = site.store.callCount(StoreObjectKind.CONFIG);
+      putConfig(2);
+      await waitFor(() => late.process.routes.get()?.version === 2);
+      // The reader's calls for the change; no entry adds its own.
+      const made = site.store.callCount(StoreObjectKind.CONFIG) - before;
+      expect(made).toBeLessThanOrEqual(4);
+      late.stop();
+      taken.close();
+    },
+  );
+
   it(
     'serve callers while the store is down and after it has returned',
     {timeout: TIMEOUT_MS},
--- a/test/support/direct-entry.ts
+++ b/test/support/direct-entry.ts
@@ -21,8 +21,8 @@
   readonly storeUrl: string;
   /** Time within which a revoked key must be refused; undefined for no bound. */
   readonly revokeMs?: number;
-  /** Whether entries read the store through each other. */
-  readonly hasRelay?: boolean;
+  /** Port for other entries, 0 for a free one; without it, none connect. */
+  readonly peerPort?: number;
   /** By default nothing is logged. */
   readonly logger?: Logger;
 }
@@ -52,7 +52,7 @@
       vm,
       dataCentre: 'a',
       address: '127.0.0.1',
-      port: options.hasRelay === true ? 0 : undefined,
+      port: options.peerPort,
       limits: {configApplyMs: CONFIG_APPLY_MS, targetDrainMs: TARGET_DRAIN_MS},
       clock,
       random,
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -95,7 +95,7 @@
       vm: `entry-${i + 1}`,
       storeUrl: this.storeEndpoints[i]!.url,
       revokeMs,
-      hasRelay,
+      peerPort: hasRelay === true ? 0 : undefined,
       logger,
     });
   }
