Probe a sample of a large data centre after a loss

Cause, suspected from the connections: after a loss an entry probed every other engine of the data centre, 500 connections at once, and an entry that is cut off does so for each of the six data centres, again after 400 ms.

Ruled out: followers of the relay (a reader has 32 at most).

Change: the engines that run work of this entry are probed, and a random sample of 24 others. Where a data centre has more engines than that, only those count for an outage that were lost or have responded since, and four of them must be lost. Smaller data centres are probed whole, as before.

Tests: direct/prober (500 and 2,000 engines: 499 and 1,999 probes before), core/poison/data-centre-outage with four cases of many engines.

--- a/src/core/poison/data-centre-outage.ts
+++ b/src/core/poison/data-centre-outage.ts
@@ -1,6 +1,6 @@
 /** Detects targets that were lost in a data-centre outage. */
 import type {Target} from '../targets/index.js';
-import {incarnationOf} from '../targets/index.js';
+import {incarnationOf, SAMPLE_SIZE} from '../targets/index.js';
 import {SUSPECT_LOSSES} from './consts.js';
 
 /** Targets lost in one outage are lost within this time, in milliseconds. */
@@ -18,6 +18,15 @@
  */
 const MIN_LOST_FOR_SUSPECT = 2;
 
+/**
+ * Number of other targets beyond which only those count that were lost or have
+ * responded since, as not all of so many are probed.
+ */
+const MAX_ALL_CONSIDERED = SAMPLE_SIZE;
+
+/** Minimum number of other targets that are lost, if there are that many. */
+const MIN_LOST_OF_MANY = 4;
+
 /** A lost target, and what decides whether its data centre has failed. */
 export interface OutageQuery {
   readonly lost: Target;
@@ -54,18 +63,29 @@
   const sameService = neighbours.filter(
     ({record}) => record.service === lost.record.service,
   );
-  const considered = sameService.length > 0 ? sameService : neighbours;
+  const peers = sameService.length > 0 ? sameService : neighbours;
+  const areMany = peers.length > MAX_ALL_CONSIDERED;
+  const considered = areMany
+    ? peers.filter((target) => isWitness(target, lostAtMs))
+    : peers;
   const alsoLost = considered.filter(
     (target) => target.unavailableSinceMs !== undefined,
   );
   const isSuspect = crashedBefore.size >= SUSPECT_LOSSES;
-  const minLost = isSuspect ? MIN_LOST_FOR_SUSPECT : MIN_LOST;
+  const minLostOfFew = isSuspect ? MIN_LOST_FOR_SUSPECT : MIN_LOST;
+  const minLost = areMany ? MIN_LOST_OF_MANY : minLostOfFew;
   return (
     alsoLost.length >= minLost &&
     alsoLost.length >= considered.length * MIN_LOST_SHARE
   );
 }
 
+/** Returns whether it is known what has become of a target since a loss. */
+function isWitness(target: Target, lostAtMs: number): boolean {
+  const isLost = target.unavailableSinceMs !== undefined;
+  return isLost || target.lastSeenAtMs >= lostAtMs;
+}
+
 /** Returns whether a target was present until about the time of a loss. */
 function wasPresent(
   {unavailableSinceMs, record}: Target,
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -111,6 +111,7 @@
     });
     const prober = new Prober({
       clock,
+      random,
       client,
       targets,
       logger,
--- a/src/direct/prober.ts
+++ b/src/direct/prober.ts
@@ -2,11 +2,11 @@
 import type {Result} from 'neverthrow';
 import {err} from 'neverthrow';
 
-import type {Clock} from '../core/clock/index.js';
+import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {DirectTargets} from '../core/edges/direct-target.js';
 import type {Logger} from '../core/logs/index.js';
 import type {ReportedLoad, Target, TargetSet} from '../core/targets/index.js';
-import {REPORT_LAG_MS} from '../core/targets/index.js';
+import {REPORT_LAG_MS, sampleTargets} from '../core/targets/index.js';
 import {
   PROBE_CACHE_MS,
   PROBE_TIMEOUT_MS,
@@ -23,7 +23,8 @@
 
 /**
  * Probes targets. Data centres fail as a whole, so when an engine is lost, the
- * other engines of its service in the data centre are probed too.
+ * other engines of its service in the data centre are probed too, or a sample of
+ * them if there are many.
  *
  * @example
  * if (!(await prober.isAlive(target))) avoid(target);
@@ -36,6 +37,7 @@
   constructor(
     private readonly options: {
       clock: Clock;
+      random: RandomSource;
       client: DirectTargets;
       targets: TargetSet;
       logger: Logger;
@@ -93,7 +95,7 @@
 
   /** Probes the other engines of the service in a lost engine's data centre. */
   probeDataCentreOf(lost: Target): void {
-    const {clock, targets} = this.options;
+    const {clock, random, targets} = this.options;
     if (!this.options.isEngine(lost)) return;
     const {dataCentre, service} = lost.record;
     const key = `${dataCentre} ${service}`;
@@ -101,10 +103,11 @@
     const lastMs = this.dataCentreProbedMs.get(key) ?? Number.NEGATIVE_INFINITY;
     if (nowMs - lastMs < DATA_CENTRE_PROBE_INTERVAL_MS) return;
     this.dataCentreProbedMs.set(key, nowMs);
-    for (const target of targets.ofService(service)) {
-      const isInDataCentre = target.record.dataCentre === dataCentre;
-      if (isInDataCentre && !target.isPaused()) void this.isAlive(target);
-    }
+    const neighbours = targets
+      .ofService(service)
+      .filter((t) => t.record.dataCentre === dataCentre && !t.isPaused());
+    for (const target of sampleTargets({targets: neighbours, random}))
+      void this.isAlive(target);
   }
 
   /** Queries the load of an engine; the timeout covers the connection setup. */
--- a/test/core/poison/data-centre-outage.test.ts
+++ b/test/core/poison/data-centre-outage.test.ts
@@ -17,12 +17,18 @@
   readonly dataCentre?: string;
   /** When it is lost; undefined if it is present. */
   readonly lostMs?: number;
+  /** When it responded to a probe. */
+  readonly seenMs?: number;
   /** Whether the request may have crashed it before. */
   readonly wasCrashed?: boolean;
 }
 
 const LOST = {lostMs: LOST_MS};
 
+function many(neighbour: Neighbour, count: number): Neighbour[] {
+  return Array.from({length: count}, () => neighbour);
+}
+
 const CASES: ReadonlyArray<{
   name: string;
   neighbours: readonly Neighbour[];
@@ -95,6 +101,30 @@
     isOutage: true,
   },
   {name: 'there was no other target', neighbours: [], isOutage: false},
+  {
+    name: 'all probed targets of many were lost too',
+    neighbours: [...many(LOST, 20), ...many({}, 400)],
+    isOutage: true,
+  },
+  {
+    name: 'half of the probed targets of many have responded',
+    neighbours: [
+      ...many(LOST, 10),
+      ...many({seenMs: LOST_MS + 50}, 10),
+      ...many({}, 400),
+    ],
+    isOutage: false,
+  },
+  {
+    name: 'two of many were lost too, and no other was probed',
+    neighbours: [...many(LOST, 2), ...many({}, 400)],
+    isOutage: false,
+  },
+  {
+    name: 'two of many were lost too, and the others were seen before',
+    neighbours: [...many(LOST, 2), ...many({seenMs: LOST_MS - 50}, 400)],
+    isOutage: false,
+  },
 ];
 
 describe('isDataCentreOutage', () => {
@@ -116,12 +146,17 @@
     const lost = create(0, {});
     const others = neighbours.map((options, i) => create(i + 1, options));
     const byTime = neighbours
-      .map(({lostMs}, i) => ({target: others[i]!, lostMs}))
-      .filter(({lostMs}) => lostMs !== undefined)
-      .sort((a, b) => a.lostMs! - b.lostMs!);
-    for (const {target, lostMs} of byTime) {
-      clock.advance(lostMs! - clock.now());
-      target.pause();
+      .map(({lostMs, seenMs}, i) => ({
+        target: others[i]!,
+        atMs: lostMs ?? seenMs,
+        isLost: lostMs !== undefined,
+      }))
+      .filter(({atMs}) => atMs !== undefined)
+      .sort((a, b) => a.atMs! - b.atMs!);
+    for (const {target, atMs, isLost} of byTime) {
+      clock.advance(atMs! - clock.now());
+      if (isLost) target.pause();
+      else target.recordSuccess();
     }
     const crashed = others.filter((_, i) => neighbours[i]!.wasCrashed === true);
     const result = isDataCentreOutage({
--- a/test/direct/loss-verification.test.ts
+++ b/test/direct/loss-verification.test.ts
@@ -2,7 +2,7 @@
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import {beforeEach, describe, expect, it} from 'vitest';
 
-import {ManualClock, sleep} from '../../src/core/clock/index.js';
+import {ManualClock, SeededRandom, sleep} from '../../src/core/clock/index.js';
 import type {DirectTargets} from '../../src/core/edges/direct-target.js';
 import {SILENT_LOGGER} from '../../src/core/logs/index.js';
 import {Metrics} from '../../src/core/metrics/index.js';
@@ -12,6 +12,7 @@
 import {LossDiagnosis} from '../../src/direct/poison/loss-diagnosis.js';
 import {Prober} from '../../src/direct/prober.js';
 
+const SEED = 20261204;
 const REQUEST = 'a request';
 const ACCOUNT = 'account-a';
 const STARTED_AT_MS = 1_000;
@@ -70,7 +71,8 @@
         () => (answer.isRefused === true ? errAsync('refused') : okAsync(load)),
       );
     };
-    const shared = {clock, targets, logger: SILENT_LOGGER};
+    const random = new SeededRandom(SEED);
+    const shared = {clock, random, targets, logger: SILENT_LOGGER};
     const prober = new Prober({
       ...shared,
       client: {queryLoad} as unknown as DirectTargets,
--- /dev/null
+++ b/test/direct/prober.test.ts
@@ -0,0 +1,99 @@
+/** Which engines are probed after a loss. */
+import {okAsync} from 'neverthrow';
+import {describe, expect, it} from 'vitest';
+
+import {ManualClock, SeededRandom} from '../../src/core/clock/index.js';
+import type {DirectTargets} from '../../src/core/edges/direct-target.js';
+import {SILENT_LOGGER} from '../../src/core/logs/index.js';
+import type {TargetRecord} from '../../src/core/targets/index.js';
+import {TargetSet} from '../../src/core/targets/index.js';
+import {Prober} from '../../src/direct/prober.js';
+
+const SEED = 20261204;
+const SERVICE = 'writers';
+
+/** Of each data centre, the engines that run work of this entry. */
+const BUSY = 5;
+
+/** Connections that one loss may open beside those to busy engines. */
+const MAX_IDLE_PROBES = 32;
+
+/** More often than a data centre is probed, in milliseconds. */
+const STEP_MS = 100;
+
+const recordOf = (i: number, dataCentre: string): TargetRecord => ({
+  id: `${dataCentre}-${i}`,
+  service: SERVICE,
+  dataCentre,
+  address: `10.0.0.1:${i}`,
+  isDraining: false,
+  startedAtMs: 1,
+  slots: 8,
+});
+
+describe('Prober', () => {
+  const setUp = (size: number) => {
+    const clock = new ManualClock();
+    const targets = new TargetSet({clock, onRemoved: () => undefined});
+    const records = ['a', 'b'].flatMap((dataCentre) =>
+      Array.from({length: size}, (_, i) => recordOf(i, dataCentre)),
+    );
+    targets.replaceAll(
+      records.map((value) => ({name: value.id, value})),
+      false,
+    );
+    const probed: string[] = [];
+    const queryLoad = ({id}: TargetRecord) => {
+      probed.push(id);
+      return okAsync({running: 0, waiting: 0, startedAtMs: 1});
+    };
+    const prober = new Prober({
+      clock,
+      random: new SeededRandom(SEED),
+      client: {queryLoad} as unknown as DirectTargets,
+      targets,
+      logger: SILENT_LOGGER,
+      isEngine: () => true,
+      healthPathOf: () => undefined,
+    });
+    const all = [...targets.all()];
+    for (const target of all)
+      if (Number(target.id.slice(2)) < BUSY) target.begin({tokens: 1});
+    const lost = all.find(({id}) => id === 'a-0')!;
+    lost.pause();
+    return {clock, prober, probed, lost};
+  };
+
+  it.each([{size: 8}, {size: 20}])(
+    'probes all others of a data centre with $size engines',
+    ({size}) => {
+      const {prober, probed, lost} = setUp(size);
+      prober.probeDataCentreOf(lost);
+      expect(new Set(probed).size).toBe(size - 1);
+      expect(probed.every((id) => id.startsWith('a'))).toBe(true);
+    },
+  );
+
+  it.each([{size: 500}, {size: 2_000}])(
+    'probes a sample, and all with own work, of $size engines',
+    ({size}) => {
+      const {prober, probed, lost} = setUp(size);
+      prober.probeDataCentreOf(lost);
+      expect(probed.length).toBeLessThanOrEqual(MAX_IDLE_PROBES + BUSY);
+      for (let i = 1; i < BUSY; i++) expect(probed).toContain(`a-${i}`);
+    },
+  );
+
+  it('takes another sample each time', () => {
+    const {clock, prober, probed, lost} = setUp(500);
+    prober.probeDataCentreOf(lost);
+    const first = new Set(probed.splice(0));
+    for (let i = 0; i < 10; i++) {
+      clock.advance(STEP_MS);
+      prober.probeDataCentreOf(lost);
+    }
+    const repeated = probed.filter((id) => first.has(id));
+    expect(probed.length).toBeGreaterThan(0);
+    expect(repeated.length).toBeLessThan(probed.length / 2);
+  });
+});
