Let time limits that are late wait for pending reads

Cause: Node.js runs timers before it reads sockets. When a process was not run for a while (frozen, short of processor time, or busy itself), all its time limits end at once, although the data that would have cancelled them has arrived: probes "time out", sound streams count as stalled, responses of the store and of targets are thrown away.

Ruled out: the planned stop itself (the interrupted streams had failed with target_failed, with most of the grace period left).

Change: a timer that is more than 5 ms late runs after sockets have been read once, and not at all if that cancels it. callHttp uses the same timers.

--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -3,6 +3,7 @@
 import type {Dispatcher} from 'undici';
 import {Agent, request} from 'undici';
 
+import {scheduleTimer} from '../core/clock/index.js';
 import type {HeaderField} from '../core/edges/index.js';
 
 /** Time to open a connection, in milliseconds. */
@@ -22,6 +23,9 @@
   'UND_ERR_INVALID_ARG',
 ]);
 
+/** Name of the error with which a call ends after its timeout. */
+const TIMEOUT_ERROR_NAME = 'TimeoutError';
+
 const TIMEOUT_CODES: ReadonlySet<string> = new Set([
   'UND_ERR_HEADERS_TIMEOUT',
   'UND_ERR_BODY_TIMEOUT',
@@ -143,9 +147,24 @@
 }
 
 async function sendRequest(options: HttpCallOptions): Promise<HttpResponse> {
-  const {dispatcher, url, method, body, timeoutMs} = options;
-  // AbortSignal.timeout throws if the time is not an integer.
-  const signal = AbortSignal.timeout(Math.ceil(timeoutMs));
+  const abort = new AbortController();
+  const {timeoutMs} = options;
+  const timer = scheduleTimer({
+    delayMs: timeoutMs,
+    run: () => abort.abort(createTimeoutError(timeoutMs)),
+  });
+  try {
+    return await exchange(options, abort.signal);
+  } finally {
+    timer.cancel();
+  }
+}
+
+async function exchange(
+  options: HttpCallOptions,
+  signal: AbortSignal,
+): Promise<HttpResponse> {
+  const {dispatcher, url, method, body} = options;
   const headers = options.headers.flatMap(({name, value}) => [name, value]);
   const settings = {dispatcher, method, headers, body, signal};
   const res = await request(url, settings as Parameters<typeof request>[1]);
@@ -157,6 +176,11 @@
   };
 }
 
+function createTimeoutError(timeoutMs: number): Error {
+  const detail = `no complete response within ${Math.round(timeoutMs)} ms`;
+  return new DOMException(detail, TIMEOUT_ERROR_NAME);
+}
+
 async function readBytes(
   body: Dispatcher.ResponseData['body'],
   maxBytes = Number.POSITIVE_INFINITY,
@@ -197,7 +221,7 @@
 }
 
 function isTimeout(e: unknown): boolean {
-  if (e instanceof Error && e.name === 'TimeoutError') return true;
+  if (e instanceof Error && e.name === TIMEOUT_ERROR_NAME) return true;
   return TIMEOUT_CODES.has(getErrorCode(e));
 }
 
--- a/src/core/clock/system-clock.ts
+++ b/src/core/clock/system-clock.ts
@@ -1,3 +1,4 @@
+import {scheduleTimer} from './schedule-timer.js';
 import type {Clock, TimerHandle} from './types.js';
 
 /**
@@ -16,8 +17,7 @@
   }
 
   schedule(options: {delayMs: number; run: () => void}): TimerHandle {
-    const timer = setTimeout(options.run, options.delayMs);
-    return {cancel: () => clearTimeout(timer)};
+    return scheduleTimer(options);
   }
 
   repeat(options: {periodMs: number; run: () => void}): TimerHandle {
