--- a/src/direct/relay/change-relay.ts
+++ b/src/direct/relay/change-relay.ts
@@ -179,7 +179,9 @@
     this.logReader(reader);
     if (reader === undefined) return NONE;
     const answer = await this.connectionTo(reader).watch(kind, query);
+    // Closed by this entry, not by the reader.
     if (answer === undefined && this.isDemanded) return NONE;
+    if (answer === undefined && this.client?.vm !== reader.vm) return FAILED;
     const result = toResult(answer);
     this.options.metrics.count(CounterName.RELAYED_READS, {
       label: answer?.message.outcome ?? 'no_answer',
