Lift a quarantine once an entry has served the request

Cause: an entry that has served a request completely refutes the alert about its losses. If the refutation came after the quarantine, nothing ended that: the request was refused for 600 s.

Ruled out: slow probes (the three engines were lost), the verification before the verdict (none of them responded).

Change: a refutation lifts the quarantine at each entry that reads it, before or after the record; the entry that wrote the record removes it.

--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -142,6 +142,7 @@
         alertWriter: options.alertWriter,
         alertSource: options.alertSource,
         gate: this.gate,
+        release: (request) => this.quarantineSync.release(request),
         clock,
         random,
         metrics,
--- a/src/direct/poison/loss-alerts.ts
+++ b/src/direct/poison/loss-alerts.ts
@@ -38,6 +38,8 @@
   readonly writer: StateWriter<RecordedLosses>;
   readonly source: StateSource<RecordedLosses>;
   readonly gate?: OutageGate;
+  /** Called when an entry has told that it served a request completely. */
+  readonly onRefuted: (request: string) => void;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
@@ -137,6 +139,7 @@
     }
     ledger.alerts.add(request, value);
     this.recordKnown(request);
+    if (value.harmless.includes(request)) this.options.onRefuted(request);
     if (!this.removals.has(request))
       this.removeAfter(request, ALERT_RETENTION_MS * REMOTE_RETENTION_FACTOR);
     if (served.has(request)) void this.refute(request);
--- a/src/direct/poison/loss-tracker.ts
+++ b/src/direct/poison/loss-tracker.ts
@@ -21,6 +21,8 @@
     readonly alertWriter: StateWriter<RecordedLosses>;
     readonly alertSource: StateSource<RecordedLosses>;
     readonly gate?: OutageGate;
+    /** Lifts the quarantine of a request that an entry has served. */
+    readonly release: (request: string) => void;
   };
 
 /**
@@ -47,6 +49,7 @@
       served: this.served,
       writer: alertWriter,
       source: alertSource,
+      onRefuted: options.release,
     });
     this.diagnosis = new LossDiagnosis({
       ...options,
@@ -63,6 +66,8 @@
     });
     quarantine.subscribe((fingerprint, {crashes}) => {
       this.ledger.attribute(fingerprint, crashes);
+      if (this.ledger.alerts.isRefuted(fingerprint))
+        options.release(fingerprint);
     });
     quarantine.onRemoved((fingerprint) => {
       this.ledger.reset(fingerprint);
--- a/src/direct/poison/quarantine-sync.ts
+++ b/src/direct/poison/quarantine-sync.ts
@@ -40,6 +40,8 @@
   private readonly follower: Follower<QuarantineRecord>;
   /** Fingerprints with a record in the store, as last read or written. */
   private readonly stored = new Set<string>();
+  /** Fingerprints that this entry has quarantined itself. */
+  private readonly own = new Set<string>();
   private readonly timers = new Set<TimerHandle>();
   private isStopped = false;
 
@@ -74,6 +76,19 @@
     for (const timer of this.timers) timer.cancel();
   }
 
+  /**
+   * Releases a request that another entry has served completely. The entry that
+   * quarantined it removes the record, so that one of many does.
+   */
+  release(fingerprint: string): void {
+    const {quarantine, logger} = this.options;
+    if (!quarantine.has(fingerprint)) return;
+    logger.warn('quarantine lifted, as the request was served', {fingerprint});
+    quarantine.remove(fingerprint);
+    // A record that is not written yet is removed once it is.
+    if (this.own.delete(fingerprint)) void this.removeRecord(fingerprint);
+  }
+
   private applySnapshot(
     items: ReadonlyArray<SourceItem<QuarantineRecord>>,
   ): void {
@@ -113,10 +128,15 @@
     fingerprint: string,
     record: QuarantineRecord,
   ): Promise<void> {
-    const {writer} = this.options;
+    const {quarantine, writer} = this.options;
+    this.own.add(fingerprint);
     await this.retryUntilWritten(() =>
       writer.createIfAbsent(fingerprint, record),
     );
+    if (!quarantine.has(fingerprint)) {
+      await this.removeRecord(fingerprint);
+      return;
+    }
     this.stored.add(fingerprint);
     await this.removeAfter(fingerprint, QUARANTINE_MS);
   }
@@ -128,7 +148,13 @@
   ): Promise<void> {
     await this.sleep(delayMs);
     if (!this.stored.has(fingerprint)) return;
-    await this.retryUntilWritten(() => this.options.writer.remove(fingerprint));
+    await this.removeRecord(fingerprint);
+  }
+
+  private removeRecord(fingerprint: string): Promise<void> {
+    return this.retryUntilWritten(() =>
+      this.options.writer.remove(fingerprint),
+    );
   }
 
   /** Retries a write until it succeeds or the process stops. */
--- a/test/direct/loss-alerts.test.ts
+++ b/test/direct/loss-alerts.test.ts
@@ -104,6 +104,7 @@
         upsert: (name, value) => store.upsert(name, value),
       },
       source: store.source(),
+      onRefuted: () => undefined,
       clock,
       random,
       logger: SILENT_LOGGER,
