Bound how long an entry waits for a reader that is held back

Cause, by its log: the store turned edge-trencin-d-1 away with 429 from 24.5 to 32.5 s. As a reader it counted as failed only for the random time for which an entry avoids itself; after that it held watches again, although the gate held its reads of the targets back for up to 3 s. edge-nitra-c-1 had asked it at 25.7 s, waited the whole 2.4 s of its long poll, and learned of the leaving server (26.509 s) after 28.557 s.

Ruled out: the reader's pause and wait (another entry read the store all the time and applied each change).

Change: a reader answers NOT_READING from a failed wait until one succeeds; a watch of a kind that is not read ends after 250 ms; an entry waits for its reader for half of a kind's bound at most. A log without a finished read tells BEHIND, which blames nobody.

--- a/src/core/relay/age-bound.ts
+++ b/src/core/relay/age-bound.ts
@@ -22,20 +22,36 @@
  */
 const WAIT_SHARE = 0.25;
 
+/** Share of a bound for which an entry waits for an answer of its reader. */
+const ASK_SHARE = 0.5;
+
+/** The longest waits for a kind that entries read through each other. */
+export interface RelayWaits {
+  /** Of a reader at the store, in milliseconds. */
+  readonly storeMs: number;
+  /** Of an entry at its reader, in milliseconds. */
+  readonly askMs: number;
+}
+
 /**
- * Returns the longest wait at the store for a kind that others follow, in
- * milliseconds.
+ * Returns the longest waits for a kind, which are infinite if its age has no
+ * bound.
  *
  * @example
- * // 500
- * longestWaitMs(AgeBound.TARGET_DRAIN, {configApplyMs: 4_000, targetDrainMs: 2_000});
+ * // {storeMs: 500, askMs: 1_000}
+ * longestWaits(AgeBound.TARGET_DRAIN, {configApplyMs: 4_000, targetDrainMs: 2_000});
  */
-export function longestWaitMs(bound: AgeBound, limits: AgeLimits): number {
+export function longestWaits(bound: AgeBound, limits: AgeLimits): RelayWaits {
+  const boundMs = boundOf(bound, limits);
+  return {storeMs: boundMs * WAIT_SHARE, askMs: boundMs * ASK_SHARE};
+}
+
+function boundOf(bound: AgeBound, limits: AgeLimits): number {
   switch (bound) {
     case AgeBound.CONFIG_APPLY:
-      return limits.configApplyMs * WAIT_SHARE;
+      return limits.configApplyMs;
     case AgeBound.TARGET_DRAIN:
-      return limits.targetDrainMs * WAIT_SHARE;
+      return limits.targetDrainMs;
     case AgeBound.NONE:
       return Number.POSITIVE_INFINITY;
   }
--- a/src/core/relay/index.ts
+++ b/src/core/relay/index.ts
@@ -1,6 +1,6 @@
 /** Decides which entries read the store and what they tell the others. */
-export type {AgeLimits} from './age-bound.js';
-export {AgeBound, longestWaitMs} from './age-bound.js';
+export type {AgeLimits, RelayWaits} from './age-bound.js';
+export {AgeBound, longestWaits} from './age-bound.js';
 export {ChangeLog, LogAnswer} from './change-log.js';
 export type {LoggedRead} from './change-log.js';
 export {ReaderChoice} from './reader-choice.js';
--- a/src/core/relay/reader-choice.ts
+++ b/src/core/relay/reader-choice.ts
@@ -81,8 +81,7 @@
     this.avoided.delete(vm);
   }
 
-  /** Whether an entry has failed lately. */
-  isAvoided(vm: string): boolean {
+  private isAvoided(vm: string): boolean {
     const avoidance = this.avoided.get(vm);
     return (
       avoidance !== undefined && this.options.clock.now() < avoidance.untilMs
--- a/src/direct/relay/change-relay.ts
+++ b/src/direct/relay/change-relay.ts
@@ -12,10 +12,11 @@
   PROTOCOL_VERSION,
   WatchOutcome,
 } from '../../core/protocol/index.js';
-import type {AgeBound, AgeLimits, EntryRecord} from '../../core/relay/index.js';
+import type {AgeLimits, EntryRecord} from '../../core/relay/index.js';
 import {
+  AgeBound,
   ChangeLog,
-  longestWaitMs,
+  longestWaits,
   ReaderChoice,
 } from '../../core/relay/index.js';
 import {DEMAND_MS, MAX_ASKS, MAX_UNKNOWN_MS} from './consts.js';
@@ -69,6 +70,8 @@
   private lastReader?: string;
   private lastAskedMs = Number.NEGATIVE_INFINITY;
   private isStopped = false;
+  /** Whether the last wait at the store had no answer. */
+  private hasStoreFailed = false;
   /** Resolves once the other entries are known, or after a limit. */
   private readonly whenKnown: Promise<void>;
   private setKnown: () => void = () => undefined;
@@ -89,7 +92,7 @@
       logs: this.logs,
       clock,
       onAsked: () => this.handleAsked(),
-      mayRead: () => !this.choice.isAvoided(vm),
+      mayRead: () => !this.hasStoreFailed,
     });
     this.whenKnown = new Promise((resolve) => (this.setKnown = resolve));
     if (options.port === undefined) this.setKnown();
@@ -104,20 +107,22 @@
   }): StateSource<unknown> {
     const {kind, store, bound} = options;
     const {clock, random, limits} = this.options;
-    const maxWaitMs = longestWaitMs(bound, limits);
+    const {storeMs, askMs} = longestWaits(bound, limits);
     const log = new ChangeLog({clock});
     this.logs.set(kind, log);
     return new RelayedSource({
       store,
       log,
-      maxAsks: Number.isFinite(maxWaitMs) ? 1 : MAX_ASKS,
+      maxAsks: bound === AgeBound.NONE ? MAX_ASKS : 1,
       storeWaitMs: ({waitMs}) =>
-        this.choice.hasOthers ? Math.min(waitMs, maxWaitMs) : waitMs,
+        this.choice.hasOthers ? Math.min(waitMs, storeMs) : waitMs,
       clock,
       random,
-      ask: (query) => this.ask(kind, query),
+      ask: ({since, waitMs}) =>
+        this.ask(kind, {since, waitMs: Math.min(waitMs, askMs)}),
       onLogChanged: () => this.server.publish(kind),
       onStoreOutcome: (isSuccess) => {
+        this.hasStoreFailed = !isSuccess;
         if (isSuccess) this.choice.recordSuccess(this.options.vm);
         else this.handleStoreFailure();
       },
--- a/src/direct/relay/consts.ts
+++ b/src/direct/relay/consts.ts
@@ -42,6 +42,12 @@
  */
 export const MAX_ASKS = 3;
 
+/**
+ * Time within which an entry that is asked begins to read the kind, in
+ * milliseconds. Its reads may be held back by an outage that it knows of.
+ */
+export const READ_BEGIN_LIMIT_MS = 250;
+
 /** Time for which an entry that was asked reads the store, in milliseconds. */
 export const DEMAND_MS = 2_000;
 
--- a/src/direct/relay/watch-server.ts
+++ b/src/direct/relay/watch-server.ts
@@ -14,7 +14,11 @@
 } from '../../core/protocol/index.js';
 import type {ChangeLog} from '../../core/relay/index.js';
 import {LogAnswer} from '../../core/relay/index.js';
-import {ALIVE_INTERVAL_MS, MAX_WAITING_WATCHES} from './consts.js';
+import {
+  ALIVE_INTERVAL_MS,
+  MAX_WAITING_WATCHES,
+  READ_BEGIN_LIMIT_MS,
+} from './consts.js';
 
 /** A watch of another entry that waits for an answer. */
 interface WaitingWatch {
@@ -108,7 +112,7 @@
       connection,
       receivedAtMs: this.options.clock.now(),
       limit: this.options.clock.schedule({
-        delayMs: message.waitMs,
+        delayMs: this.limitOf(message),
         run: () => this.answerAtLimit(watch),
       }),
     };
@@ -126,14 +130,21 @@
     else if (this.hasRead(message)) this.send(watch, NO_CHANGES);
   }
 
+  /** A watch of a kind that is not read waits only for the reads to begin. */
+  private limitOf({kind, waitMs}: WatchMessage): number {
+    const isReading = this.options.logs.get(kind)?.isReading === true;
+    return isReading ? waitMs : Math.min(waitMs, READ_BEGIN_LIMIT_MS);
+  }
+
   private answerAtLimit(watch: WaitingWatch): void {
     this.send(watch, this.hasRead(watch.message) ? NO_CHANGES : BEHIND);
   }
 
-  /** Whether this entry reads the kind and has reached the revision. */
+  /** Whether this entry reads the kind and can tell of the revision. */
   private hasRead({kind, since}: WatchMessage): boolean {
     const log = this.options.logs.get(kind);
-    return log !== undefined && log.isReading && log.revision >= since;
+    if (log === undefined || !log.isReading) return false;
+    return log.revision >= since && log.confirmedAtMs !== undefined;
   }
 
   /** The answer to a watch that needs no further read. */
--- a/test/direct/change-relay.test.ts
+++ b/test/direct/change-relay.test.ts
@@ -32,6 +32,15 @@
 
 const FLEET = 6;
 
+const {DESK} = SiteService;
+
+/** Bound of the site after which a draining target gets no new work. */
+const TARGET_DRAIN_MS = 2_000;
+
+/** Changes of a target while its reader is turned away, and their distance. */
+const DRAIN_CHANGES = 10;
+const DRAIN_INTERVAL_MS = 300;
+
 /** Readers that are lost one after the other. */
 const LOST_READERS = 3;
 
@@ -135,6 +144,31 @@
     },
   );
 
+  it(
+    'learn in time of draining targets while the store turns their reader away',
+    {timeout: TIMEOUT_MS},
+    async () => {
+      await start(FLEET);
+      const target = await site.addTarget({service: DESK, zone: 'a'});
+      const [reader] = readersInOrder();
+      site.storeEndpoints[reader!]!.mode = StoreMode.BUSY;
+      for (let i = 0; i < DRAIN_CHANGES; i++) {
+        const isDraining = i % 2 === 0;
+        const state = isDraining ? 'draining' : 'ready';
+        site.register(target, {service: DESK, zone: 'a', state});
+        const startedMs = performance.now();
+        const knowsState = ({process}: DirectEntry) =>
+          process.usableTargetIds().includes(target.id) !== isDraining;
+        const others = site.entries.filter((_, j) => j !== reader);
+        while (!others.every(knowsState)) {
+          expect(performance.now() - startedMs).toBeLessThan(TARGET_DRAIN_MS);
+          await sleep(10);
+        }
+        await sleep(DRAIN_INTERVAL_MS);
+      }
+    },
+  );
+
   it(
     'include one whose port is taken, which answers nobody',
     {timeout: TIMEOUT_MS},
--- a/test/direct/watch-connection.test.ts
+++ b/test/direct/watch-connection.test.ts
@@ -26,6 +26,9 @@
 /** Longer than a client takes to notice silence, in milliseconds. */
 const NOTICED_MS = MAX_SILENCE_MS + 700;
 
+/** Longest answer of an entry that does not read the kind, in milliseconds. */
+const NOT_READ_MS = 800;
+
 const clock = new SystemClock();
 const random = new SeededRandom(SEED);
 
@@ -158,9 +161,17 @@
     expect((await pending)?.message.changes[0]?.value).toBe('second');
   });
 
-  it('ends if the entry does not begin to read', async () => {
+  it('ends early if the entry does not begin to read', async () => {
     log.stopReading();
-    const answer = await createClient().watch(KIND, {since: 41, waitMs: 100});
+    const startedMs = clock.now();
+    const answer = await createClient().watch(KIND, {since: 41, waitMs: 5_000});
+    expect(answer?.message.outcome).toBe(WatchOutcome.BEHIND);
+    expect(clock.now() - startedMs).toBeLessThan(NOT_READ_MS);
+  });
+
+  it('tells nothing if the first read has not ended within the wait', async () => {
+    log.startReading(60);
+    const answer = await createClient().watch(KIND, {since: 60, waitMs: 100});
     expect(answer?.message.outcome).toBe(WatchOutcome.BEHIND);
   });
 
