Show that slow streams stay and dripping ones are moved

The stand-in target can now send single bytes after three events; the entry counts events, so it moves the stream. A stream with an event each 140 ms stays at its target.

--- a/stand-ins/site/target-fault.ts
+++ b/stand-ins/site/target-fault.ts
@@ -36,6 +36,8 @@
   ENDLESS_INVALID = 'endless_noise',
   /** Runs each stream and loses its response; the connection stays open. */
   LOSE_STREAMS = 'lose_runs',
+  /** Sends single bytes after the first events of each stream, and no event. */
+  DRIP_STREAMS = 'drip_runs',
   /** Closes the connection of each stream; the target stays up. */
   DROP_STREAMS = 'drop_runs',
 }
@@ -47,6 +49,9 @@
   TargetFault.ENDLESS_INVALID,
 ]);
 
+/** Events of a stream before it sends single bytes only. */
+export const EVENTS_BEFORE_DRIP = 3;
+
 /** Bytes per write of an endless response. */
 const CHUNK_BYTES = 65_536;
 
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -8,6 +8,7 @@
 import {COPIES_PATH} from './copy-network.js';
 import {DEFAULT_BORN_MS, registrationOf} from './registration.js';
 import {
+  EVENTS_BEFORE_DRIP,
   sendResponse,
   TargetFault,
   isEndless,
@@ -226,6 +227,12 @@
     else this.respond(req, res, body);
   }
 
+  private drips(written: number): boolean {
+    return (
+      this.fault === TargetFault.DRIP_STREAMS && written >= EVENTS_BEFORE_DRIP
+    );
+  }
+
   private triggersCrash(body: string): boolean {
     return this.crashOn !== undefined && body.includes(this.crashOn.marker);
   }
@@ -313,6 +320,11 @@
       }
       this.prefilling.delete(attemptId);
       if (this.fault === TargetFault.LOSE_STREAMS) return;
+      if (this.drips(written)) {
+        res.write(':');
+        timer = setTimeout(writeEvent, this.pace.gapMs);
+        return;
+      }
       this.generating.add(attemptId);
       written++;
       if (next === 1 || !res.headersSent) {
