Let a watch wait for the end of the read that it has caused

It ends early now only if they have not begun (direct/watch-connection, whose new case failed before).

--- a/src/direct/relay/watch-server.ts
+++ b/src/direct/relay/watch-server.ts
@@ -25,7 +25,7 @@
   readonly message: WatchMessage;
   readonly connection: PeerConnection;
   readonly receivedAtMs: number;
-  readonly limit: TimerHandle;
+  limit: TimerHandle;
 }
 
 /** The answer to a watch, without the fields that every answer has. */
@@ -113,7 +113,7 @@
       receivedAtMs: this.options.clock.now(),
       limit: this.options.clock.schedule({
         delayMs: this.limitOf(message),
-        run: () => this.answerAtLimit(watch),
+        run: () => this.handleLimit(watch),
       }),
     };
     this.waiting.add(watch);
@@ -131,13 +131,29 @@
   }
 
   /** A watch of a kind that is not read waits only for the reads to begin. */
-  private limitOf({kind, waitMs}: WatchMessage): number {
-    const isReading = this.options.logs.get(kind)?.isReading === true;
-    return isReading ? waitMs : Math.min(waitMs, READ_BEGIN_LIMIT_MS);
+  private limitOf(message: WatchMessage): number {
+    const {waitMs} = message;
+    return this.isReading(message)
+      ? waitMs
+      : Math.min(waitMs, READ_BEGIN_LIMIT_MS);
   }
 
-  private answerAtLimit(watch: WaitingWatch): void {
-    this.send(watch, this.hasRead(watch.message) ? NO_CHANGES : BEHIND);
+  private handleLimit(watch: WaitingWatch): void {
+    const {message, receivedAtMs} = watch;
+    const {clock} = this.options;
+    const leftMs = receivedAtMs + message.waitMs - clock.now();
+    if (this.hasRead(message)) this.send(watch, NO_CHANGES);
+    else if (leftMs <= 0 || !this.isReading(message)) this.send(watch, BEHIND);
+    // The reads have begun since; the first has not ended.
+    else
+      watch.limit = clock.schedule({
+        delayMs: leftMs,
+        run: () => this.handleLimit(watch),
+      });
+  }
+
+  private isReading({kind}: WatchMessage): boolean {
+    return this.options.logs.get(kind)?.isReading === true;
   }
 
   /** Whether this entry reads the kind and can tell of the revision. */
--- a/test/direct/watch-connection.test.ts
+++ b/test/direct/watch-connection.test.ts
@@ -161,6 +161,16 @@
     expect((await pending)?.message.changes[0]?.value).toBe('second');
   });
 
+  it('waits for the end of a read that it has caused', async () => {
+    log.stopReading();
+    const pending = createClient().watch(KIND, {since: 60, waitMs: 3_000});
+    await sleep(50);
+    log.startReading(60);
+    await sleep(NOT_READ_MS);
+    append(61, 'second');
+    expect((await pending)?.message.changes[0]?.value).toBe('second');
+  });
+
   it('ends early if the entry does not begin to read', async () => {
     log.stopReading();
     const startedMs = clock.now();
