--- a/src/cli/commands/check/index.ts
+++ b/src/cli/commands/check/index.ts
@@ -17,6 +17,6 @@
     });
   return addHelp(command, [
     'plantainrill check -f examples/quickstart',
-    'plantainrill check -f examples/pumeks-worki --json',
+    'plantainrill check -f site/ --json',
   ]);
 }
