Log streams that only their connection tells to have ended

The entry that passed a cut stream on as complete wrote no line, so the hypotheses of the incident could not be told apart: a cut after the head, one between two events, or a reset taken for an end. The line names the events and the bytes of an unfinished event.

--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -209,6 +209,7 @@
   private onComplete(): void {
     const {head} = this;
     if (this.isOver || head === undefined) return;
+    if (!head.isSelfDelimited) this.logConnectionEnd(head);
     if (head.status !== OK) {
       this.close({copyIsNeeded: false});
       this.options.listener.onOtherResponse(head, this.body.toBytes());
@@ -230,6 +231,17 @@
     this.reportLoss({reason, failure, detail: `${failure}: ${detail}`});
   }
 
+  /** Only the connection tells that such a body has ended. */
+  private logConnectionEnd({status}: TargetResponseHead): void {
+    this.options.ctx.logger.info('stream ended with its connection', {
+      id: this.options.work.req.attemptId,
+      target: this.target.id,
+      status,
+      events: this.receivedCount,
+      pendingBytes: this.splitter.pendingBytes,
+    });
+  }
+
   private reportLoss(loss: TargetLoss): void {
     this.stop({copyIsNeeded: true});
     this.options.listener.onLost(loss);
