--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -4,6 +4,8 @@
 import type {AddressInfo, Socket} from 'node:net';
 
 import {Header, Path} from '../../platform/names.js';
+import {sendCloseDelimited} from './close-delimited-stream.js';
+import type {StreamEnd} from './close-delimited-stream.js';
 import type {CopyNetwork} from './copy-network.js';
 import {COPIES_PATH} from './copy-network.js';
 import {DEFAULT_BORN_MS, registrationOf} from './registration.js';
@@ -95,6 +97,8 @@
   crashOn?: CrashTrigger;
   /** Crashes caused by requests, over all incarnations. */
   readonly crashes: CrashRecord[] = [];
+  /** Ends of its next streams, which are sent without length or chunks. */
+  readonly closeDelimitedEnds: StreamEnd[] = [];
   /** Called after a request crashed the target. */
   onCrash: () => void = () => undefined;
   /** Bytes sent in endless responses. */
@@ -287,6 +291,13 @@
     }, this.workMs);
   }
 
+  private eventsFrom(first: number, attemptId: string): string[] {
+    const count = Math.max(0, this.pace.events + 1 - first);
+    return Array.from({length: count}, (_, i) =>
+      encodeEvent(first + i, attemptId),
+    );
+  }
+
   private stream(req: IncomingMessage, res: ServerResponse, body: string) {
     const attemptId = String(req.headers[Header.ATTEMPT_ID] ?? '');
     const copyFrom = req.headers[Header.KV_COPY_FROM];
@@ -303,6 +314,13 @@
     }
     const copyTo = req.headers[Header.KV_COPY_TO];
     let next = Number(req.headers[Header.LAST_EVENT_ID] ?? 0) + 1;
+    const end = this.closeDelimitedEnds.shift();
+    if (end !== undefined) {
+      const events = this.eventsFrom(next, attemptId);
+      const {socket} = req;
+      sendCloseDelimited({socket, attemptId, targetId: this.id, events, end});
+      return;
+    }
     let timer: NodeJS.Timeout | undefined;
     this.prefilling.add(attemptId);
     res.on('close', () => {
@@ -334,7 +352,7 @@
           'Content-Type': 'text/event-stream',
         });
       }
-      res.write(`id: ${next}\ndata: piece ${next} of ${attemptId}\n\n`);
+      res.write(encodeEvent(next, attemptId));
       if (typeof copyTo === 'string') {
         void this.copyNetwork.storeCopy(copyTo, attemptId);
       }
@@ -345,6 +363,10 @@
   }
 }
 
+function encodeEvent(id: number, attemptId: string): string {
+  return `id: ${id}\ndata: piece ${id} of ${attemptId}\n\n`;
+}
+
 function arrivalOf(req: IncomingMessage): {attemptId: string; key: string} {
   const attemptId = String(req.headers[Header.ATTEMPT_ID] ?? '');
   return {attemptId, key: String(req.headers[KEY_HEADER] ?? '')};
