Count a stream that its connection ends before any event as cut off

Cause: a response without length and chunks ends with its connection, and only bytes of an unfinished event counted as evidence of a cut. A cut after the head leaves none.

A stream always has an event, so an end without one is no end, also where a stream resumes. It goes on at another target like any lost stream. A framed empty stream is still passed on.

--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -213,9 +213,10 @@
     if (head.status !== OK) {
       this.close({copyIsNeeded: false});
       this.options.listener.onOtherResponse(head, this.body.toBytes());
-    } else if (this.splitter.pendingBytes > 0) {
+    } else if (this.wasCutOff(head)) {
       const reason = RetryReason.ENGINE_DIED;
-      this.reportLoss({reason, detail: 'stream ended within an event'});
+      const detail = `stream cut off after ${this.receivedCount} events`;
+      this.reportLoss({reason, detail});
     } else {
       this.close({copyIsNeeded: false});
       this.target.recordSuccess();
@@ -231,6 +232,15 @@
     this.reportLoss({reason, failure, detail: `${failure}: ${detail}`});
   }
 
+  /**
+   * Whether a stream ended within an event. An end that only the connection
+   * marks may fall within the first event before any of its bytes.
+   */
+  private wasCutOff({isSelfDelimited}: TargetResponseHead): boolean {
+    if (this.splitter.pendingBytes > 0) return true;
+    return !isSelfDelimited && this.receivedCount === 0;
+  }
+
   /** Only the connection tells that such a body has ended. */
   private logConnectionEnd({status}: TargetResponseHead): void {
     this.options.ctx.logger.info('stream ended with its connection', {
