Fail responses without length whose connection is reset, in both shapes

The new row of test/adapters/http-service-driver failed before ('Called _unsafeUnwrapErr on an Ok').

The direct entry had its own guard. Both, and the calls to the stores, now open their connections with one connector, which gives a reset another error code, so that undici fails the response. Cuts between two chunks were sound already and have a row now.

--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -5,6 +5,7 @@
 
 import {scheduleTimer} from '../core/clock/index.js';
 import type {HeaderField} from '../core/edges/index.js';
+import {createConnector} from './http-connector.js';
 
 /** Time to open a connection, in milliseconds. */
 export const CONNECT_TIMEOUT_MS = 1_000;
@@ -86,7 +87,9 @@
   connectTimeoutMs?: number;
 }): Dispatcher {
   return new Agent({
-    connect: {timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS},
+    connect: createConnector({
+      timeoutMs: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+    }),
     headersTimeout: 0,
     bodyTimeout: 0,
     // With pipelining 0, undici opens a new connection for each call.
--- a/stand-ins/site/close-delimited-stream.ts
+++ b/stand-ins/site/close-delimited-stream.ts
@@ -1,7 +1,7 @@
-/** Streams without length or chunks, which end with their connection. */
+/** Streams that end with their connection, or are cut off by its end. */
 import type {Socket} from 'node:net';
 
-/** Where a close-delimited stream ends. */
+/** Where a stream ends. All but the last have neither length nor chunks. */
 export enum StreamEnd {
   /** After its last event. */
   COMPLETE = 'after its last event',
@@ -10,6 +10,7 @@
   INSIDE_LATER_EVENT = 'inside a later event',
   /** Between two events, by a reset of the connection. */
   RESET = 'by a reset between two events',
+  BETWEEN_CHUNKS = 'between two chunks',
 }
 
 /** A stream and where it ends. */
@@ -25,6 +26,10 @@
 /** Time from the last write until a reset, in milliseconds. */
 const RESET_DELAY_MS = 10;
 
+const HEXADECIMAL = 16;
+
+const CHUNKED_HEADERS = ['Transfer-Encoding: chunked', 'Connection: close'];
+
 /** Events before a stream that is cut inside a later one. */
 const WHOLE_EVENTS = 2;
 
@@ -41,6 +46,7 @@
     `Attempt-Id: ${attemptId}`,
     `Server-Stamp: s-${targetId}`,
     'Content-Type: text/event-stream',
+    ...(end === StreamEnd.BETWEEN_CHUNKS ? CHUNKED_HEADERS : []),
   ];
   const text = `${head.join('\r\n')}\r\n\r\n${bodyOf(stream)}`;
   if (end !== StreamEnd.RESET) {
@@ -63,6 +69,8 @@
       return whole + halfOf(events[WHOLE_EVENTS]!);
     case StreamEnd.RESET:
       return whole;
+    case StreamEnd.BETWEEN_CHUNKS:
+      return `${whole.length.toString(HEXADECIMAL)}\r\n${whole}\r\n`;
     default:
       return events.join('');
   }
--- a/test/adapters/http-service-driver.test.ts
+++ b/test/adapters/http-service-driver.test.ts
@@ -13,6 +13,7 @@
 
 const TIMEOUT_MS = 10_000;
 const SHORT_TIMEOUT_MS = 100;
+const RESET_DELAY_MS = 10;
 
 const BOOKING = {
   method: 'POST',
@@ -131,6 +132,19 @@
     timeoutMs: TIMEOUT_MS,
     kind: DriverErrorKind.LOST,
   },
+  {
+    name: 'a response without length whose connection is reset',
+    target: () =>
+      open(
+        startStubServer(({socket}) => {
+          socket!.write('HTTP/1.1 200 OK\r\n\r\n{', () =>
+            setTimeout(() => socket!.resetAndDestroy(), RESET_DELAY_MS),
+          );
+        }),
+      ),
+    timeoutMs: TIMEOUT_MS,
+    kind: DriverErrorKind.LOST,
+  },
   {
     name: 'a stalled service',
     target: async () => {
