Give no length to a stream's error response that came without one

It now passes it on as it came, as it already did for plain calls; both use one function. The new row failed before (content-length '15').

--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -23,6 +23,7 @@
 import {ResponseBody, TOO_LARGE_DETAIL} from './response-body.js';
 import {RETRY_AFTER_MS, SAFE_ATTEMPT_TIME_SHARE} from './consts.js';
 import type {DirectContext, DirectWork} from './context.js';
+import {forwardResponse} from './forward-response.js';
 import {recordTargetFailure} from './record-target-failure.js';
 import {PoisonDetector} from './poison/index.js';
 import {refuseUnsent} from './refuse-unsent.js';
@@ -234,11 +235,8 @@
     this.stop();
     const ms = this.ctx.clock.now() - this.work.req.receivedMs;
     this.ctx.metrics.observe({name: LatencyName.PLAIN_CALL, ms});
-    const {status, headers, isSelfDelimited} = this.head!;
     const body = this.body.toBytes();
-    const {res} = this.work;
-    if (isSelfDelimited) res.sendComplete({status, headers}, body);
-    else res.sendCloseDelimited({status, headers}, body);
+    forwardResponse({res: this.work.res, head: this.head!, body});
   }
 
   private fail(isTimedOut: boolean): void {
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -23,6 +23,7 @@
   PLACEMENT_RETRY_MS,
 } from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
+import {forwardResponse} from '../forward-response.js';
 import {PoisonDetector} from '../poison/index.js';
 import {refuseUnsent} from '../refuse-unsent.js';
 import type {KvCacheCopy} from './kv-cache-replicator.js';
@@ -219,7 +220,7 @@
       return;
     }
     this.stop();
-    this.work.res.sendComplete(head, body);
+    forwardResponse({res: this.work.res, head, body});
   }
 
   /** The current target is lost: resumes at another one if allowed. */
--- a/stand-ins/site/target-fault.ts
+++ b/stand-ins/site/target-fault.ts
@@ -16,6 +16,8 @@
   NO_CONTENT_LENGTH_RESET = 'unframed_reset',
   /** Sends a complete response without `Content-Length`. */
   NO_CONTENT_LENGTH = 'unframed',
+  /** Rejects the request as invalid, without `Content-Length`. */
+  NO_CONTENT_LENGTH_ERROR = 'unframed_error',
   /** Sends less than `Content-Length` and ends the connection. */
   TRUNCATED_BODY = 'short',
   /** Responds with the attempt id of another request. */
@@ -100,6 +102,9 @@
     case TargetFault.NO_CONTENT_LENGTH:
       socket.end(`HTTP/1.1 200 OK\r\n${head}\r\n${text}`);
       break;
+    case TargetFault.NO_CONTENT_LENGTH_ERROR:
+      socket.end(`HTTP/1.1 422 Invalid\r\n${head}\r\n${text}`);
+      break;
     case TargetFault.TRUNCATED_BODY:
       socket.end(
         `HTTP/1.1 200 OK\r\n${head}Content-Length: 900\r\n\r\n${text}`,
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -227,7 +227,9 @@
       this.reject(req, res);
       return;
     }
-    if (this.pace.events > 0) this.stream(req, res, body);
+    const isStream =
+      this.pace.events > 0 && this.fault !== TargetFault.NO_CONTENT_LENGTH_ERROR;
+    if (isStream) this.stream(req, res, body);
     else this.respond(req, res, body);
   }
 
--- a/test/direct/close-delimited-streams.test.ts
+++ b/test/direct/close-delimited-streams.test.ts
@@ -3,6 +3,7 @@
 
 import {StreamEnd} from '../../stand-ins/site/close-delimited-stream.js';
 import {SitePath, SiteService} from '../../stand-ins/site/config.js';
+import {TargetFault} from '../../stand-ins/site/target-fault.js';
 import {DirectSite} from '../support/direct-site.js';
 
 const EVENTS = 6;
@@ -50,4 +51,12 @@
     expect(reply).toMatchObject({isComplete: true, text: expected('try-1')});
     expect(runCount()).toBe(1);
   });
+
+  it('gets no length if its target answers with an error without one', async () => {
+    for (const target of site.targets)
+      target.fault = TargetFault.NO_CONTENT_LENGTH_ERROR;
+    const reply = await site.call({path: SitePath.STREAM});
+    expect(reply.status).toBe(422);
+    expect(reply.headers['content-length']).toBeUndefined();
+  });
 });
