--- a/stand-ins/site/target-fault.ts
+++ b/stand-ins/site/target-fault.ts
@@ -51,6 +51,18 @@
   TargetFault.ENDLESS_INVALID,
 ]);
 
+const STREAM_FAULTS: ReadonlySet<TargetFault> = new Set([
+  TargetFault.NONE,
+  TargetFault.LOSE_STREAMS,
+  TargetFault.DRIP_STREAMS,
+  TargetFault.DROP_STREAMS,
+]);
+
+/** Returns whether a target still responds with streams. */
+export function allowsStreams(fault: TargetFault): boolean {
+  return STREAM_FAULTS.has(fault);
+}
+
 /** Events of a stream before it sends single bytes only. */
 export const EVENTS_BEFORE_DRIP = 3;
 
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -13,6 +13,7 @@
   EVENTS_BEFORE_DRIP,
   sendResponse,
   TargetFault,
+  allowsStreams,
   isEndless,
   sendEndlessResponse,
 } from './target-fault.js';
@@ -227,8 +228,7 @@
       this.reject(req, res);
       return;
     }
-    const isStream =
-      this.pace.events > 0 && this.fault !== TargetFault.NO_CONTENT_LENGTH_ERROR;
+    const isStream = this.pace.events > 0 && allowsStreams(this.fault);
     if (isStream) this.stream(req, res, body);
     else this.respond(req, res, body);
   }
