--- a/stand-ins/site/target-fault.ts
+++ b/stand-ins/site/target-fault.ts
@@ -10,6 +10,13 @@
   ERROR = 'error',
   /** Rejects without running, as a target without a free slot does. */
   REJECT = 'reject',
+  /**
+   * Rejects the first request of a connection, runs the others and sends that
+   * rejection once more.
+   */
+  REPEAT_REJECTION = 'repeat_reject',
+  /** The same, without the attempt id of the rejected request. */
+  REPEAT_ANONYMOUS_REJECTION = 'repeat_anonymous_reject',
   /** Runs and closes the connection without a response. */
   CLOSE_CONNECTION = 'cut',
   /** Sends part of a response without `Content-Length` and resets. */
@@ -51,6 +58,23 @@
   TargetFault.ENDLESS_INVALID,
 ]);
 
+/** Returns whether a target sends earlier rejections once more. */
+export function repeatsRejections(fault: TargetFault): boolean {
+  return (
+    fault === TargetFault.REPEAT_REJECTION ||
+    fault === TargetFault.REPEAT_ANONYMOUS_REJECTION
+  );
+}
+
+/** Encodes the rejection of a request, with its attempt id if it is given. */
+export function encodeRejection(attemptId?: string): string {
+  const id = attemptId === undefined ? '' : `Attempt-Id: ${attemptId}\r\n`;
+  return (
+    `HTTP/1.1 503 Full\r\n${id}Not-Executed: 1\r\n` +
+    'Content-Length: 0\r\n\r\n'
+  );
+}
+
 const STREAM_FAULTS: ReadonlySet<TargetFault> = new Set([
   TargetFault.NONE,
   TargetFault.LOSE_STREAMS,
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -14,7 +14,9 @@
   sendResponse,
   TargetFault,
   allowsStreams,
+  encodeRejection,
   isEndless,
+  repeatsRejections,
   sendEndlessResponse,
 } from './target-fault.js';
 
@@ -114,6 +116,8 @@
   private readonly copyNetwork: CopyNetwork;
   private readonly observer: TargetObserver;
   private readonly sockets = new Set<Socket>();
+  /** Rejections that are sent once more, by connection. */
+  private readonly rejections = new WeakMap<Socket, string>();
   private readonly server: Server;
   private address = '';
 
@@ -228,6 +232,10 @@
       this.reject(req, res);
       return;
     }
+    if (repeatsRejections(this.fault)) {
+      this.repeatRejection(req, res, body);
+      return;
+    }
     const isStream = this.pace.events > 0 && allowsStreams(this.fault);
     if (isStream) this.stream(req, res, body);
     else this.respond(req, res, body);
@@ -260,8 +268,28 @@
   }
 
   private reject(req: IncomingMessage, res: ServerResponse): void {
+    const {attemptId} = arrivalOf(req);
     this.observer.onArrived({...arrivalOf(req), hasRun: false});
-    res.writeHead(503, {'Not-Executed': '1'}).end();
+    res.writeHead(503, {'Attempt-Id': attemptId, 'Not-Executed': '1'}).end();
+  }
+
+  private repeatRejection(
+    req: IncomingMessage,
+    res: ServerResponse,
+    body: string,
+  ): void {
+    const {attemptId, key} = arrivalOf(req);
+    const earlier = this.rejections.get(req.socket);
+    if (earlier !== undefined) {
+      this.recordRun({req, res, body, hasFullPrefill: true});
+      req.socket.write(earlier);
+      return;
+    }
+    const isAnonymous = this.fault === TargetFault.REPEAT_ANONYMOUS_REJECTION;
+    const rejection = encodeRejection(isAnonymous ? undefined : attemptId);
+    this.rejections.set(req.socket, rejection);
+    this.observer.onArrived({attemptId, key, hasRun: false});
+    req.socket.write(rejection);
   }
 
   private recordRun(options: {
--- a/test/direct/calls.test.ts
+++ b/test/direct/calls.test.ts
@@ -130,6 +130,23 @@
     }
   });
 
+  it.each([
+    {fault: TargetFault.REPEAT_REJECTION},
+    {fault: TargetFault.REPEAT_ANONYMOUS_REJECTION},
+  ])(
+    'is not refused by an earlier rejection that comes once more: $fault',
+    async ({fault}) => {
+      far.crash();
+      near.fault = fault;
+      for (let i = 1; i <= 4; i++) {
+        const {status} = await site.call({path: UNSAFE, body: `order ${i}`});
+        const hasRun = near.runs.some(({body}) => body === `order ${i}`);
+        expect({i, status}).toEqual({i, status: hasRun ? 502 : 503});
+      }
+      expect(near.runs.length).toBeGreaterThan(0);
+    },
+  );
+
   it('sends the client account to the target, but not the key', async () => {
     await site.call({
       path: SAFE,
