Log the prompt parts of requests that lose targets

The logs of the incident show losses of requests with different fingerprints, but not what these requests share, so that 'one part crashes targets' cannot be told from several crashing requests. The line of a lost target now names the parts of the prompt, eight at most.

--- a/src/direct/poison/loss-diagnosis.ts
+++ b/src/direct/poison/loss-diagnosis.ts
@@ -20,6 +20,9 @@
 /** Most requests whose attributed losses are kept; the oldest are dropped. */
 const MAX_ATTRIBUTED_REQUESTS = 4_096;
 
+/** Most prompt parts of a request that a line of the log names. */
+const MAX_LOGGED_PARTS = 8;
+
 /** Why a target was lost. */
 export enum LossCause {
   /** The target still runs: only the connection broke. */
@@ -37,6 +40,8 @@
   /** Fingerprint of the request. */
   readonly request: string;
   readonly clientAccount: string;
+  /** Ids of the parts of its prompt, in order. */
+  readonly promptParts: readonly string[];
   readonly target: Target;
   /** When the attempt started, in milliseconds on the monotonic clock. */
   readonly startedMs: number;
@@ -108,6 +113,7 @@
     ledger.recordLoss({request, incarnation});
     this.log('target lost during request, diagnosis started', loss, {
       held: ledger.incarnationsOf(request).size,
+      promptParts: loss.promptParts.slice(0, MAX_LOGGED_PARTS).join(','),
     });
     this.options.onLost();
     const diagnosis = this.findCause(loss).finally(() =>
@@ -304,7 +310,7 @@
   private log(
     message: string,
     {id, request, target}: RequestLoss,
-    fields: {held?: number; cause?: LossCause},
+    fields: {held?: number; promptParts?: string; cause?: LossCause},
   ): void {
     const {dataCentre, startedAtMs: bornMs} = target.record;
     this.options.logger.info(message, {
--- a/src/direct/poison/poison-detector.ts
+++ b/src/direct/poison/poison-detector.ts
@@ -111,7 +111,8 @@
   }
 
   private toLoss({target, startedMs}: TargetAttempt): RequestLoss {
-    return {...this.requestFields(), target, startedMs};
+    const promptParts = this.work.req.promptParts.map(({id}) => id);
+    return {...this.requestFields(), promptParts, target, startedMs};
   }
 
   private requestFields() {
