Show that a prompt part that crashes targets is sent on for ever

Both rows fail: 43 requests with the part are sent later than 3 s after the fifth crash, where the users' rule allows 3; sound requests that share the account and the other parts run beside them.

--- a/test/direct/loss-verification.test.ts
+++ b/test/direct/loss-verification.test.ts
@@ -112,6 +112,7 @@
         id: `try ${target.id}`,
         request: REQUEST,
         clientAccount: ACCOUNT,
+        promptParts: [],
         target,
         startedMs: clock.now(),
       });
--- /dev/null
+++ b/test/direct/poison-prompt-part.test.ts
@@ -0,0 +1,108 @@
+/** Requests that differ but share a prompt part that crashes targets. */
+import {Agent} from 'node:http';
+
+import {afterEach, describe, expect, it} from 'vitest';
+
+import {SitePath} from '../../stand-ins/site/config.js';
+import type {DirectSite} from '../support/direct-site.js';
+import {
+  CRASH_MARK,
+  crashingRequests,
+  ENTRIES,
+  EVENTS,
+  restartCrashedTargets,
+  sleep,
+  startPoisonSite,
+} from '../support/poison-scenario.js';
+
+/** Crashes after which such requests must no longer be sent. */
+const MAX_CRASHES = 5;
+
+/** Time after the last of these from which the bound holds, in ms. */
+const CONTACT_MS = 3_000;
+
+/** Requests with the part that may still reach targets after that. */
+const MAX_LATE_REQUESTS = 3;
+
+const DURATION_MS = 5_500;
+const POISON_INTERVAL_MS = 120;
+const SOUND_INTERVAL_MS = 60;
+const TIMEOUT_MS = 20_000;
+
+const LAST_EVENT = `id: ${EVENTS}\n`;
+
+/** Prompts as Prefix-Hash headers; the last part is the request's own. */
+const PROMPTS = [
+  {
+    culprit: 'a part in the middle',
+    poison: (i: number) => `c0:200,bad:900,a${i}:40`,
+    sound: (i: number) => `c0:200,good:900,b${i}:40`,
+  },
+  {
+    culprit: 'the first part',
+    poison: (i: number) => `bad:200,c${i % 4}:900,a${i}:40`,
+    sound: (i: number) => `good:200,c${i % 4}:900,b${i}:40`,
+  },
+];
+
+/** What happened to a sound request. */
+interface SoundResult {
+  readonly sentMs: number;
+  readonly isServed: boolean;
+}
+
+describe('a prompt part that crashes targets', () => {
+  let site: DirectSite;
+
+  afterEach(() => site.stop());
+
+  const send = (options: {i: number; body: string; prompt: string}) =>
+    site.call({
+      path: SitePath.STREAM,
+      body: options.body,
+      entry: options.i % ENTRIES,
+      agent: new Agent(),
+      headers: {'Prefix-Hash': options.prompt},
+    });
+
+  async function sendSound(i: number, prompt: string): Promise<SoundResult> {
+    const sentMs = performance.now();
+    const {status, text} = await send({i, body: `sound ${i}`, prompt});
+    return {sentMs, isServed: status === 200 && text.includes(LAST_EVENT)};
+  }
+
+  /** Starts requests at an interval until the end of the scenario. */
+  async function sendAtInterval<T>(
+    intervalMs: number,
+    start: (i: number) => Promise<T>,
+  ): Promise<T[]> {
+    const sent: Array<Promise<T>> = [];
+    for (let i = 0; i * intervalMs < DURATION_MS; i++) {
+      sent.push(start(i));
+      await sleep(intervalMs);
+    }
+    return Promise.all(sent);
+  }
+
+  it.each(PROMPTS)(
+    'is not sent on in ever new requests: $culprit',
+    {timeout: TIMEOUT_MS},
+    async ({poison, sound}) => {
+      site = await startPoisonSite(SitePath.STREAM);
+      restartCrashedTargets(site);
+      const [results] = await Promise.all([
+        sendAtInterval(SOUND_INTERVAL_MS, (i) => sendSound(i, sound(i))),
+        sendAtInterval(POISON_INTERVAL_MS, (i) =>
+          send({i, body: `${CRASH_MARK} ${i}`, prompt: poison(i)}),
+        ),
+      ]);
+      const {crashes, arrivals} = crashingRequests(site);
+      const lastMs = crashes[MAX_CRASHES - 1]?.atMs ?? 0;
+      const late = arrivals.filter(({atMs}) => atMs > lastMs + CONTACT_MS);
+      expect(late.length).toBeLessThanOrEqual(MAX_LATE_REQUESTS);
+      const later = results.filter(({sentMs}) => sentMs > lastMs + CONTACT_MS);
+      expect(later.length).toBeGreaterThan(0);
+      expect(later.filter(({isServed}) => !isServed)).toEqual([]);
+    },
+  );
+});
--- a/test/support/poison-scenario.ts
+++ b/test/support/poison-scenario.ts
@@ -3,7 +3,11 @@
 
 import type {Logger} from '../../src/core/logs/index.js';
 import {SitePath, SiteService} from '../../stand-ins/site/config.js';
-import type {CrashRecord, StandInTarget} from '../../stand-ins/site/target.js';
+import type {
+  CrashRecord,
+  RunRecord,
+  StandInTarget,
+} from '../../stand-ins/site/target.js';
 import type {SiteResponse} from '../../tools/lab/site-caller.js';
 import {DirectSite} from './direct-site.js';
 
@@ -92,14 +96,34 @@
   options: PoisonScenarioOptions,
 ): Promise<void> {
   const {site, bodies = [CRASH_MARK], afterEvents = 0} = options;
+  restartCrashedTargets(site, afterEvents);
+  await Promise.all(bodies.map((body) => runRounds(options, body)));
+  await sleep(RESTART_DELAY_MS * 2);
+}
+
+/** Makes targets crash on poison requests and restart after a delay. */
+export function restartCrashedTargets(site: DirectSite, afterEvents = 0): void {
   for (const target of site.targets) {
     target.crashOn = {marker: CRASH_MARK, afterEvents};
     target.onCrash = () => {
       setTimeout(() => void site.restartTarget(target), RESTART_DELAY_MS);
     };
   }
-  await Promise.all(bodies.map((body) => runRounds(options, body)));
-  await sleep(RESTART_DELAY_MS * 2);
+}
+
+/** Crashes and arrivals at targets of all poison requests, in order of time. */
+export function crashingRequests(site: DirectSite): {
+  crashes: CrashRecord[];
+  arrivals: RunRecord[];
+} {
+  const byTime = (a: {atMs: number}, b: {atMs: number}) => a.atMs - b.atMs;
+  return {
+    crashes: site.targets.flatMap(({crashes}) => crashes).sort(byTime),
+    arrivals: site.targets
+      .flatMap(({runs}) => runs)
+      .filter(({body}) => body.startsWith(CRASH_MARK))
+      .sort(byTime),
+  };
 }
 
 /** The targets of one of the site's data centres, numbered from 0. */
