--- a/src/core/poison/alerted-losses.ts
+++ b/src/core/poison/alerted-losses.ts
@@ -1,4 +1,4 @@
-/** Losses of requests for which entries have raised alerts. */
+/** Losses of suspects for which entries have raised alerts. */
 import type {Clock} from '../clock/index.js';
 import {SETTLING_MS} from './consts.js';
 import {dropOldest} from './drop-oldest.js';
@@ -15,12 +15,12 @@
  *
  * @example
  * const alerts = new AlertedLosses({clock});
- * alerts.add(request, recorded);
- * alerts.has(request);
+ * alerts.add(suspect, recorded);
+ * alerts.has(suspect);
  */
 export class AlertedLosses {
   private readonly tables = new Map<string, LossTable>();
-  /** Requests whose alerts were refuted, as an entry has served them. */
+  /** Suspects whose alerts were refuted, as an entry has served them. */
   private readonly refuted = new Set<string>();
 
   constructor(private readonly options: {clock: Clock}) {}
@@ -29,60 +29,61 @@
     return this.tables.size === 0;
   }
 
-  /** The requests for which alerts were received. */
-  get requests(): readonly string[] {
+  /** The suspects for which alerts were received. */
+  get suspects(): readonly string[] {
     return [...this.tables.keys()];
   }
 
-  has(request: string): boolean {
-    return this.tables.has(request);
+  has(suspect: string): boolean {
+    return this.tables.has(suspect);
   }
 
-  /** Returns whether an entry has refuted the alert of a request. */
-  isRefuted(request: string): boolean {
-    return this.refuted.has(request);
+  /** Returns whether an entry has refuted the alert of a suspect. */
+  isRefuted(suspect: string): boolean {
+    return this.refuted.has(suspect);
   }
 
   /** Returns whether an alert has told a loss, as settled if it is settled. */
-  tells({request, incarnation, isSettled}: Omit<Loss, 'atMs'>): boolean {
-    const known = this.tables.get(request)?.lossesOf(request).get(incarnation);
+  tells({suspect, incarnation, isSettled}: Omit<Loss, 'atMs'>): boolean {
+    const known = this.tables.get(suspect)?.lossesOf(suspect).get(incarnation);
     return known !== undefined && (known.isSettled || !isSettled);
   }
 
   /** Adds what an alert tells; alerts of several entries add up. */
-  add(request: string, recorded: RecordedLosses): void {
-    if (recorded.harmless.includes(request)) this.refuted.add(request);
+  add(suspect: string, recorded: RecordedLosses): void {
+    if (recorded.harmless.includes(suspect)) this.refuted.add(suspect);
     dropOldest({entries: this.refuted, maxSize: MAX_ALERTS});
-    const table = this.tables.get(request) ?? new LossTable();
+    const table = this.tables.get(suspect) ?? new LossTable();
     const nowMs = this.options.clock.now();
-    for (const {life: incarnation, isSettled} of recorded.losses) {
-      const known = table.lossesOf(request).get(incarnation);
+    for (const {life: incarnation, isSettled, part} of recorded.losses) {
+      const known = table.lossesOf(suspect).get(incarnation);
       table.put({
-        request,
+        suspect,
         incarnation,
         atMs: known?.atMs ?? nowMs,
         isSettled: isSettled || known?.isSettled === true,
+        part,
       });
     }
-    this.tables.set(request, table);
+    this.tables.set(suspect, table);
     dropOldest({entries: this.tables, maxSize: MAX_ALERTS});
   }
 
   /** Removes an alert whose object in the store was deleted. */
-  remove(request: string): void {
-    this.tables.delete(request);
-    this.refuted.delete(request);
+  remove(suspect: string): void {
+    this.tables.delete(suspect);
+    this.refuted.delete(suspect);
   }
 
-  /** The losses of a request that are settled or were alerted recently. */
-  lossesOf(request: string): Loss[] {
-    const losses = this.tables.get(request)?.lossesOf(request).values() ?? [];
+  /** The losses of a suspect that are settled or were alerted recently. */
+  lossesOf(suspect: string): Loss[] {
+    const losses = this.tables.get(suspect)?.lossesOf(suspect).values() ?? [];
     return [...losses].filter((loss) => this.holds(loss));
   }
 
   /** All losses that are settled or were alerted recently. */
   all(): Loss[] {
-    return this.requests.flatMap((request) => this.lossesOf(request));
+    return this.suspects.flatMap((suspect) => this.lossesOf(suspect));
   }
 
   private holds({isSettled, atMs}: Loss): boolean {
--- a/src/core/poison/index.ts
+++ b/src/core/poison/index.ts
@@ -8,3 +8,5 @@
 export type {RecordedLoss, RecordedLosses} from './recorded-losses.js';
 export {RECORDED_LOSSES} from './recorded-losses.js';
 export {ServedRequests} from './served-requests.js';
+export type {PartSuspect, Suspects} from './suspects.js';
+export {isPromptPart, toPartSuspects} from './suspects.js';
--- a/src/core/poison/loss-ledger.ts
+++ b/src/core/poison/loss-ledger.ts
@@ -1,54 +1,63 @@
-/** Counts, over all entries, the targets lost while they ran a request. */
+/** Counts, over all entries, the targets lost while they ran a suspect. */
 import type {Clock} from '../clock/index.js';
 import {AlertedLosses} from './alerted-losses.js';
-import {POISON_LOSSES, SETTLING_MS, SUSPECT_LOSSES} from './consts.js';
+import {Attributions} from './attributions.js';
+import {PartLosses} from './blamed-part.js';
+import {
+  POISON_LOSSES,
+  POISON_PART_LOSSES,
+  SETTLING_MS,
+  SUSPECT_LOSSES,
+} from './consts.js';
 import {dropOldest} from './drop-oldest.js';
-import type {RecordedLoss, RecordedLosses} from './recorded-losses.js';
+import type {
+  PartLoss,
+  RecordedLoss,
+  RecordedLosses,
+} from './recorded-losses.js';
 import type {Loss} from './loss-table.js';
 import {LossTable} from './loss-table.js';
+import {OutageCounts} from './outage-counts.js';
 import {RunningIncarnations} from './running-incarnations.js';
+import {isPromptPart} from './suspects.js';
 
 /**
- * Number of data-centre outages from which a request that ran in all of them
+ * Number of data-centre outages from which a suspect that ran in all of them
  * counts as their cause, as chance no longer explains them.
  */
 export const POISON_OUTAGES = 5;
 
-/** Time for which a loss counts against a request, in milliseconds. */
+/** Time for which a loss counts against a suspect, in milliseconds. */
 const LOSS_RETENTION_MS = 600_000;
 
-/** Maximum interval between two losses in the same outage, in milliseconds. */
-const SAME_OUTAGE_MS = 2_000;
+/** Maximum suspects in each collection; the oldest are dropped first. */
+const MAX_SUSPECTS = 4_096;
 
-/** Maximum requests in each collection; the oldest are dropped first. */
-const MAX_REQUESTS = 4_096;
-
-/** A request and a target incarnation that was lost while it ran it. */
+/** A suspect and a target incarnation that was lost while it ran it. */
 export interface LossKey {
-  /** Fingerprint of the request. */
-  readonly request: string;
+  /** Fingerprint of a request, or key of a prompt part. */
+  readonly suspect: string;
   readonly incarnation: string;
 }
 
-/** Data-centre outages in which targets were lost while they ran a request. */
-interface Outages {
-  readonly count: number;
-  /** When the last loss in an outage was recorded. */
-  readonly lastMs: number;
+/** A loss when it is recorded. */
+export interface NewLoss extends LossKey {
+  /** Present if the suspect is a prompt part. */
+  readonly part?: PartLoss;
 }
 
 const NONE: ReadonlySet<string> = new Set();
 
 /**
- * Counts the target incarnations that were lost while they ran a request, for
- * each request and over all entries. It detects a request that crashes every
+ * Counts the target incarnations that were lost while they ran a suspect, for
+ * each suspect and over all entries. It detects a suspect that crashes every
  * target that starts it and that is retried at any entry, so that each entry
  * sees only some of the losses. An incarnation counts once, however many equal
- * requests it ran. Requests are identified by their fingerprints.
+ * suspects it ran. Suspects are identified by their fingerprints.
  *
  * @example
  * const ledger = new LossLedger({clock});
- * const loss = {request: fingerprint, incarnation: 'i-7@1000'};
+ * const loss = {suspect: fingerprint, incarnation: 'i-7@1000'};
  * ledger.recordLoss(loss);
  * ledger.confirm(loss);
  * if (ledger.isPoison(fingerprint)) refuse();
@@ -58,45 +67,47 @@
   readonly alerts: AlertedLosses;
   private readonly ownLosses = new LossTable();
   private readonly otherLosses = new Map<string, LossTable>();
-  private readonly outages = new Map<string, Outages>();
-  /** Requests that this entry served and that others recorded losses of. */
+  private readonly outages: OutageCounts;
+  /** Suspects that this entry served and that others recorded losses of. */
   private readonly ownServed = new Set<string>();
-  /** Requests that other entries published as served, by entry. */
+  /** Suspects that other entries published as served, by entry. */
   private readonly othersServed = new Map<string, ReadonlySet<string>>();
-  /** Target incarnations that quarantined requests crashed, by request. */
-  private readonly attributed = new Map<string, ReadonlySet<string>>();
+  private readonly attributions = new Attributions({
+    wasLostWith: (...loss) => this.wasLostWith(...loss),
+  });
   private readonly running: RunningIncarnations;
 
   constructor(private readonly options: {clock: Clock}) {
     this.alerts = new AlertedLosses(options);
     this.running = new RunningIncarnations(options);
+    this.outages = new OutageCounts(options);
   }
 
   /** Whether no losses and no outages are recorded. */
   get isEmpty(): boolean {
     const hasNone = this.ownLosses.isEmpty && this.alerts.isEmpty;
-    return hasNone && this.otherLosses.size + this.outages.size === 0;
+    return hasNone && this.otherLosses.size === 0 && this.outages.isEmpty;
   }
 
   /** Records a lost target before the cause is diagnosed. */
-  recordLoss(key: LossKey): void {
-    this.putOwn(key, false);
+  recordLoss(loss: NewLoss): void {
+    this.putOwn(loss, false);
   }
 
   /** Confirms a loss after its diagnosis: no other cause was found. */
   confirm(key: LossKey): void {
-    const loss = this.ownLosses.lossesOf(key.request).get(key.incarnation);
+    const loss = this.ownLosses.lossesOf(key.suspect).get(key.incarnation);
     if (loss !== undefined) this.ownLosses.put({...loss, isSettled: true});
   }
 
-  /** Removes a loss that had another cause than the request. */
+  /** Removes a loss that had another cause than the suspect. */
   dismiss(key: LossKey): void {
     this.ownLosses.remove(key);
   }
 
   /**
    * Records that an incarnation responded: losses of it that were recorded until
-   * now, by any entry, count against no request.
+   * now, by any entry, count against no suspect.
    */
   recordRunning(incarnation: string): void {
     this.running.add(incarnation);
@@ -104,32 +115,24 @@
 
   /** Records that a target was lost in an outage of its data centre. */
   recordOutage(key: LossKey): void {
-    const {request} = key;
     this.dismiss(key);
-    const lastMs = this.options.clock.now();
-    const earlier = this.outages.get(request);
-    const isSameOutage =
-      earlier !== undefined && lastMs - earlier.lastMs <= SAME_OUTAGE_MS;
-    const count = (earlier?.count ?? 0) + (isSameOutage ? 0 : 1);
-    this.outages.delete(request);
-    this.outages.set(request, {count, lastMs});
-    dropOldest({entries: this.outages, maxSize: MAX_REQUESTS});
+    this.outages.add(key.suspect);
   }
 
   /**
-   * Records that a target served a request completely, so that the request is
+   * Records that a target served a suspect completely, so that the suspect is
    * harmless. Returns whether the losses of this entry must be published again:
-   * it had recorded losses of the request, or other entries have and do not know
+   * it had recorded losses of the suspect, or other entries have and do not know
    * yet that it is harmless.
    */
-  recordServed(request: string): boolean {
-    const hadLosses = this.ownLosses.lossesOf(request).size > 0;
+  recordServed(suspect: string): boolean {
+    const hadLosses = this.ownLosses.lossesOf(suspect).size > 0;
     const isNew =
-      this.isRecordedByOthers(request) && !this.ownServed.has(request);
-    this.outages.delete(request);
-    this.ownLosses.removeAll(request);
-    if (isNew) this.ownServed.add(request);
-    dropOldest({entries: this.ownServed, maxSize: MAX_REQUESTS});
+      this.isRecordedByOthers(suspect) && !this.ownServed.has(suspect);
+    this.outages.remove(suspect);
+    this.ownLosses.removeAll(suspect);
+    if (isNew) this.ownServed.add(suspect);
+    dropOldest({entries: this.ownServed, maxSize: MAX_SUSPECTS});
     return isNew || hadLosses;
   }
 
@@ -143,15 +146,17 @@
     const earlier = this.otherLosses.get(entry);
     const nowMs = this.options.clock.now();
     const table = new LossTable();
-    for (const {request, life: incarnation, isSettled} of recorded.losses) {
-      const known = earlier?.lossesOf(request).get(incarnation);
+    for (const recordedLoss of recorded.losses) {
+      const {request: suspect, life: incarnation, isSettled} = recordedLoss;
+      const known = earlier?.lossesOf(suspect).get(incarnation);
       const atMs = known?.atMs ?? nowMs;
       const isOverdue = nowMs - atMs > SETTLING_MS;
       table.put({
-        request,
+        suspect,
         incarnation,
         atMs,
         isSettled: isSettled || isOverdue,
+        part: recordedLoss.part,
       });
     }
     if (table.isEmpty) this.otherLosses.delete(entry);
@@ -165,127 +170,150 @@
     this.othersServed.delete(entry);
   }
 
-  /** The requests of which this entry holds losses. */
-  get ownRequests(): ReadonlySet<string> {
-    return new Set([...this.ownLosses.all()].map(({request}) => request));
+  /** The suspects of which this entry holds losses. */
+  get ownSuspects(): ReadonlySet<string> {
+    return new Set([...this.ownLosses.all()].map(({suspect}) => suspect));
   }
 
-  /** Returns what an alert tells the other entries of a request. */
-  toAlert(request: string): RecordedLosses {
-    const settled = new Map<string, boolean>();
-    for (const {incarnation, isSettled} of this.lossesOf(request)) {
-      const wasSettled = settled.get(incarnation) === true;
-      settled.set(incarnation, isSettled || wasSettled);
+  /** Returns what an alert tells the other entries of a suspect. */
+  toAlert(suspect: string): RecordedLosses {
+    const merged = new Map<string, RecordedLoss>();
+    for (const loss of this.lossesOf(suspect)) {
+      const wasSettled = merged.get(loss.incarnation)?.isSettled === true;
+      const isSettled = loss.isSettled || wasSettled;
+      merged.set(loss.incarnation, {...toRecordedLoss(loss), isSettled});
     }
-    const losses = [...settled]
-      .sort(([a], [b]) => (a < b ? -1 : 1))
-      .map(([life, isSettled]) => ({request, life, isSettled}));
+    const losses = [...merged.values()];
+    losses.sort((a, b) => (a.life < b.life ? -1 : 1));
     return {losses, harmless: []};
   }
 
   /** Returns whether this entry knows losses that no alert has told yet. */
-  hasUnalerted(request: string): boolean {
-    return [...this.lossesOf(request)].some((loss) => !this.alerts.tells(loss));
+  hasUnalerted(suspect: string): boolean {
+    return [...this.lossesOf(suspect)].some((loss) => !this.alerts.tells(loss));
   }
 
   /** Restores the losses that an earlier incarnation of this entry stored. */
   restore(recorded: RecordedLosses): void {
-    for (const {request, life: incarnation} of recorded.losses) {
+    for (const {request: suspect, life: incarnation, part} of recorded.losses) {
       // Nobody can diagnose the cause any more, so the loss counts.
-      this.putOwn({request, incarnation}, true);
+      this.putOwn({suspect, incarnation, part}, true);
     }
-    for (const request of recorded.harmless) this.ownServed.add(request);
+    for (const suspect of recorded.harmless) this.ownServed.add(suspect);
   }
 
-  /** Attributes lost targets to a request; they no longer count for others. */
-  attribute(request: string, incarnations: readonly string[]): void {
-    this.attributed.set(request, new Set(incarnations));
-    dropOldest({entries: this.attributed, maxSize: MAX_REQUESTS});
+  /** Attributes lost targets to a suspect; they no longer count for others. */
+  attribute(suspect: string, incarnations: readonly string[]): void {
+    this.attributions.add(suspect, incarnations);
   }
 
-  /** Clears the losses of a request that was released from quarantine. */
-  reset(request: string): void {
-    this.attributed.delete(request);
-    this.outages.delete(request);
-    for (const table of this.tables()) table.removeAll(request);
-    this.alerts.remove(request);
+  /** Clears the losses of a suspect that was released from quarantine. */
+  reset(suspect: string): void {
+    this.attributions.remove(suspect);
+    this.outages.remove(suspect);
+    for (const table of this.tables()) table.removeAll(suspect);
+    this.alerts.remove(suspect);
   }
 
   /** Returns what this entry publishes to the others. */
   toRecordedLosses(): RecordedLosses {
     const losses = [...this.ownLosses.all()]
       .filter((loss) => this.isFresh(loss))
-      .map(({request, incarnation, isSettled}): RecordedLoss => {
-        return {request, life: incarnation, isSettled};
-      });
+      .map(toRecordedLoss);
     return {losses, harmless: [...this.ownServed]};
   }
 
   /**
-   * Returns the incarnations that were lost while they ran a request, whether
+   * Returns the incarnations that were lost while they ran a suspect, whether
    * the cause is diagnosed or not.
    */
-  incarnationsOf(request: string): ReadonlySet<string> {
-    return this.collectIncarnations(request, () => true);
+  incarnationsOf(suspect: string): ReadonlySet<string> {
+    return this.collectIncarnations(suspect, () => true);
   }
 
   /**
-   * Returns the incarnations that were lost while they ran a request: those
+   * Returns the incarnations that were lost while they ran a suspect: those
    * that this entry recorded until a time, and all that other entries recorded,
    * as the caller may have tried those entries before.
    */
-  incarnationsBefore(request: string, beforeMs: number): ReadonlySet<string> {
-    const own = this.ownLosses.lossesOf(request);
-    return this.collectIncarnations(request, (loss) => {
+  incarnationsBefore(suspect: string, beforeMs: number): ReadonlySet<string> {
+    const own = this.ownLosses.lossesOf(suspect);
+    return this.collectIncarnations(suspect, (loss) => {
       const isOwn = own.get(loss.incarnation) === loss;
       return !isOwn || loss.atMs <= beforeMs;
     });
   }
 
   /**
-   * Returns whether retries of a request must wait for a diagnosis and be
-   * isolated from other requests.
+   * Returns whether retries of a suspect must wait for a diagnosis and be
+   * isolated from other suspects.
    */
-  isSuspect(request: string): boolean {
-    return this.incarnationsOf(request).size >= SUSPECT_LOSSES;
+  isSuspect(suspect: string): boolean {
+    if (isPromptPart(suspect)) return this.mayBePoison(suspect);
+    return this.incarnationsOf(suspect).size >= SUSPECT_LOSSES;
   }
 
-  /** Returns whether losses must be diagnosed before a request is sent. */
-  mayBePoison(request: string): boolean {
-    const hasManyLosses = this.incarnationsOf(request).size >= POISON_LOSSES;
-    return hasManyLosses || this.isPoison(request);
+  /** Returns whether losses must be diagnosed before a suspect is sent. */
+  mayBePoison(suspect: string): boolean {
+    if (isPromptPart(suspect))
+      return this.partLossesOf(suspect).areEnough(POISON_LOSSES);
+    const hasManyLosses = this.incarnationsOf(suspect).size >= POISON_LOSSES;
+    return hasManyLosses || this.isPoison(suspect);
   }
 
   /**
-   * Returns whether a request crashes its targets. If the same targets also ran
-   * another request, either may be the cause, so one more loss is required.
+   * Returns whether a suspect crashes its targets. If the same targets also ran
+   * another suspect, either may be the cause, so one more loss is required.
    */
-  isPoison(request: string): boolean {
-    if ((this.outages.get(request)?.count ?? 0) >= POISON_OUTAGES) return true;
+  isPoison(suspect: string): boolean {
+    if (isPromptPart(suspect)) return this.isPoisonPart(suspect);
+    if (this.outages.countOf(suspect) >= POISON_OUTAGES) return true;
     const incarnations = this.collectIncarnations(
-      request,
+      suspect,
       ({isSettled}) => isSettled,
     );
     if (incarnations.size < POISON_LOSSES) return false;
     return (
       incarnations.size > POISON_LOSSES ||
-      !this.hasOtherSuspect(request, incarnations)
+      !this.hasOtherSuspect(suspect, incarnations)
     );
   }
 
-  private putOwn({request, incarnation}: LossKey, isSettled: boolean): void {
+  private putOwn(loss: NewLoss, isSettled: boolean): void {
     const atMs = this.options.clock.now();
-    this.running.remove(incarnation);
-    this.ownLosses.put({request, incarnation, atMs, isSettled});
+    this.running.remove(loss.incarnation);
+    this.ownLosses.put({...loss, atMs, isSettled});
+  }
+
+  /** Returns whether a prompt part crashes its targets. */
+  private isPoisonPart(part: string): boolean {
+    const losses = this.partLossesOf(part, ({isSettled}) => isSettled);
+    if (!losses.areEnough(POISON_PART_LOSSES)) return false;
+    const others = new Set([...this.allLosses()].map(({suspect}) => suspect));
+    return ![...others].some(
+      (other) =>
+        other !== part &&
+        isPromptPart(other) &&
+        this.partLossesOf(other).explain(losses),
+    );
+  }
+
+  private partLossesOf(
+    part: string,
+    matches: (loss: Loss) => boolean = () => true,
+  ): PartLosses {
+    const isCleared = this.isEmpty || this.wasServed(part);
+    const losses = isCleared ? [] : [...this.lossesOf(part)];
+    return new PartLosses(losses.filter(matches));
   }
 
   private collectIncarnations(
-    request: string,
+    suspect: string,
     matches: (loss: Loss) => boolean,
   ): ReadonlySet<string> {
-    if (this.isEmpty || this.wasServed(request)) return NONE;
+    if (this.isEmpty || this.wasServed(suspect)) return NONE;
     const incarnations = new Set<string>();
-    for (const loss of this.lossesOf(request)) {
+    for (const loss of this.lossesOf(suspect)) {
       if (matches(loss)) incarnations.add(loss.incarnation);
     }
     return incarnations;
@@ -293,16 +321,17 @@
 
   /** Returns whether all incarnations were running a second request as well. */
   private hasOtherSuspect(
-    request: string,
+    suspect: string,
     incarnations: ReadonlySet<string>,
   ): boolean {
     const shared = new Map<string, Set<string>>();
     for (const loss of this.allLosses()) {
       const isSharedLoss =
-        loss.request !== request && incarnations.has(loss.incarnation);
-      if (!isSharedLoss || !this.isCounted(loss)) continue;
-      const lost = shared.get(loss.request) ?? new Set<string>();
-      shared.set(loss.request, lost.add(loss.incarnation));
+        loss.suspect !== suspect && incarnations.has(loss.incarnation);
+      if (!isSharedLoss || isPromptPart(loss.suspect)) continue;
+      if (!this.isCounted(loss)) continue;
+      const lost = shared.get(loss.suspect) ?? new Set<string>();
+      shared.set(loss.suspect, lost.add(loss.incarnation));
     }
     return [...shared].some(
       ([other, lost]) =>
@@ -310,13 +339,13 @@
     );
   }
 
-  /** The losses of a request that count, over all entries. */
-  private *lossesOf(request: string): Iterable<Loss> {
+  /** The losses of a suspect that count, over all entries. */
+  private *lossesOf(suspect: string): Iterable<Loss> {
     for (const table of this.tables()) {
-      for (const loss of table.lossesOf(request).values())
+      for (const loss of table.lossesOf(suspect).values())
         if (this.isCounted(loss)) yield loss;
     }
-    for (const loss of this.alerts.lossesOf(request))
+    for (const loss of this.alerts.lossesOf(suspect))
       if (this.isCounted(loss)) yield loss;
   }
 
@@ -332,34 +361,40 @@
 
   private isCounted(loss: Loss): boolean {
     if (!this.isFresh(loss) || this.running.contradicts(loss)) return false;
-    return !this.isAttributedToOther(loss);
+    return !this.attributions.explain(loss);
   }
 
   private isFresh({atMs}: Loss): boolean {
     return this.options.clock.now() - atMs <= LOSS_RETENTION_MS;
   }
 
-  private isAttributedToOther({request, incarnation}: Loss): boolean {
-    for (const [cause, incarnations] of this.attributed) {
-      if (cause !== request && incarnations.has(incarnation)) return true;
+  /** Returns whether any entry lost an incarnation while it ran a suspect. */
+  private wasLostWith(suspect: string, incarnation: string): boolean {
+    for (const table of this.tables()) {
+      if (table.lossesOf(suspect).has(incarnation)) return true;
     }
     return false;
   }
 
-  private wasServed(request: string): boolean {
-    if (this.ownServed.has(request) || this.alerts.isRefuted(request))
+  private wasServed(suspect: string): boolean {
+    if (this.ownServed.has(suspect) || this.alerts.isRefuted(suspect))
       return true;
-    for (const requests of this.othersServed.values()) {
-      if (requests.has(request)) return true;
+    for (const suspects of this.othersServed.values()) {
+      if (suspects.has(suspect)) return true;
     }
     return false;
   }
 
-  private isRecordedByOthers(request: string): boolean {
-    if (this.alerts.has(request)) return true;
+  private isRecordedByOthers(suspect: string): boolean {
+    if (this.alerts.has(suspect)) return true;
     for (const table of this.otherLosses.values()) {
-      if (table.lossesOf(request).size > 0) return true;
+      if (table.lossesOf(suspect).size > 0) return true;
     }
     return false;
   }
 }
+
+function toRecordedLoss(loss: Loss): RecordedLoss {
+  const {suspect, incarnation, isSettled, part} = loss;
+  return {request: suspect, life: incarnation, isSettled, part};
+}
--- a/src/core/poison/recorded-losses.ts
+++ b/src/core/poison/recorded-losses.ts
@@ -1,28 +1,50 @@
 /** Losses of targets that ran a request, as an entry publishes them. */
-import {array, boolean, Codec, string} from 'purify-ts';
-import type {GetType} from 'purify-ts';
+import {array, boolean, Codec, number, optional, string} from 'purify-ts';
 
-const RECORDED_LOSS = Codec.interface({
+/** The request that lost a target, if the loss counts against a prompt part. */
+export interface PartLoss {
   /** Fingerprint of the request. */
-  request: string,
+  readonly by: string;
+  /** Index of the part in the prompt of the request. */
+  readonly position: number;
+}
+
+/** A target that was lost while it ran a request. */
+export interface RecordedLoss {
+  /** Fingerprint of the request, or key of the prompt part. */
+  readonly request: string;
   /** Identifier of the lost target incarnation. */
-  life: string,
+  readonly life: string;
   /** Whether diagnosis has ended and found no cause other than the request. */
+  readonly isSettled: boolean;
+  /** Present if the loss counts against a prompt part. */
+  readonly part?: PartLoss;
+}
+
+/** What one entry has recorded. */
+export interface RecordedLosses {
+  readonly losses: RecordedLoss[];
+  /**
+   * Requests and prompt parts that this entry served although other entries had
+   * recorded losses of them.
+   */
+  readonly harmless: string[];
+}
+
+const PART_LOSS: Codec<PartLoss> = Codec.interface({
+  by: string,
+  position: number,
+});
+
+const RECORDED_LOSS = Codec.interface({
+  request: string,
+  life: string,
   isSettled: boolean,
+  part: optional(PART_LOSS),
 });
 
 /** Codec of the stored object of one entry, which the entry's VM names. */
 export const RECORDED_LOSSES = Codec.interface({
   losses: array(RECORDED_LOSS),
-  /**
-   * Fingerprints of requests that this entry served completely although other
-   * entries had recorded losses of them.
-   */
   harmless: array(string),
 });
-
-/** A target that was lost while it ran a request. */
-export type RecordedLoss = GetType<typeof RECORDED_LOSS>;
-
-/** What one entry has recorded. */
-export type RecordedLosses = GetType<typeof RECORDED_LOSSES>;
--- a/src/core/poison/served-requests.ts
+++ b/src/core/poison/served-requests.ts
@@ -5,12 +5,13 @@
 /** Time for which a served request counts as harmless, in milliseconds. */
 const SERVED_RETENTION_MS = 60_000;
 
-/** Maximum requests; the oldest are dropped first. */
-const MAX_SERVED = 1_024;
+/** Maximum requests and prompt parts; the oldest are dropped first. */
+const MAX_SERVED = 4_096;
 
 /**
- * Remembers the fingerprints of requests that one target served completely, as
- * they cannot be the cause of other losses.
+ * Remembers the requests that one target served completely, and the prompt
+ * parts that targets could write responses to, as they cannot be the cause of
+ * other losses.
  *
  * @example
  * const served = new ServedRequests({clock});
--- a/src/direct/poison/loss-alerts.ts
+++ b/src/direct/poison/loss-alerts.ts
@@ -125,7 +125,7 @@
   ): void {
     const {ledger} = this.options;
     const present = new Set(items.map(({name}) => name));
-    for (const request of ledger.alerts.requests) {
+    for (const request of ledger.alerts.suspects) {
       if (!present.has(request)) this.forget(request);
     }
     for (const item of items) this.applyItem(item);
--- a/src/direct/poison/loss-diagnosis.ts
+++ b/src/direct/poison/loss-diagnosis.ts
@@ -4,7 +4,11 @@
 import type {Logger} from '../../core/logs/index.js';
 import type {Metrics} from '../../core/metrics/index.js';
 import {CounterName} from '../../core/metrics/index.js';
-import type {LossLedger, Quarantine} from '../../core/poison/index.js';
+import type {
+  LossLedger,
+  Quarantine,
+  Suspects,
+} from '../../core/poison/index.js';
 import {dropOldest, isDataCentreOutage} from '../../core/poison/index.js';
 import type {Target, TargetSet} from '../../core/targets/index.js';
 import {incarnationOf} from '../../core/targets/index.js';
@@ -17,8 +21,8 @@
 } from '../consts.js';
 import type {Prober} from '../prober.js';
 
-/** Most requests whose attributed losses are kept; the oldest are dropped. */
-const MAX_ATTRIBUTED_REQUESTS = 4_096;
+/** Most suspects whose attributed losses are kept; the oldest are dropped. */
+const MAX_ATTRIBUTED_SUSPECTS = 4_096;
 
 /** Most prompt parts of a request that a line of the log names. */
 const MAX_LOGGED_PARTS = 8;
@@ -37,17 +41,23 @@
 export interface RequestLoss {
   /** Attempt id of the caller, for the log. */
   readonly id: string;
-  /** Fingerprint of the request. */
-  readonly request: string;
+  /** The request and the parts of its prompt that may have crashed it. */
+  readonly suspects: Suspects;
   readonly clientAccount: string;
-  /** Ids of the parts of its prompt, in order. */
+  /** Ids of all parts of its prompt in order, for the log. */
   readonly promptParts: readonly string[];
   readonly target: Target;
   /** When the attempt started, in milliseconds on the monotonic clock. */
   readonly startedMs: number;
 }
 
-/** The losses that this entry attributes to a request. */
+/** A diagnosis in progress. */
+interface RunningDiagnosis {
+  readonly suspects: Suspects;
+  readonly done: Promise<void>;
+}
+
+/** The losses that this entry attributes to a suspect. */
 interface AttributedLosses {
   readonly clientAccount: string;
   readonly targets: Set<Target>;
@@ -67,29 +77,29 @@
   /** Called when the losses to share with other entries have changed. */
   readonly onChanged: () => void;
   /**
-   * Alerts the other entries to a request that may be poison, and waits for
+   * Alerts the other entries to a suspect that may be poison, and waits for
    * those that have served it to refute that.
    */
-  readonly raiseAlert: (request: string) => Promise<void>;
+  readonly raiseAlert: (suspect: string) => Promise<void>;
   /** Writes the losses of this entry and reads those of the others. */
   readonly syncLosses: () => Promise<void>;
 }
 
 /**
  * Determines the cause of each loss: the target may still run, or its data
- * centre may have failed. Other losses are attributed to the request. After
- * enough of them the request is quarantined.
+ * centre may have failed. Other losses are attributed to the request and to the
+ * parts of its prompt. After enough of them the suspect is quarantined.
  *
  * @example
- * diagnosis.diagnose({id, request, clientAccount, target, startedMs});
- * if (await diagnosis.isPoison({request, clientAccount})) refuse();
+ * diagnosis.diagnose({id, suspects, clientAccount, target, startedMs, ...rest});
+ * if (await diagnosis.isPoison({suspect, clientAccount})) refuse();
  */
 export class LossDiagnosis {
   /** Diagnoses in progress, by request and incarnation. */
-  private readonly diagnoses = new Map<string, Promise<void>>();
-  /** Verifications in progress, by request. */
+  private readonly diagnoses = new Map<string, RunningDiagnosis>();
+  /** Verifications in progress, by suspect. */
   private readonly verifications = new Map<string, Promise<void>>();
-  /** Losses seen by this entry and attributed to requests, by request. */
+  /** Losses seen by this entry and attributed to suspects, by suspect. */
   private readonly attributed = new Map<string, AttributedLosses>();
   /** Requests recently withdrawn before their targets had finished them. */
   private readonly withdrawn = new Set<RequestLoss>();
@@ -106,20 +116,18 @@
   /** Starts the diagnosis of a target lost while it may have run a request. */
   diagnose(loss: RequestLoss): void {
     const {ledger} = this.options;
-    const {request, target} = loss;
-    const incarnation = incarnationOf(target.record);
-    const key = `${request} ${incarnation}`;
+    const {suspects, target} = loss;
+    const {request} = suspects;
+    const key = `${request} ${incarnationOf(target.record)}`;
     if (this.diagnoses.has(key) || this.isAttributed(loss)) return;
-    ledger.recordLoss({request, incarnation});
+    this.recordLoss(loss);
     this.log('target lost during request, diagnosis started', loss, {
       held: ledger.incarnationsOf(request).size,
       promptParts: loss.promptParts.slice(0, MAX_LOGGED_PARTS).join(','),
     });
     this.options.onLost();
-    const diagnosis = this.findCause(loss).finally(() =>
-      this.diagnoses.delete(key),
-    );
-    this.diagnoses.set(key, diagnosis);
+    const done = this.findCause(loss).finally(() => this.diagnoses.delete(key));
+    this.diagnoses.set(key, {suspects, done});
   }
 
   /**
@@ -135,53 +143,53 @@
   }
 
   /**
-   * Whether a request is poison, after all diagnoses of its losses. If it is,
-   * the request is quarantined.
+   * Whether a suspect is poison, after all diagnoses of its losses. If it is,
+   * it is quarantined.
    */
-  async isPoison(suspect: {
-    request: string;
+  async isPoison(options: {
+    suspect: string;
     clientAccount: string;
   }): Promise<boolean> {
     const {ledger, quarantine} = this.options;
-    const {request, clientAccount} = suspect;
-    await this.awaitDiagnoses(request);
-    if (quarantine.has(request)) return true;
-    if (!ledger.mayBePoison(request)) return false;
-    await this.probeAttributed(request);
-    await this.options.raiseAlert(request);
-    if (ledger.mayBePoison(request) && !ledger.isPoison(request)) {
+    const {suspect, clientAccount} = options;
+    await this.awaitDiagnoses(suspect);
+    if (quarantine.has(suspect)) return true;
+    if (!ledger.mayBePoison(suspect)) return false;
+    await this.probeAttributed(suspect);
+    await this.options.raiseAlert(suspect);
+    if (ledger.mayBePoison(suspect) && !ledger.isPoison(suspect)) {
       // Another entry may still be diagnosing one of its losses.
       await sleep(this.options.clock, REMOTE_DIAGNOSIS_MS);
       await this.options.syncLosses();
     }
-    if (ledger.isPoison(request)) await this.verifyOnce(request);
-    if (!ledger.isPoison(request)) return quarantine.has(request);
-    const crashes = [...ledger.incarnationsOf(request)];
-    quarantine.add({fingerprint: request, record: {clientAccount, crashes}});
+    if (ledger.isPoison(suspect)) await this.verifyOnce(suspect);
+    if (!ledger.isPoison(suspect)) return quarantine.has(suspect);
+    const crashes = [...ledger.incarnationsOf(suspect)];
+    quarantine.add({fingerprint: suspect, record: {clientAccount, crashes}});
     return true;
   }
 
-  /** Whether this entry has attributed losses to a request. */
-  hasAttributed(request: string): boolean {
-    return this.attributed.has(request);
+  /** Whether this entry has attributed losses to a suspect. */
+  hasAttributed(suspect: string): boolean {
+    return this.attributed.has(suspect);
   }
 
-  /** The client account of a request with attributed losses. */
-  clientAccountOf(request: string): string {
-    return this.attributed.get(request)?.clientAccount ?? '';
+  /** The client account of a suspect with attributed losses. */
+  clientAccountOf(suspect: string): string {
+    return this.attributed.get(suspect)?.clientAccount ?? '';
   }
 
-  /** Forgets the losses of a request that was served or is released. */
-  clear(request: string): void {
-    this.attributed.delete(request);
+  /** Forgets the losses of a suspect that was served or is released. */
+  clear(suspect: string): void {
+    this.attributed.delete(suspect);
     for (const loss of [...this.withdrawn]) {
-      if (loss.request === request) this.withdrawn.delete(loss);
+      if (loss.suspects.request === suspect) this.withdrawn.delete(loss);
     }
   }
 
   private async awaitIncarnationEnd(loss: RequestLoss): Promise<void> {
-    const {clock, targets, ledger} = this.options;
-    const {request, target} = loss;
+    const {clock, targets} = this.options;
+    const {target} = loss;
     const withdrawnAtMs = clock.now();
     const wasLeaving = target.record.isDraining;
     await sleep(clock, LOSS_DIAGNOSIS_MS);
@@ -191,15 +199,26 @@
     const hasEnded =
       !targets.isCurrent(target) && target.lastSeenAtMs < withdrawnAtMs;
     if (!hasEnded || !this.withdrawn.has(loss)) return;
-    ledger.recordLoss({request, incarnation: incarnationOf(target.record)});
+    this.recordLoss(loss);
     this.recordCause(loss, LossCause.UNEXPLAINED);
   }
 
-  private async awaitDiagnoses(request: string): Promise<void> {
-    const pending = [...this.diagnoses].filter(([key]) =>
-      key.startsWith(request),
+  private async awaitDiagnoses(suspect: string): Promise<void> {
+    const pending = [...this.diagnoses.values()].filter(({suspects}) =>
+      allKeys(suspects).includes(suspect),
     );
-    await Promise.all(pending.map(([, diagnosis]) => diagnosis));
+    await Promise.all(pending.map(({done}) => done));
+  }
+
+  private recordLoss({suspects, target}: RequestLoss): void {
+    const {ledger} = this.options;
+    const {request, promptParts} = suspects;
+    const incarnation = incarnationOf(target.record);
+    ledger.recordLoss({suspect: request, incarnation});
+    for (const {key, position} of promptParts) {
+      const part = {by: request, position};
+      ledger.recordLoss({suspect: key, incarnation, part});
+    }
   }
 
   private async findCause(loss: RequestLoss): Promise<void> {
@@ -219,7 +238,7 @@
   }
 
   private causeOf(loss: RequestLoss, lostAtMs: number): LossCause {
-    const {request, target, startedMs} = loss;
+    const {suspects, target, startedMs} = loss;
     const {ledger, targets} = this.options;
     if (target.lastSeenAtMs > lostAtMs + IN_FLIGHT_DATA_MS)
       return LossCause.TARGET_ALIVE;
@@ -227,64 +246,65 @@
       lost: target,
       lostAtMs,
       targets: targets.all(),
-      crashedBefore: ledger.incarnationsBefore(request, startedMs),
+      crashedBefore: ledger.incarnationsBefore(suspects.request, startedMs),
     });
     return isOutage ? LossCause.DATA_CENTRE_OUTAGE : LossCause.UNEXPLAINED;
   }
 
   private recordCause(loss: RequestLoss, cause: LossCause): void {
     const {ledger, metrics, onChanged} = this.options;
-    const key = {
-      request: loss.request,
-      incarnation: incarnationOf(loss.target.record),
-    };
+    const {suspects, target} = loss;
+    const incarnation = incarnationOf(target.record);
     metrics.count(CounterName.TARGET_LOSSES, {label: cause});
     this.log('target loss diagnosed', loss, {cause});
-    if (cause === LossCause.DATA_CENTRE_OUTAGE) ledger.recordOutage(key);
-    else if (cause === LossCause.TARGET_ALIVE) ledger.dismiss(key);
-    else this.attribute(loss);
+    for (const suspect of allKeys(suspects)) {
+      if (cause === LossCause.UNEXPLAINED) this.attribute(suspect, loss);
+      else ledger.dismiss({suspect, incarnation});
+    }
+    if (cause === LossCause.DATA_CENTRE_OUTAGE)
+      ledger.recordOutage({suspect: suspects.request, incarnation});
     onChanged();
   }
 
-  private isAttributed({request, target}: RequestLoss): boolean {
-    return this.attributed.get(request)?.targets.has(target) === true;
+  private isAttributed({suspects, target}: RequestLoss): boolean {
+    const attributed = this.attributed.get(suspects.request);
+    return attributed?.targets.has(target) === true;
   }
 
-  private attribute({request, clientAccount, target}: RequestLoss): void {
-    this.options.ledger.confirm({
-      request,
-      incarnation: incarnationOf(target.record),
-    });
-    const targets = this.attributed.get(request)?.targets ?? new Set<Target>();
-    this.attributed.set(request, {clientAccount, targets: targets.add(target)});
-    dropOldest({entries: this.attributed, maxSize: MAX_ATTRIBUTED_REQUESTS});
+  private attribute(suspect: string, loss: RequestLoss): void {
+    const {clientAccount, target} = loss;
+    const incarnation = incarnationOf(target.record);
+    this.options.ledger.confirm({suspect, incarnation});
+    const targets = this.attributed.get(suspect)?.targets ?? new Set<Target>();
+    this.attributed.set(suspect, {clientAccount, targets: targets.add(target)});
+    dropOldest({entries: this.attributed, maxSize: MAX_ATTRIBUTED_SUSPECTS});
   }
 
   /** Removes attributed losses whose targets turn out to be still running. */
-  private async probeAttributed(request: string): Promise<void> {
+  private async probeAttributed(suspect: string): Promise<void> {
     const {ledger, prober, clock, targets} = this.options;
     const nowMs = clock.now();
-    const attributed = [...(this.attributed.get(request)?.targets ?? [])];
+    const attributed = [...(this.attributed.get(suspect)?.targets ?? [])];
     const probeable = attributed.filter(
       (target) => targets.isCurrent(target) && prober.reportsStartTime(target),
     );
     await Promise.all(
       probeable.map(async (target) => {
         if (!(await prober.isAliveSince(target, nowMs))) return;
-        this.attributed.get(request)?.targets.delete(target);
-        ledger.dismiss({request, incarnation: incarnationOf(target.record)});
+        this.attributed.get(suspect)?.targets.delete(target);
+        ledger.dismiss({suspect, incarnation: incarnationOf(target.record)});
       }),
     );
   }
 
   /** Shares a verification between all that wait for the same verdict. */
-  private verifyOnce(request: string): Promise<void> {
+  private verifyOnce(suspect: string): Promise<void> {
     const running =
-      this.verifications.get(request) ??
-      this.verifyLosses(request).finally(() =>
-        this.verifications.delete(request),
+      this.verifications.get(suspect) ??
+      this.verifyLosses(suspect).finally(() =>
+        this.verifications.delete(suspect),
       );
-    this.verifications.set(request, running);
+    this.verifications.set(suspect, running);
     return running;
   }
 
@@ -292,9 +312,9 @@
    * Probes, with patience, the lost targets that are still registered. An
    * incarnation that responds was not lost, whichever entry has recorded it.
    */
-  private async verifyLosses(request: string): Promise<void> {
+  private async verifyLosses(suspect: string): Promise<void> {
     const {ledger, prober, targets} = this.options;
-    const lost = ledger.incarnationsOf(request);
+    const lost = ledger.incarnationsOf(suspect);
     const registered = [...targets.all()].filter(
       (target) =>
         lost.has(incarnationOf(target.record)) &&
@@ -309,13 +329,13 @@
 
   private log(
     message: string,
-    {id, request, target}: RequestLoss,
+    {id, suspects, target}: RequestLoss,
     fields: {held?: number; promptParts?: string; cause?: LossCause},
   ): void {
     const {dataCentre, startedAtMs: bornMs} = target.record;
     this.options.logger.info(message, {
       id,
-      fingerprint: request,
+      fingerprint: suspects.request,
       target: target.id,
       bornMs,
       dataCentre,
@@ -323,3 +343,7 @@
     });
   }
 }
+
+function allKeys({request, promptParts}: Suspects): string[] {
+  return [request, ...promptParts.map(({key}) => key)];
+}
--- a/src/direct/poison/loss-tracker.ts
+++ b/src/direct/poison/loss-tracker.ts
@@ -21,8 +21,8 @@
     readonly alertWriter: StateWriter<RecordedLosses>;
     readonly alertSource: StateSource<RecordedLosses>;
     readonly gate?: OutageGate;
-    /** Lifts the quarantine of a request that an entry has served. */
-    readonly release: (request: string) => void;
+    /** Lifts the quarantine of a suspect that an entry has served. */
+    readonly release: (suspect: string) => void;
   };
 
 /**
@@ -56,13 +56,13 @@
       ledger: this.ledger,
       onLost: () => this.sync.refresh(),
       onChanged: () => this.sync.publish(),
-      raiseAlert: (request) => this.raiseAlert(request),
+      raiseAlert: (suspect) => this.raiseAlert(suspect),
       syncLosses: () => this.sync.flush(FLUSH_TIMEOUT_MS),
     });
     this.sync = new LossSync({
       ...options,
       ledger: this.ledger,
-      onRead: () => this.checkOwnRequests(),
+      onRead: () => this.checkOwnSuspects(),
     });
     quarantine.subscribe((fingerprint, {crashes}) => {
       this.ledger.attribute(fingerprint, crashes);
@@ -86,36 +86,44 @@
     this.alerts.stop();
   }
 
-  /** Records that one target served a whole request and still runs. */
-  recordServed(request: string): void {
-    this.served.add(request);
+  /** Whether this entry has recently served a request or a prompt part. */
+  hasServed(suspect: string): boolean {
+    return this.served.has(suspect);
+  }
+
+  /**
+   * Records that one target served a whole request and still runs, or that a
+   * target goes on writing a response to a prompt part.
+   */
+  recordServed(suspect: string): void {
+    this.served.add(suspect);
     if (this.ledger.isEmpty && this.diagnosis.isIdle) return;
-    this.diagnosis.clear(request);
-    if (!this.ledger.recordServed(request)) return;
+    this.diagnosis.clear(suspect);
+    if (!this.ledger.recordServed(suspect)) return;
     this.sync.publish();
-    if (this.ledger.alerts.has(request)) void this.alerts.refute(request);
+    if (this.ledger.alerts.has(suspect)) void this.alerts.refute(suspect);
   }
 
-  private async raiseAlert(request: string): Promise<void> {
+  private async raiseAlert(suspect: string): Promise<void> {
     const {clock} = this.options;
-    const firstAtMs = await this.alerts.raise(request);
+    const firstAtMs = await this.alerts.raise(suspect);
     if (firstAtMs === undefined) return;
     const leftMs = firstAtMs + REFUTE_WAIT_MS - clock.now();
     if (leftMs > 0) await sleep(clock, leftMs);
   }
 
   /**
-   * Checks the requests of which this entry holds losses again, as the losses
+   * Checks the suspects of which this entry holds losses again, as the losses
    * read from other entries may show that one of them is poison.
    */
-  private checkOwnRequests(): void {
-    for (const request of this.ledger.ownRequests) {
-      const isQuarantined = this.options.quarantine.has(request);
-      if (isQuarantined || !this.ledger.mayBePoison(request)) continue;
-      const clientAccount = this.diagnosis.clientAccountOf(request);
-      if (this.diagnosis.hasAttributed(request))
-        void this.diagnosis.isPoison({request, clientAccount});
-      else void this.alerts.raise(request);
+  private checkOwnSuspects(): void {
+    for (const suspect of this.ledger.ownSuspects) {
+      const isQuarantined = this.options.quarantine.has(suspect);
+      if (isQuarantined || !this.ledger.mayBePoison(suspect)) continue;
+      const clientAccount = this.diagnosis.clientAccountOf(suspect);
+      if (this.diagnosis.hasAttributed(suspect))
+        void this.diagnosis.isPoison({suspect, clientAccount});
+      else void this.alerts.raise(suspect);
     }
   }
 }
--- a/src/direct/poison/poison-detector.ts
+++ b/src/direct/poison/poison-detector.ts
@@ -1,5 +1,7 @@
 /** Detects whether a request crashes its targets. */
 import {fingerprintOf} from '../../core/generation/fingerprint.js';
+import type {Suspects} from '../../core/poison/index.js';
+import {toPartSuspects} from '../../core/poison/index.js';
 import type {Target} from '../../core/targets/index.js';
 import {FLUSH_TIMEOUT_MS} from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
@@ -14,7 +16,8 @@
 
 /**
  * Records the target losses of one stream or call, and decides whether the
- * request may be sent.
+ * request may be sent. A request is refused as poison if it crashes its targets
+ * itself, or if a part of its prompt does, whatever else requests contain.
  *
  * @example
  * const detector = new PoisonDetector({ctx, work, onPoison: () => fail()});
@@ -24,43 +27,46 @@
   private readonly ctx: DirectContext;
   private readonly work: DirectWork;
   private readonly unsubscribe: () => void;
-  private cachedFingerprint?: string;
+  private cachedSuspects?: Suspects;
   private hasLostTarget = false;
 
   constructor(options: {
     ctx: DirectContext;
     work: DirectWork;
-    /** Called when this or another entry quarantines the request. */
+    /** Called when any entry quarantines the request or a prompt part. */
     onPoison: () => void;
   }) {
     this.ctx = options.ctx;
     this.work = options.work;
     this.unsubscribe = this.ctx.quarantine.subscribe((fingerprint) => {
-      if (fingerprint === this.computeFingerprint()) options.onPoison();
+      if (this.suspectKeys().includes(fingerprint)) options.onPoison();
     });
   }
 
-  /** Whether the request is quarantined. */
+  /** Whether the request or a part of its prompt is quarantined. */
   isPoison(): boolean {
     const {quarantine} = this.ctx;
-    return !quarantine.isEmpty && quarantine.has(this.computeFingerprint());
+    if (quarantine.isEmpty) return false;
+    return this.suspectKeys().some((key) => quarantine.has(key));
   }
 
   /** Whether the request must be diagnosed before it is sent. */
   mayBePoison(): boolean {
     const {ledger} = this.ctx.lossTracker;
-    return !ledger.isEmpty && ledger.mayBePoison(this.computeFingerprint());
+    if (ledger.isEmpty) return false;
+    return this.suspectKeys().some((key) => ledger.mayBePoison(key));
   }
 
   /** Whether retries wait for a diagnosis and are isolated from others. */
   isSuspect(): boolean {
     const {ledger} = this.ctx.lossTracker;
-    return !ledger.isEmpty && ledger.isSuspect(this.computeFingerprint());
+    if (ledger.isEmpty) return false;
+    return this.suspectKeys().some((key) => ledger.isSuspect(key));
   }
 
   /** Identifies the request by its client account, path and body. */
   get fingerprint(): string {
-    return this.computeFingerprint();
+    return this.suspects.request;
   }
 
   /** Records the loss of a target that may have run the request. */
@@ -80,7 +86,14 @@
 
   /** Records that one target served the whole request and still runs. */
   recordServed(): void {
-    this.ctx.lossTracker.recordServed(this.computeFingerprint());
+    this.ctx.lossTracker.recordServed(this.suspects.request);
+    this.recordWriting();
+  }
+
+  /** Records that a target writes a response and has not crashed. */
+  recordWriting(): void {
+    for (const {key} of this.suspects.promptParts)
+      this.ctx.lossTracker.recordServed(key);
   }
 
   /**
@@ -94,8 +107,13 @@
 
   /** Whether the request may be sent, after the diagnosis of its losses. */
   async maySend(): Promise<boolean> {
-    const {diagnosis} = this.ctx.lossTracker;
-    return !(await diagnosis.isPoison(this.requestFields()));
+    const {diagnosis, ledger} = this.ctx.lossTracker;
+    const {clientAccount} = this;
+    for (const suspect of this.suspectKeys()) {
+      if (!ledger.mayBePoison(suspect)) continue;
+      if (await diagnosis.isPoison({suspect, clientAccount})) return false;
+    }
+    return !this.isPoison();
   }
 
   /**
@@ -111,28 +129,39 @@
   }
 
   private toLoss({target, startedMs}: TargetAttempt): RequestLoss {
-    const promptParts = this.work.req.promptParts.map(({id}) => id);
-    return {...this.requestFields(), promptParts, target, startedMs};
-  }
-
-  private requestFields() {
-    const {req, admitted} = this.work;
-    const clientAccount = admitted.account?.clientAccount ?? '';
+    const {work, clientAccount, suspects} = this;
+    const {attemptId: id, promptParts} = work.req;
+    const unserved = suspects.promptParts.filter(
+      ({key}) => !this.ctx.lossTracker.hasServed(key),
+    );
     return {
-      id: req.attemptId,
-      request: this.computeFingerprint(),
+      id,
+      suspects: {...suspects, promptParts: unserved},
       clientAccount,
+      promptParts: promptParts.map((part) => part.id),
+      target,
+      startedMs,
     };
   }
 
-  /** Uses the account, path and body, which a caller's retry repeats. */
-  private computeFingerprint(): string {
-    const {req, admitted} = this.work;
-    const clientAccount = admitted.account?.clientAccount ?? '';
-    this.cachedFingerprint ??= fingerprintOf({
-      clientAccount,
-      parts: [req.path, req.body],
-    });
-    return this.cachedFingerprint;
+  private get clientAccount(): string {
+    return this.work.admitted.account?.clientAccount ?? '';
+  }
+
+  /** A caller's retry repeats the account, path and body. */
+  private get suspects(): Suspects {
+    const {clientAccount} = this;
+    const {path, body, promptParts} = this.work.req;
+    this.cachedSuspects ??= {
+      request: fingerprintOf({clientAccount, parts: [path, body]}),
+      promptParts: toPartSuspects(promptParts),
+    };
+    return this.cachedSuspects;
+  }
+
+  /** The parts of the prompt in reverse order, then the request itself. */
+  private suspectKeys(): string[] {
+    const {request, promptParts} = this.suspects;
+    return [...promptParts.map(({key}) => key), request];
   }
 }
--- a/src/direct/poison/quarantine-sync.ts
+++ b/src/direct/poison/quarantine-sync.ts
@@ -8,6 +8,7 @@
 } from '../../core/edges/state-source.js';
 import type {Logger} from '../../core/logs/index.js';
 import type {QuarantineRecord, Quarantine} from '../../core/poison/index.js';
+import {isPromptPart} from '../../core/poison/index.js';
 import type {Follower, OutageGate} from '../../core/sync/index.js';
 import {QUARANTINE_MS, POISON_LONG_POLL_MS, STORE_RETRY_MS} from '../consts.js';
 import {createStoreFollower} from '../store-follower.js';
@@ -61,6 +62,7 @@
       const isFromStore = this.stored.has(fingerprint);
       logger.warn('request quarantined after target losses', {
         fingerprint,
+        isPromptPart: isPromptPart(fingerprint),
         clientAccount: record.clientAccount,
         engines: record.crashes.join(','),
         isHeard: isFromStore,
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -82,6 +82,8 @@
   private readonly body = new ResponseBody();
   private head?: TargetResponseHead;
   private receivedCount = 0;
+  /** When the first event was received, on the monotonic clock. */
+  private firstEventAtMs?: number;
   private isOver = false;
 
   constructor(private readonly options: StreamAttemptOptions) {
@@ -130,6 +132,13 @@
     return this.receivedCount;
   }
 
+  /** Time since the first event from this target, in milliseconds. */
+  get writingMs(): number {
+    const {firstEventAtMs} = this;
+    if (firstEventAtMs === undefined) return 0;
+    return this.options.ctx.clock.now() - firstEventAtMs;
+  }
+
   /** Cancels the work at the target. */
   cancel(): void {
     this.stop({copyIsNeeded: false});
@@ -199,6 +208,7 @@
 
   private recordEvent(): void {
     this.receivedCount++;
+    this.firstEventAtMs ??= this.options.ctx.clock.now();
     this.targetWork.isPrefilling = false;
     this.target.recordSeen();
     if (!this.options.work.admitted.route.isResumable) return;
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -19,6 +19,7 @@
 import {
   MIN_EVENTS_FOR_COPY,
   MAX_PROMPT_ATTEMPTS,
+  MIN_WRITING_MS,
   RETRY_AFTER_MS,
   PLACEMENT_RETRY_MS,
 } from '../consts.js';
@@ -68,6 +69,7 @@
   /** The KV cache copy of the lost attempt, if one can be used. */
   private resumableCopy?: KvCacheCopy;
   private isOver = false;
+  private hasClearedParts = false;
   /** Attempts that started from the prompt. */
   private promptAttempts = 0;
   /** All attempts, including those that resumed from a copy. */
@@ -196,6 +198,7 @@
     const result = this.sequence.check(event.id);
     if (result === SequenceCheck.PASS) {
       this.delivery.writeEvent(head, event);
+      this.clearPromptParts();
     }
     if (result !== SequenceCheck.GAP) return;
     this.current?.cancel();
@@ -203,6 +206,14 @@
     this.onLost({reason, detail: `event ${event.id} is out of order`});
   }
 
+  /** A target that goes on writing was not crashed by a prompt part. */
+  private clearPromptParts(): void {
+    if (this.hasClearedParts || this.current === undefined) return;
+    if (this.current.writingMs < MIN_WRITING_MS) return;
+    this.hasClearedParts = true;
+    this.poisonDetector.recordWriting();
+  }
+
   private finish(head: TargetResponseHead): void {
     // After several attempts, the request may have crashed earlier targets.
     if (this.attempts === 1) this.poisonDetector.recordServed();
--- a/test/core/poison/loss-ledger.test.ts
+++ b/test/core/poison/loss-ledger.test.ts
@@ -32,8 +32,8 @@
   });
 
   const lose = (incarnation: string, request = REQUEST) => {
-    ledger.recordLoss({request, incarnation});
-    ledger.confirm({request, incarnation});
+    ledger.recordLoss({suspect: request, incarnation});
+    ledger.confirm({suspect: request, incarnation});
   };
 
   const loseAll = (request = REQUEST) => {
@@ -60,7 +60,7 @@
 
   it('counts no request as poison before the losses are diagnosed', () => {
     for (const incarnation of INCARNATIONS)
-      ledger.recordLoss({request: REQUEST, incarnation});
+      ledger.recordLoss({suspect: REQUEST, incarnation});
     expect(ledger.mayBePoison(REQUEST)).toBe(true);
     expect(ledger.isPoison(REQUEST)).toBe(false);
   });
@@ -116,7 +116,7 @@
 
   it('never counts losses that this entry has not settled', () => {
     for (const incarnation of INCARNATIONS)
-      ledger.recordLoss({request: REQUEST, incarnation});
+      ledger.recordLoss({suspect: REQUEST, incarnation});
     clock.advance(AFTER_DIAGNOSIS_MS);
     expect(ledger.isPoison(REQUEST)).toBe(false);
   });
@@ -148,12 +148,12 @@
     {
       name: 'one loss had another cause',
       act: () =>
-        ledger.dismiss({request: REQUEST, incarnation: INCARNATIONS[0]!}),
+        ledger.dismiss({suspect: REQUEST, incarnation: INCARNATIONS[0]!}),
     },
     {
       name: 'a target was lost in a data-centre outage',
       act: () =>
-        ledger.recordOutage({request: REQUEST, incarnation: INCARNATIONS[0]!}),
+        ledger.recordOutage({suspect: REQUEST, incarnation: INCARNATIONS[0]!}),
     },
     {
       name: 'another request is known to have crashed its targets',
@@ -208,7 +208,7 @@
   it('counts a request as poison after too many data-centre outages', () => {
     const recordOutage = (i: number) => {
       clock.advance(OUTAGE_INTERVAL_MS);
-      ledger.recordOutage({request: REQUEST, incarnation: `i-${i}@1`});
+      ledger.recordOutage({suspect: REQUEST, incarnation: `i-${i}@1`});
     };
     for (const i of [1, 2, 3, 4]) recordOutage(i);
     expect(ledger.isPoison(REQUEST)).toBe(false);
@@ -218,11 +218,11 @@
 
   it('restores the losses of an earlier incarnation of the entry', () => {
     lose(INCARNATIONS[0]!);
-    ledger.recordLoss({request: REQUEST, incarnation: INCARNATIONS[1]!});
+    ledger.recordLoss({suspect: REQUEST, incarnation: INCARNATIONS[1]!});
     const next = new LossLedger({clock});
     next.restore(ledger.toRecordedLosses());
-    next.recordLoss({request: REQUEST, incarnation: INCARNATIONS[2]!});
-    next.confirm({request: REQUEST, incarnation: INCARNATIONS[2]!});
+    next.recordLoss({suspect: REQUEST, incarnation: INCARNATIONS[2]!});
+    next.confirm({suspect: REQUEST, incarnation: INCARNATIONS[2]!});
     expect(next.isPoison(REQUEST)).toBe(true);
   });
 
@@ -240,8 +240,8 @@
         for (const entry of [0, 1, 2, 3]) {
           const seen = all.filter((loss) => loss.entry === entry);
           for (const {request, life: incarnation} of entry === 0 ? seen : []) {
-            merged.recordLoss({request, incarnation});
-            merged.confirm({request, incarnation});
+            merged.recordLoss({suspect: request, incarnation});
+            merged.confirm({suspect: request, incarnation});
           }
           const recorded = seen.map(({request, life: incarnation}) => {
             return {request, life: incarnation, isSettled: true};
--- a/test/direct/loss-alerts.test.ts
+++ b/test/direct/loss-alerts.test.ts
@@ -116,8 +116,8 @@
 
   const loseTargets = (ledger: LossLedger) => {
     for (const incarnation of INCARNATIONS) {
-      ledger.recordLoss({request: REQUEST, incarnation});
-      ledger.confirm({request: REQUEST, incarnation});
+      ledger.recordLoss({suspect: REQUEST, incarnation});
+      ledger.confirm({suspect: REQUEST, incarnation});
     }
   };
 
--- a/test/direct/loss-sync.test.ts
+++ b/test/direct/loss-sync.test.ts
@@ -103,8 +103,8 @@
   });
 
   const recordLoss = (incarnation: string) => {
-    ledger.recordLoss({request: REQUEST, incarnation});
-    ledger.confirm({request: REQUEST, incarnation});
+    ledger.recordLoss({suspect: REQUEST, incarnation});
+    ledger.confirm({suspect: REQUEST, incarnation});
     sync.publish();
   };
 
@@ -149,7 +149,7 @@
 
   it('flushes once the losses are written and the others are read', async () => {
     await source.respond({});
-    ledger.recordLoss({request: REQUEST, incarnation: INCARNATION});
+    ledger.recordLoss({suspect: REQUEST, incarnation: INCARNATION});
     let isFlushed = false;
     void sync.flush(FLUSH_LIMIT_MS).then(() => (isFlushed = true));
     clock.advance(0);
--- a/test/direct/loss-verification.test.ts
+++ b/test/direct/loss-verification.test.ts
@@ -110,7 +110,7 @@
     for (const target of targets.all()) {
       diagnosis.diagnose({
         id: `try ${target.id}`,
-        request: REQUEST,
+        suspects: {request: REQUEST, promptParts: []},
         clientAccount: ACCOUNT,
         promptParts: [],
         target,
@@ -122,7 +122,7 @@
   const judge = async (diagnosis: LossDiagnosis): Promise<boolean> => {
     let verdict: boolean | undefined;
     void diagnosis
-      .isPoison({request: REQUEST, clientAccount: ACCOUNT})
+      .isPoison({suspect: REQUEST, clientAccount: ACCOUNT})
       .then((isPoison) => (verdict = isPoison));
     for (let ms = 0; verdict === undefined && ms < ENOUGH_MS; ms += TICK_MS) {
       clock.advance(TICK_MS);
@@ -184,10 +184,10 @@
     recordRemoteLosses();
     expect(await judge(diagnosis)).toBe(false);
     ledger.recordLoss({
-      request: REQUEST,
+      suspect: REQUEST,
       incarnation: incarnationOf(recordOf(0)),
     });
-    ledger.confirm({request: REQUEST, incarnation: incarnationOf(recordOf(0))});
+    ledger.confirm({suspect: REQUEST, incarnation: incarnationOf(recordOf(0))});
     targets.replaceAll([], false);
     expect(await judge(diagnosis)).toBe(true);
   });
