Let no odd registration end or blind an entry

From other operators: one odd entry among those of the servers ended readers again and again, or stopped them.

IP:PORT is parsed in one place now.

--- a/src/adapters/callers/read-body.ts
+++ b/src/adapters/callers/read-body.ts
@@ -2,6 +2,7 @@
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 
+import {isNestedTooDeeply} from '../../core/codec/nesting.js';
 import type {LimitsConfig} from '../../core/config/types.js';
 import type {Refusal} from '../../core/errors/index.js';
 import {Executed, RefusalReason} from '../../core/errors/index.js';
@@ -56,11 +57,15 @@
 }
 
 function parseJson(body: Uint8Array): Result<unknown, Refusal> {
+  let value: unknown;
   try {
-    return ok(JSON.parse(Buffer.from(body).toString('utf8')) as unknown);
+    value = JSON.parse(Buffer.from(body).toString('utf8'));
   } catch {
     return err(refuse(RefusalReason.BAD_REQUEST, 'the body is not JSON'));
   }
+  return isNestedTooDeeply(value)
+    ? err(refuse(RefusalReason.BAD_REQUEST, 'the body is nested too deeply'))
+    : ok(value);
 }
 
 function createTimeout(timeoutMs: number) {
--- a/src/adapters/engine-http-stream.ts
+++ b/src/adapters/engine-http-stream.ts
@@ -13,6 +13,7 @@
 import type {Dispatcher} from 'undici';
 import {request} from 'undici';
 
+import {decodeValue} from '../core/codec/decode-value.js';
 import type {
   DriverError,
   EngineSink,
@@ -105,12 +106,11 @@
   private onEvent({data}: EventSourceMessage): void {
     if (this.isClosed) return;
     if (data === DONE) return this.failLost('done without a finish reason');
-    CHUNK.decode(parseJson(data)).caseOf({
-      Left: (detail) =>
+    decodeValue(CHUNK, parseJson(data)).match(
+      ({choices}) => choices.forEach((choice) => this.handleChoice(choice)),
+      (detail) =>
         this.fail(createDriverError(DriverErrorKind.MALFORMED, detail)),
-      Right: ({choices}) =>
-        choices.forEach((choice) => this.handleChoice(choice)),
-    });
+    );
   }
 
   private handleChoice(choice: {
--- a/src/adapters/http-watch.ts
+++ b/src/adapters/http-watch.ts
@@ -3,6 +3,7 @@
 import type {Dispatcher} from 'undici';
 import {request} from 'undici';
 
+import {decodeValue} from '../core/codec/decode-value.js';
 import type {StoreError, WatchEvent, WatchHandle} from '../core/edges/index.js';
 import {ObjectKind, StoreErrorKind} from '../core/edges/index.js';
 import {decodeUtf8, parseJson, toHttpFailure} from './http-call.js';
@@ -91,11 +92,10 @@
   }
 
   private handleLine(line: string): void {
-    WATCH_EVENT.decode(parseJson(line)).caseOf({
-      Left: (detail) =>
-        this.end(createStoreError(StoreErrorKind.INVALID, detail)),
-      Right: (event) => this.options.onEvent(event),
-    });
+    decodeValue(WATCH_EVENT, parseJson(line)).match(
+      (event) => this.options.onEvent(event),
+      (detail) => this.end(createStoreError(StoreErrorKind.INVALID, detail)),
+    );
   }
 
   private end(err: StoreError): void {
--- a/src/core/protocol/frame-codec.ts
+++ b/src/core/protocol/frame-codec.ts
@@ -3,6 +3,7 @@
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 
+import {decodeValue} from '../codec/decode-value.js';
 import {Layer} from '../errors/types.js';
 import {LENGTH_BYTES, MAX_FRAME_BYTES} from './consts.js';
 import {MessageType} from './message-type.js';
@@ -110,12 +111,8 @@
   if (type === undefined) {
     return err(createBadMessageError('unknown message type'));
   }
-  return MESSAGE_CODECS[type]
-    .decode(value.value)
-    .caseOf<Result<Message, TransportError>>({
-      Left: (detail) => err(createBadMessageError(detail)),
-      Right: (message) => ok(message),
-    });
+  const message = decodeValue<Message>(MESSAGE_CODECS[type], value.value);
+  return message.mapErr(createBadMessageError);
 }
 
 function decodeCbor(body: Buffer): Result<unknown, TransportError> {
--- a/src/core/relay/index.ts
+++ b/src/core/relay/index.ts
@@ -5,5 +5,5 @@
 export type {LoggedRead} from './change-log.js';
 export {ReaderChoice} from './reader-choice.js';
 export type {EntryRecord} from './entry-record.js';
-export {ENTRY_RECORD, splitPeerAddress} from './entry-record.js';
+export {ENTRY_RECORD} from './entry-record.js';
 export {orderReaders} from './reader-order.js';
--- a/src/direct/relay/watch-client.ts
+++ b/src/direct/relay/watch-client.ts
@@ -1,4 +1,5 @@
 /** Asks one entry for the changes that it reads from the store. */
+import {parseIpEndpoint} from '../../core/codec/ip-endpoint.js';
 import type {Clock, RandomSource, TimerHandle} from '../../core/clock/index.js';
 import type {ChangeQuery} from '../../core/edges/state-source.js';
 import type {
@@ -8,7 +9,6 @@
 } from '../../core/protocol/index.js';
 import {MessageType, PeerClient} from '../../core/protocol/index.js';
 import type {EntryRecord} from '../../core/relay/index.js';
-import {splitPeerAddress} from '../../core/relay/index.js';
 import {CONNECT_LIMIT_MS, MAX_SILENCE_MS, WATCH_MARGIN_MS} from './consts.js';
 
 /** Interval at which the silence of the entry is checked, in milliseconds. */
@@ -51,7 +51,7 @@
   ) {
     const {entry, hello, clock, random} = options;
     this.client = new PeerClient({
-      peer: splitPeerAddress(entry.address),
+      peer: parseIpEndpoint(entry.address)!,
       hello,
       clock,
       random,
--- a/stand-ins/site/store.ts
+++ b/stand-ins/site/store.ts
@@ -25,6 +25,11 @@
   delayMs: number;
 }
 
+/** Content of an object as JSON text that `JSON.stringify` cannot write. */
+export class RawJson {
+  constructor(readonly text: string) {}
+}
+
 interface StoredChange {
   readonly revision: number;
   readonly kind: string;
@@ -238,5 +243,16 @@
 function sendJson(res: ServerResponse, status: number, body: unknown): void {
   if (res.writableEnded) return;
   res.writeHead(status, {'Content-Type': 'application/json'});
-  res.end(JSON.stringify(body));
+  res.end(encodeJson(body));
+}
+
+/** Encodes a body; raw JSON is inserted as it is. */
+function encodeJson(body: unknown): string {
+  const raw: string[] = [];
+  const text = JSON.stringify(body, (_key, value: unknown) => {
+    if (!(value instanceof RawJson)) return value;
+    raw.push(value.text);
+    return `raw ${raw.length - 1}`;
+  });
+  return text.replaceAll(/"raw (\d+)"/g, (_match, i) => raw[Number(i)]!);
 }
--- a/test/core/relay/entry-record.test.ts
+++ b/test/core/relay/entry-record.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 
-import {ENTRY_RECORD, splitPeerAddress} from '../../../src/core/relay/index.js';
+import {parseIpEndpoint} from '../../../src/core/codec/ip-endpoint.js';
+import {ENTRY_RECORD} from '../../../src/core/relay/index.js';
 
 const RECORD = {vm: 'edge-1', dataCentre: 'a', address: '10.0.0.7:7200'};
 
@@ -32,8 +33,15 @@
   });
 });
 
-describe('splitPeerAddress', () => {
+describe('parseIpEndpoint', () => {
   it('splits at the last colon', () => {
-    expect(splitPeerAddress('::1:7200')).toEqual({address: '::1', port: 7_200});
+    expect(parseIpEndpoint('::1:7200')).toEqual({address: '::1', port: 7_200});
   });
+
+  it.each(['10.0.0.7:0x50', '10.0.0.7:99999', '999.0.0.1:80', '10.0.0.7:'])(
+    'refuses %s',
+    (text) => {
+      expect(parseIpEndpoint(text)).toBeUndefined();
+    },
+  );
 });
--- a/test/platform/load-report.test.ts
+++ b/test/platform/load-report.test.ts
@@ -7,6 +7,17 @@
 
 const TIMEOUT_MS = 1_000;
 
+const DEPTH = 50_000;
+
+const recordOf = ({url}: RunningServer) => ({
+  id: 'i-1',
+  service: 'writers',
+  address: new URL(url).host,
+  dataCentre: 'a',
+  slots: 8,
+  isDraining: false,
+});
+
 describe('a load report', () => {
   let server: RunningServer;
 
@@ -27,15 +38,27 @@
         return Promise.resolve();
       },
     });
-    const target = {
-      id: 'i-1',
-      service: 'writers',
-      address: new URL(server.url).host,
-      dataCentre: 'a',
-      slots: 8,
-      isDraining: false,
-    };
-    const load = await new TargetClient().queryLoad(target, TIMEOUT_MS);
+    const load = await new TargetClient().queryLoad(
+      recordOf(server),
+      TIMEOUT_MS,
+    );
     expect(load._unsafeUnwrap().generatingIds).toEqual(ids);
   });
+
+  it('that is nested deeply is refused', async () => {
+    const deep = '['.repeat(DEPTH) + ']'.repeat(DEPTH);
+    server = await startServer({
+      address: '127.0.0.1',
+      port: 0,
+      handle: ({res}) => {
+        res.end(`{"active":${deep}}`);
+        return Promise.resolve();
+      },
+    });
+    const load = await new TargetClient().queryLoad(
+      recordOf(server),
+      TIMEOUT_MS,
+    );
+    expect(load.isErr()).toBe(true);
+  });
 });
--- a/test/processes/edges.test.ts
+++ b/test/processes/edges.test.ts
@@ -51,6 +51,7 @@
 }
 
 const COMPLETIONS = '/v1/completions';
+const DEEP_JSON = '['.repeat(200) + ']'.repeat(200);
 const CHAT = '/v1/chat/completions';
 const BOOKINGS = '/services/orders/bookings';
 const KEY_HEADER = {'idempotency-key': 'edge-1'};
@@ -62,6 +63,7 @@
 
 const BAD_BODIES: readonly HttpCase[] = [
   ['invalid JSON', COMPLETIONS, '{'],
+  ['JSON that is nested deeply', COMPLETIONS, DEEP_JSON],
   ['an empty body', COMPLETIONS, ''],
   ['an array', COMPLETIONS, '[]'],
   ['no model', COMPLETIONS, '{"prompt":"x"}'],
