Send no new work to a target that tells that it leaves

Any response that belongs to its request, also a rejection or an error, and a load report now mark the incarnation as draining for good, whatever its registration says. Running streams go on, and a copy there can be resumed from for a short time as before.

--- a/src/core/edges/direct-target.ts
+++ b/src/core/edges/direct-target.ts
@@ -37,8 +37,16 @@
   readonly load?: ReportedLoad;
 }
 
+/** What a target tells of itself in a response, whatever its status. */
+export interface TargetNotice {
+  /** Whether it leaves and must get no new work. */
+  readonly isLeaving: boolean;
+}
+
 /** Receives the response to a request. */
 export interface ExchangeListener {
+  /** Called before the other methods if the target tells anything. */
+  onNotice(notice: TargetNotice): void;
   onHead(head: TargetResponseHead): void;
   onData(chunk: Uint8Array): void;
   /** The response is complete. */
--- a/src/core/targets/target-set.ts
+++ b/src/core/targets/target-set.ts
@@ -88,7 +88,7 @@
     const known = this.targets.get(record.id);
     if (known !== undefined && isSameIncarnation(known.record, record)) {
       const wasDraining = known.record.isDraining;
-      known.record = record;
+      known.updateRecord(record);
       if (record.isDraining && !wasDraining) {
         known.recordDraining();
         this.options.onRemoved(known);
@@ -96,9 +96,15 @@
       return;
     }
     if (known !== undefined) this.remove(record.id);
-    const {clock, onPaused} = this.options;
+    const {clock, onPaused, onRemoved} = this.options;
     const eventGapMs = this.eventGaps.get(record.address);
-    const target = new Target({record, clock, onPaused, eventGapMs});
+    const target = new Target({
+      record,
+      clock,
+      onPaused,
+      onLeaving: onRemoved,
+      eventGapMs,
+    });
     this.targets.set(record.id, target);
   }
 
--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -29,6 +29,8 @@
    * reported.
    */
   readonly generatingIds?: readonly string[];
+  /** Whether the target leaves and must get no new work. */
+  readonly isLeaving?: boolean;
 }
 
 /** Work that this entry sent to a target. */
@@ -53,6 +55,7 @@
   record: TargetRecord;
   private readonly clock: Clock;
   private readonly onPaused: (target: Target, pauseMs: number) => void;
+  private readonly onLeaving: (target: Target) => void;
   private readonly work = new Set<TargetWork>();
   /** Tokens of KV cache copies that the target holds for other targets. */
   private kvCopyTokens = 0;
@@ -66,6 +69,7 @@
   /** Start of the first pause since the target was last seen. */
   private unavailableFromMs?: number;
   private drainingFromMs?: number;
+  private hasToldLeaving = false;
   /** Shortest recent mean of `EVENT_GAP_SAMPLES` gaps. */
   private minMeanGapMs?: number;
   private gapSumMs = 0;
@@ -81,6 +85,8 @@
     clock: Clock;
     /** Called on each pause with its length in milliseconds. */
     onPaused?: (target: Target, pauseMs: number) => void;
+    /** Called once when the target tells that it leaves. */
+    onLeaving?: (target: Target) => void;
     /** Event gap of an earlier incarnation at the same address. */
     eventGapMs?: number;
   }) {
@@ -88,6 +94,7 @@
     this.record = options.record;
     this.clock = options.clock;
     this.onPaused = options.onPaused ?? (() => undefined);
+    this.onLeaving = options.onLeaving ?? (() => undefined);
   }
 
   get id(): string {
@@ -137,6 +144,7 @@
       if (work.startedAtMs <= this.reportTakenAtMs) this.ownInReport++;
     }
     this.recordSeen();
+    if (load.isLeaving === true) this.recordLeaving();
   }
 
   /**
@@ -307,6 +315,22 @@
     this.record = {...this.record, isDraining: true};
   }
 
+  /**
+   * Records that the target tells that it leaves. This holds for its incarnation,
+   * whatever its registration says.
+   */
+  recordLeaving(): void {
+    if (this.hasToldLeaving) return;
+    this.hasToldLeaving = true;
+    this.recordDraining();
+    this.onLeaving(this);
+  }
+
+  /** Replaces the registration of this incarnation. */
+  updateRecord(record: TargetRecord): void {
+    this.record = this.hasToldLeaving ? {...record, isDraining: true} : record;
+  }
+
   /** Milliseconds since `recordDraining`; undefined before it. */
   drainingForMs(): number | undefined {
     return this.drainingFromMs === undefined
--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -24,7 +24,7 @@
 import {RETRY_AFTER_MS, SAFE_ATTEMPT_TIME_SHARE} from './consts.js';
 import type {DirectContext, DirectWork} from './context.js';
 import {forwardResponse} from './forward-response.js';
-import {recordTargetFailure} from './record-target-failure.js';
+import {recordNotice, recordTargetFailure} from './record-exchange.js';
 import {PoisonDetector} from './poison/index.js';
 import {refuseUnsent} from './refuse-unsent.js';
 import {toTargetRequest} from './target-request.js';
@@ -118,6 +118,7 @@
       maxConnections: work.service.maxConnections,
       req: toTargetRequest({work, leftMs}),
       listener: {
+        onNotice: (notice) => recordNotice(target, notice),
         onHead: (head) => {
           this.head = head;
           if (head.load !== undefined) target.recordLoad(head.load);
--- a/src/direct/record-target-failure.ts
+++ b/src/direct/record-exchange.ts
@@ -1,4 +1,5 @@
-/** Updates a target's health after a failed exchange. */
+/** Updates a target after an exchange. */
+import type {TargetNotice} from '../core/edges/direct-target.js';
 import {ExchangeFailure} from '../core/edges/direct-target.js';
 import type {Target} from '../core/targets/index.js';
 
@@ -26,3 +27,13 @@
       target.recordFailure();
   }
 }
+
+/**
+ * Records what a target told of itself, which affects later choices.
+ *
+ * @example
+ * recordNotice(target, {isLeaving: true});
+ */
+export function recordNotice(target: Target, {isLeaving}: TargetNotice): void {
+  if (isLeaving) target.recordLeaving();
+}
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -18,7 +18,7 @@
 } from '../response-body.js';
 import {RESUME_CHECK_MS, PREFILL_CHECK_MS} from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
-import {recordTargetFailure} from '../record-target-failure.js';
+import {recordNotice, recordTargetFailure} from '../record-exchange.js';
 import {toTargetRequest} from '../target-request.js';
 import type {KvCacheCopy} from './kv-cache-replicator.js';
 import {KvCacheReplicator} from './kv-cache-replicator.js';
@@ -166,6 +166,7 @@
         copyFrom,
       }),
       listener: {
+        onNotice: (notice) => recordNotice(target, notice),
         onHead: (head) => this.onHead(head),
         onData: (chunk) => this.onData(chunk),
         onComplete: () => this.onComplete(),
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -96,6 +96,14 @@
   bornMs = DEFAULT_BORN_MS;
   /** Accepts connections and requests but never responds. */
   isUnresponsive = false;
+  /** Whether all responses but load reports tell that the target leaves. */
+  isLeaving = false;
+  /** Whether load reports tell it. */
+  reportsLeaving = false;
+  /** Value of `Retry-After` in rejections, in seconds. */
+  retryAfterS?: number;
+  /** Times of rejections on the monotonic clock of the process. */
+  readonly rejectedAtMs: number[] = [];
   /** Requests that crash this target. */
   crashOn?: CrashTrigger;
   /** Crashes caused by requests, over all incarnations. */
@@ -191,8 +199,11 @@
 
   private async serve(req: IncomingMessage, res: ServerResponse) {
     const body = await readText(req);
+    const isReport = req.url === (Path.REPORT as string);
+    const tellsLeaving = isReport ? this.reportsLeaving : this.isLeaving;
+    if (tellsLeaving) res.setHeader('Server-Leaving', '1');
     if (this.isUnresponsive) return;
-    if (req.url === (Path.REPORT as string)) {
+    if (isReport) {
       res.end(JSON.stringify(this.report()));
       return;
     }
@@ -269,7 +280,10 @@
 
   private reject(req: IncomingMessage, res: ServerResponse): void {
     const {attemptId} = arrivalOf(req);
+    this.rejectedAtMs.push(performance.now());
     this.observer.onArrived({...arrivalOf(req), hasRun: false});
+    if (this.retryAfterS !== undefined)
+      res.setHeader('Retry-After', String(this.retryAfterS));
     res.writeHead(503, {'Attempt-Id': attemptId, 'Not-Executed': '1'}).end();
   }
 
