Keep the time for which a rejecting target wants no work

The target is now left out of every choice until then, also for resumed streams. If all targets of a service are closed, a call, or a stream whose deadline comes first, is refused at once with the shortest of these times as Retry-After.

--- a/src/core/edges/direct-target.ts
+++ b/src/core/edges/direct-target.ts
@@ -41,11 +41,13 @@
 export interface TargetNotice {
   /** Whether it leaves and must get no new work. */
   readonly isLeaving: boolean;
+  /** Time for which it must get no work from this entry, in milliseconds. */
+  readonly backoffMs?: number;
 }
 
 /** Receives the response to a request. */
 export interface ExchangeListener {
-  /** Called before the other methods if the target tells anything. */
+  /** Called before the other methods with each response. */
   onNotice(notice: TargetNotice): void;
   onHead(head: TargetResponseHead): void;
   onData(chunk: Uint8Array): void;
--- a/src/core/targets/consts.ts
+++ b/src/core/targets/consts.ts
@@ -42,3 +42,6 @@
 
 /** Maximum number of addresses for which the event gap is remembered. */
 export const MAX_REMEMBERED_GAPS = 4_096;
+
+/** Longest time for which a target may ask for no work, in milliseconds. */
+export const MAX_BACKOFF_MS = 300_000;
--- a/src/core/targets/target-set.ts
+++ b/src/core/targets/target-set.ts
@@ -45,13 +45,27 @@
 
   /** Targets of a service that take work. */
   ofService(service: string): Target[] {
+    const present = this.presentOf(service);
+    return present.filter((target) => target.backoffLeftMs() === 0);
+  }
+
+  /**
+   * Time until a target of a service takes work again, if all of them want none;
+   * undefined if some do, or if there are none.
+   */
+  reopensInMs(service: string): number | undefined {
+    const present = this.presentOf(service);
+    if (present.length === 0) return undefined;
+    const leftMs = Math.min(...present.map((target) => target.backoffLeftMs()));
+    return leftMs > 0 ? leftMs : undefined;
+  }
+
+  /** Registered targets of a service that are not draining. */
+  private presentOf(service: string): Target[] {
     this.removeExpired();
-    const found: Target[] = [];
-    for (const target of this.targets.values()) {
-      const {record} = target;
-      if (record.service === service && !record.isDraining) found.push(target);
-    }
-    return found;
+    return [...this.targets.values()].filter(
+      ({record}) => record.service === service && !record.isDraining,
+    );
   }
 
   /**
--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -7,6 +7,7 @@
   LONGEST_PAUSE_MS,
   EVENT_GAP_GROWTH,
   EVENT_GAP_SAMPLES,
+  MAX_BACKOFF_MS,
   PAUSE_AFTER_FAILURE_MS,
   FULL_AFTER_REJECT_MS,
 } from './consts.js';
@@ -70,6 +71,7 @@
   private unavailableFromMs?: number;
   private drainingFromMs?: number;
   private hasToldLeaving = false;
+  private backoffUntilMs = Number.NEGATIVE_INFINITY;
   /** Shortest recent mean of `EVENT_GAP_SAMPLES` gaps. */
   private minMeanGapMs?: number;
   private gapSumMs = 0;
@@ -315,6 +317,18 @@
     this.record = {...this.record, isDraining: true};
   }
 
+  /** Records that the target wants no work from this entry for a time. */
+  recordBackoff(backoffMs: number): void {
+    const boundedMs = Math.min(backoffMs, MAX_BACKOFF_MS);
+    const untilMs = this.clock.now() + boundedMs;
+    this.backoffUntilMs = Math.max(this.backoffUntilMs, untilMs);
+  }
+
+  /** Time for which the target wants no work, in milliseconds; 0 if it does. */
+  backoffLeftMs(): number {
+    return Math.max(0, this.backoffUntilMs - this.clock.now());
+  }
+
   /**
    * Records that the target tells that it leaves. This holds for its incarnation,
    * whatever its registration says.
--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -21,12 +21,13 @@
 import {OperationKind} from '../core/routes/index.js';
 import type {Target, TargetWork} from '../core/targets/index.js';
 import {ResponseBody, TOO_LARGE_DETAIL} from './response-body.js';
-import {RETRY_AFTER_MS, SAFE_ATTEMPT_TIME_SHARE} from './consts.js';
+import {SAFE_ATTEMPT_TIME_SHARE} from './consts.js';
 import type {DirectContext, DirectWork} from './context.js';
 import {forwardResponse} from './forward-response.js';
 import {recordNotice, recordTargetFailure} from './record-exchange.js';
 import {PoisonDetector} from './poison/index.js';
 import {refuseUnsent} from './refuse-unsent.js';
+import {retryAfterMsOf} from './retry-after.js';
 import {toTargetRequest} from './target-request.js';
 
 /** An attempt in progress. */
@@ -118,7 +119,8 @@
       maxConnections: work.service.maxConnections,
       req: toTargetRequest({work, leftMs}),
       listener: {
-        onNotice: (notice) => recordNotice(target, notice),
+        onNotice: (notice) =>
+          recordNotice({target, notice, logger: ctx.logger}),
         onHead: (head) => {
           this.head = head;
           if (head.load !== undefined) target.recordLoad(head.load);
@@ -257,7 +259,9 @@
       heldMs: Math.round(this.ctx.clock.now() - this.work.req.receivedMs),
       deadlineMs: this.work.req.deadlineMs,
     });
-    const retryAfterMs = mayHaveRun ? undefined : RETRY_AFTER_MS;
+    const retryAfterMs = mayHaveRun
+      ? undefined
+      : retryAfterMsOf(this.ctx, this.work);
     this.work.res.sendRefusal({status, reason, retryAfterMs});
   }
 
--- a/src/direct/record-exchange.ts
+++ b/src/direct/record-exchange.ts
@@ -1,6 +1,7 @@
 /** Updates a target after an exchange. */
 import type {TargetNotice} from '../core/edges/direct-target.js';
 import {ExchangeFailure} from '../core/edges/direct-target.js';
+import type {Logger} from '../core/logs/index.js';
 import type {Target} from '../core/targets/index.js';
 
 /**
@@ -32,8 +33,20 @@
  * Records what a target told of itself, which affects later choices.
  *
  * @example
- * recordNotice(target, {isLeaving: true});
+ * recordNotice({target, notice: {isLeaving: true}, logger});
  */
-export function recordNotice(target: Target, {isLeaving}: TargetNotice): void {
+export function recordNotice(options: {
+  target: Target;
+  notice: TargetNotice;
+  logger: Logger;
+}): void {
+  const {target, notice, logger} = options;
+  const {isLeaving, backoffMs} = notice;
+  if (isLeaving && !target.record.isDraining) {
+    logger.info('target tells that it leaves', {target: target.id});
+  }
   if (isLeaving) target.recordLeaving();
+  if (backoffMs === undefined) return;
+  logger.info('target asks for no work', {target: target.id, backoffMs});
+  target.recordBackoff(backoffMs);
 }
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -166,7 +166,8 @@
         copyFrom,
       }),
       listener: {
-        onNotice: (notice) => recordNotice(target, notice),
+        onNotice: (notice) =>
+          recordNotice({target, notice, logger: ctx.logger}),
         onHead: (head) => this.onHead(head),
         onData: (chunk) => this.onData(chunk),
         onComplete: () => this.onComplete(),
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -20,15 +20,16 @@
   MIN_EVENTS_FOR_COPY,
   MAX_PROMPT_ATTEMPTS,
   MIN_WRITING_MS,
-  RETRY_AFTER_MS,
   PLACEMENT_RETRY_MS,
 } from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
 import {forwardResponse} from '../forward-response.js';
 import {PoisonDetector} from '../poison/index.js';
 import {refuseUnsent} from '../refuse-unsent.js';
+import {retryAfterMsOf} from '../retry-after.js';
 import type {KvCacheCopy} from './kv-cache-replicator.js';
 import {StreamDelivery} from './stream-delivery.js';
+import {StreamLog} from './stream-log.js';
 import {canResumeAt, StreamPlacer} from './stream-placer.js';
 import {toGenerationNeed} from './min-generation-times.js';
 import type {TargetLoss} from './stream-attempt.js';
@@ -62,6 +63,7 @@
   private readonly sequence: EventSequence;
   private readonly delivery: StreamDelivery;
   private readonly placer: StreamPlacer;
+  private readonly log: StreamLog;
   private readonly poisonDetector: PoisonDetector;
   private readonly deadline: TimerHandle;
   private placementTimer?: TimerHandle;
@@ -82,6 +84,7 @@
     this.work = options.work;
     this.delivery = new StreamDelivery(options);
     this.placer = new StreamPlacer(options);
+    this.log = new StreamLog(options);
     this.poisonDetector = new PoisonDetector({
       ...options,
       onPoison: () => this.failAsPoison(),
@@ -154,7 +157,7 @@
       this.send(resumableCopy.holder, resumableCopy.reference);
       return;
     } else if (resumableCopy !== undefined) {
-      this.logCopyLost(resumableCopy.holder);
+      this.log.recordCopyLost(resumableCopy.holder);
     }
     const target = await this.placer.findTarget();
     if (this.isOver) return;
@@ -162,7 +165,18 @@
     else this.send(target);
   }
 
+  /** Whether no target takes work before the deadline. */
+  private staysWithoutTarget(): boolean {
+    const {ctx, work} = this;
+    const reopensInMs = ctx.targets.reopensInMs(work.service.name) ?? 0;
+    return ctx.clock.now() + reopensInMs >= work.deadlineAtMs;
+  }
+
   private schedulePlacement(): void {
+    if (this.staysWithoutTarget()) {
+      this.fail(false);
+      return;
+    }
     this.placer.clearExcluded();
     this.placementTimer = this.ctx.clock.schedule({
       delayMs: PLACEMENT_RETRY_MS,
@@ -191,7 +205,7 @@
       },
     });
     if (usesCopy || this.promptAttempts > 1)
-      this.logPlacement(this.current, usesCopy);
+      this.log.recordPlacement(this.current, usesCopy);
   }
 
   private onEvent(head: TargetResponseHead, event: RawEvent): void {
@@ -239,7 +253,7 @@
     const lost = this.current;
     if (lost === undefined || this.isOver) return;
     this.current = undefined;
-    this.logLoss(lost, loss);
+    this.log.recordLoss(lost, loss, this.sequence.count);
     const {failure, reason} = loss;
     const didNotRun = failure !== undefined && certainlyDidNotRun(failure);
     if (didNotRun) this.placer.exclude(lost.target);
@@ -305,7 +319,9 @@
       this.work.res.abort();
       return;
     }
-    const retryAfterMs = mayHaveRun ? undefined : RETRY_AFTER_MS;
+    const retryAfterMs = mayHaveRun
+      ? undefined
+      : retryAfterMsOf(this.ctx, this.work);
     this.work.res.sendRefusal({status, reason, retryAfterMs});
   }
 
@@ -355,39 +371,4 @@
       streamingMs: totalMs - firstEventMs,
     });
   }
-
-  private logLoss(lost: StreamAttempt, loss: TargetLoss): void {
-    this.ctx.logger.info('stream attempt failed', {
-      id: this.work.req.attemptId,
-      target: lost.target.id,
-      dataCentre: lost.target.record.dataCentre,
-      copy: lost.copy?.holder.id,
-      events: this.sequence.count,
-      reason: loss.reason,
-      detail: loss.detail,
-    });
-  }
-
-  private logCopyLost(holder: Target): void {
-    this.ctx.logger.info('KV cache copy not usable for resume', {
-      id: this.work.req.attemptId,
-      holder: holder.id,
-      dataCentre: holder.record.dataCentre,
-      isLeaving: holder.record.isDraining,
-      isPaused: holder.isPaused(),
-    });
-  }
-
-  private logPlacement({target, copy}: StreamAttempt, usesCopy: boolean): void {
-    this.ctx.logger.info('stream retried or resumed at target', {
-      id: this.work.req.attemptId,
-      target: target.id,
-      dataCentre: target.record.dataCentre,
-      requests: target.estimatedRequests(),
-      unread: target.estimatedPrefills(),
-      reportAgeMs: Math.round(Math.min(target.reportAgeMs(), 1e6)),
-      usesCopy,
-      copyAt: copy?.holder.record.dataCentre,
-    });
-  }
 }
--- /dev/null
+++ b/src/direct/streams/stream-log.ts
@@ -0,0 +1,60 @@
+/** Logs what happens to one stream. */
+import type {Target} from '../../core/targets/index.js';
+import type {DirectContext, DirectWork} from '../context.js';
+import type {StreamAttempt, TargetLoss} from './stream-attempt.js';
+
+/** Age that is logged for reports that were never received, in ms. */
+const MAX_LOGGED_AGE_MS = 1e6;
+
+/**
+ * Writes the lines of one stream that is lost, resumed or sent again.
+ *
+ * @example
+ * const log = new StreamLog({ctx, work});
+ * log.recordLoss(attempt, loss, sequence.count);
+ */
+export class StreamLog {
+  constructor(
+    private readonly options: {ctx: DirectContext; work: DirectWork},
+  ) {}
+
+  /** An attempt has failed after `events` events of the whole stream. */
+  recordLoss(lost: StreamAttempt, loss: TargetLoss, events: number): void {
+    this.write('stream attempt failed', {
+      target: lost.target.id,
+      dataCentre: lost.target.record.dataCentre,
+      copy: lost.copy?.holder.id,
+      events,
+      reason: loss.reason,
+      detail: loss.detail,
+    });
+  }
+
+  recordCopyLost(holder: Target): void {
+    this.write('KV cache copy not usable for resume', {
+      holder: holder.id,
+      dataCentre: holder.record.dataCentre,
+      isLeaving: holder.record.isDraining,
+      isPaused: holder.isPaused(),
+    });
+  }
+
+  recordPlacement({target, copy}: StreamAttempt, usesCopy: boolean): void {
+    this.write('stream retried or resumed at target', {
+      target: target.id,
+      dataCentre: target.record.dataCentre,
+      requests: target.estimatedRequests(),
+      unread: target.estimatedPrefills(),
+      reportAgeMs: Math.round(
+        Math.min(target.reportAgeMs(), MAX_LOGGED_AGE_MS),
+      ),
+      usesCopy,
+      copyAt: copy?.holder.record.dataCentre,
+    });
+  }
+
+  private write(message: string, fields: object): void {
+    const {ctx, work} = this.options;
+    ctx.logger.info(message, {id: work.req.attemptId, ...fields});
+  }
+}
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -136,7 +136,8 @@
  */
 export function canResumeAt(holder: Target): boolean {
   const drainingForMs = holder.drainingForMs() ?? 0;
-  return drainingForMs < DRAINING_RESUME_WINDOW_MS && !holder.isPaused();
+  if (holder.isPaused() || holder.backoffLeftMs() > 0) return false;
+  return drainingForMs < DRAINING_RESUME_WINDOW_MS;
 }
 
 function isAvailable(target: Target): boolean {
