Hold writes until both operators have read in the test of a conflict

KNOWN-RED row 'reports the other operator': both tools had 800 ms to read the version before either wrote, and under load one started later than that.

--- a/stand-ins/platform/fault-injector.ts
+++ b/stand-ins/platform/fault-injector.ts
@@ -11,6 +11,7 @@
   private writesLeft = Infinity;
   private slowMs = 0;
   private kind = '';
+  private heldWrites: Array<() => void> = [];
 
   get isDown(): boolean {
     return this.fault === PlatformFault.DOWN;
@@ -27,8 +28,8 @@
 
   /**
    * Sets the fault `mode` of the body. Optional fields are `count`, the number
-   * of writes to affect; `kind`, the only kind that `down` affects; and
-   * `delayMs`, the delay of `slow`.
+   * of writes to affect; `kind`, the only kind that `down` and `hold_writes`
+   * affect; and `delayMs`, the delay of `slow`.
    */
   set(body: unknown): PlatformFault {
     this.fault = enumField(body, 'mode', PlatformFault);
@@ -38,6 +39,18 @@
     return this.fault;
   }
 
+  /** Resolves once enough writes of a kind have arrived, if they are held. */
+  async holdWrite(kind: string): Promise<void> {
+    if (this.fault !== PlatformFault.HOLD_WRITES || kind !== this.kind) return;
+    const released = new Promise<void>((resolve) =>
+      this.heldWrites.push(resolve),
+    );
+    if (this.heldWrites.length >= this.writesLeft) {
+      for (const release of this.heldWrites.splice(0)) release();
+    }
+    await released;
+  }
+
   /** Returns the fault of the next write and decrements the remaining count. */
   consumeForWrite(): PlatformFault {
     const affectsWrites =
--- a/stand-ins/platform/server.ts
+++ b/stand-ins/platform/server.ts
@@ -102,6 +102,7 @@
     const limitBytes = MAX_VALUE_BYTES + ENVELOPE_BYTES;
     const body = await readJson({req, limitBytes});
     await this.beginCall(kind, verb);
+    await this.faults.holdWrite(kind);
     const fault = this.faults.consumeForWrite();
     if (fault === PlatformFault.FAIL_BEFORE_EFFECT) {
       throw new HttpError(503, 'failing before effect');
--- a/stand-ins/platform/types.ts
+++ b/stand-ins/platform/types.ts
@@ -25,6 +25,8 @@
   LOSE_WRITE_RESPONSE = 'lose_write_answer',
   /** Responds 503 to writes without carrying them out. */
   FAIL_BEFORE_EFFECT = 'fail_before_effect',
+  /** Holds writes of one kind back until `count` of them have arrived. */
+  HOLD_WRITES = 'hold_writes',
 }
 
 /** Operation of an API call. */
--- a/test/processes/config.test.ts
+++ b/test/processes/config.test.ts
@@ -299,8 +299,8 @@
     async () => {
       await createSite({entries: 2, engines: 0});
       const before = await storedVersion();
-      // The delay makes both read the version before either writes.
-      await setFault({mode: 'slow', delayMs: 800});
+      // Both have read the version before either write is carried out.
+      await setFault({mode: 'hold_writes', kind: 'config', count: 2});
       const outcomes = await Promise.all([apply('1'), apply('2')]);
       await setFault({mode: 'ok'});
       const loser = outcomes.findIndex(({status}) => status !== 0);
