Begin pauses of booking tests when the booking has got that far

KNOWN-RED rows 'agents are paused beyond every timeout' (0 executions seen) and 'entry is paused between claim and send' (both 'yes' after one execution): the tests waited 150 ms and then paused, and under load the booking had not reached the service or the claim by then, so that another case was played. They now wait until the service executes the booking, or until the claim has arrived at the store.

--- a/test/processes/booking.test.ts
+++ b/test/processes/booking.test.ts
@@ -8,9 +8,12 @@
 import type {BookingResult} from '../support/bookings.js';
 import {
   book,
+  countClaimWrites,
   countExecutions,
   setServiceFault,
   setStoreFault,
+  waitForClaim,
+  waitForExecution,
 } from '../support/bookings.js';
 
 /** Deadline of a booking at the entry, shorter than a pause. */
@@ -54,9 +57,11 @@
 async function bookDuring(
   action: () => Promise<void>,
   deadlineMs?: number,
+  /** Resolves once the booking has progressed far enough. */
+  isUnderWay: () => Promise<void> = () => sleep(150),
 ): Promise<BookingResult> {
   const pending = book({url: url(0), key: KEY, deadlineMs});
-  await sleep(150);
+  await isUnderWay();
   await action();
   return pending;
 }
@@ -123,10 +128,14 @@
     name: 'the agents are paused beyond every timeout and resumed',
     run: async () => {
       await setServiceFault(site, {kind: 'slow', factor: 100});
-      const first = await bookDuring(async () => {
-        agents().forEach((proc) => proc.pause());
-        await Promise.resolve();
-      }, SHORT_DEADLINE_MS);
+      const first = await bookDuring(
+        async () => {
+          agents().forEach((proc) => proc.pause());
+          await Promise.resolve();
+        },
+        SHORT_DEADLINE_MS,
+        () => waitForExecution(site),
+      );
       await sleep(PAUSE_MS - SHORT_DEADLINE_MS);
       agents().forEach((proc) => proc.resume());
       return [first, await retry()];
@@ -152,11 +161,16 @@
     run: async () => {
       await setStoreFault(site, {mode: 'slow', delayMs: 400});
       const entry = site.entries[0]!.proc;
-      const first = bookDuring(async () => {
-        entry.pause();
-        await sleep(PAUSE_MS);
-        entry.resume();
-      }, SHORT_DEADLINE_MS);
+      const claimsBefore = await countClaimWrites(site);
+      const first = bookDuring(
+        async () => {
+          entry.pause();
+          await sleep(PAUSE_MS);
+          entry.resume();
+        },
+        SHORT_DEADLINE_MS,
+        () => waitForClaim(site, claimsBefore),
+      );
       await sleep(PAUSE_MS / 2);
       await setStoreFault(site, {mode: 'ok'});
       const second = await retry();
--- a/test/support/bookings.ts
+++ b/test/support/bookings.ts
@@ -1,4 +1,6 @@
 /** Sends bookings, reads the ledger's execution counts and sets faults. */
+import {setTimeout as sleep} from 'node:timers/promises';
+
 import {Codec, number, optional, string} from 'purify-ts';
 
 import {sendControl} from '../../tools/lab/lab.js';
@@ -18,6 +20,11 @@
   readonly elapsedMs: number;
 }
 
+const CLAIM_WRITES: ReadonlySet<string> = new Set(['create', 'update']);
+
+const POLL_INTERVAL_MS = 5;
+const MAX_POLLS = 1_000;
+
 const PROBLEM = Codec.interface({
   ran: string,
   reason: string,
@@ -81,6 +88,42 @@
   return new Map(perKey.map((row) => [row.key, row.count]));
 }
 
+/** Waits until an order service executes a booking. */
+export async function waitForExecution(site: Site): Promise<void> {
+  await pollUntil(async () => {
+    const reports = await Promise.all(
+      site.orders.map(({standIn}) =>
+        sendControl({url: `${standIn.url}/health`}),
+      ),
+    );
+    return reports.some((report) => (report as {running: number}).running > 0);
+  });
+}
+
+/** Waits until an entry has sent a claim to the store since `before`. */
+export async function waitForClaim(site: Site, before: number): Promise<void> {
+  await pollUntil(async () => (await countClaimWrites(site)) > before);
+}
+
+/** Number of writes of claims that have arrived at the store. */
+export async function countClaimWrites(site: Site): Promise<number> {
+  const url = `${site.platform.url}/counts`;
+  const {calls} = (await sendControl({url})) as {
+    calls: Array<{kind: string; verb: string; count: number}>;
+  };
+  return calls
+    .filter(({kind, verb}) => kind === 'claim' && CLAIM_WRITES.has(verb))
+    .reduce((sum, {count}) => sum + count, 0);
+}
+
+async function pollUntil(condition: () => Promise<boolean>): Promise<void> {
+  for (let i = 0; i < MAX_POLLS; i++) {
+    if (await condition()) return;
+    await sleep(POLL_INTERVAL_MS);
+  }
+  throw new Error(`condition not met after ${MAX_POLLS} polls`);
+}
+
 /** Sets a fault of the stand-in platform. */
 export async function setStoreFault(
   site: Site,
