--- a/test/support/poison-scenario.ts
+++ b/test/support/poison-scenario.ts
@@ -3,11 +3,11 @@
 
 import type {Logger} from '../../src/core/logs/index.js';
 import {SitePath, SiteService} from '../../stand-ins/site/config.js';
+import type {StandInTarget} from '../../stand-ins/site/target.js';
 import type {
   CrashRecord,
   RunRecord,
-  StandInTarget,
-} from '../../stand-ins/site/target.js';
+} from '../../stand-ins/site/target-types.js';
 import type {SiteResponse} from '../../tools/lab/site-caller.js';
 import {DirectSite} from './direct-site.js';
 
