--- a/bench/lib/arrivals.ts
+++ b/bench/lib/arrivals.ts
@@ -25,27 +25,6 @@
   return times;
 }
 
-/**
- * Returns arrival times in bursts of `size` at a mean rate of `perSecond`.
- *
- * @example
- * createBurstArrivals({perSecond: 50, durationMs: 3_000, size: 10, random});
- */
-export function createBurstArrivals(options: {
-  perSecond: number;
-  durationMs: number;
-  size: number;
-  random: RandomSource;
-}): number[] {
-  const {perSecond, durationMs, size, random} = options;
-  const starts = createPoissonArrivals({
-    perSecond: perSecond / size,
-    durationMs,
-    random,
-  });
-  return starts.flatMap((atMs) => Array.from({length: size}, () => atMs));
-}
-
 /**
  * Draws an exponentially distributed time with a mean of `meanMs` milliseconds.
  *
