End the comment that a dripping stand-in target has begun

Traced by the kept history: the stand-in writes bytes of a comment while it drips, and after the fault it wrote the next event on the same line, so that its id was part of the comment; the entry passed on what the target sent. The stand-in ends the line now.

--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -337,6 +337,7 @@
       if (!res.writableFinished) this.cancelled++;
     });
     let written = 0;
+    let hasDripped = false;
     const writeEvent = () => {
       if (this.isUnresponsive) return;
       if (this.triggersCrash(body) && written >= this.crashOn!.afterEvents) {
@@ -347,6 +348,7 @@
       if (this.fault === TargetFault.LOSE_STREAMS) return;
       if (this.drips(written)) {
         res.write(':');
+        hasDripped = true;
         timer = setTimeout(writeEvent, this.pace.gapMs);
         return;
       }
@@ -359,6 +361,9 @@
           'Content-Type': 'text/event-stream',
         });
       }
+      // Ends the comment that the dripped bytes are.
+      if (hasDripped) res.write('\n');
+      hasDripped = false;
       res.write(encodeEvent(next, attemptId));
       if (typeof copyTo === 'string') {
         void this.copyNetwork.storeCopy(copyTo, attemptId);
