Hold no request for a prompt part that this entry has served

Cause: losses of a part that other entries record, before they have served it themselves, made each request with that part a suspect here, so that a stream waited for the diagnosis of an outage before it went on, also at an entry that knew the part to be harmless. A part in quarantine is refused as before.

--- a/src/direct/poison/poison-detector.ts
+++ b/src/direct/poison/poison-detector.ts
@@ -1,6 +1,6 @@
 /** Detects whether a request crashes its targets. */
 import {fingerprintOf} from '../../core/generation/fingerprint.js';
-import type {Suspects} from '../../core/poison/index.js';
+import type {PartSuspect, Suspects} from '../../core/poison/index.js';
 import {toPartSuspects} from '../../core/poison/index.js';
 import type {Target} from '../../core/targets/index.js';
 import {FLUSH_TIMEOUT_MS} from '../consts.js';
@@ -54,14 +54,14 @@
   mayBePoison(): boolean {
     const {ledger} = this.ctx.lossTracker;
     if (ledger.isEmpty) return false;
-    return this.suspectKeys().some((key) => ledger.mayBePoison(key));
+    return this.unservedKeys().some((key) => ledger.mayBePoison(key));
   }
 
   /** Whether retries wait for a diagnosis and are isolated from others. */
   isSuspect(): boolean {
     const {ledger} = this.ctx.lossTracker;
     if (ledger.isEmpty) return false;
-    return this.suspectKeys().some((key) => ledger.isSuspect(key));
+    return this.unservedKeys().some((key) => ledger.isSuspect(key));
   }
 
   /** Identifies the request by its client account, path and body. */
@@ -109,7 +109,7 @@
   async maySend(): Promise<boolean> {
     const {diagnosis, ledger} = this.ctx.lossTracker;
     const {clientAccount} = this;
-    for (const suspect of this.suspectKeys()) {
+    for (const suspect of this.unservedKeys()) {
       if (!ledger.mayBePoison(suspect)) continue;
       if (await diagnosis.isPoison({suspect, clientAccount})) return false;
     }
@@ -131,12 +131,9 @@
   private toLoss({target, startedMs}: TargetAttempt): RequestLoss {
     const {work, clientAccount, suspects} = this;
     const {attemptId: id, promptParts} = work.req;
-    const unserved = suspects.promptParts.filter(
-      ({key}) => !this.ctx.lossTracker.hasServed(key),
-    );
     return {
       id,
-      suspects: {...suspects, promptParts: unserved},
+      suspects: {...suspects, promptParts: this.unservedParts()},
       clientAccount,
       promptParts: promptParts.map((part) => part.id),
       target,
@@ -164,4 +161,15 @@
     const {request, promptParts} = this.suspects;
     return [...promptParts.map(({key}) => key), request];
   }
+
+  /** The same without the parts that this entry knows to be harmless. */
+  private unservedKeys(): string[] {
+    return [...this.unservedParts().map(({key}) => key), this.suspects.request];
+  }
+
+  private unservedParts(): PartSuspect[] {
+    return this.suspects.promptParts.filter(
+      ({key}) => !this.ctx.lossTracker.hasServed(key),
+    );
+  }
 }
