--- a/src/core/poison/index.ts
+++ b/src/core/poison/index.ts
@@ -4,6 +4,7 @@
 export * from './quarantine.js';
 export {isDataCentreOutage} from './data-centre-outage.js';
 export {dropOldest} from './drop-oldest.js';
+export {showsHarmlessParts} from './harmless-output.js';
 export {LossLedger} from './loss-ledger.js';
 export type {RecordedLoss, RecordedLosses} from './recorded-losses.js';
 export {RECORDED_LOSSES} from './recorded-losses.js';
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -7,12 +7,6 @@
 /** Pause before the placement of a stream is retried, in milliseconds. */
 export const PLACEMENT_RETRY_MS = 60;
 
-/**
- * Time for which a target must have sent events until the parts of the prompt
- * count as harmless, in milliseconds.
- */
-export const MIN_WRITING_MS = 1_000;
-
 /** Attempts that start from the prompt before a stream fails. */
 export const MAX_PROMPT_ATTEMPTS = 12;
 
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -5,6 +5,7 @@
   KvCopyReference,
 } from '../../core/edges/direct-target.js';
 import {RefusalReason, RetryReason} from '../../core/errors/refusals.js';
+import {showsHarmlessParts} from '../../core/poison/index.js';
 import {
   toFailureResponse,
   certainlyDidNotRun,
@@ -19,7 +20,6 @@
 import {
   MIN_EVENTS_FOR_COPY,
   MAX_PROMPT_ATTEMPTS,
-  MIN_WRITING_MS,
   PLACEMENT_RETRY_MS,
 } from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
@@ -223,7 +223,8 @@
   /** A target that goes on writing was not crashed by a prompt part. */
   private clearPromptParts(): void {
     if (this.hasClearedParts || this.current === undefined) return;
-    if (this.current.writingMs < MIN_WRITING_MS) return;
+    const {writingMs, eventCount: events} = this.current;
+    if (!showsHarmlessParts({writingMs, events})) return;
     this.hasClearedParts = true;
     this.poisonDetector.recordWriting();
   }
