--- a/src/core/edges/direct-target.ts
+++ b/src/core/edges/direct-target.ts
@@ -43,6 +43,13 @@
   readonly isLeaving: boolean;
   /** Time for which it must get no work from this entry, in milliseconds. */
   readonly backoffMs?: number;
+  /**
+   * Requests a second that it takes from all entries together; undefined if it
+   * names no limit.
+   */
+  readonly limitPerSecond?: number;
+  /** Whether the response shows that the target itself wrote it. */
+  readonly isOwnWords: boolean;
 }
 
 /** Receives the response to a request. */
--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -1,5 +1,6 @@
 /** A target with its reported and estimated load. */
 import type {Clock} from '../clock/index.js';
+import {RecentCount} from '../limits/index.js';
 import {
   FAILURE_WEIGHT,
   FAILURES_BEFORE_PAUSE,
@@ -32,6 +33,8 @@
   readonly generatingIds?: readonly string[];
   /** Whether the target leaves and must get no new work. */
   readonly isLeaving?: boolean;
+  /** Requests a second that it takes; undefined if it names no limit here. */
+  readonly limitPerSecond?: number;
 }
 
 /** Work that this entry sent to a target. */
@@ -81,6 +84,8 @@
   private consecutivePauses = 0;
   private pausedUntilMs = Number.NEGATIVE_INFINITY;
   private fullUntilMs = Number.NEGATIVE_INFINITY;
+  private namedLimit?: number;
+  private readonly recentSends: RecentCount;
 
   constructor(options: {
     record: TargetRecord;
@@ -95,6 +100,7 @@
     this.minMeanGapMs = options.eventGapMs;
     this.record = options.record;
     this.clock = options.clock;
+    this.recentSends = new RecentCount(options);
     this.onPaused = options.onPaused ?? (() => undefined);
     this.onLeaving = options.onLeaving ?? (() => undefined);
   }
@@ -120,6 +126,7 @@
     const {tokens} = options;
     const work = {tokens, startedAtMs: this.clock.now(), isPrefilling: true};
     this.work.add(work);
+    this.recentSends.add();
     return work;
   }
 
@@ -147,6 +154,8 @@
     }
     this.recordSeen();
     if (load.isLeaving === true) this.recordLeaving();
+    const {limitPerSecond} = load;
+    if (limitPerSecond !== undefined) this.recordLimit(limitPerSecond);
   }
 
   /**
@@ -329,6 +338,24 @@
     return Math.max(0, this.backoffUntilMs - this.clock.now());
   }
 
+  /**
+   * Records the requests a second that the target takes from all entries
+   * together; undefined if it names no limit.
+   */
+  recordLimit(perSecond: number | undefined): void {
+    this.namedLimit = perSecond;
+  }
+
+  /** The limit that the target names; undefined if it names none. */
+  get limitPerSecond(): number | undefined {
+    return this.namedLimit;
+  }
+
+  /** Requests of this entry in the last `LIMIT_WINDOW_MS`. */
+  recentlySent(): number {
+    return this.recentSends.count();
+  }
+
   /**
    * Records that the target tells that it leaves. This holds for its incarnation,
    * whatever its registration says.
--- a/src/direct/record-exchange.ts
+++ b/src/direct/record-exchange.ts
@@ -42,6 +42,7 @@
 }): void {
   const {target, notice, logger} = options;
   const {isLeaving, backoffMs} = notice;
+  recordLimit({target, notice, logger});
   if (isLeaving && !target.record.isDraining) {
     logger.info('target tells that it leaves', {target: target.id});
   }
@@ -50,3 +51,23 @@
   logger.info('target asks for no work', {target: target.id, backoffMs});
   target.recordBackoff(backoffMs);
 }
+
+/** Only a target's own words end its limit. */
+function recordLimit(options: {
+  target: Target;
+  notice: TargetNotice;
+  logger: Logger;
+}): void {
+  const {target, notice, logger} = options;
+  const {limitPerSecond, isOwnWords} = notice;
+  const isNamed = limitPerSecond !== undefined;
+  if (target.limitPerSecond === limitPerSecond || !(isNamed || isOwnWords))
+    return;
+  logger.info(isNamed ? 'target names a limit' : 'target names no limit', {
+    target: target.id,
+    limitPerSecond,
+    before: target.limitPerSecond,
+    recentlySent: target.recentlySent(),
+  });
+  target.recordLimit(limitPerSecond);
+}
