Reproduce: targets get far more requests than the limit they named

Four entries, three targets, two of which name a limit of 2.6 or 3.2 requests a second; 40 requests a second for 9 s. From 3 s on, the limited targets got 161 (idempotent calls), 161 (bookings) and 66 (streams) requests in a window of 4 s, all three far above what the users' rule allows.

--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -65,6 +65,16 @@
   reportsLeaving = false;
   /** Value of `Retry-After` in rejections, in seconds. */
   retryAfterS?: number;
+  /**
+   * Requests a second that all responses name as its limit, load reports
+   * included; none by default.
+   */
+  limitPerSecond?: number;
+  /**
+   * Times at which requests and health checks arrived, whatever became of them,
+   * on the monotonic clock of the process.
+   */
+  readonly arrivedAtMs: number[] = [];
   /** Times of rejections on the monotonic clock of the process. */
   readonly rejectedAtMs: number[] = [];
   /** Requests that crash this target. */
@@ -165,6 +175,9 @@
     const isReport = req.url === (Path.REPORT as string);
     const tellsLeaving = isReport ? this.reportsLeaving : this.isLeaving;
     if (tellsLeaving) res.setHeader('Server-Leaving', '1');
+    if (this.limitPerSecond !== undefined)
+      res.setHeader('Server-Limit', String(this.limitPerSecond));
+    if (!isReport) this.arrivedAtMs.push(performance.now());
     if (this.isUnresponsive) return;
     if (isReport) {
       res.end(JSON.stringify(this.report()));
