Keep all entries together within the limit that a target names

Cause: nothing read the limit, and nothing between the entries could have kept it: each chooses targets for itself. Class: a bound on a sum that no process counts.

Each entry now has a share of each limit, worked out from the list of entries, and the shares sum up to the limit without a message. Where entries are connected, the one that reads the store for others grants one permit a send out of all their shares, so that any of them uses what the others leave. Every send needs one: first, retry, replacement of a slow attempt, resumption; health checks are taken from later permits.

--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -136,6 +136,14 @@
   hint: 'Come back after Retry-After; check the targets with status.',
 } as const satisfies ErrorData;
 
+/** The targets of the service name limits that are used up for now. */
+export const TARGET_LIMIT = {
+  name: 'target_limit',
+  title: 'Target limit reached',
+  message: 'The targets of the service take no more requests for now.',
+  hint: 'Come back after Retry-After.',
+} as const satisfies ErrorData;
+
 /** This process is shutting down and accepts no new requests. */
 export const LEAVING = {
   name: 'leaving',
@@ -361,6 +369,7 @@
   [RefusalReason.OVERLOADED]: {data: OVERLOADED, status: 503},
   [RefusalReason.ACCOUNT_LIMIT]: {data: ACCOUNT_LIMIT, status: 429},
   [RefusalReason.NO_TARGET]: {data: NO_TARGET, status: 503},
+  [RefusalReason.TARGET_LIMIT]: {data: TARGET_LIMIT, status: 503},
   [RefusalReason.LEAVING]: {data: LEAVING, status: 503},
   [RefusalReason.NOT_READY]: {data: NOT_READY, status: 503},
   [RefusalReason.STORE_UNAVAILABLE]: {data: STORE_UNAVAILABLE, status: 503},
--- a/src/core/errors/refusals.ts
+++ b/src/core/errors/refusals.ts
@@ -25,6 +25,7 @@
   OVERLOADED = 'overloaded',
   ACCOUNT_LIMIT = 'account_limit',
   NO_TARGET = 'no_target',
+  TARGET_LIMIT = 'target_limit',
   LEAVING = 'leaving',
   NOT_READY = 'not_ready',
   STORE_UNAVAILABLE = 'store_unavailable',
--- a/src/core/metrics/types.ts
+++ b/src/core/metrics/types.ts
@@ -36,6 +36,8 @@
   RELAYED_READS = 'relayed_reads_total',
   /** Failed calls to the object store, by `StoreErrorKind`. */
   STORE_ERRORS = 'store_errors_total',
+  /** Questions for permits to send to targets that name a limit, by answer. */
+  LIMIT_PERMITS = 'limit_permits_total',
   /** Targets that were suspected because their agents were silent. */
   TARGETS_SUSPECTED = 'targets_suspected_total',
   REQUESTS = 'requests_total',
--- a/src/core/placing/choose-call-target.ts
+++ b/src/core/placing/choose-call-target.ts
@@ -24,25 +24,25 @@
   readonly targets: readonly Target[];
   /** Data centre of this entry. */
   readonly dataCentre: string;
-  /** Ids of the targets at which the call was attempted already. */
-  readonly tried: ReadonlySet<string>;
+  /** Ids of targets that must not be chosen. */
+  readonly excluded: ReadonlySet<string>;
   readonly random: RandomSource;
 }
 
 /**
  * Chooses the target with the lowest cost: its estimated requests plus the
  * costs above. Meant for many short calls to few targets, from entries that do
- * not coordinate with each other. Returns undefined if all were tried.
+ * not coordinate with each other. Returns undefined if all are excluded.
  *
  * @example
- * const target = chooseCallTarget({targets, dataCentre, tried, random});
+ * const target = chooseCallTarget({targets, dataCentre, excluded, random});
  */
 export function chooseCallTarget(query: CallTargetQuery): Target | undefined {
   const baseline = computeBaseline(query.targets);
   let best: Target | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const target of query.targets) {
-    if (query.tried.has(target.id)) continue;
+    if (query.excluded.has(target.id)) continue;
     const cost = costOf(target, query, baseline);
     if (cost < bestCost) {
       best = target;
--- a/src/core/protocol/index.ts
+++ b/src/core/protocol/index.ts
@@ -5,6 +5,7 @@
 export * from './message-type.js';
 export * from './messages.js';
 export * from './types.js';
+export * from './permit-messages.js';
 export * from './peer-client.js';
 export * from './peer-connection.js';
 export * from './peer-server.js';
--- a/src/core/protocol/message-type.ts
+++ b/src/core/protocol/message-type.ts
@@ -23,4 +23,6 @@
   WATCH = 'watch',
   CHANGES = 'changes',
   ALIVE = 'alive',
+  ASK_PERMIT = 'ask_permit',
+  PERMIT = 'permit',
 }
--- a/src/core/protocol/messages.ts
+++ b/src/core/protocol/messages.ts
@@ -19,6 +19,8 @@
 import {Executed, RefusalReason, RetryReason} from '../errors/refusals.js';
 import {byteString} from './byte-codec.js';
 import {MessageType} from './message-type.js';
+import type {AskPermitMessage, PermitMessage} from './permit-messages.js';
+import {ASK_PERMIT, PERMIT} from './permit-messages.js';
 import type {
   AliveMessage,
   ChangesMessage,
@@ -342,7 +344,9 @@
   | ConfigReportMessage
   | WatchMessage
   | ChangesMessage
-  | AliveMessage;
+  | AliveMessage
+  | AskPermitMessage
+  | PermitMessage;
 
 /** The Codec of each message. */
 export const MESSAGE_CODECS: Readonly<Record<MessageType, Codec<Message>>> = {
@@ -367,4 +371,6 @@
   [MessageType.WATCH]: WATCH,
   [MessageType.CHANGES]: CHANGES,
   [MessageType.ALIVE]: ALIVE,
+  [MessageType.ASK_PERMIT]: ASK_PERMIT,
+  [MessageType.PERMIT]: PERMIT,
 } as unknown as Record<MessageType, Codec<Message>>;
--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -1,5 +1,6 @@
 /** A target with its reported and estimated load. */
 import type {Clock} from '../clock/index.js';
+import type {HeardLimit} from '../limits/index.js';
 import {RecentCount} from '../limits/index.js';
 import {
   FAILURE_WEIGHT,
@@ -84,7 +85,7 @@
   private consecutivePauses = 0;
   private pausedUntilMs = Number.NEGATIVE_INFINITY;
   private fullUntilMs = Number.NEGATIVE_INFINITY;
-  private namedLimit?: number;
+  private heardLimit: HeardLimit = {heardAtMs: Number.NEGATIVE_INFINITY};
   private readonly recentSends: RecentCount;
 
   constructor(options: {
@@ -343,12 +344,22 @@
    * together; undefined if it names no limit.
    */
   recordLimit(perSecond: number | undefined): void {
-    this.namedLimit = perSecond;
+    this.heardLimit = {perSecond, heardAtMs: this.clock.now()};
+  }
+
+  /** Records what another entry heard, unless this one heard it later. */
+  hearLimit(limit: HeardLimit): void {
+    if (limit.heardAtMs > this.heardLimit.heardAtMs) this.heardLimit = limit;
+  }
+
+  /** The limit and when it was heard. */
+  get limit(): HeardLimit {
+    return this.heardLimit;
   }
 
   /** The limit that the target names; undefined if it names none. */
   get limitPerSecond(): number | undefined {
-    return this.namedLimit;
+    return this.heardLimit.perSecond;
   }
 
   /** Requests of this entry in the last `LIMIT_WINDOW_MS`. */
--- a/src/daemon/direct-main.ts
+++ b/src/daemon/direct-main.ts
@@ -111,6 +111,7 @@
   });
   const entry = new DirectProcess({
     ...edges,
+    permitPeers: relay,
     settings,
     clock,
     random,
--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -25,6 +25,7 @@
 import type {DirectContext, DirectWork} from './context.js';
 import {forwardResponse} from './forward-response.js';
 import {recordNotice, recordTargetFailure} from './record-exchange.js';
+import {PermittedChoice} from './limits/index.js';
 import {PoisonDetector} from './poison/index.js';
 import {refuseUnsent} from './refuse-unsent.js';
 import {retryAfterMsOf} from './retry-after.js';
@@ -51,6 +52,7 @@
   private readonly triedTargets = new Set<string>();
   private readonly deadline: TimerHandle;
   private readonly poisonDetector: PoisonDetector;
+  private readonly permitted: PermittedChoice;
   private current?: CallAttempt;
   private head?: TargetResponseHead;
   private body = new ResponseBody();
@@ -63,6 +65,7 @@
   constructor(options: {ctx: DirectContext; work: DirectWork}) {
     this.ctx = options.ctx;
     this.work = options.work;
+    this.permitted = new PermittedChoice(options);
     this.poisonDetector = new PoisonDetector({
       ...options,
       onPoison: () => this.failAsPoison(),
@@ -95,15 +98,41 @@
   private sendFirst(): void {
     const {service} = this.work;
     this.ctx.retryBudgets.recordFirstAttempt(service.name);
-    const target = this.chooseTarget();
-    if (target === undefined) {
-      this.ctx.logger.warn('no usable target for call', {
-        service: service.name,
-      });
+    this.withTarget((target) => {
+      if (target === undefined) this.failUnsent();
+      else this.send(target);
+    });
+  }
+
+  /** No target may be used now: none is left, or none gives a permit. */
+  private failUnsent(): void {
+    const {ctx, work} = this;
+    const {waitMs} = this.permitted;
+    if (waitMs === undefined) {
+      const service = work.service.name;
+      ctx.logger.warn('no usable target for call', {service});
       this.fail(false);
       return;
     }
-    this.send(target);
+    const retryAfterMs = retryAfterMsOf(ctx, work, waitMs);
+    this.refuse(RefusalReason.TARGET_LIMIT, retryAfterMs);
+  }
+
+  /**
+   * Passes on a target that may be sent to now, at once if it names no limit;
+   * undefined if there is none. Nothing is passed on once the call is over.
+   */
+  private withTarget(run: (target: Target | undefined) => void): void {
+    const target = this.chooseTarget();
+    if (target?.limitPerSecond === undefined) {
+      run(target);
+      return;
+    }
+    const next = () => this.chooseTarget(this.permitted.heldBack);
+    const hasNext = () => next() !== undefined;
+    void this.permitted.choose({next, hasNext}).then((permitted) => {
+      if (!this.isOver) run(permitted);
+    });
   }
 
   private send(target: Target): void {
@@ -119,8 +148,7 @@
       maxConnections: work.service.maxConnections,
       req: toTargetRequest({work, leftMs}),
       listener: {
-        onNotice: (notice) =>
-          recordNotice({target, notice, logger: ctx.logger}),
+        onNotice: (notice) => recordNotice({ctx, target, notice}),
         onHead: (head) => {
           this.head = head;
           if (head.load !== undefined) target.recordLoad(head.load);
@@ -159,10 +187,15 @@
   private onAttemptTimeout(): void {
     const {current} = this;
     if (current === undefined) return;
-    const nextTarget = this.chooseTarget();
-    if (nextTarget === undefined || !this.takeRetry(RetryReason.CALL_SLOW)) {
-      return;
-    }
+    this.withTarget((nextTarget) => {
+      if (this.current === current && nextTarget !== undefined)
+        this.replace(current, nextTarget);
+    });
+  }
+
+  /** Sends the call to another target in place of a slow one. */
+  private replace(current: CallAttempt, nextTarget: Target): void {
+    if (!this.takeRetry(RetryReason.CALL_SLOW)) return;
     this.recordWithdrawn(current);
     current.exchange.cancel();
     current.target.recordFailure();
@@ -194,7 +227,7 @@
     target.recordResponse(isTargetFailure(result));
     this.closeAttempt();
     if (countsAsSent(result.failure)) this.sentCount++;
-    const nextTarget = this.chooseTarget();
+    const hasOtherTarget = this.chooseTarget() !== undefined;
     const {operation, maxAttempts} = this.work.admitted.route;
     const reason = retryReasonOf(result.failure, RetryReason.CALL_LOST);
     const decision = decideRetry({
@@ -202,7 +235,7 @@
       result,
       sentCount: this.sentCount,
       maxAttempts,
-      hasOtherTarget: nextTarget !== undefined,
+      hasOtherTarget,
       takeFromBudget: () => this.takeRetry(reason),
     });
     if (decision === RetryDecision.PASS_ON) {
@@ -211,25 +244,44 @@
     } else if (decision === RetryDecision.RETRY) {
       this.recordRetry(reason, target);
       if (this.poisonDetector.isSuspect()) void this.retryAfterDiagnosis();
-      else this.send(nextTarget!);
+      else this.retry(result);
     } else {
       this.fail(false);
     }
   }
 
+  /** Sends the call again; if no target may be used, its last result counts. */
+  private retry(last: AttemptResult): void {
+    this.withTarget((target) => {
+      if (target !== undefined) this.send(target);
+      else if (last.failure === undefined) this.forwardResponse();
+      else this.failUnpermitted();
+    });
+  }
+
+  private failUnpermitted(): void {
+    if (this.mayHaveRun) this.fail(false);
+    else this.failUnsent();
+  }
+
   /** Retries a call that lost several targets once the losses are diagnosed. */
   private async retryAfterDiagnosis(): Promise<void> {
     const mayRetry = await this.poisonDetector.mayRetry();
     if (this.isOver) return;
-    const target = mayRetry ? this.chooseTarget() : undefined;
-    if (target === undefined) this.fail(false);
-    else this.send(target);
+    if (!mayRetry) {
+      this.fail(false);
+      return;
+    }
+    this.withTarget((target) => {
+      if (target === undefined) this.failUnpermitted();
+      else this.send(target);
+    });
   }
 
-  private refuse(reason: RefusalReason): void {
+  private refuse(reason: RefusalReason, retryAfterMs?: number): void {
     this.stop();
     const {ctx, work} = this;
-    refuseUnsent({ctx, work, reason});
+    refuseUnsent({ctx, work, reason, retryAfterMs});
   }
 
   private forwardResponse(): void {
@@ -307,12 +359,12 @@
     this.current = undefined;
   }
 
-  private chooseTarget(): Target | undefined {
+  private chooseTarget(heldBack?: ReadonlySet<string>): Target | undefined {
     const {ctx, work, triedTargets} = this;
     return chooseCallTarget({
       targets: ctx.targets.ofService(work.service.name),
       dataCentre: ctx.dataCentre,
-      tried: triedTargets,
+      excluded: new Set([...triedTargets, ...(heldBack ?? [])]),
       random: ctx.random,
     });
   }
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -10,6 +10,7 @@
 import type {Metrics} from '../core/metrics/index.js';
 import type {AdmittedRequest, RoutedService} from '../core/routes/index.js';
 import type {TargetSet} from '../core/targets/index.js';
+import type {LimitKeeper} from './limits/limit-keeper.js';
 import type {LossTracker} from './poison/loss-tracker.js';
 import type {Prober} from './prober.js';
 import type {ServiceRetryBudgets} from './service-retry-budgets.js';
@@ -26,6 +27,8 @@
   /** Shortest generation times, estimated for each service. */
   readonly minGenerationTimes: MinGenerationTimes;
   readonly retryBudgets: ServiceRetryBudgets;
+  /** Limits of targets on the requests from all entries. */
+  readonly limits: LimitKeeper;
   /** Targets lost while they ran requests, at this and other entries. */
   readonly lossTracker: LossTracker;
   /** Requests that crash their targets, as found by any entry. */
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -10,6 +10,7 @@
 import type {StateWriter} from '../core/edges/state-writer.js';
 import type {SourceItem, StateSource} from '../core/edges/state-source.js';
 import {RefusalReason} from '../core/errors/refusals.js';
+import type {PermitPeers} from '../core/limits/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import {CounterName} from '../core/metrics/index.js';
@@ -40,6 +41,7 @@
   CONFIG_PAUSE_SHARE,
 } from './consts.js';
 import type {DirectContext} from './context.js';
+import {LimitKeeper} from './limits/index.js';
 import {LossTracker, QuarantineSync} from './poison/index.js';
 import {Prober} from './prober.js';
 import {ServiceRetryBudgets} from './service-retry-budgets.js';
@@ -61,6 +63,7 @@
   readonly alertSource: StateSource<RecordedLosses>;
   readonly alertWriter: StateWriter<RecordedLosses>;
   readonly client: DirectTargets;
+  readonly permitPeers: PermitPeers;
   readonly metrics: Metrics;
   readonly logger: Logger;
 }
@@ -109,6 +112,11 @@
       onRemoved: (target) => client.releaseConnections(target.record),
       onPaused: (target, pauseMs) => prober.recheckPaused(target, pauseMs),
     });
+    const limits = new LimitKeeper({
+      ...options,
+      vm: settings.vm,
+      peers: options.permitPeers,
+    });
     const prober = new Prober({
       clock,
       random,
@@ -118,6 +126,7 @@
       isEngine: ({record}) => this.isEngineService(record.service),
       healthPathOf: ({record}) =>
         this.routes.get()?.findService(record.service)?.healthPath,
+      onHealthCheck: (target) => limits.charge(target),
     });
     const quarantine = new Quarantine();
     this.ctx = {
@@ -128,6 +137,7 @@
       prober,
       minGenerationTimes: new MinGenerationTimes(),
       client,
+      limits,
       retryBudgets: new ServiceRetryBudgets({
         clock,
         settings: () => this.settings.retryBudget,
--- a/src/direct/prober.ts
+++ b/src/direct/prober.ts
@@ -45,6 +45,8 @@
       isEngine: (target: Target) => boolean;
       /** Path of the health check of a plain service. */
       healthPathOf: (target: Target) => string | undefined;
+      /** Called before each health check, which takes a slot of its target. */
+      onHealthCheck: (target: Target) => void;
     },
   ) {}
 
@@ -87,9 +89,15 @@
     );
   }
 
-  /** Probes the given targets whose load reports are out of date. */
+  /**
+   * Probes the given targets whose load reports are out of date. What a target
+   * with a limit gets depends on permits more than on its load.
+   */
   async refreshReports(targets: readonly Target[]): Promise<void> {
-    const stale = targets.filter((t) => t.reportAgeMs() > MAX_REPORT_AGE_MS);
+    const stale = targets.filter(
+      (t) =>
+        t.limitPerSecond === undefined && t.reportAgeMs() > MAX_REPORT_AGE_MS,
+    );
     await Promise.all(stale.map((target) => this.isAlive(target)));
   }
 
@@ -143,6 +151,7 @@
   private async checkHealth(target: Target): Promise<boolean> {
     const path = this.options.healthPathOf(target);
     if (path === undefined) return false;
+    this.options.onHealthCheck(target);
     const health = await this.options.client.probeHealth({
       target: target.record,
       path,
--- a/src/direct/record-exchange.ts
+++ b/src/direct/record-exchange.ts
@@ -1,8 +1,8 @@
 /** Updates a target after an exchange. */
 import type {TargetNotice} from '../core/edges/direct-target.js';
 import {ExchangeFailure} from '../core/edges/direct-target.js';
-import type {Logger} from '../core/logs/index.js';
 import type {Target} from '../core/targets/index.js';
+import type {DirectContext} from './context.js';
 
 /**
  * Records a failed exchange at its target, which affects later choices.
@@ -33,16 +33,17 @@
  * Records what a target told of itself, which affects later choices.
  *
  * @example
- * recordNotice({target, notice: {isLeaving: true}, logger});
+ * recordNotice({ctx, target, notice});
  */
 export function recordNotice(options: {
+  ctx: Pick<DirectContext, 'limits' | 'logger'>;
   target: Target;
   notice: TargetNotice;
-  logger: Logger;
 }): void {
-  const {target, notice, logger} = options;
+  const {ctx, target, notice} = options;
+  const {logger} = ctx;
   const {isLeaving, backoffMs} = notice;
-  recordLimit({target, notice, logger});
+  recordLimit(options);
   if (isLeaving && !target.record.isDraining) {
     logger.info('target tells that it leaves', {target: target.id});
   }
@@ -52,22 +53,24 @@
   target.recordBackoff(backoffMs);
 }
 
-/** Only a target's own words end its limit. */
+/** Only a response that the target itself wrote ends its limit. */
 function recordLimit(options: {
+  ctx: Pick<DirectContext, 'limits' | 'logger'>;
   target: Target;
   notice: TargetNotice;
-  logger: Logger;
 }): void {
-  const {target, notice, logger} = options;
+  const {ctx, target, notice} = options;
   const {limitPerSecond, isOwnWords} = notice;
   const isNamed = limitPerSecond !== undefined;
-  if (target.limitPerSecond === limitPerSecond || !(isNamed || isOwnWords))
-    return;
-  logger.info(isNamed ? 'target names a limit' : 'target names no limit', {
+  if (!isNamed && !isOwnWords) return;
+  const before = target.limitPerSecond;
+  target.recordLimit(limitPerSecond);
+  if (before === limitPerSecond) return;
+  ctx.logger.info(isNamed ? 'target names a limit' : 'target names no limit', {
     target: target.id,
     limitPerSecond,
-    before: target.limitPerSecond,
+    before,
     recentlySent: target.recentlySent(),
   });
-  target.recordLimit(limitPerSecond);
+  ctx.limits.tell(target);
 }
--- a/src/direct/refuse-unsent.ts
+++ b/src/direct/refuse-unsent.ts
@@ -5,8 +5,8 @@
 const UNAVAILABLE = 503;
 
 /**
- * Responds that the request did not run. The response has no `Retry-After`:
- * sending the same request again does not help.
+ * Responds that the request did not run. Without `retryAfterMs`, sending the same
+ * request again does not help.
  *
  * @example
  * refuseUnsent({ctx, work, reason: RefusalReason.POISON});
@@ -15,14 +15,17 @@
   ctx: DirectContext;
   work: DirectWork;
   reason: RefusalReason;
+  /** Time until the request may be sent again, in milliseconds. */
+  retryAfterMs?: number;
 }): void {
-  const {ctx, work, reason} = options;
+  const {ctx, work, reason, retryAfterMs} = options;
   ctx.metrics.countRefusal(reason);
   ctx.logger.info('request refused without an attempt', {
     id: work.req.attemptId,
     status: UNAVAILABLE,
     reason,
     leftMs: Math.round(work.deadlineAtMs - ctx.clock.now()),
+    retryAfterMs,
   });
-  work.res.sendRefusal({status: UNAVAILABLE, reason});
+  work.res.sendRefusal({status: UNAVAILABLE, reason, retryAfterMs});
 }
--- a/src/direct/relay/change-relay.ts
+++ b/src/direct/relay/change-relay.ts
@@ -5,7 +5,16 @@
 import type {Logger} from '../../core/logs/index.js';
 import type {Metrics} from '../../core/metrics/index.js';
 import {CounterName} from '../../core/metrics/index.js';
-import type {HelloMessage} from '../../core/protocol/index.js';
+import type {
+  PermitAnswer,
+  PermitPeers,
+  PermitQuery,
+} from '../../core/limits/index.js';
+import type {
+  AskPermitMessage,
+  HelloMessage,
+  PermitMessage,
+} from '../../core/protocol/index.js';
 import {
   MessageType,
   PeerRole,
@@ -19,6 +28,7 @@
   longestWaits,
   ReaderChoice,
 } from '../../core/relay/index.js';
+import {MEMBER_SILENCE_MS, toPermit, toPermitQuery} from '../limits/index.js';
 import {DEMAND_MS, MAX_ASKS, MAX_UNKNOWN_MS} from './consts.js';
 import {EntryDirectory} from './entry-directory.js';
 import type {AskResult} from './relayed-source.js';
@@ -53,14 +63,15 @@
  * Lets a few entries read the changes of the store for all. Any entry can be
  * asked, and then reads the store itself; so two readers at once, or entries that
  * know different ones, do no harm. An entry whose reader fails reads
- * the store itself, and later asks the next.
+ * the store itself, and later asks the next. Over the same connections, the
+ * entry that reads grants the permits of those that ask it.
  *
  * @example
  * const relay = new ChangeRelay(options);
  * const configs = relay.relayed({kind: 'config', store, bound: AgeBound.NONE});
  * await relay.start({writer, source});
  */
-export class ChangeRelay {
+export class ChangeRelay implements PermitPeers {
   private readonly logs = new Map<string, ChangeLog>();
   private readonly choice: ReaderChoice;
   private readonly hello: HelloMessage;
@@ -70,6 +81,8 @@
   private lastReader?: string;
   private lastAskedMs = Number.NEGATIVE_INFINITY;
   private isStopped = false;
+  private entryVms?: readonly string[];
+  private grant?: (query: PermitQuery) => PermitAnswer;
   /** Whether the last wait at the store had no answer. */
   private hasStoreFailed = false;
   /** Resolves once the other entries are known, or after a limit. */
@@ -93,6 +106,7 @@
       clock,
       onAsked: () => this.handleAsked(),
       mayRead: () => !this.hasStoreFailed,
+      onPermitAsked: (message) => this.handlePermitAsked(message),
     });
     this.whenKnown = new Promise((resolve) => (this.setKnown = resolve));
     if (options.port === undefined) this.setKnown();
@@ -158,6 +172,7 @@
       source,
       onEntries: (entries) => {
         this.choice.update(entries);
+        this.entryVms = entries.map((entry) => entry.vm);
         this.setKnown();
       },
     });
@@ -178,6 +193,37 @@
     this.client?.connection.close();
   }
 
+  get entries(): readonly string[] | undefined {
+    return this.entryVms;
+  }
+
+  get hasGranter(): boolean {
+    return this.client?.connection.canGrant === true;
+  }
+
+  members(): string[] {
+    return this.server.connectedVms(MEMBER_SILENCE_MS);
+  }
+
+  askPermit(query: PermitQuery): Promise<PermitAnswer | undefined> {
+    const {client} = this;
+    if (client === undefined) return Promise.resolve(undefined);
+    return client.connection.askPermit(query);
+  }
+
+  servePermits(grant: (query: PermitQuery) => PermitAnswer): void {
+    this.grant = grant;
+  }
+
+  private handlePermitAsked(
+    message: AskPermitMessage,
+  ): PermitMessage | undefined {
+    const nowMs = this.options.clock.now();
+    const answer = this.grant?.(toPermitQuery(message, nowMs));
+    if (answer === undefined) return undefined;
+    return toPermit(answer, {askId: message.askId, nowMs});
+  }
+
   private async ask(kind: string, query: ChangeQuery): Promise<AskResult> {
     await this.whenKnown;
     const reader = this.isDemanded ? undefined : this.choice.next();
--- a/src/direct/relay/watch-client.ts
+++ b/src/direct/relay/watch-client.ts
@@ -1,7 +1,10 @@
-/** Asks one entry for the changes that it reads from the store. */
+/**
+ * Asks one entry for the changes that it reads from the store, and for permits.
+ */
 import {parseIpEndpoint} from '../../core/codec/ip-endpoint.js';
 import type {Clock, RandomSource, TimerHandle} from '../../core/clock/index.js';
 import type {ChangeQuery} from '../../core/edges/state-source.js';
+import type {PermitAnswer, PermitQuery} from '../../core/limits/index.js';
 import type {
   ChangesMessage,
   HelloMessage,
@@ -9,6 +12,11 @@
 } from '../../core/protocol/index.js';
 import {MessageType, PeerClient} from '../../core/protocol/index.js';
 import type {EntryRecord} from '../../core/relay/index.js';
+import {
+  PERMIT_TIMEOUT_MS,
+  toAskPermit,
+  toPermitAnswer,
+} from '../limits/index.js';
 import {CONNECT_LIMIT_MS, MAX_SILENCE_MS, WATCH_MARGIN_MS} from './consts.js';
 
 /** Interval at which the silence of the entry is checked, in milliseconds. */
@@ -23,6 +31,8 @@
 
 type Settle = (message: ChangesMessage | undefined) => void;
 
+type SettlePermit = (answer: PermitAnswer | undefined) => void;
+
 /**
  * A connection to an entry that reads the store. It fails as a whole: when the
  * entry is silent, another one answers, or the connection breaks, all watches
@@ -35,9 +45,13 @@
 export class WatchClient {
   private readonly client: PeerClient;
   private readonly pending = new Map<number, Settle>();
+  private readonly pendingPermits = new Map<number, SettlePermit>();
   private readonly silenceTimer: TimerHandle;
   private readonly waitingForReady: Array<(isReady: boolean) => void> = [];
   private lastHeardMs: number;
+  /** When a question for a permit was last sent that had no answer in time. */
+  private unansweredMs = Number.NEGATIVE_INFINITY;
+  private isVerified = false;
   private nextId = 1;
   private isClosedState = false;
 
@@ -92,6 +106,36 @@
     return isSound ? {message, sentAtMs} : undefined;
   }
 
+  /** Whether the entry answers questions for permits, as far as is known. */
+  get canGrant(): boolean {
+    const isOpen = !this.isClosedState && this.client.isReady();
+    return isOpen && this.isVerified && this.lastHeardMs > this.unansweredMs;
+  }
+
+  /** Resolves to undefined if the entry does not answer in time. */
+  askPermit(query: PermitQuery): Promise<PermitAnswer | undefined> {
+    if (!this.canGrant) return Promise.resolve(undefined);
+    const {clock} = this.options;
+    const askId = this.nextId++;
+    const nowMs = clock.now();
+    return new Promise((resolve) => {
+      const limit = clock.schedule({
+        delayMs: PERMIT_TIMEOUT_MS,
+        run: () => {
+          this.unansweredMs = clock.now();
+          settle(undefined);
+        },
+      });
+      const settle: SettlePermit = (answer) => {
+        limit.cancel();
+        this.pendingPermits.delete(askId);
+        resolve(answer);
+      };
+      this.pendingPermits.set(askId, settle);
+      this.client.send(toAskPermit(query, {askId, nowMs}));
+    });
+  }
+
   close(): void {
     if (this.isClosedState) return;
     this.isClosedState = true;
@@ -99,6 +143,7 @@
     this.client.stop();
     this.settleReady(false);
     for (const settle of [...this.pending.values()]) settle(undefined);
+    for (const settle of [...this.pendingPermits.values()]) settle(undefined);
   }
 
   private request(
@@ -145,7 +190,8 @@
   private handleReady({vm}: HelloMessage): void {
     this.lastHeardMs = this.options.clock.now();
     // Another VM may have been given the address.
-    if (vm === this.options.entry.vm) this.settleReady(true);
+    this.isVerified = vm === this.options.entry.vm;
+    if (this.isVerified) this.settleReady(true);
     else this.close();
   }
 
@@ -155,8 +201,12 @@
 
   private receive(message: Message): void {
     this.lastHeardMs = this.options.clock.now();
-    if (message.type !== MessageType.CHANGES) return;
-    this.pending.get(message.watchId)?.(message);
+    if (message.type === MessageType.CHANGES)
+      this.pending.get(message.watchId)?.(message);
+    if (message.type === MessageType.PERMIT) {
+      const answer = toPermitAnswer(message, this.lastHeardMs);
+      this.pendingPermits.get(message.askId)?.(answer);
+    }
   }
 
   private checkSilence(): void {
--- a/src/direct/relay/watch-server.ts
+++ b/src/direct/relay/watch-server.ts
@@ -1,10 +1,12 @@
 /** Answers the watches of other entries from what this entry has read. */
 import type {Clock, TimerHandle} from '../../core/clock/index.js';
 import type {
+  AskPermitMessage,
   ChangesMessage,
   HelloMessage,
   Message,
   PeerConnection,
+  PermitMessage,
   WatchMessage,
 } from '../../core/protocol/index.js';
 import {
@@ -28,6 +30,13 @@
   limit: TimerHandle;
 }
 
+/** An entry that is connected to this one. */
+interface ConnectedEntry {
+  readonly vm: string;
+  /** When it last sent a message, on the monotonic clock. */
+  heardAtMs: number;
+}
+
 /** The answer to a watch, without the fields that every answer has. */
 type Answer = Pick<ChangesMessage, 'outcome' | 'changes'>;
 
@@ -44,7 +53,7 @@
  */
 export class WatchServer {
   private readonly server: PeerServer;
-  private readonly connections = new Set<PeerConnection>();
+  private readonly connections = new Map<PeerConnection, ConnectedEntry>();
   private readonly waiting = new Set<WaitingWatch>();
   private aliveTimer?: TimerHandle;
 
@@ -58,6 +67,8 @@
       onAsked: () => void;
       /** Whether the store answers this entry, as far as it knows. */
       mayRead: () => boolean;
+      /** Answers a question for a permit; undefined if it cannot. */
+      onPermitAsked: (message: AskPermitMessage) => PermitMessage | undefined;
     },
   ) {
     const {hello, clock} = options;
@@ -65,7 +76,8 @@
       hello,
       clock,
       createListener: (connection) => ({
-        onReady: () => this.connections.add(connection()),
+        onReady: ({vm}) =>
+          this.connections.set(connection(), {vm, heardAtMs: clock.now()}),
         onMessage: (message) => this.receive(message, connection()),
         onDrain: () => undefined,
         onClose: () => this.forget(connection()),
@@ -100,11 +112,28 @@
     for (const {limit} of this.waiting) limit.cancel();
     this.waiting.clear();
     this.server.close();
-    for (const connection of this.connections) connection.destroy('stopped');
+    for (const connection of this.connections.keys())
+      connection.destroy('stopped');
+  }
+
+  /** VMs of the entries from which a message came within a time. */
+  connectedVms(maxSilenceMs: number): string[] {
+    const earliestMs = this.options.clock.now() - maxSilenceMs;
+    return [...this.connections.values()]
+      .filter(({heardAtMs}) => heardAtMs >= earliestMs)
+      .map(({vm}) => vm);
   }
 
   private receive(message: Message, connection: PeerConnection): void {
-    if (message.type !== MessageType.WATCH) return;
+    const entry = this.connections.get(connection);
+    if (entry !== undefined) entry.heardAtMs = this.options.clock.now();
+    if (message.type === MessageType.WATCH) this.watch(message, connection);
+    if (message.type !== MessageType.ASK_PERMIT) return;
+    const permit = this.options.onPermitAsked(message);
+    if (permit !== undefined) connection.send(permit);
+  }
+
+  private watch(message: WatchMessage, connection: PeerConnection): void {
     if (this.options.mayRead()) this.options.onAsked();
     const answer = this.answerOf(message);
     const watch: WaitingWatch = {
@@ -201,7 +230,7 @@
 
   private showAlive(): void {
     const dueMs = this.options.clock.now() - ALIVE_INTERVAL_MS / 2;
-    for (const connection of this.connections) {
+    for (const connection of this.connections.keys()) {
       if (connection.sentAtMs <= dueMs)
         connection.send({type: MessageType.ALIVE});
     }
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -166,8 +166,7 @@
         copyFrom,
       }),
       listener: {
-        onNotice: (notice) =>
-          recordNotice({target, notice, logger: ctx.logger}),
+        onNotice: (notice) => recordNotice({ctx, target, notice}),
         onHead: (head) => this.onHead(head),
         onData: (chunk) => this.onData(chunk),
         onComplete: () => this.onComplete(),
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -24,6 +24,7 @@
 } from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
 import {forwardResponse} from '../forward-response.js';
+import {PermittedChoice} from '../limits/index.js';
 import {PoisonDetector} from '../poison/index.js';
 import {refuseUnsent} from '../refuse-unsent.js';
 import {retryAfterMsOf} from '../retry-after.js';
@@ -62,6 +63,7 @@
   private readonly work: DirectWork;
   private readonly sequence: EventSequence;
   private readonly delivery: StreamDelivery;
+  private readonly permitted: PermittedChoice;
   private readonly placer: StreamPlacer;
   private readonly log: StreamLog;
   private readonly poisonDetector: PoisonDetector;
@@ -83,7 +85,9 @@
     this.ctx = options.ctx;
     this.work = options.work;
     this.delivery = new StreamDelivery(options);
-    this.placer = new StreamPlacer(options);
+    this.permitted = new PermittedChoice(options);
+    const {heldBack} = this.permitted;
+    this.placer = new StreamPlacer({...options, heldBack});
     this.log = new StreamLog(options);
     this.poisonDetector = new PoisonDetector({
       ...options,
@@ -135,10 +139,10 @@
       .cannotFinish({need, leftMs});
   }
 
-  private refuse(reason: RefusalReason): void {
+  private refuse(reason: RefusalReason, retryAfterMs?: number): void {
     this.stop();
     const {ctx, work} = this;
-    refuseUnsent({ctx, work, reason});
+    refuseUnsent({ctx, work, reason, retryAfterMs});
   }
 
   /**
@@ -150,36 +154,60 @@
     this.resumableCopy = undefined;
     if (this.poisonDetector.isSuspect()) {
       this.placer.isolate(this.poisonDetector.fingerprint);
-    } else if (
-      resumableCopy !== undefined &&
-      canResumeAt(resumableCopy.holder)
-    ) {
-      this.send(resumableCopy.holder, resumableCopy.reference);
-      return;
     } else if (resumableCopy !== undefined) {
+      const isUsable = await this.mayResumeAt(resumableCopy.holder);
+      if (this.isOver) return;
+      if (isUsable) {
+        this.send(resumableCopy.holder, resumableCopy.reference);
+        return;
+      }
       this.log.recordCopyLost(resumableCopy.holder);
     }
-    const target = await this.placer.findTarget();
+    const target = await this.permitted.choose({
+      next: () => this.placer.findTarget(),
+      hasNext: () => this.placer.hasTarget(),
+    });
     if (this.isOver) return;
-    if (target === undefined) this.schedulePlacement();
+    if (target === undefined) this.waitForTarget();
     else this.send(target);
   }
 
+  /** Whether the holder of a copy accepts the stream and gives a permit. */
+  private async mayResumeAt(holder: Target): Promise<boolean> {
+    return canResumeAt(holder) && (await this.permitted.mayUse(holder));
+  }
+
+  /**
+   * A stream that has not begun is refused if targets give no permit; one that
+   * has waits for them.
+   */
+  private waitForTarget(): void {
+    const {ctx, work} = this;
+    const {waitMs} = this.permitted;
+    if (this.attempts > 0 || waitMs === undefined) {
+      this.schedulePlacement(waitMs);
+      return;
+    }
+    const retryAfterMs = retryAfterMsOf(ctx, work, waitMs);
+    this.refuse(RefusalReason.TARGET_LIMIT, retryAfterMs);
+  }
+
   /** Whether no target takes work before the deadline. */
-  private staysWithoutTarget(): boolean {
+  private staysWithoutTarget(permitWaitMs: number): boolean {
     const {ctx, work} = this;
     const reopensInMs = ctx.targets.reopensInMs(work.service.name) ?? 0;
-    return ctx.clock.now() + reopensInMs >= work.deadlineAtMs;
+    const waitMs = Math.max(reopensInMs, permitWaitMs);
+    return ctx.clock.now() + waitMs >= work.deadlineAtMs;
   }
 
-  private schedulePlacement(): void {
-    if (this.staysWithoutTarget()) {
+  private schedulePlacement(permitWaitMs = 0): void {
+    if (this.staysWithoutTarget(permitWaitMs)) {
       this.fail(false);
       return;
     }
     this.placer.clearExcluded();
     this.placementTimer = this.ctx.clock.schedule({
-      delayMs: PLACEMENT_RETRY_MS,
+      delayMs: Math.max(PLACEMENT_RETRY_MS, permitWaitMs),
       run: () => void this.place(),
     });
   }
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -28,14 +28,22 @@
   private readonly work: DirectWork;
   /** Targets that did not accept the stream. */
   private readonly excluded = new Set<string>();
+  /** Targets that give no permit now. */
+  private readonly heldBack: ReadonlySet<string>;
   /** Fingerprint of the request if the stream is isolated from others. */
   private isolatedFingerprint?: string;
   /** Data centres in which the stream recently lost a target. */
   private readonly avoidedDataCentres = new Set<string>();
 
-  constructor(options: {ctx: DirectContext; work: DirectWork}) {
+  constructor(options: {
+    ctx: DirectContext;
+    work: DirectWork;
+    /** Ids of the targets that give no permit now. */
+    heldBack: ReadonlySet<string>;
+  }) {
     this.ctx = options.ctx;
     this.work = options.work;
+    this.heldBack = options.heldBack;
     const {generation} = this.work.req;
     this.tokens =
       (generation?.promptTokens ?? 0) + (generation?.maxOutputTokens ?? 0);
@@ -60,7 +68,18 @@
     return isUsable ? target : undefined;
   }
 
-  /** Target for a copy of the runner's KV cache; undefined if none. */
+  /** Whether there is a target that is not held back. */
+  hasTarget(): boolean {
+    const query = this.engineQuery();
+    return query.targets.some(
+      (target) => !query.excluded.has(target.id) && isAvailable(target),
+    );
+  }
+
+  /**
+   * Target for a copy of the runner's KV cache; undefined if none. One with a
+   * limit might not permit the resumption.
+   */
   chooseCopyHolder(runner: Target): Target | undefined {
     const {engine} = this.work.service;
     const {isResumable} = this.work.admitted.route;
@@ -69,7 +88,7 @@
     }
     return chooseEngine({
       ...this.engineQuery(),
-      excluded: new Set([runner.id]),
+      excluded: new Set([runner.id, ...this.limitedIds()]),
       avoidedDataCentres: new Set([
         ...this.avoidedDataCentres,
         runner.record.dataCentre,
@@ -78,6 +97,13 @@
     });
   }
 
+  private limitedIds(): string[] {
+    return this.ctx.targets
+      .ofService(this.work.service.name)
+      .filter((target) => target.limitPerSecond !== undefined)
+      .map((target) => target.id);
+  }
+
   exclude(target: Target): void {
     this.excluded.add(target.id);
   }
@@ -120,7 +146,7 @@
       }),
       tokens,
       kvCapacityTokens: work.service.engine?.kvCapacityTokens ?? Infinity,
-      excluded: this.excluded,
+      excluded: new Set([...this.excluded, ...this.heldBack]),
       avoidedDataCentres: this.avoidedDataCentres,
       random: ctx.random,
     };
--- a/test/core/placing/placing.test.ts
+++ b/test/core/placing/placing.test.ts
@@ -165,7 +165,7 @@
   ) => ({
     targets,
     dataCentre: 'a',
-    tried: new Set(tried),
+    excluded: new Set(tried),
     random: new SeededRandom(SEED),
   });
 
--- a/test/direct/loss-verification.test.ts
+++ b/test/direct/loss-verification.test.ts
@@ -81,6 +81,7 @@
       client: {queryLoad} as unknown as DirectTargets,
       isEngine: () => true,
       healthPathOf: () => undefined,
+      onHealthCheck: () => undefined,
     });
     return new LossDiagnosis({
       ...shared,
--- a/test/direct/prober.test.ts
+++ b/test/direct/prober.test.ts
@@ -55,6 +55,7 @@
       logger: SILENT_LOGGER,
       isEngine: () => true,
       healthPathOf: () => undefined,
+      onHealthCheck: () => undefined,
     });
     const all = [...targets.all()];
     for (const target of all)
--- a/test/direct/watch-connection.test.ts
+++ b/test/direct/watch-connection.test.ts
@@ -56,6 +56,7 @@
       logs: new Map([[KIND, log]]),
       clock,
       onAsked: () => asked++,
+      onPermitAsked: () => undefined,
       mayRead: () => mayRead,
     });
     asked = 0;
--- a/test/support/direct-entry.ts
+++ b/test/support/direct-entry.ts
@@ -81,6 +81,7 @@
       clock,
       random,
       ...this.edges,
+      permitPeers: this.relay,
       metrics,
       logger,
     });
--- a/test/support/limited-site.ts
+++ b/test/support/limited-site.ts
@@ -25,6 +25,8 @@
 
 /** A response and how long its caller waited for it. */
 export interface TimedResponse extends SiteResponse {
+  /** When it was sent, on the monotonic clock. */
+  readonly sentAtMs: number;
   readonly tookMs: number;
 }
 
@@ -87,9 +89,9 @@
   site: DirectSite,
   call: {path: SitePath; entry: number},
 ): Promise<TimedResponse> {
-  const startMs = performance.now();
+  const sentAtMs = performance.now();
   const res = await site.call({...call, agent: new Agent()});
-  return {...res, tookMs: performance.now() - startMs};
+  return {...res, sentAtMs, tookMs: performance.now() - sentAtMs};
 }
 
 /**
