With agents too, keep a target within the limit that it names

All requests to a target pass its agent, so the agent keeps the sum alone: a permit for each call and each attempt, or a refusal (target_limit) with the time of the next one. Entries send such a request to another target, which costs no retry; without one they refuse it at once. A booking that no target permits is refused as not run.

--- a/src/adapters/engine-http-stream.ts
+++ b/src/adapters/engine-http-stream.ts
@@ -22,10 +22,12 @@
 } from '../core/edges/index.js';
 import {DriverErrorKind, FinishReason} from '../core/edges/index.js';
 import {createDriverError, toDriverError} from './driver-errors.js';
+import type {OnHeaders} from './http-call.js';
 import {
   decodeUtf8,
   FIRST_ERROR_STATUS,
   parseJson,
+  toHeaderFields,
   toHttpFailure,
 } from './http-call.js';
 
@@ -51,13 +53,14 @@
   /** Position in the output of the first token that the engine sends. */
   readonly position: number;
   readonly sink: EngineSink;
+  readonly onHeaders: OnHeaders;
 }
 
 /**
  * Reads the output of one generation and passes it to its sink.
  *
  * @example
- * const stream = new EngineHttpStream({dispatcher, url, body, position, sink});
+ * const stream = new EngineHttpStream(options);
  * stream.start();
  */
 export class EngineHttpStream implements EngineStream {
@@ -93,6 +96,7 @@
       body,
       signal: this.abort.signal,
     });
+    this.options.onHeaders(toHeaderFields(res.headers));
     if (res.statusCode >= FIRST_ERROR_STATUS) {
       return this.failRefused(res.statusCode);
     }
--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -57,6 +57,9 @@
   readonly body: Uint8Array;
 }
 
+/** Receives the headers of a response. */
+export type OnHeaders = (headers: readonly HeaderField[]) => void;
+
 /** Request and limits of a call. */
 export interface HttpCallOptions {
   readonly dispatcher: Dispatcher;
@@ -174,7 +177,7 @@
   const bytes = await readBytes(res.body, options.maxBodyBytes);
   return {
     status: res.statusCode,
-    headers: Object.entries(res.headers).flatMap(toFields),
+    headers: toHeaderFields(res.headers),
     body: bytes,
   };
 }
@@ -201,6 +204,18 @@
   return Buffer.concat(chunks);
 }
 
+/**
+ * Converts the headers of a response of undici.
+ *
+ * @example
+ * onHeaders(toHeaderFields(res.headers));
+ */
+export function toHeaderFields(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): HeaderField[] {
+  return Object.entries(headers).flatMap(toFields);
+}
+
 function toFields([name, value]: [
   string,
   string | string[] | undefined,
--- a/src/adapters/http-engine-driver.ts
+++ b/src/adapters/http-engine-driver.ts
@@ -16,6 +16,7 @@
 import {toDriverError} from './driver-errors.js';
 import {checkStatus, fetchReport} from './driver-probe.js';
 import {EngineHttpStream} from './engine-http-stream.js';
+import type {OnHeaders} from './http-call.js';
 import {callHttp, createPool} from './http-call.js';
 
 const ENGINE_REPORT = Codec.interface({
@@ -34,10 +35,16 @@
  */
 export class HttpEngineDriver implements EngineDriver {
   private readonly baseUrl: string;
+  private readonly onHeaders: OnHeaders;
   private readonly dispatcher: Dispatcher = createPool({keepsAlive: false});
 
-  constructor(options: {baseUrl: string}) {
+  constructor(options: {
+    baseUrl: string;
+    /** Called with the headers of each response to a generation. */
+    onHeaders?: OnHeaders;
+  }) {
     this.baseUrl = options.baseUrl;
+    this.onHeaders = options.onHeaders ?? (() => undefined);
   }
 
   generate(options: {
@@ -52,6 +59,7 @@
       body: JSON.stringify(toBody(options)),
       position: options.resumeFrom.length,
       sink: options.sink,
+      onHeaders: this.onHeaders,
     });
     stream.start();
     return stream;
--- a/src/adapters/http-service-driver.ts
+++ b/src/adapters/http-service-driver.ts
@@ -13,6 +13,7 @@
 import {DriverErrorKind} from '../core/edges/index.js';
 import {createDriverError, toDriverError} from './driver-errors.js';
 import {fetchReport} from './driver-probe.js';
+import type {OnHeaders} from './http-call.js';
 import {callHttp, createPool} from './http-call.js';
 
 /**
@@ -49,12 +50,18 @@
  */
 export class HttpServiceDriver implements ServiceDriver {
   private readonly baseUrl: string;
+  private readonly onHeaders: OnHeaders;
   // If the service closes a reused connection during a call, it is unknown
   // whether the call ran; therefore each call opens a connection.
   private readonly dispatcher: Dispatcher = createPool({keepsAlive: false});
 
-  constructor(options: {baseUrl: string}) {
+  constructor(options: {
+    baseUrl: string;
+    /** Called with the headers of each response to a call. */
+    onHeaders?: OnHeaders;
+  }) {
     this.baseUrl = options.baseUrl;
+    this.onHeaders = options.onHeaders ?? (() => undefined);
   }
 
   call(options: {
@@ -76,10 +83,10 @@
       timeoutMs,
       maxBodyBytes: MAX_RESPONSE_BYTES,
     })
-      .map((res) => ({
-        ...res,
-        headers: res.headers.filter(isForwarded),
-      }))
+      .map((res) => {
+        this.onHeaders(res.headers);
+        return {...res, headers: res.headers.filter(isForwarded)};
+      })
       .mapErr(toDriverError);
   }
 
--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -32,6 +32,7 @@
 import {EntrySession} from './entry-session.js';
 import {KeyTable} from './key-table.js';
 import {OutcomeRecorder} from './outcome-recorder.js';
+import type {TargetLimit} from './target-limit.js';
 
 /** Driver of the target: exactly one of an engine and a plain service. */
 export interface TargetDrivers {
@@ -47,6 +48,8 @@
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly drivers: TargetDrivers;
+  /** The limit that the responses of the target name. */
+  readonly limit: TargetLimit;
   readonly store: ObjectStore;
   /** Called when a drain has ended, so that the process can exit. */
   readonly onDrained: () => void;
@@ -160,7 +163,7 @@
   }
 
   private createAttempts(): AttemptTable | undefined {
-    const {clock, metrics, drivers, random} = this.options;
+    const {clock, metrics, drivers, random, limit} = this.options;
     if (drivers.engine === undefined) return undefined;
     return new AttemptTable({
       board: this.board,
@@ -168,18 +171,20 @@
       random,
       probeNow: () => this.monitor.checkNow(),
       driver: drivers.engine,
+      limit,
       metrics,
     });
   }
 
   private createCalls(): CallRunner | undefined {
-    const {drivers} = this.options;
+    const {drivers, limit} = this.options;
     if (drivers.service === undefined) return undefined;
     return new CallRunner({
       board: this.board,
       clock: this.options.clock,
       recorder: this.recorder,
       driver: drivers.service,
+      limit,
       incarnation: this.incarnation,
       keys: new KeyTable({capacity: MAX_KEYS}),
     });
--- a/src/agent/attempt-table.ts
+++ b/src/agent/attempt-table.ts
@@ -17,6 +17,7 @@
 import {TargetPhase} from '../core/protocol/index.js';
 import type {AgentBoard} from './agent-board.js';
 import {Attempt} from './attempt.js';
+import type {TargetLimit} from './target-limit.js';
 import {
   CRASH_DETECTION_MS,
   JOURNAL_RETENTION_MS,
@@ -35,6 +36,7 @@
       board: AgentBoard;
       clock: Clock;
       driver: EngineDriver;
+      limit: TargetLimit;
       metrics: Metrics;
       random: RandomSource;
       /** Probes the engine at once; resolves when the probe has ended. */
@@ -70,11 +72,17 @@
     return this.latestTokenAtMs;
   }
 
-  /** Returns why an attempt would be refused now; undefined to admit it. */
+  /**
+   * Returns why an attempt is refused now; undefined to admit it, with a permit of
+   * the engine's limit.
+   */
   checkAdmission(
-    request: Pick<StartMessage, 'crashes' | 'mayShare'>,
+    request: Pick<
+      StartMessage,
+      'attemptId' | 'clientAccount' | 'crashes' | 'mayShare'
+    >,
   ): Refusal | undefined {
-    const {board} = this.options;
+    const {board, limit} = this.options;
     if (board.draining.get()) {
       return createRefusal(RefusalReason.LEAVING, 'this target is leaving');
     }
@@ -85,12 +93,13 @@
       );
     }
     const crashes = request.crashes ?? [];
-    if (request.mayShare === true) return undefined;
-    if (!sharesNoCrash({crashes, others: this.findSuspects()})) {
+    const mayShare = request.mayShare === true;
+    if (!mayShare && !sharesNoCrash({crashes, others: this.findSuspects()})) {
       const detail = 'another request of the same crash runs here';
       return createRefusal(RefusalReason.NO_TARGET, detail);
     }
-    return undefined;
+    if (this.attempts.has(request.attemptId)) return undefined;
+    return limit.take(request.clientAccount);
   }
 
   /** Starts an attempt, or returns the one that was started under its id. */
--- a/src/agent/call-runner.ts
+++ b/src/agent/call-runner.ts
@@ -23,6 +23,7 @@
 import type {AgentBoard} from './agent-board.js';
 import type {KeyRecord, KeyTable} from './key-table.js';
 import type {OutcomeRecorder} from './outcome-recorder.js';
+import type {TargetLimit} from './target-limit.js';
 
 /** Sends a response to the entry that sent the request. */
 export type Respond = (message: Message) => void;
@@ -38,6 +39,7 @@
       driver: ServiceDriver;
       incarnation: string;
       keys: KeyTable;
+      limit: TargetLimit;
       /**
        * Stores first outcomes in the platform, so that they outlive this
        * process.
@@ -97,7 +99,7 @@
     const {callId} = call;
     switch (action) {
       case KeyAction.ADMIT:
-        this.runOnce(call, respond);
+        if (this.isWithinLimit(call, respond)) this.runOnce(call, respond);
         return;
       case KeyAction.RETURN_FIRST_OUTCOME:
         known!.whenSettled(() =>
@@ -154,6 +156,7 @@
       respond(createRefused(call.callId, refusal));
       return;
     }
+    if (!this.isWithinLimit(call, respond)) return;
     this.send({
       call,
       onResponse: (res) => respond(createReply(call.callId, res)),
@@ -161,6 +164,14 @@
     });
   }
 
+  /** Takes a permit of the target's limit; refuses the call if there is none. */
+  private isWithinLimit(call: CallMessage, respond: Respond): boolean {
+    const refusal = this.options.limit.take(call.clientAccount);
+    if (refusal === undefined) return true;
+    respond(createRefused(call.callId, refusal));
+    return false;
+  }
+
   private runOnce(call: CallMessage, respond: Respond): void {
     const record = this.options.keys.admit(call);
     record.whenSettled(() =>
--- a/src/daemon/run-agent.ts
+++ b/src/daemon/run-agent.ts
@@ -1,7 +1,10 @@
 /** Creates and starts an agent from its settings. */
 import {HttpEngineDriver, HttpServiceDriver} from '../adapters/index.js';
+import {findLimit} from '../../platform/headers.js';
+import type {OnHeaders} from '../adapters/http-call.js';
 import type {TargetDrivers} from '../agent/agent-process.js';
 import {AgentProcess} from '../agent/agent-process.js';
+import {TargetLimit} from '../agent/target-limit.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
 import {createLogger} from '../core/logs/index.js';
 import type {DaemonSettings, TargetSettings} from '../core/settings/index.js';
@@ -19,14 +22,18 @@
 export async function runAgent(settings: DaemonSettings): Promise<void> {
   const logger = createLogger(settings);
   const metrics = createMetrics();
+  const clock = new SystemClock();
+  const limit = new TargetLimit({clock, metrics, logger});
+  const onHeaders: OnHeaders = (headers) => limit.hear(findLimit(headers));
   const agent = new AgentProcess({
     settings,
-    clock: new SystemClock(),
+    clock,
+    limit,
     random: new SystemRandom(),
     metrics,
     logger,
     store: createStore({baseUrl: settings.platformUrl, metrics}),
-    drivers: createDrivers(settings.target!),
+    drivers: createDrivers(settings.target!, onHeaders),
     onDrained: () => exitAfterFlush({stop: () => agent.stop()}),
   });
   const peers = await agent.start();
@@ -43,9 +50,12 @@
   }
 }
 
-function createDrivers(target: TargetSettings): TargetDrivers {
+function createDrivers(
+  target: TargetSettings,
+  onHeaders: OnHeaders,
+): TargetDrivers {
   const baseUrl = target.url;
   return target.kind === TargetKind.ENGINE
-    ? {engine: new HttpEngineDriver({baseUrl})}
-    : {service: new HttpServiceDriver({baseUrl})};
+    ? {engine: new HttpEngineDriver({baseUrl, onHeaders})}
+    : {service: new HttpServiceDriver({baseUrl, onHeaders})};
 }
--- a/src/entry/calls/booking-agents.ts
+++ b/src/entry/calls/booking-agents.ts
@@ -11,12 +11,16 @@
 import {callAgent, CallErrorKind} from './agent-call.js';
 import type {AgentLink} from '../links/agent-link.js';
 import {KEY_QUERY_RESPONSE_MARGIN_MS} from '../consts.js';
+import {LimitRefusals} from './limit-refusals.js';
 import type {ResolvedPlain} from './plain-request.js';
 import {createCall} from './plain-request.js';
 import type {PlainCallDeps} from './plain-service.js';
 
 /** Chooses the agent of a booking, calls it and queries the booking's key. */
 export class BookingAgents {
+  /** Refusals of agents whose targets' limits are used up. */
+  readonly limits = new LimitRefusals();
+
   constructor(
     private readonly request: ResolvedPlain,
     private readonly deps: PlainCallDeps,
@@ -29,7 +33,8 @@
   choose(except: string | undefined): AgentId | undefined {
     const {chooser, links, dataCentre} = this.deps;
     const service = this.request.service.name;
-    const exclude = except === undefined ? [] : [except];
+    const exclude = [...this.limits.vms];
+    if (except !== undefined) exclude.push(except);
     const query = {service, exclude, dataCentre, prefix: ''};
     const target = chooser.choose({query, targets: links.views()}).extract();
     if (target === undefined) return undefined;
@@ -57,6 +62,9 @@
     });
     const message = {...call, claimedAtMs};
     const result = await callAgent({link, message, timeoutMs, clock});
+    const refusal = result.isErr() ? result.error.refusal : undefined;
+    if (refusal?.reason === RefusalReason.TARGET_LIMIT)
+      this.limits.add(agent.vm, refusal);
     return result.match((value) => toAgentResult(value, agent), toErrorResult);
   }
 
--- a/src/entry/calls/booking-run.ts
+++ b/src/entry/calls/booking-run.ts
@@ -32,7 +32,7 @@
 import {sleep} from '../../core/clock/index.js';
 import type {PlainResponse} from '../../core/edges/index.js';
 import type {Refusal} from '../../core/errors/index.js';
-import {RetryReason} from '../../core/errors/index.js';
+import {RefusalReason, RetryReason} from '../../core/errors/index.js';
 import {CounterName, LatencyName} from '../../core/metrics/index.js';
 import {BookingAgents} from './booking-agents.js';
 import {
@@ -238,6 +238,8 @@
     const {ran, reason, detail, retryLater} = decideVerdict(evidence);
     const label = evidence.kind;
     this.options.callDeps.metrics.count(CounterName.BOOKING_EVIDENCE, {label});
+    const limit = this.agents.limits.shortest;
+    if (reason === RefusalReason.NO_TARGET && limit !== undefined) return limit;
     const retryAfterMs = retryLater ? RETRY_AFTER_MS : undefined;
     return {ran, reason, detail, retryAfterMs};
   }
--- a/src/entry/calls/plain-service.ts
+++ b/src/entry/calls/plain-service.ts
@@ -18,6 +18,7 @@
 import {callAgent, CallErrorKind} from './agent-call.js';
 import type {AgentLinks} from '../links/agent-links.js';
 import {NO_TARGET_RETRY_MS, RETRY_AFTER_MS} from '../consts.js';
+import {LimitRefusals} from './limit-refusals.js';
 import type {ResolvedPlain} from './plain-request.js';
 import {createCall} from './plain-request.js';
 
@@ -54,14 +55,17 @@
     request: ResolvedPlain,
   ): Promise<Result<PlainResponse, Refusal>> {
     const tried: string[] = [];
+    const limits = new LimitRefusals();
     const budget = this.deps.retryBudgets.forService(request.service);
     budget.recordFirstAttempt();
     let ran = Executed.NO;
     while (tried.length < MAX_ATTEMPTS) {
       const leftMs = request.deadlineAtMs - this.deps.clock.now();
       if (leftMs <= 0) return err(deadlineExceeded(ran));
-      const target = this.choose(request, tried);
+      const target = this.choose(request, [...tried, ...limits.vms]);
       if (target === undefined) {
+        if (limits.shortest !== undefined)
+          return err({...limits.shortest, ran});
         await sleep(this.deps.clock, NO_TARGET_RETRY_MS);
         continue;
       }
@@ -71,11 +75,15 @@
         target,
         leftMs / attemptsLeft,
       );
+      const refusal = result.isErr() ? result.error.refusal : undefined;
+      if (refusal?.reason === RefusalReason.TARGET_LIMIT) {
+        limits.add(target.vm, refusal);
+        continue;
+      }
       this.recordOutcome(target.vm, result);
       if (result.isOk() && result.value.response !== undefined) {
         return ok(result.value.response);
       }
-      const refusal = result.isErr() ? result.error.refusal : undefined;
       if (refusal?.ran === Executed.YES) return err(refusal);
       if (result.isErr() && mayHaveRun(result.error)) ran = Executed.UNKNOWN;
       tried.push(target.vm);
--- a/src/entry/generation/generation-run.ts
+++ b/src/entry/generation/generation-run.ts
@@ -39,7 +39,7 @@
   createStart,
   readTokens,
 } from './attempt-messages.js';
-import {mayRetryRefused} from './may-retry-refused.js';
+import {finalRefusal} from './final-refusal.js';
 import {TargetOutcomes} from './target-outcomes.js';
 import {TokenMeter} from './token-meter.js';
 
@@ -271,13 +271,15 @@
       return;
     }
     const {task, deps, history, output} = this;
+    history.recordRefusal(this.current?.link.vm);
     const hasBegun = output.log.length > 0 || history.hasLostAttempt;
-    if (!hasBegun && !mayRetryRefused({message, task, deps})) {
-      this.fail(refusals.retryBudgetSpent());
+    const hasOther = () => chooseTarget(this.createChoice()) !== undefined;
+    const refusal = finalRefusal({message, task, deps, hasBegun, hasOther});
+    if (refusal !== undefined) {
+      this.fail(refusal);
       return;
     }
     this.deps.metrics.countRetry(RetryReason.TARGET_REFUSED);
-    this.history.recordRefusal(this.current?.link.vm);
     this.cancelCurrent();
     this.start();
   }
--- a/stand-ins/engine/main.ts
+++ b/stand-ins/engine/main.ts
@@ -13,6 +13,7 @@
     'report-lag-ms',
     'crash-on',
     'early-done-kind',
+    'limit-per-second',
   ],
   switches: ['ignores-fencing', 'early-done-after-resume'],
 });
@@ -39,5 +40,6 @@
   ignoresFencing: flags.isSet('ignores-fencing'),
   crashOn: flags.text('crash-on', base.crashOn),
   earlyEnd: readEarlyEnd(),
+  limitPerSecond: flags.number('limit-per-second', base.limitPerSecond),
 });
 announceReady({port: server.port});
--- a/stand-ins/engine/server.ts
+++ b/stand-ins/engine/server.ts
@@ -12,6 +12,7 @@
   textField,
 } from '../lib/fields.js';
 import type {HttpCall, RunningServer} from '../lib/http-server.js';
+import {nameLimit} from '../lib/limit.js';
 import {
   HttpError,
   readJson,
@@ -34,6 +35,7 @@
   ignoresFencing: false,
   crashOn: '',
   earlyEnd: EarlyEnd.NEVER,
+  limitPerSecond: -1,
   exit: () => process.exit(1),
 };
 
@@ -100,6 +102,8 @@
   }
 
   private async complete({req, res}: HttpCall): Promise<void> {
+    this.batch.counts.arrivedAtMs.push(Date.now());
+    nameLimit(res, this.options.limitPerSecond);
     const generation = readGeneration(await readJson({req}));
     if (this.fault === EngineFault.FAIL_FAST) {
       throw new HttpError(500, 'failing fast');
--- a/stand-ins/engine/types.ts
+++ b/stand-ins/engine/types.ts
@@ -43,6 +43,8 @@
   /** Text in a prompt that crashes the engine; empty to disable. */
   readonly crashOn: string;
   readonly earlyEnd: EarlyEnd;
+  /** Limit that its responses to requests name; -1 for none. */
+  readonly limitPerSecond: number;
   /** Ends the process. */
   readonly exit: () => void;
 }
@@ -79,4 +81,6 @@
   finished: number;
   cancelled: number;
   readonly requests: RequestCount[];
+  /** Unix times of the requests, in milliseconds. */
+  readonly arrivedAtMs: number[];
 }
--- a/stand-ins/service/main.ts
+++ b/stand-ins/service/main.ts
@@ -3,7 +3,14 @@
 import {DEFAULT_SERVICE_OPTIONS, startService} from './server.js';
 
 const flags = readFlags({
-  values: ['address', 'port', 'delay-ms', 'capacity', 'ledger-url'],
+  values: [
+    'address',
+    'port',
+    'delay-ms',
+    'capacity',
+    'ledger-url',
+    'limit-per-second',
+  ],
   switches: [],
 });
 
@@ -14,5 +21,6 @@
   delayMs: flags.number('delay-ms', base.delayMs),
   capacity: flags.number('capacity', base.capacity),
   ledgerUrl: flags.text('ledger-url', base.ledgerUrl),
+  limitPerSecond: flags.number('limit-per-second', base.limitPerSecond),
 });
 announceReady({port: server.port});
--- a/stand-ins/service/server.ts
+++ b/stand-ins/service/server.ts
@@ -5,6 +5,7 @@
 import {ExecutionCounter} from '../ledger/execution-counter.js';
 import {enumField, numberField} from '../lib/fields.js';
 import type {HttpCall, RunningServer} from '../lib/http-server.js';
+import {nameLimit} from '../lib/limit.js';
 import {
   HttpError,
   readJson,
@@ -22,6 +23,7 @@
   delayMs: 5,
   capacity: 50,
   ledgerUrl: '',
+  limitPerSecond: -1,
   exit: () => process.exit(1),
 };
 
@@ -53,6 +55,8 @@
   private fault = ServiceFault.NONE;
   private slowFactor = 1;
   private lookups = 0;
+  /** Unix times of the calls, in milliseconds. */
+  private readonly arrivedAtMs: number[] = [];
 
   constructor(private readonly options: ServiceOptions) {
     this.limiter = new ConcurrencyLimiter(options.capacity);
@@ -63,11 +67,15 @@
     const [root = '', item = ''] = segments;
     switch (`${method} /${root}`) {
       case 'POST /bookings':
+        this.recordArrival(call);
         return this.book(call);
       case 'GET /stock':
+        this.recordArrival(call);
         return this.lookUp(call, item);
       case 'GET /counts': {
-        const body = {perKey: this.executions.perKey, lookups: this.lookups};
+        const {lookups, arrivedAtMs} = this;
+        const {perKey} = this.executions;
+        const body = {perKey, lookups, arrivedAtMs};
         return sendJson({res, status: 200, body});
       }
       case 'GET /health':
@@ -79,6 +87,11 @@
     }
   }
 
+  private recordArrival({res}: HttpCall): void {
+    this.arrivedAtMs.push(Date.now());
+    nameLimit(res, this.options.limitPerSecond);
+  }
+
   private async book({req, res}: HttpCall): Promise<void> {
     const header = req.headers['idempotency-key'];
     const key = typeof header === 'string' ? header : '';
--- a/stand-ins/service/types.ts
+++ b/stand-ins/service/types.ts
@@ -10,6 +10,8 @@
   readonly capacity: number;
   /** Base URL of the ledger; empty to count only in this process. */
   readonly ledgerUrl: string;
+  /** Limit that its responses to calls name; -1 for none. */
+  readonly limitPerSecond: number;
   /** Ends the process. */
   readonly exit: () => void;
 }
--- a/test/agent/crash-attribution.test.ts
+++ b/test/agent/crash-attribution.test.ts
@@ -9,6 +9,7 @@
 import {AgentBoard} from '../../src/agent/agent-board.js';
 import type {TargetReport} from '../../src/agent/agent-board.js';
 import {AttemptTable} from '../../src/agent/attempt-table.js';
+import {TargetLimit} from '../../src/agent/target-limit.js';
 import {TargetMonitor} from '../../src/agent/target-monitor.js';
 import {ManualClock, SeededRandom} from '../../src/core/clock/index.js';
 import type {DriverError, EngineSink} from '../../src/core/edges/index.js';
@@ -82,10 +83,12 @@
           ),
       },
     });
+    const metrics = new Metrics();
     table = new AttemptTable({
       board,
       clock,
-      metrics: new Metrics(),
+      metrics,
+      limit: new TargetLimit({clock, metrics, logger: SILENT_LOGGER}),
       random: new SeededRandom(1),
       probeNow: () => monitor.checkNow(),
       driver: {
--- a/test/support/limited-site.ts
+++ b/test/support/limited-site.ts
@@ -112,7 +112,16 @@
  * mostInWindow(target, startMs + LIMIT_GRACE_MS);
  */
 export function mostInWindow(target: StandInTarget, fromMs: number): number {
-  const times = target.arrivedAtMs.filter((atMs) => atMs >= fromMs);
+  return mostOf(target.arrivedAtMs.filter((atMs) => atMs >= fromMs));
+}
+
+/**
+ * Most of some times that lie in one window; they are in ascending order.
+ *
+ * @example
+ * mostOf([0, 10, 5_000]); // 2
+ */
+export function mostOf(times: readonly number[]): number {
   return times.reduce((most, startMs, i) => {
     const inWindow = times.slice(i).filter((t) => t < startMs + WINDOW_MS);
     return Math.max(most, inWindow.length);
