--- a/stand-ins/site/store.ts
+++ b/stand-ins/site/store.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-import {Path} from '../../platform/names.js';
+import {Header, Path} from '../../platform/names.js';
 import type {RunningServer} from '../lib/http-server.js';
 import {readJson, startServer} from '../lib/http-server.js';
 
@@ -41,6 +41,15 @@
   readonly kind: string;
   readonly since: number;
   respond(): void;
+  /** Closes the connection without a response. */
+  cut(): void;
+}
+
+/** What the store held at a moment. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly objects: Map<string, StoredChange>;
+  readonly changes: readonly StoredChange[];
 }
 
 /** A call with the kind and the name from its path. */
@@ -55,6 +64,8 @@
 
 const FIRST_REVISION = 100;
 
+const FIRST_EPOCH = 1;
+
 /** Index of the kind among the path segments. */
 const KIND_SEGMENT = Path.OBJECTS.split('/').length - 1;
 
@@ -76,8 +87,9 @@
   private readonly callsByKind = new Map<string, number>();
   private revision = FIRST_REVISION;
   private oldestRevision = FIRST_REVISION;
-  private readonly objects = new Map<string, StoredChange>();
-  private readonly changes: StoredChange[] = [];
+  private epoch = FIRST_EPOCH;
+  private objects = new Map<string, StoredChange>();
+  private changes: StoredChange[] = [];
   private readonly longPolls = new Set<LongPoll>();
   private readonly servers: RunningServer[] = [];
 
@@ -117,6 +129,30 @@
     this.change({...options, spec: undefined});
   }
 
+  /** Copies what the store holds, from which it can be restored. */
+  copy(): StoreCopy {
+    const {revision, objects, changes} = this;
+    return {revision, objects: new Map(objects), changes: [...changes]};
+  }
+
+  /**
+   * Restores the store from a copy: what was written since is lost, and its
+   * revisions are given out again. Watches end without an answer.
+   */
+  restore(copy: StoreCopy): void {
+    this.revision = copy.revision;
+    this.objects = new Map(copy.objects);
+    this.changes = [...copy.changes];
+    this.epoch++;
+    for (const longPoll of [...this.longPolls]) longPoll.cut();
+  }
+
+  /** Adds changes of a kind that no entry reads. */
+  addRevisions(count: number): void {
+    for (let i = 0; i < count; i++)
+      this.put({kind: 'other', name: 'padding', spec: i});
+  }
+
   /** Deletes the change history; watches of older revisions get 410. */
   dropHistory(): void {
     this.oldestRevision = this.revision;
@@ -156,6 +192,7 @@
   private async handle(call: StoreCall): Promise<void> {
     const {req, res, kind, query} = call;
     this.callsByKind.set(kind, this.callCount(kind) + 1);
+    res.setHeader(Header.STORE_EPOCH, String(this.epoch));
     const mode = this.modeAt(call.endpoint);
     if (mode === StoreMode.SILENT) return;
     if (mode === StoreMode.RESET) {
@@ -209,7 +246,7 @@
 
   private startLongPoll({res, kind, query, endpoint}: StoreCall): void {
     const since = Number(query.get('watch'));
-    if (since < this.oldestRevision) {
+    if (since < this.oldestRevision || since > this.revision) {
       sendJson(res, 410, {});
       return;
     }
@@ -226,7 +263,12 @@
       sendJson(res, 200, {events, at: this.revision});
     };
     const timer = setTimeout(respond, Number(query.get('wait_ms')));
-    const longPoll = {kind, since, respond};
+    const cut = () => {
+      clearTimeout(timer);
+      this.longPolls.delete(longPoll);
+      res.destroy();
+    };
+    const longPoll = {kind, since, respond, cut};
     this.longPolls.add(longPoll);
     const hasChanges = this.changes.some(
       (change) => change.kind === kind && change.revision > since,
