Believe no registration that a restored store brings back

Callers would have seen requests sent to servers that were leaving or gone: the copy shows a target as ready that had begun to drain or had left since, and it got work again.

Class: an old state passes for news. An entry remembers the targets that it saw drain or leave. What the first list of a restored store shows of the same incarnation is stale until its target writes it again: by a change, or in a list 4 s later whose write count (sequence) has risen, as that of a living target does.

--- a/src/core/targets/consts.ts
+++ b/src/core/targets/consts.ts
@@ -25,6 +25,9 @@
  */
 export const REREGISTRATION_GRACE_MS = 2_000;
 
+/** Targets that began to drain or left and are remembered. */
+export const MAX_GONE_TARGETS = 4_096;
+
 /** Assumed age of a load report when it arrives, in milliseconds. */
 export const REPORT_LAG_MS = 200;
 
--- a/src/core/targets/target-set.ts
+++ b/src/core/targets/target-set.ts
@@ -2,18 +2,28 @@
 import type {Clock} from '../clock/index.js';
 import type {SourceChange, SourceItem} from '../edges/state-source.js';
 import {REREGISTRATION_GRACE_MS, MAX_REMEMBERED_GAPS} from './consts.js';
+import {GoneTargets, isSameIncarnation} from './gone-targets.js';
 import {Target} from './target.js';
 import type {TargetRecord} from './types.js';
 
+/** What is known of a list of registrations. */
+export interface ListInfo {
+  /** Whether targets may be missing that register again soon. */
+  readonly afterOutage: boolean;
+  /** Whether it is the first since the store was restored from a copy. */
+  readonly isRestored: boolean;
+}
+
 /**
  * Keeps a `Target` for the current incarnation of each target. A target that is
  * draining or no longer registered gets no new work. If its registration is
  * missing after an outage of the store, it still gets work for a grace period,
- * in which it may register again.
+ * in which it may register again. What a restored store shows of a target that
+ * had begun to drain or had left is not believed until the target writes it again.
  *
  * @example
  * const targets = new TargetSet({clock, onRemoved: (t) => close(t)});
- * targets.replaceAll(items, false);
+ * targets.replaceAll(items, {afterOutage: false, isRestored: false});
  * targets.ofService('drafts');
  */
 export class TargetSet {
@@ -22,6 +32,7 @@
   private readonly eventGaps = new Map<string, number>();
   /** Times at which a registration was found missing, by target id. */
   private readonly missingSinceMs = new Map<string, number>();
+  private readonly gone = new GoneTargets();
 
   constructor(
     private readonly options: {
@@ -68,19 +79,23 @@
     );
   }
 
-  /**
-   * Applies a full list of registrations; `afterOutage` is whether the store
-   * was unavailable before.
-   */
+  /** Whether there are registrations that must be listed again to be used. */
+  get hasStale(): boolean {
+    return this.gone.hasStale;
+  }
+
+  /** Applies a full list of registrations. */
   replaceAll(
     items: ReadonlyArray<SourceItem<TargetRecord>>,
-    afterOutage: boolean,
+    about: ListInfo,
   ): void {
-    const registeredIds = new Set<string>();
-    for (const {name, value} of items) {
-      if (value === undefined) continue;
-      registeredIds.add(name);
-      this.put(value);
+    const {afterOutage, isRestored} = about;
+    const records = items.flatMap(({value}) => value ?? []);
+    if (isRestored) this.gone.recordRestored(records);
+    const registeredIds = new Set(records.map(({id}) => id));
+    this.gone.retainListed(registeredIds);
+    for (const record of records) {
+      if (!this.gone.isStale(record)) this.put(record);
     }
     for (const id of [...this.targets.keys()]) {
       if (registeredIds.has(id)) continue;
@@ -92,13 +107,15 @@
   /** Applies changes; removes a target whose registration cannot be decoded. */
   applyChanges(changes: ReadonlyArray<SourceChange<TargetRecord>>): void {
     for (const {name, value, isDeleted} of changes) {
-      if (isDeleted || value === undefined) this.remove(name);
+      if (isDeleted || value === undefined) this.remove(name, value);
       else this.put(value);
     }
   }
 
   private put(record: TargetRecord): void {
     this.missingSinceMs.delete(record.id);
+    this.gone.recordWritten(record);
+    if (record.isDraining) this.gone.add(record);
     const known = this.targets.get(record.id);
     if (known !== undefined && isSameIncarnation(known.record, record)) {
       const wasDraining = known.record.isDraining;
@@ -142,17 +159,15 @@
     this.eventGaps.set(record.address, eventGapMs);
   }
 
-  private remove(id: string): void {
+  /** `last` is the last registration, if it is known. */
+  private remove(id: string, last?: TargetRecord): void {
     this.missingSinceMs.delete(id);
     const target = this.targets.get(id);
     if (target === undefined) return;
+    this.gone.add(last ?? target.record);
     this.targets.delete(id);
     this.rememberEventGap(target);
     target.recordDraining();
     this.options.onRemoved(target);
   }
 }
-
-function isSameIncarnation(a: TargetRecord, b: TargetRecord): boolean {
-  return a.startedAtMs === b.startedAtMs && a.address === b.address;
-}
--- a/src/core/targets/types.ts
+++ b/src/core/targets/types.ts
@@ -13,6 +13,8 @@
   readonly isDraining: boolean;
   /** Unix time of its start, in milliseconds; differs after a restart. */
   readonly startedAtMs?: number;
+  /** Number of times that this incarnation has written its registration. */
+  readonly writeCount?: number;
 }
 
 /**
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -31,6 +31,15 @@
  */
 export const TARGETS_PAUSE_SHARE = 0.2;
 
+/**
+ * Time until registrations that a restored store shows of targets that had left
+ * are listed again, in milliseconds.
+ */
+export const STALE_TARGETS_CHECK_MS = 4_000;
+
+/** How often they are listed again after the store was restored. */
+export const MAX_STALE_LISTS = 3;
+
 /** Share of the configured retry ratio for retries after losses. */
 export const LOSS_BUDGET_SHARE = 0.9;
 
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -36,6 +36,8 @@
   RETRY_AFTER_MS,
   MIN_STREAM_GRACE_SHARE,
   TARGETS_PAUSE_SHARE,
+  MAX_STALE_LISTS,
+  STALE_TARGETS_CHECK_MS,
   TARGETS_LONG_POLL_MS,
   CONFIG_LONG_POLL_SHARE,
   CONFIG_PAUSE_SHARE,
@@ -89,6 +91,7 @@
   private readonly followers: Array<Follower<unknown>> = [];
   private configFollower?: Follower<RoutingConfig>;
   private hasLoadedTargets = false;
+  private staleListsLeft = 0;
   private startedMs = 0;
   /** End of the grace period, in ms on the monotonic clock, once draining. */
   private killAtMs = Number.POSITIVE_INFINITY;
@@ -346,8 +349,10 @@
       pauseMs: this.settings.targetDrainMs * TARGETS_PAUSE_SHARE,
       gate: this.gate,
       onSnapshot: (items, about) => {
-        targets.replaceAll(items, about.afterOutage);
+        targets.replaceAll(items, about);
         this.hasLoadedTargets = true;
+        if (about.isRestored) this.staleListsLeft = MAX_STALE_LISTS;
+        if (targets.hasStale) this.listTargetsAgain(follower);
       },
       onChanges: (changes) => targets.applyChanges(changes),
     });
@@ -355,6 +360,17 @@
     follower.start();
   }
 
+  /** Targets that live have written their registrations again by then. */
+  private listTargetsAgain(follower: Follower<TargetRecord>): void {
+    const {clock, logger} = this.options;
+    if (this.staleListsLeft-- <= 0) return;
+    logger.info('stale registrations will be listed again');
+    clock.schedule({
+      delayMs: STALE_TARGETS_CHECK_MS,
+      run: () => follower.refresh(),
+    });
+  }
+
   private isEngineService(name: string): boolean {
     return this.routes.get()?.findService(name)?.engine !== undefined;
   }
--- a/test/core/targets/targets.test.ts
+++ b/test/core/targets/targets.test.ts
@@ -6,6 +6,11 @@
 
 const GRACE_MS = 2_000;
 
+/** A list without an outage before it. */
+const IN_TOUCH = {afterOutage: false, isRestored: false};
+
+const RESTORED = {afterOutage: true, isRestored: true};
+
 function record(fields: Partial<TargetRecord> = {}): TargetRecord {
   return {
     id: 'i-1',
@@ -33,7 +38,7 @@
       clock,
       onRemoved: (target) => removed.push(target.id),
     });
-    targets.replaceAll([sourceItem(record())], false);
+    targets.replaceAll([sourceItem(record())], IN_TOUCH);
   });
 
   const usableIds = () => targets.ofService('s').map((target) => target.id);
@@ -75,14 +80,63 @@
   ])(
     'lists $expected if unregistered for $waitMs ms, after an outage: $afterOutage',
     ({afterOutage, waitMs, expected}) => {
-      targets.replaceAll([], afterOutage);
+      targets.replaceAll([], {afterOutage, isRestored: false});
       clock.advance(waitMs);
       expect(usableIds()).toEqual(expected);
     },
   );
 
+  it.each([
+    {
+      name: 'keeps a draining target out',
+      gone: record({isDraining: true, writeCount: 9}),
+      then: undefined,
+      expected: [],
+    },
+    {
+      name: 'keeps a target out that had left',
+      gone: undefined,
+      then: undefined,
+      expected: [],
+    },
+    {
+      name: 'keeps it out while it writes nothing',
+      gone: undefined,
+      then: record({writeCount: 3}),
+      expected: [],
+    },
+    {
+      name: 'uses it once it has written again',
+      gone: undefined,
+      then: record({writeCount: 4}),
+      expected: ['i-1'],
+    },
+    {
+      name: 'uses another incarnation',
+      gone: undefined,
+      then: record({startedAtMs: 2}),
+      expected: ['i-1'],
+    },
+  ])('of a restored store, $name', ({gone, then, expected}) => {
+    applyChange(gone, gone === undefined);
+    targets.replaceAll([sourceItem(record({writeCount: 3}))], RESTORED);
+    expect(usableIds()).toEqual([]);
+    expect(targets.hasStale).toBe(true);
+    if (then !== undefined) targets.replaceAll([sourceItem(then)], IN_TOUCH);
+    expect(usableIds()).toEqual(expected);
+    targets.replaceAll([], IN_TOUCH);
+    expect(targets.hasStale).toBe(false);
+  });
+
+  it('uses a target whose registration changes after a restore', () => {
+    applyChange(undefined, true);
+    targets.replaceAll([sourceItem(record())], RESTORED);
+    applyChange(record());
+    expect(usableIds()).toEqual(['i-1']);
+  });
+
   it('keeps a target that registers again in time', () => {
-    targets.replaceAll([], true);
+    targets.replaceAll([], {afterOutage: true, isRestored: false});
     clock.advance(GRACE_MS / 2);
     applyChange(record());
     clock.advance(GRACE_MS);
--- a/test/direct/loss-verification.test.ts
+++ b/test/direct/loss-verification.test.ts
@@ -46,6 +46,9 @@
   slots: 8,
 });
 
+/** A list without an outage before it. */
+const IN_TOUCH = {afterOutage: false, isRestored: false};
+
 describe('a request that lost three targets', () => {
   let clock: ManualClock;
   let ledger: LossLedger;
@@ -59,7 +62,7 @@
     targets = new TargetSet({clock, onRemoved: () => undefined});
     targets.replaceAll(
       ZONES.map((_, i) => ({name: `i-${i}`, value: recordOf(i)})),
-      false,
+      IN_TOUCH,
     );
   });
 
@@ -176,7 +179,7 @@
   it('is quarantined if they are no longer registered', async () => {
     const diagnosis = createDiagnosis([SLOW, SLOW, SLOW]);
     recordRemoteLosses();
-    targets.replaceAll([], false);
+    targets.replaceAll([], IN_TOUCH);
     expect(await judge(diagnosis)).toBe(true);
   });
 
@@ -189,7 +192,7 @@
       incarnation: incarnationOf(recordOf(0)),
     });
     ledger.confirm({suspect: REQUEST, incarnation: incarnationOf(recordOf(0))});
-    targets.replaceAll([], false);
+    targets.replaceAll([], IN_TOUCH);
     expect(await judge(diagnosis)).toBe(true);
   });
 });
--- a/test/direct/prober.test.ts
+++ b/test/direct/prober.test.ts
@@ -31,6 +31,9 @@
   slots: 8,
 });
 
+/** A list without an outage before it. */
+const IN_TOUCH = {afterOutage: false, isRestored: false};
+
 describe('Prober', () => {
   const setUp = (size: number) => {
     const clock = new ManualClock();
@@ -40,7 +43,7 @@
     );
     targets.replaceAll(
       records.map((value) => ({name: value.id, value})),
-      false,
+      IN_TOUCH,
     );
     const probed: string[] = [];
     const queryLoad = ({id}: TargetRecord) => {
