Take no confirmation of keys from an older configuration

A caller could have gone on with a key that was taken away: an entry that was turned away at that moment listed the restored store, which still had the key, and took the answer for a confirmation that its keys are current.

Class: an old state passes for news. A read confirms keys only while the store's version is not older than the active one, and, after a restore, only from 2 s on, in which what was lost is written again; then the configuration is listed once more, so that keys are not refused longer than that.

--- a/src/core/sync/index.ts
+++ b/src/core/sync/index.ts
@@ -1,4 +1,5 @@
 /** Keeps a local copy of the platform's state and tracks its age. */
+export {ConfirmationFilter} from './confirmation-filter.js';
 export {confirmedUntilMs} from './confirmed-until.js';
 export {RESTORE_SETTLE_MS} from './consts.js';
 export type {FollowerListener, SnapshotInfo} from './follower.js';
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -25,7 +25,13 @@
 } from '../core/routes/index.js';
 import type {DirectSettings} from '../core/settings/direct-settings.js';
 import type {Follower} from '../core/sync/index.js';
-import {FollowerRole, KeyTrust, OutageGate} from '../core/sync/index.js';
+import {
+  ConfirmationFilter,
+  FollowerRole,
+  KeyTrust,
+  OutageGate,
+  RESTORE_SETTLE_MS,
+} from '../core/sync/index.js';
 import type {TargetRecord} from '../core/targets/index.js';
 import {TargetSet} from '../core/targets/index.js';
 import {CallHandler} from './call-handler.js';
@@ -308,9 +314,13 @@
   }
 
   private followConfigs(source: StateSource<RoutingConfig>): void {
+    const {clock} = this.options;
+    const filter = new ConfirmationFilter({clock});
     const apply = (items: ReadonlyArray<SourceItem<RoutingConfig>>) => {
       for (const {value} of items) {
-        if (value !== undefined) this.applyConfig(value);
+        if (value === undefined) continue;
+        filter.recordStored(value.version);
+        this.applyConfig(value);
       }
     };
     const follower = createStoreFollower({
@@ -321,9 +331,23 @@
       pauseMs: this.settings.configApplyMs * CONFIG_PAUSE_SHARE,
       gate: this.gate,
       role: FollowerRole.LEADER,
-      onSnapshot: apply,
+      onSnapshot: (items, {isRestored}) => {
+        if (isRestored) {
+          filter.recordRestored();
+          // The first list that confirms keys.
+          clock.schedule({
+            delayMs: RESTORE_SETTLE_MS,
+            run: () => follower.refresh(),
+          });
+        }
+        apply(items);
+      },
       onChanges: apply,
-      onConfirmed: (confirmation) => this.keyTrust.confirm(confirmation),
+      onConfirmed: (confirmation) => {
+        const activeVersion = this.routes.get()?.version ?? 0;
+        if (filter.accepts({confirmation, activeVersion}))
+          this.keyTrust.confirm(confirmation);
+      },
     });
     this.configFollower = follower;
     this.followers.push(follower);
