Write again what a restored store lacks of the entries' own objects

Callers would have seen requests that crash servers run again after they had been quarantined: what the copy lacked counted as removed by operators. Losses were not written again, as they equalled what was written last; an entry that the copy lacked stayed unregistered, so that no other asked it, and one that had left came back for good.

Class: absence in a restored store passes for a removal, and presence for a write. On the first list of a new epoch, quarantines and alerts that the store lacks are kept and written again by one of the entries that know them, lifted quarantines and entries that had left are removed again, losses and the own registration are written again.

--- a/src/core/poison/quarantine.ts
+++ b/src/core/poison/quarantine.ts
@@ -42,6 +42,11 @@
     return this.records.has(fingerprint);
   }
 
+  /** The record of a quarantined request. */
+  recordOf(fingerprint: string): QuarantineRecord | undefined {
+    return this.records.get(fingerprint);
+  }
+
   /** Adds a request and notifies the listeners if it is new. */
   add(options: {fingerprint: string; record: QuarantineRecord}): void {
     const {fingerprint, record} = options;
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -152,6 +152,15 @@
 /** Longest long poll for quarantined requests and alerts, in milliseconds. */
 export const POISON_LONG_POLL_MS = 30_000;
 
+/**
+ * Longest random delay before an entry writes again what a restored store lacks,
+ * if it had written it itself, in milliseconds.
+ */
+export const MAX_OWN_REPAIR_DELAY_MS = 200;
+
+/** Longest such delay if another entry had written it, in milliseconds. */
+export const MAX_REPAIR_DELAY_MS = 2_000;
+
 /** Time until a failed call to the store is retried, in milliseconds. */
 export const STORE_RETRY_MS = 500;
 
--- a/src/direct/poison/loss-alerts.ts
+++ b/src/direct/poison/loss-alerts.ts
@@ -18,6 +18,7 @@
 import {
   ALERT_RETENTION_MS,
   MAX_REFUTE_DELAY_MS,
+  MAX_REPAIR_DELAY_MS,
   POISON_LONG_POLL_MS,
 } from '../consts.js';
 import {createStoreFollower} from '../store-follower.js';
@@ -40,6 +41,8 @@
   readonly gate?: OutageGate;
   /** Called when an entry has told that it served a request completely. */
   readonly onRefuted: (request: string) => void;
+  /** Called when the store was restored from a copy. */
+  readonly onRestored: () => void;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
@@ -61,6 +64,8 @@
   private readonly firstKnownMs = new Map<string, number>();
   /** Removals of expired alerts, by request. */
   private readonly removals = new Map<string, TimerHandle>();
+  /** Alerts that a restored store lacks, until one entry has written them. */
+  private readonly unwritten = new Set<string>();
   private isStopped = false;
 
   constructor(private readonly options: LossAlertsOptions) {
@@ -68,7 +73,11 @@
       ...options,
       what: 'loss alerts',
       waitMs: POISON_LONG_POLL_MS,
-      onSnapshot: (items) => this.applySnapshot(items),
+      onSnapshot: (items, {isRestored}) => {
+        if (isRestored) this.repairStore(items);
+        else this.removeMissing(items);
+        for (const item of items) this.applyItem(item);
+      },
       onChanges: (changes) =>
         changes.forEach((change) => this.applyItem(change)),
     });
@@ -120,19 +129,47 @@
     if (written.isErr()) this.logFailure(request, written.error);
   }
 
-  private applySnapshot(
+  private removeMissing(
     items: ReadonlyArray<SourceItem<RecordedLosses>>,
   ): void {
-    const {ledger} = this.options;
+    for (const request of this.missingIn(items)) {
+      if (!this.unwritten.has(request)) this.forget(request);
+    }
+  }
+
+  /** Alerts that are known here and not in the store. */
+  private missingIn(
+    items: ReadonlyArray<SourceItem<RecordedLosses>>,
+  ): string[] {
     const present = new Set(items.map(({name}) => name));
-    for (const request of ledger.alerts.suspects) {
-      if (!present.has(request)) this.forget(request);
+    const {suspects} = this.options.ledger.alerts;
+    return suspects.filter((request) => !present.has(request));
+  }
+
+  /** Writes the alerts again that a restored store lacks. */
+  private repairStore(items: ReadonlyArray<SourceItem<RecordedLosses>>): void {
+    this.options.onRestored();
+    for (const request of this.missingIn(items)) {
+      this.unwritten.add(request);
+      void this.writeAgain(request);
     }
-    for (const item of items) this.applyItem(item);
+  }
+
+  /** One of the entries that know an alert is enough. */
+  private async writeAgain(request: string): Promise<void> {
+    const {ledger, writer, clock, random} = this.options;
+    await sleep(clock, random.float() * MAX_REPAIR_DELAY_MS);
+    if (this.isStopped || !this.unwritten.has(request)) return;
+    const {losses} = ledger.toAlert(request);
+    const harmless = ledger.alerts.isRefuted(request) ? [request] : [];
+    const written = await writer.upsert(request, {losses, harmless});
+    if (written.isErr()) this.logFailure(request, written.error);
+    this.unwritten.delete(request);
   }
 
   private applyItem({name: request, value}: SourceItem<RecordedLosses>): void {
     const {ledger, served} = this.options;
+    this.unwritten.delete(request);
     if (value === undefined) {
       this.forget(request);
       return;
--- a/src/direct/poison/loss-sync.ts
+++ b/src/direct/poison/loss-sync.ts
@@ -9,6 +9,7 @@
 } from '../../core/edges/state-source.js';
 import type {Logger} from '../../core/logs/index.js';
 import type {LossLedger, RecordedLosses} from '../../core/poison/index.js';
+import {RESTORE_SETTLE_MS} from '../../core/sync/index.js';
 import {LOSS_SYNC_INTERVAL_MS, STORE_RETRY_MS} from '../consts.js';
 import {StoreOutageLog} from '../store-outage-log.js';
 
@@ -44,6 +45,8 @@
   private timer?: TimerHandle;
   private waiters: Array<() => void> = [];
   private lastWritten = '';
+  /** Until then, a restored store may lack what others have written. */
+  private settledAtMs = Number.NEGATIVE_INFINITY;
   private lastWriteMs = Number.NEGATIVE_INFINITY;
   private lastReadMs = Number.NEGATIVE_INFINITY;
   private hasLoadedAll = false;
@@ -78,6 +81,23 @@
     this.schedule();
   }
 
+  /**
+   * Writes this entry's losses again, as the store has come back from a copy, and
+   * reads those of the others once they have done the same.
+   */
+  writeAgain(): void {
+    const {clock} = this.options;
+    this.lastWritten = '';
+    this.settledAtMs = clock.now() + RESTORE_SETTLE_MS;
+    this.publish();
+    clock.schedule({
+      delayMs: RESTORE_SETTLE_MS,
+      run: () => {
+        if (!this.options.ledger.isEmpty) this.refresh();
+      },
+    });
+  }
+
   /** Schedules a read of the losses of all entries. */
   refresh(): void {
     this.mustRead = true;
@@ -205,11 +225,12 @@
   }
 
   private applyItems(items: ReadonlyArray<SourceItem<RecordedLosses>>): void {
-    const {vm, ledger, onRead} = this.options;
+    const {vm, ledger, clock, onRead} = this.options;
     if (this.isStopped) return;
     const present = new Set(items.map(({name}) => name));
+    const isSettled = clock.now() >= this.settledAtMs;
     for (const name of ledger.knownEntries) {
-      if (!present.has(name)) ledger.removeEntry(name);
+      if (isSettled && !present.has(name)) ledger.removeEntry(name);
     }
     for (const {name, value} of items) {
       if (name === vm) continue;
--- a/src/direct/poison/loss-tracker.ts
+++ b/src/direct/poison/loss-tracker.ts
@@ -50,6 +50,7 @@
       writer: alertWriter,
       source: alertSource,
       onRefuted: options.release,
+      onRestored: () => this.sync.writeAgain(),
     });
     this.diagnosis = new LossDiagnosis({
       ...options,
--- a/src/direct/poison/quarantine-sync.ts
+++ b/src/direct/poison/quarantine-sync.ts
@@ -8,9 +8,19 @@
 } from '../../core/edges/state-source.js';
 import type {Logger} from '../../core/logs/index.js';
 import type {QuarantineRecord, Quarantine} from '../../core/poison/index.js';
-import {isPromptPart} from '../../core/poison/index.js';
+import {
+  dropOldest,
+  isPromptPart,
+  MAX_QUARANTINED,
+} from '../../core/poison/index.js';
 import type {Follower, OutageGate} from '../../core/sync/index.js';
-import {QUARANTINE_MS, POISON_LONG_POLL_MS, STORE_RETRY_MS} from '../consts.js';
+import {
+  MAX_OWN_REPAIR_DELAY_MS,
+  MAX_REPAIR_DELAY_MS,
+  QUARANTINE_MS,
+  POISON_LONG_POLL_MS,
+  STORE_RETRY_MS,
+} from '../consts.js';
 import {createStoreFollower} from '../store-follower.js';
 
 /**
@@ -43,6 +53,10 @@
   private readonly stored = new Set<string>();
   /** Fingerprints that this entry has quarantined itself. */
   private readonly own = new Set<string>();
+  /** Fingerprints whose records were removed, oldest first. */
+  private readonly lifted = new Set<string>();
+  /** Those of them that a restored store has brought back. */
+  private readonly revived = new Set<string>();
   private readonly timers = new Set<TimerHandle>();
   private isStopped = false;
 
@@ -51,7 +65,10 @@
       ...options,
       what: 'quarantine',
       waitMs: POISON_LONG_POLL_MS,
-      onSnapshot: (items) => this.applySnapshot(items),
+      onSnapshot: (items, {isRestored}) => {
+        if (isRestored) this.repairStore(items);
+        this.applySnapshot(items);
+      },
       onChanges: (changes) => this.applyChanges(changes),
     });
   }
@@ -87,10 +104,53 @@
     if (!quarantine.has(fingerprint)) return;
     logger.warn('quarantine lifted, as the request was served', {fingerprint});
     quarantine.remove(fingerprint);
+    this.recordLifted(fingerprint);
     // A record that is not written yet is removed once it is.
     if (this.own.delete(fingerprint)) void this.removeRecord(fingerprint);
   }
 
+  /**
+   * Writes records again that a restored store lacks, and removes those again that
+   * it has brought back. One of the entries that know of them is enough, so the
+   * others wait whether they see it.
+   */
+  private repairStore(
+    items: ReadonlyArray<SourceItem<QuarantineRecord>>,
+  ): void {
+    const present = new Set(items.map(({name}) => name));
+    for (const name of [...this.stored]) {
+      if (present.has(name)) continue;
+      this.stored.delete(name);
+      void this.writeAgain(name);
+    }
+    for (const name of present) {
+      if (!this.lifted.has(name)) continue;
+      this.revived.add(name);
+      void this.removeAgain(name);
+    }
+  }
+
+  private async writeAgain(fingerprint: string): Promise<void> {
+    const {quarantine, writer} = this.options;
+    await this.sleep(this.repairDelayMs(this.own.has(fingerprint)));
+    const record = quarantine.recordOf(fingerprint);
+    if (record === undefined || this.stored.has(fingerprint)) return;
+    await this.retryUntilWritten(() =>
+      writer.createIfAbsent(fingerprint, record),
+    );
+    this.stored.add(fingerprint);
+  }
+
+  private async removeAgain(fingerprint: string): Promise<void> {
+    await this.sleep(this.repairDelayMs(false));
+    if (this.stored.has(fingerprint)) await this.removeRecord(fingerprint);
+  }
+
+  private repairDelayMs(isOwn: boolean): number {
+    const maxMs = isOwn ? MAX_OWN_REPAIR_DELAY_MS : MAX_REPAIR_DELAY_MS;
+    return maxMs * this.options.random.float();
+  }
+
   private applySnapshot(
     items: ReadonlyArray<SourceItem<QuarantineRecord>>,
   ): void {
@@ -116,6 +176,7 @@
   ): void {
     if (record === undefined || this.stored.has(fingerprint)) return;
     this.stored.add(fingerprint);
+    if (this.revived.has(fingerprint)) return;
     this.options.quarantine.add({fingerprint, record});
     // The entry that wrote the record may have stopped before the expiry.
     void this.removeAfter(fingerprint, QUARANTINE_MS * REMOTE_EXPIRY_FACTOR);
@@ -123,15 +184,23 @@
 
   private removeStored(fingerprint: string): void {
     this.stored.delete(fingerprint);
+    this.revived.delete(fingerprint);
+    this.recordLifted(fingerprint);
     this.options.quarantine.remove(fingerprint);
   }
 
+  private recordLifted(fingerprint: string): void {
+    this.lifted.add(fingerprint);
+    dropOldest({entries: this.lifted, maxSize: MAX_QUARANTINED});
+  }
+
   private async store(
     fingerprint: string,
     record: QuarantineRecord,
   ): Promise<void> {
     const {quarantine, writer} = this.options;
     this.own.add(fingerprint);
+    this.lifted.delete(fingerprint);
     await this.retryUntilWritten(() =>
       writer.createIfAbsent(fingerprint, record),
     );
--- a/src/direct/relay/consts.ts
+++ b/src/direct/relay/consts.ts
@@ -57,5 +57,11 @@
 /** Pause after changes of the entries, in milliseconds. */
 export const ENTRIES_PAUSE_MS = 1_000;
 
+/**
+ * Longest random delay before an entry that had left and that a restored store
+ * brings back is removed again, in milliseconds.
+ */
+export const MAX_REMOVE_AGAIN_DELAY_MS = 2_000;
+
 /** Time until a failed registration is tried again, in milliseconds. */
 export const REGISTRATION_RETRY_MS = 2_000;
--- a/src/direct/relay/entry-directory.ts
+++ b/src/direct/relay/entry-directory.ts
@@ -1,6 +1,7 @@
 /** Registers this entry in the store and follows the others. */
 import type {Clock, RandomSource, TimerHandle} from '../../core/clock/index.js';
-import type {StateSource} from '../../core/edges/state-source.js';
+import {sleep} from '../../core/clock/index.js';
+import type {SourceItem, StateSource} from '../../core/edges/state-source.js';
 import type {StateWriter} from '../../core/edges/state-writer.js';
 import type {Logger} from '../../core/logs/index.js';
 import type {EntryRecord} from '../../core/relay/index.js';
@@ -10,6 +11,7 @@
   ENTRIES_LONG_POLL_MS,
   ENTRIES_PAUSE_MS,
   FIRST_LIST_DELAY_MS,
+  MAX_REMOVE_AGAIN_DELAY_MS,
   REGISTRATION_RETRY_MS,
 } from './consts.js';
 
@@ -37,6 +39,8 @@
 export class EntryDirectory {
   private readonly entries = new Map<string, EntryRecord>();
   private readonly follower: Follower<EntryRecord>;
+  /** Names of entries that were removed. */
+  private readonly left = new Set<string>();
   private timer?: TimerHandle;
   private isStopped = false;
 
@@ -46,9 +50,11 @@
       what: 'entries',
       waitMs: ENTRIES_LONG_POLL_MS,
       pauseMs: ENTRIES_PAUSE_MS,
-      onSnapshot: (items) => {
+      onSnapshot: (items, {isRestored}) => {
+        if (isRestored) this.removeLeftAgain(items);
         this.entries.clear();
         for (const {name, value} of items) this.put(name, value);
+        if (isRestored) void this.register();
         void this.correctOwn();
         this.publish();
       },
@@ -121,9 +127,31 @@
     this.retry(() => this.correctOwn());
   }
 
+  /**
+   * Removes entries again that had left and that a restored store brings back. One
+   * of those that know is enough, so the others wait whether they see it.
+   */
+  private removeLeftAgain(items: ReadonlyArray<SourceItem<EntryRecord>>): void {
+    const back = items.filter(({name}) => this.left.has(name));
+    for (const {name} of back) void this.removeAgain(name);
+  }
+
+  private async removeAgain(name: string): Promise<void> {
+    const {writer, clock, random, logger} = this.options;
+    await sleep(clock, random.float() * MAX_REMOVE_AGAIN_DELAY_MS);
+    if (this.isStopped || !this.entries.has(name)) return;
+    const removed = await writer.remove(name);
+    if (removed.isErr())
+      logger.warn('entry not removed from store', {...removed.error});
+  }
+
   private put(name: string, record: EntryRecord | undefined): void {
-    if (record?.vm === name) this.entries.set(name, record);
-    else this.entries.delete(name);
+    if (record?.vm === name) {
+      this.entries.set(name, record);
+      this.left.delete(name);
+    } else if (this.entries.delete(name)) {
+      this.left.add(name);
+    }
   }
 
   private publish(): void {
--- a/test/direct/loss-alerts.test.ts
+++ b/test/direct/loss-alerts.test.ts
@@ -105,6 +105,7 @@
       },
       source: store.source(),
       onRefuted: () => undefined,
+      onRestored: () => undefined,
       clock,
       random,
       logger: SILENT_LOGGER,
