Leave no call without an answer at the end of a planned stop

It happened here: a call was taken while a fifth of the period was left, however long it could take, and what still ran 300 ms before the kill lost its connection.

Once the load balancer has had time to react (a third of the period), a call is taken only if all of its time fits; otherwise it is refused as not run, with Retry-After. What still runs 450 ms before the kill is answered, as if its deadline had passed.

GracePeriod is a class of its own now.

--- a/src/daemon/direct-main.ts
+++ b/src/daemon/direct-main.ts
@@ -140,6 +140,7 @@
     logger,
     listener: server,
     graceMs: settings.shutdownGraceMs,
+    answerOpen: () => entry.answerOpenCalls(),
     // The last log lines are written asynchronously.
     onStopped: () => setTimeout(() => process.exit(0), LOG_FLUSH_MS),
   });
--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -44,11 +44,12 @@
  * any of it is sent to the caller, so that a failed attempt can be retried.
  *
  * @example
- * new CallHandler({ctx, work}).start();
+ * new CallHandler({ctx, work, onOver}).start();
  */
 export class CallHandler {
   private readonly ctx: DirectContext;
   private readonly work: DirectWork;
+  private readonly onOver: () => void;
   private readonly triedTargets = new Set<string>();
   private readonly deadline: TimerHandle;
   private readonly poisonDetector: PoisonDetector;
@@ -62,9 +63,15 @@
   /** Whether a finished attempt may have run the call. */
   private mayHaveRun = false;
 
-  constructor(options: {ctx: DirectContext; work: DirectWork}) {
+  constructor(options: {
+    ctx: DirectContext;
+    work: DirectWork;
+    /** Called once when the call is over. */
+    onOver: () => void;
+  }) {
     this.ctx = options.ctx;
     this.work = options.work;
+    this.onOver = options.onOver;
     this.permitted = new PermittedChoice(options);
     this.poisonDetector = new PoisonDetector({
       ...options,
@@ -317,6 +324,11 @@
     this.work.res.sendRefusal({status, reason, retryAfterMs});
   }
 
+  /** Ends the call with an answer, as if its deadline had passed. */
+  expire(): void {
+    this.fail(true);
+  }
+
   /** Ends the call because its request was quarantined meanwhile. */
   private failAsPoison(): void {
     if (this.isOver) return;
@@ -345,6 +357,7 @@
 
   private stop(): void {
     this.isOver = true;
+    this.onOver();
     this.poisonDetector.close();
     this.deadline.cancel();
     this.current?.exchange.cancel();
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -73,8 +73,14 @@
 /** Share of the grace period that must remain to accept a stream. */
 export const MIN_STREAM_GRACE_SHARE = 0.9;
 
-/** Share of the grace period that must remain to accept a call. */
-export const MIN_CALL_GRACE_SHARE = 0.2;
+/** Time for the load balancer to react, as a share of the grace period. */
+export const BALANCER_NOTICE_SHARE = 0.33;
+
+/**
+ * Time before the end of the grace period at which calls that still run are
+ * answered, in milliseconds.
+ */
+export const LAST_ANSWERS_MS = 450;
 
 /** Age up to which a load report is used for placement, in milliseconds. */
 export const MAX_REPORT_AGE_MS = 120;
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -36,11 +36,9 @@
 import {TargetSet} from '../core/targets/index.js';
 import {CallHandler} from './call-handler.js';
 import {
-  MIN_CALL_GRACE_SHARE,
   CONFIG_LONG_POLL_MS,
   STARTUP_LOSSES_WAIT_MS,
   RETRY_AFTER_MS,
-  MIN_STREAM_GRACE_SHARE,
   TARGETS_PAUSE_SHARE,
   MAX_STALE_LISTS,
   STALE_TARGETS_CHECK_MS,
@@ -48,7 +46,8 @@
   CONFIG_LONG_POLL_SHARE,
   CONFIG_PAUSE_SHARE,
 } from './consts.js';
-import type {DirectContext} from './context.js';
+import type {DirectContext, DirectWork} from './context.js';
+import {GracePeriod} from './grace-period.js';
 import {LimitKeeper} from './limits/index.js';
 import {LossTracker, QuarantineSync} from './poison/index.js';
 import {Prober} from './prober.js';
@@ -96,16 +95,17 @@
   private readonly quarantineSync: QuarantineSync;
   private readonly followers: Array<Follower<unknown>> = [];
   private configFollower?: Follower<RoutingConfig>;
+  private readonly openCalls = new Set<CallHandler>();
   private hasLoadedTargets = false;
   private staleListsLeft = 0;
   private startedMs = 0;
-  /** End of the grace period, in ms on the monotonic clock, once draining. */
-  private killAtMs = Number.POSITIVE_INFINITY;
+  private readonly grace: GracePeriod;
 
   constructor(private readonly options: DirectProcessOptions) {
     const {settings, clock, random, client, metrics, logger} = options;
     this.settings = settings;
     this.gate = new OutageGate({clock});
+    this.grace = new GracePeriod({clock});
     this.keyTrust = new KeyTrust({
       clock,
       boundMs: settings.keyRevocationMs,
@@ -199,8 +199,7 @@
 
   /** Begins to drain: the process is no longer ready for new connections. */
   startDraining(): void {
-    const {clock} = this.options;
-    this.killAtMs = clock.now() + this.settings.shutdownGraceMs;
+    this.grace.begin(this.settings.shutdownGraceMs);
     this.draining.set(true);
   }
 
@@ -269,7 +268,8 @@
       });
       return;
     }
-    if (!this.hasTimeFor(route.operation)) {
+    const limitMs = Math.min(req.deadlineMs ?? Infinity, route.timeoutMs);
+    if (!this.grace.hasTimeFor(route.operation, limitMs)) {
       this.refuse(req, res, {
         status: 503,
         reason: RefusalReason.LEAVING,
@@ -277,24 +277,28 @@
       });
       return;
     }
-    const limitMs = Math.min(req.deadlineMs ?? Infinity, route.timeoutMs);
     const deadlineAtMs = req.receivedMs + limitMs;
     const work = {req, res, admitted, service, deadlineAtMs};
     if (route.operation === OperationKind.STREAM) {
       new StreamHandler({ctx, work}).start();
     } else {
-      new CallHandler({ctx, work}).start();
+      this.startCall(work);
     }
   }
 
-  /** Whether enough of the grace period remains for new work. */
-  private hasTimeFor(operation: OperationKind): boolean {
-    const leftMs = this.killAtMs - this.options.clock.now();
-    const share =
-      operation === OperationKind.STREAM
-        ? MIN_STREAM_GRACE_SHARE
-        : MIN_CALL_GRACE_SHARE;
-    return leftMs >= this.settings.shutdownGraceMs * share;
+  private startCall(work: DirectWork): void {
+    const call = new CallHandler({
+      ctx: this.ctx,
+      work,
+      onOver: () => this.openCalls.delete(call),
+    });
+    this.openCalls.add(call);
+    call.start();
+  }
+
+  /** Ends the calls that still run with an answer, before the process stops. */
+  answerOpenCalls(): void {
+    for (const call of [...this.openCalls]) call.expire();
   }
 
   private refuse(
--- a/src/direct/graceful-shutdown.ts
+++ b/src/direct/graceful-shutdown.ts
@@ -1,9 +1,7 @@
 /** Graceful shutdown: closes the listener, drains requests, then stops. */
 import type {Clock, TimerHandle} from '../core/clock/index.js';
 import type {Logger} from '../core/logs/index.js';
-
-/** Time for the load balancer to react, as a share of the grace period. */
-const BALANCER_NOTICE_SHARE = 0.33;
+import {BALANCER_NOTICE_SHARE, LAST_ANSWERS_MS} from './consts.js';
 
 /** Time between the end of the drain and the kill, in milliseconds. */
 const KILL_MARGIN_MS = 300;
@@ -23,10 +21,11 @@
  * Stops a process without aborting requests. Connections of callers close
  * after their pending responses. Idle connections are closed once the load
  * balancer has stopped routing to the process. The process stops when no
- * request is open, or shortly before the grace period ends.
+ * request is open, or shortly before the grace period ends, after it has answered
+ * the requests that it can.
  *
  * @example
- * const options = {clock, logger, listener, graceMs, onStopped};
+ * const options = {clock, logger, listener, graceMs, answerOpen, onStopped};
  * new GracefulShutdown(options).begin();
  */
 export class GracefulShutdown {
@@ -41,6 +40,8 @@
       listener: StoppableListener;
       /** Time until the process is killed. */
       graceMs: number;
+      /** Answers the requests that still run, shortly before the end. */
+      answerOpen: () => void;
       onStopped: () => void;
     },
   ) {}
@@ -56,8 +57,9 @@
   }
 
   private check(): void {
-    const {clock, listener, graceMs} = this.options;
+    const {clock, listener, graceMs, answerOpen} = this.options;
     const elapsedMs = clock.now() - this.startedMs;
+    if (elapsedMs >= graceMs - LAST_ANSWERS_MS) answerOpen();
     if (elapsedMs >= graceMs - KILL_MARGIN_MS) {
       this.finish();
       return;
--- a/stand-ins/site/target-fault.ts
+++ b/stand-ins/site/target-fault.ts
@@ -33,6 +33,8 @@
   NO_SERVER_STAMP = 'unproven',
   /** Sends two responses to one request. */
   DUPLICATE_RESPONSE = 'twice',
+  /** Runs and ends the connection inside the head of its response. */
+  CUT_HEAD = 'cut_head',
   /** Runs and never responds. */
   HANG = 'hang',
   /** Sends a response header that never ends. */
@@ -110,6 +112,8 @@
   fault: TargetFault;
   /** Id of the target. */
   id: string;
+  /** Bytes of the head that `CUT_HEAD` sends. */
+  headBytes?: number;
 }): void {
   const {req, res, fault, id: targetId} = options;
   const attemptId = String(req.headers[Header.ATTEMPT_ID] ?? '');
@@ -157,6 +161,9 @@
       socket.write(withContentLength(attemptId));
       setTimeout(() => socket.write(withContentLength(attemptId)), 20);
       break;
+    case TargetFault.CUT_HEAD:
+      socket.end(withContentLength(attemptId).slice(0, options.headBytes));
+      break;
     case TargetFault.HANG:
       break;
     default:
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -75,6 +75,8 @@
    * on the monotonic clock of the process.
    */
   readonly arrivedAtMs: number[] = [];
+  /** Bytes of a head that `TargetFault.CUT_HEAD` sends. */
+  headBytes = 0;
   /** Times of rejections on the monotonic clock of the process. */
   readonly rejectedAtMs: number[] = [];
   /** Requests that crash this target. */
@@ -307,7 +309,7 @@
     this.recordRun({req, res, body, hasFullPrefill: true});
     setTimeout(() => {
       if (this.triggersCrash(body)) this.crashOnRequest(req, body);
-      else sendResponse({req, res, fault: this.fault, id: this.id});
+      else sendResponse({...this, req, res});
     }, this.workMs);
   }
 
--- a/test/direct/graceful-shutdown.test.ts
+++ b/test/direct/graceful-shutdown.test.ts
@@ -43,6 +43,7 @@
       logger: SILENT_LOGGER,
       listener,
       graceMs: GRACE_MS,
+      answerOpen: () => undefined,
       onStopped: () => (stoppedMs = clock.now()),
     });
   });
--- a/test/support/direct-entry.ts
+++ b/test/support/direct-entry.ts
@@ -11,10 +11,14 @@
 import {Metrics} from '../../src/core/metrics/index.js';
 import {ChangeRelay} from '../../src/direct/relay/index.js';
 import {DirectProcess} from '../../src/direct/direct-process.js';
+import {GracefulShutdown} from '../../src/direct/graceful-shutdown.js';
 
 const CONFIG_APPLY_MS = 2_000;
 const TARGET_DRAIN_MS = 2_000;
 
+/** Time from the begin of a planned stop until the process is killed. */
+export const SHUTDOWN_GRACE_MS = 2_000;
+
 /** Options of a test entry. */
 export interface DirectEntryOptions {
   readonly vm: string;
@@ -72,7 +76,7 @@
         callers: {host: '127.0.0.1', port: 0},
         readiness: {host: '127.0.0.1', port: 0},
         storeUrl,
-        shutdownGraceMs: 2_000,
+        shutdownGraceMs: SHUTDOWN_GRACE_MS,
         configApplyMs: CONFIG_APPLY_MS,
         targetDrainMs: TARGET_DRAIN_MS,
         keyRevocationMs: revokeMs,
@@ -102,6 +106,21 @@
     return entry;
   }
 
+  /** Begins a planned stop; resolves once the process would exit. */
+  stopAsPlanned(): Promise<void> {
+    this.process.startDraining();
+    return new Promise((resolve) => {
+      new GracefulShutdown({
+        clock: new SystemClock(),
+        logger: SILENT_LOGGER,
+        listener: this.server,
+        graceMs: SHUTDOWN_GRACE_MS,
+        answerOpen: () => this.process.answerOpenCalls(),
+        onStopped: resolve,
+      }).begin();
+    });
+  }
+
   /** Withdraws the entry from the others, as at the begin of a planned stop. */
   leave(): Promise<void> {
     return this.relay.leave();
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -23,6 +23,8 @@
   readonly service: SiteService;
   readonly zone: string;
   readonly pace?: StreamPace;
+  /** Duration of a plain call, in milliseconds; 0 by default. */
+  readonly workMs?: number;
 }
 
 /** Options of a site. */
@@ -109,12 +111,13 @@
   /** Starts targets and waits until every entry may use all of them. */
   async addTargets(options: readonly TargetOptions[]) {
     const added: StandInTarget[] = [];
-    for (const {service, zone, pace} of options) {
+    for (const {service, zone, pace, workMs} of options) {
       const id = `i-${this.targets.length + 1}`;
       const target = new StandInTarget({
         id,
         copyNetwork: this.copyNetwork,
         pace,
+        workMs,
       });
       await target.start();
       this.copyNetwork.targetsByAddress.set(target.listenAddress, target);
