--- a/src/core/limits/recent-count.ts
+++ b/src/core/limits/recent-count.ts
@@ -22,7 +22,7 @@
 
   add(): void {
     this.advance();
-    const index = this.lastSlice % SLICES;
+    const index = indexOf(this.lastSlice);
     this.counts[index] = (this.counts[index] ?? 0) + 1;
   }
 
@@ -36,7 +36,12 @@
   private advance(): void {
     const slice = Math.floor(this.options.clock.now() / SLICE_MS);
     const expired = Math.min(SLICES, slice - this.lastSlice);
-    for (let i = 0; i < expired; i++) this.counts[(slice - i) % SLICES] = 0;
+    for (let i = 0; i < expired; i++) this.counts[indexOf(slice - i)] = 0;
     this.lastSlice = Math.max(this.lastSlice, slice);
   }
 }
+
+/** Index of a slice, also of one before the begin of the clock. */
+function indexOf(slice: number): number {
+  return ((slice % SLICES) + SLICES) % SLICES;
+}
--- a/src/direct/limits/permitted-choice.ts
+++ b/src/direct/limits/permitted-choice.ts
@@ -45,13 +45,13 @@
     this.heldBackIds.clear();
     this.shortestWaitMs = undefined;
     let target = await next();
-    while (target !== undefined) {
+    while (target?.limitPerSecond !== undefined) {
       this.heldBackIds.add(target.id);
       const need = hasNext() ? PermitNeed.OPTIONAL : PermitNeed.REQUIRED;
       if (await this.mayUse(target, need)) return target;
       target = await next();
     }
-    return undefined;
+    return target;
   }
 
   /** Whether the request may be sent to a target now. */
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -70,10 +70,11 @@
 
   /** Whether there is a target that is not held back. */
   hasTarget(): boolean {
-    const query = this.engineQuery();
-    return query.targets.some(
-      (target) => !query.excluded.has(target.id) && isAvailable(target),
-    );
+    const {excluded, heldBack} = this;
+    return this.ctx.targets
+      .ofService(this.work.service.name)
+      .filter(({id}) => !excluded.has(id) && !heldBack.has(id))
+      .some(isAvailable);
   }
 
   /**
