--- a/src/direct/limits/limit-keeper.ts
+++ b/src/direct/limits/limit-keeper.ts
@@ -21,14 +21,14 @@
   readonly clientAccount: string;
 }
 
-/** A limit and what it is told for are no one's work. */
-const NOBODY = {priority: 0, clientAccount: ''};
+/** For messages and health checks, which belong to no caller. */
+const NO_CALLER = {priority: 0, clientAccount: ''};
 
 /**
- * Asks for a permit before each send to a target that names a limit: the entry
- * that reads the store for this one, which has the shares of all its readers and
- * so lets any of them use what the others leave; or, if there is none or it does
- * not answer, this entry's own share.
+ * Asks for a permit before each send to a target that names a limit. It asks the
+ * entry that reads the store for this one: that has the shares of all entries
+ * that read through it, and lets any of them use what the others leave. If there
+ * is none or it does not answer, the permit comes out of this entry's own share.
  *
  * @example
  * const answer = await limits.request({target, need, priority, clientAccount});
@@ -73,13 +73,13 @@
   /** Counts a request that is sent in any case, such as a health check. */
   charge(target: Target): void {
     if (target.limitPerSecond === undefined) return;
-    void this.ask(toQuery({...NOBODY, target, need: PermitNeed.FORCED}));
+    void this.ask(toQuery({...NO_CALLER, target, need: PermitNeed.FORCED}));
     this.options.metrics.count(CounterName.LIMIT_PERMITS, {label: 'forced'});
   }
 
   /** Tells the granter what this entry has just heard from the target. */
   tell(target: Target): void {
-    void this.ask(toQuery({...NOBODY, target, need: PermitNeed.NONE}));
+    void this.ask(toQuery({...NO_CALLER, target, need: PermitNeed.NONE}));
   }
 
   private async ask(query: PermitQuery): Promise<PermitAnswer> {
