--- a/stand-ins/engine/batch.ts
+++ b/stand-ins/engine/batch.ts
@@ -47,7 +47,6 @@
     finished: 0,
     cancelled: 0,
     requests: [],
-    arrivedAtMs: [],
   };
   private readonly running = new Set<Job>();
   private readonly load: LaggedValue<Load>;
--- a/stand-ins/engine/server.ts
+++ b/stand-ins/engine/server.ts
@@ -71,6 +71,8 @@
   private readonly batch: Batch;
   private readonly commands: CommandLog;
   private fault = EngineFault.NONE;
+  /** Unix times of the requests, in milliseconds. */
+  private readonly arrivedAtMs: number[] = [];
 
   constructor(private readonly options: EngineOptions) {
     this.batch = new Batch(options);
@@ -86,6 +88,10 @@
         return this.health(res);
       case 'GET /counts':
         return sendJson({res, status: 200, body: this.batch.counts});
+      case 'GET /arrivals': {
+        const {arrivedAtMs} = this;
+        return sendJson({res, status: 200, body: {arrivedAtMs}});
+      }
       case 'POST /orders':
         return this.acceptCommand(call);
       case 'GET /orders':
@@ -102,7 +108,7 @@
   }
 
   private async complete({req, res}: HttpCall): Promise<void> {
-    this.batch.counts.arrivedAtMs.push(Date.now());
+    this.arrivedAtMs.push(Date.now());
     nameLimit(res, this.options.limitPerSecond);
     const generation = readGeneration(await readJson({req}));
     if (this.fault === EngineFault.FAIL_FAST) {
--- a/stand-ins/engine/types.ts
+++ b/stand-ins/engine/types.ts
@@ -81,6 +81,4 @@
   finished: number;
   cancelled: number;
   readonly requests: RequestCount[];
-  /** Unix times of the requests, in milliseconds. */
-  readonly arrivedAtMs: number[];
 }
--- a/stand-ins/service/server.ts
+++ b/stand-ins/service/server.ts
@@ -73,11 +73,13 @@
         this.recordArrival(call);
         return this.lookUp(call, item);
       case 'GET /counts': {
-        const {lookups, arrivedAtMs} = this;
-        const {perKey} = this.executions;
-        const body = {perKey, lookups, arrivedAtMs};
+        const body = {perKey: this.executions.perKey, lookups: this.lookups};
         return sendJson({res, status: 200, body});
       }
+      case 'GET /arrivals': {
+        const {arrivedAtMs} = this;
+        return sendJson({res, status: 200, body: {arrivedAtMs}});
+      }
       case 'GET /health':
         return this.health(call);
       case 'POST /faults':
--- a/test/processes/target-limits.test.ts
+++ b/test/processes/target-limits.test.ts
@@ -57,7 +57,7 @@
   });
 
 async function arrivalsAt(target: StandIn): Promise<number[]> {
-  const res = await request(`${target.url}/counts`);
+  const res = await request(`${target.url}/arrivals`);
   const counts = (await res.body.json()) as {arrivedAtMs: number[]};
   return counts.arrivedAtMs;
 }
