--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -165,7 +165,7 @@
     }
     const target = await this.permitted.choose({
       next: () => this.placer.findTarget(),
-      hasNext: () => this.placer.hasTarget(),
+      hasNext: () => this.placer.hasTarget() || this.placer.hasUnlimited(),
     });
     if (this.isOver) return;
     if (target === undefined) this.waitForTarget();
@@ -178,13 +178,17 @@
   }
 
   /**
-   * A stream that has not begun is refused if targets give no permit; one that
-   * has waits for them.
+   * A stream that has not begun is refused if targets give no permit, unless one
+   * without a limit may respond again; one that has begun waits for them.
    */
   private waitForTarget(): void {
     const {ctx, work} = this;
     const {waitMs} = this.permitted;
-    if (this.attempts > 0 || waitMs === undefined) {
+    if (waitMs === undefined || this.placer.hasUnlimited()) {
+      this.schedulePlacement();
+      return;
+    }
+    if (this.attempts > 0) {
       this.schedulePlacement(waitMs);
       return;
     }
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -77,6 +77,13 @@
       .some(isAvailable);
   }
 
+  /** Whether a target names no limit, even if it does not respond now. */
+  hasUnlimited(): boolean {
+    return this.ctx.targets
+      .ofService(this.work.service.name)
+      .some((target) => target.limitPerSecond === undefined);
+  }
+
   /**
    * Target for a copy of the runner's KV cache; undefined if none. One with a
    * limit might not permit the resumption.
