Trust no number in a permit message of another entry

Read as a newcomer: the codec of messages takes NaN and Infinity for numbers. A limit that is none would have left a bucket without permits for good, and a wait that is none would have had a stream ask for a target in a hot loop.

--- a/src/core/limits/claims.ts
+++ b/src/core/limits/claims.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '../clock/index.js';
 import {
   CLAIM_GRACE_MS,
+  MAX_CLAIMS,
   MAX_CLAIM_MS,
   MAX_REMEMBERED_ACCOUNTS,
 } from './consts.js';
@@ -48,6 +49,7 @@
   /** Keeps a place for a refused request that is told to return after a time. */
   add({priority, clientAccount}: Claimant, retryAfterMs: number): void {
     if (retryAfterMs > MAX_CLAIM_MS) return;
+    if (this.claims.length >= MAX_CLAIMS) return;
     const untilMs = this.options.clock.now() + retryAfterMs + CLAIM_GRACE_MS;
     this.claims.push({priority, clientAccount, untilMs});
   }
--- a/src/core/limits/consts.ts
+++ b/src/core/limits/consts.ts
@@ -30,6 +30,9 @@
 /** Longest wait that is kept free for a refused request, in milliseconds. */
 export const MAX_CLAIM_MS = 2_000;
 
+/** Places that are kept for refused requests of one target. */
+export const MAX_CLAIMS = 256;
+
 /** Time after its retry time for which a place is kept, in milliseconds. */
 export const CLAIM_GRACE_MS = 250;
 
--- a/src/direct/limits/permit-codec.ts
+++ b/src/direct/limits/permit-codec.ts
@@ -89,7 +89,8 @@
   message: PermitMessage,
   nowMs: number,
 ): PermitAnswer {
-  const {isGranted, retryAfterMs} = message;
+  const {isGranted} = message;
+  const retryAfterMs = clamp(message.retryAfterMs, MAX_PERMIT_WAIT_MS);
   return {isGranted, retryAfterMs, limit: toHeardLimit(message, nowMs)};
 }
 
@@ -97,11 +98,22 @@
   return {perSecond, heardAgoMs: Math.min(nowMs - heardAtMs, MAX_AGE_MS)};
 }
 
-/** Nothing was heard in the future, whatever another entry says. */
+/**
+ * Nothing was heard in the future, whatever another entry says, and a limit that is
+ * no number of requests counts as never heard.
+ */
 function toHeardLimit(
   message: AskPermitMessage | PermitMessage,
   nowMs: number,
 ): HeardLimit {
   const {perSecond, heardAgoMs} = message;
-  return {perSecond, heardAtMs: nowMs - Math.max(0, heardAgoMs)};
+  const isSound =
+    perSecond === undefined || (Number.isFinite(perSecond) && perSecond >= 0);
+  if (!isSound) return {heardAtMs: Number.NEGATIVE_INFINITY};
+  return {perSecond, heardAtMs: nowMs - clamp(heardAgoMs, MAX_AGE_MS)};
+}
+
+/** A time from 0 to a limit; the limit itself for what is no number. */
+function clamp(ms: number, maxMs: number): number {
+  return Number.isNaN(ms) ? maxMs : Math.min(Math.max(0, ms), maxMs);
 }
