Refuse no call as not run after a target has run it

A safe call that a target had run and failed (500), and whose retry reached nobody, was refused with 503, which promises that it has not run. With permits that can be refused, one more way led there. It ends with 502 now; the test got 503 before.

--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -232,6 +232,7 @@
   private onAttemptEnd(result: AttemptResult): void {
     const {target} = this.current!;
     target.recordResponse(isTargetFailure(result));
+    if (result.failure === undefined) this.mayHaveRun = true;
     this.closeAttempt();
     if (countsAsSent(result.failure)) this.sentCount++;
     const hasOtherTarget = this.chooseTarget() !== undefined;
--- a/test/direct/calls.test.ts
+++ b/test/direct/calls.test.ts
@@ -184,6 +184,14 @@
     },
   );
 
+  it('is not refused as not run after a target has run it and failed', async () => {
+    near.fault = TargetFault.ERROR;
+    far.crash();
+    const reply = await site.call({path: SAFE});
+    expect(near.runs).toHaveLength(1);
+    expect(reply.status).toBe(502);
+  });
+
   it('is refused as not run when all targets have crashed', async () => {
     far.crash();
     near.crash();
