--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -13,39 +13,7 @@
   PAUSE_AFTER_FAILURE_MS,
   FULL_AFTER_REJECT_MS,
 } from './consts.js';
-import type {TargetRecord} from './types.js';
-
-/** Load report of a target. */
-export interface ReportedLoad {
-  readonly running: number;
-  readonly waiting: number;
-  /** Number of running requests in prefill; undefined if not reported. */
-  readonly prefilling?: number;
-  /**
-   * Tokens in the KV cache that cannot be evicted; undefined if not reported.
-   */
-  readonly kvUsedTokens?: number;
-  /** Start of the reporting incarnation, as a Unix time in milliseconds. */
-  readonly startedAtMs?: number;
-  /**
-   * Attempt ids of the requests that have generated tokens; undefined if not
-   * reported.
-   */
-  readonly generatingIds?: readonly string[];
-  /** Whether the target leaves and must get no new work. */
-  readonly isLeaving?: boolean;
-  /** Requests a second that it takes; undefined if it names no limit here. */
-  readonly limitPerSecond?: number;
-}
-
-/** Work that this entry sent to a target. */
-export interface TargetWork {
-  /** Tokens in the KV cache at the end of the work; 0 for a call. */
-  readonly tokens: number;
-  readonly startedAtMs: number;
-  /** Whether the prefill of the prompt has not finished. */
-  isPrefilling: boolean;
-}
+import type {ReportedLoad, TargetRecord, TargetWork} from './types.js';
 
 /**
  * One incarnation of a target: its registration, health and load as recorded
--- a/src/core/targets/types.ts
+++ b/src/core/targets/types.ts
@@ -17,6 +17,38 @@
   readonly writeCount?: number;
 }
 
+/** Load report of a target. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  /** Number of running requests in prefill; undefined if not reported. */
+  readonly prefilling?: number;
+  /**
+   * Tokens in the KV cache that cannot be evicted; undefined if not reported.
+   */
+  readonly kvUsedTokens?: number;
+  /** Start of the reporting incarnation, as a Unix time in milliseconds. */
+  readonly startedAtMs?: number;
+  /**
+   * Attempt ids of the requests that have generated tokens; undefined if not
+   * reported.
+   */
+  readonly generatingIds?: readonly string[];
+  /** Whether the target leaves and must get no new work. */
+  readonly isLeaving?: boolean;
+  /** Requests a second that it takes; undefined if it names no limit here. */
+  readonly limitPerSecond?: number;
+}
+
+/** Work that this entry sent to a target. */
+export interface TargetWork {
+  /** Tokens in the KV cache at the end of the work; 0 for a call. */
+  readonly tokens: number;
+  readonly startedAtMs: number;
+  /** Whether the prefill of the prompt has not finished. */
+  isPrefilling: boolean;
+}
+
 /**
  * Returns the id of an incarnation of a target; a restart under the same
  * target id is another incarnation.
