Ask again for an optional permit when the next one is there

Cause: a request that could also go elsewhere was told the time after all places that are kept for refused requests, remembered for up to 1 s, and meanwhile no request asked its target; the permit that came after a third of a second was left. Only a required permit is told that time now, and only its wait becomes Retry-After.

--- a/src/core/limits/limit-pool.ts
+++ b/src/core/limits/limit-pool.ts
@@ -52,14 +52,19 @@
 
   private grantInOrder(query: PermitQuery): PermitAnswer {
     const {bucket, claims} = this;
-    if (bucket.isAvailable() && claims.countBefore(query) === 0) {
+    const before = claims.countBefore(query);
+    if (bucket.isAvailable() && before === 0) {
       bucket.take();
       claims.recordGranted(query);
       return this.grant();
     }
+    const limit = this.newest;
+    // It may ask again then, and gets the permit if nobody with a claim does.
+    if (query.need !== PermitNeed.REQUIRED)
+      return {isGranted: false, retryAfterMs: bucket.waitMs(before), limit};
     const retryAfterMs = bucket.waitMs(claims.countAhead(query));
-    if (query.need === PermitNeed.REQUIRED) claims.add(query, retryAfterMs);
-    return {isGranted: false, retryAfterMs, limit: this.newest};
+    claims.add(query, retryAfterMs);
+    return {isGranted: false, retryAfterMs, limit};
   }
 
   private grant(): PermitAnswer {
--- a/src/direct/limits/permitted-choice.ts
+++ b/src/direct/limits/permitted-choice.ts
@@ -33,7 +33,7 @@
   }
 
   /**
-   * Time until a target that is held back gives a permit, in milliseconds;
+   * Time until a target that is held back should give a permit, in milliseconds;
    * undefined if none is held back.
    */
   get waitMs(): number | undefined {
@@ -68,11 +68,13 @@
       priority: account?.priority ?? route.priority,
       clientAccount: account?.clientAccount ?? '',
     });
-    if (!isGranted)
-      this.shortestWaitMs = Math.min(
-        this.shortestWaitMs ?? Infinity,
-        retryAfterMs,
-      );
+    if (!isGranted) this.recordRefusal(need, retryAfterMs);
     return isGranted;
   }
+  /** Only for a required permit a place is kept, so its time is the true one. */
+  private recordRefusal(need: PermitNeed, waitMs: number): void {
+    const isRequired = need === PermitNeed.REQUIRED;
+    const shorterMs = Math.min(this.shortestWaitMs ?? Infinity, waitMs);
+    this.shortestWaitMs = isRequired ? waitMs : shorterMs;
+  }
 }
--- a/test/core/limits/limit-pool.test.ts
+++ b/test/core/limits/limit-pool.test.ts
@@ -49,6 +49,14 @@
     expect(ask({}).retryAfterMs).toBeCloseTo(3 * INTERVAL_MS);
   });
 
+  it('tells a request with another target when the next permit is there', () => {
+    for (let i = 0; i < 4; i++) ask({});
+    const {retryAfterMs} = ask({need: PermitNeed.OPTIONAL});
+    expect(retryAfterMs).toBeCloseTo(INTERVAL_MS);
+    clock.advance(retryAfterMs);
+    expect(ask({need: PermitNeed.OPTIONAL}).isGranted).toBe(true);
+  });
+
   it.each([
     {
       name: 'a more urgent request before a less urgent one',
