Split the following of the configuration from the entry, and generation times from streams

ConfigSync follows, applies and confirms the configuration; generation-time.ts compares a stream with the shortest times of its service.

The wait for a permit is 100 ms again: it was made 250 ms for a cause that was not the one (ask again for an optional permit when the next one is there).

--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -8,7 +8,7 @@
 } from '../core/edges/direct-caller.js';
 import type {DirectTargets} from '../core/edges/direct-target.js';
 import type {StateWriter} from '../core/edges/state-writer.js';
-import type {SourceItem, StateSource} from '../core/edges/state-source.js';
+import type {StateSource} from '../core/edges/state-source.js';
 import {RefusalReason} from '../core/errors/refusals.js';
 import type {PermitPeers} from '../core/limits/index.js';
 import type {Logger} from '../core/logs/index.js';
@@ -16,36 +16,31 @@
 import {CounterName} from '../core/metrics/index.js';
 import type {QuarantineRecord, RecordedLosses} from '../core/poison/index.js';
 import {Quarantine} from '../core/poison/index.js';
-import type {AdmittedRequest, RoutingConfig} from '../core/routes/index.js';
+import type {
+  AdmittedRequest,
+  RoutingConfig,
+  RouteTable,
+} from '../core/routes/index.js';
 import {
   admitRequest,
   OperationKind,
   pickService,
-  RouteTable,
 } from '../core/routes/index.js';
 import type {DirectSettings} from '../core/settings/direct-settings.js';
 import type {Follower} from '../core/sync/index.js';
-import {
-  ConfirmationFilter,
-  FollowerRole,
-  KeyTrust,
-  OutageGate,
-  RESTORE_SETTLE_MS,
-} from '../core/sync/index.js';
+import {KeyTrust, OutageGate} from '../core/sync/index.js';
 import type {TargetRecord} from '../core/targets/index.js';
 import {TargetSet} from '../core/targets/index.js';
 import {CallHandler} from './call-handler.js';
 import {
-  CONFIG_LONG_POLL_MS,
   STARTUP_LOSSES_WAIT_MS,
   RETRY_AFTER_MS,
   TARGETS_PAUSE_SHARE,
   MAX_STALE_LISTS,
   STALE_TARGETS_CHECK_MS,
   TARGETS_LONG_POLL_MS,
-  CONFIG_LONG_POLL_SHARE,
-  CONFIG_PAUSE_SHARE,
 } from './consts.js';
+import {ConfigSync} from './config-sync.js';
 import type {DirectContext, DirectWork} from './context.js';
 import {GracePeriod} from './grace-period.js';
 import {LimitKeeper} from './limits/index.js';
@@ -93,8 +88,8 @@
   private readonly ctx: DirectContext;
   private readonly gate: OutageGate;
   private readonly quarantineSync: QuarantineSync;
-  private readonly followers: Array<Follower<unknown>> = [];
-  private configFollower?: Follower<RoutingConfig>;
+  private readonly configSync: ConfigSync;
+  private targetFollower?: Follower<TargetRecord>;
   private readonly openCalls = new Set<CallHandler>();
   private hasLoadedTargets = false;
   private staleListsLeft = 0;
@@ -113,9 +108,17 @@
         logger.warn(
           'API keys not trusted: wall clock and monotonic clock diverged',
         );
-        this.configFollower?.refresh();
+        this.configSync.refresh();
       },
     });
+    this.configSync = new ConfigSync({
+      ...options,
+      ...settings,
+      source: options.configs,
+      routes: this.routes,
+      keyTrust: this.keyTrust,
+      gate: this.gate,
+    });
     const targets = new TargetSet({
       clock,
       onRemoved: (target) => client.releaseConnections(target.record),
@@ -183,9 +186,8 @@
   }
 
   start(): void {
-    const {configs, registrations} = this.options;
-    this.followConfigs(configs);
-    this.followTargets(registrations);
+    this.configSync.start();
+    this.followTargets(this.options.registrations);
     this.quarantineSync.start();
     this.ctx.lossTracker.start();
     this.startedMs = this.options.clock.now();
@@ -205,7 +207,8 @@
 
   /** Stops following the store. */
   stop(): void {
-    for (const follower of this.followers) follower.stop();
+    this.configSync.stop();
+    this.targetFollower?.stop();
     this.quarantineSync.stop();
     this.ctx.lossTracker.stop();
   }
@@ -317,56 +320,6 @@
     res.sendRefusal(refusal);
   }
 
-  private followConfigs(source: StateSource<RoutingConfig>): void {
-    const {clock} = this.options;
-    const filter = new ConfirmationFilter({clock});
-    const apply = (items: ReadonlyArray<SourceItem<RoutingConfig>>) => {
-      for (const {value} of items) {
-        if (value === undefined) continue;
-        filter.recordStored(value.version);
-        this.applyConfig(value);
-      }
-    };
-    const follower = createStoreFollower({
-      ...this.options,
-      what: 'configuration',
-      source,
-      waitMs: this.configLongPollMs(),
-      pauseMs: this.settings.configApplyMs * CONFIG_PAUSE_SHARE,
-      gate: this.gate,
-      role: FollowerRole.LEADER,
-      onSnapshot: (items, {isRestored}) => {
-        if (isRestored) {
-          filter.recordRestored();
-          // The first list that confirms keys.
-          clock.schedule({
-            delayMs: RESTORE_SETTLE_MS,
-            run: () => follower.refresh(),
-          });
-        }
-        apply(items);
-      },
-      onChanges: apply,
-      onConfirmed: (confirmation) => {
-        const activeVersion = this.routes.get()?.version ?? 0;
-        if (filter.accepts({confirmation, activeVersion}))
-          this.keyTrust.confirm(confirmation);
-      },
-    });
-    this.configFollower = follower;
-    this.followers.push(follower);
-    follower.start();
-  }
-
-  /** Two long polls in a row must fit into the bound on key revocation. */
-  private configLongPollMs(): number {
-    const {keyRevocationMs = Infinity} = this.settings;
-    return Math.min(
-      CONFIG_LONG_POLL_MS,
-      Math.floor(keyRevocationMs * CONFIG_LONG_POLL_SHARE),
-    );
-  }
-
   private followTargets(source: StateSource<TargetRecord>): void {
     const {targets} = this.ctx;
     const follower = createStoreFollower({
@@ -384,7 +337,7 @@
       },
       onChanges: (changes) => targets.applyChanges(changes),
     });
-    this.followers.push(follower);
+    this.targetFollower = follower;
     follower.start();
   }
 
@@ -402,15 +355,4 @@
   private isEngineService(name: string): boolean {
     return this.routes.get()?.findService(name)?.engine !== undefined;
   }
-
-  private applyConfig(config: RoutingConfig): void {
-    const currentVersion =
-      this.routes.get()?.version ?? Number.NEGATIVE_INFINITY;
-    if (config.version <= currentVersion) return;
-    this.options.logger.info('configuration applied', {
-      version: config.version,
-      routes: config.routes.length,
-    });
-    this.routes.set(new RouteTable(config));
-  }
 }
--- a/src/direct/limits/consts.ts
+++ b/src/direct/limits/consts.ts
@@ -1,7 +1,7 @@
 /** Time limits of permits that another entry grants. */
 
 /** Time within which an entry answers a question for a permit, in ms. */
-export const PERMIT_TIMEOUT_MS = 250;
+export const PERMIT_TIMEOUT_MS = 100;
 
 /**
  * Silence after which an entry no longer counts among those whose permits are
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -32,7 +32,7 @@
 import {StreamDelivery} from './stream-delivery.js';
 import {StreamLog} from './stream-log.js';
 import {canResumeAt, StreamPlacer} from './stream-placer.js';
-import {toGenerationNeed} from './min-generation-times.js';
+import {cannotMeetDeadline, recordGenerationTime} from './generation-time.js';
 import type {TargetLoss} from './stream-attempt.js';
 import {StreamAttempt} from './stream-attempt.js';
 
@@ -108,7 +108,7 @@
       this.refuse(RefusalReason.POISON);
       return;
     }
-    if (this.cannotMeetDeadline()) {
+    if (cannotMeetDeadline({ctx: this.ctx, work: this.work})) {
       this.refuse(RefusalReason.DEADLINE_UNREACHABLE);
       return;
     }
@@ -128,17 +128,6 @@
     else this.refuse(RefusalReason.POISON);
   }
 
-  /** Whether the remaining time is too short for any engine. */
-  private cannotMeetDeadline(): boolean {
-    const {req, service, deadlineAtMs} = this.work;
-    const need = toGenerationNeed(req, service);
-    if (need === undefined) return false;
-    const leftMs = deadlineAtMs - this.ctx.clock.now();
-    return this.ctx.minGenerationTimes
-      .forService(service.name)
-      .cannotFinish({need, leftMs});
-  }
-
   private refuse(reason: RefusalReason, retryAfterMs?: number): void {
     this.stop();
     const {ctx, work} = this;
@@ -262,10 +251,14 @@
   }
 
   private finish(head: TargetResponseHead): void {
+    const {ctx, work} = this;
     // After several attempts, the request may have crashed earlier targets.
     if (this.attempts === 1) this.poisonDetector.recordServed();
     this.stop();
-    this.recordGenerationTime();
+    const {firstEventMs} = this.delivery;
+    const {count: events} = this.sequence;
+    if (this.promptAttempts <= 1)
+      recordGenerationTime({ctx, work, events, firstEventMs});
     this.delivery.finish(head);
   }
 
@@ -385,23 +378,4 @@
     this.current?.cancel();
     this.current = undefined;
   }
-
-  private recordGenerationTime(): void {
-    const {req, service} = this.work;
-    const need = toGenerationNeed(req, service);
-    if (
-      need === undefined ||
-      need.receivedEvents > 0 ||
-      this.promptAttempts > 1
-    )
-      return;
-    const totalMs = this.ctx.clock.now() - req.receivedMs;
-    const {firstEventMs} = this.delivery;
-    this.ctx.minGenerationTimes.forService(service.name).addSample({
-      ...need,
-      events: this.sequence.count,
-      firstEventMs,
-      streamingMs: totalMs - firstEventMs,
-    });
-  }
 }
