--- a/review/1/play.cjs
+++ b/review/1/play.cjs
@@ -3,7 +3,7 @@
 const {fork} = require('node:child_process');
 const http = require('node:http');
 const path = require('node:path');
-const lib = require('../lib/site.cjs');
+const lib = require('../site.cjs');
 const {BOUNDS, Entry, Store} = lib;
 const {desiredState, now, runCase, send, sleep} = lib;
 
@@ -34,11 +34,12 @@
 
 /** Starts a server in a process of its own, and registers it. */
 async function startServer(options, {store, started, record}) {
-  const child = fork(path.join(__dirname, '..', 'lib', 'endless-server.cjs'));
+  const child = fork(path.join(__dirname, '..', 'endless-server.cjs'));
   started.push({stop: () => child.disconnect()});
   const entry = await new Promise((resolve) => {
     child.on('message', ({type, id, entry: wire, sent}) => {
       if (type === 'ready') resolve(wire);
+      else if (type === 'run') record.note(`${options.id} runs ${id}`);
       else if (type === 'endless')
         record.log(`${options.id} sheds ${id} with a body without end`);
       else if (type === 'closed')
--- a/review/2/play.cjs
+++ b/review/2/play.cjs
@@ -3,7 +3,7 @@
 const {fork} = require('node:child_process');
 const http = require('node:http');
 const path = require('node:path');
-const lib = require('../lib/site.cjs');
+const lib = require('../site.cjs');
 const {Entry, Store, TargetServer} = lib;
 const {desiredState, now, runCase, send, sleep} = lib;
 
@@ -29,11 +29,12 @@
 
 /** Starts a faulty server in a process of its own, and registers it. */
 async function startFaulty(id, {store, started, record, isTroubled}) {
-  const child = fork(path.join(__dirname, '..', 'lib', 'endless-server.cjs'));
+  const child = fork(path.join(__dirname, '..', 'endless-server.cjs'));
   started.push({stop: () => child.disconnect()});
   const entry = await new Promise((resolve) => {
     child.on('message', ({type, id: request, entry: wire, sent}) => {
       if (type === 'ready') resolve(wire);
+      else if (type === 'run') record.note(`${id} runs ${request}`);
       else if (type === 'endless')
         record.log(`${id} answers ${request} with a body without end`);
       else if (type === 'closed')
--- a/review/3/play.cjs
+++ b/review/3/play.cjs
@@ -3,7 +3,7 @@
 const {fork} = require('node:child_process');
 const http = require('node:http');
 const path = require('node:path');
-const lib = require('../lib/site.cjs');
+const lib = require('../site.cjs');
 const {ENGINE, Entry, Store, TargetServer} = lib;
 const {desiredState, now, runCase, send, sleep} = lib;
 
@@ -42,13 +42,15 @@
 
 /** Starts an engine in a process of its own; resolves to its registration. */
 function startEngine(options, {started, record, onRun}) {
-  const child = fork(path.join(__dirname, '..', 'lib', 'endless-engine.cjs'));
+  const child = fork(path.join(__dirname, '..', 'endless-engine.cjs'));
   started.push({stop: () => child.disconnect()});
   return new Promise((resolve) => {
     child.on('message', ({type, id, entry, sent}) => {
       if (type === 'ready') resolve(entry);
-      else if (type === 'run') onRun(id);
-      else if (type === 'endless')
+      else if (type === 'run') {
+        record.note(`${options.id} runs ${id}`);
+        onRun(id);
+      } else if (type === 'endless')
         record.log(
           `${options.id} sends line breaks without end as the answer to ${id}`,
         );
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 set -e
 cd "$(dirname "$0")"
 test -f ../target/direct.cjs || (cd .. && npm run --silent bundle)
-for file in lib/*.cjs */play.cjs; do node --check "$file"; done
+for file in *.cjs */play.cjs; do node --check "$file"; done
 echo "the stand-ins are ready"
--- a/review/lib/site.cjs
+++ b/review/site.cjs
@@ -11,13 +11,16 @@
 const os = require('node:os');
 const path = require('node:path');
 
-const ROOT = path.resolve(__dirname, '..', '..');
+const ROOT = path.resolve(__dirname, '..');
 const T0 = process.hrtime.bigint();
 
 /** Milliseconds since the script began. */
 const now = () => Number(process.hrtime.bigint() - T0) / 1e6;
 const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
+/** The record of the case that this process plays, if it plays one. */
+let played;
+
 /** Writes what was sent, answered and run to record.txt of a case. */
 class Recorder {
   constructor(folder) {
@@ -25,6 +28,12 @@
     fs.writeFileSync(this.file, '');
   }
 
+  /** Writes a line to the file only. */
+  note(text) {
+    const at = `${(now() / 1000).toFixed(3).padStart(8)} s`;
+    fs.appendFileSync(this.file, `${at}  ${text}\n`);
+  }
+
   log(text) {
     const line = `${(now() / 1000).toFixed(3).padStart(8)} s  ${text}\n`;
     fs.appendFileSync(this.file, line);
@@ -358,6 +367,7 @@
     const run = {id, atMs: now(), made: 0, isOpen: true, path: req.url};
     run.key = req.headers['tenant'];
     this.runs.push(run);
+    played?.note(`${this.id} runs ${id}`);
     this.active++;
     this.onRun?.(run, req);
     res.on('close', () => {
@@ -552,11 +562,14 @@
   body = '',
 }) {
   const sentMs = now();
+  played?.note(`client sends ${id} to ${entry.name}`);
   const result = {id, sentMs, status: undefined, body: '', isWhole: false};
   return new Promise((resolve) => {
     const finish = (end) => {
       if (result.end !== undefined) return;
       Object.assign(result, {end, endMs: now()});
+      const answer = result.status ?? 'no status';
+      played?.note(`client of ${id} at ${entry.name}: ${answer}, ${end}`);
       clearTimeout(timer);
       resolve(result);
     };
@@ -645,6 +658,7 @@
 /** Runs a case: its exit status, its clean-up and its time limit. */
 function runCase(folder, play) {
   const record = new Recorder(folder);
+  played = record;
   const temporary = fs.mkdtempSync(path.join(os.tmpdir(), 'review-'));
   const isTroubled = process.env.TROUBLE !== '0';
   const started = [];
