Bound what a target can make an entry read, and keep a response as one block

Cause: ResponseBody bounded the sum of the bytes but kept each piece as an object. A body in chunks of one byte makes four million pieces of 4 MiB, each with a view of the read buffer that it came in; the heap of the deploy file holds far fewer. The same class: nothing bounded bytes that never become a body. A status line, informational responses and chunk extensions without end were read until the deadline, as fast as they came.

Change: ByteBuffer copies pieces into one block.

--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -4,12 +4,25 @@
 import {Agent, request} from 'undici';
 
 import {scheduleTimer} from '../core/clock/index.js';
+import {ByteBuffer} from '../core/bytes/index.js';
 import type {HeaderField} from '../core/edges/index.js';
 import {createConnector} from './http-connector.js';
 
 /** Time to open a connection, in milliseconds. */
 export const CONNECT_TIMEOUT_MS = 1_000;
 
+/**
+ * Bytes that a response may take on its connection by default: its headers,
+ * its framing and its body.
+ */
+const DEFAULT_RESPONSE_BYTES = 16 * 1024 * 1024;
+
+/** Pieces of a body that may be small, whatever their size. */
+const MAX_SMALL_PIECES = 16 * 1024;
+
+/** Mean size of the other pieces, at least, in bytes. */
+const MIN_MEAN_PIECE_BYTES = 8;
+
 /** Lowest status of an error response. */
 export const FIRST_ERROR_STATUS = 400;
 
@@ -88,10 +101,16 @@
   keepsAlive: boolean;
   /** CONNECT_TIMEOUT_MS by default. */
   connectTimeoutMs?: number;
+  /**
+   * Bytes that one response may take on its connection; more close it.
+   * DEFAULT_RESPONSE_BYTES by default.
+   */
+  responseBytes?: number;
 }): Dispatcher {
   return new Agent({
     connect: createConnector({
       timeoutMs: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+      responseBytes: options.responseBytes ?? DEFAULT_RESPONSE_BYTES,
     }),
     headersTimeout: 0,
     bodyTimeout: 0,
@@ -191,17 +210,18 @@
   body: Dispatcher.ResponseData['body'],
   maxBytes = Number.POSITIVE_INFINITY,
 ): Promise<Uint8Array> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
+  const buffer = new ByteBuffer();
+  let pieces = 0;
   for await (const chunk of body as AsyncIterable<Uint8Array>) {
-    size += chunk.length;
-    if (size > maxBytes) {
-      // Exiting the loop destroys the body and its connection.
+    buffer.push(chunk);
+    pieces++;
+    // Exiting the loop destroys the body and its connection.
+    if (buffer.length > maxBytes)
       throw new BodyTooLargeError(`the answer is over ${maxBytes} bytes`);
-    }
-    chunks.push(chunk);
+    if (pieces > MAX_SMALL_PIECES + buffer.length / MIN_MEAN_PIECE_BYTES)
+      throw new BodyTooLargeError(`the answer comes in ${pieces} pieces`);
   }
-  return Buffer.concat(chunks);
+  return buffer.toBytes();
 }
 
 /**
--- /dev/null
+++ b/src/core/bytes/byte-buffer.ts
@@ -0,0 +1,55 @@
+/** Collects the bytes of one message in a single block of memory. */
+
+/** Smallest block, in bytes. */
+const MIN_CAPACITY = 1_024;
+
+const GROWTH_FACTOR = 2;
+
+/**
+ * Copies pieces into one growing block, so that memory depends on the number
+ * of bytes only, never on the number or the origin of the pieces.
+ *
+ * @example
+ * const buffer = new ByteBuffer();
+ * buffer.push(chunk);
+ * const body = buffer.toBytes();
+ */
+export class ByteBuffer {
+  private block: Buffer;
+  private size = 0;
+
+  constructor(options: {capacity?: number} = {}) {
+    this.block = Buffer.allocUnsafeSlow(options.capacity ?? 0);
+  }
+
+  /** Number of collected bytes. */
+  get length(): number {
+    return this.size;
+  }
+
+  push(piece: Uint8Array): void {
+    this.reserve(this.size + piece.length);
+    this.block.set(piece, this.size);
+    this.size += piece.length;
+  }
+
+  /** The collected bytes; later pushes leave them as they are. */
+  toBytes(): Buffer {
+    return this.block.subarray(0, this.size);
+  }
+
+  clear(): void {
+    this.block = Buffer.allocUnsafeSlow(0);
+    this.size = 0;
+  }
+
+  private reserve(needed: number): void {
+    if (needed <= this.block.length) return;
+    const doubled = this.block.length * GROWTH_FACTOR;
+    const grown = Buffer.allocUnsafeSlow(
+      Math.max(MIN_CAPACITY, doubled, needed),
+    );
+    this.block.copy(grown, 0, 0, this.size);
+    this.block = grown;
+  }
+}
--- /dev/null
+++ b/src/core/bytes/index.ts
@@ -0,0 +1,2 @@
+/** Bytes of messages. */
+export {ByteBuffer} from './byte-buffer.js';
--- a/src/direct/response-body.ts
+++ b/src/direct/response-body.ts
@@ -1,4 +1,5 @@
 /** Buffers the body of a response, up to a size limit. */
+import {ByteBuffer} from '../core/bytes/index.js';
 
 /** Largest response, or event of a stream, that is buffered, in bytes. */
 export const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
@@ -16,23 +17,22 @@
  * if (body.isTooLarge) exchange.cancel();
  */
 export class ResponseBody {
-  private chunks: Uint8Array[] = [];
-  private size = 0;
+  private readonly buffer = new ByteBuffer();
+  private hasOverflowed = false;
 
   /** Whether the limit has been exceeded. */
   get isTooLarge(): boolean {
-    return this.size > MAX_RESPONSE_BYTES;
+    return this.hasOverflowed;
   }
 
   push(chunk: Uint8Array): void {
-    this.size += chunk.length;
-    if (this.isTooLarge) this.chunks = [];
-    else this.chunks.push(chunk);
+    this.hasOverflowed ||=
+      this.buffer.length + chunk.length > MAX_RESPONSE_BYTES;
+    if (this.hasOverflowed) this.buffer.clear();
+    else this.buffer.push(chunk);
   }
 
   toBytes(): Uint8Array {
-    return this.chunks.length === 1
-      ? this.chunks[0]!
-      : Buffer.concat(this.chunks);
+    return this.buffer.toBytes();
   }
 }
--- /dev/null
+++ b/stand-ins/site/endless-response.ts
@@ -0,0 +1,96 @@
+/** Responses of a target that never end. */
+import type {IncomingMessage} from 'node:http';
+
+import {Header} from '../../platform/names.js';
+import {TargetFault} from './target-fault.js';
+
+/** Approximate size of a write of an endless response, in bytes. */
+const WRITE_BYTES = 65_536;
+
+/** What an endless response consists of. */
+interface EndlessResponse {
+  /** Sent once; `{id}` stands for the headers that identify the response. */
+  readonly start: string;
+  /** Sent again and again. */
+  readonly repeated: string;
+}
+
+const ID = '{id}';
+
+const CHUNKED = `${ID}Transfer-Encoding: chunked\r\n\r\n`;
+
+const ONE_BYTE_CHUNK = '1\r\nx\r\n';
+
+const RESPONSES: Partial<Record<TargetFault, EndlessResponse>> = {
+  [TargetFault.ENDLESS_HEAD]: {
+    start: `HTTP/1.1 200 OK\r\n${ID}X: `,
+    repeated: 'x',
+  },
+  [TargetFault.ENDLESS_BODY]: {
+    start: `HTTP/1.1 200 OK\r\n${ID}\r\n`,
+    repeated: 'x',
+  },
+  [TargetFault.ENDLESS_FAILURE]: {
+    start: `HTTP/1.1 500 Failed\r\n${ID}\r\n`,
+    repeated: 'x',
+  },
+  [TargetFault.ENDLESS_INVALID]: {start: '', repeated: 'x'},
+  [TargetFault.ENDLESS_STATUS_LINE]: {start: 'HTTP/1.1 200 ', repeated: 'x'},
+  [TargetFault.ENDLESS_INFORMATIONAL]: {
+    start: '',
+    repeated: 'HTTP/1.1 102 Processing\r\n\r\n',
+  },
+  [TargetFault.ENDLESS_CHUNKS]: {
+    start: `HTTP/1.1 200 OK\r\n${CHUNKED}`,
+    repeated: ONE_BYTE_CHUNK,
+  },
+  [TargetFault.ENDLESS_FAILURE_CHUNKS]: {
+    start: `HTTP/1.1 500 Failed\r\n${CHUNKED}`,
+    repeated: ONE_BYTE_CHUNK,
+  },
+  [TargetFault.ENDLESS_CHUNK_EXTENSION]: {
+    start: `HTTP/1.1 200 OK\r\n${CHUNKED}1;x=`,
+    repeated: 'x',
+  },
+  [TargetFault.ENDLESS_TRAILERS]: {
+    start: `HTTP/1.1 200 OK\r\n${CHUNKED}${ONE_BYTE_CHUNK}0\r\n`,
+    repeated: 'X: y\r\n',
+  },
+  [TargetFault.ENDLESS_AFTER_RESPONSE]: {
+    start: `HTTP/1.1 200 OK\r\n${ID}Content-Length: 2\r\n\r\nok`,
+    repeated: '\r\n',
+  },
+};
+
+/** Returns whether a fault sends bytes until the client closes. */
+export function isEndless(fault: TargetFault): boolean {
+  return RESPONSES[fault] !== undefined;
+}
+
+/**
+ * Sends bytes as fast as the client reads, until it closes.
+ *
+ * @example
+ * sendEndlessResponse({req, fault: TargetFault.ENDLESS_HEAD, onBytes: count});
+ */
+export function sendEndlessResponse(options: {
+  req: IncomingMessage;
+  fault: TargetFault;
+  /** Called with the size of each write. */
+  onBytes: (bytes: number) => void;
+}): void {
+  const {req, fault, onBytes} = options;
+  const {socket, headers} = req;
+  const attemptId = String(headers[Header.ATTEMPT_ID] ?? '');
+  const {start, repeated} = RESPONSES[fault]!;
+  const id = `Attempt-Id: ${attemptId}\r\nServer-Stamp: s\r\n`;
+  const count = Math.ceil(WRITE_BYTES / repeated.length);
+  const chunk = Buffer.from(repeated.repeat(count));
+  const writeChunk = () => {
+    if (socket.destroyed) return;
+    onBytes(chunk.length);
+    socket.write(chunk, () => setImmediate(writeChunk));
+  };
+  socket.write(start.replace(ID, id));
+  writeChunk();
+}
--- a/stand-ins/site/target-fault.ts
+++ b/stand-ins/site/target-fault.ts
@@ -45,6 +45,20 @@
   ENDLESS_FAILURE = 'endless_failure',
   /** Sends bytes that are not HTTP and never end. */
   ENDLESS_INVALID = 'endless_noise',
+  /** Sends a status line that never ends. */
+  ENDLESS_STATUS_LINE = 'endless_status_line',
+  /** Sends informational responses and no other. */
+  ENDLESS_INFORMATIONAL = 'endless_informational',
+  /** Sends a response body without end in chunks of one byte. */
+  ENDLESS_CHUNKS = 'endless_chunks',
+  /** The same in the body of a 500 response. */
+  ENDLESS_FAILURE_CHUNKS = 'endless_failure_chunks',
+  /** Sends an extension of a chunk that never ends. */
+  ENDLESS_CHUNK_EXTENSION = 'endless_chunk_extension',
+  /** Sends trailers without end. */
+  ENDLESS_TRAILERS = 'endless_trailers',
+  /** Sends line breaks without end after a complete response. */
+  ENDLESS_AFTER_RESPONSE = 'endless_after_response',
   /** Runs each stream and loses its response; the connection stays open. */
   LOSE_STREAMS = 'lose_runs',
   /** Sends single bytes after the first events of each stream, and no event. */
@@ -53,13 +67,6 @@
   DROP_STREAMS = 'drop_runs',
 }
 
-const ENDLESS: ReadonlySet<TargetFault> = new Set([
-  TargetFault.ENDLESS_HEAD,
-  TargetFault.ENDLESS_BODY,
-  TargetFault.ENDLESS_FAILURE,
-  TargetFault.ENDLESS_INVALID,
-]);
-
 /** Returns whether a target sends earlier rejections once more. */
 export function repeatsRejections(fault: TargetFault): boolean {
   return (
@@ -92,14 +99,6 @@
 /** Events of a stream before it sends single bytes only. */
 export const EVENTS_BEFORE_DRIP = 3;
 
-/** Bytes per write of an endless response. */
-const CHUNK_BYTES = 65_536;
-
-/** Returns whether a fault sends bytes until the client closes. */
-export function isEndless(fault: TargetFault): boolean {
-  return ENDLESS.has(fault);
-}
-
 /**
  * Responds to a plain call, correctly or with a fault.
  *
@@ -174,34 +173,3 @@
       res.end(text);
   }
 }
-
-/**
- * Sends bytes as fast as the client reads, until it closes.
- *
- * @example
- * sendEndlessResponse({req, fault: TargetFault.ENDLESS_HEAD, onBytes: count});
- */
-export function sendEndlessResponse(options: {
-  req: IncomingMessage;
-  fault: TargetFault;
-  /** Called with the size of each write. */
-  onBytes: (bytes: number) => void;
-}): void {
-  const {req, fault, onBytes} = options;
-  const {socket, headers} = req;
-  const attemptId = String(headers[Header.ATTEMPT_ID] ?? '');
-  const requiredHeaders = `Attempt-Id: ${attemptId}\r\nServer-Stamp: s\r\n`;
-  const heads: Partial<Record<TargetFault, string>> = {
-    [TargetFault.ENDLESS_HEAD]: `HTTP/1.1 200 OK\r\n${requiredHeaders}X: `,
-    [TargetFault.ENDLESS_BODY]: `HTTP/1.1 200 OK\r\n${requiredHeaders}\r\n`,
-    [TargetFault.ENDLESS_FAILURE]: `HTTP/1.1 500 Failed\r\n${requiredHeaders}\r\n`,
-  };
-  socket.write(heads[fault] ?? '');
-  const chunk = Buffer.alloc(CHUNK_BYTES, 'x');
-  const writeChunk = () => {
-    if (socket.destroyed) return;
-    onBytes(chunk.length);
-    socket.write(chunk, () => setImmediate(writeChunk));
-  };
-  writeChunk();
-}
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -9,15 +9,14 @@
 import type {CopyNetwork} from './copy-network.js';
 import {COPIES_PATH} from './copy-network.js';
 import {DEFAULT_BORN_MS, registrationOf} from './registration.js';
+import {isEndless, sendEndlessResponse} from './endless-response.js';
 import {
   EVENTS_BEFORE_DRIP,
   sendResponse,
   TargetFault,
   allowsStreams,
   encodeRejection,
-  isEndless,
   repeatsRejections,
-  sendEndlessResponse,
 } from './target-fault.js';
 import type {
   CrashRecord,
--- a/test/direct/endless-responses.test.ts
+++ b/test/direct/endless-responses.test.ts
@@ -23,6 +23,12 @@
   TargetFault.ENDLESS_BODY,
   TargetFault.ENDLESS_FAILURE,
   TargetFault.ENDLESS_INVALID,
+  TargetFault.ENDLESS_STATUS_LINE,
+  TargetFault.ENDLESS_INFORMATIONAL,
+  TargetFault.ENDLESS_CHUNKS,
+  TargetFault.ENDLESS_FAILURE_CHUNKS,
+  TargetFault.ENDLESS_CHUNK_EXTENSION,
+  TargetFault.ENDLESS_TRAILERS,
 ];
 
 /** The target in the entry's data centre is faulty; another one is not. */
