--- a/stand-ins/site/endless-response.ts
+++ b/stand-ins/site/endless-response.ts
@@ -13,8 +13,13 @@
   readonly start: string;
   /** Sent again and again. */
   readonly repeated: string;
+  /** Whether it is sent now and then; as fast as the client reads by default. */
+  readonly isSlow?: boolean;
 }
 
+/** Pause between the parts of a slow response, in milliseconds. */
+const SLOW_PAUSE_MS = 20;
+
 const ID = '{id}';
 
 const CHUNKED = `${ID}Transfer-Encoding: chunked\r\n\r\n`;
@@ -56,6 +61,19 @@
     start: `HTTP/1.1 200 OK\r\n${CHUNKED}${ONE_BYTE_CHUNK}0\r\n`,
     repeated: 'X: y\r\n',
   },
+  [TargetFault.ENDLESS_REJECTION]: {
+    start: `HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n${CHUNKED}`,
+    repeated: ONE_BYTE_CHUNK,
+  },
+  [TargetFault.ENDLESS_MISDIRECTED]: {
+    start: `HTTP/1.1 421 Another\r\n${ID}\r\n`,
+    repeated: 'x',
+  },
+  [TargetFault.DRIPPING_REJECTION]: {
+    start: `HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n${CHUNKED}`,
+    repeated: ONE_BYTE_CHUNK,
+    isSlow: true,
+  },
   [TargetFault.ENDLESS_AFTER_RESPONSE]: {
     start: `HTTP/1.1 200 OK\r\n${ID}Content-Length: 2\r\n\r\nok`,
     repeated: '\r\n',
@@ -82,14 +100,17 @@
   const {req, fault, onBytes} = options;
   const {socket, headers} = req;
   const attemptId = String(headers[Header.ATTEMPT_ID] ?? '');
-  const {start, repeated} = RESPONSES[fault]!;
+  const {start, repeated, isSlow = false} = RESPONSES[fault]!;
   const id = `Attempt-Id: ${attemptId}\r\nServer-Stamp: s\r\n`;
-  const count = Math.ceil(WRITE_BYTES / repeated.length);
+  const count = isSlow ? 1 : Math.ceil(WRITE_BYTES / repeated.length);
   const chunk = Buffer.from(repeated.repeat(count));
   const writeChunk = () => {
     if (socket.destroyed) return;
     onBytes(chunk.length);
-    socket.write(chunk, () => setImmediate(writeChunk));
+    socket.write(chunk, () => {
+      if (isSlow) setTimeout(writeChunk, SLOW_PAUSE_MS);
+      else setImmediate(writeChunk);
+    });
   };
   socket.write(start.replace(ID, id));
   writeChunk();
--- a/stand-ins/site/target-fault.ts
+++ b/stand-ins/site/target-fault.ts
@@ -57,6 +57,12 @@
   ENDLESS_CHUNK_EXTENSION = 'endless_chunk_extension',
   /** Sends trailers without end. */
   ENDLESS_TRAILERS = 'endless_trailers',
+  /** Rejects with a body without end in chunks of one byte. */
+  ENDLESS_REJECTION = 'endless_rejection',
+  /** Rejects as another target would, with a body without end. */
+  ENDLESS_MISDIRECTED = 'endless_misdirected',
+  /** Rejects with a body of which a byte comes now and then. */
+  DRIPPING_REJECTION = 'dripping_rejection',
   /** Sends line breaks without end after a complete response. */
   ENDLESS_AFTER_RESPONSE = 'endless_after_response',
   /** Runs each stream and loses its response; the connection stays open. */
--- a/test/direct/endless-responses.test.ts
+++ b/test/direct/endless-responses.test.ts
@@ -38,6 +38,29 @@
   {fault, path: STREAM, status: 200},
 ]);
 
+/** Faults after which nothing of the response is wanted. */
+const SETTLED_FAULTS = [
+  TargetFault.ENDLESS_REJECTION,
+  TargetFault.ENDLESS_MISDIRECTED,
+  TargetFault.DRIPPING_REJECTION,
+  TargetFault.ENDLESS_AFTER_RESPONSE,
+];
+
+const REJECTIONS: ReadonlySet<TargetFault> = new Set([
+  TargetFault.ENDLESS_REJECTION,
+  TargetFault.DRIPPING_REJECTION,
+]);
+
+const SETTLED_CASES = SETTLED_FAULTS.flatMap((fault) =>
+  [SAFE, UNSAFE, STREAM].map((path) => ({fault, path})),
+).filter(({fault, path}) => {
+  const isCall = fault === TargetFault.ENDLESS_AFTER_RESPONSE;
+  return !isCall || path !== STREAM;
+});
+
+/** Time after which no byte of a response is read that nobody wants. */
+const SETTLED_MS = 600;
+
 describe('an endless response', () => {
   let site: DirectSite;
 
@@ -70,4 +93,30 @@
     await new Promise((resolve) => setTimeout(resolve, 100));
     expect(endless!.endlessBytes).toBe(sent);
   });
+
+  // Guards against connections that are read for good (review, case 1).
+  it.each(SETTLED_CASES)('to $path is not read on: $fault', async (row) => {
+    const {fault, path} = row;
+    const isStream = path === STREAM;
+    const service = isStream ? SiteService.WRITERS : SiteService.DESK;
+    const pace = isStream ? PACE : undefined;
+    const [endless] = await site.addTargets([
+      {service, zone: 'a', pace},
+      {service, zone: 'c', pace},
+    ]);
+    endless!.fault = fault;
+    let status = 0;
+    for (let i = 0; i < MAX_CALLS && endless!.runs.length === 0; i++) {
+      ({status} = await site.call({path, agent: new Agent()}));
+    }
+    expect(endless!.runs).toHaveLength(1);
+    // A call that may run once is sent to one target only, and did not run.
+    const isRefused = path === UNSAFE && REJECTIONS.has(fault);
+    expect(status).toBe(isRefused ? 503 : 200);
+    await new Promise((resolve) => setTimeout(resolve, SETTLED_MS));
+    const sent = endless!.endlessBytes;
+    expect(sent).toBeLessThan(MAX_BYTES);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    expect(endless!.endlessBytes).toBe(sent);
+  });
 });
