Wait for a port that a former process still has

Reproduced with real processes: a port for callers, readiness or metrics that is still taken for 1.5 s ends the entry with status 1.

Cause: listen() failed once with EADDRINUSE, and the rejection left main. After a first error of a listening server its only error listener was gone, so a second accept that failed for want of descriptors would have ended the process as well (read in the source, not shown).

Change: listenWhenFree tries each 25 ms until the address is free, says so in the log each second, and keeps a listener for later errors. Readiness comes after the callers' port; metrics do not hold up the start.

--- a/src/daemon/direct-main.ts
+++ b/src/daemon/direct-main.ts
@@ -15,13 +15,11 @@
 import {CallerServer} from '../../platform/caller-server.js';
 import {SETTINGS_PATH_VARIABLE, Path} from '../../platform/names.js';
 import {createPlatformEdges} from '../../platform/platform-edges.js';
+import {listenWhenFree} from '../adapters/listen-when-free.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
 import {BoundedSink, createLogger} from '../core/logs/index.js';
 import {CounterName, Metrics} from '../core/metrics/index.js';
-import type {
-  DirectSettings,
-  ListenAddress,
-} from '../core/settings/direct-settings.js';
+import type {DirectSettings} from '../core/settings/direct-settings.js';
 import {DirectProcess} from '../direct/direct-process.js';
 import {ChangeRelay} from '../direct/relay/index.js';
 import {GracefulShutdown} from '../direct/graceful-shutdown.js';
@@ -120,6 +118,7 @@
   });
   const server = new CallerServer({
     clock,
+    logger,
     handler: {
       handle: (req, res) => entry.handle(req, res),
       isDraining: () => entry.draining.get(),
@@ -160,21 +159,38 @@
     writer: edges.entryWriter,
     source: edges.entrySource,
   });
-  await listen(settings.readiness, (req, res) => {
-    const isReadinessPath = req.url === (Path.READY as string);
-    res.statusCode = isReadinessPath ? (entry.isReady() ? 200 : 503) : 404;
-    res.end();
-  });
   await server.listen(settings.callers);
-  const metricsAddress = {host: settings.address, port: metricsPort};
-  await listen(metricsAddress, (req, res) => {
-    void serveMetrics({req, res, metrics});
+  // Callers are sent here once it responds, so it comes after their server.
+  await listenWhenFree({
+    server: createServer((req, res) => serveReadiness({req, res, entry})),
+    address: settings.readiness,
+    clock,
+    logger,
   });
+  void listenWhenFree({
+    server: createServer((req, res) => void serveMetrics({req, res, metrics})),
+    address: {host: settings.address, port: metricsPort},
+    clock,
+    logger,
+  }).catch((e: unknown) =>
+    logger.error('metrics are not served', {detail: String(e)}),
+  );
   logger.info('started', {callers: settings.callers.port, metricsPort});
   await watcher.check();
   watcher.start();
 }
 
+function serveReadiness(options: {
+  req: IncomingMessage;
+  res: ServerResponse;
+  entry: DirectProcess;
+}): void {
+  const {req, res, entry} = options;
+  const isReadinessPath = req.url === (Path.READY as string);
+  res.statusCode = isReadinessPath ? (entry.isReady() ? 200 : 503) : 404;
+  res.end();
+}
+
 async function serveMetrics(options: {
   req: IncomingMessage;
   res: ServerResponse;
@@ -189,17 +205,6 @@
   res.end(await metrics.render());
 }
 
-function listen(
-  address: ListenAddress,
-  serve: (req: IncomingMessage, res: ServerResponse) => void,
-): Promise<void> {
-  const server = createServer(serve);
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(address, () => resolve());
-  });
-}
-
 function parsePort(text: string): number {
   const port = Number(text);
   const isValid = Number.isInteger(port) && port > 0 && port <= MAX_PORT;
--- a/test/support/direct-entry.ts
+++ b/test/support/direct-entry.ts
@@ -91,6 +91,7 @@
     });
     this.server = new CallerServer({
       clock,
+      logger,
       handler: {
         handle: (req, res) => this.process.handle(req, res),
         isDraining: () => this.process.draining.get(),
