Bound the memory of all bodies that an entry holds

Reproduced with real processes, 200 MB allowed,: 30 orders of 4 MiB at once reach 344 MB, 60 reach 527 MB, 60 with a wrong key 287 MB, 60 that never end 346 MB and are never answered.

Cause: each body was read into pieces, joined and copied once more, whatever other bodies were held, and before its key was looked at. Nothing ended a body that did not come.

Change: MemoryBudget is one bound for the process, 15% of memory_mb, shared by bodies of requests, of responses and responses that are not sent yet; the first 16 KiB of each are free, so that small requests go on.

--- a/src/core/bytes/byte-buffer.ts
+++ b/src/core/bytes/byte-buffer.ts
@@ -49,10 +49,15 @@
   private reserve(needed: number): void {
     if (needed <= this.block.length) return;
     const doubled = this.block.length * GROWTH_FACTOR;
-    const grown = Buffer.allocUnsafeSlow(
-      Math.max(MIN_CAPACITY, doubled, needed),
-    );
+    const grown = allocate(Math.max(MIN_CAPACITY, doubled, needed));
     this.block.copy(grown, 0, 0, this.size);
     this.block = grown;
   }
 }
+
+/** Large blocks do not share memory with others, which would keep them. */
+function allocate(bytes: number): Buffer {
+  return bytes > MIN_CAPACITY
+    ? Buffer.allocUnsafeSlow(bytes)
+    : Buffer.allocUnsafe(bytes);
+}
--- /dev/null
+++ b/src/core/bytes/memory-budget.ts
@@ -0,0 +1,67 @@
+/** Bounds the memory of all messages that a process holds at once. */
+
+/** Bytes of each message that are not counted, so that small ones go on. */
+const EXEMPT_BYTES = 16 * 1024;
+
+/**
+ * Memory for messages. Each message reserves what it holds beyond the exempt
+ * bytes, and gives it back when it is over.
+ *
+ * @example
+ * const budget = new MemoryBudget({limitBytes: 40 * 1024 * 1024});
+ * const share = budget.open();
+ * if (!share.resize(body.length)) refuse();
+ * share.release();
+ */
+export class MemoryBudget {
+  private used = 0;
+  private limitBytes: number;
+
+  constructor(options: {limitBytes: number}) {
+    this.limitBytes = options.limitBytes;
+  }
+
+  /** Bytes that are reserved now. */
+  get usedBytes(): number {
+    return this.used;
+  }
+
+  /** Changes the limit; what is reserved stays reserved. */
+  setLimit(limitBytes: number): void {
+    this.limitBytes = limitBytes;
+  }
+
+  /** Begins to count a message, which holds nothing yet. */
+  open(): MemoryShare {
+    return new MemoryShare((bytes) => this.take(bytes));
+  }
+
+  /** Changes what is reserved; false if that would exceed the limit. */
+  private take(bytes: number): boolean {
+    if (bytes > 0 && this.used + bytes > this.limitBytes) return false;
+    this.used += bytes;
+    return true;
+  }
+}
+
+/** The memory of one message. */
+export class MemoryShare {
+  private reserved = 0;
+
+  /** Created by `MemoryBudget.open`. */
+  constructor(private readonly take: (bytes: number) => boolean) {}
+
+  /** Reserves memory for a message of a size; false if there is not enough. */
+  resize(bytes: number): boolean {
+    const needed = Math.max(0, bytes - EXEMPT_BYTES);
+    if (!this.take(needed - this.reserved)) return false;
+    this.reserved = needed;
+    return true;
+  }
+
+  /** Gives everything back. */
+  release(): void {
+    this.take(-this.reserved);
+    this.reserved = 0;
+  }
+}
--- a/src/core/edges/direct-caller.ts
+++ b/src/core/edges/direct-caller.ts
@@ -44,6 +44,12 @@
   readonly lastEventId?: string;
 }
 
+/** The part of a request that is known before its body is read. */
+export type RequestHead = Pick<
+  CallerRequest,
+  'attemptId' | 'host' | 'path' | 'key'
+>;
+
 /** Status and headers of a response to a caller. */
 export interface ResponseHead {
   readonly status: number;
--- a/src/core/settings/direct-settings.ts
+++ b/src/core/settings/direct-settings.ts
@@ -46,4 +46,20 @@
    */
   readonly keyRevocationMs?: number;
   readonly retryBudget: RetryBudgetSettings;
+  /** Memory that the platform allows the process, in bytes. */
+  readonly memoryBytes: number;
+}
+
+/** Share of the memory of a process for the messages that it holds. */
+const MESSAGE_MEMORY_SHARE = 0.15;
+
+/**
+ * Returns the memory for messages in bytes; the rest is for the program, its
+ * heap and its connections.
+ *
+ * @example
+ * new MemoryBudget({limitBytes: messageMemoryBytes(settings)});
+ */
+export function messageMemoryBytes(settings: DirectSettings): number {
+  return settings.memoryBytes * MESSAGE_MEMORY_SHARE;
 }
--- a/src/daemon/direct-main.ts
+++ b/src/daemon/direct-main.ts
@@ -16,10 +16,12 @@
 import {SETTINGS_PATH_VARIABLE, Path} from '../../platform/names.js';
 import {createPlatformEdges} from '../../platform/platform-edges.js';
 import {listenWhenFree} from '../adapters/listen-when-free.js';
+import {MemoryBudget} from '../core/bytes/index.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
 import {BoundedSink, createLogger} from '../core/logs/index.js';
 import {CounterName, Metrics} from '../core/metrics/index.js';
 import type {DirectSettings} from '../core/settings/direct-settings.js';
+import {messageMemoryBytes} from '../core/settings/direct-settings.js';
 import {DirectProcess} from '../direct/direct-process.js';
 import {ChangeRelay} from '../direct/relay/index.js';
 import {GracefulShutdown} from '../direct/graceful-shutdown.js';
@@ -107,8 +109,10 @@
     metrics,
     relay: (kind) => relay.relayed(kind),
   });
+  const memory = new MemoryBudget({limitBytes: messageMemoryBytes(settings)});
   const entry = new DirectProcess({
     ...edges,
+    memory,
     permitPeers: relay,
     settings,
     clock,
@@ -119,7 +123,10 @@
   const server = new CallerServer({
     clock,
     logger,
+    memory,
     handler: {
+      refuseEarly: (req) => entry.refuseEarly(req),
+      recordRefusal: (req, refusal) => entry.recordRefusal(req, refusal),
       handle: (req, res) => entry.handle(req, res),
       isDraining: () => entry.draining.get(),
     },
--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -56,7 +56,7 @@
   private readonly permitted: PermittedChoice;
   private current?: CallAttempt;
   private head?: TargetResponseHead;
-  private body = new ResponseBody();
+  private body: ResponseBody;
   /** Finished attempts that count towards the maximum of the route. */
   private sentCount = 0;
   private isOver = false;
@@ -72,6 +72,7 @@
     this.ctx = options.ctx;
     this.work = options.work;
     this.onOver = options.onOver;
+    this.body = new ResponseBody(this.ctx);
     this.permitted = new PermittedChoice(options);
     this.poisonDetector = new PoisonDetector({
       ...options,
@@ -147,7 +148,8 @@
     const {clock, client} = ctx;
     this.triedTargets.add(target.id);
     this.head = undefined;
-    this.body = new ResponseBody();
+    this.body.release();
+    this.body = new ResponseBody(ctx);
     const leftMs = work.deadlineAtMs - clock.now();
     const targetWork = target.begin({tokens: 0});
     const exchange = client.send({
@@ -295,10 +297,10 @@
   private forwardResponse(): void {
     if (!isTargetFailure({status: this.head!.status}))
       this.poisonDetector.recordServed();
+    const body = this.body.toBytes();
     this.stop();
     const ms = this.ctx.clock.now() - this.work.req.receivedMs;
     this.ctx.metrics.observe({name: LatencyName.PLAIN_CALL, ms});
-    const body = this.body.toBytes();
     forwardResponse({res: this.work.res, head: this.head!, body});
   }
 
@@ -358,6 +360,7 @@
 
   private stop(): void {
     this.isOver = true;
+    this.body.release();
     this.onOver();
     this.poisonDetector.close();
     this.deadline.cancel();
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -1,4 +1,5 @@
 /** Dependencies shared by the parts of a direct entry. */
+import type {MemoryBudget} from '../core/bytes/index.js';
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {
   CallerRequest,
@@ -33,6 +34,8 @@
   readonly lossTracker: LossTracker;
   /** Requests that crash their targets, as found by any entry. */
   readonly quarantine: Quarantine;
+  /** Memory for all messages that the process holds. */
+  readonly memory: MemoryBudget;
   readonly metrics: Metrics;
   readonly logger: Logger;
 }
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -1,10 +1,12 @@
 /** An entry that calls its targets directly, without agents. */
+import type {MemoryBudget} from '../core/bytes/index.js';
 import {Cell} from '../core/blackboard/index.js';
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {
   CallerRequest,
   CallerResponse,
   RefusalResponse,
+  RequestHead,
 } from '../core/edges/direct-caller.js';
 import type {DirectTargets} from '../core/edges/direct-target.js';
 import type {StateWriter} from '../core/edges/state-writer.js';
@@ -27,6 +29,7 @@
   pickService,
 } from '../core/routes/index.js';
 import type {DirectSettings} from '../core/settings/direct-settings.js';
+import {messageMemoryBytes} from '../core/settings/direct-settings.js';
 import type {Follower} from '../core/sync/index.js';
 import {KeyTrust, OutageGate} from '../core/sync/index.js';
 import type {TargetRecord} from '../core/targets/index.js';
@@ -66,6 +69,8 @@
   readonly alertWriter: StateWriter<RecordedLosses>;
   readonly client: DirectTargets;
   readonly permitPeers: PermitPeers;
+  /** Memory for all messages that the process holds. */
+  readonly memory: MemoryBudget;
   readonly metrics: Metrics;
   readonly logger: Logger;
 }
@@ -171,6 +176,7 @@
         logger,
       }),
       quarantine,
+      memory: options.memory,
       metrics,
       logger,
     };
@@ -196,6 +202,7 @@
   /** Applies settings that may change at run time. */
   applySettings(settings: DirectSettings): void {
     this.settings = settings;
+    this.options.memory.setLimit(messageMemoryBytes(settings));
     this.keyTrust.setBound(settings.keyRevocationMs);
   }
 
@@ -239,15 +246,36 @@
     );
   }
 
-  /** Serves one request. */
-  handle(req: CallerRequest, res: CallerResponse): void {
-    const admitted = admitRequest({
+  /**
+   * Refuses a request by its head, before its body is read; undefined if it may
+   * be served.
+   */
+  refuseEarly(req: RequestHead): RefusalResponse | undefined {
+    const admitted = this.admit(req);
+    if (admitted.isOk()) return undefined;
+    this.recordRefusal(req, admitted.error);
+    return admitted.error;
+  }
+
+  /** Records a request that is refused while its body is read. */
+  recordRefusal(req: RequestHead, refusal: RefusalResponse): void {
+    this.ctx.metrics.count(CounterName.REQUESTS);
+    this.logRefusal(req, refusal);
+  }
+
+  private admit({host, path, key}: RequestHead) {
+    return admitRequest({
       table: this.routes.get(),
       isTrusted: this.keyTrust.isTrusted(),
-      host: req.host,
-      path: req.path,
-      key: req.key,
+      host,
+      path,
+      key,
     });
+  }
+
+  /** Serves one request. */
+  handle(req: CallerRequest, res: CallerResponse): void {
+    const admitted = this.admit(req);
     this.ctx.metrics.count(CounterName.REQUESTS);
     if (admitted.isErr()) this.refuse(req, res, admitted.error);
     else this.dispatch(req, res, admitted.value);
@@ -309,6 +337,11 @@
     res: CallerResponse,
     refusal: RefusalResponse,
   ): void {
+    this.logRefusal(req, refusal);
+    res.sendRefusal(refusal);
+  }
+
+  private logRefusal(req: RequestHead, refusal: RefusalResponse): void {
     this.ctx.metrics.countRefusal(refusal.reason);
     this.ctx.logger.info('request refused at admission', {
       id: req.attemptId,
@@ -317,7 +350,6 @@
       config: this.routes.get()?.version,
       trustAgeMs: Math.round(this.keyTrust.ageMs()),
     });
-    res.sendRefusal(refusal);
   }
 
   private followTargets(source: StateSource<TargetRecord>): void {
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -1,4 +1,5 @@
 /** One attempt of a stream at one target. */
+import type {MemoryShare} from '../../core/bytes/index.js';
 import type {
   TargetResponseHead,
   KvCopyReference,
@@ -90,12 +91,14 @@
   private readonly stallDetector: StallDetector;
   private readonly splitter = new EventSplitter();
   /** The body of a response that is not a stream. */
-  private readonly body = new ResponseBody();
+  private readonly body: ResponseBody;
   private head?: TargetResponseHead;
   private receivedCount = 0;
   /** Bytes without data since the last event. */
   private idleBytes = 0;
   private readonly maxEvents: number;
+  /** Memory of an incomplete event. */
+  private readonly eventMemory: MemoryShare;
   /** When the first event was received, on the monotonic clock. */
   private firstEventAtMs?: number;
   private isOver = false;
@@ -111,6 +114,8 @@
       tokens,
       chooseHolder: chooseCopyHolder,
     });
+    this.body = new ResponseBody(ctx);
+    this.eventMemory = ctx.memory.open();
     this.maxEvents = maxEventsOf(options.work);
     const {isResumable, maxPauseMs} = options.work.admitted.route;
     this.stallDetector = new StallDetector({
@@ -217,10 +222,16 @@
     }
     this.passEvents(this.head, chunk);
     this.options.listener.onEventsPassed();
-    if (!this.isOver && this.splitter.pendingBytes > MAX_RESPONSE_BYTES)
+    if (!this.isOver && !this.mayKeepPending())
       this.failUnbounded(TOO_LARGE_DETAIL);
   }
 
+  private mayKeepPending(): boolean {
+    const {pendingBytes} = this.splitter;
+    if (pendingBytes > MAX_RESPONSE_BYTES) return false;
+    return this.eventMemory.resize(pendingBytes);
+  }
+
   private passEvents(head: TargetResponseHead, chunk: Uint8Array): void {
     for (const event of this.splitter.push(chunk)) {
       if (event.hasData) this.recordEvent();
@@ -266,8 +277,9 @@
     if (this.isOver || head === undefined) return;
     if (!head.isSelfDelimited) this.logConnectionEnd(head);
     if (head.status !== OK) {
+      const body = this.body.toBytes();
       this.close({copyIsNeeded: false});
-      this.options.listener.onOtherResponse(head, this.body.toBytes());
+      this.options.listener.onOtherResponse(head, body);
     } else if (this.wasCutOff(head)) {
       const reason = RetryReason.ENGINE_DIED;
       const detail = `stream cut off after ${this.receivedCount} events`;
@@ -314,6 +326,8 @@
 
   private close({copyIsNeeded}: {copyIsNeeded: boolean}): void {
     this.isOver = true;
+    this.body.release();
+    this.eventMemory.release();
     this.stallDetector.stop();
     this.target.end(this.targetWork);
     this.replicator.close({isNeeded: copyIsNeeded});
--- a/test/support/direct-entry.ts
+++ b/test/support/direct-entry.ts
@@ -5,6 +5,7 @@
 import {CallerServer} from '../../platform/caller-server.js';
 import type {PlatformEdges} from '../../platform/platform-edges.js';
 import {createPlatformEdges} from '../../platform/platform-edges.js';
+import {MemoryBudget} from '../../src/core/bytes/index.js';
 import {SeededRandom, SystemClock} from '../../src/core/clock/index.js';
 import {SILENT_LOGGER} from '../../src/core/logs/index.js';
 import type {Logger} from '../../src/core/logs/index.js';
@@ -16,6 +17,10 @@
 const CONFIG_APPLY_MS = 2_000;
 const TARGET_DRAIN_MS = 2_000;
 
+/** Memory of the process, and its part for messages. */
+const MEMORY_BYTES = 200 * 1024 * 1024;
+const MESSAGE_BYTES = 40 * 1024 * 1024;
+
 /** Time from the begin of a planned stop until the process is killed. */
 export const SHUTDOWN_GRACE_MS = 2_000;
 
@@ -52,6 +57,7 @@
     const clock = new SystemClock();
     const random = new SeededRandom(hashOf(vm));
     const metrics = new Metrics();
+    const memory = new MemoryBudget({limitBytes: MESSAGE_BYTES});
     this.relay = new ChangeRelay({
       vm,
       dataCentre: 'a',
@@ -81,7 +87,9 @@
         targetDrainMs: TARGET_DRAIN_MS,
         keyRevocationMs: revokeMs,
         retryBudget: {ratio: 0.8, windowMs: 10_000, slack: 150},
+        memoryBytes: MEMORY_BYTES,
       },
+      memory,
       clock,
       random,
       ...this.edges,
@@ -92,7 +100,11 @@
     this.server = new CallerServer({
       clock,
       logger,
+      memory,
       handler: {
+        refuseEarly: (req) => this.process.refuseEarly(req),
+        recordRefusal: (req, refusal) =>
+          this.process.recordRefusal(req, refusal),
         handle: (req, res) => this.process.handle(req, res),
         isDraining: () => this.process.draining.get(),
       },
