Bound what engines and services can make an agent read

Change: an engine may send 1 MiB without a token and as many tokens as were asked for; the connection carries 256 MiB of a generation at most.

--- a/src/adapters/engine-http-stream.ts
+++ b/src/adapters/engine-http-stream.ts
@@ -31,6 +31,9 @@
   toHttpFailure,
 } from './http-call.js';
 
+/** Most text that an engine sends without a token, in characters. */
+const MAX_IDLE_CHARS = 1024 * 1024;
+
 /** Data of the event that ends a stream. */
 const DONE = '[DONE]';
 
@@ -52,6 +55,8 @@
   readonly body: string;
   /** Position in the output of the first token that the engine sends. */
   readonly position: number;
+  /** Most tokens that the engine may send. */
+  readonly maxTokens: number;
   readonly sink: EngineSink;
   readonly onHeaders: OnHeaders;
 }
@@ -69,6 +74,8 @@
     onEvent: (event) => this.onEvent(event),
   });
   private position: number;
+  /** Characters since the last token. */
+  private idleChars = 0;
   private isClosed = false;
 
   constructor(private readonly options: EngineHttpStreamOptions) {
@@ -102,7 +109,10 @@
     }
     for await (const text of decodeUtf8(res.body)) {
       if (this.isClosed) return;
+      this.idleChars += text.length;
       this.parser.feed(text);
+      if (this.idleChars > MAX_IDLE_CHARS)
+        return this.failMalformed(`${this.idleChars} characters, no token`);
     }
     this.failLost('the stream ended without a finish reason');
   }
@@ -112,8 +122,7 @@
     if (data === DONE) return this.failLost('done without a finish reason');
     decodeValue(CHUNK, parseJson(data)).match(
       ({choices}) => choices.forEach((choice) => this.handleChoice(choice)),
-      (detail) =>
-        this.fail(createDriverError(DriverErrorKind.MALFORMED, detail)),
+      (detail) => this.failMalformed(detail),
     );
   }
 
@@ -125,8 +134,13 @@
     const tokens = toTokens(choice.token_ids, choice.text);
     const {position} = this;
     this.position += tokens.length;
-    const {sink} = this.options;
-    if (tokens.length > 0) sink.onTokens({position, tokens});
+    const {sink, maxTokens} = this.options;
+    if (this.position > this.options.position + maxTokens)
+      return this.failMalformed(`over ${maxTokens} tokens`);
+    if (tokens.length > 0) {
+      this.idleChars = 0;
+      sink.onTokens({position, tokens});
+    }
     if (choice.finish_reason !== null) this.finish(choice.finish_reason);
   }
 
@@ -141,6 +155,10 @@
     this.fail(createDriverError(DriverErrorKind.REFUSED, `status ${status}`));
   }
 
+  private failMalformed(detail: string): void {
+    this.fail(createDriverError(DriverErrorKind.MALFORMED, detail));
+  }
+
   private failLost(detail: string): void {
     this.fail(createDriverError(DriverErrorKind.LOST, detail));
   }
--- a/src/adapters/http-engine-driver.ts
+++ b/src/adapters/http-engine-driver.ts
@@ -19,6 +19,9 @@
 import type {OnHeaders} from './http-call.js';
 import {callHttp, createPool} from './http-call.js';
 
+/** Bytes that a generation may take on its connection, whatever they are. */
+const MAX_GENERATION_BYTES = 256 * 1024 * 1024;
+
 const ENGINE_REPORT = Codec.interface({
   running: number,
   waiting: number,
@@ -36,7 +39,10 @@
 export class HttpEngineDriver implements EngineDriver {
   private readonly baseUrl: string;
   private readonly onHeaders: OnHeaders;
-  private readonly dispatcher: Dispatcher = createPool({keepsAlive: false});
+  private readonly dispatcher: Dispatcher = createPool({
+    keepsAlive: false,
+    responseBytes: MAX_GENERATION_BYTES,
+  });
 
   constructor(options: {
     baseUrl: string;
@@ -58,6 +64,7 @@
       url: `${this.baseUrl}/v1/completions`,
       body: JSON.stringify(toBody(options)),
       position: options.resumeFrom.length,
+      maxTokens: options.spec.maxTokens,
       sink: options.sink,
       onHeaders: this.onHeaders,
     });
