--- a/src/adapters/bounded-socket.ts
+++ b/src/adapters/bounded-socket.ts
@@ -2,8 +2,6 @@
 import type {SocketConstructorOpts} from 'node:net';
 import {Socket} from 'node:net';
 
-import {EVENT_LOOP} from './event-loop-turn.js';
-
 /** Most bytes that a socket hands over in one turn of the event loop. */
 export const MAX_BYTES_PER_TURN = 32 * 1024;
 
@@ -29,8 +27,8 @@
  */
 export class BoundedSocket extends Socket {
   private leftBytes: number;
-  private lastTurn = -1;
-  private leftInTurn = 0;
+  /** Renewed in the turn after it is used up, so that most reads are free. */
+  private leftInTurn = MAX_BYTES_PER_TURN;
   private lastWritten = 0;
   private continuation?: NodeJS.Immediate;
 
@@ -65,7 +63,6 @@
       this.destroy(new Error(TOO_MANY_BYTES_DETAIL));
       return null;
     }
-    this.renewInNextTurn();
     const slice = Math.min(waiting, this.leftInTurn);
     if (slice === 0) {
       this.continueInNextTurn();
@@ -89,17 +86,11 @@
     this.leftBytes = this.limits.responseBytes;
   }
 
-  private renewInNextTurn(): void {
-    const {turn} = EVENT_LOOP;
-    if (turn === this.lastTurn) return;
-    this.lastTurn = turn;
-    this.leftInTurn = MAX_BYTES_PER_TURN;
-  }
-
   private continueInNextTurn(): void {
     if (this.continuation !== undefined) return;
     this.continuation = setImmediate(() => {
       this.continuation = undefined;
+      this.leftInTurn = MAX_BYTES_PER_TURN;
       if (!this.destroyed) this.emit('readable');
     });
   }
--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -1,9 +1,6 @@
 /** Runs one plain call: at most once, or with retries if it is idempotent. */
 import type {TimerHandle} from '../core/clock/index.js';
-import type {
-  TargetResponseHead,
-  Exchange,
-} from '../core/edges/direct-target.js';
+import type {TargetResponseHead} from '../core/edges/direct-target.js';
 import {ExchangeFailure} from '../core/edges/direct-target.js';
 import {RefusalReason, RetryReason} from '../core/errors/refusals.js';
 import {LatencyName} from '../core/metrics/index.js';
@@ -19,7 +16,8 @@
 } from '../core/retrying/index.js';
 import type {AttemptResult} from '../core/retrying/index.js';
 import {OperationKind} from '../core/routes/index.js';
-import type {Target, TargetWork} from '../core/targets/index.js';
+import type {Target} from '../core/targets/index.js';
+import type {CallAttempt} from './call-attempt.js';
 import {ResponseBody, TOO_LARGE_DETAIL} from './response-body.js';
 import {SAFE_ATTEMPT_TIME_SHARE} from './consts.js';
 import type {DirectContext, DirectWork} from './context.js';
@@ -31,14 +29,6 @@
 import {retryAfterMsOf} from './retry-after.js';
 import {toTargetRequest} from './target-request.js';
 
-/** An attempt in progress. */
-interface CallAttempt {
-  readonly target: Target;
-  readonly targetWork: TargetWork;
-  readonly exchange: Exchange;
-  readonly timer: TimerHandle;
-}
-
 /**
  * Handles one plain call. The response of a target is buffered in full before
  * any of it is sent to the caller, so that a failed attempt can be retried.
