--- a/stand-ins/site/endless-response.ts
+++ b/stand-ins/site/endless-response.ts
@@ -100,6 +100,29 @@
   },
 };
 
+/**
+ * Faults that the soak does not draw yet, so that its seeds still play what
+ * they played when they failed.
+ */
+export const FAULTS_OUTSIDE_SOAK: ReadonlySet<TargetFault> = new Set([
+  TargetFault.ENDLESS_STATUS_LINE,
+  TargetFault.ENDLESS_INFORMATIONAL,
+  TargetFault.ENDLESS_CHUNKS,
+  TargetFault.ENDLESS_FAILURE_CHUNKS,
+  TargetFault.ENDLESS_CHUNK_EXTENSION,
+  TargetFault.ENDLESS_TRAILERS,
+  TargetFault.ENDLESS_REJECTION,
+  TargetFault.ENDLESS_MISDIRECTED,
+  TargetFault.DRIPPING_REJECTION,
+  TargetFault.ENDLESS_EMPTY_LINES,
+  TargetFault.ENDLESS_COMMENTS,
+  TargetFault.ENDLESS_RETRY_LINES,
+  TargetFault.ENDLESS_REPEATED_EVENT,
+  TargetFault.ENDLESS_EVENT,
+  TargetFault.ENDLESS_EVENTS,
+  TargetFault.ENDLESS_AFTER_RESPONSE,
+]);
+
 /** Returns whether a fault sends bytes until the client closes. */
 export function isEndless(fault: TargetFault): boolean {
   return RESPONSES[fault] !== undefined;
--- a/tools/soak/faults.ts
+++ b/tools/soak/faults.ts
@@ -4,6 +4,7 @@
 import {StoreObjectKind} from '../../platform/names.js';
 import {Direction} from '../../stand-ins/relay/relay.js';
 import {StoreMode} from '../../stand-ins/site/store.js';
+import {FAULTS_OUTSIDE_SOAK} from '../../stand-ins/site/endless-response.js';
 import {TargetFault} from '../../stand-ins/site/target-fault.js';
 import {entryComponent, targetComponent} from './checks/index.js';
 import {DRAIN_NOTICE_MS, ZONES} from './consts.js';
@@ -139,7 +140,9 @@
     }),
   [FaultKind.TARGET_LEAVE]: (context) => drainTarget(context),
   [FaultKind.TARGET_FAULTY]: ({site, target, planned}) => {
-    const faults = Object.values(TargetFault);
+    const faults = Object.values(TargetFault).filter(
+      (each) => !FAULTS_OUTSIDE_SOAK.has(each),
+    );
     const fault = faults[Math.floor(planned.variant * faults.length)]!;
     return withRecordedTargetFaults({site, planned}, [target], () =>
       site.applyTargetFault(target, fault, planned.durationMs),
