--- a/src/core/metrics/types.ts
+++ b/src/core/metrics/types.ts
@@ -54,4 +54,6 @@
   TARGET_LOSSES = 'target_losses_total',
   /** Log lines, or batches of them, that were not written. */
   LOG_LINES_DROPPED = 'log_lines_dropped_total',
+  /** Exceptions that ended a request or a background task, by `TaskName`. */
+  TASK_FAILURES = 'task_failures_total',
 }
