Handle signals from the first line of a program, before the rest is loaded

What callers saw: a SIGHUP, or the SIGTERM of a planned stop, that reached an entry within some 100 ms of its start ended it by the signal; the platform counts a process that ended by itself, and callers wait for the next start.

Cause: the handlers were installed by line 61,708 of one bundle (2.8 MB), which is read and compiled as a whole before its first line runs. With ES modules it was worse: all imports are loaded before the first is run. With agents there was no handler for SIGHUP at all, and the one for SIGTERM came after the peers' port.

SIGINT is a planned stop everywhere; SIGHUP is logged where settings are read once.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,55 +1,11 @@
 #!/usr/bin/env node
 /** The daemon `plantainrilld`: runs an entry or an agent, per its settings. */
-import {Command} from 'commander';
+import {exitOnFailure} from './exit-on-failure.js';
+import {StartupSignals} from './startup-signals.js';
 
-import {loadDaemonSettings, ProcessRole} from '../core/settings/index.js';
-import {formatProblem} from '../core/yaml-check/index.js';
-import {EXIT_BAD_SETTINGS} from './consts.js';
-import {runAgent} from './run-agent.js';
-import {runEntry} from './run-entry.js';
+// Signals may arrive while the rest is loaded, which takes longer than all else.
+const startupSignals = new StartupSignals(process);
 
-interface Flags {
-  readonly settings: string;
-  readonly overlay?: string;
-  readonly set: string[];
-}
-
-const program = new Command('plantainrilld')
-  .description('Runs one process of plantainrill.')
-  .requiredOption('--settings <file>', 'base file of the settings')
-  .option('--overlay <file>', 'overlay over the base file')
-  .option('--set <path=value>', 'one setting, over both files', appendValue, [])
-  .addHelpText('after', () => HELP_EXAMPLES);
-
-const HELP_EXAMPLES = `
-Examples:
-  plantainrilld --settings entry.yaml
-  plantainrilld --settings agent.yaml --set vm=engine-2 --set peers.port=7201
-
-Signals: SIGTERM and SIGINT begin a planned stop, which ends with status 0
-once all work is done.
-Exit statuses: 0 stopped as planned, 1 cannot listen, 2 bad settings.`;
-
-await main();
-
-async function main(): Promise<void> {
-  const flags = program.parse().opts<Flags>();
-  const settings = loadDaemonSettings({
-    basePath: flags.settings,
-    overlayPath: flags.overlay,
-    overrides: flags.set,
-  });
-  if (settings.isErr()) {
-    const {problems, detail} = settings.error;
-    const lines = problems.length > 0 ? problems.map(formatProblem) : [detail];
-    process.stderr.write(`${lines.join('\n')}\n`);
-    process.exit(EXIT_BAD_SETTINGS);
-  }
-  const runRole =
-    settings.value.role === ProcessRole.ENTRY ? runEntry : runAgent;
-  await runRole(settings.value);
-}
-
-function appendValue(value: string, previous: string[]): string[] {
-  return [...previous, value];
-}
+import('./run-daemon.js')
+  .then(({runDaemon}) => runDaemon(startupSignals))
+  .catch(exitOnFailure);
--- a/src/daemon/process-lifecycle.ts
+++ b/src/daemon/process-lifecycle.ts
@@ -6,6 +6,7 @@
 import type {Logger} from '../core/logs/index.js';
 import type {DaemonSettings} from '../core/settings/index.js';
 import {EXIT_CANNOT_LISTEN, EXIT_FLUSH_MS} from './consts.js';
+import type {StartupSignals} from './startup-signals.js';
 
 /** The line that a process prints to standard output once it listens. */
 export interface ReadyLine {
@@ -17,7 +18,26 @@
 }
 
 /**
- * Starts the operators' server, and starts a drain on SIGTERM and SIGINT.
+ * Takes over the signals: SIGTERM and SIGINT start a drain, SIGHUP is logged, as
+ * the settings are read at the start only. Call it before the process takes work.
+ *
+ * @example
+ * handleSignals({handler: agent, logger, startupSignals});
+ */
+export function handleSignals(options: {
+  handler: OperatorHandler;
+  logger: Logger;
+  startupSignals: StartupSignals;
+}): void {
+  const {handler, logger, startupSignals} = options;
+  process.on('SIGTERM', () => handler.drain());
+  process.on('SIGINT', () => handler.drain());
+  process.on('SIGHUP', () => logger.info('reload ignored'));
+  startupSignals.remove();
+}
+
+/**
+ * Starts the operators' server.
  *
  * @example
  * const operators = await startOperatorsServer({handler: agent, settings});
@@ -27,8 +47,6 @@
   settings: DaemonSettings;
 }): Promise<HttpListener> {
   const {handler, settings} = options;
-  process.on('SIGTERM', () => handler.drain());
-  process.on('SIGINT', () => handler.drain());
   const app = createOperatorsApp({handler});
   return listenHttp({app, ...settings.operators});
 }
--- a/src/daemon/run-agent.ts
+++ b/src/daemon/run-agent.ts
@@ -15,11 +15,16 @@
   printReadyLine,
   exitCannotListen,
   exitAfterFlush,
+  handleSignals,
   startOperatorsServer,
 } from './process-lifecycle.js';
+import type {StartupSignals} from './startup-signals.js';
 
 /** Runs the agent role until it is stopped. */
-export async function runAgent(settings: DaemonSettings): Promise<void> {
+export async function runAgent(
+  settings: DaemonSettings,
+  startupSignals: StartupSignals,
+): Promise<void> {
   const logger = createLogger(settings);
   const metrics = createMetrics();
   const clock = new SystemClock();
@@ -36,6 +41,7 @@
     drivers: createDrivers(settings.target!, onHeaders),
     onDrained: () => exitAfterFlush({stop: () => agent.stop()}),
   });
+  handleSignals({handler: agent, logger, startupSignals});
   const peers = await agent.start();
   if (peers.isErr()) exitCannotListen(logger, peers.error.detail);
   try {
--- a/src/daemon/run-entry.ts
+++ b/src/daemon/run-entry.ts
@@ -13,11 +13,16 @@
   printReadyLine,
   exitCannotListen,
   exitAfterFlush,
+  handleSignals,
   startOperatorsServer,
 } from './process-lifecycle.js';
+import type {StartupSignals} from './startup-signals.js';
 
 /** Runs the entry role until it is stopped. */
-export async function runEntry(settings: DaemonSettings): Promise<void> {
+export async function runEntry(
+  settings: DaemonSettings,
+  startupSignals: StartupSignals,
+): Promise<void> {
   const logger = createLogger(settings);
   const metrics = createMetrics();
   const baseUrl = settings.platformUrl;
@@ -33,6 +38,7 @@
     countPendingResponses: () => callers?.countOpen() ?? 0,
     onDrained: () => exitAfterFlush({stop: () => entry.stop(), callers}),
   });
+  handleSignals({handler: entry, logger, startupSignals});
   const peers = await entry.start();
   if (peers.isErr()) exitCannotListen(logger, peers.error.detail);
   try {
--- a/test/daemon/startup-signals.test.ts
+++ b/test/daemon/startup-signals.test.ts
@@ -3,7 +3,7 @@
 
 import {describe, expect, it} from 'vitest';
 
-import {handleStartupSignals} from '../../src/daemon/startup-signals.js';
+import {StartupSignals} from '../../src/daemon/startup-signals.js';
 
 class FakeProcess extends EventEmitter {
   readonly exits: number[] = [];
@@ -13,23 +13,25 @@
   }
 }
 
-describe('handleStartupSignals', () => {
+describe('StartupSignals', () => {
   it.each([
-    {signal: 'SIGTERM', exits: [0], action: 'exits with status 0'},
-    {signal: 'SIGHUP', exits: [], action: 'keeps running'},
-  ])('$does on $signal', ({signal, exits}) => {
+    {signal: 'SIGTERM', exits: [0], reloads: 0, action: 'exits with status 0'},
+    {signal: 'SIGINT', exits: [0], reloads: 0, action: 'exits with status 0'},
+    {signal: 'SIGHUP', exits: [], reloads: 1, action: 'counts a reload'},
+  ])('$action on $signal', ({signal, exits, reloads}) => {
     const source = new FakeProcess();
-    handleStartupSignals(source);
+    const startupSignals = new StartupSignals(source);
     // Without a listener, the signal would end the process with a failure.
     expect(source.emit(signal)).toBe(true);
     expect(source.exits).toEqual(exits);
+    expect(startupSignals.reloads).toBe(reloads);
   });
 
   it('removes its handlers', () => {
     const source = new FakeProcess();
-    const removeHandlers = handleStartupSignals(source);
-    removeHandlers();
+    new StartupSignals(source).remove();
     expect(source.emit('SIGTERM')).toBe(false);
+    expect(source.emit('SIGINT')).toBe(false);
     expect(source.emit('SIGHUP')).toBe(false);
   });
 });
--- /dev/null
+++ b/test/support/starting-program.ts
@@ -0,0 +1,104 @@
+/** A program of the product that is watched and signalled while it starts. */
+import type {ChildProcess} from 'node:child_process';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import type {Readable} from 'node:stream';
+
+const US_PER_MS = 1_000;
+
+/** Descriptor on which the probe reports. */
+const PROBE_FD = 3;
+
+/**
+ * Reports the processor time, in microseconds, that the process has used when it
+ * first handles SIGHUP.
+ */
+const PROBE = `
+const report = (name) => {
+  if (name !== 'SIGHUP') return;
+  process.off('newListener', report);
+  const {user, system} = process.cpuUsage();
+  require('node:fs').writeSync(${PROBE_FD}, String(user + system));
+};
+process.on('newListener', report);
+`;
+
+/** Files of a test that are removed with it. */
+export class ProgramFolder {
+  private readonly path = mkdtempSync(join(tmpdir(), 'starting-program-'));
+
+  write(name: string, text: string): string {
+    const path = join(this.path, name);
+    writeFileSync(path, text);
+    return path;
+  }
+
+  remove(): void {
+    rmSync(this.path, {recursive: true});
+  }
+}
+
+/**
+ * A process from its start until it has ended.
+ *
+ * @example
+ * const program = new StartingProgram({folder, argv: ['target/direct.cjs']});
+ * const cpuMs = await program.untilHandled();
+ * program.signal('SIGHUP');
+ */
+export class StartingProgram {
+  /** Exit status or signal, once the process has ended. */
+  end?: string;
+  private readonly child: ChildProcess;
+  private readonly exited: Promise<unknown>;
+  private readonly handled: Promise<number>;
+  private errorText = '';
+
+  constructor(options: {
+    folder: ProgramFolder;
+    /** Program and its arguments. */
+    argv: readonly string[];
+    env?: Readonly<Record<string, string>>;
+  }) {
+    const {folder, argv, env} = options;
+    const probe = folder.write('probe.cjs', PROBE);
+    this.child = spawn(process.execPath, ['--require', probe, ...argv], {
+      stdio: ['ignore', 'ignore', 'pipe', 'pipe'],
+      env: {...process.env, ...env},
+    });
+    this.child.stderr!.on('data', (chunk) => (this.errorText += String(chunk)));
+    this.exited = once(this.child, 'exit').then(([code, signal]) => {
+      this.end = `status ${code}, signal ${signal}`;
+    });
+    const report = once(this.child.stdio[PROBE_FD] as Readable, 'data');
+    this.handled = report.then(([chunk]) => Number(String(chunk)) / US_PER_MS);
+  }
+
+  /** Resolves to the processor time used until SIGHUP is handled, in ms. */
+  untilHandled(): Promise<number> {
+    return this.handled;
+  }
+
+  signal(name: NodeJS.Signals): void {
+    this.child.kill(name);
+  }
+
+  /** What it has written to standard error. */
+  get errors(): string {
+    return this.errorText;
+  }
+
+  /** Resolves to the exit status or signal. */
+  async ended(): Promise<string> {
+    await this.exited;
+    return this.end!;
+  }
+
+  async kill(): Promise<void> {
+    if (this.end === undefined) this.signal('SIGKILL');
+    await this.exited;
+  }
+}
