Answer streams that have not begun before a planned stop ends (LOST)

Cause: only plain calls were known to the process at its stop; a stream in a placement pause was reached by neither the begin nor the end of the drain.

Change: a stream that has been sent nowhere is refused (503, leaving, Retry-After) as soon as a new one would be: it has its time left at other entries. What has begun nowhere shortly before the end is answered like calls; streams with events go on to the end.

--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -150,7 +150,7 @@
     logger,
     listener: server,
     graceMs: settings.shutdownGraceMs,
-    answerOpen: () => entry.answerOpenCalls(),
+    answerOpen: () => entry.answerOpenRequests(),
     // The last log lines are written asynchronously.
     onStopped: () => setTimeout(() => process.exit(0), LOG_FLUSH_MS),
   });
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -11,6 +11,7 @@
 import type {Metrics} from '../core/metrics/index.js';
 import type {AdmittedRequest, RoutedService} from '../core/routes/index.js';
 import type {TargetSet} from '../core/targets/index.js';
+import type {GracePeriod} from './grace-period.js';
 import type {LimitKeeper} from './limits/limit-keeper.js';
 import type {LossTracker} from './poison/loss-tracker.js';
 import type {Prober} from './prober.js';
@@ -25,6 +26,8 @@
   readonly targets: TargetSet;
   readonly client: DirectTargets;
   readonly prober: Prober;
+  /** Time that a planned stop leaves. */
+  readonly grace: GracePeriod;
   /** Shortest generation times, estimated for each service. */
   readonly minGenerationTimes: MinGenerationTimes;
   readonly retryBudgets: ServiceRetryBudgets;
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -95,7 +95,7 @@
   private readonly quarantineSync: QuarantineSync;
   private readonly configSync: ConfigSync;
   private targetFollower?: Follower<TargetRecord>;
-  private readonly openCalls = new Set<CallHandler>();
+  private readonly openRequests = new Set<CallHandler | StreamHandler>();
   private hasLoadedTargets = false;
   private staleListsLeft = 0;
   private startedMs = 0;
@@ -154,6 +154,7 @@
       prober,
       minGenerationTimes: new MinGenerationTimes(),
       client,
+      grace: this.grace,
       limits,
       retryBudgets: new ServiceRetryBudgets({
         clock,
@@ -310,26 +311,26 @@
     }
     const deadlineAtMs = req.receivedMs + limitMs;
     const work = {req, res, admitted, service, deadlineAtMs};
-    if (route.operation === OperationKind.STREAM) {
-      new StreamHandler({ctx, work}).start();
-    } else {
-      this.startCall(work);
-    }
+    this.startHandler(work);
   }
 
-  private startCall(work: DirectWork): void {
-    const call = new CallHandler({
-      ctx: this.ctx,
-      work,
-      onOver: () => this.openCalls.delete(call),
-    });
-    this.openCalls.add(call);
-    call.start();
+  private startHandler(work: DirectWork): void {
+    const {ctx} = this;
+    const onOver = () => this.openRequests.delete(handler);
+    const isStream = work.admitted.route.operation === OperationKind.STREAM;
+    const handler = isStream
+      ? new StreamHandler({ctx, work, onOver})
+      : new CallHandler({ctx, work, onOver});
+    this.openRequests.add(handler);
+    handler.start();
   }
 
-  /** Ends the calls that still run with an answer, before the process stops. */
-  answerOpenCalls(): void {
-    for (const call of [...this.openCalls]) call.expire();
+  /**
+   * Ends the requests without an answer so far with one, before the process
+   * stops; streams that have begun go on.
+   */
+  answerOpenRequests(): void {
+    for (const handler of [...this.openRequests]) handler.expire();
   }
 
   private refuse(
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -56,11 +56,12 @@
  * target is lost, another target resumes after the last event.
  *
  * @example
- * new StreamHandler({ctx, work}).start();
+ * new StreamHandler({ctx, work, onOver}).start();
  */
 export class StreamHandler {
   private readonly ctx: DirectContext;
   private readonly work: DirectWork;
+  private readonly onOver: () => void;
   private readonly sequence: EventSequence;
   private readonly delivery: StreamDelivery;
   private readonly permitted: PermittedChoice;
@@ -81,9 +82,15 @@
   /** Whether a finished attempt may have run the request. */
   private mayHaveRun = false;
 
-  constructor(options: {ctx: DirectContext; work: DirectWork}) {
+  constructor(options: {
+    ctx: DirectContext;
+    work: DirectWork;
+    /** Called once when the stream is over. */
+    onOver: () => void;
+  }) {
     this.ctx = options.ctx;
     this.work = options.work;
+    this.onOver = options.onOver;
     this.delivery = new StreamDelivery(options);
     this.permitted = new PermittedChoice(options);
     const {heldBack} = this.permitted;
@@ -157,8 +164,22 @@
       hasNext: () => this.placer.hasTarget() || this.placer.hasUnlimited(),
     });
     if (this.isOver) return;
-    if (target === undefined) this.waitForTarget();
-    else this.send(target);
+    if (target !== undefined) this.send(target);
+    else if (this.mustBeLeft())
+      this.refuse(RefusalReason.LEAVING, this.retryAfterMs);
+    else this.waitForTarget();
+  }
+
+  /** Whether a planned stop leaves too little time for a stream to begin. */
+  private mustBeLeft(): boolean {
+    const {ctx, work} = this;
+    const {route} = work.admitted;
+    if (this.attempts > 0) return false;
+    return !ctx.grace.hasTimeFor(route.operation, route.timeoutMs);
+  }
+
+  private get retryAfterMs(): number {
+    return retryAfterMsOf(this.ctx, this.work);
   }
 
   /** Whether the holder of a copy accepts the stream and gives a permit. */
@@ -361,12 +382,15 @@
       this.work.res.abort();
       return;
     }
-    const retryAfterMs = mayHaveRun
-      ? undefined
-      : retryAfterMsOf(this.ctx, this.work);
+    const retryAfterMs = mayHaveRun ? undefined : this.retryAfterMs;
     this.work.res.sendRefusal({status, reason, retryAfterMs});
   }
 
+  /** Ends a stream that has not begun with an answer. */
+  expire(): void {
+    if (!this.delivery.hasStarted) this.fail(true);
+  }
+
   /** Ends the stream because its request was quarantined meanwhile. */
   private failAsPoison(): void {
     if (this.isOver) return;
@@ -388,6 +412,7 @@
 
   private stop(): void {
     this.isOver = true;
+    this.onOver();
     this.poisonDetector.close();
     this.deadline.cancel();
     this.placementTimer?.cancel();
--- a/test/direct/planned-stop.test.ts
+++ b/test/direct/planned-stop.test.ts
@@ -16,6 +16,9 @@
 
 const SHORT_DEADLINE_MS = 300;
 
+/** Longer than the grace period, within the route's timeout. */
+const STREAM_DEADLINE_MS = 2_900;
+
 /** A stream that lasts longer than the grace period. */
 const PACE = {events: 400, firstMs: 10, gapMs: 10};
 
@@ -79,4 +82,30 @@
       await stopped;
     },
   );
+
+  // Guards against streams that a planned stop cuts off without an answer (LOST).
+  it('refuses a stream that waits for a target', async () => {
+    site = await DirectSite.start();
+    const answered = call(SitePath.STREAM, STREAM_DEADLINE_MS);
+    await sleep(100);
+    const startedMs = performance.now();
+    const stopped = site.entries[0]!.stopAsPlanned();
+    const {status, headers, isComplete} = await answered;
+    expect({status, isComplete}).toEqual({status: 503, isComplete: true});
+    expect(Number(headers['retry-after'])).toBeGreaterThan(0);
+    expect(performance.now() - startedMs).toBeLessThan(SHUTDOWN_GRACE_MS / 2);
+    await stopped;
+  });
+
+  it('answers a stream that has not begun at its end', async () => {
+    site = await DirectSite.start();
+    const pace = {...PACE, firstMs: 2 * SHUTDOWN_GRACE_MS};
+    await site.addTarget({service: SiteService.WRITERS, zone: 'a', pace});
+    const answered = call(SitePath.STREAM, STREAM_DEADLINE_MS);
+    await sleep(100);
+    const stopped = site.entries[0]!.stopAsPlanned();
+    const {status, isComplete} = await answered;
+    expect({status, isComplete}).toEqual({status: 504, isComplete: true});
+    await stopped;
+  });
 });
--- a/test/support/direct-entry.ts
+++ b/test/support/direct-entry.ts
@@ -128,7 +128,7 @@
         logger: SILENT_LOGGER,
         listener: this.server,
         graceMs: SHUTDOWN_GRACE_MS,
-        answerOpen: () => this.process.answerOpenCalls(),
+        answerOpen: () => this.process.answerOpenRequests(),
         onStopped: resolve,
       }).begin();
     });
