--- a/src/core/retrying/decide-retry.ts
+++ b/src/core/retrying/decide-retry.ts
@@ -6,6 +6,9 @@
 /** Lowest status that counts as a failure of the target. */
 const FIRST_FAILURE_STATUS = 500;
 
+/** Statuses by which an entry promises that a request has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Result of one attempt of a call. */
 export interface AttemptResult {
   /** Present if there was no response. */
@@ -108,10 +111,22 @@
   return status >= FIRST_FAILURE_STATUS;
 }
 
+/**
+ * Whether a status would promise that a request has not run. A target that did
+ * not run it says so in other words, which end the attempt as a failure.
+ *
+ * @example
+ * promisesNotRun(503); // true
+ */
+export function promisesNotRun(status: number | undefined): boolean {
+  return status !== undefined && NOT_RUN_STATUSES.has(status);
+}
+
 /**
  * Decides what to do after an attempt. An unsafe call is retried only if it
  * certainly did not run; any other call also after a failure status, or if it
- * may have run. Each retry needs another target, an attempt left and budget.
+ * may have run. Each retry needs another target, an attempt left and budget. An
+ * unsafe call that may have run gets no status that promises the opposite.
  *
  * @example
  * const decision = decideRetry({operation, result: {status: 500}, ...rest});
@@ -119,11 +134,13 @@
 export function decideRetry(query: RetryQuery): RetryDecision {
   const {operation, result, sentCount, maxAttempts} = query;
   const isAnswered = result.failure === undefined;
+  const isUnsafe = operation === OperationKind.UNSAFE;
+  if (isUnsafe && promisesNotRun(result.status)) return RetryDecision.FAIL;
   if (isAnswered && !isTargetFailure(result)) return RetryDecision.PASS_ON;
   const fallback = isAnswered ? RetryDecision.PASS_ON : RetryDecision.FAIL;
   const didNotRun =
     result.failure !== undefined && certainlyDidNotRun(result.failure);
-  if (operation === OperationKind.UNSAFE && !didNotRun) return fallback;
+  if (isUnsafe && !didNotRun) return fallback;
   if (sentCount >= maxAttempts || !query.hasOtherTarget) return fallback;
   return query.takeFromBudget() ? RetryDecision.RETRY : fallback;
 }
--- a/src/core/retrying/index.ts
+++ b/src/core/retrying/index.ts
@@ -11,6 +11,7 @@
   countsAsSent,
   decideRetry,
   isTargetFailure,
+  promisesNotRun,
   retryReasonOf,
   RetryDecision,
 } from './decide-retry.js';
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -9,6 +9,7 @@
 import {
   toFailureResponse,
   certainlyDidNotRun,
+  promisesNotRun,
 } from '../../core/retrying/index.js';
 import type {RawEvent} from '../../core/streams/index.js';
 import {
@@ -299,7 +300,10 @@
   }
 
   private onOtherResponse(head: TargetResponseHead, body: Uint8Array): void {
-    const isFailure = head.status >= MIN_FAILURE_STATUS;
+    const {isResumable} = this.work.admitted.route;
+    const isFailure =
+      head.status >= MIN_FAILURE_STATUS ||
+      (!isResumable && promisesNotRun(head.status));
     if (isFailure || this.delivery.hasStarted) {
       const reason = RetryReason.TARGET_REFUSED;
       this.mayHaveRun = true;
--- a/stand-ins/site/target-fault.ts
+++ b/stand-ins/site/target-fault.ts
@@ -31,6 +31,14 @@
   WRONG_ATTEMPT_ID = 'foreign',
   /** Responds without `Server-Stamp`, which identifies a target's response. */
   NO_SERVER_STAMP = 'unproven',
+  /** Runs and responds 503, which does not state that it did not run. */
+  UNPROVEN_REFUSAL = 'unproven_refusal',
+  /** Runs and responds 429, which does not state that it did not run. */
+  UNPROVEN_LIMIT = 'unproven_limit',
+  /** Runs; a response without id, stamp or proof comes before its own. */
+  ANONYMOUS_REFUSAL = 'anonymous_refusal',
+  /** The same with status 200 and a stamp. */
+  ANONYMOUS_SUCCESS = 'anonymous_success',
   /** Sends two responses to one request. */
   DUPLICATE_RESPONSE = 'twice',
   /** Runs and ends the connection inside the head of its response. */
@@ -178,6 +186,22 @@
       socket.write(withContentLength(attemptId));
       setTimeout(() => socket.write(withContentLength(attemptId)), 20);
       break;
+    case TargetFault.UNPROVEN_REFUSAL:
+      socket.write(`HTTP/1.1 503 Busy\r\n${head}Content-Length: 0\r\n\r\n`);
+      break;
+    case TargetFault.UNPROVEN_LIMIT:
+      socket.write(`HTTP/1.1 429 Busy\r\n${head}Content-Length: 0\r\n\r\n`);
+      break;
+    case TargetFault.ANONYMOUS_REFUSAL:
+      socket.write('HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n');
+      socket.write(withContentLength(attemptId));
+      break;
+    case TargetFault.ANONYMOUS_SUCCESS:
+      socket.write(
+        'HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 3\r\n\r\nold',
+      );
+      socket.write(withContentLength(attemptId));
+      break;
     case TargetFault.CUT_HEAD:
       socket.end(withContentLength(attemptId).slice(0, options.headBytes));
       break;
--- a/test/direct/calls.test.ts
+++ b/test/direct/calls.test.ts
@@ -53,6 +53,11 @@
   {fault: TargetFault.WRONG_ATTEMPT_ID, path: UNSAFE, status: 502, runs: 1},
   {fault: TargetFault.NO_SERVER_STAMP, path: SAFE, status: 200, runs: 2},
   {fault: TargetFault.NO_SERVER_STAMP, path: UNSAFE, status: 502, runs: 1},
+  {fault: TargetFault.UNPROVEN_REFUSAL, path: SAFE, status: 200, runs: 2},
+  {fault: TargetFault.UNPROVEN_REFUSAL, path: UNSAFE, status: 502, runs: 1},
+  {fault: TargetFault.UNPROVEN_LIMIT, path: UNSAFE, status: 502, runs: 1},
+  {fault: TargetFault.ANONYMOUS_REFUSAL, path: SAFE, status: 200, runs: 2},
+  {fault: TargetFault.ANONYMOUS_REFUSAL, path: UNSAFE, status: 502, runs: 1},
   {fault: TargetFault.HANG, path: SAFE, status: 200, runs: 2},
   {fault: TargetFault.HANG, path: UNSAFE, status: 504, runs: 1},
 ];
@@ -147,6 +152,25 @@
     },
   );
 
+  // Guards against bytes of no request that answer the next one (REFUSED, MIXED).
+  it.each([
+    {fault: TargetFault.ANONYMOUS_REFUSAL},
+    {fault: TargetFault.ANONYMOUS_SUCCESS},
+  ])(
+    'gets no response without id on a kept connection: $fault',
+    async (row) => {
+      far.crash();
+      expect((await site.call({path: UNSAFE})).status).toBe(200);
+      near.fault = row.fault;
+      const {status, text} = await site.call({path: UNSAFE, body: 'order'});
+      expect(near.runs.some(({body}) => body === 'order')).toBe(true);
+      expect({status, isOld: text === 'old'}).toEqual({
+        status: 502,
+        isOld: false,
+      });
+    },
+  );
+
   it('sends the client account to the target, but not the key', async () => {
     await site.call({
       path: SAFE,
