Direct entry: wait a minute for right settings, and check addresses as they are read

What callers saw: nothing answered. A direct entry whose settings file came more than 6 s after its start, or was half written, empty or without a field for as long, ended with status 2. A port out of range, a port that is no number and a host name ended it at once with status 1 and a stack. An entry with an address of the store or a port for other entries that cannot be used started, and went on without them for its life.

Cause: readWithRetry waited 6 s without saying so, and the settings were decoded without a look at their addresses, so that the first to look was net.Server.listen, which throws.

So it waits for a minute, with a line a second, and then ends with one line and status 2. A variable that names no file cannot change during the life of the process, so it ends at once.

--- a/src/core/settings/direct-settings.ts
+++ b/src/core/settings/direct-settings.ts
@@ -2,7 +2,7 @@
 
 /** An address on which a process listens. */
 export interface ListenAddress {
-  /** IP address or host name. */
+  /** IP address. */
   readonly host: string;
   readonly port: number;
 }
--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -13,6 +13,7 @@
 import {createPlatformEdges} from '../../platform/platform-edges.js';
 import {listenWhenFree} from '../adapters/listen-when-free.js';
 import {MemoryBudget} from '../core/bytes/index.js';
+import type {Clock} from '../core/clock/index.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
 import {BoundedSink, createLogger} from '../core/logs/index.js';
 import {CounterName, Metrics} from '../core/metrics/index.js';
@@ -27,6 +28,11 @@
 import type {StartupSignals} from './startup-signals.js';
 
 const STDOUT = 1;
+
+/** Fields of the log lines; the name of the VM is one of the settings. */
+const ROLE = 'direct';
+const UNKNOWN_VM = 'unknown';
+
 const MAX_PORT = 65_535;
 
 /** Default port of the metrics. */
@@ -67,37 +73,52 @@
 export async function runDirect(startupSignals: StartupSignals): Promise<void> {
   const flags = program.parse().opts<Flags>();
   const path = process.env[SETTINGS_PATH_VARIABLE] ?? '';
+  if (path === '')
+    exitOnBadSettings(`${SETTINGS_PATH_VARIABLE} names no settings file`);
+  const clock = new SystemClock();
+  const metrics = new Metrics();
+  const sink = new BoundedSink({
+    fd: STDOUT,
+    clock,
+    onDropped: () => metrics.count(CounterName.LOG_LINES_DROPPED),
+  });
+  const startLogger = createLogger({vm: UNKNOWN_VM, role: ROLE, sink});
   const settings = await readWithRetry({
     read: () => loadBootSettings(path),
-    clock: new SystemClock(),
+    clock,
+    onInvalid: (detail) =>
+      startLogger.warn('waiting for valid settings', {detail}),
   });
-  if (settings.isErr()) {
-    process.stderr.write(`${settings.error}\n`);
-    process.exit(EXIT_BAD_SETTINGS);
-  }
+  if (settings.isErr()) exitOnBadSettings(settings.error);
   await startEntry({
     path,
     settings: settings.value,
     metricsPort: flags.metricsPort,
     startupSignals,
+    clock,
+    metrics,
+    sink,
   });
 }
 
+/** Writes one line and exits. */
+function exitOnBadSettings(detail: string): never {
+  process.stderr.write(`bad settings: ${detail}\n`);
+  process.exit(EXIT_BAD_SETTINGS);
+}
+
 async function startEntry(options: {
   path: string;
   settings: DirectSettings;
   metricsPort: number;
   startupSignals: StartupSignals;
+  clock: Clock;
+  metrics: Metrics;
+  sink: BoundedSink;
 }): Promise<void> {
   const {path, settings, metricsPort, startupSignals} = options;
-  const clock = new SystemClock();
-  const metrics = new Metrics();
-  const sink = new BoundedSink({
-    fd: STDOUT,
-    clock,
-    onDropped: () => metrics.count(CounterName.LOG_LINES_DROPPED),
-  });
-  const logger = createLogger({vm: settings.vm, role: 'direct', sink});
+  const {clock, metrics, sink} = options;
+  const logger = createLogger({vm: settings.vm, role: ROLE, sink});
   const random = new SystemRandom();
   const relay = new ChangeRelay({
     ...settings,
--- a/test/daemon/read-with-retry.test.ts
+++ b/test/daemon/read-with-retry.test.ts
@@ -19,7 +19,9 @@
     const read = () =>
       clock.now() >= validAtMs ? ok('settings') : err('incomplete file');
     let isDone = false;
-    const settings = readWithRetry({read, clock}).finally(() => {
+    const reports: string[] = [];
+    const onInvalid = (detail: string) => reports.push(detail);
+    const settings = readWithRetry({read, clock, onInvalid}).finally(() => {
       isDone = true;
     });
     while (!isDone) {
@@ -28,12 +30,25 @@
       await Promise.resolve();
       await new Promise(setImmediate);
     }
-    return {settings: await settings, tookMs: clock.now()};
+    return {settings: await settings, tookMs: clock.now(), reports};
   }
 
+  it.each([
+    {validAtMs: 0, expected: 0},
+    {validAtMs: 2_500, expected: 3},
+    {validAtMs: 10_500, expected: 11},
+  ])(
+    'reports the error once a second until $validAtMs ms',
+    async ({validAtMs, expected}) => {
+      const {reports} = await readUntilValid(validAtMs);
+      expect(reports).toEqual(Array(expected).fill('incomplete file'));
+    },
+  );
+
   it.each([
     {name: 'returns valid settings at once', validAtMs: 0, isOk: true},
     {name: 'waits until settings are valid', validAtMs: 2_000, isOk: true},
+    {name: 'waits for settings that come late', validAtMs: 20_000, isOk: true},
     {
       name: 'returns the error of settings that are invalid at the timeout',
       validAtMs: READ_TIMEOUT_MS * 10,
--- a/test/platform/boot-settings.test.ts
+++ b/test/platform/boot-settings.test.ts
@@ -66,6 +66,36 @@
       text: FILE.replace('grace_s: 8', 'grace_s: long'),
       expectedText: 'grace_s',
     },
+    {
+      name: 'a port out of range',
+      text: FILE.replace('8740', '70000'),
+      expectedText: '127.0.0.1:70000',
+    },
+    {
+      name: 'a port that is no number',
+      text: FILE.replace('8749', 'http'),
+      expectedText: '127.0.0.1:http',
+    },
+    {
+      name: 'a host name',
+      text: FILE.replace('127.0.0.1:8740', 'localhost:8740'),
+      expectedText: 'localhost:8740',
+    },
+    {
+      name: 'a store without a port',
+      text: FILE.replace('127.0.0.1:8742', 'store'),
+      expectedText: 'IP:PORT',
+    },
+    {
+      name: 'a VM without an address',
+      text: FILE.replace('ip: "127.0.0.1"', 'ip: ""'),
+      expectedText: 'IP address',
+    },
+    {
+      name: 'a port for other entries that is out of range',
+      text: FILE.replace('7200', '70000'),
+      expectedText: 'port_range',
+    },
     {name: 'invalid YAML', text: 'a: [', expectedText: 'line'},
     {name: 'an empty file', text: '', expectedText: 'object'},
   ])('report $name on a single line', ({text, expectedText}) => {
--- a/test/support/starting-program.ts
+++ b/test/support/starting-program.ts
@@ -9,6 +9,10 @@
 
 const US_PER_MS = 1_000;
 
+/** Time within which a line is expected, and between two looks for it, in ms. */
+const LOG_TIMEOUT_MS = 20_000;
+const POLL_MS = 20;
+
 /** Descriptor on which the probe reports. */
 const PROBE_FD = 3;
 
@@ -28,16 +32,20 @@
 
 /** Files of a test that are removed with it. */
 export class ProgramFolder {
-  private readonly path = mkdtempSync(join(tmpdir(), 'starting-program-'));
+  private readonly folder = mkdtempSync(join(tmpdir(), 'starting-program-'));
+
+  path(name: string): string {
+    return join(this.folder, name);
+  }
 
   write(name: string, text: string): string {
-    const path = join(this.path, name);
+    const path = this.path(name);
     writeFileSync(path, text);
     return path;
   }
 
   remove(): void {
-    rmSync(this.path, {recursive: true});
+    rmSync(this.folder, {recursive: true});
   }
 }
 
@@ -56,6 +64,7 @@
   private readonly exited: Promise<unknown>;
   private readonly handled: Promise<number>;
   private errorText = '';
+  private outputText = '';
 
   constructor(options: {
     folder: ProgramFolder;
@@ -66,10 +75,13 @@
     const {folder, argv, env} = options;
     const probe = folder.write('probe.cjs', PROBE);
     this.child = spawn(process.execPath, ['--require', probe, ...argv], {
-      stdio: ['ignore', 'ignore', 'pipe', 'pipe'],
+      stdio: ['ignore', 'pipe', 'pipe', 'pipe'],
       env: {...process.env, ...env},
     });
     this.child.stderr!.on('data', (chunk) => (this.errorText += String(chunk)));
+    this.child.stdout!.on('data', (chunk) => {
+      this.outputText += String(chunk);
+    });
     this.exited = once(this.child, 'exit').then(([code, signal]) => {
       this.end = `status ${code}, signal ${signal}`;
     });
@@ -91,6 +103,26 @@
     return this.errorText;
   }
 
+  /** What it has written to standard output: its log. */
+  get output(): string {
+    return this.outputText;
+  }
+
+  /** Number of log lines that contain a text. */
+  countLines(text: string): number {
+    return this.output.split('\n').filter((line) => line.includes(text)).length;
+  }
+
+  /** Resolves once a log line contains the text; rejects after a time. */
+  async untilLogged(text: string, timeoutMs = LOG_TIMEOUT_MS): Promise<void> {
+    const endMs = performance.now() + timeoutMs;
+    while (this.countLines(text) === 0) {
+      if (performance.now() > endMs)
+        throw new Error(`no line has '${text}': ${this.output}${this.errors}`);
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+
   /** Resolves to the exit status or signal. */
   async ended(): Promise<string> {
     await this.exited;
