Direct entry: apply settings that change while it starts

What callers saw: after a restart in the seconds around a change of the settings, an entry served with the former ones (limit of memory, bound on revoked keys, budget of retries) for its whole life, also after SIGHUP; a file read half written that was valid by itself stayed in force.

Cause: SettingsWatcher recorded the text of its first check as the applied one, though the settings had been read earlier, and the first check came after the start; a start that waits for a port stretches the window without bound.

Fix: the watcher begins with the text from which the settings were read, and checks as soon as signals are handled. Its checks run under the supervisor, as a failure to apply settings would end the process.

--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -4,6 +4,7 @@
 
 import {Command, InvalidArgumentError} from 'commander';
 
+import type {BootSettings} from '../../platform/boot-settings.js';
 import {
   loadBootSettings,
   parseBootSettings,
@@ -17,8 +18,8 @@
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
 import {BoundedSink, createLogger} from '../core/logs/index.js';
 import {CounterName, Metrics} from '../core/metrics/index.js';
-import type {DirectSettings} from '../core/settings/direct-settings.js';
 import {messageMemoryBytes} from '../core/settings/direct-settings.js';
+import {Supervisor} from '../core/supervision/index.js';
 import {DirectProcess} from '../direct/direct-process.js';
 import {ChangeRelay} from '../direct/relay/index.js';
 import {GracefulShutdown} from '../direct/graceful-shutdown.js';
@@ -83,16 +84,16 @@
     onDropped: () => metrics.count(CounterName.LOG_LINES_DROPPED),
   });
   const startLogger = createLogger({vm: UNKNOWN_VM, role: ROLE, sink});
-  const settings = await readWithRetry({
+  const boot = await readWithRetry({
     read: () => loadBootSettings(path),
     clock,
     onInvalid: (detail) =>
       startLogger.warn('waiting for valid settings', {detail}),
   });
-  if (settings.isErr()) exitOnBadSettings(settings.error);
+  if (boot.isErr()) exitOnBadSettings(boot.error);
   await startEntry({
     path,
-    settings: settings.value,
+    boot: boot.value,
     metricsPort: flags.metricsPort,
     startupSignals,
     clock,
@@ -109,16 +110,18 @@
 
 async function startEntry(options: {
   path: string;
-  settings: DirectSettings;
+  boot: BootSettings;
   metricsPort: number;
   startupSignals: StartupSignals;
   clock: Clock;
   metrics: Metrics;
   sink: BoundedSink;
 }): Promise<void> {
-  const {path, settings, metricsPort, startupSignals} = options;
+  const {path, metricsPort, startupSignals} = options;
   const {clock, metrics, sink} = options;
+  const {settings, text} = options.boot;
   const logger = createLogger({vm: settings.vm, role: ROLE, sink});
+  const supervisor = new Supervisor({clock, metrics, logger});
   const random = new SystemRandom();
   const relay = new ChangeRelay({
     ...settings,
@@ -161,10 +164,12 @@
   });
   const watcher = new SettingsWatcher({
     path,
+    text,
     parse: parseBootSettings,
     onSettings: (newSettings) => entry.applySettings(newSettings),
     clock,
     logger,
+    supervisor,
   });
   const shutdown = new GracefulShutdown({
     clock,
@@ -177,7 +182,7 @@
   });
   process.on('SIGHUP', () => {
     logger.info('reload');
-    void watcher.check();
+    watcher.check();
   });
   const stop = () => {
     logger.info('stopping', {open: server.openRequests});
@@ -188,6 +193,7 @@
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
   startupSignals.remove();
+  watcher.start();
   entry.start();
   await relay.start({
     writer: edges.entryWriter,
@@ -215,8 +221,6 @@
     afterMs: Math.round(clock.now()),
     reloads: startupSignals.reloads,
   });
-  await watcher.check();
-  watcher.start();
 }
 
 function serveReadiness(options: {
--- a/src/direct/settings-watcher.ts
+++ b/src/direct/settings-watcher.ts
@@ -6,51 +6,64 @@
 import type {Clock, TimerHandle} from '../core/clock/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {DirectSettings} from '../core/settings/direct-settings.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 
 /** Interval at which the file is checked for changes, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
 
 /**
  * Applies the settings file when its text has changed. The file is checked at
- * a fixed interval, and at once by `check`, as on a signal. An invalid or
- * unreadable file leaves the active settings unchanged.
+ * the start, at a fixed interval, and at once by `check`, as on a signal. An
+ * invalid or unreadable file leaves the active settings unchanged.
  *
  * @example
- * const options = {path, parse, onSettings, clock, logger};
+ * const options = {path, text, parse, onSettings, clock, logger, supervisor};
  * const watcher = new SettingsWatcher(options);
  * watcher.start();
- * process.on('SIGHUP', () => void watcher.check());
+ * process.on('SIGHUP', () => watcher.check());
  */
 export class SettingsWatcher {
-  private text?: string;
+  private text: string;
   private timer?: TimerHandle;
 
   constructor(
     private readonly options: {
       path: string;
+      /** Text from which the active settings were read. */
+      text: string;
       /** Decodes the text of the file; the error is one line. */
       parse: (text: string) => Result<DirectSettings, string>;
       onSettings: (settings: DirectSettings) => void;
       clock: Clock;
       logger: Logger;
+      supervisor: Supervisor;
     },
-  ) {}
+  ) {
+    this.text = options.text;
+  }
 
   start(): void {
-    const {clock} = this.options;
-    const run = () => void this.check();
-    this.timer = clock.repeat({periodMs: CHECK_INTERVAL_MS, run});
+    const run = () => this.check();
+    this.timer = this.options.clock.repeat({periodMs: CHECK_INTERVAL_MS, run});
+    this.check();
   }
 
   stop(): void {
     this.timer?.cancel();
   }
 
+  /** Reads the file again without waiting for the end. */
+  check(): void {
+    const task = {name: TaskName.SETTINGS};
+    this.options.supervisor.run(task, () => this.readAgain());
+  }
+
   /**
-   * Applies the file if its text differs from the one that was read last. The
-   * first call only records the text.
+   * Applies the file if its text differs from the one that was read last;
+   * resolves once that is done.
    */
-  async check(): Promise<void> {
+  async readAgain(): Promise<void> {
     const {path, logger} = this.options;
     let text: string;
     try {
@@ -63,10 +76,9 @@
       });
       return;
     }
-    const isFirst = this.text === undefined;
     if (text === this.text) return;
     this.text = text;
-    if (!isFirst) this.apply(text);
+    this.apply(text);
   }
 
   private apply(text: string): void {
