Direct entry: listen on the address of the latest settings, and name one that never works

What callers saw: nothing answered. An entry whose settings named an address that the machine does not have waited for it for ever, also after the file was corrected. An address on which nothing can listen ended it with status 1 and a stack; so did a momentary want of descriptors or memory.

Cause: the address was taken from the settings once, before the wait, and every error but two was thrown as unexpected.

Fix: each attempt asks for the address of the active settings; EMFILE, ENFILE, ENOBUFS and ENOMEM are waited for; any other error ends the process with one line and status 2.

The four codes of want are not shown by a test.

--- a/src/adapters/listen-when-free.ts
+++ b/src/adapters/listen-when-free.ts
@@ -11,34 +11,48 @@
 /** Attempts after which it is logged that the address is still in use. */
 const ATTEMPTS_PER_LOG_LINE = 40;
 
-/** Codes of errors that end once a former process is gone. */
+/** Codes of errors that pass, as when a former process is gone. */
 const TRANSIENT_CODES: ReadonlySet<string> = new Set([
   'EADDRINUSE',
   'EADDRNOTAVAIL',
+  'EMFILE',
+  'ENFILE',
+  'ENOBUFS',
+  'ENOMEM',
 ]);
 
+/** Settings name an address on which this machine can never listen. */
+export class CannotListenError extends Error {
+  override readonly name = 'CannotListenError';
+}
+
 /**
- * Listens as soon as the address is free, and returns the port. Rejects with
- * any other error. Later errors of the server, such as an accept that fails for
+ * Listens as soon as the address is free, and returns the port. Rejects with a
+ * CannotListenError if waiting is of no use. Later errors of the server, such as an accept that fails for
  * want of descriptors, are left to the next accept.
  *
  * @example
- * const port = await listenWhenFree({server, address, clock, logger});
+ * const addressOf = () => settings.readiness;
+ * const port = await listenWhenFree({server, addressOf, clock, logger});
  */
 export async function listenWhenFree(options: {
   server: Server;
-  address: ListenOptions;
+  /** Called for each attempt, as settings may change while it waits. */
+  addressOf: () => ListenOptions;
   clock: Clock;
   logger: Logger;
 }): Promise<number> {
-  const {server, address, clock, logger} = options;
+  const {server, addressOf, clock, logger} = options;
   server.on('error', () => undefined);
   for (let attempt = 0; ; attempt++) {
+    const address = addressOf();
     const err = await tryListen(server, address);
     if (err === undefined) return (server.address() as AddressInfo).port;
-    if (!TRANSIENT_CODES.has(err.code ?? '')) throw err;
+    if (!TRANSIENT_CODES.has(err.code ?? ''))
+      throw new CannotListenError(err.message);
     if (attempt % ATTEMPTS_PER_LOG_LINE === 0) {
       logger.warn('address in use, waiting for it', {
+        host: address.host,
         port: address.port,
         code: err.code,
       });
--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -12,7 +12,10 @@
 import {CallerServer} from '../../platform/caller-server.js';
 import {SETTINGS_PATH_VARIABLE, Path} from '../../platform/names.js';
 import {createPlatformEdges} from '../../platform/platform-edges.js';
-import {listenWhenFree} from '../adapters/listen-when-free.js';
+import {
+  CannotListenError,
+  listenWhenFree,
+} from '../adapters/listen-when-free.js';
 import {MemoryBudget} from '../core/bytes/index.js';
 import type {Clock} from '../core/clock/index.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
@@ -91,15 +94,20 @@
       startLogger.warn('waiting for valid settings', {detail}),
   });
   if (boot.isErr()) exitOnBadSettings(boot.error);
-  await startEntry({
-    path,
-    boot: boot.value,
-    metricsPort: flags.metricsPort,
-    startupSignals,
-    clock,
-    metrics,
-    sink,
-  });
+  try {
+    await startEntry({
+      path,
+      boot: boot.value,
+      metricsPort: flags.metricsPort,
+      startupSignals,
+      clock,
+      metrics,
+      sink,
+    });
+  } catch (e) {
+    if (e instanceof CannotListenError) exitOnBadSettings(e.message);
+    throw e;
+  }
 }
 
 /** Writes one line and exits. */
@@ -120,6 +128,7 @@
   const {path, metricsPort, startupSignals} = options;
   const {clock, metrics, sink} = options;
   const {settings, text} = options.boot;
+  let active = settings;
   const logger = createLogger({vm: settings.vm, role: ROLE, sink});
   const supervisor = new Supervisor({clock, metrics, logger});
   const random = new SystemRandom();
@@ -166,7 +175,10 @@
     path,
     text,
     parse: parseBootSettings,
-    onSettings: (newSettings) => entry.applySettings(newSettings),
+    onSettings: (newSettings) => {
+      active = newSettings;
+      entry.applySettings(newSettings);
+    },
     clock,
     logger,
     supervisor,
@@ -199,24 +211,24 @@
     writer: edges.entryWriter,
     source: edges.entrySource,
   });
-  await server.listen(settings.callers);
+  await server.listen(() => active.callers);
   // Callers are sent here once it responds, so it comes after their server.
   await listenWhenFree({
     server: createServer((req, res) => serveReadiness({req, res, entry})),
-    address: settings.readiness,
+    addressOf: () => active.readiness,
     clock,
     logger,
   });
   void listenWhenFree({
     server: createServer((req, res) => void serveMetrics({req, res, metrics})),
-    address: {host: settings.address, port: metricsPort},
+    addressOf: () => ({host: active.address, port: metricsPort}),
     clock,
     logger,
   }).catch((e: unknown) =>
     logger.error('metrics are not served', {detail: String(e)}),
   );
   logger.info('started', {
-    callers: settings.callers.port,
+    callers: active.callers.port,
     metricsPort,
     afterMs: Math.round(clock.now()),
     reloads: startupSignals.reloads,
--- a/test/processes/start-window.test.ts
+++ b/test/processes/start-window.test.ts
@@ -27,6 +27,12 @@
 /** An address on which nothing else listens. */
 const ADDRESS = '127.9.4.20';
 
+/** An address that no machine has. */
+const ABSENT = '192.0.2.1';
+
+/** IPv6 without a zone, on which nothing can listen. */
+const UNUSABLE = 'fe80::1';
+
 const GRACE_S = 2;
 const MS_PER_S = 1_000;
 
@@ -91,6 +97,11 @@
     await program.untilLogged(WAITING);
   }
 
+  const listenOn = (address: string) => {
+    const {host, port} = callersEndpointOf(address);
+    file = {...file, listen: {...file.listen, frontend: `${host}:${port}`}};
+  };
+
   const change = () => {
     const limits = {memory_mb: 300};
     folder.write('boot.json', JSON.stringify({...file, limits}));
@@ -120,4 +131,21 @@
     const tookMs = performance.now() - signalledMs;
     expect(tookMs).toBeLessThan(GRACE_S * MS_PER_S);
   });
+
+  it('of an absent address starts once the settings name another', async () => {
+    listenOn(ABSENT);
+    start();
+    await program.untilLogged(WAITING);
+    listenOn(ADDRESS);
+    folder.write('boot.json', JSON.stringify(file));
+    await program.untilLogged(STARTED);
+    expect(program.end).toBeUndefined();
+  });
+
+  it('ends with one line if the address can never be listened on', async () => {
+    listenOn(UNUSABLE);
+    start();
+    expect(await program.ended()).toBe('status 2, signal null');
+    expect(program.errors).toMatch(/^bad settings: .*fe80::1.*\n$/);
+  });
 });
--- a/test/support/direct-entry.ts
+++ b/test/support/direct-entry.ts
@@ -115,7 +115,8 @@
     const entry = new DirectEntry(options);
     entry.process.start();
     await entry.startRelay();
-    entry.port = await entry.server.listen({host: '127.0.0.1', port: 0});
+    const callers = {host: '127.0.0.1', port: 0};
+    entry.port = await entry.server.listen(() => callers);
     return entry;
   }
 
