Direct entry: try again to listen for other entries while the port is taken

What callers saw: nothing at once. An entry whose port for other entries was taken for a moment at its start answered no other entry for its whole life, so that reads and permits of the fleet rested on fewer entries.

Cause: the relay tried to listen once and registered in the store only then.

Fix: the relay tries again each 100 ms in the background, with a log line a second, and registers the entry once it listens; the start does not wait for it. A stop ends the attempts, and closes a listener that opens meanwhile. PeerServer.listen may be repeated: a failed attempt leaves no listeners behind.

--- a/src/core/protocol/peer-server.ts
+++ b/src/core/protocol/peer-server.ts
@@ -44,17 +44,24 @@
     this.server.on('error', () => undefined);
   }
 
-  /** Starts listening and returns the port. */
+  /** Starts listening and returns the port; may be repeated after an error. */
   listen(options: {
     address: string;
     port: number;
   }): ResultAsync<number, TransportError> {
-    const {address, port} = options;
+    const {server} = this;
     const listening = new Promise<number>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, address, () => {
-        resolve((this.server.address() as AddressInfo).port);
-      });
+      const onError = (err: Error) => {
+        server.off('listening', onListening);
+        reject(err);
+      };
+      const onListening = () => {
+        server.off('error', onError);
+        resolve((server.address() as AddressInfo).port);
+      };
+      server.once('error', onError);
+      server.once('listening', onListening);
+      server.listen(options.port, options.address);
     });
     return ResultAsync.fromPromise(listening, (cause) =>
       createTransportError(TransportErrorKind.CONNECT_FAILED, String(cause)),
--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -207,7 +207,7 @@
   startupSignals.remove();
   watcher.start();
   entry.start();
-  await relay.start({
+  relay.start({
     writer: edges.entryWriter,
     source: edges.entrySource,
   });
--- a/src/direct/relay/change-relay.ts
+++ b/src/direct/relay/change-relay.ts
@@ -1,5 +1,6 @@
 /** Shares what one entry reads from the store with the others. */
 import type {Clock, RandomSource} from '../../core/clock/index.js';
+import {sleep} from '../../core/clock/index.js';
 import type {ChangeQuery, StateSource} from '../../core/edges/state-source.js';
 import type {StateWriter} from '../../core/edges/state-writer.js';
 import type {Logger} from '../../core/logs/index.js';
@@ -28,8 +29,15 @@
   longestWaits,
   ReaderChoice,
 } from '../../core/relay/index.js';
+import {Supervisor, TaskName} from '../../core/supervision/index.js';
 import {MEMBER_SILENCE_MS, toPermit, toPermitQuery} from '../limits/index.js';
-import {DEMAND_MS, MAX_ASKS, MAX_UNKNOWN_MS} from './consts.js';
+import {
+  DEMAND_MS,
+  LISTEN_ATTEMPTS_PER_LOG_LINE,
+  LISTEN_RETRY_MS,
+  MAX_ASKS,
+  MAX_UNKNOWN_MS,
+} from './consts.js';
 import {EntryDirectory} from './entry-directory.js';
 import type {AskResult} from './relayed-source.js';
 import {AskOutcome, RelayedSource} from './relayed-source.js';
@@ -69,7 +77,7 @@
  * @example
  * const relay = new ChangeRelay(options);
  * const configs = relay.relayed({kind: 'config', store, bound: AgeBound.NONE});
- * await relay.start({writer, source});
+ * relay.start({writer, source});
  */
 export class ChangeRelay implements PermitPeers {
   private readonly logs = new Map<string, ChangeLog>();
@@ -144,39 +152,49 @@
   }
 
   /**
-   * Listens for other entries and registers this one. If it cannot listen, it
-   * still asks the others.
+   * Follows the other entries, and registers this one once it listens for them.
+   * While its port is taken, it still asks the others.
    */
-  async start(options: {
+  start(options: {
     writer: StateWriter<EntryRecord>;
     source: StateSource<EntryRecord>;
-  }): Promise<void> {
-    const {writer, source} = options;
-    const {vm, dataCentre, address, port, logger} = this.options;
+  }): void {
+    const {port} = this.options;
     if (port === undefined) return;
-    const listening = await this.server.listen({address, port});
-    if (listening.isErr()) {
-      const {detail} = listening.error;
-      logger.warn('not listening for other entries', {detail});
-    }
-    this.directory = new EntryDirectory({
+    const directory = new EntryDirectory({
       ...this.options,
-      own: listening
-        .map((boundPort) => ({
-          vm,
-          dataCentre,
-          address: `${address}:${boundPort}`,
-        }))
-        .unwrapOr(undefined),
-      writer,
-      source,
+      ...options,
       onEntries: (entries) => {
         this.choice.update(entries);
         this.entryVms = entries.map((entry) => entry.vm);
         this.setKnown();
       },
     });
-    this.directory.start();
+    this.directory = directory;
+    directory.start();
+    new Supervisor(this.options).run({name: TaskName.PEERS}, async () => {
+      const boundPort = await this.listenWhenFree(port);
+      if (boundPort === undefined) return;
+      const {vm, dataCentre, address} = this.options;
+      const peerAddress = `${address}:${boundPort}`;
+      directory.announce({vm, dataCentre, address: peerAddress});
+    });
+  }
+
+  /** Returns the port; undefined if this entry stops before it is free. */
+  private async listenWhenFree(port: number): Promise<number | undefined> {
+    const {address, clock, logger} = this.options;
+    for (let attempt = 0; !this.isStopped; attempt++) {
+      const listening = await this.server.listen({address, port});
+      if (listening.isOk() && !this.isStopped) return listening.value;
+      if (listening.isErr() && attempt % LISTEN_ATTEMPTS_PER_LOG_LINE === 0) {
+        const {detail} = listening.error;
+        logger.warn('not listening for other entries, will retry', {detail});
+      }
+      if (listening.isErr()) await sleep(clock, LISTEN_RETRY_MS);
+    }
+    this.server.close();
+    return undefined;
   }
 
   /** Stops answering other entries, before a planned stop. */
--- a/src/direct/relay/consts.ts
+++ b/src/direct/relay/consts.ts
@@ -9,6 +9,15 @@
 /** Time to connect to a reader, in milliseconds. */
 export const CONNECT_LIMIT_MS = 400;
 
+/**
+ * Time after which an entry tries again to listen on its port for other
+ * entries, in milliseconds.
+ */
+export const LISTEN_RETRY_MS = 100;
+
+/** Attempts to listen of which one is logged. */
+export const LISTEN_ATTEMPTS_PER_LOG_LINE = 10;
+
 /** Added to the wait of a watch to get its time limit, in milliseconds. */
 export const WATCH_MARGIN_MS = 500;
 
--- a/src/direct/relay/entry-directory.ts
+++ b/src/direct/relay/entry-directory.ts
@@ -17,8 +17,6 @@
 
 /** Dependencies of the directory. */
 export interface EntryDirectoryOptions {
-  /** Undefined if this entry answers nobody, and only follows the others. */
-  readonly own?: EntryRecord;
   readonly writer: StateWriter<EntryRecord>;
   readonly source: StateSource<EntryRecord>;
   readonly clock: Clock;
@@ -29,12 +27,13 @@
 
 /**
  * Knows the entries that answer others. Each registers an object under the name
- * of its VM, and removes it when it stops as planned. The object of an entry that
+ * of its VM once it listens, and removes it when it stops as planned. The object of an entry that
  * was killed stays; whoever asks that entry finds out.
  *
  * @example
  * const directory = new EntryDirectory(options);
  * directory.start();
+ * directory.announce(own);
  */
 export class EntryDirectory {
   private readonly entries = new Map<string, EntryRecord>();
@@ -43,6 +42,8 @@
   private readonly left = new Set<string>();
   private timer?: TimerHandle;
   private isStopped = false;
+  /** Undefined while this entry answers nobody, and only follows the others. */
+  private own?: EntryRecord;
 
   constructor(private readonly options: EntryDirectoryOptions) {
     this.follower = createStoreFollower({
@@ -63,7 +64,7 @@
           this.put(name, isDeleted ? undefined : value);
         this.publish();
         // A late removal by an earlier process of this VM.
-        if (changes.some((c) => c.isDeleted && c.name === options.own?.vm))
+        if (changes.some((c) => c.isDeleted && c.name === this.own?.vm))
           void this.register();
       },
     });
@@ -71,17 +72,24 @@
 
   start(): void {
     const {clock, random} = this.options;
-    void this.register();
     // The entries of a fleet start together: later, one list has most of them.
     const delayMs = FIRST_LIST_DELAY_MS * (1 + random.float());
     clock.schedule({delayMs, run: () => this.follow()});
   }
 
+  /** Registers this entry, which answers others from now on. */
+  announce(own: EntryRecord): void {
+    this.own = own;
+    void this.register();
+    void this.correctOwn();
+  }
+
   /** Removes this entry, so that no other one asks it. */
   async leave(): Promise<void> {
     this.isStopped = true;
     this.timer?.cancel();
-    const {writer, own, logger} = this.options;
+    const {own} = this;
+    const {writer, logger} = this.options;
     if (own === undefined) return;
     const removed = await writer.remove(own.vm);
     if (removed.isErr())
@@ -99,9 +107,9 @@
   }
 
   private async register(): Promise<void> {
-    const {writer, own} = this.options;
+    const {own} = this;
     if (own === undefined || this.isStopped) return;
-    const written = await writer.createIfAbsent(own.vm, own);
+    const written = await this.options.writer.createIfAbsent(own.vm, own);
     if (written.isErr()) this.retry(() => this.register());
   }
 
@@ -117,7 +125,8 @@
 
   /** Replaces the record that an earlier process left, if it differs. */
   private async correctOwn(): Promise<void> {
-    const {writer, own, logger} = this.options;
+    const {own} = this;
+    const {writer, logger} = this.options;
     if (own === undefined || this.isStopped) return;
     const stored = this.entries.get(own.vm);
     if (stored === undefined || isEqual(stored, own)) return;
--- a/src/direct/relay/watch-server.ts
+++ b/src/direct/relay/watch-server.ts
@@ -90,9 +90,9 @@
     return this.waiting.size > 0;
   }
 
-  /** Starts listening; returns the port. */
+  /** Starts listening; returns the port. May be repeated after an error. */
   listen(at: {address: string; port: number}) {
-    this.aliveTimer = this.options.clock.repeat({
+    this.aliveTimer ??= this.options.clock.repeat({
       periodMs: ALIVE_INTERVAL_MS,
       run: () => this.showAlive(),
     });
--- a/test/direct/entry-directory.test.ts
+++ b/test/direct/entry-directory.test.ts
@@ -44,9 +44,8 @@
     return errAsync({kind: SourceErrorKind.UNAVAILABLE, detail: 'status 503'});
   };
 
-  const create = (own: EntryRecord | undefined = OWN) =>
+  const create = () =>
     new EntryDirectory({
-      own,
       writer: {
         createIfAbsent: (name) => write(`create ${name}`),
         upsert: (name) => write(`update ${name}`),
@@ -71,6 +70,14 @@
       onEntries: (entries) => (known = entries.map(({vm}) => vm)),
     });
 
+  /** Starts a directory of an entry that listens from the start. */
+  const start = () => {
+    const directory = create();
+    directory.start();
+    directory.announce(OWN);
+    return directory;
+  };
+
   const settle = async () => {
     for (let ms = 0; ms < SETTLED_MS; ms += STEP_MS) {
       clock.advance(STEP_MS);
@@ -80,15 +87,27 @@
 
   it('registers this entry once, and tells the others', async () => {
     stored = [OWN, recordOf('edge-2')];
-    create().start();
+    start();
     await settle();
     expect(writes).toEqual(['create edge-1']);
     expect(known).toEqual(['edge-1', 'edge-2']);
   });
 
+  it('follows the others before it listens, and then corrects its record', async () => {
+    stored = [recordOf('edge-1', 7_999), recordOf('edge-2')];
+    const directory = create();
+    directory.start();
+    await settle();
+    expect(known).toEqual(['edge-1', 'edge-2']);
+    expect(writes).toEqual([]);
+    directory.announce(OWN);
+    await settle();
+    expect(writes).toEqual(['create edge-1', 'update edge-1']);
+  });
+
   it('registers again after the store has failed', async () => {
     failingWrites = 1;
-    create().start();
+    start();
     await settle();
     expect(writes).toEqual(['create edge-1', 'create edge-1']);
   });
@@ -97,8 +116,7 @@
     'corrects what an earlier process left, after $failures failed writes',
     async ({failures}) => {
       stored = [recordOf('edge-1', 7_999)];
-      const directory = create();
-      directory.start();
+      start();
       for (let i = 0; i < 20; i++) await Promise.resolve();
       failingWrites = failures;
       await settle();
@@ -109,7 +127,7 @@
 
   it('registers again after a late removal by an earlier process', async () => {
     stored = [OWN];
-    create().start();
+    start();
     await settle();
     tell([{name: 'edge-1', isDeleted: true}]);
     await settle();
@@ -118,8 +136,7 @@
 
   it('removes itself at a planned stop, and does not come back', async () => {
     stored = [OWN];
-    const directory = create();
-    directory.start();
+    const directory = start();
     await settle();
     await directory.leave();
     tell([{name: 'edge-1', isDeleted: true}]);
@@ -129,7 +146,7 @@
 
   it('ignores a record under the name of another VM', async () => {
     stored = [OWN];
-    create().start();
+    start();
     await settle();
     tell([{name: 'edge-2', value: recordOf('edge-3'), isDeleted: false}]);
     await settle();
--- a/test/support/direct-entry.ts
+++ b/test/support/direct-entry.ts
@@ -114,7 +114,7 @@
   static async start(options: DirectEntryOptions): Promise<DirectEntry> {
     const entry = new DirectEntry(options);
     entry.process.start();
-    await entry.startRelay();
+    entry.startRelay();
     const callers = {host: '127.0.0.1', port: 0};
     entry.port = await entry.server.listen(() => callers);
     return entry;
@@ -149,9 +149,9 @@
     this.server.closeAll();
   }
 
-  private startRelay(): Promise<void> {
+  private startRelay(): void {
     const {entryWriter: writer, entrySource: source} = this.edges;
-    return this.relay.start({writer, source});
+    this.relay.start({writer, source});
   }
 }
 
