--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -4,6 +4,7 @@
 
 import {Command, InvalidArgumentError} from 'commander';
 
+import type {BootSettings} from '../../platform/boot-settings.js';
 import {
   loadBootSettings,
   parseBootSettings,
@@ -11,13 +12,17 @@
 import {CallerServer} from '../../platform/caller-server.js';
 import {SETTINGS_PATH_VARIABLE, Path} from '../../platform/names.js';
 import {createPlatformEdges} from '../../platform/platform-edges.js';
-import {listenWhenFree} from '../adapters/listen-when-free.js';
+import {
+  CannotListenError,
+  listenWhenFree,
+} from '../adapters/listen-when-free.js';
 import {MemoryBudget} from '../core/bytes/index.js';
+import type {Clock} from '../core/clock/index.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
 import {BoundedSink, createLogger} from '../core/logs/index.js';
 import {CounterName, Metrics} from '../core/metrics/index.js';
-import type {DirectSettings} from '../core/settings/direct-settings.js';
 import {messageMemoryBytes} from '../core/settings/direct-settings.js';
+import {Supervisor} from '../core/supervision/index.js';
 import {DirectProcess} from '../direct/direct-process.js';
 import {ChangeRelay} from '../direct/relay/index.js';
 import {GracefulShutdown} from '../direct/graceful-shutdown.js';
@@ -27,6 +32,11 @@
 import type {StartupSignals} from './startup-signals.js';
 
 const STDOUT = 1;
+
+/** Fields of the log lines; the name of the VM is one of the settings. */
+const ROLE = 'direct';
+const UNKNOWN_VM = 'unknown';
+
 const MAX_PORT = 65_535;
 
 /** Default port of the metrics. */
@@ -67,37 +77,60 @@
 export async function runDirect(startupSignals: StartupSignals): Promise<void> {
   const flags = program.parse().opts<Flags>();
   const path = process.env[SETTINGS_PATH_VARIABLE] ?? '';
-  const settings = await readWithRetry({
+  if (path === '')
+    exitOnBadSettings(`${SETTINGS_PATH_VARIABLE} names no settings file`);
+  const clock = new SystemClock();
+  const metrics = new Metrics();
+  const sink = new BoundedSink({
+    fd: STDOUT,
+    clock,
+    onDropped: () => metrics.count(CounterName.LOG_LINES_DROPPED),
+  });
+  const startLogger = createLogger({vm: UNKNOWN_VM, role: ROLE, sink});
+  const boot = await readWithRetry({
     read: () => loadBootSettings(path),
-    clock: new SystemClock(),
+    clock,
+    onInvalid: (detail) =>
+      startLogger.warn('waiting for valid settings', {detail}),
   });
-  if (settings.isErr()) {
-    process.stderr.write(`${settings.error}\n`);
-    process.exit(EXIT_BAD_SETTINGS);
+  if (boot.isErr()) exitOnBadSettings(boot.error);
+  try {
+    await startEntry({
+      path,
+      boot: boot.value,
+      metricsPort: flags.metricsPort,
+      startupSignals,
+      clock,
+      metrics,
+      sink,
+    });
+  } catch (e) {
+    if (e instanceof CannotListenError) exitOnBadSettings(e.message);
+    throw e;
   }
-  await startEntry({
-    path,
-    settings: settings.value,
-    metricsPort: flags.metricsPort,
-    startupSignals,
-  });
+}
+
+/** Writes one line and exits. */
+function exitOnBadSettings(detail: string): never {
+  process.stderr.write(`bad settings: ${detail}\n`);
+  process.exit(EXIT_BAD_SETTINGS);
 }
 
 async function startEntry(options: {
   path: string;
-  settings: DirectSettings;
+  boot: BootSettings;
   metricsPort: number;
   startupSignals: StartupSignals;
+  clock: Clock;
+  metrics: Metrics;
+  sink: BoundedSink;
 }): Promise<void> {
-  const {path, settings, metricsPort, startupSignals} = options;
-  const clock = new SystemClock();
-  const metrics = new Metrics();
-  const sink = new BoundedSink({
-    fd: STDOUT,
-    clock,
-    onDropped: () => metrics.count(CounterName.LOG_LINES_DROPPED),
-  });
-  const logger = createLogger({vm: settings.vm, role: 'direct', sink});
+  const {path, metricsPort, startupSignals} = options;
+  const {clock, metrics, sink} = options;
+  const {settings, text} = options.boot;
+  let active = settings;
+  const logger = createLogger({vm: settings.vm, role: ROLE, sink});
+  const supervisor = new Supervisor({clock, metrics, logger});
   const random = new SystemRandom();
   const relay = new ChangeRelay({
     ...settings,
@@ -140,10 +173,15 @@
   });
   const watcher = new SettingsWatcher({
     path,
+    text,
     parse: parseBootSettings,
-    onSettings: (newSettings) => entry.applySettings(newSettings),
+    onSettings: (newSettings) => {
+      active = newSettings;
+      entry.applySettings(newSettings);
+    },
     clock,
     logger,
+    supervisor,
   });
   const shutdown = new GracefulShutdown({
     clock,
@@ -156,7 +194,7 @@
   });
   process.on('SIGHUP', () => {
     logger.info('reload');
-    void watcher.check();
+    watcher.check();
   });
   const stop = () => {
     logger.info('stopping', {open: server.openRequests});
@@ -167,35 +205,34 @@
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
   startupSignals.remove();
+  watcher.start();
   entry.start();
-  await relay.start({
+  relay.start({
     writer: edges.entryWriter,
     source: edges.entrySource,
   });
-  await server.listen(settings.callers);
+  await server.listen(() => active.callers);
   // Callers are sent here once it responds, so it comes after their server.
   await listenWhenFree({
     server: createServer((req, res) => serveReadiness({req, res, entry})),
-    address: settings.readiness,
+    addressOf: () => active.readiness,
     clock,
     logger,
   });
   void listenWhenFree({
     server: createServer((req, res) => void serveMetrics({req, res, metrics})),
-    address: {host: settings.address, port: metricsPort},
+    addressOf: () => ({host: active.address, port: metricsPort}),
     clock,
     logger,
   }).catch((e: unknown) =>
     logger.error('metrics are not served', {detail: String(e)}),
   );
   logger.info('started', {
-    callers: settings.callers.port,
+    callers: active.callers.port,
     metricsPort,
     afterMs: Math.round(clock.now()),
     reloads: startupSignals.reloads,
   });
-  await watcher.check();
-  watcher.start();
 }
 
 function serveReadiness(options: {
