--- a/stand-ins/site/store.ts
+++ b/stand-ins/site/store.ts
@@ -84,6 +84,10 @@
   /** Delay of each response at all endpoints, in milliseconds. */
   delayMs = 0;
   /** Number of calls received for each kind, whatever their outcome. */
+  /** Largest number of objects that a list call returns at once. */
+  pageSize = Number.POSITIVE_INFINITY;
+  /** Called after each page of a list. */
+  onPage: () => void = () => undefined;
   private readonly callsByKind = new Map<string, number>();
   private revision = FIRST_REVISION;
   private oldestRevision = FIRST_REVISION;
@@ -208,7 +212,7 @@
       return;
     }
     const watch = query.get('watch');
-    if (watch === null) this.list(res, kind);
+    if (watch === null) this.list(call);
     else this.startLongPoll(call);
   }
 
@@ -237,11 +241,19 @@
     sendJson(res, 201, {});
   }
 
-  private list(res: ServerResponse, kind: string): void {
-    const entries = [...this.objects.values()]
-      .filter((object) => object.kind === kind)
-      .map(toEntry);
-    sendJson(res, 200, {entries, has_more: false, at: this.revision});
+  /** Sends a page of a kind, in the order of names. */
+  private list({res, kind, query}: StoreCall): void {
+    const afterName = query.get('since_revision') ?? '';
+    const rest = [...this.objects.values()]
+      .filter((object) => object.kind === kind && object.name > afterName)
+      .sort((a, b) => (a.name < b.name ? -1 : 1));
+    const page = rest.slice(0, this.pageSize);
+    sendJson(res, 200, {
+      entries: page.map(toEntry),
+      has_more: page.length < rest.length,
+      at: this.revision,
+    });
+    this.onPage();
   }
 
   private startLongPoll({res, kind, query, endpoint}: StoreCall): void {
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -32,6 +32,25 @@
   const createWriter = () =>
     new StoreWriter<RecordedLosses>({url: store.url, kind: KIND, metrics});
 
+  // Guards against changes between the pages of a list that are missed (DRAIN).
+  it.each([
+    {what: 'on an earlier page', name: 'entry-1'},
+    {what: 'on a later page', name: 'entry-3'},
+  ])('waits for changes since the first page: $what', async ({name}) => {
+    for (const name of ['entry-1', 'entry-2', 'entry-3'])
+      store.put({kind: KIND, name, spec: NO_LOSSES});
+    store.pageSize = 2;
+    store.onPage = () => {
+      store.onPage = () => undefined;
+      store.remove({kind: KIND, name});
+    };
+    const source = createSource();
+    const {revision, epoch} = (await source.list())._unsafeUnwrap();
+    const query = {since: revision, epoch, waitMs: 100};
+    const changes = (await source.waitForChanges(query))._unsafeUnwrap();
+    expect(changes.changes).toMatchObject([{name, isDeleted: true}]);
+  });
+
   it.each([
     {label: 'losses list', act: () => createSource().list()},
     {
