Direct entry: say until it is ready what it waits for

What on-call engineers saw: 'started', and then nothing for as long as the store had no configuration; with a store that does not answer, one line when the reads began to fail.

Cause: nothing told why readiness is 503; StoreOutageLog writes at the begin and the end of an outage, and an empty store is none.

Fix: ReadinessLog writes 'not ready' with the needs that are left after 1, 2, 4 s and so on, at most a minute apart, and 'ready' once.

--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -26,6 +26,7 @@
 import {DirectProcess} from '../direct/direct-process.js';
 import {ChangeRelay} from '../direct/relay/index.js';
 import {GracefulShutdown} from '../direct/graceful-shutdown.js';
+import {ReadinessLog} from '../direct/readiness-log.js';
 import {SettingsWatcher} from '../direct/settings-watcher.js';
 import {EXIT_BAD_SETTINGS} from './consts.js';
 import {readWithRetry} from './read-with-retry.js';
@@ -196,8 +197,14 @@
     logger.info('reload');
     watcher.check();
   });
+  const readinessLog = new ReadinessLog({
+    clock,
+    logger,
+    missing: () => entry.missing(),
+  });
   const stop = () => {
     logger.info('stopping', {open: server.openRequests});
+    readinessLog.stop();
     entry.startDraining();
     void relay.leave();
     shutdown.begin();
@@ -206,6 +213,7 @@
   process.on('SIGINT', stop);
   startupSignals.remove();
   watcher.start();
+  readinessLog.start();
   entry.start();
   relay.start({
     writer: edges.entryWriter,
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -49,6 +49,7 @@
 import {LimitKeeper} from './limits/index.js';
 import {LossTracker, QuarantineSync} from './poison/index.js';
 import {Prober} from './prober.js';
+import {Need} from './readiness-log.js';
 import {ServiceRetryBudgets} from './service-retry-budgets.js';
 import {createStoreFollower} from './store-follower.js';
 import {MinGenerationTimes} from './streams/min-generation-times.js';
@@ -229,10 +230,17 @@
 
   /** Whether the process may be given new connections. */
   isReady(): boolean {
-    const isConfigured =
-      this.routes.get() !== undefined && this.hasLoadedTargets;
-    const hasLoadedState = isConfigured && this.hasLoadedLosses();
-    return hasLoadedState && !this.draining.get() && this.keyTrust.isTrusted();
+    return !this.draining.get() && this.missing().length === 0;
+  }
+
+  /** What the process still needs to become ready. */
+  missing(): Need[] {
+    const needs: Need[] = [];
+    if (this.routes.get() === undefined) needs.push(Need.CONFIGURATION);
+    if (!this.hasLoadedTargets) needs.push(Need.TARGETS);
+    if (!this.hasLoadedLosses()) needs.push(Need.LOSSES);
+    if (!this.keyTrust.isTrusted()) needs.push(Need.KEY_CONFIRMATION);
+    return needs;
   }
 
   /**
