--- a/src/core/edges/direct-caller.ts
+++ b/src/core/edges/direct-caller.ts
@@ -1,5 +1,5 @@
 /** Callers of an entry that calls its targets directly. */
-import type {RefusalReason} from '../errors/refusals.js';
+import {REFUSALS, RefusalReason} from '../errors/index.js';
 import type {HeaderField} from './service-driver.js';
 
 /** Size of a generation as declared by the caller. */
@@ -64,6 +64,12 @@
   readonly retryAfterMs?: number;
 }
 
+/** Response to a request that an exception in the entry has ended. */
+export const INTERNAL_FAILURE: RefusalResponse = {
+  status: REFUSALS[RefusalReason.INTERNAL].status,
+  reason: RefusalReason.INTERNAL,
+};
+
 /** Writes the response to one request. */
 export interface CallerResponse {
   /** Whether the caller has disconnected or the response has ended. */
@@ -87,6 +93,12 @@
   end(): void;
   /** Closes the connection, so that the response cannot pass for complete. */
   abort(): void;
+  /**
+   * Ends a response that has not ended, after a failure of the entry itself.
+   * One that has not begun becomes the refusal, if one is given; otherwise the
+   * connection is closed. Returns whether there was something to end.
+   */
+  breakOff(refusal?: RefusalResponse): boolean;
   /** Runs once if the caller disconnects before the response has ended. */
   onDisconnect(listener: () => void): void;
 }
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -237,6 +237,14 @@
   hint: 'Wait for the answer, or send the request again.',
 } as const satisfies ErrorData;
 
+/** The process failed while it handled the request, and nothing else did. */
+export const INTERNAL = {
+  name: 'internal',
+  title: 'Internal failure',
+  message: 'The process failed at this request; whether it ran is not known.',
+  hint: 'Check at the target before doing the work again; report the log line.',
+} as const satisfies ErrorData;
+
 /** The output so far was lost, so the stream cannot be resumed. */
 export const ANSWER_LOST = {
   name: 'answer_lost',
@@ -382,4 +390,5 @@
   [RefusalReason.POISON]: {data: POISON, status: 422},
   [RefusalReason.ANSWER_LOST]: {data: ANSWER_LOST, status: 410},
   [RefusalReason.CALLER_GONE]: {data: CALLER_GONE, status: 408},
+  [RefusalReason.INTERNAL]: {data: INTERNAL, status: 500},
 };
--- a/src/core/errors/refusals.ts
+++ b/src/core/errors/refusals.ts
@@ -38,6 +38,7 @@
   POISON = 'poison',
   ANSWER_LOST = 'answer_lost',
   CALLER_GONE = 'caller_gone',
+  INTERNAL = 'internal',
 }
 
 /** Why a request was retried; each reason has its own counter. */
--- a/src/core/sync/follower.ts
+++ b/src/core/sync/follower.ts
@@ -8,6 +8,8 @@
   StateSource,
 } from '../edges/state-source.js';
 import {SourceErrorKind} from '../edges/state-source.js';
+import type {Supervisor} from '../supervision/index.js';
+import {TaskName} from '../supervision/index.js';
 import type {Confirmation} from './key-trust.js';
 import type {OutageGate} from './outage-gate.js';
 import {confirmedUntilMs} from './confirmed-until.js';
@@ -61,6 +63,8 @@
   WAITING = 'waiting',
 }
 
+const TASK = {name: TaskName.STORE_FOLLOWER};
+
 /**
  * Lists a kind once and then waits for its changes; lists again if changes
  * may have been missed. Every call has a time limit, so that a connection
@@ -84,6 +88,7 @@
       listener: FollowerListener<T>;
       clock: Clock;
       random: RandomSource;
+      supervisor: Supervisor;
       /** Maximum wait for a change, in milliseconds. */
       waitMs: number;
       /**
@@ -99,7 +104,7 @@
   ) {}
 
   start(): void {
-    void this.run();
+    this.options.supervisor.keepRunning(TASK, () => this.run());
   }
 
   stop(): void {
@@ -108,8 +113,9 @@
 
   /** Lists everything again soon, without ending the wait in progress. */
   refresh(): void {
-    const {clock} = this.options;
-    clock.schedule({delayMs: REFRESH_DELAY_MS, run: () => void this.list()});
+    const {clock, supervisor} = this.options;
+    const run = supervisor.guard(TASK, () => this.list());
+    clock.schedule({delayMs: REFRESH_DELAY_MS, run});
   }
 
   private async run(): Promise<void> {
--- a/src/core/sync/outage-gate.ts
+++ b/src/core/sync/outage-gate.ts
@@ -1,5 +1,7 @@
 /** Keeps the followers of one store from all retrying during an outage. */
 import type {Clock, TimerHandle} from '../clock/index.js';
+import type {Supervisor} from '../supervision/index.js';
+import {TaskName} from '../supervision/index.js';
 import {MAX_OUTAGE_WAIT_MS} from './consts.js';
 
 /**
@@ -8,7 +10,7 @@
  * the calls of one follower for each entry.
  *
  * @example
- * const gate = new OutageGate({clock});
+ * const gate = new OutageGate({clock, supervisor});
  * gate.recordLeader(false);
  * await gate.waitForLeader();
  */
@@ -16,7 +18,9 @@
   private isLeaderFailing = false;
   private waiters = new Set<() => void>();
 
-  constructor(private readonly options: {clock: Clock}) {}
+  constructor(
+    private readonly options: {clock: Clock; supervisor: Supervisor},
+  ) {}
 
   /** Whether the leader's last call to the store has failed. */
   get isClosed(): boolean {
@@ -36,7 +40,7 @@
    * as only the leader's calls may be failing.
    */
   waitForLeader(): Promise<void> {
-    const {clock} = this.options;
+    const {clock, supervisor} = this.options;
     return new Promise((resolve) => {
       const finish = () => {
         limit.cancel();
@@ -45,7 +49,10 @@
       };
       const limit: TimerHandle = clock.schedule({
         delayMs: MAX_OUTAGE_WAIT_MS,
-        run: finish,
+        run: supervisor.guard(
+          {name: TaskName.STORE_FOLLOWER, onFailure: resolve},
+          finish,
+        ),
       });
       this.waiters.add(finish);
     });
--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -1,5 +1,5 @@
 /** Creates and starts a direct entry from the settings file. */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 
 import {Command, InvalidArgumentError} from 'commander';
@@ -16,6 +16,8 @@
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
 import {BoundedSink, createLogger} from '../core/logs/index.js';
 import {CounterName, Metrics} from '../core/metrics/index.js';
+import {Supervisor, TaskName} from '../core/supervision/index.js';
+import type {RouteTable} from '../core/routes/index.js';
 import type {DirectSettings} from '../core/settings/direct-settings.js';
 import {messageMemoryBytes} from '../core/settings/direct-settings.js';
 import {DirectProcess} from '../direct/direct-process.js';
@@ -98,6 +100,7 @@
     onDropped: () => metrics.count(CounterName.LOG_LINES_DROPPED),
   });
   const logger = createLogger({vm: settings.vm, role: 'direct', sink});
+  const supervisor = new Supervisor({clock, metrics, logger});
   const random = new SystemRandom();
   const relay = new ChangeRelay({
     ...settings,
@@ -107,10 +110,12 @@
     random,
     metrics,
     logger,
+    supervisor,
   });
   const edges = createPlatformEdges({
     url: settings.storeUrl,
     metrics,
+    supervisor,
     relay: (kind) => relay.relayed(kind),
   });
   const memory = new MemoryBudget({limitBytes: messageMemoryBytes(settings)});
@@ -123,11 +128,13 @@
     random,
     metrics,
     logger,
+    supervisor,
   });
   const server = new CallerServer({
     clock,
     logger,
     memory,
+    supervisor,
     handler: {
       refuseEarly: (req) => entry.refuseEarly(req),
       recordRefusal: (req, refusal) => entry.recordRefusal(req, refusal),
@@ -135,35 +142,41 @@
       isDraining: () => entry.draining.get(),
     },
   });
-  entry.routes.subscribe((table) => {
+  const applyLimits = (table?: RouteTable) => {
     if (table !== undefined) server.applyLimits(table.limits);
-  });
+  };
+  const configTask = {name: TaskName.CONFIG};
+  entry.routes.subscribe(supervisor.guard(configTask, applyLimits));
   const watcher = new SettingsWatcher({
     path,
     parse: parseBootSettings,
     onSettings: (newSettings) => entry.applySettings(newSettings),
     clock,
     logger,
+    supervisor,
   });
   const shutdown = new GracefulShutdown({
     clock,
     logger,
+    supervisor,
     listener: server,
     graceMs: settings.shutdownGraceMs,
     answerOpen: () => entry.answerOpenCalls(),
     // The last log lines are written asynchronously.
     onStopped: () => setTimeout(() => process.exit(0), LOG_FLUSH_MS),
   });
-  process.on('SIGHUP', () => {
+  const reload = () => {
     logger.info('reload');
-    void watcher.check();
-  });
-  const stop = () => {
-    logger.info('stopping', {open: server.openRequests});
-    entry.startDraining();
-    void relay.leave();
-    shutdown.begin();
+    return watcher.check();
   };
+  process.on('SIGHUP', supervisor.guard({name: TaskName.SETTINGS}, reload));
+  const shutdownTask = {name: TaskName.SHUTDOWN};
+  const stop = supervisor.guard(shutdownTask, () => {
+    shutdown.begin();
+    entry.startDraining();
+    supervisor.run(shutdownTask, () => relay.leave());
+    logger.info('stopping', {open: server.openRequests});
+  });
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
   startupSignals.remove();
@@ -175,18 +188,26 @@
   await server.listen(settings.callers);
   // Callers are sent here once it responds, so it comes after their server.
   await listenWhenFree({
-    server: createServer((req, res) => serveReadiness({req, res, entry})),
+    server: createGuardedServer(supervisor, (req, res) =>
+      serveReadiness({req, res, entry}),
+    ),
     address: settings.readiness,
     clock,
     logger,
   });
-  void listenWhenFree({
-    server: createServer((req, res) => void serveMetrics({req, res, metrics})),
-    address: {host: settings.address, port: metricsPort},
-    clock,
-    logger,
-  }).catch((e: unknown) =>
-    logger.error('metrics are not served', {detail: String(e)}),
+  const metricsServer = createGuardedServer(supervisor, (req, res) =>
+    serveMetrics({req, res, metrics}),
+  );
+  const metricsAddress = {host: settings.address, port: metricsPort};
+  supervisor.run({name: TaskName.METRICS}, () =>
+    listenWhenFree({
+      server: metricsServer,
+      address: metricsAddress,
+      clock,
+      logger,
+    }).catch((e: unknown) =>
+      logger.error('metrics are not served', {detail: String(e)}),
+    ),
   );
   logger.info('started', {
     callers: settings.callers.port,
@@ -198,6 +219,17 @@
   watcher.start();
 }
 
+/** Creates a server whose handler ends only its connection if it fails. */
+function createGuardedServer(
+  supervisor: Supervisor,
+  handler: (req: IncomingMessage, res: ServerResponse) => unknown,
+): Server {
+  return createServer((req, res) => {
+    const task = {name: TaskName.METRICS, onFailure: () => res.destroy()};
+    supervisor.run(task, () => handler(req, res));
+  });
+}
+
 function serveReadiness(options: {
   req: IncomingMessage;
   res: ServerResponse;
--- a/src/direct/call-attempt.ts
+++ b/src/direct/call-attempt.ts
@@ -7,7 +7,8 @@
 export interface CallAttempt {
   readonly target: Target;
   readonly targetWork: TargetWork;
-  readonly exchange: Exchange;
+  /** Undefined until the call is sent. */
+  exchange?: Exchange;
   /** Ends the attempt if it is slow and may be replaced. */
-  readonly timer: TimerHandle;
+  timer?: TimerHandle;
 }
--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -16,16 +16,18 @@
 } from '../core/retrying/index.js';
 import type {AttemptResult} from '../core/retrying/index.js';
 import {OperationKind} from '../core/routes/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import type {Target} from '../core/targets/index.js';
 import type {CallAttempt} from './call-attempt.js';
 import {ResponseBody, TOO_LARGE_DETAIL} from './response-body.js';
 import {SAFE_ATTEMPT_TIME_SHARE} from './consts.js';
-import type {DirectContext, DirectWork} from './context.js';
+import type {DirectContext, DirectWork, RequestContext} from './context.js';
 import {forwardResponse} from './forward-response.js';
 import {recordNotice, recordTargetFailure} from './record-exchange.js';
 import {PermittedChoice} from './limits/index.js';
 import {PoisonDetector} from './poison/index.js';
 import {refuseUnsent} from './refuse-unsent.js';
+import {RequestBoundary, runAll} from './request-boundary.js';
 import {retryAfterMsOf} from './retry-after.js';
 import {toTargetRequest} from './target-request.js';
 
@@ -37,11 +39,12 @@
  * new CallHandler({ctx, work, onOver}).start();
  */
 export class CallHandler {
-  private readonly ctx: DirectContext;
+  private readonly ctx: RequestContext;
+  private readonly boundary: RequestBoundary;
   private readonly work: DirectWork;
   private readonly onOver: () => void;
   private readonly triedTargets = new Set<string>();
-  private readonly deadline: TimerHandle;
+  private deadline?: TimerHandle;
   private readonly poisonDetector: PoisonDetector;
   private readonly permitted: PermittedChoice;
   private current?: CallAttempt;
@@ -59,26 +62,39 @@
     /** Called once when the call is over. */
     onOver: () => void;
   }) {
-    this.ctx = options.ctx;
-    this.work = options.work;
+    const {work} = options;
+    this.work = work;
     this.onOver = options.onOver;
-    this.body = new ResponseBody(this.ctx);
-    this.permitted = new PermittedChoice(options);
-    this.poisonDetector = new PoisonDetector({
+    this.boundary = new RequestBoundary({
       ...options,
+      name: TaskName.CALL,
+      release: () => this.release(),
+    });
+    const {ctx} = this.boundary;
+    this.ctx = ctx;
+    this.body = new ResponseBody(ctx);
+    this.permitted = new PermittedChoice({ctx, work});
+    this.poisonDetector = new PoisonDetector({
+      ctx,
+      work,
       onPoison: () => this.failAsPoison(),
     });
+  }
+
+  start(): void {
+    this.boundary.run(() => this.begin());
+  }
+
+  private begin(): Promise<void> | void {
     const {clock} = this.ctx;
     this.deadline = clock.schedule({
       delayMs: Math.max(0, this.work.deadlineAtMs - clock.now()),
       run: () => this.fail(true),
     });
-    this.work.res.onDisconnect(() => this.abandon());
-  }
-
-  start(): void {
+    this.work.res.onDisconnect(this.boundary.guard(() => this.abandon()));
     if (this.poisonDetector.isPoison()) this.refuse(RefusalReason.POISON);
-    else if (this.poisonDetector.mayBePoison()) void this.sendAfterDiagnosis();
+    else if (this.poisonDetector.mayBePoison())
+      return this.sendAfterDiagnosis();
     else this.sendFirst();
   }
 
@@ -128,7 +144,8 @@
     }
     const next = () => this.chooseTarget(this.permitted.heldBack);
     const hasNext = () => next() !== undefined;
-    void this.permitted.choose({next, hasNext}).then((permitted) => {
+    this.boundary.run(async () => {
+      const permitted = await this.permitted.choose({next, hasNext});
       if (!this.isOver) run(permitted);
     });
   }
@@ -142,11 +159,13 @@
     this.body = new ResponseBody(ctx);
     const leftMs = work.deadlineAtMs - clock.now();
     const targetWork = target.begin({tokens: 0});
-    const exchange = client.send({
+    const attempt: CallAttempt = {target, targetWork};
+    this.current = attempt;
+    attempt.exchange = client.send({
       target: target.record,
       maxConnections: work.service.maxConnections,
       req: toTargetRequest({work, leftMs}),
-      listener: {
+      listener: this.boundary.guardListener({
         onNotice: (notice) => recordNotice({ctx, target, notice}),
         onHead: (head) => {
           this.head = head;
@@ -155,19 +174,18 @@
         onData: (chunk) => this.onData(chunk),
         onComplete: () => this.onAttemptEnd({status: this.head!.status}),
         onFailure: (failure, detail) => this.onFailure(failure, detail),
-      },
+      }),
     });
-    const timer = clock.schedule({
+    attempt.timer = clock.schedule({
       delayMs: Math.max(0, this.attemptTimeoutMs(leftMs)),
       run: () => this.onAttemptTimeout(),
     });
-    this.current = {target, targetWork, exchange, timer};
   }
 
   private onData(chunk: Uint8Array): void {
     this.body.push(chunk);
     if (!this.body.isTooLarge) return;
-    this.current!.exchange.cancel();
+    this.current!.exchange?.cancel();
     this.onFailure(ExchangeFailure.BROKEN, TOO_LARGE_DETAIL);
   }
 
@@ -196,7 +214,7 @@
   private replace(current: CallAttempt, nextTarget: Target): void {
     if (!this.takeRetry(RetryReason.CALL_SLOW)) return;
     this.recordWithdrawn(current);
-    current.exchange.cancel();
+    current.exchange?.cancel();
     current.target.recordFailure();
     this.closeAttempt();
     this.sentCount++;
@@ -243,7 +261,8 @@
       this.forwardResponse();
     } else if (decision === RetryDecision.RETRY) {
       this.recordRetry(reason, target);
-      if (this.poisonDetector.isSuspect()) void this.retryAfterDiagnosis();
+      if (this.poisonDetector.isSuspect())
+        this.boundary.run(() => this.retryAfterDiagnosis());
       else this.retry(result);
     } else {
       this.fail(false);
@@ -319,7 +338,7 @@
 
   /** Ends the call with an answer, as if its deadline had passed. */
   expire(): void {
-    this.fail(true);
+    this.boundary.run(() => this.fail(true));
   }
 
   /** Ends the call because its request was quarantined meanwhile. */
@@ -353,17 +372,34 @@
     this.body.release();
     this.onOver();
     this.poisonDetector.close();
-    this.deadline.cancel();
-    this.current?.exchange.cancel();
+    this.deadline?.cancel();
+    this.current?.exchange?.cancel();
     this.closeAttempt();
   }
 
+  /** Gives back what the call holds, at whichever point it has failed. */
+  private release(): void {
+    const {current} = this;
+    this.isOver = true;
+    runAll([
+      () => this.body.release(),
+      () => this.onOver(),
+      () => this.deadline?.cancel(),
+      () => current?.exchange?.cancel(),
+      () => this.closeAttempt(),
+      () => {
+        if (current !== undefined) this.recordWithdrawn(current);
+      },
+      () => this.poisonDetector.close(),
+    ]);
+  }
+
   private closeAttempt(): void {
     const {current} = this;
     if (current === undefined) return;
-    current.timer.cancel();
-    current.target.end(current.targetWork);
     this.current = undefined;
+    current.target.end(current.targetWork);
+    current.timer?.cancel();
   }
 
   private chooseTarget(heldBack?: ReadonlySet<string>): Target | undefined {
--- a/src/direct/config-sync.ts
+++ b/src/direct/config-sync.ts
@@ -5,6 +5,8 @@
 import type {Logger} from '../core/logs/index.js';
 import type {RoutingConfig} from '../core/routes/index.js';
 import {RouteTable} from '../core/routes/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import type {
   Follower,
   KeyTrust,
@@ -37,6 +39,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
+  readonly supervisor: Supervisor;
 }
 
 /**
@@ -90,9 +93,10 @@
     if (isRestored) {
       this.filter.recordRestored();
       // The first list that confirms keys.
-      this.options.clock.schedule({
+      const {clock, supervisor} = this.options;
+      clock.schedule({
         delayMs: RESTORE_SETTLE_MS,
-        run: () => this.refresh(),
+        run: supervisor.guard({name: TaskName.CONFIG}, () => this.refresh()),
       });
     }
     this.apply(items);
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -9,11 +9,13 @@
 import type {Logger} from '../core/logs/index.js';
 import type {Quarantine} from '../core/poison/index.js';
 import type {Metrics} from '../core/metrics/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
 import type {AdmittedRequest, RoutedService} from '../core/routes/index.js';
 import type {TargetSet} from '../core/targets/index.js';
 import type {LimitKeeper} from './limits/limit-keeper.js';
 import type {LossTracker} from './poison/loss-tracker.js';
 import type {Prober} from './prober.js';
+import type {RequestBoundary} from './request-boundary.js';
 import type {ServiceRetryBudgets} from './service-retry-budgets.js';
 import type {MinGenerationTimes} from './streams/min-generation-times.js';
 
@@ -38,6 +40,13 @@
   readonly memory: MemoryBudget;
   readonly metrics: Metrics;
   readonly logger: Logger;
+  /** Bounds what an exception ends. */
+  readonly supervisor: Supervisor;
+}
+
+/** The same for one request: its callbacks run within its boundary. */
+export interface RequestContext extends DirectContext {
+  readonly boundary: RequestBoundary;
 }
 
 /** An admitted request with its response and deadline. */
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -30,6 +30,8 @@
 } from '../core/routes/index.js';
 import type {DirectSettings} from '../core/settings/direct-settings.js';
 import {messageMemoryBytes} from '../core/settings/direct-settings.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import type {Follower} from '../core/sync/index.js';
 import {KeyTrust, OutageGate} from '../core/sync/index.js';
 import type {TargetRecord} from '../core/targets/index.js';
@@ -49,6 +51,7 @@
 import {LimitKeeper} from './limits/index.js';
 import {LossTracker, QuarantineSync} from './poison/index.js';
 import {Prober} from './prober.js';
+import {failRequest} from './request-boundary.js';
 import {ServiceRetryBudgets} from './service-retry-budgets.js';
 import {createStoreFollower} from './store-follower.js';
 import {MinGenerationTimes} from './streams/min-generation-times.js';
@@ -73,6 +76,7 @@
   readonly memory: MemoryBudget;
   readonly metrics: Metrics;
   readonly logger: Logger;
+  readonly supervisor: Supervisor;
 }
 
 /**
@@ -102,9 +106,10 @@
   private readonly grace: GracePeriod;
 
   constructor(private readonly options: DirectProcessOptions) {
-    const {settings, clock, random, client, metrics, logger} = options;
+    const {settings, clock, random, client, metrics, logger, supervisor} =
+      options;
     this.settings = settings;
-    this.gate = new OutageGate({clock});
+    this.gate = new OutageGate({clock, supervisor});
     this.grace = new GracePeriod({clock});
     this.keyTrust = new KeyTrust({
       clock,
@@ -140,6 +145,7 @@
       client,
       targets,
       logger,
+      supervisor,
       isEngine: ({record}) => this.isEngineService(record.service),
       healthPathOf: ({record}) =>
         this.routes.get()?.findService(record.service)?.healthPath,
@@ -174,11 +180,13 @@
         random,
         metrics,
         logger,
+        supervisor,
       }),
       quarantine,
       memory: options.memory,
       metrics,
       logger,
+      supervisor,
     };
     this.quarantineSync = new QuarantineSync({
       quarantine: this.ctx.quarantine,
@@ -188,6 +196,7 @@
       clock,
       random,
       logger,
+      supervisor,
     });
   }
 
@@ -273,8 +282,18 @@
     });
   }
 
-  /** Serves one request. */
+  /** Serves one request; an exception ends it alone. */
   handle(req: CallerRequest, res: CallerResponse): void {
+    const {ctx} = this;
+    const task = {
+      name: TaskName.REQUEST,
+      requestId: req.attemptId,
+      onFailure: () => failRequest({ctx, res}),
+    };
+    ctx.supervisor.run(task, () => this.serve(req, res));
+  }
+
+  private serve(req: CallerRequest, res: CallerResponse): void {
     const admitted = this.admit(req);
     this.ctx.metrics.count(CounterName.REQUESTS);
     if (admitted.isErr()) this.refuse(req, res, admitted.error);
@@ -375,12 +394,12 @@
 
   /** Targets that live have written their registrations again by then. */
   private listTargetsAgain(follower: Follower<TargetRecord>): void {
-    const {clock, logger} = this.options;
+    const {clock, logger, supervisor} = this.options;
     if (this.staleListsLeft-- <= 0) return;
     logger.info('stale registrations will be listed again');
     clock.schedule({
       delayMs: STALE_TARGETS_CHECK_MS,
-      run: () => follower.refresh(),
+      run: supervisor.guard({name: TaskName.TARGETS}, () => follower.refresh()),
     });
   }
 
--- a/src/direct/graceful-shutdown.ts
+++ b/src/direct/graceful-shutdown.ts
@@ -1,6 +1,8 @@
 /** Graceful shutdown: closes the listener, drains requests, then stops. */
 import type {Clock, TimerHandle} from '../core/clock/index.js';
 import type {Logger} from '../core/logs/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import {BALANCER_NOTICE_SHARE, LAST_ANSWERS_MS} from './consts.js';
 
 /** Time between the end of the drain and the kill, in milliseconds. */
@@ -26,7 +28,7 @@
  *
  * @example
  * const options = {clock, logger, listener, graceMs, answerOpen, onStopped};
- * new GracefulShutdown(options).begin();
+ * new GracefulShutdown({...options, supervisor}).begin();
  */
 export class GracefulShutdown {
   private startedMs = 0;
@@ -37,6 +39,7 @@
     private readonly options: {
       clock: Clock;
       logger: Logger;
+      supervisor: Supervisor;
       listener: StoppableListener;
       /** Time until the process is killed. */
       graceMs: number;
@@ -48,18 +51,19 @@
 
   begin(): void {
     if (this.timer !== undefined) return;
-    const {clock} = this.options;
+    const {clock, supervisor} = this.options;
     this.startedMs = clock.now();
     this.timer = clock.repeat({
       periodMs: CHECK_INTERVAL_MS,
-      run: () => this.check(),
+      run: supervisor.guard({name: TaskName.SHUTDOWN}, () => this.check()),
     });
   }
 
   private check(): void {
-    const {clock, listener, graceMs, answerOpen} = this.options;
+    const {clock, listener, graceMs, answerOpen, supervisor} = this.options;
     const elapsedMs = clock.now() - this.startedMs;
-    if (elapsedMs >= graceMs - LAST_ANSWERS_MS) answerOpen();
+    if (elapsedMs >= graceMs - LAST_ANSWERS_MS)
+      supervisor.run({name: TaskName.SHUTDOWN}, answerOpen);
     if (elapsedMs >= graceMs - KILL_MARGIN_MS) {
       this.finish();
       return;
@@ -78,13 +82,21 @@
   }
 
   private finish(): void {
-    const {logger, listener, onStopped} = this.options;
+    const {onStopped} = this.options;
     this.timer?.cancel();
+    try {
+      this.closeListener();
+    } finally {
+      onStopped();
+    }
+  }
+
+  private closeListener(): void {
+    const {logger, listener} = this.options;
     this.stopListening();
     logger.info('graceful shutdown finished', {
       unfinished: listener.openRequests,
     });
     listener.closeAll();
-    onStopped();
   }
 }
--- a/src/direct/limits/limit-keeper.ts
+++ b/src/direct/limits/limit-keeper.ts
@@ -8,6 +8,8 @@
 import {LimitPools, PermitNeed} from '../../core/limits/index.js';
 import type {Metrics} from '../../core/metrics/index.js';
 import {CounterName} from '../../core/metrics/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {Target} from '../../core/targets/index.js';
 import {incarnationOf} from '../../core/targets/index.js';
 import {MAX_CACHED_REFUSALS, MAX_REFUSAL_CACHE_MS} from './consts.js';
@@ -46,6 +48,7 @@
       clock: Clock;
       random: RandomSource;
       metrics: Metrics;
+      supervisor: Supervisor;
     },
   ) {
     const {peers} = options;
@@ -73,13 +76,20 @@
   /** Counts a request that is sent in any case, such as a health check. */
   charge(target: Target): void {
     if (target.limitPerSecond === undefined) return;
-    void this.ask(toQuery({...NO_CALLER, target, need: PermitNeed.FORCED}));
+    this.send(target, PermitNeed.FORCED);
     this.options.metrics.count(CounterName.LIMIT_PERMITS, {label: 'forced'});
   }
 
   /** Tells the granter what this entry has just heard from the target. */
   tell(target: Target): void {
-    void this.ask(toQuery({...NO_CALLER, target, need: PermitNeed.NONE}));
+    this.send(target, PermitNeed.NONE);
+  }
+
+  /** Asks for a permit whose answer does not matter. */
+  private send(target: Target, need: PermitNeed): void {
+    const query = toQuery({...NO_CALLER, target, need});
+    const task = {name: TaskName.LIMIT};
+    this.options.supervisor.run(task, () => this.ask(query));
   }
 
   private async ask(query: PermitQuery): Promise<PermitAnswer> {
--- a/src/direct/poison/loss-alerts.ts
+++ b/src/direct/poison/loss-alerts.ts
@@ -14,6 +14,8 @@
   ServedRequests,
 } from '../../core/poison/index.js';
 import {dropOldest} from '../../core/poison/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {Follower, OutageGate} from '../../core/sync/index.js';
 import {
   ALERT_RETENTION_MS,
@@ -46,6 +48,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
+  readonly supervisor: Supervisor;
 }
 
 /**
@@ -148,10 +151,14 @@
 
   /** Writes the alerts again that a restored store lacks. */
   private repairStore(items: ReadonlyArray<SourceItem<RecordedLosses>>): void {
-    this.options.onRestored();
+    const {supervisor, onRestored} = this.options;
+    onRestored();
     for (const request of this.missingIn(items)) {
       this.unwritten.add(request);
-      void this.writeAgain(request);
+      const onFailure = () => this.unwritten.delete(request);
+      supervisor.run({name: TaskName.ALERTS, onFailure}, () =>
+        this.writeAgain(request),
+      );
     }
   }
 
@@ -168,7 +175,7 @@
   }
 
   private applyItem({name: request, value}: SourceItem<RecordedLosses>): void {
-    const {ledger, served} = this.options;
+    const {ledger, served, supervisor} = this.options;
     this.unwritten.delete(request);
     if (value === undefined) {
       this.forget(request);
@@ -179,7 +186,8 @@
     if (value.harmless.includes(request)) this.options.onRefuted(request);
     if (!this.removals.has(request))
       this.removeAfter(request, ALERT_RETENTION_MS * REMOTE_RETENTION_FACTOR);
-    if (served.has(request)) void this.refute(request);
+    if (served.has(request))
+      supervisor.run({name: TaskName.ALERTS}, () => this.refute(request));
   }
 
   /** Forgets an alert that is no longer in the store. */
@@ -207,10 +215,10 @@
 
   private removeAfter(request: string, delayMs: number): void {
     this.removals.get(request)?.cancel();
-    const timer = this.options.clock.schedule({
-      delayMs,
-      run: () => void this.remove(request),
-    });
+    const {clock, supervisor} = this.options;
+    const task = {name: TaskName.ALERTS};
+    const run = supervisor.guard(task, () => this.remove(request));
+    const timer = clock.schedule({delayMs, run});
     this.removals.set(request, timer);
   }
 
--- a/src/direct/poison/loss-diagnosis.ts
+++ b/src/direct/poison/loss-diagnosis.ts
@@ -10,6 +10,8 @@
   Suspects,
 } from '../../core/poison/index.js';
 import {dropOldest, isDataCentreOutage} from '../../core/poison/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {Target, TargetSet} from '../../core/targets/index.js';
 import {incarnationOf} from '../../core/targets/index.js';
 import {
@@ -72,6 +74,7 @@
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly logger: Logger;
+  readonly supervisor: Supervisor;
   /** Called when a target is lost, before the diagnosis. */
   readonly onLost: () => void;
   /** Called when the losses to share with other entries have changed. */
@@ -126,10 +129,21 @@
       promptParts: loss.promptParts.slice(0, MAX_LOGGED_PARTS).join(','),
     });
     this.options.onLost();
-    const done = this.findCause(loss).finally(() => this.diagnoses.delete(key));
+    const done = this.settle(() => this.findCause(loss)).finally(() =>
+      this.diagnoses.delete(key),
+    );
     this.diagnoses.set(key, {suspects, done});
   }
 
+  /** Runs work that several requests may await; it never rejects. */
+  private settle(work: () => Promise<void>): Promise<void> {
+    const {supervisor} = this.options;
+    return new Promise((resolve) => {
+      const task = {name: TaskName.POISON, onFailure: resolve};
+      supervisor.run(task, async () => resolve(await work()));
+    });
+  }
+
   /**
    * Watches a target from which a request was withdrawn before it had finished.
    * If the incarnation ended and was not seen again after the withdrawal, the
@@ -137,8 +151,8 @@
    */
   watchWithdrawn(loss: RequestLoss): void {
     this.withdrawn.add(loss);
-    void this.awaitIncarnationEnd(loss).finally(() =>
-      this.withdrawn.delete(loss),
+    this.options.supervisor.run({name: TaskName.POISON}, () =>
+      this.awaitIncarnationEnd(loss).finally(() => this.withdrawn.delete(loss)),
     );
   }
 
--- a/src/direct/poison/loss-sync.ts
+++ b/src/direct/poison/loss-sync.ts
@@ -9,6 +9,8 @@
 } from '../../core/edges/state-source.js';
 import type {Logger} from '../../core/logs/index.js';
 import type {LossLedger, RecordedLosses} from '../../core/poison/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import {RESTORE_SETTLE_MS} from '../../core/sync/index.js';
 import {LOSS_SYNC_INTERVAL_MS, STORE_RETRY_MS} from '../consts.js';
 import {StoreOutageLog} from '../store-outage-log.js';
@@ -23,6 +25,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
+  readonly supervisor: Supervisor;
   /** Called after the losses of all entries were read. */
   readonly onRead: () => void;
 }
@@ -66,7 +69,8 @@
   }
 
   start(): void {
-    void this.load();
+    const {supervisor} = this.options;
+    supervisor.keepRunning({name: TaskName.LOSSES}, () => this.load());
   }
 
   stop(): void {
@@ -86,15 +90,15 @@
    * reads those of the others once they have done the same.
    */
   writeAgain(): void {
-    const {clock} = this.options;
+    const {clock, supervisor, ledger} = this.options;
     this.lastWritten = '';
     this.settledAtMs = clock.now() + RESTORE_SETTLE_MS;
     this.publish();
     clock.schedule({
       delayMs: RESTORE_SETTLE_MS,
-      run: () => {
-        if (!this.options.ledger.isEmpty) this.refresh();
-      },
+      run: supervisor.guard({name: TaskName.LOSSES}, () => {
+        if (!ledger.isEmpty) this.refresh();
+      }),
     });
   }
 
@@ -143,11 +147,13 @@
 
   private scheduleIn(delayMs: number): void {
     this.timer?.cancel();
-    this.timer = this.options.clock.schedule({
+    const {clock, supervisor} = this.options;
+    const task = {name: TaskName.LOSSES};
+    this.timer = clock.schedule({
       delayMs,
       run: () => {
         this.timer = undefined;
-        void this.sync();
+        supervisor.keepRunning(task, () => this.sync());
       },
     });
   }
@@ -155,7 +161,7 @@
   private async sync(): Promise<void> {
     const waiters = this.waiters.splice(0);
     this.isSyncing = true;
-    const isSynced = await this.writeThenRead();
+    const isSynced = await this.tryToSync(waiters);
     this.isSyncing = false;
     if (isSynced || this.isStopped) this.resolve(waiters);
     else this.waiters.unshift(...waiters);
@@ -164,6 +170,19 @@
     else if (this.mustWrite || this.mustRead) this.schedule();
   }
 
+  /** After an exception all calls are due, and `waiters` go on waiting. */
+  private async tryToSync(waiters: Array<() => void>): Promise<boolean> {
+    if (this.isStopped) return false;
+    try {
+      return await this.writeThenRead();
+    } catch (cause) {
+      this.mustWrite = true;
+      this.mustRead = true;
+      this.waiters.unshift(...waiters);
+      throw cause;
+    }
+  }
+
   /** Returns whether all calls that were due have succeeded. */
   private async writeThenRead(): Promise<boolean> {
     if (this.mustWrite && !(await this.write())) return false;
--- a/src/direct/poison/loss-tracker.ts
+++ b/src/direct/poison/loss-tracker.ts
@@ -2,8 +2,12 @@
 import {sleep} from '../../core/clock/index.js';
 import type {StateWriter} from '../../core/edges/state-writer.js';
 import type {StateSource} from '../../core/edges/state-source.js';
-import type {RecordedLosses} from '../../core/poison/index.js';
+import type {
+  QuarantineRecord,
+  RecordedLosses,
+} from '../../core/poison/index.js';
 import {LossLedger, ServedRequests} from '../../core/poison/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {OutageGate} from '../../core/sync/index.js';
 import {FLUSH_TIMEOUT_MS, REFUTE_WAIT_MS} from '../consts.js';
 import {LossAlerts} from './loss-alerts.js';
@@ -40,7 +44,7 @@
   private readonly served: ServedRequests;
 
   constructor(private readonly options: LossTrackerOptions) {
-    const {clock, quarantine, alertWriter, alertSource} = options;
+    const {clock, alertWriter, alertSource} = options;
     this.ledger = new LossLedger({clock});
     this.served = new ServedRequests({clock});
     this.alerts = new LossAlerts({
@@ -65,16 +69,23 @@
       ledger: this.ledger,
       onRead: () => this.checkOwnSuspects(),
     });
-    quarantine.subscribe((fingerprint, {crashes}) => {
+    this.followQuarantine();
+  }
+
+  private followQuarantine(): void {
+    const {quarantine, release, supervisor} = this.options;
+    const task = {name: TaskName.QUARANTINE};
+    const onAdded = (fingerprint: string, {crashes}: QuarantineRecord) => {
       this.ledger.attribute(fingerprint, crashes);
-      if (this.ledger.alerts.isRefuted(fingerprint))
-        options.release(fingerprint);
-    });
-    quarantine.onRemoved((fingerprint) => {
+      if (this.ledger.alerts.isRefuted(fingerprint)) release(fingerprint);
+    };
+    const onRemoved = (fingerprint: string) => {
       this.ledger.reset(fingerprint);
       this.diagnosis.clear(fingerprint);
       this.sync.publish();
-    });
+    };
+    quarantine.subscribe(supervisor.guard(task, onAdded));
+    quarantine.onRemoved(supervisor.guard(task, onRemoved));
   }
 
   start(): void {
@@ -102,7 +113,9 @@
     this.diagnosis.clear(suspect);
     if (!this.ledger.recordServed(suspect)) return;
     this.sync.publish();
-    if (this.ledger.alerts.has(suspect)) void this.alerts.refute(suspect);
+    if (!this.ledger.alerts.has(suspect)) return;
+    const {supervisor} = this.options;
+    supervisor.run({name: TaskName.ALERTS}, () => this.alerts.refute(suspect));
   }
 
   private async raiseAlert(suspect: string): Promise<void> {
@@ -118,13 +131,17 @@
    * read from other entries may show that one of them is poison.
    */
   private checkOwnSuspects(): void {
+    const {supervisor} = this.options;
+    const task = {name: TaskName.POISON};
     for (const suspect of this.ledger.ownSuspects) {
       const isQuarantined = this.options.quarantine.has(suspect);
       if (isQuarantined || !this.ledger.mayBePoison(suspect)) continue;
       const clientAccount = this.diagnosis.clientAccountOf(suspect);
       if (this.diagnosis.hasAttributed(suspect))
-        void this.diagnosis.isPoison({suspect, clientAccount});
-      else void this.alerts.raise(suspect);
+        supervisor.run(task, () =>
+          this.diagnosis.isPoison({suspect, clientAccount}),
+        );
+      else supervisor.run(task, () => this.alerts.raise(suspect));
     }
   }
 }
--- a/src/direct/poison/poison-detector.ts
+++ b/src/direct/poison/poison-detector.ts
@@ -4,7 +4,7 @@
 import {toPartSuspects} from '../../core/poison/index.js';
 import type {Target} from '../../core/targets/index.js';
 import {FLUSH_TIMEOUT_MS} from '../consts.js';
-import type {DirectContext, DirectWork} from '../context.js';
+import type {DirectContext, DirectWork, RequestContext} from '../context.js';
 import type {RequestLoss} from './loss-diagnosis.js';
 
 /** An attempt of a request at one target. */
@@ -31,16 +31,17 @@
   private hasLostTarget = false;
 
   constructor(options: {
-    ctx: DirectContext;
+    ctx: RequestContext;
     work: DirectWork;
     /** Called when any entry quarantines the request or a prompt part. */
     onPoison: () => void;
   }) {
     this.ctx = options.ctx;
     this.work = options.work;
-    this.unsubscribe = this.ctx.quarantine.subscribe((fingerprint) => {
+    const listener = options.ctx.boundary.guard((fingerprint: string) => {
       if (this.suspectKeys().includes(fingerprint)) options.onPoison();
     });
+    this.unsubscribe = this.ctx.quarantine.subscribe(listener);
   }
 
   /** Whether the request or a part of its prompt is quarantined. */
--- a/src/direct/poison/quarantine-sync.ts
+++ b/src/direct/poison/quarantine-sync.ts
@@ -13,6 +13,8 @@
   isPromptPart,
   MAX_QUARANTINED,
 } from '../../core/poison/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {Follower, OutageGate} from '../../core/sync/index.js';
 import {
   MAX_OWN_REPAIR_DELAY_MS,
@@ -38,6 +40,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
+  readonly supervisor: Supervisor;
 }
 
 /**
@@ -74,21 +77,34 @@
   }
 
   start(): void {
-    const {quarantine, logger} = this.options;
-    quarantine.subscribe((fingerprint, record) => {
-      const isFromStore = this.stored.has(fingerprint);
-      logger.warn('request quarantined after target losses', {
-        fingerprint,
-        isPromptPart: isPromptPart(fingerprint),
-        clientAccount: record.clientAccount,
-        engines: record.crashes.join(','),
-        isHeard: isFromStore,
-      });
-      if (!isFromStore) void this.store(fingerprint, record);
-    });
+    const {quarantine, supervisor} = this.options;
+    const task = {name: TaskName.QUARANTINE};
+    const onAdded = (fingerprint: string, record: QuarantineRecord) =>
+      this.handleAdded(fingerprint, record);
+    quarantine.subscribe(supervisor.guard(task, onAdded));
     this.follower.start();
   }
 
+  private handleAdded(fingerprint: string, record: QuarantineRecord): void {
+    const isFromStore = this.stored.has(fingerprint);
+    if (!isFromStore) this.keepRunning(() => this.store(fingerprint, record));
+    this.options.logger.warn('request quarantined after target losses', {
+      fingerprint,
+      isPromptPart: isPromptPart(fingerprint),
+      clientAccount: record.clientAccount,
+      engines: record.crashes.join(','),
+      isHeard: isFromStore,
+    });
+  }
+
+  /** Runs work that is repeated after an exception, until the process stops. */
+  private keepRunning(work: () => Promise<void>): void {
+    const task = {name: TaskName.QUARANTINE};
+    this.options.supervisor.keepRunning(task, async () => {
+      if (!this.isStopped) await work();
+    });
+  }
+
   stop(): void {
     this.isStopped = true;
     this.follower.stop();
@@ -106,7 +122,8 @@
     quarantine.remove(fingerprint);
     this.recordLifted(fingerprint);
     // A record that is not written yet is removed once it is.
-    if (this.own.delete(fingerprint)) void this.removeRecord(fingerprint);
+    if (this.own.delete(fingerprint))
+      this.keepRunning(() => this.removeRecord(fingerprint));
   }
 
   /**
@@ -121,12 +138,12 @@
     for (const name of [...this.stored]) {
       if (present.has(name)) continue;
       this.stored.delete(name);
-      void this.writeAgain(name);
+      this.keepRunning(() => this.writeAgain(name));
     }
     for (const name of present) {
       if (!this.lifted.has(name)) continue;
       this.revived.add(name);
-      void this.removeAgain(name);
+      this.keepRunning(() => this.removeAgain(name));
     }
   }
 
@@ -179,7 +196,8 @@
     if (this.revived.has(fingerprint)) return;
     this.options.quarantine.add({fingerprint, record});
     // The entry that wrote the record may have stopped before the expiry.
-    void this.removeAfter(fingerprint, QUARANTINE_MS * REMOTE_EXPIRY_FACTOR);
+    const expiryMs = QUARANTINE_MS * REMOTE_EXPIRY_FACTOR;
+    this.keepRunning(() => this.removeAfter(fingerprint, expiryMs));
   }
 
   private removeStored(fingerprint: string): void {
--- a/src/direct/prober.ts
+++ b/src/direct/prober.ts
@@ -5,6 +5,8 @@
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {DirectTargets} from '../core/edges/direct-target.js';
 import type {Logger} from '../core/logs/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import type {ReportedLoad, Target, TargetSet} from '../core/targets/index.js';
 import {REPORT_LAG_MS, sampleTargets} from '../core/targets/index.js';
 import {
@@ -41,6 +43,7 @@
       client: DirectTargets;
       targets: TargetSet;
       logger: Logger;
+      supervisor: Supervisor;
       /** Whether a target is an engine: only engines report their load. */
       isEngine: (target: Target) => boolean;
       /** Path of the health check of a plain service. */
@@ -57,13 +60,28 @@
     if (cached !== undefined && nowMs - cached.startedMs < PROBE_CACHE_MS) {
       return cached.outcome;
     }
-    const outcome = this.options.isEngine(target)
-      ? this.probe(target)
-      : this.checkHealth(target);
+    const outcome = this.settle(() =>
+      this.options.isEngine(target)
+        ? this.probe(target)
+        : this.checkHealth(target),
+    );
     this.probes.set(target, {startedMs: nowMs, outcome});
     return outcome;
   }
 
+  /**
+   * Runs a probe whose outcome several requests may await. It never rejects:
+   * after an exception nothing shows that the target responds.
+   */
+  private settle(work: () => Promise<boolean>): Promise<boolean> {
+    const {supervisor} = this.options;
+    return new Promise((resolve) => {
+      const onFailure = () => resolve(false);
+      const task = {name: TaskName.HEALTH_CHECK, onFailure};
+      supervisor.run(task, async () => resolve(await work()));
+    });
+  }
+
   /** Whether a target responds to a probe sent at or after `sinceMs`. */
   isAliveSince(target: Target, sinceMs: number): Promise<boolean> {
     const cached = this.probes.get(target);
@@ -115,7 +133,12 @@
       .ofService(service)
       .filter((t) => t.record.dataCentre === dataCentre && !t.isPaused());
     for (const target of sampleTargets({targets: neighbours, random}))
-      void this.isAlive(target);
+      this.startProbe(target);
+  }
+
+  private startProbe(target: Target): void {
+    const task = {name: TaskName.HEALTH_CHECK};
+    this.options.supervisor.run(task, () => this.isAlive(target));
   }
 
   /** Queries the load of an engine; the timeout covers the connection setup. */
@@ -123,16 +146,20 @@
     target: Target,
     timeoutMs: number,
   ): Promise<Result<ReportedLoad, string>> {
-    const {client, clock} = this.options;
+    const {client, clock, supervisor} = this.options;
     return new Promise((resolve) => {
+      const finish = (report: Result<ReportedLoad, string>) => {
+        timer.cancel();
+        resolve(report);
+      };
       const timer = clock.schedule({
         delayMs: timeoutMs,
         run: () => resolve(err(`no response within ${timeoutMs} ms`)),
       });
-      void client.queryLoad(target.record, timeoutMs).then((report) => {
-        timer.cancel();
-        resolve(report);
-      });
+      const onFailure = () => finish(err('the probe failed'));
+      supervisor.run({name: TaskName.HEALTH_CHECK, onFailure}, async () =>
+        finish(await client.queryLoad(target.record, timeoutMs)),
+      );
     });
   }
 
@@ -140,11 +167,12 @@
   recheckPaused(target: Target, pauseMs: number): void {
     const delayMs = pauseMs - PROBE_TIMEOUT_MS * 2;
     if (!this.options.isEngine(target) || delayMs <= 0) return;
-    this.options.clock.schedule({
+    const {clock, supervisor} = this.options;
+    clock.schedule({
       delayMs,
-      run: () => {
-        if (!target.record.isDraining) void this.isAlive(target);
-      },
+      run: supervisor.guard({name: TaskName.HEALTH_CHECK}, () => {
+        if (!target.record.isDraining) this.startProbe(target);
+      }),
     });
   }
 
--- a/src/direct/relay/change-relay.ts
+++ b/src/direct/relay/change-relay.ts
@@ -21,6 +21,7 @@
   PROTOCOL_VERSION,
   WatchOutcome,
 } from '../../core/protocol/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
 import type {AgeLimits, EntryRecord} from '../../core/relay/index.js';
 import {
   AgeBound,
@@ -54,6 +55,7 @@
   readonly random: RandomSource;
   readonly metrics: Metrics;
   readonly logger: Logger;
+  readonly supervisor: Supervisor;
 }
 
 const NONE: AskResult = {outcome: AskOutcome.NONE};
@@ -104,6 +106,7 @@
       hello: this.hello,
       logs: this.logs,
       clock,
+      supervisor: options.supervisor,
       onAsked: () => this.handleAsked(),
       mayRead: () => !this.hasStoreFailed,
       onPermitAsked: (message) => this.handlePermitAsked(message),
--- a/src/direct/relay/entry-directory.ts
+++ b/src/direct/relay/entry-directory.ts
@@ -5,6 +5,8 @@
 import type {StateWriter} from '../../core/edges/state-writer.js';
 import type {Logger} from '../../core/logs/index.js';
 import type {EntryRecord} from '../../core/relay/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {Follower} from '../../core/sync/index.js';
 import {createStoreFollower} from '../store-follower.js';
 import {
@@ -24,6 +26,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
+  readonly supervisor: Supervisor;
   readonly onEntries: (entries: readonly EntryRecord[]) => void;
 }
 
@@ -54,8 +57,8 @@
         if (isRestored) this.removeLeftAgain(items);
         this.entries.clear();
         for (const {name, value} of items) this.put(name, value);
-        if (isRestored) void this.register();
-        void this.correctOwn();
+        if (isRestored) this.keepRunning(() => this.register());
+        this.keepRunning(() => this.correctOwn());
         this.publish();
       },
       onChanges: (changes) => {
@@ -64,17 +67,23 @@
         this.publish();
         // A late removal by an earlier process of this VM.
         if (changes.some((c) => c.isDeleted && c.name === options.own?.vm))
-          void this.register();
+          this.keepRunning(() => this.register());
       },
     });
   }
 
   start(): void {
-    const {clock, random} = this.options;
-    void this.register();
+    const {clock, random, supervisor} = this.options;
+    this.keepRunning(() => this.register());
     // The entries of a fleet start together: later, one list has most of them.
     const delayMs = FIRST_LIST_DELAY_MS * (1 + random.float());
-    clock.schedule({delayMs, run: () => this.follow()});
+    const run = supervisor.guard({name: TaskName.ENTRIES}, () => this.follow());
+    clock.schedule({delayMs, run});
+  }
+
+  /** Runs a write that is repeated after an exception. */
+  private keepRunning(write: () => Promise<void>): void {
+    this.options.supervisor.keepRunning({name: TaskName.ENTRIES}, write);
   }
 
   /** Removes this entry, so that no other one asks it. */
@@ -111,7 +120,7 @@
     this.timer?.cancel();
     this.timer = clock.schedule({
       delayMs: REGISTRATION_RETRY_MS * (0.5 + random.float()),
-      run: () => void write(),
+      run: () => this.keepRunning(write),
     });
   }
 
@@ -133,7 +142,7 @@
    */
   private removeLeftAgain(items: ReadonlyArray<SourceItem<EntryRecord>>): void {
     const back = items.filter(({name}) => this.left.has(name));
-    for (const {name} of back) void this.removeAgain(name);
+    for (const {name} of back) this.keepRunning(() => this.removeAgain(name));
   }
 
   private async removeAgain(name: string): Promise<void> {
--- a/src/direct/relay/watch-client.ts
+++ b/src/direct/relay/watch-client.ts
@@ -11,6 +11,8 @@
   Message,
 } from '../../core/protocol/index.js';
 import {MessageType, PeerClient} from '../../core/protocol/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {EntryRecord} from '../../core/relay/index.js';
 import {
   PERMIT_TIMEOUT_MS,
@@ -61,25 +63,31 @@
       hello: HelloMessage;
       clock: Clock;
       random: RandomSource;
+      supervisor: Supervisor;
     },
   ) {
-    const {entry, hello, clock, random} = options;
+    const {entry, hello, clock, random, supervisor} = options;
+    const task = {name: TaskName.PEERS, onFailure: () => this.close()};
     this.client = new PeerClient({
       peer: parseIpEndpoint(entry.address)!,
       hello,
       clock,
       random,
       listener: {
-        onReady: (peer) => this.handleReady(peer),
-        onMessage: (message) => this.receive(message),
+        onReady: supervisor.guard(task, (peer: HelloMessage) =>
+          this.handleReady(peer),
+        ),
+        onMessage: supervisor.guard(task, (message: Message) =>
+          this.receive(message),
+        ),
         onDrain: () => undefined,
-        onClose: () => this.close(),
+        onClose: supervisor.guard(task, () => this.close()),
       },
     });
     this.lastHeardMs = clock.now();
     this.silenceTimer = clock.repeat({
       periodMs: SILENCE_CHECK_MS,
-      run: () => this.checkSilence(),
+      run: supervisor.guard(task, () => this.checkSilence()),
     });
     this.client.start();
   }
@@ -121,10 +129,10 @@
     return new Promise((resolve) => {
       const limit = clock.schedule({
         delayMs: PERMIT_TIMEOUT_MS,
-        run: () => {
+        run: this.guard(() => {
           this.unansweredMs = clock.now();
           settle(undefined);
-        },
+        }),
       });
       const settle: SettlePermit = (answer) => {
         limit.cancel();
@@ -140,10 +148,16 @@
     if (this.isClosedState) return;
     this.isClosedState = true;
     this.silenceTimer.cancel();
-    this.client.stop();
     this.settleReady(false);
     for (const settle of [...this.pending.values()]) settle(undefined);
     for (const settle of [...this.pendingPermits.values()]) settle(undefined);
+    this.client.stop();
+  }
+
+  /** The connection fails as a whole, after an exception too. */
+  private guard(callback: () => void): () => void {
+    const task = {name: TaskName.PEERS, onFailure: () => this.close()};
+    return this.options.supervisor.guard(task, callback);
   }
 
   private request(
@@ -154,7 +168,7 @@
     return new Promise((resolve) => {
       const limit = this.options.clock.schedule({
         delayMs: waitMs + WATCH_MARGIN_MS,
-        run: () => settle(undefined),
+        run: this.guard(() => settle(undefined)),
       });
       const settle: Settle = (message) => {
         limit.cancel();
@@ -179,7 +193,7 @@
     return new Promise((resolve) => {
       const limit = this.options.clock.schedule({
         delayMs: CONNECT_LIMIT_MS,
-        run: () => this.close(),
+        run: this.guard(() => this.close()),
       });
       this.waitingForReady.push((isReady) => {
         limit.cancel();
--- a/src/direct/relay/watch-server.ts
+++ b/src/direct/relay/watch-server.ts
@@ -14,6 +14,8 @@
   PeerServer,
   WatchOutcome,
 } from '../../core/protocol/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {ChangeLog} from '../../core/relay/index.js';
 import {LogAnswer} from '../../core/relay/index.js';
 import {
@@ -63,6 +65,7 @@
       /** The logs of the kinds that this entry may read. */
       logs: ReadonlyMap<string, ChangeLog>;
       clock: Clock;
+      supervisor: Supervisor;
       /** Called when another entry asks for changes, if this one may read. */
       onAsked: () => void;
       /** Whether the store answers this entry, as far as it knows. */
@@ -76,15 +79,28 @@
       hello,
       clock,
       createListener: (connection) => ({
-        onReady: ({vm}) =>
+        onReady: this.guard(connection, ({vm}: HelloMessage) =>
           this.connections.set(connection(), {vm, heardAtMs: clock.now()}),
-        onMessage: (message) => this.receive(message, connection()),
+        ),
+        onMessage: this.guard(connection, (message: Message) =>
+          this.receive(message, connection()),
+        ),
         onDrain: () => undefined,
-        onClose: () => this.forget(connection()),
+        onClose: this.guard(connection, () => this.forget(connection())),
       }),
     });
   }
 
+  /** An exception closes the connection of the entry that it concerns. */
+  private guard<Args extends unknown[]>(
+    connection: () => PeerConnection,
+    callback: (...args: Args) => unknown,
+  ): (...args: Args) => void {
+    const onFailure = () => connection().destroy('internal failure');
+    const task = {name: TaskName.PEERS, onFailure};
+    return this.options.supervisor.guard(task, callback);
+  }
+
   /** Whether other entries wait for changes. */
   get isAwaited(): boolean {
     return this.waiting.size > 0;
@@ -92,9 +108,10 @@
 
   /** Starts listening; returns the port. */
   listen(at: {address: string; port: number}) {
-    this.aliveTimer = this.options.clock.repeat({
+    const {clock, supervisor} = this.options;
+    this.aliveTimer = clock.repeat({
       periodMs: ALIVE_INTERVAL_MS,
-      run: () => this.showAlive(),
+      run: supervisor.guard({name: TaskName.PEERS}, () => this.showAlive()),
     });
     return this.server.listen(at);
   }
@@ -102,7 +119,12 @@
   /** Answers the watches of a kind after a read, or once it is not read. */
   publish(kind: string): void {
     for (const watch of [...this.waiting]) {
-      if (watch.message.kind === kind) this.answerAfterRead(watch);
+      if (watch.message.kind !== kind) continue;
+      const {connection} = watch;
+      this.guard(
+        () => connection,
+        () => this.answerAfterRead(watch),
+      )();
     }
   }
 
@@ -142,7 +164,10 @@
       receivedAtMs: this.options.clock.now(),
       limit: this.options.clock.schedule({
         delayMs: this.limitOf(message),
-        run: () => this.handleLimit(watch),
+        run: this.guard(
+          () => connection,
+          () => this.handleLimit(watch),
+        ),
       }),
     };
     this.waiting.add(watch);
@@ -177,7 +202,10 @@
     else
       watch.limit = clock.schedule({
         delayMs: leftMs,
-        run: () => this.handleLimit(watch),
+        run: this.guard(
+          () => watch.connection,
+          () => this.handleLimit(watch),
+        ),
       });
   }
 
--- a/src/direct/settings-watcher.ts
+++ b/src/direct/settings-watcher.ts
@@ -5,6 +5,8 @@
 
 import type {Clock, TimerHandle} from '../core/clock/index.js';
 import type {Logger} from '../core/logs/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import type {DirectSettings} from '../core/settings/direct-settings.js';
 
 /** Interval at which the file is checked for changes, in milliseconds. */
@@ -19,7 +21,6 @@
  * const options = {path, parse, onSettings, clock, logger};
  * const watcher = new SettingsWatcher(options);
  * watcher.start();
- * process.on('SIGHUP', () => void watcher.check());
  */
 export class SettingsWatcher {
   private text?: string;
@@ -33,12 +34,14 @@
       onSettings: (settings: DirectSettings) => void;
       clock: Clock;
       logger: Logger;
+      supervisor: Supervisor;
     },
   ) {}
 
   start(): void {
-    const {clock} = this.options;
-    const run = () => void this.check();
+    const {clock, supervisor} = this.options;
+    const task = {name: TaskName.SETTINGS};
+    const run = supervisor.guard(task, () => this.check());
     this.timer = clock.repeat({periodMs: CHECK_INTERVAL_MS, run});
   }
 
@@ -65,8 +68,9 @@
     }
     const isFirst = this.text === undefined;
     if (text === this.text) return;
-    this.text = text;
     if (!isFirst) this.apply(text);
+    // After an exception the next check applies it.
+    this.text = text;
   }
 
   private apply(text: string): void {
--- a/src/direct/store-follower.ts
+++ b/src/direct/store-follower.ts
@@ -2,6 +2,7 @@
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {StateSource} from '../core/edges/state-source.js';
 import type {Logger} from '../core/logs/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
 import type {
   Confirmation,
   FollowerListener,
@@ -29,6 +30,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
+  readonly supervisor: Supervisor;
 }
 
 /**
--- a/src/direct/streams/kv-cache-replicator.ts
+++ b/src/direct/streams/kv-cache-replicator.ts
@@ -1,5 +1,7 @@
 /** Keeps a copy of a generation's KV cache at another target. */
 import type {KvCopyReference} from '../../core/edges/direct-target.js';
+import type {Task} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {Target} from '../../core/targets/index.js';
 import {COPY_RETRY_MS, COPY_REFRESH_MS} from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
@@ -66,12 +68,12 @@
     const isUsable = canResumeAt(holder) && !holder.record.isDraining;
     if (isUsable) {
       if (this.isCopyRequested && ageMs >= COPY_REFRESH_MS)
-        void this.requestCopy(holder);
+        this.startCopy(holder);
       return;
     }
     if (ageMs < COPY_RETRY_MS) return;
     const next = this.options.chooseHolder();
-    if (next !== undefined && canResumeAt(next)) void this.requestCopy(next);
+    if (next !== undefined && canResumeAt(next)) this.startCopy(next);
   }
 
   /**
@@ -79,6 +81,7 @@
    * be resumed from the copy, which is then not freed.
    */
   close(options: {isNeeded: boolean}): void {
+    if (this.isOver) return;
     this.isOver = true;
     if (this.current === undefined) return;
     this.current.holder.removeKvCopy(this.options.tokens);
@@ -89,8 +92,11 @@
 
   private freeCopy(id: string): void {
     const {ctx, runner, work} = this.options;
-    void ctx.client.freeKvCopy({source: runner.record, id}).mapErr((detail) => {
-      const {attemptId} = work.req;
+    const {attemptId} = work.req;
+    ctx.supervisor.run(this.task(), async () => {
+      const freed = await ctx.client.freeKvCopy({source: runner.record, id});
+      if (freed.isOk()) return;
+      const detail = freed.error;
       ctx.logger.info('KV cache copy not freed', {
         id: attemptId,
         copy: id,
@@ -99,6 +105,18 @@
     });
   }
 
+  /** A stream goes on without a newer copy. */
+  private startCopy(holder: Target): void {
+    const {ctx} = this.options;
+    const onFailure = () => (this.isRequesting = false);
+    ctx.supervisor.run(this.task(onFailure), () => this.requestCopy(holder));
+  }
+
+  private task(onFailure?: () => void): Task {
+    const requestId = this.options.work.req.attemptId;
+    return {name: TaskName.KV_COPY, requestId, onFailure};
+  }
+
   private async requestCopy(holder: Target): Promise<void> {
     const {ctx, work, runner} = this.options;
     this.isRequesting = true;
--- a/src/direct/streams/stall-detector.ts
+++ b/src/direct/streams/stall-detector.ts
@@ -3,7 +3,7 @@
 import {stallTimeoutMs, probeDelayMs} from '../../core/streams/index.js';
 import type {Target} from '../../core/targets/index.js';
 import {PREFILL_CHECK_MS, REQUEST_ARRIVAL_MS} from '../consts.js';
-import type {DirectContext} from '../context.js';
+import type {RequestContext} from '../context.js';
 
 /** Factor by which the widest gap decays with each further gap. */
 const GAP_DECAY = 0.98;
@@ -43,7 +43,7 @@
 
   constructor(
     private readonly options: {
-      ctx: DirectContext;
+      ctx: RequestContext;
       target: Target;
       attemptId: string;
       /** Longest allowed pause between events, in milliseconds. */
@@ -57,7 +57,8 @@
 
   /** Starts to watch; the target is first probed after `firstCheckMs`. */
   start(firstCheckMs: number): void {
-    this.schedule(firstCheckMs, () => void this.checkPrefill());
+    const {boundary} = this.options.ctx;
+    this.schedule(firstCheckMs, () => boundary.run(() => this.checkPrefill()));
   }
 
   recordEvent(): void {
@@ -111,7 +112,8 @@
   /** Waits until the current gap is long enough for a probe. */
   private watchSilence(): void {
     const leftMs = probeDelayMs(this.timeoutOptions()) - this.silentMs();
-    if (leftMs <= 0) void this.probeSilent();
+    const {boundary} = this.options.ctx;
+    if (leftMs <= 0) boundary.run(() => this.probeSilent());
     else this.schedule(leftMs, () => this.watchSilence());
   }
 
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -18,8 +18,9 @@
   TOO_LARGE_DETAIL,
 } from '../response-body.js';
 import {RESUME_CHECK_MS, PREFILL_CHECK_MS} from '../consts.js';
-import type {DirectContext, DirectWork} from '../context.js';
+import type {DirectWork, RequestContext} from '../context.js';
 import {recordNotice, recordTargetFailure} from '../record-exchange.js';
+import {runAll} from '../request-boundary.js';
 import {toTargetRequest} from '../target-request.js';
 import type {KvCacheCopy} from './kv-cache-replicator.js';
 import {KvCacheReplicator} from './kv-cache-replicator.js';
@@ -59,7 +60,7 @@
 
 /** Parameters and dependencies of an attempt. */
 export interface StreamAttemptOptions {
-  readonly ctx: DirectContext;
+  readonly ctx: RequestContext;
   readonly work: DirectWork;
   readonly target: Target;
   /** Chooses the target that holds a copy of the KV cache. */
@@ -81,13 +82,14 @@
  *
  * @example
  * const attempt = new StreamAttempt(options);
+ * attempt.start();
  * attempt.cancel();
  */
 export class StreamAttempt {
   readonly target: Target;
   private readonly replicator: KvCacheReplicator;
   private readonly targetWork: TargetWork;
-  private readonly exchange: Exchange;
+  private exchange?: Exchange;
   private readonly stallDetector: StallDetector;
   private readonly splitter = new EventSplitter();
   /** The body of a response that is not a stream. */
@@ -104,9 +106,8 @@
   private isOver = false;
 
   constructor(private readonly options: StreamAttemptOptions) {
-    const {ctx, target, tokens, copyFrom, chooseCopyHolder} = options;
+    const {ctx, target, tokens, chooseCopyHolder} = options;
     this.target = target;
-    this.targetWork = target.begin({tokens});
     this.replicator = new KvCacheReplicator({
       ctx,
       work: options.work,
@@ -117,7 +118,7 @@
     this.body = new ResponseBody(ctx);
     this.eventMemory = ctx.memory.open();
     this.maxEvents = maxEventsOf(options.work);
-    const {isResumable, maxPauseMs} = options.work.admitted.route;
+    const {maxPauseMs} = options.work.admitted.route;
     this.stallDetector = new StallDetector({
       ctx,
       target,
@@ -129,7 +130,13 @@
           detail: `silent for ${silentMs} ms`,
         }),
     });
-    if (isResumable) {
+    this.targetWork = target.begin({tokens});
+  }
+
+  /** Sends the request. */
+  start(): void {
+    const {work, copyFrom} = this.options;
+    if (work.admitted.route.isResumable) {
       this.stallDetector.start(
         copyFrom === undefined ? PREFILL_CHECK_MS : RESUME_CHECK_MS,
       );
@@ -163,13 +170,13 @@
   pause(): void {
     if (this.isOver) return;
     this.stallDetector.suspend();
-    this.exchange.pause();
+    this.exchange?.pause();
   }
 
   resume(): void {
     if (this.isOver) return;
     this.stallDetector.resume();
-    this.exchange.resume();
+    this.exchange?.resume();
   }
 
   /** Cancels the work at the target. */
@@ -180,7 +187,20 @@
   private stop(options: {copyIsNeeded: boolean}): void {
     if (this.isOver) return;
     this.close(options);
-    this.exchange.cancel();
+    this.exchange?.cancel();
+  }
+
+  /** Gives back what the attempt holds, at whichever point it has failed. */
+  release(): void {
+    this.isOver = true;
+    runAll([
+      () => this.exchange?.cancel(),
+      () => this.body.release(),
+      () => this.eventMemory.release(),
+      () => this.stallDetector.stop(),
+      () => this.target.end(this.targetWork),
+      () => this.replicator.close({isNeeded: false}),
+    ]);
   }
 
   private send(): Exchange {
@@ -198,13 +218,13 @@
         copyTo: this.copy?.holder.record.address,
         copyFrom,
       }),
-      listener: {
+      listener: ctx.boundary.guardListener({
         onNotice: (notice) => recordNotice({ctx, target, notice}),
         onHead: (head) => this.onHead(head),
         onData: (chunk) => this.onData(chunk),
         onComplete: () => this.onComplete(),
         onFailure: (failure, detail) => this.onFailure(failure, detail),
-      },
+      }),
     });
   }
 
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -16,17 +16,19 @@
   SequenceCheck,
   toPosition,
 } from '../../core/streams/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {Target} from '../../core/targets/index.js';
 import {
   MIN_EVENTS_FOR_COPY,
   MAX_PROMPT_ATTEMPTS,
   PLACEMENT_RETRY_MS,
 } from '../consts.js';
-import type {DirectContext, DirectWork} from '../context.js';
+import type {DirectContext, DirectWork, RequestContext} from '../context.js';
 import {forwardResponse} from '../forward-response.js';
 import {PermittedChoice} from '../limits/index.js';
 import {PoisonDetector} from '../poison/index.js';
 import {refuseUnsent} from '../refuse-unsent.js';
+import {RequestBoundary, runAll} from '../request-boundary.js';
 import {retryAfterMsOf} from '../retry-after.js';
 import type {KvCacheCopy} from './kv-cache-replicator.js';
 import {StreamDelivery} from './stream-delivery.js';
@@ -59,7 +61,8 @@
  * new StreamHandler({ctx, work}).start();
  */
 export class StreamHandler {
-  private readonly ctx: DirectContext;
+  private readonly ctx: RequestContext;
+  private readonly boundary: RequestBoundary;
   private readonly work: DirectWork;
   private readonly sequence: EventSequence;
   private readonly delivery: StreamDelivery;
@@ -67,7 +70,7 @@
   private readonly placer: StreamPlacer;
   private readonly log: StreamLog;
   private readonly poisonDetector: PoisonDetector;
-  private readonly deadline: TimerHandle;
+  private deadline?: TimerHandle;
   private placementTimer?: TimerHandle;
   private current?: StreamAttempt;
   /** The KV cache copy of the lost attempt, if one can be used. */
@@ -82,28 +85,40 @@
   private mayHaveRun = false;
 
   constructor(options: {ctx: DirectContext; work: DirectWork}) {
-    this.ctx = options.ctx;
-    this.work = options.work;
-    this.delivery = new StreamDelivery(options);
-    this.permitted = new PermittedChoice(options);
+    const {work} = options;
+    this.work = work;
+    this.boundary = new RequestBoundary({
+      ...options,
+      name: TaskName.STREAM,
+      release: () => this.release(),
+    });
+    const {ctx} = this.boundary;
+    this.ctx = ctx;
+    this.delivery = new StreamDelivery({ctx, work});
+    this.permitted = new PermittedChoice({ctx, work});
     const {heldBack} = this.permitted;
-    this.placer = new StreamPlacer({...options, heldBack});
-    this.log = new StreamLog(options);
+    this.placer = new StreamPlacer({ctx, work, heldBack});
+    this.log = new StreamLog({ctx, work});
+    const {lastEventId} = work.req;
+    this.sequence = new EventSequence({lastId: toPosition(lastEventId)});
     this.poisonDetector = new PoisonDetector({
-      ...options,
+      ctx,
+      work,
       onPoison: () => this.failAsPoison(),
     });
+  }
+
+  start(): void {
+    this.boundary.run(() => this.begin());
+  }
+
+  private begin(): Promise<void> | void {
     const {clock} = this.ctx;
-    const {lastEventId} = this.work.req;
-    this.sequence = new EventSequence({lastId: toPosition(lastEventId)});
     this.deadline = clock.schedule({
       delayMs: Math.max(0, this.work.deadlineAtMs - clock.now()),
       run: () => this.fail(true),
     });
-    this.work.res.onDisconnect(() => this.abandon());
-  }
-
-  start(): void {
+    this.work.res.onDisconnect(this.boundary.guard(() => this.abandon()));
     if (this.poisonDetector.isPoison()) {
       this.refuse(RefusalReason.POISON);
       return;
@@ -113,8 +128,9 @@
       return;
     }
     this.ctx.retryBudgets.recordFirstAttempt(this.work.service.name);
-    if (this.poisonDetector.mayBePoison()) void this.placeAfterDiagnosis();
-    else void this.place();
+    return this.poisonDetector.mayBePoison()
+      ? this.placeAfterDiagnosis()
+      : this.place();
   }
 
   /**
@@ -124,7 +140,7 @@
   private async placeAfterDiagnosis(): Promise<void> {
     const maySend = await this.poisonDetector.maySend();
     if (this.isOver) return;
-    if (maySend) void this.place();
+    if (maySend) await this.place();
     else this.refuse(RefusalReason.POISON);
   }
 
@@ -201,7 +217,7 @@
     this.placer.clearExcluded();
     this.placementTimer = this.ctx.clock.schedule({
       delayMs: Math.max(PLACEMENT_RETRY_MS, permitWaitMs),
-      run: () => void this.place(),
+      run: () => this.boundary.run(() => this.place()),
     });
   }
 
@@ -226,6 +242,7 @@
         onLost: (loss) => this.onLost(loss),
       },
     });
+    this.current.start();
     if (usesCopy || this.promptAttempts > 1)
       this.log.recordPlacement(this.current, usesCopy);
   }
@@ -237,7 +254,7 @@
     const {res} = this.work;
     if (current === undefined || !res.isCongested) return;
     current.pause();
-    res.onceDrained(() => current.resume());
+    res.onceDrained(this.boundary.guard(() => current.resume()));
   }
 
   private onEvent(head: TargetResponseHead, event: RawEvent): void {
@@ -310,16 +327,17 @@
     if (lost.eventCount >= MIN_EVENTS_FOR_COPY) this.resumableCopy = lost.copy;
     this.ctx.metrics.countRetry(reason);
     this.delivery.markResumed();
-    if (mayBeCrash && this.poisonDetector.isSuspect())
-      void this.resumeAfterDiagnosis();
-    else void this.place();
+    const mustDiagnose = mayBeCrash && this.poisonDetector.isSuspect();
+    this.boundary.run(() =>
+      mustDiagnose ? this.resumeAfterDiagnosis() : this.place(),
+    );
   }
 
   /** Resumes a stream that lost several targets after their diagnosis. */
   private async resumeAfterDiagnosis(): Promise<void> {
     const maySend = await this.poisonDetector.mayRetry();
     if (this.isOver) return;
-    if (maySend) void this.place();
+    if (maySend) await this.place();
     else this.fail(false);
   }
 
@@ -389,9 +407,25 @@
   private stop(): void {
     this.isOver = true;
     this.poisonDetector.close();
-    this.deadline.cancel();
+    this.deadline?.cancel();
     this.placementTimer?.cancel();
     this.current?.cancel();
     this.current = undefined;
   }
+
+  /** Gives back what the stream holds, at whichever point it has failed. */
+  private release(): void {
+    const {current} = this;
+    this.isOver = true;
+    this.current = undefined;
+    runAll([
+      () => this.deadline?.cancel(),
+      () => this.placementTimer?.cancel(),
+      () => current?.release(),
+      () => {
+        if (current !== undefined) this.poisonDetector.recordWithdrawn(current);
+      },
+      () => this.poisonDetector.close(),
+    ]);
+  }
 }
--- a/test/adapters/endless-targets.test.ts
+++ b/test/adapters/endless-targets.test.ts
@@ -11,6 +11,7 @@
 import {sendEndlessResponse} from '../../stand-ins/site/endless-response.js';
 import {TargetFault} from '../../stand-ins/site/target-fault.js';
 import {createSpec} from '../support/generation.js';
+import {silentSupervisor} from '../support/supervisor.js';
 
 /** Longer than any of the limits needs. */
 const TIMEOUT_MS = 8_000;
@@ -45,7 +46,7 @@
 
 const timeoutMs = TIMEOUT_MS;
 
-const targets = new TargetClient();
+const targets = new TargetClient({supervisor: silentSupervisor()});
 
 /** Makes a call that has to fail. */
 type FailingCall = (address: string) => Promise<{isErr(): boolean}>;
--- a/test/core/sync/follower.test.ts
+++ b/test/core/sync/follower.test.ts
@@ -10,6 +10,7 @@
 } from '../../../src/core/edges/state-source.js';
 import {SourceErrorKind} from '../../../src/core/edges/state-source.js';
 import {Follower} from '../../../src/core/sync/index.js';
+import {silentSupervisor} from '../../support/supervisor.js';
 
 const WAIT_MS = 1_500;
 const PAUSE_MS = 700;
@@ -87,6 +88,7 @@
   const follower = new Follower<string>({
     source,
     clock,
+    supervisor: silentSupervisor(clock),
     random: new SeededRandom(1),
     waitMs: WAIT_MS,
     pauseMs: PAUSE_MS,
--- a/test/core/sync/outage-gate.test.ts
+++ b/test/core/sync/outage-gate.test.ts
@@ -10,6 +10,7 @@
   FollowerRole,
   OutageGate,
 } from '../../../src/core/sync/index.js';
+import {silentSupervisor} from '../../support/supervisor.js';
 
 const OUTAGE_MS = 9_000;
 
@@ -54,13 +55,15 @@
   });
 
   const start = () => {
-    const gate = new OutageGate({clock});
+    const supervisor = silentSupervisor(clock);
+    const gate = new OutageGate({clock, supervisor});
     const random = new SeededRandom(20261204);
     return [LEADER, WAITING, WAITING].map((role) => {
       const source = new FailingSource(() => isAway(role));
       new Follower({
         source,
         clock,
+        supervisor,
         random,
         waitMs: 1_000,
         gate,
--- a/test/direct/entry-directory.test.ts
+++ b/test/direct/entry-directory.test.ts
@@ -8,6 +8,7 @@
 import {SILENT_LOGGER} from '../../src/core/logs/index.js';
 import type {EntryRecord} from '../../src/core/relay/index.js';
 import {EntryDirectory} from '../../src/direct/relay/entry-directory.js';
+import {silentSupervisor} from '../support/supervisor.js';
 
 const SEED = 20261204;
 
@@ -66,6 +67,7 @@
           ),
       },
       clock,
+      supervisor: silentSupervisor(clock),
       random: new SeededRandom(SEED),
       logger: SILENT_LOGGER,
       onEntries: (entries) => (known = entries.map(({vm}) => vm)),
--- a/test/direct/graceful-shutdown.test.ts
+++ b/test/direct/graceful-shutdown.test.ts
@@ -3,6 +3,7 @@
 import {ManualClock} from '../../src/core/clock/index.js';
 import {SILENT_LOGGER} from '../../src/core/logs/index.js';
 import {GracefulShutdown} from '../../src/direct/graceful-shutdown.js';
+import {silentSupervisor} from '../support/supervisor.js';
 
 const GRACE_MS = 8_000;
 
@@ -41,6 +42,7 @@
     shutdown = new GracefulShutdown({
       clock,
       logger: SILENT_LOGGER,
+      supervisor: silentSupervisor(clock),
       listener,
       graceMs: GRACE_MS,
       answerOpen: () => undefined,
--- a/test/direct/loss-alerts.test.ts
+++ b/test/direct/loss-alerts.test.ts
@@ -13,6 +13,7 @@
 import {LossLedger, ServedRequests} from '../../src/core/poison/index.js';
 import {LossAlerts} from '../../src/direct/poison/loss-alerts.js';
 import {ALERT_RETENTION_MS} from '../../src/direct/consts.js';
+import {silentSupervisor} from '../support/supervisor.js';
 
 const SEED = 20261204;
 const REQUEST = 'a request';
@@ -107,6 +108,7 @@
       onRefuted: () => undefined,
       onRestored: () => undefined,
       clock,
+      supervisor: silentSupervisor(clock),
       random,
       logger: SILENT_LOGGER,
     });
--- a/test/direct/loss-sync.test.ts
+++ b/test/direct/loss-sync.test.ts
@@ -13,6 +13,7 @@
 import type {RecordedLosses} from '../../src/core/poison/index.js';
 import {LossLedger} from '../../src/core/poison/index.js';
 import {LossSync} from '../../src/direct/poison/loss-sync.js';
+import {silentSupervisor} from '../support/supervisor.js';
 
 const VM = 'entry-1';
 const OTHER_VM = 'entry-2';
@@ -86,6 +87,7 @@
       ledger,
       source,
       clock,
+      supervisor: silentSupervisor(clock),
       random: new SeededRandom(1),
       logger: SILENT_LOGGER,
       onRead: () => undefined,
--- a/test/direct/loss-verification.test.ts
+++ b/test/direct/loss-verification.test.ts
@@ -11,6 +11,7 @@
 import {incarnationOf, TargetSet} from '../../src/core/targets/index.js';
 import {LossDiagnosis} from '../../src/direct/poison/loss-diagnosis.js';
 import {Prober} from '../../src/direct/prober.js';
+import {silentSupervisor} from '../support/supervisor.js';
 
 const SEED = 20261204;
 const REQUEST = 'a request';
@@ -78,7 +79,9 @@
       );
     };
     const random = new SeededRandom(SEED);
-    const shared = {clock, random, targets, logger: SILENT_LOGGER};
+    const supervisor = silentSupervisor(clock);
+    const logger = SILENT_LOGGER;
+    const shared = {clock, random, targets, logger, supervisor};
     const prober = new Prober({
       ...shared,
       client: {queryLoad} as unknown as DirectTargets,
--- a/test/direct/poison-detector.test.ts
+++ b/test/direct/poison-detector.test.ts
@@ -6,7 +6,7 @@
   Quarantine,
   toPartSuspects,
 } from '../../src/core/poison/index.js';
-import type {DirectContext, DirectWork} from '../../src/direct/context.js';
+import type {DirectWork, RequestContext} from '../../src/direct/context.js';
 import {PoisonDetector} from '../../src/direct/poison/index.js';
 
 const PROMPT = ['shared', 'own'].map((id) => ({id, tokens: 100}));
@@ -32,7 +32,8 @@
       ctx: {
         lossTracker: {ledger, hasServed},
         quarantine: new Quarantine(),
-      } as unknown as DirectContext,
+        boundary: {guard: (callback: unknown) => callback},
+      } as unknown as RequestContext,
       work: {
         req: {path: '/', body: Buffer.alloc(0), promptParts: PROMPT},
         admitted: {},
--- a/test/direct/prober.test.ts
+++ b/test/direct/prober.test.ts
@@ -8,6 +8,7 @@
 import type {TargetRecord} from '../../src/core/targets/index.js';
 import {TargetSet} from '../../src/core/targets/index.js';
 import {Prober} from '../../src/direct/prober.js';
+import {silentSupervisor} from '../support/supervisor.js';
 
 const SEED = 20261204;
 const SERVICE = 'writers';
@@ -52,6 +53,7 @@
     };
     const prober = new Prober({
       clock,
+      supervisor: silentSupervisor(clock),
       random: new SeededRandom(SEED),
       client: {queryLoad} as unknown as DirectTargets,
       targets,
--- a/test/direct/settings-watcher.test.ts
+++ b/test/direct/settings-watcher.test.ts
@@ -9,6 +9,7 @@
 import {SILENT_LOGGER} from '../../src/core/logs/index.js';
 import type {DirectSettings} from '../../src/core/settings/direct-settings.js';
 import {SettingsWatcher} from '../../src/direct/settings-watcher.js';
+import {silentSupervisor} from '../support/supervisor.js';
 
 describe('SettingsWatcher', () => {
   let folder: string;
@@ -27,6 +28,7 @@
         text === 'bad' ? err('bad') : ok({vm: text} as DirectSettings),
       onSettings: ({vm}) => applied.push(vm),
       clock: new ManualClock(),
+      supervisor: silentSupervisor(),
       logger: SILENT_LOGGER,
     });
     await watcher.check();
--- a/test/direct/watch-connection.test.ts
+++ b/test/direct/watch-connection.test.ts
@@ -18,6 +18,7 @@
 import {WatchClient} from '../../src/direct/relay/watch-client.js';
 import {WatchServer} from '../../src/direct/relay/watch-server.js';
 import {sleep} from '../support/poison-scenario.js';
+import {silentSupervisor} from '../support/supervisor.js';
 
 const KIND = 'config';
 const READER = 'edge-1';
@@ -55,6 +56,7 @@
       hello: helloOf(READER),
       logs: new Map([[KIND, log]]),
       clock,
+      supervisor: silentSupervisor(clock),
       onAsked: () => asked++,
       onPermitAsked: () => undefined,
       mayRead: () => mayRead,
@@ -84,6 +86,7 @@
       entry: {vm, dataCentre: 'a', address: `127.0.0.1:${toPort}`},
       hello: helloOf('edge-2'),
       clock,
+      supervisor: silentSupervisor(clock),
       random,
     });
     clients.push(client);
@@ -250,6 +253,7 @@
       entry: {vm: READER, dataCentre: 'a', address: `127.0.0.1:${port}`},
       hello: helloOf('edge-2'),
       clock,
+      supervisor: silentSupervisor(clock),
       random,
     });
   };
--- a/test/platform/load-report.test.ts
+++ b/test/platform/load-report.test.ts
@@ -4,6 +4,7 @@
 import {TargetClient} from '../../platform/target-client.js';
 import type {RunningServer} from '../../stand-ins/lib/http-server.js';
 import {startServer} from '../../stand-ins/lib/http-server.js';
+import {silentSupervisor} from '../support/supervisor.js';
 
 const TIMEOUT_MS = 1_000;
 
@@ -38,10 +39,9 @@
         return Promise.resolve();
       },
     });
-    const load = await new TargetClient().queryLoad(
-      recordOf(server),
-      TIMEOUT_MS,
-    );
+    const load = await new TargetClient({
+      supervisor: silentSupervisor(),
+    }).queryLoad(recordOf(server), TIMEOUT_MS);
     expect(load._unsafeUnwrap().generatingIds).toEqual(ids);
   });
 
@@ -55,10 +55,9 @@
         return Promise.resolve();
       },
     });
-    const load = await new TargetClient().queryLoad(
-      recordOf(server),
-      TIMEOUT_MS,
-    );
+    const load = await new TargetClient({
+      supervisor: silentSupervisor(),
+    }).queryLoad(recordOf(server), TIMEOUT_MS);
     expect(load.isErr()).toBe(true);
   });
 });
--- a/test/support/direct-entry.ts
+++ b/test/support/direct-entry.ts
@@ -6,10 +6,12 @@
 import type {PlatformEdges} from '../../platform/platform-edges.js';
 import {createPlatformEdges} from '../../platform/platform-edges.js';
 import {MemoryBudget} from '../../src/core/bytes/index.js';
+import type {Clock, RandomSource} from '../../src/core/clock/index.js';
 import {SeededRandom, SystemClock} from '../../src/core/clock/index.js';
 import {SILENT_LOGGER} from '../../src/core/logs/index.js';
 import type {Logger} from '../../src/core/logs/index.js';
 import {Metrics} from '../../src/core/metrics/index.js';
+import {Supervisor} from '../../src/core/supervision/index.js';
 import {ChangeRelay} from '../../src/direct/relay/index.js';
 import {DirectProcess} from '../../src/direct/direct-process.js';
 import {GracefulShutdown} from '../../src/direct/graceful-shutdown.js';
@@ -24,6 +26,15 @@
 /** Time from the begin of a planned stop until the process is killed. */
 export const SHUTDOWN_GRACE_MS = 2_000;
 
+/** Dependencies of an entry, which a test may replace. */
+export interface EntryParts {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly metrics: Metrics;
+  readonly memory: MemoryBudget;
+  readonly logger: Logger;
+}
+
 /** Options of a test entry. */
 export interface DirectEntryOptions {
   readonly vm: string;
@@ -34,6 +45,10 @@
   readonly peerPort?: number;
   /** By default nothing is logged. */
   readonly logger?: Logger;
+  /** Replaces the clients of the store and of the targets. */
+  readonly wrapEdges?: (edges: PlatformEdges) => PlatformEdges;
+  /** Replaces other parts. */
+  readonly wrapParts?: (parts: EntryParts) => EntryParts;
 }
 
 /**
@@ -49,15 +64,20 @@
   readonly agent = new Agent({keepAlive: true, maxSockets: 1});
   port = 0;
 
+  readonly metrics: Metrics;
+  readonly memory: MemoryBudget;
+
   private readonly relay: ChangeRelay;
+  private readonly supervisor: Supervisor;
   private readonly edges: PlatformEdges;
 
   private constructor(options: DirectEntryOptions) {
-    const {vm, storeUrl, revokeMs, logger = SILENT_LOGGER} = options;
-    const clock = new SystemClock();
-    const random = new SeededRandom(hashOf(vm));
-    const metrics = new Metrics();
-    const memory = new MemoryBudget({limitBytes: MESSAGE_BYTES});
+    const {vm, storeUrl, revokeMs} = options;
+    const {clock, random, metrics, memory, logger} = createParts(options);
+    const supervisor = new Supervisor({clock, metrics, logger});
+    this.metrics = metrics;
+    this.memory = memory;
+    this.supervisor = supervisor;
     this.relay = new ChangeRelay({
       vm,
       dataCentre: 'a',
@@ -68,12 +88,15 @@
       random,
       metrics,
       logger,
+      supervisor,
     });
-    this.edges = createPlatformEdges({
+    const edges = createPlatformEdges({
       url: storeUrl,
       metrics,
+      supervisor,
       relay: (kind) => this.relay.relayed(kind),
     });
+    this.edges = options.wrapEdges?.(edges) ?? edges;
     this.process = new DirectProcess({
       settings: {
         vm,
@@ -96,11 +119,13 @@
       permitPeers: this.relay,
       metrics,
       logger,
+      supervisor,
     });
     this.server = new CallerServer({
       clock,
       logger,
       memory,
+      supervisor,
       handler: {
         refuseEarly: (req) => this.process.refuseEarly(req),
         recordRefusal: (req, refusal) =>
@@ -126,6 +151,7 @@
       new GracefulShutdown({
         clock: new SystemClock(),
         logger: SILENT_LOGGER,
+        supervisor: this.supervisor,
         listener: this.server,
         graceMs: SHUTDOWN_GRACE_MS,
         answerOpen: () => this.process.answerOpenCalls(),
@@ -154,6 +180,18 @@
   }
 }
 
+function createParts(options: DirectEntryOptions): EntryParts {
+  const {vm, logger = SILENT_LOGGER, wrapParts} = options;
+  const parts: EntryParts = {
+    clock: new SystemClock(),
+    random: new SeededRandom(hashOf(vm)),
+    metrics: new Metrics(),
+    memory: new MemoryBudget({limitBytes: MESSAGE_BYTES}),
+    logger,
+  };
+  return wrapParts?.(parts) ?? parts;
+}
+
 /** Entries draw different random numbers. */
 function hashOf(text: string): number {
   return createHash('sha1').update(text).digest().readUInt32BE(0);
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -3,7 +3,6 @@
 
 import type {CallerServer} from '../../platform/caller-server.js';
 import {StoreObjectKind} from '../../platform/names.js';
-import type {Logger} from '../../src/core/logs/index.js';
 import type {DirectProcess} from '../../src/direct/direct-process.js';
 import {LocalCopyNetwork} from '../../stand-ins/site/copy-network.js';
 import type {SitePath, SiteService} from '../../stand-ins/site/config.js';
@@ -14,6 +13,7 @@
 import type {StreamPace} from '../../stand-ins/site/target-types.js';
 import type {SiteResponse} from '../../tools/lab/site-caller.js';
 import {sendSiteRequest} from '../../tools/lab/site-caller.js';
+import type {DirectEntryOptions} from './direct-entry.js';
 import {DirectEntry} from './direct-entry.js';
 
 const DEADLINE_MS = 4_000;
@@ -28,14 +28,16 @@
 }
 
 /** Options of a site. */
-export interface SiteOptions {
+export interface SiteOptions extends Pick<
+  DirectEntryOptions,
+  'logger' | 'wrapEdges' | 'wrapParts'
+> {
   /** Time within which a revoked key must be refused; undefined for no bound. */
   readonly revokeMs?: number;
   /** Number of entries, all with the same targets; 1 by default. */
   readonly entries?: number;
   /** Whether entries read the store through each other. */
   readonly hasRelay?: boolean;
-  readonly logger?: Logger;
 }
 
 /** Entries, store and targets of a site, all in the test process. */
@@ -92,13 +94,15 @@
 
   /** Starts an entry, or restarts one that was killed. */
   async startEntry(i: number): Promise<void> {
-    const {revokeMs, hasRelay, logger} = this.options;
+    const {revokeMs, hasRelay, logger, wrapEdges, wrapParts} = this.options;
     this.entries[i] = await DirectEntry.start({
       vm: `entry-${i + 1}`,
       storeUrl: this.storeEndpoints[i]!.url,
       revokeMs,
       peerPort: hasRelay === true ? 0 : undefined,
       logger,
+      wrapEdges,
+      wrapParts,
     });
   }
 
