--- a/src/core/supervision/types.ts
+++ b/src/core/supervision/types.ts
@@ -15,6 +15,7 @@
   PEERS = 'peers',
   POISON = 'poison',
   QUARANTINE = 'quarantine',
+  READINESS = 'readiness',
   REQUEST = 'request',
   SETTINGS = 'settings',
   SHUTDOWN = 'shutdown',
--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -1,5 +1,5 @@
 /** Creates and starts a direct entry from the settings file. */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 
 import {Command, InvalidArgumentError} from 'commander';
@@ -21,8 +21,9 @@
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
 import {BoundedSink, createLogger} from '../core/logs/index.js';
 import {CounterName, Metrics} from '../core/metrics/index.js';
+import type {RouteTable} from '../core/routes/index.js';
 import {messageMemoryBytes} from '../core/settings/direct-settings.js';
-import {Supervisor} from '../core/supervision/index.js';
+import {Supervisor, TaskName} from '../core/supervision/index.js';
 import {DirectProcess} from '../direct/direct-process.js';
 import {ChangeRelay} from '../direct/relay/index.js';
 import {GracefulShutdown} from '../direct/graceful-shutdown.js';
@@ -141,10 +142,12 @@
     random,
     metrics,
     logger,
+    supervisor,
   });
   const edges = createPlatformEdges({
     url: settings.storeUrl,
     metrics,
+    supervisor,
     relay: (kind) => relay.relayed(kind),
   });
   const memory = new MemoryBudget({limitBytes: messageMemoryBytes(settings)});
@@ -157,11 +160,13 @@
     random,
     metrics,
     logger,
+    supervisor,
   });
   const server = new CallerServer({
     clock,
     logger,
     memory,
+    supervisor,
     handler: {
       refuseEarly: (req) => entry.refuseEarly(req),
       recordRefusal: (req, refusal) => entry.recordRefusal(req, refusal),
@@ -169,9 +174,11 @@
       isDraining: () => entry.draining.get(),
     },
   });
-  entry.routes.subscribe((table) => {
+  const applyLimits = (table?: RouteTable) => {
     if (table !== undefined) server.applyLimits(table.limits);
-  });
+  };
+  const configTask = {name: TaskName.CONFIG};
+  entry.routes.subscribe(supervisor.guard(configTask, applyLimits));
   const watcher = new SettingsWatcher({
     path,
     text,
@@ -187,28 +194,32 @@
   const shutdown = new GracefulShutdown({
     clock,
     logger,
+    supervisor,
     listener: server,
     graceMs: settings.shutdownGraceMs,
     answerOpen: () => entry.answerOpenRequests(),
     // The last log lines are written asynchronously.
     onStopped: () => setTimeout(() => process.exit(0), LOG_FLUSH_MS),
   });
-  process.on('SIGHUP', () => {
+  const reload = () => {
     logger.info('reload');
     watcher.check();
-  });
+  };
   const readinessLog = new ReadinessLog({
     clock,
     logger,
+    supervisor,
     missing: () => entry.missing(),
   });
-  const stop = () => {
-    logger.info('stopping', {open: server.openRequests});
+  process.on('SIGHUP', supervisor.guard({name: TaskName.SETTINGS}, reload));
+  const shutdownTask = {name: TaskName.SHUTDOWN};
+  const stop = supervisor.guard(shutdownTask, () => {
+    shutdown.begin();
     readinessLog.stop();
     entry.startDraining();
-    void relay.leave();
-    shutdown.begin();
-  };
+    supervisor.run(shutdownTask, () => relay.leave());
+    logger.info('stopping', {open: server.openRequests});
+  });
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
   startupSignals.remove();
@@ -222,18 +233,25 @@
   await server.listen(() => active.callers);
   // Callers are sent here once it responds, so it comes after their server.
   await listenWhenFree({
-    server: createServer((req, res) => serveReadiness({req, res, entry})),
+    server: createGuardedServer(supervisor, (req, res) =>
+      serveReadiness({req, res, entry}),
+    ),
     addressOf: () => active.readiness,
     clock,
     logger,
   });
-  void listenWhenFree({
-    server: createServer((req, res) => void serveMetrics({req, res, metrics})),
-    addressOf: () => ({host: active.address, port: metricsPort}),
-    clock,
-    logger,
-  }).catch((e: unknown) =>
-    logger.error('metrics are not served', {detail: String(e)}),
+  const metricsServer = createGuardedServer(supervisor, (req, res) =>
+    serveMetrics({req, res, metrics}),
+  );
+  supervisor.run({name: TaskName.METRICS}, () =>
+    listenWhenFree({
+      server: metricsServer,
+      addressOf: () => ({host: active.address, port: metricsPort}),
+      clock,
+      logger,
+    }).catch((e: unknown) =>
+      logger.error('metrics are not served', {detail: String(e)}),
+    ),
   );
   logger.info('started', {
     callers: active.callers.port,
@@ -243,6 +261,17 @@
   });
 }
 
+/** Creates a server whose handler ends only its connection if it fails. */
+function createGuardedServer(
+  supervisor: Supervisor,
+  handler: (req: IncomingMessage, res: ServerResponse) => unknown,
+): Server {
+  return createServer((req, res) => {
+    const task = {name: TaskName.METRICS, onFailure: () => res.destroy()};
+    supervisor.run(task, () => handler(req, res));
+  });
+}
+
 function serveReadiness(options: {
   req: IncomingMessage;
   res: ServerResponse;
--- a/src/direct/readiness-log.ts
+++ b/src/direct/readiness-log.ts
@@ -1,6 +1,8 @@
 /** Logs what an entry waits for until it is ready for the first time. */
 import type {Clock, TimerHandle} from '../core/clock/index.js';
 import type {Logger} from '../core/logs/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 
 /** What an entry needs before it may be given connections. */
 export enum Need {
@@ -22,7 +24,7 @@
  * writes what the entry waits for, at distances that double.
  *
  * @example
- * const log = new ReadinessLog({clock, logger, missing: () => [Need.TARGETS]});
+ * const log = new ReadinessLog({clock, logger, supervisor, missing});
  * log.start();
  */
 export class ReadinessLog {
@@ -34,17 +36,18 @@
     private readonly options: {
       clock: Clock;
       logger: Logger;
+      supervisor: Supervisor;
       /** What the entry still needs; empty if it is ready. */
       missing: () => readonly Need[];
     },
   ) {}
 
   start(): void {
-    const {clock} = this.options;
+    const {clock, supervisor} = this.options;
     this.startedMs = clock.now();
     this.timer = clock.repeat({
       periodMs: CHECK_INTERVAL_MS,
-      run: () => this.check(),
+      run: supervisor.guard({name: TaskName.READINESS}, () => this.check()),
     });
   }
 
--- a/src/direct/relay/change-relay.ts
+++ b/src/direct/relay/change-relay.ts
@@ -29,7 +29,8 @@
   longestWaits,
   ReaderChoice,
 } from '../../core/relay/index.js';
-import {Supervisor, TaskName} from '../../core/supervision/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import {MEMBER_SILENCE_MS, toPermit, toPermitQuery} from '../limits/index.js';
 import {
   DEMAND_MS,
@@ -62,6 +63,7 @@
   readonly random: RandomSource;
   readonly metrics: Metrics;
   readonly logger: Logger;
+  readonly supervisor: Supervisor;
 }
 
 const NONE: AskResult = {outcome: AskOutcome.NONE};
@@ -112,6 +114,7 @@
       hello: this.hello,
       logs: this.logs,
       clock,
+      supervisor: options.supervisor,
       onAsked: () => this.handleAsked(),
       mayRead: () => !this.hasStoreFailed,
       onPermitAsked: (message) => this.handlePermitAsked(message),
@@ -172,7 +175,7 @@
     });
     this.directory = directory;
     directory.start();
-    new Supervisor(this.options).run({name: TaskName.PEERS}, async () => {
+    this.options.supervisor.run({name: TaskName.PEERS}, async () => {
       const boundPort = await this.listenWhenFree(port);
       if (boundPort === undefined) return;
       const {vm, dataCentre, address} = this.options;
--- a/src/direct/settings-watcher.ts
+++ b/src/direct/settings-watcher.ts
@@ -77,8 +77,9 @@
       return;
     }
     if (text === this.text) return;
-    this.text = text;
     this.apply(text);
+    // After an exception the next check applies it.
+    this.text = text;
   }
 
   private apply(text: string): void {
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -8,7 +8,7 @@
 import {showsHarmlessParts} from '../../core/poison/index.js';
 import {
   toFailureResponse,
-  certainlyDidNotRun,
+  isTargetFailure,
   promisesNotRun,
 } from '../../core/retrying/index.js';
 import type {RawEvent} from '../../core/streams/index.js';
@@ -17,40 +17,28 @@
   SequenceCheck,
   toPosition,
 } from '../../core/streams/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {Target} from '../../core/targets/index.js';
 import {
   MIN_EVENTS_FOR_COPY,
   MAX_PROMPT_ATTEMPTS,
   PLACEMENT_RETRY_MS,
 } from '../consts.js';
-import type {DirectContext, DirectWork} from '../context.js';
+import type {DirectContext, DirectWork, RequestContext} from '../context.js';
 import {forwardResponse} from '../forward-response.js';
 import {PermittedChoice} from '../limits/index.js';
 import {PoisonDetector} from '../poison/index.js';
 import {refuseUnsent} from '../refuse-unsent.js';
+import {RequestBoundary, runAll} from '../request-boundary.js';
 import {retryAfterMsOf} from '../retry-after.js';
 import type {KvCacheCopy} from './kv-cache-replicator.js';
 import {StreamDelivery} from './stream-delivery.js';
 import {StreamLog} from './stream-log.js';
 import {canResumeAt, StreamPlacer} from './stream-placer.js';
 import {cannotMeetDeadline, recordGenerationTime} from './generation-time.js';
-import type {TargetLoss} from './stream-attempt.js';
 import {StreamAttempt} from './stream-attempt.js';
-
-/** Reasons of a loss that show that the data centre is reachable. */
-const DATA_CENTRE_ALIVE_REASONS: ReadonlySet<RetryReason> = new Set([
-  RetryReason.TARGET_REFUSED,
-  RetryReason.TARGET_REPLACED,
-]);
-
-/** Reasons of a loss that the request itself may have caused. */
-const POSSIBLE_CRASH_REASONS: ReadonlySet<RetryReason> = new Set([
-  RetryReason.ENGINE_DIED,
-  RetryReason.ENGINE_STALLED,
-]);
-
-/** Lowest status that means that the target failed. */
-const MIN_FAILURE_STATUS = 500;
+import type {TargetLoss} from './target-loss.js';
+import {lostBeforeRun, mayBeCrash, mayBeOutage} from './target-loss.js';
 
 /**
  * Handles one stream. Events are sent to the caller as they arrive. When a
@@ -60,7 +48,8 @@
  * new StreamHandler({ctx, work, onOver}).start();
  */
 export class StreamHandler {
-  private readonly ctx: DirectContext;
+  private readonly ctx: RequestContext;
+  private readonly boundary: RequestBoundary;
   private readonly work: DirectWork;
   private readonly onOver: () => void;
   private readonly sequence: EventSequence;
@@ -69,7 +58,7 @@
   private readonly placer: StreamPlacer;
   private readonly log: StreamLog;
   private readonly poisonDetector: PoisonDetector;
-  private readonly deadline: TimerHandle;
+  private deadline?: TimerHandle;
   private placementTimer?: TimerHandle;
   private current?: StreamAttempt;
   /** The KV cache copy of the lost attempt, if one can be used. */
@@ -89,29 +78,41 @@
     /** Called once when the stream is over. */
     onOver: () => void;
   }) {
-    this.ctx = options.ctx;
-    this.work = options.work;
+    const {work} = options;
+    this.work = work;
     this.onOver = options.onOver;
-    this.delivery = new StreamDelivery(options);
-    this.permitted = new PermittedChoice(options);
+    this.boundary = new RequestBoundary({
+      ...options,
+      name: TaskName.STREAM,
+      release: () => this.release(),
+    });
+    const {ctx} = this.boundary;
+    this.ctx = ctx;
+    this.delivery = new StreamDelivery({ctx, work});
+    this.permitted = new PermittedChoice({ctx, work});
     const {heldBack} = this.permitted;
-    this.placer = new StreamPlacer({...options, heldBack});
-    this.log = new StreamLog(options);
+    this.placer = new StreamPlacer({ctx, work, heldBack});
+    this.log = new StreamLog({ctx, work});
+    const {lastEventId} = work.req;
+    this.sequence = new EventSequence({lastId: toPosition(lastEventId)});
     this.poisonDetector = new PoisonDetector({
-      ...options,
+      ctx,
+      work,
       onPoison: () => this.failAsPoison(),
     });
+  }
+
+  start(): void {
+    this.boundary.run(() => this.begin());
+  }
+
+  private begin(): Promise<void> | void {
     const {clock} = this.ctx;
-    const {lastEventId} = this.work.req;
-    this.sequence = new EventSequence({lastId: toPosition(lastEventId)});
     this.deadline = clock.schedule({
       delayMs: Math.max(0, this.work.deadlineAtMs - clock.now()),
       run: () => this.fail(true),
     });
-    this.work.res.onDisconnect(() => this.abandon());
-  }
-
-  start(): void {
+    this.work.res.onDisconnect(this.boundary.guard(() => this.abandon()));
     if (this.poisonDetector.isPoison()) {
       this.refuse(RefusalReason.POISON);
       return;
@@ -121,8 +122,9 @@
       return;
     }
     this.ctx.retryBudgets.recordFirstAttempt(this.work.service.name);
-    if (this.poisonDetector.mayBePoison()) void this.placeAfterDiagnosis();
-    else void this.place();
+    return this.poisonDetector.mayBePoison()
+      ? this.placeAfterDiagnosis()
+      : this.place();
   }
 
   /**
@@ -132,7 +134,7 @@
   private async placeAfterDiagnosis(): Promise<void> {
     const maySend = await this.poisonDetector.maySend();
     if (this.isOver) return;
-    if (maySend) void this.place();
+    if (maySend) await this.place();
     else this.refuse(RefusalReason.POISON);
   }
 
@@ -223,7 +225,7 @@
     this.placer.clearExcluded();
     this.placementTimer = this.ctx.clock.schedule({
       delayMs: Math.max(PLACEMENT_RETRY_MS, permitWaitMs),
-      run: () => void this.place(),
+      run: () => this.boundary.run(() => this.place()),
     });
   }
 
@@ -248,6 +250,7 @@
         onLost: (loss) => this.onLost(loss),
       },
     });
+    this.current.start();
     if (usesCopy || this.promptAttempts > 1)
       this.log.recordPlacement(this.current, usesCopy);
   }
@@ -259,7 +262,7 @@
     const {res} = this.work;
     if (current === undefined || !res.isCongested) return;
     current.pause();
-    res.onceDrained(() => current.resume());
+    res.onceDrained(this.boundary.guard(() => current.resume()));
   }
 
   private onEvent(head: TargetResponseHead, event: RawEvent): void {
@@ -302,8 +305,7 @@
   private onOtherResponse(head: TargetResponseHead, body: Uint8Array): void {
     const {isResumable} = this.work.admitted.route;
     const isFailure =
-      head.status >= MIN_FAILURE_STATUS ||
-      (!isResumable && promisesNotRun(head.status));
+      isTargetFailure(head) || (!isResumable && promisesNotRun(head.status));
     if (isFailure || this.delivery.hasStarted) {
       const reason = RetryReason.TARGET_REFUSED;
       this.mayHaveRun = true;
@@ -320,14 +322,11 @@
     if (lost === undefined || this.isOver) return;
     this.current = undefined;
     this.log.recordLoss(lost, loss, this.sequence.count);
-    const {failure, reason} = loss;
-    const didNotRun = failure !== undefined && certainlyDidNotRun(failure);
-    if (didNotRun) this.placer.exclude(lost.target);
+    const {reason} = loss;
+    if (lostBeforeRun(loss)) this.placer.exclude(lost.target);
     else this.mayHaveRun = true;
-    const mayBeCrash = !didNotRun && POSSIBLE_CRASH_REASONS.has(reason);
-    if (mayBeCrash) this.poisonDetector.recordLoss(lost);
-    if (!DATA_CENTRE_ALIVE_REASONS.has(reason))
-      this.placer.avoidDataCentreOf(lost.target);
+    if (mayBeCrash(loss)) this.poisonDetector.recordLoss(lost);
+    if (mayBeOutage(loss)) this.placer.avoidDataCentreOf(lost.target);
     if (!this.mayResume(reason, lost.eventCount > 0)) {
       this.fail(false);
       return;
@@ -335,16 +334,17 @@
     if (lost.eventCount >= MIN_EVENTS_FOR_COPY) this.resumableCopy = lost.copy;
     this.ctx.metrics.countRetry(reason);
     this.delivery.markResumed();
-    if (mayBeCrash && this.poisonDetector.isSuspect())
-      void this.resumeAfterDiagnosis();
-    else void this.place();
+    const mustDiagnose = mayBeCrash(loss) && this.poisonDetector.isSuspect();
+    this.boundary.run(() =>
+      mustDiagnose ? this.resumeAfterDiagnosis() : this.place(),
+    );
   }
 
   /** Resumes a stream that lost several targets after their diagnosis. */
   private async resumeAfterDiagnosis(): Promise<void> {
     const maySend = await this.poisonDetector.mayRetry();
     if (this.isOver) return;
-    if (maySend) void this.place();
+    if (maySend) await this.place();
     else this.fail(false);
   }
 
@@ -370,17 +370,9 @@
     this.abandon();
     const {status, reason} = toFailureResponse({mayHaveRun, isTimedOut});
     this.ctx.metrics.countRefusal(reason);
-    this.ctx.logger.info('stream failed', {
-      id: this.work.req.attemptId,
-      status,
-      reason,
-      events: this.sequence.count,
-      tries: this.promptAttempts,
-      target: target?.id,
-      unread: target?.estimatedPrefills(),
-      heldMs: Math.round(this.ctx.clock.now() - this.work.req.receivedMs),
-      deadlineMs: this.work.req.deadlineMs,
-    });
+    const {count: events} = this.sequence;
+    const tries = this.promptAttempts;
+    this.log.recordFailure({status, reason, events, tries, target});
     if (hasStarted) {
       this.delivery.flush();
       this.work.res.abort();
@@ -418,9 +410,26 @@
     this.isOver = true;
     this.onOver();
     this.poisonDetector.close();
-    this.deadline.cancel();
+    this.deadline?.cancel();
     this.placementTimer?.cancel();
     this.current?.cancel();
     this.current = undefined;
   }
+
+  /** Gives back what the stream holds, at whichever point it has failed. */
+  private release(): void {
+    const {current} = this;
+    this.isOver = true;
+    this.current = undefined;
+    runAll([
+      () => this.onOver(),
+      () => this.deadline?.cancel(),
+      () => this.placementTimer?.cancel(),
+      () => current?.release(),
+      () => {
+        if (current !== undefined) this.poisonDetector.recordWithdrawn(current);
+      },
+      () => this.poisonDetector.close(),
+    ]);
+  }
 }
--- a/src/direct/streams/stream-log.ts
+++ b/src/direct/streams/stream-log.ts
@@ -1,7 +1,9 @@
 /** Logs what happens to one stream. */
+import type {RefusalReason} from '../../core/errors/refusals.js';
 import type {Target} from '../../core/targets/index.js';
 import type {DirectContext, DirectWork} from '../context.js';
-import type {StreamAttempt, TargetLoss} from './stream-attempt.js';
+import type {StreamAttempt} from './stream-attempt.js';
+import type {TargetLoss} from './target-loss.js';
 
 /** Age that is logged for reports that were never received, in ms. */
 const MAX_LOGGED_AGE_MS = 1e6;
@@ -53,6 +55,28 @@
     });
   }
 
+  /** The stream has ended without success. */
+  recordFailure(options: {
+    status: number;
+    reason: RefusalReason;
+    events: number;
+    /** Attempts that began with the prompt. */
+    tries: number;
+    /** Target that ran it last, if it still did. */
+    target?: Target;
+  }): void {
+    const {target, ...fields} = options;
+    const {ctx, work} = this.options;
+    const heldMs = Math.round(ctx.clock.now() - work.req.receivedMs);
+    this.write('stream failed', {
+      ...fields,
+      target: target?.id,
+      unread: target?.estimatedPrefills(),
+      heldMs,
+      deadlineMs: work.req.deadlineMs,
+    });
+  }
+
   private write(message: string, fields: object): void {
     const {ctx, work} = this.options;
     ctx.logger.info(message, {id: work.req.attemptId, ...fields});
