Direct entry: stop within the grace period of the latest settings

What callers saw: after a change that shortens the grace period, open requests were cut by the kill of the platform, as the entry went by the former period.

Cause: GracefulShutdown got the period of the settings read at the start.

Evidence: test/processes/start-window.test.ts, a real process whose settings change from 20 to 2 s: red before (ended 6,707 ms after SIGTERM with nothing open), green now; the file 9 of 9.

--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -188,7 +188,9 @@
     clock,
     logger,
     listener: server,
-    graceMs: settings.shutdownGraceMs,
+    get graceMs() {
+      return active.shutdownGraceMs;
+    },
     answerOpen: () => entry.answerOpenCalls(),
     // The last log lines are written asynchronously.
     onStopped: () => setTimeout(() => process.exit(0), LOG_FLUSH_MS),
--- a/test/processes/start-window.test.ts
+++ b/test/processes/start-window.test.ts
@@ -34,6 +34,7 @@
 const UNUSABLE = 'fe80::1';
 
 const GRACE_S = 2;
+const LONG_GRACE_S = 20;
 const MS_PER_S = 1_000;
 
 /** Time within which a changed file is applied, in milliseconds. */
@@ -142,6 +143,21 @@
     expect(program.end).toBeUndefined();
   });
 
+  it('of nobody stops within the grace period of changed settings', async () => {
+    const bounds = {grace_s: LONG_GRACE_S};
+    const path = folder.write('boot.json', JSON.stringify({...file, bounds}));
+    const env = {[SETTINGS_PATH_VARIABLE]: path};
+    program = new StartingProgram({folder, argv: [ENTRY], env});
+    await program.untilLogged(STARTED);
+    folder.write('boot.json', JSON.stringify(file));
+    await program.untilLogged(APPLIED);
+    const signalledMs = performance.now();
+    program.signal('SIGTERM');
+    expect(await program.ended()).toBe('status 0, signal null');
+    const tookMs = performance.now() - signalledMs;
+    expect(tookMs).toBeLessThan(GRACE_S * MS_PER_S);
+  });
+
   it('ends with one line if the address can never be listened on', async () => {
     listenOn(UNUSABLE);
     start();
