--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -196,7 +196,9 @@
     logger,
     supervisor,
     listener: server,
-    graceMs: settings.shutdownGraceMs,
+    get graceMs() {
+      return active.shutdownGraceMs;
+    },
     answerOpen: () => entry.answerOpenRequests(),
     // The last log lines are written asynchronously.
     onStopped: () => setTimeout(() => process.exit(0), LOG_FLUSH_MS),
