--- a/eslint.config.js
+++ b/eslint.config.js
@@ -51,4 +51,16 @@
       '@typescript-eslint/no-unused-vars': ['error', {argsIgnorePattern: '^_'}],
     },
   },
+  {
+    // Work that nobody waits for runs under the supervisor.
+    files: [
+      'src/direct/**',
+      'src/core/sync/**',
+      'src/daemon/run-direct.ts',
+      'platform/**',
+    ],
+    rules: {
+      '@typescript-eslint/no-floating-promises': ['error', {ignoreVoid: false}],
+    },
+  },
 );
