The soak signals processes that are starting, in series, and holds their ports

Four kinds of faults, drawn from a generator of their own, so that former seeds keep their draws: - SIGHUPs in series from the moment a restarted program handles signals, which a preloaded module reports; - 3 to 6 planned stops in a row, each at a random moment of a start; - changed settings with SIGHUP while an entry drains, starts and works, beside the restart of another one; - ports for callers, readiness, metrics and other entries still in use. The settings that are torn for a time now reach starting processes with a SIGHUP too, and entries run with the flags of the deployment.

New checks: a program handles signals within 100 ms of processor time after Node.js has started; a started entry serves within 6 s after nothing hinders it, not counting time without a processor; a stop ends within the grace period; resident memory stays below 200 MB; no task fails. 'no process exits unexpectedly' is stricter: a stop that ended a process before it listened was passed over; now only one before the program handles signals, Node.js's own start. Its test case 'ignores a process that was stopped before it listened' is replaced by one for that moment and one that finds the later stop.

--- a/stand-ins/site/boot-file.ts
+++ b/stand-ins/site/boot-file.ts
@@ -4,7 +4,8 @@
 const READINESS_PORT = 8_081;
 
 /** First and last port for connections between entries. */
-const PEER_PORTS = [7_200, 7_215];
+export const FIRST_PEER_PORT = 7_200;
+const LAST_PEER_PORT = 7_215;
 
 /** Settings that differ between entries. */
 export interface BootFileOptions {
@@ -48,7 +49,7 @@
       frontend: `${host}:${port}`,
       readiness: readinessAddressOf(address),
     },
-    port_range: PEER_PORTS,
+    port_range: [FIRST_PEER_PORT, LAST_PEER_PORT],
     bounds,
     platform: {address: store},
   };
--- a/test/processes/soak.test.ts
+++ b/test/processes/soak.test.ts
@@ -5,6 +5,7 @@
 
 import {describe, expect, it} from 'vitest';
 
+import type {Regression} from '../../tools/soak/regressions.js';
 import {REGRESSIONS} from '../../tools/soak/regressions.js';
 import {runSoak} from '../../tools/soak/run.js';
 
@@ -14,17 +15,29 @@
 /** Time to start the processes, and for faults that last beyond the plan. */
 const OVERHEAD_MS = 60_000;
 
-const CASES = [
+const CASES: readonly Regression[] = [
   {seed: 7, durationMs: SHORT_RUN_MS, cause: 'none: a short run'},
+  {
+    seed: 44,
+    durationMs: SHORT_RUN_MS,
+    cause: 'none: a short run with signals at starts',
+    hasStartFaults: true,
+  },
   ...REGRESSIONS,
 ];
 
 describe('the soak', () => {
   it.each(CASES)(
     'violates no guarantee with seed $seed ($cause)',
-    async ({seed, durationMs}) => {
+    async ({seed, durationMs, hasStartFaults = false}) => {
       const folder = mkdtempSync(join(tmpdir(), `soak-${seed}-`));
-      const result = await runSoak({seed, durationMs, size: SIZE, folder});
+      const result = await runSoak({
+        seed,
+        durationMs,
+        size: SIZE,
+        hasStartFaults,
+        folder,
+      });
       expect(result.violations, `kept in ${folder}`).toEqual([]);
       expect(result.served).toBeGreaterThan(0);
       // The folder is kept only after a failure, to analyse it.
--- a/test/tools/soak/checks.test.ts
+++ b/test/tools/soak/checks.test.ts
@@ -15,98 +15,35 @@
   MAX_OVERLAP_MS,
   RETRY_SLACK,
   KEY_REVOCATION_MS,
-  STREAM_EVENTS,
 } from '../../../tools/soak/consts.js';
-import type {Arrival, Attempt} from '../../../tools/soak/history.js';
-import {History, RequestKind} from '../../../tools/soak/history.js';
+import {RequestKind} from '../../../tools/soak/history.js';
 
-const START_MS = 1_000_000;
-const ENTRY = 'entry-1';
-
-/** Late enough that everything accepted at the start is applied. */
-const LATER_MS = START_MS + 60_000;
-
-function createAttempt(overrides: Partial<Attempt> = {}): Attempt {
-  const {id = 'r1', kind = RequestKind.SAFE, sentMs = LATER_MS} = overrides;
-  return {
-    id,
-    kind,
-    entry: ENTRY,
-    lifetime: 1,
-    keyVersion: 0,
-    sentMs,
-    endMs: sentMs + 50,
-    status: 200,
-    text:
-      kind === RequestKind.STREAM ? createStreamText(id) : `answer to ${id}`,
-    isWhole: true,
-    isProven: true,
-    ...overrides,
-  };
-}
-
-function createArrival(overrides: Partial<Arrival> = {}): Arrival {
-  const {atMs = LATER_MS + 5} = overrides;
-  return {
-    attemptId: 'r1',
-    target: 'i-1',
-    service: 'desk',
-    keyVersion: 0,
-    atMs,
-    hasRun: true,
-    endedMs: atMs + 20,
-    ...overrides,
-  };
-}
-
-function createStreamText(id: string, count = STREAM_EVENTS): string {
-  const texts = Array.from({length: count}, (_, index) =>
-    createEventText(id, index + 1),
-  );
-  return texts.join('');
-}
-
-function createEventText(id: string, index: number): string {
-  return `id: ${index}\ndata: piece ${index} of ${id}\n\n`;
-}
-
-/** Creates the history of a run without violations, to which a case adds. */
-function createFaultFreeHistory(): History {
-  const history = new History();
-  history.calmFromMs = LATER_MS + 100_000;
-  for (let i = 0; i < 20; i++) {
-    const sentMs = history.calmFromMs + 10 + i;
-    history.attempts.push(createAttempt({id: `last-${i}`, sentMs}));
-  }
-  history.configs.push(createConfigChange(1, START_MS));
-  return history;
-}
-
-function createConfigChange(version: number, ackMs: number) {
-  const movingTo = version % 2 === 0 ? 'spare' : 'desk';
-  return {version, movingTo, sentMs: ackMs - 5, ackMs};
-}
-
-interface Case {
-  readonly name: string;
-  /** Substring of the guarantee that must be reported as violated. */
-  readonly guarantee: string;
-  /** Adds what violates the guarantee to the history. */
-  readonly add: (history: History) => void;
-}
+import type {ViolationCase} from '../../support/soak-history.js';
+import {
+  createArrival,
+  createAttempt,
+  createConfigChange,
+  createEnd,
+  createEventText,
+  createFaultFreeHistory,
+  createStreamText,
+  ENTRY,
+  LATER_MS,
+  START_MS,
+} from '../../support/soak-history.js';
 
 const createStreamCase = (
   name: string,
   text: string,
   isWhole = true,
-): Case => ({
+): ViolationCase => ({
   name,
   guarantee: 'no event of a stream',
   add: ({attempts}) =>
     attempts.push(createAttempt({kind: RequestKind.STREAM, text, isWhole})),
 });
 
-const CASES: readonly Case[] = [
+const CASES: readonly ViolationCase[] = [
   {
     name: 'the response to another request',
     guarantee: 'own complete response',
@@ -171,15 +108,7 @@
     guarantee: 'interrupts no request',
     add: ({attempts, entryEnds}) => {
       attempts.push(createAttempt({isWhole: false}));
-      entryEnds.push({
-        entry: ENTRY,
-        lifetime: 1,
-        code: 0,
-        wasKilled: false,
-        hasListened: true,
-        stopMs: LATER_MS + 10,
-        endedMs: LATER_MS + 50,
-      });
+      entryEnds.push(createEnd({stopMs: LATER_MS + 10}));
     },
   },
   {
@@ -313,19 +242,6 @@
       for (let i = 0; i < RETRY_SLACK + 5; i++) arrivals.push(createArrival());
     },
   },
-  {
-    name: 'a process that exits unexpectedly',
-    guarantee: 'exits unexpectedly',
-    add: ({entryEnds}) =>
-      entryEnds.push({
-        entry: ENTRY,
-        lifetime: 1,
-        code: 1,
-        wasKilled: false,
-        hasListened: true,
-        endedMs: LATER_MS,
-      }),
-  },
   {
     name: 'a log line that is not JSON',
     guarantee: 'JSON lines only',
@@ -376,18 +292,6 @@
     expect(findViolations(history)).toEqual([]);
   });
 
-  it('ignores a process that was stopped before it listened', () => {
-    const history = createFaultFreeHistory();
-    const end = {entry: ENTRY, lifetime: 1, code: null, wasKilled: false};
-    history.entryEnds.push({
-      ...end,
-      hasListened: false,
-      stopMs: LATER_MS,
-      endedMs: LATER_MS + 5,
-    });
-    expect(findViolations(history)).toEqual([]);
-  });
-
   it('finds a second run of a booking even during a fault', () => {
     const history = createFaultFreeHistory();
     history.attempts.push(createAttempt({kind: RequestKind.UNSAFE}));
--- a/test/tools/soak/plan.test.ts
+++ b/test/tools/soak/plan.test.ts
@@ -3,6 +3,10 @@
 
 import {RECOVERY_MS} from '../../../tools/soak/consts.js';
 import {createPlan, FaultKind} from '../../../tools/soak/plan.js';
+import {
+  createStartPlan,
+  StartFaultKind,
+} from '../../../tools/soak/start-plan.js';
 
 const DURATION_MS = 20_000;
 
@@ -37,3 +41,34 @@
     expect(overlaps).toBeGreaterThan(50);
   });
 });
+
+describe('createStartPlan', () => {
+  it('generates the same faults from the same seed', () => {
+    const plan = {seed: 7, durationMs: DURATION_MS};
+    expect(createStartPlan(plan)).toEqual(createStartPlan(plan));
+    expect(createStartPlan({...plan, seed: 8})).not.toEqual(
+      createStartPlan(plan),
+    );
+  });
+
+  it('plays each kind in a run, and starts none in the recovery period', () => {
+    for (let seed = 1; seed <= 50; seed++) {
+      const plan = createStartPlan({seed, durationMs: DURATION_MS});
+      const kinds = new Set(plan.map(({kind}) => kind));
+      expect([...kinds].sort()).toEqual(Object.values(StartFaultKind).sort());
+      for (const {atMs} of plan) {
+        expect(atMs).toBeLessThan(DURATION_MS - RECOVERY_MS);
+      }
+    }
+  });
+
+  it('begins with different kinds and entries', () => {
+    const firsts = Array.from({length: 50}, (_, index) => {
+      return createStartPlan({seed: index, durationMs: DURATION_MS})[0]!;
+    });
+    const kinds = new Set(firsts.map(({kind}) => kind));
+    const entries = new Set(firsts.map(({part}) => Math.floor(part * 3)));
+    expect(kinds.size).toBe(Object.values(StartFaultKind).length);
+    expect(entries.size).toBe(3);
+  });
+});
--- a/tools/soak/checks/control.ts
+++ b/tools/soak/checks/control.ts
@@ -1,4 +1,4 @@
-/** Guarantees about configurations, keys, targets and processes. */
+/** Guarantees about configurations, keys and targets. */
 import {
   CONFIG_APPLY_MS,
   CANCEL_TIMEOUT_MS,
@@ -251,25 +251,6 @@
   },
 };
 
-/** Processes exit only when killed or stopped; a stop ends with status 0. */
-export const NO_UNEXPECTED_EXITS: GuaranteeCheck = {
-  guarantee:
-    'no process exits unexpectedly; graceful shutdowns exit with status 0',
-  find: (history) =>
-    history.entryEnds
-      .filter(({wasKilled}) => !wasKilled)
-      // Node.js itself exits on a signal that arrives before any code runs.
-      .filter(({stopMs, hasListened}) => hasListened || stopMs === undefined)
-      .filter(({code, stopMs}) => stopMs === undefined || code !== 0)
-      .map(({entry, code}) => ({id: entry, detail: `exited with ${code}`})),
-};
-
-/** Processes write nothing but JSON log lines. */
-export const JSON_LOGS: GuaranteeCheck = {
-  guarantee: 'processes write JSON lines only',
-  find: ({strayLines}) => strayLines.map((line) => ({id: 'log', detail: line})),
-};
-
 /** End of the run that ended first. */
 function firstEndMs(a: Arrival, b: Arrival): number {
   return Math.min(a.endedMs ?? Infinity, b.endedMs ?? Infinity);
--- a/tools/soak/checks/index.ts
+++ b/tools/soak/checks/index.ts
@@ -12,20 +12,27 @@
 } from './responses.js';
 import {
   CANCELLED_RUNS,
-  JSON_LOGS,
   CONFIG_APPLIED,
   DRAINING_TARGETS,
   MOVED_ROUTES,
   NO_CONFIG_ROLLBACK,
   NO_OVERLAPPING_RUNS,
-  NO_UNEXPECTED_EXITS,
   RETRY_BUDGET,
   REVOKED_KEYS,
 } from './control.js';
+import {
+  EARLY_SIGNALS,
+  JSON_LOGS,
+  MEMORY_LIMIT,
+  NO_FAILED_TASKS,
+  NO_UNEXPECTED_EXITS,
+  TIMELY_STARTS,
+  TIMELY_STOPS,
+} from './processes.js';
 import type {GuaranteeCheck, Violation} from './types.js';
 
 export type {GuaranteeCheck, Violation} from './types.js';
-export {entryComponent, targetComponent} from './types.js';
+export {entryComponent, settingsComponent, targetComponent} from './types.js';
 
 /** All guarantees that the soak checks. */
 export const GUARANTEES: readonly GuaranteeCheck[] = [
@@ -46,6 +53,11 @@
   NO_OVERLAPPING_RUNS,
   RETRY_BUDGET,
   NO_UNEXPECTED_EXITS,
+  EARLY_SIGNALS,
+  TIMELY_STARTS,
+  TIMELY_STOPS,
+  MEMORY_LIMIT,
+  NO_FAILED_TASKS,
   JSON_LOGS,
 ];
 
--- a/tools/soak/checks/types.ts
+++ b/tools/soak/checks/types.ts
@@ -28,6 +28,16 @@
   return `entry:${name}`;
 }
 
+/**
+ * Returns the component name of an entry's settings file.
+ *
+ * @example
+ * settingsComponent('entry-1') === 'settings:entry-1';
+ */
+export function settingsComponent(name: string): string {
+  return `settings:${name}`;
+}
+
 /**
  * Returns the component name of a target, as recorded with faults.
  *
--- a/tools/soak/consts.ts
+++ b/tools/soak/consts.ts
@@ -61,3 +61,15 @@
 
 /** Share of the requests after all faults that must succeed. */
 export const RECOVERED_SHARE = 0.9;
+
+/** Delay before a stopped entry is started again. */
+export const RESTART_DELAY_MS = 400;
+
+/** Time within which a started entry accepts callers. */
+export const START_TIMEOUT_MS = 6_000;
+
+/** Processor time, beyond that of Node.js, until a program handles signals. */
+export const SIGNALS_CPU_MS = 100;
+
+/** Resident memory over which the site kills a process. */
+export const MEMORY_LIMIT_BYTES = 200 * 1_024 * 1_024;
--- a/tools/soak/faults.ts
+++ b/tools/soak/faults.ts
@@ -6,11 +6,17 @@
 import {StoreMode} from '../../stand-ins/site/store.js';
 import {FAULTS_OUTSIDE_SOAK} from '../../stand-ins/site/endless-response.js';
 import {TargetFault} from '../../stand-ins/site/target-fault.js';
-import {entryComponent, targetComponent} from './checks/index.js';
-import {DRAIN_NOTICE_MS, ZONES} from './consts.js';
+import {
+  entryComponent,
+  settingsComponent,
+  targetComponent,
+} from './checks/index.js';
+import {DRAIN_NOTICE_MS, RESTART_DELAY_MS, ZONES} from './consts.js';
 import {STORE_COMPONENT} from './history.js';
 import type {PlannedFault} from './plan.js';
 import {FaultKind} from './plan.js';
+import type {FaultScope} from './recorded-fault.js';
+import {withRecordedFault} from './recorded-fault.js';
 import type {SoakSite} from './site.js';
 import type {SoakEntry} from './soak-entry.js';
 import type {SoakTarget} from './soak-target.js';
@@ -24,9 +30,6 @@
 /** Time for which a draining target keeps running after `DRAIN_NOTICE_MS`. */
 const DRAIN_EXTENSION_MS = 1_500;
 
-/** Delay before a stopped entry is started again, in milliseconds. */
-const RESTART_DELAY_MS = 400;
-
 /** A planned fault and the components that its value `part` selects. */
 interface FaultContext {
   readonly site: SoakSite;
@@ -77,13 +80,17 @@
         entry.stepClock(0);
       },
     ),
-  // Not recorded as a fault: an incomplete settings file must not affect
-  // requests.
-  [FaultKind.ENTRY_SETTINGS_TORN]: async ({entry, planned}) => {
-    entry.writeSettings(planned.variant);
-    await sleep(planned.durationMs);
-    entry.writeSettings();
-  },
+  // Not recorded as a fault of the entry: an incomplete settings file must not
+  // affect requests. It does hold up a start.
+  [FaultKind.ENTRY_SETTINGS_TORN]: ({site, entry, planned}) =>
+    withRecordedFault(
+      {site, planned, components: [settingsComponent(entry.name)]},
+      async () => {
+        entry.writeSettings(planned.variant);
+        await sleep(planned.durationMs);
+        entry.writeSettings();
+      },
+    ),
   [FaultKind.ENTRY_STORE_CUT]: (context) => disconnectFromStore(context),
   [FaultKind.ENTRY_STORE_ONE_WAY]: (context) =>
     disconnectFromStore(context, [directionOf(context.planned)]),
@@ -204,30 +211,6 @@
   await INJECTORS[planned.kind]({site, planned, entry, target, zone});
 }
 
-interface FaultScope {
-  readonly site: SoakSite;
-  readonly planned: PlannedFault;
-}
-
-/** Injects a fault and records its components, its start and its end. */
-async function withRecordedFault(
-  {site, planned, components}: FaultScope & {components: readonly string[]},
-  inject: () => Promise<void>,
-): Promise<void> {
-  const fromMs = Date.now();
-  const kind = planned.kind;
-  const faults = components.map((part) => ({
-    part,
-    kind,
-    fromMs,
-    toMs: Infinity,
-  }));
-  site.history.disturbances.push(...faults);
-  await inject();
-  const toMs = Date.now();
-  for (const fault of faults) fault.toMs = toMs;
-}
-
 function withRecordedTargetFaults(
   scope: FaultScope,
   targets: readonly SoakTarget[],
--- a/tools/soak/history.ts
+++ b/tools/soak/history.ts
@@ -52,7 +52,7 @@
 export interface InjectedFault {
   /** Name of the component. */
   readonly part: string;
-  /** Value of `FaultKind`. */
+  /** Value of `FaultKind` or `StartFaultKind`. */
   readonly kind: string;
   readonly fromMs: number;
   /** Infinity until the fault has ended. */
@@ -75,6 +75,29 @@
   readonly ackMs: number;
 }
 
+/** The start of an entry's process, and what was seen of it since. */
+export interface EntryStart {
+  readonly entry: string;
+  readonly lifetime: number;
+  readonly startMs: number;
+  /** When the program first handled signals, as the soak learned it. */
+  handledMs?: number;
+  /** Processor time until then, since Node.js itself had started. */
+  handledAfterCpuMs?: number;
+  /** When the entry first told that it accepts connections. */
+  servedMs?: number;
+  /** Time until then in which it was ready to run but had no processor. */
+  processorWaitMs: number;
+  /** Largest resident size. */
+  peakMemoryBytes: number;
+}
+
+/** A task of an entry that ended with an exception. */
+export interface TaskFailure {
+  readonly entry: string;
+  readonly detail: string;
+}
+
 /** The exit of an entry's process. */
 export interface EntryEnd {
   readonly entry: string;
@@ -83,7 +106,11 @@
   readonly code: number | null;
   readonly wasKilled: boolean;
   /** Whether the process had begun to listen. */
+  /** Whether it was killed as its graceful shutdown took too long. */
+  readonly hasOverrun: boolean;
   readonly hasListened: boolean;
+  /** When it first handled signals, as the soak learned it. */
+  readonly handledMs?: number;
   /** When a graceful shutdown was requested; undefined if it was not. */
   readonly stopMs?: number;
   readonly endedMs: number;
@@ -105,11 +132,15 @@
   readonly disturbances: InjectedFault[] = [];
   readonly configs: ConfigChange[] = [];
   readonly leavings: DrainStart[] = [];
+  readonly entryStarts: EntryStart[] = [];
   readonly entryEnds: EntryEnd[] = [];
+  readonly taskFailures: TaskFailure[] = [];
   /** Log lines of entries that are not JSON, and their stderr output. */
   readonly strayLines: string[] = [];
   /** Time from which requests must succeed; Infinity until all faults ended. */
   calmFromMs = Number.POSITIVE_INFINITY;
+  /** End of the run. */
+  endMs = Number.POSITIVE_INFINITY;
   /** Longest delay of a timer in the soak's own process, in milliseconds. */
   lagMs = 0;
 
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -24,6 +24,7 @@
   readonly seconds: number;
   readonly entries: number;
   readonly targets: number;
+  readonly starts: boolean;
   readonly json: boolean;
 }
 
@@ -39,6 +40,7 @@
     parseCount,
     DEFAULT_TARGETS,
   )
+  .option('--no-starts', 'without signals and held ports around starts')
   .option('--json', 'one JSON line for each run', false)
   .addHelpText(
     'after',
@@ -57,8 +59,13 @@
     const folder = mkdtempSync(join(tmpdir(), `soak-${seed}-`));
     const {entries, targets} = flags;
     const durationMs = flags.seconds * MS_PER_S;
-    const size = {entries, targets};
-    const result = await runSoak({seed, durationMs, size, folder});
+    const result = await runSoak({
+      seed,
+      durationMs,
+      size: {entries, targets},
+      hasStartFaults: flags.starts,
+      folder,
+    });
     const hasFailed = result.violations.length > 0;
     if (hasFailed) failedRuns++;
     else rmSync(folder, {recursive: true});
--- a/tools/soak/regressions.ts
+++ b/tools/soak/regressions.ts
@@ -6,6 +6,8 @@
   readonly durationMs: number;
   /** The fault that made the seed fail. */
   readonly cause: string;
+  /** Whether entries were signalled while they started; false by default. */
+  readonly hasStartFaults?: boolean;
 }
 
 /** All seeds that ever failed, oldest first. */
--- a/tools/soak/run.ts
+++ b/tools/soak/run.ts
@@ -11,6 +11,9 @@
 import {History} from './history.js';
 import type {PlannedFault} from './plan.js';
 import {createPlan} from './plan.js';
+import {injectStartFault} from './start-faults.js';
+import type {PlannedStartFault} from './start-plan.js';
+import {createStartPlan} from './start-plan.js';
 import type {SiteSize} from './site.js';
 import {SoakSite} from './site.js';
 import {monitorTimerLag} from './timer-lag.js';
@@ -20,6 +23,8 @@
   readonly seed: number;
   readonly durationMs: number;
   readonly size: SiteSize;
+  /** Whether entries are signalled while they start; see `createStartPlan`. */
+  readonly hasStartFaults: boolean;
   /** Folder for settings, logs, the plan and the history. */
   readonly folder: string;
 }
@@ -51,14 +56,17 @@
   const {seed, durationMs, size, folder} = options;
   mkdirSync(folder, {recursive: true});
   const plan = createPlan({seed, durationMs});
+  const startPlan = options.hasStartFaults
+    ? createStartPlan({seed, durationMs})
+    : [];
   const history = new History();
   const site = new SoakSite(history, {folder, size});
   try {
     await site.start();
-    await runPlan({site, plan, durationMs, seed});
+    await runPlan({site, plan, startPlan, durationMs, seed});
   } finally {
     await site.close();
-    writeArtifacts(folder, {plan, history});
+    writeArtifacts(folder, {plan, startPlan, history});
   }
   const {attempts, lagMs} = history;
   return {
@@ -66,7 +74,7 @@
     violations: findViolations(history),
     requests: attempts.length,
     served: attempts.filter(({status}) => status === 200).length,
-    faults: plan.length,
+    faults: plan.length + startPlan.length,
     lagMs: Math.round(lagMs),
   };
 }
@@ -74,10 +82,11 @@
 async function runPlan(options: {
   site: SoakSite;
   plan: readonly PlannedFault[];
+  startPlan: readonly PlannedStartFault[];
   durationMs: number;
   seed: number;
 }): Promise<void> {
-  const {site, plan, durationMs, seed} = options;
+  const {site, plan, startPlan, durationMs, seed} = options;
   const {history} = site;
   const stopMonitor = monitorTimerLag((lagMs) => {
     history.lagMs = Math.max(history.lagMs, lagMs);
@@ -95,7 +104,11 @@
     await sleep(fault.atMs);
     await injectFault(site, fault);
   });
-  await Promise.all(injections);
+  const startInjections = startPlan.map(async (fault) => {
+    await sleep(fault.atMs);
+    await injectStartFault(site, fault);
+  });
+  await Promise.all([...injections, ...startInjections]);
   history.calmFromMs = Date.now() + FAULT_AFTERMATH_MS;
   const endMs = Math.max(
     startMs + durationMs,
@@ -107,12 +120,18 @@
   balancer.stop();
   await probing;
   stopMonitor();
+  history.endMs = Date.now();
+  await Promise.all(site.entries.map((entry) => entry.recordTaskFailures()));
 }
 
-/** Writes `plan.json` and `history.json`, to diagnose violations. */
+/** Writes each artifact to a JSON file of its name, to diagnose violations. */
 function writeArtifacts(
   folder: string,
-  artifacts: {plan: readonly PlannedFault[]; history: History},
+  artifacts: {
+    plan: readonly PlannedFault[];
+    startPlan: readonly PlannedStartFault[];
+    history: History;
+  },
 ): void {
   for (const [name, content] of Object.entries(artifacts)) {
     const text = JSON.stringify(content, null, 1);
--- a/tools/soak/soak-entry.ts
+++ b/tools/soak/soak-entry.ts
@@ -5,14 +5,14 @@
 
 import {request} from 'undici';
 
-import {SETTINGS_PATH_VARIABLE, Path} from '../../platform/names.js';
+import {Path} from '../../platform/names.js';
 import {Relay} from '../../stand-ins/relay/relay.js';
 import {
   bootFile,
   callersEndpointOf,
+  FIRST_PEER_PORT,
   readinessAddressOf,
 } from '../../stand-ins/site/boot-file.js';
-import {Proc} from '../lab/proc.js';
 import {
   GRACE_PERIOD_MS,
   RETRY_RATIO,
@@ -20,14 +20,13 @@
   RETRY_WINDOW_MS,
   KEY_REVOCATION_MS,
 } from './consts.js';
+import {EntryProcess} from './entry-process.js';
 import type {History} from './history.js';
+import {METRICS_PORT, readTaskFailures} from './process-figures.js';
 
 const MS_PER_S = 1_000;
 const READINESS_TIMEOUT_MS = 400;
 
-/** Time from the end of the grace period until SIGKILL, in milliseconds. */
-const KILL_MARGIN_MS = 500;
-
 /** Parameters of an entry. */
 export interface SoakEntryOptions {
   readonly name: string;
@@ -49,12 +48,9 @@
 export class SoakEntry {
   /** Number of process starts so far. */
   lifetime = 0;
-  /** Whether a process is running and has not been asked to stop. */
+  /** Whether a process was started and has not been asked to stop. */
   isUp = false;
-  private proc?: Proc;
-  private stopMs?: number;
-  private wasKilled = false;
-  private hasListened = false;
+  private proc?: EntryProcess;
   private readonly log: WriteStream;
 
   private constructor(
@@ -90,6 +86,22 @@
     return callersEndpointOf(this.options.address);
   }
 
+  /** Ports for callers, readiness, metrics and other entries. */
+  get listeningPorts(): number[] {
+    const readiness = readinessAddressOf(this.options.address);
+    return [
+      this.callersEndpoint.port,
+      Number(readiness.split(':').at(-1)),
+      METRICS_PORT,
+      FIRST_PEER_PORT,
+    ];
+  }
+
+  /** The process that was started last. */
+  get current(): EntryProcess {
+    return this.proc!;
+  }
+
   /** Process id of the current process; 0 if there is none. */
   get pid(): number {
     return this.proc?.pid ?? 0;
@@ -97,47 +109,29 @@
 
   /** Starts a process and waits until it listens or exits. */
   async startProcess(): Promise<void> {
-    this.lifetime++;
-    this.stopMs = undefined;
-    this.wasKilled = false;
-    this.hasListened = false;
-    this.proc = Proc.start({
-      script: 'src/daemon/direct-main.js',
-      args: [],
-      preload: ['stand-ins/site/clock-fault.js'],
-      env: {[SETTINGS_PATH_VARIABLE]: this.settingsPath},
-      // Opens the IPC channel that `stepClock` uses; no messages are expected.
-      onMessage: () => undefined,
-      onLine: (line) => this.recordLine(line),
+    const {name, history} = this.options;
+    const proc = new EntryProcess({
+      name,
+      lifetime: ++this.lifetime,
+      settingsPath: this.settingsPath,
+      history,
+      onLine: (line) => this.log.write(`${line}\n`),
     });
+    this.proc = proc;
     this.isUp = true;
-    void this.recordExit(this.proc, this.lifetime);
-    // A fault may end the process before it listens; `recordExit` records it.
-    await this.proc.ready.then(
-      () => (this.hasListened = true),
-      () => undefined,
-    );
+    await proc.listening;
   }
 
   /** Kills the process. */
   async kill(): Promise<void> {
     this.isUp = false;
-    this.wasKilled = true;
-    this.proc?.kill();
-    await this.proc?.exited;
+    await this.proc?.kill();
   }
 
   /** Shuts the process down gracefully; kills it after the grace period. */
   async stop(): Promise<void> {
     this.isUp = false;
-    this.stopMs = Date.now();
-    this.proc?.terminate();
-    const timer = setTimeout(
-      () => void this.kill(),
-      GRACE_PERIOD_MS + KILL_MARGIN_MS,
-    );
-    await this.proc?.exited;
-    clearTimeout(timer);
+    await this.proc?.stop();
   }
 
   pause(): void {
@@ -150,15 +144,26 @@
 
   /** Sets the offset of the process's wall clock, in milliseconds. */
   stepClock(offsetMs: number): void {
-    this.proc?.send({offsetMs});
+    this.proc?.stepClock(offsetMs);
   }
 
   /** Writes the settings file, or only the first `share` of its text. */
   writeSettings(share = 1): void {
-    const text = this.formatSettings();
-    const part = text.slice(0, Math.floor(text.length * share));
-    writeFileSync(this.settingsPath, part);
-    if (this.hasListened) this.proc?.reload();
+    const text = this.formatSettings(RETRY_SLACK);
+    this.write(text.slice(0, Math.floor(text.length * share)));
+  }
+
+  /** Writes settings with a part of the retry slack, which no check sees. */
+  writeChangedSettings(slackShare: number): void {
+    this.write(this.formatSettings(Math.floor(RETRY_SLACK * slackShare)));
+  }
+
+  /** Records the tasks of the current process that ended with an exception. */
+  async recordTaskFailures(): Promise<void> {
+    const {name, address, history} = this.options;
+    const count = await readTaskFailures(address);
+    if (count === 0) return;
+    history.taskFailures.push({entry: name, detail: `${count} in its metrics`});
   }
 
   /** Whether the entry reports that it accepts new connections. */
@@ -168,44 +173,25 @@
     try {
       const {statusCode, body} = await request(url, {signal});
       await body.dump();
-      return statusCode === 200;
+      const isReady = statusCode === 200;
+      if (isReady) this.proc?.recordServing();
+      return isReady;
     } catch {
       // An entry that does not respond accepts no connections either.
       return false;
     }
   }
 
-  private async recordExit(proc: Proc, lifetime: number): Promise<void> {
-    const code = await proc.exited;
-    const {history} = this.options;
-    if (proc.stderr !== '') history.strayLines.push(proc.stderr);
-    history.entryEnds.push({
-      entry: this.name,
-      lifetime,
-      code,
-      wasKilled: this.wasKilled,
-      hasListened: this.hasListened,
-      stopMs: this.stopMs,
-      endedMs: Date.now(),
-    });
-    this.isUp = false;
-  }
-
-  private recordLine(line: string): void {
-    this.log.write(`${line}\n`);
-    try {
-      JSON.parse(line);
-    } catch {
-      // A killed process may leave an incomplete line.
-      if (!this.wasKilled) this.options.history.strayLines.push(line);
-    }
+  private write(text: string): void {
+    writeFileSync(this.settingsPath, text);
+    this.proc?.reload();
   }
 
   private get settingsPath(): string {
     return join(this.options.folder, `${this.name}.yaml`);
   }
 
-  private formatSettings(): string {
+  private formatSettings(retrySlack: number): string {
     const {address, zone} = this.options;
     const settings = bootFile({
       name: this.name,
@@ -218,7 +204,7 @@
         revoke_ms: KEY_REVOCATION_MS,
         retry_budget_ratio: RETRY_RATIO,
         retry_window_s: RETRY_WINDOW_MS / MS_PER_S,
-        retry_slack: RETRY_SLACK,
+        retry_slack: retrySlack,
       },
     });
     return JSON.stringify(settings);
