--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -172,7 +172,9 @@
   }
 
   private async serve(req: IncomingMessage, res: ServerResponse) {
-    const body = await readText(req);
+    const body = await readText(req).catch(() => undefined);
+    // The sender closed the connection before the end of the body.
+    if (body === undefined) return;
     const isReport = req.url === (Path.REPORT as string);
     const tellsLeaving = isReport ? this.reportsLeaving : this.isLeaving;
     if (tellsLeaving) res.setHeader('Server-Leaving', '1');
