--- a/tools/replay/replay-entry.ts
+++ b/tools/replay/replay-entry.ts
@@ -29,6 +29,7 @@
 const READINESS_TIMEOUT_MS = 1_000;
 const READY_POLL_MS = 50;
 const MAX_LINES = 8;
+const MAX_FIRST_LINES = 12;
 const MAX_SIGNALS = 6;
 
 /** Options of an entry. */
@@ -117,13 +118,15 @@
       },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
-    const life = {
+    const life: ProcessLife = {
       entry: this.options.name,
       startedAtMs: Date.now(),
       isRestart: this.lives.length > 0,
+      firstLines: [],
       hasFailedToStart: false,
       startPeakMb: 0,
       peakMb: 0,
+      peakAgeMs: 0,
     };
     const running: Running = {
       ...{child, life, startMs: performance.now(), signals: [], lines: []},
@@ -136,7 +139,7 @@
         });
       }),
     };
-    child.stdout.on('data', (chunk) => keepLines(running.lines, String(chunk)));
+    child.stdout.on('data', (chunk) => keepLines(running, String(chunk)));
     child.stderr.on('data', (chunk) => (running.stderr += String(chunk)));
     this.running = running;
     this.lives.push(life);
@@ -210,7 +213,10 @@
     const {life} = running;
     const ageMs = performance.now() - running.startMs;
     running.rssMb = memory.rssMb;
-    life.peakMb = Math.max(life.peakMb, memory.peakMb);
+    if (memory.peakMb > life.peakMb) {
+      life.peakMb = memory.peakMb;
+      life.peakAgeMs = Math.round(ageMs);
+    }
     const isStarting = ageMs < (life.readyMs ?? Infinity) + MS_PER_S;
     if (isStarting) life.startPeakMb = life.peakMb;
   }
@@ -304,7 +310,11 @@
   return /^run = "([^"]+)"$/m.exec(text)![1]!;
 }
 
-function keepLines(lines: string[], text: string): void {
-  lines.push(...text.trimEnd().split('\n'));
+function keepLines({lines, life}: Running, text: string): void {
+  const added = text.trimEnd().split('\n');
+  lines.push(...added);
   lines.splice(0, lines.length - MAX_LINES);
+  const ofProcess = added.filter((line) => !line.includes('"id":'));
+  const room = MAX_FIRST_LINES - life.firstLines.length;
+  life.firstLines.push(...ofProcess.slice(0, room));
 }
--- a/tools/replay/run.ts
+++ b/tools/replay/run.ts
@@ -37,6 +37,20 @@
   readonly atMs: number;
   /** Undefined if it was never ready. */
   readonly readyMs?: number;
+  readonly firstLines: readonly string[];
+}
+
+/** Resident memory from which a process is reported, in MB. */
+const HIGH_MEMORY_MB = 160;
+
+/** A process that used much memory. */
+export interface HighMemory {
+  readonly entry: string;
+  /** Time of its start since the disturbances began, in milliseconds. */
+  readonly atMs: number;
+  readonly peakMb: number;
+  /** Time from its start until the peak. */
+  readonly peakAgeMs: number;
 }
 
 /** Parameters of a replay. */
@@ -68,6 +82,7 @@
   readonly peakMb: number;
   /** Processes whose memory was over the limit. */
   readonly overMemory: number;
+  readonly highMemory: readonly HighMemory[];
   /** Number of disturbances. */
   readonly disturbances: number;
   readonly statuses: Readonly<Record<string, number>>;
@@ -167,12 +182,19 @@
       .filter(({readyMs, hasFailedToStart}) => {
         return hasFailedToStart || (readyMs ?? 0) > SLOW_START_MS;
       })
-      .map(({entry, startedAtMs, readyMs}) => {
-        return {entry, atMs: startedAtMs - site.startedAtMs, readyMs};
+      .map(({entry, startedAtMs, readyMs, firstLines}) => {
+        const atMs = startedAtMs - site.startedAtMs;
+        return {entry, atMs, readyMs, firstLines};
       }),
     startPeakMb: largest(restarts.map((life) => life.startPeakMb)),
     peakMb: largest(lives.map((life) => life.peakMb)),
     overMemory: lives.filter((life) => life.peakMb > MEMORY_MB).length,
+    highMemory: lives
+      .filter(({peakMb}) => peakMb > HIGH_MEMORY_MB)
+      .map(({entry, startedAtMs, peakMb, peakAgeMs}) => {
+        const atMs = startedAtMs - site.startedAtMs;
+        return {entry, atMs, peakMb: Math.round(peakMb), peakAgeMs};
+      }),
     disturbances: plan.length,
     statuses: Object.fromEntries(callers.statuses),
     lagMs: Math.round(lagMs),
--- a/tools/replay/types.ts
+++ b/tools/replay/types.ts
@@ -38,10 +38,14 @@
   readonly isRestart: boolean;
   /** Time from its start until it was ready; undefined if it never was. */
   readyMs?: number;
+  /** First lines of its log that are about no request. */
+  readonly firstLines: string[];
   /** Whether it was not ready `READY_TIMEOUT_MS` after its start. */
   hasFailedToStart: boolean;
   /** Largest resident memory until a second after it was ready, in MB. */
   startPeakMb: number;
   /** Largest resident memory, in MB. */
   peakMb: number;
+  /** Time from its start until its memory last reached a new peak. */
+  peakAgeMs: number;
 }
