--- a/test/processes/replay.test.ts
+++ b/test/processes/replay.test.ts
@@ -13,6 +13,9 @@
 /** Fewer callers than in the runs by hand, for a short run beside others. */
 const RETURNING_CALLERS = 60;
 
+/** Planned stops of all entries, one after another, may follow the run. */
+const TIMEOUT_MS = 120_000;
+
 const SEEDS = [7, 101];
 
 describe('a replay', () => {
@@ -26,6 +29,7 @@
   // Guards against entries that end by themselves or do not start (FAULT).
   it.each(SEEDS)(
     'finds no end of an entry by itself: seed %i',
+    {timeout: TIMEOUT_MS},
     async (seed) => {
       const result = await runReplay({
         ...{seed, durationMs: DURATION_MS, root: fileURLToPath(ROOT)},
