--- a/bench/experiments/config/light-entry.ts
+++ b/bench/experiments/config/light-entry.ts
@@ -8,6 +8,7 @@
 } from '../../../src/core/edges/index.js';
 import {VmRole, VmState} from '../../../src/core/edges/index.js';
 import {SILENT_LOGGER} from '../../../src/core/logs/index.js';
+import {Supervisor} from '../../../src/core/supervision/index.js';
 import {Metrics} from '../../../src/core/metrics/index.js';
 import type {HelloMessage} from '../../../src/core/protocol/index.js';
 import {
@@ -90,6 +91,8 @@
     const random = new SystemRandom();
     const metrics = new Metrics();
     const router = new MessageRouter();
+    const logger = SILENT_LOGGER;
+    const supervisor = new Supervisor({clock, metrics, logger});
     const {board} = this;
     this.hello = {
       type: MessageType.HELLO,
@@ -101,10 +104,11 @@
     };
     this.store = new CountingStore(new HttpObjectStore({baseUrl: platformUrl}));
     const vmList = new HttpVmList({baseUrl: platformUrl});
-    this.directory = new VmDirectory({board, clock, vmList});
+    this.directory = new VmDirectory({board, clock, vmList, supervisor});
     this.controller = new ConfigController({
       ...{board, clock, random, metrics, router, hello: this.hello},
-      logger: SILENT_LOGGER,
+      logger,
+      supervisor,
       store: this.store,
       self: {vm, dataCentre},
       site: 'waw',
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -51,4 +51,17 @@
       '@typescript-eslint/no-unused-vars': ['error', {argsIgnorePattern: '^_'}],
     },
   },
+  {
+    // A detached promise whose rejection is not held ends the whole process.
+    files: [
+      'src/adapters/**/*.ts',
+      'src/agent/**/*.ts',
+      'src/core/{booking,drain,logs,protocol}/**/*.ts',
+      'src/daemon/{run-entry,run-agent,run-daemon,process-lifecycle}.ts',
+      'src/entry/**/*.ts',
+    ],
+    rules: {
+      '@typescript-eslint/no-floating-promises': ['error', {ignoreVoid: false}],
+    },
+  },
 );
--- a/src/adapters/callers/completion-response.ts
+++ b/src/adapters/callers/completion-response.ts
@@ -3,7 +3,11 @@
 
 import type {OutputPart, OutputReader} from '../../core/edges/index.js';
 import {OutputPartKind} from '../../core/edges/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {runOrElse, TaskName} from '../../core/supervision/index.js';
 import {EventStreamWriter} from './event-stream-writer.js';
+import type {Refusal} from '../../core/errors/index.js';
+import {Executed, RefusalReason} from '../../core/errors/index.js';
 import {createProblem, createProblemResponse} from './problem.js';
 import type {CompletionFormatter} from './completion-formatter.js';
 
@@ -20,6 +24,7 @@
   readonly formatter: CompletionFormatter;
   /** Whether an event stream has an event with the number of tokens. */
   readonly includeUsage: boolean;
+  readonly supervisor: Supervisor;
 }
 
 /**
@@ -33,14 +38,33 @@
   options: CompletionResponseOptions,
 ): Promise<Response> {
   const {ctx, reader} = options;
-  const signal = ctx.req.raw.signal;
-  signal.addEventListener('abort', () => reader.close());
+  const close = createClose(options);
+  ctx.req.raw.signal.addEventListener('abort', close);
   const first = await reader.next();
   if (first.kind === OutputPartKind.REFUSED) {
     reader.close();
     return createProblemResponse(first.refusal);
   }
-  const out = new EventStreamWriter(ctx, () => reader.close());
+  const out = new EventStreamWriter(ctx, close);
+  const task = {name: TaskName.GENERATION, requestId: reader.requestId};
+  const failed = await runOrElse({
+    supervisor: options.supervisor,
+    task,
+    work: () => writeParts(out, first, options),
+    orElse: () => FAILED_EVENT,
+  });
+  reader.close();
+  await out.write(failed);
+  return out.end();
+}
+
+/** Writes all parts; returns what is to be written after them. */
+async function writeParts(
+  out: EventStreamWriter,
+  first: OutputPart,
+  options: CompletionResponseOptions,
+): Promise<string> {
+  const {reader} = options;
   if (reader.restarted) {
     const data = JSON.stringify({discard: true});
     await out.write(formatEvent({event: 'restart', data}));
@@ -51,8 +75,7 @@
     if (part.kind !== OutputPartKind.TOKENS) break;
     part = await reader.next();
   }
-  reader.close();
-  return out.end();
+  return '';
 }
 
 /**
@@ -66,7 +89,7 @@
   options: CompletionResponseOptions,
 ): Promise<Response> {
   const {ctx, reader, formatter} = options;
-  ctx.req.raw.signal.addEventListener('abort', () => reader.close());
+  ctx.req.raw.signal.addEventListener('abort', createClose(options));
   let text = '';
   for (;;) {
     const part = await reader.next();
@@ -86,6 +109,18 @@
   }
 }
 
+/** Creates the listener that closes the reader once the caller is gone. */
+function createClose({
+  reader,
+  supervisor,
+}: CompletionResponseOptions): () => void {
+  const {requestId} = reader;
+  const close = supervisor.guard({name: TaskName.GENERATION, requestId}, () =>
+    reader.close(),
+  );
+  return () => close();
+}
+
 function formatPart(
   part: OutputPart,
   options: CompletionResponseOptions,
@@ -107,13 +142,16 @@
       events.push(formatEvent({data: '[DONE]'}));
       return events.join('');
     }
-    case OutputPartKind.REFUSED: {
-      const data = JSON.stringify(createProblem(part.refusal));
-      return formatEvent({event: 'error', data});
-    }
+    case OutputPartKind.REFUSED:
+      return formatRefusal(part.refusal);
   }
 }
 
+function formatRefusal(refusal: Refusal): string {
+  const data = JSON.stringify(createProblem(refusal));
+  return formatEvent({event: 'error', data});
+}
+
 function joinTokens(part: OutputPart): string {
   if (part.kind !== OutputPartKind.TOKENS) return '';
   return part.tokens.map((token) => token.text).join('');
@@ -124,3 +162,10 @@
   const idLine = id === undefined ? '' : `id: ${id}\n`;
   return `${eventLine}${idLine}data: ${data}\n\n`;
 }
+
+/** Ends a stream of which a part could not be written. */
+const FAILED_EVENT = formatRefusal({
+  reason: RefusalReason.TARGET_FAILED,
+  ran: Executed.UNKNOWN,
+  detail: 'the answer could not be sent',
+});
--- a/src/adapters/http-callers.ts
+++ b/src/adapters/http-callers.ts
@@ -4,7 +4,11 @@
 import {createMiddleware} from 'hono/factory';
 import type {Result} from 'neverthrow';
 
-import type {CallerHandler, HeaderField} from '../core/edges/index.js';
+import type {
+  CallerHandler,
+  HeaderField,
+  PlainResponse,
+} from '../core/edges/index.js';
 import {
   DEADLINE_HEADER,
   IDEMPOTENCY_KEY_HEADER,
@@ -12,6 +16,8 @@
 } from '../core/edges/index.js';
 import type {Refusal} from '../core/errors/index.js';
 import {Executed, RefusalReason} from '../core/errors/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import {
   sendCompletion,
   streamCompletion,
@@ -78,22 +84,32 @@
  * Creates the callers' HTTP application.
  *
  * @example
- * serve({fetch: createCallersApp({handler}).fetch, port: 8080});
+ * const app = createCallersApp({handler, supervisor});
+ * serve({fetch: app.fetch, port: 8080});
  */
-export function createCallersApp(options: {handler: CallerHandler}): Hono {
-  const {handler} = options;
+export function createCallersApp(options: {
+  handler: CallerHandler;
+  /** Holds failures of single requests. */
+  supervisor: Supervisor;
+}): Hono {
+  const {handler, supervisor} = options;
   const app = new Hono();
   app.use(checkRequestTarget(handler));
   app.use('/v1/*', checkHeaders(handler));
   app.use('/services/*', checkHeaders(handler));
-  app.post('/v1/completions', (ctx) => complete(ctx, handler, COMPLETIONS));
-  app.post('/v1/chat/completions', (ctx) => complete(ctx, handler, CHAT));
+  app.post('/v1/completions', (ctx) => complete(ctx, options, COMPLETIONS));
+  app.post('/v1/chat/completions', (ctx) => complete(ctx, options, CHAT));
   app.all('/services/:service/*', (ctx) => callService(ctx, handler));
   app.notFound((ctx) => {
     const detail = `nothing is served under ${ctx.req.path}`;
     return refuse(handler, RefusalReason.UNKNOWN_SERVICE, detail);
   });
-  app.onError((err) => sendRefusal(handler, createInvalidResponseRefusal(err)));
+  app.onError((err) => {
+    supervisor.run({name: TaskName.REQUEST}, () => {
+      throw err;
+    });
+    return sendRefusal(handler, createFailureRefusal());
+  });
   return app;
 }
 
@@ -125,9 +141,10 @@
 
 async function complete(
   ctx: Context,
-  handler: CallerHandler,
+  options: {handler: CallerHandler; supervisor: Supervisor},
   endpoint: Endpoint,
 ): Promise<Response> {
+  const {handler, supervisor} = options;
   const limits = handler.limits();
   const body = await readJson({req: ctx.req.raw, limits});
   const request = body.andThen((value) => endpoint.decode(value));
@@ -147,7 +164,7 @@
     model: spec.model,
     createdMs: Date.now(),
   });
-  const responseOptions = {ctx, reader, formatter, includeUsage};
+  const responseOptions = {ctx, reader, formatter, includeUsage, supervisor};
   return stream
     ? streamCompletion(responseOptions)
     : sendCompletion(responseOptions);
@@ -173,17 +190,25 @@
     signal: ctx.req.raw.signal,
   });
   return response.match(
-    (res) =>
-      new Response(hasBody(res.status) ? Buffer.from(res.body) : null, {
-        status: res.status,
-        headers: res.headers
-          .filter(({name}) => !DROPPED_HEADERS.has(name.toLowerCase()))
-          .map(({name, value}): [string, string] => [name, value]),
-      }),
+    (res) => forwardResponse(handler, res),
     (refusal) => createProblemResponse(refusal),
   );
 }
 
+/** Forwards a service's response, unless HTTP cannot represent it. */
+function forwardResponse(handler: CallerHandler, res: PlainResponse): Response {
+  try {
+    return new Response(hasBody(res.status) ? Buffer.from(res.body) : null, {
+      status: res.status,
+      headers: res.headers
+        .filter(({name}) => !DROPPED_HEADERS.has(name.toLowerCase()))
+        .map(({name, value}): [string, string] => [name, value]),
+    });
+  } catch (cause) {
+    return sendRefusal(handler, createInvalidResponseRefusal(cause as Error));
+  }
+}
+
 function hasBody(status: number): boolean {
   return !STATUSES_WITHOUT_BODY.has(status);
 }
@@ -223,6 +248,11 @@
   return {reason: RefusalReason.TARGET_FAILED, ran: Executed.UNKNOWN, detail};
 }
 
+function createFailureRefusal(): Refusal {
+  const detail = 'the request could not be handled';
+  return {reason: RefusalReason.TARGET_FAILED, ran: Executed.UNKNOWN, detail};
+}
+
 function refuse(
   handler: CallerHandler,
   reason: RefusalReason,
--- a/src/adapters/http-server.ts
+++ b/src/adapters/http-server.ts
@@ -8,11 +8,13 @@
 import {createServer, STATUS_CODES} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 
-import {getRequestListener} from '@hono/node-server';
+import {getRequestListener, RequestError} from '@hono/node-server';
 import type {Hono} from 'hono';
 
 import type {Refusal} from '../core/errors/index.js';
 import {Executed, RefusalReason} from '../core/errors/index.js';
+import type {Supervisor, Task} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import {
   createProblem,
   createProblemResponse,
@@ -67,13 +69,16 @@
  * Starts to listen; rejects if the address is in use.
  *
  * @example
- * const {port} = await listenHttp({app, address: '127.0.0.1', port: 0});
+ * const at = {address: '127.0.0.1', port: 0};
+ * const {port} = await listenHttp({app, ...at, supervisor});
  */
 export function listenHttp(options: {
   app: Hono;
   address: string;
   /** 0 for any free port. */
   port: number;
+  /** Holds failures of single requests. */
+  supervisor: Supervisor;
   counter?: RefusalCounter;
   /**
    * Whether to keep the connection open after a response; called for each one.
@@ -81,16 +86,23 @@
    */
   keepsAlive?: () => boolean;
 }): Promise<HttpListener> {
-  const {app, address, port, counter, keepsAlive = () => true} = options;
+  const {app, address, port, counter, supervisor} = options;
+  const {keepsAlive = () => true} = options;
   const listener = getRequestListener(app.fetch, {
-    errorHandler: () => refuseMalformedTarget(counter),
+    errorHandler: (cause) =>
+      cause instanceof RequestError
+        ? refuseMalformedTarget(counter)
+        : refuseAfterFailure(supervisor, cause),
   });
-  const server = createServer(SERVER_OPTIONS, (req, res) => {
-    void listener(req, res);
-  });
-  server.on('clientError', (err: ClientError, socket: Socket) =>
-    refuseSocket({err, socket, counter}),
+  const server = createServer(SERVER_OPTIONS, (req, res) =>
+    supervisor.run(createRequestTask(res), () => listener(req, res)),
   );
+  server.on('clientError', (err: ClientError, socket: Socket) => {
+    const onFailure = () => void socket.destroy();
+    supervisor.run({name: TaskName.REQUEST, onFailure}, () =>
+      refuseSocket({err, socket, counter}),
+    );
+  });
   const open = trackResponses(server, keepsAlive);
   return new Promise((resolve, reject) => {
     server.once('error', reject);
@@ -105,6 +117,33 @@
   });
 }
 
+/** A request whose failure is answered, or cuts off its response. */
+function createRequestTask(res: ServerResponse): Task {
+  const onFailure = (): void => {
+    if (res.headersSent) {
+      res.destroy();
+      return;
+    }
+    const problem = createProblem(failureRefusal());
+    const headers = {'content-type': PROBLEM_CONTENT_TYPE};
+    res.writeHead(problem.status, headers).end(JSON.stringify(problem));
+  };
+  return {name: TaskName.REQUEST, onFailure};
+}
+
+/** Refuses a request on which the application failed, and reports that. */
+function refuseAfterFailure(supervisor: Supervisor, cause: unknown): Response {
+  supervisor.run({name: TaskName.REQUEST}, () => {
+    throw cause;
+  });
+  return createProblemResponse(failureRefusal());
+}
+
+function failureRefusal(): Refusal {
+  const detail = 'the request could not be handled';
+  return {reason: RefusalReason.TARGET_FAILED, ran: Executed.UNKNOWN, detail};
+}
+
 /** Error for a request that could not be read, with the code of its cause. */
 type ClientError = Error & {readonly code?: string};
 
--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -20,6 +20,7 @@
   PROTOCOL_VERSION,
 } from '../core/protocol/index.js';
 import type {DaemonSettings} from '../core/settings/types.js';
+import type {Supervisor} from '../core/supervision/index.js';
 import {AgentBoard} from './agent-board.js';
 import {AttemptTable} from './attempt-table.js';
 import {CallRunner} from './call-runner.js';
@@ -50,6 +51,8 @@
   readonly drivers: TargetDrivers;
   /** The limit that the responses of the target name. */
   readonly limit: TargetLimit;
+  /** Holds failures of work that nobody waits for. */
+  readonly supervisor: Supervisor;
   readonly store: ObjectStore;
   /** Called when a drain has ended, so that the process can exit. */
   readonly onDrained: () => void;
@@ -83,6 +86,7 @@
       clock: options.clock,
       probe: createProbe(options.drivers),
       logger: options.logger,
+      supervisor: options.supervisor,
       lastTokenAtMs: () =>
         this.attempts?.lastTokenAtMs() ?? Number.NEGATIVE_INFINITY,
     });
@@ -163,7 +167,7 @@
   }
 
   private createAttempts(): AttemptTable | undefined {
-    const {clock, metrics, drivers, random, limit} = this.options;
+    const {clock, metrics, drivers, random, limit, supervisor} = this.options;
     if (drivers.engine === undefined) return undefined;
     return new AttemptTable({
       board: this.board,
@@ -172,12 +176,13 @@
       probeNow: () => this.monitor.checkNow(),
       driver: drivers.engine,
       limit,
+      supervisor,
       metrics,
     });
   }
 
   private createCalls(): CallRunner | undefined {
-    const {drivers, limit} = this.options;
+    const {drivers, limit, supervisor} = this.options;
     if (drivers.service === undefined) return undefined;
     return new CallRunner({
       board: this.board,
@@ -185,13 +190,14 @@
       recorder: this.recorder,
       driver: drivers.service,
       limit,
+      supervisor,
       incarnation: this.incarnation,
       keys: new KeyTable({capacity: MAX_KEYS}),
     });
   }
 
   private createServer(): PeerServer {
-    const {clock, metrics} = this.options;
+    const {clock, metrics, supervisor} = this.options;
     const deps: SessionDeps = {
       board: this.board,
       clock,
@@ -201,10 +207,12 @@
       countRunning: () => this.countRunning(),
       peers: this.peers,
       config: this.config,
+      supervisor,
     };
     return new PeerServer({
       hello: this.createHello(),
       clock,
+      supervisor,
       createListener: (connection) => new EntrySession(deps, connection),
     });
   }
--- a/src/agent/attempt-reader.ts
+++ b/src/agent/attempt-reader.ts
@@ -4,6 +4,8 @@
 import {LogState} from '../core/generation/index.js';
 import type {Message, PeerConnection} from '../core/protocol/index.js';
 import {MessageType} from '../core/protocol/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import type {Attempt} from './attempt.js';
 import {TOKENS_PER_MESSAGE} from './consts.js';
 
@@ -17,6 +19,7 @@
     private readonly options: {
       attempt: Attempt;
       connection: PeerConnection;
+      supervisor: Supervisor;
       onDone: () => void;
     },
     private position: number,
@@ -30,6 +33,28 @@
   /** Sends new tokens until the connection is congested. */
   flush(): void {
     this.isFlushScheduled = false;
+    const {supervisor, attempt} = this.options;
+    const {requestId} = attempt.request;
+    const onFailure = () => this.fail();
+    const task = {name: TaskName.GENERATION, requestId, onFailure};
+    supervisor.run(task, () => this.sendNew());
+  }
+
+  /** Ends the reader, and tells the entry so that it need not wait. */
+  private fail(): void {
+    if (this.isClosed) return;
+    this.close();
+    this.options.connection.send({
+      type: MessageType.FAILED,
+      attemptId: this.options.attempt.request.attemptId,
+      reason: RetryReason.ENGINE_DIED,
+      detail: 'the agent failed while it sent the output',
+      crashId: undefined,
+      isCulprit: undefined,
+    });
+  }
+
+  private sendNew(): void {
     if (this.isClosed) return;
     const {attempt, connection} = this.options;
     while (this.position < attempt.journal.length) {
--- a/src/agent/attempt-table.ts
+++ b/src/agent/attempt-table.ts
@@ -15,6 +15,8 @@
 import {findCrashCauses, sharesNoCrash} from '../core/poison/index.js';
 import type {StartMessage} from '../core/protocol/index.js';
 import {TargetPhase} from '../core/protocol/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import type {AgentBoard} from './agent-board.js';
 import {Attempt} from './attempt.js';
 import type {TargetLimit} from './target-limit.js';
@@ -39,17 +41,25 @@
       limit: TargetLimit;
       metrics: Metrics;
       random: RandomSource;
+      supervisor: Supervisor;
       /** Probes the engine at once; resolves when the probe has ended. */
       probeNow: () => Promise<void>;
     },
   ) {
-    options.board.phase.subscribe((phase) => this.handlePhaseChange(phase));
+    const {board, supervisor} = options;
+    const task = {name: TaskName.HEALTH_CHECK};
+    board.phase.subscribe(
+      supervisor.guard(task, (phase: TargetPhase) =>
+        this.handlePhaseChange(phase),
+      ),
+    );
   }
 
   open(): void {
-    this.sweeper = this.options.clock.repeat({
+    const {clock, supervisor} = this.options;
+    this.sweeper = clock.repeat({
       periodMs: SWEEP_PERIOD_MS,
-      run: () => this.sweep(),
+      run: supervisor.guard({name: TaskName.GENERATION}, () => this.sweep()),
     });
   }
 
@@ -108,30 +118,46 @@
     if (existing !== undefined) return existing;
     const attempt = new Attempt(request, this.options.clock);
     this.attempts.set(request.attemptId, attempt);
-    this.options.metrics.count(CounterName.ATTEMPTS_STARTED);
-    const stream = this.options.driver.generate({
-      requestId: request.requestId,
-      spec: request.spec,
-      resumeFrom: request.resumeFrom,
-      sink: this.createSink(attempt),
+    this.guard(attempt, () => {
+      this.options.metrics.count(CounterName.ATTEMPTS_STARTED);
+      const stream = this.options.driver.generate({
+        requestId: request.requestId,
+        spec: request.spec,
+        resumeFrom: request.resumeFrom,
+        sink: this.createSink(attempt),
+      });
+      attempt.attachStream(stream);
     });
-    attempt.attachStream(stream);
     return attempt;
   }
 
   private createSink(attempt: Attempt): EngineSink {
+    const guard = (work: () => void): void => this.guard(attempt, work);
     return {
-      onTokens: (part) => {
-        attempt.recordToken();
-        this.latestTokenAtMs = attempt.lastTokenAtMs;
-        const result = attempt.journal.append(part);
-        if (result.gap) attempt.fail(createGapError());
-      },
-      onFinish: (reason) => finishAttempt(attempt, reason),
-      onFailure: (err) => this.handleFailure(attempt, err),
+      onTokens: (part) => guard(() => this.appendTokens(attempt, part)),
+      onFinish: (reason) => guard(() => finishAttempt(attempt, reason)),
+      onFailure: (err) => guard(() => this.handleFailure(attempt, err)),
     };
   }
 
+  /** A failure ends the attempt, so that its entry can start another. */
+  private guard(attempt: Attempt, work: () => unknown): void {
+    const {requestId} = attempt.request;
+    const onFailure = () => attempt.fail(createAgentError());
+    const {supervisor} = this.options;
+    supervisor.run({name: TaskName.GENERATION, requestId, onFailure}, work);
+  }
+
+  private appendTokens(
+    attempt: Attempt,
+    part: Parameters<EngineSink['onTokens']>[0],
+  ): void {
+    attempt.recordToken();
+    this.latestTokenAtMs = attempt.lastTokenAtMs;
+    const result = attempt.journal.append(part);
+    if (result.gap) attempt.fail(createGapError());
+  }
+
   /** A lost stream may mean an engine crash, so the engine is probed. */
   private handleFailure(attempt: Attempt, err: DriverError): void {
     if (err.kind !== DriverErrorKind.LOST) {
@@ -140,8 +166,12 @@
     }
     const fail = () => attempt.fail(err);
     // If the probe detects a crash, the phase change fails the attempt first.
-    void this.options.probeNow().then(fail);
-    this.options.clock.schedule({delayMs: CRASH_DETECTION_MS, run: fail});
+    const {clock, probeNow} = this.options;
+    this.guard(attempt, () => probeNow().then(fail));
+    clock.schedule({
+      delayMs: CRASH_DETECTION_MS,
+      run: () => this.guard(attempt, fail),
+    });
   }
 
   /** Fails all running attempts unless the engine is healthy. */
@@ -155,7 +185,9 @@
     for (const attempt of this.findRunning()) {
       const isCause = causes.includes(attempt.request.attemptId);
       const crash = isCrash ? {id, isCause} : undefined;
-      attempt.fail({layer: Layer.DRIVER, kind, detail}, crash);
+      this.guard(attempt, () =>
+        attempt.fail({layer: Layer.DRIVER, kind, detail}, crash),
+      );
     }
   }
 
@@ -175,16 +207,19 @@
 
   /** Cancels attempts without a reader and removes old journals. */
   private sweep(): void {
-    for (const [id, attempt] of this.attempts) {
-      const unreadMs = attempt.unreadForMs();
-      const isRunning = attempt.journal.state === LogState.RUNNING;
-      if (isRunning && unreadMs > ORPHAN_GRACE_MS) {
-        this.options.metrics.count(CounterName.ATTEMPTS_ORPHANED);
-        attempt.cancel();
-      }
-      if (!isRunning && unreadMs > JOURNAL_RETENTION_MS) {
-        this.attempts.delete(id);
-      }
+    for (const [id, attempt] of this.attempts)
+      this.guard(attempt, () => this.sweepAttempt(id, attempt));
+  }
+
+  private sweepAttempt(id: string, attempt: Attempt): void {
+    const unreadMs = attempt.unreadForMs();
+    const isRunning = attempt.journal.state === LogState.RUNNING;
+    if (isRunning && unreadMs > ORPHAN_GRACE_MS) {
+      attempt.cancel();
+      this.options.metrics.count(CounterName.ATTEMPTS_ORPHANED);
+    }
+    if (!isRunning && unreadMs > JOURNAL_RETENTION_MS) {
+      this.attempts.delete(id);
     }
   }
 }
@@ -209,6 +244,11 @@
   journal.finish(reason);
 }
 
+function createAgentError(): DriverError {
+  const detail = 'the agent failed while it handled the attempt';
+  return {layer: Layer.DRIVER, kind: DriverErrorKind.LOST, detail};
+}
+
 function createGapError(): DriverError {
   const detail = 'the engine left out a token';
   return {layer: Layer.DRIVER, kind: DriverErrorKind.MALFORMED, detail};
--- a/src/agent/attempt.ts
+++ b/src/agent/attempt.ts
@@ -72,13 +72,20 @@
     if (this.journal.state !== LogState.RUNNING) return;
     this.crash = crash;
     this.failureCause = err;
-    this.stream?.cancel();
-    this.journal.markBroken();
+    this.breakOff();
   }
 
   cancel(): void {
-    this.stream?.cancel();
-    this.journal.markBroken();
+    this.breakOff();
+  }
+
+  /** The journal ends even if the stream cannot be cancelled. */
+  private breakOff(): void {
+    try {
+      this.stream?.cancel();
+    } finally {
+      this.journal.markBroken();
+    }
   }
 
   addReader(): void {
--- a/src/agent/call-runner.ts
+++ b/src/agent/call-runner.ts
@@ -8,7 +8,7 @@
 } from '../core/edges/index.js';
 import {DriverErrorKind} from '../core/edges/index.js';
 import type {Refusal} from '../core/errors/index.js';
-import {Executed, RefusalReason} from '../core/errors/index.js';
+import {Executed, Layer, RefusalReason} from '../core/errors/index.js';
 import type {
   AskKeyMessage,
   CallMessage,
@@ -20,6 +20,8 @@
   MessageType,
   TargetPhase,
 } from '../core/protocol/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import type {AgentBoard} from './agent-board.js';
 import type {KeyRecord, KeyTable} from './key-table.js';
 import type {OutcomeRecorder} from './outcome-recorder.js';
@@ -40,6 +42,7 @@
       incarnation: string;
       keys: KeyTable;
       limit: TargetLimit;
+      supervisor: Supervisor;
       /**
        * Stores first outcomes in the platform, so that they outlive this
        * process.
@@ -102,9 +105,7 @@
         if (this.isWithinLimit(call, respond)) this.runOnce(call, respond);
         return;
       case KeyAction.RETURN_FIRST_OUTCOME:
-        known!.whenSettled(() =>
-          this.respondFromRecord({callId, record: known!, respond}),
-        );
+        this.respondOnceSettled({callId, record: known!, respond});
         return;
       case KeyAction.PROMISE_NEVER: {
         const record = this.options.keys.admit(call);
@@ -136,11 +137,10 @@
       }
       respond(this.createKeyState(query, record.phase));
     };
-    const timer = this.options.clock.schedule({
-      delayMs: query.waitMs,
-      run: sendResponse,
-    });
-    record.whenSettled(sendResponse);
+    const {clock, supervisor} = this.options;
+    const guarded = supervisor.guard({name: TaskName.CALL}, sendResponse);
+    const timer = clock.schedule({delayMs: query.waitMs, run: guarded});
+    record.whenSettled(guarded);
   }
 
   private createKeyState(query: AskKeyMessage, phase: KeyPhase): Message {
@@ -174,9 +174,7 @@
 
   private runOnce(call: CallMessage, respond: Respond): void {
     const record = this.options.keys.admit(call);
-    record.whenSettled(() =>
-      this.respondFromRecord({callId: call.callId, record, respond}),
-    );
+    this.respondOnceSettled({callId: call.callId, record, respond});
     this.send({
       call,
       onResponse: (res) => {
@@ -187,6 +185,22 @@
     });
   }
 
+  /** Responds once; a response that cannot be sent is replaced by a refusal. */
+  private respondOnceSettled(options: {
+    callId: string;
+    record: KeyRecord;
+    respond: Respond;
+  }): void {
+    const {callId, record, respond} = options;
+    const {supervisor} = this.options;
+    const onFailure = () => respond(createUnknownOutcome(callId));
+    record.whenSettled(
+      supervisor.guard({name: TaskName.CALL, onFailure}, () =>
+        this.respondFromRecord({callId, record, respond}),
+      ),
+    );
+  }
+
   private send(options: {
     call: CallMessage;
     onResponse: (res: PlainResponse) => void;
@@ -194,14 +208,19 @@
   }): void {
     const {call, onResponse, onError} = options;
     const {method, path, headers, body, deadlineMs} = call;
-    this.running++;
     const req = {method, path, headers, body};
-    void this.options.driver
-      .call({req, timeoutMs: deadlineMs})
-      .match(onResponse, onError)
-      .then(() => {
+    const {driver, supervisor} = this.options;
+    // It may have reached the target, so the call is never sent again.
+    const onFailure = () => onError(createAgentError());
+    supervisor.run({name: TaskName.CALL, onFailure}, async () => {
+      this.running++;
+      try {
+        const result = await driver.call({req, timeoutMs: deadlineMs});
+        result.match(onResponse, onError);
+      } finally {
         this.running--;
-      });
+      }
+    });
   }
 
   private respondFromRecord(options: {
@@ -224,14 +243,21 @@
       );
       return;
     }
-    const detail = 'the target gave no whole answer';
-    const reason = RefusalReason.OUTCOME_UNKNOWN;
-    respond(
-      createRefused(callId, createRefusal(reason, Executed.UNKNOWN, detail)),
-    );
+    respond(createUnknownOutcome(callId));
   }
 }
 
+function createUnknownOutcome(callId: string): Message {
+  const detail = 'the target gave no whole answer';
+  const reason = RefusalReason.OUTCOME_UNKNOWN;
+  return createRefused(callId, createRefusal(reason, Executed.UNKNOWN, detail));
+}
+
+function createAgentError(): DriverError {
+  const detail = 'the agent failed while it handled the call';
+  return {layer: Layer.DRIVER, kind: DriverErrorKind.LOST, detail};
+}
+
 function settleAfterError(record: KeyRecord, err: DriverError): void {
   if (err.kind === DriverErrorKind.NOT_SENT) {
     record.markPromisedNever();
--- a/src/agent/entry-session.ts
+++ b/src/agent/entry-session.ts
@@ -14,11 +14,13 @@
   TransportError,
 } from '../core/protocol/index.js';
 import {createRefusedMessage, MessageType} from '../core/protocol/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import type {AgentBoard} from './agent-board.js';
 import type {AttemptTable} from './attempt-table.js';
 import type {Attempt} from './attempt.js';
 import {AttemptReader} from './attempt-reader.js';
-import type {CallRunner} from './call-runner.js';
+import type {CallRunner, Respond} from './call-runner.js';
 import type {ConfigReceiver} from './config-receiver.js';
 import type {DrainPeers} from './drain-peers.js';
 import {
@@ -39,6 +41,7 @@
   countRunning(): number;
   readonly peers: DrainPeers;
   readonly config: ConfigReceiver;
+  readonly supervisor: Supervisor;
 }
 
 /** Handles the messages of one entry and sends it heartbeats. */
@@ -58,26 +61,27 @@
   ) {}
 
   onReady(): void {
-    const {board, clock} = this.deps;
-    const onChange = (): void => this.sendHeartbeat();
+    const {board, clock, supervisor} = this.deps;
+    const task = {name: TaskName.ENTRIES};
+    const onChange = supervisor.guard(task, () => this.sendHeartbeat());
     this.deps.peers.add(this);
     this.unsubscribes.push(board.draining.subscribe(onChange));
     this.unsubscribes.push(board.phase.subscribe(onChange));
     this.unsubscribes.push(board.configVersion.subscribe(onChange));
-    this.sendHeartbeat();
+    onChange();
     this.timer = clock.repeat({
       periodMs: HEARTBEAT_BUSY_MS,
-      run: () => this.sendHeartbeatIfDue(),
+      run: supervisor.guard(task, () => this.sendHeartbeatIfDue()),
     });
   }
 
   onMessage(message: Message): void {
     switch (message.type) {
       case MessageType.START:
-        this.handleStart(message);
+        this.runFor(message.attemptId, () => this.handleStart(message));
         return;
       case MessageType.ATTACH:
-        this.handleAttach(message);
+        this.runFor(message.attemptId, () => this.handleAttach(message));
         return;
       case MessageType.DETACH:
         this.readers.get(message.attemptId)?.close();
@@ -86,8 +90,9 @@
         this.handleCancel(message.attemptId);
         return;
       case MessageType.CALL:
-        this.pendingCalls++;
-        this.deps.calls?.handleCall(message, (m) => this.respond(m));
+        this.handleCall(message.callId, (respond) =>
+          this.deps.calls?.handleCall(message, respond),
+        );
         return;
       case MessageType.CONFIG:
         this.handleConfig(message);
@@ -96,8 +101,9 @@
         this.deps.peers.acknowledge(this);
         return;
       case MessageType.ASK_KEY:
-        this.pendingCalls++;
-        this.deps.calls?.handleKeyQuery(message, (m) => this.respond(m));
+        this.handleCall(message.callId, (respond) =>
+          this.deps.calls?.handleKeyQuery(message, respond),
+        );
         return;
       default:
         return;
@@ -112,12 +118,43 @@
     this.deps.peers.remove(this);
     this.timer?.cancel();
     for (const unsubscribe of this.unsubscribes) unsubscribe();
-    for (const reader of [...this.readers.values()]) reader.close();
+    for (const reader of [...this.readers.values()])
+      this.deps.supervisor.run({name: TaskName.GENERATION}, () =>
+        reader.close(),
+      );
     this.deps.metrics.count(CounterName.CONNECTIONS_CLOSED, {
       label: err.kind,
     });
   }
 
+  /** Refuses the attempt if its message cannot be handled. */
+  private runFor(attemptId: string, work: () => void): void {
+    const onFailure = () => {
+      this.readers.get(attemptId)?.close();
+      this.deps.attempts?.find(attemptId)?.cancel();
+      this.sendRefusal(attemptId, failureRefusal());
+    };
+    const {supervisor} = this.deps;
+    supervisor.run({name: TaskName.GENERATION, onFailure}, work);
+  }
+
+  /** Handles a call or a key query; responds exactly once if it fails. */
+  private handleCall(callId: string, handle: (respond: Respond) => void): void {
+    let hasResponded = false;
+    this.pendingCalls++;
+    const respond: Respond = (message) => {
+      if (hasResponded) return;
+      this.connection().send(message);
+      hasResponded = true;
+      this.pendingCalls--;
+    };
+    const refusal = failureRefusal();
+    const onFailure = () =>
+      respond(createRefusedMessage({id: callId, refusal}));
+    const {supervisor} = this.deps;
+    supervisor.run({name: TaskName.CALL, onFailure}, () => handle(respond));
+  }
+
   private handleConfig(message: ConfigMessage): void {
     const response = this.deps.config.handleMessage(message);
     if (response !== undefined) this.connection().send(response);
@@ -165,6 +202,7 @@
       {
         attempt,
         connection: this.connection(),
+        supervisor: this.deps.supervisor,
         onDone: () => this.readers.delete(attemptId),
       },
       position,
@@ -172,11 +210,6 @@
     this.readers.set(attemptId, reader);
   }
 
-  private respond(message: Message): void {
-    this.pendingCalls--;
-    this.connection().send(message);
-  }
-
   private sendRefusal(id: string, refusal: Refusal): void {
     this.connection().send(createRefusedMessage({id, refusal}));
   }
@@ -217,6 +250,12 @@
   }
 }
 
+function failureRefusal(): Refusal {
+  const detail = 'the agent failed while it handled the request';
+  const reason = RefusalReason.OUTCOME_UNKNOWN;
+  return {reason, ran: Executed.UNKNOWN, detail};
+}
+
 function noEngineRefusal(): Refusal {
   const detail = 'no engine runs beside this agent';
   return {reason: RefusalReason.NO_TARGET, ran: Executed.NO, detail};
--- a/src/agent/outcome-recorder.ts
+++ b/src/agent/outcome-recorder.ts
@@ -11,6 +11,8 @@
 import type {Metrics} from '../core/metrics/index.js';
 import {CounterName} from '../core/metrics/index.js';
 import type {CallMessage} from '../core/protocol/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import {
   OUTCOME_DRAIN_MS,
   OUTCOME_GROUP_BYTES,
@@ -52,6 +54,7 @@
       clock: Clock;
       metrics: Metrics;
       incarnation: string;
+      supervisor: Supervisor;
     },
   ) {}
 
@@ -91,7 +94,7 @@
     this.isWriting = true;
     this.options.clock.schedule({
       delayMs: OUTCOME_GROUP_MS,
-      run: () => void this.write(this.takeGroup()),
+      run: () => this.writeOrRetry(this.takeGroup()),
     });
   }
 
@@ -110,6 +113,22 @@
     return {name: `${prefix}${this.sequence++}`, members};
   }
 
+  /** A write whose result is not known can be repeated, as its name is unique. */
+  private writeOrRetry(group: Group): void {
+    const {supervisor} = this.options;
+    const onFailure = () => this.retryLater(group);
+    supervisor.run({name: TaskName.OUTCOME, onFailure}, () =>
+      this.write(group),
+    );
+  }
+
+  private retryLater(group: Group): void {
+    this.options.clock.schedule({
+      delayMs: OUTCOME_RETRY_MS,
+      run: () => this.writeOrRetry(group),
+    });
+  }
+
   private async write(group: Group): Promise<void> {
     const {store} = this.options;
     const outcomes = group.members.map(({outcome}) => outcome);
@@ -117,10 +136,7 @@
     const {name} = group;
     const written = await store.create({kind, name, value: {outcomes}});
     if (written.isErr() && isRetryable(written.error)) {
-      this.options.clock.schedule({
-        delayMs: OUTCOME_RETRY_MS,
-        run: () => void this.write(group),
-      });
+      this.retryLater(group);
       return;
     }
     this.settle(group, written.isErr() ? written.error : undefined);
--- a/src/agent/target-monitor.ts
+++ b/src/agent/target-monitor.ts
@@ -7,6 +7,8 @@
 import {SilenceLimit} from '../core/generation/index.js';
 import type {Logger} from '../core/logs/index.js';
 import {TargetPhase} from '../core/protocol/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import type {AgentBoard, TargetReport} from './agent-board.js';
 import {
   PAUSE_DETECTION_MS,
@@ -38,6 +40,7 @@
       clock: Clock;
       probe: TargetProbe;
       logger: Logger;
+      supervisor: Supervisor;
       /** Time of the last token from the target; -Infinity if none. */
       lastTokenAtMs: () => number;
     },
@@ -67,24 +70,37 @@
 
   private check(): void {
     if (this.isProbing) return;
+    const {supervisor} = this.options;
+    supervisor.run({name: TaskName.HEALTH_CHECK}, () => this.probe());
+  }
+
+  private async probe(): Promise<void> {
     this.isProbing = true;
+    try {
+      await this.probeOnce();
+    } finally {
+      this.isProbing = false;
+      this.finishProbe();
+    }
+  }
+
+  private finishProbe(): void {
+    if (this.mustProbeAgain) {
+      this.mustProbeAgain = false;
+      this.check();
+      return;
+    }
+    for (const resolve of this.waiters.splice(0)) resolve();
+  }
+
+  private async probeOnce(): Promise<void> {
     const startedAtMs = this.options.clock.now();
     const timeoutMs = this.timeoutMs();
-    void this.options.probe
-      .probe({timeoutMs})
-      .match(
-        (report) => this.handleReport(report, startedAtMs),
-        (err) => this.handleFailure(err, startedAtMs + timeoutMs),
-      )
-      .then(() => {
-        this.isProbing = false;
-        if (this.mustProbeAgain) {
-          this.mustProbeAgain = false;
-          this.check();
-        } else {
-          for (const resolve of this.waiters.splice(0)) resolve();
-        }
-      });
+    const probed = await this.options.probe.probe({timeoutMs});
+    probed.match(
+      (report) => this.handleReport(report, startedAtMs),
+      (err) => this.handleFailure(err, startedAtMs + timeoutMs),
+    );
   }
 
   /** Returns the probe timeout, which grows if earlier probes were slow. */
--- a/src/core/booking/grouped-claims.ts
+++ b/src/core/booking/grouped-claims.ts
@@ -1,5 +1,7 @@
 /** A claim store that writes many claim changes in one store write. */
 import type {Clock, RandomSource} from '../clock/index.js';
+import type {Supervisor} from '../supervision/index.js';
+import {TaskName} from '../supervision/index.js';
 import type {ObjectStore, StoredObject, StoreError} from '../edges/index.js';
 import {ObjectKind, StoreErrorKind} from '../edges/index.js';
 import type {ChangeResult, ClaimChange, ClaimSegment} from './claim-log.js';
@@ -49,7 +51,7 @@
  * `writeIntervalMs` apart. A change after an idle interval is written at once.
  *
  * @example
- * const options = {store, clock, random, writeIntervalMs: 50};
+ * const options = {store, clock, random, supervisor, writeIntervalMs: 50};
  * const claims = new GroupedClaims(options);
  */
 export class GroupedClaims implements ClaimStore {
@@ -68,6 +70,7 @@
       store: ObjectStore;
       clock: Clock;
       random: RandomSource;
+      supervisor: Supervisor;
       /** Minimum time between two writes, in milliseconds. */
       writeIntervalMs: number;
     },
@@ -98,14 +101,29 @@
     const {clock, writeIntervalMs} = this.options;
     const dueMs = this.lastWriteMs + writeIntervalMs;
     const delayMs = Math.max(0, dueMs - clock.now());
-    clock.schedule({delayMs, run: () => void this.flush()});
+    clock.schedule({delayMs, run: () => this.flush()});
   }
 
-  private async flush(): Promise<void> {
-    this.lastWriteMs = this.options.clock.now();
+  private flush(): void {
+    const {supervisor, clock} = this.options;
+    this.lastWriteMs = clock.now();
     const group = this.pending.splice(0, MAX_GROUP_CHANGES);
-    await this.writeGroup(group);
-    await this.deleteOldSegment();
+    const onFailure = () => this.handleFailure(group);
+    supervisor.run({name: TaskName.BOOKING, onFailure}, async () => {
+      await this.writeGroup(group);
+      await this.deleteOldSegment();
+      this.finishWrite();
+    });
+  }
+
+  /** The write may have taken effect, so the log is read again before the next. */
+  private handleFailure(group: readonly PendingChange[]): void {
+    this.syncedAtMs = -Infinity;
+    resolveAll(group, {outcome: WriteOutcome.IN_DOUBT});
+    this.finishWrite();
+  }
+
+  private finishWrite(): void {
     this.isBusy = false;
     this.schedule();
   }
--- a/src/core/drain/consts.ts
+++ b/src/core/drain/consts.ts
@@ -3,6 +3,9 @@
 /** Interval between checks whether a drain is complete, in milliseconds. */
 export const DRAIN_POLL_MS = 50;
 
+/** Delay before a failed check is repeated, in milliseconds. */
+export const DRAIN_RESTART_MS = 500;
+
 /**
  * Bounds for an entry, which refuses new work long enough for load balancers
  * and callers to notice.
--- a/src/core/drain/drain-controller.ts
+++ b/src/core/drain/drain-controller.ts
@@ -1,7 +1,9 @@
 import type {Cell} from '../blackboard/index.js';
 import type {Clock} from '../clock/index.js';
 import type {Logger} from '../logs/index.js';
-import {DRAIN_POLL_MS} from './consts.js';
+import type {Supervisor} from '../supervision/index.js';
+import {TaskName} from '../supervision/index.js';
+import {DRAIN_POLL_MS, DRAIN_RESTART_MS} from './consts.js';
 import {mayExit} from './may-exit.js';
 import type {DrainLimits, DrainState, DrainWork} from './types.js';
 
@@ -22,9 +24,10 @@
       draining: Cell<boolean>;
       clock: Clock;
       logger: Logger;
+      supervisor: Supervisor;
       limits: DrainLimits;
       work: DrainWork;
-      /** Called once, when the process may exit. */
+      /** Called when the process may exit; again only if it failed. */
       onDrained: () => void;
     },
   ) {}
@@ -40,14 +43,27 @@
     this.check();
   }
 
+  /** A failed check is repeated, as the process would never exit otherwise. */
   private check(): void {
-    const {clock, logger, limits, onDrained} = this.options;
+    const {supervisor} = this.options;
+    const onFailure = () => this.checkLater(DRAIN_RESTART_MS);
+    supervisor.run({name: TaskName.SHUTDOWN, onFailure}, () =>
+      this.exitIfDone(),
+    );
+  }
+
+  private checkLater(delayMs: number): void {
+    this.options.clock.schedule({delayMs, run: () => this.check()});
+  }
+
+  private exitIfDone(): void {
+    const {logger, limits, onDrained} = this.options;
     if (mayExit(this.readState(), limits)) {
       logger.info('drained');
       onDrained();
       return;
     }
-    clock.schedule({delayMs: DRAIN_POLL_MS, run: () => this.check()});
+    this.checkLater(DRAIN_POLL_MS);
   }
 
   private readState(): DrainState {
--- a/src/core/logs/bounded-sink.ts
+++ b/src/core/logs/bounded-sink.ts
@@ -91,22 +91,34 @@
 
   private writeRemaining(remaining: Buffer): void {
     const {fd, writeBytes = writeToFile} = this.options;
-    writeBytes(fd, remaining, (err, written) => {
-      if (err?.code === 'EAGAIN') {
-        this.retryLater(remaining);
-        return;
-      }
-      // The batch cannot be delivered, for example to a closed pipe: drop it.
-      const consumedBytes = err === null ? written : remaining.length;
-      if (err !== null) this.options.onDropped();
-      this.pendingBytes -= consumedBytes;
-      if (consumedBytes < remaining.length) {
-        this.writeRemaining(remaining.subarray(consumedBytes));
-        return;
-      }
-      this.isWriting = false;
-      this.flush();
-    });
+    try {
+      writeBytes(fd, remaining, (err, written) =>
+        this.handleWritten(remaining, err, written),
+      );
+    } catch (cause) {
+      this.handleWritten(remaining, cause as NodeJS.ErrnoException, 0);
+    }
+  }
+
+  private handleWritten(
+    remaining: Buffer,
+    err: NodeJS.ErrnoException | null,
+    written: number,
+  ): void {
+    if (err?.code === 'EAGAIN') {
+      this.retryLater(remaining);
+      return;
+    }
+    // The batch cannot be delivered, for example to a closed pipe: drop it.
+    const consumedBytes = err === null ? written : remaining.length;
+    if (err !== null) this.options.onDropped();
+    this.pendingBytes -= consumedBytes;
+    if (consumedBytes < remaining.length) {
+      this.writeRemaining(remaining.subarray(consumedBytes));
+      return;
+    }
+    this.isWriting = false;
+    this.flush();
   }
 
   private retryLater(remaining: Buffer): void {
--- a/src/core/protocol/peer-client.ts
+++ b/src/core/protocol/peer-client.ts
@@ -1,7 +1,10 @@
 /** Keeps a connection to one peer and reconnects when it breaks. */
+import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 
 import type {Clock, RandomSource, TimerHandle} from '../clock/index.js';
+import type {Supervisor} from '../supervision/index.js';
+import {TaskName} from '../supervision/index.js';
 import {
   CONNECT_TIMEOUT_MS,
   RECONNECT_MAX_MS,
@@ -41,6 +44,8 @@
       clock: Clock;
       random: RandomSource;
       listener: ConnectionListener;
+      /** Holds failures of the listener; without it they reach the socket. */
+      supervisor?: Supervisor;
     },
   ) {}
 
@@ -78,8 +83,22 @@
   }
 
   private dial(): void {
-    const {peer, hello, clock} = this.options;
-    const socket = connect({host: peer.address, port: peer.port});
+    let socket: Socket | undefined;
+    this.run(
+      () => {
+        const {address, port} = this.options.peer;
+        socket = connect({host: address, port});
+        this.connection = this.createConnection(socket);
+      },
+      () => {
+        socket?.destroy();
+        this.dialLater();
+      },
+    );
+  }
+
+  private createConnection(socket: Socket): PeerConnection {
+    const {hello, clock, supervisor} = this.options;
     socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
       if (socket.connecting) socket.destroy(new Error('connect timeout'));
     });
@@ -91,19 +110,23 @@
       onDrain: () => this.options.listener.onDrain(),
       onClose: (err) => this.handleClose(err),
     };
-    this.connection = new PeerConnection({socket, hello, clock, listener});
+    return new PeerConnection({socket, hello, clock, listener, supervisor});
   }
 
   private handleReady(message: HelloMessage): void {
     this.ready = true;
-    this.backoffMs = RECONNECT_MIN_MS;
     this.options.listener.onReady(message);
+    this.backoffMs = RECONNECT_MIN_MS;
   }
 
   private handleClose(err: TransportError): void {
     this.ready = false;
     this.connection = undefined;
-    this.options.listener.onClose(err);
+    this.run(() => this.options.listener.onClose(err));
+    this.dialLater();
+  }
+
+  private dialLater(): void {
     if (this.stopped) return;
     this.retryTimer = this.options.clock.schedule({
       delayMs: this.nextBackoffMs(),
@@ -111,6 +134,12 @@
     });
   }
 
+  private run(work: () => void, onFailure?: () => void): void {
+    const {supervisor} = this.options;
+    if (supervisor === undefined) work();
+    else supervisor.run({name: TaskName.PEERS, onFailure}, work);
+  }
+
   private nextBackoffMs(): number {
     const delayMs = this.backoffMs * (0.5 + this.options.random.float() / 2);
     const doubled = this.backoffMs * BACKOFF_FACTOR;
--- a/src/core/protocol/peer-connection.ts
+++ b/src/core/protocol/peer-connection.ts
@@ -2,6 +2,8 @@
 import type {Socket} from 'node:net';
 
 import type {Clock, TimerHandle} from '../clock/index.js';
+import type {Supervisor} from '../supervision/index.js';
+import {TaskName} from '../supervision/index.js';
 import {
   FRAME_PROGRESS_BYTES,
   HELLO_TIMEOUT_MS,
@@ -29,7 +31,8 @@
 
 /**
  * Sends and receives messages over a socket. Each side sends HELLO first; a
- * malformed frame closes only this connection.
+ * malformed frame closes only this connection. A failure of the listener loses
+ * only the event that it handled.
  *
  * @example
  * const connection = new PeerConnection({socket, hello, clock, listener});
@@ -52,12 +55,15 @@
       hello: HelloMessage;
       clock: Clock;
       listener: ConnectionListener;
+      /** Holds failures of the listener; without it they reach the socket. */
+      supervisor?: Supervisor;
     },
   ) {
-    const {socket, hello, clock} = options;
+    const {socket, hello, clock, listener} = options;
+    const close = () => this.closeAfterFailure();
     socket.setNoDelay(true);
-    socket.on('data', (chunk) => this.receive(chunk));
-    socket.on('drain', () => this.options.listener.onDrain());
+    socket.on('data', (chunk) => this.run(() => this.receive(chunk), close));
+    socket.on('drain', () => this.run(() => listener.onDrain()));
     socket.on('error', (cause) => this.closeWith(createClosedError(cause)));
     socket.on('close', () => this.closeWith(createClosedError(undefined)));
     this.helloTimer = clock.schedule({
@@ -136,13 +142,13 @@
     if (this.closed || !this.isHelloReceived) return;
     if (pendingBytes - this.reportedBytes < FRAME_PROGRESS_BYTES) return;
     this.reportedBytes = pendingBytes;
-    this.options.listener.onFrameProgress?.();
+    this.run(() => this.options.listener.onFrameProgress?.());
   }
 
   private dispatch(message: Message): void {
     if (this.closed) return;
     if (this.isHelloReceived) {
-      this.options.listener.onMessage(message);
+      this.run(() => this.options.listener.onMessage(message));
       return;
     }
     this.handleHello(message);
@@ -165,7 +171,10 @@
     }
     this.helloTimer.cancel();
     this.isHelloReceived = true;
-    this.options.listener.onReady(message);
+    this.run(
+      () => this.options.listener.onReady(message),
+      () => this.closeAfterFailure(),
+    );
   }
 
   private closeWith(err: TransportError): void {
@@ -173,7 +182,18 @@
     this.closed = true;
     this.helloTimer.cancel();
     this.options.socket.destroy();
-    this.options.listener.onClose(err);
+    this.run(() => this.options.listener.onClose(err));
+  }
+
+  /** Closes the connection, as its state is not known after a failure. */
+  private closeAfterFailure(): void {
+    this.destroy('an event could not be handled');
+  }
+
+  private run(work: () => void, onFailure?: () => void): void {
+    const {supervisor} = this.options;
+    if (supervisor === undefined) work();
+    else supervisor.run({name: TaskName.PEERS, onFailure}, work);
   }
 }
 
--- a/src/core/protocol/peer-server.ts
+++ b/src/core/protocol/peer-server.ts
@@ -5,6 +5,8 @@
 import {okAsync, ResultAsync} from 'neverthrow';
 
 import type {Clock} from '../clock/index.js';
+import type {Supervisor} from '../supervision/index.js';
+import {TaskName} from '../supervision/index.js';
 import {createTransportError} from './frame-codec.js';
 import type {HelloMessage} from './messages.js';
 import type {ConnectionListener} from './peer-connection.js';
@@ -36,9 +38,11 @@
       hello: HelloMessage;
       clock: Clock;
       createListener: ListenerFactory;
+      /** Holds failures of the listeners; without it they reach the socket. */
+      supervisor?: Supervisor;
     },
   ) {
-    this.server = createServer((socket) => this.accept(socket));
+    this.server = createServer((socket) => this.acceptOrClose(socket));
     // Without a listener, an accept that fails for want of descriptors would end
     // the process.
     this.server.on('error', () => undefined);
@@ -76,8 +80,16 @@
     return okAsync(undefined);
   }
 
+  private acceptOrClose(socket: Socket): void {
+    const {supervisor} = this.options;
+    const accept = () => this.accept(socket);
+    const onFailure = () => void socket.destroy();
+    if (supervisor === undefined) accept();
+    else supervisor.run({name: TaskName.PEERS, onFailure}, accept);
+  }
+
   private accept(socket: Socket): void {
-    const {hello, clock, createListener} = this.options;
+    const {hello, clock, createListener, supervisor} = this.options;
     const inner = createListener(() => connection);
     const listener: ConnectionListener = {
       onReady: (peer) => inner.onReady(peer),
@@ -89,7 +101,13 @@
         inner.onClose(err);
       },
     };
-    const connection = new PeerConnection({socket, hello, clock, listener});
+    const connection = new PeerConnection({
+      socket,
+      hello,
+      clock,
+      listener,
+      supervisor,
+    });
     this.connections.add(connection);
   }
 }
--- a/src/daemon/process-lifecycle.ts
+++ b/src/daemon/process-lifecycle.ts
@@ -5,6 +5,8 @@
 import type {OperatorHandler} from '../core/edges/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {DaemonSettings} from '../core/settings/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import {EXIT_CANNOT_LISTEN, EXIT_FLUSH_MS} from './consts.js';
 import type {StartupSignals} from './startup-signals.js';
 
@@ -22,17 +24,24 @@
  * the settings are read at the start only. Call it before the process takes work.
  *
  * @example
- * handleSignals({handler: agent, logger, startupSignals});
+ * handleSignals({handler: agent, logger, supervisor, startupSignals});
  */
 export function handleSignals(options: {
   handler: OperatorHandler;
   logger: Logger;
+  supervisor: Supervisor;
   startupSignals: StartupSignals;
 }): void {
-  const {handler, logger, startupSignals} = options;
-  process.on('SIGTERM', () => handler.drain());
-  process.on('SIGINT', () => handler.drain());
-  process.on('SIGHUP', () => logger.info('reload ignored'));
+  const {handler, logger, supervisor, startupSignals} = options;
+  const drain = supervisor.guard({name: TaskName.SHUTDOWN}, () =>
+    handler.drain(),
+  );
+  const reload = supervisor.guard({name: TaskName.SETTINGS}, () =>
+    logger.info('reload ignored'),
+  );
+  process.on('SIGTERM', () => drain());
+  process.on('SIGINT', () => drain());
+  process.on('SIGHUP', () => reload());
   startupSignals.remove();
 }
 
@@ -40,15 +49,16 @@
  * Starts the operators' server.
  *
  * @example
- * const operators = await startOperatorsServer({handler: agent, settings});
+ * await startOperatorsServer({handler: agent, settings, supervisor});
  */
 export async function startOperatorsServer(options: {
   handler: OperatorHandler;
   settings: DaemonSettings;
+  supervisor: Supervisor;
 }): Promise<HttpListener> {
-  const {handler, settings} = options;
-  const app = createOperatorsApp({handler});
-  return listenHttp({app, ...settings.operators});
+  const {handler, settings, supervisor} = options;
+  const app = createOperatorsApp({handler, supervisor});
+  return listenHttp({app, ...settings.operators, supervisor});
 }
 
 /**
@@ -67,21 +77,24 @@
  * requests that arrived shortly before the listener was closed.
  *
  * @example
- * const onDrained = () => exitAfterFlush({stop: () => entry.stop(), callers});
+ * const stop = () => entry.stop();
+ * const onDrained = () => exitAfterFlush({stop, supervisor, callers});
  */
 export function exitAfterFlush(options: {
   stop: () => void;
+  supervisor: Supervisor;
   /** Listener of an entry; undefined for an agent. */
   callers?: HttpListener;
 }): void {
-  const {stop, callers} = options;
-  callers?.close();
+  const {stop, supervisor, callers} = options;
+  const task = {name: TaskName.SHUTDOWN};
+  supervisor.run(task, () => callers?.close());
   const exitIfIdle = (): void => {
     if (callers !== undefined && callers.countOpen() > 0) {
       setTimeout(exitIfIdle, EXIT_FLUSH_MS);
       return;
     }
-    stop();
+    supervisor.run(task, stop);
     process.exit(0);
   };
   setTimeout(exitIfIdle, EXIT_FLUSH_MS);
--- a/src/daemon/run-agent.ts
+++ b/src/daemon/run-agent.ts
@@ -9,6 +9,7 @@
 import {createLogger} from '../core/logs/index.js';
 import type {DaemonSettings, TargetSettings} from '../core/settings/index.js';
 import {TargetKind} from '../core/settings/index.js';
+import {Supervisor} from '../core/supervision/index.js';
 import {createMetrics} from './create-metrics.js';
 import {createStore} from './create-store.js';
 import {
@@ -28,24 +29,30 @@
   const logger = createLogger(settings);
   const metrics = createMetrics();
   const clock = new SystemClock();
+  const supervisor = new Supervisor({clock, metrics, logger});
   const limit = new TargetLimit({clock, metrics, logger});
   const onHeaders: OnHeaders = (headers) => limit.hear(findLimit(headers));
   const agent = new AgentProcess({
     settings,
     clock,
+    supervisor,
     limit,
     random: new SystemRandom(),
     metrics,
     logger,
     store: createStore({baseUrl: settings.platformUrl, metrics}),
     drivers: createDrivers(settings.target!, onHeaders),
-    onDrained: () => exitAfterFlush({stop: () => agent.stop()}),
+    onDrained: () => exitAfterFlush({stop: () => agent.stop(), supervisor}),
   });
-  handleSignals({handler: agent, logger, startupSignals});
+  handleSignals({handler: agent, logger, supervisor, startupSignals});
   const peers = await agent.start();
   if (peers.isErr()) exitCannotListen(logger, peers.error.detail);
   try {
-    const operators = await startOperatorsServer({handler: agent, settings});
+    const operators = await startOperatorsServer({
+      handler: agent,
+      settings,
+      supervisor,
+    });
     printReadyLine({
       vm: settings.vm,
       operatorsPort: operators.port,
--- a/src/daemon/run-entry.ts
+++ b/src/daemon/run-entry.ts
@@ -6,6 +6,7 @@
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
 import {createLogger} from '../core/logs/index.js';
 import type {DaemonSettings} from '../core/settings/index.js';
+import {Supervisor} from '../core/supervision/index.js';
 import {EntryProcess} from '../entry/entry-process.js';
 import {createMetrics} from './create-metrics.js';
 import {createStore} from './create-store.js';
@@ -25,29 +26,38 @@
 ): Promise<void> {
   const logger = createLogger(settings);
   const metrics = createMetrics();
+  const clock = new SystemClock();
+  const supervisor = new Supervisor({clock, metrics, logger});
   const baseUrl = settings.platformUrl;
   let callers: HttpListener | undefined;
   const entry = new EntryProcess({
     settings,
-    clock: new SystemClock(),
+    clock,
+    supervisor,
     random: new SystemRandom(),
     metrics,
     logger,
     store: createStore({baseUrl, metrics}),
     vmList: new HttpVmList({baseUrl}),
     countPendingResponses: () => callers?.countOpen() ?? 0,
-    onDrained: () => exitAfterFlush({stop: () => entry.stop(), callers}),
+    onDrained: () =>
+      exitAfterFlush({stop: () => entry.stop(), supervisor, callers}),
   });
-  handleSignals({handler: entry, logger, startupSignals});
+  handleSignals({handler: entry, logger, supervisor, startupSignals});
   const peers = await entry.start();
   if (peers.isErr()) exitCannotListen(logger, peers.error.detail);
   try {
-    const operators = await startOperatorsServer({handler: entry, settings});
+    const operators = await startOperatorsServer({
+      handler: entry,
+      settings,
+      supervisor,
+    });
     const handler = entry.callerHandler;
-    const app = createCallersApp({handler});
+    const app = createCallersApp({handler, supervisor});
     callers = await listenHttp({
       app,
       ...settings.callers!,
+      supervisor,
       counter: handler,
       keepsAlive: () => entry.isReady(),
     });
--- a/src/entry/calls/agent-call.ts
+++ b/src/entry/calls/agent-call.ts
@@ -10,6 +10,8 @@
   CallMessage,
   KeyPhase,
 } from '../../core/protocol/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {AgentLink} from '../links/agent-link.js';
 
 /** Why a request got no response. */
@@ -50,9 +52,16 @@
   message: CallMessage | AskKeyMessage;
   timeoutMs: number;
   clock: Clock;
+  supervisor: Supervisor;
 }): ResultAsync<AgentCallResult, CallError> {
   return new ResultAsync(
-    new Promise((resolve) => sendAndWait(options, resolve)),
+    new Promise((resolve) => {
+      const onFailure = () => resolve(err({kind: CallErrorKind.LOST}));
+      // A call whose sending failed may have been sent.
+      options.supervisor.run({name: TaskName.CALL, onFailure}, () =>
+        sendAndWait(options, resolve),
+      );
+    }),
   );
 }
 
@@ -60,7 +69,7 @@
   options: Parameters<typeof callAgent>[0],
   resolve: (result: Result<AgentCallResult, CallError>) => void,
 ): void {
-  const {link, message, timeoutMs, clock} = options;
+  const {link, message, timeoutMs, clock, supervisor} = options;
   const id = message.callId;
   const settle = (result: Result<AgentCallResult, CallError>): void => {
     timer.cancel();
@@ -68,10 +77,10 @@
   };
   const timer = clock.schedule({
     delayMs: timeoutMs,
-    run: () => {
-      link.release(id);
+    run: supervisor.guard({name: TaskName.CALL}, () => {
       settle(err({kind: CallErrorKind.TIMEOUT}));
-    },
+      link.release(id);
+    }),
   });
   const handler = {
     onReply: (response: PlainResponse) => settle(ok({response})),
--- a/src/entry/calls/booking-agents.ts
+++ b/src/entry/calls/booking-agents.ts
@@ -48,7 +48,7 @@
     timeoutMs: number;
   }): Promise<AgentResult> {
     const {agent, claimedAtMs, timeoutMs} = options;
-    const {links, random, clock} = this.deps;
+    const {links, random, clock, supervisor} = this.deps;
     const link = links.find(agent.vm);
     if (link === undefined || !hasIncarnation(link, agent)) {
       return {kind: AgentResultKind.NOT_SENT};
@@ -61,7 +61,13 @@
       deadlineMs: timeoutMs,
     });
     const message = {...call, claimedAtMs};
-    const result = await callAgent({link, message, timeoutMs, clock});
+    const result = await callAgent({
+      link,
+      message,
+      timeoutMs,
+      clock,
+      supervisor,
+    });
     const refusal = result.isErr() ? result.error.refusal : undefined;
     if (refusal?.reason === RefusalReason.TARGET_LIMIT)
       this.limits.add(agent.vm, refusal);
@@ -74,7 +80,7 @@
     timeoutMs: number;
   }): Promise<AgentResult> {
     const {agent, timeoutMs} = options;
-    const {links, random, clock} = this.deps;
+    const {links, random, clock, supervisor} = this.deps;
     const link = links.find(agent.vm);
     if (link === undefined) return {kind: AgentResultKind.GONE};
     if (!link.isConnected()) return {kind: AgentResultKind.NOT_SENT};
@@ -89,7 +95,13 @@
       promiseNever: false,
       waitMs,
     };
-    const result = await callAgent({link, message, timeoutMs, clock});
+    const result = await callAgent({
+      link,
+      message,
+      timeoutMs,
+      clock,
+      supervisor,
+    });
     return result.match((value) => toAgentResult(value, agent), toErrorResult);
   }
 }
--- a/src/entry/calls/booking-run.ts
+++ b/src/entry/calls/booking-run.ts
@@ -32,10 +32,12 @@
 import {sleep} from '../../core/clock/index.js';
 import type {PlainResponse} from '../../core/edges/index.js';
 import type {Refusal} from '../../core/errors/index.js';
-import {RefusalReason, RetryReason} from '../../core/errors/index.js';
+import {Executed, RefusalReason, RetryReason} from '../../core/errors/index.js';
 import {CounterName, LatencyName} from '../../core/metrics/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import {BookingAgents} from './booking-agents.js';
 import {
+  ENTRY_FAILED_DETAIL,
   KEY_QUERY_RETRY_MAX_MS,
   KEY_QUERY_RETRY_MIN_MS,
   RETRY_AFTER_MS,
@@ -62,6 +64,7 @@
   private readonly agents: BookingAgents;
   private keyQueryDelayMs = KEY_QUERY_RETRY_MIN_MS;
   private timer: TimerHandle | undefined;
+  private hasFailed = false;
   private resolve: (result: BookingResult) => void = () => undefined;
 
   constructor(
@@ -85,19 +88,42 @@
     const {clock} = this.options.callDeps;
     return new Promise((resolve) => {
       this.resolve = resolve;
-      this.timer = clock.schedule({
-        delayMs: Math.max(0, this.leftMs()),
-        run: () => this.handleEvent({kind: EventKind.ABORT}),
+      this.guard(() => {
+        this.timer = clock.schedule({
+          delayMs: Math.max(0, this.leftMs()),
+          run: () =>
+            this.guard(() => this.handleEvent({kind: EventKind.ABORT})),
+        });
+        this.handleEvent({kind: EventKind.BEGIN});
       });
-      this.handleEvent({kind: EventKind.BEGIN});
     });
   }
 
+  private guard(work: () => unknown): void {
+    const onFailure = () => this.fail();
+    const {supervisor} = this.options.callDeps;
+    supervisor.run({name: TaskName.BOOKING, onFailure}, work);
+  }
+
+  /** Ends the booking; later results of its effects cause no more effects. */
+  private fail(): void {
+    this.hasFailed = true;
+    this.resolve(
+      err({
+        reason: RefusalReason.OUTCOME_UNKNOWN,
+        ran: Executed.UNKNOWN,
+        detail: ENTRY_FAILED_DETAIL,
+      }),
+    );
+    this.timer?.cancel();
+  }
+
   private leftMs(): number {
     return this.request.deadlineAtMs - this.options.callDeps.clock.now();
   }
 
   private handleEvent(event: BookingEvent): void {
+    if (this.hasFailed) return;
     const {state, effect} = stepBooking(
       this.state,
       event,
@@ -140,19 +166,19 @@
   private perform(effect: BookingEffect): void {
     switch (effect.kind) {
       case EffectKind.CREATE:
-        void this.create(effect);
+        this.guard(() => this.create(effect));
         return;
       case EffectKind.SWAP:
-        void this.swap(effect);
+        this.guard(() => this.swap(effect));
         return;
       case EffectKind.CALL:
-        void this.call(effect);
+        this.guard(() => this.call(effect));
         return;
       case EffectKind.QUERY:
-        void this.queryKey(effect);
+        this.guard(() => this.queryKey(effect));
         return;
       case EffectKind.LOOK_UP:
-        void this.lookUp(effect);
+        this.guard(() => this.lookUp(effect));
         return;
       case EffectKind.FINISH:
         this.finish(effect);
--- a/src/entry/calls/plain-service.ts
+++ b/src/entry/calls/plain-service.ts
@@ -14,6 +14,7 @@
   TargetChooser,
   TargetView,
 } from '../../core/routing/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
 import type {AgentCallResult, CallError} from './agent-call.js';
 import {callAgent, CallErrorKind} from './agent-call.js';
 import type {AgentLinks} from '../links/agent-links.js';
@@ -38,6 +39,7 @@
   readonly failures: OutlierDetector;
   readonly retryBudgets: RetryBudgets;
   readonly dataCentre: string;
+  readonly supervisor: Supervisor;
 }
 
 /**
@@ -118,8 +120,8 @@
       incarnation: target.incarnation,
       deadlineMs: timeoutMs,
     });
-    const {clock} = this.deps;
-    return callAgent({link, message, timeoutMs, clock});
+    const {clock, supervisor} = this.deps;
+    return callAgent({link, message, timeoutMs, clock, supervisor});
   }
 
   private recordOutcome(
--- a/src/entry/capacity-controller.ts
+++ b/src/entry/capacity-controller.ts
@@ -11,6 +11,8 @@
 import type {VmRecord} from '../core/edges/index.js';
 import {VmRole, VmState} from '../core/edges/index.js';
 import type {TargetView} from '../core/routing/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import type {EntryBoard} from './entry-board.js';
 
 /** Period at which the share is computed, in milliseconds. */
@@ -25,13 +27,15 @@
       board: EntryBoard;
       clock: Clock;
       views: () => readonly TargetView[];
+      supervisor: Supervisor;
     },
   ) {}
 
   open(): void {
-    this.timer = this.options.clock.repeat({
+    const {clock, supervisor} = this.options;
+    this.timer = clock.repeat({
       periodMs: CAPACITY_PERIOD_MS,
-      run: () => this.refresh(),
+      run: supervisor.guard({name: TaskName.TARGETS}, () => this.refresh()),
     });
   }
 
--- a/src/entry/config/config-activator.ts
+++ b/src/entry/config/config-activator.ts
@@ -8,7 +8,9 @@
 import type {Logger} from '../../core/logs/index.js';
 import type {Metrics} from '../../core/metrics/index.js';
 import {CounterName} from '../../core/metrics/index.js';
-import {INITIAL_PEER_WAIT_MS} from '../consts.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
+import {ACTIVATION_RETRY_MS, INITIAL_PEER_WAIT_MS} from '../consts.js';
 import type {EntryBoard} from '../entry-board.js';
 
 /**
@@ -28,6 +30,7 @@
       site: string;
       metrics: Metrics;
       logger: Logger;
+      supervisor: Supervisor;
     },
   ) {}
 
@@ -53,14 +56,14 @@
     const isNew = this.holder.offer(update);
     if (update.version >= this.holder.version) this.recordConfirmation(0);
     this.allowActivation();
-    if (isNew) this.activate();
+    if (isNew) this.activateOrRetry();
   }
 
   /** Handles a peer's version, which the platform confirmed `ageMs` ago. */
   receiveFromPeer(update: ConfigUpdate, ageMs: number): void {
     const isNew = this.holder.offer(update);
     if (update.version >= this.holder.version) this.recordConfirmation(ageMs);
-    if (isNew && this.isActivationAllowed) this.activate();
+    if (isNew && this.isActivationAllowed) this.activateOrRetry();
   }
 
   /** Records that the platform confirmed the held version `ageMs` ago. */
@@ -75,8 +78,20 @@
   private allowActivation(): void {
     if (this.isActivationAllowed) return;
     this.isActivationAllowed = true;
+    this.activateOrRetry();
+  }
+
+  /** A failed activation is repeated, as no other event would cause it. */
+  private activateOrRetry(): void {
+    const {clock, supervisor} = this.options;
     this.timer?.cancel();
-    this.activate();
+    const onFailure = () => {
+      this.timer = clock.schedule({
+        delayMs: ACTIVATION_RETRY_MS,
+        run: () => this.activateOrRetry(),
+      });
+    };
+    supervisor.run({name: TaskName.CONFIG, onFailure}, () => this.activate());
   }
 
   private activate(): void {
--- a/src/entry/config/config-controller.ts
+++ b/src/entry/config/config-controller.ts
@@ -8,6 +8,7 @@
 import type {Logger} from '../../core/logs/index.js';
 import type {Metrics} from '../../core/metrics/index.js';
 import type {HelloMessage, MessageRouter} from '../../core/protocol/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
 import {ConfigElection} from './config-election.js';
 import {ConfigExchange} from './config-exchange.js';
 import {ConfigActivator} from './config-activator.js';
@@ -27,6 +28,7 @@
   readonly hello: HelloMessage;
   readonly self: ConfigMember;
   readonly site: string;
+  readonly supervisor: Supervisor;
 }
 
 /** Keeps the board's configuration at the highest accepted version. */
--- a/src/entry/config/config-election.ts
+++ b/src/entry/config/config-election.ts
@@ -7,6 +7,8 @@
 } from '../../core/config/distribution/index.js';
 import type {VmRecord} from '../../core/edges/index.js';
 import {VmRole, VmState} from '../../core/edges/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {ConfigActivator} from './config-activator.js';
 import type {ConfigPeers} from './config-peers.js';
 import type {ConfigSource} from './config-source.js';
@@ -37,17 +39,19 @@
       activator: ConfigActivator;
       source: ConfigSource;
       peers: ConfigPeers;
+      supervisor: Supervisor;
     },
   ) {}
 
   open(): void {
-    const {clock, source, board} = this.options;
+    const {clock, source, board, supervisor} = this.options;
+    const task = {name: TaskName.CONFIG};
     this.electedAtMs = clock.now();
     this.timer = clock.repeat({
       periodMs: ELECTION_PERIOD_MS,
-      run: () => this.check(),
+      run: supervisor.guard(task, () => this.check()),
     });
-    board.vms.subscribe(() => this.elect());
+    board.vms.subscribe(supervisor.guard(task, () => this.elect()));
     source.refresh();
   }
 
--- a/src/entry/config/config-exchange.ts
+++ b/src/entry/config/config-exchange.ts
@@ -9,6 +9,8 @@
   MessageRouter,
 } from '../../core/protocol/index.js';
 import {MessageType} from '../../core/protocol/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {ConfigActivator} from './config-activator.js';
 import {CONFIG_ANNOUNCE_PERIOD_MS} from '../consts.js';
 import type {EntryBoard} from '../entry-board.js';
@@ -37,21 +39,24 @@
       activator: ConfigActivator;
       vm: string;
       dataCentre: string;
+      supervisor: Supervisor;
     },
   ) {
-    const {router, board} = options;
+    const {router, board, supervisor} = options;
+    const task = {name: TaskName.CONFIG};
     router.on(MessageType.CONFIG, (m, peer) => this.handleConfig(m, peer));
     router.on(MessageType.CONFIG_REPORT, (m, peer) =>
       this.handleReport(m, peer),
     );
     router.onClose((peer) => void this.subscribers.delete(peer));
-    board.config.subscribe(() => this.propagate());
+    board.config.subscribe(supervisor.guard(task, () => this.propagate()));
   }
 
   open(): void {
-    this.timer = this.options.clock.repeat({
+    const {clock, supervisor} = this.options;
+    this.timer = clock.repeat({
       periodMs: CONFIG_ANNOUNCE_PERIOD_MS,
-      run: () => this.announce(),
+      run: supervisor.guard({name: TaskName.CONFIG}, () => this.announce()),
     });
   }
 
--- a/src/entry/config/config-peers.ts
+++ b/src/entry/config/config-peers.ts
@@ -3,6 +3,7 @@
 import type {VmRecord} from '../../core/edges/index.js';
 import type {HelloMessage, Message} from '../../core/protocol/index.js';
 import {MessageType, PeerClient} from '../../core/protocol/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
 import type {ConfigExchange} from './config-exchange.js';
 import {PEER_SILENCE_TIMEOUT_MS} from '../consts.js';
 
@@ -25,6 +26,7 @@
       clock: Clock;
       random: RandomSource;
       exchange: ConfigExchange;
+      supervisor: Supervisor;
     },
   ) {}
 
--- a/src/entry/config/config-source.ts
+++ b/src/entry/config/config-source.ts
@@ -1,7 +1,13 @@
 /** Receives the configuration from the platform by a watch or single reads. */
 import type {Clock, RandomSource, TimerHandle} from '../../core/clock/index.js';
 import {CONFIG_OBJECT} from '../../core/config/index.js';
-import type {ObjectStore, WatchHandle} from '../../core/edges/index.js';
+import type {
+  ObjectStore,
+  WatchEvent,
+  WatchHandle,
+} from '../../core/edges/index.js';
+import type {Supervisor, Task} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {ConfigActivator} from './config-activator.js';
 import {CONFIG_RETRY_MS} from '../consts.js';
 
@@ -13,6 +19,10 @@
   private isReading = false;
   private readAtMs = Number.NEGATIVE_INFINITY;
   private isStopped = false;
+  private readonly readTask: Task = {
+    name: TaskName.CONFIG,
+    onFailure: () => this.retry(),
+  };
 
   constructor(
     private readonly options: {
@@ -20,6 +30,7 @@
       random: RandomSource;
       store: ObjectStore;
       activator: ConfigActivator;
+      supervisor: Supervisor;
     },
   ) {}
 
@@ -44,36 +55,44 @@
   /** Reads once, and then watches from that version if elected. */
   refresh(): void {
     if (this.isReading || this.isStopped) return;
-    const {clock, store} = this.options;
+    this.options.supervisor.run(this.readTask, () => this.read());
+  }
+
+  private async read(): Promise<void> {
+    const {clock, store, activator} = this.options;
     this.isReading = true;
     this.readAtMs = clock.now();
-    void store
-      .read(CONFIG_OBJECT)
-      .match(
-        (found) => {
-          const version = found.map((object) => object.version).orDefault(0);
-          const value = found.map((object) => object.value).orDefault(null);
-          this.options.activator.receiveFromPlatform({version, value});
-          this.startWatch(version);
-        },
-        () => this.retry(),
-      )
-      .then(() => {
-        this.isReading = false;
-      });
+    try {
+      const read = await store.read(CONFIG_OBJECT);
+      if (read.isErr()) return this.retry();
+      const found = read.value;
+      const version = found.map((object) => object.version).orDefault(0);
+      const value = found.map((object) => object.value).orDefault(null);
+      activator.receiveFromPlatform({version, value});
+      this.startWatch(version);
+    } finally {
+      this.isReading = false;
+    }
   }
 
   private startWatch(since: number): void {
     if (!this.isWatching || this.isStopped) return;
     this.stopWatch();
-    this.watch = this.options.store.watch({
+    const {store, activator, supervisor} = this.options;
+    this.watch = store.watch({
       kind: CONFIG_OBJECT.kind,
       since,
-      onEvent: ({name, version, value}) => {
-        if (name !== CONFIG_OBJECT.name || value === undefined) return;
-        this.options.activator.receiveFromPlatform({version, value});
-      },
-      onAlive: () => this.options.activator.recordConfirmation(0),
+      // An event that could not be handled is found by the next read.
+      onEvent: supervisor.guard(
+        this.readTask,
+        ({name, version, value}: WatchEvent) => {
+          if (name !== CONFIG_OBJECT.name || value === undefined) return;
+          activator.receiveFromPlatform({version, value});
+        },
+      ),
+      onAlive: supervisor.guard({name: TaskName.CONFIG}, () =>
+        activator.recordConfirmation(0),
+      ),
       // The watch closed or its history was compacted: read again, as
       // changes may have been missed.
       onClosed: () => this.retry(),
--- a/src/entry/consts.ts
+++ b/src/entry/consts.ts
@@ -101,3 +101,10 @@
  * version.
  */
 export const AGENT_CONFIG_JITTER_MS = 300;
+
+/** Delay before a failed activation of a version is repeated, in ms. */
+export const ACTIVATION_RETRY_MS = 1_000;
+
+/** Detail of the refusal of a request that this entry failed to handle. */
+export const ENTRY_FAILED_DETAIL =
+  'this entry failed while it served the request';
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -30,6 +30,8 @@
 } from '../core/protocol/index.js';
 import {OutlierDetector, LoadAwareChooser} from '../core/routing/index.js';
 import type {DaemonSettings} from '../core/settings/types.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 import {AgentLinks} from './links/agent-links.js';
 import {BookingService} from './calls/booking-service.js';
 import {RequestDispatcher} from './request-dispatcher.js';
@@ -53,6 +55,8 @@
   readonly logger: Logger;
   readonly store: ObjectStore;
   readonly vmList: VmList;
+  /** Holds failures of work that nobody waits for. */
+  readonly supervisor: Supervisor;
   /** Counts responses that have not been fully sent to their callers. */
   readonly countPendingResponses: () => number;
   /** Called when a drain has ended, so that the process can exit. */
@@ -81,10 +85,11 @@
     this.admission = new FairAdmission(options);
     const hello = this.createHello();
     const {board, router} = this;
-    const {clock, metrics} = options;
+    const {clock, metrics, supervisor} = options;
     this.server = new PeerServer({
       hello,
       clock,
+      supervisor,
       createListener: (connection) =>
         new PeerSession({router, metrics}, connection),
     });
@@ -116,15 +121,11 @@
     this.drainer = this.createDrainer();
     new OwnVmWatch({
       board,
+      supervisor,
       vm: options.settings.vm,
       onVmLeaving: () => this.drain(),
     }).open();
-    this.board.capacity.subscribe((capacity) =>
-      this.admission.resize(capacity),
-    );
-    this.board.config.subscribe((active) => {
-      active.ifJust(({cfg}) => this.admission.configure(cfg));
-    });
+    this.subscribeAdmission();
   }
 
   /** Handles the requests of this entry's callers. */
@@ -187,6 +188,20 @@
     this.drainer.begin();
   }
 
+  private subscribeAdmission(): void {
+    const {board, admission} = this;
+    const {supervisor} = this.options;
+    const task = {name: TaskName.REQUEST};
+    board.capacity.subscribe(
+      supervisor.guard(task, () => admission.resize(board.capacity.get())),
+    );
+    board.config.subscribe(
+      supervisor.guard(task, () =>
+        board.config.get().ifJust(({cfg}) => admission.configure(cfg)),
+      ),
+    );
+  }
+
   private createDrainer(): DrainController {
     const {countPendingResponses} = this.options;
     return new DrainController({
@@ -206,7 +221,7 @@
   }
 
   private createDeps(): GenerationDeps {
-    const {clock, random, metrics, settings} = this.options;
+    const {clock, random, metrics, settings, supervisor} = this.options;
     const failures = new OutlierDetector({clock});
     return {
       clock,
@@ -218,6 +233,7 @@
       retryBudgets: new RetryBudgets({clock}),
       dataCentre: settings.dataCentre,
       quarantine: this.quarantine,
+      supervisor,
     };
   }
 
--- a/src/entry/generation/attempt-messages.ts
+++ b/src/entry/generation/attempt-messages.ts
@@ -6,7 +6,20 @@
   TokensMessage,
 } from '../../core/protocol/index.js';
 import {MessageType} from '../../core/protocol/index.js';
-import type {OpenAttempt, GenerationTask} from './run-types.js';
+import type {TargetView} from '../../core/routing/index.js';
+import type {GenerationDeps, GenerationTask, OpenAttempt} from './run-types.js';
+
+/** Creates an attempt at a target; undefined if it has no link. */
+export function createAttempt(
+  target: TargetView,
+  deps: Pick<GenerationDeps, 'links' | 'random'>,
+): OpenAttempt | undefined {
+  const link = deps.links.find(target.vm);
+  if (link === undefined) return undefined;
+  const attemptId = deps.random.id();
+  const {vm: agentVm, incarnation: agentIncarnation} = target;
+  return {link, location: {attemptId, agentVm, agentIncarnation}};
+}
 
 /** Creates the message that starts an attempt. */
 export function createStart(
--- a/src/entry/generation/choose-target.ts
+++ b/src/entry/generation/choose-target.ts
@@ -76,18 +76,21 @@
 }
 
 /**
- * Chooses an idle, untried target for a hedged attempt; undefined if there is
- * none.
+ * Chooses an idle, untried target for a hedged attempt beside the one at a VM;
+ * undefined if there is none.
  *
  * @example
- * chooseIdleTarget({query, targets, chooser, policy});
+ * chooseIdleTarget({query, targets, chooser, policy}, 'engine-1');
  */
 export function chooseIdleTarget(
   options: ChooseTargetOptions,
+  besideVm: string,
 ): TargetView | undefined {
   const targets = options.targets.filter((target) => isIdle(target));
-  const {lostOn, refusedBy} = options.query;
-  const found = chooseTarget({...options, targets});
+  const {lostOn} = options.query;
+  const refusedBy = [...options.query.refusedBy, besideVm];
+  const query = {...options.query, refusedBy};
+  const found = chooseTarget({...options, query, targets});
   const tried =
     found !== undefined && [...lostOn, ...refusedBy].includes(found.vm);
   return tried ? undefined : found;
--- a/src/entry/generation/generation-run.ts
+++ b/src/entry/generation/generation-run.ts
@@ -18,7 +18,8 @@
   RefusedMessage,
   TokensMessage,
 } from '../../core/protocol/index.js';
-import type {TargetView} from '../../core/routing/index.js';
+import type {Guard} from '../links/guard-handler.js';
+import {guardHandler} from '../links/guard-handler.js';
 import type {LinkHandler} from '../links/link-handler.js';
 import type {OutputBuffer} from './output-buffer.js';
 import {NO_TARGET_RETRY_MS} from '../consts.js';
@@ -36,9 +37,11 @@
 import {
   cancelAttempt,
   createAttach,
+  createAttempt,
   createStart,
   readTokens,
 } from './attempt-messages.js';
+import {createRunGuard} from './run-guard.js';
 import {finalRefusal} from './final-refusal.js';
 import {TargetOutcomes} from './target-outcomes.js';
 import {TokenMeter} from './token-meter.js';
@@ -60,6 +63,7 @@
   private readonly deadlineTimer: TimerHandle;
   private readonly meter: TokenMeter;
   private readonly outcomes: TargetOutcomes;
+  private readonly guard: Guard;
 
   constructor(
     private readonly task: GenerationTask,
@@ -73,17 +77,24 @@
     this.history = new AttemptHistory({now: () => clock.now()});
     this.meter = new TokenMeter(deps);
     this.outcomes = new TargetOutcomes(deps.failures);
+    const steps = [() => this.cancelAttempts(), () => this.finish()];
+    this.guard = createRunGuard({task, deps, output, steps});
     this.deadlineTimer = clock.schedule({
       delayMs: Math.max(0, task.deadlineAtMs - clock.now()),
-      run: () => this.fail(refusals.deadlineExceeded(this.mayHaveRun)),
+      run: () =>
+        this.guard(() => this.fail(refusals.deadlineExceeded(this.mayHaveRun))),
     });
   }
 
-  /** Starts the first attempt, or the next one after a loss. */
+  /** Starts the first attempt, or the next one after a wait. */
   start(): void {
+    this.guard(() => this.startNext());
+  }
+
+  private startNext(): void {
     if (this.isEnded() || this.finishIfComplete()) return;
     const target = chooseTarget(this.createChoice());
-    const attempt = target && this.createAttempt(target);
+    const attempt = target && createAttempt(target, this.deps);
     if (attempt === undefined) {
       this.waitForTarget();
       return;
@@ -97,15 +108,12 @@
   /** Resumes an output from the first usable source, or else starts over. */
   resumeFrom(sources: readonly OutputSource[]): void {
     this.sources = [...sources];
-    this.attachToNextSource();
+    this.guard(() => this.attachToNextSource());
   }
 
   /** Ends the run because its output is no longer needed. */
   abandon(): void {
-    if (this.isEnded()) return;
-    this.cancelAttempts();
-    this.output.fail(refusals.outputDiscarded());
-    this.finish();
+    this.guard(() => this.end(refusals.outputDiscarded()));
   }
 
   /** Handles a request that was just quarantined, which may be this one. */
@@ -113,11 +121,11 @@
     poisonFingerprint: string,
     record: QuarantineRecord,
   ): void {
-    if (poisonFingerprint === this.task.poisonFingerprint) {
-      this.fail(refusals.poisonRequestDetected());
-      return;
-    }
-    this.history.removeExplainedCrashes(record);
+    this.guard(() => {
+      if (poisonFingerprint === this.task.poisonFingerprint)
+        this.fail(refusals.poisonRequestDetected());
+      else this.history.removeExplainedCrashes(record);
+    });
   }
 
   private attachToNextSource(): void {
@@ -126,7 +134,7 @@
       // No source has the tokens that the caller received. It must discard
       // them, because the tokens of another attempt may differ.
       this.output.restartReadersAhead();
-      this.start();
+      this.startNext();
       return;
     }
     const {link, location, position} = source;
@@ -141,14 +149,6 @@
     if (!opened) this.handleLost(attemptId, RetryReason.AGENT_GONE);
   }
 
-  private createAttempt(target: TargetView): OpenAttempt | undefined {
-    const link = this.deps.links.find(target.vm);
-    if (link === undefined) return undefined;
-    const attemptId = this.deps.random.id();
-    const {vm: agentVm, incarnation: agentIncarnation} = target;
-    return {link, location: {attemptId, agentVm, agentIncarnation}};
-  }
-
   private beginAttempt(attempt: OpenAttempt): void {
     this.current = attempt;
     this.output.beginAttempt(attempt.location);
@@ -172,7 +172,7 @@
   }
 
   private createHandler(attemptId: string): LinkHandler {
-    return {
+    const handler: LinkHandler = {
       onTokens: (message) => this.handleTokens(attemptId, message),
       onLineage: (message) => this.handleLineage(attemptId, message),
       onEnd: (message) => this.handleEnd(attemptId, message),
@@ -182,6 +182,7 @@
       onDraining: () => this.migrate(attemptId),
       onHedgeDue: () => this.startHedge(attemptId),
     };
+    return guardHandler(handler, this.guard);
   }
 
   private handleTokens(attemptId: string, message: TokensMessage): void {
@@ -198,10 +199,7 @@
 
   private handleLineage(attemptId: string, message: LineageMessage): void {
     if (attemptId !== this.assembly.attemptId) return;
-    const {writerId, agentVm, agentIncarnation, position} = message;
-    const location = {attemptId: writerId, agentVm, agentIncarnation};
-    if (position === 0) this.output.resetLineage(location);
-    else this.output.addLineageStep({location, position});
+    this.output.applyLineage(message);
   }
 
   private handleEnd(attemptId: string, message: EndMessage): void {
@@ -262,10 +260,7 @@
       return;
     }
     if (attemptId !== this.assembly.attemptId) return;
-    if (message.reason === RefusalReason.POISON) {
-      this.fail(message);
-      return;
-    }
+    if (message.reason === RefusalReason.POISON) return this.fail(message);
     if (this.output.hasReaderAhead()) {
       this.handleLost(attemptId, RetryReason.TARGET_REFUSED);
       return;
@@ -281,7 +276,7 @@
     }
     this.deps.metrics.countRetry(RetryReason.TARGET_REFUSED);
     this.cancelCurrent();
-    this.start();
+    this.startNext();
   }
 
   private handleLost(attemptId: string, reason: RetryReason): void {
@@ -307,7 +302,7 @@
       this.fail(refusals.tooManyAttempts(this.history.attemptsWithoutProgress));
       return;
     }
-    this.start();
+    this.startNext();
   }
 
   /** Moves the generation off a draining target once another is usable. */
@@ -319,7 +314,7 @@
     }
     this.retryTimer = this.deps.clock.schedule({
       delayMs: MIGRATION_RETRY_MS,
-      run: () => this.migrate(attemptId),
+      run: () => this.guard(() => this.migrate(attemptId)),
     });
   }
 
@@ -327,11 +322,9 @@
     if (this.isEnded() || this.hedge !== undefined) return;
     if (attemptId !== this.assembly.attemptId) return;
     if (this.output.hasReaderAhead() || this.history.crashes.length > 0) return;
-    const choice = this.createChoice();
     const vm = this.current?.link.vm ?? '';
-    const query = {...choice.query, refusedBy: [...choice.query.refusedBy, vm]};
-    const target = chooseIdleTarget({...choice, query});
-    const attempt = target && this.createAttempt(target);
+    const target = chooseIdleTarget(this.createChoice(), vm);
+    const attempt = target && createAttempt(target, this.deps);
     if (attempt === undefined || !this.sendStart(attempt)) return;
     this.hedge = attempt;
     this.meter.recordLoss();
@@ -376,11 +369,11 @@
 
   /** Finishes without another attempt if the tokens so far are complete. */
   private finishIfComplete(): boolean {
-    const tokens = this.output.log.slice({from: 0});
+    const {log} = this.output;
     const {spec} = this.task;
-    const reason = detectFinish({spec, tokens});
-    if (tokens.length === 0 || reason === undefined) return false;
-    this.output.log.finish(reason);
+    const reason = detectFinish({spec, tokens: log.slice({from: 0})});
+    if (log.length === 0 || reason === undefined) return false;
+    log.finish(reason);
     this.finish();
     return true;
   }
@@ -397,6 +390,11 @@
   private fail(refusal: Refusal): void {
     if (this.isEnded()) return;
     this.deps.metrics.countRefusal(refusal.reason);
+    this.end(refusal);
+  }
+
+  private end(refusal: Refusal): void {
+    if (this.isEnded()) return;
     this.cancelAttempts();
     this.output.fail(refusal);
     this.finish();
--- a/src/entry/generation/generation-service.ts
+++ b/src/entry/generation/generation-service.ts
@@ -24,6 +24,7 @@
   LogState,
 } from '../../core/generation/index.js';
 import type {HelloMessage, MessageRouter} from '../../core/protocol/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import {OutputBuffer} from './output-buffer.js';
 import {OUTPUT_RETENTION_MS, OUTPUT_SWEEP_PERIOD_MS} from '../consts.js';
 import type {EntryBoard} from '../entry-board.js';
@@ -66,18 +67,18 @@
 
   open(): void {
     const {deps, router} = this.options;
-    const {clock, quarantine} = deps;
+    const {clock, quarantine, supervisor} = deps;
     const findBuffer = (id: string): OutputBuffer | undefined =>
       this.generations.get(id)?.output;
-    new OutputBufferServer({clock, findBuffer}).register(router);
+    new OutputBufferServer({clock, supervisor, findBuffer}).register(router);
     quarantine.subscribe((poisonFingerprint, record) => {
       for (const {run} of this.generations.values()) {
         run.handlePoisonRequest(poisonFingerprint, record);
       }
     });
-    this.sweeper = this.options.deps.clock.repeat({
+    this.sweeper = clock.repeat({
       periodMs: OUTPUT_SWEEP_PERIOD_MS,
-      run: () => this.sweep(),
+      run: supervisor.guard({name: TaskName.GENERATION}, () => this.sweep()),
     });
   }
 
@@ -116,7 +117,7 @@
   ): ResultAsync<OutputReader, Refusal> {
     const task = this.createTask(request, this.options.deps.random.id());
     const kind = restarted ? WorkKind.RESUME : WorkKind.NEW;
-    return this.admit({request, task, kind}).map((ticket) => {
+    const start = (ticket: AdmissionTicket): OutputReader => {
       this.options.deps.retryBudgets
         .forService(request.service)
         .recordFirstAttempt();
@@ -124,7 +125,10 @@
       const reader = output.read({position: 0, restarted});
       run.start();
       return reader;
-    });
+    };
+    return this.admit({request, task, kind}).map((ticket) =>
+      releaseOnFailure(ticket, start),
+    );
   }
 
   private resume(
@@ -154,14 +158,17 @@
     const sources = this.findSources(id);
     if (sources.length === 0) return this.begin(request, true);
     const kind = WorkKind.RUNNING;
-    return this.admit({request, task, kind}).map((ticket) => {
+    const start = (ticket: AdmissionTicket): OutputReader => {
       this.generations.get(task.requestId)?.run.abandon();
       const {output, run} = this.createGeneration(task, ticket);
       const {position} = id;
       const reader = output.read({position, restarted: false});
       run.resumeFrom(sources);
       return reader;
-    });
+    };
+    return this.admit({request, task, kind}).map((ticket) =>
+      releaseOnFailure(ticket, start),
+    );
   }
 
   /**
@@ -170,7 +177,7 @@
    */
   private findSources(id: EventId): OutputSource[] {
     const {deps, hello, board} = this.options;
-    const {clock} = deps;
+    const {clock, supervisor} = deps;
     const sources: OutputSource[] = [];
     const link = deps.links.find(id.agentVm);
     const isSameIncarnation = link?.view().incarnation === id.agentIncarnation;
@@ -182,7 +189,8 @@
     const record = board.vms.get().find(isOutputHolder);
     if (record !== undefined && record.name !== hello.vm) {
       const {position} = id;
-      const remoteLink = new RemoteOutputLink({record, hello, clock});
+      const linkOptions = {record, hello, clock, supervisor};
+      const remoteLink = new RemoteOutputLink(linkOptions);
       sources.push({link: remoteLink, location: id, position});
     }
     return sources;
@@ -262,6 +270,19 @@
   }
 }
 
+/** Starts a generation; frees its slot if that fails. */
+function releaseOnFailure<T>(
+  ticket: AdmissionTicket,
+  start: (ticket: AdmissionTicket) => T,
+): T {
+  try {
+    return start(ticket);
+  } catch (cause) {
+    ticket.release(TicketOutcome.FAILED);
+    throw cause;
+  }
+}
+
 function ticketOutcomeOf(output: OutputBuffer): TicketOutcome {
   if (output.log.state === LogState.FINISHED) return TicketOutcome.SERVED;
   return output.refusal?.reason === RefusalReason.DEADLINE_EXCEEDED
--- a/src/entry/generation/output-buffer-server.ts
+++ b/src/entry/generation/output-buffer-server.ts
@@ -8,6 +8,8 @@
   PeerConnection,
 } from '../../core/protocol/index.js';
 import {createRefusedMessage, MessageType} from '../../core/protocol/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {OutputBuffer} from './output-buffer.js';
 import {OUTPUT_KEEPALIVE_MS, MAX_TOKENS_PER_MESSAGE} from './consts.js';
 
@@ -21,7 +23,11 @@
   private readonly senders = new Map<PeerConnection, Set<OutputBufferSender>>();
 
   constructor(
-    private readonly options: {clock: Clock; findBuffer: OutputBufferLookup},
+    private readonly options: {
+      clock: Clock;
+      supervisor: Supervisor;
+      findBuffer: OutputBufferLookup;
+    },
   ) {}
 
   /** Subscribes to the messages of peers. */
@@ -45,12 +51,13 @@
       connection.send(createRefusedMessage({id: attach.attemptId, refusal}));
       return;
     }
-    const {clock} = this.options;
+    const {clock, supervisor} = this.options;
     const {attemptId} = attach;
     const sender = new OutputBufferSender({
       buffer,
       connection,
       clock,
+      supervisor,
       attemptId,
     });
     const connectionSenders = this.senders.get(connection) ?? new Set();
@@ -79,18 +86,25 @@
       buffer: OutputBuffer;
       connection: PeerConnection;
       clock: Clock;
+      supervisor: Supervisor;
       /** The attempt that the other entry requested. */
       attemptId: string;
     },
   ) {
-    const {buffer, clock} = options;
+    const {buffer, clock, supervisor} = options;
+    const task = {
+      name: TaskName.GENERATION,
+      requestId: buffer.requestId,
+      onFailure: () => this.fail(),
+    };
+    const flush = supervisor.guard(task, () => this.flush());
     this.releaseBuffer = buffer.retain();
-    this.unsubscribe = buffer.log.subscribe(() => this.flush());
+    this.unsubscribe = buffer.log.subscribe(flush);
     this.timer = clock.repeat({
       periodMs: OUTPUT_KEEPALIVE_MS,
-      run: () => this.sendKeepalive(),
+      run: supervisor.guard(task, () => this.sendKeepalive()),
     });
-    this.flush();
+    flush();
   }
 
   close(): void {
@@ -101,6 +115,19 @@
     this.releaseBuffer();
   }
 
+  /** Tells the other entry that no more comes, so that it need not wait. */
+  private fail(): void {
+    if (this.isClosed) return;
+    this.close();
+    const {connection, attemptId: id} = this.options;
+    const refusal = {
+      reason: RefusalReason.ANSWER_LOST,
+      ran: Executed.UNKNOWN,
+      detail: 'the answer could not be sent',
+    };
+    connection.send(createRefusedMessage({id, refusal}));
+  }
+
   private sendKeepalive(): void {
     this.flush();
     if (!this.isClosed) this.sendTokens(0);
--- a/src/entry/generation/output-buffer.ts
+++ b/src/entry/generation/output-buffer.ts
@@ -8,6 +8,7 @@
   LogState,
   TokenLog,
 } from '../../core/generation/index.js';
+import type {LineageMessage} from '../../core/protocol/index.js';
 import {MAX_TOKENS_PER_PART} from '../consts.js';
 
 /** An attempt and the agent incarnation that runs it. */
@@ -95,6 +96,14 @@
     this.lineage.push({location, beginPosition: position, endPosition});
   }
 
+  /** Records the attempt that another entry reports for the tokens that follow. */
+  applyLineage(step: Omit<LineageMessage, 'type' | 'attemptId'>): void {
+    const {writerId: attemptId, agentVm, agentIncarnation, position} = step;
+    const location = {attemptId, agentVm, agentIncarnation};
+    if (position === 0) this.resetLineage(location);
+    else this.addLineageStep({location, position});
+  }
+
   /** The attempts so far, in order. */
   lineageSteps(): readonly LineageStep[] {
     return this.lineage;
--- a/src/entry/generation/quarantine-sync.ts
+++ b/src/entry/generation/quarantine-sync.ts
@@ -9,6 +9,8 @@
 import type {Logger} from '../../core/logs/index.js';
 import type {QuarantineRecord, Quarantine} from '../../core/poison/index.js';
 import {QUARANTINE_RECORD} from '../../core/poison/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import {QUARANTINE_RETRY_MS} from './consts.js';
 
 const KIND = ObjectKind.QUARANTINE;
@@ -27,15 +29,17 @@
       store: ObjectStore;
       clock: Clock;
       logger: Logger;
+      supervisor: Supervisor;
     },
   ) {}
 
   open(): void {
-    this.options.quarantine.subscribe((fingerprint, record) => {
-      this.options.logger.info('request quarantined: it crashed engines', {
-        fingerprint,
-      });
+    const {quarantine, logger} = this.options;
+    quarantine.subscribe((fingerprint, record) => {
       if (!this.stored.has(fingerprint)) this.upload(fingerprint, record);
+      this.run(() =>
+        logger.info('request quarantined: it crashed engines', {fingerprint}),
+      );
     });
     this.load();
   }
@@ -48,20 +52,23 @@
 
   private load(): void {
     if (this.isClosed) return;
-    void this.options.store.list({kind: KIND}).match(
-      (objects) => this.applyList(objects),
-      () => this.scheduleRetry(() => this.load()),
-    );
+    const retry = () => this.scheduleRetry(() => this.load());
+    this.run(async () => {
+      const listed = await this.options.store.list({kind: KIND});
+      if (listed.isOk()) this.applyList(listed.value);
+      else retry();
+    }, retry);
   }
 
   private applyList(objects: readonly StoredObject[]): void {
-    for (const {name, value} of objects) this.applyObject(name, value);
+    for (const {name, value} of objects)
+      this.run(() => this.applyObject(name, value));
     const since = Math.max(0, ...objects.map((object) => object.version));
     if (this.isClosed) return;
     this.handle = this.options.store.watch({
       kind: KIND,
       since,
-      onEvent: ({name, value}) => this.applyObject(name, value),
+      onEvent: ({name, value}) => this.run(() => this.applyObject(name, value)),
       onClosed: () => this.scheduleRetry(() => this.load()),
     });
   }
@@ -84,13 +91,18 @@
    */
   private upload(name: string, record: QuarantineRecord): void {
     if (this.isClosed) return;
-    void this.options.store.create({kind: KIND, name, value: record}).match(
-      () => void this.stored.add(name),
-      (err) => {
-        if (err.kind === StoreErrorKind.EXISTS) return;
-        this.scheduleRetry(() => this.upload(name, record));
-      },
-    );
+    const {store} = this.options;
+    const retry = () => this.scheduleRetry(() => this.upload(name, record));
+    this.run(async () => {
+      const created = await store.create({kind: KIND, name, value: record});
+      if (created.isOk()) this.stored.add(name);
+      else if (created.error.kind !== StoreErrorKind.EXISTS) retry();
+    }, retry);
+  }
+
+  private run(work: () => unknown, onFailure?: () => void): void {
+    const {supervisor} = this.options;
+    supervisor.run({name: TaskName.QUARANTINE, onFailure}, work);
   }
 
   private scheduleRetry(run: () => void): void {
--- a/src/entry/generation/remote-output-link.ts
+++ b/src/entry/generation/remote-output-link.ts
@@ -10,6 +10,8 @@
   Message,
 } from '../../core/protocol/index.js';
 import {MessageType, PeerConnection} from '../../core/protocol/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {LinkHandler} from '../links/link-handler.js';
 import type {AttemptLink} from './attempt-link.js';
 import {REMOTE_OUTPUT_TIMEOUT_MS} from './consts.js';
@@ -26,6 +28,7 @@
       record: VmRecord;
       hello: HelloMessage;
       clock: Clock;
+      supervisor: Supervisor;
     },
   ) {}
 
@@ -34,7 +37,7 @@
   }
 
   open(options: {id: string; message: Message; handler: LinkHandler}): boolean {
-    const {record, hello, clock} = this.options;
+    const {record, hello, clock, supervisor} = this.options;
     this.handler = options.handler;
     this.request = options.message;
     const socket = connect({host: record.address, port: record.peerPort});
@@ -42,6 +45,7 @@
       socket,
       hello,
       clock,
+      supervisor,
       listener: this,
     });
     this.resetSilenceTimer();
@@ -98,9 +102,12 @@
 
   private resetSilenceTimer(): void {
     this.timer?.cancel();
-    this.timer = this.options.clock.schedule({
+    const {clock, supervisor} = this.options;
+    this.timer = clock.schedule({
       delayMs: REMOTE_OUTPUT_TIMEOUT_MS,
-      run: () => this.fail(RetryReason.AGENT_SILENT),
+      run: supervisor.guard({name: TaskName.GENERATION}, () =>
+        this.fail(RetryReason.AGENT_SILENT),
+      ),
     });
   }
 
--- a/src/entry/generation/run-refusals.ts
+++ b/src/entry/generation/run-refusals.ts
@@ -1,7 +1,7 @@
 /** Refusals that callers receive when a generation fails. */
 import type {Refusal} from '../../core/errors/index.js';
 import {Executed, RefusalReason} from '../../core/errors/index.js';
-import {RETRY_AFTER_MS} from '../consts.js';
+import {ENTRY_FAILED_DETAIL, RETRY_AFTER_MS} from '../consts.js';
 
 /** The deadline passed before the output was complete. */
 export function deadlineExceeded(mayHaveRun: boolean): Refusal {
@@ -50,3 +50,12 @@
     retryAfterMs: RETRY_AFTER_MS,
   };
 }
+
+/** This entry could not handle an event of the generation. */
+export function entryFailed(): Refusal {
+  return {
+    reason: RefusalReason.TARGET_FAILED,
+    ran: Executed.UNKNOWN,
+    detail: ENTRY_FAILED_DETAIL,
+  };
+}
--- a/src/entry/generation/run-types.ts
+++ b/src/entry/generation/run-types.ts
@@ -5,6 +5,7 @@
 import type {Metrics} from '../../core/metrics/index.js';
 import type {Quarantine} from '../../core/poison/index.js';
 import type {OutlierDetector, TargetChooser} from '../../core/routing/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
 import type {AgentLinks} from '../links/agent-links.js';
 import type {AttemptLocation} from './output-buffer.js';
 import type {AttemptLink} from './attempt-link.js';
@@ -35,6 +36,7 @@
   readonly retryBudgets: RetryBudgets;
   readonly dataCentre: string;
   readonly quarantine: Quarantine;
+  readonly supervisor: Supervisor;
 }
 
 /** An attempt and the link that delivers its messages. */
--- a/src/entry/links/agent-link.ts
+++ b/src/entry/links/agent-link.ts
@@ -25,6 +25,8 @@
   TargetPhase,
 } from '../../core/protocol/index.js';
 import type {TargetView} from '../../core/routing/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import {
   COUNT_RETENTION_MS,
   CountHistory,
@@ -82,12 +84,16 @@
       random: RandomSource;
       metrics: Metrics;
       config: AgentConfigSource;
+      supervisor: Supervisor;
     },
   ) {
-    const {hello, clock, random} = options;
+    const {hello, clock, random, supervisor} = options;
     this.lastReceivedAtMs = clock.now();
     const peer = {address: record.address, port: record.peerPort};
-    this.client = new PeerClient({peer, hello, clock, random, listener: this});
+    this.client = new PeerClient({
+      ...{peer, hello, clock, random, supervisor},
+      listener: this,
+    });
   }
 
   get vm(): string {
@@ -237,7 +243,7 @@
   private notifyHedgeDue(silentMs: number, hedgeAfterMs: number): void {
     if (this.hasNotifiedHedge || silentMs < hedgeAfterMs) return;
     this.hasNotifiedHedge = true;
-    for (const handler of [...this.handlers.values()]) handler.onHedgeDue?.();
+    this.notifyAll((handler) => handler.onHedgeDue?.());
   }
 
   private silentForMs(busy: boolean): number {
@@ -332,7 +338,7 @@
     this.options.metrics.count(CounterName.HEARTBEATS);
     if (heartbeat.leaving) this.sendLeave();
     if (!heartbeat.leaving || wasDraining) return;
-    for (const handler of [...this.handlers.values()]) handler.onDraining?.();
+    this.notifyAll((handler) => handler.onDraining?.());
   }
 
   private isDraining(): boolean {
@@ -386,6 +392,20 @@
     const handlers = [...this.handlers.values()];
     this.handlers.clear();
     this.recordCount();
-    for (const handler of handlers) handler.onLost(reason);
+    this.notifyEach(handlers, (handler) => handler.onLost(reason));
+  }
+
+  private notifyAll(notify: (handler: LinkHandler) => void): void {
+    this.notifyEach([...this.handlers.values()], notify);
+  }
+
+  /** The failure of one handler does not keep the others from the event. */
+  private notifyEach(
+    handlers: readonly LinkHandler[],
+    notify: (handler: LinkHandler) => void,
+  ): void {
+    const {supervisor} = this.options;
+    for (const handler of handlers)
+      supervisor.run({name: TaskName.TARGETS}, () => notify(handler));
   }
 }
--- a/src/entry/links/agent-links.ts
+++ b/src/entry/links/agent-links.ts
@@ -12,6 +12,8 @@
 import type {Metrics} from '../../core/metrics/index.js';
 import type {HelloMessage} from '../../core/protocol/index.js';
 import type {TargetView} from '../../core/routing/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {AgentConfigSource} from './link-handler.js';
 import {AgentLink} from './agent-link.js';
 import {PAUSE_DETECTION_MS, LINK_PIN_MS, SILENCE_CHECK_MS} from '../consts.js';
@@ -40,22 +42,28 @@
       random: RandomSource;
       metrics: Metrics;
       logger: Logger;
+      supervisor: Supervisor;
     },
   ) {}
 
   open(): void {
-    const {clock} = this.options;
+    const {clock, board, supervisor} = this.options;
+    const task = {name: TaskName.TARGETS};
     this.checkedAtMs = clock.now();
     this.timers.push(
-      clock.repeat({periodMs: SILENCE_CHECK_MS, run: () => this.check()}),
+      clock.repeat({
+        periodMs: SILENCE_CHECK_MS,
+        run: supervisor.guard(task, () => this.check()),
+      }),
+    );
+    board.vms.subscribe(
+      supervisor.guard(task, (records: readonly VmRecord[]) =>
+        this.reconcile(records),
+      ),
+    );
+    board.config.subscribe(
+      supervisor.guard(task, () => this.applyRecoveryGoal()),
     );
-    const {board} = this.options;
-    board.vms.subscribe((records) => this.reconcile(records));
-    board.config.subscribe(() => {
-      this.recoveryGoal().ifJust((goal) => {
-        for (const link of this.links.values()) link.setRecoveryGoal(goal);
-      });
-    });
   }
 
   close(): void {
@@ -99,13 +107,21 @@
     return active.map(({cfg}) => cfg.recovery.weigh);
   }
 
+  private applyRecoveryGoal(): void {
+    this.recoveryGoal().ifJust((goal) => {
+      for (const link of this.links.values()) link.setRecoveryGoal(goal);
+    });
+  }
+
   private reconcile(records: readonly VmRecord[]): void {
     const targets = records.filter((vm) => vm.role === VmRole.TARGET);
     const names = new Set(targets.map((vm) => vm.name));
     const subset = this.selectSubset(records, targets);
     for (const vm of targets) {
-      if (subset.has(vm.name) || this.isNeeded(vm.name)) this.addOrUpdate(vm);
-      else this.drop(vm.name);
+      this.options.supervisor.run({name: TaskName.TARGETS}, () => {
+        if (subset.has(vm.name) || this.isNeeded(vm.name)) this.addOrUpdate(vm);
+        else this.drop(vm.name);
+      });
     }
     for (const [name, link] of this.links) {
       if (names.has(name)) continue;
@@ -197,10 +213,12 @@
     const policy = this.policy();
     this.dropRetired();
     for (const link of [...this.links.values(), ...this.retired]) {
-      // After a pause of this process, silence is no evidence of a failure.
-      if (wasPaused) link.resetSilence();
-      else link.checkSilence(policy);
-      link.sendConfigIfDue();
+      this.options.supervisor.run({name: TaskName.TARGETS}, () => {
+        // After a pause of this process, silence is no evidence of a failure.
+        if (wasPaused) link.resetSilence();
+        else link.checkSilence(policy);
+        link.sendConfigIfDue();
+      });
     }
   }
 }
--- a/src/entry/links/own-vm-watch.ts
+++ b/src/entry/links/own-vm-watch.ts
@@ -1,6 +1,8 @@
 /** Starts the drain of an entry when the VM list shows its VM as LEAVING. */
 import type {VmRecord} from '../../core/edges/index.js';
 import {VmState} from '../../core/edges/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import type {EntryBoard} from '../entry-board.js';
 
 /**
@@ -16,11 +18,18 @@
       board: EntryBoard;
       vm: string;
       onVmLeaving: () => void;
+      supervisor: Supervisor;
     },
   ) {}
 
   open(): void {
-    this.options.board.vms.subscribe((records) => this.check(records));
+    const {board, supervisor} = this.options;
+    const task = {name: TaskName.SHUTDOWN};
+    board.vms.subscribe(
+      supervisor.guard(task, (records: readonly VmRecord[]) =>
+        this.check(records),
+      ),
+    );
   }
 
   private check(records: readonly VmRecord[]): void {
--- a/src/entry/links/vm-directory.ts
+++ b/src/entry/links/vm-directory.ts
@@ -2,6 +2,8 @@
 import type {Clock, TimerHandle} from '../../core/clock/index.js';
 import type {VmList, VmRecord} from '../../core/edges/index.js';
 import {VmRole} from '../../core/edges/index.js';
+import type {Supervisor} from '../../core/supervision/index.js';
+import {TaskName} from '../../core/supervision/index.js';
 import {VM_LIST_PERIOD_MS} from '../consts.js';
 import type {EntryBoard} from '../entry-board.js';
 
@@ -15,6 +17,7 @@
       board: EntryBoard;
       clock: Clock;
       vmList: VmList;
+      supervisor: Supervisor;
     },
   ) {}
 
@@ -41,17 +44,20 @@
 
   private refresh(): void {
     if (this.isReading) return;
+    const {supervisor} = this.options;
+    supervisor.run({name: TaskName.VM_LIST}, () => this.read());
+  }
+
+  private async read(): Promise<void> {
     this.isReading = true;
-    void this.options.vmList
-      .read()
-      .match(
-        (records) => this.update(records),
-        // The last list stays in use; the links detect failed targets.
-        () => undefined,
-      )
-      .then(() => {
-        this.isReading = false;
-      });
+    try {
+      const records = await this.options.vmList.read();
+      // After an error the last list stays in use; the links detect failed
+      // targets.
+      if (records.isOk()) this.update(records.value);
+    } finally {
+      this.isReading = false;
+    }
   }
 }
 
--- a/src/entry/request-dispatcher.ts
+++ b/src/entry/request-dispatcher.ts
@@ -27,8 +27,10 @@
 import {fingerprintOf} from '../core/generation/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import {CounterName, LatencyName} from '../core/metrics/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {runOrElse, TaskName} from '../core/supervision/index.js';
 import type {BookingService} from './calls/booking-service.js';
-import {RETRY_AFTER_MS} from './consts.js';
+import {ENTRY_FAILED_DETAIL, RETRY_AFTER_MS} from './consts.js';
 import type {EntryBoard} from './entry-board.js';
 import type {GenerationService} from './generation/generation-service.js';
 import type {ResolvedPlain} from './calls/plain-request.js';
@@ -46,6 +48,7 @@
   readonly generations: GenerationService;
   readonly bookings: BookingService;
   readonly plain: PlainService;
+  readonly supervisor: Supervisor;
 }
 
 interface AuthenticatedCaller {
@@ -99,10 +102,17 @@
         this.countAndReturn(applyKeyUncertainty(req, resolved.error)),
       );
     }
+    const {supervisor} = this.options;
+    const request = resolved.value;
     const startedAtMs = this.options.clock.now();
     this.inFlight++;
     return new ResultAsync(
-      this.admitAndCall(resolved.value).then((result) => {
+      runOrElse({
+        supervisor,
+        task: {name: TaskName.REQUEST},
+        work: () => this.admitAndCall(request),
+        orElse: () => err(entryFailedRefusal(request)),
+      }).then((result) => {
         this.inFlight--;
         const ms = this.options.clock.now() - startedAtMs;
         this.options.metrics.observe({name: LatencyName.PLAIN_CALL, ms});
@@ -123,12 +133,16 @@
       signal: req.signal,
     });
     if (ticket.isErr()) return this.handleNoTicket(request, ticket.error);
-    const pending = service.idempotent
-      ? this.options.plain.call(request)
-      : this.options.bookings.call(request);
-    const result = await pending;
-    ticket.value.release(ticketOutcomeOf(result));
-    return result;
+    let outcome = TicketOutcome.FAILED;
+    try {
+      const result = await (service.idempotent
+        ? this.options.plain.call(request)
+        : this.options.bookings.call(request));
+      outcome = ticketOutcomeOf(result);
+      return result;
+    } finally {
+      ticket.value.release(outcome);
+    }
   }
 
   /**
@@ -253,6 +267,13 @@
   return {reason, ran: Executed.NO, detail, retryAfterMs: RETRY_AFTER_MS};
 }
 
+function entryFailedRefusal({service}: ResolvedPlain): Refusal {
+  const reason = service.idempotent
+    ? RefusalReason.TARGET_FAILED
+    : RefusalReason.OUTCOME_UNKNOWN;
+  return {reason, ran: Executed.UNKNOWN, detail: ENTRY_FAILED_DETAIL};
+}
+
 function createRefusal(reason: RefusalReason, detail: string): Refusal {
   return {reason, ran: Executed.NO, detail};
 }
--- a/test/agent/crash-attribution.test.ts
+++ b/test/agent/crash-attribution.test.ts
@@ -19,6 +19,7 @@
 import {Metrics} from '../../src/core/metrics/index.js';
 import {TargetPhase} from '../../src/core/protocol/index.js';
 import type {StartMessage} from '../../src/core/protocol/index.js';
+import {supervise} from '../support/supervisor.js';
 
 const REPORT: TargetReport = {
   running: 0,
@@ -69,6 +70,7 @@
       board,
       clock,
       logger: SILENT_LOGGER,
+      supervisor: supervise(clock),
       lastTokenAtMs: () => Number.NEGATIVE_INFINITY,
       probe: {
         probe: () =>
@@ -90,6 +92,7 @@
       metrics,
       limit: new TargetLimit({clock, metrics, logger: SILENT_LOGGER}),
       random: new SeededRandom(1),
+      supervisor: supervise(clock),
       probeNow: () => monitor.checkNow(),
       driver: {
         generate: ({sink}) => {
--- a/test/core/booking/grouped-claims.test.ts
+++ b/test/core/booking/grouped-claims.test.ts
@@ -17,6 +17,7 @@
 import {SeededRandom, SystemClock} from '../../../src/core/clock/index.js';
 import type {ObjectKey, StoredObject} from '../../../src/core/edges/index.js';
 import {MemoryStore, WriteFault} from '../../cli/lib/memory-store.js';
+import {supervise} from '../../support/supervisor.js';
 
 const SEED = 5;
 const RUNS = 400;
@@ -52,9 +53,11 @@
 
 function createEntry(store: MemoryStore, seed: number): ClaimStore {
   const random = new SeededRandom(seed);
+  const clock = new SystemClock();
   return new GroupedClaims({
     store,
-    clock: new SystemClock(),
+    clock,
+    supervisor: supervise(clock),
     random,
     writeIntervalMs: 0,
   });
--- a/test/core/drain/drain-controller.test.ts
+++ b/test/core/drain/drain-controller.test.ts
@@ -8,6 +8,7 @@
   DrainController,
 } from '../../../src/core/drain/index.js';
 import {SILENT_LOGGER} from '../../../src/core/logs/index.js';
+import {supervise} from '../../support/supervisor.js';
 
 const SEED = 6;
 const STEP_MS = 50;
@@ -35,6 +36,7 @@
     draining,
     clock,
     logger: SILENT_LOGGER,
+    supervisor: supervise(clock),
     limits: AGENT_DRAIN_LIMITS,
     work: {
       countRunning: () => current.step.running,
--- a/test/core/logs.test.ts
+++ b/test/core/logs.test.ts
@@ -26,6 +26,28 @@
 }
 
 describe('BoundedSink', () => {
+  it('goes on after a write that throws, and counts its lines', () => {
+    let text = '';
+    let dropped = 0;
+    let isFailing = true;
+    const sink = new BoundedSink({
+      fd: 1,
+      clock: new ManualClock(),
+      onDropped: () => dropped++,
+      writeBytes: (_fd, bytes, callback) => {
+        if (isFailing) throw new Error('planted');
+        text += Buffer.from(bytes).toString();
+        callback(null, bytes.length);
+      },
+    });
+    const logger = createLogger({vm: 'entry-1', role: 'direct', sink});
+    logger.info('lost');
+    isFailing = false;
+    logger.info('written');
+    expect(dropped).toBe(1);
+    expect(text).toContain('written');
+  });
+
   function createTestLogger() {
     const clock = new ManualClock();
     const reader = new StoppedReader();
--- a/test/entry/agent-link.test.ts
+++ b/test/entry/agent-link.test.ts
@@ -20,6 +20,7 @@
 } from '../../src/core/protocol/index.js';
 import {AgentLink} from '../../src/entry/links/agent-link.js';
 import {waitFor} from '../support/direct-site.js';
+import {supervise} from '../support/supervisor.js';
 
 const CALL_ID = 'call-1';
 
@@ -86,6 +87,7 @@
         clock,
         random: new SeededRandom(1),
         metrics: new Metrics(),
+        supervisor: supervise(clock),
         config: {
           latest: () => ({version: 0, value: undefined}),
           ageMs: () => 0,
