Entries and agents wait for a taken port instead of ending

Cause: `listen` was tried once, and each error, also one that passes, was final.

Fix: the listeners of both roles use listenWhenFree, which moves beside the peer server in the core, as core may not import adapters. It says once a second that it waits; an error that does not pass by itself still ends the process. The entry opens operators after callers, so that it is not ready while its port for callers is taken. A peer server waits only if it is given a logger, so that the direct entry's one behaves as before.

--- a/src/adapters/http-server.ts
+++ b/src/adapters/http-server.ts
@@ -6,13 +6,15 @@
   ServerResponse,
 } from 'node:http';
 import {createServer, STATUS_CODES} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {Socket} from 'node:net';
 
 import {getRequestListener, RequestError} from '@hono/node-server';
 import type {Hono} from 'hono';
 
+import type {Clock} from '../core/clock/index.js';
 import type {Refusal} from '../core/errors/index.js';
 import {Executed, RefusalReason} from '../core/errors/index.js';
+import type {Logger} from '../core/logs/index.js';
 import type {Supervisor, Task} from '../core/supervision/index.js';
 import {TaskName} from '../core/supervision/index.js';
 import {
@@ -20,6 +22,7 @@
   createProblemResponse,
   PROBLEM_CONTENT_TYPE,
 } from './callers/problem.js';
+import {listenWhenFree} from './listen-when-free.js';
 
 /** Largest size of a request line and its headers, in bytes. */
 export const MAX_HEADER_BYTES = 16 * 1024;
@@ -66,17 +69,20 @@
 }
 
 /**
- * Starts to listen; rejects if the address is in use.
+ * Listens as soon as the address is free; rejects if it never can be.
  *
  * @example
+ * const edges = {clock, logger, supervisor};
  * const at = {address: '127.0.0.1', port: 0};
- * const {port} = await listenHttp({app, ...at, supervisor});
+ * const {port} = await listenHttp({app, ...at, ...edges});
  */
-export function listenHttp(options: {
+export async function listenHttp(options: {
   app: Hono;
   address: string;
   /** 0 for any free port. */
   port: number;
+  clock: Clock;
+  logger: Logger;
   /** Holds failures of single requests. */
   supervisor: Supervisor;
   counter?: RefusalCounter;
@@ -86,7 +92,7 @@
    */
   keepsAlive?: () => boolean;
 }): Promise<HttpListener> {
-  const {app, address, port, counter, supervisor} = options;
+  const {app, address, counter, supervisor, clock, logger} = options;
   const {keepsAlive = () => true} = options;
   const listener = getRequestListener(app.fetch, {
     errorHandler: (cause) =>
@@ -104,17 +110,17 @@
     );
   });
   const open = trackResponses(server, keepsAlive);
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, address, () => {
-      const bound = server.address() as AddressInfo;
-      resolve({
-        port: bound.port,
-        countOpen: () => open.size,
-        close: () => closeServer(server),
-      });
-    });
+  const port = await listenWhenFree({
+    server,
+    address: {host: address, port: options.port},
+    clock,
+    logger,
   });
+  return {
+    port,
+    countOpen: () => open.size,
+    close: () => closeServer(server),
+  };
 }
 
 /** A request whose failure is answered, or cuts off its response. */
--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -100,7 +100,8 @@
   start(): ResultAsync<number, TransportError> {
     this.monitor.open();
     this.attempts?.open();
-    return this.server.listen(this.options.settings.peers);
+    const {settings, logger} = this.options;
+    return this.server.listen({...settings.peers, logger});
   }
 
   stop(): void {
--- a/src/core/protocol/index.ts
+++ b/src/core/protocol/index.ts
@@ -1,6 +1,7 @@
 /** Messages, frames and connections between the processes of the system. */
 export * from './consts.js';
 export * from './frame-codec.js';
+export * from './listen-when-free.js';
 export * from './message-router.js';
 export * from './message-type.js';
 export * from './messages.js';
--- a/src/core/protocol/peer-server.ts
+++ b/src/core/protocol/peer-server.ts
@@ -1,13 +1,15 @@
 /** Accepts connections from peers. */
-import type {AddressInfo, Server, Socket} from 'node:net';
+import type {Server, Socket} from 'node:net';
 import {createServer} from 'node:net';
 
 import {okAsync, ResultAsync} from 'neverthrow';
 
 import type {Clock} from '../clock/index.js';
+import type {Logger} from '../logs/index.js';
 import type {Supervisor} from '../supervision/index.js';
 import {TaskName} from '../supervision/index.js';
 import {createTransportError} from './frame-codec.js';
+import {listenOnce, listenWhenFree} from './listen-when-free.js';
 import type {HelloMessage} from './messages.js';
 import type {ConnectionListener} from './peer-connection.js';
 import {PeerConnection} from './peer-connection.js';
@@ -52,14 +54,17 @@
   listen(options: {
     address: string;
     port: number;
+    /** Waits for an address in use and says so here; fails without it. */
+    logger?: Logger;
   }): ResultAsync<number, TransportError> {
-    const {address, port} = options;
-    const listening = new Promise<number>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, address, () => {
-        resolve((this.server.address() as AddressInfo).port);
-      });
-    });
+    const {logger, port} = options;
+    const {clock} = this.options;
+    const {server} = this;
+    const address = {host: options.address, port};
+    const listening =
+      logger === undefined
+        ? listenOnce(server, address)
+        : listenWhenFree({server, address, clock, logger});
     return ResultAsync.fromPromise(listening, (cause) =>
       createTransportError(TransportErrorKind.CONNECT_FAILED, String(cause)),
     );
--- a/src/daemon/process-lifecycle.ts
+++ b/src/daemon/process-lifecycle.ts
@@ -2,6 +2,7 @@
 import {createOperatorsApp} from '../adapters/http-operators.js';
 import type {HttpListener} from '../adapters/http-server.js';
 import {listenHttp} from '../adapters/http-server.js';
+import type {Clock} from '../core/clock/index.js';
 import type {OperatorHandler} from '../core/edges/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {DaemonSettings} from '../core/settings/index.js';
@@ -46,19 +47,22 @@
 }
 
 /**
- * Starts the operators' server.
+ * Starts the operators' server once its address is free.
  *
  * @example
- * await startOperatorsServer({handler: agent, settings, supervisor});
+ * const edges = {clock, logger, supervisor};
+ * await startOperatorsServer({handler: agent, settings, ...edges});
  */
 export async function startOperatorsServer(options: {
   handler: OperatorHandler;
   settings: DaemonSettings;
+  clock: Clock;
+  logger: Logger;
   supervisor: Supervisor;
 }): Promise<HttpListener> {
-  const {handler, settings, supervisor} = options;
-  const app = createOperatorsApp({handler, supervisor});
-  return listenHttp({app, ...settings.operators, supervisor});
+  const {handler, settings, ...edges} = options;
+  const app = createOperatorsApp({handler, supervisor: edges.supervisor});
+  return listenHttp({app, ...settings.operators, ...edges});
 }
 
 /**
--- a/src/daemon/run-agent.ts
+++ b/src/daemon/run-agent.ts
@@ -51,7 +51,7 @@
     const operators = await startOperatorsServer({
       handler: agent,
       settings,
-      supervisor,
+      ...{clock, logger, supervisor},
     });
     printReadyLine({
       vm: settings.vm,
--- a/src/daemon/run-entry.ts
+++ b/src/daemon/run-entry.ts
@@ -47,20 +47,22 @@
   const peers = await entry.start();
   if (peers.isErr()) exitCannotListen(logger, peers.error.detail);
   try {
-    const operators = await startOperatorsServer({
-      handler: entry,
-      settings,
-      supervisor,
-    });
     const handler = entry.callerHandler;
     const app = createCallersApp({handler, supervisor});
+    const edges = {clock, logger, supervisor};
     callers = await listenHttp({
       app,
       ...settings.callers!,
-      supervisor,
+      ...edges,
       counter: handler,
       keepsAlive: () => entry.isReady(),
     });
+    // Callers are sent here once it is ready, so it comes after their server.
+    const operators = await startOperatorsServer({
+      handler: entry,
+      settings,
+      ...edges,
+    });
     printReadyLine({
       vm: settings.vm,
       operatorsPort: operators.port,
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -141,7 +141,8 @@
     this.generations.open();
     this.config.open();
     this.quarantineSync.open();
-    return this.server.listen(this.options.settings.peers);
+    const {settings, logger} = this.options;
+    return this.server.listen({...settings.peers, logger});
   }
 
   stop(): void {
--- a/test/support/agent-site.ts
+++ b/test/support/agent-site.ts
@@ -204,7 +204,9 @@
       app: createCallersApp({handler, supervisor}),
       address: ADDRESS,
       port: 0,
+      clock,
       supervisor,
+      logger: SILENT_LOGGER,
       counter: handler,
     });
   }
