--- a/eslint.config.js
+++ b/eslint.config.js
@@ -52,13 +52,8 @@
     },
   },
   {
-    // Work that nobody waits for runs under the supervisor.
-    files: [
-      'src/direct/**',
-      'src/core/sync/**',
-      'src/daemon/run-direct.ts',
-      'platform/**',
-    ],
+    // A detached promise whose rejection is not held ends the whole process.
+    files: ['src/**', 'platform/**'],
     rules: {
       '@typescript-eslint/no-floating-promises': ['error', {ignoreVoid: false}],
     },
--- a/src/core/protocol/peer-server.ts
+++ b/src/core/protocol/peer-server.ts
@@ -1,11 +1,15 @@
 /** Accepts connections from peers. */
-import type {AddressInfo, Server, Socket} from 'node:net';
+import type {Server, Socket} from 'node:net';
 import {createServer} from 'node:net';
 
 import {okAsync, ResultAsync} from 'neverthrow';
 
 import type {Clock} from '../clock/index.js';
+import type {Logger} from '../logs/index.js';
+import type {Supervisor} from '../supervision/index.js';
+import {TaskName} from '../supervision/index.js';
 import {createTransportError} from './frame-codec.js';
+import {listenOnce, listenWhenFree} from './listen-when-free.js';
 import type {HelloMessage} from './messages.js';
 import type {ConnectionListener} from './peer-connection.js';
 import {PeerConnection} from './peer-connection.js';
@@ -36,9 +40,11 @@
       hello: HelloMessage;
       clock: Clock;
       createListener: ListenerFactory;
+      /** Holds failures of the listeners; without it they reach the socket. */
+      supervisor?: Supervisor;
     },
   ) {
-    this.server = createServer((socket) => this.accept(socket));
+    this.server = createServer((socket) => this.acceptOrClose(socket));
     // Without a listener, an accept that fails for want of descriptors would end
     // the process.
     this.server.on('error', () => undefined);
@@ -48,21 +54,17 @@
   listen(options: {
     address: string;
     port: number;
+    /** Waits for an address in use and says so here; fails without it. */
+    logger?: Logger;
   }): ResultAsync<number, TransportError> {
+    const {logger, port} = options;
+    const {clock} = this.options;
     const {server} = this;
-    const listening = new Promise<number>((resolve, reject) => {
-      const onError = (err: Error) => {
-        server.off('listening', onListening);
-        reject(err);
-      };
-      const onListening = () => {
-        server.off('error', onError);
-        resolve((server.address() as AddressInfo).port);
-      };
-      server.once('error', onError);
-      server.once('listening', onListening);
-      server.listen(options.port, options.address);
-    });
+    const address = {host: options.address, port};
+    const listening =
+      logger === undefined
+        ? listenOnce(server, address)
+        : listenWhenFree({server, addressOf: () => address, clock, logger});
     return ResultAsync.fromPromise(listening, (cause) =>
       createTransportError(TransportErrorKind.CONNECT_FAILED, String(cause)),
     );
@@ -83,8 +85,16 @@
     return okAsync(undefined);
   }
 
+  private acceptOrClose(socket: Socket): void {
+    const {supervisor} = this.options;
+    const accept = () => this.accept(socket);
+    const onFailure = () => void socket.destroy();
+    if (supervisor === undefined) accept();
+    else supervisor.run({name: TaskName.PEERS, onFailure}, accept);
+  }
+
   private accept(socket: Socket): void {
-    const {hello, clock, createListener} = this.options;
+    const {hello, clock, createListener, supervisor} = this.options;
     const inner = createListener(() => connection);
     const listener: ConnectionListener = {
       onReady: (peer) => inner.onReady(peer),
@@ -96,7 +106,13 @@
         inner.onClose(err);
       },
     };
-    const connection = new PeerConnection({socket, hello, clock, listener});
+    const connection = new PeerConnection({
+      socket,
+      hello,
+      clock,
+      listener,
+      supervisor,
+    });
     this.connections.add(connection);
   }
 }
--- a/src/core/supervision/supervisor.ts
+++ b/src/core/supervision/supervisor.ts
@@ -1,3 +1,5 @@
+import {inspect} from 'node:util';
+
 import type {Clock} from '../clock/index.js';
 import {sleep} from '../clock/index.js';
 import type {Logger} from '../logs/index.js';
@@ -67,7 +69,7 @@
    * supervisor.keepRunning({name: TaskName.STORE_FOLLOWER}, () => this.loop());
    */
   keepRunning(task: Task, loop: () => Promise<void>): void {
-    void this.repeatUntilDone(task, loop);
+    this.run(task, () => this.repeatUntilDone(task, loop));
   }
 
   private async repeatUntilDone(
@@ -92,21 +94,25 @@
 
   private fail(task: Task, cause: unknown): void {
     this.record(task, cause);
-    try {
-      task.onFailure?.();
-    } catch (secondCause) {
-      this.record(task, secondCause);
-    }
+    // Its own failures are recorded, and have no further handler.
+    const {name, requestId} = task;
+    if (task.onFailure !== undefined)
+      this.run({name, requestId}, task.onFailure);
   }
 
+  /** A log or a counter that fails too must not keep `onFailure` from its call. */
   private record({name, requestId}: Task, cause: unknown): void {
     const {metrics, logger} = this.options;
-    metrics.count(CounterName.TASK_FAILURES, {label: name});
-    logger.error('task failed', {
-      task: name,
-      id: requestId,
-      detail: describe(cause),
-    });
+    try {
+      metrics.count(CounterName.TASK_FAILURES, {label: name});
+      logger.error('task failed', {
+        task: name,
+        id: requestId,
+        detail: describe(cause),
+      });
+    } catch {
+      // Nothing is left that could tell of it.
+    }
   }
 }
 
@@ -118,7 +124,9 @@
   );
 }
 
+/** Describes anything that can be thrown, such as an object without text. */
 function describe(cause: unknown): string {
-  const text = cause instanceof Error ? cause.stack : undefined;
-  return (text ?? String(cause)).slice(0, MAX_STACK_CHARS);
+  const stack: unknown = cause instanceof Error ? cause.stack : undefined;
+  const text = typeof stack === 'string' ? stack : inspect(cause);
+  return text.slice(0, MAX_STACK_CHARS);
 }
--- a/src/core/supervision/types.ts
+++ b/src/core/supervision/types.ts
@@ -33,5 +33,5 @@
   /**
    * Called after a failure, such as to answer the request; it may fail too.
    */
-  readonly onFailure?: () => void;
+  readonly onFailure?: () => unknown;
 }
--- a/src/daemon/run-agent.ts
+++ b/src/daemon/run-agent.ts
@@ -6,9 +6,10 @@
 import {AgentProcess} from '../agent/agent-process.js';
 import {TargetLimit} from '../agent/target-limit.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
-import {createLogger} from '../core/logs/index.js';
 import type {DaemonSettings, TargetSettings} from '../core/settings/index.js';
 import {TargetKind} from '../core/settings/index.js';
+import {Supervisor} from '../core/supervision/index.js';
+import {createDaemonLogger} from './create-daemon-logger.js';
 import {createMetrics} from './create-metrics.js';
 import {createStore} from './create-store.js';
 import {
@@ -25,27 +26,33 @@
   settings: DaemonSettings,
   startupSignals: StartupSignals,
 ): Promise<void> {
-  const logger = createLogger(settings);
   const metrics = createMetrics();
+  const logger = createDaemonLogger({settings, metrics});
   const clock = new SystemClock();
+  const supervisor = new Supervisor({clock, metrics, logger});
   const limit = new TargetLimit({clock, metrics, logger});
   const onHeaders: OnHeaders = (headers) => limit.hear(findLimit(headers));
   const agent = new AgentProcess({
     settings,
     clock,
+    supervisor,
     limit,
     random: new SystemRandom(),
     metrics,
     logger,
     store: createStore({baseUrl: settings.platformUrl, metrics}),
     drivers: createDrivers(settings.target!, onHeaders),
-    onDrained: () => exitAfterFlush({stop: () => agent.stop()}),
+    onDrained: () => exitAfterFlush({stop: () => agent.stop(), supervisor}),
   });
-  handleSignals({handler: agent, logger, startupSignals});
+  handleSignals({handler: agent, logger, supervisor, startupSignals});
   const peers = await agent.start();
   if (peers.isErr()) exitCannotListen(logger, peers.error.detail);
   try {
-    const operators = await startOperatorsServer({handler: agent, settings});
+    const operators = await startOperatorsServer({
+      handler: agent,
+      settings,
+      ...{clock, logger, supervisor},
+    });
     printReadyLine({
       vm: settings.vm,
       operatorsPort: operators.port,
--- a/src/daemon/run-daemon.ts
+++ b/src/daemon/run-daemon.ts
@@ -1,4 +1,6 @@
 /** Reads the settings of `plantainrilld` and runs the role that they name. */
+import {setImmediate} from 'node:timers/promises';
+
 import {Command} from 'commander';
 
 import {loadDaemonSettings, ProcessRole} from '../core/settings/index.js';
@@ -37,6 +39,8 @@
  * await runDaemon(new StartupSignals(process));
  */
 export async function runDaemon(startupSignals: StartupSignals): Promise<void> {
+  // Signals that arrived while the program was loaded are handled first.
+  await setImmediate();
   const flags = program.parse().opts<Flags>();
   const settings = loadDaemonSettings({
     basePath: flags.settings,
--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -1,6 +1,7 @@
 /** Creates and starts a direct entry from the settings file. */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
+import {setImmediate} from 'node:timers/promises';
 
 import {Command, InvalidArgumentError} from 'commander';
 
@@ -77,6 +78,8 @@
  * await runDirect(new StartupSignals(process));
  */
 export async function runDirect(startupSignals: StartupSignals): Promise<void> {
+  // Signals that arrived while the program was loaded are handled first.
+  await setImmediate();
   const flags = program.parse().opts<Flags>();
   const path = process.env[SETTINGS_PATH_VARIABLE] ?? '';
   if (path === '')
@@ -216,6 +219,7 @@
   process.on('SIGHUP', supervisor.guard({name: TaskName.SETTINGS}, reload));
   const shutdownTask = {name: TaskName.SHUTDOWN};
   const stop = supervisor.guard(shutdownTask, () => {
+    if (entry.draining.get()) return;
     shutdown.begin();
     readinessLog.stop();
     entry.startDraining();
--- a/src/direct/relay/watch-client.ts
+++ b/src/direct/relay/watch-client.ts
@@ -72,6 +72,7 @@
       peer: parseIpEndpoint(entry.address)!,
       hello,
       clock,
+      supervisor,
       random,
       listener: {
         onReady: supervisor.guard(task, (peer: HelloMessage) =>
--- a/src/direct/relay/watch-server.ts
+++ b/src/direct/relay/watch-server.ts
@@ -74,10 +74,11 @@
       onPermitAsked: (message: AskPermitMessage) => PermitMessage | undefined;
     },
   ) {
-    const {hello, clock} = options;
+    const {hello, clock, supervisor} = options;
     this.server = new PeerServer({
       hello,
       clock,
+      supervisor,
       createListener: (connection) => ({
         onReady: this.guard(connection, ({vm}: HelloMessage) =>
           this.connections.set(connection(), {vm, heardAtMs: clock.now()}),
--- a/src/direct/settings-watcher.ts
+++ b/src/direct/settings-watcher.ts
@@ -26,6 +26,9 @@
 export class SettingsWatcher {
   private text: string;
   private timer?: TimerHandle;
+  private isReading = false;
+  /** Whether the file may have changed since the last read began. */
+  private isStale = false;
 
   constructor(
     private readonly options: {
@@ -53,10 +56,27 @@
     this.timer?.cancel();
   }
 
-  /** Reads the file again without waiting for the end. */
+  /**
+   * Reads the file again without waiting for the end. While it is read, further
+   * calls lead to one more read together.
+   */
   check(): void {
+    this.isStale = true;
+    if (this.isReading) return;
     const task = {name: TaskName.SETTINGS};
-    this.options.supervisor.run(task, () => this.readAgain());
+    this.options.supervisor.run(task, () => this.readWhileStale());
+  }
+
+  private async readWhileStale(): Promise<void> {
+    this.isReading = true;
+    try {
+      while (this.isStale) {
+        this.isStale = false;
+        await this.readAgain();
+      }
+    } finally {
+      this.isReading = false;
+    }
   }
 
   /**
--- a/test/core/drain/drain-controller.test.ts
+++ b/test/core/drain/drain-controller.test.ts
@@ -8,6 +8,7 @@
   DrainController,
 } from '../../../src/core/drain/index.js';
 import {SILENT_LOGGER} from '../../../src/core/logs/index.js';
+import {silentSupervisor} from '../../support/supervisor.js';
 
 const SEED = 6;
 const STEP_MS = 50;
@@ -35,6 +36,7 @@
     draining,
     clock,
     logger: SILENT_LOGGER,
+    supervisor: silentSupervisor(clock),
     limits: AGENT_DRAIN_LIMITS,
     work: {
       countRunning: () => current.step.running,
@@ -47,6 +49,18 @@
 }
 
 describe('DrainController', () => {
+  // Guards against a process that never stops after a failed begin.
+  it('drains although a listener throws at its begin', () => {
+    const step = {running: 0, unsent: 0, peers: 0, beginsAgain: false};
+    const {draining, clock, drainedAtMs, drain} = startDrain({step});
+    draining.subscribe(() => {
+      throw new Error('unforeseen');
+    });
+    expect(() => drain.begin()).toThrow('unforeseen');
+    clock.advance(AGENT_DRAIN_LIMITS.minDrainMs + 1_000);
+    expect(drainedAtMs).toHaveLength(1);
+  });
+
   it(`drains once, without work and in bounded time (seed ${SEED})`, () => {
     const {minDrainMs, peerTimeoutMs} = AGENT_DRAIN_LIMITS;
     fc.assert(
--- a/test/core/supervision/supervisor.test.ts
+++ b/test/core/supervision/supervisor.test.ts
@@ -53,6 +53,36 @@
     );
   });
 
+  // Guards against failures that end the process as they are reported (FAULT).
+  it.each([
+    {what: 'a cause without text', cause: Object.create(null) as unknown},
+    {what: 'a stack that is no text', cause: withStack(1)},
+    {what: 'nothing', cause: undefined},
+    {what: 'a logger that throws', cause: 1, log: throwFailure},
+    {what: 'a handler that rejects', cause: 1, answer: rejectLater},
+    {what: 'a handler that throws', cause: 1, answer: throwFailure},
+  ])('calls the handler despite $what', async ({cause, log, answer}) => {
+    let reported = 0;
+    const escaped: unknown[] = [];
+    const keep = (reason: unknown) => escaped.push(reason);
+    process.on('unhandledRejection', keep);
+    if (log !== undefined) {
+      const logger: Logger = {...SILENT_LOGGER, error: log};
+      supervisor = new Supervisor({clock, metrics, logger});
+    }
+    const onFailure = () => {
+      reported++;
+      return answer?.();
+    };
+    const task = {name: TaskName.CALL, onFailure};
+    supervisor.run(task, () => throwCause(cause));
+    // eslint-disable-next-line @typescript-eslint/prefer-promise-reject-errors
+    supervisor.run(task, () => Promise.reject(cause));
+    await new Promise((resolve) => setTimeout(resolve, 10));
+    process.off('unhandledRejection', keep);
+    expect({reported, escaped}).toEqual({reported: 2, escaped: []});
+  });
+
   it('names the task, the request and the place', () => {
     const task = {name: TaskName.CALL, requestId: 'a-1'};
     supervisor.run(task, throwFailure);
@@ -84,6 +114,16 @@
   });
 });
 
+function throwCause(cause: unknown): never {
+  throw cause;
+}
+
+function withStack(stack: unknown): Error {
+  return Object.assign(new Error('odd'), {stack});
+}
+
+const rejectLater = () => Promise.reject(new Error('later'));
+
 function throwFailure(): never {
   throw new Error('unforeseen');
 }
--- a/test/direct/settings-watcher.test.ts
+++ b/test/direct/settings-watcher.test.ts
@@ -73,6 +73,16 @@
     expect(applied).toEqual(expected);
   });
 
+  // Guards against an older text that is applied after a newer one.
+  it('reads once more for all checks during a read', async () => {
+    writeFileSync(path, 'two');
+    for (let i = 0; i < 100; i++) watcher.check();
+    writeFileSync(path, 'three');
+    watcher.check();
+    await vi.waitFor(() => expect(applied.at(-1)).toBe('three'));
+    expect(applied.length).toBeLessThanOrEqual(2);
+  });
+
   it('goes on after settings that cannot be applied', async () => {
     writeFileSync(path, 'broken');
     watcher.check();
--- a/test/support/starting-program.ts
+++ b/test/support/starting-program.ts
@@ -94,6 +94,12 @@
     return this.handled;
   }
 
+  /** Closes the reading ends of its standard output and standard error. */
+  closeReaders(): void {
+    this.child.stdout!.destroy();
+    this.child.stderr!.destroy();
+  }
+
   signal(name: NodeJS.Signals): void {
     this.child.kill(name);
   }
