--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -19,6 +19,7 @@
 import type {Target} from '../core/targets/index.js';
 import {attemptTimeoutMs} from './attempt-timeout.js';
 import type {CallAttempt} from './call-attempt.js';
+import {CallLog} from './call-log.js';
 import {ResponseBody, TOO_LARGE_DETAIL} from './response-body.js';
 import type {DirectContext, DirectWork, RequestContext} from './context.js';
 import {forwardResponse} from './forward-response.js';
@@ -45,6 +46,7 @@
   private readonly boundary: RequestBoundary;
   private readonly work: DirectWork;
   private readonly onOver: () => void;
+  private readonly log: CallLog;
   private readonly triedTargets = new Set<string>();
   private deadline?: TimerHandle;
   private readonly poisonDetector: PoisonDetector;
@@ -74,6 +76,7 @@
     });
     const {ctx} = this.boundary;
     this.ctx = ctx;
+    this.log = new CallLog({ctx, work});
     this.body = new ResponseBody(ctx);
     this.permitted = new PermittedChoice({ctx, work});
     this.poisonDetector = new PoisonDetector({
@@ -125,8 +128,7 @@
     const {ctx, work} = this;
     const {waitMs} = this.permitted;
     if (waitMs === undefined) {
-      const service = work.service.name;
-      ctx.logger.warn('no usable target for call', {service});
+      this.log.recordNoTarget();
       this.fail(false);
       return;
     }
@@ -233,12 +235,7 @@
     if (!certainlyDidNotRun(failure)) this.mayHaveRun = true;
     const isLost = failure === ExchangeFailure.BROKEN;
     if (isLost) this.poisonDetector.recordLoss({target, startedMs});
-    this.ctx.logger.info('call attempt failed', {
-      id: this.work.req.attemptId,
-      target: target.id,
-      failure,
-      detail,
-    });
+    this.log.recordFailedAttempt(target, failure, detail);
     recordTargetFailure(target, failure);
     this.onAttemptEnd({failure});
   }
@@ -325,15 +322,7 @@
     const mayHaveRun = this.mayHaveRun || hadActiveAttempt;
     const {status, reason} = toFailureResponse({mayHaveRun, isTimedOut});
     this.ctx.metrics.countRefusal(reason);
-    this.ctx.logger.info('call failed', {
-      id: this.work.req.attemptId,
-      status,
-      reason,
-      sent: this.sentCount,
-      target: target?.id,
-      heldMs: Math.round(this.ctx.clock.now() - this.work.req.receivedMs),
-      deadlineMs: this.work.req.deadlineMs,
-    });
+    this.log.recordFailure({status, reason, sent: this.sentCount, target});
     const retryAfterMs = mayHaveRun
       ? undefined
       : retryAfterMsOf(this.ctx, this.work);
@@ -418,11 +407,7 @@
 
   private recordRetry(reason: RetryReason, from: Target): void {
     this.ctx.metrics.countRetry(reason);
-    this.ctx.logger.info('call retried at another target', {
-      id: this.work.req.attemptId,
-      reason,
-      from: from.id,
-    });
+    this.log.recordRetry(reason, from);
   }
 
   private takeRetry(reason: RetryReason): boolean {
