--- a/src/direct/relay/entry-directory.ts
+++ b/src/direct/relay/entry-directory.ts
@@ -30,8 +30,8 @@
 
 /**
  * Knows the entries that answer others. Each registers an object under the name
- * of its VM once it listens, and removes it when it stops as planned. The object of an entry that
- * was killed stays; whoever asks that entry finds out.
+ * of its VM once it listens, and removes it when it stops as planned. The object
+ * of an entry that was killed stays; whoever asks that entry finds out.
  *
  * @example
  * const directory = new EntryDirectory(options);
--- a/test/processes/startup-signals.test.ts
+++ b/test/processes/startup-signals.test.ts
@@ -99,8 +99,11 @@
     folder.remove();
   });
 
-  function start(argv: readonly string[]): StartingProgram {
-    const program = new StartingProgram({folder, argv, env});
+  function start(
+    argv: readonly string[],
+    earlySignal?: NodeJS.Signals,
+  ): StartingProgram {
+    const program = new StartingProgram({folder, argv, env, earlySignal});
     programs.push(program);
     return program;
   }
@@ -145,9 +148,7 @@
   it.each(PROGRAMS)(
     '$what that is loaded stops it before it serves',
     async ({argv}) => {
-      const program = start(argv);
-      await program.untilHandled();
-      program.signal('SIGTERM');
+      const program = start(argv, 'SIGTERM');
       expect(await program.ended()).toBe('status 0, signal null');
       expect(program.output + program.errors).toBe('');
     },
--- a/test/support/starting-program.ts
+++ b/test/support/starting-program.ts
@@ -16,6 +16,9 @@
 /** Descriptor on which the probe reports. */
 const PROBE_FD = 3;
 
+/** Variable with a signal that the process gets as soon as it handles SIGHUP. */
+const OWN_SIGNAL = 'PROBE_SIGNAL';
+
 /**
  * Reports the processor time, in microseconds, that the process has used when it
  * first handles SIGHUP.
@@ -26,6 +29,8 @@
   process.off('newListener', report);
   const {user, system} = process.cpuUsage();
   require('node:fs').writeSync(${PROBE_FD}, String(user + system));
+  const own = process.env.${OWN_SIGNAL};
+  if (own !== undefined) process.kill(process.pid, own);
 };
 process.on('newListener', report);
 `;
@@ -71,12 +76,15 @@
     /** Program and its arguments. */
     argv: readonly string[];
     env?: Readonly<Record<string, string>>;
+    /** A signal that it gets at its first line, while it is loaded. */
+    earlySignal?: NodeJS.Signals;
   }) {
-    const {folder, argv, env} = options;
+    const {folder, argv, env, earlySignal} = options;
+    const own = earlySignal === undefined ? {} : {[OWN_SIGNAL]: earlySignal};
     const probe = folder.write('probe.cjs', PROBE);
     this.child = spawn(process.execPath, ['--require', probe, ...argv], {
       stdio: ['ignore', 'pipe', 'pipe', 'pipe'],
-      env: {...process.env, ...env},
+      env: {...process.env, ...env, ...own},
     });
     this.child.stderr!.on('data', (chunk) => (this.errorText += String(chunk)));
     this.child.stdout!.on('data', (chunk) => {
