Placing: plain calls go by the expected time at a target that tells how slow it is

Cause: decodeLoad dropped the slots and the slowness of a load report, so a call went to a target by its count of requests alone. Change: ReportedLoad has slots and slowness; chooseCallTarget multiplies requests there by the slowness, which ages to the target's usual one with a half-life of 200 ms. Without a slowness the cost is as before.

--- a/src/core/placing/choose-call-target.ts
+++ b/src/core/placing/choose-call-target.ts
@@ -30,9 +30,10 @@
 }
 
 /**
- * Chooses the target with the lowest cost: its estimated requests plus the
- * costs above. Meant for many short calls to few targets, from entries that do
- * not coordinate with each other. Returns undefined if all are excluded.
+ * Chooses the target with the lowest cost: the expected time of the call there,
+ * in requests, plus the costs above. Meant for many short calls to few targets,
+ * from entries that do not coordinate with each other. Returns undefined if all
+ * are excluded.
  *
  * @example
  * const target = chooseCallTarget({targets, dataCentre, excluded, random});
@@ -57,13 +58,22 @@
   query: CallTargetQuery,
   baseline: ServiceBaseline,
 ): number {
-  const {slots, dataCentre} = target.record;
-  const requests = target.estimatedRequests();
-  let cost = requests + query.random.float() * JITTER;
-  if (requests >= slots) cost += requests - slots + 1;
+  const {dataCentre} = target.record;
+  let cost = expectedTime(target) + query.random.float() * JITTER;
   if (dataCentre !== query.dataCentre) cost += REMOTE_DATA_CENTRE_COST;
   cost += excessFailureShare(target, baseline) * FAILURE_COST;
   if (target.isFull()) cost += FULL_COST;
   if (target.isPaused()) cost += PAUSED_COST;
   return cost;
 }
+
+/**
+ * Expected time of a further call beyond that of a call alone at a target of the
+ * usual speed, in requests. Waiting requests count twice.
+ */
+function expectedTime(target: Target): number {
+  const {slots, slowness} = target;
+  const requests = target.estimatedRequests() + 1;
+  const waiting = Math.max(0, requests - slots);
+  return (requests + waiting) * slowness - 1;
+}
--- a/src/core/targets/consts.ts
+++ b/src/core/targets/consts.ts
@@ -48,3 +48,9 @@
 
 /** Longest time for which a target may ask for no work, in milliseconds. */
 export const MAX_BACKOFF_MS = 300_000;
+
+/** Time in which a reported slowness loses half of its weight, in ms. */
+export const SLOWNESS_HALF_LIFE_MS = 200;
+
+/** Weight of the newest report in the usual slowness of a target. */
+export const USUAL_SLOWNESS_WEIGHT = 0.05;
--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -13,6 +13,7 @@
   PAUSE_AFTER_FAILURE_MS,
   FULL_AFTER_REJECT_MS,
 } from './consts.js';
+import {SlownessEstimate} from './slowness.js';
 import type {ReportedLoad, TargetRecord, TargetWork} from './types.js';
 
 /**
@@ -55,6 +56,7 @@
   private fullUntilMs = Number.NEGATIVE_INFINITY;
   private heardLimit: HeardLimit = {heardAtMs: Number.NEGATIVE_INFINITY};
   private readonly recentSends: RecentCount;
+  private readonly slownessEstimate = new SlownessEstimate();
 
   constructor(options: {
     record: TargetRecord;
@@ -123,7 +125,8 @@
     }
     this.recordSeen();
     if (load.isLeaving === true) this.recordLeaving();
-    const {limitPerSecond} = load;
+    const {limitPerSecond, slowness} = load;
+    if (slowness !== undefined) this.slownessEstimate.record(slowness);
     if (limitPerSecond !== undefined) this.recordLimit(limitPerSecond);
   }
 
@@ -168,6 +171,16 @@
     return this.clock.now() - this.reportReceivedAtMs;
   }
 
+  /** Requests that the target can run at once. */
+  get slots(): number {
+    return this.reported.slots ?? this.record.slots;
+  }
+
+  /** Time that work takes there now, relative to the usual; 1 if not told. */
+  get slowness(): number {
+    return this.slownessEstimate.estimate(this.reportAgeMs());
+  }
+
   /** Estimated number of requests at the target from all entries. */
   estimatedRequests(): number {
     return this.othersRequests() + this.work.size;
--- a/src/core/targets/types.ts
+++ b/src/core/targets/types.ts
@@ -21,6 +21,13 @@
 export interface ReportedLoad {
   readonly running: number;
   readonly waiting: number;
+  /** Requests that it can run at once; undefined if not reported. */
+  readonly slots?: number;
+  /**
+   * Time that work takes on its VM now, relative to the usual time: 2 if it
+   * takes twice as long; undefined if not reported.
+   */
+  readonly slowness?: number;
   /** Number of running requests in prefill; undefined if not reported. */
   readonly prefilling?: number;
   /**
--- a/test/core/placing/placing.test.ts
+++ b/test/core/placing/placing.test.ts
@@ -193,6 +193,51 @@
     }
     expect(chooseCallTarget(createCallQuery(targets))).not.toBe(targets[0]);
   });
+
+  const SLOW = {running: 0, waiting: 0, slots: 6, slowness: 3};
+
+  it.each([
+    {name: 'just told that it is slow', ageMs: 0, isAvoided: true},
+    {name: 'told so 800 ms ago', ageMs: 800, isAvoided: false},
+  ])('avoids a target that $name: $isAvoided', ({ageMs, isAvoided}) => {
+    const {clock, targets} = createTargets(['a', 'a']);
+    targets[0]!.recordLoad(SLOW);
+    clock.advance(ageMs);
+    targets[1]!.begin({tokens: 0});
+    const chosen = chooseCallTarget(createCallQuery(targets));
+    expect(chosen === targets[1]).toBe(isAvoided);
+  });
+
+  it('uses a slow target before it waits for a full one', () => {
+    const {targets} = createTargets(['a', 'a']);
+    targets[0]!.recordLoad({...SLOW, slowness: 2});
+    targets[1]!.recordLoad({running: 6, waiting: 3, slots: 6, slowness: 1});
+    expect(chooseCallTarget(createCallQuery(targets))).toBe(targets[0]);
+  });
+
+  it('goes by the slots that a target tells', () => {
+    const {targets} = createTargets(['a', 'a']);
+    targets[0]!.recordLoad({running: 3, waiting: 0, slots: 2});
+    targets[1]!.recordLoad({running: 4, waiting: 0});
+    expect(chooseCallTarget(createCallQuery(targets))).toBe(targets[1]);
+  });
+
+  it('gives uneven targets uneven shares', () => {
+    const {targets} = createTargets(['a', 'a', 'a']);
+    const slowness = [1, 1, 2];
+    for (let i = 0; i < 12; i++) {
+      targets.forEach((target, index) =>
+        target.recordLoad({
+          running: target.running,
+          waiting: 0,
+          slots: 6,
+          slowness: slowness[index],
+        }),
+      );
+      chooseCallTarget(createCallQuery(targets))!.begin({tokens: 0});
+    }
+    expect(targets.map(({running}) => running)).toEqual([5, 5, 2]);
+  });
 });
 
 describe('promptAffinity', () => {
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -182,7 +182,20 @@
   });
 
   it.each([
-    {raw: ['Instance-Load', '3,1,8'], load: {running: 3, waiting: 1}},
+    {raw: ['Instance-Load', '3,1'], load: {running: 3, waiting: 1}},
+    {raw: ['Instance-Load', '3,1,8'], load: {running: 3, waiting: 1, slots: 8}},
+    {
+      raw: ['Instance-Load', '3,1,8,250'],
+      load: {running: 3, waiting: 1, slots: 8, slowness: 2.5},
+    },
+    {
+      raw: ['Instance-Load', '3,1,8,0'],
+      load: {running: 3, waiting: 1, slots: 8},
+    },
+    {
+      raw: ['Instance-Load', '3,1,8,slow'],
+      load: {running: 3, waiting: 1, slots: 8},
+    },
     {raw: ['Instance-Load', 'much'], load: undefined},
     {raw: [], load: undefined},
   ])('of responses contain the load: $raw', ({raw: rawHeaders, load}) => {
