Placing: what others have at a target ages in the estimate of a call

Cause: an entry hears of a target some 400 ms late where 26 entries share three targets, ten times as long as a call takes. Change: for targets that tell their slowness the requests of other entries age to their usual number with a half-life of 80 ms, the slowness with 300 ms.

--- a/src/core/placing/choose-call-target.ts
+++ b/src/core/placing/choose-call-target.ts
@@ -73,7 +73,7 @@
  */
 function expectedTime(target: Target): number {
   const {slots, slowness} = target;
-  const requests = target.estimatedRequests() + 1;
+  const requests = target.expectedRequests() + 1;
   const waiting = Math.max(0, requests - slots);
   return (requests + waiting) * slowness - 1;
 }
--- a/src/core/targets/consts.ts
+++ b/src/core/targets/consts.ts
@@ -50,7 +50,10 @@
 export const MAX_BACKOFF_MS = 300_000;
 
 /** Time in which a reported slowness loses half of its weight, in ms. */
-export const SLOWNESS_HALF_LIFE_MS = 200;
+export const SLOWNESS_HALF_LIFE_MS = 300;
 
-/** Weight of the newest report in the usual slowness of a target. */
-export const USUAL_SLOWNESS_WEIGHT = 0.05;
+/** The same for the number of other entries' requests at the target. */
+export const OTHERS_HALF_LIFE_MS = 80;
+
+/** Weight of the newest report in the usual figure of a target. */
+export const USUAL_WEIGHT = 0.05;
--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '../clock/index.js';
 import type {HeardLimit} from '../limits/index.js';
 import {RecentCount} from '../limits/index.js';
+import {AgeingEstimate} from './ageing-estimate.js';
 import {
   FAILURE_WEIGHT,
   FAILURES_BEFORE_PAUSE,
@@ -12,8 +13,9 @@
   MAX_BACKOFF_MS,
   PAUSE_AFTER_FAILURE_MS,
   FULL_AFTER_REJECT_MS,
+  OTHERS_HALF_LIFE_MS,
+  SLOWNESS_HALF_LIFE_MS,
 } from './consts.js';
-import {SlownessEstimate} from './slowness.js';
 import type {ReportedLoad, TargetRecord, TargetWork} from './types.js';
 
 /**
@@ -56,7 +58,15 @@
   private fullUntilMs = Number.NEGATIVE_INFINITY;
   private heardLimit: HeardLimit = {heardAtMs: Number.NEGATIVE_INFINITY};
   private readonly recentSends: RecentCount;
-  private readonly slownessEstimate = new SlownessEstimate();
+  private readonly ageingSlowness = new AgeingEstimate({
+    usual: 1,
+    halfLifeMs: SLOWNESS_HALF_LIFE_MS,
+  });
+  /** Requests of other entries, if the target tells its slowness. */
+  private readonly ageingOthers = new AgeingEstimate({
+    usual: 0,
+    halfLifeMs: OTHERS_HALF_LIFE_MS,
+  });
 
   constructor(options: {
     record: TargetRecord;
@@ -126,7 +136,10 @@
     this.recordSeen();
     if (load.isLeaving === true) this.recordLeaving();
     const {limitPerSecond, slowness} = load;
-    if (slowness !== undefined) this.slownessEstimate.record(slowness);
+    if (slowness !== undefined) {
+      this.ageingSlowness.record(slowness);
+      this.ageingOthers.record(this.othersRequests());
+    }
     if (limitPerSecond !== undefined) this.recordLimit(limitPerSecond);
   }
 
@@ -178,7 +191,17 @@
 
   /** Time that work takes there now, relative to the usual; 1 if not told. */
   get slowness(): number {
-    return this.slownessEstimate.estimate(this.reportAgeMs());
+    return this.ageingSlowness.at(this.reportAgeMs());
+  }
+
+  /**
+   * Estimated number of short requests at the target from all entries. Unlike
+   * `estimatedRequests` it lets the report of a target that tells its slowness
+   * age, since most of the requests in it have ended soon after.
+   */
+  expectedRequests(): number {
+    if (this.reported.slowness === undefined) return this.estimatedRequests();
+    return this.ageingOthers.at(this.reportAgeMs()) + this.work.size;
   }
 
   /** Estimated number of requests at the target from all entries. */
