--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '../clock/index.js';
 import type {HeardLimit} from '../limits/index.js';
 import {RecentCount} from '../limits/index.js';
+import {AgeingEstimate} from './ageing-estimate.js';
 import {
   FAILURE_WEIGHT,
   FAILURES_BEFORE_PAUSE,
@@ -12,6 +13,8 @@
   MAX_BACKOFF_MS,
   PAUSE_AFTER_FAILURE_MS,
   FULL_AFTER_REJECT_MS,
+  OTHERS_HALF_LIFE_MS,
+  SLOWNESS_HALF_LIFE_MS,
 } from './consts.js';
 import type {ReportedLoad, TargetRecord, TargetWork} from './types.js';
 
@@ -55,6 +58,15 @@
   private fullUntilMs = Number.NEGATIVE_INFINITY;
   private heardLimit: HeardLimit = {heardAtMs: Number.NEGATIVE_INFINITY};
   private readonly recentSends: RecentCount;
+  private readonly ageingSlowness = new AgeingEstimate({
+    usual: 1,
+    halfLifeMs: SLOWNESS_HALF_LIFE_MS,
+  });
+  /** Requests of other entries, if the target tells its slowness. */
+  private readonly ageingOthers = new AgeingEstimate({
+    usual: 0,
+    halfLifeMs: OTHERS_HALF_LIFE_MS,
+  });
 
   constructor(options: {
     record: TargetRecord;
@@ -123,7 +135,11 @@
     }
     this.recordSeen();
     if (load.isLeaving === true) this.recordLeaving();
-    const {limitPerSecond} = load;
+    const {limitPerSecond, slowness} = load;
+    if (slowness !== undefined) {
+      this.ageingSlowness.record(slowness);
+      this.ageingOthers.record(this.othersRequests());
+    }
     if (limitPerSecond !== undefined) this.recordLimit(limitPerSecond);
   }
 
@@ -168,6 +184,26 @@
     return this.clock.now() - this.reportReceivedAtMs;
   }
 
+  /** Requests that the target can run at once. */
+  get slots(): number {
+    return this.reported.slots ?? this.record.slots;
+  }
+
+  /** Time that work takes there now, relative to the usual; 1 if not told. */
+  get slowness(): number {
+    return this.ageingSlowness.at(this.reportAgeMs());
+  }
+
+  /**
+   * Estimated number of short requests at the target from all entries. Unlike
+   * `estimatedRequests` it lets the report of a target that tells its slowness
+   * age, since most of the requests in it have ended soon after.
+   */
+  expectedRequests(): number {
+    if (this.reported.slowness === undefined) return this.estimatedRequests();
+    return this.ageingOthers.at(this.reportAgeMs()) + this.work.size;
+  }
+
   /** Estimated number of requests at the target from all entries. */
   estimatedRequests(): number {
     return this.othersRequests() + this.work.size;
