A slow engine that holds its generation isn't given up; a lost prefill resumes from its copy

Change: a target that responds and holds the request gets most of the route's pause where a copy can be used, and twice the pause where the prompt would be read again (the caller's pause is over either way); it is probed meanwhile.

--- /dev/null
+++ b/src/core/copies/types.ts
@@ -0,0 +1,31 @@
+/** Types of the decisions on copies of KV caches. */
+
+/** Why a prompt is read although an engine had read it, or was read in vain. */
+export enum RereadCause {
+  /** No target kept a copy of the KV cache. */
+  NO_COPY = 'no_copy',
+  /** The engine was lost before anything had been copied. */
+  COPY_TOO_NEW = 'copy_too_new',
+  /** The target that kept the copy was lost or leaves. */
+  HOLDER_LOST = 'holder_lost',
+  /** The target that kept the copy did not accept the generation. */
+  HOLDER_REFUSED = 'holder_refused',
+  /** The generation must run apart from others that lost the same engines. */
+  ISOLATED = 'isolated',
+  /** The caller left before the end. */
+  CALLER_LEFT = 'caller_left',
+  /** The caller's time ended before the generation did. */
+  LATE = 'late',
+  /** The generation failed and was not tried again. */
+  FAILED = 'failed',
+}
+
+/** What is known of the copy of an attempt that was lost. */
+export interface CopyProgress {
+  /** Whether a target was asked to keep a copy. */
+  readonly hasHolder: boolean;
+  /** Events that the attempt has sent. */
+  readonly events: number;
+  /** Time since the attempt was sent, in milliseconds. */
+  readonly ageMs: number;
+}
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -64,9 +64,6 @@
 /** Least time between two probes of a whole data centre, in milliseconds. */
 export const DATA_CENTRE_PROBE_INTERVAL_MS = 400;
 
-/** Events after which a KV cache copy of a generation may exist. */
-export const MIN_EVENTS_FOR_COPY = 2;
-
 /** Time to avoid a data centre after the loss of a target, in milliseconds. */
 export const AVOID_DATA_CENTRE_MS = 2_000;
 
--- a/src/direct/streams/stall-detector.ts
+++ b/src/direct/streams/stall-detector.ts
@@ -23,11 +23,14 @@
 /**
  * Watches one target of a stream. Until the first event the target is probed at
  * intervals, and counts as lost if it fails or no longer holds the request: the
- * request has run, and its response was lost. After the first event, the target is probed when a gap between events is
- * unusually long, and counts as lost if the probe fails or the gap lasts.
+ * request has run, and its response was lost. After the first event, the target
+ * is probed when a gap between events is unusually long, and counts as lost if
+ * the probe fails or the gap lasts. A target that still holds the request is
+ * given longer, above all if no copy of the KV cache could be used elsewhere.
  *
  * @example
- * const detector = new StallDetector({ctx, target, onStalled});
+ * const hasCopy = () => true;
+ * const detector = new StallDetector({ctx, target, attemptId, hasCopy, onStalled});
  * detector.start(400);
  * detector.recordEvent();
  */
@@ -48,6 +51,8 @@
       attemptId: string;
       /** Longest allowed pause between events, in milliseconds. */
       maxPauseMs?: number;
+      /** Whether another target may resume from a copy of the KV cache. */
+      hasCopy: () => boolean;
       onStalled: StallListener;
     },
   ) {
@@ -128,10 +133,26 @@
 
   /** The target responds to probes but sends no events. */
   private watchStall(eventsBefore: number): void {
-    const leftMs = stallTimeoutMs(this.timeoutOptions()) - this.silentMs();
+    const leftMs = this.stallTimeoutMs() - this.silentMs();
+    const {boundary} = this.options.ctx;
     if (this.eventCount > eventsBefore) this.watchSilence();
     else if (leftMs <= 0) this.reportStall();
-    else this.schedule(leftMs, () => this.watchStall(eventsBefore));
+    else if (leftMs <= PREFILL_CHECK_MS)
+      this.schedule(leftMs, () => this.watchStall(eventsBefore));
+    else
+      this.schedule(PREFILL_CHECK_MS, () =>
+        boundary.run(() => this.probeSilent()),
+      );
+  }
+
+  private stallTimeoutMs(): number {
+    const {target, attemptId, hasCopy} = this.options;
+    const isMissing = target.isMissingRequest(attemptId, this.lastEventMs);
+    return stallTimeoutMs({
+      ...this.timeoutOptions(),
+      holdsRequest: !isMissing,
+      hasCopy: hasCopy(),
+    });
   }
 
   private probeTarget(): Promise<boolean> {
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt of a stream at one target. */
 import type {MemoryShare} from '../../core/bytes/index.js';
+import {mayHaveCopy} from '../../core/copies/index.js';
 import type {
   TargetResponseHead,
   KvCopyReference,
@@ -25,6 +26,7 @@
 import type {KvCacheCopy} from './kv-cache-replicator.js';
 import {KvCacheReplicator} from './kv-cache-replicator.js';
 import {StallDetector} from './stall-detector.js';
+import {canResumeAt} from './stream-placer.js';
 import type {TargetLoss} from './target-loss.js';
 
 const OK = 200;
@@ -117,6 +119,7 @@
       target,
       attemptId: options.work.req.attemptId,
       maxPauseMs,
+      hasCopy: () => this.mayResumeFromCopy,
       onStalled: (silentMs) =>
         this.reportLoss({
           reason: RetryReason.ENGINE_STALLED,
@@ -142,6 +145,22 @@
     return this.replicator.copy;
   }
 
+  /** Whether a copy may exist and its holder would accept the generation. */
+  get mayResumeFromCopy(): boolean {
+    const {copy} = this;
+    return copy !== undefined && this.mayHaveCopy && canResumeAt(copy.holder);
+  }
+
+  /** Whether a part of the KV cache may have reached the holder of the copy. */
+  get mayHaveCopy(): boolean {
+    const {clock} = this.options.ctx;
+    return mayHaveCopy({
+      hasHolder: this.copy !== undefined,
+      events: this.receivedCount,
+      ageMs: clock.now() - this.startedMs,
+    });
+  }
+
   /** When the attempt started, in milliseconds on the monotonic clock. */
   get startedMs(): number {
     return this.targetWork.startedAtMs;
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -19,11 +19,7 @@
 } from '../../core/streams/index.js';
 import {TaskName} from '../../core/supervision/index.js';
 import type {Target} from '../../core/targets/index.js';
-import {
-  MIN_EVENTS_FOR_COPY,
-  MAX_PROMPT_ATTEMPTS,
-  PLACEMENT_RETRY_MS,
-} from '../consts.js';
+import {MAX_PROMPT_ATTEMPTS, PLACEMENT_RETRY_MS} from '../consts.js';
 import type {DirectContext, DirectWork, RequestContext} from '../context.js';
 import {forwardResponse} from '../forward-response.js';
 import {PermittedChoice} from '../limits/index.js';
@@ -331,7 +327,7 @@
       this.fail(false);
       return;
     }
-    if (lost.eventCount >= MIN_EVENTS_FOR_COPY) this.resumableCopy = lost.copy;
+    if (lost.mayHaveCopy) this.resumableCopy = lost.copy;
     this.ctx.metrics.countRetry(reason);
     this.delivery.markResumed();
     const mustDiagnose = mayBeCrash(loss) && this.poisonDetector.isSuspect();
--- a/test/core/streams/streams.test.ts
+++ b/test/core/streams/streams.test.ts
@@ -149,6 +149,21 @@
       expect(stallTimeoutMs(options)).toBeCloseTo(stallMs);
     },
   );
+
+  it.each([
+    {holdsRequest: false, hasCopy: true, stallMs: 300},
+    {holdsRequest: false, hasCopy: false, stallMs: 300},
+    {holdsRequest: true, hasCopy: true, stallMs: 455},
+    {holdsRequest: true, hasCopy: false, stallMs: 1_400},
+  ])(
+    'of $stallMs ms if the request is held: $holdsRequest, copied: $hasCopy',
+    ({holdsRequest, hasCopy, stallMs}) => {
+      for (const widestGapMs of [0, 40]) {
+        const query = {maxPauseMs: 700, widestGapMs, holdsRequest, hasCopy};
+        expect(stallTimeoutMs(query)).toBeCloseTo(stallMs);
+      }
+    },
+  );
 });
 
 describe('MinGenerationTime', () => {
--- a/test/direct/slow-streams.test.ts
+++ b/test/direct/slow-streams.test.ts
@@ -47,6 +47,24 @@
     },
   );
 
+  it.each([
+    // Another engine keeps a copy, so the stream may move, but need not.
+    {name: 'with a copy elsewhere', zones: ZONES, gapMs: 380},
+    // The prompt would have to be read again.
+    {name: 'without a copy', zones: ['a'], gapMs: 800},
+  ])(
+    'with an event each $gapMs ms, $name, stays at a target that holds it',
+    async ({zones, gapMs}) => {
+      const pace = {events: 3, firstMs: FIRST_MS, gapMs};
+      const service = SiteService.WRITERS;
+      await site.addTargets(zones.map((zone) => ({service, zone, pace})));
+      const {status, text} = await send();
+      expect(status).toBe(200);
+      expect(text).toContain('id: 3\n');
+      expect(runs()).toHaveLength(1);
+    },
+  );
+
   it('goes on elsewhere if its target sends a byte now and then', async () => {
     const targets = await addTargets(40);
     for (const target of targets) target.fault = TargetFault.DRIP_STREAMS;
