Prompt tokens read for nothing, by cause, as a metric and a log line

Change: core/copies names the cause of each prompt that is read again or in vain (no_copy, copy_too_new, holder_lost, holder_refused, isolated, caller_left, late, failed); the counter prompt_tokens_reread_total and the line 'prompt read for nothing' carry it; design note, operators' table.

--- a/src/core/copies/index.ts
+++ b/src/core/copies/index.ts
@@ -1,4 +1,5 @@
 /** Copies of the KV caches of generations, from which lost ones resume. */
 export {mayHaveCopy} from './copy-progress.js';
-export type {CopyProgress} from './types.js';
+export {rereadCauseOf} from './reread-cause.js';
+export type {CopyProgress, LostAttempt} from './types.js';
 export {RereadCause} from './types.js';
--- a/src/core/copies/types.ts
+++ b/src/core/copies/types.ts
@@ -29,3 +29,14 @@
   /** Time since the attempt was sent, in milliseconds. */
   readonly ageMs: number;
 }
+
+/** An attempt that was lost. */
+export interface LostAttempt {
+  /** Whether the engine may have run it. */
+  readonly didRun: boolean;
+  /** Whether it was to resume from a copy. */
+  readonly usedCopy: boolean;
+  readonly copy: CopyProgress;
+  /** The cause that the loss before it gave. */
+  readonly earlier?: RereadCause;
+}
--- a/src/core/metrics/types.ts
+++ b/src/core/metrics/types.ts
@@ -40,6 +40,8 @@
   LIMIT_PERMITS = 'limit_permits_total',
   /** Targets that were suspected because their agents were silent. */
   TARGETS_SUSPECTED = 'targets_suspected_total',
+  /** Prompt tokens that were read for nothing, by `RereadCause`. */
+  TOKENS_REREAD = 'prompt_tokens_reread_total',
   REQUESTS = 'requests_total',
   HEARTBEATS = 'heartbeats_total',
   PEER_BYTES = 'peer_bytes_total',
--- a/src/daemon/create-metrics.ts
+++ b/src/daemon/create-metrics.ts
@@ -1,4 +1,5 @@
 import {StoreVerb} from '../adapters/counted-store.js';
+import {RereadCause} from '../core/copies/index.js';
 import {StoreErrorKind} from '../core/edges/index.js';
 import {CounterName, Metrics} from '../core/metrics/index.js';
 import {TransportErrorKind} from '../core/protocol/index.js';
@@ -18,5 +19,9 @@
     name: CounterName.STORE_ERRORS,
     labels: Object.values(StoreErrorKind),
   });
+  metrics.declareLabels({
+    name: CounterName.TOKENS_REREAD,
+    labels: Object.values(RereadCause),
+  });
   return metrics;
 }
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt of a stream at one target. */
 import type {MemoryShare} from '../../core/bytes/index.js';
+import type {CopyProgress} from '../../core/copies/index.js';
 import {mayHaveCopy} from '../../core/copies/index.js';
 import type {
   TargetResponseHead,
@@ -153,12 +154,22 @@
 
   /** Whether a part of the KV cache may have reached the holder of the copy. */
   get mayHaveCopy(): boolean {
+    return mayHaveCopy(this.copyProgress);
+  }
+
+  /** How far its copy may have come. */
+  get copyProgress(): CopyProgress {
     const {clock} = this.options.ctx;
-    return mayHaveCopy({
+    return {
       hasHolder: this.copy !== undefined,
       events: this.receivedCount,
       ageMs: clock.now() - this.startedMs,
-    });
+    };
+  }
+
+  /** Whether it was to resume from a copy. */
+  get usesCopy(): boolean {
+    return this.options.copyFrom !== undefined;
   }
 
   /** When the attempt started, in milliseconds on the monotonic clock. */
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -108,7 +108,7 @@
       delayMs: Math.max(0, this.work.deadlineAtMs - clock.now()),
       run: () => this.fail(true),
     });
-    this.work.res.onDisconnect(this.boundary.guard(() => this.abandon()));
+    this.work.res.onDisconnect(this.boundary.guard(() => this.withdraw()));
     if (this.poisonDetector.isPoison()) {
       this.refuse(RefusalReason.POISON);
       return;
@@ -248,7 +248,7 @@
     });
     this.current.start();
     if (usesCopy || this.promptAttempts > 1)
-      this.log.recordPlacement(this.current, usesCopy);
+      this.log.recordPlacement(this.current, this.placer.isIsolated);
   }
 
   /** Writes events; a caller that does not keep up holds its target back. */
@@ -391,6 +391,11 @@
     else this.fail(false);
   }
 
+  private withdraw(): void {
+    if (!this.isOver && this.attempts > 0) this.log.recordCallerLeft();
+    this.abandon();
+  }
+
   /**
    * Stops the stream without ending the response. A caller that has
    * disconnected may retry at another entry.
--- a/src/direct/streams/stream-log.ts
+++ b/src/direct/streams/stream-log.ts
@@ -1,27 +1,39 @@
 /** Logs what happens to one stream. */
-import type {RefusalReason} from '../../core/errors/refusals.js';
+import {RereadCause} from '../../core/copies/index.js';
+import {RefusalReason} from '../../core/errors/refusals.js';
 import type {Target} from '../../core/targets/index.js';
 import type {DirectContext, DirectWork} from '../context.js';
+import {RereadAccount} from './reread-account.js';
 import type {StreamAttempt} from './stream-attempt.js';
 import type {TargetLoss} from './target-loss.js';
+import {lostBeforeRun} from './target-loss.js';
+
+/** Status of a failure that promises that no engine has run the stream. */
+const NOT_RUN_STATUS = 503;
 
 /** Age that is logged for reports that were never received, in ms. */
 const MAX_LOGGED_AGE_MS = 1e6;
 
 /**
- * Writes the lines of one stream that is lost, resumed or sent again.
+ * Writes the lines of one stream that is lost, resumed or sent again, and counts
+ * what its engines read for nothing.
  *
  * @example
  * const log = new StreamLog({ctx, work});
  * log.recordLoss(attempt, loss, sequence.count);
  */
 export class StreamLog {
+  private readonly rereads: RereadAccount;
+
   constructor(
     private readonly options: {ctx: DirectContext; work: DirectWork},
-  ) {}
+  ) {
+    this.rereads = new RereadAccount(options);
+  }
 
   /** An attempt has failed after `events` events of the whole stream. */
   recordLoss(lost: StreamAttempt, loss: TargetLoss, events: number): void {
+    this.rereads.recordLoss({lost, didRun: !lostBeforeRun(loss)});
     this.write('stream attempt failed', {
       target: lost.target.id,
       dataCentre: lost.target.record.dataCentre,
@@ -41,7 +53,10 @@
     });
   }
 
-  recordPlacement({target, copy}: StreamAttempt, usesCopy: boolean): void {
+  /** `isIsolated`: it runs apart from others that lost the same engines. */
+  recordPlacement(attempt: StreamAttempt, isIsolated: boolean): void {
+    const {target, copy, usesCopy} = attempt;
+    this.rereads.recordSent({usesCopy, isIsolated});
     this.write('stream retried or resumed at target', {
       target: target.id,
       dataCentre: target.record.dataCentre,
@@ -55,6 +70,11 @@
     });
   }
 
+  /** The caller has left before the end of a stream that was sent. */
+  recordCallerLeft(): void {
+    this.rereads.recordEnd(RereadCause.CALLER_LEFT);
+  }
+
   /** The stream has ended without success. */
   recordFailure(options: {
     status: number;
@@ -66,6 +86,9 @@
     target?: Target;
   }): void {
     const {target, ...fields} = options;
+    const isLate = options.reason === RefusalReason.DEADLINE_EXCEEDED;
+    if (options.status !== NOT_RUN_STATUS)
+      this.rereads.recordEnd(isLate ? RereadCause.LATE : RereadCause.FAILED);
     const {ctx, work} = this.options;
     const heldMs = Math.round(ctx.clock.now() - work.req.receivedMs);
     this.write('stream failed', {
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -57,6 +57,10 @@
     this.isolatedFingerprint = fingerprint;
   }
 
+  get isIsolated(): boolean {
+    return this.isolatedFingerprint !== undefined;
+  }
+
   /** Queries the load of the best engines, then chooses the best of them. */
   async findTarget(): Promise<Target | undefined> {
     const candidates = this.shortlist();
--- a/test/direct/lost-prefills.test.ts
+++ b/test/direct/lost-prefills.test.ts
@@ -1,11 +1,13 @@
 /** Streams whose targets are lost before the first event. */
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
+import {Header} from '../../platform/names.js';
 import {SitePath, SiteService} from '../../stand-ins/site/config.js';
 import type {StandInTarget} from '../../stand-ins/site/target.js';
 import {DirectSite, waitFor} from '../support/direct-site.js';
 
 const EVENTS = 3;
+const PROMPT_TOKENS = 5_000;
 const PACE = {events: EVENTS, firstMs: 1_200, gapMs: 5};
 const ZONES = ['a', 'b', 'c'];
 
@@ -38,7 +40,9 @@
   ])(
     'is completed with $prefills prompts read if it $name',
     async ({lose, afterMs, prefills}) => {
-      const reply = site.call({path: SitePath.STREAM, deadlineMs: 8_000});
+      const headers = {[Header.GENERATION_SIZE]: `${PROMPT_TOKENS},20`};
+      const path = SitePath.STREAM;
+      const reply = site.call({path, headers, deadlineMs: 8_000});
       await waitFor(() => runs().length > 0);
       const runner = site.targets.find((target) => target.runs.length > 0)!;
       setTimeout(() => lose(runner), afterMs);
@@ -47,6 +51,9 @@
       expect(text).toContain(`id: ${EVENTS}\n`);
       const full = runs().filter(({hasFullPrefill}) => hasFullPrefill);
       expect(full).toHaveLength(prefills);
+      const metrics = await site.entries[0]!.metrics.render();
+      const reread = `prompt_tokens_reread_total{label="copy_too_new"} ${PROMPT_TOKENS}`;
+      expect(metrics.includes(reread)).toBe(prefills > 1);
     },
   );
 });
