--- a/src/core/copies/consts.ts
+++ b/src/core/copies/consts.ts
@@ -2,7 +2,7 @@
 export const MIN_EVENTS_FOR_COPY = 2;
 
 /**
- * Time after which the first parts of the KV cache have reached the target that
- * keeps the copy, also before the first event, in milliseconds.
+ * Time after the first event in which the KV cache of the prompt reaches the
+ * target that keeps the copy, in milliseconds.
  */
 export const COPY_LAG_MS = 400;
--- a/src/core/copies/types.ts
+++ b/src/core/copies/types.ts
@@ -26,8 +26,8 @@
   readonly hasHolder: boolean;
   /** Events that the attempt has sent. */
   readonly events: number;
-  /** Time since the attempt was sent, in milliseconds. */
-  readonly ageMs: number;
+  /** Time since its first event, in milliseconds. */
+  readonly writingMs: number;
 }
 
 /** An attempt that was lost. */
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -159,11 +159,10 @@
 
   /** How far its copy may have come. */
   get copyProgress(): CopyProgress {
-    const {clock} = this.options.ctx;
     return {
       hasHolder: this.copy !== undefined,
       events: this.receivedCount,
-      ageMs: clock.now() - this.startedMs,
+      writingMs: this.writingMs,
     };
   }
 
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -33,9 +33,6 @@
 
 const HEALTH_PATH = '/healthz';
 
-/** Time after which the first parts of a read prompt are copied, in ms. */
-const PROMPT_COPY_MS = 200;
-
 const NO_OBSERVER: TargetObserver = {
   onArrived: () => undefined,
   onEnded: () => undefined,
@@ -355,13 +352,9 @@
       return;
     }
     let timer: NodeJS.Timeout | undefined;
-    const copyTimer = setTimeout(() => {
-      if (!this.isUnresponsive) this.storeCopyFor(req);
-    }, PROMPT_COPY_MS);
     this.prefilling.add(attemptId);
     res.on('close', () => {
       clearTimeout(timer);
-      clearTimeout(copyTimer);
       this.prefilling.delete(attemptId);
       this.generating.delete(attemptId);
       if (!res.writableFinished) this.cancelled++;
