--- a/src/core/targets/index.ts
+++ b/src/core/targets/index.ts
@@ -5,3 +5,4 @@
 export {TargetSet} from './target-set.js';
 export type {ReportedLoad, TargetRecord, TargetWork} from './types.js';
 export {incarnationOf} from './types.js';
+export {MAX_PROBED_ALONE, ScoutRounds} from './scout-rounds.js';
--- a/src/direct/prober.ts
+++ b/src/direct/prober.ts
@@ -8,7 +8,12 @@
 import type {Supervisor} from '../core/supervision/index.js';
 import {TaskName} from '../core/supervision/index.js';
 import type {ReportedLoad, Target, TargetSet} from '../core/targets/index.js';
-import {REPORT_LAG_MS, sampleTargets} from '../core/targets/index.js';
+import {
+  MAX_PROBED_ALONE,
+  REPORT_LAG_MS,
+  sampleTargets,
+  ScoutRounds,
+} from '../core/targets/index.js';
 import {
   PROBE_CACHE_MS,
   PROBE_TIMEOUT_MS,
@@ -35,6 +40,9 @@
   private readonly probes = new WeakMap<Target, Probe>();
   /** Times of the last probes, by data centre and service. */
   private readonly dataCentreProbedMs = new Map<string, number>();
+  /** Targets in whose place another incarnation responds. */
+  private readonly ended = new WeakSet<Target>();
+  private readonly scouts: ScoutRounds;
 
   constructor(
     private readonly options: {
@@ -51,7 +59,9 @@
       /** Called before each health check, which takes a slot of its target. */
       onHealthCheck: (target: Target) => void;
     },
-  ) {}
+  ) {
+    this.scouts = new ScoutRounds(options);
+  }
 
   /** Whether a target responds; an engine that does not is paused. */
   isAlive(target: Target): Promise<boolean> {
@@ -124,7 +134,7 @@
     const {clock, random, targets} = this.options;
     if (!this.options.isEngine(lost)) return;
     const {dataCentre, service} = lost.record;
-    const key = `${dataCentre} ${service}`;
+    const key = groupOf(lost);
     const nowMs = clock.now();
     const lastMs = this.dataCentreProbedMs.get(key) ?? Number.NEGATIVE_INFINITY;
     if (nowMs - lastMs < DATA_CENTRE_PROBE_INTERVAL_MS) return;
@@ -163,19 +173,44 @@
     });
   }
 
-  /** Probes a paused target again shortly before its pause ends. */
+  /**
+   * Probes a paused target again shortly before its pause ends. Where many of
+   * its data centre are paused, a few of them are probed for all.
+   */
   recheckPaused(target: Target, pauseMs: number): void {
     const delayMs = pauseMs - PROBE_TIMEOUT_MS * 2;
     if (!this.options.isEngine(target) || delayMs <= 0) return;
     const {clock, supervisor} = this.options;
+    const task = {name: TaskName.HEALTH_CHECK};
     clock.schedule({
       delayMs,
-      run: supervisor.guard({name: TaskName.HEALTH_CHECK}, () => {
-        if (!target.record.isDraining) this.startProbe(target);
+      run: supervisor.guard(task, () => {
+        if (target.record.isDraining || this.ended.has(target)) return;
+        supervisor.run(task, () => this.recheck(target));
       }),
     });
   }
 
+  private async recheck(target: Target): Promise<void> {
+    const probe = () => this.isAlive(target);
+    if (this.pausedNear(target) <= MAX_PROBED_ALONE) {
+      await probe();
+      return;
+    }
+    const key = groupOf(target);
+    const responds = await this.scouts.probeAfterScouts({key, probe});
+    const wasProbed = responds !== undefined;
+    if (wasProbed || !target.isPaused() || target.record.isDraining) return;
+    target.pause();
+  }
+
+  /** Paused engines of the same service and data centre, with this one. */
+  private pausedNear(target: Target): number {
+    return this.options.targets
+      .ofService(target.record.service)
+      .filter((t) => groupOf(t) === groupOf(target) && t.isPaused()).length;
+  }
+
   private async checkHealth(target: Target): Promise<boolean> {
     const path = this.options.healthPathOf(target);
     if (path === undefined) return false;
@@ -192,6 +227,7 @@
     const {logger} = this.options;
     const report = await this.requestReport(target, PROBE_TIMEOUT_MS);
     if (report.isOk() && isOtherIncarnation(target, report.value)) {
+      this.ended.add(target);
       target.recordIncarnationEnded();
       logger.info('target replaced by another incarnation', {
         target: target.id,
@@ -215,6 +251,11 @@
   }
 }
 
+/** Data centre and service of a target, whose engines are lost together. */
+function groupOf({record}: Target): string {
+  return `${record.dataCentre} ${record.service}`;
+}
+
 /** Whether another target, or the same one after a restart, has responded. */
 function isOtherIncarnation(
   {record}: Target,
--- a/test/direct/prober.test.ts
+++ b/test/direct/prober.test.ts
@@ -1,11 +1,12 @@
 /** Which engines are probed after a loss. */
-import {okAsync} from 'neverthrow';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import {describe, expect, it} from 'vitest';
 
 import {ManualClock, SeededRandom} from '../../src/core/clock/index.js';
 import type {DirectTargets} from '../../src/core/edges/direct-target.js';
 import {SILENT_LOGGER} from '../../src/core/logs/index.js';
-import type {TargetRecord} from '../../src/core/targets/index.js';
+import type {ReportedLoad, TargetRecord} from '../../src/core/targets/index.js';
 import {TargetSet} from '../../src/core/targets/index.js';
 import {Prober} from '../../src/direct/prober.js';
 import {silentSupervisor} from '../support/supervisor.js';
@@ -36,9 +37,17 @@
 const IN_TOUCH = {afterOutage: false, isRestored: false};
 
 describe('Prober', () => {
-  const setUp = (size: number) => {
+  const setUp = (
+    size: number,
+    answer: () => Result<ReportedLoad, string> = () =>
+      ok({running: 0, waiting: 0, startedAtMs: 1}),
+  ) => {
     const clock = new ManualClock();
-    const targets = new TargetSet({clock, onRemoved: () => undefined});
+    const targets = new TargetSet({
+      clock,
+      onRemoved: () => undefined,
+      onPaused: (target, pauseMs) => prober.recheckPaused(target, pauseMs),
+    });
     const records = ['a', 'b'].flatMap((dataCentre) =>
       Array.from({length: size}, (_, i) => recordOf(i, dataCentre)),
     );
@@ -49,9 +58,9 @@
     const probed: string[] = [];
     const queryLoad = ({id}: TargetRecord) => {
       probed.push(id);
-      return okAsync({running: 0, waiting: 0, startedAtMs: 1});
+      return answer();
     };
-    const prober = new Prober({
+    const prober: Prober = new Prober({
       clock,
       supervisor: silentSupervisor(clock),
       random: new SeededRandom(SEED),
@@ -67,7 +76,7 @@
       if (Number(target.id.slice(2)) < BUSY) target.begin({tokens: 1});
     const lost = all.find(({id}) => id === 'a-0')!;
     lost.pause();
-    return {clock, prober, probed, lost};
+    return {clock, prober, probed, lost, all};
   };
 
   it.each([{size: 8}, {size: 20}])(
@@ -102,4 +111,45 @@
     expect(probed.length).toBeGreaterThan(0);
     expect(repeated.length).toBeLessThan(probed.length / 2);
   });
+
+  /** Lets probes and timers run for a time. */
+  async function pass(clock: ManualClock, ms: number): Promise<void> {
+    for (let i = 0; i < ms / STEP_MS; i++) {
+      clock.advance(STEP_MS);
+      for (let turn = 0; turn < 20; turn++) await Promise.resolve();
+    }
+  }
+
+  /** Loses all engines of data centre `a` at once. */
+  async function loseAll(answer: () => Result<ReportedLoad, string>) {
+    const scene = setUp(20, answer);
+    scene.prober.probeDataCentreOf(scene.lost);
+    await pass(scene.clock, STEP_MS);
+    scene.probed.length = 0;
+    return scene;
+  }
+
+  it('probes few engines for all that are paused, until one responds', async () => {
+    let isBack = false;
+    const load = {running: 0, waiting: 0, startedAtMs: 1};
+    const {clock, probed, all} = await loseAll(() =>
+      isBack ? ok(load) : err('refused'),
+    );
+    const ofA = all.filter(({id}) => id.startsWith('a'));
+    await pass(clock, 4_000);
+    expect(probed.length).toBeGreaterThan(0);
+    expect(probed.length).toBeLessThan(20);
+    isBack = true;
+    await pass(clock, 5_000);
+    expect(ofA.filter((target) => target.isPaused())).toEqual([]);
+    expect(new Set(probed).size).toBe(20);
+  });
+
+  it('does not probe an engine again that was replaced', async () => {
+    const load = {running: 0, waiting: 0, startedAtMs: 2};
+    const {clock, probed, lost} = await loseAll(() => ok(load));
+    await pass(clock, 5_000);
+    // All but the lost one were probed together after the loss.
+    expect(probed).toEqual([lost.id]);
+  });
 });
