Work goes where the next outage isn't expected, if outages come by turns

Change: core/outages finds restarts of data centres by the starts that registrations tell (the same at each entry, also after its own restart), checks whether they came to the data centre spared longest, and then adds the cost of up to 6 running requests to its engines, less to the others, none to those lost last; for runners and copies. No data centre is excluded; single outages, one data centre again and again, and roll-outs change nothing; it is forgotten after 20 s.

--- /dev/null
+++ b/src/core/outages/index.ts
@@ -0,0 +1,6 @@
+/** Outages of data centres, and where the next one is expected. */
+export type {DataCentreCosts} from './outage-forecasts.js';
+export {OutageForecasts} from './outage-forecasts.js';
+export {OutageTurns} from './outage-turns.js';
+export {lastRestarts} from './restarts.js';
+export type {Outage, StartedTarget} from './types.js';
--- a/src/direct/prober.ts
+++ b/src/direct/prober.ts
@@ -5,6 +5,8 @@
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {DirectTargets} from '../core/edges/direct-target.js';
 import type {Logger} from '../core/logs/index.js';
+import type {DataCentreCosts} from '../core/outages/index.js';
+import {OutageForecasts} from '../core/outages/index.js';
 import type {Supervisor} from '../core/supervision/index.js';
 import {TaskName} from '../core/supervision/index.js';
 import type {ReportedLoad, Target, TargetSet} from '../core/targets/index.js';
@@ -43,6 +45,7 @@
   /** Targets in whose place another incarnation responds. */
   private readonly ended = new WeakSet<Target>();
   private readonly scouts: ScoutRounds;
+  private readonly outages: OutageForecasts;
 
   constructor(
     private readonly options: {
@@ -61,6 +64,7 @@
     },
   ) {
     this.scouts = new ScoutRounds(options);
+    this.outages = new OutageForecasts(options);
   }
 
   /** Whether a target responds; an engine that does not is paused. */
@@ -146,6 +150,13 @@
       this.startProbe(target);
   }
 
+  /** Costs of data centres for the risk of the next outage, if foreseen. */
+  outageCosts(service: string): DataCentreCosts {
+    return this.outages.costsOf(service, () =>
+      this.options.targets.ofService(service).map(({record}) => record),
+    );
+  }
+
   private startProbe(target: Target): void {
     const task = {name: TaskName.HEALTH_CHECK};
     this.options.supervisor.run(task, () => this.isAlive(target));
