--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -19,11 +19,7 @@
 } from '../../core/streams/index.js';
 import {TaskName} from '../../core/supervision/index.js';
 import type {Target} from '../../core/targets/index.js';
-import {
-  MIN_EVENTS_FOR_COPY,
-  MAX_PROMPT_ATTEMPTS,
-  PLACEMENT_RETRY_MS,
-} from '../consts.js';
+import {MAX_PROMPT_ATTEMPTS, PLACEMENT_RETRY_MS} from '../consts.js';
 import type {DirectContext, DirectWork, RequestContext} from '../context.js';
 import {forwardResponse} from '../forward-response.js';
 import {PermittedChoice} from '../limits/index.js';
@@ -112,7 +108,7 @@
       delayMs: Math.max(0, this.work.deadlineAtMs - clock.now()),
       run: () => this.fail(true),
     });
-    this.work.res.onDisconnect(this.boundary.guard(() => this.abandon()));
+    this.work.res.onDisconnect(this.boundary.guard(() => this.withdraw()));
     if (this.poisonDetector.isPoison()) {
       this.refuse(RefusalReason.POISON);
       return;
@@ -252,7 +248,7 @@
     });
     this.current.start();
     if (usesCopy || this.promptAttempts > 1)
-      this.log.recordPlacement(this.current, usesCopy);
+      this.log.recordPlacement(this.current, this.placer.isIsolated);
   }
 
   /** Writes events; a caller that does not keep up holds its target back. */
@@ -331,7 +327,7 @@
       this.fail(false);
       return;
     }
-    if (lost.eventCount >= MIN_EVENTS_FOR_COPY) this.resumableCopy = lost.copy;
+    if (lost.mayHaveCopy) this.resumableCopy = lost.copy;
     this.ctx.metrics.countRetry(reason);
     this.delivery.markResumed();
     const mustDiagnose = mayBeCrash(loss) && this.poisonDetector.isSuspect();
@@ -395,6 +391,11 @@
     else this.fail(false);
   }
 
+  private withdraw(): void {
+    if (!this.isOver && this.attempts > 0) this.log.recordCallerLeft();
+    this.abandon();
+  }
+
   /**
    * Stops the stream without ending the response. A caller that has
    * disconnected may retry at another entry.
