Generations reserve room at engines, and wait for it in order

Copies of KV caches took memory that running generations needed.

Change: engines whose settings have hold_ms reserve room for a generation to its end before it is sent. One that finds none waits at its entry, in the order of priority, time left and client account; what must start now goes to an engine's own queue, what can't end any more is refused. Copies are kept only where a recent report shows room for them. Less urgent generations leave room for one that is more urgent (that part not yet measured). The placement of a stream is a class of its own.

--- a/src/core/edges/direct-target.ts
+++ b/src/core/edges/direct-target.ts
@@ -86,6 +86,8 @@
   readonly copyTo?: string;
   /** Copy of the KV cache from which a lost generation is resumed. */
   readonly copyFrom?: KvCopyReference;
+  /** Id of the room that the target reserved for the request. */
+  readonly reservation?: string;
 }
 
 /** Identifies a copy of the KV cache of a generation. */
@@ -111,6 +113,15 @@
   resume(): void;
 }
 
+/** Why a target made no reservation. */
+export enum ReserveFailure {
+  /** It has no room. */
+  FULL = 'full',
+  NO_RESPONSE = 'no response',
+  /** It responded as one that makes no reservations. */
+  UNSUPPORTED = 'unsupported',
+}
+
 /** Sends requests to targets. */
 export interface DirectTargets {
   send(options: {
@@ -153,6 +164,23 @@
     source: TargetRecord;
     id: string;
   }): ResultAsync<void, string>;
+  /**
+   * Reserves a slot and room in the KV cache of a target; returns the id of the
+   * reservation, which one request may use.
+   */
+  reserve(options: {
+    target: TargetRecord;
+    tokens: number;
+    /** Time after which an unused reservation ends, in milliseconds. */
+    lifetimeMs: number;
+    timeoutMs: number;
+  }): ResultAsync<string, ReserveFailure>;
+  /** Frees a reservation that no request has used. */
+  releaseReservation(options: {
+    target: TargetRecord;
+    id: string;
+    timeoutMs: number;
+  }): ResultAsync<void, string>;
   /**
    * Closes idle connections to a target, and busy ones when they become idle.
    */
--- a/src/core/metrics/types.ts
+++ b/src/core/metrics/types.ts
@@ -16,6 +16,8 @@
   BOOKING_CLAIM = 'booking_claim_seconds',
   /** From the receipt of a call to a plain service until its response. */
   PLAIN_CALL = 'plain_call_seconds',
+  /** From the first look for room at an engine until the wait for it ended. */
+  ROOM_WAIT = 'room_wait_seconds',
   /** From the last event of a lost target to the first of its replacement. */
   STREAM_RESUME = 'stream_resume_seconds',
 }
@@ -38,6 +40,10 @@
   STORE_ERRORS = 'store_errors_total',
   /** Questions for permits to send to targets that name a limit, by answer. */
   LIMIT_PERMITS = 'limit_permits_total',
+  /** Room asked for at engines, by what became of it. */
+  ROOM_RESERVATIONS = 'room_reservations_total',
+  /** Generations that waited for room, by how their wait ended. */
+  ROOM_WAITS = 'room_waits_total',
   /** Targets that were suspected because their agents were silent. */
   TARGETS_SUSPECTED = 'targets_suspected_total',
   REQUESTS = 'requests_total',
--- /dev/null
+++ b/src/core/room/decide-room.ts
@@ -0,0 +1,47 @@
+/** Decides on a generation that has found no room. */
+import {RETRY_SPREAD, SEND_MARGIN_MS} from './consts.js';
+import {latestStartMs} from './room-order.js';
+import type {RoomRequest} from './types.js';
+import {RoomDecision} from './types.js';
+
+/**
+ * Decides whether a generation goes on waiting. One that can't end in time is
+ * refused at once. One that must start now to be on time goes to an engine
+ * whether it has room or not, unless it came too late for that already.
+ *
+ * Answers bursts of some seconds that exceed the engines' memory.
+ *
+ * @example
+ * decideRoom({request, nowMs: clock.now()}); // RoomDecision.WAIT
+ */
+export function decideRoom(options: {
+  request: RoomRequest;
+  nowMs: number;
+}): RoomDecision {
+  const {request, nowMs} = options;
+  const {deadlineAtMs, shortestMs} = request;
+  if (nowMs + shortestMs > deadlineAtMs) return RoomDecision.REFUSE;
+  return nowMs >= latestStartMs(request) - SEND_MARGIN_MS
+    ? RoomDecision.SEND_ANYWAY
+    : RoomDecision.WAIT;
+}
+
+/**
+ * Time after which a refused generation should return: when as many have found
+ * room as wait here, drawn out at random so that callers don't return together.
+ *
+ * @example
+ * returnAfterMs({waiting: 4, msPerPlace: 250, minMs: 150, draw: 0.5}); // 1250
+ */
+export function returnAfterMs(options: {
+  waiting: number;
+  /** Time in which this entry finds room for one generation. */
+  msPerPlace: number;
+  minMs: number;
+  /** Random number in [0, 1). */
+  draw: number;
+}): number {
+  const {waiting, msPerPlace, minMs, draw} = options;
+  const untilMs = Math.max(minMs, waiting * msPerPlace);
+  return Math.ceil(untilMs * (1 + draw * RETRY_SPREAD));
+}
--- /dev/null
+++ b/src/core/room/index.ts
@@ -0,0 +1,10 @@
+/** Room for generations at engines, and who waits for it. */
+export {decideRoom, returnAfterMs} from './decide-room.js';
+export type {EngineRoomQuery} from './engine-room.js';
+export {hasRoomForCopy, leavesSpareRoom} from './engine-room.js';
+export {compareRequests, latestStartMs} from './room-order.js';
+export type {RankedRequest} from './room-order.js';
+export type {QueueView} from './room-queue.js';
+export {RoomQueue} from './room-queue.js';
+export type {RoomRequest} from './types.js';
+export {RoomDecision} from './types.js';
--- a/src/core/routes/route-table.ts
+++ b/src/core/routes/route-table.ts
@@ -21,6 +21,8 @@
   private readonly services = new Map<string, RoutedService>();
   private readonly accountByKey = new Map<string, AccountKeys>();
   private readonly hasAccounts: boolean;
+  /** Most urgent priority of the routes to a service. */
+  private readonly topPriorities = new Map<string, number>();
 
   constructor(config: RoutingConfig) {
     this.version = config.version;
@@ -49,6 +51,11 @@
     return this.services.get(name);
   }
 
+  /** The most urgent priority of the routes to a service; 0 if there is none. */
+  topPriorityOf(service: string): number {
+    return this.topPriorities.get(service) ?? 0;
+  }
+
   /** Finds the account of a key. */
   findAccount(key: string): AccountKeys | undefined {
     return this.accountByKey.get(key);
@@ -64,6 +71,10 @@
     const routes = this.routesByHost.get(host) ?? [];
     routes.push(route);
     this.routesByHost.set(host, routes);
+    for (const {service} of route.shares) {
+      const top = this.topPriorities.get(service) ?? route.priority;
+      this.topPriorities.set(service, Math.min(top, route.priority));
+    }
   }
 }
 
--- a/src/core/routes/types.ts
+++ b/src/core/routes/types.ts
@@ -56,6 +56,11 @@
   readonly canCopy: boolean;
   /** Time for which the KV cache copy of a lost generation is kept. */
   readonly copyLifetimeMs: number;
+  /**
+   * Longest time for which an engine reserves room for a generation, in
+   * milliseconds; undefined if engines make no reservations.
+   */
+  readonly holdMs?: number;
 }
 
 /** A service that is provided by targets. */
--- a/src/core/streams/min-generation-time.ts
+++ b/src/core/streams/min-generation-time.ts
@@ -72,6 +72,11 @@
     return promptTokens * this.msPerToken + events * this.msPerEvent;
   }
 
+  /** Shortest time to the first event, in ms; 0 before enough samples. */
+  firstEventMs({promptTokens}: GenerationNeed): number {
+    return this.samples < MIN_SAMPLES ? 0 : promptTokens * this.msPerToken;
+  }
+
   /** Whether a generation cannot finish in the remaining time, `leftMs`. */
   cannotFinish(options: {need: GenerationNeed; leftMs: number}): boolean {
     return options.leftMs < this.shortestMs(options.need) * REFUSAL_FACTOR;
--- a/src/core/targets/index.ts
+++ b/src/core/targets/index.ts
@@ -1,5 +1,5 @@
 /** Registered targets and their estimated load. */
-export {REPORT_LAG_MS} from './consts.js';
+export {MAX_REPORT_AGE_MS, REPORT_LAG_MS} from './consts.js';
 export {SAMPLE_SIZE, sampleTargets} from './sample-targets.js';
 export {Target} from './target.js';
 export {TargetSet} from './target-set.js';
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -88,6 +88,9 @@
 /** Engines whose load is queried before a generation is placed. */
 export const SHORTLIST_SIZE = 3;
 
+/** Engines whose room for a copy is queried before a generation is placed. */
+export const HOLDER_SHORTLIST_SIZE = 2;
+
 /**
  * Time after the start of its drain in which a target still completes work that
  * it accepts, so that a stream whose KV cache copy it holds can be resumed
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -17,6 +17,7 @@
 import type {LossTracker} from './poison/loss-tracker.js';
 import type {Prober} from './prober.js';
 import type {RequestBoundary} from './request-boundary.js';
+import type {GenerationRooms} from './room/generation-rooms.js';
 import type {ServiceRetryBudgets} from './service-retry-budgets.js';
 import type {MinGenerationTimes} from './streams/min-generation-times.js';
 
@@ -33,6 +34,8 @@
   /** Shortest generation times, estimated for each service. */
   readonly minGenerationTimes: MinGenerationTimes;
   readonly retryBudgets: ServiceRetryBudgets;
+  /** Generations that run or wait for room, by service. */
+  readonly room: GenerationRooms;
   /** Limits of targets on the requests from all entries. */
   readonly limits: LimitKeeper;
   /** Targets lost while they ran requests, at this and other entries. */
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -52,6 +52,7 @@
 import {LossTracker, QuarantineSync} from './poison/index.js';
 import {Prober} from './prober.js';
 import {Need} from './readiness-log.js';
+import {GenerationRooms} from './room/index.js';
 import {failRequest} from './request-boundary.js';
 import {ServiceRetryBudgets} from './service-retry-budgets.js';
 import {createStoreFollower} from './store-follower.js';
@@ -161,6 +162,7 @@
       prober,
       minGenerationTimes: new MinGenerationTimes(),
       client,
+      room: new GenerationRooms(options),
       grace: this.grace,
       limits,
       retryBudgets: new ServiceRetryBudgets({
--- /dev/null
+++ b/src/direct/room/consts.ts
@@ -0,0 +1,22 @@
+/** Times of the wait for room at engines. */
+
+/** Time between two looks for room while generations wait, in milliseconds. */
+export const ROOM_LOOK_MS = 100;
+
+/** Engines that are asked for room at one look. */
+export const MAX_ENGINES_PER_LOOK = 3;
+
+/** Timeout of a reservation and of its release, in milliseconds. */
+export const RESERVE_TIMEOUT_MS = 120;
+
+/**
+ * Time to the first event at an engine with other work, as a multiple of the
+ * shortest one.
+ */
+export const SHARED_ENGINE_FACTOR = 1.5;
+
+/** Weight of the newest time between two places found. */
+export const PLACE_TIME_WEIGHT = 0.2;
+
+/** Weight of the newest generation in the mean size. */
+export const SIZE_WEIGHT = 0.1;
--- /dev/null
+++ b/src/direct/room/generation-rooms.ts
@@ -0,0 +1,24 @@
+/** The generations of all services that run or wait for room. */
+import type {ServiceRoomOptions} from './service-room.js';
+import {ServiceRoom} from './service-room.js';
+
+/**
+ * Keeps one `ServiceRoom` for each service, created when first used.
+ *
+ * @example
+ * rooms.ofService('drafts').enter(applicant);
+ */
+export class GenerationRooms {
+  private readonly rooms = new Map<string, ServiceRoom>();
+
+  constructor(private readonly options: ServiceRoomOptions) {}
+
+  ofService(service: string): ServiceRoom {
+    let room = this.rooms.get(service);
+    if (room === undefined) {
+      room = new ServiceRoom(this.options);
+      this.rooms.set(service, room);
+    }
+    return room;
+  }
+}
--- /dev/null
+++ b/src/direct/room/index.ts
@@ -0,0 +1,6 @@
+/** Room for generations at engines, and who waits for it at this entry. */
+export {GenerationRooms} from './generation-rooms.js';
+export type {Applicant} from './service-room.js';
+export {ServiceRoom} from './service-room.js';
+export {RoomReservation} from './room-reservation.js';
+export {StreamRoom} from './stream-room.js';
--- /dev/null
+++ b/src/direct/room/stream-room.ts
@@ -0,0 +1,88 @@
+/** One stream's place in the order in which generations get room. */
+import {toGenerationNeed} from '../streams/min-generation-times.js';
+import type {DirectWork, RequestContext} from '../context.js';
+import {SHARED_ENGINE_FACTOR} from './consts.js';
+import type {Applicant, ServiceRoom} from './service-room.js';
+
+/** What a stream does with a decision. */
+export type RoomListener = Pick<
+  Applicant,
+  'tryPlace' | 'placeAnyway' | 'refuse'
+>;
+
+/**
+ * Asks for room for one stream.
+ *
+ * @example
+ * const room = new StreamRoom({ctx, work, listener});
+ * if (room.isLimited) room.enter();
+ */
+export class StreamRoom {
+  private readonly room: ServiceRoom;
+  private applicant?: Applicant;
+  private isRunning = false;
+
+  constructor(
+    private readonly options: {
+      ctx: RequestContext;
+      work: DirectWork;
+      listener: RoomListener;
+    },
+  ) {
+    const {ctx, work} = options;
+    this.room = ctx.room.ofService(work.service.name);
+  }
+
+  /** Whether the engines of its service reserve room. */
+  get isLimited(): boolean {
+    const {service, req} = this.options.work;
+    return service.engine?.holdMs !== undefined && req.generation !== undefined;
+  }
+
+  recordSize(tokens: number): void {
+    if (this.isLimited) this.room.recordSize(tokens);
+  }
+
+  /** Asks for room, until it is given, refused or no longer needed. */
+  enter(): Promise<void> {
+    this.applicant = this.toApplicant();
+    return this.room.enter(this.applicant);
+  }
+
+  /** Records that the stream is sent to an engine. */
+  recordStart(): void {
+    if (this.isRunning) return;
+    this.isRunning = true;
+    this.room.recordStart(this.clientAccount);
+  }
+
+  /** The stream is over or no longer needs room. */
+  close(): void {
+    if (this.applicant !== undefined) this.room.leave(this.applicant);
+    if (this.isRunning) this.room.recordEnd(this.clientAccount);
+    this.isRunning = false;
+  }
+
+  private get clientAccount(): string {
+    return this.options.work.admitted.account?.clientAccount ?? '';
+  }
+
+  private toApplicant(): Applicant {
+    const {ctx, work, listener} = this.options;
+    const {req, service, admitted, deadlineAtMs} = work;
+    const {route, account} = admitted;
+    const need = toGenerationNeed(req, service);
+    const times = ctx.minGenerationTimes.forService(service.name);
+    const firstEventMs = need === undefined ? 0 : times.firstEventMs(need);
+    return {
+      priority: account?.priority ?? route.priority,
+      clientAccount: this.clientAccount,
+      receivedMs: req.receivedMs,
+      objectiveAtMs: req.receivedMs + route.latencyObjectiveMs,
+      deadlineAtMs,
+      firstEventMs: firstEventMs * SHARED_ENGINE_FACTOR,
+      shortestMs: need === undefined ? 0 : times.shortestMs(need),
+      ...listener,
+    };
+  }
+}
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -66,6 +66,8 @@
   readonly hasDelivered: boolean;
   /** The KV cache copy from which the target resumes. */
   readonly copyFrom?: KvCopyReference;
+  /** Room that the target has reserved for the attempt. */
+  readonly reservation?: string;
   readonly listener: AttemptListener;
 }
 
@@ -198,7 +200,7 @@
 
   private send(): Exchange {
     const {ctx, work, target, lastEventId, copyFrom} = this.options;
-    const {hasDelivered} = this.options;
+    const {hasDelivered, reservation} = this.options;
     const {route, account} = work.admitted;
     return ctx.client.send({
       target: target.record,
@@ -210,6 +212,7 @@
         lastEventId: lastEventId?.toString(),
         copyTo: this.copy?.holder.record.address,
         copyFrom,
+        reservation,
       }),
       listener: ctx.boundary.guardListener({
         onNotice: (notice) => recordNotice({ctx, target, notice}),
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -1,9 +1,6 @@
 /** Handles one event stream, across several targets if targets are lost. */
 import type {TimerHandle} from '../../core/clock/index.js';
-import type {
-  TargetResponseHead,
-  KvCopyReference,
-} from '../../core/edges/direct-target.js';
+import type {TargetResponseHead} from '../../core/edges/direct-target.js';
 import {RefusalReason, RetryReason} from '../../core/errors/refusals.js';
 import {showsHarmlessParts} from '../../core/poison/index.js';
 import {
@@ -19,22 +16,17 @@
 } from '../../core/streams/index.js';
 import {TaskName} from '../../core/supervision/index.js';
 import type {Target} from '../../core/targets/index.js';
-import {
-  MIN_EVENTS_FOR_COPY,
-  MAX_PROMPT_ATTEMPTS,
-  PLACEMENT_RETRY_MS,
-} from '../consts.js';
+import {MIN_EVENTS_FOR_COPY, MAX_PROMPT_ATTEMPTS} from '../consts.js';
 import type {DirectContext, DirectWork, RequestContext} from '../context.js';
 import {forwardResponse} from '../forward-response.js';
-import {PermittedChoice} from '../limits/index.js';
 import {PoisonDetector} from '../poison/index.js';
 import {refuseUnsent} from '../refuse-unsent.js';
 import {RequestBoundary, runAll} from '../request-boundary.js';
-import {retryAfterMsOf} from '../retry-after.js';
 import type {KvCacheCopy} from './kv-cache-replicator.js';
 import {StreamDelivery} from './stream-delivery.js';
 import {StreamLog} from './stream-log.js';
-import {canResumeAt, StreamPlacer} from './stream-placer.js';
+import type {Place} from './stream-placement.js';
+import {StreamPlacement} from './stream-placement.js';
 import {cannotMeetDeadline, recordGenerationTime} from './generation-time.js';
 import {StreamAttempt} from './stream-attempt.js';
 import type {TargetLoss} from './target-loss.js';
@@ -54,12 +46,10 @@
   private readonly onOver: () => void;
   private readonly sequence: EventSequence;
   private readonly delivery: StreamDelivery;
-  private readonly permitted: PermittedChoice;
-  private readonly placer: StreamPlacer;
+  private readonly placement: StreamPlacement;
   private readonly log: StreamLog;
   private readonly poisonDetector: PoisonDetector;
   private deadline?: TimerHandle;
-  private placementTimer?: TimerHandle;
   private current?: StreamAttempt;
   /** The KV cache copy of the lost attempt, if one can be used. */
   private resumableCopy?: KvCacheCopy;
@@ -89,10 +79,17 @@
     const {ctx} = this.boundary;
     this.ctx = ctx;
     this.delivery = new StreamDelivery({ctx, work});
-    this.permitted = new PermittedChoice({ctx, work});
-    const {heldBack} = this.permitted;
-    this.placer = new StreamPlacer({ctx, work, heldBack});
     this.log = new StreamLog({ctx, work});
+    this.placement = new StreamPlacement({
+      ctx,
+      work,
+      log: this.log,
+      listener: {
+        send: (target, place) => this.send(target, place),
+        refuse: (reason, afterMs) => this.refuse(reason, afterMs),
+        onNoTarget: () => this.fail(false),
+      },
+    });
     const {lastEventId} = work.req;
     this.sequence = new EventSequence({lastId: toPosition(lastEventId)});
     this.poisonDetector = new PoisonDetector({
@@ -144,92 +141,16 @@
     refuseUnsent({ctx, work, reason, retryAfterMs});
   }
 
-  /**
-   * Sends the stream to the holder of its KV cache copy or to another target;
-   * tries again after a pause if no target is available.
-   */
-  private async place(): Promise<void> {
-    const {resumableCopy} = this;
+  private place(): Promise<void> {
+    const {resumableCopy: copy, poisonDetector} = this;
     this.resumableCopy = undefined;
-    if (this.poisonDetector.isSuspect()) {
-      this.placer.isolate(this.poisonDetector.fingerprint);
-    } else if (resumableCopy !== undefined) {
-      const isUsable = await this.mayResumeAt(resumableCopy.holder);
-      if (this.isOver) return;
-      if (isUsable) {
-        this.send(resumableCopy.holder, resumableCopy.reference);
-        return;
-      }
-      this.log.recordCopyLost(resumableCopy.holder);
-    }
-    const target = await this.permitted.choose({
-      next: () => this.placer.findTarget(),
-      hasNext: () => this.placer.hasTarget() || this.placer.hasUnlimited(),
-    });
-    if (this.isOver) return;
-    if (target !== undefined) this.send(target);
-    else if (this.mustBeLeft())
-      this.refuse(RefusalReason.LEAVING, this.retryAfterMs);
-    else this.waitForTarget();
-  }
-
-  /** Whether a planned stop leaves too little time for a stream to begin. */
-  private mustBeLeft(): boolean {
-    const {ctx, work} = this;
-    const {route} = work.admitted;
-    if (this.attempts > 0) return false;
-    return !ctx.grace.hasTimeFor(route.operation, route.timeoutMs);
-  }
-
-  private get retryAfterMs(): number {
-    return retryAfterMsOf(this.ctx, this.work);
-  }
-
-  /** Whether the holder of a copy accepts the stream and gives a permit. */
-  private async mayResumeAt(holder: Target): Promise<boolean> {
-    return canResumeAt(holder) && (await this.permitted.mayUse(holder));
-  }
-
-  /**
-   * A stream that has not begun is refused if targets give no permit, unless one
-   * without a limit may respond again; one that has begun waits for them.
-   */
-  private waitForTarget(): void {
-    const {ctx, work} = this;
-    const {waitMs} = this.permitted;
-    if (waitMs === undefined || this.placer.hasUnlimited()) {
-      this.schedulePlacement();
-      return;
-    }
-    if (this.attempts > 0) {
-      this.schedulePlacement(waitMs);
-      return;
-    }
-    const retryAfterMs = retryAfterMsOf(ctx, work, waitMs);
-    this.refuse(RefusalReason.TARGET_LIMIT, retryAfterMs);
-  }
-
-  /** Whether no target takes work before the deadline. */
-  private staysWithoutTarget(permitWaitMs: number): boolean {
-    const {ctx, work} = this;
-    const reopensInMs = ctx.targets.reopensInMs(work.service.name) ?? 0;
-    const waitMs = Math.max(reopensInMs, permitWaitMs);
-    return ctx.clock.now() + waitMs >= work.deadlineAtMs;
-  }
-
-  private schedulePlacement(permitWaitMs = 0): void {
-    if (this.staysWithoutTarget(permitWaitMs)) {
-      this.fail(false);
-      return;
-    }
-    this.placer.clearExcluded();
-    this.placementTimer = this.ctx.clock.schedule({
-      delayMs: Math.max(PLACEMENT_RETRY_MS, permitWaitMs),
-      run: () => this.boundary.run(() => this.place()),
-    });
+    const isolatedFingerprint = poisonDetector.isSuspect()
+      ? poisonDetector.fingerprint
+      : undefined;
+    return this.placement.place({copy, isolatedFingerprint});
   }
 
-  private send(target: Target, copyFrom?: KvCopyReference): void {
+  private send(target: Target, {copyFrom, reservation}: Place): void {
     const usesCopy = copyFrom !== undefined;
     this.attempts++;
     if (!usesCopy) this.promptAttempts++;
@@ -237,11 +158,12 @@
       ctx: this.ctx,
       work: this.work,
       target,
-      chooseCopyHolder: () => this.placer.chooseCopyHolder(target),
-      tokens: this.placer.tokens,
+      chooseCopyHolder: () => this.placement.placer.chooseCopyHolder(target),
+      tokens: this.placement.placer.tokens,
       lastEventId: this.sequence.lastId,
       hasDelivered: this.delivery.hasStarted,
       copyFrom,
+      reservation,
       listener: {
         onEvent: (head, event) => this.onEvent(head, event),
         onEventsPassed: () => this.writeEvents(),
@@ -323,10 +245,10 @@
     this.current = undefined;
     this.log.recordLoss(lost, loss, this.sequence.count);
     const {reason} = loss;
-    if (lostBeforeRun(loss)) this.placer.exclude(lost.target);
-    else this.mayHaveRun = true;
+    if (!lostBeforeRun(loss)) this.mayHaveRun = true;
+    this.placement.recordLoss(lost.target, loss);
     if (mayBeCrash(loss)) this.poisonDetector.recordLoss(lost);
-    if (mayBeOutage(loss)) this.placer.avoidDataCentreOf(lost.target);
+    if (mayBeOutage(loss)) this.placement.placer.avoidDataCentreOf(lost.target);
     if (!this.mayResume(reason, lost.eventCount > 0)) {
       this.fail(false);
       return;
@@ -378,7 +300,7 @@
       this.work.res.abort();
       return;
     }
-    const retryAfterMs = mayHaveRun ? undefined : this.retryAfterMs;
+    const retryAfterMs = mayHaveRun ? undefined : this.placement.retryAfterMs;
     this.work.res.sendRefusal({status, reason, retryAfterMs});
   }
 
@@ -409,9 +331,9 @@
   private stop(): void {
     this.isOver = true;
     this.onOver();
+    this.placement.close({isSent: this.current !== undefined});
     this.poisonDetector.close();
     this.deadline?.cancel();
-    this.placementTimer?.cancel();
     this.current?.cancel();
     this.current = undefined;
   }
@@ -423,8 +345,8 @@
     this.current = undefined;
     runAll([
       () => this.onOver(),
+      () => this.placement.close({isSent: current !== undefined}),
       () => this.deadline?.cancel(),
-      () => this.placementTimer?.cancel(),
       () => current?.release(),
       () => {
         if (current !== undefined) this.poisonDetector.recordWithdrawn(current);
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -6,10 +6,12 @@
   rankByFingerprint,
   shortlistEngines,
 } from '../../core/placing/index.js';
+import {hasRoomForCopy} from '../../core/room/index.js';
 import type {Target} from '../../core/targets/index.js';
 import {
   AVOID_DATA_CENTRE_MS,
   DRAINING_RESUME_WINDOW_MS,
+  HOLDER_SHORTLIST_SIZE,
   SHORTLIST_SIZE,
 } from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
@@ -28,6 +30,8 @@
   private readonly work: DirectWork;
   /** Targets that did not accept the stream. */
   private readonly excluded = new Set<string>();
+  /** Targets without room at the present look. */
+  private readonly withoutRoom = new Set<string>();
   /** Targets that give no permit now. */
   private readonly heldBack: ReadonlySet<string>;
   /** Fingerprint of the request if the stream is isolated from others. */
@@ -60,7 +64,8 @@
   /** Queries the load of the best engines, then chooses the best of them. */
   async findTarget(): Promise<Target | undefined> {
     const candidates = this.shortlist();
-    await this.ctx.prober.refreshReports(candidates);
+    const holders = this.shortlistHolders(candidates[0]);
+    await this.ctx.prober.refreshReports([...candidates, ...holders]);
     if (this.isolatedFingerprint !== undefined)
       return candidates.find(isAvailable);
     const target = chooseEngine({...this.engineQuery(), targets: candidates});
@@ -94,8 +99,10 @@
     if (engine === undefined || !engine.canCopy || !isResumable) {
       return undefined;
     }
+    const query = this.engineQuery();
     return chooseEngine({
-      ...this.engineQuery(),
+      ...query,
+      targets: query.targets.filter((target) => this.mayHoldCopy(target)),
       excluded: new Set([runner.id, ...this.limitedIds()]),
       avoidedDataCentres: new Set([
         ...this.avoidedDataCentres,
@@ -105,6 +112,16 @@
     });
   }
 
+  /** Engines that reserve room hold copies only beyond what is reserved. */
+  private mayHoldCopy(target: Target): boolean {
+    const {engine} = this.work.service;
+    if (engine?.holdMs === undefined) return true;
+    const {tokens, ctx, work} = this;
+    const {meanTokens} = ctx.room.ofService(work.service.name);
+    const {kvCapacityTokens} = engine;
+    return hasRoomForCopy({target, tokens, meanTokens, kvCapacityTokens});
+  }
+
   private limitedIds(): string[] {
     return this.ctx.targets
       .ofService(this.work.service.name)
@@ -116,6 +133,15 @@
     this.excluded.add(target.id);
   }
 
+  /** Leaves out a target without room until `clearWithoutRoom`. */
+  recordWithoutRoom(target: Target): void {
+    this.withoutRoom.add(target.id);
+  }
+
+  clearWithoutRoom(): void {
+    this.withoutRoom.clear();
+  }
+
   /** Allows all targets again. */
   clearExcluded(): void {
     this.excluded.clear();
@@ -142,6 +168,16 @@
     ).slice(0, SHORTLIST_SIZE);
   }
 
+  /** Engines whose room for a copy should be known when the runner is chosen. */
+  private shortlistHolders(runner: Target | undefined): Target[] {
+    const {engine} = this.work.service;
+    if (engine?.holdMs === undefined || !engine.canCopy) return [];
+    if (runner === undefined) return [];
+    const avoidedDataCentres = new Set([runner.record.dataCentre]);
+    const query = {...this.engineQuery(), avoidedDataCentres};
+    return shortlistEngines(query, HOLDER_SHORTLIST_SIZE);
+  }
+
   private engineQuery(): EngineQuery {
     const {ctx, work, tokens} = this;
     const targets = ctx.targets.ofService(work.service.name);
@@ -154,7 +190,11 @@
       }),
       tokens,
       kvCapacityTokens: work.service.engine?.kvCapacityTokens ?? Infinity,
-      excluded: new Set([...this.excluded, ...this.heldBack]),
+      excluded: new Set([
+        ...this.excluded,
+        ...this.heldBack,
+        ...this.withoutRoom,
+      ]),
       avoidedDataCentres: this.avoidedDataCentres,
       random: ctx.random,
     };
--- a/src/direct/target-request.ts
+++ b/src/direct/target-request.ts
@@ -5,7 +5,7 @@
 /** Fields that differ between the attempts of one request. */
 export type AttemptFields = Pick<
   TargetRequest,
-  'lastEventId' | 'copyTo' | 'copyFrom' | 'priority'
+  'lastEventId' | 'copyTo' | 'copyFrom' | 'priority' | 'reservation'
 >;
 
 /**
--- a/stand-ins/site/config.ts
+++ b/stand-ins/site/config.ts
@@ -8,6 +8,8 @@
 
 const ROUTE_TIMEOUT_MS = 3_000;
 
+const OBJECTIVE_MS = 300;
+
 /** Names of the services of the site. */
 export enum SiteService {
   /** Handles plain calls. */
@@ -36,6 +38,10 @@
   readonly movingTo?: SiteService;
   /** Timeout of the stream route; `ROUTE_TIMEOUT_MS` by default. */
   readonly streamTimeoutMs?: number;
+  /** Objective for the first event of streams; 300 ms by default. */
+  readonly streamObjectiveMs?: number;
+  /** Longest reservation of room at engines; none by default. */
+  readonly holdMs?: number;
 }
 
 /**
@@ -46,7 +52,8 @@
  */
 export function siteConfig(options: SiteConfigOptions) {
   const {version, keys = [API_KEY], movingTo = SiteService.DESK} = options;
-  const {streamTimeoutMs = ROUTE_TIMEOUT_MS} = options;
+  const {streamTimeoutMs = ROUTE_TIMEOUT_MS, holdMs} = options;
+  const {streamObjectiveMs = OBJECTIVE_MS} = options;
   const common = {timeout_ms: ROUTE_TIMEOUT_MS, stream_resume: false};
   const {DESK, SPARE, WRITERS} = SiteService;
   return {
@@ -60,6 +67,7 @@
         service: WRITERS,
         attempts: 5,
         timeout_ms: streamTimeoutMs,
+        target_latency_ms: streamObjectiveMs,
         stream_resume: true,
       },
       {
@@ -74,7 +82,7 @@
       hostname: HOST,
       path_prefix: path,
       route_type: type,
-      target_latency_ms: 300,
+      target_latency_ms: OBJECTIVE_MS,
       priority: 1,
       max_attempts: attempts,
       public: false,
@@ -87,7 +95,12 @@
         name: WRITERS,
         health_check: '/healthz',
         max_connections: 20,
-        engine: {slots: 8, kv_capacity_tokens: 55_000, backups: true},
+        engine: {
+          slots: 8,
+          kv_capacity_tokens: 55_000,
+          backups: true,
+          hold_ms: holdMs,
+        },
       },
       {name: SPARE, health_check: '/healthz', max_connections: 20},
     ],
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -10,6 +10,7 @@
 import {COPIES_PATH} from './copy-network.js';
 import {DEFAULT_BORN_MS, registrationOf} from './registration.js';
 import {isEndless, sendEndlessResponse} from './endless-response.js';
+import {TargetRoom} from './target-room.js';
 import {
   EVENTS_BEFORE_DRIP,
   sendResponse,
@@ -92,6 +93,8 @@
   readonly releasedCopies: string[] = [];
   /** Ids of the KV cache copies stored here. */
   readonly copies = new Set<string>();
+  /** Room in its KV cache. */
+  readonly room = new TargetRoom();
   readonly id: string;
   private readonly pace: StreamPace;
   private readonly workMs: number;
@@ -165,7 +168,7 @@
     return {
       active: prefilling.size + generating.size,
       queued: 0,
-      kv_used: 0,
+      kv_used: this.room.takenTokens,
       born: bornMs,
       runs: [...generating].map((attemptId) => [attemptId, 0, 0, 0]),
     };
@@ -190,6 +193,7 @@
       res.writeHead(200, {'Instance-Id': this.id}).end();
       return;
     }
+    if (this.room.serve(req, res, body)) return;
     if (req.url === (Path.COPY_KV_CACHE as string)) {
       await this.copyKvCache(res, body);
       return;
@@ -311,6 +315,7 @@
       atMs,
     });
     this.observer.onArrived({attemptId, key, hasRun: true});
+    this.room.use(req, res);
     res.on('close', () => this.observer.onEnded(attemptId));
   }
 
--- /dev/null
+++ b/test/core/room/decide-room.test.ts
@@ -0,0 +1,62 @@
+/** Tests what becomes of a generation that finds no room. */
+import {describe, expect, it} from 'vitest';
+
+import {
+  decideRoom,
+  returnAfterMs,
+  RoomDecision,
+} from '../../../src/core/room/index.js';
+
+const REQUEST = {
+  priority: 1,
+  clientAccount: 'a',
+  receivedMs: 0,
+  objectiveAtMs: 4_000,
+  deadlineAtMs: 25_000,
+  firstEventMs: 1_000,
+  shortestMs: 6_000,
+};
+
+describe('decideRoom', () => {
+  it.each([
+    {name: 'a new one waits', nowMs: 0, expected: RoomDecision.WAIT},
+    {
+      name: 'one that can still be on time waits',
+      nowMs: 2_500,
+      expected: RoomDecision.WAIT,
+    },
+    {
+      name: 'one that must start now is sent to an engine',
+      nowMs: 2_900,
+      expected: RoomDecision.SEND_ANYWAY,
+    },
+    {
+      name: 'one that is late is sent while it can end in time',
+      nowMs: 18_000,
+      expected: RoomDecision.SEND_ANYWAY,
+    },
+    {
+      name: 'one that can not end in time is refused',
+      nowMs: 19_500,
+      expected: RoomDecision.REFUSE,
+    },
+  ])('$name', ({nowMs, expected}) => {
+    expect(decideRoom({request: REQUEST, nowMs})).toBe(expected);
+  });
+
+  it('refuses at once what could never end in time', () => {
+    const request = {...REQUEST, deadlineAtMs: 5_000};
+    expect(decideRoom({request, nowMs: 0})).toBe(RoomDecision.REFUSE);
+  });
+});
+
+describe('returnAfterMs', () => {
+  it.each([
+    {waiting: 0, draw: 0, expected: 150},
+    {waiting: 4, draw: 0, expected: 1_000},
+    {waiting: 4, draw: 0.5, expected: 1_250},
+  ])('$waiting waiting, drawn $draw', ({waiting, draw, expected}) => {
+    const query = {waiting, draw, msPerPlace: 250, minMs: 150};
+    expect(returnAfterMs(query)).toBe(expected);
+  });
+});
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -5,7 +5,11 @@
 import {StoreObjectKind} from '../../platform/names.js';
 import type {DirectProcess} from '../../src/direct/direct-process.js';
 import {LocalCopyNetwork} from '../../stand-ins/site/copy-network.js';
-import type {SitePath, SiteService} from '../../stand-ins/site/config.js';
+import type {
+  SiteConfigOptions,
+  SitePath,
+  SiteService,
+} from '../../stand-ins/site/config.js';
 import {API_KEY, siteConfig} from '../../stand-ins/site/config.js';
 import type {StoreEndpoint} from '../../stand-ins/site/store.js';
 import {StandInStore} from '../../stand-ins/site/store.js';
@@ -38,6 +42,8 @@
   readonly entries?: number;
   /** Whether entries read the store through each other. */
   readonly hasRelay?: boolean;
+  /** Options of the configuration. */
+  readonly config?: Omit<SiteConfigOptions, 'version'>;
 }
 
 /** Entries, store and targets of a site, all in the test process. */
@@ -64,7 +70,7 @@
     store.put({
       kind: StoreObjectKind.CONFIG,
       name: 'main',
-      spec: siteConfig({version: 1}),
+      spec: siteConfig({...options.config, version: 1}),
     });
     const site = new DirectSite(store, options);
     for (let i = 0; i < (options.entries ?? 1); i++) {
--- a/test/support/fault-injector.ts
+++ b/test/support/fault-injector.ts
@@ -192,6 +192,8 @@
       probeHealth: (options) => targets.probeHealth(options),
       copyKvCache: (options) => targets.copyKvCache(options),
       freeKvCopy: (options) => targets.freeKvCopy(options),
+      reserve: (options) => targets.reserve(options),
+      releaseReservation: (options) => targets.releaseReservation(options),
       releaseConnections: (target) => targets.releaseConnections(target),
     };
   }
