--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -69,6 +69,8 @@
   readonly hasDelivered: boolean;
   /** The KV cache copy from which the target resumes. */
   readonly copyFrom?: KvCopyReference;
+  /** Room that the target has reserved for the attempt. */
+  readonly reservation?: string;
   readonly listener: AttemptListener;
 }
 
@@ -227,7 +229,7 @@
 
   private send(): Exchange {
     const {ctx, work, target, lastEventId, copyFrom} = this.options;
-    const {hasDelivered} = this.options;
+    const {hasDelivered, reservation} = this.options;
     const {route, account} = work.admitted;
     return ctx.client.send({
       target: target.record,
@@ -239,6 +241,7 @@
         lastEventId: lastEventId?.toString(),
         copyTo: this.copy?.holder.record.address,
         copyFrom,
+        reservation,
       }),
       listener: ctx.boundary.guardListener({
         onNotice: (notice) => recordNotice({ctx, target, notice}),
