Roll-outs: decisions on exposure, steps, verdict and status

Change: src/core/rollouts decides how much a new version gets, whether it is bad and which status is written by whom. Each entry keeps the share for its own requests, so the bound holds for any sum of entries.

--- /dev/null
+++ b/src/core/rollouts/decide-status.ts
@@ -0,0 +1,92 @@
+/** Decides which entry writes the status of a roll-out, and what. */
+import {createHash} from 'node:crypto';
+
+import {COMPLETE_WITHOUT_WAIT_FROM, MIN_FULL_MS} from './consts.js';
+import type {EvidenceRow, RolloutRecord} from './types.js';
+import {RolloutState, RolloutStep} from './types.js';
+
+/** What an entry knows when it decides on the status. */
+export interface StatusQuery {
+  readonly record: RolloutRecord;
+  /** Whether any entry has found the version to be bad. */
+  readonly isBad: boolean;
+  readonly ageMs: number;
+  readonly step: RolloutStep;
+  /** Time at this step, in milliseconds. */
+  readonly stepMs: number;
+  /** Requests of this entry at targets of the old version. */
+  readonly oldOpen: number;
+  /** Newest rows of the other live entries. */
+  readonly others: readonly EvidenceRow[];
+}
+
+/**
+ * Returns the state to be written; undefined if the status needs no write. A
+ * state that ends the order is never replaced.
+ *
+ * @example
+ * const state = decideStatus(known);
+ */
+export function decideStatus(query: StatusQuery): RolloutState | undefined {
+  const {record, isBad} = query;
+  const present = currentState(record);
+  if (isOver(present)) return undefined;
+  if (isBad) return RolloutState.ROLLED_BACK;
+  if (isComplete(query)) return RolloutState.COMPLETED;
+  return present === undefined ? RolloutState.IN_PROGRESS : undefined;
+}
+
+/**
+ * Returns the state of an order; undefined if none was written for it.
+ *
+ * @example
+ * currentState(record) === RolloutState.COMPLETED;
+ */
+export function currentState({
+  status,
+  target,
+}: RolloutRecord): RolloutState | undefined {
+  return status?.target === target ? status.state : undefined;
+}
+
+/** Whether a state ends its order. */
+export function isOver(state: RolloutState | undefined): boolean {
+  return state === RolloutState.COMPLETED || state === RolloutState.ROLLED_BACK;
+}
+
+/**
+ * Returns whether this entry writes the status: one of the live entries does,
+ * which differs from order to order. Two that both think so do no harm, as the
+ * store takes only the first write after a revision.
+ *
+ * @example
+ * isWriter({order: record.id, vm, live: ['edge-2', 'edge-3']});
+ */
+export function isWriter(options: {
+  order: string;
+  vm: string;
+  /** VMs of the other live entries. */
+  live: readonly string[];
+}): boolean {
+  const {order, vm, live} = options;
+  const scoreOf = (name: string) =>
+    createHash('sha1').update(`${order}\n${name}`).digest('hex');
+  const own = scoreOf(vm);
+  return live.every((other) => other === vm || own < scoreOf(other));
+}
+
+/**
+ * The old targets stop at once, so no request may be at one as far as is known.
+ * Shortly before the end of the time budget it no longer waits for requests in
+ * progress.
+ */
+function isComplete(query: StatusQuery): boolean {
+  const {record, ageMs, step, stepMs, oldOpen, others} = query;
+  const isFull =
+    step === RolloutStep.FULL &&
+    stepMs >= MIN_FULL_MS &&
+    others.every((row) => row.step === RolloutStep.FULL);
+  if (!isFull) return false;
+  const isLate = ageMs >= record.durationMs * COMPLETE_WITHOUT_WAIT_FROM;
+  return isLate || [{oldOpen}, ...others].every((row) => row.oldOpen === 0);
+}
--- /dev/null
+++ b/src/core/rollouts/rollout-controller.ts
@@ -0,0 +1,225 @@
+/** One entry's view of one roll-out, and what follows from it. */
+import type {Clock} from '../clock/index.js';
+import {ENTRY_SILENCE_MS} from './consts.js';
+import {currentState, decideStatus, isOver, isWriter} from './decide-status.js';
+import {decideStep, isWithinBound, shareOf} from './decide-step.js';
+import {Evidence, mergeCells} from './evidence.js';
+import {EvidenceHistory} from './evidence-history.js';
+import {ExposureBudget} from './exposure-budget.js';
+import {judgeVersion} from './judge-version.js';
+import type {
+  EvidenceRow,
+  RolloutRecord,
+  RolloutSettings,
+  BadReason,
+} from './types.js';
+import {RolloutState, RolloutStep} from './types.js';
+
+/** The newest row of another entry. */
+interface HeardRow {
+  readonly row: EvidenceRow;
+  readonly heardAtMs: number;
+}
+
+/** Which versions may get a request now. */
+export interface AllowedVersions {
+  readonly old: boolean;
+  readonly new: boolean;
+}
+
+/**
+ * Follows one order at one entry. All entries decide alone, from their own
+ * outcomes and what the others tell; what one of them finds bad is bad for all.
+ *
+ * @example
+ * const controller = new RolloutController({record, vm, settings, clock});
+ * controller.hear(row);
+ * controller.update({newTargets: 3});
+ * controller.allowed().new;
+ */
+export class RolloutController {
+  readonly evidence = new Evidence();
+  readonly budget: ExposureBudget;
+  private readonly history = new EvidenceHistory();
+  private readonly rows = new Map<string, HeardRow>();
+  private current: RolloutRecord;
+  private nowStep = RolloutStep.CANARY;
+  private stepSinceMs: number;
+  private readonly startedMs: number;
+  /** Age of the order when this entry first knew it. */
+  private ageAtStartMs = 0;
+  private badReason?: BadReason;
+  private evidenceAtMs: number;
+  private ticks = 0;
+
+  constructor(
+    private readonly options: {
+      record: RolloutRecord;
+      /** VM of this entry. */
+      vm: string;
+      settings: RolloutSettings;
+      clock: Clock;
+    },
+  ) {
+    const {record, settings, clock} = options;
+    this.current = record;
+    this.budget = new ExposureBudget({share: settings.exposureShare});
+    this.startedMs = clock.now();
+    this.stepSinceMs = this.startedMs;
+    this.evidenceAtMs = this.startedMs;
+  }
+
+  get record(): RolloutRecord {
+    return this.current;
+  }
+
+  get step(): RolloutStep {
+    return this.nowStep;
+  }
+
+  /** Why the version is bad; undefined if nothing speaks against it. */
+  get bad(): BadReason | undefined {
+    return this.badReason;
+  }
+
+  /** State as the status or a verdict tells it; undefined while it runs. */
+  get end(): RolloutState.COMPLETED | RolloutState.ROLLED_BACK | undefined {
+    const state = currentState(this.current);
+    if (state === RolloutState.COMPLETED) return state;
+    const isBack =
+      state === RolloutState.ROLLED_BACK || this.badReason !== undefined;
+    return isBack ? RolloutState.ROLLED_BACK : undefined;
+  }
+
+  /** Whether the status says that the order has ended. */
+  get isOver(): boolean {
+    return isOver(currentState(this.current));
+  }
+
+  /** Replaces the stored record of the same order. */
+  updateRecord(record: RolloutRecord): void {
+    if (record.revision >= this.current.revision) this.current = record;
+  }
+
+  /** Records what another entry tells; rows of other orders are ignored. */
+  hear(row: EvidenceRow): void {
+    const {record, vm, clock} = this.options;
+    const isOther = row.order === record.id && row.vm !== vm;
+    if (!isOther || row.service !== record.service) return;
+    if (row.bad !== undefined) this.badReason ??= row.bad;
+    if (this.rows.get(row.vm)?.row.tick === row.tick) return;
+    const heardAtMs = clock.now();
+    this.rows.set(row.vm, {row, heardAtMs});
+    const ownAgeMs = heardAtMs - this.startedMs;
+    this.ageAtStartMs = Math.max(this.ageAtStartMs, row.ageMs - ownAgeMs);
+  }
+
+  /** Forgets an entry that has left. */
+  forget(vm: string): void {
+    this.rows.delete(vm);
+  }
+
+  /** Records that the others' rows were complete at a time. */
+  recordRead(atMs: number): void {
+    this.evidenceAtMs = Math.max(this.evidenceAtMs, atMs);
+  }
+
+  /** Judges the version and decides on the step; returns whether it changed. */
+  update({newTargets}: {newTargets: number}): boolean {
+    if (this.end !== undefined) return false;
+    const {clock} = this.options;
+    const cells = this.allCells();
+    const windows = this.history.update(cells, clock.now());
+    this.badReason = judgeVersion({sinceOrder: cells, windows});
+    if (this.badReason !== undefined) return true;
+    const next = decideStep({
+      step: this.nowStep,
+      stepMs: this.stepMs,
+      ageMs: this.ageMs,
+      durationMs: this.current.durationMs,
+      answers: cells.reduce((n, c) => n + (c.isNew ? c.answers : 0), 0),
+      evidenceAgeMs: clock.now() - this.evidenceAtMs,
+      newTargets,
+    });
+    if (next === this.nowStep) return false;
+    this.nowStep = next;
+    this.stepSinceMs = clock.now();
+    this.budget.beginStep();
+    return true;
+  }
+
+  /** Which versions may get a request now. */
+  allowed(): AllowedVersions {
+    if (this.end === RolloutState.COMPLETED) return {old: false, new: true};
+    if (this.end === RolloutState.ROLLED_BACK) return {old: true, new: false};
+    if (this.nowStep === RolloutStep.FULL) return {old: false, new: true};
+    const isBelow = this.budget.isBelow(this.share);
+    return {old: true, new: isBelow && this.maySendToNew()};
+  }
+
+  /** Whether a request may be sent to the new version whatever chose it. */
+  maySendToNew(): boolean {
+    if (this.end !== undefined) return this.end === RolloutState.COMPLETED;
+    return !isWithinBound(this.nowStep) || this.budget.maySend();
+  }
+
+  /** Share of the traffic that the new version gets now. */
+  get share(): number {
+    return shareOf(this.nowStep, this.options.settings.exposureShare);
+  }
+
+  /** What this entry tells the others now. */
+  row(oldOpen: number): EvidenceRow {
+    const {vm} = this.options;
+    return {
+      service: this.current.service,
+      order: this.current.id,
+      vm,
+      tick: ++this.ticks,
+      ageMs: Math.round(this.ageMs),
+      step: this.nowStep,
+      bad: this.badReason,
+      oldOpen,
+      cells: this.evidence.list(),
+    };
+  }
+
+  /** The state that this entry should write; undefined for none. */
+  stateToWrite(oldOpen: number): RolloutState | undefined {
+    const {vm} = this.options;
+    const others = this.liveRows();
+    const live = others.map((row) => row.vm);
+    if (!isWriter({order: this.current.id, vm, live})) return undefined;
+    return decideStatus({
+      record: this.current,
+      isBad: this.badReason !== undefined,
+      ageMs: this.ageMs,
+      step: this.nowStep,
+      stepMs: this.stepMs,
+      oldOpen,
+      others,
+    });
+  }
+
+  /** Time for which any entry has known the order, in milliseconds. */
+  get ageMs(): number {
+    return this.options.clock.now() - this.startedMs + this.ageAtStartMs;
+  }
+
+  private get stepMs(): number {
+    return this.options.clock.now() - this.stepSinceMs;
+  }
+
+  private allCells() {
+    const others = [...this.rows.values()].map(({row}) => row.cells);
+    return mergeCells([this.evidence.list(), ...others]);
+  }
+
+  /** Rows of the entries that have written lately. */
+  private liveRows(): EvidenceRow[] {
+    const earliestMs = this.options.clock.now() - ENTRY_SILENCE_MS;
+    return [...this.rows.values()]
+      .filter(({heardAtMs}) => heardAtMs >= earliestMs)
+      .map(({row}) => row);
+  }
+}
--- /dev/null
+++ b/src/core/rollouts/version-baseline.ts
@@ -0,0 +1,55 @@
+/** The versions of a service that may get traffic without an order. */
+
+/**
+ * Holds back targets of a version that was not there before, until it is known
+ * that no order is about it: targets of an ordered version may be read before the
+ * order is.
+ *
+ * @example
+ * const baseline = new VersionBaseline();
+ * baseline.held({service: 'desk', versions, nowMs, ordersKnownAtMs});
+ */
+export class VersionBaseline {
+  private readonly known = new Map<string, Set<string>>();
+  private readonly firstSeenMs = new Map<string, number>();
+
+  /** Makes a version the only one of a service that is known. */
+  adopt(service: string, version: string): void {
+    this.known.set(service, new Set([version]));
+    this.firstSeenMs.clear();
+  }
+
+  /** Forgets a version, which is held back when it is next seen. */
+  forget(service: string, version: string): void {
+    this.known.get(service)?.delete(version);
+  }
+
+  /** Returns the versions that get no traffic now. */
+  held(options: {
+    service: string;
+    versions: ReadonlySet<string>;
+    nowMs: number;
+    /** Time as of which all orders are known; undefined if none were read. */
+    ordersKnownAtMs?: number;
+  }): ReadonlySet<string> {
+    const {service, versions, nowMs} = options;
+    const known = this.known.get(service);
+    if (known === undefined) {
+      this.known.set(service, new Set(versions));
+      return new Set();
+    }
+    const held = new Set<string>();
+    for (const version of versions) {
+      if (known.has(version)) continue;
+      const key = `${service}\n${version}`;
+      const seenMs = this.firstSeenMs.get(key) ?? nowMs;
+      this.firstSeenMs.set(key, seenMs);
+      const {ordersKnownAtMs = Number.NEGATIVE_INFINITY} = options;
+      if (ordersKnownAtMs > seenMs) {
+        known.add(version);
+        this.firstSeenMs.delete(key);
+      } else held.add(version);
+    }
+    return held;
+  }
+}
