Roll-outs: entries follow orders, move traffic and write the status

Change: src/direct/rollouts limits which targets of a service may be chosen, counts outcomes by version, shares them through the store while an order runs and writes the status under the revision that was read; platform codecs and settings; the stand-in store keeps status, stand-in targets have versions. TargetSync leaves DirectProcess.

--- a/src/core/metrics/types.ts
+++ b/src/core/metrics/types.ts
@@ -52,6 +52,10 @@
   CONFIG_CHANGES = 'config_changes_total',
   /** Targets lost while they ran requests, by cause. */
   TARGET_LOSSES = 'target_losses_total',
+  /** Requests during a roll-out, by version and outcome. */
+  ROLLOUT_REQUESTS = 'rollout_requests_total',
+  /** Steps and ends of roll-outs at this entry, by name. */
+  ROLLOUT_STEPS = 'rollout_steps_total',
   /** Log lines, or batches of them, that were not written. */
   LOG_LINES_DROPPED = 'log_lines_dropped_total',
   /** Exceptions that ended a request or a background task, by `TaskName`. */
--- a/src/core/rollouts/version-baseline.ts
+++ b/src/core/rollouts/version-baseline.ts
@@ -13,17 +13,6 @@
   private readonly known = new Map<string, Set<string>>();
   private readonly firstSeenMs = new Map<string, number>();
 
-  /** Makes a version the only one of a service that is known. */
-  adopt(service: string, version: string): void {
-    this.known.set(service, new Set([version]));
-    this.firstSeenMs.clear();
-  }
-
-  /** Forgets a version, which is held back when it is next seen. */
-  forget(service: string, version: string): void {
-    this.known.get(service)?.delete(version);
-  }
-
   /** Returns the versions that get no traffic now. */
   held(options: {
     service: string;
@@ -35,6 +24,9 @@
     const {service, versions, nowMs} = options;
     const known = this.known.get(service);
     if (known === undefined) {
+      // Old and new cannot be told apart before the orders are known.
+      if (options.ordersKnownAtMs === undefined && versions.size > 1)
+        return versions;
       this.known.set(service, new Set(versions));
       return new Set();
     }
--- a/src/core/settings/direct-settings.ts
+++ b/src/core/settings/direct-settings.ts
@@ -1,4 +1,5 @@
 /** Settings of an entry that calls its targets directly. */
+import type {RolloutSettings} from '../rollouts/index.js';
 
 /** An address on which a process listens. */
 export interface ListenAddress {
@@ -46,6 +47,8 @@
    */
   readonly keyRevocationMs?: number;
   readonly retryBudget: RetryBudgetSettings;
+  /** Bounds on roll-outs; undefined where none are ordered. */
+  readonly rollout?: RolloutSettings;
   /** Memory that the platform allows the process, in bytes. */
   readonly memoryBytes: number;
 }
--- a/src/core/supervision/types.ts
+++ b/src/core/supervision/types.ts
@@ -17,6 +17,7 @@
   QUARANTINE = 'quarantine',
   READINESS = 'readiness',
   REQUEST = 'request',
+  ROLLOUT = 'rollout',
   SETTINGS = 'settings',
   SHUTDOWN = 'shutdown',
   STORE_FOLLOWER = 'store_follower',
--- a/src/core/targets/index.ts
+++ b/src/core/targets/index.ts
@@ -2,6 +2,7 @@
 export {REPORT_LAG_MS} from './consts.js';
 export {SAMPLE_SIZE, sampleTargets} from './sample-targets.js';
 export {Target} from './target.js';
+export type {TargetGate} from './target-set.js';
 export {TargetSet} from './target-set.js';
 export type {ReportedLoad, TargetRecord, TargetWork} from './types.js';
 export {incarnationOf} from './types.js';
--- a/src/core/targets/target-set.ts
+++ b/src/core/targets/target-set.ts
@@ -14,6 +14,12 @@
   readonly isRestored: boolean;
 }
 
+/** Limits which targets of a service may get work. */
+export interface TargetGate {
+  /** Returns those of the targets that may get work now. */
+  admit(service: string, targets: Target[]): Target[];
+}
+
 /**
  * Keeps a `Target` for the current incarnation of each target. A target that is
  * draining or no longer registered gets no new work. If its registration is
@@ -41,6 +47,8 @@
       onRemoved: (target: Target) => void;
       /** Called on each pause of a target with its length in milliseconds. */
       onPaused?: (target: Target, pauseMs: number) => void;
+      /** Limits which targets of a service may get work now; all by default. */
+      gate?: TargetGate;
     },
   ) {}
 
@@ -72,13 +80,19 @@
   }
 
   /** Registered targets of a service that are not draining. */
-  private presentOf(service: string): Target[] {
+  registeredOf(service: string): Target[] {
     this.removeExpired();
     return [...this.targets.values()].filter(
       ({record}) => record.service === service && !record.isDraining,
     );
   }
 
+  /** Those of them that may get work now. */
+  private presentOf(service: string): Target[] {
+    const registered = this.registeredOf(service);
+    return this.options.gate?.admit(service, registered) ?? registered;
+  }
+
   /** Whether there are registrations that must be listed again to be used. */
   get hasStale(): boolean {
     return this.gone.hasStale;
--- a/src/core/targets/types.ts
+++ b/src/core/targets/types.ts
@@ -15,6 +15,10 @@
   readonly startedAtMs?: number;
   /** Number of times that this incarnation has written its registration. */
   readonly writeCount?: number;
+  /** Version of its software; undefined if it names none. */
+  readonly version?: string;
+  /** Whether it is slow, as it has just started. */
+  readonly isWarmingUp?: boolean;
 }
 
 /** Load report of a target. */
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -9,6 +9,7 @@
   RequestHead,
 } from '../core/edges/direct-caller.js';
 import type {DirectTargets} from '../core/edges/direct-target.js';
+import type {RolloutEdges} from '../core/edges/rollout-edges.js';
 import type {StateWriter} from '../core/edges/state-writer.js';
 import type {StateSource} from '../core/edges/state-source.js';
 import {RefusalReason} from '../core/errors/refusals.js';
@@ -32,19 +33,11 @@
 import {messageMemoryBytes} from '../core/settings/direct-settings.js';
 import type {Supervisor} from '../core/supervision/index.js';
 import {TaskName} from '../core/supervision/index.js';
-import type {Follower} from '../core/sync/index.js';
 import {KeyTrust, OutageGate} from '../core/sync/index.js';
 import type {TargetRecord} from '../core/targets/index.js';
 import {TargetSet} from '../core/targets/index.js';
 import {CallHandler} from './call-handler.js';
-import {
-  STARTUP_LOSSES_WAIT_MS,
-  RETRY_AFTER_MS,
-  TARGETS_PAUSE_SHARE,
-  MAX_STALE_LISTS,
-  STALE_TARGETS_CHECK_MS,
-  TARGETS_LONG_POLL_MS,
-} from './consts.js';
+import {STARTUP_LOSSES_WAIT_MS, RETRY_AFTER_MS} from './consts.js';
 import {ConfigSync} from './config-sync.js';
 import type {DirectContext, DirectWork} from './context.js';
 import {GracePeriod} from './grace-period.js';
@@ -53,10 +46,12 @@
 import {Prober} from './prober.js';
 import {Need} from './readiness-log.js';
 import {failRequest} from './request-boundary.js';
+import type {RolloutKeeper} from './rollouts/index.js';
+import {createRolloutKeeper} from './rollouts/index.js';
 import {ServiceRetryBudgets} from './service-retry-budgets.js';
-import {createStoreFollower} from './store-follower.js';
 import {MinGenerationTimes} from './streams/min-generation-times.js';
 import {StreamHandler} from './streams/stream-handler.js';
+import {TargetSync} from './target-sync.js';
 
 /** Settings and dependencies of a direct entry. */
 export interface DirectProcessOptions {
@@ -71,6 +66,8 @@
   readonly lossWriter: StateWriter<RecordedLosses>;
   readonly alertSource: StateSource<RecordedLosses>;
   readonly alertWriter: StateWriter<RecordedLosses>;
+  /** Used where the settings allow roll-outs. */
+  readonly rollouts?: RolloutEdges;
   readonly client: DirectTargets;
   readonly permitPeers: PermitPeers;
   /** Memory for all messages that the process holds. */
@@ -99,19 +96,20 @@
   private readonly gate: OutageGate;
   private readonly quarantineSync: QuarantineSync;
   private readonly configSync: ConfigSync;
-  private targetFollower?: Follower<TargetRecord>;
+  private readonly targetSync: TargetSync;
   private readonly openRequests = new Set<CallHandler | StreamHandler>();
-  private hasLoadedTargets = false;
-  private staleListsLeft = 0;
   private startedMs = 0;
   private readonly grace: GracePeriod;
+  /** Undefined where no roll-outs are ordered. */
+  private readonly versions?: RolloutKeeper;
 
   constructor(private readonly options: DirectProcessOptions) {
-    const {settings, clock, random, client, metrics, logger, supervisor} =
-      options;
+    const {settings, clock, random, metrics, logger, supervisor} = options;
     this.settings = settings;
     this.gate = new OutageGate({clock, supervisor});
     this.grace = new GracePeriod({clock});
+    this.versions = createRolloutKeeper({...options, gate: this.gate});
+    const client = this.versions?.wrap(options.client) ?? options.client;
     this.keyTrust = new KeyTrust({
       clock,
       boundMs: settings.keyRevocationMs,
@@ -134,6 +132,13 @@
       clock,
       onRemoved: (target) => client.releaseConnections(target.record),
       onPaused: (target, pauseMs) => prober.recheckPaused(target, pauseMs),
+      gate: this.versions,
+    });
+    this.targetSync = new TargetSync({
+      ...options,
+      ...settings,
+      targets,
+      gate: this.gate,
     });
     const limits = new LimitKeeper({
       ...options,
@@ -204,7 +209,8 @@
 
   start(): void {
     this.configSync.start();
-    this.followTargets(this.options.registrations);
+    this.versions?.start(this.ctx.targets);
+    this.targetSync.start();
     this.quarantineSync.start();
     this.ctx.lossTracker.start();
     this.startedMs = this.options.clock.now();
@@ -226,8 +232,9 @@
   /** Stops following the store. */
   stop(): void {
     this.configSync.stop();
-    this.targetFollower?.stop();
+    this.targetSync.stop();
     this.quarantineSync.stop();
+    this.versions?.stop();
     this.ctx.lossTracker.stop();
   }
 
@@ -247,7 +254,8 @@
   missing(): Need[] {
     const needs: Need[] = [];
     if (this.routes.get() === undefined) needs.push(Need.CONFIGURATION);
-    if (!this.hasLoadedTargets) needs.push(Need.TARGETS);
+    if (!this.targetSync.hasLoaded) needs.push(Need.TARGETS);
+    if (this.versions?.hasLoaded === false) needs.push(Need.ROLLOUTS);
     if (!this.hasLoadedLosses()) needs.push(Need.LOSSES);
     if (!this.keyTrust.isTrusted()) needs.push(Need.KEY_CONFIRMATION);
     return needs;
@@ -318,7 +326,7 @@
     const {route, table} = admitted;
     const name = pickService({route, draw: ctx.random.float()});
     const service = name === undefined ? undefined : table.findService(name);
-    if (service === undefined || !this.hasLoadedTargets) {
+    if (service === undefined || !this.targetSync.hasLoaded) {
       const reason = RefusalReason.NO_TARGET;
       this.refuse(req, res, {
         status: 503,
@@ -380,38 +388,6 @@
     });
   }
 
-  private followTargets(source: StateSource<TargetRecord>): void {
-    const {targets} = this.ctx;
-    const follower = createStoreFollower({
-      ...this.options,
-      what: 'targets',
-      source,
-      waitMs: TARGETS_LONG_POLL_MS,
-      pauseMs: this.settings.targetDrainMs * TARGETS_PAUSE_SHARE,
-      gate: this.gate,
-      onSnapshot: (items, about) => {
-        targets.replaceAll(items, about);
-        this.hasLoadedTargets = true;
-        if (about.isRestored) this.staleListsLeft = MAX_STALE_LISTS;
-        if (targets.hasStale) this.listTargetsAgain(follower);
-      },
-      onChanges: (changes) => targets.applyChanges(changes),
-    });
-    this.targetFollower = follower;
-    follower.start();
-  }
-
-  /** Targets that live have written their registrations again by then. */
-  private listTargetsAgain(follower: Follower<TargetRecord>): void {
-    const {clock, logger, supervisor} = this.options;
-    if (this.staleListsLeft-- <= 0) return;
-    logger.info('stale registrations will be listed again');
-    clock.schedule({
-      delayMs: STALE_TARGETS_CHECK_MS,
-      run: supervisor.guard({name: TaskName.TARGETS}, () => follower.refresh()),
-    });
-  }
-
   private isEngineService(name: string): boolean {
     return this.routes.get()?.findService(name)?.engine !== undefined;
   }
--- a/src/direct/readiness-log.ts
+++ b/src/direct/readiness-log.ts
@@ -8,6 +8,7 @@
 export enum Need {
   CONFIGURATION = 'configuration',
   TARGETS = 'targets',
+  ROLLOUTS = 'rollouts',
   LOSSES = 'losses',
   KEY_CONFIRMATION = 'key_confirmation',
 }
--- /dev/null
+++ b/src/direct/rollouts/rollout.ts
@@ -0,0 +1,99 @@
+/** One order at this entry, with the targets that are open to it. */
+import {createHash} from 'node:crypto';
+
+import type {
+  RolloutSettings,
+  RolloutRecord,
+} from '../../core/rollouts/index.js';
+import {
+  isWithinBound,
+  openTargets,
+  RolloutController,
+  RolloutState,
+  RolloutStep,
+} from '../../core/rollouts/index.js';
+import type {Clock} from '../../core/clock/index.js';
+import type {Target, TargetRecord} from '../../core/targets/index.js';
+import {ExchangeTimer} from './exchange-timer.js';
+
+/**
+ * Limits which targets of a service may be chosen while its traffic moves. All
+ * entries open the same targets of the new version first, so that these have
+ * their full load early.
+ *
+ * @example
+ * const rollout = new Rollout({record, vm, settings, clock});
+ * rollout.refreshOpen(registered);
+ * rollout.admit(registered);
+ */
+export class Rollout {
+  readonly controller: RolloutController;
+  readonly timer = new ExchangeTimer();
+  /** Requests of this entry at targets of the old version. */
+  oldOpen = 0;
+  /** Whether the order was removed before its end. */
+  isWithdrawn = false;
+  private openIds: ReadonlySet<string> = new Set();
+  private readonly scores = new Map<string, string>();
+
+  constructor(options: {
+    record: RolloutRecord;
+    vm: string;
+    settings: RolloutSettings;
+    clock: Clock;
+  }) {
+    this.controller = new RolloutController(options);
+  }
+
+  /** Whether the order neither has ended nor was removed. */
+  get isRunning(): boolean {
+    return !this.controller.isOver && !this.isWithdrawn;
+  }
+
+  isNew({version}: TargetRecord): boolean {
+    return version === this.controller.record.target;
+  }
+
+  /** Chooses the targets that are open; returns how many new ones there are. */
+  refreshOpen(registered: readonly Target[]): number {
+    const ofNew = registered.filter(({record}) => this.isNew(record));
+    const {step, share} = this.controller;
+    const count = openTargets({step, share, targets: ofNew.length});
+    const rank = (target: Target) =>
+      (target.isPaused() ? 2 : 0) +
+      (target.record.isWarmingUp === true ? 1 : 0);
+    const sorted = [...ofNew].sort(
+      (a, b) =>
+        rank(a) - rank(b) || (this.scoreOf(a) < this.scoreOf(b) ? -1 : 1),
+    );
+    this.openIds = new Set(sorted.slice(0, count).map(({id}) => id));
+    return ofNew.filter((target) => !target.isPaused()).length;
+  }
+
+  /** Returns the targets that may get a request now. */
+  admit(registered: Target[]): Target[] {
+    const {controller} = this;
+    const old = registered.filter(({record}) => !this.isNew(record));
+    if (this.isWithdrawn && controller.end !== RolloutState.COMPLETED)
+      return old;
+    if (controller.end === RolloutState.ROLLED_BACK) return old;
+    const ofNew = registered.filter(({record}) => this.isNew(record));
+    if (controller.end === RolloutState.COMPLETED)
+      return ofNew.length > 0 ? ofNew : old;
+    const {step} = controller;
+    if (step === RolloutStep.FULL)
+      return ofNew.some((target) => !target.isPaused()) ? ofNew : registered;
+    if (!controller.allowed().new) return old;
+    if (!isWithinBound(step)) return registered;
+    return [...old, ...ofNew.filter(({id}) => this.openIds.has(id))];
+  }
+
+  private scoreOf({id}: Target): string {
+    const known = this.scores.get(id);
+    if (known !== undefined) return known;
+    const {id: order} = this.controller.record;
+    const score = createHash('sha1').update(`${order}\n${id}`).digest('hex');
+    this.scores.set(id, score);
+    return score;
+  }
+}
--- a/stand-ins/site/registration.ts
+++ b/stand-ins/site/registration.ts
@@ -16,15 +16,17 @@
   state?: string;
   /** Start of the incarnation as a Unix time in milliseconds. */
   bornMs?: number;
+  /** Version of its software. */
+  version?: string;
 }) {
   const {service, zone, address, state = 'ready'} = options;
-  const {bornMs = DEFAULT_BORN_MS} = options;
+  const {bornMs = DEFAULT_BORN_MS, version = 'v1'} = options;
   return {
     service,
     zone,
     address,
     state,
-    version: 'v1',
+    version,
     slots: 8,
     warmup_left_ms: 0,
     sequence: 1,
--- a/stand-ins/site/store.ts
+++ b/stand-ins/site/store.ts
@@ -35,6 +35,7 @@
   readonly kind: string;
   readonly name: string;
   readonly spec?: unknown;
+  readonly status?: unknown;
 }
 
 interface LongPoll {
@@ -52,6 +53,13 @@
   readonly changes: readonly StoredChange[];
 }
 
+/** An object as a call writes it. */
+interface WrittenObject {
+  readonly metadata: {readonly name: string; readonly revision?: number};
+  readonly spec?: unknown;
+  readonly status?: unknown;
+}
+
 /** A call with the kind and the name from its path. */
 interface StoreCall {
   readonly req: IncomingMessage;
@@ -126,7 +134,13 @@
   }
 
   put(options: {kind: string; name: string; spec: unknown}): void {
-    this.change(options);
+    const {status} = this.objects.get(`${options.kind}/${options.name}`) ?? {};
+    this.change({...options, status});
+  }
+
+  /** Status of an object, as it was last written; undefined if it has none. */
+  statusOf(kind: string, name: string): unknown {
+    return this.objects.get(`${kind}/${name}`)?.status;
   }
 
   remove(options: {kind: string; name: string}): void {
@@ -168,7 +182,12 @@
     for (const longPoll of [...this.longPolls]) longPoll.respond();
   }
 
-  private change(options: {kind: string; name: string; spec?: unknown}): void {
+  private change(options: {
+    kind: string;
+    name: string;
+    spec?: unknown;
+    status?: unknown;
+  }): void {
     const {kind, name} = options;
     this.revision++;
     const change = {...options, revision: this.revision};
@@ -226,10 +245,11 @@
       sendJson(res, 200, {});
       return;
     }
-    const object = (await readJson({req})) as {
-      metadata: {name: string};
-      spec: unknown;
-    };
+    const object = (await readJson({req})) as WrittenObject;
+    if (req.url?.endsWith('/status') === true) {
+      this.writeStatus({res, kind, name, object});
+      return;
+    }
     const {metadata, spec} = object;
     const exists = this.objects.has(`${kind}/${metadata.name}`);
     const isUpdate = req.method === 'PUT';
@@ -241,6 +261,29 @@
     sendJson(res, 201, {});
   }
 
+  /** Replaces the status if the object has the revision that the call names. */
+  private writeStatus(options: {
+    res: ServerResponse;
+    kind: string;
+    name: string;
+    object: WrittenObject;
+  }): void {
+    const {res, kind, name, object} = options;
+    const stored = this.objects.get(`${kind}/${name}`);
+    if (stored === undefined) {
+      sendJson(res, 404, {});
+      return;
+    }
+    const {revision = stored.revision} = object.metadata;
+    if (revision !== stored.revision) {
+      sendJson(res, 409, toEntry(stored));
+      return;
+    }
+    const {spec} = stored;
+    this.change({kind, name, spec, status: object.status});
+    sendJson(res, 200, {});
+  }
+
   /** Sends a page of a kind, in the order of names. */
   private list({res, kind, query}: StoreCall): void {
     const afterName = query.get('since_revision') ?? '';
@@ -290,8 +333,8 @@
 }
 
 function toEntry(change: StoredChange) {
-  const {name, revision, spec} = change;
-  return {metadata: {name, revision}, spec: spec ?? null, status: null};
+  const {name, revision, spec, status = null} = change;
+  return {metadata: {name, revision}, spec: spec ?? null, status};
 }
 
 function sendJson(res: ServerResponse, status: number, body: unknown): void {
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -93,6 +93,12 @@
   /** Ids of the KV cache copies stored here. */
   readonly copies = new Set<string>();
   readonly id: string;
+  /** Version of its software. */
+  readonly version?: string;
+  /** Share of its plain responses that are failures of its own. */
+  failureShare = 0;
+  /** Added to the duration of its plain calls, in milliseconds. */
+  extraWorkMs = 0;
   private readonly pace: StreamPace;
   private readonly workMs: number;
   private readonly copyNetwork: CopyNetwork;
@@ -110,9 +116,12 @@
     pace?: StreamPace;
     /** Duration of a plain call, in milliseconds; 0 by default. */
     workMs?: number;
+    /** Version of its software. */
+    version?: string;
     observer?: TargetObserver;
   }) {
     this.id = options.id;
+    this.version = options.version;
     this.copyNetwork = options.copyNetwork;
     this.pace = options.pace ?? NO_STREAM;
     this.workMs = options.workMs ?? 0;
@@ -150,8 +159,8 @@
 
   /** Returns the registration of this target in the store. */
   registration(options: {service: string; zone: string; state?: string}) {
-    const {address, bornMs} = this;
-    return registrationOf({...options, address, bornMs});
+    const {address, bornMs, version} = this;
+    return registrationOf({...options, address, bornMs, version});
   }
 
   /** Closes all connections and refuses new ones. */
@@ -318,8 +327,13 @@
     this.recordRun({req, res, body, hasFullPrefill: true});
     setTimeout(() => {
       if (this.triggersCrash(body)) this.crashOnRequest(req, body);
-      else sendResponse({...this, req, res});
-    }, this.workMs);
+      else sendResponse({...this, fault: this.drawFault(), req, res});
+    }, this.workMs + this.extraWorkMs);
+  }
+
+  private drawFault(): TargetFault {
+    const fails = Math.random() < this.failureShare;
+    return fails ? TargetFault.ERROR : this.fault;
   }
 
   private eventsFrom(first: number, attemptId: string): string[] {
--- a/test/support/direct-entry.ts
+++ b/test/support/direct-entry.ts
@@ -11,6 +11,7 @@
 import {SILENT_LOGGER} from '../../src/core/logs/index.js';
 import type {Logger} from '../../src/core/logs/index.js';
 import {Metrics} from '../../src/core/metrics/index.js';
+import type {RolloutSettings} from '../../src/core/rollouts/index.js';
 import {Supervisor} from '../../src/core/supervision/index.js';
 import {ChangeRelay} from '../../src/direct/relay/index.js';
 import {DirectProcess} from '../../src/direct/direct-process.js';
@@ -41,6 +42,8 @@
   readonly storeUrl: string;
   /** Time within which a revoked key must be refused; undefined for no bound. */
   readonly revokeMs?: number;
+  /** Bounds on roll-outs; by default none are followed. */
+  readonly rollout?: RolloutSettings;
   /** Port for other entries, 0 for a free one; without it, none connect. */
   readonly peerPort?: number;
   /** By default nothing is logged. */
@@ -72,7 +75,7 @@
   private readonly edges: PlatformEdges;
 
   private constructor(options: DirectEntryOptions) {
-    const {vm, storeUrl, revokeMs} = options;
+    const {vm, storeUrl, revokeMs, rollout} = options;
     const {clock, random, metrics, memory, logger} = createParts(options);
     const supervisor = new Supervisor({clock, metrics, logger});
     this.metrics = metrics;
@@ -111,6 +114,7 @@
         keyRevocationMs: revokeMs,
         retryBudget: {ratio: 0.8, windowMs: 10_000, slack: 150},
         memoryBytes: MEMORY_BYTES,
+        rollout,
       },
       memory,
       clock,
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -25,12 +25,14 @@
   readonly pace?: StreamPace;
   /** Duration of a plain call, in milliseconds; 0 by default. */
   readonly workMs?: number;
+  /** Version of its software; 'v1' by default. */
+  readonly version?: string;
 }
 
 /** Options of a site. */
 export interface SiteOptions extends Pick<
   DirectEntryOptions,
-  'logger' | 'wrapEdges' | 'wrapParts'
+  'logger' | 'wrapEdges' | 'wrapParts' | 'rollout'
 > {
   /** Time within which a revoked key must be refused; undefined for no bound. */
   readonly revokeMs?: number;
@@ -94,7 +96,8 @@
 
   /** Starts an entry, or restarts one that was killed. */
   async startEntry(i: number): Promise<void> {
-    const {revokeMs, hasRelay, logger, wrapEdges, wrapParts} = this.options;
+    const {revokeMs, hasRelay, logger, wrapEdges, wrapParts, rollout} =
+      this.options;
     this.entries[i] = await DirectEntry.start({
       vm: `entry-${i + 1}`,
       storeUrl: this.storeEndpoints[i]!.url,
@@ -103,6 +106,7 @@
       logger,
       wrapEdges,
       wrapParts,
+      rollout,
     });
   }
 
@@ -115,18 +119,19 @@
   /** Starts targets and waits until every entry may use all of them. */
   async addTargets(options: readonly TargetOptions[]) {
     const added: StandInTarget[] = [];
-    for (const {service, zone, pace, workMs} of options) {
+    for (const {service, zone, pace, workMs, version} of options) {
       const id = `i-${this.targets.length + 1}`;
       const target = new StandInTarget({
         id,
         copyNetwork: this.copyNetwork,
         pace,
         workMs,
+        version,
       });
       await target.start();
       this.copyNetwork.targetsByAddress.set(target.listenAddress, target);
       this.targets.push(target);
-      this.targetOptions.set(target, {service, zone, pace});
+      this.targetOptions.set(target, {service, zone, pace, version});
       added.push(target);
       this.register(target, {service, zone});
     }
