Roll-outs: a bad version is not hidden by choosers that avoid it

Change: with two usable open targets, these alone are offered; the step within the bound needs 12 answers.

--- a/src/core/rollouts/consts.ts
+++ b/src/core/rollouts/consts.ts
@@ -17,8 +17,11 @@
 /** Answers of the new version without which no step follows in time. */
 export const MIN_STEP_ANSWERS = 40;
 
+/** The same for the step that is still within the bound. */
+export const MIN_LOADED_ANSWERS = 12;
+
 /** Part of the time budget after which few answers suffice. */
-export const FEW_ANSWERS_FROM = 0.65;
+export const FEW_ANSWERS_FROM = 0.6;
 
 /** Part of the time budget, and time, for which each step lasts at least. */
 export const MIN_STEP_PART = 0.06;
--- a/src/core/rollouts/decide-step.ts
+++ b/src/core/rollouts/decide-step.ts
@@ -9,6 +9,7 @@
   LOADED_SHARE,
   MAX_EVIDENCE_AGE_MS,
   MAX_MIN_STEP_MS,
+  MIN_LOADED_ANSWERS,
   MIN_LOADED_TARGETS,
   MIN_OPEN_TARGETS,
   MIN_STEP_ANSWERS,
@@ -55,7 +56,9 @@
   if (stepMs < Math.min(durationMs * MIN_STEP_PART, MAX_MIN_STEP_MS))
     return step;
   const part = ageMs / durationMs;
-  const isProven = answers >= MIN_STEP_ANSWERS || part >= FEW_ANSWERS_FROM;
+  const enough =
+    next === RolloutStep.LOADED ? MIN_LOADED_ANSWERS : MIN_STEP_ANSWERS;
+  const isProven = answers >= enough || part >= FEW_ANSWERS_FROM;
   return part >= from && isProven ? next : step;
 }
 
--- a/src/direct/rollouts/rollout.ts
+++ b/src/direct/rollouts/rollout.ts
@@ -16,6 +16,12 @@
 import type {Target, TargetRecord} from '../../core/targets/index.js';
 import {ExchangeTimer} from './exchange-timer.js';
 
+/**
+ * Targets of the new version that may be the only ones to choose from: a retry
+ * leaves one out.
+ */
+const MIN_ALONE = 2;
+
 /**
  * Limits which targets of a service may be chosen while its traffic moves. All
  * entries open the same targets of the new version first, so that these have
@@ -85,7 +91,10 @@
       return ofNew.some((target) => !target.isPaused()) ? ofNew : registered;
     if (!controller.allowed().new) return old;
     if (!isWithinBound(step)) return registered;
-    return [...old, ...ofNew.filter(({id}) => this.openIds.has(id))];
+    const open = ofNew.filter(({id}) => this.openIds.has(id));
+    const usable = open.filter((t) => !t.isPaused() && !t.isFull());
+    // Choosers avoid targets that fail, and so would hide a bad version.
+    return usable.length >= MIN_ALONE ? usable : [...old, ...open];
   }
 
   private scoreOf({id}: Target): string {
--- /dev/null
+++ b/test/core/rollouts/status.test.ts
@@ -0,0 +1,184 @@
+/** Who writes the status of a roll-out, and what; which versions are held back. */
+import {describe, expect, it} from 'vitest';
+
+import {ManualClock} from '../../../src/core/clock/index.js';
+import type {
+  EvidenceRow,
+  RolloutRecord,
+  RolloutStatus,
+} from '../../../src/core/rollouts/index.js';
+import {
+  BadReason,
+  decideStatus,
+  isWriter,
+  RolloutController,
+  RolloutState,
+  RolloutStep,
+  VersionBaseline,
+} from '../../../src/core/rollouts/index.js';
+
+const RECORD: RolloutRecord = {
+  id: 'o1',
+  service: 'desk',
+  target: 'v2',
+  durationMs: 30_000,
+  revision: 7,
+};
+
+const FULL = {
+  record: RECORD,
+  isBad: false,
+  ageMs: 20_000,
+  step: RolloutStep.FULL,
+  stepMs: 2_000,
+  oldOpen: 0,
+  others: [] as EvidenceRow[],
+};
+
+const rowOf = (fields: Partial<EvidenceRow>): EvidenceRow => ({
+  service: 'desk',
+  order: 'o1',
+  vm: 'edge-2',
+  tick: 1,
+  ageMs: 20_000,
+  step: RolloutStep.FULL,
+  oldOpen: 0,
+  cells: [],
+  ...fields,
+});
+
+const withStatus = (status: RolloutStatus): RolloutRecord => ({
+  ...RECORD,
+  status,
+});
+
+const {COMPLETED, IN_PROGRESS, ROLLED_BACK} = RolloutState;
+
+describe('the status of a roll-out', () => {
+  it.each([
+    {
+      name: 'begun',
+      known: {...FULL, step: RolloutStep.CANARY},
+      is: IN_PROGRESS,
+    },
+    {name: 'moved', known: FULL, is: COMPLETED},
+    {name: 'found bad', known: {...FULL, isBad: true}, is: ROLLED_BACK},
+    {
+      name: 'with requests at old targets',
+      known: {
+        ...FULL,
+        record: withStatus({state: IN_PROGRESS, target: 'v2'}),
+        oldOpen: 1,
+      },
+      is: undefined,
+    },
+    {
+      name: 'with such requests late',
+      known: {...FULL, oldOpen: 1, ageMs: 29_000},
+      is: COMPLETED,
+    },
+    {
+      name: 'with requests of another entry',
+      known: {
+        ...FULL,
+        record: withStatus({state: IN_PROGRESS, target: 'v2'}),
+        others: [rowOf({oldOpen: 3})],
+      },
+      is: undefined,
+    },
+    {
+      name: 'with an entry behind, however late',
+      known: {
+        ...FULL,
+        record: withStatus({state: IN_PROGRESS, target: 'v2'}),
+        ageMs: 29_000,
+        others: [rowOf({step: RolloutStep.HALF})],
+      },
+      is: undefined,
+    },
+    {
+      name: 'completed, and then found bad',
+      known: {
+        ...FULL,
+        record: withStatus({state: COMPLETED, target: 'v2'}),
+        isBad: true,
+      },
+      is: undefined,
+    },
+    {
+      name: 'rolled back',
+      known: {...FULL, record: withStatus({state: ROLLED_BACK, target: 'v2'})},
+      is: undefined,
+    },
+    {
+      name: 'whose status is of an earlier order',
+      known: {
+        ...FULL,
+        step: RolloutStep.CANARY,
+        record: withStatus({state: COMPLETED, target: 'v1'}),
+      },
+      is: IN_PROGRESS,
+    },
+  ])('of an order $name', ({known, is}) => {
+    expect(decideStatus(known)).toBe(is);
+  });
+
+  it('is written by one of the live entries', () => {
+    const vms = ['edge-1', 'edge-2', 'edge-3'];
+    for (const order of ['o1', 'o2', 'o3', 'o4']) {
+      const writers = vms.filter((vm) => isWriter({order, vm, live: vms}));
+      expect(writers.length).toBe(1);
+      const rest = vms.filter((vm) => vm !== writers[0]);
+      const next = rest.filter((vm) => isWriter({order, vm, live: rest}));
+      expect(next.length).toBe(1);
+    }
+  });
+
+  it('is not written for an order that another one has replaced', () => {
+    const clock = new ManualClock();
+    const settings = {exposureShare: 0.1, exposureSlack: 0, rollbackMs: 5_000};
+    const vm = 'edge-1';
+    const late = new RolloutController({record: RECORD, vm, settings, clock});
+    late.hear(rowOf({order: 'o2', bad: BadReason.SLOW}));
+    expect(late.bad).toBeUndefined();
+    late.hear(rowOf({bad: BadReason.SLOW}));
+    expect(late.bad).toBe(BadReason.SLOW);
+    expect(late.maySendToNew()).toBe(false);
+  });
+});
+
+describe('a version without an order', () => {
+  const held = (
+    baseline: VersionBaseline,
+    versions: string[],
+    nowMs: number,
+    ordersKnownAtMs?: number,
+  ) => [
+    ...baseline.held({
+      service: 'desk',
+      versions: new Set(versions),
+      nowMs,
+      ordersKnownAtMs,
+    }),
+  ];
+
+  it('is used if it was there from the begin', () => {
+    const baseline = new VersionBaseline();
+    expect(held(baseline, ['v1'], 0)).toEqual([]);
+    expect(held(baseline, ['v1'], 10, 5)).toEqual([]);
+  });
+
+  it('is held back until the orders are known as of later', () => {
+    const baseline = new VersionBaseline();
+    held(baseline, ['v1'], 0, 0);
+    expect(held(baseline, ['v1', 'v2'], 100, 50)).toEqual(['v2']);
+    expect(held(baseline, ['v1', 'v2'], 200, 90)).toEqual(['v2']);
+    expect(held(baseline, ['v1', 'v2'], 300, 101)).toEqual([]);
+  });
+
+  it('cannot be told from others before the orders are known', () => {
+    const baseline = new VersionBaseline();
+    expect(held(baseline, ['v1', 'v2'], 0)).toEqual(['v1', 'v2']);
+    expect(held(baseline, ['v1', 'v2'], 10, 5)).toEqual([]);
+  });
+});
--- a/test/direct/rollouts.test.ts
+++ b/test/direct/rollouts.test.ts
@@ -121,7 +121,7 @@
   afterEach(() => play.stop());
 
   const GOOD = [
-    {name: 'nothing', disturb: async () => undefined},
+    {name: 'nothing', disturb: () => Promise.resolve()},
     {
       name: 'the store away for 2 s',
       disturb: async () => {
@@ -172,29 +172,33 @@
       name: 'fails at once',
       spoil: (target: StandInTarget) => (target.failureShare = 0.4),
       later: () => undefined,
+      withinMs: 8_000,
     },
     {
       name: 'is slow at once',
       spoil: (target: StandInTarget) => (target.extraWorkMs = 80),
       later: () => undefined,
+      withinMs: 8_000,
     },
     {
       name: 'fails later',
       spoil: () => undefined,
       later: () => play.fresh.forEach((target) => (target.failureShare = 0.5)),
+      withinMs: 9_000,
     },
   ];
 
   it.each(BAD)(
     'of a version that $name is turned back within the bounds',
-    async ({spoil, later}) => {
+    async ({spoil, later, withinMs}) => {
       play = await RolloutSite.start();
       play.order(12);
       await pause(300);
       const startedCalls = play.calls;
       await play.addNew(spoil);
       setTimeout(later, 3_500);
-      await play.waitForState('rolled_back', 12_000);
+      const tookMs = await play.waitForState('rolled_back', 12_000);
+      expect(tookMs).toBeLessThan(withinMs);
       const backMs = performance.now();
       await pause(1_500);
       const runs = play.runsSince(play.fresh, 0);
@@ -209,7 +213,6 @@
     'holds back a version whose order has not been read',
     async () => {
       play = await RolloutSite.start();
-      play.site.targets.length;
       await play.addNew().catch(() => undefined);
       play.order(10);
       await pause(1_500);
