--- /dev/null
+++ b/src/core/rollouts/version-baseline.ts
@@ -0,0 +1,47 @@
+/** The versions of a service that may get traffic without an order. */
+
+/**
+ * Holds back targets of a version that was not there before, until it is known
+ * that no order is about it: targets of an ordered version may be read before the
+ * order is.
+ *
+ * @example
+ * const baseline = new VersionBaseline();
+ * baseline.held({service: 'desk', versions, nowMs, ordersKnownAtMs});
+ */
+export class VersionBaseline {
+  private readonly known = new Map<string, Set<string>>();
+  private readonly firstSeenMs = new Map<string, number>();
+
+  /** Returns the versions that get no traffic now. */
+  held(options: {
+    service: string;
+    versions: ReadonlySet<string>;
+    nowMs: number;
+    /** Time as of which all orders are known; undefined if none were read. */
+    ordersKnownAtMs?: number;
+  }): ReadonlySet<string> {
+    const {service, versions, nowMs} = options;
+    const known = this.known.get(service);
+    if (known === undefined) {
+      // Old and new cannot be told apart before the orders are known.
+      if (options.ordersKnownAtMs === undefined && versions.size > 1)
+        return versions;
+      this.known.set(service, new Set(versions));
+      return new Set();
+    }
+    const held = new Set<string>();
+    for (const version of versions) {
+      if (known.has(version)) continue;
+      const key = `${service}\n${version}`;
+      const seenMs = this.firstSeenMs.get(key) ?? nowMs;
+      this.firstSeenMs.set(key, seenMs);
+      const {ordersKnownAtMs = Number.NEGATIVE_INFINITY} = options;
+      if (ordersKnownAtMs > seenMs) {
+        known.add(version);
+        this.firstSeenMs.delete(key);
+      } else held.add(version);
+    }
+    return held;
+  }
+}
--- a/src/core/supervision/types.ts
+++ b/src/core/supervision/types.ts
@@ -18,6 +18,7 @@
   READINESS = 'readiness',
   REQUEST = 'request',
   ROOM = 'room',
+  ROLLOUT = 'rollout',
   SETTINGS = 'settings',
   SHUTDOWN = 'shutdown',
   STORE_FOLLOWER = 'store_follower',
