--- a/src/direct/rollouts/counted-targets.ts
+++ b/src/direct/rollouts/counted-targets.ts
@@ -72,6 +72,14 @@
     return this.options.client.freeKvCopy(...args);
   }
 
+  reserve(...args: Parameters<DirectTargets['reserve']>) {
+    return this.options.client.reserve(...args);
+  }
+
+  releaseReservation(...args: Parameters<DirectTargets['releaseReservation']>) {
+    return this.options.client.releaseReservation(...args);
+  }
+
   releaseConnections(target: TargetRecord): void {
     this.options.client.releaseConnections(target);
   }
