A suspect that had written for a second resumes from its copy

Change: a copy of an attempt that wrote for a second and ten events (core/poison showsHarmlessParts) is used also by a suspect, after its diagnosis as before; without one it is placed apart, now also when the holder is lost. Losses count as before.

--- a/src/direct/streams/kv-cache-replicator.ts
+++ b/src/direct/streams/kv-cache-replicator.ts
@@ -13,6 +13,12 @@
   readonly reference: KvCopyReference;
 }
 
+/** A copy of a lost attempt. */
+export interface ResumableCopy extends KvCacheCopy {
+  /** Whether the attempt wrote for so long that it crashed no engine. */
+  readonly isHarmless: boolean;
+}
+
 /** The generation whose KV cache is copied, and the dependencies. */
 export interface KvCacheReplicatorOptions {
   readonly ctx: DirectContext;
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -10,6 +10,7 @@
 import {ExchangeFailure} from '../../core/edges/direct-target.js';
 import {RetryReason} from '../../core/errors/refusals.js';
 import {enginePriority} from '../../core/placing/index.js';
+import {showsHarmlessParts} from '../../core/poison/index.js';
 import {retryReasonOf} from '../../core/retrying/index.js';
 import type {RawEvent} from '../../core/streams/index.js';
 import {EventSplitter} from '../../core/streams/index.js';
@@ -24,7 +25,7 @@
 import {recordNotice, recordTargetFailure} from '../record-exchange.js';
 import {runAll} from '../request-boundary.js';
 import {toTargetRequest} from '../target-request.js';
-import type {KvCacheCopy} from './kv-cache-replicator.js';
+import type {KvCacheCopy, ResumableCopy} from './kv-cache-replicator.js';
 import {KvCacheReplicator} from './kv-cache-replicator.js';
 import {StallDetector} from './stall-detector.js';
 import {canResumeAt} from './stream-placer.js';
@@ -152,6 +153,13 @@
     return copy !== undefined && this.mayHaveCopy && canResumeAt(copy.holder);
   }
 
+  /** The copy from which another target may resume; undefined if none. */
+  get resumableCopy(): ResumableCopy | undefined {
+    const {copy, writingMs, receivedCount: events} = this;
+    if (copy === undefined || !this.mayHaveCopy) return undefined;
+    return {...copy, isHarmless: showsHarmlessParts({writingMs, events})};
+  }
+
   /** Whether a part of the KV cache may have reached the holder of the copy. */
   get mayHaveCopy(): boolean {
     return mayHaveCopy(this.copyProgress);
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -27,7 +27,7 @@
 import {refuseUnsent} from '../refuse-unsent.js';
 import {RequestBoundary, runAll} from '../request-boundary.js';
 import {retryAfterMsOf} from '../retry-after.js';
-import type {KvCacheCopy} from './kv-cache-replicator.js';
+import type {ResumableCopy} from './kv-cache-replicator.js';
 import {StreamDelivery} from './stream-delivery.js';
 import {StreamLog} from './stream-log.js';
 import {canResumeAt, StreamPlacer} from './stream-placer.js';
@@ -58,7 +58,7 @@
   private placementTimer?: TimerHandle;
   private current?: StreamAttempt;
   /** The KV cache copy of the lost attempt, if one can be used. */
-  private resumableCopy?: KvCacheCopy;
+  private resumableCopy?: ResumableCopy;
   private isOver = false;
   private hasClearedParts = false;
   /** Attempts that started from the prompt. */
@@ -147,9 +147,11 @@
   private async place(): Promise<void> {
     const {resumableCopy} = this;
     this.resumableCopy = undefined;
-    if (this.poisonDetector.isSuspect()) {
-      this.placer.isolate(this.poisonDetector.fingerprint);
-    } else if (resumableCopy !== undefined) {
+    const isSuspect = this.poisonDetector.isSuspect();
+    if (
+      resumableCopy !== undefined &&
+      (!isSuspect || resumableCopy.isHarmless)
+    ) {
       const isUsable = await this.mayResumeAt(resumableCopy.holder);
       if (this.isOver) return;
       if (isUsable) {
@@ -158,6 +160,7 @@
       }
       this.log.recordCopyLost(resumableCopy.holder);
     }
+    if (isSuspect) this.placer.isolate(this.poisonDetector.fingerprint);
     const target = await this.permitted.choose({
       next: () => this.placer.findTarget(),
       hasNext: () => this.placer.hasTarget() || this.placer.hasUnlimited(),
@@ -327,7 +330,7 @@
       this.fail(false);
       return;
     }
-    if (lost.mayHaveCopy) this.resumableCopy = lost.copy;
+    this.resumableCopy = lost.resumableCopy;
     this.ctx.metrics.countRetry(reason);
     this.delivery.markResumed();
     const mustDiagnose = mayBeCrash(loss) && this.poisonDetector.isSuspect();
