--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -22,7 +22,7 @@
 import {PoisonDetector} from '../poison/index.js';
 import {refuseUnsent} from '../refuse-unsent.js';
 import {RequestBoundary, runAll} from '../request-boundary.js';
-import type {KvCacheCopy} from './kv-cache-replicator.js';
+import type {ResumableCopy} from './kv-cache-replicator.js';
 import {StreamDelivery} from './stream-delivery.js';
 import {StreamLog} from './stream-log.js';
 import type {Place} from './stream-placement.js';
@@ -52,7 +52,7 @@
   private deadline?: TimerHandle;
   private current?: StreamAttempt;
   /** The KV cache copy of the lost attempt, if one can be used. */
-  private resumableCopy?: KvCacheCopy;
+  private resumableCopy?: ResumableCopy;
   private isOver = false;
   private hasClearedParts = false;
   /** Attempts that started from the prompt. */
@@ -253,7 +253,7 @@
       this.fail(false);
       return;
     }
-    if (lost.mayHaveCopy) this.resumableCopy = lost.copy;
+    this.resumableCopy = lost.resumableCopy;
     this.ctx.metrics.countRetry(reason);
     this.delivery.markResumed();
     const mustDiagnose = mayBeCrash(loss) && this.poisonDetector.isSuspect();
--- a/src/direct/streams/stream-placement.ts
+++ b/src/direct/streams/stream-placement.ts
@@ -9,7 +9,7 @@
 import {MAX_ENGINES_PER_LOOK} from '../room/consts.js';
 import {RoomReservation, StreamRoom} from '../room/index.js';
 import {retryAfterMsOf} from '../retry-after.js';
-import type {KvCacheCopy} from './kv-cache-replicator.js';
+import type {KvCacheCopy, ResumableCopy} from './kv-cache-replicator.js';
 import type {StreamLog} from './stream-log.js';
 import {canResumeAt, StreamPlacer} from './stream-placer.js';
 import type {TargetLoss} from './target-loss.js';
@@ -32,7 +32,7 @@
 /** Why a stream is placed again. */
 export interface PlacementQuery {
   /** The KV cache copy of the lost attempt, if one can be used. */
-  readonly copy?: KvCacheCopy;
+  readonly copy?: ResumableCopy;
   /** Present if the stream must be isolated from others. */
   readonly isolatedFingerprint?: string;
 }
@@ -84,12 +84,12 @@
    * tries again after a pause if no target is available.
    */
   async place({copy, isolatedFingerprint}: PlacementQuery): Promise<void> {
-    if (isolatedFingerprint !== undefined) {
-      this.placer.isolate(isolatedFingerprint);
-    } else if (copy !== undefined) {
+    const isSuspect = isolatedFingerprint !== undefined;
+    if (copy !== undefined && (!isSuspect || copy.isHarmless)) {
       if (await this.resumeFrom(copy)) return;
       this.options.log.recordCopyLost(copy.holder);
     }
+    if (isSuspect) this.placer.isolate(isolatedFingerprint);
     if (!this.hasSent) this.room.recordSize(this.placer.tokens);
     const mayWait = !this.hasSent && this.room.isLimited;
     await (mayWait ? this.room.enter() : this.placeNow());
