--- a/src/core/room/consts.ts
+++ b/src/core/room/consts.ts
@@ -6,11 +6,5 @@
  */
 export const SEND_MARGIN_MS = 250;
 
-/**
- * Most places by which the generations of one client account are put back
- * behind those of others of the same priority.
- */
+/** Generations of one service that wait at an entry at most. */
 export const MAX_WAITING = 512;
-
-/** Largest share by which a time to return is drawn out, against herds. */
-export const RETRY_SPREAD = 0.5;
--- a/src/core/room/decide-room.ts
+++ b/src/core/room/decide-room.ts
@@ -1,5 +1,5 @@
 /** Decides on a generation that has found no room. */
-import {RETRY_SPREAD, SEND_MARGIN_MS} from './consts.js';
+import {SEND_MARGIN_MS} from './consts.js';
 import {latestStartMs} from './room-order.js';
 import type {RoomRequest} from './types.js';
 import {RoomDecision} from './types.js';
@@ -25,23 +25,3 @@
     ? RoomDecision.SEND_ANYWAY
     : RoomDecision.WAIT;
 }
-
-/**
- * Time after which a refused generation should return: when as many have found
- * room as wait here, drawn out at random so that callers don't return together.
- *
- * @example
- * returnAfterMs({waiting: 4, msPerPlace: 250, minMs: 150, draw: 0.5}); // 1250
- */
-export function returnAfterMs(options: {
-  waiting: number;
-  /** Time in which this entry finds room for one generation. */
-  msPerPlace: number;
-  minMs: number;
-  /** Random number in [0, 1). */
-  draw: number;
-}): number {
-  const {waiting, msPerPlace, minMs, draw} = options;
-  const untilMs = Math.max(minMs, waiting * msPerPlace);
-  return Math.ceil(untilMs * (1 + draw * RETRY_SPREAD));
-}
--- a/src/core/room/engine-room.ts
+++ b/src/core/room/engine-room.ts
@@ -5,7 +5,10 @@
 /** Share of an engine's KV cache that may be planned for. */
 const KV_CACHE_SHARE = 0.9;
 
-/** Generations that a holder of copies must still have room for. */
+/**
+ * Generations that a holder of a copy must still have room for, if the copied
+ * one is not among the most urgent.
+ */
 const GENERATIONS_BEFORE_COPIES = 2;
 
 /** Generations for which an engine keeps room that are more urgent. */
@@ -43,19 +46,22 @@
 }
 
 /**
- * Whether an engine has room for a copy beyond what new generations need.
- * Without a recent report nothing shows it.
+ * Whether an engine has room for a copy; for that of a less urgent generation
+ * only beyond what new ones need. Without a recent report nothing shows it.
  *
- * Answers the load at which the copies of half the generations would preempt the
- * other half.
+ * Answers the load at which the copies of half the generations would take the
+ * room of the other half.
  *
  * @example
  * const holders = engines.filter((target) => hasRoomForCopy({target, ...rest}));
  */
-export function hasRoomForCopy(query: EngineRoomQuery): boolean {
-  const {target, tokens, meanTokens, kvCapacityTokens} = query;
+export function hasRoomForCopy(
+  query: EngineRoomQuery & {readonly isLessUrgent: boolean},
+): boolean {
+  const {target, tokens, meanTokens, kvCapacityTokens, isLessUrgent} = query;
   if (target.reportAgeMs() > MAX_REPORT_AGE_MS) return false;
-  const neededTokens = tokens + GENERATIONS_BEFORE_COPIES * meanTokens;
+  const others = isLessUrgent ? GENERATIONS_BEFORE_COPIES : 0;
+  const neededTokens = tokens + others * meanTokens;
   return tokensAtEnd(query) + neededTokens <= kvCapacityTokens * KV_CACHE_SHARE;
 }
 
--- a/src/core/room/index.ts
+++ b/src/core/room/index.ts
@@ -1,5 +1,5 @@
 /** Room for generations at engines, and who waits for it. */
-export {decideRoom, returnAfterMs} from './decide-room.js';
+export {decideRoom} from './decide-room.js';
 export type {EngineRoomQuery} from './engine-room.js';
 export {hasRoomForCopy, leavesSpareRoom} from './engine-room.js';
 export {compareRequests, latestStartMs} from './room-order.js';
--- a/src/direct/room/consts.ts
+++ b/src/direct/room/consts.ts
@@ -15,8 +15,5 @@
  */
 export const SHARED_ENGINE_FACTOR = 1.5;
 
-/** Weight of the newest time between two places found. */
-export const PLACE_TIME_WEIGHT = 0.2;
-
 /** Weight of the newest generation in the mean size. */
 export const SIZE_WEIGHT = 0.1;
--- a/src/direct/room/room-reservation.ts
+++ b/src/direct/room/room-reservation.ts
@@ -6,6 +6,7 @@
 import type {Target} from '../../core/targets/index.js';
 import type {DirectContext, DirectWork} from '../context.js';
 import {RESERVE_TIMEOUT_MS} from './consts.js';
+import {isLessUrgent} from './urgency.js';
 
 /** What becomes of a reservation, as a label of its metric. */
 enum Outcome {
@@ -40,7 +41,7 @@
     const {engine} = work.service;
     this.release();
     if (engine?.holdMs === undefined) return true;
-    if (this.isLessUrgent && !this.leavesSpareRoom(target)) return false;
+    if (isLessUrgent(work) && !this.leavesSpareRoom(target)) return false;
     const reserved = await ctx.client.reserve({
       target: target.record,
       tokens,
@@ -54,13 +55,6 @@
     return true;
   }
 
-  /** Whether generations of the service may be more urgent than this one. */
-  private get isLessUrgent(): boolean {
-    const {table, route, account} = this.options.work.admitted;
-    const priority = account?.priority ?? route.priority;
-    return priority > table.topPriorityOf(this.options.work.service.name);
-  }
-
   private leavesSpareRoom(target: Target): boolean {
     const {work, tokens, ctx} = this.options;
     const {name, engine} = work.service;
--- a/src/direct/room/service-room.ts
+++ b/src/direct/room/service-room.ts
@@ -6,7 +6,15 @@
 import {decideRoom, RoomDecision, RoomQueue} from '../../core/room/index.js';
 import type {Supervisor} from '../../core/supervision/index.js';
 import {TaskName} from '../../core/supervision/index.js';
-import {PLACE_TIME_WEIGHT, ROOM_LOOK_MS, SIZE_WEIGHT} from './consts.js';
+import {ROOM_LOOK_MS, SIZE_WEIGHT} from './consts.js';
+
+/** How the wait of a generation ended. */
+export enum WaitEnd {
+  PLACED = 'placed',
+  SENT_ANYWAY = 'sent anyway',
+  REFUSED = 'refused',
+  CALLER_LEFT = 'caller left',
+}
 
 /** A generation that asks for room. */
 export interface Applicant extends RoomRequest {
@@ -19,6 +27,8 @@
   placeAnyway(): void;
   /** Refuses it, as it can't end in time any more. */
   refuse(): void;
+  /** Records how its wait ended, and how many others still wait. */
+  onWaitOver(end: WaitEnd, waiting: number): void;
 }
 
 /** Dependencies of the rooms of an entry. */
@@ -28,14 +38,6 @@
   readonly supervisor: Supervisor;
 }
 
-/** How the wait of a generation ended. */
-enum WaitEnd {
-  PLACED = 'placed',
-  SENT_ANYWAY = 'sent anyway',
-  REFUSED = 'refused',
-  CALLER_LEFT = 'caller left',
-}
-
 /**
  * Gives room to generations in the order of `RoomQueue`. Looks for room when
  * work of this entry has ended, and from time to time.
@@ -50,8 +52,6 @@
   private readonly running = new Map<string, number>();
   private timer?: TimerHandle;
   private isLooking = false;
-  private placedAtMs?: number;
-  private meanPlaceMs = 0;
   private meanSizeTokens?: number;
 
   constructor(private readonly options: ServiceRoomOptions) {}
@@ -61,11 +61,6 @@
     return this.queue.size;
   }
 
-  /** Mean time between two generations that found room, in milliseconds. */
-  get msPerPlace(): number {
-    return this.meanPlaceMs;
-  }
-
   /** Mean size of the generations at their end, in tokens. */
   get meanTokens(): number {
     return this.meanSizeTokens ?? 0;
@@ -80,10 +75,7 @@
   /** Places a generation, at once if nothing that waits goes before it. */
   async enter(applicant: Applicant): Promise<void> {
     const mustWait = this.queue.hasBefore(applicant, this.view());
-    if (!mustWait && (await applicant.tryPlace())) {
-      this.recordPlace();
-      return;
-    }
+    if (!mustWait && (await applicant.tryPlace())) return;
     if (this.queue.isFull) {
       applicant.placeAnyway();
       return;
@@ -147,7 +139,7 @@
     let first = this.queue.first(this.view());
     while (first !== undefined) {
       if (!(await first.tryPlace())) return;
-      if (this.remove(first, WaitEnd.PLACED)) this.recordPlace();
+      this.remove(first, WaitEnd.PLACED);
       first = this.queue.first(this.view());
     }
   }
@@ -169,15 +161,7 @@
     metrics.count(CounterName.ROOM_WAITS, {label: end});
     const ms = clock.now() - applicant.receivedMs;
     metrics.observe({name: LatencyName.ROOM_WAIT, ms});
+    applicant.onWaitOver(end, this.queue.size);
     return true;
   }
-
-  private recordPlace(): void {
-    const nowMs = this.options.clock.now();
-    if (this.placedAtMs !== undefined) {
-      const sampleMs = nowMs - this.placedAtMs;
-      this.meanPlaceMs += (sampleMs - this.meanPlaceMs) * PLACE_TIME_WEIGHT;
-    }
-    this.placedAtMs = nowMs;
-  }
 }
--- a/src/direct/room/stream-room.ts
+++ b/src/direct/room/stream-room.ts
@@ -2,7 +2,7 @@
 import {toGenerationNeed} from '../streams/min-generation-times.js';
 import type {DirectWork, RequestContext} from '../context.js';
 import {SHARED_ENGINE_FACTOR} from './consts.js';
-import type {Applicant, ServiceRoom} from './service-room.js';
+import type {Applicant, ServiceRoom, WaitEnd} from './service-room.js';
 
 /** What a stream does with a decision. */
 export type RoomListener = Pick<
@@ -63,6 +63,18 @@
     this.isRunning = false;
   }
 
+  private logWait(outcome: WaitEnd, waiting: number): void {
+    const {ctx, work} = this.options;
+    const waitedMs = Math.round(ctx.clock.now() - work.req.receivedMs);
+    const id = work.req.attemptId;
+    ctx.logger.info('generation waited for room', {
+      id,
+      outcome,
+      waitedMs,
+      waiting,
+    });
+  }
+
   private get clientAccount(): string {
     return this.options.work.admitted.account?.clientAccount ?? '';
   }
@@ -83,6 +95,7 @@
       firstEventMs: firstEventMs * SHARED_ENGINE_FACTOR,
       shortestMs: need === undefined ? 0 : times.shortestMs(need),
       ...listener,
+      onWaitOver: (end, waiting) => this.logWait(end, waiting),
     };
   }
 }
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -15,6 +15,7 @@
   SHORTLIST_SIZE,
 } from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
+import {isLessUrgent} from '../room/index.js';
 
 /**
  * Chooses targets for one stream, based on its failed attempts.
@@ -119,7 +120,13 @@
     const {tokens, ctx, work} = this;
     const {meanTokens} = ctx.room.ofService(work.service.name);
     const {kvCapacityTokens} = engine;
-    return hasRoomForCopy({target, tokens, meanTokens, kvCapacityTokens});
+    return hasRoomForCopy({
+      target,
+      tokens,
+      meanTokens,
+      kvCapacityTokens,
+      isLessUrgent: isLessUrgent(work),
+    });
   }
 
   private limitedIds(): string[] {
--- a/test/core/room/decide-room.test.ts
+++ b/test/core/room/decide-room.test.ts
@@ -1,11 +1,7 @@
 /** Tests what becomes of a generation that finds no room. */
 import {describe, expect, it} from 'vitest';
 
-import {
-  decideRoom,
-  returnAfterMs,
-  RoomDecision,
-} from '../../../src/core/room/index.js';
+import {decideRoom, RoomDecision} from '../../../src/core/room/index.js';
 
 const REQUEST = {
   priority: 1,
@@ -49,14 +45,3 @@
     expect(decideRoom({request, nowMs: 0})).toBe(RoomDecision.REFUSE);
   });
 });
-
-describe('returnAfterMs', () => {
-  it.each([
-    {waiting: 0, draw: 0, expected: 150},
-    {waiting: 4, draw: 0, expected: 1_000},
-    {waiting: 4, draw: 0.5, expected: 1_250},
-  ])('$waiting waiting, drawn $draw', ({waiting, draw, expected}) => {
-    const query = {waiting, draw, msPerPlace: 250, minMs: 150};
-    expect(returnAfterMs(query)).toBe(expected);
-  });
-});
--- a/test/core/room/engine-room.test.ts
+++ b/test/core/room/engine-room.test.ts
@@ -17,7 +17,10 @@
   /** Tokens of the generation that looks for room; `TOKENS` by default. */
   readonly tokens?: number;
   readonly leavesSpareRoom: boolean;
+  /** Whether it may hold a copy of a less urgent generation. */
   readonly holdsCopy: boolean;
+  /** Whether it may hold one of a most urgent generation. */
+  readonly holdsUrgentCopy: boolean;
 }
 
 const CASES: readonly Case[] = [
@@ -26,6 +29,7 @@
     usedTokens: 0,
     leavesSpareRoom: true,
     holdsCopy: true,
+    holdsUrgentCopy: true,
   },
   {
     name: 'one that is half full',
@@ -33,6 +37,7 @@
     running: 4,
     leavesSpareRoom: true,
     holdsCopy: true,
+    holdsUrgentCopy: true,
   },
   {
     name: 'one with room for three generations',
@@ -40,6 +45,7 @@
     running: 5,
     leavesSpareRoom: true,
     holdsCopy: false,
+    holdsUrgentCopy: true,
   },
   {
     name: 'one with room for one generation',
@@ -47,6 +53,7 @@
     running: 7,
     leavesSpareRoom: false,
     holdsCopy: false,
+    holdsUrgentCopy: false,
   },
   {
     name: 'one whose generations have only begun',
@@ -54,11 +61,13 @@
     running: 7,
     leavesSpareRoom: false,
     holdsCopy: false,
+    holdsUrgentCopy: false,
   },
   {
     name: 'one that has not reported',
     leavesSpareRoom: true,
     holdsCopy: false,
+    holdsUrgentCopy: false,
   },
   {
     name: 'an empty one, for a generation that fills it',
@@ -66,6 +75,7 @@
     tokens: KV_CAPACITY_TOKENS - 1,
     leavesSpareRoom: true,
     holdsCopy: false,
+    holdsUrgentCopy: false,
   },
 ];
 
@@ -92,6 +102,9 @@
       kvCapacityTokens: KV_CAPACITY_TOKENS,
     };
     expect(leavesSpareRoom(query)).toBe(row.leavesSpareRoom);
-    expect(hasRoomForCopy(query)).toBe(row.holdsCopy);
+    const mayHold = (isLessUrgent: boolean) =>
+      hasRoomForCopy({...query, isLessUrgent});
+    expect(mayHold(true)).toBe(row.holdsCopy);
+    expect(mayHold(false)).toBe(row.holdsUrgentCopy);
   });
 });
--- a/test/direct/service-room.test.ts
+++ b/test/direct/service-room.test.ts
@@ -84,6 +84,7 @@
       tryPlace: () => Promise.resolve(this.tryPlace(kind, objectiveAtMs)),
       placeAnyway: () => this.record(kind, Outcome.SENT_ANYWAY),
       refuse: () => this.record(kind, Outcome.REFUSED),
+      onWaitOver: () => undefined,
     };
     return this.room.enter(applicant);
   }
