Roll-outs: long streams count before their end

Cause: a stream may outlast the time budget of an order, so its pace was known too late. Change: its pace counts some time after its head. Tests: test/direct/counted-exchange.

--- a/src/direct/rollouts/consts.ts
+++ b/src/direct/rollouts/consts.ts
@@ -24,5 +24,8 @@
 /** Time until the same status is written again, in milliseconds. */
 export const STATUS_RETRY_MS = 1_500;
 
+/** Time from the head of a stream after which its pace counts, in ms. */
+export const PACE_SAMPLE_MS = 700;
+
 /** Status of a response from which it is a failure of its target. */
 export const FIRST_FAILURE_STATUS = 500;
--- a/src/direct/rollouts/counted-exchange.ts
+++ b/src/direct/rollouts/counted-exchange.ts
@@ -8,7 +8,7 @@
 import {ExchangeFailure} from '../../core/edges/direct-target.js';
 import type {CellCounts} from '../../core/rollouts/index.js';
 import type {TargetRecord} from '../../core/targets/index.js';
-import {FIRST_FAILURE_STATUS} from './consts.js';
+import {FIRST_FAILURE_STATUS, PACE_SAMPLE_MS} from './consts.js';
 import type {ExchangeTimer, ExchangeTimes} from './exchange-timer.js';
 
 /** Failures after which nothing is known of the target's version. */
@@ -28,12 +28,14 @@
 
 const STREAM_TYPE = 'text/event-stream';
 
-/** Receives what became of an exchange, once. */
+/** Receives what became of an exchange. */
 export interface ExchangeRecorder {
   /** The request has reached its target. */
   onReached(): void;
+  /** Something was found out; may come before the end. */
+  onCounted(counts: CellCounts): void;
   /** The exchange is over. */
-  onOver(counts: CellCounts): void;
+  onOver(): void;
 }
 
 /**
@@ -50,6 +52,8 @@
   private bytes = 0;
   private hasReached = false;
   private isOver = false;
+  /** Whether its response has been counted. */
+  private hasAnswered = false;
 
   constructor(
     private readonly options: {
@@ -90,17 +94,13 @@
 
   onData(chunk: Uint8Array): void {
     this.bytes += chunk.length;
+    if (!this.hasAnswered && this.isSampleDue()) this.answer();
     this.options.listener.onData(chunk);
   }
 
   onComplete(): void {
-    const isFailure = (this.head?.status ?? 0) >= FIRST_FAILURE_STATUS;
-    this.finish({
-      ...NOTHING,
-      answers: 1,
-      failures: isFailure ? 1 : 0,
-      ...(isFailure ? {} : this.compareTimes()),
-    });
+    if (!this.hasAnswered && !this.isOver) this.answer();
+    this.finish(NOTHING);
     this.options.listener.onComplete();
   }
 
@@ -118,6 +118,24 @@
     this.finish(isSlow ? {...NOTHING, timed: 1, slow: 1} : NOTHING);
   }
 
+  /** A long stream is counted once its pace is known. */
+  private isSampleDue(): boolean {
+    const {head, headMs = 0, startedMs, isOver} = this;
+    if (isOver || !isStream(head)) return false;
+    return this.options.clock.now() - startedMs - headMs >= PACE_SAMPLE_MS;
+  }
+
+  private answer(): void {
+    this.hasAnswered = true;
+    const isFailure = (this.head?.status ?? 0) >= FIRST_FAILURE_STATUS;
+    this.options.recorder.onCounted({
+      ...NOTHING,
+      answers: 1,
+      failures: isFailure ? 1 : 0,
+      ...(isFailure ? {} : this.compareTimes()),
+    });
+  }
+
   /** Times of targets that have just started are not compared. */
   private compareTimes(): Pick<CellCounts, 'timed' | 'slow'> {
     const {timer, isNew, target} = this.options;
@@ -145,7 +163,9 @@
   private finish(counts: CellCounts): void {
     if (this.isOver) return;
     this.isOver = true;
-    this.options.recorder.onOver(counts);
+    const {recorder} = this.options;
+    if (counts !== NOTHING) recorder.onCounted(counts);
+    recorder.onOver();
   }
 }
 
--- a/src/direct/rollouts/counted-targets.ts
+++ b/src/direct/rollouts/counted-targets.ts
@@ -97,8 +97,10 @@
       timer: rollout.timer,
       recorder: {
         onReached: () => controller.budget.recordReached(),
-        onOver: (counts) => {
+        onOver: () => {
           if (!isNew) rollout.oldOpen--;
+        },
+        onCounted: (counts) => {
           controller.evidence.add(
             {isNew, route, dataCentre, target: id},
             counts,
