Roll-outs: the next entry writes the status, restarted ones catch up

Cause: a writer that is killed near the end of the time budget, or entries that are restarted, delayed the end; a process could replace its predecessor's row before it had read a verdict there. Change: entries write in turns fenced by the revision, follow the furthest live step, and send nothing to the new version before the rows are read.

--- a/src/core/rollouts/consts.ts
+++ b/src/core/rollouts/consts.ts
@@ -38,7 +38,10 @@
 export const MIN_FULL_MS = 1_000;
 
 /** Silence after which an entry no longer counts as live, in milliseconds. */
-export const ENTRY_SILENCE_MS = 4_000;
+export const ENTRY_SILENCE_MS = 3_000;
+
+/** Time after which the next entry in order writes a status, in ms. */
+export const STATUS_TURN_MS = 800;
 
 /** Age of the newest read of the evidence above which no step follows. */
 export const MAX_EVIDENCE_AGE_MS = 3_000;
--- a/src/core/rollouts/decide-status.ts
+++ b/src/core/rollouts/decide-status.ts
@@ -55,24 +55,25 @@
 }
 
 /**
- * Returns whether this entry writes the status: one of the live entries does,
- * which differs from order to order. Two that both think so do no harm, as the
- * store takes only the first write after a revision.
+ * Returns how many of the live entries come before this one in the order in
+ * which they write a status; it differs from roll-out to roll-out. The next one
+ * writes if the first does not. Two that write at once do no harm, as the store
+ * takes only the first write after a revision.
  *
  * @example
- * isWriter({order: record.id, vm, live: ['edge-2', 'edge-3']});
+ * writerRank({order: record.id, vm, live: ['edge-2', 'edge-3']}); // 0
  */
-export function isWriter(options: {
+export function writerRank(options: {
   order: string;
   vm: string;
   /** VMs of the other live entries. */
   live: readonly string[];
-}): boolean {
+}): number {
   const {order, vm, live} = options;
   const scoreOf = (name: string) =>
     createHash('sha1').update(`${order}\n${name}`).digest('hex');
   const own = scoreOf(vm);
-  return live.every((other) => other === vm || own < scoreOf(other));
+  return live.filter((other) => other !== vm && scoreOf(other) < own).length;
 }
 
 /**
--- a/src/core/rollouts/index.ts
+++ b/src/core/rollouts/index.ts
@@ -5,7 +5,12 @@
   SLOW_HEAD_FACTOR,
   WINDOWS_MS,
 } from './consts.js';
-export {currentState, decideStatus, isOver, isWriter} from './decide-status.js';
+export {
+  currentState,
+  decideStatus,
+  isOver,
+  writerRank,
+} from './decide-status.js';
 export {
   decideStep,
   isWithinBound,
--- a/src/core/rollouts/rollout-controller.ts
+++ b/src/core/rollouts/rollout-controller.ts
@@ -1,7 +1,16 @@
 /** One entry's view of one roll-out, and what follows from it. */
 import type {Clock} from '../clock/index.js';
-import {ENTRY_SILENCE_MS} from './consts.js';
-import {currentState, decideStatus, isOver, isWriter} from './decide-status.js';
+import {
+  ENTRY_SILENCE_MS,
+  MAX_EVIDENCE_AGE_MS,
+  STATUS_TURN_MS,
+} from './consts.js';
+import {
+  currentState,
+  decideStatus,
+  isOver,
+  writerRank,
+} from './decide-status.js';
 import {decideStep, isWithinBound, shareOf} from './decide-step.js';
 import {Evidence, mergeCells} from './evidence.js';
 import {EvidenceHistory} from './evidence-history.js';
@@ -50,6 +59,8 @@
   private ageAtStartMs = 0;
   private badReason?: BadReason;
   private evidenceAtMs: number;
+  private hasReadRows = false;
+  private due?: {readonly state: RolloutState; readonly sinceMs: number};
   private ticks = 0;
 
   constructor(
@@ -104,14 +115,20 @@
   /** Records what another entry tells; rows of other orders are ignored. */
   hear(row: EvidenceRow): void {
     const {record, vm, clock} = this.options;
-    const isOther = row.order === record.id && row.vm !== vm;
-    if (!isOther || row.service !== record.service) return;
-    if (row.bad !== undefined) this.badReason ??= row.bad;
-    if (this.rows.get(row.vm)?.row.tick === row.tick) return;
+    const isOther = row.order !== record.id || row.service !== record.service;
+    if (isOther) return;
     const heardAtMs = clock.now();
-    this.rows.set(row.vm, {row, heardAtMs});
     const ownAgeMs = heardAtMs - this.startedMs;
+    // Also of an earlier process of this VM.
+    if (row.bad !== undefined) this.badReason ??= row.bad;
     this.ageAtStartMs = Math.max(this.ageAtStartMs, row.ageMs - ownAgeMs);
+    const isNews = this.rows.get(row.vm)?.row.tick !== row.tick;
+    if (row.vm !== vm && isNews) this.rows.set(row.vm, {row, heardAtMs});
+  }
+
+  /** Whether the rows of the others were read, also those from before. */
+  get hasRead(): boolean {
+    return this.hasReadRows;
   }
 
   /** Forgets an entry that has left. */
@@ -121,6 +138,7 @@
 
   /** Records that the others' rows were complete at a time. */
   recordRead(atMs: number): void {
+    this.hasReadRows = true;
     this.evidenceAtMs = Math.max(this.evidenceAtMs, atMs);
   }
 
@@ -132,15 +150,20 @@
     const windows = this.history.update(cells, clock.now());
     this.badReason = judgeVersion({sinceOrder: cells, windows});
     if (this.badReason !== undefined) return true;
-    const next = decideStep({
+    const evidenceAgeMs = clock.now() - this.evidenceAtMs;
+    const decided = decideStep({
       step: this.nowStep,
       stepMs: this.stepMs,
       ageMs: this.ageMs,
       durationMs: this.current.durationMs,
       answers: cells.reduce((n, c) => n + (c.isNew ? c.answers : 0), 0),
-      evidenceAgeMs: clock.now() - this.evidenceAtMs,
+      evidenceAgeMs,
       newTargets,
     });
+    const mayFollow = evidenceAgeMs <= MAX_EVIDENCE_AGE_MS && newTargets > 0;
+    const next: RolloutStep = mayFollow
+      ? Math.max(decided, this.stepOfOthers())
+      : decided;
     if (next === this.nowStep) return false;
     this.nowStep = next;
     this.stepSinceMs = clock.now();
@@ -159,6 +182,8 @@
 
   /** Whether a request may be sent to the new version whatever chose it. */
   maySendToNew(): boolean {
+    // Until then it may have been found bad before this process began.
+    if (!this.hasReadRows && !this.isOver) return false;
     if (this.end !== undefined) return this.end === RolloutState.COMPLETED;
     return !isWithinBound(this.nowStep) || this.budget.maySend();
   }
@@ -186,11 +211,9 @@
 
   /** The state that this entry should write; undefined for none. */
   stateToWrite(oldOpen: number): RolloutState | undefined {
-    const {vm} = this.options;
+    const {vm, clock} = this.options;
     const others = this.liveRows();
-    const live = others.map((row) => row.vm);
-    if (!isWriter({order: this.current.id, vm, live})) return undefined;
-    return decideStatus({
+    const state = decideStatus({
       record: this.current,
       isBad: this.badReason !== undefined,
       ageMs: this.ageMs,
@@ -199,6 +222,20 @@
       oldOpen,
       others,
     });
+    if (state === undefined) {
+      this.due = undefined;
+      return undefined;
+    }
+    if (this.due?.state !== state) this.due = {state, sinceMs: clock.now()};
+    const live = others.map((row) => row.vm);
+    const rank = writerRank({order: this.current.id, vm, live});
+    const dueForMs = clock.now() - this.due.sinceMs;
+    return dueForMs >= rank * STATUS_TURN_MS ? state : undefined;
+  }
+
+  /** The furthest step of the live entries, which have the same evidence. */
+  private stepOfOthers(): RolloutStep {
+    return Math.max(0, ...this.liveRows().map(({step}) => step));
   }
 
   /** Time for which any entry has known the order, in milliseconds. */
--- a/src/direct/rollouts/consts.ts
+++ b/src/direct/rollouts/consts.ts
@@ -7,7 +7,7 @@
 export const EVIDENCE_WRITE_MS = 700;
 
 /** The same while nothing has changed. */
-export const EVIDENCE_HEARTBEAT_MS = 1_500;
+export const EVIDENCE_HEARTBEAT_MS = 1_000;
 
 /** Least time between two writes of bad news, in milliseconds. */
 export const URGENT_WRITE_MS = 250;
--- a/src/direct/rollouts/counted-targets.ts
+++ b/src/direct/rollouts/counted-targets.ts
@@ -83,7 +83,8 @@
     const {target, req, listener} = options;
     const {controller} = rollout;
     const isNew = rollout.isNew(target);
-    if (isNew && !controller.maySendToNew()) return this.holdBack(options);
+    if (isNew && !rollout.mayUseNew) return this.holdBack(options);
+    if (!rollout.isRunning) return this.options.client.send(options);
     if (isNew) controller.budget.recordSentToNew();
     else rollout.oldOpen++;
     const route = routeOf(req);
--- a/src/direct/rollouts/evidence-sync.ts
+++ b/src/direct/rollouts/evidence-sync.ts
@@ -111,7 +111,8 @@
     const {clock, supervisor} = this.options;
     const {service} = rollout.controller.record;
     const last = this.written.get(service);
-    if (last?.isWriting === true) return;
+    // The row of an earlier process of this VM is read before it is replaced.
+    if (last?.isWriting === true || !rollout.controller.hasRead) return;
     const row = rollout.controller.row(rollout.oldOpen);
     const content = JSON.stringify([row.order, row.oldOpen, row.cells]);
     const urgency = `${row.step} ${row.bad}`;
--- a/src/direct/rollouts/rollout.ts
+++ b/src/direct/rollouts/rollout.ts
@@ -56,6 +56,13 @@
     return !this.controller.isOver && !this.isWithdrawn;
   }
 
+  /** Whether a request may be sent to the new version whatever chose it. */
+  get mayUseNew(): boolean {
+    const {controller} = this;
+    const isCompleted = controller.end === RolloutState.COMPLETED;
+    return isCompleted || (!this.isWithdrawn && controller.maySendToNew());
+  }
+
   isNew({version}: TargetRecord): boolean {
     return version === this.controller.record.target;
   }
--- a/test/core/rollouts/status.test.ts
+++ b/test/core/rollouts/status.test.ts
@@ -10,7 +10,7 @@
 import {
   BadReason,
   decideStatus,
-  isWriter,
+  writerRank,
   RolloutController,
   RolloutState,
   RolloutStep,
@@ -126,10 +126,12 @@
   it('is written by one of the live entries', () => {
     const vms = ['edge-1', 'edge-2', 'edge-3'];
     for (const order of ['o1', 'o2', 'o3', 'o4']) {
-      const writers = vms.filter((vm) => isWriter({order, vm, live: vms}));
+      const rankOf = (vm: string, live: string[]) =>
+        writerRank({order, vm, live});
+      const writers = vms.filter((vm) => rankOf(vm, vms) === 0);
       expect(writers.length).toBe(1);
       const rest = vms.filter((vm) => vm !== writers[0]);
-      const next = rest.filter((vm) => isWriter({order, vm, live: rest}));
+      const next = rest.filter((vm) => rankOf(vm, rest) === 0);
       expect(next.length).toBe(1);
     }
   });
--- a/test/direct/rollouts.test.ts
+++ b/test/direct/rollouts.test.ts
@@ -5,6 +5,7 @@
 import {SitePath, SiteService} from '../../stand-ins/site/config.js';
 import {StoreMode} from '../../stand-ins/site/store.js';
 import type {StandInTarget} from '../../stand-ins/site/target.js';
+import {writerRank} from '../../src/core/rollouts/index.js';
 import {DirectSite} from '../support/direct-site.js';
 import {Agent} from 'node:http';
 
@@ -74,9 +75,12 @@
     });
   }
 
-  async addNew(spoil: (target: StandInTarget) => void = () => undefined) {
+  async addNew(
+    spoil: (target: StandInTarget) => void = () => undefined,
+    version = 'v2',
+  ) {
     const before = this.site.targets.length;
-    const adding = this.site.addTargets(this.targets('v2'));
+    const adding = this.site.addTargets(this.targets(version));
     this.site.targets.slice(before).forEach(spoil);
     const added = await adding;
     added.forEach(spoil);
@@ -132,11 +136,30 @@
       },
     },
     {
-      name: 'an entry that is killed',
+      name: 'the entry that writes the status killed late',
       disturb: async () => {
-        await pause(2_000);
-        play.dead.add(0);
-        play.site.entries[0]!.stop();
+        await pause(5_500);
+        const vms = ['entry-1', 'entry-2', 'entry-3'];
+        const order = 'null/v2/10';
+        const first = vms.findIndex(
+          (vm) => writerRank({order, vm, live: vms}) === 0,
+        );
+        play.dead.add(first);
+        play.site.entries[first]!.stop();
+      },
+    },
+    {
+      name: 'all entries killed and started again',
+      disturb: async () => {
+        await pause(3_000);
+        for (const [i, entry] of play.site.entries.entries()) {
+          play.dead.add(i);
+          entry.stop();
+        }
+        for (let i = 0; i < 3; i++) {
+          await play.site.startEntry(i);
+          play.dead.delete(i);
+        }
       },
     },
     {
@@ -221,4 +244,56 @@
     },
     TEST_MS,
   );
+
+  it(
+    'of a good version follows one of a bad version, which stays back',
+    async () => {
+      play = await RolloutSite.start();
+      play.order(8);
+      await pause(300);
+      await play.addNew((target) => (target.failureShare = 0.6));
+      await play.waitForState('rolled_back', 9_000);
+      const bad = [...play.fresh];
+      play.order(9, 'v3');
+      const orderedMs = performance.now();
+      await pause(300);
+      await play.addNew(() => undefined, 'v3');
+      const tookMs = await play.waitForState('completed', 11_000);
+      expect(tookMs).toBeLessThan(9_000);
+      expect(play.runsSince(bad, orderedMs + 500)).toBe(0);
+    },
+    TEST_MS,
+  );
+
+  it(
+    'that is removed half-way gives the new version nothing more',
+    async () => {
+      play = await RolloutSite.start();
+      play.order(10);
+      await pause(300);
+      await play.addNew();
+      await pause(3_000);
+      expect(play.runsSince(play.fresh, 0)).toBeGreaterThan(0);
+      play.site.store.remove({kind: KIND, name: SERVICE});
+      await pause(600);
+      const removedMs = performance.now();
+      await pause(1_500);
+      expect(play.runsSince(play.fresh, removedMs)).toBe(0);
+    },
+    TEST_MS,
+  );
+
+  it(
+    'whose bytes cannot be read later goes on',
+    async () => {
+      play = await RolloutSite.start();
+      play.order(10);
+      await pause(300);
+      await play.addNew();
+      play.site.store.put({kind: KIND, name: SERVICE, spec: {service: 7}});
+      await pause(6_500);
+      expect(play.runsSince(play.fresh, 0)).toBeGreaterThan(20);
+    },
+    TEST_MS,
+  );
 });
