--- a/src/direct/rollouts/counted-targets.ts
+++ b/src/direct/rollouts/counted-targets.ts
@@ -91,7 +91,8 @@
     const {target, req, listener} = options;
     const {controller} = rollout;
     const isNew = rollout.isNew(target);
-    if (isNew && !controller.maySendToNew()) return this.holdBack(options);
+    if (isNew && !rollout.mayUseNew) return this.holdBack(options);
+    if (!rollout.isRunning) return this.options.client.send(options);
     if (isNew) controller.budget.recordSentToNew();
     else rollout.oldOpen++;
     const route = routeOf(req);
@@ -105,8 +106,10 @@
       timer: rollout.timer,
       recorder: {
         onReached: () => controller.budget.recordReached(),
-        onOver: (counts) => {
+        onOver: () => {
           if (!isNew) rollout.oldOpen--;
+        },
+        onCounted: (counts) => {
           controller.evidence.add(
             {isNew, route, dataCentre, target: id},
             counts,
