Calls: a queue at the entry where all targets that tell their slowness are full

Cause: each call was sent at once; in a burst the targets' queues filled, so that nearly every call was late, and the targets rejected the rest. Change: src/core/call-queue decides (pure): sent if a slot is free or the call can be on time, else it waits at most 400 ms at the entry, by priority and objective, and is then refused; at once if its deadline can't be met. The Retry-After is the expected wait, staggered. Only where each target tells its slowness. CallTargets is split from the handler.

--- /dev/null
+++ b/src/core/call-queue/call-queue.ts
@@ -0,0 +1,117 @@
+/** Plain calls of one service that wait at an entry for room at its targets. */
+import type {Clock, RandomSource} from '../clock/index.js';
+import {MAX_WAITING, RETRY_AFTER_JITTER} from './consts.js';
+import {decideCall} from './decide-call.js';
+import type {QueuedCall, Room} from './types.js';
+import {CallDecision} from './types.js';
+
+/** A call and what is done with it; one of the two is called once. */
+export interface QueueEntry {
+  readonly call: QueuedCall;
+  /** The call may be sent now. */
+  readonly onSend: () => void;
+  /** The call is refused; a retry has a chance after this time, in ms. */
+  readonly onRefuse: (retryAfterMs: number) => void;
+}
+
+interface WaitingCall extends QueueEntry {
+  readonly sinceMs: number;
+}
+
+/**
+ * Sends calls as long as targets have room for them. The others wait in the
+ * order of their priority; of the same priority those come first that can still
+ * be on time, the earliest first. A call never passes a more urgent one.
+ *
+ * @example
+ * const queue = new CallQueue({clock, random, roomOf: () => room});
+ * queue.enter({call, onSend, onRefuse});
+ * queue.drain();
+ */
+export class CallQueue {
+  private readonly waiting = new Set<WaitingCall>();
+  private lastRetryAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly options: {
+      clock: Clock;
+      random: RandomSource;
+      /** Estimates the room at the targets, after the calls sent so far. */
+      roomOf: () => Room;
+    },
+  ) {}
+
+  /** Number of waiting calls. */
+  get size(): number {
+    return this.waiting.size;
+  }
+
+  /** Sends or refuses a call at once, or lets it wait. */
+  enter(entry: QueueEntry): void {
+    const waiting = {...entry, sinceMs: this.options.clock.now()};
+    if (this.waiting.size >= MAX_WAITING) {
+      this.refuse(waiting);
+      return;
+    }
+    this.waiting.add(waiting);
+    this.drain();
+  }
+
+  /** Removes a call whose caller is gone. */
+  leave(call: QueuedCall): void {
+    for (const waiting of this.waiting) {
+      if (waiting.call === call) this.waiting.delete(waiting);
+    }
+  }
+
+  /** Decides anew on all waiting calls. */
+  drain(): void {
+    let heldPriority = Number.POSITIVE_INFINITY;
+    for (const waiting of this.ordered()) {
+      // A callback may have drained the queue or removed a call.
+      if (!this.waiting.has(waiting)) continue;
+      const decision = this.decide(waiting);
+      const {priority} = waiting.call;
+      if (decision === CallDecision.REFUSE) {
+        this.waiting.delete(waiting);
+        this.refuse(waiting);
+      } else if (decision === CallDecision.SEND && priority <= heldPriority) {
+        this.waiting.delete(waiting);
+        waiting.onSend();
+      } else {
+        heldPriority = Math.min(heldPriority, priority);
+      }
+    }
+  }
+
+  private decide({call, sinceMs}: WaitingCall): CallDecision {
+    const {clock, roomOf} = this.options;
+    const nowMs = clock.now();
+    return decideCall({call, room: roomOf(), waitsSinceMs: sinceMs, nowMs});
+  }
+
+  private ordered(): WaitingCall[] {
+    if (this.waiting.size < 2) return [...this.waiting];
+    const {clock, roomOf} = this.options;
+    const earliestEndMs = clock.now() + roomOf().serviceMs;
+    const isLate = ({call}: WaitingCall) =>
+      Number(call.objectiveAtMs < earliestEndMs);
+    return [...this.waiting].sort(
+      (a, b) =>
+        a.call.priority - b.call.priority ||
+        isLate(a) - isLate(b) ||
+        a.call.objectiveAtMs - b.call.objectiveAtMs,
+    );
+  }
+
+  /** Each refused caller gets a later time than the one before. */
+  private refuse({onRefuse}: WaitingCall): void {
+    const {clock, random, roomOf} = this.options;
+    const nowMs = clock.now();
+    const {waitMs, intervalMs} = roomOf();
+    const earliestMs = Math.max(nowMs + waitMs, this.lastRetryAtMs);
+    this.lastRetryAtMs = earliestMs + intervalMs;
+    const jitter = 1 + random.float() * RETRY_AFTER_JITTER;
+    onRefuse(Math.ceil((this.lastRetryAtMs - nowMs) * jitter));
+  }
+}
--- /dev/null
+++ b/src/core/call-queue/consts.ts
@@ -0,0 +1,11 @@
+/** Longest time for which a call waits at an entry, in milliseconds. */
+export const MAX_WAIT_MS = 400;
+
+/** Most calls of one service that wait at an entry. */
+export const MAX_WAITING = 256;
+
+/** Weight of the newest call in the mean service time. */
+export const SERVICE_TIME_WEIGHT = 0.05;
+
+/** Most by which a Retry-After is lengthened at random, as a share of it. */
+export const RETRY_AFTER_JITTER = 0.25;
--- /dev/null
+++ b/src/core/call-queue/decide-call.ts
@@ -0,0 +1,34 @@
+/** Decides whether a plain call is sent, waits at the entry or is refused. */
+import {MAX_WAIT_MS} from './consts.js';
+import type {QueuedCall, Room} from './types.js';
+import {CallDecision} from './types.js';
+
+/** Input of `decideCall`. */
+export interface CallQuery {
+  readonly call: QueuedCall;
+  readonly room: Room;
+  /** Time since which the call waits; `nowMs` for a new one. */
+  readonly waitsSinceMs: number;
+  readonly nowMs: number;
+}
+
+/**
+ * Answers the load at which all targets of a service are full. A call is sent if
+ * a slot is free or if it can still be on time in a target's queue. Any other
+ * waits at the entry for a bounded time, where it leaves the room to calls that
+ * can be on time, and is then refused. One that can't be answered before its
+ * deadline is refused at once.
+ *
+ * @example
+ * decideCall({call, room, waitsSinceMs: nowMs, nowMs}); // CallDecision.SEND
+ */
+export function decideCall(query: CallQuery): CallDecision {
+  const {call, room, waitsSinceMs, nowMs} = query;
+  const {waitMs, serviceMs, hasFreeSlot, isFull} = room;
+  const endsAtMs = nowMs + waitMs + serviceMs;
+  if (endsAtMs > call.deadlineAtMs) return CallDecision.REFUSE;
+  const isOnTime = endsAtMs <= call.objectiveAtMs;
+  if (!isFull && (hasFreeSlot || isOnTime)) return CallDecision.SEND;
+  const isOver = nowMs >= waitsSinceMs + MAX_WAIT_MS;
+  return isOver ? CallDecision.REFUSE : CallDecision.WAIT;
+}
--- a/src/core/metrics/types.ts
+++ b/src/core/metrics/types.ts
@@ -38,6 +38,8 @@
   STORE_ERRORS = 'store_errors_total',
   /** Questions for permits to send to targets that name a limit, by answer. */
   LIMIT_PERMITS = 'limit_permits_total',
+  /** Plain calls that waited for room at their targets, by outcome. */
+  QUEUED_CALLS = 'queued_calls_total',
   /** Targets that were suspected because their agents were silent. */
   TARGETS_SUSPECTED = 'targets_suspected_total',
   REQUESTS = 'requests_total',
--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -189,6 +189,11 @@
     return this.reported.slots ?? this.record.slots;
   }
 
+  /** Whether the last report told how long work takes there. */
+  get tellsSlowness(): boolean {
+    return this.reported.slowness !== undefined;
+  }
+
   /** Time that work takes there now, relative to the usual; 1 if not told. */
   get slowness(): number {
     return this.ageingSlowness.at(this.reportAgeMs());
@@ -200,7 +205,7 @@
    * age, since most of the requests in it have ended soon after.
    */
   expectedRequests(): number {
-    if (this.reported.slowness === undefined) return this.estimatedRequests();
+    if (!this.tellsSlowness) return this.estimatedRequests();
     return this.ageingOthers.at(this.reportAgeMs()) + this.work.size;
   }
 
--- a/src/direct/call-attempt.ts
+++ b/src/direct/call-attempt.ts
@@ -7,6 +7,8 @@
 export interface CallAttempt {
   readonly target: Target;
   readonly targetWork: TargetWork;
+  /** How much longer than usual the call was expected to take. */
+  readonly scale: number;
   /** Undefined until the call is sent. */
   exchange?: Exchange;
   /** Ends the attempt if it is slow and may be replaced. */
--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -3,8 +3,8 @@
 import type {TargetResponseHead} from '../core/edges/direct-target.js';
 import {ExchangeFailure} from '../core/edges/direct-target.js';
 import {RefusalReason, RetryReason} from '../core/errors/refusals.js';
+import {ServiceTime} from '../core/call-queue/index.js';
 import {LatencyName} from '../core/metrics/index.js';
-import {chooseCallTarget} from '../core/placing/index.js';
 import {
   toFailureResponse,
   certainlyDidNotRun,
@@ -20,11 +20,11 @@
 import {attemptTimeoutMs} from './attempt-timeout.js';
 import type {CallAttempt} from './call-attempt.js';
 import {CallLog} from './call-log.js';
+import {CallTargets} from './call-targets.js';
 import {ResponseBody, TOO_LARGE_DETAIL} from './response-body.js';
 import type {DirectContext, DirectWork, RequestContext} from './context.js';
 import {forwardResponse} from './forward-response.js';
 import {recordNotice, recordTargetFailure} from './record-exchange.js';
-import {PermittedChoice} from './limits/index.js';
 import {PoisonDetector} from './poison/index.js';
 import {refuseUnsent} from './refuse-unsent.js';
 import {RequestBoundary, runAll} from './request-boundary.js';
@@ -47,10 +47,11 @@
   private readonly work: DirectWork;
   private readonly onOver: () => void;
   private readonly log: CallLog;
-  private readonly triedTargets = new Set<string>();
+  private readonly targets: CallTargets;
+  /** Ends the wait for room at the targets. */
+  private leaveQueue: () => void = () => undefined;
   private deadline?: TimerHandle;
   private readonly poisonDetector: PoisonDetector;
-  private readonly permitted: PermittedChoice;
   private current?: CallAttempt;
   private head?: TargetResponseHead;
   private body: ResponseBody;
@@ -78,7 +79,7 @@
     this.ctx = ctx;
     this.log = new CallLog({ctx, work});
     this.body = new ResponseBody(ctx);
-    this.permitted = new PermittedChoice({ctx, work});
+    this.targets = new CallTargets({ctx, work, isOver: () => this.isOver});
     this.poisonDetector = new PoisonDetector({
       ctx,
       work,
@@ -114,10 +115,21 @@
     else this.refuse(RefusalReason.POISON);
   }
 
+  /** Sends the call as soon as there is room for it at a target. */
   private sendFirst(): void {
-    const {service} = this.work;
-    this.ctx.retryBudgets.recordFirstAttempt(service.name);
-    this.withTarget((target) => {
+    const {boundary, ctx, work} = this;
+    ctx.retryBudgets.recordFirstAttempt(work.service.name);
+    this.leaveQueue = ctx.callQueues.enter({
+      work,
+      onSend: boundary.guard(() => this.sendNow()),
+      onRefuse: boundary.guard((retryAfterMs) =>
+        this.refuse(RefusalReason.OVERLOADED, retryAfterMs),
+      ),
+    });
+  }
+
+  private sendNow(): void {
+    this.targets.withTarget((target) => {
       if (target === undefined) this.failUnsent();
       else this.send(target);
     });
@@ -126,7 +138,7 @@
   /** No target may be used now: none is left, or none gives a permit. */
   private failUnsent(): void {
     const {ctx, work} = this;
-    const {waitMs} = this.permitted;
+    const {waitMs} = this.targets;
     if (waitMs === undefined) {
       this.log.recordNoTarget();
       this.fail(false);
@@ -136,34 +148,17 @@
     this.refuse(RefusalReason.TARGET_LIMIT, retryAfterMs);
   }
 
-  /**
-   * Passes on a target that may be sent to now, at once if it names no limit;
-   * undefined if there is none. Nothing is passed on once the call is over.
-   */
-  private withTarget(run: (target: Target | undefined) => void): void {
-    const target = this.chooseTarget();
-    if (target?.limitPerSecond === undefined) {
-      run(target);
-      return;
-    }
-    const next = () => this.chooseTarget(this.permitted.heldBack);
-    const hasNext = () => next() !== undefined;
-    this.boundary.run(async () => {
-      const permitted = await this.permitted.choose({next, hasNext});
-      if (!this.isOver) run(permitted);
-    });
-  }
-
   private send(target: Target): void {
     const {ctx, work} = this;
     const {clock, client} = ctx;
-    this.triedTargets.add(target.id);
+    this.targets.recordTried(target);
     this.head = undefined;
     this.body.release();
     this.body = new ResponseBody(ctx);
     const leftMs = work.deadlineAtMs - clock.now();
+    const scale = ServiceTime.scaleOf(target);
     const targetWork = target.begin({tokens: 0});
-    const attempt: CallAttempt = {target, targetWork};
+    const attempt: CallAttempt = {target, targetWork, scale};
     this.current = attempt;
     attempt.exchange = client.send({
       target: target.record,
@@ -210,7 +205,7 @@
   private onAttemptTimeout(): void {
     const {current} = this;
     if (current === undefined) return;
-    this.withTarget((nextTarget) => {
+    this.targets.withTarget((nextTarget) => {
       if (this.current === current && nextTarget !== undefined)
         this.replace(current, nextTarget);
     });
@@ -243,10 +238,11 @@
   private onAttemptEnd(result: AttemptResult): void {
     const {target} = this.current!;
     target.recordResponse(isTargetFailure(result));
+    this.recordServiceTime(this.current!, result);
     if (result.failure === undefined) this.mayHaveRun = true;
     this.closeAttempt();
     if (countsAsSent(result.failure)) this.sentCount++;
-    const hasOtherTarget = this.chooseTarget() !== undefined;
+    const hasOtherTarget = this.targets.choose() !== undefined;
     const {operation, maxAttempts} = this.work.admitted.route;
     const reason = retryReasonOf(result.failure, RetryReason.CALL_LOST);
     const decision = decideRetry({
@@ -270,9 +266,19 @@
     }
   }
 
+  private recordServiceTime(
+    {targetWork, scale}: CallAttempt,
+    result: AttemptResult,
+  ): void {
+    if (result.failure !== undefined) return;
+    const {ctx, work} = this;
+    const heldMs = ctx.clock.now() - targetWork.startedAtMs;
+    ctx.callQueues.recordServed(work.service.name, {heldMs, scale});
+  }
+
   /** Sends the call again; if no target may be used, its last result counts. */
   private retry(last: AttemptResult): void {
-    this.withTarget((target) => {
+    this.targets.withTarget((target) => {
       if (target !== undefined) this.send(target);
       else if (last.failure === undefined) this.forwardResponse();
       else this.failUnpermitted();
@@ -292,7 +298,7 @@
       this.fail(false);
       return;
     }
-    this.withTarget((target) => {
+    this.targets.withTarget((target) => {
       if (target === undefined) this.failUnpermitted();
       else this.send(target);
     });
@@ -362,6 +368,7 @@
 
   private stop(): void {
     this.isOver = true;
+    this.leaveQueue();
     this.body.release();
     this.onOver();
     this.poisonDetector.close();
@@ -375,6 +382,7 @@
     const {current} = this;
     this.isOver = true;
     runAll([
+      () => this.leaveQueue(),
       () => this.body.release(),
       () => this.onOver(),
       () => this.deadline?.cancel(),
@@ -393,16 +401,7 @@
     this.current = undefined;
     current.target.end(current.targetWork);
     current.timer?.cancel();
-  }
-
-  private chooseTarget(heldBack?: ReadonlySet<string>): Target | undefined {
-    const {ctx, work, triedTargets} = this;
-    return chooseCallTarget({
-      targets: ctx.targets.ofService(work.service.name),
-      dataCentre: ctx.dataCentre,
-      excluded: new Set([...triedTargets, ...(heldBack ?? [])]),
-      random: ctx.random,
-    });
+    this.ctx.callQueues.drain(this.work.service.name);
   }
 
   private recordRetry(reason: RetryReason, from: Target): void {
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -181,3 +181,6 @@
  * rejected for lack of capacity.
  */
 export const REJECTION_BUDGET_SHARE = 0.5;
+
+/** Interval at which waiting calls are decided on anew, in milliseconds. */
+export const CALL_QUEUE_CHECK_MS = 20;
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -12,6 +12,7 @@
 import type {Supervisor} from '../core/supervision/index.js';
 import type {AdmittedRequest, RoutedService} from '../core/routes/index.js';
 import type {TargetSet} from '../core/targets/index.js';
+import type {CallQueues} from './call-queues.js';
 import type {GracePeriod} from './grace-period.js';
 import type {LimitKeeper} from './limits/limit-keeper.js';
 import type {LossTracker} from './poison/loss-tracker.js';
@@ -33,6 +34,8 @@
   /** Shortest generation times, estimated for each service. */
   readonly minGenerationTimes: MinGenerationTimes;
   readonly retryBudgets: ServiceRetryBudgets;
+  /** Plain calls that wait for room at their targets. */
+  readonly callQueues: CallQueues;
   /** Limits of targets on the requests from all entries. */
   readonly limits: LimitKeeper;
   /** Targets lost while they ran requests, at this and other entries. */
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -45,6 +45,7 @@
   STALE_TARGETS_CHECK_MS,
   TARGETS_LONG_POLL_MS,
 } from './consts.js';
+import {CallQueues} from './call-queues.js';
 import {ConfigSync} from './config-sync.js';
 import type {DirectContext, DirectWork} from './context.js';
 import {GracePeriod} from './grace-period.js';
@@ -167,6 +168,14 @@
         clock,
         settings: () => this.settings.retryBudget,
       }),
+      callQueues: new CallQueues({
+        clock,
+        random,
+        targets,
+        metrics,
+        logger,
+        supervisor,
+      }),
       lossTracker: new LossTracker({
         vm: settings.vm,
         quarantine,
