--- a/src/core/metrics/types.ts
+++ b/src/core/metrics/types.ts
@@ -44,6 +44,8 @@
   ROOM_RESERVATIONS = 'room_reservations_total',
   /** Generations that waited for room, by how their wait ended. */
   ROOM_WAITS = 'room_waits_total',
+  /** Plain calls that waited for room at their targets, by outcome. */
+  QUEUED_CALLS = 'queued_calls_total',
   /** Targets that were suspected because their agents were silent. */
   TARGETS_SUSPECTED = 'targets_suspected_total',
   /** Prompt tokens that were read for nothing, by `RereadCause`. */
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -12,6 +12,7 @@
 import type {Supervisor} from '../core/supervision/index.js';
 import type {AdmittedRequest, RoutedService} from '../core/routes/index.js';
 import type {TargetSet} from '../core/targets/index.js';
+import type {CallQueues} from './call-queues.js';
 import type {GracePeriod} from './grace-period.js';
 import type {LimitKeeper} from './limits/limit-keeper.js';
 import type {LossTracker} from './poison/loss-tracker.js';
@@ -36,6 +37,8 @@
   readonly retryBudgets: ServiceRetryBudgets;
   /** Generations that run or wait for room, by service. */
   readonly room: GenerationRooms;
+  /** Plain calls that wait for room at their targets. */
+  readonly callQueues: CallQueues;
   /** Limits of targets on the requests from all entries. */
   readonly limits: LimitKeeper;
   /** Targets lost while they ran requests, at this and other entries. */
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -38,6 +38,7 @@
 import {TargetSet} from '../core/targets/index.js';
 import {CallHandler} from './call-handler.js';
 import {STARTUP_LOSSES_WAIT_MS, RETRY_AFTER_MS} from './consts.js';
+import {CallQueues} from './call-queues.js';
 import {ConfigSync} from './config-sync.js';
 import type {DirectContext, DirectWork} from './context.js';
 import {GracePeriod} from './grace-period.js';
@@ -174,6 +175,14 @@
         clock,
         settings: () => this.settings.retryBudget,
       }),
+      callQueues: new CallQueues({
+        clock,
+        random,
+        targets,
+        metrics,
+        logger,
+        supervisor,
+      }),
       lossTracker: new LossTracker({
         vm: settings.vm,
         quarantine,
