A connection's end ends a response only if it came in order

Where data and a reset come in one poll, libuv reports an end and no error, and a write that meets the reset takes the error out of the socket; undici then completes a response without length. Seen for each kind of call in both shapes, also without an upload. The end of a paused response met an assertion of undici that nothing catches.

BoundedSocket emits an end only if the request is written to its end and a write of no bytes finds no reset, once more 50 ms after a large write, and only while the parser reads.

--- a/src/adapters/bounded-socket.ts
+++ b/src/adapters/bounded-socket.ts
@@ -2,6 +2,9 @@
 import type {SocketConstructorOpts} from 'node:net';
 import {Socket} from 'node:net';
 
+import type {TimerHandle} from '../core/clock/index.js';
+import {scheduleTimer} from '../core/clock/index.js';
+
 /** Most bytes that a socket hands over in one turn of the event loop. */
 export const MAX_BYTES_PER_TURN = 32 * 1024;
 
@@ -11,6 +14,29 @@
 /** Why a connection was closed that brought more than was allowed. */
 export const TOO_MANY_BYTES_DETAIL = 'more bytes than a response may take';
 
+/**
+ * Bytes that reach a peer at once when a connection is new. A peer that closes
+ * its connection after fewer has received the whole request.
+ */
+const FIRST_FLIGHT_BYTES = 14 * 1024;
+
+/**
+ * Time after a large write in which the end of a connection may be followed by
+ * its reset, in milliseconds: a peer that has closed rejects what it still
+ * receives.
+ */
+const RESET_GRACE_MS = 50;
+
+/** Why a connection was closed that its peer ended during a request. */
+export const ENDED_EARLY_DETAIL = 'ended before the request was written';
+
+const END_EVENT = 'end';
+
+const EMPTY = Buffer.alloc(0);
+
+/** Arguments of all forms of `write`. */
+type WriteArguments = [chunk: Uint8Array | string, ...rest: unknown[]];
+
 /**
  * A connection on which one side asks and the other responds. Bytes are handed
  * to the parser above it in slices, at most one slice in each turn of the event
@@ -21,6 +47,12 @@
  * Each write starts a new response with the whole allowance. `grant` extends
  * it for bytes that turned out to be useful, and `revoke` ends it.
  *
+ * The end of the connection may be the end of a response, so `end` is emitted
+ * only if the peer ended it in order: after the last byte of the request was
+ * written, and with no reset. Node.js reports a reset as an end where it comes
+ * together with data. `end` also waits while the parser is paused, as undici
+ * fails if a paused response ends.
+ *
  * @example
  * const socket = new BoundedSocket({responseBytes: 65_536});
  * socket.connect({host: '127.0.0.1', port: 80});
@@ -31,6 +63,13 @@
   private leftInTurn = MAX_BYTES_PER_TURN;
   private lastWritten = 0;
   private continuation?: NodeJS.Immediate;
+  /** The parser is paused from `unshift` to its next `read`. */
+  private isParserPaused = false;
+  /** Whether the end has arrived, but is not emitted yet. */
+  private isEndHeld = false;
+  /** When the last large write was known to be unfinished. */
+  private lastLargeWriteMs = Number.NEGATIVE_INFINITY;
+  private endTimer?: TimerHandle;
 
   constructor(
     private readonly limits: {
@@ -38,9 +77,17 @@
       responseBytes: number;
     },
   ) {
-    super({highWaterMark: READ_BUFFER_BYTES} as SocketConstructorOpts);
+    super({
+      highWaterMark: READ_BUFFER_BYTES,
+      // The connection stays writable until its end has been examined.
+      allowHalfOpen: true,
+    } as SocketConstructorOpts);
     this.leftBytes = limits.responseBytes;
-    this.once('close', () => clearImmediate(this.continuation));
+    this.on('drain', () => this.recordLargeWrite());
+    this.once('close', () => {
+      clearImmediate(this.continuation);
+      this.endTimer?.cancel();
+    });
   }
 
   /** Allows more bytes of the present response. */
@@ -48,16 +95,30 @@
     this.leftBytes += bytes;
   }
 
-  /** Allows at most so many bytes until the next write. */
+  /**
+   * Allows at most so many bytes until the next write; with none, an end of the
+   * connection is no longer the end of a response.
+   */
   revoke(remaining = 0): void {
+    if (remaining === 0) this.lastLargeWriteMs = Number.NEGATIVE_INFINITY;
     this.leftBytes = Math.min(this.leftBytes, remaining);
   }
 
+  override write(...args: WriteArguments): boolean {
+    const [chunk] = args;
+    if (chunk.length > FIRST_FLIGHT_BYTES) this.recordLargeWrite();
+    return super.write(...(args as [Uint8Array | string]));
+  }
+
   /** Called without a size by the parser, with one by Node.js itself. */
   override read(size?: number): Buffer | null {
     if (size !== undefined) return super.read(size) as Buffer | null;
+    this.isParserPaused = false;
     const waiting = this.readableLength;
-    if (waiting === 0) return super.read() as Buffer | null;
+    if (waiting === 0) {
+      if (this.isEndHeld) this.emitHeldEnd();
+      return super.read() as Buffer | null;
+    }
     this.renewAfterWrite();
     if (this.leftBytes <= 0) {
       this.destroy(new Error(TOO_MANY_BYTES_DETAIL));
@@ -73,12 +134,56 @@
     return super.read(slice) as Buffer | null;
   }
 
-  /** Takes back bytes that the parser has not used. */
+  /** Takes back bytes that the parser has not used, as it is paused. */
   override unshift(chunk: Buffer): void {
+    this.isParserPaused = true;
     this.leftBytes += chunk.length;
     super.unshift(chunk);
   }
 
+  override emit(event: string | symbol, ...args: unknown[]): boolean {
+    if (event !== END_EVENT) return super.emit(event, ...args);
+    this.examineEnd();
+    return true;
+  }
+
+  /** Emits the end, holds it back, or closes a connection that has broken. */
+  private examineEnd(): void {
+    if (this.destroyed) return;
+    if (this.isParserPaused) {
+      this.isEndHeld = true;
+      return;
+    }
+    if (this.writableLength > 0) {
+      this.destroy(new Error(ENDED_EARLY_DETAIL));
+      return;
+    }
+    const graceMs = this.lastLargeWriteMs + RESET_GRACE_MS - performance.now();
+    if (graceMs > 0) {
+      const run = () => this.examineEnd();
+      this.endTimer = scheduleTimer({delayMs: graceMs, run});
+      return;
+    }
+    if (this.wasReset()) return;
+    super.emit(END_EVENT);
+    this.end();
+  }
+
+  /** A write of no bytes fails if, and only if, the peer sent a reset. */
+  private wasReset(): boolean {
+    this.write(EMPTY);
+    return this.errored !== null;
+  }
+
+  private emitHeldEnd(): void {
+    this.isEndHeld = false;
+    process.nextTick(() => this.examineEnd());
+  }
+
+  private recordLargeWrite(): void {
+    this.lastLargeWriteMs = performance.now();
+  }
+
   private renewAfterWrite(): void {
     const written = this.bytesWritten;
     if (written === this.lastWritten) return;
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -9,6 +9,8 @@
 import type {CopyNetwork} from './copy-network.js';
 import {COPIES_PATH} from './copy-network.js';
 import {DEFAULT_BORN_MS, registrationOf} from './registration.js';
+import type {EarlyResponse} from './early-response.js';
+import {sendEarlyResponse} from './early-response.js';
 import {isEndless, sendEndlessResponse} from './endless-response.js';
 import {
   EVENTS_BEFORE_DRIP,
@@ -38,6 +40,9 @@
   onEnded: () => undefined,
 };
 
+/** Part of the response to a plain call. */
+const EARLY_PART = 'answ';
+
 /**
  * A target on a loopback port.
  *
@@ -50,6 +55,8 @@
   /** Number of streams whose connection closed before their end. */
   cancelled = 0;
   fault = TargetFault.NONE;
+  /** Response to requests before they are read; none by default. */
+  earlyResponse?: EarlyResponse;
   /** Attempt ids of the streams in prefill. */
   private readonly prefilling = new Set<string>();
   /** Attempt ids of the streams that have sent events. */
@@ -172,6 +179,10 @@
   }
 
   private async serve(req: IncomingMessage, res: ServerResponse) {
+    if (this.earlyResponse !== undefined && isOfCaller(req)) {
+      this.respondEarly(req, res, this.earlyResponse);
+      return;
+    }
     const body = await readText(req).catch(() => undefined);
     // The sender closed the connection before the end of the body.
     if (body === undefined) return;
@@ -232,6 +243,17 @@
     else this.respond(req, res, body);
   }
 
+  private respondEarly(
+    req: IncomingMessage,
+    res: ServerResponse,
+    kind: EarlyResponse,
+  ): void {
+    this.recordRun({req, res, body: '', hasFullPrefill: true});
+    const {attemptId} = arrivalOf(req);
+    const body = this.pace.events > 0 ? encodeEvent(1, attemptId) : EARLY_PART;
+    sendEarlyResponse({req, kind, targetId: this.id, body});
+  }
+
   private drips(written: number): boolean {
     return (
       this.fault === TargetFault.DRIP_STREAMS && written >= EVENTS_BEFORE_DRIP
@@ -396,6 +418,11 @@
   }
 }
 
+/** Whether a request is one of a caller, not a health check or report. */
+function isOfCaller({headers}: IncomingMessage): boolean {
+  return headers[Header.ATTEMPT_ID] !== undefined;
+}
+
 function encodeEvent(id: number, attemptId: string): string {
   return `id: ${id}\ndata: piece ${id} of ${attemptId}\n\n`;
 }
