A status that is none of HTTP is no response

Such a response is broken, as those under 100 and malformed ones are already: 502 for an unsafe request, and a safe one may run again.

--- a/src/adapters/engine-http-stream.ts
+++ b/src/adapters/engine-http-stream.ts
@@ -27,6 +27,7 @@
   decodeUtf8,
   FIRST_ERROR_STATUS,
   parseJson,
+  requireHttpStatus,
   toHeaderFields,
   toHttpFailure,
 } from './http-call.js';
@@ -103,6 +104,7 @@
       body,
       signal: this.abort.signal,
     });
+    requireHttpStatus(res);
     this.options.onHeaders(toHeaderFields(res.headers));
     if (res.statusCode >= FIRST_ERROR_STATUS) {
       return this.failRefused(res.statusCode);
--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -26,6 +26,9 @@
 /** Lowest status of an error response. */
 export const FIRST_ERROR_STATUS = 400;
 
+/** Highest status of the protocol; undici reads up to three digits. */
+const LAST_STATUS = 599;
+
 /** Error codes of requests that were not sent. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
@@ -89,6 +92,13 @@
 /** Thrown if a body exceeds the limit; becomes a TOO_LARGE failure. */
 class BodyTooLargeError extends Error {}
 
+/** Thrown if a status is none of HTTP; becomes a BROKEN failure. */
+class InvalidStatusError extends Error {
+  constructor(status: number) {
+    super(describeInvalidStatus(status));
+  }
+}
+
 /**
  * Creates a connection pool. It limits neither the number of connections nor
  * the time of a response; callers set their own timeouts.
@@ -142,6 +152,43 @@
   return {kind: toFailureKind(e), detail};
 }
 
+/**
+ * Returns whether a final status is one of HTTP. What comes with another one is
+ * no response, whatever its headers say.
+ *
+ * @example
+ * isHttpStatus(600); // false
+ */
+export function isHttpStatus(status: number): boolean {
+  return status <= LAST_STATUS;
+}
+
+/**
+ * Describes a status that is none of HTTP.
+ *
+ * @example
+ * describeInvalidStatus(600); // 'invalid status 600'
+ */
+export function describeInvalidStatus(status: number): string {
+  return `invalid status ${status}`;
+}
+
+/**
+ * Throws if a response has a status that is none of HTTP, and closes its
+ * connection.
+ *
+ * @example
+ * requireHttpStatus(await request(url));
+ */
+export function requireHttpStatus(
+  res: Pick<Dispatcher.ResponseData, 'statusCode' | 'body'>,
+): void {
+  const {statusCode, body} = res;
+  if (isHttpStatus(statusCode)) return;
+  body.on('error', () => undefined).destroy();
+  throw new InvalidStatusError(statusCode);
+}
+
 /**
  * Parses JSON; returns undefined if it is malformed.
  *
@@ -193,6 +240,7 @@
   const headers = options.headers.flatMap(({name, value}) => [name, value]);
   const settings = {dispatcher, method, headers, body, signal};
   const res = await request(url, settings as Parameters<typeof request>[1]);
+  requireHttpStatus(res);
   const bytes = await readBytes(res.body, options.maxBodyBytes);
   return {
     status: res.statusCode,
--- a/test/adapters/early-responses.test.ts
+++ b/test/adapters/early-responses.test.ts
@@ -18,6 +18,7 @@
 import {
   BROKEN_RESPONSES,
   EarlyResponse,
+  INVALID_STATUSES,
   sendEarlyResponse,
 } from '../../stand-ins/site/early-response.js';
 import {createSpec} from '../support/generation.js';
@@ -173,6 +174,14 @@
     },
   );
 
+  it.each(CALLERS.flatMap((row) => INVALID_STATUSES.map((k) => ({...row, k}))))(
+    'to $what is no response: $k',
+    async ({k, ...caller}) => {
+      kind = k;
+      expect(await play(caller)).toBe(0);
+    },
+  );
+
   it.each([
     {
       what: 'a request',
--- a/test/direct/early-responses.test.ts
+++ b/test/direct/early-responses.test.ts
@@ -5,6 +5,7 @@
 import {
   BROKEN_RESPONSES,
   EarlyResponse,
+  INVALID_STATUSES,
 } from '../../stand-ins/site/early-response.js';
 import {DirectSite} from '../support/direct-site.js';
 
@@ -21,7 +22,7 @@
 
 const BODIES = [3 * 1024 * 1024, 300 * 1024, 0].map((bytes) => ({bytes}));
 
-const KINDS = BROKEN_RESPONSES;
+const KINDS = [...BROKEN_RESPONSES, ...INVALID_STATUSES];
 
 const ROWS = BODIES.flatMap((row) => KINDS.map((kind) => ({...row, kind})));
 
