Copies are spread, and leave holders that were replaced; a forecast outage costs two requests

Change: a holder is chosen among a random part of each data centre's engines, those seen lately first (core/copies/spread-holders); a holder whose address a later incarnation has registered counts as ended (core/outages/newest-starts), so the copy is replaced; the forecast costs 2 requests at most.

--- a/src/core/outages/consts.ts
+++ b/src/core/outages/consts.ts
@@ -26,4 +26,4 @@
  * Cost of an engine in the data centre that an outage is expected in next, in
  * running requests.
  */
-export const NEXT_OUTAGE_COST = 6;
+export const NEXT_OUTAGE_COST = 2;
--- a/src/core/outages/index.ts
+++ b/src/core/outages/index.ts
@@ -1,4 +1,6 @@
 /** Outages of data centres, and where the next one is expected. */
+export {NewestStarts} from './newest-starts.js';
+export type {RegisteredStart} from './newest-starts.js';
 export type {DataCentreCosts} from './outage-forecasts.js';
 export {OutageForecasts} from './outage-forecasts.js';
 export {OutageTurns} from './outage-turns.js';
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -167,6 +167,12 @@
 /** Time until a failed call to the store is retried, in milliseconds. */
 export const STORE_RETRY_MS = 500;
 
+/**
+ * Age of an engine's last message up to which it is preferred to keep a copy, in
+ * milliseconds.
+ */
+export const HOLDER_SEEN_MS = 1_500;
+
 /** Least time between two requests for a KV cache copy, in milliseconds. */
 export const COPY_RETRY_MS = 400;
 
--- a/src/direct/prober.ts
+++ b/src/direct/prober.ts
@@ -6,10 +6,15 @@
 import type {DirectTargets} from '../core/edges/direct-target.js';
 import type {Logger} from '../core/logs/index.js';
 import type {DataCentreCosts} from '../core/outages/index.js';
-import {OutageForecasts} from '../core/outages/index.js';
+import {NewestStarts, OutageForecasts} from '../core/outages/index.js';
 import type {Supervisor} from '../core/supervision/index.js';
 import {TaskName} from '../core/supervision/index.js';
-import type {ReportedLoad, Target, TargetSet} from '../core/targets/index.js';
+import type {
+  ReportedLoad,
+  Target,
+  TargetRecord,
+  TargetSet,
+} from '../core/targets/index.js';
 import {
   MAX_PROBED_ALONE,
   REPORT_LAG_MS,
@@ -46,6 +51,7 @@
   private readonly ended = new WeakSet<Target>();
   private readonly scouts: ScoutRounds;
   private readonly outages: OutageForecasts;
+  private readonly starts: NewestStarts;
 
   constructor(
     private readonly options: {
@@ -65,6 +71,7 @@
   ) {
     this.scouts = new ScoutRounds(options);
     this.outages = new OutageForecasts(options);
+    this.starts = new NewestStarts(options);
   }
 
   /** Whether a target responds; an engine that does not is paused. */
@@ -152,9 +159,24 @@
 
   /** Costs of data centres for the risk of the next outage, if foreseen. */
   outageCosts(service: string): DataCentreCosts {
-    return this.outages.costsOf(service, () =>
-      this.options.targets.ofService(service).map(({record}) => record),
-    );
+    return this.outages.costsOf(service, () => this.recordsOf(service));
+  }
+
+  /** Pauses a target if another incarnation has registered at its address. */
+  noteReplaced(target: Target): void {
+    if (this.ended.has(target)) return;
+    const {record} = target;
+    const records = () => this.recordsOf(record.service);
+    if (this.starts.isReplaced(record, records)) this.endIncarnation(target);
+  }
+
+  private recordsOf(service: string): TargetRecord[] {
+    return this.options.targets.ofService(service).map(({record}) => record);
+  }
+
+  private endIncarnation(target: Target): void {
+    this.ended.add(target);
+    target.recordIncarnationEnded();
   }
 
   private startProbe(target: Target): void {
@@ -238,8 +260,7 @@
     const {logger} = this.options;
     const report = await this.requestReport(target, PROBE_TIMEOUT_MS);
     if (report.isOk() && isOtherIncarnation(target, report.value)) {
-      this.ended.add(target);
-      target.recordIncarnationEnded();
+      this.endIncarnation(target);
       logger.info('target replaced by another incarnation', {
         target: target.id,
         bornMs: report.value.startedAtMs,
--- a/src/direct/streams/kv-cache-replicator.ts
+++ b/src/direct/streams/kv-cache-replicator.ts
@@ -70,6 +70,7 @@
   maintainCopy(): void {
     if (this.isRequesting || this.current === undefined) return;
     const {holder} = this.current;
+    this.options.ctx.prober.noteReplaced(holder);
     const ageMs = this.options.ctx.clock.now() - this.requestedMs;
     const isUsable = canResumeAt(holder) && !holder.record.isDraining;
     if (isUsable) {
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -1,4 +1,5 @@
 /** Chooses where a stream runs and where its KV cache is copied to. */
+import {spreadHolders} from '../../core/copies/index.js';
 import type {EngineQuery} from '../../core/placing/index.js';
 import {
   chooseEngine,
@@ -10,6 +11,7 @@
 import {
   AVOID_DATA_CENTRE_MS,
   DRAINING_RESUME_WINDOW_MS,
+  HOLDER_SEEN_MS,
   SHORTLIST_SIZE,
 } from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
@@ -98,8 +100,13 @@
     if (engine === undefined || !engine.canCopy || !isResumable) {
       return undefined;
     }
+    const query = this.engineQuery();
     return chooseEngine({
-      ...this.engineQuery(),
+      ...query,
+      targets: spreadHolders({
+        ...query,
+        isSeen: (t) => t.lastSeenAgeMs() <= HOLDER_SEEN_MS && !t.isPaused(),
+      }),
       excluded: new Set([runner.id, ...this.limitedIds()]),
       avoidedDataCentres: new Set([
         ...this.avoidedDataCentres,
