An engine that was lost before doesn't have its data centre probed again

Change: only a probe that finds a new loss probes the data centre. Test seen red first: prober.test (30 probes of engines that were left, 1 expected).

--- a/src/direct/prober.ts
+++ b/src/direct/prober.ts
@@ -272,13 +272,15 @@
       target.recordSuccess();
       return true;
     }
+    const wasLost = target.unavailableSinceMs !== undefined;
     target.pause();
     logger.info('target does not respond to probe', {
       target: target.id,
       dataCentre: target.record.dataCentre,
       detail: report.error,
     });
-    this.probeDataCentreOf(target);
+    // Its data centre was probed when it was lost.
+    if (!wasLost) this.probeDataCentreOf(target);
     return false;
   }
 }
--- a/test/direct/prober.test.ts
+++ b/test/direct/prober.test.ts
@@ -39,7 +39,7 @@
 describe('Prober', () => {
   const setUp = (
     size: number,
-    answer: () => Result<ReportedLoad, string> = () =>
+    answer: (id: string) => Result<ReportedLoad, string> = () =>
       ok({running: 0, waiting: 0, startedAtMs: 1}),
   ) => {
     const clock = new ManualClock();
@@ -58,7 +58,7 @@
     const probed: string[] = [];
     const queryLoad = ({id}: TargetRecord) => {
       probed.push(id);
-      return answer();
+      return answer(id);
     };
     const prober: Prober = new Prober({
       clock,
@@ -121,7 +121,7 @@
   }
 
   /** Loses all engines of data centre `a` at once. */
-  async function loseAll(answer: () => Result<ReportedLoad, string>) {
+  async function loseAll(answer: (id: string) => Result<ReportedLoad, string>) {
     const scene = setUp(20, answer);
     scene.prober.probeDataCentreOf(scene.lost);
     await pass(scene.clock, STEP_MS);
@@ -152,4 +152,16 @@
     // All but the lost one were probed together after the loss.
     expect(probed).toEqual([lost.id]);
   });
+
+  it('probes the engines that are left of a data centre once', async () => {
+    const load = {running: 0, waiting: 0, startedAtMs: 1};
+    const isLost = (id: string) => id.startsWith('a') && id.length > 3;
+    const {clock, probed} = await loseAll((id) =>
+      isLost(id) ? err('refused') : ok(load),
+    );
+    await pass(clock, 4_000);
+    const left = probed.filter((id) => id.startsWith('a') && !isLost(id));
+    // Only the one whose loss was reported, as it responds again.
+    expect(left).toEqual(['a-0']);
+  });
 });
