A long prefill of a new stream is probed less often

Cause: an engine that reads a prompt was probed each 400 ms, 4 to 20 times a generation, of which a caller notices nothing before the first event: its objective is some seconds, where a pause within a stream may be 700 ms. Change: after two checks the next ones come each 800 ms, unless the caller has had events or a report lacked the request. Test seen red first: direct/prefill-checks.

--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -104,6 +104,15 @@
 /** Time between two probes of a target during prefill, in milliseconds. */
 export const PREFILL_CHECK_MS = 400;
 
+/** Probes at that interval, after which a long prefill is probed less often. */
+export const QUICK_PREFILL_CHECKS = 2;
+
+/**
+ * Time between two further probes during a prefill for which no caller waits
+ * within a stream, in milliseconds.
+ */
+export const SLOW_PREFILL_CHECK_MS = 800;
+
 /** Time in which this entry determines the cause of a loss, in milliseconds. */
 export const LOSS_DIAGNOSIS_MS = 250;
 
--- a/src/direct/streams/stall-detector.ts
+++ b/src/direct/streams/stall-detector.ts
@@ -2,7 +2,12 @@
 import type {TimerHandle} from '../../core/clock/index.js';
 import {stallTimeoutMs, probeDelayMs} from '../../core/streams/index.js';
 import type {Target} from '../../core/targets/index.js';
-import {PREFILL_CHECK_MS, REQUEST_ARRIVAL_MS} from '../consts.js';
+import {
+  PREFILL_CHECK_MS,
+  QUICK_PREFILL_CHECKS,
+  REQUEST_ARRIVAL_MS,
+  SLOW_PREFILL_CHECK_MS,
+} from '../consts.js';
 import type {RequestContext} from '../context.js';
 
 /** Factor by which the widest gap decays with each further gap. */
@@ -42,6 +47,7 @@
   private isOver = false;
   private isSuspended = false;
   private reportsWithoutRequest = 0;
+  private prefillChecks = 0;
   private readonly startedMs: number;
 
   constructor(
@@ -49,6 +55,8 @@
       ctx: RequestContext;
       target: Target;
       attemptId: string;
+      /** Whether the caller has received events of an earlier attempt. */
+      isResumed: boolean;
       /** Longest allowed pause between events, in milliseconds. */
       maxPauseMs?: number;
       /** Whether another target may resume from a copy of the KV cache. */
@@ -101,10 +109,19 @@
   private async checkPrefill(): Promise<void> {
     const isAlive = await this.probeTarget();
     if (this.isOver || this.eventCount > 0) return;
-    if (isAlive && this.holdsRequest()) this.start(PREFILL_CHECK_MS);
+    this.prefillChecks++;
+    if (isAlive && this.holdsRequest()) this.start(this.nextCheckMs());
     else this.reportStall();
   }
 
+  /** A pause within a stream ends soon; a first event may take seconds. */
+  private nextCheckMs(): number {
+    const {isResumed} = this.options;
+    const isUrgent = isResumed || this.reportsWithoutRequest > 0;
+    const isQuick = isUrgent || this.prefillChecks < QUICK_PREFILL_CHECKS;
+    return isQuick ? PREFILL_CHECK_MS : SLOW_PREFILL_CHECK_MS;
+  }
+
   /** Whether the target may still prefill the prompt, by its last reports. */
   private holdsRequest(): boolean {
     const {target, attemptId} = this.options;
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -120,6 +120,7 @@
       ctx,
       target,
       attemptId: options.work.req.attemptId,
+      isResumed: options.hasDelivered,
       maxPauseMs,
       hasCopy: () => this.mayResumeFromCopy,
       onStalled: (silentMs) =>
