The few engines left of a lost data centre don't get the copies of all streams

Change: a data centre most of whose engines are paused is avoided for copies (core/outages/mostly-lost), while it is. Test seen red first: direct/copy-holders.

--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -1,5 +1,6 @@
 /** Chooses where a stream runs and where its KV cache is copied to. */
 import {spreadHolders} from '../../core/copies/index.js';
+import {mostlyLost} from '../../core/outages/index.js';
 import type {EngineQuery} from '../../core/placing/index.js';
 import {
   chooseEngine,
@@ -111,6 +112,7 @@
       avoidedDataCentres: new Set([
         ...this.avoidedDataCentres,
         runner.record.dataCentre,
+        ...mostlyLost({targets: query.targets, isLost: (t) => t.isPaused()}),
       ]),
       preferRecentlySeen: true,
     });
