--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -107,6 +107,15 @@
 /** Time between two probes of a target during prefill, in milliseconds. */
 export const PREFILL_CHECK_MS = 400;
 
+/** Probes at that interval, after which a long prefill is probed less often. */
+export const QUICK_PREFILL_CHECKS = 2;
+
+/**
+ * Time between two further probes during a prefill for which no caller waits
+ * within a stream, in milliseconds.
+ */
+export const SLOW_PREFILL_CHECK_MS = 800;
+
 /** Time in which this entry determines the cause of a loss, in milliseconds. */
 export const LOSS_DIAGNOSIS_MS = 250;
 
@@ -170,6 +179,12 @@
 /** Time until a failed call to the store is retried, in milliseconds. */
 export const STORE_RETRY_MS = 500;
 
+/**
+ * Age of an engine's last message up to which it is preferred to keep a copy, in
+ * milliseconds.
+ */
+export const HOLDER_SEEN_MS = 1_500;
+
 /** Least time between two requests for a KV cache copy, in milliseconds. */
 export const COPY_RETRY_MS = 400;
 
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -1,4 +1,6 @@
 /** Chooses where a stream runs and where its KV cache is copied to. */
+import {spreadHolders} from '../../core/copies/index.js';
+import {mostlyLost} from '../../core/outages/index.js';
 import type {EngineQuery} from '../../core/placing/index.js';
 import {
   chooseEngine,
@@ -11,6 +13,7 @@
 import {
   AVOID_DATA_CENTRE_MS,
   DRAINING_RESUME_WINDOW_MS,
+  HOLDER_SEEN_MS,
   HOLDER_SHORTLIST_SIZE,
   SHORTLIST_SIZE,
 } from '../consts.js';
@@ -107,11 +110,16 @@
     const query = this.engineQuery();
     return chooseEngine({
       ...query,
-      targets: query.targets.filter((target) => this.mayHoldCopy(target)),
+      targets: spreadHolders({
+        ...query,
+        targets: query.targets.filter((target) => this.mayHoldCopy(target)),
+        isSeen: (t) => t.lastSeenAgeMs() <= HOLDER_SEEN_MS && !t.isPaused(),
+      }),
       excluded: new Set([runner.id, ...this.limitedIds()]),
       avoidedDataCentres: new Set([
         ...this.avoidedDataCentres,
         runner.record.dataCentre,
+        ...mostlyLost({targets: query.targets, isLost: (t) => t.isPaused()}),
       ]),
       preferRecentlySeen: true,
     });
