Holders of copies are looked for in each data centre

Change: it reads the report of the best engine of three data centres, and a holder needs room for one generation more.

--- a/src/core/room/engine-room.ts
+++ b/src/core/room/engine-room.ts
@@ -9,7 +9,7 @@
  * Generations that a holder of a copy must still have room for, if the copied
  * one is not among the most urgent.
  */
-const GENERATIONS_BEFORE_COPIES = 2;
+const GENERATIONS_BEFORE_COPIES = 1;
 
 /** Generations for which an engine keeps room that are more urgent. */
 const SPARE_GENERATIONS = 1;
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -89,7 +89,7 @@
 export const SHORTLIST_SIZE = 3;
 
 /** Engines whose room for a copy is queried before a generation is placed. */
-export const HOLDER_SHORTLIST_SIZE = 2;
+export const HOLDER_SHORTLIST_SIZE = 3;
 
 /**
  * Time after the start of its drain in which a target still completes work that
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -65,7 +65,7 @@
   /** Queries the load of the best engines, then chooses the best of them. */
   async findTarget(): Promise<Target | undefined> {
     const candidates = this.shortlist();
-    const holders = this.shortlistHolders(candidates[0]);
+    const holders = this.shortlistHolders();
     await this.ctx.prober.refreshReports([...candidates, ...holders]);
     if (this.isolatedFingerprint !== undefined)
       return candidates.find(isAvailable);
@@ -175,14 +175,16 @@
     ).slice(0, SHORTLIST_SIZE);
   }
 
-  /** Engines whose room for a copy should be known when the runner is chosen. */
-  private shortlistHolders(runner: Target | undefined): Target[] {
+  /**
+   * Engines whose room for a copy should be known when the runner is chosen: the
+   * best one of each data centre, as the runner's own may be lost with it.
+   */
+  private shortlistHolders(): Target[] {
     const {engine} = this.work.service;
     if (engine?.holdMs === undefined || !engine.canCopy) return [];
-    if (runner === undefined) return [];
-    const avoidedDataCentres = new Set([runner.record.dataCentre]);
-    const query = {...this.engineQuery(), avoidedDataCentres};
-    return shortlistEngines(query, HOLDER_SHORTLIST_SIZE);
+    return bestOfDataCentres(
+      shortlistEngines(this.engineQuery(), Number.POSITIVE_INFINITY),
+    ).slice(0, HOLDER_SHORTLIST_SIZE);
   }
 
   private engineQuery(): EngineQuery {
@@ -224,3 +226,13 @@
 function isAvailable(target: Target): boolean {
   return !target.record.isDraining && !target.isPaused();
 }
+
+/** The first available target of each data centre. */
+function bestOfDataCentres(ranked: readonly Target[]): Target[] {
+  const best = new Map<string, Target>();
+  for (const target of ranked.filter(isAvailable)) {
+    const {dataCentre} = target.record;
+    if (!best.has(dataCentre)) best.set(dataCentre, target);
+  }
+  return [...best.values()];
+}
