--- a/test/core/rollouts/rollouts.test.ts
+++ b/test/core/rollouts/rollouts.test.ts
@@ -2,8 +2,8 @@
 import {describe, expect, it} from 'vitest';
 
 import {RolloutState} from '../../../src/core/rollouts/index.js';
-import type {FleetOptions, Meeting} from './lib/fleet.js';
-import {Fleet, SETTINGS} from './lib/fleet.js';
+import type {FleetOptions, Meeting} from '../../support/rollout-fleet.js';
+import {Fleet, SETTINGS} from '../../support/rollout-fleet.js';
 
 const usual = ({random}: Meeting) => ({ms: 10 + random.float() * 20});
 
--- a/test/core/rollouts/lib/fleet.ts
+++ b/test/support/rollout-fleet.ts
@@ -1,15 +1,15 @@
 /** Plays a roll-out at several entries without a network. */
-import {ManualClock, SeededRandom} from '../../../../src/core/clock/index.js';
+import {ManualClock, SeededRandom} from '../../src/core/clock/index.js';
 import type {
   EvidenceRow,
   RolloutRecord,
   RolloutState,
-} from '../../../../src/core/rollouts/index.js';
+} from '../../src/core/rollouts/index.js';
 import {
   openTargets,
   RolloutController,
   SlowTimes,
-} from '../../../../src/core/rollouts/index.js';
+} from '../../src/core/rollouts/index.js';
 
 const TICK_MS = 50;
 const WRITE_MS = 500;
