--- a/src/core/call-queue/call-queue.ts
+++ b/src/core/call-queue/call-queue.ts
@@ -1,6 +1,6 @@
 /** Plain calls of one service that wait at an entry for room at its targets. */
 import type {Clock, RandomSource} from '../clock/index.js';
-import {MAX_WAITING, RETRY_AFTER_JITTER} from './consts.js';
+import {MAX_WAITING, MIN_RETRY_AFTER_MS, RETRY_AFTER_JITTER} from './consts.js';
 import {decideCall} from './decide-call.js';
 import type {QueuedCall, Room} from './types.js';
 import {CallDecision} from './types.js';
@@ -109,7 +109,8 @@
     const {clock, random, roomOf} = this.options;
     const nowMs = clock.now();
     const {waitMs, intervalMs} = roomOf();
-    const earliestMs = Math.max(nowMs + waitMs, this.lastRetryAtMs);
+    const hasChanceAtMs = nowMs + Math.max(waitMs, MIN_RETRY_AFTER_MS);
+    const earliestMs = Math.max(hasChanceAtMs, this.lastRetryAtMs);
     this.lastRetryAtMs = earliestMs + intervalMs;
     const jitter = 1 + random.float() * RETRY_AFTER_JITTER;
     onRefuse(Math.ceil((this.lastRetryAtMs - nowMs) * jitter));
--- a/src/core/call-queue/consts.ts
+++ b/src/core/call-queue/consts.ts
@@ -7,5 +7,8 @@
 /** Weight of the newest call in the mean service time. */
 export const SERVICE_TIME_WEIGHT = 0.05;
 
+/** Shortest Retry-After before the random part, in milliseconds. */
+export const MIN_RETRY_AFTER_MS = 100;
+
 /** Most by which a Retry-After is lengthened at random, as a share of it. */
 export const RETRY_AFTER_JITTER = 0.25;
