--- a/src/core/call-queue/consts.ts
+++ b/src/core/call-queue/consts.ts
@@ -1,5 +1,8 @@
-/** Longest time for which a call waits at an entry, in milliseconds. */
-export const MAX_WAIT_MS = 400;
+/**
+ * Share of the time until its deadline for which a call waits at most; the rest
+ * is for its caller's retry at another entry.
+ */
+export const MAX_WAIT_SHARE = 0.5;
 
 /** Most calls of one service that wait at an entry. */
 export const MAX_WAITING = 256;
--- a/src/core/call-queue/decide-call.ts
+++ b/src/core/call-queue/decide-call.ts
@@ -1,5 +1,5 @@
 /** Decides whether a plain call is sent, waits at the entry or is refused. */
-import {MAX_WAIT_MS} from './consts.js';
+import {MAX_WAIT_SHARE} from './consts.js';
 import type {QueuedCall, Room} from './types.js';
 import {CallDecision} from './types.js';
 
@@ -29,6 +29,7 @@
   if (endsAtMs > call.deadlineAtMs) return CallDecision.REFUSE;
   const isOnTime = endsAtMs <= call.objectiveAtMs;
   if (!isFull && (hasFreeSlot || isOnTime)) return CallDecision.SEND;
-  const isOver = nowMs >= waitsSinceMs + MAX_WAIT_MS;
+  const allowedMs = (call.deadlineAtMs - waitsSinceMs) * MAX_WAIT_SHARE;
+  const isOver = nowMs >= waitsSinceMs + allowedMs;
   return isOver ? CallDecision.REFUSE : CallDecision.WAIT;
 }
