A stream that its caller did not read is no failure of its target

A target cuts off a response that stays unread for some seconds. The entry holds the target back while its caller does not read, and learns of the cut when it reads on. It counted as a failure of the target, as an outage of its data centre and as a possible crash by the request.

--- a/src/core/errors/refusals.ts
+++ b/src/core/errors/refusals.ts
@@ -73,6 +73,8 @@
   CALL_LOST = 'call_lost',
   /** Another process changed the claim of a booking at the same time. */
   STORE_CONFLICT = 'store_conflict',
+  /** The caller did not read for so long that the target cut its stream off. */
+  CALLER_SLOW = 'caller_slow',
   /** The response to a write of a claim was lost, so it is written again. */
   STORE_ANSWER_LOST = 'store_answer_lost',
 }
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -10,7 +10,7 @@
 import {enginePriority} from '../../core/placing/index.js';
 import {retryReasonOf} from '../../core/retrying/index.js';
 import type {RawEvent} from '../../core/streams/index.js';
-import {EventSplitter} from '../../core/streams/index.js';
+import {EventSplitter, ReaderPause} from '../../core/streams/index.js';
 import type {Target, TargetWork} from '../../core/targets/index.js';
 import {
   ResponseBody,
@@ -97,6 +97,7 @@
   /** When the first event was received, on the monotonic clock. */
   private firstEventAtMs?: number;
   private isOver = false;
+  private readonly readerPause = new ReaderPause();
 
   constructor(private readonly options: StreamAttemptOptions) {
     const {ctx, target, tokens, chooseCopyHolder} = options;
@@ -162,12 +163,14 @@
   /** Stops reading, while the caller does not keep up. */
   pause(): void {
     if (this.isOver) return;
+    this.readerPause.begin(this.options.ctx.clock.now());
     this.stallDetector.suspend();
     this.exchange?.pause();
   }
 
   resume(): void {
     if (this.isOver) return;
+    this.readerPause.end(this.options.ctx.clock.now());
     this.stallDetector.resume();
     this.exchange?.resume();
   }
@@ -306,12 +309,22 @@
 
   private onFailure(failure: ExchangeFailure, detail: string): void {
     if (this.isOver) return;
+    if (this.wasCutOffUnread(failure)) {
+      const reason = RetryReason.CALLER_SLOW;
+      this.reportLoss({reason, failure, detail: `unread: ${detail}`});
+      return;
+    }
     recordTargetFailure(this.target, failure);
     this.options.ctx.prober.probeDataCentreOf(this.target);
     const reason = retryReasonOf(failure, RetryReason.ENGINE_DIED);
     this.reportLoss({reason, failure, detail: `${failure}: ${detail}`});
   }
 
+  private wasCutOffUnread(failure: ExchangeFailure): boolean {
+    if (failure !== ExchangeFailure.BROKEN) return false;
+    return this.readerPause.explainsLoss(this.options.ctx.clock.now());
+  }
+
   /**
    * Whether a stream ended within an event. An end that only the connection
    * marks may fall within the first event before any of its bytes.
--- a/stand-ins/site/target-types.ts
+++ b/stand-ins/site/target-types.ts
@@ -19,6 +19,13 @@
   readonly firstMs: number;
   /** Time between two events, in milliseconds. */
   readonly gapMs: number;
+  /** Bytes of comment before each event; none by default. */
+  readonly paddingBytes?: number;
+  /**
+   * Time after which a stream that nobody reads is cut off, in milliseconds;
+   * unlimited by default.
+   */
+  readonly maxUnreadMs?: number;
 }
 
 /** Selects the requests that crash the target. */
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -54,6 +54,8 @@
   readonly runs: RunRecord[] = [];
   /** Number of streams whose connection closed before their end. */
   cancelled = 0;
+  /** Number of streams that were cut off as nobody read them. */
+  cutUnread = 0;
   fault = TargetFault.NONE;
   /** Response to requests before they are read; none by default. */
   earlyResponse?: EarlyResponse;
@@ -409,10 +411,24 @@
       // Ends the comment that the dripped bytes are.
       if (hasDripped) res.write('\n');
       hasDripped = false;
-      res.write(encodeEvent(next, attemptId));
+      const {paddingBytes = 0, maxUnreadMs, gapMs, events} = this.pace;
+      const padding = paddingBytes > 0 ? `:${'x'.repeat(paddingBytes)}\n` : '';
+      const isRead = res.write(padding + encodeEvent(next, attemptId));
       this.storeCopyFor(req);
-      if (next++ >= this.pace.events) res.end();
-      else timer = setTimeout(writeEvent, this.pace.gapMs);
+      if (next++ >= events) res.end();
+      else if (isRead || maxUnreadMs === undefined)
+        timer = setTimeout(writeEvent, gapMs);
+      else awaitReader(maxUnreadMs);
+    };
+    const awaitReader = (maxUnreadMs: number) => {
+      timer = setTimeout(() => {
+        this.cutUnread++;
+        req.socket.resetAndDestroy();
+      }, maxUnreadMs);
+      res.once('drain', () => {
+        clearTimeout(timer);
+        writeEvent();
+      });
     };
     timer = setTimeout(writeEvent, usesCopy ? 1 : this.pace.firstMs);
   }
