--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -20,6 +20,7 @@
   encodeRejection,
   repeatsRejections,
 } from './target-fault.js';
+import {arrivalOf, encodeEvent, isOfCaller, readText} from './target-wire.js';
 import type {
   CrashRecord,
   CrashTrigger,
@@ -28,9 +29,6 @@
   TargetObserver,
 } from './target-types.js';
 
-/** Header in which callers of the soak state the version of their API key. */
-export const KEY_HEADER = 'used-key';
-
 const NO_STREAM: StreamPace = {events: 0, firstMs: 0, gapMs: 0};
 
 const HEALTH_PATH = '/healthz';
@@ -433,23 +431,3 @@
     timer = setTimeout(writeEvent, usesCopy ? 1 : this.pace.firstMs);
   }
 }
-
-/** Whether a request is one of a caller, not a health check or report. */
-function isOfCaller({headers}: IncomingMessage): boolean {
-  return headers[Header.ATTEMPT_ID] !== undefined;
-}
-
-function encodeEvent(id: number, attemptId: string): string {
-  return `id: ${id}\ndata: piece ${id} of ${attemptId}\n\n`;
-}
-
-function arrivalOf(req: IncomingMessage): {attemptId: string; key: string} {
-  const attemptId = String(req.headers[Header.ATTEMPT_ID] ?? '');
-  return {attemptId, key: String(req.headers[KEY_HEADER] ?? '')};
-}
-
-async function readText(req: IncomingMessage): Promise<string> {
-  let text = '';
-  for await (const chunk of req) text += String(chunk);
-  return text;
-}
--- a/tools/soak/callers.ts
+++ b/tools/soak/callers.ts
@@ -5,7 +5,7 @@
 import type {RandomSource} from '../../src/core/clock/index.js';
 import {SeededRandom} from '../../src/core/clock/index.js';
 import {SitePath} from '../../stand-ins/site/config.js';
-import {KEY_HEADER} from '../../stand-ins/site/target.js';
+import {KEY_HEADER} from '../../stand-ins/site/target-wire.js';
 import type {SiteResponse} from '../lab/site-caller.js';
 import {sendSiteRequest} from '../lab/site-caller.js';
 import {
