--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -21,6 +21,7 @@
   encodeRejection,
   repeatsRejections,
 } from './target-fault.js';
+import {arrivalOf, encodeEvent, isOfCaller, readText} from './target-wire.js';
 import type {
   CrashRecord,
   CrashTrigger,
@@ -29,9 +30,6 @@
   TargetObserver,
 } from './target-types.js';
 
-/** Header in which callers of the soak state the version of their API key. */
-export const KEY_HEADER = 'used-key';
-
 const NO_STREAM: StreamPace = {events: 0, firstMs: 0, gapMs: 0};
 
 const HEALTH_PATH = '/healthz';
@@ -55,6 +53,8 @@
   readonly runs: RunRecord[] = [];
   /** Number of streams whose connection closed before their end. */
   cancelled = 0;
+  /** Number of streams that were cut off as nobody read them. */
+  cutUnread = 0;
   fault = TargetFault.NONE;
   /** Response to requests before they are read; none by default. */
   earlyResponse?: EarlyResponse;
@@ -428,31 +428,25 @@
       // Ends the comment that the dripped bytes are.
       if (hasDripped) res.write('\n');
       hasDripped = false;
-      res.write(encodeEvent(next, attemptId));
+      const {paddingBytes = 0, maxUnreadMs, gapMs, events} = this.pace;
+      const padding = paddingBytes > 0 ? `:${'x'.repeat(paddingBytes)}\n` : '';
+      const isRead = res.write(padding + encodeEvent(next, attemptId));
       this.storeCopyFor(req);
-      if (next++ >= this.pace.events) res.end();
-      else timer = setTimeout(writeEvent, this.pace.gapMs);
+      if (next++ >= events) res.end();
+      else if (isRead || maxUnreadMs === undefined)
+        timer = setTimeout(writeEvent, gapMs);
+      else awaitReader(maxUnreadMs);
+    };
+    const awaitReader = (maxUnreadMs: number) => {
+      timer = setTimeout(() => {
+        this.cutUnread++;
+        req.socket.resetAndDestroy();
+      }, maxUnreadMs);
+      res.once('drain', () => {
+        clearTimeout(timer);
+        writeEvent();
+      });
     };
     timer = setTimeout(writeEvent, usesCopy ? 1 : this.pace.firstMs);
   }
 }
-
-/** Whether a request is one of a caller, not a health check or report. */
-function isOfCaller({headers}: IncomingMessage): boolean {
-  return headers[Header.ATTEMPT_ID] !== undefined;
-}
-
-function encodeEvent(id: number, attemptId: string): string {
-  return `id: ${id}\ndata: piece ${id} of ${attemptId}\n\n`;
-}
-
-function arrivalOf(req: IncomingMessage): {attemptId: string; key: string} {
-  const attemptId = String(req.headers[Header.ATTEMPT_ID] ?? '');
-  return {attemptId, key: String(req.headers[KEY_HEADER] ?? '')};
-}
-
-async function readText(req: IncomingMessage): Promise<string> {
-  let text = '';
-  for await (const chunk of req) text += String(chunk);
-  return text;
-}
