--- a/stand-ins/site/target-fault.ts
+++ b/stand-ins/site/target-fault.ts
@@ -139,10 +139,12 @@
   id: string;
   /** Bytes of the head that `CUT_HEAD` sends. */
   headBytes?: number;
+  /** Smallest size of the body, in bytes. */
+  bodyBytes?: number;
 }): void {
-  const {req, res, fault, id: targetId} = options;
+  const {req, res, fault, id: targetId, bodyBytes = 0} = options;
   const attemptId = String(req.headers[Header.ATTEMPT_ID] ?? '');
-  const text = `answer to ${attemptId}`;
+  const text = `answer to ${attemptId}`.padEnd(bodyBytes);
   const head = `Attempt-Id: ${attemptId}\r\nServer-Stamp: s-${targetId}\r\n`;
   const {socket} = req;
   const withContentLength = (id: string) =>
--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -95,6 +95,7 @@
   readonly id: string;
   private readonly pace: StreamPace;
   private readonly workMs: number;
+  private readonly bodyBytes: number;
   private readonly copyNetwork: CopyNetwork;
   private readonly observer: TargetObserver;
   private readonly sockets = new Set<Socket>();
@@ -110,12 +111,15 @@
     pace?: StreamPace;
     /** Duration of a plain call, in milliseconds; 0 by default. */
     workMs?: number;
+    /** Smallest size of the body of a plain response, in bytes; 0 by default. */
+    bodyBytes?: number;
     observer?: TargetObserver;
   }) {
     this.id = options.id;
     this.copyNetwork = options.copyNetwork;
     this.pace = options.pace ?? NO_STREAM;
     this.workMs = options.workMs ?? 0;
+    this.bodyBytes = options.bodyBytes ?? 0;
     this.observer = options.observer ?? NO_OBSERVER;
     this.server = createServer((req, res) => void this.serve(req, res));
     this.server.on('connection', (socket) => {
@@ -318,7 +322,7 @@
     this.recordRun({req, res, body, hasFullPrefill: true});
     setTimeout(() => {
       if (this.triggersCrash(body)) this.crashOnRequest(req, body);
-      else sendResponse({...this, req, res});
+      else sendResponse({...this, bodyBytes: this.bodyBytes, req, res});
     }, this.workMs);
   }
 
--- a/tools/lab/lab.ts
+++ b/tools/lab/lab.ts
@@ -4,7 +4,7 @@
 import {request} from 'undici';
 
 import {EXAMPLES} from './paths.js';
-import type {ReadyFields} from './proc.js';
+import type {ProcLimits, ReadyFields} from './proc.js';
 import {Proc} from './proc.js';
 
 const ADDRESS = '127.0.0.1';
@@ -68,8 +68,9 @@
   async startDaemon(options: {
     role: 'entry' | 'agent';
     settings: NamedValues;
+    limits?: ProcLimits;
   }): Promise<Daemon> {
-    const {role, settings} = options;
+    const {role, settings, limits} = options;
     const overrides: NamedValues = {
       'peers.port': 0,
       'operators.port': 0,
@@ -83,11 +84,8 @@
       `${name}=${value}`,
     ]);
     const script = 'src/daemon/main.js';
-    const {proc, ready} = await this.start(script, [
-      '--settings',
-      settingsFile,
-      ...args,
-    ]);
+    const argv = ['--settings', settingsFile, ...args];
+    const {proc, ready} = await this.start(script, argv, limits);
     return createDaemon(String(settings['vm']), proc, ready);
   }
 
@@ -100,11 +98,15 @@
     await Promise.all(this.procs.map((proc) => proc.exited));
   }
 
-  private async start(script: string, args: readonly string[]) {
+  private async start(
+    script: string,
+    args: readonly string[],
+    limits?: ProcLimits,
+  ) {
     // If one of several concurrent starts fails, the harness is closed while
     // the others continue; a process started after that would never be killed.
     if (this.closed) throw new Error('the process harness is closed');
-    const proc = Proc.start({script, args});
+    const proc = Proc.start({script, args, limits});
     this.procs.push(proc);
     const ready = await proc.ready.catch((cause: unknown) => {
       throw new Error(`${String(cause)}: ${proc.stderr}`);
--- a/tools/lab/proc.ts
+++ b/tools/lab/proc.ts
@@ -18,6 +18,14 @@
   readonly callersPort?: number;
 }
 
+/** What the system allows a program. */
+export interface ProcLimits {
+  /** Heap in MB. */
+  readonly heapMb: number;
+  /** Largest number of open descriptors. */
+  readonly descriptors: number;
+}
+
 /** Options for starting a program. */
 export interface ProcOptions {
   /** Path of the program below `dist/`. */
@@ -26,6 +34,8 @@
   /** Paths below `dist/` of modules that are loaded before the program. */
   readonly preload?: readonly string[];
   readonly env?: Readonly<Record<string, string>>;
+  /** None but those of this process by default. */
+  readonly limits?: ProcLimits;
   /** Opens an IPC channel; called with each message received on it. */
   readonly onMessage?: (message: unknown) => void;
   /** Called with each line of standard output. */
@@ -66,10 +76,12 @@
   /** Starts `dist/<script>` without waiting until it is ready. */
   static start(options: ProcOptions): Proc {
     const {script, args, preload = [], env, onMessage, onLine} = options;
+    const {limits} = options;
     const imports = preload.flatMap((module) => ['--import', toPath(module)]);
     const channel = onMessage === undefined ? [] : ['ipc' as const];
     const argv = [...imports, toPath(script), ...args];
-    const child = spawn(process.execPath, argv, {
+    const command = toCommand([process.execPath, ...argv], limits);
+    const child = spawn(command[0]!, command.slice(1), {
       stdio: ['ignore', 'pipe', 'pipe', ...channel],
       env: {...process.env, ...env},
     });
@@ -134,6 +146,18 @@
   }
 }
 
+/** Puts a command under limits. */
+function toCommand(
+  words: readonly string[],
+  limits: ProcLimits | undefined,
+): readonly string[] {
+  if (limits === undefined) return words;
+  const [program = '', ...args] = words;
+  const heap = `--max-old-space-size=${limits.heapMb}`;
+  const limited = `ulimit -n ${limits.descriptors}; exec "$@"`;
+  return ['/bin/sh', '-c', limited, 'sh', program, heap, ...args];
+}
+
 function toPath(module: string): string {
   return fileURLToPath(new URL(module, DIST));
 }
--- a/tools/lab/site.ts
+++ b/tools/lab/site.ts
@@ -10,6 +10,7 @@
 import type {Daemon, NamedValues, StandIn} from './lab.js';
 import {ProcessHarness, sendControl, waitUntil} from './lab.js';
 import {EXAMPLES} from './paths.js';
+import type {ProcLimits} from './proc.js';
 
 /** The data centres of the quickstart deployment. */
 export const DATA_CENTRES: readonly string[] = ['waw', 'poz'];
@@ -42,6 +43,8 @@
   readonly platformFlags?: NamedValues;
   /** Puts relays in front of targets and agents, to inject network faults. */
   readonly relays?: boolean;
+  /** Limits of entries and agents; none by default. */
+  readonly limits?: ProcLimits;
   /** Edits the base of the quickstart's configuration before it is applied. */
   readonly editBase?: (base: Record<string, unknown>) => void;
 }
@@ -144,6 +147,7 @@
     const vm = `entry-${index + 1}`;
     const entry = await this.harness.startDaemon({
       role: 'entry',
+      limits: this.options.limits,
       settings: {
         vm,
         dataCentre,
@@ -252,6 +256,7 @@
     const targetRelay = await this.addRelay(standIn.port);
     const agent = await this.harness.startDaemon({
       role: 'agent',
+      limits: this.options.limits,
       settings: {
         vm,
         dataCentre,
