--- /dev/null
+++ b/src/adapters/bounded-server/http-connection.ts
@@ -0,0 +1,108 @@
+/** A client's connection to an HTTP server, within bounds. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+import type {Clock} from '../../core/clock/index.js';
+import type {
+  BoundedConnection,
+  ConnectionTable,
+} from '../../core/connections/index.js';
+import {CloseReason, ConnectionUse} from '../../core/connections/index.js';
+import type {ReaderControl} from './bounded-reader.js';
+import {BoundedReader} from './bounded-reader.js';
+import {STALL_MS} from './consts.js';
+
+/**
+ * Tracks the requests of one connection, of which one at a time is served.
+ * Those that came with it wait; the rest is not read.
+ *
+ * @example
+ * const connection = new HttpConnection({socket, table, clock});
+ * connection.track(req, res);
+ */
+export class HttpConnection implements BoundedConnection, ReaderControl {
+  usedAtMs: number;
+  private readonly reader: BoundedReader;
+  /** Requests whose responses are not sent completely. */
+  private openCount = 0;
+  private hasServed = false;
+  /** The request that was read last. */
+  private latest?: IncomingMessage;
+  /** Bytes that followed the slice with the end of the latest head. */
+  private parsedBytes = 0;
+  private declaredBytes = 0;
+  private unreadAtMs?: number;
+  private readBytes = 0;
+
+  constructor(
+    private readonly options: {
+      socket: Socket;
+      table: ConnectionTable;
+      clock: Clock;
+    },
+  ) {
+    const {socket, table, clock} = options;
+    this.usedAtMs = clock.now();
+    this.reader = new BoundedReader(socket, this);
+    socket.once('close', () => table.remove(this));
+  }
+
+  /** Begins to serve a request whose head was read. */
+  track(req: IncomingMessage, res: ServerResponse): void {
+    this.openCount++;
+    this.latest = req;
+    this.parsedBytes = 0;
+    this.declaredBytes = Number(req.headers['content-length'] ?? 0);
+    res.once('close', () => this.endRequest());
+  }
+
+  use(nowMs: number): ConnectionUse {
+    const unreadMs = nowMs - (this.unreadSince(nowMs) ?? nowMs);
+    if (unreadMs > STALL_MS) return ConnectionUse.STALLED;
+    if (this.mustWait()) return ConnectionUse.BUSY;
+    return this.hasServed ? ConnectionUse.IDLE : ConnectionUse.UNPROVEN;
+  }
+
+  unreadSince(nowMs: number): number | undefined {
+    const {socket} = this.options;
+    if (socket.writableLength === 0) return (this.unreadAtMs = undefined);
+    const readBytes = socket.bytesWritten - socket.writableLength;
+    if (readBytes !== this.readBytes) this.unreadAtMs = undefined;
+    this.readBytes = readBytes;
+    return (this.unreadAtMs ??= nowMs);
+  }
+
+  close(): void {
+    const {socket} = this.options;
+    // The end of a connection may look like the end of a response.
+    if (this.openCount > 0) socket.resetAndDestroy();
+    else socket.destroy();
+  }
+
+  /** Whether the request that was read last is being served. */
+  mustWait(): boolean {
+    return this.openCount > 0 && this.latest?.complete === true;
+  }
+
+  bodyBytesLeft(): number {
+    if (this.latest === undefined || this.latest.complete) return 0;
+    return this.declaredBytes - this.parsedBytes;
+  }
+
+  onParse(bytes: number): void {
+    this.parsedBytes += bytes;
+  }
+
+  onHeld(bytes: number): void {
+    const {socket, table} = this.options;
+    if (table.holdAhead(bytes) || socket.destroyed) return;
+    table.close(this, CloseReason.SENT_AHEAD);
+  }
+
+  private endRequest(): void {
+    this.openCount--;
+    this.hasServed = true;
+    this.usedAtMs = this.options.clock.now();
+    if (this.openCount === 0) this.reader.continue();
+  }
+}
--- a/src/adapters/http-server.ts
+++ b/src/adapters/http-server.ts
@@ -12,6 +12,7 @@
 import type {Hono} from 'hono';
 
 import type {Clock} from '../core/clock/index.js';
+import type {ConnectionTable} from '../core/connections/index.js';
 import type {Refusal} from '../core/errors/index.js';
 import {Executed, RefusalReason} from '../core/errors/index.js';
 import type {Logger} from '../core/logs/index.js';
@@ -22,6 +23,7 @@
   createProblemResponse,
   PROBLEM_CONTENT_TYPE,
 } from './callers/problem.js';
+import {boundServer} from './bounded-server/index.js';
 import {listenWhenFree} from './listen-when-free.js';
 
 /** Largest size of a request line and its headers, in bytes. */
@@ -85,6 +87,8 @@
   logger: Logger;
   /** Holds failures of single requests. */
   supervisor: Supervisor;
+  /** Bounds the connections of the process; none by default. */
+  table?: ConnectionTable;
   counter?: RefusalCounter;
   /**
    * Whether to keep the connection open after a response; called for each one.
@@ -93,7 +97,7 @@
   keepsAlive?: () => boolean;
 }): Promise<HttpListener> {
   const {app, address, counter, supervisor, clock, logger} = options;
-  const {keepsAlive = () => true} = options;
+  const {keepsAlive = () => true, table} = options;
   const listener = getRequestListener(app.fetch, {
     errorHandler: (cause) =>
       cause instanceof RequestError
@@ -103,6 +107,7 @@
   const server = createServer(SERVER_OPTIONS, (req, res) =>
     supervisor.run(createRequestTask(res), () => listener(req, res)),
   );
+  if (table !== undefined) boundServer(server, {table, clock});
   server.on('clientError', (err: ClientError, socket: Socket) => {
     const onFailure = () => void socket.destroy();
     supervisor.run({name: TaskName.REQUEST, onFailure}, () =>
--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -10,6 +10,7 @@
   ServiceDriver,
 } from '../core/edges/index.js';
 import {AGENT_DRAIN_LIMITS, DrainController} from '../core/drain/index.js';
+import type {ConnectionTable} from '../core/connections/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import type {HelloMessage, TransportError} from '../core/protocol/index.js';
@@ -53,6 +54,8 @@
   readonly limit: TargetLimit;
   /** Holds failures of work that nobody waits for. */
   readonly supervisor: Supervisor;
+  /** Bounds the connections of the process; none by default. */
+  readonly table?: ConnectionTable;
   readonly store: ObjectStore;
   /** Called when a drain has ended, so that the process can exit. */
   readonly onDrained: () => void;
@@ -214,6 +217,7 @@
       hello: this.createHello(),
       clock,
       supervisor,
+      table: this.options.table,
       createListener: (connection) => new EntrySession(deps, connection),
     });
   }
--- /dev/null
+++ b/src/core/connections/consts.ts
@@ -0,0 +1,20 @@
+/** Interval at which connections are checked, in milliseconds. */
+export const CHECK_INTERVAL_MS = 1_000;
+
+/** Least time between two log lines about closed connections, in ms. */
+export const LOG_INTERVAL_MS = 10_000;
+
+/** Descriptors that are not for connections: files, listeners, the store. */
+export const RESERVED_DESCRIPTORS = 48;
+
+/** Share of the other descriptors for accepted connections. */
+export const ACCEPTED_SHARE = 0.5;
+
+/** Memory for which one accepted connection is allowed, in bytes. */
+export const MEMORY_PER_CONNECTION_BYTES = 80 * 1024;
+
+/** Share of the memory of a process for bytes that were sent ahead. */
+export const AHEAD_MEMORY_SHARE = 0.05;
+
+/** Default of `ConnectionLimits.unreadTimeoutMs`, in milliseconds. */
+export const DEFAULT_UNREAD_TIMEOUT_MS = 60_000;
--- /dev/null
+++ b/src/core/connections/derive-limits.ts
@@ -0,0 +1,34 @@
+/** Bounds of connections that follow from those of a machine. */
+import {
+  ACCEPTED_SHARE,
+  AHEAD_MEMORY_SHARE,
+  DEFAULT_UNREAD_TIMEOUT_MS,
+  MEMORY_PER_CONNECTION_BYTES,
+  RESERVED_DESCRIPTORS,
+} from './consts.js';
+import type {ConnectionLimits} from './types.js';
+
+/**
+ * Derives the bounds of connections from the memory of the process and the
+ * descriptors that it may open. Settings go before what is derived.
+ *
+ * @example
+ * deriveLimits({memoryBytes: 200 * 1024 * 1024, descriptors: 4_096});
+ */
+export function deriveLimits(options: {
+  memoryBytes: number;
+  descriptors: number;
+  /** As set by the operator. */
+  maxConnections?: number;
+  unreadTimeoutMs?: number;
+}): ConnectionLimits {
+  const {memoryBytes, descriptors} = options;
+  const byMemory = memoryBytes / MEMORY_PER_CONNECTION_BYTES;
+  const free = Math.max(2, descriptors - RESERVED_DESCRIPTORS);
+  const derived = Math.floor(Math.min(byMemory, free * ACCEPTED_SHARE));
+  return {
+    maxConnections: options.maxConnections ?? Math.max(1, derived),
+    maxAheadBytes: memoryBytes * AHEAD_MEMORY_SHARE,
+    unreadTimeoutMs: options.unreadTimeoutMs ?? DEFAULT_UNREAD_TIMEOUT_MS,
+  };
+}
--- a/src/core/metrics/types.ts
+++ b/src/core/metrics/types.ts
@@ -52,6 +52,8 @@
   CONFIG_CHANGES = 'config_changes_total',
   /** Targets lost while they ran requests, by cause. */
   TARGET_LOSSES = 'target_losses_total',
+  /** Connections of clients that a bound has closed, by `CloseReason`. */
+  CLIENT_CONNECTIONS_CLOSED = 'client_connections_closed_total',
   /** Log lines, or batches of them, that were not written. */
   LOG_LINES_DROPPED = 'log_lines_dropped_total',
   /** Exceptions that ended a request or a background task, by `TaskName`. */
--- a/src/core/protocol/frame-codec.ts
+++ b/src/core/protocol/frame-codec.ts
@@ -35,6 +35,8 @@
   private chunks: Buffer[] = [];
   private pendingLength = 0;
 
+  constructor(private readonly maxBytes = MAX_FRAME_BYTES) {}
+
   /** Size of the incomplete frame received so far, in bytes. */
   get pendingBytes(): number {
     return this.pendingLength;
@@ -64,8 +66,8 @@
   private takeBody(): Result<Buffer | undefined, TransportError> {
     if (this.pendingLength < LENGTH_BYTES) return ok(undefined);
     const length = this.readLength();
-    if (length > MAX_FRAME_BYTES) {
-      const detail = `frame body of ${length} bytes exceeds ${MAX_FRAME_BYTES} bytes`;
+    if (length > this.maxBytes) {
+      const detail = `frame body of ${length} bytes exceeds ${this.maxBytes} bytes`;
       return err(
         createTransportError(TransportErrorKind.FRAME_TOO_LARGE, detail),
       );
--- a/src/core/protocol/peer-connection.ts
+++ b/src/core/protocol/peer-connection.ts
@@ -39,7 +39,7 @@
  * connection.send({type: MessageType.CANCEL, attemptId: 'a1'});
  */
 export class PeerConnection {
-  private readonly reader = new FrameReader();
+  private readonly reader: FrameReader;
   private readonly helloTimer: TimerHandle;
   private isHelloReceived = false;
   private closed = false;
@@ -55,11 +55,14 @@
       hello: HelloMessage;
       clock: Clock;
       listener: ConnectionListener;
+      /** Largest frame that the peer may send; `MAX_FRAME_BYTES` by default. */
+      maxFrameBytes?: number;
       /** Holds failures of the listener; without it they reach the socket. */
       supervisor?: Supervisor;
     },
   ) {
     const {socket, hello, clock, listener} = options;
+    this.reader = new FrameReader(options.maxFrameBytes);
     const close = () => this.closeAfterFailure();
     socket.setNoDelay(true);
     socket.on('data', (chunk) => this.run(() => this.receive(chunk), close));
--- a/src/core/protocol/peer-server.ts
+++ b/src/core/protocol/peer-server.ts
@@ -5,6 +5,7 @@
 import {okAsync, ResultAsync} from 'neverthrow';
 
 import type {Clock} from '../clock/index.js';
+import type {ConnectionTable} from '../connections/index.js';
 import type {Logger} from '../logs/index.js';
 import type {Supervisor} from '../supervision/index.js';
 import {TaskName} from '../supervision/index.js';
@@ -13,6 +14,7 @@
 import type {HelloMessage} from './messages.js';
 import type {ConnectionListener} from './peer-connection.js';
 import {PeerConnection} from './peer-connection.js';
+import {PeerBound} from './peer-bound.js';
 import type {TransportError} from './types.js';
 import {TransportErrorKind} from './types.js';
 
@@ -40,6 +42,10 @@
       hello: HelloMessage;
       clock: Clock;
       createListener: ListenerFactory;
+      /** Bounds the connections of the process; none by default. */
+      table?: ConnectionTable;
+      /** Largest frame of a peer; `MAX_FRAME_BYTES` by default. */
+      maxFrameBytes?: number;
       /** Holds failures of the listeners; without it they reach the socket. */
       supervisor?: Supervisor;
     },
@@ -95,14 +101,21 @@
 
   private accept(socket: Socket): void {
     const {hello, clock, createListener, supervisor} = this.options;
+    const {table, maxFrameBytes} = this.options;
+    const bound = new PeerBound({socket, clock});
+    if (table?.add(bound) === false) return;
     const inner = createListener(() => connection);
     const listener: ConnectionListener = {
       onReady: (peer) => inner.onReady(peer),
-      onMessage: (message) => inner.onMessage(message),
+      onMessage: (message) => {
+        bound.prove();
+        inner.onMessage(message);
+      },
       onFrameProgress: () => inner.onFrameProgress?.(),
       onDrain: () => inner.onDrain(),
       onClose: (err) => {
         this.connections.delete(connection);
+        table?.remove(bound);
         inner.onClose(err);
       },
     };
@@ -111,6 +124,7 @@
       hello,
       clock,
       listener,
+      maxFrameBytes,
       supervisor,
     });
     this.connections.add(connection);
--- a/src/core/settings/direct-settings.ts
+++ b/src/core/settings/direct-settings.ts
@@ -48,6 +48,8 @@
   readonly retryBudget: RetryBudgetSettings;
   /** Memory that the platform allows the process, in bytes. */
   readonly memoryBytes: number;
+  /** Descriptors that the platform allows; undefined if it does not say. */
+  readonly maxDescriptors?: number;
 }
 
 /** Share of the memory of a process for the messages that it holds. */
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -12,7 +12,12 @@
   requiredField,
   StringSchema,
 } from '../yaml-check/index.js';
-import {MAX_PORT} from './consts.js';
+import {
+  MAX_CONNECTIONS,
+  MAX_MEMORY_MB,
+  MAX_PORT,
+  MAX_UNREAD_TIMEOUT_MS,
+} from './consts.js';
 import type {DaemonSettings, ListenSettings, TargetSettings} from './types.js';
 import {ProcessRole, TargetKind} from './types.js';
 
@@ -115,6 +120,13 @@
     operators: requiredField(LISTEN),
     callers: optionalField(LISTEN),
     target: optionalField(TARGET),
+    memoryMb: optionalField(new IntegerSchema({min: 1, max: MAX_MEMORY_MB})),
+    maxConnections: optionalField(
+      new IntegerSchema({min: 1, max: MAX_CONNECTIONS}),
+    ),
+    unreadTimeoutMs: optionalField(
+      new IntegerSchema({min: 1, max: MAX_UNREAD_TIMEOUT_MS}),
+    ),
   },
   rules: [checkRole, checkListenersDistinct],
 });
--- a/src/core/settings/types.ts
+++ b/src/core/settings/types.ts
@@ -51,6 +51,12 @@
   readonly callers?: ListenSettings;
   /** The target; only for an agent. */
   readonly target?: TargetSettings;
+  /** Memory of the process, in MB, from which bounds are derived. */
+  readonly memoryMb?: number;
+  /** Largest number of open connections; derived by default. */
+  readonly maxConnections?: number;
+  /** Time within which a client reads a part of its response, in ms. */
+  readonly unreadTimeoutMs?: number;
 }
 
 /** Why settings were rejected. */
--- a/src/daemon/process-lifecycle.ts
+++ b/src/daemon/process-lifecycle.ts
@@ -3,6 +3,7 @@
 import type {HttpListener} from '../adapters/http-server.js';
 import {listenHttp} from '../adapters/http-server.js';
 import type {Clock} from '../core/clock/index.js';
+import type {ConnectionTable} from '../core/connections/index.js';
 import type {OperatorHandler} from '../core/edges/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {DaemonSettings} from '../core/settings/index.js';
@@ -59,6 +60,8 @@
   clock: Clock;
   logger: Logger;
   supervisor: Supervisor;
+  /** Bounds the connections of the process. */
+  table: ConnectionTable;
 }): Promise<HttpListener> {
   const {handler, settings, ...edges} = options;
   const app = createOperatorsApp({handler, supervisor: edges.supervisor});
--- a/src/daemon/run-agent.ts
+++ b/src/daemon/run-agent.ts
@@ -9,6 +9,7 @@
 import type {DaemonSettings, TargetSettings} from '../core/settings/index.js';
 import {TargetKind} from '../core/settings/index.js';
 import {Supervisor} from '../core/supervision/index.js';
+import {createConnectionTable} from './create-connection-table.js';
 import {createDaemonLogger} from './create-daemon-logger.js';
 import {createMetrics} from './create-metrics.js';
 import {createStore} from './create-store.js';
@@ -30,11 +31,13 @@
   const logger = createDaemonLogger({settings, metrics});
   const clock = new SystemClock();
   const supervisor = new Supervisor({clock, metrics, logger});
+  const table = createConnectionTable({settings, clock, metrics, logger});
   const limit = new TargetLimit({clock, metrics, logger});
   const onHeaders: OnHeaders = (headers) => limit.hear(findLimit(headers));
   const agent = new AgentProcess({
     settings,
     clock,
+    table,
     supervisor,
     limit,
     random: new SystemRandom(),
@@ -51,7 +54,7 @@
     const operators = await startOperatorsServer({
       handler: agent,
       settings,
-      ...{clock, logger, supervisor},
+      ...{clock, logger, supervisor, table},
     });
     printReadyLine({
       vm: settings.vm,
--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -17,9 +17,14 @@
   CannotListenError,
   listenWhenFree,
 } from '../adapters/listen-when-free.js';
+import {
+  boundServer,
+  readDescriptorLimit,
+} from '../adapters/bounded-server/index.js';
 import {MemoryBudget} from '../core/bytes/index.js';
 import type {Clock} from '../core/clock/index.js';
 import {SystemClock, SystemRandom} from '../core/clock/index.js';
+import {ConnectionTable, deriveLimits} from '../core/connections/index.js';
 import {BoundedSink, createLogger} from '../core/logs/index.js';
 import {CounterName, Metrics} from '../core/metrics/index.js';
 import type {RouteTable} from '../core/routes/index.js';
@@ -137,10 +142,23 @@
   const logger = createLogger({vm: settings.vm, role: ROLE, sink});
   const supervisor = new Supervisor({clock, metrics, logger});
   const random = new SystemRandom();
+  const table = new ConnectionTable({
+    limits: deriveLimits({
+      memoryBytes: settings.memoryBytes,
+      descriptors: Math.min(
+        readDescriptorLimit(),
+        settings.maxDescriptors ?? Number.POSITIVE_INFINITY,
+      ),
+    }),
+    clock,
+    metrics,
+    logger,
+  });
   const relay = new ChangeRelay({
     ...settings,
     port: settings.peerPort,
     limits: settings,
+    connections: table,
     clock,
     random,
     metrics,
@@ -169,6 +187,7 @@
     clock,
     logger,
     memory,
+    table,
     supervisor,
     handler: {
       refuseEarly: (req) => entry.refuseEarly(req),
@@ -239,15 +258,16 @@
   await server.listen(() => active.callers);
   // Callers are sent here once it responds, so it comes after their server.
   await listenWhenFree({
-    server: createGuardedServer(supervisor, (req, res) =>
+    server: createGuardedServer({supervisor, table, clock}, (req, res) =>
       serveReadiness({req, res, entry}),
     ),
     addressOf: () => active.readiness,
     clock,
     logger,
   });
-  const metricsServer = createGuardedServer(supervisor, (req, res) =>
-    serveMetrics({req, res, metrics}),
+  const metricsServer = createGuardedServer(
+    {supervisor, table, clock},
+    (req, res) => serveMetrics({req, res, metrics}),
   );
   supervisor.run({name: TaskName.METRICS}, () =>
     listenWhenFree({
@@ -269,13 +289,15 @@
 
 /** Creates a server whose handler ends only its connection if it fails. */
 function createGuardedServer(
-  supervisor: Supervisor,
+  options: {supervisor: Supervisor; table: ConnectionTable; clock: Clock},
   handler: (req: IncomingMessage, res: ServerResponse) => unknown,
 ): Server {
-  return createServer((req, res) => {
+  const server = createServer((req, res) => {
     const task = {name: TaskName.METRICS, onFailure: () => res.destroy()};
-    supervisor.run(task, () => handler(req, res));
+    options.supervisor.run(task, () => handler(req, res));
   });
+  boundServer(server, options);
+  return server;
 }
 
 function serveReadiness(options: {
--- a/src/daemon/run-entry.ts
+++ b/src/daemon/run-entry.ts
@@ -7,6 +7,7 @@
 import type {DaemonSettings} from '../core/settings/index.js';
 import {Supervisor} from '../core/supervision/index.js';
 import {EntryProcess} from '../entry/entry-process.js';
+import {createConnectionTable} from './create-connection-table.js';
 import {createDaemonLogger} from './create-daemon-logger.js';
 import {createMetrics} from './create-metrics.js';
 import {createStore} from './create-store.js';
@@ -28,11 +29,13 @@
   const logger = createDaemonLogger({settings, metrics});
   const clock = new SystemClock();
   const supervisor = new Supervisor({clock, metrics, logger});
+  const table = createConnectionTable({settings, clock, metrics, logger});
   const baseUrl = settings.platformUrl;
   let callers: HttpListener | undefined;
   const entry = new EntryProcess({
     settings,
     clock,
+    table,
     supervisor,
     random: new SystemRandom(),
     metrics,
@@ -49,7 +52,7 @@
   try {
     const handler = entry.callerHandler;
     const app = createCallersApp({handler, supervisor});
-    const edges = {clock, logger, supervisor};
+    const edges = {clock, logger, supervisor, table};
     callers = await listenHttp({
       app,
       ...settings.callers!,
--- a/src/direct/relay/change-relay.ts
+++ b/src/direct/relay/change-relay.ts
@@ -3,6 +3,7 @@
 import {sleep} from '../../core/clock/index.js';
 import type {ChangeQuery, StateSource} from '../../core/edges/state-source.js';
 import type {StateWriter} from '../../core/edges/state-writer.js';
+import type {ConnectionTable} from '../../core/connections/index.js';
 import type {Logger} from '../../core/logs/index.js';
 import type {Metrics} from '../../core/metrics/index.js';
 import {CounterName} from '../../core/metrics/index.js';
@@ -59,6 +60,8 @@
    */
   readonly port?: number;
   readonly limits: AgeLimits;
+  /** Bounds the connections of the process; none by default. */
+  readonly connections?: ConnectionTable;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly metrics: Metrics;
@@ -115,6 +118,7 @@
       logs: this.logs,
       clock,
       supervisor: options.supervisor,
+      connections: options.connections,
       onAsked: () => this.handleAsked(),
       mayRead: () => !this.hasStoreFailed,
       onPermitAsked: (message) => this.handlePermitAsked(message),
--- a/src/direct/relay/consts.ts
+++ b/src/direct/relay/consts.ts
@@ -74,3 +74,6 @@
 
 /** Time until a failed registration is tried again, in milliseconds. */
 export const REGISTRATION_RETRY_MS = 2_000;
+
+/** Largest message that asks an entry for changes or a permit, in bytes. */
+export const MAX_QUESTION_BYTES = 64 * 1024;
--- a/src/direct/relay/watch-server.ts
+++ b/src/direct/relay/watch-server.ts
@@ -1,5 +1,6 @@
 /** Answers the watches of other entries from what this entry has read. */
 import type {Clock, TimerHandle} from '../../core/clock/index.js';
+import type {ConnectionTable} from '../../core/connections/index.js';
 import type {
   AskPermitMessage,
   ChangesMessage,
@@ -20,6 +21,7 @@
 import {LogAnswer} from '../../core/relay/index.js';
 import {
   ALIVE_INTERVAL_MS,
+  MAX_QUESTION_BYTES,
   MAX_WAITING_WATCHES,
   READ_BEGIN_LIMIT_MS,
 } from './consts.js';
@@ -66,6 +68,8 @@
       logs: ReadonlyMap<string, ChangeLog>;
       clock: Clock;
       supervisor: Supervisor;
+      /** Bounds the connections of the process; none by default. */
+      connections?: ConnectionTable;
       /** Called when another entry asks for changes, if this one may read. */
       onAsked: () => void;
       /** Whether the store answers this entry, as far as it knows. */
@@ -79,6 +83,8 @@
       hello,
       clock,
       supervisor,
+      table: options.connections,
+      maxFrameBytes: MAX_QUESTION_BYTES,
       createListener: (connection) => ({
         onReady: this.guard(connection, ({vm}: HelloMessage) =>
           this.connections.set(connection(), {vm, heardAtMs: clock.now()}),
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -17,6 +17,7 @@
   VmList,
 } from '../core/edges/index.js';
 import {DrainController, ENTRY_DRAIN_LIMITS} from '../core/drain/index.js';
+import type {ConnectionTable} from '../core/connections/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import {Quarantine} from '../core/poison/index.js';
@@ -57,6 +58,8 @@
   readonly vmList: VmList;
   /** Holds failures of work that nobody waits for. */
   readonly supervisor: Supervisor;
+  /** Bounds the connections of the process; none by default. */
+  readonly table?: ConnectionTable;
   /** Counts responses that have not been fully sent to their callers. */
   readonly countPendingResponses: () => number;
   /** Called when a drain has ended, so that the process can exit. */
@@ -90,6 +93,7 @@
       hello,
       clock,
       supervisor,
+      table: options.table,
       createListener: (connection) =>
         new PeerSession({router, metrics}, connection),
     });
--- a/test/support/direct-entry.ts
+++ b/test/support/direct-entry.ts
@@ -5,6 +5,11 @@
 import {CallerServer} from '../../platform/caller-server.js';
 import type {PlatformEdges} from '../../platform/platform-edges.js';
 import {createPlatformEdges} from '../../platform/platform-edges.js';
+import {readDescriptorLimit} from '../../src/adapters/bounded-server/index.js';
+import {
+  ConnectionTable,
+  deriveLimits,
+} from '../../src/core/connections/index.js';
 import {MemoryBudget} from '../../src/core/bytes/index.js';
 import type {Clock, RandomSource} from '../../src/core/clock/index.js';
 import {SeededRandom, SystemClock} from '../../src/core/clock/index.js';
@@ -125,6 +130,15 @@
       clock,
       logger,
       memory,
+      table: new ConnectionTable({
+        limits: deriveLimits({
+          memoryBytes: MEMORY_BYTES,
+          descriptors: readDescriptorLimit(),
+        }),
+        clock,
+        metrics,
+        logger,
+      }),
       supervisor,
       handler: {
         refuseEarly: (req) => this.process.refuseEarly(req),
