--- a/src/adapters/bounded-server/bounded-reader.ts
+++ b/src/adapters/bounded-server/bounded-reader.ts
@@ -13,6 +13,8 @@
   onParse(bytes: number): void;
   /** The memory of the bytes that wait has changed by so many bytes. */
   onHeld(bytes: number): void;
+  /** So many bytes wait for the end of a response. */
+  onWait(bytes: number): void;
 }
 
 /**
@@ -99,8 +101,11 @@
   private feed(): boolean {
     const {socket, control} = this;
     for (let left = this.waiting; left !== undefined; left = this.waiting) {
-      if (socket.destroyed || socket.isPaused() || control.mustWait())
+      if (socket.destroyed || socket.isPaused()) return false;
+      if (control.mustWait()) {
+        control.onWait(left.length);
         return false;
+      }
       const size = Math.max(SLICE_BYTES, control.bodyBytesLeft());
       const isLast = left.length <= size;
       const slice = isLast ? left : left.subarray(0, size);
--- a/src/adapters/bounded-server/http-connection.ts
+++ b/src/adapters/bounded-server/http-connection.ts
@@ -7,7 +7,11 @@
   BoundedConnection,
   ConnectionTable,
 } from '../../core/connections/index.js';
-import {CloseReason, ConnectionUse} from '../../core/connections/index.js';
+import {
+  CloseReason,
+  ConnectionUse,
+  NEW_CONNECTION_MS,
+} from '../../core/connections/index.js';
 import type {ReaderControl} from './bounded-reader.js';
 import {BoundedReader} from './bounded-reader.js';
 import {STALL_MS} from './consts.js';
@@ -26,6 +30,9 @@
   /** Requests whose responses are not sent completely. */
   private openCount = 0;
   private hasServed = false;
+  /** Whether so much was sent ahead that it is not served any more. */
+  private isEnding = false;
+  private readonly openedAtMs: number;
   /** The request that was read last. */
   private latest?: IncomingMessage;
   /** Bytes that followed the slice with the end of the latest head. */
@@ -42,7 +49,8 @@
     },
   ) {
     const {socket, table, clock} = options;
-    this.usedAtMs = clock.now();
+    this.openedAtMs = clock.now();
+    this.usedAtMs = this.openedAtMs;
     this.reader = new BoundedReader(socket, this);
     socket.once('close', () => table.remove(this));
   }
@@ -60,7 +68,9 @@
     const unreadMs = nowMs - (this.unreadSince(nowMs) ?? nowMs);
     if (unreadMs > STALL_MS) return ConnectionUse.STALLED;
     if (this.mustWait()) return ConnectionUse.BUSY;
-    return this.hasServed ? ConnectionUse.IDLE : ConnectionUse.UNPROVEN;
+    if (this.hasServed) return ConnectionUse.IDLE;
+    const isNew = nowMs - this.openedAtMs < NEW_CONNECTION_MS;
+    return isNew ? ConnectionUse.NEW : ConnectionUse.UNPROVEN;
   }
 
   unreadSince(nowMs: number): number | undefined {
@@ -99,10 +109,18 @@
     table.close(this, CloseReason.SENT_AHEAD);
   }
 
+  onWait(bytes: number): void {
+    const {maxConnectionAheadBytes} = this.options.table.limits;
+    if (bytes > maxConnectionAheadBytes) this.isEnding = true;
+  }
+
   private endRequest(): void {
     this.openCount--;
     this.hasServed = true;
     this.usedAtMs = this.options.clock.now();
-    if (this.openCount === 0) this.reader.continue();
+    if (this.openCount > 0) return;
+    const {table} = this.options;
+    if (this.isEnding) table.close(this, CloseReason.SENT_AHEAD);
+    else this.reader.continue();
   }
 }
--- a/src/core/connections/connection-table.ts
+++ b/src/core/connections/connection-table.ts
@@ -62,6 +62,10 @@
     this.timer = undefined;
   }
 
+  get limits(): ConnectionLimits {
+    return this.options.limits;
+  }
+
   /** Counts bytes that were sent ahead; false if they are too many now. */
   holdAhead(bytes: number): boolean {
     this.aheadBytes += bytes;
--- a/src/core/connections/consts.ts
+++ b/src/core/connections/consts.ts
@@ -16,5 +16,14 @@
 /** Share of the memory of a process for bytes that were sent ahead. */
 export const AHEAD_MEMORY_SHARE = 0.05;
 
+/**
+ * Bytes that may be read ahead on one connection. Clients send the next request
+ * after the response.
+ */
+export const CONNECTION_AHEAD_BYTES = 16 * 1024;
+
+/** Age up to which a connection without a request is new, in milliseconds. */
+export const NEW_CONNECTION_MS = 1_000;
+
 /** Default of `ConnectionLimits.unreadTimeoutMs`, in milliseconds. */
 export const DEFAULT_UNREAD_TIMEOUT_MS = 60_000;
--- a/src/core/connections/derive-limits.ts
+++ b/src/core/connections/derive-limits.ts
@@ -2,6 +2,7 @@
 import {
   ACCEPTED_SHARE,
   AHEAD_MEMORY_SHARE,
+  CONNECTION_AHEAD_BYTES,
   DEFAULT_UNREAD_TIMEOUT_MS,
   MEMORY_PER_CONNECTION_BYTES,
   RESERVED_DESCRIPTORS,
@@ -28,6 +29,7 @@
   const derived = Math.floor(Math.min(byMemory, free * ACCEPTED_SHARE));
   return {
     maxConnections: options.maxConnections ?? Math.max(1, derived),
+    maxConnectionAheadBytes: CONNECTION_AHEAD_BYTES,
     maxAheadBytes: memoryBytes * AHEAD_MEMORY_SHARE,
     unreadTimeoutMs: options.unreadTimeoutMs ?? DEFAULT_UNREAD_TIMEOUT_MS,
   };
--- a/src/core/connections/types.ts
+++ b/src/core/connections/types.ts
@@ -8,10 +8,12 @@
   UNPROVEN = 1,
   /** It has served requests and serves none now. */
   IDLE = 2,
+  /** It is so new that its first request may be on its way. */
+  NEW = 3,
   /** It connects another process of the system. */
-  PEER = 3,
+  PEER = 4,
   /** A request that was read completely is being served. */
-  BUSY = 4,
+  BUSY = 5,
 }
 
 /** Why a connection was closed by a bound. */
@@ -42,6 +44,8 @@
   readonly maxConnections: number;
   /** Bytes that may be read ahead of the requests that are being served. */
   readonly maxAheadBytes: number;
+  /** The same for one connection, which is closed after its response. */
+  readonly maxConnectionAheadBytes: number;
   /** Time within which a client reads a part of its response, in ms. */
   readonly unreadTimeoutMs: number;
 }
--- a/src/core/settings/direct-settings.ts
+++ b/src/core/settings/direct-settings.ts
@@ -55,6 +55,15 @@
 /** Share of the memory of a process for the messages that it holds. */
 const MESSAGE_MEMORY_SHARE = 0.15;
 
+/** Memory of a process that holds no messages, in bytes. */
+const PROGRAM_BYTES = 110 * 1024 * 1024;
+
+/** Share of the rest for messages: each is garbage for a while afterwards. */
+const FREE_MEMORY_SHARE = 1 / 3;
+
+/** Memory for messages on any machine, in bytes. */
+const MIN_MESSAGE_BYTES = 8 * 1024 * 1024;
+
 /**
  * Returns the memory for messages in bytes; the rest is for the program, its
  * heap and its connections.
@@ -63,5 +72,8 @@
  * new MemoryBudget({limitBytes: messageMemoryBytes(settings)});
  */
 export function messageMemoryBytes(settings: DirectSettings): number {
-  return settings.memoryBytes * MESSAGE_MEMORY_SHARE;
+  const {memoryBytes} = settings;
+  const share = memoryBytes * MESSAGE_MEMORY_SHARE;
+  const free = (memoryBytes - PROGRAM_BYTES) * FREE_MEMORY_SHARE;
+  return Math.max(MIN_MESSAGE_BYTES, Math.min(share, free));
 }
