--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -111,6 +111,7 @@
   extraWorkMs = 0;
   private readonly pace: StreamPace;
   private readonly workMs: number;
+  private readonly bodyBytes: number;
   private readonly copyNetwork: CopyNetwork;
   private readonly observer: TargetObserver;
   private readonly sockets = new Set<Socket>();
@@ -128,6 +129,8 @@
     workMs?: number;
     /** Version of its software. */
     version?: string;
+    /** Smallest size of the body of a plain response, in bytes; 0 by default. */
+    bodyBytes?: number;
     observer?: TargetObserver;
   }) {
     this.id = options.id;
@@ -135,6 +138,7 @@
     this.copyNetwork = options.copyNetwork;
     this.pace = options.pace ?? NO_STREAM;
     this.workMs = options.workMs ?? 0;
+    this.bodyBytes = options.bodyBytes ?? 0;
     this.observer = options.observer ?? NO_OBSERVER;
     this.server = createServer((req, res) => void this.serve(req, res));
     this.server.on('connection', (socket) => {
@@ -354,7 +358,11 @@
     this.recordRun({req, res, body, hasFullPrefill: true});
     setTimeout(() => {
       if (this.triggersCrash(body)) this.crashOnRequest(req, body);
-      else sendResponse({...this, fault: this.drawFault(), req, res});
+      else {
+        const {bodyBytes} = this;
+        const fault = this.drawFault();
+        sendResponse({...this, bodyBytes, fault, req, res});
+      }
     }, this.workMs + this.extraWorkMs);
   }
 
