Copies of KV caches are kept wherever they fit

Cause: less urgent generations got a copy only at engines with room for one generation more, and those without one were read again after a loss.

Change: a copy needs room beside the present work of its holder only.

--- a/src/core/room/engine-room.ts
+++ b/src/core/room/engine-room.ts
@@ -2,15 +2,9 @@
 import type {Target} from '../targets/index.js';
 import {MAX_REPORT_AGE_MS} from '../targets/index.js';
 
-/** Share of an engine's KV cache that may be planned for. */
+/** Share of an engine's KV cache up to which copies may fill it. */
 const KV_CACHE_SHARE = 0.9;
 
-/**
- * Generations that a holder of a copy must still have room for, if the copied
- * one is not among the most urgent.
- */
-const GENERATIONS_BEFORE_COPIES = 1;
-
 /** Generations for which an engine keeps room that are more urgent. */
 const SPARE_GENERATIONS = 1;
 
@@ -46,23 +40,18 @@
 }
 
 /**
- * Whether an engine has room for a copy; for that of a less urgent generation
- * only beyond what new ones need. Without a recent report nothing shows it.
+ * Whether an engine has room for a copy beside its present work. Without a recent
+ * report nothing shows it.
  *
- * Answers the load at which the copies of half the generations would take the
- * room of the other half.
+ * Answers the load at which the copies of some generations would preempt others.
  *
  * @example
  * const holders = engines.filter((target) => hasRoomForCopy({target, ...rest}));
  */
-export function hasRoomForCopy(
-  query: EngineRoomQuery & {readonly isLessUrgent: boolean},
-): boolean {
-  const {target, tokens, meanTokens, kvCapacityTokens, isLessUrgent} = query;
+export function hasRoomForCopy(query: EngineRoomQuery): boolean {
+  const {target, tokens, kvCapacityTokens} = query;
   if (target.reportAgeMs() > MAX_REPORT_AGE_MS) return false;
-  const others = isLessUrgent ? GENERATIONS_BEFORE_COPIES : 0;
-  const neededTokens = tokens + others * meanTokens;
-  return tokensAtEnd(query) + neededTokens <= kvCapacityTokens * KV_CACHE_SHARE;
+  return tokensAtEnd(query) + tokens <= kvCapacityTokens * KV_CACHE_SHARE;
 }
 
 /**
--- a/src/direct/room/index.ts
+++ b/src/direct/room/index.ts
@@ -4,4 +4,3 @@
 export {ServiceRoom} from './service-room.js';
 export {RoomReservation} from './room-reservation.js';
 export {StreamRoom} from './stream-room.js';
-export {isLessUrgent} from './urgency.js';
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -15,7 +15,6 @@
   SHORTLIST_SIZE,
 } from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
-import {isLessUrgent} from '../room/index.js';
 
 /**
  * Chooses targets for one stream, based on its failed attempts.
@@ -113,20 +112,14 @@
     });
   }
 
-  /** Engines that reserve room hold copies only beyond what is reserved. */
+  /** Engines that reserve room hold copies only beside their present work. */
   private mayHoldCopy(target: Target): boolean {
     const {engine} = this.work.service;
     if (engine?.holdMs === undefined) return true;
     const {tokens, ctx, work} = this;
     const {meanTokens} = ctx.room.ofService(work.service.name);
     const {kvCapacityTokens} = engine;
-    return hasRoomForCopy({
-      target,
-      tokens,
-      meanTokens,
-      kvCapacityTokens,
-      isLessUrgent: isLessUrgent(work),
-    });
+    return hasRoomForCopy({target, tokens, meanTokens, kvCapacityTokens});
   }
 
   private limitedIds(): string[] {
