--- a/src/core/rollouts/consts.ts
+++ b/src/core/rollouts/consts.ts
@@ -3,6 +3,15 @@
 /** Part of the bound on the exposure that the first step uses. */
 export const CANARY_PART = 0.6;
 
+/** Part of the slack that is divided; the rest covers what nobody sees. */
+export const SLACK_PART = 0.8;
+
+/**
+ * Age of an order, as an entry first knows it, above which the entry has no part
+ * of the slack, in milliseconds.
+ */
+export const MAX_SLACK_AGE_MS = 3_000;
+
 /** Share of the traffic in the step that loads some of the new targets. */
 export const LOADED_SHARE = 0.25;
 
--- a/src/core/rollouts/exposure-budget.ts
+++ b/src/core/rollouts/exposure-budget.ts
@@ -16,6 +16,8 @@
   /** Counts since the step began, for its own share. */
   private stepReached = 0;
   private stepSentToNew = 0;
+  /** Requests beyond the share. */
+  private slack = 0;
 
   constructor(private readonly options: {share: number}) {}
 
@@ -39,12 +41,22 @@
 
   /** Whether one more request to the new version is within the bound. */
   maySend(): boolean {
-    return this.sentToNew + 1 <= this.options.share * this.reached;
+    const {sentToNew, reached, slack} = this;
+    return sentToNew + 1 <= this.options.share * reached + slack;
   }
 
-  /** Whether the new version has had less than a share of this step. */
+  /** Allows this entry some requests beyond the share. */
+  setSlack(requests: number): void {
+    this.slack = requests;
+  }
+
+  /**
+   * Whether the new version has had less than a share of this step, or not yet
+   * the slack.
+   */
   isBelow(share: number): boolean {
-    return this.stepSentToNew < share * this.stepReached;
+    const isBelowShare = this.stepSentToNew < share * this.stepReached;
+    return isBelowShare || this.sentToNew < this.slack;
   }
 
   /** Requests that this entry has sent to the new version. */
--- a/src/core/rollouts/index.ts
+++ b/src/core/rollouts/index.ts
@@ -24,6 +24,7 @@
 export {ExposureBudget} from './exposure-budget.js';
 export {judgeVersion} from './judge-version.js';
 export {RolloutController} from './rollout-controller.js';
+export {slackShare} from './slack-share.js';
 export {SlowTimes} from './slow-times.js';
 export type {
   EvidenceCell,
--- a/src/core/rollouts/rollout-controller.ts
+++ b/src/core/rollouts/rollout-controller.ts
@@ -3,6 +3,7 @@
 import {
   ENTRY_SILENCE_MS,
   MAX_EVIDENCE_AGE_MS,
+  MAX_SLACK_AGE_MS,
   STATUS_TURN_MS,
 } from './consts.js';
 import {
@@ -16,6 +17,7 @@
 import {EvidenceHistory} from './evidence-history.js';
 import {ExposureBudget} from './exposure-budget.js';
 import {judgeVersion} from './judge-version.js';
+import {slackShare} from './slack-share.js';
 import type {
   EvidenceRow,
   RolloutRecord,
@@ -60,6 +62,8 @@
   private badReason?: BadReason;
   private evidenceAtMs: number;
   private hasReadRows = false;
+  /** Whether an earlier process of this VM has known the order. */
+  private isRestarted = false;
   private due?: {readonly state: RolloutState; readonly sinceMs: number};
   private ticks = 0;
 
@@ -69,6 +73,8 @@
       /** VM of this entry. */
       vm: string;
       settings: RolloutSettings;
+      /** VMs of all entries; undefined while they are not known. */
+      entries?: () => readonly string[] | undefined;
       clock: Clock;
     },
   ) {
@@ -123,6 +129,7 @@
     if (row.bad !== undefined) this.badReason ??= row.bad;
     this.ageAtStartMs = Math.max(this.ageAtStartMs, row.ageMs - ownAgeMs);
     const isNews = this.rows.get(row.vm)?.row.tick !== row.tick;
+    if (row.vm === vm && !this.hasReadRows) this.isRestarted = true;
     if (row.vm !== vm && isNews) this.rows.set(row.vm, {row, heardAtMs});
   }
 
@@ -138,6 +145,7 @@
 
   /** Records that the others' rows were complete at a time. */
   recordRead(atMs: number): void {
+    if (!this.hasReadRows) this.budget.setSlack(this.ownSlack());
     this.hasReadRows = true;
     this.evidenceAtMs = Math.max(this.evidenceAtMs, atMs);
   }
@@ -233,6 +241,18 @@
     return dueForMs >= rank * STATUS_TURN_MS ? state : undefined;
   }
 
+  /** Part of the slack of this entry, which it has only once for an order. */
+  private ownSlack(): number {
+    if (this.isRestarted || this.ageMs > MAX_SLACK_AGE_MS) return 0;
+    const {vm, settings, entries} = this.options;
+    return slackShare({
+      slack: settings.exposureSlack,
+      vm,
+      entries: entries?.(),
+      order: this.current.id,
+    });
+  }
+
   /** The furthest step of the live entries, which have the same evidence. */
   private stepOfOthers(): RolloutStep {
     return Math.max(0, ...this.liveRows().map(({step}) => step));
--- a/src/direct/rollouts/rollout-keeper.ts
+++ b/src/direct/rollouts/rollout-keeper.ts
@@ -2,6 +2,7 @@
 import type {Clock, RandomSource, TimerHandle} from '../../core/clock/index.js';
 import type {DirectTargets} from '../../core/edges/direct-target.js';
 import type {RolloutEdges} from '../../core/edges/rollout-edges.js';
+import type {PermitPeers} from '../../core/limits/index.js';
 import type {Logger} from '../../core/logs/index.js';
 import type {Metrics} from '../../core/metrics/index.js';
 import {CounterName} from '../../core/metrics/index.js';
@@ -30,6 +31,8 @@
   readonly vm: string;
   readonly settings: RolloutSettings;
   readonly edges: RolloutEdges;
+  /** The other entries, as far as they are known. */
+  readonly permitPeers: Pick<PermitPeers, 'entries'>;
   readonly gate: OutageGate;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -150,12 +153,13 @@
   }
 
   private begin(record: RolloutRecord, before: Rollout | undefined): void {
-    const {vm, settings, clock, logger} = this.options;
+    const {vm, settings, clock, logger, permitPeers} = this.options;
     const {service, target, durationMs} = record;
+    const entries = () => permitPeers.entries;
     if (before?.controller.end === RolloutState.ROLLED_BACK)
       this.bar(service, before.controller.record.target);
     this.barred.get(service)?.delete(target);
-    const rollout = new Rollout({record, vm, settings, clock});
+    const rollout = new Rollout({record, vm, settings, entries, clock});
     this.rollouts.set(service, rollout);
     logger.info('roll-out ordered', {
       service,
--- a/src/direct/rollouts/rollout.ts
+++ b/src/direct/rollouts/rollout.ts
@@ -46,6 +46,8 @@
     record: RolloutRecord;
     vm: string;
     settings: RolloutSettings;
+    /** VMs of all entries; undefined while they are not known. */
+    entries?: () => readonly string[] | undefined;
     clock: Clock;
   }) {
     this.controller = new RolloutController(options);
--- a/test/core/rollouts/exposure.test.ts
+++ b/test/core/rollouts/exposure.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 
-import {ExposureBudget} from '../../../src/core/rollouts/index.js';
+import {ExposureBudget, slackShare} from '../../../src/core/rollouts/index.js';
 
 const SHARE = 0.1;
 
@@ -40,6 +40,27 @@
     );
   });
 
+  it('has a slack that is divided among any number of entries', () => {
+    for (const count of [1, 3, 26, 50, 100, 400]) {
+      const entries = Array.from({length: count}, (_, i) => `edge-${i}`);
+      const shares = entries.map((vm) =>
+        slackShare({slack: 50, vm, entries, order: 'o1'}),
+      );
+      const sum = shares.reduce((a, b) => a + b, 0);
+      expect(sum).toBeLessThanOrEqual(50);
+      expect(sum).toBeGreaterThan(20);
+    }
+    expect(slackShare({slack: 50, vm: 'a', order: 'o1'})).toBe(0);
+  });
+
+  it('lets little traffic reach the version early', () => {
+    const budget = new ExposureBudget({share: SHARE});
+    budget.setSlack(1);
+    expect(budget.maySend() && budget.isBelow(SHARE)).toBe(true);
+    budget.recordSentToNew();
+    expect(budget.maySend()).toBe(false);
+  });
+
   it('uses most of the share', () => {
     const budget = new ExposureBudget({share: SHARE});
     for (let i = 0; i < 1_000; i++) {
--- a/test/core/rollouts/rollouts.test.ts
+++ b/test/core/rollouts/rollouts.test.ts
@@ -80,6 +80,12 @@
 
 const BAD: readonly Row[] = [
   {name: 'at once', ...failing(() => true)},
+  {
+    name: 'with little traffic at many entries',
+    ...failing(() => true),
+    entries: 26,
+    perSecond: 20,
+  },
   {name: 'later', ...failing(({nowMs}) => nowMs > 9_000)},
   {name: 'under load alone', ...failing(({load}) => load > 8)},
   {name: 'on one route', ...failing(({route}) => route === '/b/', 0.5)},
--- a/test/support/rollout-fleet.ts
+++ b/test/support/rollout-fleet.ts
@@ -75,10 +75,12 @@
   private readonly random: SeededRandom;
   private readonly arrivals = new Map<string, number[]>();
   private readonly durationMs: number;
+  private readonly vms: readonly string[];
 
   constructor(private readonly options: FleetOptions = {}) {
     const {entries = 4, durationMs = 30_000, seed = 1} = options;
     this.durationMs = durationMs;
+    this.vms = Array.from({length: entries}, (_, i) => `edge-${i}`);
     this.random = new SeededRandom(seed);
     this.record = {
       id: 'o1',
@@ -95,6 +97,7 @@
       record: this.record,
       vm: `edge-${i}`,
       settings: SETTINGS,
+      entries: () => this.vms,
       clock: this.clock,
     });
     this.times[i] = new SlowTimes({factor: 2.5});
