--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -69,6 +69,12 @@
    * included; none by default.
    */
   limitPerSecond?: number;
+  /**
+   * Plain calls that it runs at once; it then tells its load with the usual
+   * slowness, and rejects further calls. No limit by default.
+   */
+  slots?: number;
+  private runningCalls = 0;
   /**
    * Times at which requests and health checks arrived, whatever became of them,
    * on the monotonic clock of the process.
@@ -315,8 +321,18 @@
   }
 
   private respond(req: IncomingMessage, res: ServerResponse, body: string) {
+    if (this.slots !== undefined && this.runningCalls >= this.slots) {
+      this.reject(req, res);
+      return;
+    }
     this.recordRun({req, res, body, hasFullPrefill: true});
+    this.runningCalls++;
     setTimeout(() => {
+      this.runningCalls--;
+      if (this.slots !== undefined) {
+        const load = `${this.runningCalls},0,${this.slots},100`;
+        res.setHeader('Instance-Load', load);
+      }
       if (this.triggersCrash(body)) this.crashOnRequest(req, body);
       else sendResponse({...this, req, res});
     }, this.workMs);
