--- a/test/direct/slow-callers.test.ts
+++ b/test/direct/slow-callers.test.ts
@@ -24,6 +24,15 @@
 /** Time for which the caller does not read, in milliseconds. */
 const PAUSE_MS = 1_500;
 
+/** Events whose incomplete parts are too small to be counted. */
+const SMALL_PADDING_BYTES = 12_000;
+
+const SMALL_EVENTS = 4_000;
+
+const WAIT_MS = 20;
+
+const MAX_WAITS = 500;
+
 /** Most runs of a stream whose reader pauses once. */
 const MAX_RUNS = 3;
 
@@ -65,6 +74,35 @@
   });
 });
 
+describe('what waits for a caller that does not read', () => {
+  let site: DirectSite;
+
+  beforeEach(async () => {
+    site = await DirectSite.start();
+    const service = SiteService.WRITERS;
+    const pace = {
+      events: SMALL_EVENTS,
+      firstMs: 10,
+      gapMs: 0,
+      paddingBytes: SMALL_PADDING_BYTES,
+    };
+    await site.addTargets(ZONES.map((zone) => ({service, zone, pace})));
+  });
+
+  afterEach(() => site.stop());
+
+  it('is counted until it is sent or the caller leaves', async () => {
+    const {memory} = site.entries[0]!;
+    const {socket} = openStream(site.port);
+    await waitFor(() => site.targets.some(({runs}) => runs.length > 0));
+    for (let i = 0; i < MAX_WAITS && memory.usedBytes === 0; i++)
+      await sleep(WAIT_MS);
+    expect(memory.usedBytes).toBeGreaterThan(0);
+    socket.destroy();
+    await waitFor(() => memory.usedBytes === 0);
+  });
+});
+
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
