--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -5,14 +5,12 @@
 
 import {Header, Path} from '../../platform/names.js';
 import {sendCloseDelimited} from './close-delimited-stream.js';
-import type {StreamEnd} from './close-delimited-stream.js';
 import type {CopyNetwork} from './copy-network.js';
 import {COPIES_PATH} from './copy-network.js';
-import {DEFAULT_BORN_MS, registrationOf} from './registration.js';
+import {registrationOf} from './registration.js';
 import type {EarlyResponse} from './early-response.js';
 import {sendEarlyResponse} from './early-response.js';
 import {isEndless, sendEndlessResponse} from './endless-response.js';
-import {TargetRoom} from './target-room.js';
 import {
   EVENTS_BEFORE_DRIP,
   sendResponse,
@@ -21,14 +19,9 @@
   encodeRejection,
   repeatsRejections,
 } from './target-fault.js';
+import {TargetState} from './target-state.js';
 import {arrivalOf, encodeEvent, isOfCaller, readText} from './target-wire.js';
-import type {
-  CrashRecord,
-  CrashTrigger,
-  RunRecord,
-  StreamPace,
-  TargetObserver,
-} from './target-types.js';
+import type {StreamPace, TargetObserver} from './target-types.js';
 
 const NO_STREAM: StreamPace = {events: 0, firstMs: 0, gapMs: 0};
 
@@ -49,72 +42,15 @@
  * const target = new StandInTarget({id: 'i-1', copyNetwork});
  * await target.start();
  */
-export class StandInTarget {
-  readonly runs: RunRecord[] = [];
-  /** Number of streams whose connection closed before their end. */
-  cancelled = 0;
-  /** Number of streams that were cut off as nobody read them. */
-  cutUnread = 0;
-  fault = TargetFault.NONE;
-  /** Response to requests before they are read; none by default. */
-  earlyResponse?: EarlyResponse;
+export class StandInTarget extends TargetState {
   /** Attempt ids of the streams in prefill. */
   private readonly prefilling = new Set<string>();
   /** Attempt ids of the streams that have sent events. */
   private readonly generating = new Set<string>();
-  /** Start of its incarnation as a Unix time in milliseconds. */
-  bornMs = DEFAULT_BORN_MS;
-  /** Accepts connections and requests but never responds. */
-  isUnresponsive = false;
-  /** Whether all responses but load reports tell that the target leaves. */
-  isLeaving = false;
-  /** Whether load reports tell it. */
-  reportsLeaving = false;
-  /** Value of `Retry-After` in rejections, in seconds. */
-  retryAfterS?: number;
-  /**
-   * Requests a second that all responses name as its limit, load reports
-   * included; none by default.
-   */
-  limitPerSecond?: number;
-  /**
-   * Plain calls that it runs at once; it then tells its load with the usual
-   * slowness, and rejects further calls. No limit by default.
-   */
-  slots?: number;
   private runningCalls = 0;
-  /**
-   * Times at which requests and health checks arrived, whatever became of them,
-   * on the monotonic clock of the process.
-   */
-  readonly arrivedAtMs: number[] = [];
-  /** Bytes of a head that `TargetFault.CUT_HEAD` sends. */
-  headBytes = 0;
-  /** Times of rejections on the monotonic clock of the process. */
-  readonly rejectedAtMs: number[] = [];
-  /** Requests that crash this target. */
-  crashOn?: CrashTrigger;
-  /** Crashes caused by requests, over all incarnations. */
-  readonly crashes: CrashRecord[] = [];
-  /** Ends of its next streams, which are sent without length or chunks. */
-  readonly closeDelimitedEnds: StreamEnd[] = [];
-  /** Called after a request crashed the target. */
-  onCrash: () => void = () => undefined;
-  /** Bytes sent in endless responses. */
-  endlessBytes = 0;
-  /** Ids of KV cache copies that entries released. */
-  readonly releasedCopies: string[] = [];
-  /** Ids of the KV cache copies stored here. */
-  readonly copies = new Set<string>();
-  /** Room in its KV cache. */
-  readonly room = new TargetRoom();
   readonly id: string;
   /** Version of its software. */
   readonly version?: string;
-  /** Share of its plain responses that are failures of its own. */
-  failureShare = 0;
-  /** Added to the duration of its plain calls, in milliseconds. */
-  extraWorkMs = 0;
   private readonly pace: StreamPace;
   private readonly workMs: number;
   private readonly bodyBytes: number;
@@ -139,6 +75,7 @@
     bodyBytes?: number;
     observer?: TargetObserver;
   }) {
+    super();
     this.id = options.id;
     this.version = options.version;
     this.copyNetwork = options.copyNetwork;
