--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -57,6 +57,8 @@
 
 interface Flags {
   readonly metricsPort: number;
+  readonly maxConnections?: number;
+  readonly unreadTimeoutMs?: number;
 }
 
 const program = new Command('plantainrill-direct')
@@ -67,6 +69,16 @@
     parsePort,
     DEFAULT_METRICS_PORT,
   )
+  .option(
+    '--max-connections <number>',
+    'open connections at most; derived from the machine by default',
+    parseCount,
+  )
+  .option(
+    '--unread-timeout-ms <ms>',
+    'time within which a client reads a part of its response',
+    parseCount,
+  )
   .addHelpText(
     'after',
     `
@@ -108,7 +120,7 @@
     await startEntry({
       path,
       boot: boot.value,
-      metricsPort: flags.metricsPort,
+      flags,
       startupSignals,
       clock,
       metrics,
@@ -129,13 +141,14 @@
 async function startEntry(options: {
   path: string;
   boot: BootSettings;
-  metricsPort: number;
+  flags: Flags;
   startupSignals: StartupSignals;
   clock: Clock;
   metrics: Metrics;
   sink: BoundedSink;
 }): Promise<void> {
-  const {path, metricsPort, startupSignals} = options;
+  const {path, flags, startupSignals} = options;
+  const {metricsPort} = flags;
   const {clock, metrics, sink} = options;
   const {settings, text} = options.boot;
   let active = settings;
@@ -144,6 +157,7 @@
   const random = new SystemRandom();
   const table = new ConnectionTable({
     limits: deriveLimits({
+      ...flags,
       memoryBytes: settings.memoryBytes,
       descriptors: Math.min(
         readDescriptorLimit(),
@@ -331,3 +345,10 @@
   if (!isValid) throw new InvalidArgumentError(`expected 1 to ${MAX_PORT}`);
   return port;
 }
+
+function parseCount(text: string): number {
+  const count = Number(text);
+  const isValid = Number.isSafeInteger(count) && count > 0;
+  if (!isValid) throw new InvalidArgumentError('expected a positive integer');
+  return count;
+}
