--- a/src/adapters/bounded-server/http-connection.ts
+++ b/src/adapters/bounded-server/http-connection.ts
@@ -118,8 +118,8 @@
     this.openCount--;
     this.hasServed = true;
     this.usedAtMs = this.options.clock.now();
-    if (this.openCount > 0) return;
-    const {table} = this.options;
+    const {socket, table} = this.options;
+    if (this.openCount > 0 || socket.destroyed) return;
     if (this.isEnding) table.close(this, CloseReason.SENT_AHEAD);
     else this.reader.continue();
   }
