Roll-outs: few answers at many targets hide no bad version; trust later

Change: targets with fewer than three bad answers are not left out, but for the worst; the steps beyond the bound come at 0.62 and 0.7; an outcome counts from a chance of 1e-4.

--- a/src/core/rollouts/consts.ts
+++ b/src/core/rollouts/consts.ts
@@ -20,8 +20,8 @@
 
 /** Parts of the time budget after which the steps follow. */
 export const LOADED_FROM = 0.4;
-export const HALF_FROM = 0.55;
-export const FULL_FROM = 0.62;
+export const HALF_FROM = 0.62;
+export const FULL_FROM = 0.7;
 
 /** Answers of the new version without which no step follows in time. */
 export const MIN_STEP_ANSWERS = 40;
@@ -30,7 +30,7 @@
 export const MIN_LOADED_ANSWERS = 12;
 
 /** Part of the time budget after which few answers suffice. */
-export const FEW_ANSWERS_FROM = 0.6;
+export const FEW_ANSWERS_FROM = 0.64;
 
 /** Part of the time budget, and time, for which each step lasts at least. */
 export const MIN_STEP_PART = 0.06;
@@ -44,7 +44,7 @@
 export const COMPLETE_WITHOUT_WAIT_FROM = 0.92;
 
 /** Time at the last step before the roll-out is completed, in milliseconds. */
-export const MIN_FULL_MS = 1_000;
+export const MIN_FULL_MS = 1_500;
 
 /** Silence after which an entry no longer counts as live, in milliseconds. */
 export const ENTRY_SILENCE_MS = 3_000;
@@ -62,7 +62,7 @@
 export const SNAPSHOT_MS = 500;
 
 /** Chance of an outcome by accident below which a version is bad. */
-export const MAX_CHANCE = 1e-5;
+export const MAX_CHANCE = 1e-4;
 
 /** The same for lost responses, which have many other causes. */
 export const MAX_LOST_CHANCE = 1e-8;
@@ -78,6 +78,12 @@
 export const LEFT_OUT_SHARE = 0.2;
 export const LEFT_OUT_LOST_SHARE = 1 / 3;
 
+/**
+ * Bad answers of a target from which it is left out, unless it is the worst one:
+ * fewer are no sign that they are the target's.
+ */
+export const MIN_BAD_TO_LEAVE_OUT = 3;
+
 /** Targets below which none is left out. */
 export const MIN_TARGETS_TO_LEAVE_OUT = 3;
 
--- a/src/core/rollouts/judge-version.ts
+++ b/src/core/rollouts/judge-version.ts
@@ -7,6 +7,7 @@
   MAX_LOST_CHANCE,
   MIN_BAD,
   MIN_BAD_FEW_TARGETS,
+  MIN_BAD_TO_LEAVE_OUT,
   MIN_LOST,
   MIN_OLD_ANSWERS,
   MIN_TARGETS_TO_LEAVE_OUT,
@@ -160,7 +161,10 @@
 ): Counts[] {
   const excess = ({all, bad}: Counts) => bad - all * allowed;
   const count = Math.ceil(targets.length * leftOutShare);
-  return [...targets].sort((a, b) => excess(b) - excess(a)).slice(count);
+  const sorted = [...targets].sort((a, b) => excess(b) - excess(a));
+  return sorted.filter(
+    ({bad}, i) => i >= count || (i > 0 && bad < MIN_BAD_TO_LEAVE_OUT),
+  );
 }
 
 /** Share of bad answers of the old version, at the same time if it has some. */
