--- a/src/core/rollouts/consts.ts
+++ b/src/core/rollouts/consts.ts
@@ -108,7 +108,7 @@
 export const KEPT_TIMES = 64;
 
 /** Times without which none is compared. */
-export const MIN_KEPT_TIMES = 10;
+export const MIN_KEPT_TIMES = 5;
 
 /** Quantile of the kept times that counts as usual. */
 export const USUAL_QUANTILE = 0.75;
--- a/src/core/rollouts/slow-times.ts
+++ b/src/core/rollouts/slow-times.ts
@@ -7,6 +7,9 @@
   USUAL_QUANTILE,
 } from './consts.js';
 
+/** The times of all routes, for a route of which too little is known. */
+const ALL_ROUTES = '';
+
 /**
  * Keeps the last times of the old version for each route.
  *
@@ -29,6 +32,11 @@
 
   /** Records a time of the old version. */
   record(route: string, time: number): void {
+    this.keep(ALL_ROUTES, time);
+    this.keep(route, time);
+  }
+
+  private keep(route: string, time: number): void {
     const times = this.kept.get(route) ?? [];
     if (times.length === 0 && this.kept.size >= MAX_ROUTES) return;
     times.push(time);
@@ -39,10 +47,14 @@
 
   /** Whether a time is slow; undefined if too little is known. */
   isSlow(route: string, time: number): boolean | undefined {
-    const limit = this.limits.get(route) ?? this.computeLimit(route);
+    const limit = this.limitOf(route) ?? this.limitOf(ALL_ROUTES);
     return limit === undefined ? undefined : time > limit;
   }
 
+  private limitOf(route: string): number | undefined {
+    return this.limits.get(route) ?? this.computeLimit(route);
+  }
+
   private computeLimit(route: string): number | undefined {
     const times = this.kept.get(route) ?? [];
     if (times.length < MIN_KEPT_TIMES) return undefined;
