Roll-outs: the last steps come at 0.58 and 0.65 of the time budget

Cause: at 0.62 and 0.7 a good version took 10.1 s of 10 s when all entries were killed (test/direct/rollouts, once, beside load).

--- a/src/core/rollouts/consts.ts
+++ b/src/core/rollouts/consts.ts
@@ -20,8 +20,8 @@
 
 /** Parts of the time budget after which the steps follow. */
 export const LOADED_FROM = 0.4;
-export const HALF_FROM = 0.62;
-export const FULL_FROM = 0.7;
+export const HALF_FROM = 0.58;
+export const FULL_FROM = 0.65;
 
 /** Answers of the new version without which no step follows in time. */
 export const MIN_STEP_ANSWERS = 40;
@@ -30,7 +30,7 @@
 export const MIN_LOADED_ANSWERS = 12;
 
 /** Part of the time budget after which few answers suffice. */
-export const FEW_ANSWERS_FROM = 0.64;
+export const FEW_ANSWERS_FROM = 0.62;
 
 /** Part of the time budget, and time, for which each step lasts at least. */
 export const MIN_STEP_PART = 0.06;
@@ -44,7 +44,7 @@
 export const COMPLETE_WITHOUT_WAIT_FROM = 0.92;
 
 /** Time at the last step before the roll-out is completed, in milliseconds. */
-export const MIN_FULL_MS = 1_500;
+export const MIN_FULL_MS = 1_200;
 
 /** Silence after which an entry no longer counts as live, in milliseconds. */
 export const ENTRY_SILENCE_MS = 3_000;
