Bound the bodies that a target holds for one entry

A target crashes if the requests that it holds exceed its memory, and an entry sent it all it had. It is sent at most 16 MiB of bodies at once, beyond 16 KiB of each, always one body, and less after it was lost while it held much.

--- /dev/null
+++ b/src/core/targets/body-allowance.ts
@@ -0,0 +1,81 @@
+/** Bounds the bytes of request bodies that one target holds for an entry. */
+
+/** Bytes of a body that are not counted, so that small requests go on. */
+export const EXEMPT_BODY_BYTES = 16 * 1024;
+
+/** Bytes of bodies that a target may hold for one entry. */
+export const MAX_HELD_BYTES = 16 * 1024 * 1024;
+
+/** The least that the bound falls to. */
+export const MIN_HELD_BYTES = 1024 * 1024;
+
+/** Time without a loss after which a lowered bound doubles, in milliseconds. */
+export const RECOVERY_MS = 5_000;
+
+/**
+ * The bodies of one target's open requests. A target that is lost while it
+ * holds much may have run out of memory, so its bound falls below what it held,
+ * and rises again while it stays up. One body alone is always allowed, as
+ * nothing else tells whether the target bears it.
+ *
+ * @example
+ * const allowance = new BodyAllowance();
+ * if (!allowance.tryTake(body.length, clock.now())) return refuse();
+ * allowance.release(body.length);
+ */
+export class BodyAllowance {
+  private held = 0;
+  private boundBytes = MAX_HELD_BYTES;
+  /** When the bound last changed. */
+  private changedMs = 0;
+
+  /** Bytes that are counted now. */
+  get heldBytes(): number {
+    return this.held;
+  }
+
+  /** Counts a body that is sent now; false if the target holds too much. */
+  tryTake(bytes: number, nowMs: number): boolean {
+    const counted = countedOf(bytes);
+    this.recover(nowMs);
+    const isAlone = this.held === 0;
+    if (counted > 0 && !isAlone && this.held + counted > this.boundBytes)
+      return false;
+    this.held += counted;
+    return true;
+  }
+
+  /** The request of a body is over. */
+  release(bytes: number): void {
+    this.held -= countedOf(bytes);
+  }
+
+  /** The target was lost with all that it holds; call before `release`. */
+  recordLoss(nowMs: number): void {
+    if (this.held <= MIN_HELD_BYTES) return;
+    const lowered = Math.max(MIN_HELD_BYTES, this.held / 2);
+    if (lowered >= this.boundBytes) return;
+    this.boundBytes = lowered;
+    this.changedMs = nowMs;
+  }
+
+  /** Whether nothing is counted and the bound is as at the start. */
+  isIdle(nowMs: number): boolean {
+    this.recover(nowMs);
+    return this.held === 0 && this.boundBytes === MAX_HELD_BYTES;
+  }
+
+  private recover(nowMs: number): void {
+    while (
+      this.boundBytes < MAX_HELD_BYTES &&
+      nowMs - this.changedMs >= RECOVERY_MS
+    ) {
+      this.boundBytes = Math.min(MAX_HELD_BYTES, this.boundBytes * 2);
+      this.changedMs += RECOVERY_MS;
+    }
+  }
+}
+
+function countedOf(bytes: number): number {
+  return Math.max(0, bytes - EXEMPT_BODY_BYTES);
+}
