The forecast of outages by turns is taken out: it doesn't pay

New prompts met in a third of the engines and began later. Kept from it: holders that were replaced (newest-starts) and survivors of an outage (mostly-lost).

--- a/src/core/outages/newest-starts.ts
+++ b/src/core/outages/newest-starts.ts
@@ -1,6 +1,6 @@
 /** Knows which incarnations of targets others have replaced. */
 import type {Clock} from '../clock/index.js';
-import {FORECAST_CACHE_MS} from './consts.js';
+import {STARTS_CACHE_MS} from './consts.js';
 
 /** What is used of the registration of a target. */
 export interface RegisteredStart {
@@ -36,7 +36,7 @@
     if (startedAtMs === undefined) return false;
     const nowMs = this.options.clock.now();
     let starts = this.starts.get(service);
-    if (starts === undefined || nowMs - starts.readMs >= FORECAST_CACHE_MS) {
+    if (starts === undefined || nowMs - starts.readMs >= STARTS_CACHE_MS) {
       starts = {readMs: nowMs, byAddress: newestByAddress(registrations())};
       this.starts.set(service, starts);
     }
--- a/src/core/placing/choose-engine.ts
+++ b/src/core/placing/choose-engine.ts
@@ -45,8 +45,6 @@
   readonly excluded: ReadonlySet<string>;
   /** Data centres to avoid if another one has engines. */
   readonly avoidedDataCentres?: ReadonlySet<string>;
-  /** Costs of data centres in which an outage is expected. */
-  readonly outageCosts?: ReadonlyMap<string, number>;
   /** Whether to prefer engines from which a message was received recently. */
   readonly preferRecentlySeen?: boolean;
   /** Advantage of engines for the prompt, in running requests. */
@@ -110,7 +108,6 @@
   let cost = target.estimatedRequests() + random.float() * JITTER;
   cost += target.estimatedPrefills() * PREFILL_COST;
   cost -= affinity?.get(target) ?? 0;
-  cost += query.outageCosts?.get(target.record.dataCentre) ?? 0;
   cost += relativeSlowness(target, baseline) * SLOW_COST;
   cost += excessFailureShare(target, baseline) * FAILURE_COST;
   const plannedTokens = target.plannedTokens() + tokens;
--- a/src/direct/prober.ts
+++ b/src/direct/prober.ts
@@ -5,8 +5,7 @@
 import type {Clock, RandomSource} from '../core/clock/index.js';
 import type {DirectTargets} from '../core/edges/direct-target.js';
 import type {Logger} from '../core/logs/index.js';
-import type {DataCentreCosts} from '../core/outages/index.js';
-import {NewestStarts, OutageForecasts} from '../core/outages/index.js';
+import {NewestStarts} from '../core/outages/index.js';
 import type {Supervisor} from '../core/supervision/index.js';
 import {TaskName} from '../core/supervision/index.js';
 import type {
@@ -50,7 +49,6 @@
   /** Targets in whose place another incarnation responds. */
   private readonly ended = new WeakSet<Target>();
   private readonly scouts: ScoutRounds;
-  private readonly outages: OutageForecasts;
   private readonly starts: NewestStarts;
 
   constructor(
@@ -70,7 +68,6 @@
     },
   ) {
     this.scouts = new ScoutRounds(options);
-    this.outages = new OutageForecasts(options);
     this.starts = new NewestStarts(options);
   }
 
@@ -157,11 +154,6 @@
       this.startProbe(target);
   }
 
-  /** Costs of data centres for the risk of the next outage, if foreseen. */
-  outageCosts(service: string): DataCentreCosts {
-    return this.outages.costsOf(service, () => this.recordsOf(service));
-  }
-
   /** Pauses a target if another incarnation has registered at its address. */
   noteReplaced(target: Target): void {
     if (this.ended.has(target)) return;
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -169,7 +169,6 @@
       kvCapacityTokens: work.service.engine?.kvCapacityTokens ?? Infinity,
       excluded: new Set([...this.excluded, ...this.heldBack]),
       avoidedDataCentres: this.avoidedDataCentres,
-      outageCosts: ctx.prober.outageCosts(work.service.name),
       random: ctx.random,
     };
   }
