--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -210,7 +210,6 @@
         ...this.withoutRoom,
       ]),
       avoidedDataCentres: this.avoidedDataCentres,
-      outageCosts: ctx.prober.outageCosts(work.service.name),
       random: ctx.random,
     };
   }
