Requests that waited for another one's response end with their connection

Review: Node.js reports no close of a response that is queued behind another one, so the memory reserved for its body and the count of open requests leaked (2 requests, 1 close). Also: a response that its reader takes slowly within one write counts as read on, and an upload on a reused connection is not the first idle one. Test red before: bounded-server 'notices it for each request that was read'.

--- a/src/adapters/bounded-server/http-connection.ts
+++ b/src/adapters/bounded-server/http-connection.ts
@@ -27,8 +27,8 @@
 export class HttpConnection implements BoundedConnection, ReaderControl {
   usedAtMs: number;
   private readonly reader: BoundedReader;
-  /** Requests whose responses are not sent completely. */
-  private openCount = 0;
+  /** Responses that are not sent completely. */
+  private readonly open = new Set<ServerResponse>();
   private hasServed = false;
   /** Whether so much was sent ahead that it is not served any more. */
   private isEnding = false;
@@ -52,16 +52,23 @@
     this.openedAtMs = clock.now();
     this.usedAtMs = this.openedAtMs;
     this.reader = new BoundedReader(socket, this);
-    socket.once('close', () => table.remove(this));
+    socket.once('close', () => {
+      table.remove(this);
+      this.endWaiting();
+    });
   }
 
   /** Begins to serve a request whose head was read. */
   track(req: IncomingMessage, res: ServerResponse): void {
-    this.openCount++;
+    this.usedAtMs = this.options.clock.now();
+    this.open.add(res);
     this.latest = req;
     this.parsedBytes = 0;
     this.declaredBytes = Number(req.headers['content-length'] ?? 0);
-    res.once('close', () => this.endRequest());
+    res.once('close', () => {
+      this.open.delete(res);
+      this.endRequest();
+    });
   }
 
   use(nowMs: number): ConnectionUse {
@@ -76,7 +83,8 @@
   unreadSince(nowMs: number): number | undefined {
     const {socket} = this.options;
     if (socket.writableLength === 0) return (this.unreadAtMs = undefined);
-    const readBytes = socket.bytesWritten - socket.writableLength;
+    const unsentBytes = socket.writableLength + queuedBytesOf(socket);
+    const readBytes = socket.bytesWritten - unsentBytes;
     if (readBytes !== this.readBytes) this.unreadAtMs = undefined;
     this.readBytes = readBytes;
     return (this.unreadAtMs ??= nowMs);
@@ -85,13 +93,13 @@
   close(): void {
     const {socket} = this.options;
     // The end of a connection may look like the end of a response.
-    if (this.openCount > 0) socket.resetAndDestroy();
+    if (this.open.size > 0) socket.resetAndDestroy();
     else socket.destroy();
   }
 
   /** Whether the request that was read last is being served. */
   mustWait(): boolean {
-    return this.openCount > 0 && this.latest?.complete === true;
+    return this.open.size > 0 && this.latest?.complete === true;
   }
 
   bodyBytesLeft(): number {
@@ -114,13 +122,29 @@
     if (bytes > maxConnectionAheadBytes) this.isEnding = true;
   }
 
+  /** Node.js reports no end of a response that waits for another one. */
+  private endWaiting(): void {
+    for (const res of [...this.open])
+      if (res.socket === null) res.emit('close');
+  }
+
   private endRequest(): void {
-    this.openCount--;
     this.hasServed = true;
     this.usedAtMs = this.options.clock.now();
     const {socket, table} = this.options;
-    if (this.openCount > 0 || socket.destroyed) return;
+    if (this.open.size > 0 || socket.destroyed) return;
     if (this.isEnding) table.close(this, CloseReason.SENT_AHEAD);
     else this.reader.continue();
   }
 }
+
+/** Node's private handle, which knows how much of a write is not taken yet. */
+interface SocketHandle {
+  readonly writeQueueSize?: number;
+}
+
+/** Bytes of begun writes that the system has not taken. */
+function queuedBytesOf(socket: Socket): number {
+  const {_handle} = socket as Socket & {readonly _handle?: SocketHandle | null};
+  return _handle?.writeQueueSize ?? 0;
+}
--- a/test/adapters/bounded-server.test.ts
+++ b/test/adapters/bounded-server.test.ts
@@ -140,6 +140,23 @@
     expect(mostInWork).toBeLessThan(100);
   });
 
+  // Guards against memory kept for requests that waited for another (LOST).
+  it('notices it for each request that was read', async () => {
+    let closed = 0;
+    server.on('request', (_, res) => res.once('close', () => closed++));
+    const cut = 'POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 9999\r\n\r\n';
+    client.write(request('/1') + cut);
+    await waitUntil({
+      what: 'both are read',
+      check: () => Promise.resolve(started.length === 2),
+    });
+    client.destroy();
+    await waitUntil({
+      what: 'both have closed',
+      check: () => Promise.resolve(closed === 2),
+    });
+  });
+
   it('notices that its client has left', async () => {
     const closed = new Promise((resolve) =>
       server.once('request', (_, res) => res.once('close', resolve)),
