Arrivals do not put off a look for room that is due

Review: with more than ten arrivals a second each put the look off by another 100 ms, so that waiting generations were held to their deadlines. Test red before: service-room 'looks for room also while generations come all the time'.

--- a/src/direct/room/service-room.ts
+++ b/src/direct/room/service-room.ts
@@ -51,6 +51,8 @@
   /** Running generations by client account. */
   private readonly running = new Map<string, number>();
   private timer?: TimerHandle;
+  /** When the next look is due. */
+  private lookAtMs = Number.POSITIVE_INFINITY;
   private isLooking = false;
   private meanSizeTokens?: number;
 
@@ -116,8 +118,12 @@
 
   private scheduleLook(delayMs: number): void {
     if (this.isLooking) return;
-    this.timer?.cancel();
     const {clock, supervisor} = this.options;
+    const atMs = clock.now() + delayMs;
+    // Arrivals must not put off a look that is due earlier.
+    if (this.lookAtMs <= atMs) return;
+    this.timer?.cancel();
+    this.lookAtMs = atMs;
     const task = {name: TaskName.ROOM};
     const run = supervisor.guard(task, () => this.look());
     this.timer = clock.schedule({delayMs, run});
@@ -126,6 +132,7 @@
   private async look(): Promise<void> {
     if (this.isLooking) return;
     this.isLooking = true;
+    this.lookAtMs = Number.POSITIVE_INFINITY;
     try {
       for (const applicant of this.queue.all()) this.settle(applicant);
       await this.placeInOrder();
--- a/test/direct/service-room.test.ts
+++ b/test/direct/service-room.test.ts
@@ -42,6 +42,8 @@
   readonly outcomes = new Map<Kind, Outcome[]>();
   /** Priority of the generations in the order in which they got room. */
   readonly placed: number[] = [];
+  /** How long those waited that were sent without room. */
+  readonly waitedMs: number[] = [];
   private used = 0;
 
   constructor(readonly places: number) {
@@ -82,7 +84,10 @@
       firstEventMs: FIRST_EVENT_MS,
       shortestMs: RUN_MS,
       tryPlace: () => Promise.resolve(this.tryPlace(kind, objectiveAtMs)),
-      placeAnyway: () => this.record(kind, Outcome.SENT_ANYWAY),
+      placeAnyway: () => {
+        this.waitedMs.push(this.clock.now() - receivedMs);
+        this.record(kind, Outcome.SENT_ANYWAY);
+      },
       refuse: () => this.record(kind, Outcome.REFUSED),
       onWaitOver: () => undefined,
     };
@@ -173,3 +178,12 @@
     expect(play.share(flood, Outcome.ON_TIME)).toBeGreaterThan(0.1);
   });
 });
+
+// Guards against a look that arrivals put off again and again (held to the end).
+it('looks for room also while generations come all the time', async () => {
+  const play = new Play(0);
+  const often = {...USUAL, objectiveMs: 2_000, everyMs: 80};
+  await play.run([often], 6_000);
+  expect(play.share(often, Outcome.SENT_ANYWAY)).toBe(1);
+  expect(Math.max(...play.waitedMs)).toBeLessThan(often.objectiveMs);
+});
