A generation is sent while it can still end before its deadline

Review: only the objective decided when a waiting generation goes to an engine, so long ones waited until they were refused; and the refusal used a stricter time than the one at arrival. Test red before: decide-room 'sends a long one'.

--- a/src/core/room/room-order.ts
+++ b/src/core/room/room-order.ts
@@ -10,13 +10,15 @@
 }
 
 /**
- * Latest start at which a generation's first event is still on time.
+ * Latest start at which a generation's first event is still on time, and at which
+ * it can still end before its deadline.
  *
  * @example
  * latestStartMs({objectiveAtMs: 4_000, firstEventMs: 1_000, ...rest}); // 3000
  */
 export function latestStartMs(request: RoomRequest): number {
-  return request.objectiveAtMs - request.firstEventMs;
+  const {objectiveAtMs, firstEventMs, deadlineAtMs, shortestMs} = request;
+  return Math.min(objectiveAtMs - firstEventMs, deadlineAtMs - shortestMs);
 }
 
 /**
--- a/src/core/streams/min-generation-time.ts
+++ b/src/core/streams/min-generation-time.ts
@@ -77,9 +77,14 @@
     return this.samples < MIN_SAMPLES ? 0 : promptTokens * this.msPerToken;
   }
 
+  /** Time below which a generation is refused, in milliseconds. */
+  leastMs(need: GenerationNeed): number {
+    return this.shortestMs(need) * REFUSAL_FACTOR;
+  }
+
   /** Whether a generation cannot finish in the remaining time, `leftMs`. */
   cannotFinish(options: {need: GenerationNeed; leftMs: number}): boolean {
-    return options.leftMs < this.shortestMs(options.need) * REFUSAL_FACTOR;
+    return options.leftMs < this.leastMs(options.need);
   }
 }
 
--- a/src/direct/room/stream-room.ts
+++ b/src/direct/room/stream-room.ts
@@ -93,7 +93,7 @@
       objectiveAtMs: req.receivedMs + route.latencyObjectiveMs,
       deadlineAtMs,
       firstEventMs: firstEventMs * SHARED_ENGINE_FACTOR,
-      shortestMs: need === undefined ? 0 : times.shortestMs(need),
+      shortestMs: need === undefined ? 0 : times.leastMs(need),
       ...listener,
       onWaitOver: (end, waiting) => this.logWait(end, waiting),
     };
--- a/test/core/room/decide-room.test.ts
+++ b/test/core/room/decide-room.test.ts
@@ -40,6 +40,16 @@
     expect(decideRoom({request: REQUEST, nowMs})).toBe(expected);
   });
 
+  it('sends a long one while it can still end in time', () => {
+    const request = {
+      ...REQUEST,
+      objectiveAtMs: 6_000,
+      deadlineAtMs: 8_000,
+      shortestMs: 5_000,
+    };
+    expect(decideRoom({request, nowMs: 2_900})).toBe(RoomDecision.SEND_ANYWAY);
+  });
+
   it('refuses at once what could never end in time', () => {
     const request = {...REQUEST, deadlineAtMs: 5_000};
     expect(decideRoom({request, nowMs: 0})).toBe(RoomDecision.REFUSE);
