A call is sent to a free slot whatever was estimated

Review: an estimate above the deadline refused every call, also with free slots, and nothing was sent that could correct it. Reports that are old decide nothing any more. Test red before: call-queue 'a free slot, though calls took long before'.

--- a/src/core/call-queue/decide-call.ts
+++ b/src/core/call-queue/decide-call.ts
@@ -26,9 +26,11 @@
   const {call, room, waitsSinceMs, nowMs} = query;
   const {waitMs, serviceMs, hasFreeSlot, isFull} = room;
   const endsAtMs = nowMs + waitMs + serviceMs;
+  // What is sent also corrects an estimate that is too high.
+  if (!isFull && hasFreeSlot) return CallDecision.SEND;
   if (endsAtMs > call.deadlineAtMs) return CallDecision.REFUSE;
   const isOnTime = endsAtMs <= call.objectiveAtMs;
-  if (!isFull && (hasFreeSlot || isOnTime)) return CallDecision.SEND;
+  if (!isFull && isOnTime) return CallDecision.SEND;
   const allowedMs = (call.deadlineAtMs - waitsSinceMs) * MAX_WAIT_SHARE;
   const isOver = nowMs >= waitsSinceMs + allowedMs;
   return isOver ? CallDecision.REFUSE : CallDecision.WAIT;
--- a/src/core/call-queue/estimate-room.ts
+++ b/src/core/call-queue/estimate-room.ts
@@ -1,11 +1,13 @@
 /** Estimates the room for plain calls at the targets of a service. */
 import type {Target} from '../targets/index.js';
+import {MAX_REPORT_AGE_MS} from '../targets/index.js';
 import type {Room} from './types.js';
 
 /**
  * Estimates the room from what the targets report. A target that does not
  * respond counts for nothing. Undefined if no target is left or one does not
- * tell its slowness: such targets decide themselves what they take.
+ * tell its slowness: such targets decide themselves what they take. The same holds
+ * once nothing was heard from any of them for `MAX_REPORT_AGE_MS`.
  *
  * @example
  * estimateRoom({targets, serviceMs: 35})?.hasFreeSlot;
@@ -18,6 +20,8 @@
   const targets = options.targets.filter((target) => !target.isPaused());
   if (targets.length === 0) return undefined;
   if (!targets.every((target) => target.tellsSlowness)) return undefined;
+  if (targets.every((target) => target.reportAgeMs() > MAX_REPORT_AGE_MS))
+    return undefined;
   const queues = targets.map((target) => estimateQueue(target, options));
   const best = queues.reduce((a, b) => (endOf(b) < endOf(a) ? b : a));
   const perMs = queues.reduce((sum, queue) => sum + queue.perMs, 0);
--- a/test/core/call-queue/call-queue.test.ts
+++ b/test/core/call-queue/call-queue.test.ts
@@ -39,6 +39,11 @@
     {name: 'a short queue', room: {waitMs: 100}, is: CallDecision.SEND},
     {name: 'a long queue', room: {waitMs: 150}, is: CallDecision.WAIT},
     {name: 'full targets', room: {isFull: true}, is: CallDecision.WAIT},
+    {
+      name: 'a free slot, though calls took long before',
+      room: {hasFreeSlot: true, serviceMs: 2_000},
+      is: CallDecision.SEND,
+    },
     {name: 'no hope', room: {waitMs: 1_200}, is: CallDecision.REFUSE},
     {
       name: 'a long queue for a while',
