Without an order about them, new versions get their traffic soon

Review: a version not seen before was held back until orders were read, without a limit, also where it was the only one or the service had had no targets; after a completed order, versions of later releases got nothing; a version of a next order was not held back once a first one had ended; completed could be written while other entries were not heard; a failure in one round ended the loop; readiness waited for the orders without a limit.

--- a/src/core/rollouts/decide-status.ts
+++ b/src/core/rollouts/decide-status.ts
@@ -16,6 +16,8 @@
   readonly stepMs: number;
   /** Requests of this entry at targets of the old version. */
   readonly oldOpen: number;
+  /** Whether the rows of the others have been heard without a break. */
+  readonly knowsOthers: boolean;
   /** Newest rows of the other live entries. */
   readonly others: readonly EvidenceRow[];
 }
@@ -83,6 +85,8 @@
  */
 function isComplete(query: StatusQuery): boolean {
   const {record, ageMs, step, stepMs, oldOpen, others} = query;
+  // Entries that are not heard may still send to old targets.
+  if (!query.knowsOthers) return false;
   const isFull =
     step === RolloutStep.FULL &&
     stepMs >= MIN_FULL_MS &&
--- a/src/core/rollouts/rollout-controller.ts
+++ b/src/core/rollouts/rollout-controller.ts
@@ -61,6 +61,8 @@
   private ageAtStartMs = 0;
   private badReason?: BadReason;
   private evidenceAtMs: number;
+  /** Since when the others' rows have been read without a break. */
+  private readSinceMs: number;
   private hasReadRows = false;
   /** Whether an earlier process of this VM has known the order. */
   private isRestarted = false;
@@ -84,6 +86,7 @@
     this.startedMs = clock.now();
     this.stepSinceMs = this.startedMs;
     this.evidenceAtMs = this.startedMs;
+    this.readSinceMs = this.startedMs;
   }
 
   get record(): RolloutRecord {
@@ -147,6 +150,7 @@
   recordRead(atMs: number): void {
     if (!this.hasReadRows) this.budget.setSlack(this.ownSlack());
     this.hasReadRows = true;
+    if (!this.hasRecentRows) this.readSinceMs = this.options.clock.now();
     this.evidenceAtMs = Math.max(this.evidenceAtMs, atMs);
   }
 
@@ -228,6 +232,7 @@
       step: this.nowStep,
       stepMs: this.stepMs,
       oldOpen,
+      knowsOthers: this.knowsOthers,
       others,
     });
     if (state === undefined) {
@@ -241,6 +246,17 @@
     return dueForMs >= rank * STATUS_TURN_MS ? state : undefined;
   }
 
+  private get hasRecentRows(): boolean {
+    const ageMs = this.options.clock.now() - this.evidenceAtMs;
+    return ageMs <= MAX_EVIDENCE_AGE_MS;
+  }
+
+  /** Whether each entry that lives has been heard by now. */
+  private get knowsOthers(): boolean {
+    const readForMs = this.options.clock.now() - this.readSinceMs;
+    return this.hasRecentRows && readForMs >= ENTRY_SILENCE_MS;
+  }
+
   /** Part of the slack of this entry, which it has only once for an order. */
   private ownSlack(): number {
     if (this.isRestarted || this.ageMs > MAX_SLACK_AGE_MS) return 0;
--- a/src/core/rollouts/version-baseline.ts
+++ b/src/core/rollouts/version-baseline.ts
@@ -1,5 +1,11 @@
 /** The versions of a service that may get traffic without an order. */
 
+/**
+ * Longest time for which a new version is held back, in milliseconds: orders that
+ * cannot be read must not keep sound targets from work.
+ */
+const MAX_HOLD_MS = 2_000;
+
 /**
  * Holds back targets of a version that was not there before, until it is known
  * that no order is about it: targets of an ordered version may be read before the
@@ -24,9 +30,12 @@
     const {service, versions, nowMs} = options;
     const known = this.known.get(service);
     if (known === undefined) {
+      if (versions.size === 0) return versions;
       // Old and new cannot be told apart before the orders are known.
-      if (options.ordersKnownAtMs === undefined && versions.size > 1)
-        return versions;
+      const sinceMs = this.seenSinceMs(service, nowMs);
+      const mayBeRead =
+        options.ordersKnownAtMs === undefined && nowMs - sinceMs < MAX_HOLD_MS;
+      if (mayBeRead && versions.size > 1) return versions;
       this.known.set(service, new Set(versions));
       return new Set();
     }
@@ -34,14 +43,20 @@
     for (const version of versions) {
       if (known.has(version)) continue;
       const key = `${service}\n${version}`;
-      const seenMs = this.firstSeenMs.get(key) ?? nowMs;
-      this.firstSeenMs.set(key, seenMs);
+      const seenMs = this.seenSinceMs(key, nowMs);
       const {ordersKnownAtMs = Number.NEGATIVE_INFINITY} = options;
-      if (ordersKnownAtMs > seenMs) {
+      const isOver = nowMs - seenMs >= MAX_HOLD_MS;
+      if (ordersKnownAtMs > seenMs || isOver) {
         known.add(version);
         this.firstSeenMs.delete(key);
       } else held.add(version);
     }
     return held;
   }
+
+  private seenSinceMs(key: string, nowMs: number): number {
+    const seenMs = this.firstSeenMs.get(key) ?? nowMs;
+    this.firstSeenMs.set(key, seenMs);
+    return seenMs;
+  }
 }
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -158,8 +158,8 @@
 /** Time for which an alert is kept in the store, in milliseconds. */
 export const ALERT_RETENTION_MS = 600_000;
 
-/** Longest wait for recorded losses after the start, in milliseconds. */
-export const STARTUP_LOSSES_WAIT_MS = 1_500;
+/** Longest wait for recorded losses and orders after the start, in ms. */
+export const STARTUP_WAIT_MS = 1_500;
 
 /** Time for which a poison request is quarantined, in milliseconds. */
 export const QUARANTINE_MS = 600_000;
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -37,7 +37,7 @@
 import type {TargetRecord} from '../core/targets/index.js';
 import {TargetSet} from '../core/targets/index.js';
 import {CallHandler} from './call-handler.js';
-import {STARTUP_LOSSES_WAIT_MS, RETRY_AFTER_MS} from './consts.js';
+import {STARTUP_WAIT_MS, RETRY_AFTER_MS} from './consts.js';
 import {CallQueues} from './call-queues.js';
 import {ConfigSync} from './config-sync.js';
 import type {DirectContext, DirectWork} from './context.js';
@@ -266,7 +266,7 @@
     const needs: Need[] = [];
     if (this.routes.get() === undefined) needs.push(Need.CONFIGURATION);
     if (!this.targetSync.hasLoaded) needs.push(Need.TARGETS);
-    if (this.versions?.hasLoaded === false) needs.push(Need.ROLLOUTS);
+    if (!this.hasLoadedOrders()) needs.push(Need.ROLLOUTS);
     if (!this.hasLoadedLosses()) needs.push(Need.LOSSES);
     if (!this.keyTrust.isTrusted()) needs.push(Need.KEY_CONFIRMATION);
     return needs;
@@ -277,10 +277,17 @@
    * unavailable store does not keep the process unready.
    */
   private hasLoadedLosses(): boolean {
+    return this.ctx.lossTracker.sync.hasLoaded || this.isStartOver;
+  }
+
+  /** Whether the orders of new versions are loaded; the wait is bounded too. */
+  private hasLoadedOrders(): boolean {
+    return this.versions?.hasLoaded !== false || this.isStartOver;
+  }
+
+  private get isStartOver(): boolean {
     const upForMs = this.options.clock.now() - this.startedMs;
-    return (
-      this.ctx.lossTracker.sync.hasLoaded || upForMs > STARTUP_LOSSES_WAIT_MS
-    );
+    return upForMs > STARTUP_WAIT_MS;
   }
 
   /**
--- a/src/direct/rollouts/rollout-keeper.ts
+++ b/src/direct/rollouts/rollout-keeper.ts
@@ -119,8 +119,6 @@
 
   admit(service: string, targets: Target[]): Target[] {
     const rollout = this.rollouts.get(service);
-    if (rollout !== undefined)
-      return rollout.admit(this.withoutBarred(service, targets));
     const versions = new Set(targets.map((target) => versionOf(target)));
     const held = this.baseline.held({
       service,
@@ -128,8 +126,12 @@
       nowMs: this.options.clock.now(),
       ordersKnownAtMs: this.ordersKnownAtMs,
     });
-    if (held.size === 0) return targets;
-    return targets.filter((target) => !held.has(versionOf(target)));
+    const open =
+      rollout?.admit(this.withoutBarred(service, targets)) ?? targets;
+    if (rollout?.isRunning === true || held.size === 0) return open;
+    const rest = open.filter((target) => !held.has(versionOf(target)));
+    // Without an order about them, the only targets there are must serve.
+    return rest.length > 0 || !this.hasLoaded ? rest : open;
   }
 
   /** Versions that earlier orders of a service have found bad. */
@@ -192,12 +194,14 @@
     this.timer = undefined;
     if (this.isStopped) return;
     const running = [...this.rollouts.values()].filter((r) => r.isRunning);
+    // Scheduled first, so that a failure does not end the loop.
+    if (running.length > 0) {
+      const task = {name: TaskName.ROLLOUT};
+      const run = supervisor.guard(task, () => this.update());
+      this.timer = clock.schedule({delayMs: UPDATE_MS, run});
+    }
     for (const rollout of running) this.updateOne(rollout);
     this.evidence.update();
-    if (running.length === 0) return;
-    const task = {name: TaskName.ROLLOUT};
-    const run = supervisor.guard(task, () => this.update());
-    this.timer = clock.schedule({delayMs: UPDATE_MS, run});
   }
 
   private updateOne(rollout: Rollout): void {
--- a/src/direct/rollouts/rollout.ts
+++ b/src/direct/rollouts/rollout.ts
@@ -39,6 +39,8 @@
   oldOpen = 0;
   /** Whether the order was removed before its end. */
   isWithdrawn = false;
+  /** Versions that the order replaces, as seen while it runs. */
+  private readonly oldVersions = new Set<string | undefined>();
   private openIds: ReadonlySet<string> = new Set();
   private readonly scores = new Map<string, string>();
 
@@ -62,7 +64,9 @@
   get mayUseNew(): boolean {
     const {controller} = this;
     const isCompleted = controller.end === RolloutState.COMPLETED;
-    return isCompleted || (!this.isWithdrawn && controller.maySendToNew());
+    const isUnbound = this.isWithdrawn && controller.end === undefined;
+    if (isCompleted || isUnbound) return true;
+    return !this.isWithdrawn && controller.maySendToNew();
   }
 
   isNew({version}: TargetRecord): boolean {
@@ -71,6 +75,8 @@
 
   /** Chooses the targets that are open; returns how many new ones there are. */
   refreshOpen(registered: readonly Target[]): number {
+    for (const {record} of registered)
+      if (!this.isNew(record)) this.oldVersions.add(record.version);
     const ofNew = registered.filter(({record}) => this.isNew(record));
     const {step, share} = this.controller;
     const count = openTargets({step, share, targets: ofNew.length});
@@ -89,12 +95,12 @@
   admit(registered: Target[]): Target[] {
     const {controller} = this;
     const old = registered.filter(({record}) => !this.isNew(record));
-    if (this.isWithdrawn && controller.end !== RolloutState.COMPLETED)
-      return old;
+    if (this.isWithdrawn && controller.end === undefined)
+      return old.length > 0 ? old : registered;
     if (controller.end === RolloutState.ROLLED_BACK) return old;
     const ofNew = registered.filter(({record}) => this.isNew(record));
     if (controller.end === RolloutState.COMPLETED)
-      return ofNew.length > 0 ? ofNew : old;
+      return this.withoutReplaced(registered);
     const {step} = controller;
     if (step === RolloutStep.FULL)
       return ofNew.some((target) => !target.isPaused()) ? ofNew : registered;
@@ -106,6 +112,14 @@
     return usable.length >= MIN_ALONE ? usable : [...old, ...open];
   }
 
+  /** Later versions than those of the order are of no concern to it. */
+  private withoutReplaced(registered: Target[]): Target[] {
+    const kept = registered.filter(
+      ({record}) => !this.oldVersions.has(record.version),
+    );
+    return kept.length > 0 ? kept : registered;
+  }
+
   private scoreOf({id}: Target): string {
     const known = this.scores.get(id);
     if (known !== undefined) return known;
--- a/test/core/rollouts/status.test.ts
+++ b/test/core/rollouts/status.test.ts
@@ -32,6 +32,7 @@
   step: RolloutStep.FULL,
   stepMs: 2_000,
   oldOpen: 0,
+  knowsOthers: true,
   others: [] as EvidenceRow[],
 };
 
@@ -178,6 +179,22 @@
     expect(held(baseline, ['v1', 'v2'], 300, 101)).toEqual([]);
   });
 
+  it('is held back for 2 s at most while no order can be read', () => {
+    const baseline = new VersionBaseline();
+    held(baseline, ['v1'], 0, 0);
+    expect(held(baseline, ['v1', 'v2'], 100)).toEqual(['v2']);
+    expect(held(baseline, ['v1', 'v2'], 2_100)).toEqual([]);
+    const started = new VersionBaseline();
+    expect(held(started, ['v1', 'v2'], 0)).toEqual(['v1', 'v2']);
+    expect(held(started, ['v1', 'v2'], 2_000)).toEqual([]);
+  });
+
+  it('is not new to a service that had no targets', () => {
+    const baseline = new VersionBaseline();
+    held(baseline, [], 0, 0);
+    expect(held(baseline, ['v1'], 100, 50)).toEqual([]);
+  });
+
   it('cannot be told from others before the orders are known', () => {
     const baseline = new VersionBaseline();
     expect(held(baseline, ['v1', 'v2'], 0)).toEqual(['v1', 'v2']);
