A stream that becomes a suspect while it waits is placed apart

Review: isolation was looked at once, before the wait; a stream of a service without engines that was silent waited for twice its pause.

--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -125,7 +125,9 @@
       attemptId: options.work.req.attemptId,
       isResumed: options.hasDelivered,
       maxPauseMs,
-      hasCopy: () => this.mayResumeFromCopy,
+      // Where nothing is read again, another target may go on at once.
+      hasCopy: () =>
+        this.mayResumeFromCopy || options.work.service.engine === undefined,
       onStalled: (silentMs) =>
         this.reportLoss({
           reason: RetryReason.ENGINE_STALLED,
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -89,6 +89,10 @@
         refuse: (reason, afterMs) => this.refuse(reason, afterMs),
         onNoTarget: () => this.fail(false),
       },
+      isolatedFingerprint: () =>
+        this.poisonDetector.isSuspect()
+          ? this.poisonDetector.fingerprint
+          : undefined,
     });
     const {lastEventId} = work.req;
     this.sequence = new EventSequence({lastId: toPosition(lastEventId)});
@@ -142,12 +146,9 @@
   }
 
   private place(): Promise<void> {
-    const {resumableCopy: copy, poisonDetector} = this;
+    const {resumableCopy: copy} = this;
     this.resumableCopy = undefined;
-    const isolatedFingerprint = poisonDetector.isSuspect()
-      ? poisonDetector.fingerprint
-      : undefined;
-    return this.placement.place({copy, isolatedFingerprint});
+    return this.placement.place({copy});
   }
 
   private send(target: Target, {copyFrom, reservation}: Place): void {
--- a/src/direct/streams/stream-placement.ts
+++ b/src/direct/streams/stream-placement.ts
@@ -33,8 +33,6 @@
 export interface PlacementQuery {
   /** The KV cache copy of the lost attempt, if one can be used. */
   readonly copy?: ResumableCopy;
-  /** Present if the stream must be isolated from others. */
-  readonly isolatedFingerprint?: string;
 }
 
 /**
@@ -60,6 +58,8 @@
       work: DirectWork;
       log: StreamLog;
       listener: PlacementListener;
+      /** Present if the stream must be isolated from others now. */
+      isolatedFingerprint: () => string | undefined;
     },
   ) {
     const {ctx, work, listener} = options;
@@ -74,7 +74,10 @@
       listener: {
         tryPlace: () => this.tryPlace(),
         placeAnyway: () => ctx.boundary.run(() => this.placeNow()),
-        refuse: () => listener.refuse(RefusalReason.DEADLINE_UNREACHABLE),
+        refuse: () =>
+          ctx.boundary.run(() =>
+            listener.refuse(RefusalReason.DEADLINE_UNREACHABLE),
+          ),
       },
     });
   }
@@ -83,13 +86,12 @@
    * Sends the stream to the holder of its KV cache copy or to another target;
    * tries again after a pause if no target is available.
    */
-  async place({copy, isolatedFingerprint}: PlacementQuery): Promise<void> {
-    const isSuspect = isolatedFingerprint !== undefined;
+  async place({copy}: PlacementQuery): Promise<void> {
+    const isSuspect = this.options.isolatedFingerprint() !== undefined;
     if (copy !== undefined && (!isSuspect || copy.isHarmless)) {
       if (await this.resumeFrom(copy)) return;
       this.options.log.recordCopyLost(copy.holder);
     }
-    if (isSuspect) this.placer.isolate(isolatedFingerprint);
     if (!this.hasSent) this.room.recordSize(this.placer.tokens);
     const mayWait = !this.hasSent && this.room.isLimited;
     await (mayWait ? this.room.enter() : this.placeNow());
@@ -179,7 +181,10 @@
     else this.goOnWithoutTarget();
   }
 
+  /** Meanwhile the stream may have become a suspect. */
   private chooseTarget(): Promise<Target | undefined> {
+    const fingerprint = this.options.isolatedFingerprint();
+    if (fingerprint !== undefined) this.placer.isolate(fingerprint);
     return this.permitted.choose({
       next: () => this.placer.findTarget(),
       hasNext: () => this.placer.hasTarget() || this.placer.hasUnlimited(),
