Entries with wide links read for the others

Cause: an entry that reads for others sends each changed configuration, whole, to all of its data centre. Readers were chosen by a hash alone, so one with a link of 10 Mbit/s sent a configuration of 1,800 routes to nine others for seconds, beside the answers to its callers; probes timed out everywhere meanwhile. Change: entries tell the bandwidth of their link in their record, and those with at least half of the widest one of a group come first. Test red before: reader-choice 'lets an entry with a wide link read for the others'.

--- a/src/core/relay/consts.ts
+++ b/src/core/relay/consts.ts
@@ -14,3 +14,9 @@
 
 /** Longest such time, in milliseconds. */
 export const MAX_AVOID_MS = 60_000;
+
+/**
+ * Share of the widest link of a group from which an entry reads for others
+ * before those with narrower links.
+ */
+export const WIDE_LINK_SHARE = 0.5;
--- a/src/core/relay/entry-record.ts
+++ b/src/core/relay/entry-record.ts
@@ -1,6 +1,6 @@
 /** Records by which entries find each other. */
 import type {GetType} from 'purify-ts';
-import {Codec, Left, Right, string} from 'purify-ts';
+import {Codec, Left, number, optional, Right, string} from 'purify-ts';
 
 import {parseIpEndpoint} from '../codec/ip-endpoint.js';
 
@@ -20,7 +20,11 @@
   dataCentre: string,
   /** IP:PORT on which it answers other entries. */
   address: PEER_ADDRESS,
+  /** Bandwidth of its VM's link, in Mbit/s; undefined if it is not known. */
+  linkMbps: optional(number),
 });
 
 /** An entry and the address on which it answers others. */
-export type EntryRecord = GetType<typeof ENTRY_RECORD>;
+export type EntryRecord = Omit<GetType<typeof ENTRY_RECORD>, 'linkMbps'> & {
+  readonly linkMbps?: number;
+};
--- a/src/core/relay/reader-order.ts
+++ b/src/core/relay/reader-order.ts
@@ -1,7 +1,7 @@
 /** Orders the entries that may read the store for others. */
 import {createHash} from 'node:crypto';
 
-import {ENTRIES_PER_READER, MIN_GROUP_SIZE} from './consts.js';
+import {ENTRIES_PER_READER, MIN_GROUP_SIZE, WIDE_LINK_SHARE} from './consts.js';
 import type {EntryRecord} from './entry-record.js';
 
 /**
@@ -9,7 +9,8 @@
  * included. An entry that finds itself first reads the store. The entries of a
  * data centre choose among themselves if they are enough, as bytes between data
  * centres cost more; the order is by rendezvous hashing, so that the loss of an
- * entry moves only those that asked it.
+ * entry moves only those that asked it. Entries with wide links come first: a
+ * reader sends each change to all that ask it, beside the answers to its callers.
  *
  * Answers the load of a fleet in which each entry would read each change: the
  * reads grow with `ENTRIES_PER_READER`, not with the entries.
@@ -37,12 +38,25 @@
 }
 
 function rank(entries: readonly EntryRecord[], group: string): EntryRecord[] {
+  const widestMbps = Math.max(0, ...entries.map(linkMbpsOf));
+  const leastMbps = widestMbps * WIDE_LINK_SHARE;
   return entries
-    .map((entry) => ({entry, score: scoreOf(group, entry.vm)}))
-    .sort((a, b) => (a.score < b.score ? -1 : 1))
+    .map((entry) => ({
+      entry,
+      isNarrow: linkMbpsOf(entry) < leastMbps,
+      score: scoreOf(group, entry.vm),
+    }))
+    .sort(
+      (a, b) =>
+        Number(a.isNarrow) - Number(b.isNarrow) || (a.score < b.score ? -1 : 1),
+    )
     .map(({entry}) => entry);
 }
 
+function linkMbpsOf({linkMbps = 0}: EntryRecord): number {
+  return linkMbps;
+}
+
 function scoreOf(group: string, vm: string): string {
   return createHash('sha1').update(`${group}\n${vm}`).digest('hex');
 }
--- a/src/core/settings/direct-settings.ts
+++ b/src/core/settings/direct-settings.ts
@@ -51,6 +51,8 @@
   readonly rollout?: RolloutSettings;
   /** Memory that the platform allows the process, in bytes. */
   readonly memoryBytes: number;
+  /** Bandwidth of the VM's link, in Mbit/s; undefined if it is not known. */
+  readonly linkMbps?: number;
   /** Descriptors that the platform allows; undefined if it does not say. */
   readonly maxDescriptors?: number;
 }
--- a/src/direct/relay/change-relay.ts
+++ b/src/direct/relay/change-relay.ts
@@ -54,6 +54,8 @@
   readonly dataCentre: string;
   /** IP address of this VM. */
   readonly address: string;
+  /** Bandwidth of its link, in Mbit/s; undefined if it is not known. */
+  readonly linkMbps?: number;
   /**
    * Port on which other entries connect; undefined if entries do not connect to
    * each other.
@@ -182,9 +184,14 @@
     this.options.supervisor.run({name: TaskName.PEERS}, async () => {
       const boundPort = await this.listenWhenFree(port);
       if (boundPort === undefined) return;
-      const {vm, dataCentre, address} = this.options;
+      const {vm, dataCentre, address, linkMbps} = this.options;
       const peerAddress = `${address}:${boundPort}`;
-      directory.announce({vm, dataCentre, address: peerAddress});
+      directory.announce({
+        vm,
+        dataCentre,
+        address: peerAddress,
+        linkMbps,
+      });
     });
   }
 
--- a/test/core/relay/reader-choice.test.ts
+++ b/test/core/relay/reader-choice.test.ts
@@ -54,6 +54,24 @@
       expect(dataCentreOf.get(reader)).toBe(dataCentreOf.get(vm));
   });
 
+  it.each([
+    {name: 'wide', links: [200, 10, 10, 190, 10], readers: [0, 3]},
+    {name: 'equal', links: [100, 100, 100, 100], readers: [0, 1, 2, 3]},
+    {
+      name: 'unknown',
+      links: [undefined, undefined, undefined, undefined],
+      readers: [0, 1, 2, 3],
+    },
+  ])('lets an entry with a $name link read for the others', (row) => {
+    const entries = entriesIn(row.links.map(() => 'dc-0')).map((entry, i) => ({
+      ...entry,
+      linkMbps: row.links[i],
+    }));
+    const allowed = row.readers.map((i) => `edge-${i}`);
+    for (const reader of readersOf(entries).values())
+      expect(allowed).toContain(reader);
+  });
+
   it('does not depend on the order in which the entries are known', () => {
     fc.assert(
       fc.property(
