--- a/test/processes/edges-responses.test.ts
+++ b/test/processes/edges-responses.test.ts
@@ -116,11 +116,19 @@
     expect(calls).toBe(before + 1);
   });
 
-  it.each([204, 205, 304, 400, 404, 503, 799])(
+  it.each([204, 205, 304, 400, 404, 503, 599])(
     'keeps status %i',
     async (status) => {
       const res = await call('stock', `/status/${status}`);
       expect([res.status, res.headers['x-kept']]).toEqual([status, 'yes']);
     },
   );
+
+  // 599 is the last status of HTTP (RFC 9110): the rest is no response.
+  it.each([600, 799, 999])('is no response with status %i', async (status) => {
+    const res = await call('stock', `/status/${status}`);
+    expect([502, 504]).toContain(res.status);
+    expect(res.headers['x-kept']).toBeUndefined();
+    expect(JSON.parse(res.text)).not.toMatchObject({ran: 'no'});
+  });
 });
