--- a/src/adapters/bounded-server/http-connection.ts
+++ b/src/adapters/bounded-server/http-connection.ts
@@ -145,6 +145,8 @@
 
 /** Bytes of begun writes that the system has not taken. */
 function queuedBytesOf(socket: Socket): number {
-  const {_handle} = socket as Socket & {readonly _handle?: SocketHandle | null};
-  return _handle?.writeQueueSize ?? 0;
+  const withHandle = socket as Socket & {
+    readonly _handle?: SocketHandle | null;
+  };
+  return withHandle._handle?.writeQueueSize ?? 0;
 }
