A generation that waits when its entry begins to stop goes elsewhere

Review: whether a planned stop leaves time was asked only where no target was found, so a generation that waited for room could begin late in the grace period and be cut off. Test red before: engine-room 'gets no generation that waited until its entry stops' (200 in place of 503).

--- a/src/direct/streams/stream-placement.ts
+++ b/src/direct/streams/stream-placement.ts
@@ -151,6 +151,11 @@
 
   /** Sends the stream where it has room; false if no engine has. */
   private async placeWithRoom(): Promise<boolean> {
+    // It may have waited until it would be cut off by a planned stop.
+    if (this.mustBeLeft()) {
+      this.goOnWithoutTarget();
+      return true;
+    }
     this.placer.clearWithoutRoom();
     for (let i = 0; i < MAX_ENGINES_PER_LOOK; i++) {
       const target = await this.chooseTarget();
--- a/test/direct/engine-room.test.ts
+++ b/test/direct/engine-room.test.ts
@@ -65,6 +65,18 @@
     await waitFor(() => engine.room.heldCount === 0);
   });
 
+  // Guards against streams that begin late in a planned stop and are cut (LOST).
+  it('gets no generation that waited until its entry stops', async () => {
+    const engine = await start({holdMs: HOLD_MS});
+    engine.room.usedTokens = CAPACITY_TOKENS;
+    const reply = call();
+    await waitFor(() => engine.room.refused > 0);
+    const stopped = site.entries[0]!.stopAsPlanned();
+    expect((await reply).status).toBe(503);
+    expect(engine.runs).toHaveLength(0);
+    await stopped;
+  });
+
   it('gets a generation that must start now, although it is full', async () => {
     const engine = await start({holdMs: HOLD_MS});
     engine.room.usedTokens = CAPACITY_TOKENS;
