--- a/src/entry/links/agent-link.ts
+++ b/src/entry/links/agent-link.ts
@@ -1,15 +1,10 @@
 /** An entry's connection to one agent, shared by all its requests. */
 import type {Clock, RandomSource} from '../../core/clock/index.js';
-import {RecoveryGoal} from '../../core/config/index.js';
+import type {RecoveryGoal} from '../../core/config/index.js';
 import type {VmRecord} from '../../core/edges/index.js';
 import {VmState} from '../../core/edges/index.js';
 import {RetryReason} from '../../core/errors/index.js';
 import type {RecoveryPolicy} from '../../core/generation/index.js';
-import {
-  BUSY_BOUNDS,
-  SilenceTimeout,
-  IDLE_BOUNDS,
-} from '../../core/membership/index.js';
 import type {Metrics} from '../../core/metrics/index.js';
 import {CounterName} from '../../core/metrics/index.js';
 import type {
@@ -38,6 +33,7 @@
   MAX_PENDING_CANCELS,
 } from '../consts.js';
 import type {AttemptLink} from '../generation/attempt-link.js';
+import {AgentSilence} from './agent-silence.js';
 import type {AgentConfigSource, LinkHandler} from './link-handler.js';
 
 /** Exchanges messages with one agent and keeps the view of its target. */
@@ -46,20 +42,10 @@
   private readonly handlers = new Map<string, LinkHandler>();
   private incarnation = '';
   private heartbeat: HeartbeatMessage | undefined;
-  /** When the agent last sent anything; reset after a pause of this process. */
-  private lastReceivedAtMs: number;
-  /**
-   * When the link last became busy. Idle agents send less often, so silence
-   * from before that does not count once the link is busy.
-   */
-  private busySinceMs = 0;
   private isSuspected = false;
   private isUnlisted = false;
   private hasSentLeave = false;
-  private readonly busyGaps = new SilenceTimeout(
-    BUSY_BOUNDS[RecoveryGoal.LATENCY],
-  );
-  private readonly idleGaps = new SilenceTimeout(IDLE_BOUNDS);
+  private readonly silence: AgentSilence;
   /** Version that is to be sent at `configDueAtMs`. */
   private scheduledConfigVersion = 0;
   private configDueAtMs = 0;
@@ -88,7 +74,7 @@
     },
   ) {
     const {hello, clock, random, supervisor} = options;
-    this.lastReceivedAtMs = clock.now();
+    this.silence = new AgentSilence(clock);
     const peer = {address: record.address, port: record.peerPort};
     this.client = new PeerClient({
       ...{peer, hello, clock, random, supervisor},
@@ -110,7 +96,7 @@
 
   /** Applies the recovery goal of the deployment. */
   setRecoveryGoal(goal: RecoveryGoal): void {
-    this.busyGaps.setBounds(BUSY_BOUNDS[goal]);
+    this.silence.setRecoveryGoal(goal);
   }
 
   /** Applies the target's current record in the VM list. */
@@ -199,7 +185,7 @@
     const {id, message, handler} = options;
     if (!this.isConnected()) return false;
     if (message.type === MessageType.START && this.isDraining()) return false;
-    if (this.handlers.size === 0) this.busySinceMs = this.options.clock.now();
+    if (!this.isBusy()) this.silence.beginBusy();
     this.handlers.set(id, handler);
     this.recordCount();
     this.client.send(message);
@@ -229,38 +215,31 @@
   /** Marks the agent as suspected if it has been silent for too long. */
   checkSilence(policy: RecoveryPolicy): void {
     if (!this.client.isReady() || this.isSuspected) return;
-    const busy = this.handlers.size > 0;
-    const silentMs = this.silentForMs(busy);
-    const allowedMs = (busy ? this.busyGaps : this.idleGaps).timeoutMs();
-    if (busy) this.notifyHedgeDue(silentMs, allowedMs * policy.hedgeShare);
-    if (silentMs <= allowedMs) return;
+    const isBusy = this.isBusy();
+    const share = policy.hedgeShare;
+    if (isBusy && this.silence.isTooLong({isBusy, share}))
+      this.notifyHedgeDue();
+    if (!this.silence.isTooLong({isBusy})) return;
     this.isSuspected = true;
     this.options.metrics.count(CounterName.TARGETS_SUSPECTED);
     this.failAll(RetryReason.AGENT_SILENT);
   }
 
   /** Notifies the handlers once per silence that a hedged attempt is due. */
-  private notifyHedgeDue(silentMs: number, hedgeAfterMs: number): void {
-    if (this.hasNotifiedHedge || silentMs < hedgeAfterMs) return;
+  private notifyHedgeDue(): void {
+    if (this.hasNotifiedHedge) return;
     this.hasNotifiedHedge = true;
     this.notifyAll((handler) => handler.onHedgeDue?.());
   }
 
-  private silentForMs(busy: boolean): number {
-    const sinceMs = busy
-      ? Math.max(this.lastReceivedAtMs, this.busySinceMs)
-      : this.lastReceivedAtMs;
-    return this.options.clock.now() - sinceMs;
-  }
-
   /** Restarts the silence timer after a pause of this process. */
   resetSilence(): void {
-    this.lastReceivedAtMs = this.options.clock.now();
+    this.silence.reset();
   }
 
   onReady(hello: HelloMessage): void {
     this.incarnation = hello.incarnation;
-    this.lastReceivedAtMs = this.options.clock.now();
+    this.silence.reset();
     this.isSuspected = false;
     this.hasNotifiedHedge = false;
     for (const attemptId of this.pendingCancels) {
@@ -304,12 +283,8 @@
     }
   }
 
-  /** Records that the agent sends, and the gap before it. */
   private recordReceived(): void {
-    const nowMs = this.options.clock.now();
-    const busy = this.handlers.size > 0;
-    (busy ? this.busyGaps : this.idleGaps).recordGap(this.silentForMs(busy));
-    this.lastReceivedAtMs = nowMs;
+    this.silence.recordReceived({isBusy: this.isBusy()});
     this.isSuspected = false;
     this.hasNotifiedHedge = false;
   }
