An order for the version in use is completed at once

Cause: an order was always played in steps, also where all targets have its version: the version got a tenth of the requests, and nothing else could take the rest. Evidence: "to the version in use is completed at once" is red without the change: completed after 8,363 ms. Change: an entry that knew the version before the order, or has read rows without answers of another version, counts the order as completed, holds nothing back and writes the status at its turn. Measurement: test/core/rollouts/status.test.ts green; the direct test green in one run, beside load of others.

--- a/src/core/rollouts/decide-status.ts
+++ b/src/core/rollouts/decide-status.ts
@@ -2,7 +2,7 @@
 import {createHash} from 'node:crypto';
 
 import {COMPLETE_WITHOUT_WAIT_FROM, MIN_FULL_MS} from './consts.js';
-import type {EvidenceRow, RolloutRecord} from './types.js';
+import type {EvidenceRow, RolloutEnd, RolloutRecord} from './types.js';
 import {RolloutState, RolloutStep} from './types.js';
 
 /** What an entry knows when it decides on the status. */
@@ -10,6 +10,8 @@
   readonly record: RolloutRecord;
   /** Whether any entry has found the version to be bad. */
   readonly isBad: boolean;
+  /** Whether the version was in use before, so that nothing has to move. */
+  readonly isInUse: boolean;
   readonly ageMs: number;
   readonly step: RolloutStep;
   /** Time at this step, in milliseconds. */
@@ -30,11 +32,11 @@
  * const state = decideStatus(known);
  */
 export function decideStatus(query: StatusQuery): RolloutState | undefined {
-  const {record, isBad} = query;
+  const {record, isBad, isInUse} = query;
   const present = currentState(record);
   if (isOver(present)) return undefined;
   if (isBad) return RolloutState.ROLLED_BACK;
-  if (isComplete(query)) return RolloutState.COMPLETED;
+  if (isInUse || isComplete(query)) return RolloutState.COMPLETED;
   return present === undefined ? RolloutState.IN_PROGRESS : undefined;
 }
 
@@ -52,7 +54,7 @@
 }
 
 /** Whether a state ends its order. */
-export function isOver(state: RolloutState | undefined): boolean {
+export function isOver(state: RolloutState | undefined): state is RolloutEnd {
   return state === RolloutState.COMPLETED || state === RolloutState.ROLLED_BACK;
 }
 
--- a/src/core/rollouts/index.ts
+++ b/src/core/rollouts/index.ts
@@ -23,16 +23,24 @@
 export {EVIDENCE_ROW} from './evidence-row.js';
 export {ExposureBudget} from './exposure-budget.js';
 export {judgeVersion} from './judge-version.js';
+export type {SeenVersions} from './rollout-controller.js';
 export {RolloutController} from './rollout-controller.js';
 export {slackShare} from './slack-share.js';
 export {SlowTimes} from './slow-times.js';
 export type {
   EvidenceCell,
   EvidenceRow,
+  RolloutEnd,
   RolloutOrder,
   RolloutRecord,
   RolloutSettings,
   RolloutStatus,
 } from './types.js';
-export {BadReason, RolloutState, RolloutStep, StatusOutcome} from './types.js';
+export {
+  BadReason,
+  PriorUse,
+  RolloutState,
+  RolloutStep,
+  StatusOutcome,
+} from './types.js';
 export {VersionBaseline} from './version-baseline.js';
--- a/src/core/rollouts/rollout-controller.ts
+++ b/src/core/rollouts/rollout-controller.ts
@@ -20,11 +20,12 @@
 import {slackShare} from './slack-share.js';
 import type {
   EvidenceRow,
+  RolloutEnd,
   RolloutRecord,
   RolloutSettings,
   BadReason,
 } from './types.js';
-import {RolloutState, RolloutStep} from './types.js';
+import {PriorUse, RolloutState, RolloutStep} from './types.js';
 
 /** The newest row of another entry. */
 interface HeardRow {
@@ -32,6 +33,14 @@
   readonly heardAtMs: number;
 }
 
+/** Which versions the registered targets of a service have. */
+export interface SeenVersions {
+  /** Targets of the version of the order. */
+  readonly targets: number;
+  /** Whether there was a target of another version since the order. */
+  readonly hasOthers: boolean;
+}
+
 /** Which versions may get a request now. */
 export interface AllowedVersions {
   readonly old: boolean;
@@ -68,6 +77,10 @@
   private isRestarted = false;
   private due?: {readonly state: RolloutState; readonly sinceMs: number};
   private ticks = 0;
+  private seen?: SeenVersions;
+  private isInUse = false;
+  /** Whether any entry has had answers of another version since the order. */
+  private hasOldAnswers = false;
 
   constructor(
     private readonly options: {
@@ -77,6 +90,8 @@
       settings: RolloutSettings;
       /** VMs of all entries; undefined while they are not known. */
       entries?: () => readonly string[] | undefined;
+      /** What the version was to the service; unknown by default. */
+      priorUse?: PriorUse;
       clock: Clock;
     },
   ) {
@@ -103,11 +118,11 @@
   }
 
   /** State as the status or a verdict tells it; undefined while it runs. */
-  get end(): RolloutState.COMPLETED | RolloutState.ROLLED_BACK | undefined {
+  get end(): RolloutEnd | undefined {
     const state = currentState(this.current);
-    if (state === RolloutState.COMPLETED) return state;
-    const isBack =
-      state === RolloutState.ROLLED_BACK || this.badReason !== undefined;
+    if (isOver(state)) return state;
+    if (this.isInUse) return RolloutState.COMPLETED;
+    const isBack = this.badReason !== undefined;
     return isBack ? RolloutState.ROLLED_BACK : undefined;
   }
 
@@ -130,6 +145,7 @@
     const ownAgeMs = heardAtMs - this.startedMs;
     // Also of an earlier process of this VM.
     if (row.bad !== undefined) this.badReason ??= row.bad;
+    this.hasOldAnswers ||= row.cells.some(({isNew}) => !isNew);
     this.ageAtStartMs = Math.max(this.ageAtStartMs, row.ageMs - ownAgeMs);
     const isNews = this.rows.get(row.vm)?.row.tick !== row.tick;
     if (row.vm === vm && !this.hasReadRows) this.isRestarted = true;
@@ -152,6 +168,29 @@
     this.hasReadRows = true;
     if (!this.hasRecentRows) this.readSinceMs = this.options.clock.now();
     this.evidenceAtMs = Math.max(this.evidenceAtMs, atMs);
+    this.checkInUse();
+  }
+
+  /**
+   * Records the versions of the service; returns whether they show that the
+   * version of the order is in use already, so that there is nothing to move.
+   */
+  observe(seen: SeenVersions): boolean {
+    this.seen = seen;
+    return !this.isOver && this.checkInUse();
+  }
+
+  /** Returns whether it has just been found out. */
+  private checkInUse(): boolean {
+    const {seen} = this;
+    const {priorUse = PriorUse.UNKNOWN} = this.options;
+    if (this.isInUse || seen === undefined) return false;
+    if (seen.hasOthers || seen.targets === 0) return false;
+    if (priorUse === PriorUse.OTHERS) return false;
+    // A process that starts late sees no targets that were lost before.
+    const isKnown = this.hasReadRows && !this.hasOldAnswers;
+    this.isInUse = priorUse === PriorUse.USED || isKnown;
+    return this.isInUse;
   }
 
   /** Judges the version and decides on the step; returns whether it changed. */
@@ -194,9 +233,9 @@
 
   /** Whether a request may be sent to the new version whatever chose it. */
   maySendToNew(): boolean {
-    // Until then it may have been found bad before this process began.
-    if (!this.hasReadRows && !this.isOver) return false;
     if (this.end !== undefined) return this.end === RolloutState.COMPLETED;
+    // Until then it may have been found bad before this process began.
+    if (!this.hasReadRows) return false;
     return !isWithinBound(this.nowStep) || this.budget.maySend();
   }
 
@@ -227,7 +266,8 @@
     const others = this.liveRows();
     const state = decideStatus({
       record: this.current,
-      isBad: this.badReason !== undefined,
+      isBad: this.end === RolloutState.ROLLED_BACK,
+      isInUse: this.isInUse,
       ageMs: this.ageMs,
       step: this.nowStep,
       stepMs: this.stepMs,
--- a/src/core/rollouts/types.ts
+++ b/src/core/rollouts/types.ts
@@ -18,6 +18,19 @@
   ROLLED_BACK = 'rolled_back',
 }
 
+/** States that end an order. */
+export type RolloutEnd = RolloutState.COMPLETED | RolloutState.ROLLED_BACK;
+
+/** What the ordered version was to its service when the order came. */
+export enum PriorUse {
+  /** The order came before this process knew the service. */
+  UNKNOWN = 'unknown',
+  /** It had traffic. */
+  USED = 'used',
+  /** Other versions had traffic, and it had none. */
+  OTHERS = 'others',
+}
+
 /** The status that the entries write. */
 export interface RolloutStatus {
   readonly state: RolloutState;
--- a/src/core/rollouts/version-baseline.ts
+++ b/src/core/rollouts/version-baseline.ts
@@ -1,4 +1,5 @@
 /** The versions of a service that may get traffic without an order. */
+import {PriorUse} from './types.js';
 
 /**
  * Longest time for which a new version is held back, in milliseconds: orders that
@@ -54,6 +55,18 @@
     return held;
   }
 
+  /**
+   * Tells what a version is to a service.
+   *
+   * @example
+   * baseline.priorUse('desk', 'v2') === PriorUse.USED;
+   */
+  priorUse(service: string, version: string): PriorUse {
+    const known = this.known.get(service);
+    if (known === undefined || known.size === 0) return PriorUse.UNKNOWN;
+    return known.has(version) ? PriorUse.USED : PriorUse.OTHERS;
+  }
+
   private seenSinceMs(key: string, nowMs: number): number {
     const seenMs = this.firstSeenMs.get(key) ?? nowMs;
     this.firstSeenMs.set(key, seenMs);
--- a/src/direct/rollouts/rollout-keeper.ts
+++ b/src/direct/rollouts/rollout-keeper.ts
@@ -11,6 +11,7 @@
   RolloutSettings,
 } from '../../core/rollouts/index.js';
 import {
+  PriorUse,
   RolloutState,
   RolloutStep,
   VersionBaseline,
@@ -161,7 +162,17 @@
     if (before?.controller.end === RolloutState.ROLLED_BACK)
       this.bar(service, before.controller.record.target);
     this.barred.get(service)?.delete(target);
-    const rollout = new Rollout({record, vm, settings, entries, clock});
+    const priorUse = this.hasLoaded
+      ? this.baseline.priorUse(service, target)
+      : PriorUse.UNKNOWN;
+    const rollout = new Rollout({
+      record,
+      vm,
+      settings,
+      entries,
+      priorUse,
+      clock,
+    });
     this.rollouts.set(service, rollout);
     logger.info('roll-out ordered', {
       service,
@@ -209,6 +220,7 @@
     const {service} = controller.record;
     const registered = this.targets?.registeredOf(service) ?? [];
     const newTargets = rollout.refreshOpen(registered);
+    if (rollout.observe(registered)) this.logInUse(rollout);
     if (controller.update({newTargets})) {
       rollout.refreshOpen(registered);
       this.logStep(rollout);
@@ -237,6 +249,14 @@
     );
   }
 
+  private logInUse({controller}: Rollout): void {
+    const {service, target} = controller.record;
+    this.options.logger.info('roll-out is to a version in use', {
+      service,
+      target,
+    });
+  }
+
   private logEnd({controller}: Rollout): void {
     const {logger, metrics} = this.options;
     const {service, target} = controller.record;
--- a/src/direct/rollouts/rollout.ts
+++ b/src/direct/rollouts/rollout.ts
@@ -2,6 +2,7 @@
 import {createHash} from 'node:crypto';
 
 import type {
+  PriorUse,
   RolloutSettings,
   RolloutRecord,
 } from '../../core/rollouts/index.js';
@@ -50,6 +51,7 @@
     settings: RolloutSettings;
     /** VMs of all entries; undefined while they are not known. */
     entries?: () => readonly string[] | undefined;
+    priorUse?: PriorUse;
     clock: Clock;
   }) {
     this.controller = new RolloutController(options);
@@ -73,6 +75,15 @@
     return version === this.controller.record.target;
   }
 
+  /** Tells the controller which versions there are; see its `observe`. */
+  observe(registered: readonly Target[]): boolean {
+    const ofNew = registered.filter(({record}) => this.isNew(record));
+    return this.controller.observe({
+      targets: ofNew.length,
+      hasOthers: this.oldVersions.size > 0,
+    });
+  }
+
   /** Chooses the targets that are open; returns how many new ones there are. */
   refreshOpen(registered: readonly Target[]): number {
     for (const {record} of registered)
--- a/test/core/rollouts/status.test.ts
+++ b/test/core/rollouts/status.test.ts
@@ -10,6 +10,7 @@
 import {
   BadReason,
   decideStatus,
+  PriorUse,
   writerRank,
   RolloutController,
   RolloutState,
@@ -28,6 +29,7 @@
 const FULL = {
   record: RECORD,
   isBad: false,
+  isInUse: false,
   ageMs: 20_000,
   step: RolloutStep.FULL,
   stepMs: 2_000,
@@ -150,6 +152,81 @@
   });
 });
 
+describe('an order for a version that is in use', () => {
+  const settings = {exposureShare: 0.1, exposureSlack: 0, rollbackMs: 5_000};
+  const OLD_CELL = {
+    isNew: false,
+    route: '/a/',
+    dataCentre: 'a',
+    target: '',
+    answers: 3,
+    failures: 0,
+    lost: 0,
+    timed: 0,
+    slow: 0,
+  };
+
+  it.each([
+    {name: 'is completed at once', priorUse: PriorUse.USED, is: COMPLETED},
+    {name: 'is completed if the rows tell no old version', is: COMPLETED},
+    {name: 'is not if they were not read', hasRead: false, is: IN_PROGRESS},
+    {
+      name: 'is not if they tell an old version',
+      rows: [rowOf({step: RolloutStep.CANARY, cells: [OLD_CELL]})],
+      is: IN_PROGRESS,
+    },
+    {
+      name: 'is not if an earlier process of the VM tells one',
+      rows: [rowOf({vm: 'edge-1', cells: [OLD_CELL]})],
+      is: IN_PROGRESS,
+    },
+    {
+      name: 'is not if other versions had the traffic',
+      priorUse: PriorUse.OTHERS,
+      is: IN_PROGRESS,
+    },
+    {
+      name: 'is not with targets of another version',
+      priorUse: PriorUse.USED,
+      hasOthers: true,
+      is: IN_PROGRESS,
+    },
+    {
+      name: 'is not without targets',
+      priorUse: PriorUse.USED,
+      targets: 0,
+      is: IN_PROGRESS,
+    },
+  ])(
+    '$name',
+    ({
+      priorUse,
+      hasRead = true,
+      rows = [],
+      hasOthers = false,
+      targets = 4,
+      is,
+    }) => {
+      const clock = new ManualClock();
+      const vm = 'edge-1';
+      const order = {record: RECORD, vm, settings, priorUse, clock};
+      const controller = new RolloutController(order);
+      for (const row of rows) controller.hear(row);
+      if (hasRead) controller.recordRead(clock.now());
+      controller.observe({targets, hasOthers});
+      clock.advance(2_000);
+      controller.update({newTargets: targets});
+      controller.stateToWrite(0);
+      // The turn of the other entry, if there is one.
+      clock.advance(900);
+      expect(controller.stateToWrite(0)).toBe(is);
+      const mayServe = is === COMPLETED;
+      expect(controller.maySendToNew()).toBe(mayServe);
+      expect(controller.allowed().old).toBe(!mayServe);
+    },
+  );
+});
+
 describe('a version without an order', () => {
   const held = (
     baseline: VersionBaseline,
--- a/test/direct/rollouts.test.ts
+++ b/test/direct/rollouts.test.ts
@@ -283,6 +283,22 @@
     TEST_MS,
   );
 
+  it(
+    'to the version in use is completed at once and holds nothing back',
+    async () => {
+      play = await RolloutSite.start();
+      await pause(500);
+      const served = play.statuses.get(200) ?? 0;
+      play.order(10, 'v1');
+      const tookMs = await play.waitForState('completed', 12_000);
+      expect(tookMs).toBeLessThan(2_000);
+      await pause(1_000);
+      expect(play.statuses.get(200)).toBeGreaterThan(served + 50);
+      expect([...play.statuses.keys()]).toEqual([200]);
+    },
+    TEST_MS,
+  );
+
   it(
     'whose bytes cannot be read later goes on',
     async () => {
