Old evidence stops a version that has not been completed

Cause: rollback_ms was parsed and used nowhere. An entry whose watch on the others' rows was late, or that the store alone turned away, went on sending to a version that the others had turned back. Change: an entry sends nothing more to the version once its last complete read began more than 0.55 of rollback_ms ago, checked at each send and stretched by nothing; from the third step on it goes on with the new version if no old target is usable. The wait for rows is 0.3 of rollback_ms at most, so that quiet reads stay fresh.

--- a/src/core/rollouts/consts.ts
+++ b/src/core/rollouts/consts.ts
@@ -55,6 +55,13 @@
 /** Age of the newest read of the evidence above which no step follows. */
 export const MAX_EVIDENCE_AGE_MS = 3_000;
 
+/**
+ * Age of the newest read of the evidence from which a version that is not known
+ * to be sound gets nothing, as a part of the time to roll back. The rest of that
+ * time is for writing the evidence and for reading it.
+ */
+export const STALE_EVIDENCE_PART = 0.55;
+
 /** Windows over which versions are compared, in milliseconds. */
 export const WINDOWS_MS: readonly number[] = [3_000, 8_000];
 
--- a/src/core/rollouts/rollout-controller.ts
+++ b/src/core/rollouts/rollout-controller.ts
@@ -4,6 +4,7 @@
   ENTRY_SILENCE_MS,
   MAX_EVIDENCE_AGE_MS,
   MAX_SLACK_AGE_MS,
+  STALE_EVIDENCE_PART,
   STATUS_TURN_MS,
 } from './consts.js';
 import {
@@ -201,7 +202,7 @@
     const windows = this.history.update(cells, clock.now());
     this.badReason = judgeVersion({sinceOrder: cells, windows});
     if (this.badReason !== undefined) return true;
-    const evidenceAgeMs = clock.now() - this.evidenceAtMs;
+    const {evidenceAgeMs} = this;
     const decided = decideStep({
       step: this.nowStep,
       stepMs: this.stepMs,
@@ -226,6 +227,7 @@
   allowed(): AllowedVersions {
     if (this.end === RolloutState.COMPLETED) return {old: false, new: true};
     if (this.end === RolloutState.ROLLED_BACK) return {old: true, new: false};
+    if (this.hasStaleEvidence) return {old: true, new: false};
     if (this.nowStep === RolloutStep.FULL) return {old: false, new: true};
     const isBelow = this.budget.isBelow(this.share);
     return {old: true, new: isBelow && this.maySendToNew()};
@@ -235,7 +237,7 @@
   maySendToNew(): boolean {
     if (this.end !== undefined) return this.end === RolloutState.COMPLETED;
     // Until then it may have been found bad before this process began.
-    if (!this.hasReadRows) return false;
+    if (!this.hasReadRows || this.hasStaleEvidence) return false;
     return !isWithinBound(this.nowStep) || this.budget.maySend();
   }
 
@@ -286,9 +288,18 @@
     return dueForMs >= rank * STATUS_TURN_MS ? state : undefined;
   }
 
+  /** Whether the others may have found the version bad in time for a stop. */
+  get hasStaleEvidence(): boolean {
+    const {rollbackMs} = this.options.settings;
+    return this.evidenceAgeMs > rollbackMs * STALE_EVIDENCE_PART;
+  }
+
+  private get evidenceAgeMs(): number {
+    return this.options.clock.now() - this.evidenceAtMs;
+  }
+
   private get hasRecentRows(): boolean {
-    const ageMs = this.options.clock.now() - this.evidenceAtMs;
-    return ageMs <= MAX_EVIDENCE_AGE_MS;
+    return this.evidenceAgeMs <= MAX_EVIDENCE_AGE_MS;
   }
 
   /** Whether each entry that lives has been heard by now. */
--- a/src/direct/rollouts/consts.ts
+++ b/src/direct/rollouts/consts.ts
@@ -18,6 +18,9 @@
 /** Longest wait for others' evidence, in milliseconds. */
 export const EVIDENCE_LONG_POLL_MS = 2_000;
 
+/** The same as a part of the time to roll back, so that reads stay fresh. */
+export const EVIDENCE_LONG_POLL_PART = 0.3;
+
 /** Longest wait for orders, in milliseconds. */
 export const ORDERS_LONG_POLL_MS = 5_000;
 
--- a/src/direct/rollouts/evidence-sync.ts
+++ b/src/direct/rollouts/evidence-sync.ts
@@ -3,7 +3,7 @@
 import type {RolloutEdges} from '../../core/edges/rollout-edges.js';
 import type {SourceItem} from '../../core/edges/state-source.js';
 import type {Logger} from '../../core/logs/index.js';
-import type {EvidenceRow} from '../../core/rollouts/index.js';
+import type {EvidenceRow, RolloutSettings} from '../../core/rollouts/index.js';
 import type {Supervisor} from '../../core/supervision/index.js';
 import {TaskName} from '../../core/supervision/index.js';
 import type {Follower, OutageGate} from '../../core/sync/index.js';
@@ -11,6 +11,7 @@
 import {
   EVIDENCE_HEARTBEAT_MS,
   EVIDENCE_LONG_POLL_MS,
+  EVIDENCE_LONG_POLL_PART,
   EVIDENCE_PAUSE_MS,
   EVIDENCE_WRITE_MS,
   URGENT_WRITE_MS,
@@ -20,6 +21,7 @@
 /** Dependencies of the sharing of evidence. */
 export interface EvidenceSyncOptions {
   readonly vm: string;
+  readonly settings: RolloutSettings;
   readonly edges: RolloutEdges;
   /** All roll-outs that this entry knows. */
   readonly rollouts: () => Iterable<Rollout>;
@@ -72,11 +74,13 @@
 
   private follow(): void {
     if (this.follower !== undefined) return;
+    const {edges, settings} = this.options;
+    const waitMs = settings.rollbackMs * EVIDENCE_LONG_POLL_PART;
     this.follower = createStoreFollower({
       ...this.options,
       what: 'rollout evidence',
-      source: this.options.edges.evidenceSource,
-      waitMs: EVIDENCE_LONG_POLL_MS,
+      source: edges.evidenceSource,
+      waitMs: Math.min(waitMs, EVIDENCE_LONG_POLL_MS),
       pauseMs: EVIDENCE_PAUSE_MS,
       onSnapshot: (items) => this.hear(items),
       onChanges: (changes) => {
--- a/src/direct/rollouts/rollout.ts
+++ b/src/direct/rollouts/rollout.ts
@@ -42,6 +42,7 @@
   isWithdrawn = false;
   /** Versions that the order replaces, as seen while it runs. */
   private readonly oldVersions = new Set<string | undefined>();
+  private hasUsableOld = true;
   private openIds: ReadonlySet<string> = new Set();
   private readonly scores = new Map<string, string>();
 
@@ -68,7 +69,15 @@
     const isCompleted = controller.end === RolloutState.COMPLETED;
     const isUnbound = this.isWithdrawn && controller.end === undefined;
     if (isCompleted || isUnbound) return true;
-    return !this.isWithdrawn && controller.maySendToNew();
+    if (this.isWithdrawn) return false;
+    return controller.maySendToNew() || this.mustUseNew;
+  }
+
+  /** Whether the old version can no longer stand in for a trusted one. */
+  private get mustUseNew(): boolean {
+    const {controller, hasUsableOld} = this;
+    if (controller.end !== undefined || !controller.hasRead) return false;
+    return !isWithinBound(controller.step) && !hasUsableOld;
   }
 
   isNew({version}: TargetRecord): boolean {
@@ -112,9 +121,12 @@
     const ofNew = registered.filter(({record}) => this.isNew(record));
     if (controller.end === RolloutState.COMPLETED)
       return this.withoutReplaced(registered);
+    this.hasUsableOld = old.some((target) => !target.isPaused());
+    if (controller.hasStaleEvidence && !this.mustUseNew) return old;
     const {step} = controller;
     if (step === RolloutStep.FULL)
       return ofNew.some((target) => !target.isPaused()) ? ofNew : registered;
+    if (!isWithinBound(step) && controller.hasStaleEvidence) return registered;
     if (!controller.allowed().new) return old;
     if (!isWithinBound(step)) return registered;
     const open = ofNew.filter(({id}) => this.openIds.has(id));
--- a/test/core/rollouts/rollouts.test.ts
+++ b/test/core/rollouts/rollouts.test.ts
@@ -152,6 +152,39 @@
     }
   });
 
+  const SILENT = [
+    {name: 'in the canary', fromMs: 3_000, badFromMs: 4_000},
+    {name: 'under its full load', fromMs: 14_000, badFromMs: 14_500},
+    {name: 'with half of the traffic', fromMs: 18_500, badFromMs: 18_600},
+    {name: 'with all of the traffic', fromMs: 19_700, badFromMs: 19_800},
+  ];
+
+  it.each(SILENT)(
+    '$name gets nothing late from an entry that the store alone turns away',
+    ({fromMs, badFromMs}) => {
+      for (const seed of SEEDS) {
+        const fleet = new Fleet({
+          isCut: (i, t) => i === 1 && t > fromMs,
+          // Its own outcomes do not tell it.
+          outcome: (met) => ({
+            ...usual(met),
+            isFailure:
+              met.isNew &&
+              met.nowMs > badFromMs &&
+              met.entry !== 1 &&
+              met.random.float() < 0.8,
+          }),
+          seed,
+        }).play();
+        expect(fleet.state).toBe(RolloutState.ROLLED_BACK);
+        const fiftiethMs = fleet.badAtMs[49] ?? Number.POSITIVE_INFINITY;
+        const limitMs = fiftiethMs + SETTINGS.rollbackMs;
+        const late = fleet.sentToNew.filter(({atMs}) => atMs > limitMs);
+        expect({seed, late: late.length}).toEqual({seed, late: 0});
+      }
+    },
+  );
+
   it('gets nothing from an entry that returns with old knowledge', () => {
     // Paused while the others turn back, it knows only the canary.
     const fleet = new Fleet({
--- a/test/support/rollout-fleet.ts
+++ b/test/support/rollout-fleet.ts
@@ -31,6 +31,7 @@
 
 /** What a request meets. */
 export interface Meeting {
+  readonly entry: number;
   readonly isNew: boolean;
   /** Index of the target within its version. */
   readonly target: number;
@@ -178,7 +179,7 @@
       this.sentToNew.push({atMs: nowMs, entry});
     }
     c.budget.recordReached();
-    const met = {isNew, target, dataCentre, route, nowMs, load, random};
+    const met = {entry, isNew, target, dataCentre, route, nowMs, load, random};
     const result = outcome(met);
     if (!isNew) this.times[entry]!.record(route, result.ms);
     const isSlow = this.times[entry]!.isSlow(route, result.ms);
