Rows name the versions that earlier orders found bad

Cause: that a replaced order had found its version bad was known to living processes alone; one that started later took the bad version for an old one. An order back to the old version was played in steps against the bad one, so that most requests were refused. Change: rows carry the barred versions, for as long as an order runs; an entry that knows neither the service nor the rows uses none of several old versions until it has read the rows; barred targets do not count as another version.

--- a/src/core/rollouts/evidence-row.ts
+++ b/src/core/rollouts/evidence-row.ts
@@ -81,5 +81,6 @@
   step: enumeration(RolloutStep),
   bad: optional(enumeration(BadReason)),
   oldOpen: COUNT,
+  barred: optional(array(string)),
   cells: array(CELL),
 });
--- a/src/core/rollouts/rollout-controller.ts
+++ b/src/core/rollouts/rollout-controller.ts
@@ -78,6 +78,7 @@
   private isRestarted = false;
   private due?: {readonly state: RolloutState; readonly sinceMs: number};
   private ticks = 0;
+  private readonly barredVersions: Set<string>;
   private seen?: SeenVersions;
   private isInUse = false;
   /** Whether any entry has had answers of another version since the order. */
@@ -91,12 +92,15 @@
       settings: RolloutSettings;
       /** VMs of all entries; undefined while they are not known. */
       entries?: () => readonly string[] | undefined;
+      /** Versions that earlier orders of the service have found bad. */
+      barred?: ReadonlySet<string>;
       /** What the version was to the service; unknown by default. */
       priorUse?: PriorUse;
       clock: Clock;
     },
   ) {
-    const {record, settings, clock} = options;
+    const {record, settings, clock, barred = []} = options;
+    this.barredVersions = new Set(barred);
     this.current = record;
     this.budget = new ExposureBudget({share: settings.exposureShare});
     this.startedMs = clock.now();
@@ -147,6 +151,8 @@
     // Also of an earlier process of this VM.
     if (row.bad !== undefined) this.badReason ??= row.bad;
     this.hasOldAnswers ||= row.cells.some(({isNew}) => !isNew);
+    for (const version of row.barred ?? [])
+      if (version !== record.target) this.barredVersions.add(version);
     this.ageAtStartMs = Math.max(this.ageAtStartMs, row.ageMs - ownAgeMs);
     const isNews = this.rows.get(row.vm)?.row.tick !== row.tick;
     if (row.vm === vm && !this.hasReadRows) this.isRestarted = true;
@@ -158,6 +164,20 @@
     return this.hasReadRows;
   }
 
+  /** Versions that get nothing, as any entry knows them from earlier orders. */
+  get barred(): ReadonlySet<string> {
+    return this.barredVersions;
+  }
+
+  /**
+   * Whether this process knows neither the service nor the rows, so that it
+   * cannot tell a version that was rolled back from one in use.
+   */
+  get isUninformed(): boolean {
+    const {priorUse = PriorUse.UNKNOWN} = this.options;
+    return priorUse === PriorUse.UNKNOWN && !this.hasReadRows;
+  }
+
   /** Forgets an entry that has left. */
   forget(vm: string): void {
     this.rows.delete(vm);
@@ -258,6 +278,7 @@
       step: this.nowStep,
       bad: this.badReason,
       oldOpen,
+      barred: this.barred.size > 0 ? [...this.barred] : undefined,
       cells: this.evidence.list(),
     };
   }
--- a/src/core/rollouts/types.ts
+++ b/src/core/rollouts/types.ts
@@ -108,6 +108,8 @@
   readonly bad?: BadReason;
   /** Requests of this entry that are still at targets of the old version. */
   readonly oldOpen: number;
+  /** Versions that earlier orders of the service have found bad. */
+  readonly barred?: readonly string[];
   readonly cells: readonly EvidenceCell[];
 }
 
--- a/src/direct/rollouts/rollout-keeper.ts
+++ b/src/direct/rollouts/rollout-keeper.ts
@@ -159,6 +159,8 @@
     const {vm, settings, clock, logger, permitPeers} = this.options;
     const {service, target, durationMs} = record;
     const entries = () => permitPeers.entries;
+    for (const version of before?.controller.barred ?? [])
+      this.bar(service, version);
     if (before?.controller.end === RolloutState.ROLLED_BACK)
       this.bar(service, before.controller.record.target);
     this.barred.get(service)?.delete(target);
@@ -171,6 +173,7 @@
       settings,
       entries,
       priorUse,
+      barred: this.barred.get(service),
       clock,
     });
     this.rollouts.set(service, rollout);
--- a/src/direct/rollouts/rollout.ts
+++ b/src/direct/rollouts/rollout.ts
@@ -53,6 +53,7 @@
     /** VMs of all entries; undefined while they are not known. */
     entries?: () => readonly string[] | undefined;
     priorUse?: PriorUse;
+    barred?: ReadonlySet<string>;
     clock: Clock;
   }) {
     this.controller = new RolloutController(options);
@@ -84,6 +85,11 @@
     return version === this.controller.record.target;
   }
 
+  /** Whether an earlier order has found the version of a target bad. */
+  private isBarred({version}: TargetRecord): boolean {
+    return version !== undefined && this.controller.barred.has(version);
+  }
+
   /** Tells the controller which versions there are; see its `observe`. */
   observe(registered: readonly Target[]): boolean {
     const ofNew = registered.filter(({record}) => this.isNew(record));
@@ -96,7 +102,8 @@
   /** Chooses the targets that are open; returns how many new ones there are. */
   refreshOpen(registered: readonly Target[]): number {
     for (const {record} of registered)
-      if (!this.isNew(record)) this.oldVersions.add(record.version);
+      if (!this.isNew(record) && !this.isBarred(record))
+        this.oldVersions.add(record.version);
     const ofNew = registered.filter(({record}) => this.isNew(record));
     const {step, share} = this.controller;
     const count = openTargets({step, share, targets: ofNew.length});
@@ -112,9 +119,12 @@
   }
 
   /** Returns the targets that may get a request now. */
-  admit(registered: Target[]): Target[] {
+  admit(targets: Target[]): Target[] {
     const {controller} = this;
+    const registered = targets.filter(({record}) => !this.isBarred(record));
     const old = registered.filter(({record}) => !this.isNew(record));
+    if (controller.isUninformed && this.isRunning && hasTwoVersions(old))
+      return [];
     if (this.isWithdrawn && controller.end === undefined)
       return old.length > 0 ? old : registered;
     if (controller.end === RolloutState.ROLLED_BACK) return old;
@@ -152,3 +162,7 @@
     return score;
   }
 }
+
+function hasTwoVersions(targets: readonly Target[]): boolean {
+  return new Set(targets.map(({record}) => record.version)).size > 1;
+}
--- a/test/core/rollouts/status.test.ts
+++ b/test/core/rollouts/status.test.ts
@@ -10,6 +10,7 @@
 import {
   BadReason,
   decideStatus,
+  EVIDENCE_ROW,
   PriorUse,
   writerRank,
   RolloutController,
@@ -227,6 +228,58 @@
   );
 });
 
+describe('a version that an earlier order found bad', () => {
+  const settings = {exposureShare: 0.1, exposureSlack: 0, rollbackMs: 5_000};
+
+  it('is known to a process that starts later', () => {
+    const clock = new ManualClock();
+    const order = {record: RECORD, settings, clock};
+    const barred = new Set(['v1-bad']);
+    const early = new RolloutController({...order, vm: 'edge-2', barred});
+    const late = new RolloutController({...order, vm: 'edge-1'});
+    expect(late.isUninformed).toBe(true);
+    const written = EVIDENCE_ROW.encode({
+      ...early.row(0),
+      bad: undefined,
+      barred: [...(early.row(0).barred ?? [])],
+      cells: [],
+    });
+    const text = JSON.stringify(written);
+    const row = EVIDENCE_ROW.decode(JSON.parse(text)).unsafeCoerce();
+    late.hear(row);
+    late.recordRead(clock.now());
+    expect(late.isUninformed).toBe(false);
+    expect([...late.barred]).toEqual(['v1-bad']);
+    expect(late.row(0).barred).toEqual(['v1-bad']);
+  });
+
+  it('is not barred by its own order', () => {
+    const clock = new ManualClock();
+    const order = {record: RECORD, settings, clock};
+    const again = new RolloutController({...order, vm: 'edge-1'});
+    again.hear(rowOf({barred: ['v2', 'v0']}));
+    expect([...again.barred]).toEqual(['v0']);
+  });
+});
+
+describe('an entry that returns from a pause', () => {
+  it('sends nothing to the version before it has read again', () => {
+    const clock = new ManualClock();
+    const settings = {exposureShare: 0.1, exposureSlack: 50, rollbackMs: 5_000};
+    const vm = 'edge-1';
+    const entries = () => [vm];
+    const order = {record: RECORD, vm, settings, entries, clock};
+    const controller = new RolloutController(order);
+    controller.recordRead(clock.now());
+    expect(controller.maySendToNew()).toBe(true);
+    clock.advance(6_000);
+    expect(controller.maySendToNew()).toBe(false);
+    expect(controller.allowed()).toEqual({old: true, new: false});
+    controller.recordRead(clock.now());
+    expect(controller.maySendToNew()).toBe(true);
+  });
+});
+
 describe('a version without an order', () => {
   const held = (
     baseline: VersionBaseline,
--- a/test/direct/rollouts.test.ts
+++ b/test/direct/rollouts.test.ts
@@ -299,6 +299,44 @@
     TEST_MS,
   );
 
+  it(
+    'that follows a bad one keeps it from an entry that starts later',
+    async () => {
+      play = await RolloutSite.start();
+      play.order(8);
+      await pause(300);
+      await play.addNew((target) => (target.failureShare = 0.6));
+      await play.waitForState('rolled_back', 9_000);
+      const bad = [...play.fresh];
+      play.order(20, 'v3');
+      await pause(1_500);
+      await play.site.startEntry(0);
+      const startedMs = performance.now();
+      await pause(3_000);
+      expect(play.runsSince(bad, startedMs)).toBe(0);
+    },
+    TEST_MS,
+  );
+
+  it(
+    'back to the version in use is completed at once',
+    async () => {
+      play = await RolloutSite.start();
+      play.order(8);
+      await pause(300);
+      await play.addNew((target) => (target.failureShare = 0.6));
+      await play.waitForState('rolled_back', 9_000);
+      const bad = [...play.fresh];
+      play.order(20, 'v1');
+      const orderedMs = performance.now();
+      await play.waitForState('completed', 3_000);
+      await pause(1_000);
+      expect(play.runsSince(play.old, orderedMs)).toBeGreaterThan(50);
+      expect(play.runsSince(bad, orderedMs + 500)).toBe(0);
+    },
+    TEST_MS,
+  );
+
   it(
     'whose bytes cannot be read later goes on',
     async () => {
