Test: a version at the address of a target that is gone

Checks the code for version changes: another version listens where a target was, with no order, with one for it and with one for a third version.

--- a/stand-ins/site/target.ts
+++ b/stand-ins/site/target.ts
@@ -90,9 +90,10 @@
     });
   }
 
-  async start(): Promise<void> {
+  /** Listens on a port; on a free one by default. */
+  async start(listenPort = 0): Promise<void> {
     await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
+      this.server.listen(listenPort, '127.0.0.1', resolve);
     });
     const {port} = this.server.address() as AddressInfo;
     this.address = `127.0.0.1:${port}`;
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -56,7 +56,7 @@
   /** A store address for each entry, which can fail independently. */
   readonly storeEndpoints: StoreEndpoint[] = [];
   private readonly targetOptions = new Map<StandInTarget, TargetOptions>();
-  private readonly copyNetwork = new LocalCopyNetwork();
+  readonly copyNetwork = new LocalCopyNetwork();
   private attempts = 0;
 
   private constructor(
