Orders are read again after the store was restored from a copy

Cause: revisions go back then, and an entry kept the record with the higher one, so each write of the status named a revision that the store does not have and was refused until the order's revision had caught up. Evidence: "is written for the revision of a store that was restored" is red on the code before (revision 7 in place of 3). Change: the first list after a restore replaces the record whatever its revision.

--- a/src/core/rollouts/rollout-controller.ts
+++ b/src/core/rollouts/rollout-controller.ts
@@ -136,9 +136,13 @@
     return isOver(currentState(this.current));
   }
 
-  /** Replaces the stored record of the same order. */
-  updateRecord(record: RolloutRecord): void {
-    if (record.revision >= this.current.revision) this.current = record;
+  /**
+   * Replaces the stored record of the same order unless it is an older one.
+   * Revisions go back when the store is restored from a copy.
+   */
+  updateRecord(record: RolloutRecord, {isRestored = false} = {}): void {
+    const isNewer = record.revision >= this.current.revision;
+    if (isNewer || isRestored) this.current = record;
   }
 
   /** Records what another entry tells; rows of other orders are ignored. */
--- a/src/direct/rollouts/rollout-keeper.ts
+++ b/src/direct/rollouts/rollout-keeper.ts
@@ -77,9 +77,9 @@
       what: 'rollouts',
       source: edges.orders,
       waitMs: ORDERS_LONG_POLL_MS,
-      onSnapshot: (items) => {
+      onSnapshot: (items, about) => {
         const names = new Set(items.map(({name}) => name));
-        for (const {value} of items) this.put(value);
+        for (const {value} of items) this.put(value, about);
         for (const service of this.rollouts.keys())
           if (!names.has(service)) this.withdraw(service);
       },
@@ -143,13 +143,16 @@
   }
 
   /** An order that cannot be read leaves the one before it in force. */
-  private put(record: RolloutRecord | undefined): void {
+  private put(
+    record: RolloutRecord | undefined,
+    about?: {readonly isRestored: boolean},
+  ): void {
     if (record === undefined) return;
     const known = this.rollouts.get(record.service);
     if (known?.controller.record.id === record.id) {
       const wasOver = known.controller.isOver;
       known.isWithdrawn = false;
-      known.controller.updateRecord(record);
+      known.controller.updateRecord(record, about);
       if (!wasOver && known.controller.isOver) this.logEnd(known);
     } else this.begin(record, known);
     this.update();
--- a/test/core/rollouts/status.test.ts
+++ b/test/core/rollouts/status.test.ts
@@ -140,6 +140,18 @@
     }
   });
 
+  it('is written for the revision of a store that was restored', () => {
+    const clock = new ManualClock();
+    const settings = {exposureShare: 0.1, exposureSlack: 0, rollbackMs: 5_000};
+    const vm = 'edge-1';
+    const order = {record: RECORD, vm, settings, clock};
+    const controller = new RolloutController(order);
+    controller.updateRecord({...RECORD, revision: 3});
+    expect(controller.record.revision).toBe(7);
+    controller.updateRecord({...RECORD, revision: 3}, {isRestored: true});
+    expect(controller.record.revision).toBe(3);
+  });
+
   it('is not written for an order that another one has replaced', () => {
     const clock = new ManualClock();
     const settings = {exposureShare: 0.1, exposureSlack: 0, rollbackMs: 5_000};
