--- a/src/core/rollouts/rollout-controller.ts
+++ b/src/core/rollouts/rollout-controller.ts
@@ -4,6 +4,7 @@
   ENTRY_SILENCE_MS,
   MAX_EVIDENCE_AGE_MS,
   MAX_SLACK_AGE_MS,
+  STALE_EVIDENCE_PART,
   STATUS_TURN_MS,
 } from './consts.js';
 import {
@@ -20,11 +21,12 @@
 import {slackShare} from './slack-share.js';
 import type {
   EvidenceRow,
+  RolloutEnd,
   RolloutRecord,
   RolloutSettings,
   BadReason,
 } from './types.js';
-import {RolloutState, RolloutStep} from './types.js';
+import {PriorUse, RolloutState, RolloutStep} from './types.js';
 
 /** The newest row of another entry. */
 interface HeardRow {
@@ -32,6 +34,14 @@
   readonly heardAtMs: number;
 }
 
+/** Which versions the registered targets of a service have. */
+export interface SeenVersions {
+  /** Targets of the version of the order. */
+  readonly targets: number;
+  /** Whether there was a target of another version since the order. */
+  readonly hasOthers: boolean;
+}
+
 /** Which versions may get a request now. */
 export interface AllowedVersions {
   readonly old: boolean;
@@ -68,6 +78,11 @@
   private isRestarted = false;
   private due?: {readonly state: RolloutState; readonly sinceMs: number};
   private ticks = 0;
+  private readonly barredVersions: Set<string>;
+  private seen?: SeenVersions;
+  private isInUse = false;
+  /** Whether any entry has had answers of another version since the order. */
+  private hasOldAnswers = false;
 
   constructor(
     private readonly options: {
@@ -77,10 +92,15 @@
       settings: RolloutSettings;
       /** VMs of all entries; undefined while they are not known. */
       entries?: () => readonly string[] | undefined;
+      /** Versions that earlier orders of the service have found bad. */
+      barred?: ReadonlySet<string>;
+      /** What the version was to the service; unknown by default. */
+      priorUse?: PriorUse;
       clock: Clock;
     },
   ) {
-    const {record, settings, clock} = options;
+    const {record, settings, clock, barred = []} = options;
+    this.barredVersions = new Set(barred);
     this.current = record;
     this.budget = new ExposureBudget({share: settings.exposureShare});
     this.startedMs = clock.now();
@@ -103,11 +123,11 @@
   }
 
   /** State as the status or a verdict tells it; undefined while it runs. */
-  get end(): RolloutState.COMPLETED | RolloutState.ROLLED_BACK | undefined {
+  get end(): RolloutEnd | undefined {
     const state = currentState(this.current);
-    if (state === RolloutState.COMPLETED) return state;
-    const isBack =
-      state === RolloutState.ROLLED_BACK || this.badReason !== undefined;
+    if (isOver(state)) return state;
+    if (this.isInUse) return RolloutState.COMPLETED;
+    const isBack = this.badReason !== undefined;
     return isBack ? RolloutState.ROLLED_BACK : undefined;
   }
 
@@ -116,9 +136,13 @@
     return isOver(currentState(this.current));
   }
 
-  /** Replaces the stored record of the same order. */
-  updateRecord(record: RolloutRecord): void {
-    if (record.revision >= this.current.revision) this.current = record;
+  /**
+   * Replaces the stored record of the same order unless it is an older one.
+   * Revisions go back when the store is restored from a copy.
+   */
+  updateRecord(record: RolloutRecord, {isRestored = false} = {}): void {
+    const isNewer = record.revision >= this.current.revision;
+    if (isNewer || isRestored) this.current = record;
   }
 
   /** Records what another entry tells; rows of other orders are ignored. */
@@ -130,6 +154,9 @@
     const ownAgeMs = heardAtMs - this.startedMs;
     // Also of an earlier process of this VM.
     if (row.bad !== undefined) this.badReason ??= row.bad;
+    this.hasOldAnswers ||= row.cells.some(({isNew}) => !isNew);
+    for (const version of row.barred ?? [])
+      if (version !== record.target) this.barredVersions.add(version);
     this.ageAtStartMs = Math.max(this.ageAtStartMs, row.ageMs - ownAgeMs);
     const isNews = this.rows.get(row.vm)?.row.tick !== row.tick;
     if (row.vm === vm && !this.hasReadRows) this.isRestarted = true;
@@ -141,6 +168,20 @@
     return this.hasReadRows;
   }
 
+  /** Versions that get nothing, as any entry knows them from earlier orders. */
+  get barred(): ReadonlySet<string> {
+    return this.barredVersions;
+  }
+
+  /**
+   * Whether this process knows neither the service nor the rows, so that it
+   * cannot tell a version that was rolled back from one in use.
+   */
+  get isUninformed(): boolean {
+    const {priorUse = PriorUse.UNKNOWN} = this.options;
+    return priorUse === PriorUse.UNKNOWN && !this.hasReadRows;
+  }
+
   /** Forgets an entry that has left. */
   forget(vm: string): void {
     this.rows.delete(vm);
@@ -152,6 +193,29 @@
     this.hasReadRows = true;
     if (!this.hasRecentRows) this.readSinceMs = this.options.clock.now();
     this.evidenceAtMs = Math.max(this.evidenceAtMs, atMs);
+    this.checkInUse();
+  }
+
+  /**
+   * Records the versions of the service; returns whether they show that the
+   * version of the order is in use already, so that there is nothing to move.
+   */
+  observe(seen: SeenVersions): boolean {
+    this.seen = seen;
+    return !this.isOver && this.checkInUse();
+  }
+
+  /** Returns whether it has just been found out. */
+  private checkInUse(): boolean {
+    const {seen} = this;
+    const {priorUse = PriorUse.UNKNOWN} = this.options;
+    if (this.isInUse || seen === undefined) return false;
+    if (seen.hasOthers || seen.targets === 0) return false;
+    if (priorUse === PriorUse.OTHERS) return false;
+    // A process that starts late sees no targets that were lost before.
+    const isKnown = this.hasReadRows && !this.hasOldAnswers;
+    this.isInUse = priorUse === PriorUse.USED || isKnown;
+    return this.isInUse;
   }
 
   /** Judges the version and decides on the step; returns whether it changed. */
@@ -162,7 +226,7 @@
     const windows = this.history.update(cells, clock.now());
     this.badReason = judgeVersion({sinceOrder: cells, windows});
     if (this.badReason !== undefined) return true;
-    const evidenceAgeMs = clock.now() - this.evidenceAtMs;
+    const {evidenceAgeMs} = this;
     const decided = decideStep({
       step: this.nowStep,
       stepMs: this.stepMs,
@@ -187,6 +251,7 @@
   allowed(): AllowedVersions {
     if (this.end === RolloutState.COMPLETED) return {old: false, new: true};
     if (this.end === RolloutState.ROLLED_BACK) return {old: true, new: false};
+    if (this.hasStaleEvidence) return {old: true, new: false};
     if (this.nowStep === RolloutStep.FULL) return {old: false, new: true};
     const isBelow = this.budget.isBelow(this.share);
     return {old: true, new: isBelow && this.maySendToNew()};
@@ -194,9 +259,9 @@
 
   /** Whether a request may be sent to the new version whatever chose it. */
   maySendToNew(): boolean {
-    // Until then it may have been found bad before this process began.
-    if (!this.hasReadRows && !this.isOver) return false;
     if (this.end !== undefined) return this.end === RolloutState.COMPLETED;
+    // Until then it may have been found bad before this process began.
+    if (!this.hasReadRows || this.hasStaleEvidence) return false;
     return !isWithinBound(this.nowStep) || this.budget.maySend();
   }
 
@@ -217,6 +282,7 @@
       step: this.nowStep,
       bad: this.badReason,
       oldOpen,
+      barred: this.barred.size > 0 ? [...this.barred] : undefined,
       cells: this.evidence.list(),
     };
   }
@@ -227,7 +293,8 @@
     const others = this.liveRows();
     const state = decideStatus({
       record: this.current,
-      isBad: this.badReason !== undefined,
+      isBad: this.end === RolloutState.ROLLED_BACK,
+      isInUse: this.isInUse,
       ageMs: this.ageMs,
       step: this.nowStep,
       stepMs: this.stepMs,
@@ -246,9 +313,18 @@
     return dueForMs >= rank * STATUS_TURN_MS ? state : undefined;
   }
 
+  /** Whether the others may have found the version bad in time for a stop. */
+  get hasStaleEvidence(): boolean {
+    const {rollbackMs} = this.options.settings;
+    return this.evidenceAgeMs > rollbackMs * STALE_EVIDENCE_PART;
+  }
+
+  private get evidenceAgeMs(): number {
+    return this.options.clock.now() - this.evidenceAtMs;
+  }
+
   private get hasRecentRows(): boolean {
-    const ageMs = this.options.clock.now() - this.evidenceAtMs;
-    return ageMs <= MAX_EVIDENCE_AGE_MS;
+    return this.evidenceAgeMs <= MAX_EVIDENCE_AGE_MS;
   }
 
   /** Whether each entry that lives has been heard by now. */
--- a/src/direct/rollouts/rollout-keeper.ts
+++ b/src/direct/rollouts/rollout-keeper.ts
@@ -11,6 +11,7 @@
   RolloutSettings,
 } from '../../core/rollouts/index.js';
 import {
+  PriorUse,
   RolloutState,
   RolloutStep,
   VersionBaseline,
@@ -76,9 +77,9 @@
       what: 'rollouts',
       source: edges.orders,
       waitMs: ORDERS_LONG_POLL_MS,
-      onSnapshot: (items) => {
+      onSnapshot: (items, about) => {
         const names = new Set(items.map(({name}) => name));
-        for (const {value} of items) this.put(value);
+        for (const {value} of items) this.put(value, about);
         for (const service of this.rollouts.keys())
           if (!names.has(service)) this.withdraw(service);
       },
@@ -142,13 +143,16 @@
   }
 
   /** An order that cannot be read leaves the one before it in force. */
-  private put(record: RolloutRecord | undefined): void {
+  private put(
+    record: RolloutRecord | undefined,
+    about?: {readonly isRestored: boolean},
+  ): void {
     if (record === undefined) return;
     const known = this.rollouts.get(record.service);
     if (known?.controller.record.id === record.id) {
       const wasOver = known.controller.isOver;
       known.isWithdrawn = false;
-      known.controller.updateRecord(record);
+      known.controller.updateRecord(record, about);
       if (!wasOver && known.controller.isOver) this.logEnd(known);
     } else this.begin(record, known);
     this.update();
@@ -158,10 +162,23 @@
     const {vm, settings, clock, logger, permitPeers} = this.options;
     const {service, target, durationMs} = record;
     const entries = () => permitPeers.entries;
+    for (const version of before?.controller.barred ?? [])
+      this.bar(service, version);
     if (before?.controller.end === RolloutState.ROLLED_BACK)
       this.bar(service, before.controller.record.target);
     this.barred.get(service)?.delete(target);
-    const rollout = new Rollout({record, vm, settings, entries, clock});
+    const priorUse = this.hasLoaded
+      ? this.baseline.priorUse(service, target)
+      : PriorUse.UNKNOWN;
+    const rollout = new Rollout({
+      record,
+      vm,
+      settings,
+      entries,
+      priorUse,
+      barred: this.barred.get(service),
+      clock,
+    });
     this.rollouts.set(service, rollout);
     logger.info('roll-out ordered', {
       service,
@@ -209,6 +226,7 @@
     const {service} = controller.record;
     const registered = this.targets?.registeredOf(service) ?? [];
     const newTargets = rollout.refreshOpen(registered);
+    if (rollout.observe(registered)) this.logInUse(rollout);
     if (controller.update({newTargets})) {
       rollout.refreshOpen(registered);
       this.logStep(rollout);
@@ -237,6 +255,14 @@
     );
   }
 
+  private logInUse({controller}: Rollout): void {
+    const {service, target} = controller.record;
+    this.options.logger.info('roll-out is to a version in use', {
+      service,
+      target,
+    });
+  }
+
   private logEnd({controller}: Rollout): void {
     const {logger, metrics} = this.options;
     const {service, target} = controller.record;
--- a/src/direct/rollouts/rollout.ts
+++ b/src/direct/rollouts/rollout.ts
@@ -2,6 +2,7 @@
 import {createHash} from 'node:crypto';
 
 import type {
+  PriorUse,
   RolloutSettings,
   RolloutRecord,
 } from '../../core/rollouts/index.js';
@@ -41,6 +42,7 @@
   isWithdrawn = false;
   /** Versions that the order replaces, as seen while it runs. */
   private readonly oldVersions = new Set<string | undefined>();
+  private hasUsableOld = true;
   private openIds: ReadonlySet<string> = new Set();
   private readonly scores = new Map<string, string>();
 
@@ -50,6 +52,8 @@
     settings: RolloutSettings;
     /** VMs of all entries; undefined while they are not known. */
     entries?: () => readonly string[] | undefined;
+    priorUse?: PriorUse;
+    barred?: ReadonlySet<string>;
     clock: Clock;
   }) {
     this.controller = new RolloutController(options);
@@ -66,17 +70,40 @@
     const isCompleted = controller.end === RolloutState.COMPLETED;
     const isUnbound = this.isWithdrawn && controller.end === undefined;
     if (isCompleted || isUnbound) return true;
-    return !this.isWithdrawn && controller.maySendToNew();
+    if (this.isWithdrawn) return false;
+    return controller.maySendToNew() || this.mustUseNew;
+  }
+
+  /** Whether the old version can no longer stand in for a trusted one. */
+  private get mustUseNew(): boolean {
+    const {controller, hasUsableOld} = this;
+    if (controller.end !== undefined || !controller.hasRead) return false;
+    return !isWithinBound(controller.step) && !hasUsableOld;
   }
 
   isNew({version}: TargetRecord): boolean {
     return version === this.controller.record.target;
   }
 
+  /** Whether an earlier order has found the version of a target bad. */
+  private isBarred({version}: TargetRecord): boolean {
+    return version !== undefined && this.controller.barred.has(version);
+  }
+
+  /** Tells the controller which versions there are; see its `observe`. */
+  observe(registered: readonly Target[]): boolean {
+    const ofNew = registered.filter(({record}) => this.isNew(record));
+    return this.controller.observe({
+      targets: ofNew.length,
+      hasOthers: this.oldVersions.size > 0,
+    });
+  }
+
   /** Chooses the targets that are open; returns how many new ones there are. */
   refreshOpen(registered: readonly Target[]): number {
     for (const {record} of registered)
-      if (!this.isNew(record)) this.oldVersions.add(record.version);
+      if (!this.isNew(record) && !this.isBarred(record))
+        this.oldVersions.add(record.version);
     const ofNew = registered.filter(({record}) => this.isNew(record));
     const {step, share} = this.controller;
     const count = openTargets({step, share, targets: ofNew.length});
@@ -92,18 +119,24 @@
   }
 
   /** Returns the targets that may get a request now. */
-  admit(registered: Target[]): Target[] {
+  admit(targets: Target[]): Target[] {
     const {controller} = this;
+    const registered = targets.filter(({record}) => !this.isBarred(record));
     const old = registered.filter(({record}) => !this.isNew(record));
+    if (controller.isUninformed && this.isRunning && hasTwoVersions(old))
+      return [];
     if (this.isWithdrawn && controller.end === undefined)
       return old.length > 0 ? old : registered;
     if (controller.end === RolloutState.ROLLED_BACK) return old;
     const ofNew = registered.filter(({record}) => this.isNew(record));
     if (controller.end === RolloutState.COMPLETED)
       return this.withoutReplaced(registered);
+    this.hasUsableOld = old.some((target) => !target.isPaused());
+    if (controller.hasStaleEvidence && !this.mustUseNew) return old;
     const {step} = controller;
     if (step === RolloutStep.FULL)
       return ofNew.some((target) => !target.isPaused()) ? ofNew : registered;
+    if (!isWithinBound(step) && controller.hasStaleEvidence) return registered;
     if (!controller.allowed().new) return old;
     if (!isWithinBound(step)) return registered;
     const open = ofNew.filter(({id}) => this.openIds.has(id));
@@ -129,3 +162,7 @@
     return score;
   }
 }
+
+function hasTwoVersions(targets: readonly Target[]): boolean {
+  return new Set(targets.map(({record}) => record.version)).size > 1;
+}
--- a/test/core/rollouts/status.test.ts
+++ b/test/core/rollouts/status.test.ts
@@ -10,6 +10,8 @@
 import {
   BadReason,
   decideStatus,
+  EVIDENCE_ROW,
+  PriorUse,
   writerRank,
   RolloutController,
   RolloutState,
@@ -28,6 +30,7 @@
 const FULL = {
   record: RECORD,
   isBad: false,
+  isInUse: false,
   ageMs: 20_000,
   step: RolloutStep.FULL,
   stepMs: 2_000,
@@ -137,6 +140,18 @@
     }
   });
 
+  it('is written for the revision of a store that was restored', () => {
+    const clock = new ManualClock();
+    const settings = {exposureShare: 0.1, exposureSlack: 0, rollbackMs: 5_000};
+    const vm = 'edge-1';
+    const order = {record: RECORD, vm, settings, clock};
+    const controller = new RolloutController(order);
+    controller.updateRecord({...RECORD, revision: 3});
+    expect(controller.record.revision).toBe(7);
+    controller.updateRecord({...RECORD, revision: 3}, {isRestored: true});
+    expect(controller.record.revision).toBe(3);
+  });
+
   it('is not written for an order that another one has replaced', () => {
     const clock = new ManualClock();
     const settings = {exposureShare: 0.1, exposureSlack: 0, rollbackMs: 5_000};
@@ -150,6 +165,133 @@
   });
 });
 
+describe('an order for a version that is in use', () => {
+  const settings = {exposureShare: 0.1, exposureSlack: 0, rollbackMs: 5_000};
+  const OLD_CELL = {
+    isNew: false,
+    route: '/a/',
+    dataCentre: 'a',
+    target: '',
+    answers: 3,
+    failures: 0,
+    lost: 0,
+    timed: 0,
+    slow: 0,
+  };
+
+  it.each([
+    {name: 'is completed at once', priorUse: PriorUse.USED, is: COMPLETED},
+    {name: 'is completed if the rows tell no old version', is: COMPLETED},
+    {name: 'is not if they were not read', hasRead: false, is: IN_PROGRESS},
+    {
+      name: 'is not if they tell an old version',
+      rows: [rowOf({step: RolloutStep.CANARY, cells: [OLD_CELL]})],
+      is: IN_PROGRESS,
+    },
+    {
+      name: 'is not if an earlier process of the VM tells one',
+      rows: [rowOf({vm: 'edge-1', cells: [OLD_CELL]})],
+      is: IN_PROGRESS,
+    },
+    {
+      name: 'is not if other versions had the traffic',
+      priorUse: PriorUse.OTHERS,
+      is: IN_PROGRESS,
+    },
+    {
+      name: 'is not with targets of another version',
+      priorUse: PriorUse.USED,
+      hasOthers: true,
+      is: IN_PROGRESS,
+    },
+    {
+      name: 'is not without targets',
+      priorUse: PriorUse.USED,
+      targets: 0,
+      is: IN_PROGRESS,
+    },
+  ])(
+    '$name',
+    ({
+      priorUse,
+      hasRead = true,
+      rows = [],
+      hasOthers = false,
+      targets = 4,
+      is,
+    }) => {
+      const clock = new ManualClock();
+      const vm = 'edge-1';
+      const order = {record: RECORD, vm, settings, priorUse, clock};
+      const controller = new RolloutController(order);
+      for (const row of rows) controller.hear(row);
+      if (hasRead) controller.recordRead(clock.now());
+      controller.observe({targets, hasOthers});
+      clock.advance(2_000);
+      controller.update({newTargets: targets});
+      controller.stateToWrite(0);
+      // The turn of the other entry, if there is one.
+      clock.advance(900);
+      expect(controller.stateToWrite(0)).toBe(is);
+      const mayServe = is === COMPLETED;
+      expect(controller.maySendToNew()).toBe(mayServe);
+      expect(controller.allowed().old).toBe(!mayServe);
+    },
+  );
+});
+
+describe('a version that an earlier order found bad', () => {
+  const settings = {exposureShare: 0.1, exposureSlack: 0, rollbackMs: 5_000};
+
+  it('is known to a process that starts later', () => {
+    const clock = new ManualClock();
+    const order = {record: RECORD, settings, clock};
+    const barred = new Set(['v1-bad']);
+    const early = new RolloutController({...order, vm: 'edge-2', barred});
+    const late = new RolloutController({...order, vm: 'edge-1'});
+    expect(late.isUninformed).toBe(true);
+    const written = EVIDENCE_ROW.encode({
+      ...early.row(0),
+      bad: undefined,
+      barred: [...(early.row(0).barred ?? [])],
+      cells: [],
+    });
+    const text = JSON.stringify(written);
+    const row = EVIDENCE_ROW.decode(JSON.parse(text)).unsafeCoerce();
+    late.hear(row);
+    late.recordRead(clock.now());
+    expect(late.isUninformed).toBe(false);
+    expect([...late.barred]).toEqual(['v1-bad']);
+    expect(late.row(0).barred).toEqual(['v1-bad']);
+  });
+
+  it('is not barred by its own order', () => {
+    const clock = new ManualClock();
+    const order = {record: RECORD, settings, clock};
+    const again = new RolloutController({...order, vm: 'edge-1'});
+    again.hear(rowOf({barred: ['v2', 'v0']}));
+    expect([...again.barred]).toEqual(['v0']);
+  });
+});
+
+describe('an entry that returns from a pause', () => {
+  it('sends nothing to the version before it has read again', () => {
+    const clock = new ManualClock();
+    const settings = {exposureShare: 0.1, exposureSlack: 50, rollbackMs: 5_000};
+    const vm = 'edge-1';
+    const entries = () => [vm];
+    const order = {record: RECORD, vm, settings, entries, clock};
+    const controller = new RolloutController(order);
+    controller.recordRead(clock.now());
+    expect(controller.maySendToNew()).toBe(true);
+    clock.advance(6_000);
+    expect(controller.maySendToNew()).toBe(false);
+    expect(controller.allowed()).toEqual({old: true, new: false});
+    controller.recordRead(clock.now());
+    expect(controller.maySendToNew()).toBe(true);
+  });
+});
+
 describe('a version without an order', () => {
   const held = (
     baseline: VersionBaseline,
