Room that an engine grants late is freed

Cause: a reservation was given up after 120 ms by breaking the call off. An engine that answered later had granted it, nobody knew its id, and the room stayed reserved until hold_ms was over (2 s), while engines were short of it.

Change: the answer is read for up to 2 s. The stream goes on after 120 ms as before; an id that arrives later is released at once, and counted under `granted late`. core and wire are unchanged.

Evidence: test/direct/engine-room.test.ts "gets back the room that it granted too late" (a real stand-in engine that answers after 300 ms): red before ("condition not met within 2 s": the room is still held), green after; the cases of test/direct/room-reservation.test.ts play a late grant while another engine's grant is in use, and a late failure.

--- a/src/direct/room/consts.ts
+++ b/src/direct/room/consts.ts
@@ -9,6 +9,9 @@
 /** Timeout of a reservation and of its release, in milliseconds. */
 export const RESERVE_TIMEOUT_MS = 120;
 
+/** Time in which an engine's late answer is still read, in milliseconds. */
+export const LATE_GRANT_MS = 2_000;
+
 /**
  * Time to the first event at an engine with other work, as a multiple of the
  * shortest one.
--- a/src/direct/room/room-reservation.ts
+++ b/src/direct/room/room-reservation.ts
@@ -5,15 +5,24 @@
 import {TaskName} from '../../core/supervision/index.js';
 import type {Target} from '../../core/targets/index.js';
 import type {DirectContext, DirectWork} from '../context.js';
-import {RESERVE_TIMEOUT_MS} from './consts.js';
+import {answerInTime} from './answer-in-time.js';
+import {LATE_GRANT_MS, RESERVE_TIMEOUT_MS} from './consts.js';
 import {isLessUrgent} from './urgency.js';
 
 /** What becomes of a reservation, as a label of its metric. */
 enum Outcome {
   GRANTED = 'granted',
+  /** Granted when the stream waited no more; it is released. */
+  GRANTED_LATE = 'granted late',
   RELEASED = 'released',
 }
 
+/** Room that a target keeps. */
+interface HeldRoom {
+  readonly target: Target;
+  readonly id: string;
+}
+
 /**
  * Reserves room for one generation, and frees what is not used.
  *
@@ -23,7 +32,7 @@
  * reservation.release();
  */
 export class RoomReservation {
-  private held?: {target: Target; id: string};
+  private held?: HeldRoom;
   private isClosed = false;
 
   constructor(
@@ -42,11 +51,16 @@
     this.release();
     if (engine?.holdMs === undefined) return true;
     if (isLessUrgent(work) && !this.leavesSpareRoom(target)) return false;
-    const reserved = await ctx.client.reserve({
-      target: target.record,
-      tokens,
-      lifetimeMs: engine.holdMs,
+    const reserved = await answerInTime({
+      clock: ctx.clock,
+      answer: ctx.client.reserve({
+        target: target.record,
+        tokens,
+        lifetimeMs: engine.holdMs,
+        timeoutMs: LATE_GRANT_MS,
+      }),
       timeoutMs: RESERVE_TIMEOUT_MS,
+      onLateGrant: (id) => this.freeLate({target, id}),
     });
     this.count(reserved.isOk() ? Outcome.GRANTED : reserved.error);
     if (reserved.isErr()) return this.mayGoWithout(target, reserved.error);
@@ -81,10 +95,8 @@
     const {held} = this;
     this.held = undefined;
     if (held === undefined) return;
-    const {ctx, work} = this.options;
     this.count(Outcome.RELEASED);
-    const task = {name: TaskName.ROOM, requestId: work.req.attemptId};
-    ctx.supervisor.run(task, () => this.drop(held));
+    this.startDrop(held);
   }
 
   /** Frees also what is granted later. */
@@ -93,7 +105,18 @@
     this.release();
   }
 
-  private async drop({target, id}: {target: Target; id: string}) {
+  private freeLate(granted: HeldRoom): void {
+    this.count(Outcome.GRANTED_LATE);
+    this.startDrop(granted);
+  }
+
+  private startDrop(room: HeldRoom): void {
+    const {ctx, work} = this.options;
+    const task = {name: TaskName.ROOM, requestId: work.req.attemptId};
+    ctx.supervisor.run(task, () => this.drop(room));
+  }
+
+  private async drop({target, id}: HeldRoom): Promise<void> {
     const {ctx, work} = this.options;
     const dropped = await ctx.client.releaseReservation({
       target: target.record,
--- a/stand-ins/site/target-room.ts
+++ b/stand-ins/site/target-room.ts
@@ -14,6 +14,8 @@
   capacityTokens = Number.POSITIVE_INFINITY;
   /** Tokens that it reports as used besides its reservations. */
   usedTokens = 0;
+  /** Time until it answers that it grants a reservation, in milliseconds. */
+  grantDelayMs = 0;
   /** Number of reservations that were refused. */
   refused = 0;
   /** Ids of the reservations that were freed without being used. */
@@ -66,7 +68,9 @@
     }
     const id = `r-${++this.granted}`;
     this.held.set(id, tokens);
-    res.end(JSON.stringify({retention: id}));
+    const respond = () => res.end(JSON.stringify({retention: id}));
+    if (this.grantDelayMs === 0) respond();
+    else setTimeout(respond, this.grantDelayMs);
   }
 
   private release(res: ServerResponse, id: string): void {
--- a/test/direct/engine-room.test.ts
+++ b/test/direct/engine-room.test.ts
@@ -77,6 +77,16 @@
     await stopped;
   });
 
+  // Guards against room that nobody uses until `hold_ms` is over.
+  it('gets back the room that it granted too late', async () => {
+    const engine = await start({holdMs: HOLD_MS});
+    engine.room.grantDelayMs = 300;
+    expect((await call()).status).toBe(200);
+    expect(engine.runs[0]!.headers[Header.RESERVATION]).toBeUndefined();
+    await waitFor(() => engine.room.heldCount === 0);
+    expect(engine.room.released.length).toBeGreaterThan(0);
+  });
+
   it('gets a generation that must start now, although it is full', async () => {
     const engine = await start({holdMs: HOLD_MS});
     engine.room.usedTokens = CAPACITY_TOKENS;
--- a/test/direct/room-reservation.test.ts
+++ b/test/direct/room-reservation.test.ts
@@ -10,10 +10,14 @@
 import {Target} from '../../src/core/targets/index.js';
 import type {DirectContext, DirectWork} from '../../src/direct/context.js';
 import {GenerationRooms, RoomReservation} from '../../src/direct/room/index.js';
+import {waitFor} from '../support/direct-site.js';
 
 const HOLD_MS = 2_000;
 const TOKENS = 6_500;
 
+/** Longer than a stream waits for the answer of an engine. */
+const LATE_MS = 200;
+
 type Answer = ResultAsync<string, ReserveFailure>;
 
 /** Answers reservations as told. */
@@ -37,8 +41,10 @@
   let client: FakeTargets;
   let target: Target;
 
+  let clock: ManualClock;
+
   function create(holdMs?: number): RoomReservation {
-    const clock = new ManualClock();
+    clock = new ManualClock();
     const metrics = new Metrics();
     const logger = SILENT_LOGGER;
     const supervisor = new Supervisor({clock, metrics, logger});
@@ -55,7 +61,7 @@
         isDraining: false,
       },
     });
-    const ctx = {client, metrics, logger, supervisor, room};
+    const ctx = {client, clock, metrics, logger, supervisor, room};
     const work = {
       req: {attemptId: 'try-1'},
       service: {name: 's', engine: {kvCapacityTokens: 55_000, holdMs}},
@@ -147,4 +153,56 @@
     await taken;
     expect(client.released).toEqual(['r-1']);
   });
+
+  /** An engine that answers when told. */
+  function createLate() {
+    const reservation = create(HOLD_MS);
+    let answer: (id: string) => void = () => undefined;
+    let fail: () => void = () => undefined;
+    const granted = new Promise<string>((resolve, reject) => {
+      answer = resolve;
+      fail = () => reject(new Error('no response'));
+    });
+    const noResponse = () => ReserveFailure.NO_RESPONSE;
+    client.answer = ResultAsync.fromPromise(granted, noResponse);
+    return {reservation, answer, fail};
+  }
+
+  // Guards against room that nobody uses until `hold_ms` is over.
+  it('is freed if an engine grants it later than the stream waits', async () => {
+    const {reservation, answer} = createLate();
+    const taken = reservation.take(target);
+    clock.advance(LATE_MS);
+    expect(await taken).toBe(false);
+    expect(reservation.id).toBeUndefined();
+    expect(client.released).toEqual([]);
+    answer('r-late');
+    await waitFor(() => client.released.length > 0);
+    expect(client.released).toEqual(['r-late']);
+    expect(reservation.id).toBeUndefined();
+  });
+
+  it('of another engine is kept when one is granted late', async () => {
+    const {reservation, answer} = createLate();
+    const taken = reservation.take(target);
+    clock.advance(LATE_MS);
+    expect(await taken).toBe(false);
+    client.answer = okAsync('r-2');
+    expect(await reservation.take(target)).toBe(true);
+    answer('r-late');
+    await waitFor(() => client.released.length > 0);
+    expect(client.released).toEqual(['r-late']);
+    expect(reservation.id).toBe('r-2');
+  });
+
+  it('counts as not answered once if the answer fails late', async () => {
+    const {reservation, fail} = createLate();
+    const taken = reservation.take(target);
+    clock.advance(LATE_MS);
+    expect(await taken).toBe(false);
+    fail();
+    await Promise.resolve();
+    expect(reservation.id).toBeUndefined();
+    expect(client.released).toEqual([]);
+  });
 });
