Room: what would wait in vain is refused early, and the last of a full queue

Cause: a queue that grows for long held its last generations until nothing but a refusal without Retry-After was left to them, and beyond 512 waiting ones each new one, however little urgent, went unordered to an engine.

Change: RoomOutlook (core/room) foresees the wait from the grants of the last 10 s. What can't end before its deadline behind those before it, even if the queue moves twice as fast, is refused at once with a Retry-After at which it can still be served, staggered, at most a third of its time. A full queue refuses the last in its order, so that a more urgent one displaces a less urgent one. It takes effect only where engines make reservations, as the queue itself.

Evidence: test/direct/service-room.test.ts plays a crowd of over three times what the places bear: what is refused can return with the time to be served (red before: it was refused with none), the urgent kind stays in its aim, places stay in use, large ones and a modest account are served. "a full queue" was red before too (nothing refused). The existing play of a burst is as it was, and still refuses nobody.

test/core/room/decide-room.test.ts and the constructors in two tests got the new arguments; no expectation changed.

--- a/src/core/room/consts.ts
+++ b/src/core/room/consts.ts
@@ -8,3 +8,25 @@
 
 /** Generations of one service that wait at an entry at most. */
 export const MAX_WAITING = 512;
+
+/**
+ * Time over which the grants of room tell how fast a queue moves, in
+ * milliseconds: longer than most generations run, as those that began together
+ * end together.
+ */
+export const RATE_WINDOW_MS = 10_000;
+
+/**
+ * Factor by which a queue may move faster than it has: room comes from the work
+ * of other entries too, and a refusal can't be taken back.
+ */
+export const FASTER_FACTOR = 2;
+
+/** Shortest Retry-After before the random part, in milliseconds. */
+export const MIN_RETRY_AFTER_MS = 300;
+
+/** Most by which a Retry-After is shortened at random, as a share of it. */
+export const RETRY_AFTER_JITTER = 0.25;
+
+/** Share of the time left up to which callers honour a Retry-After. */
+export const HONOURED_SHARE = 1 / 3;
--- a/src/core/room/index.ts
+++ b/src/core/room/index.ts
@@ -6,5 +6,6 @@
 export type {RankedRequest} from './room-order.js';
 export type {QueueView} from './room-queue.js';
 export {RoomQueue} from './room-queue.js';
+export {RoomOutlook} from './room-outlook.js';
 export type {RoomRequest} from './types.js';
 export {RoomDecision} from './types.js';
--- a/src/core/room/room-queue.ts
+++ b/src/core/room/room-queue.ts
@@ -26,8 +26,9 @@
     return this.waiting.size;
   }
 
-  get isFull(): boolean {
-    return this.waiting.size >= MAX_WAITING;
+  /** Whether more wait than may. */
+  get isOverfull(): boolean {
+    return this.waiting.size > MAX_WAITING;
   }
 
   push(request: T): void {
@@ -39,31 +40,46 @@
     return this.waiting.delete(request);
   }
 
-  all(): T[] {
-    return [...this.waiting];
+  /** All requests, the one that gets the next room first. */
+  inOrder(view: QueueView): T[] {
+    return [...this.waiting].sort((a, b) => compareAt(a, b, view));
   }
 
   /** The request that gets the next room. */
   first(view: QueueView): T | undefined {
     let first: T | undefined;
     for (const request of this.waiting) {
-      if (first === undefined || goesBefore(request, first, view))
+      if (first === undefined || compareAt(request, first, view) < 0)
         first = request;
     }
     return first;
   }
 
-  /** Whether a waiting request gets room before another one. */
-  hasBefore(request: RoomRequest, view: QueueView): boolean {
-    return this.all().some((other) => goesBefore(other, request, view));
+  /** The request that costs its caller least if it is turned away. */
+  last(view: QueueView): T | undefined {
+    let last: T | undefined;
+    for (const request of this.waiting) {
+      if (last === undefined || compareAt(last, request, view) <= 0)
+        last = request;
+    }
+    return last;
+  }
+
+  /** Number of waiting requests that get room before another one. */
+  countBefore(request: RoomRequest, view: QueueView): number {
+    let count = 0;
+    for (const other of this.waiting) {
+      if (compareAt(other, request, view) < 0) count++;
+    }
+    return count;
   }
 }
 
-function goesBefore(a: RoomRequest, b: RoomRequest, view: QueueView): boolean {
+function compareAt(a: RoomRequest, b: RoomRequest, view: QueueView): number {
   const rank = (request: RoomRequest) => ({
     request,
     nowMs: view.nowMs,
     runningOfAccount: view.runningOf(request.clientAccount),
   });
-  return compareRequests(rank(a), rank(b)) < 0;
+  return compareRequests(rank(a), rank(b));
 }
--- a/src/direct/room/service-room.ts
+++ b/src/direct/room/service-room.ts
@@ -1,9 +1,15 @@
 /** The generations of one service that run or wait for room at this entry. */
-import type {Clock, TimerHandle} from '../../core/clock/index.js';
+import type {Clock, RandomSource, TimerHandle} from '../../core/clock/index.js';
+import {RefusalReason} from '../../core/errors/refusals.js';
 import type {Metrics} from '../../core/metrics/index.js';
 import {CounterName, LatencyName} from '../../core/metrics/index.js';
 import type {RoomRequest} from '../../core/room/index.js';
-import {decideRoom, RoomDecision, RoomQueue} from '../../core/room/index.js';
+import {
+  decideRoom,
+  RoomDecision,
+  RoomOutlook,
+  RoomQueue,
+} from '../../core/room/index.js';
 import type {Supervisor} from '../../core/supervision/index.js';
 import {TaskName} from '../../core/supervision/index.js';
 import {ROOM_LOOK_MS, SIZE_WEIGHT} from './consts.js';
@@ -13,6 +19,8 @@
   PLACED = 'placed',
   SENT_ANYWAY = 'sent anyway',
   REFUSED = 'refused',
+  /** Refused, as more urgent ones filled the queue. */
+  DISPLACED = 'displaced',
   CALLER_LEFT = 'caller left',
 }
 
@@ -25,8 +33,8 @@
   tryPlace(): Promise<boolean>;
   /** Sends it to an engine whether it has room or not. */
   placeAnyway(): void;
-  /** Refuses it, as it can't end in time any more. */
-  refuse(): void;
+  /** Refuses it. Without `retryAfterMs`, it has no chance any more. */
+  refuse(reason: RefusalReason, retryAfterMs?: number): void;
   /** Records how its wait ended, and how many others still wait. */
   onWaitOver(end: WaitEnd, waiting: number): void;
 }
@@ -34,6 +42,7 @@
 /** Dependencies of the rooms of an entry. */
 export interface ServiceRoomOptions {
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly metrics: Metrics;
   readonly supervisor: Supervisor;
 }
@@ -48,15 +57,20 @@
  */
 export class ServiceRoom {
   private readonly queue = new RoomQueue<Applicant>();
+  private readonly outlook: RoomOutlook;
   /** Running generations by client account. */
   private readonly running = new Map<string, number>();
   private timer?: TimerHandle;
   /** When the next look is due. */
   private lookAtMs = Number.POSITIVE_INFINITY;
   private isLooking = false;
+  /** The generation that looks for room now. */
+  private placing?: Applicant;
   private meanSizeTokens?: number;
 
-  constructor(private readonly options: ServiceRoomOptions) {}
+  constructor(private readonly options: ServiceRoomOptions) {
+    this.outlook = new RoomOutlook(options);
+  }
 
   /** Generations that wait. */
   get waiting(): number {
@@ -76,14 +90,12 @@
 
   /** Places a generation, at once if nothing that waits goes before it. */
   async enter(applicant: Applicant): Promise<void> {
-    const mustWait = this.queue.hasBefore(applicant, this.view());
+    const mustWait = this.countBefore(applicant) > 0;
     if (!mustWait && (await applicant.tryPlace())) return;
-    if (this.queue.isFull) {
-      applicant.placeAnyway();
-      return;
-    }
     this.queue.push(applicant);
-    this.settle(applicant);
+    this.outlook.recordWaiting(this.options.clock.now());
+    this.settle(applicant, this.countBefore(applicant));
+    if (this.queue.isOverfull) this.displaceLast();
     this.scheduleLook(ROOM_LOOK_MS);
   }
 
@@ -134,7 +146,7 @@
     this.isLooking = true;
     this.lookAtMs = Number.POSITIVE_INFINITY;
     try {
-      for (const applicant of this.queue.all()) this.settle(applicant);
+      this.settleAll();
       await this.placeInOrder();
     } finally {
       this.isLooking = false;
@@ -145,25 +157,85 @@
   private async placeInOrder(): Promise<void> {
     let first = this.queue.first(this.view());
     while (first !== undefined) {
-      if (!(await first.tryPlace())) return;
+      if (!(await this.tryPlace(first))) return;
+      this.outlook.recordGrant(this.options.clock.now());
       this.remove(first, WaitEnd.PLACED);
       first = this.queue.first(this.view());
     }
   }
 
-  /** Ends the wait of a generation whose time is over. */
-  private settle(applicant: Applicant): void {
+  private async tryPlace(applicant: Applicant): Promise<boolean> {
+    this.placing = applicant;
+    const isPlaced = await applicant.tryPlace();
+    this.placing = undefined;
+    return isPlaced;
+  }
+
+  private waitMs({shortestMs}: Applicant, ahead: number): number {
+    let running = 0;
+    for (const count of this.running.values()) running += count;
+    const nowMs = this.options.clock.now();
+    return this.outlook.waitMs({ahead, running, shortestMs, nowMs});
+  }
+
+  private countBefore(applicant: Applicant): number {
+    return this.queue.countBefore(applicant, this.view());
+  }
+
+  private settleAll(): void {
+    let ahead = 0;
+    for (const applicant of this.queue.inOrder(this.view())) {
+      if (!this.settle(applicant, ahead)) ahead++;
+    }
+  }
+
+  /**
+   * Ends the wait of a generation whose time is over, or will be when those
+   * `ahead` have got room. Returns whether it waits no more.
+   */
+  private settle(applicant: Applicant, ahead: number): boolean {
     const nowMs = this.options.clock.now();
-    const decision = decideRoom({request: applicant, nowMs});
+    const waitMs = this.waitMs(applicant, ahead);
+    const decision = decideRoom({request: applicant, waitMs, nowMs});
+    if (decision === RoomDecision.WAIT) return false;
     if (decision === RoomDecision.REFUSE) {
-      if (this.remove(applicant, WaitEnd.REFUSED)) applicant.refuse();
-    } else if (decision === RoomDecision.SEND_ANYWAY) {
-      if (this.remove(applicant, WaitEnd.SENT_ANYWAY)) applicant.placeAnyway();
+      this.refuse(applicant, WaitEnd.REFUSED, waitMs);
+    } else if (this.remove(applicant, WaitEnd.SENT_ANYWAY)) {
+      applicant.placeAnyway();
     }
+    return true;
+  }
+
+  /** Refuses the last one of a queue that is too long. */
+  private displaceLast(): void {
+    const last = this.queue.last(this.view());
+    if (last === undefined || last === this.placing) return;
+    const waitMs = this.waitMs(last, this.queue.size);
+    this.refuse(last, WaitEnd.DISPLACED, waitMs);
+  }
+
+  private refuse(
+    applicant: Applicant,
+    end: WaitEnd.REFUSED | WaitEnd.DISPLACED,
+    waitMs: number,
+  ): void {
+    if (!this.remove(applicant, end)) return;
+    const nowMs = this.options.clock.now();
+    const retryAfterMs = this.outlook.retryAfterMs({
+      request: applicant,
+      waitMs,
+      nowMs,
+    });
+    const reason =
+      end === WaitEnd.DISPLACED
+        ? RefusalReason.OVERLOADED
+        : RefusalReason.DEADLINE_UNREACHABLE;
+    applicant.refuse(reason, retryAfterMs);
   }
 
   private remove(applicant: Applicant, end: WaitEnd): boolean {
     if (!this.queue.remove(applicant)) return false;
+    if (this.queue.size === 0) this.outlook.recordEmpty();
     const {clock, metrics} = this.options;
     metrics.count(CounterName.ROOM_WAITS, {label: end});
     const ms = clock.now() - applicant.receivedMs;
--- a/src/direct/streams/stream-placement.ts
+++ b/src/direct/streams/stream-placement.ts
@@ -74,10 +74,8 @@
       listener: {
         tryPlace: () => this.tryPlace(),
         placeAnyway: () => ctx.boundary.run(() => this.placeNow()),
-        refuse: () =>
-          ctx.boundary.run(() =>
-            listener.refuse(RefusalReason.DEADLINE_UNREACHABLE),
-          ),
+        refuse: (reason, retryAfterMs) =>
+          ctx.boundary.run(() => listener.refuse(reason, retryAfterMs)),
       },
     });
   }
--- a/test/core/room/decide-room.test.ts
+++ b/test/core/room/decide-room.test.ts
@@ -36,8 +36,20 @@
       nowMs: 19_500,
       expected: RoomDecision.REFUSE,
     },
-  ])('$name', ({nowMs, expected}) => {
-    expect(decideRoom({request: REQUEST, nowMs})).toBe(expected);
+    {
+      name: 'one that can still end after its expected wait waits',
+      nowMs: 0,
+      waitMs: 19_000,
+      expected: RoomDecision.WAIT,
+    },
+    {
+      name: 'one that can not end in time after its expected wait is refused',
+      nowMs: 0,
+      waitMs: 19_001,
+      expected: RoomDecision.REFUSE,
+    },
+  ])('$name', ({nowMs, waitMs = 0, expected}) => {
+    expect(decideRoom({request: REQUEST, waitMs, nowMs})).toBe(expected);
   });
 
   it('sends a long one while it can still end in time', () => {
@@ -47,11 +59,15 @@
       deadlineAtMs: 8_000,
       shortestMs: 5_000,
     };
-    expect(decideRoom({request, nowMs: 2_900})).toBe(RoomDecision.SEND_ANYWAY);
+    expect(decideRoom({request, waitMs: 0, nowMs: 2_900})).toBe(
+      RoomDecision.SEND_ANYWAY,
+    );
   });
 
   it('refuses at once what could never end in time', () => {
     const request = {...REQUEST, deadlineAtMs: 5_000};
-    expect(decideRoom({request, nowMs: 0})).toBe(RoomDecision.REFUSE);
+    expect(decideRoom({request, waitMs: 0, nowMs: 0})).toBe(
+      RoomDecision.REFUSE,
+    );
   });
 });
--- a/test/core/room/room-queue.test.ts
+++ b/test/core/room/room-queue.test.ts
@@ -87,6 +87,19 @@
     expect(firstOf([b, a], running)).toBe(a);
   });
 
+  it.each(CASES)('has $name before the other', ({first, second, running}) => {
+    const [a, b] = [createRequest(first), createRequest(second)];
+    const queue = new RoomQueue<RoomRequest>();
+    queue.push(b);
+    queue.push(a);
+    const runningOf = (account: string) => running?.[account] ?? 0;
+    const view = {nowMs: NOW_MS, runningOf};
+    expect(queue.inOrder(view)).toEqual([a, b]);
+    expect(queue.last(view)).toBe(b);
+    expect(queue.countBefore(a, view)).toBe(0);
+    expect(queue.countBefore(b, view)).toBe(1);
+  });
+
   it('drops what its caller has left', () => {
     const queue = new RoomQueue<RoomRequest>();
     const request = createRequest();
--- a/test/direct/room-reservation.test.ts
+++ b/test/direct/room-reservation.test.ts
@@ -2,7 +2,7 @@
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import {beforeEach, describe, expect, it} from 'vitest';
 
-import {ManualClock} from '../../src/core/clock/index.js';
+import {ManualClock, SeededRandom} from '../../src/core/clock/index.js';
 import {ReserveFailure} from '../../src/core/edges/direct-target.js';
 import {SILENT_LOGGER} from '../../src/core/logs/index.js';
 import {Metrics} from '../../src/core/metrics/index.js';
@@ -47,8 +47,9 @@
     clock = new ManualClock();
     const metrics = new Metrics();
     const logger = SILENT_LOGGER;
+    const random = new SeededRandom(1);
     const supervisor = new Supervisor({clock, metrics, logger});
-    const room = new GenerationRooms({clock, metrics, supervisor});
+    const room = new GenerationRooms({clock, random, metrics, supervisor});
     client = new FakeTargets();
     target = new Target({
       clock,
--- a/test/direct/service-room.test.ts
+++ b/test/direct/service-room.test.ts
@@ -1,7 +1,8 @@
 /** Plays loads at the room of one entry, and checks what callers get. */
 import {describe, expect, it} from 'vitest';
 
-import {ManualClock} from '../../src/core/clock/index.js';
+import {ManualClock, SeededRandom} from '../../src/core/clock/index.js';
+import {RefusalReason} from '../../src/core/errors/refusals.js';
 import {SILENT_LOGGER} from '../../src/core/logs/index.js';
 import {Metrics} from '../../src/core/metrics/index.js';
 import {Supervisor} from '../../src/core/supervision/index.js';
@@ -33,6 +34,16 @@
   readonly objectiveMs: number;
   readonly everyMs: number;
   readonly clientAccount: string;
+  /** `RUN_MS` by default. */
+  readonly runMs?: number;
+}
+
+/** A refusal, as its caller sees it. */
+interface Refused {
+  readonly kind: Kind;
+  readonly reason: RefusalReason;
+  /** Time that is left to the caller when it returns; 0 if it can't. */
+  readonly leftMs: number;
 }
 
 /** Engines' places, shared by all generations of a play. */
@@ -44,14 +55,16 @@
   readonly placed: number[] = [];
   /** How long those waited that were sent without room. */
   readonly waitedMs: number[] = [];
+  readonly refused: Refused[] = [];
   private used = 0;
 
   constructor(readonly places: number) {
     const {clock} = this;
     const metrics = new Metrics();
     const logger = SILENT_LOGGER;
+    const random = new SeededRandom(1);
     const supervisor = new Supervisor({clock, metrics, logger});
-    this.room = new ServiceRoom({clock, metrics, supervisor});
+    this.room = new ServiceRoom({clock, random, metrics, supervisor});
   }
 
   async run(kinds: readonly Kind[], forMs: number): Promise<void> {
@@ -72,7 +85,12 @@
     return all.filter((o) => o === outcome).length / all.length;
   }
 
-  private arrive(kind: Kind): Promise<void> {
+  /** Share of a kind that got room, on time or late. */
+  servedShare(kind: Kind): number {
+    return this.share(kind, Outcome.ON_TIME) + this.share(kind, Outcome.LATE);
+  }
+
+  arrive(kind: Kind): Promise<void> {
     const receivedMs = this.clock.now();
     const objectiveAtMs = receivedMs + kind.objectiveMs;
     const applicant: Applicant = {
@@ -82,13 +100,18 @@
       objectiveAtMs,
       deadlineAtMs: receivedMs + DEADLINE_MS,
       firstEventMs: FIRST_EVENT_MS,
-      shortestMs: RUN_MS,
+      shortestMs: kind.runMs ?? RUN_MS,
       tryPlace: () => Promise.resolve(this.tryPlace(kind, objectiveAtMs)),
       placeAnyway: () => {
         this.waitedMs.push(this.clock.now() - receivedMs);
         this.record(kind, Outcome.SENT_ANYWAY);
       },
-      refuse: () => this.record(kind, Outcome.REFUSED),
+      refuse: (reason, retryAfterMs) => {
+        this.record(kind, Outcome.REFUSED);
+        const returnsAtMs = this.clock.now() + (retryAfterMs ?? DEADLINE_MS);
+        const leftMs = Math.max(0, receivedMs + DEADLINE_MS - returnsAtMs);
+        this.refused.push({kind, reason, leftMs});
+      },
       onWaitOver: () => undefined,
     };
     return this.room.enter(applicant);
@@ -103,7 +126,7 @@
     const isOnTime = this.clock.now() + FIRST_EVENT_MS <= objectiveAtMs;
     this.record(kind, isOnTime ? Outcome.ON_TIME : Outcome.LATE);
     this.clock.schedule({
-      delayMs: RUN_MS,
+      delayMs: kind.runMs ?? RUN_MS,
       run: () => {
         this.used--;
         this.room.recordEnd(kind.clientAccount);
@@ -179,6 +202,71 @@
   });
 });
 
+/** More than three times what the places bear, from callers who can wait. */
+const CROWD: Kind = {...USUAL, objectiveMs: 24_000, everyMs: 125};
+
+/** No more than the spare places bear. */
+const SELDOM: Kind = {...URGENT, everyMs: 4_000};
+
+describe('a queue that grows faster than room is freed', () => {
+  const PLACES = 20;
+  const FOR_MS = 30_000;
+
+  it('turns callers away while they can still be served elsewhere', async () => {
+    const play = new Play(PLACES);
+    await play.run([SELDOM, CROWD], FOR_MS);
+    expect(play.share(SELDOM, Outcome.ON_TIME)).toBe(1);
+    const returning = play.refused.filter(({leftMs}) => leftMs > RUN_MS);
+    expect(play.refused.length).toBeGreaterThan(50);
+    expect(returning.length / play.refused.length).toBeGreaterThan(0.95);
+  });
+
+  it('uses all places nevertheless', async () => {
+    const play = new Play(PLACES);
+    await play.run([CROWD], FOR_MS);
+    const places = PLACES * (1 - SPARE_SHARE);
+    const possible = (places * (FOR_MS + DEADLINE_MS - RUN_MS)) / RUN_MS;
+    expect(play.placed.length).toBeGreaterThan(0.8 * possible);
+  });
+
+  it('serves large ones at least half as often as all', async () => {
+    const play = new Play(PLACES);
+    const small = {...CROWD, everyMs: 200, runMs: 6_000};
+    const large = {...CROWD, everyMs: 600, runMs: 12_000};
+    await play.run([small, large], FOR_MS);
+    const [s, l] = [play.servedShare(small), play.servedShare(large)];
+    expect(l).toBeGreaterThan((0.5 * (3 * s + l)) / 4);
+  });
+
+  it('serves an account beside the flood of another', async () => {
+    const play = new Play(PLACES);
+    const modest = {...CROWD, everyMs: 2_000, clientAccount: 'c'};
+    await play.run([CROWD, modest], FOR_MS);
+    expect(play.servedShare(modest)).toBe(1);
+  });
+});
+
+describe('a full queue', () => {
+  const MAX_WAITING = 512;
+
+  it.each([
+    {name: 'a more urgent one displaces another', comes: URGENT, goes: CROWD},
+    {name: 'a less urgent one is refused', comes: CROWD, goes: CROWD},
+  ])('$name', async ({comes, goes}) => {
+    const play = new Play(0);
+    const newest = {...comes, clientAccount: 'd'};
+    for (let i = 0; i < MAX_WAITING; i++) await play.arrive(goes);
+    await play.arrive(newest);
+    expect(play.room.waiting).toBe(MAX_WAITING);
+    expect(play.refused).toHaveLength(1);
+    const {kind, reason, leftMs} = play.refused[0]!;
+    expect(kind.priority).toBe(goes.priority);
+    expect(reason).toBe(RefusalReason.OVERLOADED);
+    expect(leftMs).toBeGreaterThan(RUN_MS);
+    expect(play.outcomes.get(newest) ?? []).not.toContain(Outcome.SENT_ANYWAY);
+  });
+});
+
 // Guards against a look that arrivals put off again and again (held to the end).
 it('looks for room also while generations come all the time', async () => {
   const play = new Play(0);
