A full queue of plain calls refuses the call that costs callers least

Cause: a queue with MAX_WAITING calls refused each newcomer, also one more urgent than calls that waited.

Change: the call that would be sent last yields, be it the newcomer or one that waits: less urgent first, then late, then the latest objective. The order of sending and the choice of who yields are one comparison.

--- a/src/core/call-queue/call-queue.ts
+++ b/src/core/call-queue/call-queue.ts
@@ -1,5 +1,6 @@
 /** Plain calls of one service that wait at an entry for room at its targets. */
 import type {Clock, RandomSource} from '../clock/index.js';
+import {chooseYielding, compareUrgency} from './compare-urgency.js';
 import {MAX_WAITING, MIN_RETRY_AFTER_MS, RETRY_AFTER_JITTER} from './consts.js';
 import {decideCall} from './decide-call.js';
 import type {QueuedCall, Room} from './types.js';
@@ -21,7 +22,9 @@
 /**
  * Sends calls as long as targets have room for them. The others wait in the
  * order of their priority; of the same priority those come first that can still
- * be on time, the earliest first. A call never passes a more urgent one.
+ * be on time, the earliest first. A call never passes a more urgent one. Beyond
+ * `MAX_WAITING` the one that would be sent last is refused, be it the newcomer or
+ * one that waits.
  *
  * @example
  * const queue = new CallQueue({clock, random, roomOf: () => room});
@@ -48,12 +51,13 @@
 
   /** Sends or refuses a call at once, or lets it wait. */
   enter(entry: QueueEntry): void {
-    const waiting = {...entry, sinceMs: this.options.clock.now()};
-    if (this.waiting.size >= MAX_WAITING) {
-      this.refuse(waiting);
+    const newcomer = {...entry, sinceMs: this.options.clock.now()};
+    const isFull = this.waiting.size >= MAX_WAITING;
+    if (isFull && !this.makeRoomFor(newcomer)) {
+      this.refuse(newcomer);
       return;
     }
-    this.waiting.add(waiting);
+    this.waiting.add(newcomer);
     this.drain();
   }
 
@@ -84,6 +88,23 @@
     }
   }
 
+  /** Refuses the waiting call that yields; false if the newcomer does. */
+  private makeRoomFor(newcomer: WaitingCall): boolean {
+    const yielding = chooseYielding({
+      waiting: [...this.waiting, newcomer],
+      earliestEndMs: this.earliestEndMs(),
+    });
+    if (yielding === undefined || yielding === newcomer) return false;
+    this.waiting.delete(yielding);
+    this.refuse(yielding);
+    return true;
+  }
+
+  private earliestEndMs(): number {
+    const {clock, roomOf} = this.options;
+    return clock.now() + roomOf().serviceMs;
+  }
+
   private decide({call, sinceMs}: WaitingCall): CallDecision {
     const {clock, roomOf} = this.options;
     const nowMs = clock.now();
@@ -92,15 +113,9 @@
 
   private ordered(): WaitingCall[] {
     if (this.waiting.size < 2) return [...this.waiting];
-    const {clock, roomOf} = this.options;
-    const earliestEndMs = clock.now() + roomOf().serviceMs;
-    const isLate = ({call}: WaitingCall) =>
-      Number(call.objectiveAtMs < earliestEndMs);
-    return [...this.waiting].sort(
-      (a, b) =>
-        a.call.priority - b.call.priority ||
-        isLate(a) - isLate(b) ||
-        a.call.objectiveAtMs - b.call.objectiveAtMs,
+    const earliestEndMs = this.earliestEndMs();
+    return [...this.waiting].sort((a, b) =>
+      compareUrgency({a: a.call, b: b.call, earliestEndMs}),
     );
   }
 
--- a/test/core/call-queue/call-queue.test.ts
+++ b/test/core/call-queue/call-queue.test.ts
@@ -8,6 +8,7 @@
   decideCall,
   estimateRoom,
 } from '../../../src/core/call-queue/index.js';
+import {MAX_WAITING} from '../../../src/core/call-queue/consts.js';
 import {ManualClock, SeededRandom} from '../../../src/core/clock/index.js';
 import {chooseCallTarget} from '../../../src/core/placing/index.js';
 import {Target} from '../../../src/core/targets/index.js';
@@ -240,3 +241,131 @@
     expect(queued.longestMs).toBeLessThan(DEADLINE_MS);
   });
 });
+
+describe('a queue that is full', () => {
+  const FILLED = {...CALL, objectiveAtMs: 500};
+
+  /** The refused calls once `newcomer` enters among others that fill it. */
+  const refusedBy = (newcomer: QueuedCall, other: QueuedCall) => {
+    const refused: QueuedCall[] = [];
+    const queue = new CallQueue({
+      clock: new ManualClock(),
+      random: new SeededRandom(1),
+      roomOf: () => ({...ROOM, waitMs: 600}),
+    });
+    const fill = Array.from({length: MAX_WAITING - 1}, () => ({...FILLED}));
+    for (const call of [other, ...fill, newcomer])
+      queue.enter({
+        call,
+        onSend: () => undefined,
+        onRefuse: () => refused.push(call),
+      });
+    expect(queue.size).toBe(MAX_WAITING);
+    return refused;
+  };
+
+  const urgent = {...FILLED, priority: 0};
+  const lesser = {...FILLED, priority: 2, objectiveAtMs: 100};
+  const late = {...FILLED, objectiveAtMs: 10};
+  const later = {...FILLED, objectiveAtMs: 600};
+  const urgentAndLate = {...late, priority: 0};
+
+  it.each([
+    {name: 'one less urgent', newcomer: urgent, other: lesser, is: 'other'},
+    {
+      name: 'a newcomer that is',
+      newcomer: lesser,
+      other: urgent,
+      is: 'newcomer',
+    },
+    {name: 'one that is late', newcomer: {...FILLED}, other: late, is: 'other'},
+    {
+      name: 'a late newcomer',
+      newcomer: late,
+      other: {...FILLED},
+      is: 'newcomer',
+    },
+    {
+      name: 'a later objective',
+      newcomer: {...FILLED},
+      other: later,
+      is: 'other',
+    },
+    {name: 'a later newcomer', newcomer: later, other: late, is: 'other'},
+    {
+      name: 'the newest of equals',
+      newcomer: FILLED,
+      other: FILLED,
+      is: 'newcomer',
+    },
+    {
+      name: 'one less urgent, also before one late',
+      newcomer: urgentAndLate,
+      other: lesser,
+      is: 'other',
+    },
+  ])('refuses $name', ({newcomer, other, is}) => {
+    const refused = refusedBy(newcomer, other);
+    expect(refused).toHaveLength(1);
+    expect(refused[0]).toBe(is === 'other' ? other : newcomer);
+  });
+});
+
+describe('a burst that fills the queue', () => {
+  const ASKED = 1_000;
+  const URGENT_EVERY = 10;
+  const PERIOD_MS = 0.5;
+  const FREED_EVERY_MS = 4;
+
+  /** Plays a burst of which one call in ten is urgent; one slot frees at a time. */
+  const play = () => {
+    const clock = new ManualClock();
+    let free = 0;
+    const roomOf = () => ({...ROOM, waitMs: 100, hasFreeSlot: free > 0});
+    const random = new SeededRandom(1);
+    const queue = new CallQueue({clock, random, roomOf});
+    const got = {
+      urgent: {asked: 0, onTime: 0, refused: 0},
+      other: {asked: 0, onTime: 0, refused: 0},
+      full: false,
+    };
+    const freeing = clock.repeat({
+      periodMs: FREED_EVERY_MS,
+      run: () => {
+        free = 1;
+        queue.drain();
+      },
+    });
+    for (let i = 0; i < ASKED; i++) {
+      const isUrgent = i % URGENT_EVERY === 0;
+      const counts = isUrgent ? got.urgent : got.other;
+      counts.asked++;
+      const objectiveAtMs = clock.now() + 130;
+      queue.enter({
+        call: {
+          priority: isUrgent ? 0 : 1,
+          objectiveAtMs,
+          deadlineAtMs: clock.now() + DEADLINE_MS,
+        },
+        onSend: () => {
+          free--;
+          if (clock.now() + SERVICE_MS <= objectiveAtMs) counts.onTime++;
+        },
+        onRefuse: () => counts.refused++,
+      });
+      got.full ||= queue.size === MAX_WAITING;
+      clock.advance(PERIOD_MS);
+    }
+    clock.advance(DEADLINE_MS);
+    freeing.cancel();
+    return got;
+  };
+
+  it('refuses no urgent call while less urgent ones wait', () => {
+    const {urgent, other, full} = play();
+    expect(full).toBe(true);
+    expect(urgent.refused).toBe(0);
+    expect(urgent.onTime).toBe(urgent.asked);
+    expect(other.refused).toBeGreaterThan(0);
+  });
+});
