A body that the entry holds back blames no target, and one crash counts once

Cause: a body beyond BodyAllowance was reported as REJECTED. Its target counted as full, the retry took from the budget for rejections, and a roll-out counted a request that was never sent to the new version. Each body that one crash of a target ended halved the bound again.

Change: ExchangeFailure.HELD_BACK and RetryReason.HELD_BACK. Such an attempt changes nothing at its target, costs no budget, counts no arrival, and causes no probe of the data centre. Losses within a second of a counted one, of bodies sent before it, are of the same crash.

--- a/src/core/edges/direct-target.ts
+++ b/src/core/edges/direct-target.ts
@@ -8,6 +8,8 @@
 export enum ExchangeFailure {
   /** No byte of the request was written. */
   NOT_SENT = 'not_sent',
+  /** The entry held the request back; no byte was written. */
+  HELD_BACK = 'held_back',
   /**
    * The target has no free capacity and reports that it did not run the
    * request.
--- a/src/core/errors/refusals.ts
+++ b/src/core/errors/refusals.ts
@@ -67,6 +67,8 @@
   TARGET_REPLACED = 'target_replaced',
   /** The request never reached the target. */
   NOT_SENT = 'not_sent',
+  /** The entry itself held the request back from the target. */
+  HELD_BACK = 'held_back',
   /** No response arrived within the time allowed for the attempt. */
   CALL_SLOW = 'call_slow',
   /** The call was sent, but no complete response was received. */
--- a/src/core/retrying/decide-retry.ts
+++ b/src/core/retrying/decide-retry.ts
@@ -45,6 +45,7 @@
 /** Failures after which the call certainly did not run at the target. */
 const NOT_RUN: ReadonlySet<ExchangeFailure> = new Set([
   ExchangeFailure.NOT_SENT,
+  ExchangeFailure.HELD_BACK,
   ExchangeFailure.REJECTED,
   ExchangeFailure.WRONG_TARGET,
 ]);
@@ -52,6 +53,7 @@
 /** Failures after which the chosen target certainly did not get the call. */
 const NOT_RECEIVED: ReadonlySet<ExchangeFailure> = new Set([
   ExchangeFailure.NOT_SENT,
+  ExchangeFailure.HELD_BACK,
   ExchangeFailure.WRONG_TARGET,
 ]);
 
@@ -80,6 +82,8 @@
   switch (failure) {
     case ExchangeFailure.NOT_SENT:
       return RetryReason.NOT_SENT;
+    case ExchangeFailure.HELD_BACK:
+      return RetryReason.HELD_BACK;
     case ExchangeFailure.REJECTED:
       return RetryReason.TARGET_REFUSED;
     case ExchangeFailure.WRONG_TARGET:
--- a/src/core/rollouts/exposure-budget.ts
+++ b/src/core/rollouts/exposure-budget.ts
@@ -33,6 +33,12 @@
     this.stepSentToNew++;
   }
 
+  /** Takes back a request to the new version that was not sent after all. */
+  recordHeldBack(): void {
+    this.sentToNew--;
+    this.stepSentToNew = Math.max(0, this.stepSentToNew - 1);
+  }
+
   /** Begins a step, whose share counts from now on. */
   beginStep(): void {
     this.stepReached = 0;
--- a/src/core/targets/body-allowance.ts
+++ b/src/core/targets/body-allowance.ts
@@ -12,6 +12,12 @@
 /** Time without a loss after which a lowered bound doubles, in milliseconds. */
 export const RECOVERY_MS = 5_000;
 
+/**
+ * Time within which the losses of one crash are noticed, in milliseconds; its
+ * connections break at once.
+ */
+export const CRASH_MS = 1_000;
+
 /**
  * The bodies of one target's open requests. A target that is lost while it
  * holds much may have run out of memory, so its bound falls below what it held,
@@ -28,6 +34,8 @@
   private boundBytes = MAX_HELD_BYTES;
   /** When the bound last changed. */
   private changedMs = 0;
+  /** When the bound was last lowered. */
+  private lostMs = Number.NEGATIVE_INFINITY;
 
   /** Bytes that are counted now. */
   get heldBytes(): number {
@@ -50,13 +58,19 @@
     this.held -= countedOf(bytes);
   }
 
-  /** The target was lost with all that it holds; call before `release`. */
-  recordLoss(nowMs: number): void {
-    if (this.held <= MIN_HELD_BYTES) return;
+  /**
+   * The target was lost with all that it holds; call it for each lost body before
+   * `release`. Bodies that one crash ends count as one loss.
+   */
+  recordLoss(nowMs: number, takenAtMs = nowMs): void {
+    const isSameCrash =
+      takenAtMs <= this.lostMs && nowMs - this.lostMs < CRASH_MS;
+    if (isSameCrash || this.held <= MIN_HELD_BYTES) return;
     const lowered = Math.max(MIN_HELD_BYTES, this.held / 2);
     if (lowered >= this.boundBytes) return;
     this.boundBytes = lowered;
     this.changedMs = nowMs;
+    this.lostMs = nowMs;
   }
 
   /** Whether nothing is counted and the bound is as at the start. */
--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -24,7 +24,11 @@
 import {ResponseBody, TOO_LARGE_DETAIL} from './response-body.js';
 import type {DirectContext, DirectWork, RequestContext} from './context.js';
 import {forwardResponse} from './forward-response.js';
-import {recordNotice, recordTargetFailure} from './record-exchange.js';
+import {
+  recordNotice,
+  recordOutcome,
+  recordTargetFailure,
+} from './record-exchange.js';
 import {PoisonDetector} from './poison/index.js';
 import {refuseUnsent} from './refuse-unsent.js';
 import {RequestBoundary, runAll} from './request-boundary.js';
@@ -237,7 +241,7 @@
 
   private onAttemptEnd(result: AttemptResult): void {
     const {target} = this.current!;
-    target.recordResponse(isTargetFailure(result));
+    recordOutcome(target, result);
     this.recordServiceTime(this.current!, result);
     if (result.failure === undefined) this.mayHaveRun = true;
     this.closeAttempt();
--- a/src/direct/record-exchange.ts
+++ b/src/direct/record-exchange.ts
@@ -1,6 +1,8 @@
 /** Updates a target after an exchange. */
 import type {TargetNotice} from '../core/edges/direct-target.js';
 import {ExchangeFailure} from '../core/edges/direct-target.js';
+import type {AttemptResult} from '../core/retrying/index.js';
+import {isTargetFailure} from '../core/retrying/index.js';
 import type {Target} from '../core/targets/index.js';
 import type {DirectContext} from './context.js';
 
@@ -24,11 +26,26 @@
     case ExchangeFailure.NOT_SENT:
       target.pause();
       break;
+    case ExchangeFailure.HELD_BACK:
+      // The target knows nothing of it.
+      break;
     default:
       target.recordFailure();
   }
 }
 
+/**
+ * Records whether an exchange failed at its target. One that was held back tells
+ * nothing of it.
+ *
+ * @example
+ * recordOutcome(target, {status: 500});
+ */
+export function recordOutcome(target: Target, result: AttemptResult): void {
+  if (result.failure === ExchangeFailure.HELD_BACK) return;
+  target.recordResponse(isTargetFailure(result));
+}
+
 /**
  * Records what a target told of itself, which affects later choices.
  *
--- a/src/direct/rollouts/counted-exchange.ts
+++ b/src/direct/rollouts/counted-exchange.ts
@@ -14,6 +14,7 @@
 /** Failures after which nothing is known of the target's version. */
 const NEUTRAL_FAILURES: ReadonlySet<ExchangeFailure> = new Set([
   ExchangeFailure.NOT_SENT,
+  ExchangeFailure.HELD_BACK,
   ExchangeFailure.REJECTED,
   ExchangeFailure.WRONG_TARGET,
 ]);
@@ -32,6 +33,8 @@
 export interface ExchangeRecorder {
   /** The request has reached its target. */
   onReached(): void;
+  /** The entry held the request back, so it was not sent. */
+  onHeldBack(): void;
   /** Something was found out; may come before the end. */
   onCounted(counts: CellCounts): void;
   /** The exchange is over. */
@@ -107,6 +110,8 @@
   onFailure(failure: ExchangeFailure, detail: string): void {
     const isNeutral = NEUTRAL_FAILURES.has(failure);
     if (!isNeutral) this.reach();
+    if (failure === ExchangeFailure.HELD_BACK)
+      this.options.recorder.onHeldBack();
     this.finish(isNeutral ? NOTHING : {...NOTHING, lost: 1});
     this.options.listener.onFailure(failure, detail);
   }
--- a/src/direct/rollouts/counted-targets.ts
+++ b/src/direct/rollouts/counted-targets.ts
@@ -106,6 +106,9 @@
       timer: rollout.timer,
       recorder: {
         onReached: () => controller.budget.recordReached(),
+        onHeldBack: () => {
+          if (isNew) controller.budget.recordHeldBack();
+        },
         onOver: () => {
           if (!isNew) rollout.oldOpen--;
         },
--- a/src/direct/service-retry-budgets.ts
+++ b/src/direct/service-retry-budgets.ts
@@ -68,6 +68,7 @@
     const [losses, noOutput, rejections] = this.budgetsOf(service);
     switch (reason) {
       case RetryReason.NOT_SENT:
+      case RetryReason.HELD_BACK:
         // Nothing reached the target, so this costs no budget.
         return true;
       case RetryReason.TARGET_REFUSED:
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -358,7 +358,8 @@
       return;
     }
     recordTargetFailure(this.target, failure);
-    this.options.ctx.prober.probeDataCentreOf(this.target);
+    if (failure !== ExchangeFailure.HELD_BACK)
+      this.options.ctx.prober.probeDataCentreOf(this.target);
     const reason = retryReasonOf(failure, RetryReason.ENGINE_DIED);
     this.reportLoss({reason, failure, detail: `${failure}: ${detail}`});
   }
--- a/src/direct/streams/target-loss.ts
+++ b/src/direct/streams/target-loss.ts
@@ -14,6 +14,7 @@
 /** Reasons of a loss that show that the data centre is reachable. */
 const DATA_CENTRE_ALIVE_REASONS: ReadonlySet<RetryReason> = new Set([
   RetryReason.CALLER_SLOW,
+  RetryReason.HELD_BACK,
   RetryReason.TARGET_REFUSED,
   RetryReason.TARGET_REPLACED,
 ]);
--- a/test/core/targets/body-allowance.test.ts
+++ b/test/core/targets/body-allowance.test.ts
@@ -4,6 +4,7 @@
 
 import {
   BodyAllowance,
+  CRASH_MS,
   EXEMPT_BODY_BYTES,
   MAX_HELD_BYTES,
   MIN_HELD_BYTES,
@@ -50,6 +51,28 @@
     expect(takeMany(allowance, START_MS + row.afterMs)).toBe(row.bodies);
   });
 
+  it.each([
+    {what: 'of one crash', newAtMs: 0, lostAgainMs: 1, bodies: 2},
+    {what: 'of bodies sent after it', newAtMs: 1, lostAgainMs: 2, bodies: 1},
+    {
+      what: 'long after it',
+      newAtMs: 0,
+      lostAgainMs: CRASH_MS,
+      bodies: 1,
+    },
+  ])('takes $bodies large bodies after losses $what', (row) => {
+    const allowance = new BodyAllowance();
+    const count = takeMany(allowance, START_MS);
+    allowance.recordLoss(START_MS, START_MS);
+    allowance.release(BODY_BYTES);
+    for (let i = 1; i < count; i++) {
+      const takenAtMs = START_MS + row.newAtMs;
+      allowance.recordLoss(START_MS + row.lostAgainMs, takenAtMs);
+      allowance.release(BODY_BYTES);
+    }
+    expect(takeMany(allowance, START_MS + row.lostAgainMs)).toBe(row.bodies);
+  });
+
   it('always takes small bodies', () => {
     const allowance = new BodyAllowance();
     takeMany(allowance, START_MS);
--- a/test/direct/counted-exchange.test.ts
+++ b/test/direct/counted-exchange.test.ts
@@ -33,6 +33,7 @@
   let counted: CellCounts[];
   let reached: number;
   let over: number;
+  let heldBack: number;
 
   beforeEach(() => {
     clock = new ManualClock();
@@ -40,6 +41,7 @@
     counted = [];
     reached = 0;
     over = 0;
+    heldBack = 0;
   });
 
   const start = (options: {isNew?: boolean; isWarmingUp?: boolean} = {}) => {
@@ -53,6 +55,7 @@
       clock,
       recorder: {
         onReached: () => reached++,
+        onHeldBack: () => heldBack++,
         onCounted: (counts) => counted.push(counts),
         onOver: () => over++,
       },
@@ -97,6 +100,7 @@
 
   it.each([
     {failure: ExchangeFailure.NOT_SENT, lost: 0},
+    {failure: ExchangeFailure.HELD_BACK, lost: 0},
     {failure: ExchangeFailure.REJECTED, lost: 0},
     {failure: ExchangeFailure.WRONG_TARGET, lost: 0},
     {failure: ExchangeFailure.BROKEN, lost: 1},
@@ -105,6 +109,8 @@
     start().onFailure(failure, '');
     expect(counted.reduce((sum, c) => sum + c.lost, 0)).toBe(lost);
     expect({reached, over}).toEqual({reached: lost, over: 1});
+    const isHeldBack = failure === ExchangeFailure.HELD_BACK;
+    expect(heldBack).toBe(isHeldBack ? 1 : 0);
   });
 
   it.each([
--- a/test/direct/large-bodies.test.ts
+++ b/test/direct/large-bodies.test.ts
@@ -12,6 +12,8 @@
 
 const CALLERS = 12;
 
+const OTHER_WORK_MS = 400;
+
 /** Longer than the test needs. */
 const DEADLINE_MS = 20_000;
 
@@ -59,6 +61,9 @@
       expect(status).toBe(503);
       expect(headers['retry-after']).toBeDefined();
     }
+    const {metrics} = site.entries[0]!;
+    const text = await metrics.render();
+    expect(text).toContain('retries_total{reason="target_refused"} 0');
     leaving.abort();
     await settled;
     const {memory} = site.entries[0]!;
@@ -67,4 +72,33 @@
     expect((await send(10)).status).toBe(200);
     expect((await send(BODY_BYTES)).status).toBe(200);
   });
+
+  it('that are held back go elsewhere and blame no target', async () => {
+    const [silent] = site.targets;
+    silent!.isUnresponsive = true;
+    const leaving = new AbortController();
+    const fitting = Math.floor(MAX_HELD_BYTES / BODY_BYTES);
+    const calls = Array.from({length: fitting}, () =>
+      send(BODY_BYTES, leaving.signal),
+    );
+    await waitFor(() => silent!.arrivedAtMs.length >= fitting);
+    await site.addTarget({
+      service: SiteService.DESK,
+      zone: 'a',
+      workMs: OTHER_WORK_MS,
+    });
+    // Both targets get as much of this, so either may be chosen next.
+    const small = Array.from({length: CALLERS}, () => send(1, leaving.signal));
+    const settled = Promise.allSettled([...calls, ...small]);
+    const answers = await Promise.all(
+      Array.from({length: fitting}, () => send(BODY_BYTES)),
+    );
+    expect(answers.map(({status}) => status)).toEqual(Array(fitting).fill(200));
+    const text = await site.entries[0]!.metrics.render();
+    const heldBack = /retries_total{reason="held_back"} (\d+)/.exec(text)?.[1];
+    expect(Number(heldBack)).toBeGreaterThan(0);
+    expect(text).toContain('retries_total{reason="target_refused"} 0');
+    leaving.abort();
+    await settled;
+  });
 });
