plantainrill route: where a request would go now, and why, unsent

Cause: operators could not ask a running entry why a request goes to one target, waits or is refused.

Evidence: test/core/route-plan and test/processes/route did not exist; the tool had no such command.

Change: src/core/route-plan describes a request by the real decisions (admitRequest, CallQueue.preview, decideRoom, chooseCallTarget, shortlistEngines, chooseEngine). GET /route at the metrics address of a direct entry answers with it; the command shows a table or JSON. Keys come in a header and appear nowhere. The shortlist size and the looks at engines moved to the core.

--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -8,6 +8,7 @@
 import {createDrainCommand} from './drain/index.js';
 import {createExplainCommand} from './explain/index.js';
 import {createGenerateCommand} from './generate/index.js';
+import {createRouteCommand} from './route/index.js';
 import {createStatusCommand} from './status/index.js';
 
 /** All commands in the order of the help. */
@@ -21,4 +22,5 @@
   createGenerateCommand,
   createCallCommand,
   createExplainCommand,
+  createRouteCommand,
 ];
--- a/src/cli/consts.ts
+++ b/src/cli/consts.ts
@@ -19,6 +19,9 @@
 /** Path of a process's status at its operators address. */
 export const STATUS_PATH = '/status';
 
+/** Path at the metrics address of a direct entry that tells a request's route. */
+export const ROUTE_PATH = '/route';
+
 /** Path that starts the graceful shutdown of a process. */
 export const DRAIN_PATH = '/drain';
 
--- a/src/core/call-queue/call-queue.ts
+++ b/src/core/call-queue/call-queue.ts
@@ -3,7 +3,7 @@
 import {chooseYielding, compareUrgency} from './compare-urgency.js';
 import {MAX_WAITING, MIN_RETRY_AFTER_MS, RETRY_AFTER_JITTER} from './consts.js';
 import {decideCall} from './decide-call.js';
-import type {QueuedCall, Room} from './types.js';
+import type {CallPreview, QueuedCall, Room} from './types.js';
 import {CallDecision} from './types.js';
 
 /** A call and what is done with it; one of the two is called once. */
@@ -61,6 +61,33 @@
     this.drain();
   }
 
+  /** What `enter` would do with a call; changes nothing. */
+  preview(call: QueuedCall): CallPreview {
+    const {clock, roomOf} = this.options;
+    const nowMs = clock.now();
+    const room = roomOf();
+    const earliestEndMs = nowMs + room.serviceMs;
+    const others = [...this.waiting].map((waiting) => waiting.call);
+    const before = others.filter(
+      (other) => compareUrgency({a: other, b: call, earliestEndMs}) <= 0,
+    ).length;
+    const mustYield =
+      this.waiting.size >= MAX_WAITING && before === this.waiting.size;
+    const isPassing = others.some(({priority}) => priority < call.priority);
+    const decision = decideCall({call, room, waitsSinceMs: nowMs, nowMs});
+    const isHeld = decision === CallDecision.SEND && isPassing;
+    return {
+      decision: mustYield
+        ? CallDecision.REFUSE
+        : isHeld
+          ? CallDecision.WAIT
+          : decision,
+      before,
+      waitMs: room.waitMs,
+      retryAfterMs: Math.ceil(this.nextRetryAtMs(room) - nowMs),
+    };
+  }
+
   /** Removes a call whose caller is gone. */
   leave(call: QueuedCall): void {
     for (const waiting of this.waiting) {
@@ -123,11 +150,14 @@
   private refuse({onRefuse}: WaitingCall): void {
     const {clock, random, roomOf} = this.options;
     const nowMs = clock.now();
-    const {waitMs, intervalMs} = roomOf();
-    const hasChanceAtMs = nowMs + Math.max(waitMs, MIN_RETRY_AFTER_MS);
-    const earliestMs = Math.max(hasChanceAtMs, this.lastRetryAtMs);
-    this.lastRetryAtMs = earliestMs + intervalMs;
+    this.lastRetryAtMs = this.nextRetryAtMs(roomOf());
     const jitter = 1 + random.float() * RETRY_AFTER_JITTER;
     onRefuse(Math.ceil((this.lastRetryAtMs - nowMs) * jitter));
   }
+
+  private nextRetryAtMs({waitMs, intervalMs}: Room): number {
+    const nowMs = this.options.clock.now();
+    const hasChanceAtMs = nowMs + Math.max(waitMs, MIN_RETRY_AFTER_MS);
+    return Math.max(hasChanceAtMs, this.lastRetryAtMs) + intervalMs;
+  }
 }
--- a/src/core/call-queue/types.ts
+++ b/src/core/call-queue/types.ts
@@ -30,3 +30,14 @@
   WAIT = 'wait',
   REFUSE = 'refuse',
 }
+
+/** What a queue would do with a call now. */
+export interface CallPreview {
+  readonly decision: CallDecision;
+  /** Waiting calls that are sent before it. */
+  readonly before: number;
+  /** Expected wait for a slot, in milliseconds. */
+  readonly waitMs: number;
+  /** Retry-After before its random part if it is refused, in milliseconds. */
+  readonly retryAfterMs: number;
+}
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -341,6 +341,14 @@
   hint: 'Check the address and whether the process runs.',
 } as const satisfies ErrorData;
 
+/** The entry could not read the question for a route. */
+export const ROUTE_QUERY_INVALID = {
+  name: 'route_query_invalid',
+  title: 'Question not understood',
+  message: 'The entry could not read the question for a route.',
+  hint: 'Correct the option that the detail names.',
+} as const satisfies ErrorData;
+
 /** The process was still running after the time allowed for draining. */
 export const DRAIN_UNFINISHED = {
   name: 'drain_unfinished',
--- a/src/core/rollouts/version-baseline.ts
+++ b/src/core/rollouts/version-baseline.ts
@@ -54,6 +54,15 @@
     return held;
   }
 
+  /** Returns what `held` would; changes nothing. */
+  peek(options: Parameters<VersionBaseline['held']>[0]): ReadonlySet<string> {
+    const copy = new VersionBaseline();
+    for (const [service, versions] of this.known)
+      copy.known.set(service, new Set(versions));
+    for (const [key, ms] of this.firstSeenMs) copy.firstSeenMs.set(key, ms);
+    return copy.held(options);
+  }
+
   private seenSinceMs(key: string, nowMs: number): number {
     const seenMs = this.firstSeenMs.get(key) ?? nowMs;
     this.firstSeenMs.set(key, seenMs);
--- a/src/core/room/index.ts
+++ b/src/core/room/index.ts
@@ -1,4 +1,5 @@
 /** Room for generations at engines, and who waits for it. */
+export {MAX_ENGINES_PER_LOOK} from './consts.js';
 export {decideRoom} from './decide-room.js';
 export type {EngineRoomQuery} from './engine-room.js';
 export {hasRoomForCopy, leavesSpareRoom} from './engine-room.js';
--- a/src/core/room/room-queue.ts
+++ b/src/core/room/room-queue.ts
@@ -53,6 +53,12 @@
     return first;
   }
 
+  /** Number of waiting requests that get room before another one. */
+  countBefore(request: RoomRequest, view: QueueView): number {
+    return this.all().filter((other) => goesBefore(other, request, view))
+      .length;
+  }
+
   /** Whether a waiting request gets room before another one. */
   hasBefore(request: RoomRequest, view: QueueView): boolean {
     return this.all().some((other) => goesBefore(other, request, view));
--- a/src/core/routes/route-table.ts
+++ b/src/core/routes/route-table.ts
@@ -20,6 +20,7 @@
   private readonly routesByHost = new Map<string, Route[]>();
   private readonly services = new Map<string, RoutedService>();
   private readonly accountByKey = new Map<string, AccountKeys>();
+  private readonly accountByName = new Map<string, AccountKeys>();
   private readonly hasAccounts: boolean;
   /** Most urgent priority of the routes to a service. */
   private readonly topPriorities = new Map<string, number>();
@@ -32,6 +33,7 @@
       this.services.set(service.name, service);
     }
     for (const account of config.accounts ?? []) {
+      this.accountByName.set(account.clientAccount, account);
       for (const key of account.keys) this.accountByKey.set(key, account);
     }
     for (const route of config.routes) this.addRoute(route);
@@ -61,6 +63,11 @@
     return this.accountByKey.get(key);
   }
 
+  /** Finds an account by its name. */
+  findAccountNamed(clientAccount: string): AccountKeys | undefined {
+    return this.accountByName.get(clientAccount);
+  }
+
   /** Returns whether requests on a route need a key. */
   requiresKey(route: Route): boolean {
     return this.hasAccounts && !route.isPublic;
--- a/src/core/sync/key-trust.ts
+++ b/src/core/sync/key-trust.ts
@@ -82,6 +82,17 @@
     const {boundMs} = this;
     if (boundMs === undefined) return true;
     if (this.suspension.hasJumped()) this.distrust();
+    return this.isRecent(boundMs);
+  }
+
+  /** What `isTrusted` would tell; changes nothing. */
+  wouldTrust(): boolean {
+    const {boundMs} = this;
+    if (boundMs === undefined) return true;
+    return !this.suspension.hasJumped() && this.isRecent(boundMs);
+  }
+
+  private isRecent(boundMs: number): boolean {
     return this.ageMs() <= boundMs * TRUSTED_SHARE;
   }
 
--- a/src/core/targets/target-set.ts
+++ b/src/core/targets/target-set.ts
@@ -18,6 +18,8 @@
 export interface TargetGate {
   /** Returns those of the targets that may get work now. */
   admit(service: string, targets: Target[]): Target[];
+  /** Returns the same; changes nothing. */
+  peek(service: string, targets: Target[]): Target[];
 }
 
 /**
@@ -87,6 +89,19 @@
     );
   }
 
+  /**
+   * All targets of a service, and those that neither drain nor are limited by the
+   * gate; changes nothing.
+   */
+  peekService(service: string): {registered: Target[]; admitted: Target[]} {
+    const registered = [...this.targets.values()].filter(
+      ({id, record}) => record.service === service && !this.isExpired(id),
+    );
+    const present = registered.filter(({record}) => !record.isDraining);
+    const admitted = this.options.gate?.peek(service, present) ?? present;
+    return {registered, admitted};
+  }
+
   /** Those of them that may get work now. */
   private presentOf(service: string): Target[] {
     const registered = this.registeredOf(service);
@@ -160,12 +175,16 @@
 
   private removeExpired(): void {
     if (this.missingSinceMs.size === 0) return;
-    const latestExpiredMs = this.options.clock.now() - REREGISTRATION_GRACE_MS;
-    for (const [id, sinceMs] of [...this.missingSinceMs]) {
-      if (sinceMs <= latestExpiredMs) this.remove(id);
+    for (const id of [...this.missingSinceMs.keys()]) {
+      if (this.isExpired(id)) this.remove(id);
     }
   }
 
+  private isExpired(id: string): boolean {
+    const sinceMs = this.missingSinceMs.get(id) ?? Number.POSITIVE_INFINITY;
+    return sinceMs <= this.options.clock.now() - REREGISTRATION_GRACE_MS;
+  }
+
   /** Stored by address, since a restarted target runs on the same machine. */
   private rememberEventGap({record, eventGapMs}: Target): void {
     if (eventGapMs === undefined) return;
--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -37,6 +37,7 @@
 import {SettingsWatcher} from '../direct/settings-watcher.js';
 import {EXIT_BAD_SETTINGS} from './consts.js';
 import {readWithRetry} from './read-with-retry.js';
+import {isRouteRequest, serveRoute} from './serve-route.js';
 import type {StartupSignals} from './startup-signals.js';
 
 const STDOUT = 1;
@@ -281,7 +282,10 @@
   });
   const metricsServer = createGuardedServer(
     {supervisor, table, clock},
-    (req, res) => serveMetrics({req, res, metrics}),
+    (req, res) =>
+      isRouteRequest(req)
+        ? serveRoute({req, res, entry})
+        : serveMetrics({req, res, metrics}),
   );
   supervisor.run({name: TaskName.METRICS}, () =>
     listenWhenFree({
--- a/src/direct/call-queues.ts
+++ b/src/direct/call-queues.ts
@@ -4,7 +4,7 @@
   estimateRoom,
   ServiceTime,
 } from '../core/call-queue/index.js';
-import type {Room} from '../core/call-queue/index.js';
+import type {CallPreview, QueuedCall, Room} from '../core/call-queue/index.js';
 import type {Clock, RandomSource, TimerHandle} from '../core/clock/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
@@ -67,6 +67,13 @@
     return queue.enter(options);
   }
 
+  /** What the queue of a service would do with a call; changes nothing. */
+  preview(service: string, call: QueuedCall): CallPreview {
+    const queue = this.queues.get(service);
+    const fresh = () => new ServiceQueue({...this.options, service});
+    return (queue ?? fresh()).preview(call);
+  }
+
   /** Records a response of a target; `scale` is that of `ServiceTime`. */
   recordServed(service: string, sample: {heldMs: number; scale: number}): void {
     this.queues.get(service)?.time.add(sample);
@@ -118,6 +125,10 @@
     return () => this.queue.leave(call);
   }
 
+  preview(call: QueuedCall): CallPreview {
+    return this.queue.preview(call);
+  }
+
   drain(): void {
     this.queue.drain();
     this.watch();
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -82,9 +82,6 @@
 /** Age up to which a load report is used for placement, in milliseconds. */
 export const MAX_REPORT_AGE_MS = 120;
 
-/** Engines whose load is queried before a generation is placed. */
-export const SHORTLIST_SIZE = 3;
-
 /** Engines whose room for a copy is queried before a generation is placed. */
 export const HOLDER_SHORTLIST_SIZE = 3;
 
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -29,6 +29,8 @@
   OperationKind,
   pickService,
 } from '../core/routes/index.js';
+import type {RoutePlan, RouteQuery} from '../core/route-plan/index.js';
+import {describeRoute} from '../core/route-plan/index.js';
 import type {DirectSettings} from '../core/settings/direct-settings.js';
 import {messageMemoryBytes} from '../core/settings/direct-settings.js';
 import type {Supervisor} from '../core/supervision/index.js';
@@ -50,6 +52,7 @@
 import {failRequest} from './request-boundary.js';
 import type {RolloutKeeper} from './rollouts/index.js';
 import {createRolloutKeeper} from './rollouts/index.js';
+import {createRouteView} from './route-view.js';
 import {ServiceRetryBudgets} from './service-retry-budgets.js';
 import {MinGenerationTimes} from './streams/min-generation-times.js';
 import {StreamHandler} from './streams/stream-handler.js';
@@ -317,6 +320,22 @@
     });
   }
 
+  /** Whether a configuration is known. */
+  hasConfig(): boolean {
+    return this.routes.get() !== undefined;
+  }
+
+  /** Describes where a request would go now; nothing is sent or changed. */
+  describeRoute(query: RouteQuery): RoutePlan {
+    const view = createRouteView({
+      ctx: this.ctx,
+      table: this.routes.get(),
+      isTrusted: this.keyTrust.wouldTrust(),
+      hasTargets: this.targetSync.hasLoaded,
+    });
+    return describeRoute(query, view);
+  }
+
   /** Serves one request; an exception ends it alone. */
   handle(req: CallerRequest, res: CallerResponse): void {
     const {ctx} = this;
--- a/src/direct/rollouts/rollout-keeper.ts
+++ b/src/direct/rollouts/rollout-keeper.ts
@@ -118,14 +118,31 @@
   }
 
   admit(service: string, targets: Target[]): Target[] {
-    const rollout = this.rollouts.get(service);
-    const versions = new Set(targets.map((target) => versionOf(target)));
-    const held = this.baseline.held({
+    const held = this.baseline.held(this.toHoldQuery(service, targets));
+    return this.admitUnheld({service, targets, held});
+  }
+
+  peek(service: string, targets: Target[]): Target[] {
+    const held = this.baseline.peek(this.toHoldQuery(service, targets));
+    return this.admitUnheld({service, targets, held});
+  }
+
+  private toHoldQuery(service: string, targets: readonly Target[]) {
+    return {
       service,
-      versions,
+      versions: new Set(targets.map((target) => versionOf(target))),
       nowMs: this.options.clock.now(),
       ordersKnownAtMs: this.ordersKnownAtMs,
-    });
+    };
+  }
+
+  private admitUnheld(options: {
+    service: string;
+    targets: Target[];
+    held: ReadonlySet<string>;
+  }): Target[] {
+    const {service, targets, held} = options;
+    const rollout = this.rollouts.get(service);
     const open =
       rollout?.admit(this.withoutBarred(service, targets)) ?? targets;
     if (rollout?.isRunning === true || held.size === 0) return open;
--- a/src/direct/room/consts.ts
+++ b/src/direct/room/consts.ts
@@ -3,9 +3,6 @@
 /** Time between two looks for room while generations wait, in milliseconds. */
 export const ROOM_LOOK_MS = 100;
 
-/** Engines that are asked for room at one look. */
-export const MAX_ENGINES_PER_LOOK = 3;
-
 /** Timeout of a reservation and of its release, in milliseconds. */
 export const RESERVE_TIMEOUT_MS = 120;
 
--- a/src/direct/room/generation-rooms.ts
+++ b/src/direct/room/generation-rooms.ts
@@ -13,6 +13,11 @@
 
   constructor(private readonly options: ServiceRoomOptions) {}
 
+  /** The room of a service; undefined if it was not used yet. */
+  find(service: string): ServiceRoom | undefined {
+    return this.rooms.get(service);
+  }
+
   ofService(service: string): ServiceRoom {
     let room = this.rooms.get(service);
     if (room === undefined) {
--- a/src/direct/room/service-room.ts
+++ b/src/direct/room/service-room.ts
@@ -87,6 +87,11 @@
     this.scheduleLook(ROOM_LOOK_MS);
   }
 
+  /** Number of waiting generations that get room before another one. */
+  countBefore(request: RoomRequest): number {
+    return this.queue.countBefore(request, this.view());
+  }
+
   /** Drops a generation whose caller has left. */
   leave(applicant: Applicant): void {
     this.remove(applicant, WaitEnd.CALLER_LEFT);
--- a/src/direct/room/stream-room.ts
+++ b/src/direct/room/stream-room.ts
@@ -1,7 +1,6 @@
 /** One stream's place in the order in which generations get room. */
-import {toGenerationNeed} from '../streams/min-generation-times.js';
 import type {DirectWork, RequestContext} from '../context.js';
-import {SHARED_ENGINE_FACTOR} from './consts.js';
+import {toRoomRequest} from './room-request.js';
 import type {Applicant, ServiceRoom, WaitEnd} from './service-room.js';
 
 /** What a stream does with a decision. */
@@ -83,17 +82,16 @@
     const {ctx, work, listener} = this.options;
     const {req, service, admitted, deadlineAtMs} = work;
     const {route, account} = admitted;
-    const need = toGenerationNeed(req, service);
-    const times = ctx.minGenerationTimes.forService(service.name);
-    const firstEventMs = need === undefined ? 0 : times.firstEventMs(need);
     return {
-      priority: account?.priority ?? route.priority,
-      clientAccount: this.clientAccount,
-      receivedMs: req.receivedMs,
-      objectiveAtMs: req.receivedMs + route.latencyObjectiveMs,
-      deadlineAtMs,
-      firstEventMs: firstEventMs * SHARED_ENGINE_FACTOR,
-      shortestMs: need === undefined ? 0 : times.leastMs(need),
+      ...toRoomRequest({
+        req,
+        route,
+        service,
+        priority: account?.priority ?? route.priority,
+        clientAccount: this.clientAccount,
+        deadlineAtMs,
+        times: ctx.minGenerationTimes.forService(service.name),
+      }),
       ...listener,
       onWaitOver: (end, waiting) => this.logWait(end, waiting),
     };
--- a/src/direct/streams/min-generation-times.ts
+++ b/src/direct/streams/min-generation-times.ts
@@ -13,6 +13,11 @@
 export class MinGenerationTimes {
   private readonly times = new Map<string, MinGenerationTime>();
 
+  /** The time of a service; undefined if it was not used yet. */
+  find(service: string): MinGenerationTime | undefined {
+    return this.times.get(service);
+  }
+
   forService(service: string): MinGenerationTime {
     let time = this.times.get(service);
     if (time === undefined) {
@@ -31,7 +36,7 @@
  * const need = toGenerationNeed(req, service);
  */
 export function toGenerationNeed(
-  req: CallerRequest,
+  req: Pick<CallerRequest, 'generation' | 'lastEventId'>,
   service: RoutedService,
 ): GenerationNeed | undefined {
   const {generation, lastEventId} = req;
--- a/src/direct/streams/stream-placement.ts
+++ b/src/direct/streams/stream-placement.ts
@@ -2,11 +2,11 @@
 import type {TimerHandle} from '../../core/clock/index.js';
 import type {KvCopyReference} from '../../core/edges/direct-target.js';
 import {RefusalReason} from '../../core/errors/refusals.js';
+import {MAX_ENGINES_PER_LOOK} from '../../core/room/index.js';
 import type {Target} from '../../core/targets/index.js';
 import {PLACEMENT_RETRY_MS} from '../consts.js';
 import type {DirectWork, RequestContext} from '../context.js';
 import {PermittedChoice} from '../limits/index.js';
-import {MAX_ENGINES_PER_LOOK} from '../room/consts.js';
 import {RoomReservation, StreamRoom} from '../room/index.js';
 import {retryAfterMsOf} from '../retry-after.js';
 import type {KvCacheCopy, ResumableCopy} from './kv-cache-replicator.js';
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -6,6 +6,7 @@
   chooseEngine,
   promptAffinity,
   rankByFingerprint,
+  SHORTLIST_SIZE,
   shortlistEngines,
 } from '../../core/placing/index.js';
 import {hasRoomForCopy} from '../../core/room/index.js';
@@ -15,7 +16,6 @@
   DRAINING_RESUME_WINDOW_MS,
   HOLDER_SEEN_MS,
   HOLDER_SHORTLIST_SIZE,
-  SHORTLIST_SIZE,
 } from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
 
