A test of held back bodies does not depend on time

Cause: direct/large-bodies 'that are held back go elsewhere' counted on small calls that lasted 400 ms; at load average 20 they were over before the large ones came, so none was held back (0 of them, seen in 1 of 5 runs).

Change: the small calls stay open at both targets, and the large ones are sent once all of them have arrived. What is checked is the same.

--- a/test/direct/large-bodies.test.ts
+++ b/test/direct/large-bodies.test.ts
@@ -12,8 +12,6 @@
 
 const CALLERS = 12;
 
-const OTHER_WORK_MS = 400;
-
 /** Longer than the test needs. */
 const DEADLINE_MS = 20_000;
 
@@ -82,13 +80,16 @@
       send(BODY_BYTES, leaving.signal),
     );
     await waitFor(() => silent!.arrivedAtMs.length >= fitting);
-    await site.addTarget({
-      service: SiteService.DESK,
-      zone: 'a',
-      workMs: OTHER_WORK_MS,
-    });
-    // Both targets get as much of this, so either may be chosen next.
+    const other = await site.addTarget({service: SiteService.DESK, zone: 'a'});
+    other.isUnresponsive = true;
+    // Both targets hold as much of this, so either may be chosen next.
     const small = Array.from({length: CALLERS}, () => send(1, leaving.signal));
+    await waitFor(
+      () =>
+        silent!.arrivedAtMs.length + other.arrivedAtMs.length >=
+        fitting + CALLERS,
+    );
+    other.isUnresponsive = false;
     const settled = Promise.allSettled([...calls, ...small]);
     const answers = await Promise.all(
       Array.from({length: fitting}, () => send(BODY_BYTES)),
