--- a/src/core/room/room-outlook.ts
+++ b/src/core/room/room-outlook.ts
@@ -3,7 +3,9 @@
 import {
   FASTER_FACTOR,
   HONOURED_SHARE,
+  MIN_GRANTS,
   MIN_RETRY_AFTER_MS,
+  MIN_SPACING_MS,
   RATE_WINDOW_MS,
   RETRY_AFTER_JITTER,
 } from './consts.js';
@@ -49,6 +51,7 @@
   /** Records that a waiting generation got room. */
   recordGrant(nowMs: number): void {
     this.grantedAtMs.push(nowMs);
+    this.dropGrantsBefore(nowMs - RATE_WINDOW_MS);
   }
 
   /** Records that nothing waits any more. */
@@ -85,12 +88,14 @@
     const spareMs = leftMs - request.shortestMs;
     const latestMs = Math.min(spareMs / 2, leftMs * HONOURED_SHARE);
     if (latestMs < MIN_RETRY_AFTER_MS) return undefined;
-    const earliestAtMs = nowMs + Math.min(waitMs, latestMs / 2);
-    const nextAtMs = this.lastReturnAtMs + this.intervalMs(nowMs);
+    const chanceMs = Math.max(waitMs, MIN_RETRY_AFTER_MS);
+    const earliestAtMs = nowMs + Math.min(chanceMs, latestMs / 2);
+    const spacingMs = Math.max(this.intervalMs(nowMs), MIN_SPACING_MS);
+    const nextAtMs = this.lastReturnAtMs + spacingMs;
     const returnAtMs = Math.max(earliestAtMs, nextAtMs);
     const afterMs = Math.min(returnAtMs - nowMs, latestMs);
     this.lastReturnAtMs = nowMs + afterMs;
-    return Math.ceil(Math.max(MIN_RETRY_AFTER_MS, afterMs * this.jitter()));
+    return Math.ceil(afterMs * this.jitter());
   }
 
   private jitter(): number {
@@ -101,10 +106,15 @@
   private intervalMs(nowMs: number): number {
     const {busySinceMs = nowMs} = this;
     if (nowMs - busySinceMs < RATE_WINDOW_MS) return 0;
-    const sinceMs = nowMs - RATE_WINDOW_MS;
-    this.grantedAtMs = this.grantedAtMs.filter((atMs) => atMs > sinceMs);
+    this.dropGrantsBefore(nowMs - RATE_WINDOW_MS);
     const {length} = this.grantedAtMs;
-    // Without any grant the engines may be lost for a moment.
-    return length === 0 ? 0 : RATE_WINDOW_MS / length;
+    // With few grants the engines may be lost for a moment.
+    return length < MIN_GRANTS ? 0 : RATE_WINDOW_MS / length;
+  }
+
+  private dropGrantsBefore(sinceMs: number): void {
+    const first = this.grantedAtMs.findIndex((atMs) => atMs > sinceMs);
+    const old = first < 0 ? this.grantedAtMs.length : first;
+    if (old > 0) this.grantedAtMs.splice(0, old);
   }
 }
--- a/src/direct/room/service-room.ts
+++ b/src/direct/room/service-room.ts
@@ -60,6 +60,7 @@
   private readonly outlook: RoomOutlook;
   /** Running generations by client account. */
   private readonly running = new Map<string, number>();
+  private runningTotal = 0;
   private timer?: TimerHandle;
   /** When the next look is due. */
   private lookAtMs = Number.POSITIVE_INFINITY;
@@ -94,11 +95,21 @@
     if (!mustWait && (await applicant.tryPlace())) return;
     this.queue.push(applicant);
     this.outlook.recordWaiting(this.options.clock.now());
-    this.settle(applicant, this.countBefore(applicant));
+    this.settle(applicant, this.foreseenWaitMs(applicant));
     if (this.queue.isOverfull) this.displaceLast();
     this.scheduleLook(ROOM_LOOK_MS);
   }
 
+  /** Number of waiting generations that get room before another one. */
+  countBefore(request: RoomRequest): number {
+    return this.queue.countBefore(request, this.view());
+  }
+
+  /** Shortest wait of a generation to expect, in milliseconds. */
+  foreseenWaitMs(request: RoomRequest): number {
+    return this.waitMs(request, this.countBefore(request));
+  }
+
   /** Drops a generation whose caller has left. */
   leave(applicant: Applicant): void {
     this.remove(applicant, WaitEnd.CALLER_LEFT);
@@ -107,6 +118,9 @@
   /** Records that a generation of a client account runs now. */
   recordStart(clientAccount: string): void {
     this.running.set(clientAccount, this.runningOf(clientAccount) + 1);
+    this.runningTotal++;
+    if (this.placing !== undefined)
+      this.outlook.recordGrant(this.options.clock.now());
   }
 
   /** Records that one has ended, which may have made room. */
@@ -114,6 +128,7 @@
     const left = this.runningOf(clientAccount) - 1;
     if (left > 0) this.running.set(clientAccount, left);
     else this.running.delete(clientAccount);
+    this.runningTotal--;
     if (this.queue.size > 0) this.scheduleLook(0);
   }
 
@@ -146,8 +161,11 @@
     this.isLooking = true;
     this.lookAtMs = Number.POSITIVE_INFINITY;
     try {
-      this.settleAll();
+      for (const applicant of this.queue.inOrder(this.view()))
+        this.settle(applicant, 0);
       await this.placeInOrder();
+      // A refusal can't be taken back, so room goes first.
+      this.settleForeseen();
     } finally {
       this.isLooking = false;
       if (this.queue.size > 0) this.scheduleLook(ROOM_LOOK_MS);
@@ -158,7 +176,6 @@
     let first = this.queue.first(this.view());
     while (first !== undefined) {
       if (!(await this.tryPlace(first))) return;
-      this.outlook.recordGrant(this.options.clock.now());
       this.remove(first, WaitEnd.PLACED);
       first = this.queue.first(this.view());
     }
@@ -166,36 +183,34 @@
 
   private async tryPlace(applicant: Applicant): Promise<boolean> {
     this.placing = applicant;
-    const isPlaced = await applicant.tryPlace();
-    this.placing = undefined;
-    return isPlaced;
+    try {
+      return await applicant.tryPlace();
+    } finally {
+      this.placing = undefined;
+    }
   }
 
-  private waitMs({shortestMs}: Applicant, ahead: number): number {
-    let running = 0;
-    for (const count of this.running.values()) running += count;
+  private waitMs({shortestMs}: RoomRequest, ahead: number): number {
+    const running = this.runningTotal;
     const nowMs = this.options.clock.now();
     return this.outlook.waitMs({ahead, running, shortestMs, nowMs});
   }
 
-  private countBefore(applicant: Applicant): number {
-    return this.queue.countBefore(applicant, this.view());
-  }
-
-  private settleAll(): void {
+  /** Ends the waits that are in vain by what is foreseen. */
+  private settleForeseen(): void {
     let ahead = 0;
     for (const applicant of this.queue.inOrder(this.view())) {
-      if (!this.settle(applicant, ahead)) ahead++;
+      const waitMs = this.waitMs(applicant, ahead);
+      if (!this.settle(applicant, waitMs)) ahead++;
     }
   }
 
   /**
-   * Ends the wait of a generation whose time is over, or will be when those
-   * `ahead` have got room. Returns whether it waits no more.
+   * Ends the wait of a generation whose time is over, or will be after the wait
+   * that it has to expect. Returns whether it waits no more.
    */
-  private settle(applicant: Applicant, ahead: number): boolean {
+  private settle(applicant: Applicant, waitMs: number): boolean {
     const nowMs = this.options.clock.now();
-    const waitMs = this.waitMs(applicant, ahead);
     const decision = decideRoom({request: applicant, waitMs, nowMs});
     if (decision === RoomDecision.WAIT) return false;
     if (decision === RoomDecision.REFUSE) {
--- a/test/core/room/room-outlook.test.ts
+++ b/test/core/room/room-outlook.test.ts
@@ -77,10 +77,19 @@
     expect(outlook.waitMs(query)).toBe(0);
   });
 
-  it('expects nothing while no room is granted at all', () => {
+  it.each([0, 1, 2])('expects nothing while engines grant %i rooms', (n) => {
     const outlook = new RoomOutlook({random: new SeededRandom(1)});
     outlook.recordWaiting(NOW_MS - 20_000);
-    expect(outlook.waitMs(query)).toBe(0);
+    for (let i = 0; i < n; i++) outlook.recordGrant(NOW_MS - 4_000);
+    expect(outlook.waitMs({...query, running: 1})).toBe(0);
+  });
+
+  it('spreads the returns of callers whose wait is not foreseen', () => {
+    const outlook = new RoomOutlook({random: new SeededRandom(1)});
+    const returns = Array.from({length: 100}, () =>
+      outlook.retryAfterMs({request: REQUEST, waitMs: 0, nowMs: NOW_MS}),
+    );
+    expect(new Set(returns).size).toBeGreaterThan(50);
   });
 
   it('lets refused callers return apart, while they can still be served', () => {
