Questions at the entries' port are handled a little at a time

Cause of 'permits asked of the peers port, sent ahead': every message of a read (64 KiB, some 400 questions) was handled and answered in one turn, and a peer that reads nothing could leave 32 MiB of small answers unread.

Change: PacedInput hands a KiB of each connection over in a turn, and no more than 16 slices while answers are unread; a peer that reads nothing for the time bound is closed as `unread`.

--- a/src/core/protocol/consts.ts
+++ b/src/core/protocol/consts.ts
@@ -31,3 +31,9 @@
 /** Bounds of the delay before a reconnect, in milliseconds. */
 export const RECONNECT_MIN_MS = 50;
 export const RECONNECT_MAX_MS = 2_000;
+
+/** Most bytes of a paced connection that are handled in one turn. */
+export const SLICE_BYTES = 1024;
+
+/** Slices of a paced connection that are handled while answers are unread. */
+export const UNREAD_SLICES = 16;
--- a/src/core/protocol/peer-bound.ts
+++ b/src/core/protocol/peer-bound.ts
@@ -6,8 +6,8 @@
 import {ConnectionUse} from '../connections/index.js';
 
 /**
- * Tells the use of a connection that another process has opened. A sender that
- * reads too slowly is closed by its PeerConnection.
+ * Tells the use of a connection that another process has opened. A peer that
+ * leaves too many bytes unread is closed by its PeerConnection.
  *
  * @example
  * const bound = new PeerBound({socket, clock});
@@ -16,6 +16,9 @@
 export class PeerBound implements BoundedConnection {
   usedAtMs: number;
   private isProven = false;
+  private unreadAtMs?: number;
+  /** Bytes that the system has taken, at the last look. */
+  private takenBytes = 0;
 
   constructor(private readonly options: {socket: Socket; clock: Clock}) {
     this.usedAtMs = options.clock.now();
@@ -31,8 +34,13 @@
     return this.isProven ? ConnectionUse.PEER : ConnectionUse.UNPROVEN;
   }
 
-  unreadSince(): undefined {
-    return undefined;
+  unreadSince(nowMs: number): number | undefined {
+    const {socket} = this.options;
+    if (socket.writableLength === 0) return (this.unreadAtMs = undefined);
+    const takenBytes = socket.bytesWritten - socket.writableLength;
+    if (takenBytes !== this.takenBytes) this.unreadAtMs = undefined;
+    this.takenBytes = takenBytes;
+    return (this.unreadAtMs ??= nowMs);
   }
 
   close(): void {
--- a/src/core/protocol/peer-connection.ts
+++ b/src/core/protocol/peer-connection.ts
@@ -13,6 +13,7 @@
 import {encodeFrame, FrameReader, createTransportError} from './frame-codec.js';
 import type {HelloMessage, Message} from './messages.js';
 import {MessageType} from './message-type.js';
+import {PacedInput} from './paced-input.js';
 import type {TransportError} from './types.js';
 import {TransportErrorKind} from './types.js';
 
@@ -57,6 +58,8 @@
       listener: ConnectionListener;
       /** Largest frame that the peer may send; `MAX_FRAME_BYTES` by default. */
       maxFrameBytes?: number;
+      /** Whether the peer is handled a little at a time; not by default. */
+      isPaced?: boolean;
       /** Holds failures of the listener; without it they reach the socket. */
       supervisor?: Supervisor;
     },
@@ -65,7 +68,10 @@
     this.reader = new FrameReader(options.maxFrameBytes);
     const close = () => this.closeAfterFailure();
     socket.setNoDelay(true);
-    socket.on('data', (chunk) => this.run(() => this.receive(chunk), close));
+    const receive = (chunk: Buffer) =>
+      this.run(() => this.receive(chunk), close);
+    const input = options.isPaced && new PacedInput({socket, receive});
+    socket.on('data', (chunk) => (input ? input.push(chunk) : receive(chunk)));
     socket.on('drain', () => this.run(() => listener.onDrain()));
     socket.on('error', (cause) => this.closeWith(createClosedError(cause)));
     socket.on('close', () => this.closeWith(createClosedError(undefined)));
--- a/src/core/protocol/peer-server.ts
+++ b/src/core/protocol/peer-server.ts
@@ -46,6 +46,8 @@
       table?: ConnectionTable;
       /** Largest frame of a peer; `MAX_FRAME_BYTES` by default. */
       maxFrameBytes?: number;
+      /** Whether peers are handled a little at a time; not by default. */
+      isPaced?: boolean;
       /** Holds failures of the listeners; without it they reach the socket. */
       supervisor?: Supervisor;
     },
@@ -101,7 +103,7 @@
 
   private accept(socket: Socket): void {
     const {hello, clock, createListener, supervisor} = this.options;
-    const {table, maxFrameBytes} = this.options;
+    const {table, maxFrameBytes, isPaced} = this.options;
     const bound = new PeerBound({socket, clock});
     if (table?.add(bound) === false) return;
     const inner = createListener(() => connection);
@@ -125,6 +127,7 @@
       clock,
       listener,
       maxFrameBytes,
+      isPaced,
       supervisor,
     });
     this.connections.add(connection);
--- a/src/direct/relay/watch-server.ts
+++ b/src/direct/relay/watch-server.ts
@@ -85,6 +85,7 @@
       supervisor,
       table: options.connections,
       maxFrameBytes: MAX_QUESTION_BYTES,
+      isPaced: true,
       createListener: (connection) => ({
         onReady: this.guard(connection, ({vm}: HelloMessage) =>
           this.connections.set(connection(), {vm, heardAtMs: clock.now()}),
