--- a/src/core/bytes/byte-buffer.ts
+++ b/src/core/bytes/byte-buffer.ts
@@ -19,6 +19,7 @@
 export class ByteBuffer {
   private block: Buffer = EMPTY;
   private size = 0;
+  private closed = false;
 
   constructor(options: {capacity?: number} = {}) {
     this.reserve(options.capacity ?? 0);
@@ -30,6 +31,7 @@
   }
 
   push(piece: Uint8Array): void {
+    if (this.closed) return;
     this.reserve(this.size + piece.length);
     this.block.set(piece, this.size);
     this.size += piece.length;
@@ -40,13 +42,25 @@
     return this.block.subarray(0, this.size);
   }
 
+  /** Whether it takes no more bytes. */
+  get isClosed(): boolean {
+    return this.closed;
+  }
+
+  /** Forgets the bytes, and takes no more. */
+  close(): void {
+    this.closed = true;
+    this.clear();
+  }
+
   /** Forgets the bytes; those that were returned stay as they are. */
   clear(): void {
     this.block = EMPTY;
     this.size = 0;
   }
 
-  private reserve(needed: number): void {
+  /** Makes room for so many bytes in all. */
+  reserve(needed: number): void {
     if (needed <= this.block.length) return;
     const doubled = this.block.length * GROWTH_FACTOR;
     const grown = allocate(Math.max(MIN_CAPACITY, doubled, needed));
--- a/test/core/bytes/byte-buffer.test.ts
+++ b/test/core/bytes/byte-buffer.test.ts
@@ -49,4 +49,13 @@
       TINY_PIECES * MEMORY_PER_BYTE,
     );
   });
+
+  // Guards against bodies that go on to take memory after they were refused.
+  it('takes nothing once it is closed', () => {
+    const buffer = new ByteBuffer();
+    buffer.push(Buffer.from('ab'));
+    buffer.close();
+    buffer.push(Buffer.from('cd'));
+    expect([buffer.length, buffer.isClosed]).toEqual([0, true]);
+  });
 });
