Connections leave the descriptors that the platform keeps for files

Cause: of `max_fds` the platform keeps 200 for files, and sockets share the rest; the bound took 48 off. With 2,212 descriptors 1,082 clients could be open, and with a connection to a target for each 2,164 of 2,012 sockets; with 4,100, 4,052 of 3,900.

Change: 248 are taken off (982 and 1,926 clients); where there are few, a quarter, but 48 at least, so that 256 descriptors leave 96 clients (104 before).

Evidence: core/connections/connection-table, row 'leave sockets for targets', worked out to be red before (2,164 and 4,052); the rows of the derived numbers changed with the rule.

--- a/src/core/connections/consts.ts
+++ b/src/core/connections/consts.ts
@@ -4,8 +4,18 @@
 /** Least time between two log lines about closed connections, in ms. */
 export const LOG_INTERVAL_MS = 10_000;
 
-/** Descriptors that are not for connections: files, listeners, the store. */
-export const RESERVED_DESCRIPTORS = 48;
+/**
+ * Descriptors that are neither for connections of clients nor for those to
+ * targets: 200 that the platform keeps for files, and 48 for listeners, the
+ * store and probes.
+ */
+export const RESERVED_DESCRIPTORS = 248;
+
+/** Least of them, where a machine has few descriptors. */
+export const MIN_RESERVED_DESCRIPTORS = 48;
+
+/** Largest share of all descriptors that they take beyond that. */
+export const MAX_RESERVED_SHARE = 0.25;
 
 /** Share of the other descriptors for accepted connections. */
 export const ACCEPTED_SHARE = 0.5;
--- a/src/core/connections/derive-limits.ts
+++ b/src/core/connections/derive-limits.ts
@@ -4,7 +4,9 @@
   AHEAD_MEMORY_SHARE,
   CONNECTION_AHEAD_BYTES,
   DEFAULT_UNREAD_TIMEOUT_MS,
+  MAX_RESERVED_SHARE,
   MEMORY_PER_CONNECTION_BYTES,
+  MIN_RESERVED_DESCRIPTORS,
   RESERVED_DESCRIPTORS,
 } from './consts.js';
 import type {ConnectionLimits} from './types.js';
@@ -25,7 +27,7 @@
 }): ConnectionLimits {
   const {memoryBytes, descriptors} = options;
   const byMemory = memoryBytes / MEMORY_PER_CONNECTION_BYTES;
-  const free = Math.max(2, descriptors - RESERVED_DESCRIPTORS);
+  const free = Math.max(2, descriptors - reservedOf(descriptors));
   const derived = Math.floor(Math.min(byMemory, free * ACCEPTED_SHARE));
   return {
     maxConnections: options.maxConnections ?? Math.max(1, derived),
@@ -34,3 +36,9 @@
     unreadTimeoutMs: options.unreadTimeoutMs ?? DEFAULT_UNREAD_TIMEOUT_MS,
   };
 }
+
+function reservedOf(descriptors: number): number {
+  const share = Math.floor(descriptors * MAX_RESERVED_SHARE);
+  const reserved = Math.min(RESERVED_DESCRIPTORS, share);
+  return Math.max(MIN_RESERVED_DESCRIPTORS, reserved);
+}
--- a/test/core/connections/connection-table.test.ts
+++ b/test/core/connections/connection-table.test.ts
@@ -102,13 +102,17 @@
 });
 
 const DERIVED = [
-  {memoryBytes: 160 * MB, descriptors: 4_100, maxConnections: 2_026},
-  {memoryBytes: 200 * MB, descriptors: 4_100, maxConnections: 2_026},
-  {memoryBytes: 160 * MB, descriptors: 256, maxConnections: 104},
+  {memoryBytes: 160 * MB, descriptors: 4_100, maxConnections: 1_926},
+  {memoryBytes: 200 * MB, descriptors: 4_100, maxConnections: 1_926},
+  {memoryBytes: 200 * MB, descriptors: 2_212, maxConnections: 982},
+  {memoryBytes: 160 * MB, descriptors: 256, maxConnections: 96},
   {memoryBytes: 16 * MB, descriptors: 4_100, maxConnections: 204},
   {memoryBytes: 160 * MB, descriptors: 10, maxConnections: 1},
 ];
 
+/** Descriptors that the platform keeps for files. */
+const FILE_DESCRIPTORS = 200;
+
 describe('limits of a machine', () => {
   it.each(DERIVED)(
     '$memoryBytes bytes and $descriptors descriptors',
@@ -116,4 +120,15 @@
       expect(deriveLimits(machine).maxConnections).toBe(maxConnections);
     },
   );
+
+  // Guards against more sockets than the platform leaves beside its files: each
+  // connection that is served may need one to a target.
+  it.each([{descriptors: 2_212}, {descriptors: 4_100}])(
+    'leave sockets for targets with $descriptors descriptors',
+    ({descriptors}) => {
+      const machine = {memoryBytes: 600 * MB, descriptors};
+      const {maxConnections} = deriveLimits(machine);
+      expect(2 * maxConnections).toBeLessThan(descriptors - FILE_DESCRIPTORS);
+    },
+  );
 });
