Review of crowds and roll-outs: what stalls, starves or completes wrongly

- The bound of garbage looks only while messages are large, so that it costs nothing in calm, and its timer is supervised.
- A version that others found bad was in use all the same for an entry that saw no other one; a bar of one entry emptied the service at all; an entry that could not read rows refused a service of two versions for as long.

--- a/src/adapters/garbage-bound.ts
+++ b/src/adapters/garbage-bound.ts
@@ -3,10 +3,15 @@
 import {runInNewContext} from 'node:vm';
 
 import type {Clock, TimerHandle} from '../core/clock/index.js';
+import type {Supervisor} from '../core/supervision/index.js';
+import {TaskName} from '../core/supervision/index.js';
 
 /** Interval at which the memory of buffers is looked at, in milliseconds. */
 const CHECK_INTERVAL_MS = 20;
 
+/** Time after the last large message for which it is looked at, in ms. */
+const WATCH_MS = 2_000;
+
 /** Share of the growth that a quick collection must free to be enough. */
 const ENOUGH_SHARE = 0.5;
 
@@ -25,39 +30,46 @@
 
 /**
  * Bounds the buffers that are garbage. V8 lets those outside its heap grow by 64
- * MB before it collects them, which a small machine doesn't have.
+ * MB before it collects them, which a small machine doesn't have. It looks only
+ * while messages are large, as small ones leave little.
  *
  * @example
- * new GarbageBound({memory: new V8Buffers(), clock, allowedBytes}).start();
+ * const bound = new GarbageBound({memory: new V8Buffers(), clock, ...rest});
+ * bound.watch();
  */
 export class GarbageBound {
   /** Bytes that were left when all garbage was collected, or fewer. */
   private floorBytes = Number.POSITIVE_INFINITY;
   private timer?: TimerHandle;
+  /** When the last large message was handled. */
+  private largeAtMs = 0;
 
   constructor(
     private readonly options: {
       memory: BufferMemory;
       clock: Clock;
+      supervisor: Supervisor;
       /** Growth after which garbage is collected, in bytes. */
       allowedBytes: number;
     },
   ) {}
 
-  start(): void {
-    this.timer ??= this.options.clock.repeat({
+  /** A large message is handled: looks at the memory for a while. */
+  watch(): void {
+    const {clock, supervisor} = this.options;
+    this.largeAtMs = clock.now();
+    this.timer ??= clock.repeat({
       periodMs: CHECK_INTERVAL_MS,
-      run: () => this.check(),
+      run: supervisor.guard({name: TaskName.MEMORY}, () => this.check()),
     });
   }
 
-  stop(): void {
-    this.timer?.cancel();
-    this.timer = undefined;
-  }
-
   private check(): void {
-    const {memory, allowedBytes} = this.options;
+    const {memory, clock, allowedBytes} = this.options;
+    if (clock.now() - this.largeAtMs > WATCH_MS) {
+      this.timer?.cancel();
+      this.timer = undefined;
+    }
     const bytes = memory.bytes();
     this.floorBytes = Math.min(this.floorBytes, bytes);
     if (bytes - this.floorBytes < allowedBytes) return;
--- a/src/core/bytes/memory-budget.ts
+++ b/src/core/bytes/memory-budget.ts
@@ -17,7 +17,13 @@
   private used = 0;
   private limitBytes: number;
 
-  constructor(options: {limitBytes: number}) {
+  constructor(
+    private readonly options: {
+      limitBytes: number;
+      /** Called when a message asks for more than the exempt bytes. */
+      onLarge?: () => void;
+    },
+  ) {
     this.limitBytes = options.limitBytes;
   }
 
@@ -38,6 +44,7 @@
 
   /** Changes what is reserved; false if that would exceed the limit. */
   private take(bytes: number): boolean {
+    if (bytes > 0) this.options.onLarge?.();
     if (bytes > 0 && this.used + bytes > this.limitBytes) return false;
     this.used += bytes;
     return true;
--- a/src/core/protocol/paced-input.ts
+++ b/src/core/protocol/paced-input.ts
@@ -73,7 +73,9 @@
   }
 
   private mustWait(): boolean {
-    const isUnread = this.options.socket.writableNeedDrain;
+    const {writableNeedDrain, writableEnded} = this.options.socket;
+    // Nothing drains once the socket is ended.
+    const isUnread = writableNeedDrain && !writableEnded;
     return isUnread && this.unreadSlices >= UNREAD_SLICES;
   }
 }
--- a/src/core/rollouts/consts.ts
+++ b/src/core/rollouts/consts.ts
@@ -12,6 +12,9 @@
  */
 export const MAX_SLACK_AGE_MS = 3_000;
 
+/** Time for which a process waits for rows of others, in milliseconds. */
+export const MAX_UNINFORMED_MS = 2_000;
+
 /** Share of the traffic in the step that loads some of the new targets. */
 export const LOADED_SHARE = 0.25;
 
--- a/src/core/rollouts/rollout-controller.ts
+++ b/src/core/rollouts/rollout-controller.ts
@@ -4,6 +4,7 @@
   ENTRY_SILENCE_MS,
   MAX_EVIDENCE_AGE_MS,
   MAX_SLACK_AGE_MS,
+  MAX_UNINFORMED_MS,
   STALE_EVIDENCE_PART,
   STATUS_TURN_MS,
 } from './consts.js';
@@ -126,9 +127,8 @@
   get end(): RolloutEnd | undefined {
     const state = currentState(this.current);
     if (isOver(state)) return state;
-    if (this.isInUse) return RolloutState.COMPLETED;
-    const isBack = this.badReason !== undefined;
-    return isBack ? RolloutState.ROLLED_BACK : undefined;
+    if (this.badReason !== undefined) return RolloutState.ROLLED_BACK;
+    return this.isInUse ? RolloutState.COMPLETED : undefined;
   }
 
   /** Whether the status says that the order has ended. */
@@ -147,7 +147,7 @@
 
   /** Records what another entry tells; rows of other orders are ignored. */
   hear(row: EvidenceRow): void {
-    const {record, vm, clock} = this.options;
+    const {record, vm, clock, priorUse = PriorUse.UNKNOWN} = this.options;
     const isOther = row.order !== record.id || row.service !== record.service;
     if (isOther) return;
     const heardAtMs = clock.now();
@@ -155,8 +155,10 @@
     // Also of an earlier process of this VM.
     if (row.bad !== undefined) this.badReason ??= row.bad;
     this.hasOldAnswers ||= row.cells.some(({isNew}) => !isNew);
-    for (const version of row.barred ?? [])
-      if (version !== record.target) this.barredVersions.add(version);
+    // Who knows what the versions were to the service knows better.
+    if (priorUse === PriorUse.UNKNOWN)
+      for (const version of row.barred ?? [])
+        if (version !== record.target) this.barredVersions.add(version);
     this.ageAtStartMs = Math.max(this.ageAtStartMs, row.ageMs - ownAgeMs);
     const isNews = this.rows.get(row.vm)?.row.tick !== row.tick;
     if (row.vm === vm && !this.hasReadRows) this.isRestarted = true;
@@ -178,8 +180,10 @@
    * cannot tell a version that was rolled back from one in use.
    */
   get isUninformed(): boolean {
-    const {priorUse = PriorUse.UNKNOWN} = this.options;
-    return priorUse === PriorUse.UNKNOWN && !this.hasReadRows;
+    const {clock, priorUse = PriorUse.UNKNOWN} = this.options;
+    // Rows that cannot be read must not keep sound targets from work.
+    const isNew = clock.now() - this.startedMs < MAX_UNINFORMED_MS;
+    return priorUse === PriorUse.UNKNOWN && !this.hasReadRows && isNew;
   }
 
   /** Forgets an entry that has left. */
@@ -212,6 +216,9 @@
     if (this.isInUse || seen === undefined) return false;
     if (seen.hasOthers || seen.targets === 0) return false;
     if (priorUse === PriorUse.OTHERS) return false;
+    const isDoubtful =
+      this.badReason !== undefined || this.barredVersions.size > 0;
+    if (isDoubtful && priorUse !== PriorUse.USED) return false;
     // A process that starts late sees no targets that were lost before.
     const isKnown = this.hasReadRows && !this.hasOldAnswers;
     this.isInUse = priorUse === PriorUse.USED || isKnown;
--- a/src/core/supervision/types.ts
+++ b/src/core/supervision/types.ts
@@ -10,6 +10,7 @@
   KV_COPY = 'kv_copy',
   LIMIT = 'limit',
   LOSSES = 'losses',
+  MEMORY = 'memory',
   METRICS = 'metrics',
   OUTCOME = 'outcome',
   PEERS = 'peers',
--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -190,10 +190,15 @@
     supervisor,
     relay: (kind) => relay.relayed(kind),
   });
-  const memory = new MemoryBudget({limitBytes: messageMemoryBytes(settings)});
-  const allowedBytes = garbageBytes(settings);
-  const buffers = new V8Buffers();
-  new GarbageBound({memory: buffers, clock, allowedBytes}).start();
+  const garbage = new GarbageBound({
+    memory: new V8Buffers(),
+    allowedBytes: garbageBytes(settings),
+    ...{clock, supervisor},
+  });
+  const memory = new MemoryBudget({
+    limitBytes: messageMemoryBytes(settings),
+    onLarge: () => garbage.watch(),
+  });
   const entry = new DirectProcess({
     ...edges,
     memory,
--- a/src/direct/rollouts/rollout.ts
+++ b/src/direct/rollouts/rollout.ts
@@ -90,6 +90,14 @@
     return version !== undefined && this.controller.barred.has(version);
   }
 
+  /** A bar never leaves a service without targets of an old version. */
+  private withoutBarred(targets: Target[]): Target[] {
+    const isOld = ({record}: Target) => !this.isNew(record);
+    const open = targets.filter(({record}) => !this.isBarred(record));
+    const wouldEmpty = targets.some(isOld) && !open.some(isOld);
+    return wouldEmpty ? targets : open;
+  }
+
   /** Tells the controller which versions there are; see its `observe`. */
   observe(registered: readonly Target[]): boolean {
     const ofNew = registered.filter(({record}) => this.isNew(record));
@@ -121,7 +129,7 @@
   /** Returns the targets that may get a request now. */
   admit(targets: Target[]): Target[] {
     const {controller} = this;
-    const registered = targets.filter(({record}) => !this.isBarred(record));
+    const registered = this.withoutBarred(targets);
     const old = registered.filter(({record}) => !this.isNew(record));
     if (controller.isUninformed && this.isRunning && hasTwoVersions(old))
       return [];
--- a/test/adapters/garbage-bound.test.ts
+++ b/test/adapters/garbage-bound.test.ts
@@ -4,6 +4,7 @@
 import type {BufferMemory} from '../../src/adapters/garbage-bound.js';
 import {GarbageBound, V8Buffers} from '../../src/adapters/garbage-bound.js';
 import {ManualClock} from '../../src/core/clock/index.js';
+import {silentSupervisor} from '../support/supervisor.js';
 
 /** Growth after which garbage is collected, in bytes. */
 const ALLOWED = 100;
@@ -43,11 +44,18 @@
 describe('a bound of garbage', () => {
   let memory: FakeMemory;
   let clock: ManualClock;
+  let bound: GarbageBound;
 
   beforeEach(() => {
     memory = new FakeMemory();
     clock = new ManualClock();
-    new GarbageBound({memory, clock, allowedBytes: ALLOWED}).start();
+    bound = new GarbageBound({
+      memory,
+      clock,
+      supervisor: silentSupervisor(),
+      allowedBytes: ALLOWED,
+    });
+    bound.watch();
     clock.advance(STEP_MS);
   });
 
@@ -57,6 +65,16 @@
     expect(memory.collected).toEqual(collected);
   });
 
+  it('looks only for a while after a large message', () => {
+    clock.advance(3_000);
+    memory.young = 500;
+    clock.advance(STEP_MS);
+    expect(memory.collected).toEqual([]);
+    bound.watch();
+    clock.advance(STEP_MS);
+    expect(memory.collected).toEqual(['young']);
+  });
+
   it('collects nothing again while buffers in use stay', () => {
     memory.used = 500;
     for (let i = 0; i < 10; i++) clock.advance(STEP_MS);
@@ -67,6 +85,7 @@
   it('collects garbage that grows old a little at a time', () => {
     for (let i = 0; i < 100; i++) {
       memory.young = 80;
+      bound.watch();
       memory.old += 20;
       clock.advance(STEP_MS);
       expect(memory.bytes()).toBeLessThan(memory.used + 2 * ALLOWED);
