--- a/src/core/edges/direct-target.ts
+++ b/src/core/edges/direct-target.ts
@@ -118,6 +118,8 @@
   /** It has no room. */
   FULL = 'full',
   NO_RESPONSE = 'no response',
+  /** A connection that was kept gave no response; a new one may work. */
+  CONNECTION_LOST = 'connection lost',
   /** It responded as one that makes no reservations. */
   UNSUPPORTED = 'unsupported',
 }
--- a/src/direct/room/room-reservation.ts
+++ b/src/direct/room/room-reservation.ts
@@ -111,7 +111,7 @@
   private mayGoWithout(target: Target, failure: ReserveFailure): boolean {
     if (failure === ReserveFailure.UNSUPPORTED) return true;
     if (failure === ReserveFailure.FULL) target.recordRejected();
-    else target.recordFailure();
+    else if (failure === ReserveFailure.NO_RESPONSE) target.recordFailure();
     return false;
   }
 
--- a/test/direct/room-reservation.test.ts
+++ b/test/direct/room-reservation.test.ts
@@ -86,6 +86,11 @@
       answer: errAsync(ReserveFailure.NO_RESPONSE),
       expected: {hasRoom: false, id: undefined, isFull: false, isPaused: false},
     },
+    {
+      name: 'lost with a kept connection',
+      answer: errAsync(ReserveFailure.CONNECTION_LOST),
+      expected: {hasRoom: false, id: undefined, isFull: false, isPaused: false},
+    },
     {
       name: 'unknown to the engine',
       answer: errAsync(ReserveFailure.UNSUPPORTED),
--- /dev/null
+++ b/test/platform/control-connections.test.ts
@@ -0,0 +1,295 @@
+/** Connections that load reports, reservations and requests share. */
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {createServer} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {TargetClient} from '../../platform/target-client.js';
+import {
+  ExchangeFailure,
+  ReserveFailure,
+} from '../../src/core/edges/direct-target.js';
+import type {TargetRecord} from '../../src/core/targets/index.js';
+import {silentSupervisor} from '../support/supervisor.js';
+
+const TIMEOUT_MS = 1_000;
+
+/** Time for bytes and the end of a connection to arrive on loopback. */
+const ARRIVAL_MS = 60;
+
+const REPORT = {active: 1, queued: 0, kv_used: 0};
+
+const ATTEMPT_ID = 'try-1';
+
+/** A call of the target client, as its target sees it. */
+interface SeenCall {
+  readonly line: string;
+  /** Number of its connection, from 1. */
+  readonly connection: number;
+  /** Number of the call on its connection, from 1. */
+  readonly nth: number;
+  readonly socket: Socket;
+}
+
+/** Responds to a call in place of the usual response. */
+type Behaviour = (call: SeenCall) => void;
+
+/** A target that reports its load, reserves room and answers requests. */
+class FakeTarget {
+  readonly calls: SeenCall[] = [];
+  readonly sockets: Socket[] = [];
+  behaviour: Behaviour = respond;
+  private readonly server: Server = createServer((socket) => {
+    const connection = this.sockets.push(socket);
+    let nth = 0;
+    socket.on('error', () => undefined);
+    socket.on('data', (data) => {
+      const [line] = data.toString().split('\r\n');
+      const call = {line: line ?? '', connection, nth: ++nth, socket};
+      this.calls.push(call);
+      this.behaviour(call);
+    });
+  });
+
+  async listen(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+  }
+
+  get record(): TargetRecord {
+    const {port} = this.server.address() as AddressInfo;
+    return {
+      id: 'i-1',
+      service: 'writers',
+      address: `127.0.0.1:${port}`,
+      dataCentre: 'a',
+      slots: 8,
+      isDraining: false,
+      startedAtMs: 1,
+    };
+  }
+
+  get openCount(): number {
+    return this.sockets.filter((socket) => !socket.destroyed).length;
+  }
+
+  close(): void {
+    for (const socket of this.sockets) socket.destroy();
+    this.server.close();
+  }
+}
+
+function write(socket: Socket, body: unknown, headers = ''): void {
+  const text = JSON.stringify(body);
+  const length = `content-length: ${text.length}\r\n`;
+  socket.write(`HTTP/1.1 200 OK\r\n${headers}${length}\r\n${text}`);
+}
+
+function respond({line, socket}: SeenCall): void {
+  if (line.includes('/-/report')) write(socket, REPORT);
+  else if (line.includes('/-/hold-take')) write(socket, {retention: 'r-1'});
+  else if (line.includes('/-/')) write(socket, {handle: 'c-1'});
+  else
+    write(
+      socket,
+      'done',
+      `attempt-id: ${ATTEMPT_ID}\r\nserver-stamp: proof\r\n`,
+    );
+}
+
+/** Applies a behaviour to the calls that follow another on a connection. */
+function onKept(behaviour: Behaviour): Behaviour {
+  return (call) => (call.nth > 1 ? behaviour : respond)(call);
+}
+
+describe('a kept connection to a target', () => {
+  let fake: FakeTarget;
+  let client: TargetClient;
+
+  beforeEach(async () => {
+    fake = new FakeTarget();
+    await fake.listen();
+    client = new TargetClient({supervisor: silentSupervisor()});
+  });
+
+  afterEach(() => fake.close());
+
+  const queryLoad = (target = fake.record) =>
+    client.queryLoad(target, TIMEOUT_MS);
+
+  const reserve = () =>
+    client.reserve({
+      target: fake.record,
+      tokens: 100,
+      lifetimeMs: 500,
+      timeoutMs: TIMEOUT_MS,
+    });
+
+  const release = () => {
+    const times = {timeoutMs: TIMEOUT_MS};
+    return client.releaseReservation({
+      target: fake.record,
+      id: 'r-1',
+      ...times,
+    });
+  };
+
+  const copy = () =>
+    client.copyKvCache({
+      source: fake.record,
+      attemptId: ATTEMPT_ID,
+      destination: '10.0.0.2:80',
+    });
+
+  /** Sends a request; returns how it ended. */
+  const send = (): Promise<ExchangeFailure | 'complete'> =>
+    new Promise((resolve) => {
+      client.send({
+        target: fake.record,
+        maxConnections: 1,
+        req: {
+          attemptId: ATTEMPT_ID,
+          method: 'POST',
+          path: '/',
+          headers: [],
+          body: new Uint8Array(),
+          leftMs: TIMEOUT_MS,
+        },
+        listener: {
+          onNotice: () => undefined,
+          onHead: () => undefined,
+          onData: () => undefined,
+          onComplete: () => resolve('complete'),
+          onFailure: (failure) => resolve(failure),
+        },
+      });
+    });
+
+  it.each([
+    {name: 'two reports', calls: [queryLoad, queryLoad]},
+    {name: 'a report and a reservation', calls: [queryLoad, reserve]},
+    {name: 'a reservation and its request', calls: [reserve, send]},
+    {name: 'a request and a report', calls: [send, queryLoad]},
+    {name: 'a reservation and its release', calls: [reserve, release]},
+    {name: 'a copy and its release', calls: [copy, release]},
+  ])('carries $name', async ({calls}) => {
+    for (const call of calls) await call();
+    expect(fake.calls.map(({connection}) => connection)).toEqual([1, 1]);
+  });
+
+  it.each([
+    {
+      name: 'closed by its target',
+      behaviour: onKept(({socket}) => socket.end()),
+    },
+    {
+      name: 'reset by its target',
+      behaviour: onKept(({socket}) => socket.resetAndDestroy()),
+    },
+    {name: 'silent for good', behaviour: onKept(() => undefined)},
+    {
+      name: 'used for a response to another request',
+      behaviour: onKept(({socket}) =>
+        write(socket, REPORT, 'attempt-id: try-0\r\n'),
+      ),
+    },
+  ])(
+    'that is $name leaves a report to a new one',
+    async ({behaviour}) => {
+      fake.behaviour = behaviour;
+      await queryLoad();
+      expect((await queryLoad()).isOk()).toBe(true);
+      expect(fake.sockets).toHaveLength(2);
+    },
+    4 * TIMEOUT_MS,
+  );
+
+  it.each([
+    {
+      name: 'closed by its target',
+      behaviour: onKept(({socket}) => socket.end()),
+    },
+    {name: 'silent for good', behaviour: onKept(() => undefined)},
+  ])(
+    'that is $name makes no second reservation',
+    async ({behaviour}) => {
+      fake.behaviour = behaviour;
+      await queryLoad();
+      const reserved = await reserve();
+      expect(reserved._unsafeUnwrapErr()).toBe(ReserveFailure.CONNECTION_LOST);
+      const reservations = fake.calls.filter(({line}) =>
+        line.includes('/-/hold-take'),
+      );
+      expect(reservations).toHaveLength(1);
+    },
+    4 * TIMEOUT_MS,
+  );
+
+  it('fails a report only once a new one fails too', async () => {
+    await queryLoad();
+    fake.behaviour = () => undefined;
+    expect((await queryLoad()).isErr()).toBe(true);
+    expect(fake.sockets).toHaveLength(2);
+  });
+
+  it('ends with its target', async () => {
+    await queryLoad();
+    client.releaseConnections(fake.record);
+    await sleep(ARRIVAL_MS);
+    expect(fake.openCount).toBe(0);
+  });
+
+  it('is not used for another incarnation at its address', async () => {
+    await queryLoad();
+    await queryLoad({...fake.record, startedAtMs: 2});
+    expect(fake.sockets).toHaveLength(2);
+  });
+
+  it('is closed where its target asks for it', async () => {
+    fake.behaviour = ({socket}) =>
+      write(socket, REPORT, 'connection: close\r\n');
+    await queryLoad();
+    await queryLoad();
+    expect(fake.sockets).toHaveLength(2);
+  });
+
+  it('hands late bytes to no other call', async () => {
+    fake.behaviour = (call) => {
+      respond(call);
+      if (call.connection > 1) return;
+      const late = {...REPORT, active: 7};
+      setTimeout(() => write(call.socket, late), ARRIVAL_MS / 2);
+    };
+    await queryLoad();
+    await sleep(ARRIVAL_MS);
+    const load = await queryLoad();
+    expect(load._unsafeUnwrap().running).toBe(REPORT.active);
+    expect(fake.calls.map(({connection}) => connection)).toEqual([1, 2]);
+  });
+
+  it('gives a response of a control call to no request', async () => {
+    fake.behaviour = ({socket}) => write(socket, {retention: 'r-1'});
+    await reserve();
+    expect(await send()).toBe(ExchangeFailure.MISMATCHED_RESPONSE);
+  });
+
+  it('is one of few after many calls at once', async () => {
+    await Promise.all(Array.from({length: 6}, () => queryLoad()));
+    await sleep(ARRIVAL_MS);
+    expect(fake.openCount).toBeLessThanOrEqual(2);
+  });
+
+  it('takes no connection from requests during a control call', async () => {
+    let finish = () => undefined as void;
+    fake.behaviour = (call) => {
+      if (call.line.includes('/-/kv-move')) finish = () => respond(call);
+      else respond(call);
+    };
+    const copied = copy();
+    expect(await send()).toBe('complete');
+    finish();
+    expect((await copied).isOk()).toBe(true);
+  });
+});
