--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -85,13 +85,7 @@
 /** Engines whose load is queried before a generation is placed. */
 export const SHORTLIST_SIZE = 3;
 
-/** Age up to which a report shows room for a copy, in milliseconds. */
-export const HOLDER_REPORT_AGE_MS = 500;
-
-/** Longest time that a generation with room waits for such reports, in ms. */
-export const HOLDER_LOOK_MS = 50;
-
-/** Engines whose room for a copy is queried before a generation is sent. */
+/** Engines whose room for a copy is queried before a generation is placed. */
 export const HOLDER_SHORTLIST_SIZE = 3;
 
 /**
--- a/src/direct/prober.ts
+++ b/src/direct/prober.ts
@@ -129,12 +129,10 @@
    * Probes the given targets whose load reports are out of date. What a target
    * with a limit gets depends on permits more than on its load.
    */
-  async refreshReports(
-    targets: readonly Target[],
-    maxAgeMs = MAX_REPORT_AGE_MS,
-  ): Promise<void> {
+  async refreshReports(targets: readonly Target[]): Promise<void> {
     const stale = targets.filter(
-      (t) => t.limitPerSecond === undefined && t.reportAgeMs() > maxAgeMs,
+      (t) =>
+        t.limitPerSecond === undefined && t.reportAgeMs() > MAX_REPORT_AGE_MS,
     );
     await Promise.all(stale.map((target) => this.isAlive(target)));
   }
--- a/src/direct/streams/stream-placement.ts
+++ b/src/direct/streams/stream-placement.ts
@@ -168,7 +168,7 @@
       const hasRoom = await this.reservation.take(target);
       if (this.isOver) return true;
       if (hasRoom) {
-        await this.sendWithCopy(target, {reservation: this.reservation.id});
+        this.send(target, {reservation: this.reservation.id});
         return true;
       }
       this.placer.recordWithoutRoom(target);
@@ -182,16 +182,10 @@
     this.placer.clearWithoutRoom();
     const target = await this.chooseTarget();
     if (this.isOver) return;
-    if (target !== undefined) await this.sendWithCopy(target, {});
+    if (target !== undefined) this.send(target, {});
     else this.goOnWithoutTarget();
   }
 
-  /** Sends the stream once it is known where a copy has room. */
-  private async sendWithCopy(target: Target, place: Place): Promise<void> {
-    await this.placer.refreshHolders();
-    if (!this.isOver) this.send(target, place);
-  }
-
   /** Meanwhile the stream may have become a suspect. */
   private chooseTarget(): Promise<Target | undefined> {
     const fingerprint = this.options.isolatedFingerprint();
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -1,5 +1,4 @@
 /** Chooses where a stream runs and where its KV cache is copied to. */
-import {sleep} from '../../core/clock/index.js';
 import {spreadHolders} from '../../core/copies/index.js';
 import {mostlyLost} from '../../core/outages/index.js';
 import type {EngineQuery} from '../../core/placing/index.js';
@@ -14,8 +13,6 @@
 import {
   AVOID_DATA_CENTRE_MS,
   DRAINING_RESUME_WINDOW_MS,
-  HOLDER_LOOK_MS,
-  HOLDER_REPORT_AGE_MS,
   HOLDER_SEEN_MS,
   HOLDER_SHORTLIST_SIZE,
   SHORTLIST_SIZE,
@@ -74,7 +71,8 @@
   /** Queries the load of the best engines, then chooses the best of them. */
   async findTarget(): Promise<Target | undefined> {
     const candidates = this.shortlist();
-    await this.ctx.prober.refreshReports(candidates);
+    const holders = this.shortlistHolders();
+    await this.ctx.prober.refreshReports([...candidates, ...holders]);
     if (this.isolatedFingerprint !== undefined)
       return candidates.find(isAvailable);
     const target = chooseEngine({...this.engineQuery(), targets: candidates});
@@ -82,20 +80,6 @@
     return isUsable ? target : undefined;
   }
 
-  /**
-   * Queries the load of engines that may hold a copy, once the stream has room.
-   * One that is slow to respond holds no copy, rather than the stream up.
-   */
-  async refreshHolders(): Promise<void> {
-    const holders = this.shortlistHolders();
-    if (holders.length === 0) return;
-    const {prober, clock} = this.ctx;
-    await Promise.race([
-      prober.refreshReports(holders, HOLDER_REPORT_AGE_MS),
-      sleep(clock, HOLDER_LOOK_MS),
-    ]);
-  }
-
   /** Whether there is a target that is not held back. */
   hasTarget(): boolean {
     const {excluded, heldBack} = this;
@@ -197,14 +181,12 @@
   }
 
   /**
-   * Engines whose room for a copy should be known when the stream is sent: the
+   * Engines whose room for a copy should be known when the runner is chosen: the
    * best one of each data centre, as the runner's own may be lost with it.
    */
   private shortlistHolders(): Target[] {
     const {engine} = this.work.service;
-    const {isResumable} = this.work.admitted.route;
     if (engine?.holdMs === undefined || !engine.canCopy) return [];
-    if (!isResumable) return [];
     return bestOfDataCentres(
       shortlistEngines(this.engineQuery(), Number.POSITIVE_INFINITY),
     ).slice(0, HOLDER_SHORTLIST_SIZE);
