A plan of a route changes nothing of the versions that are known

The preview of a waiting call asked for the targets as a call does, which records versions and drops expired registrations (found in review, by reading).

--- a/src/core/call-queue/call-queue.ts
+++ b/src/core/call-queue/call-queue.ts
@@ -62,10 +62,8 @@
   }
 
   /** What `enter` would do with a call; changes nothing. */
-  preview(call: QueuedCall): CallPreview {
-    const {clock, roomOf} = this.options;
-    const nowMs = clock.now();
-    const room = roomOf();
+  preview(call: QueuedCall, room = this.options.roomOf()): CallPreview {
+    const nowMs = this.options.clock.now();
     const earliestEndMs = nowMs + room.serviceMs;
     const others = [...this.waiting].map((waiting) => waiting.call);
     const before = others.filter(
--- a/src/core/targets/target-set.ts
+++ b/src/core/targets/target-set.ts
@@ -102,6 +102,12 @@
     return {registered, admitted};
   }
 
+  /** What `ofService` would return; changes nothing. */
+  peekOfService(service: string): Target[] {
+    const {admitted} = this.peekService(service);
+    return admitted.filter((target) => target.backoffLeftMs() === 0);
+  }
+
   /** Those of them that may get work now. */
   private presentOf(service: string): Target[] {
     const registered = this.registeredOf(service);
--- a/src/direct/call-queues.ts
+++ b/src/direct/call-queues.ts
@@ -11,7 +11,7 @@
 import {CounterName} from '../core/metrics/index.js';
 import type {Supervisor} from '../core/supervision/index.js';
 import {TaskName} from '../core/supervision/index.js';
-import type {TargetSet} from '../core/targets/index.js';
+import type {Target, TargetSet} from '../core/targets/index.js';
 import {CALL_QUEUE_CHECK_MS} from './consts.js';
 import type {DirectWork} from './context.js';
 
@@ -126,7 +126,8 @@
   }
 
   preview(call: QueuedCall): CallPreview {
-    return this.queue.preview(call);
+    const targets = this.options.targets.peekOfService(this.options.service);
+    return this.queue.preview(call, this.roomAt(targets));
   }
 
   drain(): void {
@@ -136,10 +137,13 @@
 
   private room(): Room {
     const {targets, service} = this.options;
+    return this.roomAt(targets.ofService(service));
+  }
+
+  private roomAt(targets: readonly Target[]): Room {
     const serviceMs = this.time.meanMs;
     if (serviceMs === undefined) return UNKNOWN_ROOM;
-    const present = targets.ofService(service);
-    return estimateRoom({targets: present, serviceMs}) ?? UNKNOWN_ROOM;
+    return estimateRoom({targets, serviceMs}) ?? UNKNOWN_ROOM;
   }
 
   private count(label: QueueOutcome): void {
