A slow engine has a second for the release of its room

Nothing waits for a release, and an engine that granted late would often have been too slow for 120 ms again, so that the room stayed until its time was over (found in review, by reading).

--- a/src/direct/room/consts.ts
+++ b/src/direct/room/consts.ts
@@ -3,9 +3,12 @@
 /** Time between two looks for room while generations wait, in milliseconds. */
 export const ROOM_LOOK_MS = 100;
 
-/** Timeout of a reservation and of its release, in milliseconds. */
+/** Time that a stream waits for a reservation, in milliseconds. */
 export const RESERVE_TIMEOUT_MS = 120;
 
+/** Timeout of a release, for which nothing waits, in milliseconds. */
+export const RELEASE_TIMEOUT_MS = 1_000;
+
 /** Time in which an engine's late answer is still read, in milliseconds. */
 export const LATE_GRANT_MS = 2_000;
 
--- a/src/direct/room/room-reservation.ts
+++ b/src/direct/room/room-reservation.ts
@@ -6,7 +6,11 @@
 import type {Target} from '../../core/targets/index.js';
 import type {DirectContext, DirectWork} from '../context.js';
 import {answerInTime} from './answer-in-time.js';
-import {LATE_GRANT_MS, RESERVE_TIMEOUT_MS} from './consts.js';
+import {
+  LATE_GRANT_MS,
+  RELEASE_TIMEOUT_MS,
+  RESERVE_TIMEOUT_MS,
+} from './consts.js';
 import {isLessUrgent} from './urgency.js';
 
 /** What becomes of a reservation, as a label of its metric. */
@@ -121,7 +125,7 @@
     const dropped = await ctx.client.releaseReservation({
       target: target.record,
       id,
-      timeoutMs: RESERVE_TIMEOUT_MS,
+      timeoutMs: RELEASE_TIMEOUT_MS,
     });
     if (dropped.isOk()) return;
     ctx.logger.info('reservation not released', {
