Garbage is bounded by what was read, not by time alone

Cause: the buffers of messages that are over were looked at every 20 ms. A link to loopback brings tens of MB in that time, most of it bodies that were refused and are read to be dropped, and a busy event loop looks later still.

Now each piece of a large message is counted as it is read, also of a body that is dropped, and the memory is looked at whenever a quarter of the allowed growth was read. Test: adapters/garbage-bound 'looks at once when much was read' (all of it stays between two looks without the change).

--- a/src/adapters/garbage-bound.ts
+++ b/src/adapters/garbage-bound.ts
@@ -12,6 +12,9 @@
 /** Time after the last large message for which it is looked at, in ms. */
 const WATCH_MS = 2_000;
 
+/** Share of the allowed growth that is read between two looks at most. */
+const UNSEEN_SHARE = 0.25;
+
 /** Share of the growth that a quick collection must free to be enough. */
 const ENOUGH_SHARE = 0.5;
 
@@ -31,18 +34,21 @@
 /**
  * Bounds the buffers that are garbage. V8 lets those outside its heap grow by 64
  * MB before it collects them, which a small machine doesn't have. It looks only
- * while messages are large, as small ones leave little.
+ * while messages are large, as small ones leave little, and more often the more
+ * they bring, as a fast link brings more within an interval than is allowed.
  *
  * @example
  * const bound = new GarbageBound({memory: new V8Buffers(), clock, ...rest});
- * bound.watch();
+ * bound.recordRead(chunk.length);
  */
 export class GarbageBound {
   /** Bytes that were left when all garbage was collected, or fewer. */
   private floorBytes = Number.POSITIVE_INFINITY;
   private timer?: TimerHandle;
-  /** When the last large message was handled. */
+  /** When bytes of a large message were read last. */
   private largeAtMs = 0;
+  /** Bytes that were read since the last look. */
+  private unseenBytes = 0;
 
   constructor(
     private readonly options: {
@@ -54,14 +60,16 @@
     },
   ) {}
 
-  /** A large message is handled: looks at the memory for a while. */
-  watch(): void {
-    const {clock, supervisor} = this.options;
+  /** Bytes of a large message were read: looks at the memory for a while. */
+  recordRead(bytes: number): void {
+    const {clock, supervisor, allowedBytes} = this.options;
     this.largeAtMs = clock.now();
     this.timer ??= clock.repeat({
       periodMs: CHECK_INTERVAL_MS,
       run: supervisor.guard({name: TaskName.MEMORY}, () => this.check()),
     });
+    this.unseenBytes += bytes;
+    if (this.unseenBytes >= allowedBytes * UNSEEN_SHARE) this.check();
   }
 
   private check(): void {
@@ -70,6 +78,7 @@
       this.timer?.cancel();
       this.timer = undefined;
     }
+    this.unseenBytes = 0;
     const bytes = memory.bytes();
     this.floorBytes = Math.min(this.floorBytes, bytes);
     if (bytes - this.floorBytes < allowedBytes) return;
--- a/src/core/bytes/memory-budget.ts
+++ b/src/core/bytes/memory-budget.ts
@@ -20,8 +20,8 @@
   constructor(
     private readonly options: {
       limitBytes: number;
-      /** Called when a message asks for more than the exempt bytes. */
-      onLarge?: () => void;
+      /** Called with bytes that were read or reserved for large messages. */
+      onLargeRead?: (bytes: number) => void;
     },
   ) {
     this.limitBytes = options.limitBytes;
@@ -39,14 +39,17 @@
 
   /** Begins to count a message, which holds nothing yet. */
   open(): MemoryShare {
-    return new MemoryShare((bytes) => this.take(bytes));
+    return new MemoryShare({
+      take: (bytes) => this.take(bytes),
+      recordRead: (bytes) => this.options.onLargeRead?.(bytes),
+    });
   }
 
   /** Changes what is reserved; false if that would exceed the limit. */
   private take(bytes: number): boolean {
-    if (bytes > 0) this.options.onLarge?.();
     if (bytes > 0 && this.used + bytes > this.limitBytes) return false;
     this.used += bytes;
+    if (bytes > 0) this.options.onLargeRead?.(bytes);
     return true;
   }
 }
@@ -56,19 +59,29 @@
   private reserved = 0;
 
   /** Created by `MemoryBudget.open`. */
-  constructor(private readonly take: (bytes: number) => boolean) {}
+  constructor(
+    private readonly budget: {
+      take: (bytes: number) => boolean;
+      recordRead: (bytes: number) => void;
+    },
+  ) {}
 
   /** Reserves memory for a message of a size; false if there is not enough. */
   resize(bytes: number): boolean {
     const needed = Math.max(0, bytes - EXEMPT_BYTES);
-    if (!this.take(needed - this.reserved)) return false;
+    if (!this.budget.take(needed - this.reserved)) return false;
     this.reserved = needed;
     return true;
   }
 
+  /** Counts a piece that was read, and is garbage once it was handled. */
+  recordRead(bytes: number): void {
+    this.budget.recordRead(bytes);
+  }
+
   /** Gives everything back. */
   release(): void {
-    this.take(-this.reserved);
+    this.budget.take(-this.reserved);
     this.reserved = 0;
   }
 }
--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -197,7 +197,7 @@
   });
   const memory = new MemoryBudget({
     limitBytes: messageMemoryBytes(settings),
-    onLarge: () => garbage.watch(),
+    onLargeRead: (bytes) => garbage.recordRead(bytes),
   });
   const entry = new DirectProcess({
     ...edges,
--- a/test/adapters/garbage-bound.test.ts
+++ b/test/adapters/garbage-bound.test.ts
@@ -55,7 +55,7 @@
       supervisor: silentSupervisor(),
       allowedBytes: ALLOWED,
     });
-    bound.watch();
+    bound.recordRead(1);
     clock.advance(STEP_MS);
   });
 
@@ -70,11 +70,20 @@
     memory.young = 500;
     clock.advance(STEP_MS);
     expect(memory.collected).toEqual([]);
-    bound.watch();
+    bound.recordRead(1);
     clock.advance(STEP_MS);
     expect(memory.collected).toEqual(['young']);
   });
 
+  // Guards against memory that a fast link fills between two looks (CROWD).
+  it('looks at once when much was read', () => {
+    for (let read = 0; read < 1_000; read += 10) {
+      memory.young += 10;
+      bound.recordRead(10);
+      expect(memory.bytes()).toBeLessThan(memory.used + 2 * ALLOWED);
+    }
+  });
+
   it('collects nothing again while buffers in use stay', () => {
     memory.used = 500;
     for (let i = 0; i < 10; i++) clock.advance(STEP_MS);
@@ -85,7 +94,7 @@
   it('collects garbage that grows old a little at a time', () => {
     for (let i = 0; i < 100; i++) {
       memory.young = 80;
-      bound.watch();
+      bound.recordRead(1);
       memory.old += 20;
       clock.advance(STEP_MS);
       expect(memory.bytes()).toBeLessThan(memory.used + 2 * ALLOWED);
--- a/test/platform/body-reader.test.ts
+++ b/test/platform/body-reader.test.ts
@@ -52,7 +52,7 @@
     share.release();
     res.statusCode = body === BodyProblem.TOO_SLOW ? 408 : 200;
     res.end();
-    if (body === BodyProblem.TOO_SLOW) discardBody(req, clock);
+    if (body === BodyProblem.TOO_SLOW) discardBody(req, {clock, share});
   }
 
   // Guards against a connection that stalls after a refused body (LOST).
