A response that finds no memory blames no target

While clients that do not read hold the memory for messages, the answer of a sound target to a call was recorded as broken: the call was sent once more, the target paused, its failure share raised, and the loss counted as evidence that the request is poison. (40 clients that ask for 4 MB, memory for three.)

Cause: `ResponseBody` told one thing for a body over its limit and for one without memory. Now the second is a failure of its own (`no_memory`) that is the entry's: the request may have run (502 for the caller), no other target is asked, as its response would find no memory either, and nothing is recorded at the target.

--- a/src/core/bytes/byte-buffer.ts
+++ b/src/core/bytes/byte-buffer.ts
@@ -59,11 +59,18 @@
     this.size = 0;
   }
 
+  /** Memory that it takes with so many bytes in all. */
+  capacityFor(needed: number): number {
+    const {length} = this.block;
+    if (needed <= length) return length;
+    return Math.max(MIN_CAPACITY, length * GROWTH_FACTOR, needed);
+  }
+
   /** Makes room for so many bytes in all. */
   reserve(needed: number): void {
-    if (needed <= this.block.length) return;
-    const doubled = this.block.length * GROWTH_FACTOR;
-    const grown = allocate(Math.max(MIN_CAPACITY, doubled, needed));
+    const capacity = this.capacityFor(needed);
+    if (capacity === this.block.length) return;
+    const grown = allocate(capacity);
     this.block.copy(grown, 0, 0, this.size);
     this.block = grown;
   }
--- a/src/core/edges/direct-target.ts
+++ b/src/core/edges/direct-target.ts
@@ -23,6 +23,8 @@
    * The response belongs to another request, or does not identify the target.
    */
   MISMATCHED_RESPONSE = 'foreign_answer',
+  /** The entry has no memory for the response; the request may have run. */
+  NO_MEMORY = 'no_memory',
 }
 
 /** Status and headers of a target's response. */
--- a/src/core/retrying/decide-retry.ts
+++ b/src/core/retrying/decide-retry.ts
@@ -111,6 +111,7 @@
  * isTargetFailure({status: 500}); // true
  */
 export function isTargetFailure({failure, status = 0}: AttemptResult): boolean {
+  if (failure === ExchangeFailure.NO_MEMORY) return false;
   if (failure !== undefined) return !certainlyDidNotRun(failure);
   return status >= FIRST_FAILURE_STATUS;
 }
@@ -137,6 +138,8 @@
  */
 export function decideRetry(query: RetryQuery): RetryDecision {
   const {operation, result, sentCount, maxAttempts} = query;
+  // The response of another target would find no memory either.
+  if (result.failure === ExchangeFailure.NO_MEMORY) return RetryDecision.FAIL;
   const isAnswered = result.failure === undefined;
   const isUnsafe = operation === OperationKind.UNSAFE;
   if (isUnsafe && promisesNotRun(result.status)) return RetryDecision.FAIL;
--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -21,7 +21,11 @@
 import type {CallAttempt} from './call-attempt.js';
 import {CallLog} from './call-log.js';
 import {CallTargets} from './call-targets.js';
-import {ResponseBody, TOO_LARGE_DETAIL} from './response-body.js';
+import {
+  NO_MEMORY_DETAIL,
+  ResponseBody,
+  TOO_LARGE_DETAIL,
+} from './response-body.js';
 import type {DirectContext, DirectWork, RequestContext} from './context.js';
 import {forwardResponse} from './forward-response.js';
 import {
@@ -203,7 +207,9 @@
     this.body.push(chunk);
     if (!this.body.isTooLarge) return;
     this.current!.exchange?.cancel();
-    this.onFailure(ExchangeFailure.BROKEN, TOO_LARGE_DETAIL);
+    if (this.body.hasNoMemory)
+      this.onFailure(ExchangeFailure.NO_MEMORY, NO_MEMORY_DETAIL);
+    else this.onFailure(ExchangeFailure.BROKEN, TOO_LARGE_DETAIL);
   }
 
   private onAttemptTimeout(): void {
--- a/src/direct/record-exchange.ts
+++ b/src/direct/record-exchange.ts
@@ -27,22 +27,29 @@
       target.pause();
       break;
     case ExchangeFailure.HELD_BACK:
-      // The target knows nothing of it.
+    case ExchangeFailure.NO_MEMORY:
+      // The entry itself had no room.
       break;
     default:
       target.recordFailure();
   }
 }
 
+/** Failures that tell nothing of the target. */
+const OWN_FAILURES: ReadonlySet<ExchangeFailure | undefined> = new Set([
+  ExchangeFailure.HELD_BACK,
+  ExchangeFailure.NO_MEMORY,
+]);
+
 /**
- * Records whether an exchange failed at its target. One that was held back tells
- * nothing of it.
+ * Records whether an exchange failed at its target, unless it failed for want of
+ * the entry's own room.
  *
  * @example
  * recordOutcome(target, {status: 500});
  */
 export function recordOutcome(target: Target, result: AttemptResult): void {
-  if (result.failure === ExchangeFailure.HELD_BACK) return;
+  if (OWN_FAILURES.has(result.failure)) return;
   target.recordResponse(isTargetFailure(result));
 }
 
--- a/test/direct/large-bodies.test.ts
+++ b/test/direct/large-bodies.test.ts
@@ -103,3 +103,32 @@
     await settled;
   });
 });
+
+describe('a large response', () => {
+  let site: DirectSite;
+
+  beforeEach(async () => {
+    site = await DirectSite.start();
+    await site.addTarget({
+      service: SiteService.DESK,
+      zone: 'a',
+      bodyBytes: BODY_BYTES,
+    });
+  });
+
+  afterEach(() => site.stop());
+
+  // Guards against sound targets that are shunned for the entry's own memory.
+  it('that finds no memory fails its call, and blames no target', async () => {
+    const [target] = site.targets;
+    const {memory, process} = site.entries[0]!;
+    const send = () => site.call({path: SitePath.SAFE, body: ''});
+    memory.setLimit(BODY_BYTES / 2);
+    for (let i = 0; i < CALLERS; i++) expect((await send()).status).toBe(502);
+    expect(target!.arrivedAtMs.length).toBe(CALLERS);
+    expect(memory.usedBytes).toBe(0);
+    expect(process.usableTargetIds()).toContain(target!.id);
+    memory.setLimit(2 * BODY_BYTES);
+    expect((await send()).status).toBe(200);
+  });
+});
--- a/test/direct/record-exchange.test.ts
+++ b/test/direct/record-exchange.test.ts
@@ -24,6 +24,7 @@
 describe('a target whose exchanges end', () => {
   it.each([
     {failure: ExchangeFailure.HELD_BACK, isFull: false, isPaused: false},
+    {failure: ExchangeFailure.NO_MEMORY, isFull: false, isPaused: false},
     {failure: ExchangeFailure.REJECTED, isFull: true, isPaused: false},
     {failure: ExchangeFailure.NOT_SENT, isFull: false, isPaused: true},
     {failure: ExchangeFailure.WRONG_TARGET, isFull: false, isPaused: true},
@@ -35,12 +36,15 @@
     expect(target.isPaused()).toBe(row.isPaused);
   });
 
-  it('keeps its failure share if one was held back', () => {
-    const target = new Target({record: RECORD, clock: new ManualClock()});
-    recordOutcome(target, {failure: ExchangeFailure.BROKEN});
-    const before = target.failureShare;
-    recordOutcome(target, {failure: ExchangeFailure.HELD_BACK});
-    expect(before).toBeGreaterThan(0);
-    expect(target.failureShare).toBe(before);
-  });
+  it.each([ExchangeFailure.HELD_BACK, ExchangeFailure.NO_MEMORY])(
+    'keeps its failure share with %s',
+    (failure) => {
+      const target = new Target({record: RECORD, clock: new ManualClock()});
+      recordOutcome(target, {failure: ExchangeFailure.BROKEN});
+      const before = target.failureShare;
+      recordOutcome(target, {failure});
+      expect(before).toBeGreaterThan(0);
+      expect(target.failureShare).toBe(before);
+    },
+  );
 });
--- a/test/support/direct-site.ts
+++ b/test/support/direct-site.ts
@@ -31,6 +31,8 @@
   readonly workMs?: number;
   /** Version of its software; 'v1' by default. */
   readonly version?: string;
+  /** Size of the bodies of plain calls, in bytes; small by default. */
+  readonly bodyBytes?: number;
 }
 
 /** Options of a site. */
@@ -125,19 +127,17 @@
   /** Starts targets and waits until every entry may use all of them. */
   async addTargets(options: readonly TargetOptions[]) {
     const added: StandInTarget[] = [];
-    for (const {service, zone, pace, workMs, version} of options) {
+    for (const {service, zone, ...rest} of options) {
       const id = `i-${this.targets.length + 1}`;
       const target = new StandInTarget({
         id,
         copyNetwork: this.copyNetwork,
-        pace,
-        workMs,
-        version,
+        ...rest,
       });
       await target.start();
       this.copyNetwork.targetsByAddress.set(target.listenAddress, target);
       this.targets.push(target);
-      this.targetOptions.set(target, {service, zone, pace, version});
+      this.targetOptions.set(target, {service, zone, ...rest});
       added.push(target);
       this.register(target, {service, zone});
     }
