Calls wait their turn for a connection or for room for their body

What callers saw: a call that met the bound of connections to its only target (max_connections, taken by a crowd with a valid key) got 503 `no_target` after 1.6 ms, though a connection was free in milliseconds; of 60 calls at once to a target with 20 connections 40 got it. Large bodies beyond 16 MiB at a target were refused one after the other.

Cause: an attempt that the entry itself held back (HELD_BACK) counted its target as tried, and with no other target left the call failed.

Change: the call goes back to the queue of its service, which takes this in: it waits while no target can be sent it (DirectTargets.canTake), until it can no longer be answered before its deadline. Calls with small bodies pass one that waits for room for its body; no other large one does.

--- a/src/core/call-queue/compare-urgency.ts
+++ b/src/core/call-queue/compare-urgency.ts
@@ -1,4 +1,4 @@
-/** The order in which waiting plain calls are sent, and which one yields. */
+/** Which of two waiting plain calls is more urgent. */
 import type {QueuedCall} from './types.js';
 
 /**
@@ -15,34 +15,19 @@
   earliestEndMs: number;
 }): number {
   const {a, b, earliestEndMs} = options;
-  const isLate = ({objectiveAtMs}: QueuedCall) =>
-    Number(objectiveAtMs < earliestEndMs);
   return (
     a.priority - b.priority ||
-    isLate(a) - isLate(b) ||
+    isLate(a, earliestEndMs) - isLate(b, earliestEndMs) ||
     a.objectiveAtMs - b.objectiveAtMs
   );
 }
 
 /**
- * Finds the call that a full queue refuses: the one that would be sent last, so
- * a less urgent one, then one that is late anyway, then the latest objective. Of
- * equal ones the last given yields. Undefined if there is none.
+ * 1 for a call that can't be on time if it is sent now, otherwise 0.
  *
  * @example
- * chooseYielding({waiting: [...waiting, newcomer], earliestEndMs});
+ * isLate({...call, objectiveAtMs: 90}, 100); // 1
  */
-export function chooseYielding<T extends {readonly call: QueuedCall}>(options: {
-  waiting: Iterable<T>;
-  earliestEndMs: number;
-}): T | undefined {
-  const {waiting, earliestEndMs} = options;
-  let last: T | undefined;
-  for (const item of waiting) {
-    const isLast =
-      last === undefined ||
-      compareUrgency({a: item.call, b: last.call, earliestEndMs}) >= 0;
-    if (isLast) last = item;
-  }
-  return last;
+export function isLate(call: QueuedCall, earliestEndMs: number): number {
+  return Number(call.objectiveAtMs < earliestEndMs);
 }
--- a/src/core/call-queue/decide-call.ts
+++ b/src/core/call-queue/decide-call.ts
@@ -10,6 +10,8 @@
   /** Time since which the call waits; `nowMs` for a new one. */
   readonly waitsSinceMs: number;
   readonly nowMs: number;
+  /** Whether no target may be sent it now, though there are some. */
+  readonly isHeldBack?: boolean;
 }
 
 /**
@@ -17,7 +19,8 @@
  * a slot is free or if it can still be on time in a target's queue. Any other
  * waits at the entry for a bounded time, where it leaves the room to calls that
  * can be on time, and is then refused. One that can't be answered before its
- * deadline is refused at once.
+ * deadline is refused at once. While this entry itself holds a call back, it waits
+ * for as long as it can be answered in time.
  *
  * @example
  * decideCall({call, room, waitsSinceMs: nowMs, nowMs}); // CallDecision.SEND
@@ -25,6 +28,10 @@
 export function decideCall(query: CallQuery): CallDecision {
   const {call, room, waitsSinceMs, nowMs} = query;
   const {waitMs, serviceMs, hasFreeSlot, isFull} = room;
+  if (query.isHeldBack === true) {
+    const isHopeless = nowMs + serviceMs > call.deadlineAtMs;
+    return isHopeless ? CallDecision.REFUSE : CallDecision.WAIT;
+  }
   const endsAtMs = nowMs + waitMs + serviceMs;
   // What is sent also corrects an estimate that is too high.
   if (!isFull && hasFreeSlot) return CallDecision.SEND;
--- a/src/core/call-queue/index.ts
+++ b/src/core/call-queue/index.ts
@@ -5,5 +5,5 @@
 export {decideCall} from './decide-call.js';
 export {estimateRoom} from './estimate-room.js';
 export {ServiceTime} from './service-time.js';
-export type {CallPreview, QueuedCall, Room} from './types.js';
+export type {CallPreview, HeldCall, QueuedCall, Room} from './types.js';
 export {CallDecision} from './types.js';
--- a/src/core/call-queue/types.ts
+++ b/src/core/call-queue/types.ts
@@ -8,6 +8,8 @@
   readonly objectiveAtMs: number;
   /** Time after which its caller no longer waits. */
   readonly deadlineAtMs: number;
+  /** Calls of the same priority are shared out among these accounts. */
+  readonly clientAccount?: string;
 }
 
 /** Room at the targets of a service, as one entry estimates it. */
@@ -24,6 +26,14 @@
   readonly isFull: boolean;
 }
 
+/** A call that was held back, or may be by now. */
+export interface HeldCall {
+  /** Whether its body counts towards what a target may hold. */
+  readonly isLarge: boolean;
+  /** Whether no target may be sent it now, though there are some. */
+  readonly isHeldBack: () => boolean;
+}
+
 /** What to do with a call now. */
 export enum CallDecision {
   SEND = 'send',
--- a/src/core/edges/direct-target.ts
+++ b/src/core/edges/direct-target.ts
@@ -135,6 +135,15 @@
     req: TargetRequest;
     listener: ExchangeListener;
   }): Exchange;
+  /**
+   * Whether `send` would not hold a request back now, because the target has too
+   * many of them open or too many bytes of bodies.
+   */
+  canTake(options: {
+    target: TargetRecord;
+    maxConnections: number;
+    bodyBytes: number;
+  }): boolean;
   /**
    * Requests the load report of a target; fails if it does not arrive within
    * `timeoutMs`.
--- a/src/core/targets/body-allowance.ts
+++ b/src/core/targets/body-allowance.ts
@@ -42,14 +42,18 @@
     return this.held;
   }
 
-  /** Counts a body that is sent now; false if the target holds too much. */
-  tryTake(bytes: number, nowMs: number): boolean {
+  /** Whether the target does not hold too much for a body that is sent now. */
+  canTake(bytes: number, nowMs: number): boolean {
     const counted = countedOf(bytes);
+    if (counted === 0 || this.held === 0) return true;
     this.recover(nowMs);
-    const isAlone = this.held === 0;
-    if (counted > 0 && !isAlone && this.held + counted > this.boundBytes)
-      return false;
-    this.held += counted;
+    return this.held + counted <= this.boundBytes;
+  }
+
+  /** Counts a body that is sent now; false if the target holds too much. */
+  tryTake(bytes: number, nowMs: number): boolean {
+    if (!this.canTake(bytes, nowMs)) return false;
+    this.held += countedOf(bytes);
     return true;
   }
 
--- a/src/direct/call-attempt.ts
+++ b/src/direct/call-attempt.ts
@@ -1,7 +1,9 @@
 /** One attempt of a plain call. */
 import type {TimerHandle} from '../core/clock/index.js';
 import type {Exchange} from '../core/edges/direct-target.js';
+import type {AttemptResult} from '../core/retrying/index.js';
 import type {Target, TargetWork} from '../core/targets/index.js';
+import type {DirectContext, DirectWork} from './context.js';
 
 /** An attempt in progress. */
 export interface CallAttempt {
@@ -14,3 +16,22 @@
   /** Ends the attempt if it is slow and may be replaced. */
   timer?: TimerHandle;
 }
+
+/**
+ * Records how long the target took, if it responded.
+ *
+ * @example
+ * recordServiceTime({ctx, work, attempt, result: {status: 200}});
+ */
+export function recordServiceTime(options: {
+  ctx: Pick<DirectContext, 'clock' | 'callQueues'>;
+  work: DirectWork;
+  attempt: CallAttempt;
+  result: AttemptResult;
+}): void {
+  const {ctx, work, attempt, result} = options;
+  if (result.failure !== undefined) return;
+  const {targetWork, scale} = attempt;
+  const heldMs = ctx.clock.now() - targetWork.startedAtMs;
+  ctx.callQueues.recordServed(work.service.name, {heldMs, scale});
+}
--- a/src/direct/call-queues.ts
+++ b/src/direct/call-queues.ts
@@ -4,13 +4,20 @@
   estimateRoom,
   ServiceTime,
 } from '../core/call-queue/index.js';
-import type {CallPreview, QueuedCall, Room} from '../core/call-queue/index.js';
+import type {
+  CallPreview,
+  HeldCall,
+  QueuedCall,
+  Room,
+} from '../core/call-queue/index.js';
 import type {Clock, RandomSource, TimerHandle} from '../core/clock/index.js';
+import type {DirectTargets} from '../core/edges/direct-target.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import {CounterName} from '../core/metrics/index.js';
 import type {Supervisor} from '../core/supervision/index.js';
 import {TaskName} from '../core/supervision/index.js';
+import {EXEMPT_BODY_BYTES} from '../core/targets/body-allowance.js';
 import type {Target, TargetSet} from '../core/targets/index.js';
 import {CALL_QUEUE_CHECK_MS} from './consts.js';
 import type {DirectWork} from './context.js';
@@ -26,6 +33,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly targets: TargetSet;
+  readonly client: DirectTargets;
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly supervisor: Supervisor;
@@ -40,9 +48,20 @@
   isFull: false,
 };
 
+/** A call that asks to be sent. */
+export interface CallEntry {
+  readonly work: DirectWork;
+  /** Whether the call may be sent to a target; all of them may by default. */
+  readonly mayUse?: (target: Target) => boolean;
+  /** Whether the entry held the call back when it was to be sent. */
+  readonly wasHeldBack?: boolean;
+  readonly onSend: () => void;
+  readonly onRefuse: (retryAfterMs: number) => void;
+}
+
 /**
- * Keeps the queue of each service. Calls to targets that do not tell how slow
- * they are never wait.
+ * Keeps the queue of each service. Calls wait for room at targets that tell how
+ * slow they are, and for a free connection at any.
  *
  * @example
  * const leave = queues.enter({work, onSend, onRefuse});
@@ -53,11 +72,7 @@
   constructor(private readonly options: CallQueuesOptions) {}
 
   /** Sends a call now or later, or refuses it; returns how to leave. */
-  enter(options: {
-    work: DirectWork;
-    onSend: () => void;
-    onRefuse: (retryAfterMs: number) => void;
-  }): () => void {
+  enter(options: CallEntry): () => void {
     const {name} = options.work.service;
     let queue = this.queues.get(name);
     if (queue === undefined) {
@@ -91,26 +106,37 @@
   private readonly queue: CallQueue;
   private timer?: TimerHandle;
   private startedMs = 0;
+  /** Connections to each target, as configured when the last call came. */
+  private maxConnections = Number.POSITIVE_INFINITY;
 
   constructor(private readonly options: CallQueuesOptions & {service: string}) {
-    this.queue = new CallQueue({...options, roomOf: () => this.room()});
+    this.queue = new CallQueue({
+      ...options,
+      roomOf: () => this.room(),
+      hasConnection: () => !this.isHeldBack({bodyBytes: 0}),
+    });
   }
 
-  enter(options: {
-    work: DirectWork;
-    onSend: () => void;
-    onRefuse: (retryAfterMs: number) => void;
-  }): () => void {
-    const {work, onSend, onRefuse} = options;
+  enter(options: CallEntry): () => void {
+    const {work, mayUse, wasHeldBack, onSend, onRefuse} = options;
     const {route, account} = work.admitted;
     const call = {
       priority: account?.priority ?? route.priority,
       objectiveAtMs: work.req.receivedMs + route.latencyObjectiveMs,
       deadlineAtMs: work.deadlineAtMs,
+      clientAccount: account?.clientAccount,
+    };
+    const bodyBytes = work.req.body.length;
+    this.maxConnections = work.service.maxConnections;
+    const held: HeldCall = {
+      isLarge: bodyBytes > EXEMPT_BODY_BYTES,
+      isHeldBack: () => this.isHeldBack({bodyBytes, mayUse}),
     };
     let hasWaited = false;
     this.queue.enter({
       call,
+      held,
+      wasHeldBack,
       onSend: () => {
         if (hasWaited) this.count(QueueOutcome.SENT);
         onSend();
@@ -143,7 +169,26 @@
   private roomAt(targets: readonly Target[]): Room {
     const serviceMs = this.time.meanMs;
     if (serviceMs === undefined) return UNKNOWN_ROOM;
-    return estimateRoom({targets, serviceMs}) ?? UNKNOWN_ROOM;
+    return estimateRoom({targets, serviceMs}) ?? {...UNKNOWN_ROOM, serviceMs};
+  }
+
+  /**
+   * Whether no target may be sent a call with such a body, though there are some.
+   * One that does not respond counts only if none does.
+   */
+  private isHeldBack(call: {
+    bodyBytes: number;
+    mayUse?: (target: Target) => boolean;
+  }): boolean {
+    const {client, service, targets} = this.options;
+    const {bodyBytes, mayUse = () => true} = call;
+    const {maxConnections} = this;
+    const left = targets.ofService(service).filter(mayUse);
+    const responding = left.filter((target) => !target.isPaused());
+    const usable = responding.length > 0 ? responding : left;
+    const canTake = ({record: target}: Target) =>
+      client.canTake({target, maxConnections, bodyBytes});
+    return usable.length > 0 && !usable.some(canTake);
   }
 
   private count(label: QueueOutcome): void {
--- a/src/direct/call-targets.ts
+++ b/src/direct/call-targets.ts
@@ -4,6 +4,9 @@
 import type {DirectWork, RequestContext} from './context.js';
 import {PermittedChoice} from './limits/index.js';
 
+/** How often a call may be held back at targets that could take it before. */
+const MAX_HELD_BACK = 16;
+
 /**
  * Chooses a target for each attempt of a call, none of them twice, and asks for
  * a permit where the target names a limit.
@@ -14,6 +17,7 @@
  */
 export class CallTargets {
   private readonly tried = new Set<string>();
+  private heldBackCount = 0;
   private readonly permitted: PermittedChoice;
 
   constructor(
@@ -37,15 +41,40 @@
     this.tried.add(target.id);
   }
 
+  /**
+   * The entry itself held the call back. The target may be tried again, but from
+   * now on one is preferred that can take the call.
+   */
+  recordHeldBack(target: Target): void {
+    this.heldBackCount++;
+    if (this.heldBackCount < MAX_HELD_BACK) this.tried.delete(target.id);
+  }
+
+  /** Whether the call may still be sent to a target. */
+  mayUse(target: Target): boolean {
+    return !this.tried.has(target.id);
+  }
+
+  /** Whether a target would not be held back from the call now. */
+  canTake({record}: Target): boolean {
+    const {ctx, work} = this.options;
+    const {maxConnections} = work.service;
+    const bodyBytes = work.req.body.length;
+    return ctx.client.canTake({target: record, maxConnections, bodyBytes});
+  }
+
   /** The best target that was not tried; undefined if there is none. */
   choose(heldBack: Iterable<string> = []): Target | undefined {
     const {ctx, work} = this.options;
-    return chooseCallTarget({
-      targets: ctx.targets.ofService(work.service.name),
-      dataCentre: ctx.dataCentre,
-      excluded: new Set([...this.tried, ...heldBack]),
-      random: ctx.random,
-    });
+    const targets = ctx.targets.ofService(work.service.name);
+    const excluded = new Set([...this.tried, ...heldBack]);
+    const query = {dataCentre: ctx.dataCentre, random: ctx.random, excluded};
+    if (this.heldBackCount > 0) {
+      const free = targets.filter((target) => this.canTake(target));
+      const target = chooseCallTarget({...query, targets: free});
+      if (target !== undefined) return target;
+    }
+    return chooseCallTarget({...query, targets});
   }
 
   /**
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -182,6 +182,7 @@
         clock,
         random,
         targets,
+        client,
         metrics,
         logger,
         supervisor,
--- a/src/direct/rollouts/counted-targets.ts
+++ b/src/direct/rollouts/counted-targets.ts
@@ -51,6 +51,14 @@
     return this.sendCounted(rollout, options);
   }
 
+  canTake(options: Parameters<DirectTargets['canTake']>[0]): boolean {
+    const {client, rolloutOf} = this.options;
+    const rollout = rolloutOf(options.target.service);
+    if (rollout?.isNew(options.target) === true && !rollout.mayUseNew)
+      return false;
+    return client.canTake(options);
+  }
+
   queryLoad(...args: Parameters<DirectTargets['queryLoad']>) {
     return this.options.client.queryLoad(...args);
   }
--- a/stand-ins/site/config.ts
+++ b/stand-ins/site/config.ts
@@ -34,6 +34,8 @@
   readonly version: number;
   /** API keys of the client account; only `API_KEY` by default. */
   readonly keys?: readonly string[];
+  /** API keys of a second client account; there is none by default. */
+  readonly otherKeys?: readonly string[];
   /** Service of the route `SitePath.MOVING`; `DESK` by default. */
   readonly movingTo?: SiteService;
   /** Timeout of the stream route; `ROUTE_TIMEOUT_MS` by default. */
@@ -52,6 +54,7 @@
  */
 export function siteConfig(options: SiteConfigOptions) {
   const {version, keys = [API_KEY], movingTo = SiteService.DESK} = options;
+  const {otherKeys} = options;
   const {streamTimeoutMs = ROUTE_TIMEOUT_MS, holdMs} = options;
   const {streamObjectiveMs = OBJECTIVE_MS} = options;
   const common = {timeout_ms: ROUTE_TIMEOUT_MS, stream_resume: false};
@@ -110,6 +113,9 @@
       header_timeout_ms: 3_000,
       idle_timeout_ms: 15_000,
     },
-    tenants: [{name: 'account-a', api_keys: keys}],
+    tenants: [
+      {name: 'account-a', api_keys: keys},
+      ...(otherKeys ? [{name: 'account-b', api_keys: otherKeys}] : []),
+    ],
   };
 }
--- a/test/support/fault-injector.ts
+++ b/test/support/fault-injector.ts
@@ -186,6 +186,7 @@
         const listener = this.wrapListener(options.listener, path);
         return this.wrapExchange(targets.send({...options, listener}), path);
       },
+      canTake: (options) => targets.canTake(options),
       queryLoad: (target, timeoutMs) =>
         this.fail(FaultPlace.QUERY_LOAD, target.service) ??
         targets.queryLoad(target, timeoutMs),
