A good version is completed with room to spare, also at busy entries

Cause, in the order of its weight: - An entry that is short of processor time reads responses late. Once the old version has little traffic its times grow no more, so those of the new one looked several times slower, and the good version was rolled back as `slow`. - After an outage of the store of over 3 s, the status waited for 3 s more until silent entries were known to be silent, though all had been heard. - A killed entry kept the status for 3 s after its last row was heard, whatever the time budget; the row that tells of no more requests at old targets came up to a second after the last step.

Change: the lateness of a short timer, while an order runs, is taken off the times that are compared. Entries that have all told something since the store came back are known. The silence after which an entry is gone is a fifth of the time budget, 2 to 3 s (rows are written three times within it, as before for budgets from 15 s). No more requests at old targets is news.

--- a/src/core/rollouts/consts.ts
+++ b/src/core/rollouts/consts.ts
@@ -49,8 +49,16 @@
 /** Time at the last step before the roll-out is completed, in milliseconds. */
 export const MIN_FULL_MS = 1_200;
 
-/** Silence after which an entry no longer counts as live, in milliseconds. */
-export const ENTRY_SILENCE_MS = 3_000;
+/**
+ * Silence after which an entry no longer counts as live, as a part of the time
+ * budget and in milliseconds.
+ */
+export const ENTRY_SILENCE_PART = 0.2;
+export const MIN_ENTRY_SILENCE_MS = 2_000;
+export const MAX_ENTRY_SILENCE_MS = 3_000;
+
+/** Rows that an entry writes within that time. */
+export const ROWS_PER_SILENCE = 3;
 
 /** Time after which the next entry in order writes a status, in ms. */
 export const STATUS_TURN_MS = 800;
--- a/src/core/rollouts/index.ts
+++ b/src/core/rollouts/index.ts
@@ -1,10 +1,5 @@
 /** Decides on roll-outs: how much a new version gets, and whether it is bad. */
-export {
-  ENTRY_SILENCE_MS,
-  SLOW_FACTOR,
-  SLOW_HEAD_FACTOR,
-  WINDOWS_MS,
-} from './consts.js';
+export {SLOW_FACTOR, SLOW_HEAD_FACTOR, WINDOWS_MS} from './consts.js';
 export {
   currentState,
   decideStatus,
@@ -23,8 +18,10 @@
 export {EVIDENCE_ROW} from './evidence-row.js';
 export {ExposureBudget} from './exposure-budget.js';
 export {judgeVersion} from './judge-version.js';
+export {ProcessDelays} from './process-delays.js';
 export type {SeenVersions} from './rollout-controller.js';
 export {RolloutController} from './rollout-controller.js';
+export {rowIntervalMs} from './silence.js';
 export {slackShare} from './slack-share.js';
 export {SlowTimes} from './slow-times.js';
 export type {
--- a/src/core/rollouts/rollout-controller.ts
+++ b/src/core/rollouts/rollout-controller.ts
@@ -1,7 +1,6 @@
 /** One entry's view of one roll-out, and what follows from it. */
 import type {Clock} from '../clock/index.js';
 import {
-  ENTRY_SILENCE_MS,
   MAX_EVIDENCE_AGE_MS,
   MAX_SLACK_AGE_MS,
   MAX_UNINFORMED_MS,
@@ -18,7 +17,9 @@
 import {Evidence, mergeCells} from './evidence.js';
 import {EvidenceHistory} from './evidence-history.js';
 import {ExposureBudget} from './exposure-budget.js';
+import {HeardRows} from './heard-rows.js';
 import {judgeVersion} from './judge-version.js';
+import {silenceMs} from './silence.js';
 import {slackShare} from './slack-share.js';
 import type {
   EvidenceRow,
@@ -29,12 +30,6 @@
 } from './types.js';
 import {PriorUse, RolloutState, RolloutStep} from './types.js';
 
-/** The newest row of another entry. */
-interface HeardRow {
-  readonly row: EvidenceRow;
-  readonly heardAtMs: number;
-}
-
 /** Which versions the registered targets of a service have. */
 export interface SeenVersions {
   /** Targets of the version of the order. */
@@ -63,7 +58,9 @@
   readonly evidence = new Evidence();
   readonly budget: ExposureBudget;
   private readonly history = new EvidenceHistory();
-  private readonly rows = new Map<string, HeardRow>();
+  private readonly rows: HeardRows;
+  /** Silence after which an entry no longer counts as live. */
+  private readonly silenceMs: number;
   private current: RolloutRecord;
   private nowStep = RolloutStep.CANARY;
   private stepSinceMs: number;
@@ -104,6 +101,8 @@
     this.barredVersions = new Set(barred);
     this.current = record;
     this.budget = new ExposureBudget({share: settings.exposureShare});
+    this.silenceMs = silenceMs(record);
+    this.rows = new HeardRows({clock, silenceMs: this.silenceMs});
     this.startedMs = clock.now();
     this.stepSinceMs = this.startedMs;
     this.evidenceAtMs = this.startedMs;
@@ -150,8 +149,7 @@
     const {record, vm, clock, priorUse = PriorUse.UNKNOWN} = this.options;
     const isOther = row.order !== record.id || row.service !== record.service;
     if (isOther) return;
-    const heardAtMs = clock.now();
-    const ownAgeMs = heardAtMs - this.startedMs;
+    const ownAgeMs = clock.now() - this.startedMs;
     // Also of an earlier process of this VM.
     if (row.bad !== undefined) this.badReason ??= row.bad;
     this.hasOldAnswers ||= row.cells.some(({isNew}) => !isNew);
@@ -160,9 +158,8 @@
       for (const version of row.barred ?? [])
         if (version !== record.target) this.barredVersions.add(version);
     this.ageAtStartMs = Math.max(this.ageAtStartMs, row.ageMs - ownAgeMs);
-    const isNews = this.rows.get(row.vm)?.row.tick !== row.tick;
     if (row.vm === vm && !this.hasReadRows) this.isRestarted = true;
-    if (row.vm !== vm && isNews) this.rows.set(row.vm, {row, heardAtMs});
+    if (row.vm !== vm) this.rows.hear(row);
   }
 
   /** Whether the rows of the others were read, also those from before. */
@@ -188,7 +185,7 @@
 
   /** Forgets an entry that has left. */
   forget(vm: string): void {
-    this.rows.delete(vm);
+    this.rows.forget(vm);
   }
 
   /** Records that the others' rows were complete at a time. */
@@ -297,7 +294,7 @@
   /** The state that this entry should write; undefined for none. */
   stateToWrite(oldOpen: number): RolloutState | undefined {
     const {vm, clock} = this.options;
-    const others = this.liveRows();
+    const others = this.rows.live();
     const state = decideStatus({
       record: this.current,
       isBad: this.end === RolloutState.ROLLED_BACK,
@@ -336,8 +333,13 @@
 
   /** Whether each entry that lives has been heard by now. */
   private get knowsOthers(): boolean {
-    const readForMs = this.options.clock.now() - this.readSinceMs;
-    return this.hasRecentRows && readForMs >= ENTRY_SILENCE_MS;
+    if (!this.hasRecentRows) return false;
+    const {vm, entries, clock} = this.options;
+    if (clock.now() - this.readSinceMs >= this.silenceMs) return true;
+    // After a break it need not wait for those that are there.
+    const others = entries?.()?.filter((other) => other !== vm);
+    if (others === undefined) return false;
+    return this.rows.haveAllTold(others, this.readSinceMs);
   }
 
   /** Part of the slack of this entry, which it has only once for an order. */
@@ -354,7 +356,7 @@
 
   /** The furthest step of the live entries, which have the same evidence. */
   private stepOfOthers(): RolloutStep {
-    return Math.max(0, ...this.liveRows().map(({step}) => step));
+    return Math.max(0, ...this.rows.live().map(({step}) => step));
   }
 
   /** Time for which any entry has known the order, in milliseconds. */
@@ -367,15 +369,6 @@
   }
 
   private allCells() {
-    const others = [...this.rows.values()].map(({row}) => row.cells);
-    return mergeCells([this.evidence.list(), ...others]);
-  }
-
-  /** Rows of the entries that have written lately. */
-  private liveRows(): EvidenceRow[] {
-    const earliestMs = this.options.clock.now() - ENTRY_SILENCE_MS;
-    return [...this.rows.values()]
-      .filter(({heardAtMs}) => heardAtMs >= earliestMs)
-      .map(({row}) => row);
+    return mergeCells([this.evidence.list(), ...this.rows.cells()]);
   }
 }
--- a/src/direct/rollouts/consts.ts
+++ b/src/direct/rollouts/consts.ts
@@ -3,13 +3,7 @@
 /** Interval of judging and deciding while an order runs, in milliseconds. */
 export const UPDATE_MS = 250;
 
-/** Least time between two writes of evidence, in milliseconds. */
-export const EVIDENCE_WRITE_MS = 1_000;
-
-/** The same while nothing has changed. */
-export const EVIDENCE_HEARTBEAT_MS = 1_000;
-
-/** Least time between two writes of bad news, in milliseconds. */
+/** Least time between two writes of news, in milliseconds. */
 export const URGENT_WRITE_MS = 250;
 
 /** Pause after others' evidence, in which more of it gathers. */
--- a/src/direct/rollouts/counted-exchange.ts
+++ b/src/direct/rollouts/counted-exchange.ts
@@ -6,7 +6,7 @@
   TargetResponseHead,
 } from '../../core/edges/direct-target.js';
 import {ExchangeFailure} from '../../core/edges/direct-target.js';
-import type {CellCounts} from '../../core/rollouts/index.js';
+import type {CellCounts, ProcessDelays} from '../../core/rollouts/index.js';
 import type {TargetRecord} from '../../core/targets/index.js';
 import {FIRST_FAILURE_STATUS, PACE_SAMPLE_MS} from './consts.js';
 import type {ExchangeTimer, ExchangeTimes} from './exchange-timer.js';
@@ -50,6 +50,8 @@
  */
 export class CountedExchange implements ExchangeListener {
   private readonly startedMs: number;
+  /** Delays of this process before the send. */
+  private readonly startedDelaysMs: number;
   private head?: TargetResponseHead;
   private headMs?: number;
   private bytes = 0;
@@ -66,10 +68,12 @@
       listener: ExchangeListener;
       recorder: ExchangeRecorder;
       timer: ExchangeTimer;
+      delays: Pick<ProcessDelays, 'totalMs'>;
       clock: Clock;
     },
   ) {
     this.startedMs = options.clock.now();
+    this.startedDelaysMs = options.delays.totalMs;
   }
 
   /** Returns the exchange for its owner, who may cancel it. */
@@ -90,7 +94,7 @@
 
   onHead(head: TargetResponseHead): void {
     this.head = head;
-    this.headMs = this.options.clock.now() - this.startedMs;
+    this.headMs = this.timeSinceSend();
     this.reach();
     this.options.listener.onHead(head);
   }
@@ -125,9 +129,9 @@
 
   /** A long stream is counted once its pace is known. */
   private isSampleDue(): boolean {
-    const {head, headMs = 0, startedMs, isOver} = this;
+    const {head, headMs = 0, isOver} = this;
     if (isOver || !isStream(head)) return false;
-    return this.options.clock.now() - startedMs - headMs >= PACE_SAMPLE_MS;
+    return this.timeSinceSend() - headMs >= PACE_SAMPLE_MS;
   }
 
   private answer(): void {
@@ -153,12 +157,19 @@
   }
 
   private times(): ExchangeTimes {
-    const {headMs, bytes, startedMs, head} = this;
-    const {route, clock} = this.options;
-    const totalMs = clock.now() - startedMs;
+    const {headMs, bytes, head} = this;
+    const {route} = this.options;
+    const totalMs = this.timeSinceSend();
     return {route, isStream: isStream(head), headMs, totalMs, bytes};
   }
 
+  /** Without the time for which this process could not read. */
+  private timeSinceSend(): number {
+    const {clock, delays} = this.options;
+    const delayedMs = delays.totalMs - this.startedDelaysMs;
+    return Math.max(0, clock.now() - this.startedMs - delayedMs);
+  }
+
   private reach(): void {
     if (this.hasReached) return;
     this.hasReached = true;
--- a/src/direct/rollouts/counted-targets.ts
+++ b/src/direct/rollouts/counted-targets.ts
@@ -8,7 +8,7 @@
 import {ExchangeFailure} from '../../core/edges/direct-target.js';
 import type {Metrics} from '../../core/metrics/index.js';
 import {CounterName} from '../../core/metrics/index.js';
-import type {CellCounts} from '../../core/rollouts/index.js';
+import type {CellCounts, ProcessDelays} from '../../core/rollouts/index.js';
 import type {Supervisor} from '../../core/supervision/index.js';
 import {TaskName} from '../../core/supervision/index.js';
 import type {TargetRecord} from '../../core/targets/index.js';
@@ -28,6 +28,8 @@
   readonly client: DirectTargets;
   /** The roll-out of a service; undefined if none is ordered. */
   readonly rolloutOf: (service: string) => Rollout | undefined;
+  /** How long this process could not read responses. */
+  readonly delays: ProcessDelays;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly supervisor: Supervisor;
--- a/src/direct/rollouts/evidence-sync.ts
+++ b/src/direct/rollouts/evidence-sync.ts
@@ -4,16 +4,15 @@
 import type {SourceItem} from '../../core/edges/state-source.js';
 import type {Logger} from '../../core/logs/index.js';
 import type {EvidenceRow, RolloutSettings} from '../../core/rollouts/index.js';
+import {rowIntervalMs, RolloutStep} from '../../core/rollouts/index.js';
 import type {Supervisor} from '../../core/supervision/index.js';
 import {TaskName} from '../../core/supervision/index.js';
 import type {Follower, OutageGate} from '../../core/sync/index.js';
 import {createStoreFollower} from '../store-follower.js';
 import {
-  EVIDENCE_HEARTBEAT_MS,
   EVIDENCE_LONG_POLL_MS,
   EVIDENCE_LONG_POLL_PART,
   EVIDENCE_PAUSE_MS,
-  EVIDENCE_WRITE_MS,
   URGENT_WRITE_MS,
 } from './consts.js';
 import type {Rollout} from './rollout.js';
@@ -35,8 +34,8 @@
 /** What this entry has written for one service. */
 interface WrittenRow {
   atMs: number;
-  /** What told the last row apart from others, apart from its times. */
-  content: string;
+  /** News of the last row; undefined if it was not written. */
+  news?: string;
   isWriting: boolean;
 }
 
@@ -118,28 +117,21 @@
     // The row of an earlier process of this VM is read before it is replaced.
     if (last?.isWriting === true || !rollout.controller.hasRead) return;
     const row = rollout.controller.row(rollout.oldOpen);
-    const content = JSON.stringify([row.order, row.oldOpen, row.cells]);
-    const urgency = `${row.step} ${row.bad}`;
+    const news = newsOf(row);
     const sinceMs = clock.now() - (last?.atMs ?? Number.NEGATIVE_INFINITY);
-    const isNews = !(last?.content ?? '').startsWith(urgency);
-    const dueMs = isNews
-      ? URGENT_WRITE_MS
-      : last?.content === `${urgency}${content}`
-        ? EVIDENCE_HEARTBEAT_MS
-        : EVIDENCE_WRITE_MS;
+    const dueMs =
+      last?.news === news
+        ? rowIntervalMs(rollout.controller.record)
+        : URGENT_WRITE_MS;
     if (sinceMs < dueMs) return;
-    const written: WrittenRow = {
-      atMs: clock.now(),
-      content: `${urgency}${content}`,
-      isWriting: true,
-    };
+    const written: WrittenRow = {atMs: clock.now(), news, isWriting: true};
     this.written.set(service, written);
     supervisor.run({name: TaskName.ROLLOUT}, async () => {
       const {edges, vm} = this.options;
       const result = await edges.evidenceWriter.upsert(`${service}.${vm}`, row);
       written.isWriting = false;
       // Written again as soon as a write is due.
-      if (result.isErr()) written.content = '';
+      if (result.isErr()) written.news = undefined;
     });
   }
 
@@ -151,3 +143,9 @@
     });
   }
 }
+
+/** What the others should know soon: a step, a verdict, no more old requests. */
+function newsOf({step, bad, oldOpen}: EvidenceRow): string {
+  const isDrained = step === RolloutStep.FULL && oldOpen === 0;
+  return `${step} ${bad} ${isDrained}`;
+}
--- a/src/direct/rollouts/rollout-keeper.ts
+++ b/src/direct/rollouts/rollout-keeper.ts
@@ -12,6 +12,7 @@
 } from '../../core/rollouts/index.js';
 import {
   PriorUse,
+  ProcessDelays,
   RolloutState,
   RolloutStep,
   VersionBaseline,
@@ -57,6 +58,7 @@
   /** Versions that were found bad and get nothing, by service. */
   private readonly barred = new Map<string, Set<string>>();
   private readonly baseline = new VersionBaseline();
+  private readonly delays: ProcessDelays;
   private readonly evidence: EvidenceSync;
   private readonly status: StatusWriting;
   private readonly orders: Follower<RolloutRecord>;
@@ -67,6 +69,7 @@
 
   constructor(private readonly options: RolloutKeeperOptions) {
     const {edges} = options;
+    this.delays = new ProcessDelays(options);
     this.evidence = new EvidenceSync({
       ...options,
       rollouts: () => this.rollouts.values(),
@@ -107,6 +110,7 @@
     this.orders.stop();
     this.evidence.stop();
     this.timer?.cancel();
+    this.delays.stop();
   }
 
   /** Returns a client that counts what is sent during a roll-out. */
@@ -114,6 +118,7 @@
     return new CountedTargets({
       ...this.options,
       client,
+      delays: this.delays,
       rolloutOf: (service) => this.rollouts.get(service),
     });
   }
@@ -228,6 +233,8 @@
     this.timer = undefined;
     if (this.isStopped) return;
     const running = [...this.rollouts.values()].filter((r) => r.isRunning);
+    if (running.length > 0) this.delays.start();
+    else this.delays.stop();
     // Scheduled first, so that a failure does not end the loop.
     if (running.length > 0) {
       const task = {name: TaskName.ROLLOUT};
--- a/test/direct/counted-exchange.test.ts
+++ b/test/direct/counted-exchange.test.ts
@@ -29,6 +29,7 @@
 
 describe('an exchange during a roll-out', () => {
   let clock: ManualClock;
+  let delays: {totalMs: number};
   let timer: ExchangeTimer;
   let counted: CellCounts[];
   let reached: number;
@@ -38,6 +39,7 @@
   beforeEach(() => {
     clock = new ManualClock();
     timer = new ExchangeTimer();
+    delays = {totalMs: 0};
     counted = [];
     reached = 0;
     over = 0;
@@ -52,6 +54,7 @@
       isNew,
       listener: LISTENER,
       timer,
+      delays,
       clock,
       recorder: {
         onReached: () => reached++,
@@ -122,6 +125,22 @@
     expect(last()).toMatchObject({timed: 1, slow});
   });
 
+  it.each([
+    {ms: 200, delayedMs: 170, slow: 0},
+    {ms: 200, delayedMs: 20, slow: 1},
+  ])(
+    'of $ms ms, $delayedMs of them not read, is slow $slow times',
+    ({ms, delayedMs, slow}) => {
+      for (let i = 0; i < 20; i++) call(20, {isNew: false});
+      const exchange = start();
+      clock.advance(ms);
+      delays.totalMs += delayedMs;
+      exchange.onHead(head(200));
+      exchange.onComplete();
+      expect(last()).toMatchObject({timed: 1, slow});
+    },
+  );
+
   it('is not compared while its target has just started', () => {
     for (let i = 0; i < 20; i++) call(20, {isNew: false});
     const exchange = start({isWarmingUp: true});
--- a/test/direct/rollouts.test.ts
+++ b/test/direct/rollouts.test.ts
@@ -1,123 +1,18 @@
 /** Roll-outs at entries with a store and targets. */
 import {afterEach, describe, expect, it} from 'vitest';
 
-import {StoreObjectKind} from '../../platform/names.js';
-import {SitePath, SiteService} from '../../stand-ins/site/config.js';
 import {StoreMode} from '../../stand-ins/site/store.js';
 import type {StandInTarget} from '../../stand-ins/site/target.js';
 import {writerRank} from '../../src/core/rollouts/index.js';
-import {DirectSite} from '../support/direct-site.js';
-import {Agent} from 'node:http';
+import {
+  keepBusy,
+  KIND,
+  pause,
+  RolloutSite,
+  SERVICE,
+} from '../support/rollout-site.js';
 
-const SERVICE = SiteService.DESK;
-const BOUNDS = {exposureShare: 0.1, exposureSlack: 50, rollbackMs: 5_000};
 const TEST_MS = 40_000;
-const CALL_GAP_MS = 8;
-const KIND = StoreObjectKind.ROLLOUTS;
-
-/** A site under load, and its new targets. */
-class RolloutSite {
-  readonly fresh: StandInTarget[] = [];
-  readonly old: StandInTarget[] = [];
-  /** Calls answered, by status. */
-  readonly statuses = new Map<number, number>();
-  calls = 0;
-  orderedMs = 0;
-  private readonly agents = Array.from(
-    {length: 3},
-    () => new Agent({keepAlive: true, maxSockets: 30}),
-  );
-  private timer?: NodeJS.Timeout;
-  /** Entries to which no calls go. */
-  readonly dead = new Set<number>();
-
-  private constructor(readonly site: DirectSite) {}
-
-  static async start(): Promise<RolloutSite> {
-    const site = await DirectSite.start({
-      entries: 3,
-      hasRelay: true,
-      rollout: BOUNDS,
-    });
-    const play = new RolloutSite(site);
-    play.old.push(...(await site.addTargets(play.targets('v1'))));
-    play.timer = setInterval(() => play.call(), CALL_GAP_MS);
-    return play;
-  }
-
-  private targets(version: string) {
-    return Array.from({length: 4}, (_, i) => ({
-      service: SERVICE,
-      zone: i % 2 === 0 ? 'a' : 'b',
-      workMs: 10,
-      version,
-    }));
-  }
-
-  private call(): void {
-    const entry = this.calls++ % 3;
-    if (this.dead.has(entry)) return;
-    const path = this.calls % 2 === 0 ? SitePath.SAFE : SitePath.UNSAFE;
-    void this.site
-      .call({path, entry, agent: this.agents[entry]!})
-      .then(({status}) => {
-        this.statuses.set(status, (this.statuses.get(status) ?? 0) + 1);
-      })
-      .catch(() => undefined);
-  }
-
-  order(durationS: number, target = 'v2'): void {
-    this.orderedMs = performance.now();
-    this.site.store.put({
-      kind: KIND,
-      name: SERVICE,
-      spec: {service: SERVICE, target, duration_s: durationS},
-    });
-  }
-
-  async addNew(
-    spoil: (target: StandInTarget) => void = () => undefined,
-    version = 'v2',
-  ) {
-    const before = this.site.targets.length;
-    const adding = this.site.addTargets(this.targets(version));
-    this.site.targets.slice(before).forEach(spoil);
-    const added = await adding;
-    added.forEach(spoil);
-    this.fresh.push(...added);
-  }
-
-  get state(): string | undefined {
-    const status = this.site.store.statusOf(KIND, SERVICE) as
-      {state: string} | undefined;
-    return status?.state;
-  }
-
-  /** Waits for a state; returns how long it took since the order. */
-  async waitForState(state: string, timeoutMs: number): Promise<number> {
-    const endMs = performance.now() + timeoutMs;
-    while (this.state !== state && performance.now() < endMs) await pause(20);
-    expect(this.state).toBe(state);
-    return performance.now() - this.orderedMs;
-  }
-
-  runsSince(targets: readonly StandInTarget[], atMs: number): number {
-    return targets.reduce(
-      (sum, {runs}) => sum + runs.filter((run) => run.atMs >= atMs).length,
-      0,
-    );
-  }
-
-  async stop(): Promise<void> {
-    clearInterval(this.timer);
-    for (const agent of this.agents) agent.destroy();
-    await this.site.stop();
-  }
-}
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
 
 describe('a roll-out', () => {
   let play: RolloutSite;
@@ -135,6 +30,22 @@
         play.site.store.mode = StoreMode.UP;
       },
     },
+    {
+      name: 'the store away for 3 s before the last step',
+      disturb: async () => {
+        await pause(4_000);
+        play.site.store.mode = StoreMode.BUSY;
+        await pause(3_000);
+        play.site.store.mode = StoreMode.UP;
+      },
+    },
+    {
+      name: 'entries that get busy once the old version has little traffic',
+      disturb: async () => {
+        await pause(6_300);
+        await keepBusy({forMs: 2_000, busyMs: 30, pauseMs: 10});
+      },
+    },
     {
       name: 'the entry that writes the status killed late',
       disturb: async () => {
@@ -203,6 +114,13 @@
       later: () => undefined,
       withinMs: 8_000,
     },
+    {
+      name: 'is slow at once, at busy entries,',
+      spoil: (target: StandInTarget) => (target.extraWorkMs = 80),
+      begin: () => keepBusy({forMs: 9_000, busyMs: 15, pauseMs: 10}),
+      later: () => undefined,
+      withinMs: 8_000,
+    },
     {
       name: 'fails later',
       spoil: () => undefined,
@@ -213,8 +131,9 @@
 
   it.each(BAD)(
     'of a version that $name is turned back within the bounds',
-    async ({spoil, later, withinMs}) => {
+    async ({spoil, begin, later, withinMs}) => {
       play = await RolloutSite.start();
+      void begin?.();
       play.order(12);
       await pause(300);
       const startedCalls = play.calls;
