Soak: crowds and early responses among its faults

Clients that send ahead and read nothing, at the frontend and the readiness port of a running entry, and targets that respond before they have read an upload (a part and a reset, status 000), from a random stream of their own, so that existing seeds keep their faults. A crowd excuses nothing: it is not recorded as a fault of its entry.

The relay of the soak forwarded a reset that came together with data as an orderly end, so that no product could have told it: test/stand-ins/relay is red before (an end in place of an error) and green with a write of no bytes at the end, which fails after a reset.

--- a/stand-ins/relay/pipe.ts
+++ b/stand-ins/relay/pipe.ts
@@ -13,6 +13,8 @@
   readonly run: () => void;
 }
 
+const EMPTY = Buffer.alloc(0);
+
 /** Forwards data, end and close of a socket in order, each after the delay. */
 export class Pipe {
   private readonly pending: PendingAction[] = [];
@@ -25,7 +27,7 @@
     private readonly link: LinkState,
   ) {
     from.on('data', (chunk) => this.add(() => this.write(chunk)));
-    from.on('end', () => this.add(() => to.end()));
+    from.on('end', () => this.forwardEnd());
     from.on('error', () => {
       from.destroy();
       // After a clean end a truncated response could be taken for a complete one.
@@ -46,6 +48,17 @@
     this.flush();
   }
 
+  /**
+   * Node.js reports a reset as an end where it comes together with data; a write
+   * fails then.
+   */
+  private forwardEnd(): void {
+    const {from, to} = this;
+    const end = () => this.add(() => to.end());
+    if (from.writableEnded) end();
+    else from.write(EMPTY, (err) => err ?? end());
+  }
+
   private add(run: () => void): void {
     const dueMs = performance.now() + this.link.delayMs;
     // Later bytes must not overtake earlier ones if the delay gets shorter.
--- a/stand-ins/site/target-main.ts
+++ b/stand-ins/site/target-main.ts
@@ -1,6 +1,7 @@
 /** Program that runs a target, controlled by its parent and reporting to it. */
 import {announceReady, readFlags} from '../lib/program.js';
 import {handleParentCommands} from './parent-commands.js';
+import type {EarlyResponse} from './early-response.js';
 import type {TargetFault} from './target-fault.js';
 import {RemoteCopyNetwork} from './copy-network.js';
 import {StandInTarget} from './target.js';
@@ -50,6 +51,9 @@
   setFault: (fault: TargetFault) => {
     target.fault = fault;
   },
+  setEarlyResponse: (kind?: EarlyResponse) => {
+    target.earlyResponse = kind;
+  },
   setDark: (isUnresponsive: boolean) => {
     target.isUnresponsive = isUnresponsive;
   },
--- a/test/crowds/agents.test.ts
+++ b/test/crowds/agents.test.ts
@@ -3,12 +3,13 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {MessageType} from '../../src/core/protocol/index.js';
+import {ClientAct, Crowd} from '../../tools/crowd/crowd.js';
+import {formatRequest} from '../../tools/crowd/request-text.js';
 import {DEMO_KEY} from '../../tools/lab/caller.js';
 import {Site} from '../../tools/lab/site.js';
 import {send} from '../support/callers.js';
-import {ClientAct, Crowd} from './support/crowd.js';
 import {BoundsWatch, LIMITS} from './support/process-bounds.js';
-import {formatHello, formatMessage, formatRequest} from './support/texts.js';
+import {formatHello, formatMessage} from './support/texts.js';
 
 const {SEND_AHEAD, SEND_ONCE} = ClientAct;
 
--- a/test/crowds/entry.test.ts
+++ b/test/crowds/entry.test.ts
@@ -4,10 +4,11 @@
 import {PermitNeed} from '../../src/core/limits/types.js';
 import {MessageType} from '../../src/core/protocol/index.js';
 import {API_KEY, HOST, SitePath} from '../../stand-ins/site/config.js';
-import {ClientAct, Crowd} from './support/crowd.js';
+import {ClientAct, Crowd} from '../../tools/crowd/crowd.js';
+import {formatRequest} from '../../tools/crowd/request-text.js';
 import {EntryPort, LimitedEntrySite} from './support/limited-entry-site.js';
 import {LIMITS} from './support/process-bounds.js';
-import {formatHello, formatMessage, formatRequest} from './support/texts.js';
+import {formatHello, formatMessage} from './support/texts.js';
 
 const {DRIP, HALF_CLOSE, SEND_AHEAD, SEND_ONCE, SIP} = ClientAct;
 const {FRONTEND, METRICS, PEERS, READINESS} = EntryPort;
--- a/test/processes/soak.test.ts
+++ b/test/processes/soak.test.ts
@@ -23,19 +23,27 @@
     cause: 'none: a short run with signals at starts',
     hasStartFaults: true,
   },
+  {
+    seed: 45,
+    durationMs: SHORT_RUN_MS,
+    cause: 'none: a short run with crowds and early responses',
+    hasWireFaults: true,
+  },
   ...REGRESSIONS,
 ];
 
 describe('the soak', () => {
   it.each(CASES)(
     'violates no guarantee with seed $seed ($cause)',
-    async ({seed, durationMs, hasStartFaults = false}) => {
+    async ({seed, durationMs, ...options}) => {
+      const {hasStartFaults = false, hasWireFaults = false} = options;
       const folder = mkdtempSync(join(tmpdir(), `soak-${seed}-`));
       const result = await runSoak({
         seed,
         durationMs,
         size: SIZE,
         hasStartFaults,
+        hasWireFaults,
         folder,
       });
       expect(result.violations, `kept in ${folder}`).toEqual([]);
--- a/test/stand-ins/relay.test.ts
+++ b/test/stand-ins/relay.test.ts
@@ -1,7 +1,11 @@
+import {once} from 'node:events';
+import type {AddressInfo} from 'node:net';
+import {createServer} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
+import {BoundedSocket} from '../../src/adapters/bounded-socket.js';
 import type {RunningServer} from '../../stand-ins/lib/http-server.js';
 import {startControl} from '../../stand-ins/relay/control.js';
 import {Relay} from '../../stand-ins/relay/relay.js';
@@ -12,6 +16,10 @@
 /** Time without a response that shows that no data is forwarded. */
 const QUIET_MS = 150;
 
+/** What precedes a reset, which may arrive together with it or later. */
+const PART = 'part';
+const RESET_PLAYS = 20;
+
 let service: RunningServer;
 let relay: Relay;
 let control: RunningServer;
@@ -93,4 +101,35 @@
     const items = [1, 2, 3].map((n) => ({item: `${item}${n}`}));
     expect(responses).toMatchObject(items);
   });
+
+  it('forwards a reset that follows data at once as a reset', async () => {
+    const server = createServer((socket) => {
+      socket.once('data', () => {
+        socket.write(PART, () => socket.resetAndDestroy());
+      });
+    });
+    server.listen(0, ADDRESS);
+    await once(server, 'listening');
+    const {port} = server.address() as AddressInfo;
+    const toResetting = new Relay({
+      address: ADDRESS,
+      port: 0,
+      toHost: ADDRESS,
+      toPort: port,
+    });
+    await toResetting.listen();
+    for (let play = 0; play < RESET_PLAYS; play++) {
+      const socket = new BoundedSocket({responseBytes: PART.length});
+      const ends: string[] = [];
+      socket.on('readable', () => socket.read());
+      socket.on('end', () => ends.push('end'));
+      socket.on('error', () => ends.push('error'));
+      socket.connect({host: ADDRESS, port: toResetting.port});
+      socket.write('request');
+      await new Promise((resolve) => socket.on('close', resolve));
+      expect(ends).toEqual(['error']);
+    }
+    await toResetting.close();
+    server.close();
+  });
 });
--- a/test/support/soak-history.ts
+++ b/test/support/soak-history.ts
@@ -4,6 +4,7 @@
   Arrival,
   Attempt,
   ConfigChange,
+  CrowdPlay,
   EntryEnd,
   EntryStart,
 } from '../../tools/soak/history.js';
@@ -78,6 +79,18 @@
   };
 }
 
+/** Creates the play of a crowd after which an entry responds to nobody. */
+export function createCrowdPlay(overrides: Partial<CrowdPlay> = {}): CrowdPlay {
+  return {
+    entry: ENTRY,
+    lifetime: 1,
+    fromMs: LATER_MS,
+    toMs: LATER_MS + 2_000,
+    isAnswered: false,
+    ...overrides,
+  };
+}
+
 export function createStreamText(id: string, count = STREAM_EVENTS): string {
   const texts = Array.from({length: count}, (_, index) =>
     createEventText(id, index + 1),
--- a/test/tools/soak/checks.test.ts
+++ b/test/tools/soak/checks.test.ts
@@ -49,6 +49,21 @@
     guarantee: 'own complete response',
     add: ({attempts}) => attempts.push(createAttempt({text: 'answer to r2'})),
   },
+  {
+    name: 'a part of a response that passes as complete',
+    guarantee: 'own complete response',
+    add: ({attempts}) => attempts.push(createAttempt({text: 'answ'})),
+  },
+  {
+    name: 'a response with status 000',
+    guarantee: 'final status of HTTP',
+    add: ({attempts}) => attempts.push(createAttempt({status: 0})),
+  },
+  {
+    name: 'a response with a status over 599',
+    guarantee: 'final status of HTTP',
+    add: ({attempts}) => attempts.push(createAttempt({status: 600})),
+  },
   {
     name: 'a response without proof',
     guarantee: 'own complete response',
--- a/test/tools/soak/plan.test.ts
+++ b/test/tools/soak/plan.test.ts
@@ -7,6 +7,7 @@
   createStartPlan,
   StartFaultKind,
 } from '../../../tools/soak/start-plan.js';
+import {createWirePlan, WireFaultKind} from '../../../tools/soak/wire-plan.js';
 
 const DURATION_MS = 20_000;
 
@@ -72,3 +73,26 @@
     expect(entries.size).toBe(3);
   });
 });
+
+describe('createWirePlan', () => {
+  it('generates the same faults from the same seed', () => {
+    const plan = {seed: 7, durationMs: DURATION_MS};
+    expect(createWirePlan(plan)).toEqual(createWirePlan(plan));
+    expect(createWirePlan({...plan, seed: 8})).not.toEqual(
+      createWirePlan(plan),
+    );
+  });
+
+  it('plays each kind in a run, one fault at a time, before the recovery', () => {
+    for (let seed = 1; seed <= 50; seed++) {
+      const plan = createWirePlan({seed, durationMs: DURATION_MS});
+      const kinds = new Set(plan.map(({kind}) => kind));
+      expect([...kinds].sort()).toEqual(Object.values(WireFaultKind).sort());
+      for (const [index, {atMs}] of plan.entries()) {
+        const {atMs: beforeMs = 0, durationMs = 0} = plan[index - 1] ?? {};
+        expect(atMs).toBeGreaterThanOrEqual(beforeMs + durationMs);
+        expect(atMs).toBeLessThan(DURATION_MS - RECOVERY_MS);
+      }
+    }
+  });
+});
--- a/test/tools/soak/process-checks.test.ts
+++ b/test/tools/soak/process-checks.test.ts
@@ -2,10 +2,12 @@
 import {describe, expect, it} from 'vitest';
 
 import {
+  entryComponent,
   findViolations,
   settingsComponent,
 } from '../../../tools/soak/checks/index.js';
 import {
+  CROWD_AFTERMATH_MS,
   MEMORY_LIMIT_BYTES,
   SIGNALS_CPU_MS,
   START_TIMEOUT_MS,
@@ -13,6 +15,7 @@
 import {STORE_COMPONENT} from '../../../tools/soak/history.js';
 import type {ViolationCase} from '../../support/soak-history.js';
 import {
+  createCrowdPlay,
   createEnd,
   createFaultFreeHistory,
   createStart,
@@ -23,6 +26,9 @@
 /** When a process that was started at `LATER_MS` must serve. */
 const SERVING_DUE_MS = LATER_MS + START_TIMEOUT_MS;
 
+/** When an entry must have responded after a crowd. */
+const CROWD_DUE_MS = createCrowdPlay().toMs + CROWD_AFTERMATH_MS;
+
 const CASES: readonly ViolationCase[] = [
   {
     name: 'a process that exits unexpectedly',
@@ -99,6 +105,36 @@
     add: ({entryStarts}) =>
       entryStarts.push(createStart({peakMemoryBytes: MEMORY_LIMIT_BYTES + 1})),
   },
+  {
+    name: 'an entry that is silent after a crowd',
+    guarantee: 'after a crowd',
+    add: ({crowds}) => crowds.push(createCrowdPlay()),
+  },
+  {
+    name: 'an entry that is silent after a crowd until it is stopped',
+    guarantee: 'after a crowd',
+    add: ({crowds, entryEnds}) => {
+      crowds.push(createCrowdPlay());
+      const stopMs = CROWD_DUE_MS + 1;
+      entryEnds.push(createEnd({stopMs, endedMs: stopMs + 50}));
+    },
+  },
+  {
+    name: 'an entry that is silent after a crowd, another process stopped',
+    guarantee: 'after a crowd',
+    add: ({crowds, entryEnds}) => {
+      crowds.push(createCrowdPlay({lifetime: 2}));
+      entryEnds.push(createEnd({stopMs: LATER_MS}));
+    },
+  },
+  {
+    name: 'a process that exits by itself among a crowd',
+    guarantee: 'exits unexpectedly',
+    add: ({crowds, entryEnds}) => {
+      crowds.push(createCrowdPlay({isAnswered: true}));
+      entryEnds.push(createEnd({code: 134}));
+    },
+  },
   {
     name: 'a task that ended with an exception',
     guarantee: 'no task ends',
@@ -158,4 +194,32 @@
     history.entryEnds.push(createEnd({stopMs}));
     expect(findViolations(history)).toEqual([]);
   });
+
+  it.each<Pick<ViolationCase, 'name' | 'add'>>([
+    {
+      name: 'is stopped',
+      add: ({entryEnds}) => {
+        entryEnds.push(createEnd({stopMs: CROWD_DUE_MS - 1}));
+      },
+    },
+    {
+      name: 'is killed',
+      add: ({entryEnds}) => {
+        entryEnds.push(createEnd({code: null, wasKilled: true}));
+      },
+    },
+    {
+      name: 'is paused',
+      add: ({disturbances}) => {
+        const [fromMs, toMs] = [LATER_MS + 1_000, LATER_MS + 3_000];
+        const part = entryComponent(ENTRY);
+        disturbances.push({part, kind: 'entry_pause', fromMs, toMs});
+      },
+    },
+  ])('ignores silence after a crowd of an entry that $name', ({add}) => {
+    const history = createFaultFreeHistory();
+    history.crowds.push(createCrowdPlay());
+    add(history);
+    expect(findViolations(history)).toEqual([]);
+  });
 });
--- a/test/crowds/support/crowd-main.ts
+++ b/tools/crowd/crowd-main.ts
@@ -28,10 +28,11 @@
 
 setTimeout(() => process.exit(1), LIFE_MS).unref();
 const plan = JSON.parse(await readText(process.stdin)) as CrowdPlan;
-const endMs = performance.now() + CROWD_PLAY_MS;
+const playMs = plan.playMs ?? CROWD_PLAY_MS;
+const endMs = performance.now() + playMs;
 const clients = plan.clients ?? CROWD_CLIENTS;
 for (let i = 0; i < clients; i++) void playClient();
-await sleep(CROWD_PLAY_MS);
+await sleep(playMs);
 process.stdout.write('played\n');
 await sleep(LIFE_MS);
 
--- a/test/crowds/support/crowd.ts
+++ b/tools/crowd/crowd.ts
@@ -4,7 +4,7 @@
 import {once} from 'node:events';
 import {fileURLToPath} from 'node:url';
 
-import {DIST} from '../../../tools/lab/paths.js';
+import {DIST} from '../lab/paths.js';
 
 /** Number of clients of a crowd. */
 export const CROWD_CLIENTS = 40;
@@ -39,9 +39,11 @@
   readonly clients?: number;
   /** Time after which a client resets its connection; never by default. */
   readonly resetAfterMs?: number;
+  /** Duration of the play, in milliseconds; `CROWD_PLAY_MS` by default. */
+  readonly playMs?: number;
 }
 
-const SCRIPT = 'test/crowds/support/crowd-main.js';
+const SCRIPT = 'tools/crowd/crowd-main.js';
 
 /**
  * Starts a crowd and resolves at the end of its play. Its connections stay open
--- a/tools/soak/callers.ts
+++ b/tools/soak/callers.ts
@@ -18,6 +18,7 @@
 import type {SoakSite} from './site.js';
 import {keyOf} from './site.js';
 import type {SoakEntry} from './soak-entry.js';
+import {createSeriesRandom} from './start-plan.js';
 
 const PATHS: Readonly<Record<RequestKind, SitePath>> = {
   [RequestKind.SAFE]: SitePath.SAFE,
@@ -42,6 +43,15 @@
 /** Share of the requests whose key is added and later revoked by changes. */
 const CHANGING_KEY_SHARE = 0.4;
 
+/** Uploads and their shares of the requests, where callers upload at all. */
+const UPLOADS = [
+  {share: 0.02, body: 'x'.repeat(3 * 1_024 * 1_024)},
+  {share: 0.1, body: 'x'.repeat(300 * 1_024)},
+];
+
+/** Offset from the seed of a caller to that of its uploads. */
+const UPLOAD_SEED_OFFSET = 700_000_001;
+
 /** Longest pause between two requests of a caller, in milliseconds. */
 const MAX_PAUSE_MS = 120;
 
@@ -99,6 +109,8 @@
  */
 export class SoakCaller {
   private readonly random: RandomSource;
+  /** Apart from the other draws, which are the same without uploads. */
+  private readonly uploadRandom: RandomSource;
   private agent = new Agent({keepAlive: true, maxSockets: 1});
   private entry?: SoakEntry;
   private sent = 0;
@@ -109,8 +121,10 @@
     seed: number,
     private readonly site: SoakSite,
     private readonly balancer: LoadBalancer,
+    private readonly hasUploads = false,
   ) {
     this.random = new SeededRandom(seed);
+    this.uploadRandom = createSeriesRandom(seed + UPLOAD_SEED_OFFSET);
   }
 
   async run(): Promise<void> {
@@ -156,6 +170,7 @@
       attemptId: request.id,
       deadlineMs,
       headers: {[KEY_HEADER]: String(keyVersion)},
+      body: this.drawUpload(),
       signal,
     }).catch(() => undefined);
     const endMs = Date.now();
@@ -176,6 +191,12 @@
     this.entry = undefined;
   }
 
+  private drawUpload(): string | undefined {
+    if (!this.hasUploads) return undefined;
+    const drawn = this.uploadRandom.float();
+    return UPLOADS.find(({share}) => drawn < share)?.body;
+  }
+
   private drawAbortMs(): number | undefined {
     if (this.random.float() >= ABORT_SHARE) return undefined;
     return 1 + this.random.below(MAX_ABORT_MS);
--- a/tools/soak/checks/index.ts
+++ b/tools/soak/checks/index.ts
@@ -9,6 +9,7 @@
   GRACEFUL_SHUTDOWN,
   REFUSED_NOT_RUN,
   COMPLETE_STREAMS,
+  VALID_STATUSES,
 } from './responses.js';
 import {
   CANCELLED_RUNS,
@@ -21,6 +22,7 @@
   REVOKED_KEYS,
 } from './control.js';
 import {
+  ANSWERED_AFTER_CROWDS,
   EARLY_SIGNALS,
   JSON_LOGS,
   MEMORY_LIMIT,
@@ -38,6 +40,7 @@
 export const GUARANTEES: readonly GuaranteeCheck[] = [
   COMPLETE_RESPONSES,
   COMPLETE_STREAMS,
+  VALID_STATUSES,
   AT_MOST_ONCE,
   REFUSED_NOT_RUN,
   DEADLINES_MET,
@@ -57,6 +60,7 @@
   TIMELY_STARTS,
   TIMELY_STOPS,
   MEMORY_LIMIT,
+  ANSWERED_AFTER_CROWDS,
   NO_FAILED_TASKS,
   JSON_LOGS,
 ];
--- a/tools/soak/checks/processes.ts
+++ b/tools/soak/checks/processes.ts
@@ -1,10 +1,11 @@
 /** Guarantees about the processes of entries, from their start to their end. */
 import {
+  CROWD_AFTERMATH_MS,
   MEMORY_LIMIT_BYTES,
   SIGNALS_CPU_MS,
   START_TIMEOUT_MS,
 } from '../consts.js';
-import type {EntryEnd, EntryStart, History} from '../history.js';
+import type {CrowdPlay, EntryEnd, EntryStart, History} from '../history.js';
 import {STORE_COMPONENT} from '../history.js';
 import {FaultKind} from '../plan.js';
 import type {GuaranteeCheck} from './types.js';
@@ -77,6 +78,26 @@
       })),
 };
 
+/**
+ * A process that a crowd met responds to ordinary callers afterwards, unless
+ * another fault affects it or the soak has ended it.
+ */
+export const ANSWERED_AFTER_CROWDS: GuaranteeCheck = {
+  guarantee: 'an entry responds to ordinary callers after a crowd',
+  find: (history) =>
+    history.crowds
+      .filter(({isAnswered}) => !isAnswered)
+      .filter(({entry, fromMs, toMs}) => {
+        const dueMs = toMs + CROWD_AFTERMATH_MS;
+        return history.isFaultFree([entryComponent(entry)], fromMs, dueMs);
+      })
+      .filter((crowd) => !wasEndedBySoak(history, crowd))
+      .map(({entry, lifetime}) => ({
+        id: entry,
+        detail: `process ${lifetime} was silent`,
+      })),
+};
+
 /** No process reaches the resident memory at which the site kills it. */
 export const MEMORY_LIMIT: GuaranteeCheck = {
   guarantee: 'no process exceeds the memory limit',
@@ -107,6 +128,16 @@
   return stopMs !== undefined && stopMs < handledMs;
 }
 
+/** Whether the soak stopped or killed a process while it had to respond. */
+function wasEndedBySoak({entryEnds}: History, crowd: CrowdPlay): boolean {
+  const dueMs = crowd.toMs + CROWD_AFTERMATH_MS;
+  return entryEnds
+    .filter(({entry}) => entry === crowd.entry)
+    .filter(({lifetime}) => lifetime === crowd.lifetime)
+    .filter(({wasKilled, stopMs}) => wasKilled || stopMs !== undefined)
+    .some(({stopMs, endedMs}) => (stopMs ?? endedMs) <= dueMs);
+}
+
 /** When a process was stopped, ended, or was left at the end of the run. */
 function servingEndMs(history: History, start: EntryStart): number {
   const end = history.entryEnds.find(
--- a/tools/soak/checks/responses.ts
+++ b/tools/soak/checks/responses.ts
@@ -16,6 +16,10 @@
 /** Statuses that state that a request has not run and will not run. */
 const NOT_RUN_STATUSES = [408, 421, 429, 503];
 
+/** Least and greatest final status of HTTP. */
+const MIN_STATUS = 200;
+const MAX_STATUS = 599;
+
 /** Minimum number of requests for the recovery check. */
 const MIN_RECOVERY_REQUESTS = 10;
 
@@ -43,6 +47,17 @@
       }),
 };
 
+/** What comes with a status that is none of HTTP is passed on to nobody. */
+export const VALID_STATUSES: GuaranteeCheck = {
+  guarantee: 'each response has a final status of HTTP',
+  find: ({attempts}) =>
+    attempts
+      .filter(({status = MIN_STATUS}) => {
+        return status < MIN_STATUS || status > MAX_STATUS;
+      })
+      .map(({id, status}) => ({id, detail: `got status ${status}`})),
+};
+
 /** Non-idempotent requests run at most once. */
 export const AT_MOST_ONCE: GuaranteeCheck = {
   guarantee: 'a non-idempotent request runs at most once',
--- a/tools/soak/consts.ts
+++ b/tools/soak/consts.ts
@@ -73,3 +73,9 @@
 
 /** Resident memory over which the site kills a process. */
 export const MEMORY_LIMIT_BYTES = 200 * 1_024 * 1_024;
+
+/** Largest body that entries accept of callers that upload, in bytes. */
+export const MAX_UPLOAD_BYTES = 4 * 1_024 * 1_024;
+
+/** Time from the end of a crowd until its entry has answered a caller. */
+export const CROWD_AFTERMATH_MS = 10_000;
--- a/tools/soak/history.ts
+++ b/tools/soak/history.ts
@@ -52,7 +52,7 @@
 export interface InjectedFault {
   /** Name of the component. */
   readonly part: string;
-  /** Value of `FaultKind` or `StartFaultKind`. */
+  /** Value of `FaultKind`, `StartFaultKind` or `WireFaultKind`. */
   readonly kind: string;
   readonly fromMs: number;
   /** Infinity until the fault has ended. */
@@ -92,6 +92,17 @@
   peakMemoryBytes: number;
 }
 
+/** The play of a crowd at an entry; see `WireFaultKind.CROWD`. */
+export interface CrowdPlay {
+  readonly entry: string;
+  /** Process of the entry that it met. */
+  readonly lifetime: number;
+  readonly fromMs: number;
+  readonly toMs: number;
+  /** Whether an ordinary caller got a response afterwards. */
+  readonly isAnswered: boolean;
+}
+
 /** A task of an entry that ended with an exception. */
 export interface TaskFailure {
   readonly entry: string;
@@ -135,6 +146,7 @@
   readonly entryStarts: EntryStart[] = [];
   readonly entryEnds: EntryEnd[] = [];
   readonly taskFailures: TaskFailure[] = [];
+  readonly crowds: CrowdPlay[] = [];
   /** Log lines of entries that are not JSON, and their stderr output. */
   readonly strayLines: string[] = [];
   /** Time from which requests must succeed; Infinity until all faults ended. */
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -25,6 +25,7 @@
   readonly entries: number;
   readonly targets: number;
   readonly starts: boolean;
+  readonly wire: boolean;
   readonly json: boolean;
 }
 
@@ -41,6 +42,7 @@
     DEFAULT_TARGETS,
   )
   .option('--no-starts', 'without signals and held ports around starts')
+  .option('--no-wire', 'without crowds, early responses and uploads')
   .option('--json', 'one JSON line for each run', false)
   .addHelpText(
     'after',
@@ -64,6 +66,7 @@
       durationMs,
       size: {entries, targets},
       hasStartFaults: flags.starts,
+      hasWireFaults: flags.wire,
       folder,
     });
     const hasFailed = result.violations.length > 0;
--- a/tools/soak/recorded-fault.ts
+++ b/tools/soak/recorded-fault.ts
@@ -2,11 +2,12 @@
 import type {PlannedFault} from './plan.js';
 import type {SoakSite} from './site.js';
 import type {PlannedStartFault} from './start-plan.js';
+import type {PlannedWireFault} from './wire-plan.js';
 
 /** A planned fault and the site into which it is injected. */
 export interface FaultScope {
   readonly site: SoakSite;
-  readonly planned: PlannedFault | PlannedStartFault;
+  readonly planned: PlannedFault | PlannedStartFault | PlannedWireFault;
 }
 
 /**
--- a/tools/soak/regressions.ts
+++ b/tools/soak/regressions.ts
@@ -8,6 +8,8 @@
   readonly cause: string;
   /** Whether entries were signalled while they started; false by default. */
   readonly hasStartFaults?: boolean;
+  /** Whether crowds played and targets responded early; false by default. */
+  readonly hasWireFaults?: boolean;
 }
 
 /** All seeds that ever failed, oldest first. */
--- a/tools/soak/run.ts
+++ b/tools/soak/run.ts
@@ -6,7 +6,11 @@
 import {LoadBalancer, SoakCaller} from './callers.js';
 import type {Violation} from './checks/index.js';
 import {findViolations} from './checks/index.js';
-import {CALLERS_PER_ENTRY, FAULT_AFTERMATH_MS} from './consts.js';
+import {
+  CALLERS_PER_ENTRY,
+  FAULT_AFTERMATH_MS,
+  MAX_UPLOAD_BYTES,
+} from './consts.js';
 import {injectFault} from './faults.js';
 import {History} from './history.js';
 import type {PlannedFault} from './plan.js';
@@ -17,6 +21,9 @@
 import type {SiteSize} from './site.js';
 import {SoakSite} from './site.js';
 import {monitorTimerLag} from './timer-lag.js';
+import {injectWireFault} from './wire-faults.js';
+import type {PlannedWireFault} from './wire-plan.js';
+import {createWirePlan} from './wire-plan.js';
 
 /** Parameters of a run. */
 export interface SoakOptions {
@@ -25,6 +32,11 @@
   readonly size: SiteSize;
   /** Whether entries are signalled while they start; see `createStartPlan`. */
   readonly hasStartFaults: boolean;
+  /**
+   * Whether crowds play, targets respond early and callers upload; see
+   * `createWirePlan`.
+   */
+  readonly hasWireFaults: boolean;
   /** Folder for settings, logs, the plan and the history. */
   readonly folder: string;
 }
@@ -53,20 +65,23 @@
  * const {violations} = await runSoak({seed: 7, durationMs, size, folder});
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-  const {seed, durationMs, size, folder} = options;
+  const {seed, durationMs, size, folder, hasWireFaults} = options;
   mkdirSync(folder, {recursive: true});
   const plan = createPlan({seed, durationMs});
   const startPlan = options.hasStartFaults
     ? createStartPlan({seed, durationMs})
     : [];
+  const wirePlan = hasWireFaults ? createWirePlan({seed, durationMs}) : [];
+  const plans = {plan, startPlan, wirePlan};
   const history = new History();
-  const site = new SoakSite(history, {folder, size});
+  const maxBodyBytes = hasWireFaults ? MAX_UPLOAD_BYTES : undefined;
+  const site = new SoakSite(history, {folder, size, maxBodyBytes});
   try {
     await site.start();
-    await runPlan({site, plan, startPlan, durationMs, seed});
+    await runPlans(plans, {site, durationMs, seed, hasWireFaults});
   } finally {
     await site.close();
-    writeArtifacts(folder, {plan, startPlan, history});
+    writeArtifacts(folder, {...plans, history});
   }
   const {attempts, lagMs} = history;
   return {
@@ -74,19 +89,28 @@
     violations: findViolations(history),
     requests: attempts.length,
     served: attempts.filter(({status}) => status === 200).length,
-    faults: plan.length + startPlan.length,
+    faults: plan.length + startPlan.length + wirePlan.length,
     lagMs: Math.round(lagMs),
   };
 }
 
-async function runPlan(options: {
-  site: SoakSite;
-  plan: readonly PlannedFault[];
-  startPlan: readonly PlannedStartFault[];
-  durationMs: number;
-  seed: number;
-}): Promise<void> {
-  const {site, plan, startPlan, durationMs, seed} = options;
+/** The planned faults of a run. */
+interface Plans {
+  readonly plan: readonly PlannedFault[];
+  readonly startPlan: readonly PlannedStartFault[];
+  readonly wirePlan: readonly PlannedWireFault[];
+}
+
+async function runPlans(
+  {plan, startPlan, wirePlan}: Plans,
+  options: {
+    site: SoakSite;
+    durationMs: number;
+    seed: number;
+    hasWireFaults: boolean;
+  },
+): Promise<void> {
+  const {site, durationMs, seed, hasWireFaults} = options;
   const {history} = site;
   const stopMonitor = monitorTimerLag((lagMs) => {
     history.lagMs = Math.max(history.lagMs, lagMs);
@@ -95,20 +119,22 @@
   const count = site.entries.length * CALLERS_PER_ENTRY;
   const callers = Array.from({length: count}, (_, index) => {
     const callerSeed = seed * SEEDS_PER_RUN + index;
-    return new SoakCaller(`c${index}`, callerSeed, site, balancer);
+    return new SoakCaller(
+      `c${index}`,
+      callerSeed,
+      site,
+      balancer,
+      hasWireFaults,
+    );
   });
   const probing = balancer.run();
   const callerRuns = callers.map((caller) => caller.run());
   const startMs = Date.now();
-  const injections = plan.map(async (fault) => {
-    await sleep(fault.atMs);
-    await injectFault(site, fault);
-  });
-  const startInjections = startPlan.map(async (fault) => {
-    await sleep(fault.atMs);
-    await injectStartFault(site, fault);
-  });
-  await Promise.all([...injections, ...startInjections]);
+  await Promise.all([
+    injectAll(plan, (fault) => injectFault(site, fault)),
+    injectAll(startPlan, (fault) => injectStartFault(site, fault)),
+    injectAll(wirePlan, (fault) => injectWireFault(site, fault)),
+  ]);
   history.calmFromMs = Date.now() + FAULT_AFTERMATH_MS;
   const endMs = Math.max(
     startMs + durationMs,
@@ -124,14 +150,22 @@
   await Promise.all(site.entries.map((entry) => entry.recordTaskFailures()));
 }
 
+/** Injects each fault of a plan at its time; resolves when all have ended. */
+async function injectAll<T extends {readonly atMs: number}>(
+  plan: readonly T[],
+  inject: (planned: T) => Promise<void>,
+): Promise<void> {
+  const injections = plan.map(async (planned) => {
+    await sleep(planned.atMs);
+    await inject(planned);
+  });
+  await Promise.all(injections);
+}
+
 /** Writes each artifact to a JSON file of its name, to diagnose violations. */
 function writeArtifacts(
   folder: string,
-  artifacts: {
-    plan: readonly PlannedFault[];
-    startPlan: readonly PlannedStartFault[];
-    history: History;
-  },
+  artifacts: Plans & {history: History},
 ): void {
   for (const [name, content] of Object.entries(artifacts)) {
     const text = JSON.stringify(content, null, 1);
--- a/tools/soak/site.ts
+++ b/tools/soak/site.ts
@@ -4,6 +4,7 @@
 import {StoreObjectKind} from '../../platform/names.js';
 import type {Direction} from '../../stand-ins/relay/relay.js';
 import {API_KEY, SiteService, siteConfig} from '../../stand-ins/site/config.js';
+import type {EarlyResponse} from '../../stand-ins/site/early-response.js';
 import {TargetFault} from '../../stand-ins/site/target-fault.js';
 import {KEY_LIFETIME_VERSIONS} from './checks/control.js';
 import {STREAM_DEADLINE_MS, ZONES} from './consts.js';
@@ -53,7 +54,12 @@
 
   constructor(
     readonly history: History,
-    private readonly options: {folder: string; size: SiteSize},
+    private readonly options: {
+      folder: string;
+      size: SiteSize;
+      /** Largest body that entries accept; that of `siteConfig` by default. */
+      maxBodyBytes?: number;
+    },
   ) {}
 
   /** Starts all processes and waits until all entries are ready. */
@@ -122,12 +128,15 @@
     const movingTo = version % 2 === 0 ? SPARE : DESK;
     const oldest = Math.max(1, version - KEY_LIFETIME_VERSIONS + 1);
     const keys = [0, oldest, version].map(keyOf);
-    const spec = siteConfig({
+    const config = siteConfig({
       version,
       keys: [...new Set(keys)],
       movingTo,
       streamTimeoutMs: STREAM_DEADLINE_MS,
     });
+    const {maxBodyBytes = config.limits.max_body_bytes} = this.options;
+    const limits = {...config.limits, max_body_bytes: maxBodyBytes};
+    const spec = {...config, limits};
     const sentMs = Date.now();
     const change = {version, movingTo, sentMs, ackMs: Infinity};
     this.history.configs.push(change);
@@ -150,6 +159,17 @@
     await target.standIn.execute('setFault', TargetFault.NONE);
   }
 
+  /** Makes a target respond before it has read its requests for a time. */
+  async applyEarlyResponse(
+    target: SoakTarget,
+    kind: EarlyResponse,
+    durationMs: number,
+  ): Promise<void> {
+    await target.standIn.execute('setEarlyResponse', kind);
+    await sleep(durationMs);
+    await target.standIn.execute('setEarlyResponse', undefined);
+  }
+
   /** Cuts the connections to targets for a time; by default both directions. */
   async disconnectTargets(
     targets: readonly SoakTarget[],
--- a/tools/soak/soak-entry.ts
+++ b/tools/soak/soak-entry.ts
@@ -86,12 +86,18 @@
     return callersEndpointOf(this.options.address);
   }
 
+  /** Host and port on which the entry tells whether it is ready. */
+  get readinessEndpoint(): {host: string; port: number} {
+    const {address} = this.options;
+    const port = Number(readinessAddressOf(address).split(':').at(-1));
+    return {host: address, port};
+  }
+
   /** Ports for callers, readiness, metrics and other entries. */
   get listeningPorts(): number[] {
-    const readiness = readinessAddressOf(this.options.address);
     return [
       this.callersEndpoint.port,
-      Number(readiness.split(':').at(-1)),
+      this.readinessEndpoint.port,
       METRICS_PORT,
       FIRST_PEER_PORT,
     ];
