Copies are kept outside the runner's data centre, and looked for again

A stream that resumes knows reports of few engines, often only of those around it, and a copy elsewhere needs a report of the last second. A stream that found no holder then never got a copy.

Change, where engines make reservations: no copy is kept in the runner's data centre if the service has others; a stream without a copy, or whose holder is lost, asks for the reports of the best engine of each other data centre while it runs, and its runner copies to one that has room (core/copies/copy-step, core/copies/outside-data-centre).

--- a/src/core/copies/types.ts
+++ b/src/core/copies/types.ts
@@ -40,3 +40,29 @@
   /** The cause that the loss before it gave. */
   readonly earlier?: RereadCause;
 }
+
+/** What is done for a copy. */
+export enum CopyStep {
+  KEEP = 'keep',
+  /** Its holder gets what is new. */
+  REFRESH = 'refresh',
+  /** Another holder is chosen by the reports that there are. */
+  REPLACE = 'replace',
+  /** New reports are asked for, and a holder is chosen by them. */
+  SEARCH = 'search',
+}
+
+/** What the next step for a copy depends on. */
+export interface CopyState {
+  /** The newest copy; undefined if there is none. */
+  readonly copy?: {
+    /** Whether a generation could resume at its holder. */
+    readonly isUsable: boolean;
+    /** Whether it was requested by a call, so that it grows only by calls. */
+    readonly isRequested: boolean;
+  };
+  /** Whether a generation without a copy gets one later. */
+  readonly mustHaveCopy: boolean;
+  /** Time since a copy was last requested or looked for, in milliseconds. */
+  readonly ageMs: number;
+}
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -182,12 +182,6 @@
  */
 export const HOLDER_SEEN_MS = 1_500;
 
-/** Least time between two requests for a KV cache copy, in milliseconds. */
-export const COPY_RETRY_MS = 400;
-
-/** Age at which a requested KV cache copy is refreshed, in milliseconds. */
-export const COPY_REFRESH_MS = 2_000;
-
 /**
  * Share of the configured retry ratio for retries of requests that a target
  * rejected for lack of capacity.
--- a/src/direct/streams/kv-cache-replicator.ts
+++ b/src/direct/streams/kv-cache-replicator.ts
@@ -1,9 +1,10 @@
 /** Keeps a copy of a generation's KV cache at another target. */
+import type {CopyState} from '../../core/copies/index.js';
+import {CopyStep, decideCopyStep} from '../../core/copies/index.js';
 import type {KvCopyReference} from '../../core/edges/direct-target.js';
 import type {Task} from '../../core/supervision/index.js';
 import {TaskName} from '../../core/supervision/index.js';
 import type {Target} from '../../core/targets/index.js';
-import {COPY_RETRY_MS, COPY_REFRESH_MS} from '../consts.js';
 import type {DirectContext, DirectWork} from '../context.js';
 import {canResumeAt} from './stream-placer.js';
 
@@ -29,6 +30,11 @@
   readonly tokens: number;
   /** Chooses a target for a copy; undefined if none is suitable. */
   readonly chooseHolder: () => Target | undefined;
+  /**
+   * Asks for new reports, then chooses as `chooseHolder`. Undefined if a
+   * generation that starts without a copy stays without one.
+   */
+  readonly findHolder?: () => Promise<Target | undefined>;
 }
 
 /**
@@ -66,21 +72,23 @@
     return this.current;
   }
 
-  /** Refreshes or replaces the copy if needed; to be called on each event. */
+  /** Makes, refreshes or replaces the copy if needed; called on each event. */
   maintainCopy(): void {
-    if (this.isRequesting || this.current === undefined) return;
-    const {holder} = this.current;
-    this.options.ctx.prober.noteReplaced(holder);
-    const ageMs = this.options.ctx.clock.now() - this.requestedMs;
-    const isUsable = canResumeAt(holder) && !holder.record.isDraining;
-    if (isUsable) {
-      if (this.isCopyRequested && ageMs >= COPY_REFRESH_MS)
-        this.startCopy(holder);
-      return;
-    }
-    if (ageMs < COPY_RETRY_MS) return;
-    const next = this.options.chooseHolder();
-    if (next !== undefined && canResumeAt(next)) this.startCopy(next);
+    if (this.isRequesting) return;
+    if (this.current !== undefined)
+      this.options.ctx.prober.noteReplaced(this.current.holder);
+    const step = decideCopyStep(this.state);
+    if (step === CopyStep.SEARCH) this.startSearch();
+    if (step === CopyStep.REFRESH) this.startCopy(this.current?.holder);
+    if (step === CopyStep.REPLACE) this.startCopy(this.options.chooseHolder());
+  }
+
+  private get state(): CopyState {
+    const {current, isCopyRequested: isRequested, requestedMs} = this;
+    const {ctx, findHolder} = this.options;
+    const copy = current && {isUsable: isUsable(current.holder), isRequested};
+    const ageMs = ctx.clock.now() - requestedMs;
+    return {copy, ageMs, mustHaveCopy: findHolder !== undefined};
   }
 
   /**
@@ -113,10 +121,24 @@
   }
 
   /** A stream goes on without a newer copy. */
-  private startCopy(holder: Target): void {
-    const {ctx} = this.options;
+  private startCopy(holder: Target | undefined): void {
+    if (holder === undefined || !canResumeAt(holder)) return;
+    this.run(() => this.requestCopy(holder));
+  }
+
+  private startSearch(): void {
+    this.run(async () => {
+      this.isRequesting = true;
+      this.requestedMs = this.options.ctx.clock.now();
+      const holder = await this.options.findHolder?.();
+      this.isRequesting = false;
+      if (!this.isOver) this.startCopy(holder);
+    });
+  }
+
+  private run(step: () => Promise<void>): void {
     const onFailure = () => (this.isRequesting = false);
-    ctx.supervisor.run(this.task(onFailure), () => this.requestCopy(holder));
+    this.options.ctx.supervisor.run(this.task(onFailure), step);
   }
 
   private task(onFailure?: () => void): Task {
@@ -160,3 +182,7 @@
     this.current = copy;
   }
 }
+
+function isUsable(holder: Target): boolean {
+  return canResumeAt(holder) && !holder.record.isDraining;
+}
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -62,6 +62,8 @@
   readonly target: Target;
   /** Chooses the target that holds a copy of the KV cache. */
   readonly chooseCopyHolder: () => Target | undefined;
+  /** The same after new reports; undefined if copies are not looked for. */
+  readonly findCopyHolder?: () => Promise<Target | undefined>;
   /** Tokens in the KV cache at the end of the generation. */
   readonly tokens: number;
   /** Id of the last event that the caller received. */
@@ -106,7 +108,7 @@
   private readonly readerPause = new ReaderPause();
 
   constructor(private readonly options: StreamAttemptOptions) {
-    const {ctx, target, tokens, chooseCopyHolder} = options;
+    const {ctx, target, tokens, chooseCopyHolder, findCopyHolder} = options;
     this.target = target;
     this.replicator = new KvCacheReplicator({
       ctx,
@@ -114,6 +116,7 @@
       runner: target,
       tokens,
       chooseHolder: chooseCopyHolder,
+      findHolder: findCopyHolder,
     });
     this.body = new ResponseBody(ctx);
     this.eventMemory = ctx.memory.open();
--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -155,12 +155,16 @@
     const usesCopy = copyFrom !== undefined;
     this.attempts++;
     if (!usesCopy) this.promptAttempts++;
+    const {placer} = this.placement;
     this.current = new StreamAttempt({
       ctx: this.ctx,
       work: this.work,
       target,
-      chooseCopyHolder: () => this.placement.placer.chooseCopyHolder(target),
-      tokens: this.placement.placer.tokens,
+      chooseCopyHolder: () => placer.chooseCopyHolder(target),
+      findCopyHolder: placer.looksForHolders
+        ? () => placer.findCopyHolder(target)
+        : undefined,
+      tokens: placer.tokens,
       lastEventId: this.sequence.lastId,
       hasDelivered: this.delivery.hasStarted,
       copyFrom,
@@ -175,7 +179,7 @@
     });
     this.current.start();
     if (usesCopy || this.promptAttempts > 1)
-      this.log.recordPlacement(this.current, this.placement.placer.isIsolated);
+      this.log.recordPlacement(this.current, placer.isIsolated);
   }
 
   /** Writes events; a caller that does not keep up holds its target back. */
--- a/src/direct/streams/stream-placer.ts
+++ b/src/direct/streams/stream-placer.ts
@@ -1,5 +1,5 @@
 /** Chooses where a stream runs and where its KV cache is copied to. */
-import {spreadHolders} from '../../core/copies/index.js';
+import {outsideDataCentre, spreadHolders} from '../../core/copies/index.js';
 import {mostlyLost} from '../../core/outages/index.js';
 import type {EngineQuery} from '../../core/placing/index.js';
 import {
@@ -111,7 +111,7 @@
       ...query,
       targets: spreadHolders({
         ...query,
-        targets: query.targets.filter((target) => this.mayHoldCopy(target)),
+        targets: this.copyCandidates(query.targets, runner),
         isSeen: (t) => t.lastSeenAgeMs() <= HOLDER_SEEN_MS && !t.isPaused(),
       }),
       excluded: new Set([runner.id, ...this.limitedIds()]),
@@ -124,14 +124,36 @@
     });
   }
 
+  /** Asks for the reports of engines that may have room, then chooses. */
+  async findCopyHolder(runner: Target): Promise<Target | undefined> {
+    const holders = this.shortlistHolders(runner);
+    await this.ctx.prober.refreshReports(holders);
+    return this.chooseCopyHolder(runner);
+  }
+
+  /** Whether a stream without a copy gets one when an engine has room. */
+  get looksForHolders(): boolean {
+    const {service, admitted} = this.work;
+    const {holdMs, canCopy} = service.engine ?? {};
+    return holdMs !== undefined && !!canCopy && admitted.route.isResumable;
+  }
+
   /** Engines that reserve room hold copies only beside their present work. */
-  private mayHoldCopy(target: Target): boolean {
-    const {engine} = this.work.service;
-    if (engine?.holdMs === undefined) return true;
+  private copyCandidates(
+    targets: readonly Target[],
+    runner: Target,
+  ): readonly Target[] {
     const {tokens, ctx, work} = this;
+    const {kvCapacityTokens, holdMs} = work.service.engine ?? {};
+    if (kvCapacityTokens === undefined || holdMs === undefined) return targets;
     const {meanTokens} = ctx.room.ofService(work.service.name);
-    const {kvCapacityTokens} = engine;
-    return hasRoomForCopy({target, tokens, meanTokens, kvCapacityTokens});
+    return outsideDataCentre({
+      targets,
+      candidates: targets.filter((target) =>
+        hasRoomForCopy({target, tokens, meanTokens, kvCapacityTokens}),
+      ),
+      dataCentre: runner.record.dataCentre,
+    });
   }
 
   private limitedIds(): string[] {
@@ -181,15 +203,18 @@
   }
 
   /**
-   * Engines whose room for a copy should be known when the runner is chosen: the
-   * best one of each data centre, as the runner's own may be lost with it.
+   * Engines whose room for a copy should be known when it is chosen: the best one
+   * of each data centre, but the runner's own if it is known, as that is lost
+   * with it.
    */
-  private shortlistHolders(): Target[] {
-    const {engine} = this.work.service;
-    if (engine?.holdMs === undefined || !engine.canCopy) return [];
+  private shortlistHolders(runner?: Target): Target[] {
+    if (!this.looksForHolders) return [];
+    const own = runner?.record.dataCentre;
     return bestOfDataCentres(
       shortlistEngines(this.engineQuery(), Number.POSITIVE_INFINITY),
-    ).slice(0, HOLDER_SHORTLIST_SIZE);
+    )
+      .filter(({record}) => record.dataCentre !== own)
+      .slice(0, HOLDER_SHORTLIST_SIZE);
   }
 
   private engineQuery(): EngineQuery {
