--- a/src/core/targets/target.ts
+++ b/src/core/targets/target.ts
@@ -8,14 +8,13 @@
   FAILURES_BEFORE_PAUSE,
   MAX_REPORT_AGE_MS,
   LONGEST_PAUSE_MS,
-  EVENT_GAP_GROWTH,
-  EVENT_GAP_SAMPLES,
   MAX_BACKOFF_MS,
   PAUSE_AFTER_FAILURE_MS,
   FULL_AFTER_REJECT_MS,
   OTHERS_HALF_LIFE_MS,
   SLOWNESS_HALF_LIFE_MS,
 } from './consts.js';
+import {EventGap} from './event-gap.js';
 import type {ReportedLoad, TargetRecord, TargetWork} from './types.js';
 
 /**
@@ -47,10 +46,7 @@
   private drainingFromMs?: number;
   private hasToldLeaving = false;
   private backoffUntilMs = Number.NEGATIVE_INFINITY;
-  /** Shortest recent mean of `EVENT_GAP_SAMPLES` gaps. */
-  private minMeanGapMs?: number;
-  private gapSumMs = 0;
-  private gapCount = 0;
+  private readonly eventGap: EventGap;
   private recentFailureShare = 0;
   private consecutiveFailures = 0;
   private consecutivePauses = 0;
@@ -78,7 +74,7 @@
     /** Event gap of an earlier incarnation at the same address. */
     eventGapMs?: number;
   }) {
-    this.minMeanGapMs = options.eventGapMs;
+    this.eventGap = new EventGap(options.eventGapMs);
     this.record = options.record;
     this.clock = options.clock;
     this.recentSends = new RecentCount(options);
@@ -259,20 +255,12 @@
 
   /** Records the time between two events of a stream, in milliseconds. */
   recordEventGap(gapMs: number): void {
-    this.gapSumMs += gapMs;
-    this.gapCount++;
-    if (this.gapCount < EVENT_GAP_SAMPLES) return;
-    const meanMs = this.gapSumMs / this.gapCount;
-    this.gapSumMs = 0;
-    this.gapCount = 0;
-    const grownMinMs =
-      (this.minMeanGapMs ?? Number.POSITIVE_INFINITY) * EVENT_GAP_GROWTH;
-    this.minMeanGapMs = Math.min(grownMinMs, meanMs);
+    this.eventGap.record(gapMs);
   }
 
   /** Shortest recent mean time between events; undefined if unknown. */
   get eventGapMs(): number | undefined {
-    return this.minMeanGapMs;
+    return this.eventGap.shortestMs;
   }
 
   /** Records whether a response was a failure of the target. */
