--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -23,11 +23,7 @@
 import {CallLog} from './call-log.js';
 import {CallTargets} from './call-targets.js';
 import {CallTurn} from './call-turn.js';
-import {
-  NO_MEMORY_DETAIL,
-  ResponseBody,
-  TOO_LARGE_DETAIL,
-} from './response-body.js';
+import {ResponseBody} from './response-body.js';
 import type {DirectContext, DirectWork, RequestContext} from './context.js';
 import {forwardResponse} from './forward-response.js';
 import {
@@ -228,11 +224,10 @@
 
   private onData(chunk: Uint8Array): void {
     this.body.push(chunk);
-    if (!this.body.isTooLarge) return;
+    const {overflow} = this.body;
+    if (overflow === undefined) return;
     this.current!.exchange?.cancel();
-    if (this.body.hasNoMemory)
-      this.onFailure(ExchangeFailure.NO_MEMORY, NO_MEMORY_DETAIL);
-    else this.onFailure(ExchangeFailure.BROKEN, TOO_LARGE_DETAIL);
+    this.onFailure(overflow.failure, overflow.detail);
   }
 
   private onAttemptTimeout(): void {
--- a/src/direct/response-body.ts
+++ b/src/direct/response-body.ts
@@ -1,6 +1,7 @@
 /** Buffers the body of a response, up to a size limit. */
 import type {MemoryBudget, MemoryShare} from '../core/bytes/index.js';
 import {ByteBuffer} from '../core/bytes/index.js';
+import {ExchangeFailure} from '../core/edges/direct-target.js';
 
 /** Largest response, or event of a stream, that is buffered, in bytes. */
 export const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
@@ -11,8 +12,21 @@
 /** Error detail for a response or event over the limit. */
 export const TOO_LARGE_DETAIL = `exceeds ${MAX_RESPONSE_BYTES} bytes, or the memory for messages`;
 
-/** Error detail for a response that the entry has no memory for. */
-export const NO_MEMORY_DETAIL = 'exceeds the memory for messages';
+/** Why a response is not buffered any more. */
+export interface ResponseOverflow {
+  readonly failure: ExchangeFailure;
+  readonly detail: string;
+}
+
+const TOO_LARGE: ResponseOverflow = {
+  failure: ExchangeFailure.BROKEN,
+  detail: TOO_LARGE_DETAIL,
+};
+
+const NO_MEMORY: ResponseOverflow = {
+  failure: ExchangeFailure.NO_MEMORY,
+  detail: 'exceeds the memory for messages',
+};
 
 /**
  * The body of one response. A faulty target may send without end, so the
@@ -21,37 +35,30 @@
  * @example
  * const body = new ResponseBody({memory});
  * body.push(chunk);
- * if (body.isTooLarge) exchange.cancel();
+ * if (body.overflow !== undefined) exchange.cancel();
  * body.release();
  */
 export class ResponseBody {
   private readonly buffer = new ByteBuffer();
   private readonly share: MemoryShare;
-  private hasOverflowed = false;
-  private isOverMemory = false;
+  private overflowed?: ResponseOverflow;
 
   constructor(options: {memory: MemoryBudget}) {
     this.share = options.memory.open();
   }
 
-  /** Whether its limit, or the memory for all messages, has been exceeded. */
-  get isTooLarge(): boolean {
-    return this.hasOverflowed;
-  }
-
-  /** Whether only the memory for all messages has been exceeded. */
-  get hasNoMemory(): boolean {
-    return this.isOverMemory;
+  /** Set once its limit, or the memory for all messages, was exceeded. */
+  get overflow(): ResponseOverflow | undefined {
+    return this.overflowed;
   }
 
   push(chunk: Uint8Array): void {
-    if (this.hasOverflowed) return;
+    if (this.overflowed !== undefined) return;
     const size = this.buffer.length + chunk.length;
-    const isTooLarge = size > MAX_RESPONSE_BYTES;
-    this.isOverMemory = !isTooLarge && !this.reserve(size);
-    this.hasOverflowed = isTooLarge || this.isOverMemory;
+    if (size > MAX_RESPONSE_BYTES) this.overflowed = TOO_LARGE;
+    else if (!this.reserve(size)) this.overflowed = NO_MEMORY;
     if (size > MIN_LARGE_BYTES) this.share.recordRead(chunk.length);
-    if (this.hasOverflowed) this.release();
+    if (this.overflowed !== undefined) this.release();
     else this.buffer.push(chunk);
   }
 
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -279,7 +279,8 @@
     if (this.isOver || this.head === undefined) return;
     if (this.head.status !== OK) {
       this.body.push(chunk);
-      if (this.body.isTooLarge) this.failUnbounded(TOO_LARGE_DETAIL);
+      const {overflow} = this.body;
+      if (overflow !== undefined) this.failUnbounded(overflow.detail);
       return;
     }
     this.passEvents(this.head, chunk);
