A stream that is held back has made no attempt

What callers saw: the stream after 20 others at the only engine of a service with 20 connections got 503 `no_target` within 0.8 s, though its deadline was 8 s and one of the 20 ended after 1.5 s.

Cause: each time that the entry held the stream back, it counted an attempt from the prompt; after 12 of them, 60 ms apart, the stream failed. It also counted as sent, so it no longer waited for room in its turn, and its service time and its success told nothing.

Change: an attempt that ended as HELD_BACK is taken back (StreamHandler, StreamPlacement).

--- a/src/direct/streams/stream-handler.ts
+++ b/src/direct/streams/stream-handler.ts
@@ -30,7 +30,12 @@
 import {cannotMeetDeadline, recordGenerationTime} from './generation-time.js';
 import {StreamAttempt} from './stream-attempt.js';
 import type {TargetLoss} from './target-loss.js';
-import {lostBeforeRun, mayBeCrash, mayBeOutage} from './target-loss.js';
+import {
+  lostBeforeRun,
+  mayBeCrash,
+  mayBeOutage,
+  wasHeldBack,
+} from './target-loss.js';
 
 /**
  * Handles one stream. Events are sent to the caller as they arrive. When a
@@ -246,6 +251,7 @@
     this.current = undefined;
     this.log.recordLoss(lost, loss, this.sequence.count);
     const {reason} = loss;
+    if (wasHeldBack(loss)) this.uncount(lost);
     if (!lostBeforeRun(loss)) this.mayHaveRun = true;
     this.placement.recordLoss(lost.target, loss);
     if (mayBeCrash(loss)) this.poisonDetector.recordLoss(lost);
@@ -263,6 +269,12 @@
     );
   }
 
+  /** The entry itself held an attempt back, so it was none. */
+  private uncount({usesCopy}: StreamAttempt): void {
+    this.attempts--;
+    if (!usesCopy) this.promptAttempts--;
+  }
+
   /** Resumes a stream that lost several targets after their diagnosis. */
   private async resumeAfterDiagnosis(): Promise<void> {
     const maySend = await this.poisonDetector.mayRetry();
--- a/src/direct/streams/stream-placement.ts
+++ b/src/direct/streams/stream-placement.ts
@@ -13,7 +13,7 @@
 import type {StreamLog} from './stream-log.js';
 import {canResumeAt, StreamPlacer} from './stream-placer.js';
 import type {TargetLoss} from './target-loss.js';
-import {lostBeforeRun} from './target-loss.js';
+import {lostBeforeRun, wasHeldBack} from './target-loss.js';
 
 /** What a stream does with the place that was found for it. */
 export interface PlacementListener {
@@ -50,6 +50,8 @@
   private readonly reservation: RoomReservation;
   private timer?: TimerHandle;
   private hasSent = false;
+  /** Whether it was sent before the last place. */
+  private hadSent = false;
   private isOver = false;
 
   constructor(
@@ -101,6 +103,7 @@
     if (lostBeforeRun(loss)) this.reservation.release();
     else this.reservation.forget();
     if (lostBeforeRun(loss)) this.placer.exclude(lost);
+    if (wasHeldBack(loss)) this.hasSent = this.hadSent;
   }
 
   /** Ends the placement. `isSent` says that a target has the reservation. */
@@ -128,6 +131,7 @@
   }
 
   private send(target: Target, place: Place): void {
+    this.hadSent = this.hasSent;
     this.hasSent = true;
     this.room.recordStart();
     this.options.listener.send(target, place);
--- a/src/direct/streams/target-loss.ts
+++ b/src/direct/streams/target-loss.ts
@@ -1,5 +1,5 @@
 /** What the loss of a target tells about its data centre and its request. */
-import type {ExchangeFailure} from '../../core/edges/direct-target.js';
+import {ExchangeFailure} from '../../core/edges/direct-target.js';
 import {RetryReason} from '../../core/errors/refusals.js';
 import {certainlyDidNotRun} from '../../core/retrying/index.js';
 
@@ -35,6 +35,16 @@
   return failure !== undefined && certainlyDidNotRun(failure);
 }
 
+/**
+ * Whether the entry itself held the request back, so that nothing was sent.
+ *
+ * @example
+ * wasHeldBack({...loss, failure: ExchangeFailure.HELD_BACK}); // true
+ */
+export function wasHeldBack({failure}: TargetLoss): boolean {
+  return failure === ExchangeFailure.HELD_BACK;
+}
+
 /**
  * Whether the request itself may have crashed the lost target.
  *
--- a/test/direct/connection-bound.test.ts
+++ b/test/direct/connection-bound.test.ts
@@ -124,3 +124,28 @@
     expect(target.runs.length).toBe(1);
   });
 });
+
+describe('streams beyond the connections to their target', () => {
+  let site: DirectSite;
+
+  beforeEach(async () => {
+    site = await DirectSite.start({config: {streamTimeoutMs: 8_000}});
+  });
+
+  afterEach(() => site.stop());
+
+  it('wait for one longer than attempts may fail', async () => {
+    const pace = {events: 15, firstMs: 50, gapMs: 100};
+    await site.addTarget({service: SiteService.WRITERS, zone: 'a', pace});
+    const agent = new Agent();
+    const streams = Array.from({length: CONNECTIONS + 1}, () =>
+      site.call({path: SitePath.STREAM, agent, deadlineMs: 8_000}),
+    );
+    const replies = await Promise.all(streams);
+    agent.destroy();
+    expect(replies.map(({status}) => status)).toEqual(
+      Array(CONNECTIONS + 1).fill(200),
+    );
+    expect(site.targets[0]!.runs.length).toBe(CONNECTIONS + 1);
+  });
+});
