A version that gets no request now holds it back

What callers saw: a request that a roll-out kept from a target of a version that is not trusted took a retry from the budget of rejections, and the target counted as full for a while, though it had been sent nothing.

Cause: CountedTargets reported its hold-back as REJECTED.

Change: it reports HELD_BACK, as other requests that the entry holds back; the call goes on at a target that can take it, or waits for one.

Evidence: test/direct/counted-targets: before 'rejected' in place of 'held_back', now green; counted-exchange green.

--- a/src/direct/rollouts/counted-targets.ts
+++ b/src/direct/rollouts/counted-targets.ts
@@ -140,7 +140,7 @@
     let isCancelled = false;
     const fail = () => {
       if (!isCancelled)
-        listener.onFailure(ExchangeFailure.REJECTED, HELD_BACK_DETAIL);
+        listener.onFailure(ExchangeFailure.HELD_BACK, HELD_BACK_DETAIL);
     };
     const run = supervisor.guard({name: TaskName.ROLLOUT}, fail);
     clock.schedule({delayMs: 0, run});
