An answer to another control call grants no reservation

What callers saw: where a target answers a reservation once more (or late) on a kept connection, the next reservation on it was granted the same id, so two generations would share one room; an answer of a load report to a reservation was taken for a target that makes none.

Cause: after a control call that timed out or failed its connection was closed, in each order tried (six rows, raw server: late, in part, no status, of a request); but an answer that came in order was taken for that of the present call whatever it said. Answers carry no id of their call. What tells them apart is the id of the reservation that they grant, and their shape.

A known id, or a 200 that grants nothing on a connection that was used before, is that of another call: the call fails as CONNECTION_LOST and its connection is closed before another can use it. A report that is none closes the idle connections.

--- a/test/platform/control-connections.test.ts
+++ b/test/platform/control-connections.test.ts
@@ -18,6 +18,9 @@
 /** Time for bytes and the end of a connection to arrive on loopback. */
 const ARRIVAL_MS = 60;
 
+/** Time by which an answer exceeds its timeout. */
+const LATE_MS = 300;
+
 const REPORT = {active: 1, queued: 0, kv_used: 0};
 
 const ATTEMPT_ID = 'try-1';
@@ -227,6 +230,79 @@
     4 * TIMEOUT_MS,
   );
 
+  /** Grants a number that counts the answers. */
+  const grant = ({socket}: SeenCall, id = fake.calls.length) =>
+    write(socket, {retention: `r-${id}`});
+
+  /** Writes the answer in two parts, the second one after the timeout. */
+  const grantLate = (call: SeenCall, firstBytes: number) => {
+    const text = JSON.stringify({retention: 'r-late'});
+    const head = `HTTP/1.1 200 OK\r\ncontent-length: ${text.length}\r\n\r\n`;
+    call.socket.write((head + text).slice(0, firstBytes));
+    const rest = (head + text).slice(firstBytes);
+    setTimeout(() => call.socket.write(rest), TIMEOUT_MS + LATE_MS);
+  };
+
+  it.each<{name: string; behaviour: Behaviour}>([
+    {name: 'comes late', behaviour: (call) => grantLate(call, 0)},
+    {name: 'ends late', behaviour: (call) => grantLate(call, 50)},
+    {
+      name: 'has no valid status, before the true one',
+      behaviour: (call) => {
+        call.socket.write('HTTP/1.1 999 Odd\r\ncontent-length: 0\r\n\r\n');
+        grant(call);
+      },
+    },
+    {
+      name: 'is of a request, before the true one',
+      behaviour: (call) => {
+        write(call.socket, {}, 'attempt-id: try-0\r\n');
+        grant(call);
+      },
+    },
+    {
+      name: 'is of a report, before the true one',
+      behaviour: (call) => {
+        write(call.socket, REPORT);
+        grant(call);
+      },
+    },
+    {
+      name: 'is that of the last reservation, before the true one',
+      behaviour: (call) => {
+        grant(call, 1);
+        grant(call);
+      },
+    },
+  ])(
+    'is not used again once the answer to a reservation $name',
+    async ({behaviour}) => {
+      fake.behaviour = grant;
+      expect((await reserve())._unsafeUnwrap()).toBe('r-1');
+      fake.behaviour = (call) =>
+        (call.connection === 1 ? behaviour : grant)(call);
+      const [failed, next] = [await reserve(), reserve()];
+      expect(failed._unsafeUnwrapErr()).toBe(ReserveFailure.CONNECTION_LOST);
+      expect((await next)._unsafeUnwrap()).toBe('r-3');
+      await sleep(LATE_MS + ARRIVAL_MS);
+      expect((await reserve())._unsafeUnwrap()).toBe('r-4');
+      expect(fake.calls.map(({connection}) => connection)).toEqual([
+        1, 1, 2, 2,
+      ]);
+    },
+    4 * TIMEOUT_MS,
+  );
+
+  it('is not used again after an answer that is no report', async () => {
+    fake.behaviour = grant;
+    await reserve();
+    // The second answer to the reservation, in place of the report.
+    fake.behaviour = (call) => grant(call, 1);
+    expect((await queryLoad()).isErr()).toBe(true);
+    await reserve();
+    expect(fake.calls.map(({connection}) => connection)).toEqual([1, 1, 2]);
+  });
+
   it('fails a report only once a new one fails too', async () => {
     await queryLoad();
     fake.behaviour = () => undefined;
