An order back to the version in use turns everything back at once

What operators saw: an order for the old version, given while one for a new version was running, was played in steps: the new version, perhaps the one to get rid of, counted as the old one and kept nearly all traffic; after an order that was removed it got it back.

Cause: an order for a version in use was told only where no other version has targets.

Evidence: test/direct/rollouts-way-back, 4 of 4 red on the code before (in_progress after 5 s): in the canary, with all of the traffic, after a removed order, at an entry that was restarted.

Change: an order for a version that a running or removed order was to replace is a way back: the version that it leaves counts as barred, so it gets nothing more, and the old one is in use. Rows tell it to processes that start later. A bar also holds once an order is completed, where it could let barred targets in.

--- a/src/core/rollouts/decide-status.ts
+++ b/src/core/rollouts/decide-status.ts
@@ -12,6 +12,8 @@
   readonly isBad: boolean;
   /** Whether the version was in use before, so that nothing has to move. */
   readonly isInUse: boolean;
+  /** Whether it is one that a running order was about to replace. */
+  readonly isWayBack?: boolean;
   readonly ageMs: number;
   readonly step: RolloutStep;
   /** Time at this step, in milliseconds. */
@@ -32,11 +34,11 @@
  * const state = decideStatus(known);
  */
 export function decideStatus(query: StatusQuery): RolloutState | undefined {
-  const {record, isBad, isInUse} = query;
+  const {record, isBad} = query;
   const present = currentState(record);
   if (isOver(present)) return undefined;
   if (isBad) return RolloutState.ROLLED_BACK;
-  if (isInUse || isComplete(query)) return RolloutState.COMPLETED;
+  if (isReached(query)) return RolloutState.COMPLETED;
   return present === undefined ? RolloutState.IN_PROGRESS : undefined;
 }
 
@@ -80,20 +82,30 @@
   return live.filter((other) => other !== vm && scoreOf(other) < own).length;
 }
 
+/** Whether the targets of other versions may stop. */
+function isReached(query: StatusQuery): boolean {
+  if (!query.isInUse) return isComplete(query);
+  return query.isWayBack !== true || isDrained(query);
+}
+
+/** Entries that are not heard may still send to old targets. */
+function isComplete(query: StatusQuery): boolean {
+  const {step, stepMs, others} = query;
+  const isFull =
+    step === RolloutStep.FULL &&
+    stepMs >= MIN_FULL_MS &&
+    others.every((row) => row.step === RolloutStep.FULL);
+  return isFull && isDrained(query);
+}
+
 /**
  * The old targets stop at once, so no request may be at one as far as is known.
  * Shortly before the end of the time budget it no longer waits for requests in
  * progress.
  */
-function isComplete(query: StatusQuery): boolean {
-  const {record, ageMs, step, stepMs, oldOpen, others} = query;
-  // Entries that are not heard may still send to old targets.
+function isDrained(query: StatusQuery): boolean {
+  const {record, ageMs, oldOpen, others} = query;
   if (!query.knowsOthers) return false;
-  const isFull =
-    step === RolloutStep.FULL &&
-    stepMs >= MIN_FULL_MS &&
-    others.every((row) => row.step === RolloutStep.FULL);
-  if (!isFull) return false;
   const isLate = ageMs >= record.durationMs * COMPLETE_WITHOUT_WAIT_FROM;
   return isLate || [{oldOpen}, ...others].every((row) => row.oldOpen === 0);
 }
--- a/src/core/rollouts/evidence-row.ts
+++ b/src/core/rollouts/evidence-row.ts
@@ -1,6 +1,7 @@
 /** Codec of what entries tell each other of a roll-out. */
 import {
   array,
+  boolean,
   Codec,
   enumeration,
   Left,
@@ -82,5 +83,6 @@
   bad: optional(enumeration(BadReason)),
   oldOpen: COUNT,
   barred: optional(array(string)),
+  isWayBack: optional(boolean),
   cells: array(CELL),
 });
--- a/src/core/rollouts/rollout-controller.ts
+++ b/src/core/rollouts/rollout-controller.ts
@@ -79,6 +79,8 @@
   private readonly barredVersions: Set<string>;
   private seen?: SeenVersions;
   private isInUse = false;
+  /** Whether the order turns back one that was running. */
+  private isWayBack: boolean;
   /** Whether any entry has had answers of another version since the order. */
   private hasOldAnswers = false;
 
@@ -94,10 +96,13 @@
       barred?: ReadonlySet<string>;
       /** What the version was to the service; unknown by default. */
       priorUse?: PriorUse;
+      /** Whether a running order was about to replace the version. */
+      isWayBack?: boolean;
       clock: Clock;
     },
   ) {
     const {record, settings, clock, barred = []} = options;
+    this.isWayBack = options.isWayBack === true;
     this.barredVersions = new Set(barred);
     this.current = record;
     this.budget = new ExposureBudget({share: settings.exposureShare});
@@ -154,9 +159,11 @@
     if (row.bad !== undefined) this.badReason ??= row.bad;
     this.hasOldAnswers ||= row.cells.some(({isNew}) => !isNew);
     // Who knows what the versions were to the service knows better.
-    if (priorUse === PriorUse.UNKNOWN)
+    if (priorUse === PriorUse.UNKNOWN) {
+      this.isWayBack ||= row.isWayBack === true;
       for (const version of row.barred ?? [])
         if (version !== record.target) this.barredVersions.add(version);
+    }
     this.ageAtStartMs = Math.max(this.ageAtStartMs, row.ageMs - ownAgeMs);
     if (row.vm === vm && !this.hasReadRows) this.isRestarted = true;
     if (row.vm !== vm) this.rows.hear(row);
@@ -215,10 +222,11 @@
     if (priorUse === PriorUse.OTHERS) return false;
     const isDoubtful =
       this.badReason !== undefined || this.barredVersions.size > 0;
-    if (isDoubtful && priorUse !== PriorUse.USED) return false;
+    const wasUsed = priorUse === PriorUse.USED || this.isWayBack;
+    if (isDoubtful && !wasUsed) return false;
     // A process that starts late sees no targets that were lost before.
     const isKnown = this.hasReadRows && !this.hasOldAnswers;
-    this.isInUse = priorUse === PriorUse.USED || isKnown;
+    this.isInUse = wasUsed || isKnown;
     return this.isInUse;
   }
 
@@ -287,6 +295,7 @@
       bad: this.badReason,
       oldOpen,
       barred: this.barred.size > 0 ? [...this.barred] : undefined,
+      isWayBack: this.isWayBack || undefined,
       cells: this.evidence.list(),
     };
   }
@@ -299,6 +308,7 @@
       record: this.current,
       isBad: this.end === RolloutState.ROLLED_BACK,
       isInUse: this.isInUse,
+      isWayBack: this.isWayBack,
       ageMs: this.ageMs,
       step: this.nowStep,
       stepMs: this.stepMs,
--- a/src/core/rollouts/types.ts
+++ b/src/core/rollouts/types.ts
@@ -110,6 +110,8 @@
   readonly oldOpen: number;
   /** Versions that earlier orders of the service have found bad. */
   readonly barred?: readonly string[];
+  /** Whether the order turns back one that was running. */
+  readonly isWayBack?: boolean;
   readonly cells: readonly EvidenceCell[];
 }
 
--- a/src/direct/rollouts/counted-targets.ts
+++ b/src/direct/rollouts/counted-targets.ts
@@ -96,7 +96,7 @@
     if (isNew && !rollout.mayUseNew) return this.holdBack(options);
     if (!rollout.isRunning) return this.options.client.send(options);
     if (isNew) controller.budget.recordSentToNew();
-    else rollout.oldOpen++;
+    const recordOver = rollout.recordOpen(isNew);
     const route = routeOf(req);
     const {dataCentre, id} = target;
     const counted = new CountedExchange({
@@ -111,9 +111,7 @@
         onHeldBack: () => {
           if (isNew) controller.budget.recordHeldBack();
         },
-        onOver: () => {
-          if (!isNew) rollout.oldOpen--;
-        },
+        onOver: recordOver,
         onCounted: (counts) => {
           controller.evidence.add(
             {isNew, route, dataCentre, target: id},
--- a/src/direct/rollouts/rollout-keeper.ts
+++ b/src/direct/rollouts/rollout-keeper.ts
@@ -199,6 +199,7 @@
       entries,
       priorUse,
       barred: this.barred.get(service),
+      turnedBack: before?.isTurnedBackBy(target) === true ? before : undefined,
       clock,
     });
     this.rollouts.set(service, rollout);
--- a/src/direct/rollouts/rollout.ts
+++ b/src/direct/rollouts/rollout.ts
@@ -36,12 +36,13 @@
 export class Rollout {
   readonly controller: RolloutController;
   readonly timer = new ExchangeTimer();
-  /** Requests of this entry at targets of the old version. */
-  oldOpen = 0;
+  /** Requests of this entry at targets of either version. */
+  private readonly open = {old: 0, new: 0};
   /** Whether the order was removed before its end. */
   isWithdrawn = false;
   /** Versions that the order replaces, as seen while it runs. */
   private readonly oldVersions = new Set<string | undefined>();
+  private readonly turnedBack?: Rollout;
   private hasUsableOld = true;
   private openIds: ReadonlySet<string> = new Set();
   private readonly scores = new Map<string, string>();
@@ -54,9 +55,35 @@
     entries?: () => readonly string[] | undefined;
     priorUse?: PriorUse;
     barred?: ReadonlySet<string>;
+    /** The order that this one turns back before its end. */
+    turnedBack?: Rollout;
     clock: Clock;
   }) {
-    this.controller = new RolloutController(options);
+    const {turnedBack, barred = []} = options;
+    this.turnedBack = turnedBack;
+    const left = turnedBack?.controller.record.target;
+    this.controller = new RolloutController({
+      ...options,
+      barred: new Set(left === undefined ? barred : [...barred, left]),
+      isWayBack: turnedBack !== undefined,
+    });
+  }
+
+  /** Requests of this entry at targets of versions that are to be left. */
+  get oldOpen(): number {
+    return this.open.old + (this.turnedBack?.open.new ?? 0);
+  }
+
+  /** Records that a request is sent; returns what records its end. */
+  recordOpen(isNew: boolean): () => void {
+    const version = isNew ? 'new' : 'old';
+    this.open[version]++;
+    return () => void this.open[version]--;
+  }
+
+  /** Whether an order for a version would turn this one back. */
+  isTurnedBackBy(version: string): boolean {
+    return this.controller.end === undefined && this.oldVersions.has(version);
   }
 
   /** Whether the order neither has ended nor was removed. */
@@ -86,15 +113,16 @@
   }
 
   /** Whether an earlier order has found the version of a target bad. */
-  private isBarred({version}: TargetRecord): boolean {
+  private isBarred({version}: Pick<TargetRecord, 'version'>): boolean {
     return version !== undefined && this.controller.barred.has(version);
   }
 
-  /** A bar never leaves a service without targets of an old version. */
+  /** A bar never leaves a service without targets that may serve. */
   private withoutBarred(targets: Target[]): Target[] {
-    const isOld = ({record}: Target) => !this.isNew(record);
+    const isCompleted = this.controller.end === RolloutState.COMPLETED;
+    const serves = ({record}: Target) => isCompleted || !this.isNew(record);
     const open = targets.filter(({record}) => !this.isBarred(record));
-    const wouldEmpty = targets.some(isOld) && !open.some(isOld);
+    const wouldEmpty = targets.some(serves) && !open.some(serves);
     return wouldEmpty ? targets : open;
   }
 
@@ -103,7 +131,9 @@
     const ofNew = registered.filter(({record}) => this.isNew(record));
     return this.controller.observe({
       targets: ofNew.length,
-      hasOthers: this.oldVersions.size > 0,
+      hasOthers: [...this.oldVersions].some(
+        (version) => !this.isBarred({version}),
+      ),
     });
   }
 
