Old evidence of a roll-out is counted and logged

What operators saw: an entry that could not read the others' outcomes, or was not run, sent nothing more to a new version, and nothing told them why.

Cause: the rule on old evidence had neither a counter nor a line.

Change: rollout_old_evidence_total{unread, paused, silent} and the line `roll-out evidence is old`, at most once in 5 s for an order. A pause is told by the lateness of a timer.

--- a/src/core/metrics/types.ts
+++ b/src/core/metrics/types.ts
@@ -66,6 +66,8 @@
   ROLLOUT_REQUESTS = 'rollout_requests_total',
   /** Steps and ends of roll-outs at this entry, by name. */
   ROLLOUT_STEPS = 'rollout_steps_total',
+  /** Times at which evidence of a roll-out became too old, by cause. */
+  ROLLOUT_OLD_EVIDENCE = 'rollout_old_evidence_total',
   /** Connections of clients that a bound has closed, by `CloseReason`. */
   CLIENT_CONNECTIONS_CLOSED = 'client_connections_closed_total',
   /** Log lines, or batches of them, that were not written. */
--- a/src/core/rollouts/heard-rows.ts
+++ b/src/core/rollouts/heard-rows.ts
@@ -47,6 +47,12 @@
       .map(({row}) => row);
   }
 
+  /** Entries that have told something, but not lately. */
+  silent(): string[] {
+    const live = new Set(this.live().map(({vm}) => vm));
+    return [...this.rows.keys()].filter((vm) => !live.has(vm));
+  }
+
   /** Whether each of some entries has told something after a time. */
   haveAllTold(vms: Iterable<string>, sinceMs: number): boolean {
     return [...vms, ...this.rows.keys()].every(
--- a/src/core/rollouts/rollout-controller.ts
+++ b/src/core/rollouts/rollout-controller.ts
@@ -333,7 +333,13 @@
     return this.evidenceAgeMs > rollbackMs * STALE_EVIDENCE_PART;
   }
 
-  private get evidenceAgeMs(): number {
+  /** Entries whose rows are too old to judge by. */
+  get silentEntries(): string[] {
+    return this.rows.silent();
+  }
+
+  /** Age of the newest complete read of the others' rows. */
+  get evidenceAgeMs(): number {
     return this.options.clock.now() - this.evidenceAtMs;
   }
 
--- a/src/direct/rollouts/rollout-keeper.ts
+++ b/src/direct/rollouts/rollout-keeper.ts
@@ -25,6 +25,7 @@
 import {ORDERS_LONG_POLL_MS, UPDATE_MS} from './consts.js';
 import {CountedTargets} from './counted-targets.js';
 import {EvidenceSync} from './evidence-sync.js';
+import {EvidenceWatch} from './evidence-watch.js';
 import {Rollout} from './rollout.js';
 import {StatusWriting} from './status-writing.js';
 
@@ -60,6 +61,7 @@
   private readonly baseline = new VersionBaseline();
   private readonly delays: ProcessDelays;
   private readonly evidence: EvidenceSync;
+  private readonly watch: EvidenceWatch;
   private readonly status: StatusWriting;
   private readonly orders: Follower<RolloutRecord>;
   private targets?: TargetSet;
@@ -70,6 +72,7 @@
   constructor(private readonly options: RolloutKeeperOptions) {
     const {edges} = options;
     this.delays = new ProcessDelays(options);
+    this.watch = new EvidenceWatch({...options, delays: this.delays});
     this.evidence = new EvidenceSync({
       ...options,
       rollouts: () => this.rollouts.values(),
@@ -242,6 +245,7 @@
       const run = supervisor.guard(task, () => this.update());
       this.timer = clock.schedule({delayMs: UPDATE_MS, run});
     }
+    this.watch.beginRound();
     for (const rollout of running) this.updateOne(rollout);
     this.evidence.update();
   }
@@ -251,6 +255,7 @@
     const {service} = controller.record;
     const registered = this.targets?.registeredOf(service) ?? [];
     const newTargets = rollout.refreshOpen(registered);
+    this.watch.update(controller);
     if (rollout.observe(registered)) this.logInUse(rollout);
     if (controller.update({newTargets})) {
       rollout.refreshOpen(registered);
