Roll-outs at real entries that are paused or turned away by the store alone

test/processes/rollouts plays a bad version at three real entries and the stand-in store and targets. One entry is stopped (SIGSTOP) for 6 s, or the store answers it alone with 503 for 6 s, once the version has had three requests. The version is rolled back meanwhile; afterwards it gets nothing from any entry, and in sum no more than the share and the slack.

--- a/test/support/entry-program.ts
+++ b/test/support/entry-program.ts
@@ -24,6 +24,12 @@
   readonly store: string;
   /** Memory that the platform allows the process, in MB. */
   readonly memoryMb?: number;
+  /** Name of its VM; 'entry-1' by default. */
+  readonly name?: string;
+  /** Further limits by their names in the file. */
+  readonly bounds?: Readonly<Record<string, number | boolean>>;
+  /** What the platform asks for besides, such as 'rollout'. */
+  readonly contracts?: readonly string[];
 }
 
 /**
@@ -42,12 +48,13 @@
   constructor(private readonly options: EntryProgramOptions) {}
 
   start(): void {
-    const {address, store, memoryMb} = this.options;
+    const {address, store, memoryMb, name = 'entry-1'} = this.options;
+    const {contracts} = this.options;
     const path = join(this.folder, 'boot.json');
-    const bounds = {grace_s: 2};
-    const boot = bootFile({name: 'entry-1', address, zone: 'a', store, bounds});
+    const bounds = {grace_s: 2, ...this.options.bounds};
+    const boot = bootFile({name, address, zone: 'a', store, bounds});
     const limits = {memory_mb: memoryMb};
-    writeFileSync(path, JSON.stringify({...boot, limits}));
+    writeFileSync(path, JSON.stringify({...boot, limits, contracts}));
     this.child = spawn(
       process.execPath,
       [HEAP_FLAG, 'dist/src/daemon/direct-main.js'],
@@ -61,6 +68,11 @@
     });
   }
 
+  /** Sends a signal to the process. */
+  signal(signal: NodeJS.Signals): void {
+    this.child!.kill(signal);
+  }
+
   /** Whether it takes new callers. */
   async isReady(): Promise<boolean> {
     const url = `http://${readinessAddressOf(this.options.address)}/-/readyz`;
