--- a/test/direct/counted-targets.test.ts
+++ b/test/direct/counted-targets.test.ts
@@ -8,6 +8,7 @@
 } from '../../src/core/edges/direct-target.js';
 import {ExchangeFailure} from '../../src/core/edges/direct-target.js';
 import {Metrics} from '../../src/core/metrics/index.js';
+import {ProcessDelays} from '../../src/core/rollouts/index.js';
 import {CountedTargets} from '../../src/direct/rollouts/counted-targets.js';
 import type {Rollout} from '../../src/direct/rollouts/rollout.js';
 import {silentSupervisor} from '../support/supervisor.js';
@@ -36,10 +37,12 @@
 
 it('are held back, which says nothing of their target', async () => {
   const rollout = {isNew: () => true, mayUseNew: false} as unknown as Rollout;
+  const clock = new SystemClock();
   const counted = new CountedTargets({
     client: {canTake: () => true} as unknown as DirectTargets,
     rolloutOf: () => rollout,
-    clock: new SystemClock(),
+    clock,
+    delays: new ProcessDelays({clock}),
     metrics: new Metrics(),
     supervisor: silentSupervisor(),
   });
