--- a/tools/crowd/crowd.ts
+++ b/tools/crowd/crowd.ts
@@ -62,7 +62,11 @@
       stdio: ['pipe', 'pipe', 'inherit'],
     });
     child.stdin.end(JSON.stringify(plan));
-    await once(child.stdout, 'data');
+    const hasEnded = once(child, 'exit').then(([code]) => {
+      throw new Error(`a crowd ended early, with status ${code}`);
+    });
+    await Promise.race([once(child.stdout, 'data'), hasEnded]);
+    hasEnded.catch(() => undefined);
     return new Crowd(child);
   }
 
