--- a/src/core/call-queue/call-queue.ts
+++ b/src/core/call-queue/call-queue.ts
@@ -51,7 +51,9 @@
 
   /** Sends or refuses a call at once, or lets it wait. */
   enter(entry: QueueEntry): void {
-    const newcomer = {...entry, sinceMs: this.options.clock.now()};
+    const {call, onSend, onRefuse} = entry;
+    const sinceMs = this.options.clock.now();
+    const newcomer = {call, onSend, onRefuse, sinceMs};
     const isFull = this.waiting.size >= MAX_WAITING;
     if (isFull && !this.makeRoomFor(newcomer)) {
       this.refuse(newcomer);
--- a/src/core/generation/fingerprint.ts
+++ b/src/core/generation/fingerprint.ts
@@ -16,10 +16,20 @@
   clientAccount: string;
   parts: ReadonlyArray<string | Uint8Array>;
 }): string {
+  const {clientAccount, parts} = options;
   const hash = createHash('sha256');
-  for (const part of [options.clientAccount, ...options.parts]) {
-    hash.update(`${part.length}:`);
+  // Texts are joined, as each update costs much beside a short request.
+  let text = `${clientAccount.length}:${clientAccount}`;
+  for (const part of parts) {
+    text += `${part.length}:`;
+    if (typeof part === 'string') {
+      text += part;
+      continue;
+    }
+    hash.update(text);
     hash.update(part);
+    text = '';
   }
+  hash.update(text);
   return hash.digest('hex').slice(0, FINGERPRINT_CHARS);
 }
--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -71,11 +71,12 @@
     /** Called once when the call is over. */
     onOver: () => void;
   }) {
-    const {work} = options;
+    const {work, onOver} = options;
     this.work = work;
-    this.onOver = options.onOver;
+    this.onOver = onOver;
     this.boundary = new RequestBoundary({
-      ...options,
+      ctx: options.ctx,
+      work,
       name: TaskName.CALL,
       release: () => this.release(),
     });
@@ -246,7 +247,9 @@
     if (result.failure === undefined) this.mayHaveRun = true;
     this.closeAttempt();
     if (countsAsSent(result.failure)) this.sentCount++;
-    const hasOtherTarget = this.targets.choose() !== undefined;
+    // An answer that is no failure is passed on, whatever targets there are.
+    const isFailed = result.failure !== undefined || isTargetFailure(result);
+    const hasOtherTarget = isFailed && this.targets.choose() !== undefined;
     const {operation, maxAttempts} = this.work.admitted.route;
     const reason = retryReasonOf(result.failure, RetryReason.CALL_LOST);
     const decision = decideRetry({
--- a/src/direct/request-boundary.ts
+++ b/src/direct/request-boundary.ts
@@ -43,11 +43,7 @@
       requestId: work.req.attemptId,
       onFailure: () => this.end(),
     };
-    this.ctx = {
-      ...ctx,
-      boundary: this,
-      clock: new BoundedClock(ctx.clock, this),
-    };
+    this.ctx = this.createContext(ctx);
   }
 
   /** Runs work, whether it returns or resolves. */
@@ -70,10 +66,9 @@
     listener: ExchangeListener,
     lose: () => boolean = () => false,
   ): ExchangeListener {
-    const task: Task = {
-      ...this.task,
-      onFailure: () => this.run(() => lose() || this.end()),
-    };
+    const {name, requestId} = this.task;
+    const onFailure = () => this.run(() => lose() || this.end());
+    const task: Task = {name, requestId, onFailure};
     const guard = <Args extends unknown[]>(event: (...args: Args) => void) =>
       this.supervisor.guard(task, event);
     return {
@@ -87,6 +82,31 @@
     };
   }
 
+  /** Names each field, as a spread costs more than the rest of a boundary. */
+  private createContext(ctx: DirectContext): RequestContext {
+    return {
+      dataCentre: ctx.dataCentre,
+      clock: new BoundedClock(ctx.clock, this),
+      random: ctx.random,
+      targets: ctx.targets,
+      client: ctx.client,
+      prober: ctx.prober,
+      grace: ctx.grace,
+      minGenerationTimes: ctx.minGenerationTimes,
+      retryBudgets: ctx.retryBudgets,
+      room: ctx.room,
+      callQueues: ctx.callQueues,
+      limits: ctx.limits,
+      lossTracker: ctx.lossTracker,
+      quarantine: ctx.quarantine,
+      memory: ctx.memory,
+      metrics: ctx.metrics,
+      logger: ctx.logger,
+      supervisor: ctx.supervisor,
+      boundary: this,
+    };
+  }
+
   private end(): void {
     const {ctx, work, release} = this.options;
     try {
--- a/src/direct/target-request.ts
+++ b/src/direct/target-request.ts
@@ -17,8 +17,19 @@
 export function toTargetRequest(
   options: {work: DirectWork; leftMs: number} & Partial<AttemptFields>,
 ): TargetRequest {
-  const {work, ...fields} = options;
-  const {attemptId, method, path, headers, body} = work.req;
-  const clientAccount = work.admitted.account?.clientAccount;
-  return {attemptId, method, path, headers, body, clientAccount, ...fields};
+  const {req, admitted} = options.work;
+  return {
+    attemptId: req.attemptId,
+    method: req.method,
+    path: req.path,
+    headers: req.headers,
+    body: req.body,
+    leftMs: options.leftMs,
+    clientAccount: admitted.account?.clientAccount,
+    priority: options.priority,
+    lastEventId: options.lastEventId,
+    copyTo: options.copyTo,
+    copyFrom: options.copyFrom,
+    reservation: options.reservation,
+  };
 }
