--- a/src/core/call-queue/call-queue.ts
+++ b/src/core/call-queue/call-queue.ts
@@ -70,9 +70,12 @@
 
   /** Sends or refuses a call at once, or lets it wait. */
   enter(entry: QueueEntry): void {
-    const {wasHeldBack = false} = entry;
+    const {call, held, wasHeldBack = false, onSend, onRefuse} = entry;
     const newcomer: WaitingCall = {
-      ...entry,
+      call,
+      held,
+      onSend,
+      onRefuse,
       sinceMs: this.options.clock.now(),
       mustCheck: wasHeldBack || this.waiting.size > 0,
       isHeldBack: wasHeldBack,
