The key of a question for a route is no argument

Change: `--key` is gone. The key is read from standard input with `--key-stdin`, otherwise from PLANTAINRILL_KEY; an account that is named stands in place of the variable.

--- a/src/cli/commands/route/index.ts
+++ b/src/cli/commands/route/index.ts
@@ -2,6 +2,7 @@
 
 import {addHelp} from '../../add-help.js';
 import {parseCount, parsePositive, parseUrl} from '../../parse-options.js';
+import {KEY_VARIABLE} from '../../consts.js';
 import type {CommandOptions} from '../../types.js';
 import type {RouteOptions} from './types.js';
 
@@ -18,7 +19,10 @@
     .requiredOption('--host <name>', 'host of the request')
     .requiredOption('--path <path>', 'path and query of the request')
     .option('--account <name>', 'client account that sends it')
-    .option('--key <key>', 'key of a client account, in place of its name')
+    .option(
+      '--key-stdin',
+      `read the key of a client account, in place of its name, from standard input; without this from ${KEY_VARIABLE} if it is set`,
+    )
     .option('--priority <number>', 'priority in place of its own', parseCount)
     .option('--prompt-tokens <number>', 'tokens of the prompt', parseCount)
     .option('--output-tokens <number>', 'most tokens of output', parseCount)
@@ -30,6 +34,7 @@
       finish(await runRoute(ctx, opts));
     });
   return addHelp(command, [
+    'plantainrill route --operators http://10.0.1.1:9464 --host shop.example --path /stock/7 --key-stdin < key.txt',
     'plantainrill route --operators http://10.0.1.1:9464 --host shop.example --path /stock/7 --account demo',
     'plantainrill route --operators http://10.0.1.1:9464 --host shop.example --path /drafts/1 --account demo --prompt-tokens 900 --output-tokens 400 --part 5c1e:800 --json',
   ]);
--- a/src/cli/commands/route/run-route.ts
+++ b/src/cli/commands/route/run-route.ts
@@ -14,6 +14,7 @@
 import {ExitStatus} from '../../types.js';
 import {formatPlan} from './format-plan.js';
 import {parsePlan} from './plan-codec.js';
+import {readKey} from './read-key.js';
 import type {RouteOptions} from './types.js';
 
 const OK = 200;
@@ -25,7 +26,8 @@
   ctx: CliContext,
   options: RouteOptions,
 ): Promise<ExitStatus> {
-  const {operators, key} = options;
+  const {operators} = options;
+  const key = await readKey(ctx, options);
   const response = await callHttp({
     url: `${operators}${ROUTE_PATH}?${createParams(options).toString()}`,
     method: 'GET',
--- a/src/cli/commands/route/types.ts
+++ b/src/cli/commands/route/types.ts
@@ -6,7 +6,8 @@
   /** Path and query of the request. */
   readonly path: string;
   readonly account?: string;
-  readonly key?: string;
+  /** Whether the key of a client account is read from the standard input. */
+  readonly keyStdin?: boolean;
   readonly priority?: number;
   readonly promptTokens?: number;
   readonly outputTokens?: number;
--- a/src/cli/consts.ts
+++ b/src/cli/consts.ts
@@ -10,6 +10,9 @@
   3  conflict with another operator
   4  refused`;
 
+/** Environment variable with the key of a client account. */
+export const KEY_VARIABLE = 'PLANTAINRILL_KEY';
+
 /** Path for generations at an entry. */
 export const COMPLETIONS_PATH = '/v1/completions';
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** The command-line tool `plantainrill`. */
 import {userInfo} from 'node:os';
+import {text} from 'node:stream/consumers';
 
 import {parseBootSettings} from '../../platform/boot-settings.js';
 import {parseConfig} from '../../platform/config-codec.js';
@@ -11,12 +12,14 @@
 const status = await runCli({
   args: process.argv.slice(2),
   ctx: {
-    out: (text) => process.stdout.write(text),
-    err: (text) => process.stderr.write(text),
+    out: (line) => process.stdout.write(line),
+    err: (line) => process.stderr.write(line),
     createStore,
     platform: {parseSettings: parseBootSettings, parseConfig},
     clock: new SystemClock(),
     random: new SystemRandom(),
+    env: process.env,
+    readInput: () => text(process.stdin),
     operator: userInfo().username,
   },
 });
--- a/src/cli/types.ts
+++ b/src/cli/types.ts
@@ -32,6 +32,10 @@
   readonly platform: PlatformParsers;
   readonly clock: Clock;
   readonly random: RandomSource;
+  /** Environment variables. */
+  readonly env: Readonly<Record<string, string | undefined>>;
+  /** Reads the standard input to its end. */
+  readInput(): Promise<string>;
   /** Name of the operator if the command line specifies none. */
   readonly operator: string;
 }
--- a/test/cli/lib/run-tool.ts
+++ b/test/cli/lib/run-tool.ts
@@ -14,10 +14,18 @@
   readonly err: string;
 }
 
+/** What the tool reads besides its arguments. */
+export interface ToolSurroundings {
+  readonly env?: Record<string, string>;
+  /** Its standard input. */
+  readonly input?: string;
+}
+
 /** Runs the tool in this process. */
 export async function runTool(
   args: readonly string[],
   store: MemoryStore = new MemoryStore(),
+  {env = {}, input = ''}: ToolSurroundings = {},
 ): Promise<ToolResult> {
   let out = '';
   let err = '';
@@ -34,6 +42,8 @@
       platform: {parseSettings: parseBootSettings, parseConfig},
       clock: new SystemClock(),
       random: new SeededRandom(SEED),
+      env,
+      readInput: () => Promise.resolve(input),
       operator: 'anna',
     },
   });
--- a/test/processes/route.test.ts
+++ b/test/processes/route.test.ts
@@ -125,7 +125,9 @@
     expect(table.out).toMatch(/^configuration 3$/m);
     expect(table.out).toMatch(/^now +send$/m);
     expect(table.out).toMatch(/^> +i-1 +usable +a /m);
-    const json = await runTool([...args, '--key', API_KEY, '--json']);
+    const json = await runTool([...args, '--json'], undefined, {
+      env: {PLANTAINRILL_KEY: API_KEY},
+    });
     expect(JSON.parse(json.out)).toMatchObject({
       route: '/stock/',
       service: SiteService.DESK,
@@ -133,7 +135,9 @@
       decision: {outcome: 'send'},
       candidates: [{id: 'i-1', isChosen: true}],
     });
-    const refused = await runTool([...args, '--key', WRONG_KEY]);
+    const refused = await runTool([...args, '--key-stdin'], undefined, {
+      input: `${WRONG_KEY}\n`,
+    });
     expect(refused.out).toMatch(/refuse: unauthenticated, status 401/);
     const none = await runTool([...ROUTE, '--path', '/none/']);
     expect(none.out).toMatch(/^route +none matches$/m);
