--- a/test/platform/control-connections.test.ts
+++ b/test/platform/control-connections.test.ts
@@ -119,8 +119,8 @@
 
   afterEach(() => fake.close());
 
-  const queryLoad = (target = fake.record) =>
-    client.queryLoad(target, TIMEOUT_MS);
+  const queryLoad = (target = fake.record, timeoutMs = TIMEOUT_MS) =>
+    client.queryLoad(target, timeoutMs);
 
   const reserve = () =>
     client.reserve({
@@ -293,6 +293,22 @@
     4 * TIMEOUT_MS,
   );
 
+  it('is not used once another one was silent that was idle as long', async () => {
+    await Promise.all([queryLoad(), queryLoad()]);
+    await sleep(ARRIVAL_MS);
+    const kept = fake.sockets.length;
+    fake.behaviour = (call) => {
+      if (call.connection > kept) respond(call);
+    };
+    const queryQuickly = () => queryLoad(fake.record, TIMEOUT_MS / 4);
+    expect((await queryQuickly()).isOk()).toBe(true);
+    const before = fake.calls.length;
+    const both = await Promise.all([queryQuickly(), queryQuickly()]);
+    expect(both.every((load) => load.isOk())).toBe(true);
+    const used = fake.calls.slice(before).map(({connection}) => connection);
+    expect(used).toEqual([kept + 1, kept + 2]);
+  });
+
   it('is not used again after an answer that is no report', async () => {
     fake.behaviour = grant;
     await reserve();
