After an outage of the store entries write their rows at once

Cause: `completed` waits for one row of each entry after an outage; it came with the next turn, up to a second later. Change: that an entry reads again is news.

--- a/src/core/rollouts/process-delays.ts
+++ b/src/core/rollouts/process-delays.ts
@@ -2,7 +2,7 @@
 import type {Clock, TimerHandle} from '../clock/index.js';
 
 /** Interval of the measurement, in milliseconds. */
-const INTERVAL_MS = 10;
+const INTERVAL_MS = 20;
 
 /**
  * Sums how late a short timer fires. A response that is read late because this
--- a/src/core/rollouts/rollout-controller.ts
+++ b/src/core/rollouts/rollout-controller.ts
@@ -70,7 +70,7 @@
   private badReason?: BadReason;
   private evidenceAtMs: number;
   /** Since when the others' rows have been read without a break. */
-  private readSinceMs: number;
+  private readSince: number;
   private hasReadRows = false;
   /** Whether an earlier process of this VM has known the order. */
   private isRestarted = false;
@@ -111,7 +111,7 @@
     this.startedMs = clock.now();
     this.stepSinceMs = this.startedMs;
     this.evidenceAtMs = this.startedMs;
-    this.readSinceMs = this.startedMs;
+    this.readSince = this.startedMs;
   }
 
   get record(): RolloutRecord {
@@ -199,7 +199,7 @@
   recordRead(atMs: number): void {
     if (!this.hasReadRows) this.budget.setSlack(this.ownSlack());
     this.hasReadRows = true;
-    if (!this.hasRecentRows) this.readSinceMs = this.options.clock.now();
+    if (!this.hasRecentRows) this.readSince = this.options.clock.now();
     this.evidenceAtMs = Math.max(this.evidenceAtMs, atMs);
     this.checkInUse();
   }
@@ -333,6 +333,11 @@
     return this.evidenceAgeMs > rollbackMs * STALE_EVIDENCE_PART;
   }
 
+  /** Time since which the others' rows are read without a break. */
+  get readSinceMs(): number {
+    return this.readSince;
+  }
+
   /** Entries whose rows are too old to judge by. */
   get silentEntries(): string[] {
     return this.rows.silent();
@@ -351,11 +356,11 @@
   private get knowsOthers(): boolean {
     if (!this.hasRecentRows) return false;
     const {vm, entries, clock} = this.options;
-    if (clock.now() - this.readSinceMs >= this.silenceMs) return true;
+    if (clock.now() - this.readSince >= this.silenceMs) return true;
     // After a break it need not wait for those that are there.
     const others = entries?.()?.filter((other) => other !== vm);
     if (others === undefined) return false;
-    return this.rows.haveAllTold(others, this.readSinceMs);
+    return this.rows.haveAllTold(others, this.readSince);
   }
 
   /** Part of the slack of this entry, which it has only once for an order. */
--- a/src/direct/rollouts/evidence-sync.ts
+++ b/src/direct/rollouts/evidence-sync.ts
@@ -117,7 +117,8 @@
     // The row of an earlier process of this VM is read before it is replaced.
     if (last?.isWriting === true || !rollout.controller.hasRead) return;
     const row = rollout.controller.row(rollout.oldOpen);
-    const news = newsOf(row);
+    const {readSinceMs} = rollout.controller;
+    const news = `${newsOf(row)} ${readSinceMs}`;
     const sinceMs = clock.now() - (last?.atMs ?? Number.NEGATIVE_INFINITY);
     const dueMs =
       last?.news === news
@@ -144,7 +145,10 @@
   }
 }
 
-/** What the others should know soon: a step, a verdict, no more old requests. */
+/**
+ * What the others should know soon: a step, a verdict, no more old requests, and,
+ * as they wait for it, that this entry is there after an outage of the store.
+ */
 function newsOf({step, bad, oldOpen}: EvidenceRow): string {
   const isDrained = step === RolloutStep.FULL && oldOpen === 0;
   return `${step} ${bad} ${isDrained}`;
