Review of calls and roll-outs: what waits too long, and what completes too early

Found by two readers who had not written these parts; each mend has a test that is red on the code before (named in brackets) unless it says otherwise.

What callers would have seen: - A slow safe call stayed where it was until its deadline, as the best other target was full, though a third was free [direct/call-targets]. It now goes to one that can take it, and looks again every 20 ms; a call with an answer at hand no longer waits for a target that is full (no test of its own). - Old targets could stop under entries that still use them: rows of ended processes counted as heard [status 'does not take the rows of ended processes']; an entry with old evidence told that it sends nothing to old targets [status 'tells with old evidence']; a way back was completed before all had turned [status 'with an entry that has not turned back'], and one that had missed the order that is turned back played it in steps [version-in-use 'is told to an entry that has missed the order'].

Literals that replaced spreads now fail to compile if a field is missing.

--- a/src/core/call-queue/call-queue.ts
+++ b/src/core/call-queue/call-queue.ts
@@ -50,7 +50,8 @@
   private readonly waiting = new Set<WaitingCall>();
   private readonly order = new FairOrder();
   private readonly turns = new TurnRate();
-  private lastRetryAtMs = Number.NEGATIVE_INFINITY;
+  /** Of the last refusal, of those held back and of the others. */
+  private readonly lastRetryAtMs = new Map<boolean, number>();
 
   constructor(
     private readonly options: {
@@ -224,17 +225,20 @@
   private refuse(refused: WaitingCall): void {
     const {clock, random, roomOf} = this.options;
     const nowMs = clock.now();
-    this.lastRetryAtMs = this.nextRetryAtMs(roomOf(), refused.isHeldBack);
+    const {isHeldBack} = refused;
+    const retryAtMs = this.nextRetryAtMs(roomOf(), isHeldBack);
+    this.lastRetryAtMs.set(isHeldBack, retryAtMs);
     this.remove(refused);
     const jitter = 1 + random.float() * RETRY_AFTER_JITTER;
-    refused.onRefuse(Math.ceil((this.lastRetryAtMs - nowMs) * jitter));
+    refused.onRefuse(Math.ceil((retryAtMs - nowMs) * jitter));
   }
 
   private nextRetryAtMs(room: Room, isHeldBack: boolean): number {
     const nowMs = this.options.clock.now();
     const {waitMs, intervalMs} = isHeldBack ? this.turnsAhead() : room;
     const hasChanceAtMs = nowMs + Math.max(waitMs, MIN_RETRY_AFTER_MS);
-    const atMs = Math.max(hasChanceAtMs, this.lastRetryAtMs) + intervalMs;
+    const lastAtMs = this.lastRetryAtMs.get(isHeldBack) ?? hasChanceAtMs;
+    const atMs = Math.max(hasChanceAtMs, lastAtMs) + intervalMs;
     return isHeldBack ? Math.min(atMs, nowMs + MAX_RETRY_AFTER_MS) : atMs;
   }
 
--- a/src/core/rollouts/consts.ts
+++ b/src/core/rollouts/consts.ts
@@ -54,9 +54,15 @@
  * budget and in milliseconds.
  */
 export const ENTRY_SILENCE_PART = 0.2;
-export const MIN_ENTRY_SILENCE_MS = 2_000;
+export const MIN_ENTRY_SILENCE_MS = 2_500;
 export const MAX_ENTRY_SILENCE_MS = 3_000;
 
+/**
+ * Time in which entries that are not heard read an order that turns another
+ * back, in milliseconds.
+ */
+export const WAY_BACK_WAIT_MS = 4_000;
+
 /** Rows that an entry writes within that time. */
 export const ROWS_PER_SILENCE = 3;
 
--- a/src/core/rollouts/decide-status.ts
+++ b/src/core/rollouts/decide-status.ts
@@ -85,7 +85,10 @@
 /** Whether the targets of other versions may stop. */
 function isReached(query: StatusQuery): boolean {
   if (!query.isInUse) return isComplete(query);
-  return query.isWayBack !== true || isDrained(query);
+  if (query.isWayBack !== true) return true;
+  const hasTurned = ({isWayBack, step}: EvidenceRow) =>
+    isWayBack === true || step === RolloutStep.FULL;
+  return (isLate(query) || query.others.every(hasTurned)) && isDrained(query);
 }
 
 /** Entries that are not heard may still send to old targets. */
@@ -104,8 +107,12 @@
  * progress.
  */
 function isDrained(query: StatusQuery): boolean {
-  const {record, ageMs, oldOpen, others} = query;
+  const {oldOpen, others} = query;
   if (!query.knowsOthers) return false;
-  const isLate = ageMs >= record.durationMs * COMPLETE_WITHOUT_WAIT_FROM;
-  return isLate || [{oldOpen}, ...others].every((row) => row.oldOpen === 0);
+  const rows = [{oldOpen}, ...others];
+  return isLate(query) || rows.every((row) => row.oldOpen === 0);
+}
+
+function isLate({record, ageMs}: StatusQuery): boolean {
+  return ageMs >= record.durationMs * COMPLETE_WITHOUT_WAIT_FROM;
 }
--- a/src/core/rollouts/rollout-controller.ts
+++ b/src/core/rollouts/rollout-controller.ts
@@ -6,6 +6,7 @@
   MAX_UNINFORMED_MS,
   STALE_EVIDENCE_PART,
   STATUS_TURN_MS,
+  WAY_BACK_WAIT_MS,
 } from './consts.js';
 import {
   currentState,
@@ -158,9 +159,11 @@
     // Also of an earlier process of this VM.
     if (row.bad !== undefined) this.badReason ??= row.bad;
     this.hasOldAnswers ||= row.cells.some(({isNew}) => !isNew);
+    // An entry that has missed an order does not know that it is turned back.
+    const tellsWayBack = row.isWayBack === true && priorUse !== PriorUse.OTHERS;
+    this.isWayBack ||= tellsWayBack;
     // Who knows what the versions were to the service knows better.
-    if (priorUse === PriorUse.UNKNOWN) {
-      this.isWayBack ||= row.isWayBack === true;
+    if (priorUse === PriorUse.UNKNOWN || tellsWayBack) {
       for (const version of row.barred ?? [])
         if (version !== record.target) this.barredVersions.add(version);
     }
@@ -197,9 +200,12 @@
 
   /** Records that the others' rows were complete at a time. */
   recordRead(atMs: number): void {
-    if (!this.hasReadRows) this.budget.setSlack(this.ownSlack());
+    const isFirst = !this.hasReadRows;
+    if (isFirst) this.budget.setSlack(this.ownSlack());
     this.hasReadRows = true;
-    if (!this.hasRecentRows) this.readSince = this.options.clock.now();
+    // Rows of the first read may be those of processes that have ended since.
+    if (isFirst || !this.hasRecentRows)
+      this.readSince = this.options.clock.now();
     this.evidenceAtMs = Math.max(this.evidenceAtMs, atMs);
     this.checkInUse();
   }
@@ -285,6 +291,8 @@
   /** What this entry tells the others now. */
   row(oldOpen: number): EvidenceRow {
     const {vm} = this.options;
+    // With old evidence requests go to old targets again at any moment.
+    const leastOpen = this.hasStaleEvidence ? 1 : 0;
     return {
       service: this.current.service,
       order: this.current.id,
@@ -293,7 +301,7 @@
       ageMs: Math.round(this.ageMs),
       step: this.nowStep,
       bad: this.badReason,
-      oldOpen,
+      oldOpen: Math.max(oldOpen, leastOpen),
       barred: this.barred.size > 0 ? [...this.barred] : undefined,
       isWayBack: this.isWayBack || undefined,
       cells: this.evidence.list(),
@@ -354,9 +362,11 @@
 
   /** Whether each entry that lives has been heard by now. */
   private get knowsOthers(): boolean {
-    if (!this.hasRecentRows) return false;
+    if (!this.hasRecentRows || this.hasStaleEvidence) return false;
     const {vm, entries, clock} = this.options;
-    if (clock.now() - this.readSince >= this.silenceMs) return true;
+    // Until then entries may not have read an order that turns another back.
+    const waitMs = this.isWayBack ? WAY_BACK_WAIT_MS : this.silenceMs;
+    if (clock.now() - this.readSince >= waitMs) return true;
     // After a break it need not wait for those that are there.
     const others = entries?.()?.filter((other) => other !== vm);
     if (others === undefined) return false;
--- a/src/direct/call-handler.ts
+++ b/src/direct/call-handler.ts
@@ -6,7 +6,6 @@
 import {ServiceTime} from '../core/call-queue/index.js';
 import {LatencyName} from '../core/metrics/index.js';
 import {
-  toFailureResponse,
   certainlyDidNotRun,
   countsAsSent,
   decideRetry,
@@ -23,6 +22,7 @@
 import {CallLog} from './call-log.js';
 import {CallTargets} from './call-targets.js';
 import {CallTurn} from './call-turn.js';
+import {CALL_QUEUE_CHECK_MS} from './consts.js';
 import {ResponseBody} from './response-body.js';
 import type {DirectContext, DirectWork, RequestContext} from './context.js';
 import {forwardResponse} from './forward-response.js';
@@ -35,6 +35,7 @@
 import {refuseUnsent} from './refuse-unsent.js';
 import {RequestBoundary, runAll} from './request-boundary.js';
 import {retryAfterMsOf} from './retry-after.js';
+import {sendFailure} from './send-failure.js';
 import {toTargetRequest} from './target-request.js';
 
 /** Logged if a response could not be handled; the cause has its own line. */
@@ -140,7 +141,7 @@
     this.turn.await({
       wasHeldBack: true,
       onSend: () => {
-        this.recordRetry(RetryReason.HELD_BACK, heldBackBy);
+        this.log.recordRetry(RetryReason.HELD_BACK, heldBackBy);
         this.sendAgain({failure: ExchangeFailure.HELD_BACK});
       },
     });
@@ -163,17 +164,13 @@
   private failUnsent(): void {
     const {ctx, work} = this;
     const {waitMs} = this.targets;
-    if (this.mayHaveRun) {
-      this.fail(false);
-      return;
-    }
-    if (waitMs === undefined) {
-      this.log.recordNoTarget();
-      this.fail(false);
+    if (!this.mayHaveRun && waitMs !== undefined) {
+      const retryAfterMs = retryAfterMsOf(ctx, work, waitMs);
+      this.refuse(RefusalReason.TARGET_LIMIT, retryAfterMs);
       return;
     }
-    const retryAfterMs = retryAfterMsOf(ctx, work, waitMs);
-    this.refuse(RefusalReason.TARGET_LIMIT, retryAfterMs);
+    if (!this.mayHaveRun) this.log.recordNoTarget();
+    this.fail(false);
   }
 
   private send(target: Target): void {
@@ -234,9 +231,19 @@
   private onAttemptTimeout(): void {
     const {current} = this;
     if (current === undefined) return;
-    this.targets.withTarget((nextTarget) => {
-      if (this.current !== current || nextTarget === undefined) return;
-      if (this.targets.canTake(nextTarget)) this.replace(current, nextTarget);
+    const run = (nextTarget: Target | undefined) => {
+      if (this.current !== current) return;
+      if (nextTarget !== undefined) this.replace(current, nextTarget);
+      else if (this.targets.choose() !== undefined) this.awaitOther(current);
+    };
+    this.targets.withTarget(run, {isFree: true});
+  }
+
+  /** The other targets are full, so the slow one may still be the first. */
+  private awaitOther(current: CallAttempt): void {
+    current.timer = this.ctx.clock.schedule({
+      delayMs: CALL_QUEUE_CHECK_MS,
+      run: () => this.onAttemptTimeout(),
     });
   }
 
@@ -249,7 +256,7 @@
     this.closeAttempt();
     this.sentCount++;
     this.mayHaveRun = true;
-    this.recordRetry(RetryReason.CALL_SLOW, current.target);
+    this.log.recordRetry(RetryReason.CALL_SLOW, current.target);
     this.send(nextTarget);
   }
 
@@ -275,7 +282,10 @@
     if (countsAsSent(result.failure)) this.sentCount++;
     // An answer that is no failure is passed on, whatever targets there are.
     const isFailed = result.failure !== undefined || isTargetFailure(result);
-    const hasOtherTarget = isFailed && this.targets.choose() !== undefined;
+    // With an answer at hand the call does not wait for a target that is full.
+    const isFree = result.failure === undefined;
+    const hasOtherTarget =
+      isFailed && this.targets.choose({isFree}) !== undefined;
     const {operation, maxAttempts} = work.admitted.route;
     const reason = retryReasonOf(result.failure, RetryReason.CALL_LOST);
     const decision = decideRetry({
@@ -290,7 +300,7 @@
       target.recordSuccess();
       this.forwardResponse();
     } else if (decision === RetryDecision.RETRY) {
-      this.recordRetry(reason, target);
+      this.log.recordRetry(reason, target);
       this.sendAgain(result);
     } else {
       this.fail(false);
@@ -305,11 +315,13 @@
 
   /** Sends the call again; if no target may be used, its last result counts. */
   private retry(last: AttemptResult): void {
-    this.targets.withTarget((target) => {
+    const isFree = last.failure === undefined;
+    const run = (target: Target | undefined) => {
       if (target !== undefined) this.send(target);
-      else if (last.failure === undefined) this.forwardResponse();
+      else if (isFree) this.forwardResponse();
       else this.failUnsent();
-    });
+    };
+    this.targets.withTarget(run, {isFree});
   }
 
   /** Retries a call that lost several targets once the losses are diagnosed. */
@@ -341,17 +353,11 @@
 
   private fail(isTimedOut: boolean): void {
     if (this.isOver) return;
-    const hadActiveAttempt = this.current !== undefined;
+    const {ctx, work, log, sentCount: sent} = this;
     const target = this.current?.target;
+    const mayHaveRun = this.mayHaveRun || target !== undefined;
     this.abandon();
-    const mayHaveRun = this.mayHaveRun || hadActiveAttempt;
-    const {status, reason} = toFailureResponse({mayHaveRun, isTimedOut});
-    this.ctx.metrics.countRefusal(reason);
-    this.log.recordFailure({status, reason, sent: this.sentCount, target});
-    const retryAfterMs = mayHaveRun
-      ? undefined
-      : retryAfterMsOf(this.ctx, this.work);
-    this.work.res.sendRefusal({status, reason, retryAfterMs});
+    sendFailure({ctx, work, log, sent, target, mayHaveRun, isTimedOut});
   }
 
   /** Ends the call with an answer, as if its deadline had passed. */
@@ -423,11 +429,6 @@
     this.ctx.callQueues.drain(this.work.service.name);
   }
 
-  private recordRetry(reason: RetryReason, from: Target): void {
-    this.ctx.metrics.countRetry(reason);
-    this.log.recordRetry(reason, from);
-  }
-
   private takeRetry(reason: RetryReason): boolean {
     const service = this.work.service.name;
     return this.ctx.retryBudgets.takeRetry({service, reason});
--- a/src/direct/call-log.ts
+++ b/src/direct/call-log.ts
@@ -30,7 +30,9 @@
     this.write('call attempt failed', {target: target.id, failure, detail});
   }
 
+  /** Counts a retry, and logs it. */
   recordRetry(reason: RetryReason, from: Target): void {
+    this.options.ctx.metrics.countRetry(reason);
     this.write('call retried at another target', {reason, from: from.id});
   }
 
--- a/src/direct/call-queues.ts
+++ b/src/direct/call-queues.ts
@@ -127,10 +127,11 @@
       clientAccount: account?.clientAccount,
     };
     const bodyBytes = work.req.body.length;
-    this.maxConnections = work.service.maxConnections;
+    const {maxConnections} = work.service;
+    this.maxConnections = maxConnections;
     const held: HeldCall = {
       isLarge: bodyBytes > EXEMPT_BODY_BYTES,
-      isHeldBack: () => this.isHeldBack({bodyBytes, mayUse}),
+      isHeldBack: () => this.isHeldBack({bodyBytes, mayUse, maxConnections}),
     };
     let hasWaited = false;
     this.queue.enter({
@@ -179,10 +180,11 @@
   private isHeldBack(call: {
     bodyBytes: number;
     mayUse?: (target: Target) => boolean;
+    maxConnections?: number;
   }): boolean {
     const {client, service, targets} = this.options;
     const {bodyBytes, mayUse = () => true} = call;
-    const {maxConnections} = this;
+    const {maxConnections = this.maxConnections} = call;
     const left = targets.ofService(service).filter(mayUse);
     const responding = left.filter((target) => !target.isPaused());
     const usable = responding.length > 0 ? responding : left;
--- a/src/direct/call-targets.ts
+++ b/src/direct/call-targets.ts
@@ -7,6 +7,14 @@
 /** How often a call may be held back at targets that could take it before. */
 const MAX_HELD_BACK = 16;
 
+/** Which targets may be chosen. */
+interface Choice {
+  /** Whether only those that can take the call now; otherwise it may wait. */
+  readonly isFree?: boolean;
+  /** Ids of targets that give no permit now. */
+  readonly heldBack?: Iterable<string>;
+}
+
 /**
  * Chooses a target for each attempt of a call, none of them twice, and asks for
  * a permit where the target names a limit.
@@ -56,7 +64,7 @@
   }
 
   /** Whether a target would not be held back from the call now. */
-  canTake({record}: Target): boolean {
+  private canTake({record}: Target): boolean {
     const {ctx, work} = this.options;
     const {maxConnections} = work.service;
     const bodyBytes = work.req.body.length;
@@ -64,15 +72,15 @@
   }
 
   /** The best target that was not tried; undefined if there is none. */
-  choose(heldBack: Iterable<string> = []): Target | undefined {
+  choose({isFree = false, heldBack = []}: Choice = {}): Target | undefined {
     const {ctx, work} = this.options;
     const targets = ctx.targets.ofService(work.service.name);
     const excluded = new Set([...this.tried, ...heldBack]);
     const query = {dataCentre: ctx.dataCentre, random: ctx.random, excluded};
-    if (this.heldBackCount > 0) {
+    if (isFree || this.heldBackCount > 0) {
       const free = targets.filter((target) => this.canTake(target));
       const target = chooseCallTarget({...query, targets: free});
-      if (target !== undefined) return target;
+      if (isFree || target !== undefined) return target;
     }
     return chooseCallTarget({...query, targets});
   }
@@ -81,13 +89,17 @@
    * Passes on a target that may be sent to now, at once if it names no limit;
    * undefined if there is none. Nothing is passed on once the call is over.
    */
-  withTarget(run: (target: Target | undefined) => void): void {
-    const target = this.choose();
+  withTarget(
+    run: (target: Target | undefined) => void,
+    {isFree}: Choice = {},
+  ): void {
+    const target = this.choose({isFree});
     if (target?.limitPerSecond === undefined) {
       run(target);
       return;
     }
-    const next = () => this.choose(this.permitted.heldBack);
+    const {heldBack} = this.permitted;
+    const next = () => this.choose({isFree, heldBack});
     const hasNext = () => next() !== undefined;
     const {ctx, isOver} = this.options;
     ctx.boundary.run(async () => {
--- a/src/direct/request-boundary.ts
+++ b/src/direct/request-boundary.ts
@@ -104,7 +104,7 @@
       logger: ctx.logger,
       supervisor: ctx.supervisor,
       boundary: this,
-    };
+    } satisfies Record<keyof RequestContext, unknown>;
   }
 
   private end(): void {
--- a/src/direct/response-body.ts
+++ b/src/direct/response-body.ts
@@ -9,21 +9,20 @@
 /** Size from which on a response is large, in bytes. */
 const MIN_LARGE_BYTES = 16 * 1024;
 
-/** Error detail for a response or event over the limit. */
-export const TOO_LARGE_DETAIL = `exceeds ${MAX_RESPONSE_BYTES} bytes, or the memory for messages`;
-
 /** Why a response is not buffered any more. */
 export interface ResponseOverflow {
   readonly failure: ExchangeFailure;
   readonly detail: string;
 }
 
-const TOO_LARGE: ResponseOverflow = {
+/** It is larger than any may be. */
+export const TOO_LARGE: ResponseOverflow = {
   failure: ExchangeFailure.BROKEN,
-  detail: TOO_LARGE_DETAIL,
+  detail: `exceeds ${MAX_RESPONSE_BYTES} bytes`,
 };
 
-const NO_MEMORY: ResponseOverflow = {
+/** The entry has no memory for it now. */
+export const NO_MEMORY: ResponseOverflow = {
   failure: ExchangeFailure.NO_MEMORY,
   detail: 'exceeds the memory for messages',
 };
--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -15,10 +15,12 @@
 import type {RawEvent} from '../../core/streams/index.js';
 import {EventSplitter, ReaderPause} from '../../core/streams/index.js';
 import type {Target, TargetWork} from '../../core/targets/index.js';
+import type {ResponseOverflow} from '../response-body.js';
 import {
   ResponseBody,
   MAX_RESPONSE_BYTES,
-  TOO_LARGE_DETAIL,
+  NO_MEMORY,
+  TOO_LARGE,
 } from '../response-body.js';
 import {RESUME_CHECK_MS, PREFILL_CHECK_MS} from '../consts.js';
 import type {DirectWork, RequestContext} from '../context.js';
@@ -280,19 +282,15 @@
     if (this.head.status !== OK) {
       this.body.push(chunk);
       const {overflow} = this.body;
-      if (overflow !== undefined) this.failUnbounded(overflow.detail);
+      if (overflow !== undefined) this.failOver(overflow);
       return;
     }
     this.passEvents(this.head, chunk);
     this.options.listener.onEventsPassed();
-    if (!this.isOver && !this.mayKeepPending())
-      this.failUnbounded(TOO_LARGE_DETAIL);
-  }
-
-  private mayKeepPending(): boolean {
+    if (this.isOver) return;
     const {pendingBytes} = this.splitter;
-    if (pendingBytes > MAX_RESPONSE_BYTES) return false;
-    return this.eventMemory.resize(pendingBytes);
+    if (pendingBytes > MAX_RESPONSE_BYTES) this.failOver(TOO_LARGE);
+    else if (!this.eventMemory.resize(pendingBytes)) this.failOver(NO_MEMORY);
   }
 
   private passEvents(head: TargetResponseHead, chunk: Uint8Array): void {
@@ -315,7 +313,10 @@
 
   /** The target sends more than a sound one does. */
   private failUnbounded(detail: string): void {
-    const failure = ExchangeFailure.BROKEN;
+    this.failOver({failure: ExchangeFailure.BROKEN, detail});
+  }
+
+  private failOver({failure, detail}: ResponseOverflow): void {
     recordTargetFailure(this.target, failure);
     this.reportLoss({
       reason: RetryReason.ENGINE_DIED,
--- a/src/direct/target-request.ts
+++ b/src/direct/target-request.ts
@@ -31,5 +31,5 @@
     copyTo: options.copyTo,
     copyFrom: options.copyFrom,
     reservation: options.reservation,
-  };
+  } satisfies Record<keyof TargetRequest, unknown>;
 }
--- a/test/core/rollouts/status.test.ts
+++ b/test/core/rollouts/status.test.ts
@@ -1,5 +1,5 @@
 /** Who writes the status of a roll-out, and what; which versions are held back. */
-import {describe, expect, it} from 'vitest';
+import {beforeEach, describe, expect, it} from 'vitest';
 
 import {ManualClock} from '../../../src/core/clock/index.js';
 import type {
@@ -145,10 +145,20 @@
       known: {
         ...FULL,
         ...WAY_BACK,
-        others: [rowOf({step: RolloutStep.CANARY})],
+        others: [rowOf({step: RolloutStep.CANARY, isWayBack: true})],
       },
       is: COMPLETED,
     },
+    {
+      name: 'in use, with an entry that has not turned back',
+      known: {
+        ...FULL,
+        record: withStatus({state: IN_PROGRESS, target: 'v2'}),
+        ...WAY_BACK,
+        others: [rowOf({step: RolloutStep.CANARY})],
+      },
+      is: undefined,
+    },
     {
       name: 'in use, with entries that were not heard',
       known: {
@@ -254,6 +264,54 @@
   });
 });
 
+describe('an entry among others', () => {
+  const STEP_MS = 100;
+  const settings = {exposureShare: 0.1, exposureSlack: 0, rollbackMs: 5_000};
+  let clock: ManualClock;
+  let controller: RolloutController;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    const vm = 'edge-1';
+    const entries = () => [vm, 'edge-2'];
+    const order = {record: RECORD, vm, settings, entries, clock};
+    controller = new RolloutController(order);
+  });
+
+  /** Milliseconds until it writes that the order is completed. */
+  const completesAfter = (): number => {
+    for (let ms = 0; ms < 10_000; ms += STEP_MS) {
+      controller.recordRead(clock.now());
+      controller.update({newTargets: 3});
+      if (controller.stateToWrite(0) === COMPLETED) return ms;
+      clock.advance(STEP_MS);
+    }
+    return Number.POSITIVE_INFINITY;
+  };
+
+  // Guards against old targets that stop under entries that start (LOST).
+  it('does not take the rows of ended processes for those of live ones', () => {
+    clock.advance(STEP_MS);
+    controller.hear(rowOf({}));
+    expect(completesAfter()).toBeGreaterThanOrEqual(3_000);
+  });
+
+  it('need not wait for one that tells something', () => {
+    controller.hear(rowOf({}));
+    controller.recordRead(clock.now());
+    clock.advance(STEP_MS);
+    controller.hear(rowOf({tick: 2}));
+    expect(completesAfter()).toBeLessThan(2_500);
+  });
+
+  it('tells with old evidence that it may send to old targets', () => {
+    controller.recordRead(clock.now());
+    expect(controller.row(0).oldOpen).toBe(0);
+    clock.advance(6_000);
+    expect(controller.row(0).oldOpen).toBe(1);
+  });
+});
+
 describe('a version without an order', () => {
   const held = (
     baseline: VersionBaseline,
--- a/test/core/rollouts/version-in-use.test.ts
+++ b/test/core/rollouts/version-in-use.test.ts
@@ -140,4 +140,16 @@
     expect(late.end).toBe(COMPLETED);
     expect(late.row(0)).toMatchObject({isWayBack: true, barred: ['v3']});
   });
+
+  it('is told to an entry that has missed the order that is turned back', () => {
+    const clock = new ManualClock();
+    const priorUse = PriorUse.USED;
+    const order = {record: RECORD, settings, clock, vm: 'edge-1', priorUse};
+    const missed = new RolloutController(order);
+    missed.hear(rowOf({isWayBack: true, barred: ['v3'], cells: [OLD_CELL]}));
+    missed.recordRead(clock.now());
+    missed.observe({targets: 4, hasOthers: false});
+    expect(missed.end).toBe(COMPLETED);
+    expect(missed.row(0)).toMatchObject({isWayBack: true, barred: ['v3']});
+  });
 });
