--- a/review/fleet-2.cjs
+++ b/review/fleet-2.cjs
@@ -199,7 +199,16 @@
 };
 
 /** Starts an entry as the deploy file does, and waits until it is ready. */
-async function startEntry({store, name, host, zone, zones, log, folder}) {
+async function startEntry({
+  store,
+  name,
+  host,
+  zone,
+  zones,
+  log,
+  folder,
+  memoryMb = 350,
+}) {
   const [frontend, readiness, metrics, peer] = await Promise.all(
     [0, 1, 2, 3].map(() => freePort(host)),
   );
@@ -222,7 +231,7 @@
     limits: {
       cpu_quota: 0.513,
       cores: 1,
-      memory_mb: 350,
+      memory_mb: memoryMb,
       max_fds: 4100,
       link_mbps: 1000,
       disk_mb: 0,
