--- a/review/fleet-2.cjs
+++ b/review/fleet-2.cjs
@@ -50,6 +50,9 @@
     this.objects = new Map();
     this.changes = [];
     this.waiting = new Set();
+    /** Rises by one each time that the store comes back from a copy. */
+    this.era = 1;
+    this.isAway = false;
     this.server = http.createServer((req, res) => {
       this.handle(req, res).catch(() => res.destroy());
     });
@@ -60,6 +63,27 @@
     this.port = await listen(this.server);
   }
 
+  /** What the store holds now, from which it may come back later. */
+  copy() {
+    const {revision, objects, changes} = this;
+    return {revision, objects: new Map(objects), changes: [...changes]};
+  }
+
+  /** The store is away: it answers nobody, and its channels end. */
+  leave() {
+    this.isAway = true;
+    this.server.closeAllConnections();
+  }
+
+  /** It comes back from a copy; what was written since then is lost. */
+  comeBack({revision, objects, changes}) {
+    this.revision = revision;
+    this.objects = new Map(objects);
+    this.changes = [...changes];
+    this.era++;
+    this.isAway = false;
+  }
+
   put(kind, name, spec, status) {
     const key = `${kind}/${name}`;
     const before = this.objects.get(key);
@@ -97,6 +121,10 @@
   }
 
   async handle(req, res) {
+    if (this.isAway) {
+      res.destroy();
+      return;
+    }
     const body = await readBody(req);
     const url = new URL(req.url, 'http://store');
     const [, , , kind, name, part] = url.pathname.split('/').map((segment) => {
@@ -107,7 +135,7 @@
       res.writeHead(status, {
         'Content-Type': 'application/json',
         'Content-Length': Buffer.byteLength(text),
-        'Store-Era': '1',
+        'Store-Era': String(this.era),
       });
       res.end(text);
     };
@@ -265,29 +293,38 @@
   };
   const file = path.join(folder, `${name}.yaml`);
   fs.writeFileSync(file, JSON.stringify(settings));
+  const entry = {name, host, frontend, readiness, metrics, settings, file, log};
+  await launch(entry);
+  return entry;
+}
+
+/** Starts the process of an entry, and waits until it is ready. */
+async function launch(entry) {
   // The words of `run` in deploy/system.toml; only the port differs.
   const words = [
     '--max-old-space-size=90',
     'target/direct.cjs',
     '--metrics-port',
-    String(metrics),
+    String(entry.metrics),
   ];
+  const output = fs.openSync(entry.log, 'a');
   const child = spawn('node', words, {
     cwd: ROOT,
     env: {
       PATH: process.env.PATH,
       HOME: process.env.HOME ?? '/',
-      PLANTAINRILL_BOOT: file,
+      PLANTAINRILL_BOOT: entry.file,
     },
-    stdio: ['ignore', fs.openSync(log, 'a'), fs.openSync(log, 'a')],
+    stdio: ['ignore', output, output],
   });
-  const entry = {name, host, frontend, readiness, child, settings, file};
+  fs.closeSync(output);
+  entry.child = child;
   for (let i = 0; i < 100; i++) {
-    if (child.exitCode !== null) break;
-    if ((await readyStatus(entry)) === 200) return entry;
+    if (child.exitCode !== null || child.signalCode !== null) break;
+    if ((await readyStatus(entry)) === 200) return;
     await sleep(100);
   }
-  throw new Error(`${name} did not become ready`);
+  throw new Error(`${entry.name} did not become ready`);
 }
 
 function readyStatus({host, readiness}) {
@@ -321,6 +358,7 @@
   ROOT,
   Store,
   freePort,
+  launch,
   listen,
   readBody,
   readyStatus,
