--- a/review/6/run.cjs
+++ b/review/6/run.cjs
@@ -19,17 +19,22 @@
 
 const TROUBLE = process.env.TROUBLE !== '0';
 const ENGINES = 7;
-/** Those of the first zone; the others hold the copies of their runs. */
-const FIRST_ZONE = 5;
+/** Those of the first zone; the last one holds the copies of their runs. */
+const FIRST_ZONE = 6;
 const CAPACITY = 55000;
 const EVENTS = 160;
 const GAP_MS = 60;
 const STRIDE = 6;
-const LONG_STREAMS = 42;
+const LONG_STREAMS = 33;
+/** What other entries have at the last engine at first, in tokens. */
+const OTHERS_TOKENS = 53000;
+const OTHERS_UNTIL_MS = 1500;
 const KEY = 'k3y0of0the0tenant001';
 const HOST = 'ficu95.example';
 /** Largest share of an engine's answers that are sent twice (`garble`). */
 const EXTRA_SHARE = 0.03;
+/** Events of a run from which on an answer to a copy of it may be sent twice. */
+const REPEATED_FROM = 80;
 /** Share of the engines that send them (`garble`). */
 const GARBLED_SHARE = 0.6;
 const GARBLE_FROM_MS = 2000;
@@ -64,10 +69,11 @@
     this.handles = 0;
     this.answers = 0;
     this.extras = 0;
-    /** Second copies that preceded the answer to a call of the same kind. */
-    this.crossed = 0;
+    /** Memory that the work of other entries takes. */
+    this.otherTokens = 0;
     this.isDown = false;
     this.isGarbled = false;
+    this.mayRepeat = false;
     this.server = http.createServer((req, res) => {
       this.handle(req, res).catch(() => undefined);
     });
@@ -117,7 +123,7 @@
   }
 
   usedTokens() {
-    let used = 0;
+    let used = this.otherTokens;
     for (const {tokens} of this.runs.values()) used += tokens;
     for (const {tokens} of this.copies.values()) used += tokens;
     for (const tokens of this.holds.values()) used += tokens;
@@ -128,7 +134,6 @@
   sendLateExtra({socket, url}) {
     if (socket.extra === undefined) return;
     record(`${this.id} sends the second copy before its answer to ${url}`);
-    if (url === '/-/kv-move') this.crossed++;
     socket.write(socket.extra);
     socket.extra = undefined;
   }
@@ -232,8 +237,10 @@
     const key = `${this.address}/${run.handle}`;
     holder.copies.set(key, {owner: id, tokens: run.tokens, made: run.next - 1});
     record(`${this.id} copied run ${id} as ${run.handle} to ${holder.id}`);
-    const answer = {handle: run.handle, created: run.next - 1};
-    this.reply(req, res, 200, answer, true);
+    const created = run.next - 1;
+    const mayRepeat = this.mayRepeat && created >= REPEATED_FROM;
+    const answer = {handle: run.handle, created};
+    this.reply(req, res, 200, answer, mayRepeat);
   }
 
   stream(req, res) {
@@ -308,7 +315,9 @@
           });
       }, GAP_MS);
     };
-    run.timer = setTimeout(begin, from === undefined ? 400 : 30);
+    // Prompts differ a little, so that engines send their events at other times.
+    const firstMs = 400 + (this.answers % 12) * 5;
+    run.timer = setTimeout(begin, from === undefined ? firstMs : 30);
   }
 }
 
@@ -447,24 +456,34 @@
   }
   const clients = [];
   const send = (options) => clients.push(sendStream(entry, options));
-  // Short ones fill the engines first, so that no copy has room; as they end,
-  // the entry makes copies of the long ones.
-  for (let i = 0; i < 45; i++) send({prompt: 5000, events: 20});
-  await sleep(200);
-  for (let i = 0; i < LONG_STREAMS; i++) send({prompt: 2000, events: EVENTS});
+  // The last engine is full of other entries' work at first, so that no copy
+  // has room; when that ends, the entry has copies of the long streams made.
+  const last = engines.at(-1);
+  last.otherTokens = OTHERS_TOKENS;
+  setTimeout(() => (last.otherTokens = 0), OTHERS_UNTIL_MS);
+  for (let i = 0; i < LONG_STREAMS; i++) {
+    send({prompt: 500, events: EVENTS});
+    await sleep(10);
+  }
   const at = (ms, run) => setTimeout(run, ms);
   if (TROUBLE) {
-    const garbled = engines.slice(0, Math.floor(ENGINES * GARBLED_SHARE));
+    let garbled = [];
     at(GARBLE_FROM_MS, () => {
+      garbled = engines
+        .slice(0, FIRST_ZONE)
+        .sort((x, y) => y.runs.size - x.runs.size)
+        .slice(0, Math.floor(ENGINES * GARBLED_SHARE));
       record(`garble begins at ${garbled.map(({id}) => id).join(' ')}`);
       for (const engine of garbled) engine.isGarbled = true;
+      // All that is sent twice comes from the busiest of them.
+      garbled[0].mayRepeat = true;
     });
     at(GARBLE_FROM_MS + GARBLE_FOR_MS, () => {
       record('garble ends');
       for (const engine of garbled) engine.isGarbled = false;
     });
     at(CRASH_AT_MS, () => {
-      const [worst] = [...garbled].sort((a, b) => b.crossed - a.crossed);
+      const [worst] = garbled;
       record(`${worst.id} crashes with ${worst.runs.size} runs`);
       worst.crash();
       // Its registration lapses after three heartbeats.
