--- a/review/8/run.cjs
+++ b/review/8/run.cjs
@@ -9,6 +9,8 @@
 const {
   BOUNDS,
   Store,
+  answerForServer,
+  keepRegistered,
   launch,
   listen,
   readBody,
@@ -41,6 +43,7 @@
 function createDesk(id) {
   return http.createServer(async (req, res) => {
     await readBody(req).catch(() => undefined);
+    if (answerForServer(req, res, id)) return;
     const attempt = req.headers['attempt-id'];
     const request = sent.get(attempt);
     if (request !== undefined) {
@@ -156,19 +159,11 @@
         slots: 6,
         state: 'ready',
         warmup_left_ms: 0,
-        sequence: 1,
         born: Date.now(),
       },
     });
   }
-  const register = () => {
-    for (const {id, spec} of desks) {
-      spec.sequence++;
-      if (!store.isAway) store.put('servers', id, {...spec});
-    }
-  };
-  register();
-  const beat = setInterval(register, 1200);
+  const register = keepRegistered(store, desks);
   const entries = [];
   let exit = 2;
   let clients;
@@ -228,7 +223,6 @@
     record(`could not run: ${cause}`);
   }
   clearInterval(clients);
-  clearInterval(beat);
   if (process.env.KEEP !== undefined)
     fs.copyFileSync(path.join(folder, 'entry-2.log'), process.env.KEEP);
   for (const entry of entries) await stopEntry(entry);
--- a/review/fleet-2.cjs
+++ b/review/fleet-2.cjs
@@ -12,6 +12,17 @@
 const path = require('node:path');
 
 const ROOT = path.resolve(__dirname, '..');
+/** Entries that run; none outlives the script, however that ends. */
+const running = new Set();
+process.on('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'])
+  process.on(signal, () => process.exit(2));
+/** No script may take longer. */
+const MAX_RUN_MS = 115000;
+setTimeout(() => process.exit(2), MAX_RUN_MS).unref();
+
 const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
 /** Returns a port that is free at an address. */
@@ -151,6 +162,11 @@
         reply(200, {entries, has_more: false, at: this.revision});
         return;
       }
+      // A revision that the store doesn't have, as it came back from a copy.
+      if (Number(watch) > this.revision) {
+        reply(410, {});
+        return;
+      }
       const waitMs = Number(url.searchParams.get('wait_ms') ?? 0);
       let isOver = false;
       const answer = () => {
@@ -292,7 +308,6 @@
     },
   };
   const file = path.join(folder, `${name}.yaml`);
-  fs.writeFileSync(file, JSON.stringify(settings));
   const entry = {name, host, frontend, readiness, metrics, settings, file, log};
   await launch(entry);
   return entry;
@@ -300,6 +315,9 @@
 
 /** Starts the process of an entry, and waits until it is ready. */
 async function launch(entry) {
+  fs.writeFileSync(entry.file, JSON.stringify(entry.settings));
+  // It is true only when the whole system starts for the first time.
+  entry.settings.bootstrap = false;
   // The words of `run` in deploy/system.toml; only the port differs.
   const words = [
     '--max-old-space-size=90',
@@ -319,11 +337,14 @@
   });
   fs.closeSync(output);
   entry.child = child;
+  running.add(child);
+  child.once('exit', () => running.delete(child));
   for (let i = 0; i < 100; i++) {
     if (child.exitCode !== null || child.signalCode !== null) break;
     if ((await readyStatus(entry)) === 200) return;
     await sleep(100);
   }
+  await stopEntry(entry);
   throw new Error(`${entry.name} did not become ready`);
 }
 
@@ -348,6 +369,34 @@
   await ended;
 }
 
+/**
+ * Writes the registrations of servers at intervals, as these do. Returns what
+ * writes them at once.
+ */
+function keepRegistered(store, servers) {
+  const write = () => {
+    if (store.isAway) return;
+    for (const {id, spec} of servers) {
+      spec.sequence = (spec.sequence ?? 0) + 1;
+      store.put('servers', id, {...spec});
+    }
+  };
+  write();
+  setInterval(write, 1200).unref();
+  return write;
+}
+
+/** Answers a health check, or a request that is meant for another server. */
+function answerForServer(req, res, id) {
+  const expected = req.headers['expect-instance'];
+  if (req.url === '/healthz')
+    res.writeHead(200, {'Instance-Id': id, 'Content-Length': 0}).end();
+  else if (expected !== undefined && expected !== id)
+    res.writeHead(421, {'Instance-Id': id, 'Content-Length': 0}).end();
+  else return false;
+  return true;
+}
+
 /** A folder of its own for the settings files of one run. */
 function temporaryFolder() {
   return fs.mkdtempSync(path.join(os.tmpdir(), 'review-2-'));
@@ -357,7 +406,9 @@
   BOUNDS,
   ROOT,
   Store,
+  answerForServer,
   freePort,
+  keepRegistered,
   launch,
   listen,
   readBody,
