--- a/review/fleet-2.cjs
+++ b/review/fleet-2.cjs
@@ -12,10 +12,13 @@
 const path = require('node:path');
 
 const ROOT = path.resolve(__dirname, '..');
-/** Entries that run; none outlives the script, however that ends. */
+/** Entries that run, and folders; none outlives the script, however it ends. */
 const running = new Set();
+const folders = new Set();
 process.on('exit', () => {
   for (const child of running) child.kill('SIGKILL');
+  for (const folder of folders)
+    fs.rmSync(folder, {recursive: true, force: true});
 });
 for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'])
   process.on(signal, () => process.exit(2));
@@ -399,7 +402,9 @@
 
 /** A folder of its own for the settings files of one run. */
 function temporaryFolder() {
-  return fs.mkdtempSync(path.join(os.tmpdir(), 'review-2-'));
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'review-2-'));
+  folders.add(folder);
+  return folder;
 }
 
 module.exports = {
