--- a/src/direct/streams/stream-attempt.ts
+++ b/src/direct/streams/stream-attempt.ts
@@ -187,7 +187,12 @@
 
   /** Whether it was to resume from a copy. */
   get usesCopy(): boolean {
-    return this.options.copyFrom !== undefined;
+    return this.copyFrom !== undefined;
+  }
+
+  /** The copy from which it was to resume. */
+  get copyFrom(): KvCopyReference | undefined {
+    return this.options.copyFrom;
   }
 
   /** When the attempt started, in milliseconds on the monotonic clock. */
--- a/src/direct/streams/stream-log.ts
+++ b/src/direct/streams/stream-log.ts
@@ -55,7 +55,7 @@
 
   /** `isIsolated`: it runs apart from others that lost the same engines. */
   recordPlacement(attempt: StreamAttempt, isIsolated: boolean): void {
-    const {target, copy, usesCopy} = attempt;
+    const {target, copy, copyFrom, usesCopy} = attempt;
     this.rereads.recordSent({usesCopy, isIsolated});
     this.write('stream retried or resumed at target', {
       target: target.id,
@@ -66,6 +66,7 @@
         Math.min(target.reportAgeMs(), MAX_LOGGED_AGE_MS),
       ),
       usesCopy,
+      copyFrom: copyFrom && `${copyFrom.address}/${copyFrom.id}`,
       copyAt: copy?.holder.record.dataCentre,
     });
   }
