--- a/test/platform/control-connections.test.ts
+++ b/test/platform/control-connections.test.ts
@@ -295,10 +295,11 @@
 
   // Guards against a refusal that belongs to another call (TWICE, REFUSED).
   it('takes a refusal without an id for no answer to a request', async () => {
-    fake.behaviour = ({socket}) =>
+    fake.behaviour = onKept(({socket}) =>
       socket.write(
         'HTTP/1.1 503 Busy\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n',
-      );
+      ),
+    );
     await reserve();
     expect(await send()).toBe(ExchangeFailure.MISMATCHED_RESPONSE);
   });
--- a/test/platform/late-answers.test.ts
+++ b/test/platform/late-answers.test.ts
@@ -18,30 +18,39 @@
   return `HTTP/1.1 ${status}\r\ncontent-length: ${text.length}\r\n\r\n${text}`;
 };
 
+const bodyOf = (text: string): unknown =>
+  JSON.parse(text.slice(text.indexOf('\r\n\r\n')));
+
 const REFUSAL = encode('503 Busy', {});
 
 /** A target that repeats its answer to a call at the next one. */
 class RepeatingTarget extends FakeTarget {
   /** Whether the copy of the first attempt is refused. */
   refusesFirstCopy = false;
+  /** Path of the calls that are refused; none by default. */
+  refusedPath?: string;
   private readonly firstAnswers = new Map<number, string>();
 
   override behaviour = (call: SeenCall) => {
     const answer = this.answerTo(call);
     const late = this.firstAnswers.get(call.connection);
-    if (call.nth === 1) this.firstAnswers.set(call.connection, answer);
-    if (call.nth !== 2 || late === undefined) {
+    if (late === undefined) {
+      this.firstAnswers.set(call.connection, answer);
       call.socket.write(answer);
       return;
     }
-    call.socket.write(late);
+    if (call.nth === 2) call.socket.write(late);
     setTimeout(() => call.socket.write(answer), TRUE_ANSWER_MS);
   };
 
   private answerTo({line, text}: SeenCall): string {
+    if (this.refusedPath !== undefined && line.includes(this.refusedPath))
+      return REFUSAL;
     if (line.includes('/-/report')) return encode('200 OK', REPORT);
-    if (line.includes('/-/hold-take'))
-      return encode('200 OK', {retention: `r-${this.calls.length}`});
+    if (line.includes('/-/hold-take')) {
+      const {token_count: tokens} = bodyOf(text) as {token_count: number};
+      return encode('200 OK', {retention: `room-of-${tokens}`});
+    }
     if (!line.includes('/-/kv-move')) return encode('200 OK', {});
     const attempt = /try-\d/.exec(text)?.[0];
     return this.refusesFirstCopy && attempt === 'try-1'
@@ -71,10 +80,10 @@
 
   const report = () => client.queryLoad(fake.record, TIMEOUT_MS);
 
-  const reserve = () =>
+  const reserve = (tokens = 100) =>
     client.reserve({
       target: fake.record,
-      tokens: 100,
+      tokens,
       lifetimeMs: 500,
       timeoutMs: TIMEOUT_MS,
     });
@@ -97,7 +106,7 @@
       refusesFirst: true,
     },
     {name: 'a report', before: report},
-    {name: 'a reservation', before: reserve},
+    {name: 'a reservation', before: () => reserve()},
     {name: 'the release of a copy', before: freeCopy},
     {name: 'the release of room', before: releaseRoom},
   ])(
@@ -113,6 +122,33 @@
     },
   );
 
+  // Guards against a generation in room that was granted to another one.
+  it.each([
+    {name: 'a reservation', before: () => reserve()},
+    {
+      name: 'a refused reservation',
+      before: () => reserve(),
+      path: '/-/hold-take',
+    },
+    {name: 'a report', before: report},
+    {name: 'a refused report', before: report, path: '/-/report'},
+    {name: 'the release of a copy', before: freeCopy},
+    {name: 'a refused release', before: releaseRoom, path: '/-/hold-drop'},
+  ])('to $name grants no room twice', async ({before, path}) => {
+    fake.refusedPath = path;
+    await before();
+    fake.refusedPath = undefined;
+    const wrong: string[] = [];
+    let granted = 0;
+    for (const tokens of [1, 2, 3, 4, 5]) {
+      const room = (await reserve(tokens)).unwrapOr(undefined as never);
+      if (room === `room-of-${tokens}`) granted++;
+      else if (room !== undefined) wrong.push(`${room} for ${tokens}`);
+    }
+    expect(wrong).toEqual([]);
+    expect(granted).toBeGreaterThan(1);
+  });
+
   it('finds the connection of a copy closed', async () => {
     await copy('try-1');
     await sleep(TRUE_ANSWER_MS);
