--- a/src/core/sync/follower.ts
+++ b/src/core/sync/follower.ts
@@ -43,6 +43,10 @@
   readonly afterOutage: boolean;
   /** Whether it is the first since the store was restored from a copy. */
   readonly isRestored: boolean;
+  /** Whether no other was read before, so that a restore cannot be noticed. */
+  readonly isFirst: boolean;
+  /** Epoch of the store; undefined if it names none. */
+  readonly epoch?: number;
 }
 
 /** Receives the objects and changes that a follower reads. */
@@ -145,12 +149,14 @@
   /** Describes a snapshot of an epoch, which becomes the current one. */
   private describe(epoch: number | undefined): SnapshotInfo {
     const nowMs = this.options.clock.now();
-    const isRestored = this.hasEpoch && epoch !== this.epoch;
+    const isFirst = !this.hasEpoch;
+    const isRestored = !isFirst && epoch !== this.epoch;
     if (isRestored) this.restoredAtMs = nowMs;
     this.epoch = epoch;
     this.hasEpoch = true;
     const isSettling = nowMs - this.restoredAtMs < RESTORE_SETTLE_MS;
-    return {afterOutage: this.wasUnavailable || isSettling, isRestored};
+    const afterOutage = this.wasUnavailable || isSettling;
+    return {afterOutage, isRestored, isFirst, epoch};
   }
 
   private async follow({revision: from, epoch}: Cursor): Promise<void> {
--- a/src/direct/consts.ts
+++ b/src/direct/consts.ts
@@ -173,6 +173,12 @@
 /** Longest such delay if another entry had written it, in milliseconds. */
 export const MAX_REPAIR_DELAY_MS = 2_000;
 
+/**
+ * Longest random delay before an entry tells that a restored store has settled, in
+ * milliseconds; the others then find it told.
+ */
+export const MAX_SETTLED_DELAY_MS = 1_000;
+
 /** Time until a failed call to the store is retried, in milliseconds. */
 export const STORE_RETRY_MS = 500;
 
--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -35,6 +35,7 @@
 import {messageMemoryBytes} from '../core/settings/direct-settings.js';
 import type {Supervisor} from '../core/supervision/index.js';
 import {TaskName} from '../core/supervision/index.js';
+import type {EpochRecord} from '../core/sync/index.js';
 import {KeyTrust, OutageGate} from '../core/sync/index.js';
 import type {TargetRecord} from '../core/targets/index.js';
 import {TargetSet} from '../core/targets/index.js';
@@ -64,6 +65,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly configs: StateSource<RoutingConfig>;
+  readonly epochSource: StateSource<EpochRecord>;
+  readonly epochWriter: StateWriter<EpochRecord>;
   readonly registrations: StateSource<TargetRecord>;
   readonly quarantineSource: StateSource<QuarantineRecord>;
   readonly quarantineWriter: StateWriter<QuarantineRecord>;
