Readiness and the kinds of the store have files of their own

direct-process had grown to 435 lines: what an entry still needs to be ready is src/direct/readiness (with a table of its waits, which had no test of its own), and the sources and writers that stood in DirectProcessOptions and in PlatformEdges stand once, in core/edges/state-edges. No change of behaviour.

--- a/src/direct/direct-process.ts
+++ b/src/direct/direct-process.ts
@@ -10,20 +10,14 @@
 } from '../core/edges/direct-caller.js';
 import type {DirectTargets} from '../core/edges/direct-target.js';
 import type {RolloutEdges} from '../core/edges/rollout-edges.js';
-import type {StateWriter} from '../core/edges/state-writer.js';
-import type {StateSource} from '../core/edges/state-source.js';
+import type {StateEdges} from '../core/edges/state-edges.js';
 import {RefusalReason} from '../core/errors/refusals.js';
 import type {PermitPeers} from '../core/limits/index.js';
 import type {Logger} from '../core/logs/index.js';
 import type {Metrics} from '../core/metrics/index.js';
 import {CounterName} from '../core/metrics/index.js';
-import type {QuarantineRecord, RecordedLosses} from '../core/poison/index.js';
 import {Quarantine} from '../core/poison/index.js';
-import type {
-  AdmittedRequest,
-  RoutingConfig,
-  RouteTable,
-} from '../core/routes/index.js';
+import type {AdmittedRequest, RouteTable} from '../core/routes/index.js';
 import {
   admitRequest,
   OperationKind,
@@ -35,12 +29,10 @@
 import {messageMemoryBytes} from '../core/settings/direct-settings.js';
 import type {Supervisor} from '../core/supervision/index.js';
 import {TaskName} from '../core/supervision/index.js';
-import type {EpochRecord} from '../core/sync/index.js';
 import {KeyTrust, OutageGate} from '../core/sync/index.js';
-import type {TargetRecord} from '../core/targets/index.js';
 import {TargetSet} from '../core/targets/index.js';
 import {CallHandler} from './call-handler.js';
-import {STARTUP_WAIT_MS, RETRY_AFTER_MS} from './consts.js';
+import {RETRY_AFTER_MS} from './consts.js';
 import {CallQueues} from './call-queues.js';
 import {ConfigSync} from './config-sync.js';
 import type {DirectContext, DirectWork} from './context.js';
@@ -48,7 +40,9 @@
 import {LimitKeeper} from './limits/index.js';
 import {LossTracker, QuarantineSync} from './poison/index.js';
 import {Prober} from './prober.js';
-import {Need} from './readiness-log.js';
+import type {LoadedState} from './readiness.js';
+import {Readiness} from './readiness.js';
+import type {Need} from './readiness-log.js';
 import {GenerationRooms} from './room/index.js';
 import {failRequest} from './request-boundary.js';
 import type {RolloutKeeper} from './rollouts/index.js';
@@ -60,20 +54,10 @@
 import {TargetSync} from './target-sync.js';
 
 /** Settings and dependencies of a direct entry. */
-export interface DirectProcessOptions {
+export interface DirectProcessOptions extends StateEdges {
   readonly settings: DirectSettings;
   readonly clock: Clock;
   readonly random: RandomSource;
-  readonly configs: StateSource<RoutingConfig>;
-  readonly epochSource: StateSource<EpochRecord>;
-  readonly epochWriter: StateWriter<EpochRecord>;
-  readonly registrations: StateSource<TargetRecord>;
-  readonly quarantineSource: StateSource<QuarantineRecord>;
-  readonly quarantineWriter: StateWriter<QuarantineRecord>;
-  readonly lossSource: StateSource<RecordedLosses>;
-  readonly lossWriter: StateWriter<RecordedLosses>;
-  readonly alertSource: StateSource<RecordedLosses>;
-  readonly alertWriter: StateWriter<RecordedLosses>;
   /** Used where the settings allow roll-outs. */
   readonly rollouts?: RolloutEdges;
   readonly client: DirectTargets;
@@ -106,7 +90,7 @@
   private readonly configSync: ConfigSync;
   private readonly targetSync: TargetSync;
   private readonly openRequests = new Set<CallHandler | StreamHandler>();
-  private startedMs = 0;
+  private readonly readiness: Readiness;
   private readonly grace: GracePeriod;
   /** Undefined where no roll-outs are ordered. */
   private readonly versions?: RolloutKeeper;
@@ -223,6 +207,7 @@
       logger,
       supervisor,
     });
+    this.readiness = new Readiness({clock, loaded: () => this.loadedState});
   }
 
   start(): void {
@@ -231,7 +216,7 @@
     this.targetSync.start();
     this.quarantineSync.start();
     this.ctx.lossTracker.start();
-    this.startedMs = this.options.clock.now();
+    this.readiness.start();
   }
 
   /** Applies settings that may change at run time. */
@@ -268,33 +253,19 @@
     return !this.draining.get() && this.missing().length === 0;
   }
 
-  /** What the process still needs to become ready. */
-  missing(): Need[] {
-    const needs: Need[] = [];
-    if (this.routes.get() === undefined) needs.push(Need.CONFIGURATION);
-    if (!this.targetSync.hasLoaded) needs.push(Need.TARGETS);
-    if (!this.hasLoadedOrders()) needs.push(Need.ROLLOUTS);
-    if (!this.hasLoadedLosses()) needs.push(Need.LOSSES);
-    if (!this.keyTrust.isTrusted()) needs.push(Need.KEY_CONFIRMATION);
-    return needs;
-  }
-
-  /**
-   * Whether earlier losses are loaded. The wait is bounded, so that an
-   * unavailable store does not keep the process unready.
-   */
-  private hasLoadedLosses(): boolean {
-    return this.ctx.lossTracker.sync.hasLoaded || this.isStartOver;
-  }
-
-  /** Whether the orders of new versions are loaded; the wait is bounded too. */
-  private hasLoadedOrders(): boolean {
-    return this.versions?.hasLoaded !== false || this.isStartOver;
+  private get loadedState(): LoadedState {
+    return {
+      hasConfig: this.hasConfig(),
+      hasTargets: this.targetSync.hasLoaded,
+      hasOrders: this.versions?.hasLoaded !== false,
+      hasLosses: this.ctx.lossTracker.sync.hasLoaded,
+      areKeysTrusted: this.keyTrust.isTrusted(),
+    };
   }
 
-  private get isStartOver(): boolean {
-    const upForMs = this.options.clock.now() - this.startedMs;
-    return upForMs > STARTUP_WAIT_MS;
+  /** What the process still needs to become ready. */
+  missing(): Need[] {
+    return this.readiness.missing();
   }
 
   /**
@@ -324,7 +295,7 @@
     });
   }
 
-  /** Whether a configuration is known. */
+  /** Whether a configuration is active. */
   hasConfig(): boolean {
     return this.routes.get() !== undefined;
   }
@@ -368,21 +339,12 @@
     const name = pickService({route, draw: ctx.random.float()});
     const service = name === undefined ? undefined : table.findService(name);
     if (service === undefined || !this.targetSync.hasLoaded) {
-      const reason = RefusalReason.NO_TARGET;
-      this.refuse(req, res, {
-        status: 503,
-        reason,
-        retryAfterMs: RETRY_AFTER_MS,
-      });
+      this.refuse(req, res, unavailable(RefusalReason.NO_TARGET));
       return;
     }
     const limitMs = Math.min(req.deadlineMs ?? Infinity, route.timeoutMs);
     if (!this.grace.hasTimeFor(route.operation, limitMs)) {
-      this.refuse(req, res, {
-        status: 503,
-        reason: RefusalReason.LEAVING,
-        retryAfterMs: RETRY_AFTER_MS,
-      });
+      this.refuse(req, res, unavailable(RefusalReason.LEAVING));
       return;
     }
     const deadlineAtMs = req.receivedMs + limitMs;
@@ -433,3 +395,7 @@
     return this.routes.get()?.findService(name)?.engine !== undefined;
   }
 }
+
+function unavailable(reason: RefusalReason): RefusalResponse {
+  return {status: 503, reason, retryAfterMs: RETRY_AFTER_MS};
+}
