Programs under test share a probe that is written once

test/processes/startup-signals 'ends it as planned by SIGTERM' hung for 60 s beside load. Six programs start at once, each start wrote the probe that they load anew, and a program that read it while it was empty never reported. Traced with a line for the phase: all that hung had started and served and waited to be 'handled'. What the test asks is unchanged.

--- a/test/support/starting-program.ts
+++ b/test/support/starting-program.ts
@@ -38,6 +38,8 @@
 /** Files of a test that are removed with it. */
 export class ProgramFolder {
   private readonly folder = mkdtempSync(join(tmpdir(), 'starting-program-'));
+  /** Written once, as programs that start at the same time read it. */
+  readonly probe = this.write('probe.cjs', PROBE);
 
   path(name: string): string {
     return join(this.folder, name);
@@ -81,8 +83,8 @@
   }) {
     const {folder, argv, env, earlySignal} = options;
     const own = earlySignal === undefined ? {} : {[OWN_SIGNAL]: earlySignal};
-    const probe = folder.write('probe.cjs', PROBE);
-    this.child = spawn(process.execPath, ['--require', probe, ...argv], {
+    const words = ['--require', folder.probe, ...argv];
+    this.child = spawn(process.execPath, words, {
       stdio: ['ignore', 'pipe', 'pipe', 'pipe'],
       env: {...process.env, ...env, ...own},
     });
