--- a/review/rig-3.cjs
+++ b/review/rig-3.cjs
@@ -499,7 +499,10 @@
   const started = [];
   const keep = (part) => (started.push(part), part);
   let verdict = 2;
+  let isFinishing = false;
   const finish = async () => {
+    if (isFinishing) return;
+    isFinishing = true;
     for (const part of started.reverse()) await part.stop();
     fs.rmSync(dir, {recursive: true, force: true});
     record.line(`verdict ${verdict}`);
@@ -510,9 +513,15 @@
     verdict = 2;
     finish();
   }, limitMs).unref();
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'])
+    process.on(signal, () => {
+      verdict = 2;
+      finish();
+    });
   try {
     record.line(`TROUBLE=${hasTrouble ? 1 : 0}`);
-    verdict = (await play({dir, record, hasTrouble, keep})) ? 1 : 0;
+    const isBroken = await play({dir, record, hasTrouble, keep});
+    if (!isFinishing) verdict = isBroken ? 1 : 0;
   } catch (cause) {
     record.line(`could not run: ${cause.stack}`);
   }
