--- a/review/12/case.cjs
+++ b/review/12/case.cjs
@@ -72,8 +72,15 @@
     res.on('error', () => undefined);
     req.on('end', () => {
       if (req.url === '/-/report') this.report(res);
-      else if (req.headers['expect-instance'] !== this.id) {
-        res.writeHead(421, {'Not-Executed': '1'});
+      else if (req.url === '/healthz') {
+        res.writeHead(200, {'Instance-Id': this.id, 'Content-Length': 0});
+        res.end();
+      } else if (req.headers['expect-instance'] !== this.id) {
+        res.writeHead(421, {
+          'Attempt-Id': req.headers['attempt-id'],
+          'Instance-Id': this.id,
+          'Not-Executed': '1',
+        });
         res.end();
       } else this.generate(req, res);
     });
--- a/review/rig-3.cjs
+++ b/review/rig-3.cjs
@@ -14,6 +14,10 @@
 
 const ROOT = path.resolve(__dirname, '..');
 const HOST = 'shop.example';
+/** Figures of each server of plain calls. */
+const SLOTS = 64;
+const QUEUE = 24;
+const MAX_CHANNELS = 110;
 const KEY = 'key-of-tenant-a';
 const TENANT = 'tenant-a';
 
@@ -100,7 +104,7 @@
   }
 
   handle(req, res) {
-    const url = new URL(req.url, 'http://store');
+    const url = new URL(req.url, 'http://127.0.0.1');
     const [, , , kind, name, sub] = url.pathname.split('/');
     const chunks = [];
     req.on('data', (chunk) => chunks.push(chunk));
@@ -115,7 +119,10 @@
   answer({req, res, url, kind, name, sub, body}) {
     const send = (status, value) => {
       if (res.destroyed) return;
-      res.writeHead(status, {'Content-Type': 'application/json'});
+      res.writeHead(status, {
+        'Content-Type': 'application/json',
+        'Store-Era': '1',
+      });
       res.end(JSON.stringify(value));
     };
     const known = (id) => this.objects.get(`${kind}/${id}`);
@@ -190,12 +197,19 @@
     Object.assign(this, {id, service, zone, serve, onRun});
     this.born = Date.now();
     this.sequence = 1;
+    this.running = 0;
+    this.queue = [];
+    this.channels = 0;
   }
 
   async start(store) {
     this.server = http.createServer((req, res) => this.handle(req, res));
     this.server.keepAliveTimeout = 30_000;
-    this.server.maxHeaderSize = 65_536;
+    this.server.on('connection', (socket) => {
+      socket.on('error', () => undefined);
+      if (++this.channels > MAX_CHANNELS) socket.resetAndDestroy();
+      socket.once('close', () => this.channels--);
+    });
     await new Promise((resolve) => this.server.listen(0, '127.0.0.1', resolve));
     this.address = `127.0.0.1:${this.server.address().port}`;
     this.store = store;
@@ -209,7 +223,7 @@
       address: this.address,
       zone: this.zone,
       version: 'v1',
-      slots: 64,
+      slots: SLOTS,
       state: 'ready',
       warmup_left_ms: 0,
       sequence: this.sequence++,
@@ -229,19 +243,49 @@
         res.writeHead(200, {'Instance-Id': this.id, 'Content-Length': 0});
         res.end();
       } else if (expected !== undefined && expected !== this.id) {
-        res.writeHead(421, {'Attempt-Id': id ?? '', 'Not-Executed': '1'});
+        res.writeHead(421, {
+          'Attempt-Id': id ?? '',
+          'Instance-Id': this.id,
+          'Not-Executed': '1',
+        });
         res.end();
       } else if (id === undefined) {
         res.writeHead(400, {'Not-Executed': '1'});
         res.end();
       } else {
-        const request = {id, req, res, body: Buffer.concat(chunks)};
-        this.onRun(request);
-        this.serve(request);
+        this.admit({id, req, res, body: Buffer.concat(chunks)});
       }
     });
   }
 
+  /** Runs so many requests at once as there are slots, and queues a few. */
+  admit(request) {
+    const {id, res} = request;
+    if (this.running >= SLOTS && this.queue.length >= QUEUE) {
+      res.writeHead(503, {'Attempt-Id': id, 'Not-Executed': '1'});
+      res.end();
+      return;
+    }
+    res.once('close', () => this.leave(request));
+    this.queue.push(request);
+    this.runNext();
+  }
+
+  runNext() {
+    if (this.running >= SLOTS || this.queue.length === 0) return;
+    const request = this.queue.shift();
+    this.running++;
+    request.hasRun = true;
+    this.onRun(request);
+    this.serve(request);
+  }
+
+  leave(request) {
+    if (request.hasRun) this.running--;
+    else this.queue.splice(this.queue.indexOf(request), 1);
+    this.runNext();
+  }
+
   stop() {
     clearInterval(this.timer);
     this.server?.closeAllConnections();
@@ -269,7 +313,9 @@
       route('stock', '/stock/', 'safe'),
       route('orders', '/orders/', 'unsafe'),
     ],
-    services: [{name: 'desk', health_check: '/healthz', max_connections: 110}],
+    services: [
+      {name: 'desk', health_check: '/healthz', max_connections: MAX_CHANNELS},
+    ],
     limits: {
       max_header_bytes: 16_384,
       max_body_bytes: 4_194_304,
