--- a/src/adapters/bounded-socket.ts
+++ b/src/adapters/bounded-socket.ts
@@ -4,6 +4,8 @@
 
 import type {TimerHandle} from '../core/clock/index.js';
 import {scheduleTimer} from '../core/clock/index.js';
+import type {MemoryBudget, MemoryShare} from '../core/bytes/index.js';
+import {KeptLines} from './kept-lines.js';
 
 /** Most bytes that a socket hands over in one turn of the event loop. */
 export const MAX_BYTES_PER_TURN = 32 * 1024;
@@ -14,6 +16,18 @@
 /** Why a connection was closed that brought more than was allowed. */
 export const TOO_MANY_BYTES_DETAIL = 'more bytes than a response may take';
 
+/** Why a connection was closed that brought too many header lines. */
+export const TOO_MANY_LINES_DETAIL = 'more lines than a response may have';
+
+/** Why a connection was closed whose header lines found no memory. */
+export const NO_LINE_MEMORY_DETAIL = 'no memory for the lines of a response';
+
+/** Why a connection was closed whose response did not begin properly. */
+export const SLOW_HEAD_DETAIL = 'the head of a response did not end in time';
+
+/** Time from the first bytes of a head to its end, in milliseconds. */
+export const HEAD_TIMEOUT_MS = 3_000;
+
 /**
  * Bytes that reach a peer at once when a connection is new. A peer that closes
  * its connection after fewer has received the whole request.
@@ -47,6 +61,11 @@
  * Each write starts a new response with the whole allowance. `grant` extends
  * it for bytes that turned out to be useful, and `revoke` ends it.
  *
+ * A parser keeps each header line as objects that take far more memory than its
+ * bytes, so lines are counted as well, and their memory can be reserved. The
+ * client above tells where heads, bodies and responses end. A head that is under
+ * way has a time limit.
+ *
  * The end of the connection may be the end of a response, so `end` is emitted
  * only if the peer ended it in order: after the last byte of the request was
  * written, and with no reset. Node.js reports a reset as an end where it comes
@@ -70,11 +89,19 @@
   /** When the last large write was known to be unfinished. */
   private lastLargeWriteMs = Number.NEGATIVE_INFINITY;
   private endTimer?: TimerHandle;
+  private readonly lines = new KeptLines();
+  private readonly lineMemory?: MemoryShare;
+  private hasHeadEnded = false;
+  /** Whether the parser has got bytes of a head that has not ended. */
+  private isHeadUnderWay = false;
+  private headTimer?: TimerHandle;
 
   constructor(
     private readonly limits: {
       /** Bytes that may be read after each write, before any `grant`. */
       responseBytes: number;
+      /** Where the memory of header lines is reserved; by default nowhere. */
+      memory?: MemoryBudget;
     },
   ) {
     super({
@@ -83,13 +110,41 @@
       allowHalfOpen: true,
     } as SocketConstructorOpts);
     this.leftBytes = limits.responseBytes;
+    this.lineMemory = limits.memory?.open();
     this.on('drain', () => this.recordLargeWrite());
     this.once('close', () => {
       clearImmediate(this.continuation);
       this.endTimer?.cancel();
+      this.endResponse();
     });
   }
 
+  /** Records the end of an informational head with so many fields. */
+  endInformational(fields: number): void {
+    this.lines.removeInformational(fields);
+    this.endHeadTimer();
+  }
+
+  /** Records the end of the final head, with so many fields. */
+  endHead(fields: number): void {
+    this.hasHeadEnded = true;
+    this.lines.endHead(fields);
+    this.endHeadTimer();
+  }
+
+  /** Records that a piece of a body was read, whose lines nobody keeps. */
+  recordBody(piece: Uint8Array): void {
+    this.lines.removeBody(piece);
+  }
+
+  /** Records the end of a response; the next bytes are those of another. */
+  endResponse(): void {
+    this.hasHeadEnded = false;
+    this.lines.reset();
+    this.lineMemory?.release();
+    this.endHeadTimer();
+  }
+
   /** Allows more bytes of the present response. */
   grant(bytes: number): void {
     this.leftBytes += bytes;
@@ -114,6 +169,7 @@
   override read(size?: number): Buffer | null {
     if (size !== undefined) return super.read(size) as Buffer | null;
     this.isParserPaused = false;
+    if (!this.mayKeepLines()) return null;
     const waiting = this.readableLength;
     if (waiting === 0) {
       if (this.isEndHeld) this.emitHeldEnd();
@@ -131,13 +187,14 @@
     }
     this.leftInTurn -= slice;
     this.leftBytes -= slice;
-    return super.read(slice) as Buffer | null;
+    return this.countLines(super.read(slice) as Buffer | null);
   }
 
   /** Takes back bytes that the parser has not used, as it is paused. */
   override unshift(chunk: Buffer): void {
     this.isParserPaused = true;
     this.leftBytes += chunk.length;
+    this.lines.remove(chunk);
     super.unshift(chunk);
   }
 
@@ -147,6 +204,38 @@
     return true;
   }
 
+  private countLines(slice: Buffer | null): Buffer | null {
+    if (slice === null) return null;
+    this.lines.add(slice);
+    this.isHeadUnderWay = !this.hasHeadEnded;
+    return slice;
+  }
+
+  /**
+   * Closes the connection if the parser keeps too much of what it got. It reads
+   * again as soon as it has parsed a slice, and only then is known how many of
+   * the lines were of a body.
+   */
+  private mayKeepLines(): boolean {
+    if (this.lines.areTooMany) {
+      this.destroy(new Error(TOO_MANY_LINES_DETAIL));
+    } else if (this.lineMemory?.resize(this.lines.memoryBytes) === false) {
+      this.destroy(new Error(NO_LINE_MEMORY_DETAIL));
+    } else if (this.isHeadUnderWay && !this.destroyed) {
+      this.headTimer ??= scheduleTimer({
+        delayMs: HEAD_TIMEOUT_MS,
+        run: () => this.destroy(new Error(SLOW_HEAD_DETAIL)),
+      });
+    }
+    return !this.destroyed;
+  }
+
+  private endHeadTimer(): void {
+    this.isHeadUnderWay = false;
+    this.headTimer?.cancel();
+    this.headTimer = undefined;
+  }
+
   /** Emits the end, holds it back, or closes a connection that has broken. */
   private examineEnd(): void {
     if (this.destroyed) return;
--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -1,12 +1,13 @@
 /** HTTP calls with a timeout, which return failures as values. */
 import {ResultAsync} from 'neverthrow';
 import type {Dispatcher} from 'undici';
-import {Agent, request} from 'undici';
+import {Agent, Pool, request} from 'undici';
 
 import {scheduleTimer} from '../core/clock/index.js';
 import {ByteBuffer} from '../core/bytes/index.js';
 import type {HeaderField} from '../core/edges/index.js';
-import {createConnector} from './http-connector.js';
+import type {MemoryBudget} from '../core/bytes/index.js';
+import {BoundedClient} from './bounded-client.js';
 
 /** Time to open a connection, in milliseconds. */
 export const CONNECT_TIMEOUT_MS = 1_000;
@@ -116,16 +117,21 @@
    * DEFAULT_RESPONSE_BYTES by default.
    */
   responseBytes?: number;
+  /** Where the memory of header lines is reserved; by default nowhere. */
+  memory?: MemoryBudget;
 }): Dispatcher {
-  return new Agent({
-    connect: createConnector({
-      timeoutMs: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+  const createClient = (origin: string | URL) =>
+    new BoundedClient(origin, {
+      connectTimeoutMs: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
       responseBytes: options.responseBytes ?? DEFAULT_RESPONSE_BYTES,
-    }),
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    // With pipelining 0, undici opens a new connection for each call.
-    pipelining: options.keepsAlive ? 1 : 0,
+      memory: options.memory,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      // With pipelining 0, undici opens a new connection for each call.
+      pipelining: options.keepsAlive ? 1 : 0,
+    });
+  return new Agent({
+    factory: (origin) => new Pool(origin, {factory: createClient}),
   });
 }
 
--- a/src/adapters/http-connector.ts
+++ b/src/adapters/http-connector.ts
@@ -1,6 +1,7 @@
 /** Opens connections whose responses are bounded and whose resets fail. */
 import {buildConnector, errors} from 'undici';
 
+import type {MemoryBudget} from '../core/bytes/index.js';
 import {scheduleTimer} from '../core/clock/index.js';
 import {BoundedSocket} from './bounded-socket.js';
 
@@ -22,6 +23,8 @@
   readonly timeoutMs: number;
   /** Bytes that one response may take on the connection, before grants. */
   readonly responseBytes: number;
+  /** Where the memory of header lines is reserved; by default nowhere. */
+  readonly memory?: MemoryBudget;
   /** Called with each socket once it is connected. */
   readonly onConnected?: (socket: BoundedSocket) => void;
 }
@@ -40,7 +43,7 @@
 export function createConnector(
   options: ConnectorOptions,
 ): buildConnector.connector {
-  const {timeoutMs, responseBytes, onConnected} = options;
+  const {timeoutMs, responseBytes, memory, onConnected} = options;
   const connectTls = buildConnector({timeout: timeoutMs});
   return (target, callback) => {
     if (target.protocol === TLS_PROTOCOL) {
@@ -48,7 +51,7 @@
       return;
     }
     const {hostname, port} = target;
-    const socket = new BoundedSocket({responseBytes});
+    const socket = new BoundedSocket({responseBytes, memory});
     const timer = scheduleTimer({
       delayMs: timeoutMs,
       run: () => socket.destroy(new errors.ConnectTimeoutError()),
--- a/src/daemon/run-direct.ts
+++ b/src/daemon/run-direct.ts
@@ -184,12 +184,6 @@
     logger,
     supervisor,
   });
-  const edges = createPlatformEdges({
-    url: settings.storeUrl,
-    metrics,
-    supervisor,
-    relay: (kind) => relay.relayed(kind),
-  });
   const garbage = new GarbageBound({
     memory: new V8Buffers(),
     allowedBytes: garbageBytes(settings),
@@ -199,6 +193,13 @@
     limitBytes: messageMemoryBytes(settings),
     onLargeRead: (bytes) => garbage.recordRead(bytes),
   });
+  const edges = createPlatformEdges({
+    url: settings.storeUrl,
+    metrics,
+    supervisor,
+    memory,
+    relay: (kind) => relay.relayed(kind),
+  });
   const entry = new DirectProcess({
     ...edges,
     memory,
--- a/test/adapters/early-responses.test.ts
+++ b/test/adapters/early-responses.test.ts
@@ -9,23 +9,20 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {StoreObjectKind} from '../../platform/names.js';
-import {StoreSource, StoreWriter} from '../../platform/store-client.js';
-import {TargetClient} from '../../platform/target-client.js';
-import {HttpEngineDriver, HttpServiceDriver} from '../../src/adapters/index.js';
-import type {Exchange} from '../../src/core/edges/direct-target.js';
-import {Metrics} from '../../src/core/metrics/index.js';
-import type {TargetRecord} from '../../src/core/targets/index.js';
+import {StoreWriter} from '../../platform/store-client.js';
 import {
   BROKEN_RESPONSES,
   EarlyResponse,
   INVALID_STATUSES,
   sendEarlyResponse,
 } from '../../stand-ins/site/early-response.js';
-import {createSpec} from '../support/generation.js';
-import {silentSupervisor} from '../support/supervisor.js';
-
-/** Longer than any row needs. */
-const TIMEOUT_MS = 8_000;
+import type {OutgoingCall} from '../support/outgoing-calls.js';
+import {
+  callService,
+  exchange,
+  metrics,
+  SMALL_CALLS,
+} from '../support/outgoing-calls.js';
 
 /** How often a row is played, as its outcome may be a race. */
 const PLAYS = 5;
@@ -50,23 +47,7 @@
   at: 1,
 });
 
-const ATTEMPT = {name: 'Attempt-Id', value: 'a-1'};
-
-const timeoutMs = TIMEOUT_MS;
-
-const metrics = new Metrics();
-
-const targets = new TargetClient({supervisor: silentSupervisor()});
-
-/** Makes a call; returns whether it got a complete response. */
-type Call = (address: string) => Promise<boolean>;
-
-interface Caller {
-  readonly what: string;
-  readonly call: Call;
-}
-
-const UPLOADS: readonly Caller[] = [LARGE_BYTES, MEDIUM_BYTES].flatMap(
+const UPLOADS: readonly OutgoingCall[] = [LARGE_BYTES, MEDIUM_BYTES].flatMap(
   (bytes) => [
     {
       what: `an unsafe request of ${bytes} bytes`,
@@ -88,50 +69,6 @@
   ],
 );
 
-const SMALL_CALLS: readonly Caller[] = [
-  {what: 'a safe request', call: (address) => exchange(address, 0)},
-  {what: 'a call through an agent', call: (address) => callService(address, 0)},
-  {
-    what: 'a load report',
-    call: async (address) =>
-      (await targets.queryLoad(recordOf(address), timeoutMs)).isOk(),
-  },
-  {
-    what: 'a health check',
-    call: async (address) => {
-      const target = recordOf(address);
-      return (await targets.probeHealth({target, path: '/', timeoutMs})).isOk();
-    },
-  },
-  {
-    what: 'a copy of a KV cache',
-    call: async (address) => {
-      const source = recordOf(address);
-      const copy = {source, attemptId: 'a', destination: 'i-2'};
-      return (await targets.copyKvCache(copy)).isOk();
-    },
-  },
-  {
-    what: 'a probe of an agent',
-    call: async (address) => {
-      const driver = new HttpServiceDriver({baseUrl: `http://${address}`});
-      return (await driver.probe({timeoutMs})).isOk();
-    },
-  },
-  {
-    what: 'a list of the store',
-    call: async (address) => (await sourceOf(address).list()).isOk(),
-  },
-  {
-    what: 'a watch of the store',
-    call: async (address) => {
-      const query = {since: 1, waitMs: timeoutMs};
-      return (await sourceOf(address).waitForChanges(query)).isOk();
-    },
-  },
-  {what: 'a generation of an agent', call: generate},
-];
-
 const CALLERS = [...UPLOADS, ...SMALL_CALLS];
 
 describe('an early response', () => {
@@ -160,7 +97,7 @@
     server.close();
   });
 
-  async function play({call}: Caller): Promise<number> {
+  async function play({call}: OutgoingCall): Promise<number> {
     let whole = 0;
     for (let i = 0; i < PLAYS; i++) if (await call(address)) whole++;
     return whole;
@@ -216,83 +153,3 @@
     },
   );
 });
-
-/** Sends a request as an entry on the platform does. */
-function exchange(
-  address: string,
-  bytes: number,
-  {pauseMs}: {pauseMs?: number} = {},
-): Promise<boolean> {
-  return new Promise((resolve) => {
-    let hasPaused = false;
-    const pause = (ms: number) => {
-      hasPaused = true;
-      sent.pause();
-      setTimeout(() => sent.resume(), ms);
-    };
-    const sent: Exchange = targets.send({
-      target: recordOf(address),
-      maxConnections: 20,
-      req: {
-        attemptId: ATTEMPT.value,
-        method: bytes > 0 ? 'POST' : 'GET',
-        path: '/',
-        headers: [ATTEMPT],
-        body: new Uint8Array(bytes),
-        leftMs: timeoutMs,
-      },
-      listener: {
-        onNotice: () => undefined,
-        onHead: () => undefined,
-        onData: () => {
-          if (pauseMs !== undefined && !hasPaused) pause(pauseMs);
-        },
-        onComplete: () => resolve(true),
-        onFailure: () => resolve(false),
-      },
-    });
-  });
-}
-
-/** Makes a plain call as an agent does. */
-async function callService(address: string, bytes: number): Promise<boolean> {
-  const driver = new HttpServiceDriver({baseUrl: `http://${address}`});
-  const method = bytes > 0 ? 'POST' : 'GET';
-  const body = new Uint8Array(bytes);
-  const req = {method, path: '/', headers: [], body};
-  return (await driver.call({req, timeoutMs})).isOk();
-}
-
-/** Returns whether a generation ends other than with its loss. */
-function generate(address: string): Promise<boolean> {
-  const driver = new HttpEngineDriver({baseUrl: `http://${address}`});
-  return new Promise((resolve) => {
-    driver.generate({
-      requestId: 'r',
-      spec: createSpec({}),
-      resumeFrom: [],
-      sink: {
-        onTokens: () => resolve(true),
-        onFinish: () => resolve(true),
-        onFailure: () => resolve(false),
-      },
-    });
-  });
-}
-
-function sourceOf(address: string): StoreSource {
-  const kind = StoreObjectKind.CONFIG;
-  return new StoreSource({url: `http://${address}`, kind, metrics});
-}
-
-function recordOf(address: string): TargetRecord {
-  return {
-    id: 'i-1',
-    service: 'desk',
-    dataCentre: 'a',
-    address,
-    isDraining: false,
-    startedAtMs: 1,
-    slots: 8,
-  };
-}
--- a/test/support/direct-entry.ts
+++ b/test/support/direct-entry.ts
@@ -102,6 +102,7 @@
       url: storeUrl,
       metrics,
       supervisor,
+      memory,
       relay: (kind) => this.relay.relayed(kind),
     });
     this.edges = options.wrapEdges?.(edges) ?? edges;
