--- a/src/core/generation/fingerprint.ts
+++ b/src/core/generation/fingerprint.ts
@@ -2,7 +2,7 @@
 import {createHash} from 'node:crypto';
 
 /** Number of hexadecimal digits of a fingerprint. */
-const FINGERPRINT_CHARS = 32;
+export const FINGERPRINT_CHARS = 32;
 
 /**
  * Returns a hash of the content of a request, for one client account. The
--- a/src/core/poison/loss-ledger.ts
+++ b/src/core/poison/loss-ledger.ts
@@ -14,11 +14,14 @@
   PartLoss,
   RecordedLoss,
   RecordedLosses,
+  RecordedPrompt,
 } from './recorded-losses.js';
 import type {Loss} from './loss-table.js';
-import {LossTable} from './loss-table.js';
+import {LossTable, MAX_PROMPTS} from './loss-table.js';
 import {OutageCounts} from './outage-counts.js';
 import {RunningIncarnations} from './running-incarnations.js';
+import {PromptDigest} from './prompt-digest.js';
+import type {PartSuspect} from './suspects.js';
 import {isPromptPart} from './suspects.js';
 
 /**
@@ -94,6 +97,28 @@
     this.putOwn(loss, false);
   }
 
+  /**
+   * Records the parts of the prompt of a request that are not recorded one by
+   * one. Its losses, which must be recorded before, count against each of them.
+   */
+  recordPrompt(request: string, parts: readonly PartSuspect[]): void {
+    const keys = parts.map(({key}) => key);
+    this.ownLosses.putPrompt(request, PromptDigest.of(keys));
+  }
+
+  /** Records the losses of a request against one of its parts as well. */
+  namePart(request: string, {key, position}: PartSuspect): void {
+    const part = {by: request, position};
+    for (const loss of this.ownLosses.lossesOf(request).values())
+      this.ownLosses.put({...loss, suspect: key, part});
+  }
+
+  /** Removes from a part what `namePart` has recorded. */
+  unnamePart(request: string, key: string): void {
+    for (const {incarnation, part} of this.ownLosses.lossesOf(key).values())
+      if (part?.by === request) this.dismiss({suspect: key, incarnation});
+  }
+
   /** Confirms a loss after its diagnosis: no other cause was found. */
   confirm(key: LossKey): void {
     const loss = this.ownLosses.lossesOf(key.suspect).get(key.incarnation);
@@ -159,6 +184,7 @@
         part: recordedLoss.part,
       });
     }
+    putPrompts(table, recorded.prompts);
     if (table.isEmpty) this.otherLosses.delete(entry);
     else this.otherLosses.set(entry, table);
     this.othersServed.set(entry, new Set(recorded.harmless));
@@ -175,6 +201,22 @@
     return new Set([...this.ownLosses.all()].map(({suspect}) => suspect));
   }
 
+  /** Whether this entry holds losses of a suspect. */
+  hasOwnLosses(suspect: string): boolean {
+    return this.ownLosses.lossesOf(suspect).size > 0;
+  }
+
+  /** The prompt parts of which any entry has recorded losses. */
+  partSuspects(): ReadonlySet<string> {
+    const parts = new Set<string>();
+    for (const table of this.tables())
+      for (const suspect of table.suspects)
+        if (isPromptPart(suspect)) parts.add(suspect);
+    for (const suspect of this.alerts.suspects)
+      if (isPromptPart(suspect)) parts.add(suspect);
+    return parts;
+  }
+
   /** Returns what an alert tells the other entries of a suspect. */
   toAlert(suspect: string): RecordedLosses {
     const merged = new Map<string, RecordedLoss>();
@@ -199,6 +241,7 @@
       // Nobody can diagnose the cause any more, so the loss counts.
       this.putOwn({suspect, incarnation, part}, true);
     }
+    putPrompts(this.ownLosses, recorded.prompts);
     for (const suspect of recorded.harmless) this.ownServed.add(suspect);
   }
 
@@ -220,7 +263,24 @@
     const losses = [...this.ownLosses.all()]
       .filter((loss) => this.isFresh(loss))
       .map(toRecordedLoss);
-    return {losses, harmless: [...this.ownServed]};
+    const prompts = this.toRecordedPrompts();
+    return {
+      losses,
+      ...(prompts.length > 0 ? {prompts} : {}),
+      harmless: [...this.ownServed],
+    };
+  }
+
+  /** The prompts whose requests have losses that are not explained. */
+  private toRecordedPrompts(): RecordedPrompt[] {
+    const {ownLosses} = this;
+    return [...ownLosses.prompts]
+      .filter(([request]) =>
+        [...ownLosses.lossesOf(request).values()].some((loss) =>
+          this.isCounted(loss),
+        ),
+      )
+      .map(([request, digest]) => ({request, parts: digest.encode()}));
   }
 
   /**
@@ -341,9 +401,13 @@
 
   /** The losses of a suspect that count, over all entries. */
   private *lossesOf(suspect: string): Iterable<Loss> {
+    const isPart = isPromptPart(suspect);
     for (const table of this.tables()) {
       for (const loss of table.lossesOf(suspect).values())
         if (this.isCounted(loss)) yield loss;
+      if (!isPart) continue;
+      for (const loss of table.promptLossesOf(suspect))
+        if (this.isCounted(loss)) yield loss;
     }
     for (const loss of this.alerts.lossesOf(suspect))
       if (this.isCounted(loss)) yield loss;
@@ -394,6 +458,14 @@
   }
 }
 
+/** Adds what an entry has recorded of prompts; a few of them, at most. */
+function putPrompts(table: LossTable, prompts: RecordedPrompt[] = []): void {
+  for (const {request, parts} of prompts.slice(-MAX_PROMPTS)) {
+    const digest = PromptDigest.decode(parts);
+    if (digest !== undefined) table.putPrompt(request, digest);
+  }
+}
+
 function toRecordedLoss(loss: Loss): RecordedLoss {
   const {suspect, incarnation, isSettled, part} = loss;
   return {request: suspect, life: incarnation, isSettled, part};
--- a/src/core/poison/loss-table.ts
+++ b/src/core/poison/loss-table.ts
@@ -1,5 +1,6 @@
 /** Losses that one entry recorded, by suspect and target incarnation. */
 import {dropOldest} from './drop-oldest.js';
+import type {PromptDigest} from './prompt-digest.js';
 import type {PartLoss} from './recorded-losses.js';
 
 /** A target that was lost while it ran a suspect. */
@@ -19,6 +20,9 @@
 /** Maximum suspects in the table; the oldest are dropped first. */
 const MAX_SUSPECTS = 4_096;
 
+/** Most digests of prompts in the table; the oldest are dropped first. */
+export const MAX_PROMPTS = 8;
+
 const NONE: ReadonlyMap<string, Loss> = new Map();
 
 /**
@@ -31,6 +35,8 @@
  */
 export class LossTable {
   private readonly bySuspect = new Map<string, Map<string, Loss>>();
+  /** Digests of the prompts of lost requests, by request. */
+  private readonly digests = new Map<string, PromptDigest>();
 
   get isEmpty(): boolean {
     return this.bySuspect.size === 0;
@@ -41,6 +47,35 @@
     return this.bySuspect.get(suspect) ?? NONE;
   }
 
+  /** The suspects of which there are losses. */
+  get suspects(): Iterable<string> {
+    return this.bySuspect.keys();
+  }
+
+  /** Digests of the prompts of lost requests, by request. */
+  get prompts(): ReadonlyMap<string, PromptDigest> {
+    return this.digests;
+  }
+
+  /** Adds or replaces the digest of the prompt of a lost request. */
+  putPrompt(request: string, digest: PromptDigest): void {
+    this.digests.delete(request);
+    this.digests.set(request, digest);
+    dropOldest({entries: this.digests, maxSize: MAX_PROMPTS});
+  }
+
+  /**
+   * The losses of a prompt part that are not recorded one by one: those of the
+   * requests whose prompts have it.
+   */
+  *promptLossesOf(part: string): Iterable<Loss> {
+    for (const [request, digest] of this.digests) {
+      if (!digest.has(part)) continue;
+      for (const loss of this.lossesOf(request).values())
+        yield {...loss, suspect: part, part: {by: request, position: 0}};
+    }
+  }
+
   /** Adds or replaces a loss. */
   put(loss: Loss): void {
     const {suspect, incarnation} = loss;
@@ -55,11 +90,12 @@
   remove({suspect, incarnation}: {suspect: string; incarnation: string}): void {
     const losses = this.bySuspect.get(suspect);
     losses?.delete(incarnation);
-    if (losses?.size === 0) this.bySuspect.delete(suspect);
+    if (losses?.size === 0) this.removeAll(suspect);
   }
 
   removeAll(suspect: string): void {
     this.bySuspect.delete(suspect);
+    this.digests.delete(suspect);
   }
 
   *all(): Iterable<Loss> {
--- a/src/core/poison/quarantine.ts
+++ b/src/core/poison/quarantine.ts
@@ -3,6 +3,7 @@
 import type {GetType} from 'purify-ts';
 
 import {dropOldest} from './drop-oldest.js';
+import {isPromptPart} from './suspects.js';
 
 /** Maximum quarantined requests; the oldest are dropped first. */
 export const MAX_QUARANTINED = 10_000;
@@ -29,6 +30,7 @@
  */
 export class Quarantine {
   private readonly records = new Map<string, QuarantineRecord>();
+  private readonly parts = new Set<string>();
   private readonly listeners = new Set<
     (fingerprint: string, record: QuarantineRecord) => void
   >();
@@ -42,6 +44,11 @@
     return this.records.has(fingerprint);
   }
 
+  /** The keys of prompt parts among them. */
+  get promptParts(): ReadonlySet<string> {
+    return this.parts;
+  }
+
   /** The record of a quarantined request. */
   recordOf(fingerprint: string): QuarantineRecord | undefined {
     return this.records.get(fingerprint);
@@ -53,11 +60,14 @@
     if (this.records.has(fingerprint)) return;
     this.records.set(fingerprint, record);
     dropOldest({entries: this.records, maxSize: MAX_QUARANTINED});
+    if (isPromptPart(fingerprint)) this.parts.add(fingerprint);
+    dropOldest({entries: this.parts, maxSize: MAX_QUARANTINED});
     for (const listener of [...this.listeners]) listener(fingerprint, record);
   }
 
   /** Removes a request after operators have deleted its object. */
   remove(fingerprint: string): void {
+    this.parts.delete(fingerprint);
     if (!this.records.delete(fingerprint)) return;
     for (const listener of [...this.removalListeners]) listener(fingerprint);
   }
--- a/src/core/poison/recorded-losses.ts
+++ b/src/core/poison/recorded-losses.ts
@@ -21,9 +21,19 @@
   readonly part?: PartLoss;
 }
 
+/** The prompt of a lost request that has many parts. */
+export interface RecordedPrompt {
+  /** Fingerprint of the request. */
+  readonly request: string;
+  /** Digest of the parts that may have crashed its targets, in Base64. */
+  readonly parts: string;
+}
+
 /** What one entry has recorded. */
 export interface RecordedLosses {
   readonly losses: RecordedLoss[];
+  /** Prompts with more parts than losses are recorded for; none by default. */
+  readonly prompts?: RecordedPrompt[];
   /**
    * Requests and prompt parts that this entry served although other entries had
    * recorded losses of them.
@@ -43,8 +53,14 @@
   part: optional(PART_LOSS),
 });
 
+const RECORDED_PROMPT: Codec<RecordedPrompt> = Codec.interface({
+  request: string,
+  parts: string,
+});
+
 /** Codec of the stored object of one entry, which the entry's VM names. */
 export const RECORDED_LOSSES = Codec.interface({
   losses: array(RECORDED_LOSS),
+  prompts: optional(array(RECORDED_PROMPT)),
   harmless: array(string),
 });
--- a/src/core/poison/suspects.ts
+++ b/src/core/poison/suspects.ts
@@ -8,8 +8,8 @@
 /** Ids that can be part of the name of a stored object. */
 const PLAIN_ID = /^[0-9a-z]{1,64}$/i;
 
-/** Most parts of a prompt that are suspects; shared parts come first. */
-const MAX_PARTS = 16;
+/** Most parts of a prompt whose losses are recorded one by one. */
+export const MAX_NAMED_PARTS = 16;
 
 /** A prompt part of a request that may crash targets. */
 export interface PartSuspect {
@@ -31,7 +31,7 @@
 }
 
 /**
- * Returns the suspects among the parts of a prompt.
+ * Returns the suspects among the parts of a prompt, however many there are.
  *
  * @example
  * toPartSuspects([{id: '5c1e', tokens: 800}, {id: '91bd', tokens: 40}]);
@@ -39,9 +39,9 @@
 export function toPartSuspects(
   promptParts: readonly PromptPart[],
 ): PartSuspect[] {
-  const shared = promptParts.slice(0, -1).slice(0, MAX_PARTS);
-  return shared
-    .map(({id}, position) => ({key: partKeyOf(id), position}))
+  return promptParts
+    .slice(0, -1)
+    .map(({id}, position) => ({key: PART_PREFIX + namePart(id), position}))
     .reverse();
 }
 
@@ -55,10 +55,24 @@
   return suspect.startsWith(PART_PREFIX);
 }
 
-/** Parts are identified by content, so accounts do not matter. */
-function partKeyOf(id: string): string {
-  const name = PLAIN_ID.test(id)
-    ? id
-    : fingerprintOf({clientAccount: '', parts: [id]});
-  return PART_PREFIX + name;
+/**
+ * Returns what distinguishes the key of a prompt part from those of others.
+ *
+ * @example
+ * toPartName(keyOfPart); // '5c1e'
+ */
+export function toPartName(key: string): string {
+  return key.slice(PART_PREFIX.length);
+}
+
+/**
+ * Names a part by its id. Parts are identified by content, so accounts do not
+ * matter.
+ *
+ * @example
+ * namePart('5c1e'); // '5c1e'
+ */
+export function namePart(id: string): string {
+  if (PLAIN_ID.test(id)) return id;
+  return fingerprintOf({clientAccount: '', parts: [id]});
 }
--- a/src/direct/poison/loss-diagnosis.ts
+++ b/src/direct/poison/loss-diagnosis.ts
@@ -22,6 +22,7 @@
   IN_FLIGHT_DATA_MS,
 } from '../consts.js';
 import type {Prober} from '../prober.js';
+import {LostPrompts} from './lost-prompts.js';
 
 /** Most suspects whose attributed losses are kept; the oldest are dropped. */
 const MAX_ATTRIBUTED_SUSPECTS = 4_096;
@@ -75,6 +76,8 @@
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly supervisor: Supervisor;
+  /** Whether this entry knows a prompt part to be harmless. */
+  readonly hasServed: (part: string) => boolean;
   /** Called when a target is lost, before the diagnosis. */
   readonly onLost: () => void;
   /** Called when the losses to share with other entries have changed. */
@@ -106,8 +109,14 @@
   private readonly attributed = new Map<string, AttributedLosses>();
   /** Requests recently withdrawn before their targets had finished them. */
   private readonly withdrawn = new Set<RequestLoss>();
+  private readonly lostPrompts: LostPrompts;
 
-  constructor(private readonly options: LossDiagnosisOptions) {}
+  constructor(private readonly options: LossDiagnosisOptions) {
+    this.lostPrompts = new LostPrompts({
+      ...options,
+      onNamed: (request, part) => this.attributeLike(request, part),
+    });
+  }
 
   /** Whether no loss is under diagnosis, watched or attributed. */
   get isIdle(): boolean {
@@ -117,13 +126,13 @@
   }
 
   /** Starts the diagnosis of a target lost while it may have run a request. */
-  diagnose(loss: RequestLoss): void {
+  diagnose(lost: RequestLoss): void {
     const {ledger} = this.options;
-    const {suspects, target} = loss;
-    const {request} = suspects;
-    const key = `${request} ${incarnationOf(target.record)}`;
-    if (this.diagnoses.has(key) || this.isAttributed(loss)) return;
-    this.recordLoss(loss);
+    const {request} = lost.suspects;
+    const key = `${request} ${incarnationOf(lost.target.record)}`;
+    if (this.diagnoses.has(key) || this.isAttributed(lost)) return;
+    const loss = this.recordLoss(lost);
+    const {suspects} = loss;
     this.log('target lost during request, diagnosis started', loss, {
       held: ledger.incarnationsOf(request).size,
       promptParts: loss.promptParts.slice(0, MAX_LOGGED_PARTS).join(','),
@@ -183,6 +192,11 @@
     return true;
   }
 
+  /** Chooses the suspects of long prompts, after other entries' losses. */
+  chooseSuspects(): void {
+    this.lostPrompts.chooseAgain();
+  }
+
   /** Whether this entry has attributed losses to a suspect. */
   hasAttributed(suspect: string): boolean {
     return this.attributed.has(suspect);
@@ -213,8 +227,7 @@
     const hasEnded =
       !targets.isCurrent(target) && target.lastSeenAtMs < withdrawnAtMs;
     if (!hasEnded || !this.withdrawn.has(loss)) return;
-    this.recordLoss(loss);
-    this.recordCause(loss, LossCause.UNEXPLAINED);
+    this.recordCause(this.recordLoss(loss), LossCause.UNEXPLAINED);
   }
 
   private async awaitDiagnoses(suspect: string): Promise<void> {
@@ -224,15 +237,19 @@
     await Promise.all(pending.map(({done}) => done));
   }
 
-  private recordLoss({suspects, target}: RequestLoss): void {
+  /** Records a loss; returns it with the suspects that are recorded. */
+  private recordLoss(loss: RequestLoss): RequestLoss {
     const {ledger} = this.options;
+    const suspects = this.lostPrompts.suspectsOf(loss.suspects);
     const {request, promptParts} = suspects;
-    const incarnation = incarnationOf(target.record);
+    const incarnation = incarnationOf(loss.target.record);
     ledger.recordLoss({suspect: request, incarnation});
     for (const {key, position} of promptParts) {
       const part = {by: request, position};
       ledger.recordLoss({suspect: key, incarnation, part});
     }
+    this.lostPrompts.record(suspects);
+    return {...loss, suspects};
   }
 
   private async findCause(loss: RequestLoss): Promise<void> {
@@ -294,6 +311,16 @@
     dropOldest({entries: this.attributed, maxSize: MAX_ATTRIBUTED_SUSPECTS});
   }
 
+  /** Attributes to a part what is attributed to a request that has it. */
+  private attributeLike(request: string, part: string): void {
+    const known = this.attributed.get(request);
+    if (known === undefined) return;
+    const targets = this.attributed.get(part)?.targets ?? new Set<Target>();
+    for (const target of known.targets) targets.add(target);
+    this.attributed.set(part, {...known, targets});
+    dropOldest({entries: this.attributed, maxSize: MAX_ATTRIBUTED_SUSPECTS});
+  }
+
   /** Removes attributed losses whose targets turn out to be still running. */
   private async probeAttributed(suspect: string): Promise<void> {
     const {ledger, prober, clock, targets} = this.options;
--- a/src/direct/poison/loss-tracker.ts
+++ b/src/direct/poison/loss-tracker.ts
@@ -3,6 +3,7 @@
 import type {StateWriter} from '../../core/edges/state-writer.js';
 import type {StateSource} from '../../core/edges/state-source.js';
 import type {
+  PromptIndex,
   QuarantineRecord,
   RecordedLosses,
 } from '../../core/poison/index.js';
@@ -19,7 +20,7 @@
 /** Dependencies of the parts, except those that `LossTracker` creates. */
 export type LossTrackerOptions = Omit<
   LossDiagnosisOptions,
-  'ledger' | 'onLost' | 'onChanged' | 'raiseAlert' | 'syncLosses'
+  'ledger' | 'hasServed' | 'onLost' | 'onChanged' | 'raiseAlert' | 'syncLosses'
 > &
   Omit<LossSyncOptions, 'ledger' | 'onRead'> & {
     readonly alertWriter: StateWriter<RecordedLosses>;
@@ -59,6 +60,7 @@
     this.diagnosis = new LossDiagnosis({
       ...options,
       ledger: this.ledger,
+      hasServed: (part) => this.served.has(part),
       onLost: () => this.sync.refresh(),
       onChanged: () => this.sync.publish(),
       raiseAlert: (suspect) => this.raiseAlert(suspect),
@@ -67,7 +69,7 @@
     this.sync = new LossSync({
       ...options,
       ledger: this.ledger,
-      onRead: () => this.checkOwnSuspects(),
+      onRead: () => this.handleRead(),
     });
     this.followQuarantine();
   }
@@ -118,6 +120,19 @@
     supervisor.run({name: TaskName.ALERTS}, () => this.alerts.refute(suspect));
   }
 
+  /** Records that a target goes on writing a response to a long prompt. */
+  recordServedPrompt(prompt: PromptIndex): void {
+    this.served.addPrompt(prompt);
+    if (this.ledger.isEmpty) return;
+    for (const {key} of prompt.intersect(this.ledger.partSuspects()))
+      this.recordServed(key);
+  }
+
+  private handleRead(): void {
+    this.diagnosis.chooseSuspects();
+    this.checkOwnSuspects();
+  }
+
   private async raiseAlert(suspect: string): Promise<void> {
     const {clock} = this.options;
     const firstAtMs = await this.alerts.raise(suspect);
--- a/src/direct/poison/poison-detector.ts
+++ b/src/direct/poison/poison-detector.ts
@@ -1,7 +1,7 @@
 /** Detects whether a request crashes its targets. */
 import {fingerprintOf} from '../../core/generation/fingerprint.js';
-import type {PartSuspect, Suspects} from '../../core/poison/index.js';
-import {toPartSuspects} from '../../core/poison/index.js';
+import type {PartSuspect} from '../../core/poison/index.js';
+import {PromptIndex} from '../../core/poison/index.js';
 import type {Target} from '../../core/targets/index.js';
 import {FLUSH_TIMEOUT_MS} from '../consts.js';
 import type {DirectContext, DirectWork, RequestContext} from '../context.js';
@@ -27,7 +27,8 @@
   private readonly ctx: DirectContext;
   private readonly work: DirectWork;
   private readonly unsubscribe: () => void;
-  private cachedSuspects?: Suspects;
+  private readonly prompt: PromptIndex;
+  private cachedFingerprint?: string;
   private hasLostTarget = false;
 
   constructor(options: {
@@ -38,8 +39,10 @@
   }) {
     this.ctx = options.ctx;
     this.work = options.work;
-    const listener = options.ctx.boundary.guard((fingerprint: string) => {
-      if (this.suspectKeys().includes(fingerprint)) options.onPoison();
+    this.prompt = new PromptIndex(options.work.req.promptParts);
+    const listener = options.ctx.boundary.guard((suspect: string) => {
+      if (suspect === this.fingerprint || this.prompt.has(suspect))
+        options.onPoison();
     });
     this.unsubscribe = this.ctx.quarantine.subscribe(listener);
   }
@@ -48,7 +51,11 @@
   isPoison(): boolean {
     const {quarantine} = this.ctx;
     if (quarantine.isEmpty) return false;
-    return this.suspectKeys().some((key) => quarantine.has(key));
+    const {fingerprint, prompt} = this;
+    return (
+      quarantine.has(fingerprint) ||
+      prompt.intersect(quarantine.promptParts).length > 0
+    );
   }
 
   /** Whether the request must be diagnosed before it is sent. */
@@ -65,9 +72,15 @@
     return this.unservedKeys().some((key) => ledger.isSuspect(key));
   }
 
-  /** Identifies the request by its client account, path and body. */
+  /**
+   * Identifies the request by its client account, path and body, which a
+   * caller's retry repeats.
+   */
   get fingerprint(): string {
-    return this.suspects.request;
+    const {path, body} = this.work.req;
+    const {clientAccount} = this;
+    const parts = [path, body];
+    return (this.cachedFingerprint ??= fingerprintOf({clientAccount, parts}));
   }
 
   /** Records the loss of a target that may have run the request. */
@@ -87,14 +100,16 @@
 
   /** Records that one target served the whole request and still runs. */
   recordServed(): void {
-    this.ctx.lossTracker.recordServed(this.suspects.request);
+    this.ctx.lossTracker.recordServed(this.fingerprint);
     this.recordWriting();
   }
 
   /** Records that a target writes a response and has not crashed. */
   recordWriting(): void {
-    for (const {key} of this.suspects.promptParts)
-      this.ctx.lossTracker.recordServed(key);
+    const {lossTracker} = this.ctx;
+    if (this.prompt.isLong) lossTracker.recordServedPrompt(this.prompt);
+    else
+      for (const {key} of this.prompt.suspects) lossTracker.recordServed(key);
   }
 
   /**
@@ -130,11 +145,14 @@
   }
 
   private toLoss({target, startedMs}: TargetAttempt): RequestLoss {
-    const {work, clientAccount, suspects} = this;
+    const {work, clientAccount} = this;
     const {attemptId: id, promptParts} = work.req;
     return {
       id,
-      suspects: {...suspects, promptParts: this.unservedParts()},
+      suspects: {
+        request: this.fingerprint,
+        promptParts: this.withoutServed(this.prompt.suspects),
+      },
       clientAccount,
       promptParts: promptParts.map((part) => part.id),
       target,
@@ -146,31 +164,22 @@
     return this.work.admitted.account?.clientAccount ?? '';
   }
 
-  /** A caller's retry repeats the account, path and body. */
-  private get suspects(): Suspects {
-    const {clientAccount} = this;
-    const {path, body, promptParts} = this.work.req;
-    this.cachedSuspects ??= {
-      request: fingerprintOf({clientAccount, parts: [path, body]}),
-      promptParts: toPartSuspects(promptParts),
-    };
-    return this.cachedSuspects;
-  }
-
-  /** The parts of the prompt in reverse order, then the request itself. */
-  private suspectKeys(): string[] {
-    const {request, promptParts} = this.suspects;
-    return [...promptParts.map(({key}) => key), request];
-  }
-
-  /** The same without the parts that this entry knows to be harmless. */
+  /**
+   * The parts of the prompt in reverse order, then the request itself, without
+   * those that this entry knows to be harmless. Of a long prompt, only parts
+   * with losses are of interest.
+   */
   private unservedKeys(): string[] {
-    return [...this.unservedParts().map(({key}) => key), this.suspects.request];
+    const {prompt} = this;
+    const {ledger} = this.ctx.lossTracker;
+    const parts = prompt.isLong
+      ? prompt.intersect(ledger.partSuspects())
+      : prompt.suspects;
+    const unserved = this.withoutServed(parts);
+    return [...unserved.map(({key}) => key), this.fingerprint];
   }
 
-  private unservedParts(): PartSuspect[] {
-    return this.suspects.promptParts.filter(
-      ({key}) => !this.ctx.lossTracker.hasServed(key),
-    );
+  private withoutServed(parts: readonly PartSuspect[]): PartSuspect[] {
+    return parts.filter(({key}) => !this.ctx.lossTracker.hasServed(key));
   }
 }
--- a/test/direct/loss-verification.test.ts
+++ b/test/direct/loss-verification.test.ts
@@ -95,6 +95,7 @@
       ledger,
       quarantine: new Quarantine(),
       metrics: new Metrics(),
+      hasServed: () => false,
       onLost: () => undefined,
       onChanged: () => undefined,
       raiseAlert: () => Promise.resolve(),
