--- a/src/core/poison/loss-ledger.ts
+++ b/src/core/poison/loss-ledger.ts
@@ -18,6 +18,7 @@
 } from './recorded-losses.js';
 import type {Loss} from './loss-table.js';
 import {LossTable, MAX_PROMPTS} from './loss-table.js';
+import {LossTables} from './loss-tables.js';
 import {OutageCounts} from './outage-counts.js';
 import {RunningIncarnations} from './running-incarnations.js';
 import {PromptDigest} from './prompt-digest.js';
@@ -68,28 +69,27 @@
 export class LossLedger {
   /** Losses that alerts of other entries or of this one have told. */
   readonly alerts: AlertedLosses;
-  private readonly ownLosses = new LossTable();
-  private readonly otherLosses = new Map<string, LossTable>();
+  private readonly tables: LossTables;
   private readonly outages: OutageCounts;
   /** Suspects that this entry served and that others recorded losses of. */
   private readonly ownServed = new Set<string>();
   /** Suspects that other entries published as served, by entry. */
   private readonly othersServed = new Map<string, ReadonlySet<string>>();
   private readonly attributions = new Attributions({
-    wasLostWith: (...loss) => this.wasLostWith(...loss),
+    wasLostWith: (...loss) => this.tables.wasLostWith(...loss),
   });
   private readonly running: RunningIncarnations;
 
   constructor(private readonly options: {clock: Clock}) {
     this.alerts = new AlertedLosses(options);
+    this.tables = new LossTables({alerts: this.alerts});
     this.running = new RunningIncarnations(options);
     this.outages = new OutageCounts(options);
   }
 
   /** Whether no losses and no outages are recorded. */
   get isEmpty(): boolean {
-    const hasNone = this.ownLosses.isEmpty && this.alerts.isEmpty;
-    return hasNone && this.otherLosses.size === 0 && this.outages.isEmpty;
+    return this.tables.isEmpty && this.outages.isEmpty;
   }
 
   /** Records a lost target before the cause is diagnosed. */
@@ -103,31 +103,31 @@
    */
   recordPrompt(request: string, parts: readonly PartSuspect[]): void {
     const keys = parts.map(({key}) => key);
-    this.ownLosses.putPrompt(request, PromptDigest.of(keys));
+    this.tables.own.putPrompt(request, PromptDigest.of(keys));
   }
 
   /** Records the losses of a request against one of its parts as well. */
   namePart(request: string, {key, position}: PartSuspect): void {
     const part = {by: request, position};
-    for (const loss of this.ownLosses.lossesOf(request).values())
-      this.ownLosses.put({...loss, suspect: key, part});
+    for (const loss of this.tables.own.lossesOf(request).values())
+      this.tables.own.put({...loss, suspect: key, part});
   }
 
   /** Removes from a part what `namePart` has recorded. */
   unnamePart(request: string, key: string): void {
-    for (const {incarnation, part} of this.ownLosses.lossesOf(key).values())
+    for (const {incarnation, part} of this.tables.own.lossesOf(key).values())
       if (part?.by === request) this.dismiss({suspect: key, incarnation});
   }
 
   /** Confirms a loss after its diagnosis: no other cause was found. */
   confirm(key: LossKey): void {
-    const loss = this.ownLosses.lossesOf(key.suspect).get(key.incarnation);
-    if (loss !== undefined) this.ownLosses.put({...loss, isSettled: true});
+    const loss = this.tables.own.lossesOf(key.suspect).get(key.incarnation);
+    if (loss !== undefined) this.tables.own.put({...loss, isSettled: true});
   }
 
   /** Removes a loss that had another cause than the suspect. */
   dismiss(key: LossKey): void {
-    this.ownLosses.remove(key);
+    this.tables.own.remove(key);
   }
 
   /**
@@ -151,11 +151,11 @@
    * yet that it is harmless.
    */
   recordServed(suspect: string): boolean {
-    const hadLosses = this.ownLosses.lossesOf(suspect).size > 0;
+    const hadLosses = this.tables.own.lossesOf(suspect).size > 0;
     const isNew =
-      this.isRecordedByOthers(suspect) && !this.ownServed.has(suspect);
+      this.tables.isRecordedByOthers(suspect) && !this.ownServed.has(suspect);
     this.outages.remove(suspect);
-    this.ownLosses.removeAll(suspect);
+    this.tables.own.removeAll(suspect);
     if (isNew) this.ownServed.add(suspect);
     dropOldest({entries: this.ownServed, maxSize: MAX_SUSPECTS});
     return isNew || hadLosses;
@@ -168,7 +168,7 @@
 
   /** Replaces what another entry has recorded. */
   updateEntry(entry: string, recorded: RecordedLosses): void {
-    const earlier = this.otherLosses.get(entry);
+    const earlier = this.tables.otherOf(entry);
     const nowMs = this.options.clock.now();
     const table = new LossTable();
     for (const recordedLoss of recorded.losses) {
@@ -185,36 +185,29 @@
       });
     }
     putPrompts(table, recorded.prompts);
-    if (table.isEmpty) this.otherLosses.delete(entry);
-    else this.otherLosses.set(entry, table);
+    this.tables.setOther(entry, table);
     this.othersServed.set(entry, new Set(recorded.harmless));
   }
 
   /** Removes the losses of an entry whose object in the store was deleted. */
   removeEntry(entry: string): void {
-    this.otherLosses.delete(entry);
+    this.tables.removeOther(entry);
     this.othersServed.delete(entry);
   }
 
   /** The suspects of which this entry holds losses. */
   get ownSuspects(): ReadonlySet<string> {
-    return new Set([...this.ownLosses.all()].map(({suspect}) => suspect));
+    return new Set([...this.tables.own.all()].map(({suspect}) => suspect));
   }
 
   /** Whether this entry holds losses of a suspect. */
   hasOwnLosses(suspect: string): boolean {
-    return this.ownLosses.lossesOf(suspect).size > 0;
+    return this.tables.own.lossesOf(suspect).size > 0;
   }
 
   /** The prompt parts of which any entry has recorded losses. */
   partSuspects(): ReadonlySet<string> {
-    const parts = new Set<string>();
-    for (const table of this.tables())
-      for (const suspect of table.suspects)
-        if (isPromptPart(suspect)) parts.add(suspect);
-    for (const suspect of this.alerts.suspects)
-      if (isPromptPart(suspect)) parts.add(suspect);
-    return parts;
+    return this.tables.partSuspects();
   }
 
   /** Returns what an alert tells the other entries of a suspect. */
@@ -241,7 +234,7 @@
       // Nobody can diagnose the cause any more, so the loss counts.
       this.putOwn({suspect, incarnation, part}, true);
     }
-    putPrompts(this.ownLosses, recorded.prompts);
+    putPrompts(this.tables.own, recorded.prompts);
     for (const suspect of recorded.harmless) this.ownServed.add(suspect);
   }
 
@@ -254,13 +247,13 @@
   reset(suspect: string): void {
     this.attributions.remove(suspect);
     this.outages.remove(suspect);
-    for (const table of this.tables()) table.removeAll(suspect);
+    this.tables.removeAll(suspect);
     this.alerts.remove(suspect);
   }
 
   /** Returns what this entry publishes to the others. */
   toRecordedLosses(): RecordedLosses {
-    const losses = [...this.ownLosses.all()]
+    const losses = [...this.tables.own.all()]
       .filter((loss) => this.isFresh(loss))
       .map(toRecordedLoss);
     const prompts = this.toRecordedPrompts();
@@ -273,10 +266,10 @@
 
   /** The prompts whose requests have losses that are not explained. */
   private toRecordedPrompts(): RecordedPrompt[] {
-    const {ownLosses} = this;
-    return [...ownLosses.prompts]
+    const {own} = this.tables;
+    return [...own.prompts]
       .filter(([request]) =>
-        [...ownLosses.lossesOf(request).values()].some((loss) =>
+        [...own.lossesOf(request).values()].some((loss) =>
           this.isCounted(loss),
         ),
       )
@@ -297,7 +290,7 @@
    * as the caller may have tried those entries before.
    */
   incarnationsBefore(suspect: string, beforeMs: number): ReadonlySet<string> {
-    const own = this.ownLosses.lossesOf(suspect);
+    const own = this.tables.own.lossesOf(suspect);
     return this.collectIncarnations(suspect, (loss) => {
       const isOwn = own.get(loss.incarnation) === loss;
       return !isOwn || loss.atMs <= beforeMs;
@@ -342,14 +335,14 @@
   private putOwn(loss: NewLoss, isSettled: boolean): void {
     const atMs = this.options.clock.now();
     this.running.remove(loss.incarnation);
-    this.ownLosses.put({...loss, atMs, isSettled});
+    this.tables.own.put({...loss, atMs, isSettled});
   }
 
   /** Returns whether a prompt part crashes its targets. */
   private isPoisonPart(part: string): boolean {
     const losses = this.partLossesOf(part, ({isSettled}) => isSettled);
     if (!losses.areEnough(POISON_PART_LOSSES)) return false;
-    const others = new Set([...this.allLosses()].map(({suspect}) => suspect));
+    const others = new Set([...this.tables.all()].map(({suspect}) => suspect));
     return ![...others].some(
       (other) =>
         other !== part &&
@@ -385,7 +378,7 @@
     incarnations: ReadonlySet<string>,
   ): boolean {
     const shared = new Map<string, Set<string>>();
-    for (const loss of this.allLosses()) {
+    for (const loss of this.tables.all()) {
       const isSharedLoss =
         loss.suspect !== suspect && incarnations.has(loss.incarnation);
       if (!isSharedLoss || isPromptPart(loss.suspect)) continue;
@@ -401,28 +394,10 @@
 
   /** The losses of a suspect that count, over all entries. */
   private *lossesOf(suspect: string): Iterable<Loss> {
-    const isPart = isPromptPart(suspect);
-    for (const table of this.tables()) {
-      for (const loss of table.lossesOf(suspect).values())
-        if (this.isCounted(loss)) yield loss;
-      if (!isPart) continue;
-      for (const loss of table.promptLossesOf(suspect))
-        if (this.isCounted(loss)) yield loss;
-    }
-    for (const loss of this.alerts.lossesOf(suspect))
+    for (const loss of this.tables.lossesOf(suspect))
       if (this.isCounted(loss)) yield loss;
   }
 
-  private *allLosses(): Iterable<Loss> {
-    for (const table of this.tables()) yield* table.all();
-    yield* this.alerts.all();
-  }
-
-  private *tables(): Iterable<LossTable> {
-    yield this.ownLosses;
-    yield* this.otherLosses.values();
-  }
-
   private isCounted(loss: Loss): boolean {
     if (!this.isFresh(loss) || this.running.contradicts(loss)) return false;
     return !this.attributions.explain(loss);
@@ -432,14 +407,6 @@
     return this.options.clock.now() - atMs <= LOSS_RETENTION_MS;
   }
 
-  /** Returns whether any entry lost an incarnation while it ran a suspect. */
-  private wasLostWith(suspect: string, incarnation: string): boolean {
-    for (const table of this.tables()) {
-      if (table.lossesOf(suspect).has(incarnation)) return true;
-    }
-    return false;
-  }
-
   private wasServed(suspect: string): boolean {
     if (this.ownServed.has(suspect) || this.alerts.isRefuted(suspect))
       return true;
@@ -448,14 +415,6 @@
     }
     return false;
   }
-
-  private isRecordedByOthers(suspect: string): boolean {
-    if (this.alerts.has(suspect)) return true;
-    for (const table of this.otherLosses.values()) {
-      if (table.lossesOf(suspect).size > 0) return true;
-    }
-    return false;
-  }
 }
 
 /** Adds what an entry has recorded of prompts; a few of them, at most. */
