--- a/src/direct/poison/poison-detector.ts
+++ b/src/direct/poison/poison-detector.ts
@@ -27,7 +27,7 @@
   private readonly ctx: DirectContext;
   private readonly work: DirectWork;
   private readonly unsubscribe: () => void;
-  private readonly prompt: PromptIndex;
+  private promptIndex?: PromptIndex;
   private cachedFingerprint?: string;
   private hasLostTarget = false;
 
@@ -39,7 +39,6 @@
   }) {
     this.ctx = options.ctx;
     this.work = options.work;
-    this.prompt = new PromptIndex(options.work.req.promptParts);
     const listener = options.ctx.boundary.guard((suspect: string) => {
       if (suspect === this.fingerprint || this.prompt.has(suspect))
         options.onPoison();
@@ -160,6 +159,11 @@
     };
   }
 
+  /** Made when it is first needed, as that decodes the prompt. */
+  private get prompt(): PromptIndex {
+    return (this.promptIndex ??= new PromptIndex(this.work.req.promptParts));
+  }
+
   private get clientAccount(): string {
     return this.work.admitted.account?.clientAccount ?? '';
   }
--- a/test/crowds/entry.test.ts
+++ b/test/crowds/entry.test.ts
@@ -57,7 +57,24 @@
   waitMs: 1_000,
 });
 
+/** Parts of a prompt in some 15 KB. */
+const PROMPT_PARTS = 3_900;
+
+/** Heads that announce a body, which does not come. */
+const NO_BODY = {...UNKNOWN_KEY, 'Content-Length': '100'};
+
 const CASES = [
+  // Guards against headers that are decoded into many objects (review/15).
+  {
+    what: 'long prompts without bodies on many connections',
+    to: FRONTEND,
+    act: SEND_ONCE,
+    text: formatRequest({
+      ...ORDER,
+      headers: {...NO_BODY, 'Prefix-Hash': 'a:1,'.repeat(PROMPT_PARTS) + 'b:1'},
+    }),
+    clients: MANY_CLIENTS,
+  },
   {
     what: 'served route without the usual headers, sent ahead',
     to: FRONTEND,
