Name what the digest of a prompt is made of, and bound it before decoding

The limit of kept prompts stood twice, and the factors of the hash had no names. A digest that is too long was decoded before its size was looked at. Both hashes of a part come from one pass over its key now.

--- a/src/core/poison/consts.ts
+++ b/src/core/poison/consts.ts
@@ -21,3 +21,9 @@
  * cut off from the store.
  */
 export const SETTLING_MS = 600;
+
+/**
+ * Most long prompts of lost requests that are kept, of one entry; the oldest are
+ * dropped first.
+ */
+export const MAX_PROMPTS = 8;
--- a/src/core/poison/index.ts
+++ b/src/core/poison/index.ts
@@ -1,5 +1,5 @@
 /** Detection and quarantine of requests that crash their targets. */
-export {POISON_LOSSES, SUSPECT_LOSSES} from './consts.js';
+export {MAX_PROMPTS, POISON_LOSSES, SUSPECT_LOSSES} from './consts.js';
 export * from './crash-causes.js';
 export * from './quarantine.js';
 export {isDataCentreOutage} from './data-centre-outage.js';
--- a/src/core/poison/loss-ledger.ts
+++ b/src/core/poison/loss-ledger.ts
@@ -4,6 +4,7 @@
 import {Attributions} from './attributions.js';
 import {PartLosses} from './blamed-part.js';
 import {
+  MAX_PROMPTS,
   POISON_LOSSES,
   POISON_PART_LOSSES,
   SETTLING_MS,
@@ -17,7 +18,7 @@
   RecordedPrompt,
 } from './recorded-losses.js';
 import type {Loss} from './loss-table.js';
-import {LossTable, MAX_PROMPTS} from './loss-table.js';
+import {LossTable} from './loss-table.js';
 import {LossTables} from './loss-tables.js';
 import {OutageCounts} from './outage-counts.js';
 import {RunningIncarnations} from './running-incarnations.js';
--- a/src/core/poison/loss-table.ts
+++ b/src/core/poison/loss-table.ts
@@ -1,4 +1,5 @@
 /** Losses that one entry recorded, by suspect and target incarnation. */
+import {MAX_PROMPTS} from './consts.js';
 import {dropOldest} from './drop-oldest.js';
 import type {PromptDigest} from './prompt-digest.js';
 import type {PartLoss} from './recorded-losses.js';
@@ -20,9 +21,6 @@
 /** Maximum suspects in the table; the oldest are dropped first. */
 const MAX_SUSPECTS = 4_096;
 
-/** Most digests of prompts in the table; the oldest are dropped first. */
-export const MAX_PROMPTS = 8;
-
 const NONE: ReadonlyMap<string, Loss> = new Map();
 
 /**
--- a/src/core/poison/prompt-digest.ts
+++ b/src/core/poison/prompt-digest.ts
@@ -1,4 +1,5 @@
 /** A compact set of the parts of one prompt. */
+
 /** Bits for each part; with them, 1 of 1,000 other parts seems to be in it. */
 const BITS_PER_PART = 16;
 
@@ -14,11 +15,18 @@
 const FNV_BASIS = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
 
+/** Factors of the finalizer of MurmurHash3, which mixes the bits of a hash. */
+const MIX_FACTOR_1 = 0x85ebca6b;
+const MIX_FACTOR_2 = 0xc2b2ae35;
+
 /** Makes the second of the two hashes differ from the first. */
 const SECOND_SEED = 0x9e3779b9;
 
 const ENCODING = 'base64';
 
+/** Length of the largest digest when it is encoded. */
+const MAX_ENCODED_LENGTH = 4 * Math.ceil(MAX_BYTES / 3);
+
 /**
  * A Bloom filter of the keys of prompt parts. It finds each of its parts, and a
  * few others by mistake. Its size is bounded, so that a lost target costs no
@@ -41,6 +49,7 @@
 
   /** Decodes what `encode` returned; undefined if it cannot be that. */
   static decode(text: string): PromptDigest | undefined {
+    if (text.length > MAX_ENCODED_LENGTH) return undefined;
     const bytes = Buffer.from(text, ENCODING);
     const isValid = bytes.length > 0 && bytes.length <= MAX_BYTES;
     return isValid ? new PromptDigest(bytes) : undefined;
@@ -53,8 +62,8 @@
   has(key: string): boolean {
     const {bytes} = this;
     const bits = bytes.length * BITS_PER_BYTE;
-    const first = hashOf(key, 0);
-    const second = hashOf(key, SECOND_SEED);
+    const first = hashOf(key);
+    const second = mix(first ^ SECOND_SEED);
     for (let i = 0; i < PROBES; i++) {
       const bit = (first + i * second) % bits;
       if ((bytes[bit >> 3]! & (1 << (bit & 7))) === 0) return false;
@@ -65,8 +74,8 @@
   private add(key: string): void {
     const {bytes} = this;
     const bits = bytes.length * BITS_PER_BYTE;
-    const first = hashOf(key, 0);
-    const second = hashOf(key, SECOND_SEED);
+    const first = hashOf(key);
+    const second = mix(first ^ SECOND_SEED);
     for (let i = 0; i < PROBES; i++) {
       const bit = (first + i * second) % bits;
       bytes[bit >> 3]! |= 1 << (bit & 7);
@@ -74,12 +83,16 @@
   }
 }
 
-/** FNV-1a, with its bits mixed once more at the end, as in MurmurHash3. */
-function hashOf(key: string, seed: number): number {
-  let hash = FNV_BASIS ^ seed;
-  for (let i = 0; i < key.length; i++)
-    hash = Math.imul(hash ^ key.charCodeAt(i), FNV_PRIME);
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+/** FNV-1a of a text, mixed. */
+function hashOf(text: string): number {
+  let hash = FNV_BASIS;
+  for (let i = 0; i < text.length; i++)
+    hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME);
+  return mix(hash);
+}
+
+function mix(hash: number): number {
+  hash = Math.imul(hash ^ (hash >>> 16), MIX_FACTOR_1);
+  hash = Math.imul(hash ^ (hash >>> 13), MIX_FACTOR_2);
   return (hash ^ (hash >>> 16)) >>> 0;
 }
--- a/src/direct/poison/lost-prompts.ts
+++ b/src/direct/poison/lost-prompts.ts
@@ -4,10 +4,7 @@
   PartSuspect,
   Suspects,
 } from '../../core/poison/index.js';
-import {MAX_NAMED_PARTS} from '../../core/poison/index.js';
-
-/** Most long prompts whose parts are kept; the oldest are dropped. */
-const MAX_PROMPTS = 8;
+import {MAX_NAMED_PARTS, MAX_PROMPTS} from '../../core/poison/index.js';
 
 /** Most parts that are kept of all of them; the latest prompt always is. */
 const MAX_PARTS = 16_384;
