Count the lines of responses without looking at their bodies

What callers saw: nothing yet.

Fix: pieces of a body are views of the slice that the parser got, so only the bytes between them are looked at: heads, framing and trailers.

--- a/src/adapters/bounded-socket.ts
+++ b/src/adapters/bounded-socket.ts
@@ -121,7 +121,7 @@
 
   /** Records the end of an informational head with so many fields. */
   endInformational(fields: number): void {
-    this.lines.removeInformational(fields);
+    this.lines.skipInformational(fields);
     this.endHeadTimer();
   }
 
@@ -134,7 +134,7 @@
 
   /** Records that a piece of a body was read, whose lines nobody keeps. */
   recordBody(piece: Uint8Array): void {
-    this.lines.removeBody(piece);
+    this.lines.skipBody(piece);
   }
 
   /** Records the end of a response; the next bytes are those of another. */
@@ -217,6 +217,7 @@
    * the lines were of a body.
    */
   private mayKeepLines(): boolean {
+    this.lines.settle();
     if (this.lines.areTooMany) {
       this.destroy(new Error(TOO_MANY_LINES_DETAIL));
     } else if (this.lineMemory?.resize(this.lines.memoryBytes) === false) {
--- a/src/adapters/kept-lines.ts
+++ b/src/adapters/kept-lines.ts
@@ -12,22 +12,34 @@
 /** Lines that frame one piece of a body: the size of a chunk and its end. */
 const LINES_PER_PIECE = 2;
 
+/** Lines of a head besides its fields: the first one and the empty one. */
+const OTHER_HEAD_LINES = 2;
+
 const LINE_FEED = 0x0a;
 
+const NO_BYTES = new Uint8Array();
+
 /**
- * Counts each line that a parser reads, until it turns out to be of a body or
- * of an informational response, of which nothing is kept.
+ * Counts the lines that a parser reads, but those of a body and those of an
+ * informational response, of which nothing is kept. What a slice adds is known
+ * once the parser has read all of it; the bytes of a body are not looked at.
  *
  * @example
- * const lines = new KeptLines();
  * lines.add(slice);
- * lines.removeBody(chunk);
+ * // The parser reads the slice, and calls `skipBody` for each piece of a body.
+ * lines.settle();
  * if (lines.areTooMany) close();
  */
 export class KeptLines {
   private count = 0;
   /** Lines of the head that has ended, which its reader still holds. */
   private headLines = 0;
+  /** Lines of the latest slice that `count` has before they are reached. */
+  private countedAhead = 0;
+  /** The latest slice. */
+  private slice: Uint8Array = NO_BYTES;
+  /** Length of the part of the slice whose lines are in `count`. */
+  private settled = 0;
 
   /** Whether there are more than a response may have. */
   get areTooMany(): boolean {
@@ -39,30 +51,39 @@
     return this.count * LINE_BYTES;
   }
 
-  /** Adds the lines of bytes that the parser gets. */
-  add(bytes: Uint8Array): void {
-    this.count += countLines(bytes);
+  /** Adds bytes that the parser gets now. */
+  add(slice: Uint8Array): void {
+    this.slice = slice;
+    this.settled = 0;
+  }
+
+  /** Removes the end of the slice, which the parser has given back. */
+  remove(rest: Uint8Array): void {
+    this.slice = this.slice.subarray(0, this.slice.length - rest.length);
   }
 
-  /** Removes the lines of bytes that the parser has given back. */
-  remove(bytes: Uint8Array): void {
-    this.count -= countLines(bytes);
+  /** Leaves out a piece of a body, which is a view of the slice. */
+  skipBody(piece: Uint8Array): void {
+    const start = piece.byteOffset - this.slice.byteOffset;
+    const lines = this.countUpTo(start) - LINES_PER_PIECE;
+    this.count = Math.max(this.headLines, this.count + lines);
+    this.settled = start + piece.length;
   }
 
-  /** Removes the lines of a piece of a body, and of its framing. */
-  removeBody(piece: Uint8Array): void {
-    const left = this.count - countLines(piece) - LINES_PER_PIECE;
-    this.count = Math.max(this.headLines, left);
+  /** Counts the lines of the rest of the slice, which the parser has read. */
+  settle(): void {
+    this.count += this.countUpTo(this.slice.length);
   }
 
-  /** Removes an informational head with so many fields. */
-  removeInformational(fields: number): void {
-    // Its status line and the empty line that ends it come on top.
-    this.count -= fields + 2;
+  /** Leaves out an informational head with so many fields. */
+  skipInformational(fields: number): void {
+    this.count -= fields + OTHER_HEAD_LINES;
   }
 
   /** The final head, with so many fields, has ended. */
   endHead(fields: number): void {
+    const left = fields + OTHER_HEAD_LINES - this.count;
+    this.countedAhead = Math.max(0, left);
     this.headLines = fields;
     this.count = Math.max(this.count, fields);
   }
@@ -71,11 +92,19 @@
   reset(): void {
     this.count = 0;
     this.headLines = 0;
+    this.countedAhead = 0;
+    this.slice = NO_BYTES;
+    this.settled = 0;
   }
-}
 
-function countLines(bytes: Uint8Array): number {
-  let count = 0;
-  for (let i = 0; i < bytes.length; i++) if (bytes[i] === LINE_FEED) count++;
-  return count;
+  /** The lines from the settled part of the slice to an index of it. */
+  private countUpTo(end: number): number {
+    const {slice} = this;
+    let lines = -this.countedAhead;
+    for (let i = this.settled; i < end; i++)
+      if (slice[i] === LINE_FEED) lines++;
+    this.settled = Math.max(this.settled, end);
+    this.countedAhead = 0;
+    return Math.max(0, lines);
+  }
 }
