--- a/test/adapters/kept-lines.test.ts
+++ b/test/adapters/kept-lines.test.ts
@@ -24,6 +24,8 @@
 
 const FIELD = 'A: b\r\n';
 
+const DIGITS = /^\d+$/;
+
 const END = '\r\n';
 
 const text = (content: string): Part => ({
@@ -155,6 +157,26 @@
     lines.settle();
     expect(lines.areTooMany).toBe(false);
   });
+
+  // Guards against reading a long response at three times its cost.
+  it('are counted without a look at the bytes of a body', () => {
+    const headText = 'HTTP/1.1 200 OK\r\n\r\n';
+    const bytes = Buffer.from(headText + 'x\n'.repeat(MANY));
+    let looks = 0;
+    const slice = new Proxy<Uint8Array>(bytes, {
+      get: (target, name): unknown => {
+        if (typeof name === 'string' && DIGITS.test(name)) looks++;
+        return Reflect.get(target, name, target);
+      },
+    });
+    const lines = new KeptLines();
+    lines.add(slice);
+    lines.endHead(0);
+    lines.skipBody(bytes.subarray(headText.length));
+    lines.settle();
+    expect(lines.areTooMany).toBe(false);
+    expect(looks).toBe(headText.length);
+  });
 });
 
 /** Does what a socket and a parser do with a slice. */
