--- a/src/core/poison/prompt-digest.ts
+++ b/src/core/poison/prompt-digest.ts
@@ -62,8 +62,8 @@
   has(key: string): boolean {
     const {bytes} = this;
     const bits = bytes.length * BITS_PER_BYTE;
-    const first = hashOf(key);
-    const second = mix(first ^ SECOND_SEED);
+    const first = hashOf(key, 0);
+    const second = hashOf(key, SECOND_SEED);
     for (let i = 0; i < PROBES; i++) {
       const bit = (first + i * second) % bits;
       if ((bytes[bit >> 3]! & (1 << (bit & 7))) === 0) return false;
@@ -74,8 +74,8 @@
   private add(key: string): void {
     const {bytes} = this;
     const bits = bytes.length * BITS_PER_BYTE;
-    const first = hashOf(key);
-    const second = mix(first ^ SECOND_SEED);
+    const first = hashOf(key, 0);
+    const second = hashOf(key, SECOND_SEED);
     for (let i = 0; i < PROBES; i++) {
       const bit = (first + i * second) % bits;
       bytes[bit >> 3]! |= 1 << (bit & 7);
@@ -83,15 +83,11 @@
   }
 }
 
-/** FNV-1a of a text, mixed. */
-function hashOf(text: string): number {
-  let hash = FNV_BASIS;
+/** FNV-1a, with its bits mixed once more at the end, as in MurmurHash3. */
+function hashOf(text: string, seed: number): number {
+  let hash = FNV_BASIS ^ seed;
   for (let i = 0; i < text.length; i++)
     hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME);
-  return mix(hash);
-}
-
-function mix(hash: number): number {
   hash = Math.imul(hash ^ (hash >>> 16), MIX_FACTOR_1);
   hash = Math.imul(hash ^ (hash >>> 13), MIX_FACTOR_2);
   return (hash ^ (hash >>> 16)) >>> 0;
